--- /dev/null
+++ b/crates/cyclamentrail-core/src/fleet.rs
@@ -0,0 +1,173 @@
+//! The fleet: the state that all entries agree on, as a fold of the log's records.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use slotmap::new_key_type;
+
+use crate::id::{BootId, Incarnation, Offset, Term, Version};
+use crate::name::{EntryName, InstanceName, PoolName, ZoneName};
+use crate::record::DrainReason;
+use crate::registry::Registry;
+use crate::settings::Settings;
+
+mod fold;
+mod rejection;
+
+pub use fold::Applied;
+pub use rejection::{Rejection, RejectionKind};
+
+new_key_type! {
+    /// Key of an instance in the fleet.
+    pub struct InstanceKey;
+    /// Key of a member in the fleet.
+    pub struct MemberKey;
+}
+
+/// State that follows from the records up to an offset; the same on every entry.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Fleet {
+    next_offset: Offset,
+    clock_ms: u64,
+    settings: Option<AcceptedSettings>,
+    duty: Duty,
+    members: Registry<MemberKey, Incarnation, Member>,
+    instances: Registry<InstanceKey, InstanceName, Instance>,
+}
+
+/// Settings in force.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AcceptedSettings {
+    /// Version; rises by one with each accepted change.
+    pub version: Version,
+    /// Offset of the record that brought them into force.
+    pub offset: Offset,
+    /// Operator who made the last change.
+    pub operator: String,
+    /// The whole document, which later patches are applied to.
+    pub document: Value,
+    /// The document as typed settings.
+    pub settings: Arc<Settings>,
+}
+
+/// Who holds the fleet duty.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Duty {
+    /// Term in force; 0 before the first claim.
+    pub term: Term,
+    /// The holder, if it is still a member.
+    pub holder: Option<Incarnation>,
+}
+
+/// An entry process that may dispatch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Name of the entry instance.
+    pub entry: EntryName,
+    /// Availability zone of the entry.
+    pub zone: ZoneName,
+    /// Address of its listener for peers.
+    pub peer_address: SocketAddr,
+    /// Newest record format that it understands.
+    pub supports_format: u16,
+    /// Last record of this member that was folded.
+    pub last_sequence: u64,
+}
+
+/// A worker instance as all entries agree on it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Version; rises by one with each accepted change of the instance.
+    pub version: Version,
+    /// The one pool that the instance belongs to.
+    pub pool: PoolName,
+    /// Boot that the agreed state holds for.
+    pub boot: BootId,
+    /// Whether it takes new work.
+    pub state: InstanceState,
+}
+
+/// Whether an instance takes new work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceState {
+    /// It takes work for its pool.
+    Serving,
+    /// It gets no new work; some members may still have work in flight there.
+    Draining {
+        /// Why it drains.
+        reason: DrainReason,
+        /// Version at which the drain began.
+        drain: Version,
+        /// Members that haven't released it.
+        awaiting: BTreeSet<Incarnation>,
+        /// Whether an evicted member never released it, so that only a new boot frees it.
+        needs_boot: bool,
+    },
+    /// Nobody sends to it and nothing is in flight.
+    Drained {
+        /// Why it was drained.
+        reason: DrainReason,
+        /// Whether it may only be assigned after a new boot.
+        needs_boot: bool,
+    },
+}
+
+impl Fleet {
+    /// Creates the state before the first record.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the offset of the next record to fold.
+    #[must_use]
+    pub const fn next_offset(&self) -> Offset {
+        self.next_offset
+    }
+
+    /// Returns the newest time in milliseconds that the log stamped on a record.
+    #[must_use]
+    pub const fn clock_ms(&self) -> u64 {
+        self.clock_ms
+    }
+
+    /// Returns the settings in force.
+    #[must_use]
+    pub const fn settings(&self) -> Option<&AcceptedSettings> {
+        self.settings.as_ref()
+    }
+
+    /// Returns who holds the fleet duty.
+    #[must_use]
+    pub const fn duty(&self) -> &Duty {
+        &self.duty
+    }
+
+    /// Returns the members in the order of incarnations.
+    pub fn members(&self) -> impl Iterator<Item = (Incarnation, &Member)> {
+        self.members
+            .iter()
+            .map(|(&incarnation, member)| (incarnation, member))
+    }
+
+    /// Returns a member.
+    #[must_use]
+    pub fn member(&self, incarnation: Incarnation) -> Option<&Member> {
+        self.members.get(&incarnation)
+    }
+
+    /// Returns the instances in the order of names.
+    pub fn instances(&self) -> impl Iterator<Item = (&InstanceName, &Instance)> {
+        self.instances.iter()
+    }
+
+    /// Returns an instance.
+    #[must_use]
+    pub fn instance(&self, name: &InstanceName) -> Option<&Instance> {
+        self.instances.get(name)
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-core/src/fleet/fold.rs
@@ -0,0 +1,369 @@
+//! Folds log records into the fleet.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::{
+    AcceptedSettings, Duty, Fleet, Instance, InstanceState, Member, Rejection, RejectionKind,
+};
+use crate::id::{BootId, Incarnation, Offset, RecordId, Term, Version};
+use crate::name::{InstanceName, PoolName};
+use crate::record::{DrainReason, LeaveReason, Record, RecordBody};
+use crate::settings::{Settings, load_settings, merge_documents};
+
+/// What folding a record did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Applied {
+    /// The record took effect.
+    Accepted,
+    /// The record had no effect.
+    Rejected(Rejection),
+}
+
+impl Fleet {
+    /// Folds the record at the next offset; `appended_ms` is the log's time stamp on it.
+    pub fn apply(&mut self, offset: Offset, appended_ms: u64, record: &Record) -> Applied {
+        self.next_offset = offset.next();
+        self.clock_ms = self.clock_ms.max(appended_ms);
+        match self.fold(offset, record) {
+            Ok(()) => Applied::Accepted,
+            Err(kind) => Applied::Rejected(Rejection {
+                id: record.id,
+                kind,
+            }),
+        }
+    }
+
+    /// Passes over a record that can't be decoded; every entry passes over it alike.
+    pub fn skip(&mut self, offset: Offset, appended_ms: u64) {
+        self.next_offset = offset.next();
+        self.clock_ms = self.clock_ms.max(appended_ms);
+    }
+
+    /// Returns the newest record format that every member understands.
+    #[must_use]
+    pub fn agreed_format(&self) -> u16 {
+        self.members()
+            .map(|(_, member)| member.supports_format)
+            .min()
+            .unwrap_or(crate::record::FORMAT)
+    }
+
+    fn fold(&mut self, offset: Offset, record: &Record) -> Result<(), RejectionKind> {
+        let author = record.id.author;
+        if let Some(RecordBody::EntryJoined {
+            entry,
+            zone,
+            peer_address,
+            supports_format,
+        }) = &record.body
+        {
+            if self.members.get(&author).is_some() {
+                return Err(RejectionKind::Duplicate);
+            }
+            let member = Member {
+                entry: entry.clone(),
+                zone: zone.clone(),
+                peer_address: *peer_address,
+                supports_format: *supports_format,
+                last_sequence: record.id.sequence,
+            };
+            self.members.insert(author, member);
+            return Ok(());
+        }
+        self.check_author(record.id)?;
+        let agreed = self.agreed_format();
+        let Some(body) = record.body.as_ref().filter(|_| record.format <= agreed) else {
+            return Err(RejectionKind::FormatTooNew {
+                format: record.format,
+                agreed,
+            });
+        };
+        match body {
+            RecordBody::EntryJoined { .. } => Err(RejectionKind::Duplicate),
+            RecordBody::EntryLeft {
+                incarnation,
+                reason,
+            } => self.fold_left(*incarnation, *reason),
+            RecordBody::SettingsChanged {
+                presumes,
+                patch,
+                operator,
+            } => self.fold_settings(offset, *presumes, patch, operator),
+            RecordBody::DutyClaimed { presumes } => self.fold_duty(author, *presumes),
+            RecordBody::DrainBegun {
+                instance,
+                presumes,
+                reason,
+            } => self.fold_drain(instance, *presumes, reason),
+            RecordBody::DrainReleased { instance, drain } => {
+                self.fold_release(author, instance, *drain)
+            }
+            RecordBody::InstanceBooted {
+                instance,
+                presumes,
+                boot,
+            } => self.fold_boot(instance, *presumes, *boot),
+            RecordBody::InstanceAssigned {
+                instance,
+                presumes,
+                pool,
+            } => self.fold_assigned(instance, *presumes, pool),
+        }
+    }
+
+    fn check_author(&mut self, id: RecordId) -> Result<(), RejectionKind> {
+        let member = self
+            .members
+            .get_mut(&id.author)
+            .ok_or(RejectionKind::NotMember { author: id.author })?;
+        if id.sequence <= member.last_sequence {
+            return Err(RejectionKind::Duplicate);
+        }
+        member.last_sequence = id.sequence;
+        Ok(())
+    }
+
+    fn fold_left(&mut self, gone: Incarnation, reason: LeaveReason) -> Result<(), RejectionKind> {
+        self.members
+            .remove(&gone)
+            .ok_or_else(|| RejectionKind::Unknown {
+                what: format!("entry process {gone}"),
+            })?;
+        if self.duty.holder == Some(gone) {
+            self.duty.holder = None;
+        }
+        for instance in self.instances.values_mut() {
+            instance.member_left(gone, reason);
+        }
+        Ok(())
+    }
+
+    fn fold_settings(
+        &mut self,
+        offset: Offset,
+        presumes: Version,
+        patch: &serde_json::Value,
+        operator: &str,
+    ) -> Result<(), RejectionKind> {
+        let (current, winner, document) = match &self.settings {
+            Some(accepted) => (
+                accepted.version,
+                accepted.operator.clone(),
+                accepted.document.clone(),
+            ),
+            None => (Version::default(), String::new(), serde_json::Value::Null),
+        };
+        if presumes != current {
+            return Err(RejectionKind::VersionPassed {
+                presumed: presumes,
+                current,
+                winner,
+            });
+        }
+        let document = merge_documents(document, patch);
+        let settings =
+            load_settings(&document).map_err(|error| RejectionKind::InvalidSettings {
+                problem: error.to_string(),
+            })?;
+        self.add_instances(&settings);
+        self.settings = Some(AcceptedSettings {
+            version: current.next(),
+            offset,
+            operator: operator.to_owned(),
+            document,
+            settings: Arc::new(settings),
+        });
+        Ok(())
+    }
+
+    fn add_instances(&mut self, settings: &Settings) {
+        for (pool, pool_settings) in &settings.pools {
+            for name in &pool_settings.instances {
+                if self.instances.get(name).is_none() {
+                    let instance = Instance {
+                        version: Version::new(1),
+                        pool: pool.clone(),
+                        boot: BootId::default(),
+                        state: InstanceState::Serving,
+                    };
+                    self.instances.insert(name.clone(), instance);
+                }
+            }
+        }
+    }
+
+    fn fold_duty(&mut self, author: Incarnation, presumes: Term) -> Result<(), RejectionKind> {
+        if presumes != self.duty.term {
+            return Err(RejectionKind::TermPassed {
+                presumed: presumes,
+                current: self.duty.term,
+            });
+        }
+        self.duty = Duty {
+            term: presumes.next(),
+            holder: Some(author),
+        };
+        Ok(())
+    }
+
+    fn fold_drain(
+        &mut self,
+        name: &InstanceName,
+        presumes: Version,
+        reason: &DrainReason,
+    ) -> Result<(), RejectionKind> {
+        let awaiting: BTreeSet<Incarnation> =
+            self.members().map(|(incarnation, _)| incarnation).collect();
+        let instance = self.changed_instance(name, presumes)?;
+        if instance.state != InstanceState::Serving {
+            return Err(instance.wrong_state("serving"));
+        }
+        instance.version = instance.version.next();
+        instance.state = InstanceState::Draining {
+            reason: reason.clone(),
+            drain: instance.version,
+            awaiting,
+            needs_boot: false,
+        };
+        Ok(())
+    }
+
+    fn fold_release(
+        &mut self,
+        author: Incarnation,
+        name: &InstanceName,
+        released: Version,
+    ) -> Result<(), RejectionKind> {
+        let instance = self.known_instance(name)?;
+        match &mut instance.state {
+            InstanceState::Draining {
+                drain, awaiting, ..
+            } if *drain == released => {
+                awaiting.remove(&author);
+                instance.finish_drain();
+                Ok(())
+            }
+            _ => Err(instance.wrong_state("draining")),
+        }
+    }
+
+    fn fold_boot(
+        &mut self,
+        name: &InstanceName,
+        presumes: Version,
+        boot: BootId,
+    ) -> Result<(), RejectionKind> {
+        let instance = self.changed_instance(name, presumes)?;
+        if boot <= instance.boot {
+            return Err(instance.wrong_state("on a newer boot"));
+        }
+        instance.version = instance.version.next();
+        instance.boot = boot;
+        if let InstanceState::Drained { needs_boot, .. } = &mut instance.state {
+            *needs_boot = false;
+        }
+        Ok(())
+    }
+
+    fn fold_assigned(
+        &mut self,
+        name: &InstanceName,
+        presumes: Version,
+        pool: &PoolName,
+    ) -> Result<(), RejectionKind> {
+        let known = self
+            .settings
+            .as_ref()
+            .is_some_and(|accepted| accepted.settings.pools.contains_key(pool));
+        if !known {
+            return Err(RejectionKind::Unknown {
+                what: format!("pool \"{pool}\""),
+            });
+        }
+        let instance = self.changed_instance(name, presumes)?;
+        let free = matches!(
+            instance.state,
+            InstanceState::Drained {
+                needs_boot: false,
+                ..
+            }
+        );
+        if !free {
+            return Err(instance.wrong_state("drained and booted anew"));
+        }
+        instance.version = instance.version.next();
+        instance.pool = pool.clone();
+        instance.state = InstanceState::Serving;
+        Ok(())
+    }
+
+    fn known_instance(&mut self, name: &InstanceName) -> Result<&mut Instance, RejectionKind> {
+        self.instances
+            .get_mut(name)
+            .ok_or_else(|| RejectionKind::Unknown {
+                what: format!("instance \"{name}\""),
+            })
+    }
+
+    fn changed_instance(
+        &mut self,
+        name: &InstanceName,
+        presumes: Version,
+    ) -> Result<&mut Instance, RejectionKind> {
+        let instance = self.known_instance(name)?;
+        if instance.version != presumes {
+            return Err(RejectionKind::VersionPassed {
+                presumed: presumes,
+                current: instance.version,
+                winner: String::from("another change of the instance"),
+            });
+        }
+        Ok(instance)
+    }
+}
+
+impl Instance {
+    fn member_left(&mut self, gone: Incarnation, reason: LeaveReason) {
+        if let InstanceState::Draining {
+            awaiting,
+            needs_boot,
+            ..
+        } = &mut self.state
+        {
+            if awaiting.remove(&gone) && reason == LeaveReason::Evicted {
+                *needs_boot = true;
+            }
+            self.finish_drain();
+        }
+    }
+
+    fn finish_drain(&mut self) {
+        if let InstanceState::Draining {
+            reason,
+            awaiting,
+            needs_boot,
+            ..
+        } = &self.state
+            && awaiting.is_empty()
+        {
+            self.state = InstanceState::Drained {
+                reason: reason.clone(),
+                needs_boot: *needs_boot,
+            };
+            self.version = self.version.next();
+        }
+    }
+
+    fn wrong_state(&self, needed: &str) -> RejectionKind {
+        let state = match &self.state {
+            InstanceState::Serving => "serving",
+            InstanceState::Draining { .. } => "draining",
+            InstanceState::Drained { .. } => "drained",
+        };
+        RejectionKind::WrongState {
+            state: String::from(state),
+            needed: needed.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -0,0 +1,42 @@
+//! Pure decisions and state of cyclamentrail.
+//!
+//! This crate holds the world (zones, racks, instances, pools, services) and the decisions about
+//! it. It does no input or output, reads no clock and starts no threads: time comes in as an
+//! argument and effects go out as typed values, so that the process, the model check and the
+//! benches all drive the same code.
+//!
+//! ```
+//! use cyclamentrail_core::{Fleet, Offset};
+//!
+//! let fleet = Fleet::new();
+//! assert_eq!(fleet.next_offset(), Offset::new(0));
+//! ```
+
+mod fleet;
+mod id;
+mod name;
+mod outcome;
+mod record;
+mod registry;
+mod route;
+mod settings;
+
+pub use fleet::{
+    AcceptedSettings, Applied, Fleet, Instance, InstanceState, Member, Rejection, RejectionKind,
+};
+pub use id::{BootId, Incarnation, Offset, RecordId, Term, Version};
+pub use name::{
+    EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, ZoneName,
+};
+pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use record::{
+    CodecError, DrainReason, FORMAT, LeaveReason, Record, RecordBody, decode_record, encode_record,
+};
+pub use registry::Registry;
+pub use route::{Candidate, choose};
+pub use settings::{
+    CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
+    Fault, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings, SecretSource,
+    ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings, merge_documents,
+    settings_schema,
+};
--- /dev/null
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/cyclamentrail-standin/src/backend.rs
@@ -0,0 +1,215 @@
+//! A backend server with slots, which counts what it runs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::body::Bytes;
+use axum::extract::{Path, Query, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{any, get, post};
+use axum::{Json, Router};
+use cyclamentrail_core::InstanceName;
+use serde::{Deserialize, Serialize};
+
+use crate::serve::Served;
+
+/// Header by which a backend server says that it refused a request and ran nothing of it.
+const REFUSED_HEADER: &str = "x-refused";
+/// Header with the entry's id of the request.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header with the caller's own mark of the request, which the answer repeats.
+const CALL_ID_HEADER: &str = "x-call-id";
+
+/// A fault of a backend server; set with `POST /_standin/fault`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BackendFault {
+    /// It works.
+    #[default]
+    None,
+    /// It refuses every request.
+    Refuse,
+    /// It runs every request and answers 500.
+    FailAll,
+    /// It takes this much longer.
+    Slow {
+        /// The extra time in milliseconds.
+        delay_ms: u64,
+    },
+}
+
+/// What a backend server ran.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendReport {
+    /// Runs in the order of their start.
+    pub runs: Vec<RunReport>,
+    /// Requests that it refused.
+    pub refused: u64,
+    /// Most requests that ran at once.
+    pub peak_in_flight: u32,
+}
+
+/// One run of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunReport {
+    /// The caller's mark of the request.
+    pub call_id: String,
+    /// The entry's id of the request.
+    pub request_id: String,
+    /// Service that the request was for.
+    pub service: String,
+}
+
+/// A stand-in backend server.
+#[derive(Debug)]
+pub struct Backend {
+    shared: Shared,
+    served: Served,
+}
+
+#[derive(Debug, Clone)]
+struct Shared {
+    name: InstanceName,
+    slots: u32,
+    state: Arc<Mutex<RunState>>,
+}
+
+#[derive(Debug, Default)]
+struct RunState {
+    fault: BackendFault,
+    in_flight: u32,
+    report: BackendReport,
+}
+
+#[derive(Debug, Deserialize)]
+struct WorkQuery {
+    #[serde(default)]
+    work_ms: u64,
+}
+
+impl Backend {
+    /// Starts a backend server on an address; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(
+        address: SocketAddr,
+        name: InstanceName,
+        slots: u32,
+    ) -> std::io::Result<Self> {
+        let shared = Shared {
+            name,
+            slots,
+            state: Arc::default(),
+        };
+        let router = Router::new()
+            .route("/_standin/report", get(report))
+            .route("/_standin/fault", post(set_fault))
+            .route("/{service}/{*path}", any(run))
+            .with_state(shared.clone());
+        let served = Served::start(address, router).await?;
+        Ok(Self { shared, served })
+    }
+
+    /// Returns the address that it listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.served.address()
+    }
+
+    /// Returns what it ran.
+    #[must_use]
+    pub fn report(&self) -> BackendReport {
+        self.shared.lock().report.clone()
+    }
+
+    /// Switches a fault on or off.
+    pub fn set_fault(&self, fault: BackendFault) {
+        self.shared.lock().fault = fault;
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, RunState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn begin(&self, service: &str, headers: &HeaderMap) -> Option<BackendFault> {
+        let mut state = self.lock();
+        if state.fault == BackendFault::Refuse || state.in_flight >= self.slots {
+            state.report.refused += 1;
+            return None;
+        }
+        state.in_flight += 1;
+        state.report.peak_in_flight = state.report.peak_in_flight.max(state.in_flight);
+        state.report.runs.push(RunReport {
+            call_id: header(headers, CALL_ID_HEADER),
+            request_id: header(headers, REQUEST_ID_HEADER),
+            service: service.to_owned(),
+        });
+        Some(state.fault)
+    }
+}
+
+/// Frees the slot when the run ends or its caller goes away.
+struct SlotGuard(Shared);
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.0.lock().in_flight -= 1;
+    }
+}
+
+fn header(headers: &HeaderMap, name: &str) -> String {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+async fn report(State(shared): State<Shared>) -> Json<BackendReport> {
+    Json(shared.lock().report.clone())
+}
+
+async fn set_fault(State(shared): State<Shared>, Json(fault): Json<BackendFault>) -> StatusCode {
+    shared.lock().fault = fault;
+    StatusCode::NO_CONTENT
+}
+
+async fn run(
+    State(shared): State<Shared>,
+    Path((service, _path)): Path<(String, String)>,
+    Query(query): Query<WorkQuery>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let Some(fault) = shared.begin(&service, &headers) else {
+        return (
+            StatusCode::SERVICE_UNAVAILABLE,
+            [(REFUSED_HEADER, "not-run")],
+        )
+            .into_response();
+    };
+    let _slot = SlotGuard(shared.clone());
+    let mut work_ms = query.work_ms;
+    if let BackendFault::Slow { delay_ms } = fault {
+        work_ms += delay_ms;
+    }
+    tokio::time::sleep(Duration::from_millis(work_ms)).await;
+    if fault == BackendFault::FailAll {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    }
+    let call_id = header(&headers, CALL_ID_HEADER);
+    let answer = BTreeMap::from([
+        ("call_id", call_id.clone()),
+        ("instance", shared.name.to_string()),
+        ("service", service),
+        ("body_bytes", body.len().to_string()),
+    ]);
+    ([(CALL_ID_HEADER, call_id)], Json(answer)).into_response()
+}
--- /dev/null
+++ b/crates/cyclamentrail-standin/src/bin/cyclamentrail-standin.rs
@@ -0,0 +1,62 @@
+//! Runs one stand-in as a process, for tests with separate processes.
+
+use std::net::SocketAddr;
+
+use anyhow::{Context, Result, bail};
+use cyclamentrail_core::InstanceName;
+use cyclamentrail_standin::{Backend, ListService, LogService};
+use getopts::Options;
+
+const DEFAULT_SLOTS: u32 = 8;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<()> {
+    let mut options = Options::new();
+    options.optopt(
+        "",
+        "address",
+        "address to listen on (default 127.0.0.1:0)",
+        "IP:PORT",
+    );
+    options.optopt("", "name", "name of the instance (backend only)", "NAME");
+    options.optopt(
+        "",
+        "slots",
+        "slots of the instance (backend only, default 8)",
+        "N",
+    );
+    let matches = options
+        .parse(std::env::args().skip(1))
+        .context("reading arguments")?;
+    let address: SocketAddr = matches
+        .opt_get_default("address", SocketAddr::from(([127, 0, 0, 1], 0)))
+        .context("reading --address")?;
+    match matches.free.first().map(String::as_str) {
+        Some("log") => {
+            let service = LogService::start(address).await?;
+            serve_until_killed(service.address()).await;
+        }
+        Some("list") => {
+            let service = ListService::start(address).await?;
+            serve_until_killed(service.address()).await;
+        }
+        Some("backend") => {
+            let name = matches.opt_str("name").context("a backend needs --name")?;
+            let slots = matches
+                .opt_get_default("slots", DEFAULT_SLOTS)
+                .context("reading --slots")?;
+            let service = Backend::start(address, InstanceName::from(name), slots).await?;
+            serve_until_killed(service.address()).await;
+        }
+        _ => bail!(
+            "{}",
+            options.usage("cyclamentrail-standin log|list|backend [options]")
+        ),
+    }
+    Ok(())
+}
+
+async fn serve_until_killed(address: SocketAddr) {
+    println!("listening {address}");
+    std::future::pending::<()>().await;
+}
--- /dev/null
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -0,0 +1,23 @@
+//! Small stand-ins of the platform: the log service, the instance list and backend servers.
+//!
+//! They serve tests, benches and `cyclamentrail local`. Faults are switched on through typed
+//! requests. Nothing here is part of what operators run.
+//!
+//! ```
+//! use cyclamentrail_standin::LogStore;
+//!
+//! let store = LogStore::new();
+//! assert_eq!(store.head("control").get(), 0);
+//! ```
+
+mod backend;
+mod list_service;
+mod log_service;
+mod log_store;
+mod serve;
+
+pub use backend::{Backend, BackendFault, BackendReport, RunReport};
+pub use list_service::ListService;
+pub use log_service::{LogFault, LogService};
+pub use log_store::LogStore;
+pub use serve::Served;
--- /dev/null
+++ b/crates/cyclamentrail-standin/src/log_service.rs
@@ -0,0 +1,164 @@
+//! The log service over HTTP, with faults.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use axum::body::Bytes;
+use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::post;
+use axum::{Json, Router};
+use cyclamentrail_core::Offset;
+use cyclamentrail_platform::{AppendAnswer, AppendRequest, ReadRequest};
+use serde::{Deserialize, Serialize};
+
+use crate::log_store::LogStore;
+use crate::serve::Served;
+
+/// A fault of the log service; set with `POST /_standin/fault`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFault {
+    /// It works.
+    #[default]
+    None,
+    /// Every call is answered with 503 and has no effect.
+    Down,
+    /// Appends take effect and their answers are lost.
+    LoseAnswers,
+    /// Every call waits for this many milliseconds first.
+    Slow {
+        /// The delay in milliseconds.
+        delay_ms: u64,
+    },
+}
+
+/// The log service of the stand-in platform.
+#[derive(Debug)]
+pub struct LogService {
+    store: Arc<LogStore>,
+    fault: Arc<Mutex<LogFault>>,
+    served: Served,
+}
+
+#[derive(Debug, Clone)]
+struct Shared {
+    store: Arc<LogStore>,
+    fault: Arc<Mutex<LogFault>>,
+}
+
+impl LogService {
+    /// Starts the service on an address; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let store = Arc::new(LogStore::new());
+        let fault = Arc::new(Mutex::new(LogFault::None));
+        let shared = Shared {
+            store: Arc::clone(&store),
+            fault: Arc::clone(&fault),
+        };
+        let router = Router::new()
+            .route("/v1/streams/{stream}/records", post(append).get(read))
+            .route("/_standin/fault", post(set_fault))
+            .route("/_standin/trim/{stream}/{below}", post(trim))
+            .with_state(shared);
+        let served = Served::start(address, router).await?;
+        Ok(Self {
+            store,
+            fault,
+            served,
+        })
+    }
+
+    /// Returns the address that it listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.served.address()
+    }
+
+    /// Returns the records.
+    #[must_use]
+    pub fn store(&self) -> &LogStore {
+        &self.store
+    }
+
+    /// Switches a fault on or off.
+    pub fn set_fault(&self, fault: LogFault) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+}
+
+impl Shared {
+    async fn meet_fault(&self) -> Result<LogFault, StatusCode> {
+        let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        match fault {
+            LogFault::Down => Err(StatusCode::SERVICE_UNAVAILABLE),
+            LogFault::Slow { delay_ms } => {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                Ok(fault)
+            }
+            LogFault::None | LogFault::LoseAnswers => Ok(fault),
+        }
+    }
+}
+
+async fn set_fault(State(shared): State<Shared>, Json(fault): Json<LogFault>) -> StatusCode {
+    *shared.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    StatusCode::NO_CONTENT
+}
+
+async fn trim(
+    State(shared): State<Shared>,
+    Path((stream, below)): Path<(String, Offset)>,
+) -> StatusCode {
+    shared.store.trim(&stream, below);
+    StatusCode::NO_CONTENT
+}
+
+async fn append(
+    State(shared): State<Shared>,
+    Path(stream): Path<String>,
+    body: Bytes,
+) -> Result<Response, StatusCode> {
+    let fault = shared.meet_fault().await?;
+    let request: AppendRequest =
+        rmp_serde::from_slice(&body).map_err(|_error| StatusCode::BAD_REQUEST)?;
+    let first_offset = shared.store.append(&stream, request.records);
+    if fault == LogFault::LoseAnswers {
+        return Err(StatusCode::GATEWAY_TIMEOUT);
+    }
+    encode(&AppendAnswer { first_offset })
+}
+
+async fn read(
+    State(shared): State<Shared>,
+    Path(stream): Path<String>,
+    Query(request): Query<ReadRequest>,
+) -> Result<Response, StatusCode> {
+    shared.meet_fault().await?;
+    let wait = Duration::from_millis(request.wait_ms);
+    let until = tokio::time::Instant::now() + wait;
+    let mut appends = shared.store.subscribe();
+    while shared.store.head(&stream) <= request.from {
+        if tokio::time::timeout_at(until, appends.changed())
+            .await
+            .is_err()
+        {
+            break;
+        }
+    }
+    shared.meet_fault().await?;
+    let max = usize::try_from(request.max).unwrap_or(usize::MAX);
+    encode(&shared.store.read(&stream, request.from, max))
+}
+
+fn encode<T: Serialize>(answer: &T) -> Result<Response, StatusCode> {
+    let bytes =
+        rmp_serde::to_vec_named(answer).map_err(|_error| StatusCode::INTERNAL_SERVER_ERROR)?;
+    Ok(bytes.into_response())
+}
--- /dev/null
+++ b/crates/cyclamentrail-testkit/src/process.rs
@@ -0,0 +1,125 @@
+//! One process that a test started.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use anyhow::{Context, Result, ensure};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// A started process; dropping it kills it.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    banner: String,
+}
+
+impl Process {
+    /// Starts a binary of this workspace and waits until it serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the binary isn't built or doesn't start serving.
+    pub fn spawn(binary: &str, arguments: &[String], environment: &[(&str, &str)]) -> Result<Self> {
+        let path = binary_path(binary)?;
+        let mut child = Command::new(&path)
+            .args(arguments)
+            .envs(environment.iter().copied())
+            .stdout(Stdio::piped())
+            .spawn()
+            .with_context(|| format!("{} can't be started", path.display()))?;
+        let stdout = child.stdout.take().context("the process has no output")?;
+        let mut banner = String::new();
+        BufReader::new(stdout).read_line(&mut banner)?;
+        ensure!(
+            banner.starts_with("listening"),
+            "{binary} didn't start: {banner:?}"
+        );
+        Ok(Self { child, banner })
+    }
+
+    /// Returns the address that the process printed after a label, or as its only one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process printed no such address.
+    pub fn address(&self, label: &str) -> Result<SocketAddr> {
+        self.banner
+            .split_whitespace()
+            .filter_map(|word| word.strip_prefix(label))
+            .find_map(|word| word.trim_start_matches('=').parse().ok())
+            .with_context(|| format!("no address {label:?} in {:?}", self.banner))
+    }
+
+    /// Kills the process at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it can't be killed.
+    pub fn kill(&mut self) -> Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Freezes the process (SIGSTOP).
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the signal can't be sent.
+    pub fn pause(&self) -> Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen process go on (SIGCONT).
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the signal can't be sent.
+    pub fn resume(&self) -> Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks the process to stop in order (SIGTERM).
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the signal can't be sent.
+    pub fn terminate(&self) -> Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Returns how the process ended, or `None` while it runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process can't be asked.
+    pub fn try_wait(&mut self) -> Result<Option<ExitStatus>> {
+        Ok(self.child.try_wait()?)
+    }
+
+    fn signal(&self, signal: Signal) -> Result<()> {
+        let pid = i32::try_from(self.child.id())?;
+        let pid = Pid::from_raw(pid).context("the process has no id")?;
+        kill_process(pid, signal)?;
+        Ok(())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Err(error) = self.kill() {
+            eprintln!("test process {} was not ended: {error}", self.child.id());
+        }
+    }
+}
+
+fn binary_path(binary: &str) -> Result<PathBuf> {
+    let test = std::env::current_exe()?;
+    let folder = test
+        .ancestors()
+        .find(|folder| folder.join(binary).is_file())
+        .with_context(|| format!("{binary} is not built; run `cargo build --workspace` first"))?;
+    Ok(folder.join(binary))
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/command/entry.rs
@@ -0,0 +1,100 @@
+//! `cyclamentrail entry`: runs one entry.
+
+use std::path::PathBuf;
+
+use anyhow::{Context, Result};
+use cyclamentrail_core::{EntryName, load_settings};
+use getopts::{Matches, Options};
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::{ExitStatus, documents};
+use crate::entry::{Entry, EntryError, EntryOptions};
+use crate::logging;
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.reqopt("", "settings", "base settings", "FILE");
+    options.reqopt("", "overlay", "settings of the site", "FILE");
+    options.reqopt("", "name", "name of this entry", "NAME");
+    options.optopt("", "caller-address", "listener for callers", "IP:PORT");
+    options.optopt("", "peer-address", "listener for entries", "IP:PORT");
+    options.optopt("", "operator-address", "listener for operators", "IP:PORT");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+/// Runs the command.
+pub(crate) fn run(arguments: &[String]) -> ExitStatus {
+    let options = options();
+    if arguments
+        .iter()
+        .any(|argument| argument == "--help" || argument == "-h")
+    {
+        print!("{}", options.usage("Usage: cyclamentrail entry [options]"));
+        return ExitStatus::Done;
+    }
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("cyclamentrail entry: {error}; run `cyclamentrail entry --help`");
+            return ExitStatus::Usage;
+        }
+    };
+    match serve(&matches) {
+        Ok(()) => ExitStatus::Done,
+        Err(error) => {
+            eprintln!("cyclamentrail entry: {error:#}");
+            ExitStatus::Failed
+        }
+    }
+}
+
+fn serve(matches: &Matches) -> Result<()> {
+    let base: PathBuf = matches
+        .opt_get("settings")?
+        .context("--settings is missing")?;
+    let overlay: PathBuf = matches
+        .opt_get("overlay")?
+        .context("--overlay is missing")?;
+    let document = documents::read_merged(&base, &overlay)?;
+    let settings = load_settings(&document)?;
+    let name = EntryName::from(matches.opt_str("name").unwrap_or_default());
+    logging::start(&settings.log, name.as_str())?;
+    let listed = settings
+        .entries
+        .get(&name)
+        .ok_or_else(|| EntryError::UnknownEntry(name.clone()))?;
+    let entry_options = EntryOptions {
+        zone: listed.zone.clone(),
+        caller_address: matches.opt_get_default("caller-address", listed.caller_address)?,
+        peer_address: matches.opt_get_default("peer-address", listed.peer_address)?,
+        operator_address: matches.opt_get_default("operator-address", listed.operator_address)?,
+        name,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let entry = Entry::start(document, entry_options).await?;
+        println!(
+            "listening callers={} peers={} operators={}",
+            entry.caller_address(),
+            entry.peer_address(),
+            entry.operator_address()
+        );
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut hang_up = signal(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = tokio::signal::ctrl_c() => break,
+                _ = hang_up.recv() => log::info!("hang_up_ignored"),
+            }
+        }
+        tokio::select! {
+            () = entry.stop() => {}
+            _ = terminate.recv() => log::warn!("stopped_at_once"),
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/control/platform_client.rs
@@ -0,0 +1,162 @@
+//! Client of the platform's log service and instance list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cyclamentrail_core::PlatformSettings;
+use cyclamentrail_platform::{AppendAnswer, AppendRequest, InstanceList, ReadAnswer, ReadRequest};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use thiserror::Error;
+
+/// Largest answer that is read from the platform, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Why a call of the platform failed.
+#[derive(Debug, Error)]
+pub(crate) enum PlatformError {
+    /// The call had no effect.
+    #[error("the platform refused the call: {0}")]
+    Refused(String),
+    /// The call may have taken effect.
+    #[error("the platform gave no answer: {0}")]
+    NoAnswer(String),
+    /// The answer makes no sense.
+    #[error("the platform's answer is malformed: {0}")]
+    Malformed(String),
+}
+
+/// Calls the platform over HTTP.
+#[derive(Debug, Clone)]
+pub(crate) struct PlatformClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    settings: PlatformSettings,
+    timeout: Duration,
+}
+
+impl PlatformClient {
+    /// Creates a client.
+    pub(crate) fn new(settings: PlatformSettings, timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(timeout));
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            settings,
+            timeout,
+        }
+    }
+
+    /// Appends records to the control stream.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::NoAnswer`] means that the records may have been appended.
+    pub(crate) async fn append(
+        &self,
+        records: Vec<Vec<u8>>,
+    ) -> Result<AppendAnswer, PlatformError> {
+        let body = rmp_serde::to_vec_named(&AppendRequest::from(records))
+            .map_err(|error| PlatformError::Refused(error.to_string()))?;
+        let path = format!("/v1/streams/{}/records", self.settings.control_stream);
+        let bytes = self
+            .call(
+                Method::POST,
+                self.settings.log_address,
+                &path,
+                body,
+                self.timeout,
+            )
+            .await?;
+        decode(&bytes)
+    }
+
+    /// Reads records of the control stream, waiting for new ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns why nothing was read.
+    pub(crate) async fn read(&self, request: ReadRequest) -> Result<ReadAnswer, PlatformError> {
+        let path = format!(
+            "/v1/streams/{}/records?from={}&max={}&wait_ms={}",
+            self.settings.control_stream, request.from, request.max, request.wait_ms
+        );
+        let timeout = self.timeout + Duration::from_millis(request.wait_ms);
+        let bytes = self
+            .call(
+                Method::GET,
+                self.settings.log_address,
+                &path,
+                Vec::new(),
+                timeout,
+            )
+            .await?;
+        decode(&bytes)
+    }
+
+    /// Reads the list of live and leaving instances.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the list wasn't read.
+    pub(crate) async fn list(&self) -> Result<InstanceList, PlatformError> {
+        let bytes = self
+            .call(
+                Method::GET,
+                self.settings.list_address,
+                "/v1/instances",
+                Vec::new(),
+                self.timeout,
+            )
+            .await?;
+        serde_json::from_slice(&bytes).map_err(|error| PlatformError::Malformed(error.to_string()))
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Bytes, PlatformError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| PlatformError::Refused(error.to_string()))?;
+        tokio::time::timeout(timeout, self.exchange(request))
+            .await
+            .map_err(|_elapsed| PlatformError::NoAnswer(format!("no answer in {timeout:?}")))?
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, PlatformError> {
+        let response = self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                PlatformError::Refused(error.to_string())
+            } else {
+                PlatformError::NoAnswer(error.to_string())
+            }
+        })?;
+        let status = response.status();
+        if status == StatusCode::SERVICE_UNAVAILABLE || status.is_client_error() {
+            return Err(PlatformError::Refused(status.to_string()));
+        }
+        if !status.is_success() {
+            return Err(PlatformError::NoAnswer(status.to_string()));
+        }
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|error| PlatformError::NoAnswer(error.to_string()))?;
+        Ok(body.to_bytes())
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, PlatformError> {
+    rmp_serde::from_slice(bytes).map_err(|error| PlatformError::Malformed(error.to_string()))
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/lib.rs
@@ -0,0 +1,30 @@
+//! cyclamentrail: a fleet capacity and maintenance manager for small operators.
+//!
+//! This crate is the product's one binary: the command line, the listeners, the clients of the
+//! platform and the threads. The decisions themselves live in [`core`], which has no input or
+//! output.
+//!
+//! ```no_run
+//! let arguments = vec![String::from("--help")];
+//! let code = cyclamentrail::run(&arguments);
+//! assert_eq!(code, cyclamentrail::ExitStatus::Done);
+//! ```
+
+mod body;
+mod clock;
+mod command;
+mod control;
+mod entry;
+mod headers;
+mod logging;
+mod operator;
+mod peer;
+mod serve;
+mod timer;
+mod traffic;
+mod view;
+
+pub use cyclamentrail_core as core;
+
+pub use command::{ExitStatus, run};
+pub use entry::{Entry, EntryError, EntryOptions};
--- /dev/null
+++ b/crates/cyclamentrail/src/main.rs
@@ -0,0 +1,13 @@
+//! The `cyclamentrail` program.
+
+use std::process::ExitCode;
+
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    cyclamentrail::run(&arguments).into()
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/operator.rs
@@ -0,0 +1,113 @@
+//! The listener for operators: changes, state, health and readiness.
+
+use std::sync::Arc;
+
+use axum::extract::{Request, State};
+use axum::http::{StatusCode, header};
+use axum::middleware::{self, Next};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use cyclamentrail_core::Version;
+use serde::{Deserialize, Serialize};
+use subtle::ConstantTimeEq;
+
+use crate::control::{ControlHandle, SubmitError};
+use crate::view::SharedView;
+
+/// What the operators' listener shares between requests.
+#[derive(Debug, Clone)]
+pub(crate) struct Operator {
+    /// The control thread.
+    pub(crate) control: ControlHandle,
+    /// The view that traffic routes from.
+    pub(crate) shared: Arc<SharedView>,
+    /// Token that operators and peers present.
+    pub(crate) token: Arc<str>,
+}
+
+/// A change of the settings.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct SettingsChange {
+    /// Version that the change was made on; the one in force when left out.
+    pub(crate) presumes: Option<Version>,
+    /// JSON merge patch.
+    pub(crate) patch: serde_json::Value,
+    /// Operator who asks for the change.
+    pub(crate) operator: String,
+}
+
+/// Returns the routes of the operators' listener.
+pub(crate) fn router(operator: Operator) -> Router {
+    let guarded = Router::new()
+        .route("/state", get(state))
+        .route("/v1/settings", post(change_settings))
+        .layer(middleware::from_fn_with_state(
+            operator.clone(),
+            check_token,
+        ));
+    Router::new()
+        .route("/health", get(|| async { StatusCode::OK }))
+        .route("/ready", get(ready))
+        .merge(guarded)
+        .with_state(operator)
+}
+
+/// Refuses requests without the token.
+pub(crate) async fn check_token(
+    State(operator): State<Operator>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let presented = request
+        .headers()
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.strip_prefix("Bearer "))
+        .unwrap_or_default();
+    let matches: bool = presented.as_bytes().ct_eq(operator.token.as_bytes()).into();
+    if matches {
+        next.run(request).await
+    } else {
+        (
+            StatusCode::UNAUTHORIZED,
+            "the token is missing or wrong; present it as a bearer token\n",
+        )
+            .into_response()
+    }
+}
+
+async fn ready(State(operator): State<Operator>) -> StatusCode {
+    if operator.shared.may_dispatch() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+async fn state(State(operator): State<Operator>) -> Json<serde_json::Value> {
+    Json(operator.control.dump().await)
+}
+
+async fn change_settings(
+    State(operator): State<Operator>,
+    Json(change): Json<SettingsChange>,
+) -> Response {
+    let result = operator
+        .control
+        .change_settings(change.presumes, change.patch, change.operator)
+        .await;
+    match result {
+        Ok(()) => StatusCode::NO_CONTENT.into_response(),
+        Err(error) => (status_of(&error), format!("{error}\n")).into_response(),
+    }
+}
+
+const fn status_of(error: &SubmitError) -> StatusCode {
+    match error {
+        SubmitError::Rejected(_) => StatusCode::CONFLICT,
+        SubmitError::LogDown | SubmitError::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        SubmitError::Uncertain => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/traffic.rs
@@ -0,0 +1,9 @@
+//! Traffic: takes callers' requests, sends them to backend servers and passes answers back.
+
+mod dispatch;
+mod guard;
+mod link;
+mod listener;
+
+pub(crate) use link::Link;
+pub(crate) use listener::{Traffic, router};
--- /dev/null
+++ b/crates/cyclamentrail/src/traffic/dispatch.rs
@@ -0,0 +1,92 @@
+//! Sends one request to a backend server.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cyclamentrail_core::{NotRunReason, Outcome, UnknownReason, choose};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use tokio::time::Instant;
+
+use super::link::{Sender, Slot};
+use crate::headers;
+use crate::view::{ServiceRoute, SharedView};
+
+/// Tries of one request that were definitely not run before it is given up.
+const MAX_TRIES: u32 = 3;
+
+/// A whole answer's head, with what must be held until its body has passed.
+#[derive(Debug)]
+pub(crate) struct Dispatched {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) slot: Slot,
+    pub(crate) sender: Sender,
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// # Errors
+///
+/// Returns the outcome when there is no answer to pass on.
+pub(crate) async fn dispatch(
+    shared: &Arc<SharedView>,
+    route: &ServiceRoute,
+    request: &Request<Full<Bytes>>,
+    deadline: Instant,
+) -> Result<Dispatched, Outcome> {
+    let mut reason = NotRunReason::NoInstance;
+    for _ in 0..MAX_TRIES {
+        let slot = pick(route).ok_or(Outcome::NotRun(reason))?;
+        let connected = tokio::time::timeout_at(deadline, slot.link().connect()).await;
+        let Ok(connected) = connected else {
+            return Err(Outcome::NotRun(NotRunReason::Deadline));
+        };
+        let mut sender = match connected {
+            Ok(sender) => sender,
+            Err(error) => {
+                log::warn!(instance:% = slot.link().instance, error:% = error; "connect_failed");
+                reason = NotRunReason::NoInstance;
+                continue;
+            }
+        };
+        if !shared.may_dispatch() {
+            return Err(Outcome::NotRun(NotRunReason::NoPermission));
+        }
+        let sent = tokio::time::timeout_at(deadline, sender.send_request(request.clone())).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) if error.is_canceled() => {
+                reason = NotRunReason::NoInstance;
+                continue;
+            }
+            Ok(Err(_)) => return Err(Outcome::Unknown(UnknownReason::ConnectionLost)),
+            Err(_) => return Err(Outcome::Unknown(UnknownReason::TimedOut)),
+        };
+        if is_refusal(&response) {
+            reason = NotRunReason::Refused;
+            continue;
+        }
+        return Ok(Dispatched {
+            response,
+            slot,
+            sender,
+        });
+    }
+    Err(Outcome::NotRun(reason))
+}
+
+fn pick(route: &ServiceRoute) -> Option<Slot> {
+    let links = &route.links;
+    let index = choose(
+        links.len(),
+        |index| links[index].candidate(),
+        &mut rand::rng(),
+    )?;
+    links[index].take_slot()
+}
+
+fn is_refusal(response: &Response<Incoming>) -> bool {
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers().contains_key(headers::REFUSED)
+}
--- /dev/null
+++ b/crates/cyclamentrail/tests/thin_path.rs
@@ -0,0 +1,95 @@
+//! The whole path in separate processes: callers, entries, backend servers and the platform.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use anyhow::Result;
+use cyclamentrail_testkit::{Site, TOKEN};
+use serde_json::json;
+
+#[tokio::test]
+async fn answers_whole() -> Result<()> {
+    let site = Site::builder().entries(2).instances(4).start().await?;
+    for number in 0..20 {
+        let call_id = format!("call-{number}");
+        let answer = site.call(number % 2, "checks", &call_id).await?;
+        assert_eq!((answer.status, answer.outcome.as_str()), (200, "answered"));
+        assert_eq!(answer.call_id, call_id);
+        assert!(!answer.body.is_empty());
+    }
+    let runs = site.runs().await;
+    assert_eq!(runs.len(), 20);
+    assert!(runs.values().all(|&count| count == 1), "{runs:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn survives_kills() -> Result<()> {
+    let mut site = Site::builder().entries(3).instances(6).start().await?;
+    site.entries[0].kill()?;
+    site.backends.get_mut("w01").expect("w01 runs").kill()?;
+    let mut outcomes: BTreeMap<String, u32> = BTreeMap::new();
+    for number in 0..30 {
+        let call_id = format!("call-{number}");
+        let answer = site.call(1 + number % 2, "checks", &call_id).await?;
+        if answer.outcome == "answered" {
+            assert_eq!(answer.call_id, call_id);
+        }
+        let runs = site.runs().await.get(&call_id).copied().unwrap_or_default();
+        let most = u32::from(answer.outcome != "not-run");
+        assert!(
+            runs <= most,
+            "{call_id} ran {runs} times and ended as {}",
+            answer.outcome
+        );
+        *outcomes.entry(answer.outcome).or_default() += 1;
+    }
+    assert!(outcomes["answered"] >= 28, "{outcomes:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn leaving_gets_none() -> Result<()> {
+    let site = Site::builder().entries(2).instances(4).start().await?;
+    site.mark_leaving("w01").await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = site.report("w01").await?.runs.len();
+    for number in 0..40 {
+        let answer = site
+            .call(number % 2, "checks", &format!("call-{number}"))
+            .await?;
+        assert_eq!(answer.outcome, "answered");
+    }
+    assert_eq!(site.report("w01").await?.runs.len(), before);
+    Ok(())
+}
+
+#[tokio::test]
+async fn settings_arrive() -> Result<()> {
+    let site = Site::builder().entries(2).instances(4).start().await?;
+    let change = json!({
+        "operator": "test",
+        "patch": {"services": {"checks": {"pool": "renders"}}},
+    });
+    let operators = site.entries[0].address("operators")?;
+    let refused = site
+        .client
+        .post_json(operators, "/v1/settings", None, &change)
+        .await?;
+    assert_eq!(refused.status, 401);
+    let accepted = site
+        .client
+        .post_json(operators, "/v1/settings", Some(TOKEN), &change)
+        .await?;
+    assert_eq!(accepted.status, 204);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for entry in 0..2 {
+        let answer = site.call(entry, "checks", "moved").await?;
+        let body: serde_json::Value = serde_json::from_slice(&answer.body)?;
+        assert!(
+            ["w03", "w04"].contains(&body["instance"].as_str().unwrap_or_default()),
+            "{body}"
+        );
+    }
+    Ok(())
+}
