feat(core): lay out the parts that the next work builds on

Cause: several parts are built side by side and would meet in the same files.

Change: settings in one file a part; sub-folds for idempotency keys, waves and jobs; the dispatch permission with evictions that need a majority of witnesses; a duty holder that runs waves and jobs; routes and a client for operators; the table of regression bounds. Several of these are not used yet.

--- a/crates/cyclamentrail-bench/src/lib.rs
+++ b/crates/cyclamentrail-bench/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! Benches of the decisions against simple baselines, with regression bounds.
+//!
+//! Counted figures are compared with the bounds in `bounds.json`, which come from the stated
+//! targets. A figure that is timed is reported only.
+//!
+//! ```
+//! use cyclamentrail_bench::Bounds;
+//!
+//! let bounds = Bounds::load().expect("bounds.json is part of the crate");
+//! assert!(bounds.faults(&[]).is_empty());
+//! ```
+
+mod bounds;
+
+pub use bounds::{Bound, Bounds, Figure};
--- a/crates/cyclamentrail-core/src/fleet.rs
+++ b/crates/cyclamentrail-core/src/fleet.rs
@@ -8,11 +8,14 @@
 use serde_json::Value;
 use slotmap::new_key_type;
 
+use crate::claim::Claims;
 use crate::id::{BootId, Incarnation, Offset, Term, Version};
+use crate::job::Jobs;
 use crate::name::{EntryName, InstanceName, PoolName, ZoneName};
 use crate::record::DrainReason;
 use crate::registry::Registry;
 use crate::settings::Settings;
+use crate::wave::Waves;
 
 mod fold;
 mod rejection;
@@ -36,6 +39,24 @@
     duty: Duty,
     members: Registry<MemberKey, Incarnation, Member>,
     instances: Registry<InstanceKey, InstanceName, Instance>,
+    /// Time of the log until which an evicted member may still hold a permission to dispatch.
+    fenced_until_ms: u64,
+    claims: Claims,
+    waves: Waves,
+    jobs: Jobs,
+}
+
+/// What a part of the fold may know of the record that it folds.
+#[derive(Debug, Clone, Copy)]
+pub struct FoldContext<'a> {
+    /// Offset of the record.
+    pub offset: Offset,
+    /// Newest time in milliseconds that the log stamped on a record.
+    pub clock_ms: u64,
+    /// Author of the record.
+    pub author: Incarnation,
+    /// Settings in force.
+    pub settings: Option<&'a Settings>,
 }
 
 /// Settings in force.
@@ -88,6 +109,9 @@
     pub boot: BootId,
     /// Whether it takes new work.
     pub state: InstanceState,
+    /// Whether an evicted member may still hold a connection to it, so that it needs a new boot
+    /// before it may serve another pool.
+    pub needs_boot: bool,
 }
 
 /// Whether an instance takes new work.
@@ -104,15 +128,11 @@
         drain: Version,
         /// Members that haven't released it.
         awaiting: BTreeSet<Incarnation>,
-        /// Whether an evicted member never released it, so that only a new boot frees it.
-        needs_boot: bool,
     },
     /// Nobody sends to it and nothing is in flight.
     Drained {
         /// Why it was drained.
         reason: DrainReason,
-        /// Whether it may only be assigned after a new boot.
-        needs_boot: bool,
     },
 }
 
@@ -147,6 +167,31 @@
         &self.duty
     }
 
+    /// Returns the time of the log in milliseconds until which no instance changes its pool,
+    /// because an evicted member may still hold a permission to dispatch.
+    #[must_use]
+    pub const fn fenced_until_ms(&self) -> u64 {
+        self.fenced_until_ms
+    }
+
+    /// Returns the agreed state of idempotency keys.
+    #[must_use]
+    pub const fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// Returns the agreed state of maintenance waves.
+    #[must_use]
+    pub const fn waves(&self) -> &Waves {
+        &self.waves
+    }
+
+    /// Returns the agreed state of long jobs.
+    #[must_use]
+    pub const fn jobs(&self) -> &Jobs {
+        &self.jobs
+    }
+
     /// Returns the members in the order of incarnations.
     pub fn members(&self) -> impl Iterator<Item = (Incarnation, &Member)> {
         self.members
--- a/crates/cyclamentrail-core/src/fleet/fold.rs
+++ b/crates/cyclamentrail-core/src/fleet/fold.rs
@@ -4,13 +4,19 @@
 use std::sync::Arc;
 
 use super::{
-    AcceptedSettings, Duty, Fleet, Instance, InstanceState, Member, Rejection, RejectionKind,
+    AcceptedSettings, Duty, Fleet, FoldContext, Instance, InstanceState, Member, Rejection,
+    RejectionKind,
 };
 use crate::id::{BootId, Incarnation, Offset, RecordId, Term, Version};
 use crate::name::{InstanceName, PoolName};
+use crate::permit::is_majority;
 use crate::record::{DrainReason, LeaveReason, Record, RecordBody};
 use crate::settings::{Settings, load_settings, merge_documents};
 
+/// Dispatch leases for which an eviction keeps instances in their pools; the second one covers
+/// clocks that run at different rates.
+const FENCE_LEASES: u64 = 2;
+
 /// What folding a record did.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Applied {
@@ -79,12 +85,22 @@
                 agreed,
             });
         };
+        let settings = self
+            .settings
+            .as_ref()
+            .map(|accepted| Arc::clone(&accepted.settings));
+        let context = FoldContext {
+            offset,
+            clock_ms: self.clock_ms,
+            author,
+            settings: settings.as_deref(),
+        };
         match body {
             RecordBody::EntryJoined { .. } => Err(RejectionKind::Duplicate),
             RecordBody::EntryLeft {
                 incarnation,
                 reason,
-            } => self.fold_left(*incarnation, *reason),
+            } => self.fold_left(*incarnation, reason),
             RecordBody::SettingsChanged {
                 presumes,
                 patch,
@@ -104,6 +120,9 @@
                 presumes,
                 boot,
             } => self.fold_boot(instance, *presumes, *boot),
+            RecordBody::Claim(record) => self.claims.fold(&context, record),
+            RecordBody::Wave(record) => self.waves.fold(&context, record),
+            RecordBody::Job(record) => self.jobs.fold(&context, record),
             RecordBody::InstanceAssigned {
                 instance,
                 presumes,
@@ -124,21 +143,58 @@
         Ok(())
     }
 
-    fn fold_left(&mut self, gone: Incarnation, reason: LeaveReason) -> Result<(), RejectionKind> {
-        self.members
-            .remove(&gone)
-            .ok_or_else(|| RejectionKind::Unknown {
+    fn fold_left(&mut self, gone: Incarnation, reason: &LeaveReason) -> Result<(), RejectionKind> {
+        if self.members.get(&gone).is_none() {
+            return Err(RejectionKind::Unknown {
                 what: format!("entry process {gone}"),
-            })?;
+            });
+        }
+        if let LeaveReason::Evicted { witnesses } = reason {
+            self.check_witnesses(gone, witnesses)?;
+            self.fence();
+        }
+        self.members.remove(&gone);
         if self.duty.holder == Some(gone) {
             self.duty.holder = None;
         }
         for instance in self.instances.values_mut() {
-            instance.member_left(gone, reason);
+            instance.member_left(gone);
         }
         Ok(())
     }
 
+    fn check_witnesses(
+        &self,
+        gone: Incarnation,
+        witnesses: &BTreeSet<Incarnation>,
+    ) -> Result<(), RejectionKind> {
+        let counted = witnesses
+            .iter()
+            .filter(|&&witness| witness != gone && self.members.get(&witness).is_some())
+            .count();
+        if is_majority(counted, self.members.len()) {
+            Ok(())
+        } else {
+            Err(RejectionKind::TooFewWitnesses {
+                witnesses: counted,
+                members: self.members.len(),
+            })
+        }
+    }
+
+    fn fence(&mut self) {
+        let lease_ms = self.settings.as_ref().map_or(0, |accepted| {
+            let lease = accepted.settings.control.dispatch_lease_ms;
+            u64::try_from(lease.as_millis()).unwrap_or(u64::MAX)
+        });
+        let fence_ms = lease_ms.saturating_mul(FENCE_LEASES);
+        let until_ms = self.clock_ms.saturating_add(fence_ms);
+        self.fenced_until_ms = self.fenced_until_ms.max(until_ms);
+        for instance in self.instances.values_mut() {
+            instance.needs_boot = true;
+        }
+    }
+
     fn fold_settings(
         &mut self,
         offset: Offset,
@@ -186,6 +242,7 @@
                         pool: pool.clone(),
                         boot: BootId::default(),
                         state: InstanceState::Serving,
+                        needs_boot: false,
                     };
                     self.instances.insert(name.clone(), instance);
                 }
@@ -224,7 +281,6 @@
             reason: reason.clone(),
             drain: instance.version,
             awaiting,
-            needs_boot: false,
         };
         Ok(())
     }
@@ -254,14 +310,15 @@
         presumes: Version,
         boot: BootId,
     ) -> Result<(), RejectionKind> {
+        let (clock_ms, fenced_until_ms) = (self.clock_ms, self.fenced_until_ms);
         let instance = self.changed_instance(name, presumes)?;
         if boot <= instance.boot {
             return Err(instance.wrong_state("on a newer boot"));
         }
         instance.version = instance.version.next();
         instance.boot = boot;
-        if let InstanceState::Drained { needs_boot, .. } = &mut instance.state {
-            *needs_boot = false;
+        if clock_ms >= fenced_until_ms {
+            instance.needs_boot = false;
         }
         Ok(())
     }
@@ -281,16 +338,13 @@
                 what: format!("pool \"{pool}\""),
             });
         }
+        let fenced = self.clock_ms < self.fenced_until_ms;
         let instance = self.changed_instance(name, presumes)?;
-        let free = matches!(
-            instance.state,
-            InstanceState::Drained {
-                needs_boot: false,
-                ..
-            }
-        );
-        if !free {
-            return Err(instance.wrong_state("drained and booted anew"));
+        if !matches!(instance.state, InstanceState::Drained { .. }) {
+            return Err(instance.wrong_state("drained"));
+        }
+        if &instance.pool != pool && (instance.needs_boot || fenced) {
+            return Err(instance.wrong_state("booted anew"));
         }
         instance.version = instance.version.next();
         instance.pool = pool.clone();
@@ -324,32 +378,21 @@
 }
 
 impl Instance {
-    fn member_left(&mut self, gone: Incarnation, reason: LeaveReason) {
-        if let InstanceState::Draining {
-            awaiting,
-            needs_boot,
-            ..
-        } = &mut self.state
-        {
-            if awaiting.remove(&gone) && reason == LeaveReason::Evicted {
-                *needs_boot = true;
-            }
+    fn member_left(&mut self, gone: Incarnation) {
+        if let InstanceState::Draining { awaiting, .. } = &mut self.state {
+            awaiting.remove(&gone);
             self.finish_drain();
         }
     }
 
     fn finish_drain(&mut self) {
         if let InstanceState::Draining {
-            reason,
-            awaiting,
-            needs_boot,
-            ..
+            reason, awaiting, ..
         } = &self.state
             && awaiting.is_empty()
         {
             self.state = InstanceState::Drained {
                 reason: reason.clone(),
-                needs_boot: *needs_boot,
             };
             self.version = self.version.next();
         }
--- a/crates/cyclamentrail-core/src/fleet/rejection.rs
+++ b/crates/cyclamentrail-core/src/fleet/rejection.rs
@@ -71,6 +71,14 @@
         /// State that the change needs.
         needed: String,
     },
+    /// Too few members witnessed an eviction.
+    #[error("{witnesses} of {members} members witness the eviction; more than half are needed")]
+    TooFewWitnesses {
+        /// Members that witness it.
+        witnesses: usize,
+        /// All members.
+        members: usize,
+    },
     /// The settings after the change are invalid.
     #[error("the changed settings are invalid: {problem}")]
     InvalidSettings {
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -12,23 +12,31 @@
 //! assert_eq!(fleet.next_offset(), Offset::new(0));
 //! ```
 
+mod claim;
 mod fleet;
 mod id;
+mod job;
 mod name;
 mod outcome;
+mod permit;
 mod record;
 mod registry;
 mod route;
 mod settings;
+mod wave;
 
+pub use claim::{ClaimRecord, Claims};
 pub use fleet::{
-    AcceptedSettings, Applied, Fleet, Instance, InstanceState, Member, Rejection, RejectionKind,
+    AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
+    Rejection, RejectionKind,
 };
 pub use id::{BootId, Incarnation, Offset, RecordId, Term, Version};
+pub use job::{JobRecord, Jobs};
 pub use name::{
     EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, ZoneName,
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use permit::{Permit, is_majority};
 pub use record::{
     CodecError, DrainReason, FORMAT, LeaveReason, Record, RecordBody, decode_record, encode_record,
 };
@@ -36,7 +44,8 @@
 pub use route::{Candidate, choose};
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
-    Fault, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings, SecretSource,
-    ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings, merge_documents,
-    settings_schema,
+    Fault, JobSettings, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings,
+    SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings,
+    merge_documents, settings_schema,
 };
+pub use wave::{WaveRecord, Waves};
--- a/crates/cyclamentrail-core/src/record.rs
+++ b/crates/cyclamentrail-core/src/record.rs
@@ -1,13 +1,17 @@
 //! Records of the platform's log: every agreed fact is one.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use thiserror::Error;
 
+use crate::claim::ClaimRecord;
 use crate::id::{BootId, Incarnation, RecordId, Term, Version};
+use crate::job::JobRecord;
 use crate::name::{EntryName, InstanceName, PoolName, ZoneName};
+use crate::wave::WaveRecord;
 
 /// Newest record format that this build writes and understands.
 pub const FORMAT: u16 = 1;
@@ -84,6 +88,12 @@
         /// The boot that the platform's list shows.
         boot: BootId,
     },
+    /// Something about idempotency keys.
+    Claim(ClaimRecord),
+    /// Something about maintenance waves.
+    Wave(WaveRecord),
+    /// Something about long jobs.
+    Job(JobRecord),
     /// A drained instance is given to a pool.
     InstanceAssigned {
         /// The drained instance.
@@ -96,13 +106,16 @@
 }
 
 /// Why an entry is no longer a member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LeaveReason {
     /// The entry stopped in order; nothing of its work is in flight.
     Stopped,
     /// The entry was not heard of for longer than its dispatch lease.
-    Evicted,
+    Evicted {
+        /// Members that promised not to confirm the entry any more; more than half of all members.
+        witnesses: BTreeSet<Incarnation>,
+    },
 }
 
 /// Why an instance drains.
--- a/crates/cyclamentrail-core/src/settings.rs
+++ b/crates/cyclamentrail-core/src/settings.rs
@@ -13,7 +13,6 @@
 //! ```
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use schemars::JsonSchema;
@@ -22,10 +21,20 @@
 
 use crate::name::{EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, ZoneName};
 
+mod contract;
+mod control;
+mod job;
 mod load;
+mod process;
+mod request;
 mod validate;
 
+pub use contract::{ContractSettings, CostWeights, FailureDomain};
+pub use control::ControlSettings;
+pub use job::JobSettings;
 pub use load::{Fault, LoadError, load_settings, merge_documents, settings_schema};
+pub use process::{EntrySettings, LogSettings, PlatformSettings, SecretSource};
+pub use request::{CallerLimits, RequestSettings};
 
 /// Effective settings of one site.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -53,6 +62,9 @@
     pub caller_limits: CallerLimits,
     /// Timing of membership and agreement.
     pub control: ControlSettings,
+    /// Placing and limits of long jobs.
+    #[serde(default)]
+    pub jobs: JobSettings,
     /// Where the platform's services are.
     pub platform: PlatformSettings,
     /// Source of the token that operators and peers present.
@@ -116,170 +128,3 @@
     /// Requests a second, as a long-term mean.
     pub mean_rate_per_s: f64,
 }
-
-/// What a service is promised.
-#[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct ContractSettings {
-    /// Instances that the service is promised.
-    pub promised_instances: u32,
-    /// Instance-seconds that may be missing in one window, planned and unplanned together.
-    pub budget_instance_s: u64,
-    /// Length of the window in seconds.
-    pub window_s: u64,
-    /// Failure domain whose loss the promise survives.
-    pub survives: FailureDomain,
-}
-
-/// A set of instances that fail together.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
-)]
-#[serde(rename_all = "snake_case")]
-pub enum FailureDomain {
-    /// A single instance.
-    Instance,
-    /// All instances of a rack.
-    Rack,
-    /// All instances of an availability zone.
-    Zone,
-}
-
-/// Weights of the costs that the users measure; only their ratio matters.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct CostWeights {
-    /// Weight of one instance held as a buffer.
-    pub buffer: f64,
-    /// Weight of one minute of roll-out.
-    pub roll_out: f64,
-    /// Weight of one move between pools.
-    pub moves: f64,
-}
-
-/// What one entry process learns of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct EntrySettings {
-    /// Availability zone that the entry stands in.
-    pub zone: ZoneName,
-    /// Listener for callers.
-    #[schemars(with = "String")]
-    pub caller_address: SocketAddr,
-    /// Listener for the other entries.
-    #[schemars(with = "String")]
-    pub peer_address: SocketAddr,
-    /// Listener for operators.
-    #[schemars(with = "String")]
-    pub operator_address: SocketAddr,
-}
-
-/// Limits and retries of requests.
-#[serde_as]
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct RequestSettings {
-    /// Longest deadline that a caller may ask for, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
-    pub max_deadline_ms: Duration,
-    /// Time limit in milliseconds for a connection to a backend server.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
-    pub connect_timeout_ms: Duration,
-    /// Retries allowed, as a share of the requests.
-    pub retry_budget_ratio: f64,
-    /// Requests that may wait for a slot, per service and entry.
-    pub max_waiting: u32,
-    /// Largest request body in bytes.
-    pub max_body_bytes: u64,
-    /// Time in milliseconds for which an idempotency key is remembered.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
-    pub key_memory_ms: Duration,
-}
-
-/// Limits against bad input on a listener.
-#[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct CallerLimits {
-    /// Connections open at once.
-    pub max_connections: u32,
-    /// Requests served at once.
-    pub max_requests: u32,
-    /// Largest header block in bytes.
-    pub max_header_bytes: u32,
-    /// Time limit in milliseconds for the whole header.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
-    pub header_timeout_ms: Duration,
-    /// Time limit in milliseconds between two parts of a body.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
-    pub body_timeout_ms: Duration,
-}
-
-/// Timing of membership and agreement.
-#[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct ControlSettings {
-    /// Interval in milliseconds between heartbeats to each peer.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
-    pub heartbeat_ms: Duration,
-    /// Time in milliseconds for which a confirmed view permits dispatch.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
-    pub dispatch_lease_ms: Duration,
-    /// Longest delay in milliseconds before records are appended as a batch.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
-    pub append_delay_ms: Duration,
-    /// Interval in milliseconds between two looks at the instance list.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
-    pub list_interval_ms: Duration,
-    /// Records between two snapshots.
-    pub snapshot_records: u64,
-    /// Time limit in milliseconds for one call of the platform.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
-    pub platform_timeout_ms: Duration,
-}
-
-/// Where the platform's services are.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct PlatformSettings {
-    /// Address of the log service.
-    #[schemars(with = "String")]
-    pub log_address: SocketAddr,
-    /// Address of the list of live and leaving instances.
-    #[schemars(with = "String")]
-    pub list_address: SocketAddr,
-    /// Stream of the log that holds the control records.
-    pub control_stream: String,
-}
-
-/// Where a secret is read from; secrets never stand in the settings.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
-pub enum SecretSource {
-    /// An environment variable of this name.
-    Environment(String),
-    /// A file at this path.
-    File(String),
-}
-
-/// Logging of a process.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct LogSettings {
-    /// Lowest level that is written: `error`, `warn`, `info`, `debug` or `trace`.
-    pub level: String,
-    /// Destination: `stderr`, `stdout` or a file's path.
-    pub destination: String,
-}
--- /dev/null
+++ b/crates/cyclamentrail-core/src/settings/request.rs
@@ -0,0 +1,53 @@
+//! Limits and retries of requests, and limits against bad input.
+
+use std::time::Duration;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// Limits and retries of requests.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct RequestSettings {
+    /// Longest deadline that a caller may ask for, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(with = "u64")]
+    pub max_deadline_ms: Duration,
+    /// Time limit in milliseconds for a connection to a backend server.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(with = "u64")]
+    pub connect_timeout_ms: Duration,
+    /// Retries allowed, as a share of the requests.
+    pub retry_budget_ratio: f64,
+    /// Requests that may wait for a slot, per service and entry.
+    pub max_waiting: u32,
+    /// Largest request body in bytes.
+    pub max_body_bytes: u64,
+    /// Time in milliseconds for which an idempotency key is remembered.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(with = "u64")]
+    pub key_memory_ms: Duration,
+}
+
+/// Limits against bad input on a listener.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Connections open at once.
+    pub max_connections: u32,
+    /// Requests served at once.
+    pub max_requests: u32,
+    /// Largest header block in bytes.
+    pub max_header_bytes: u32,
+    /// Time limit in milliseconds for the whole header.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(with = "u64")]
+    pub header_timeout_ms: Duration,
+    /// Time limit in milliseconds between two parts of a body.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(with = "u64")]
+    pub body_timeout_ms: Duration,
+}
--- a/crates/cyclamentrail/src/command.rs
+++ b/crates/cyclamentrail/src/command.rs
@@ -2,8 +2,13 @@
 
 use std::process::ExitCode;
 
+use anyhow::Result;
+use getopts::{Matches, Options};
+
+mod client;
 mod documents;
 mod entry;
+mod state;
 
 const USAGE: &str = "\
 cyclamentrail: fleet capacity and maintenance manager
@@ -12,6 +17,7 @@
 
 Commands:
   entry    runs one entry
+  state    prints the whole state of an entry
 
 Run `cyclamentrail <command> --help` for the options of a command.
 Exit codes: 0 done, 1 refused or failed, 2 usage.
@@ -55,9 +61,39 @@
             ExitStatus::Done
         }
         "entry" => entry::run(rest),
+        "state" => state::run(rest),
         other => {
             eprintln!("cyclamentrail: unknown command \"{other}\"; run `cyclamentrail --help`");
             ExitStatus::Usage
         }
     }
 }
+
+/// Parses a command's arguments and runs its action.
+pub(crate) fn run_parsed(
+    command: &str,
+    options: &Options,
+    arguments: &[String],
+    action: impl FnOnce(&Matches) -> Result<()>,
+) -> ExitStatus {
+    let asks_help = |argument: &String| argument == "--help" || argument == "-h";
+    if arguments.iter().any(asks_help) {
+        let brief = format!("Usage: cyclamentrail {command} [options]");
+        print!("{}", options.usage(&brief));
+        return ExitStatus::Done;
+    }
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("cyclamentrail {command}: {error}; run `cyclamentrail {command} --help`");
+            return ExitStatus::Usage;
+        }
+    };
+    match action(&matches) {
+        Ok(()) => ExitStatus::Done,
+        Err(error) => {
+            eprintln!("cyclamentrail {command}: {error:#}");
+            ExitStatus::Failed
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/command/client.rs
@@ -0,0 +1,120 @@
+//! Client of a running entry's listener for operators.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use bytes::Bytes;
+use getopts::{Matches, Options};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+
+/// Time limit of one call, unless the command sets another.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Environment variable with the operators' token.
+const TOKEN_VARIABLE: &str = "CYCLAMENTRAIL_TOKEN";
+
+/// Calls one entry; blocks until it has answered.
+#[derive(Debug)]
+pub(crate) struct OperatorClient {
+    address: SocketAddr,
+    token: String,
+    timeout: Duration,
+}
+
+impl OperatorClient {
+    /// Adds the options that say which entry to call.
+    pub(crate) fn add_options(options: &mut Options) {
+        options.reqopt("", "entry", "operators' address of any entry", "IP:PORT");
+    }
+
+    /// Creates a client from parsed options and the environment.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is missing.
+    pub(crate) fn from_matches(matches: &Matches) -> Result<Self> {
+        let address = matches
+            .opt_get("entry")
+            .context("--entry takes an address such as 127.0.0.1:8201")?
+            .context("--entry is missing")?;
+        let token = std::env::var(TOKEN_VARIABLE)
+            .with_context(|| format!("set {TOKEN_VARIABLE} to the operators' token"))?;
+        Ok(Self {
+            address,
+            token,
+            timeout: CALL_TIMEOUT,
+        })
+    }
+
+    /// Sets the time limit of one call.
+    #[must_use]
+    pub(crate) const fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Gets a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal, or that it can't be reached.
+    pub(crate) fn get(&self, path: &str) -> Result<Value> {
+        self.call(Method::GET, path, None)
+    }
+
+    /// Posts a JSON document and returns the answer, `null` when it is empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal, or that it can't be reached.
+    pub(crate) fn post(&self, path: &str, body: &Value) -> Result<Value> {
+        self.call(Method::POST, path, Some(body))
+    }
+
+    fn call(&self, method: Method, path: &str, body: Option<&Value>) -> Result<Value> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let bytes = body
+            .map(serde_json::to_vec)
+            .transpose()?
+            .unwrap_or_default();
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header("authorization", format!("Bearer {}", self.token))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(bytes)))?;
+        runtime.block_on(async {
+            tokio::time::timeout(self.timeout, exchange(request))
+                .await
+                .with_context(|| {
+                    format!(
+                        "{} gave no answer in {:?}; ask another entry",
+                        self.address, self.timeout
+                    )
+                })?
+        })
+    }
+}
+
+async fn exchange(request: Request<Full<Bytes>>) -> Result<Value> {
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let response = client
+        .request(request)
+        .await
+        .context("the entry can't be reached; check --entry or ask another one")?;
+    let status = response.status();
+    let bytes = response.into_body().collect().await?.to_bytes();
+    if !status.is_success() {
+        bail!("{status}: {}", String::from_utf8_lossy(&bytes).trim());
+    }
+    if bytes.is_empty() {
+        return Ok(Value::Null);
+    }
+    Ok(serde_json::from_slice(&bytes)?)
+}
--- a/crates/cyclamentrail/src/command/entry.rs
+++ b/crates/cyclamentrail/src/command/entry.rs
@@ -25,28 +25,7 @@
 
 /// Runs the command.
 pub(crate) fn run(arguments: &[String]) -> ExitStatus {
-    let options = options();
-    if arguments
-        .iter()
-        .any(|argument| argument == "--help" || argument == "-h")
-    {
-        print!("{}", options.usage("Usage: cyclamentrail entry [options]"));
-        return ExitStatus::Done;
-    }
-    let matches = match options.parse(arguments) {
-        Ok(matches) => matches,
-        Err(error) => {
-            eprintln!("cyclamentrail entry: {error}; run `cyclamentrail entry --help`");
-            return ExitStatus::Usage;
-        }
-    };
-    match serve(&matches) {
-        Ok(()) => ExitStatus::Done,
-        Err(error) => {
-            eprintln!("cyclamentrail entry: {error:#}");
-            ExitStatus::Failed
-        }
-    }
+    super::run_parsed("entry", &options(), arguments, serve)
 }
 
 fn serve(matches: &Matches) -> Result<()> {
--- a/crates/cyclamentrail/src/control.rs
+++ b/crates/cyclamentrail/src/control.rs
@@ -3,13 +3,16 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 
-use cyclamentrail_core::{RejectionKind, Version};
+use cyclamentrail_core::{Fleet, RecordBody, RejectionKind, Version};
 use cyclamentrail_platform::{InstanceList, ReadAnswer};
 
 mod actor;
+mod duty;
 mod follower;
+mod job_duty;
 mod list_poller;
 mod platform_client;
+mod wave_duty;
 mod writer;
 
 pub(crate) use actor::{Actor, Identity};
@@ -35,8 +38,15 @@
         operator: String,
         reply: oneshot::Sender<Result<(), SubmitError>>,
     },
+    /// A record is to be appended; the reply tells what the fold made of it.
+    Submit {
+        body: RecordBody,
+        reply: oneshot::Sender<Result<(), SubmitError>>,
+    },
     /// The whole state is asked for.
     Dump(oneshot::Sender<serde_json::Value>),
+    /// A copy of the agreed state is asked for.
+    Fleet(oneshot::Sender<Box<Fleet>>),
     /// The log took a record, or it can't be told.
     WriteFailed(WriteFailed),
     /// The entry stops: leave the members.
@@ -104,6 +114,28 @@
         answer.await.unwrap_or(Err(SubmitError::Stopping))
     }
 
+    /// Submits a record and waits for the fold.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the record didn't take effect.
+    pub(crate) async fn submit(&self, body: RecordBody) -> Result<(), SubmitError> {
+        let (reply, answer) = oneshot::channel();
+        self.send(ControlMessage::Submit { body, reply }).await;
+        answer.await.unwrap_or(Err(SubmitError::Stopping))
+    }
+
+    /// Returns a copy of the agreed state, as of one moment.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SubmitError::Stopping`] when the control thread has ended.
+    pub(crate) async fn fleet(&self) -> Result<Box<Fleet>, SubmitError> {
+        let (reply, answer) = oneshot::channel();
+        self.send(ControlMessage::Fleet(reply)).await;
+        answer.await.map_err(|_closed| SubmitError::Stopping)
+    }
+
     /// Leaves the members in order.
     ///
     /// # Errors
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -6,14 +6,18 @@
 
 use cyclamentrail_core::{
     Applied, DrainReason, EntryName, FORMAT, Fleet, Incarnation, Instance, InstanceName,
-    InstanceState, LeaveReason, Record, RecordBody, RecordId, Settings, ZoneName, decode_record,
+    InstanceState, LeaveReason, Record, RecordBody, RecordId, Settings, Term, ZoneName,
+    decode_record,
 };
 use cyclamentrail_platform::{InstanceList, ListedInstance, ListedState, LogRecord, ReadAnswer};
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 
+use super::duty::{DutyAction, FleetDuty, World};
+use super::platform_client::PlatformClient;
 use super::writer::{WriteFailed, Writer};
 use super::{ControlMessage, SubmitError};
+use crate::clock;
 use crate::timer::Ticks;
 use crate::traffic::Link;
 use crate::view::{ServiceRoute, SharedView, View};
@@ -47,8 +51,11 @@
     sequence: u64,
     joining: bool,
     released: BTreeMap<InstanceName, u64>,
+    duty: FleetDuty,
+    claimed_term: Option<Term>,
     shared: Arc<SharedView>,
     writer: Writer,
+    platform: PlatformClient,
 }
 
 impl Actor {
@@ -59,6 +66,7 @@
         start_settings: Arc<Settings>,
         shared: Arc<SharedView>,
         writer: Writer,
+        platform: PlatformClient,
     ) -> Self {
         Self {
             identity,
@@ -72,8 +80,11 @@
             sequence: 0,
             joining: false,
             released: BTreeMap::new(),
+            duty: FleetDuty::default(),
+            claimed_term: None,
             shared,
             writer,
+            platform,
         }
     }
 
@@ -89,7 +100,7 @@
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                () = ticks.next() => self.release_drained(),
+                () = ticks.next() => self.tick(),
             }
         }
     }
@@ -112,6 +123,8 @@
                 };
                 self.submit(body, Some(reply));
             }
+            ControlMessage::Submit { body, reply } => self.submit(body, Some(reply)),
+            ControlMessage::Fleet(reply) => drop(reply.send(Box::new(self.fleet.clone()))),
             ControlMessage::Dump(reply) => drop(reply.send(self.dump())),
             ControlMessage::WriteFailed(failed) => self.fail_writes(&failed),
             ControlMessage::Leave(reply) => {
@@ -124,6 +137,49 @@
         }
     }
 
+    fn tick(&mut self) {
+        self.release_drained();
+        match self.fleet.duty().holder {
+            Some(holder) if holder == self.identity.incarnation => self.run_duty(),
+            Some(_) => self.duty = FleetDuty::default(),
+            None => self.claim_duty(),
+        }
+    }
+
+    fn claim_duty(&mut self) {
+        let term = self.fleet.duty().term;
+        let first = self.fleet.members().next();
+        let is_first = first.is_some_and(|(first, _)| first == self.identity.incarnation);
+        if is_first && self.claimed_term != Some(term) {
+            self.claimed_term = Some(term);
+            self.submit(RecordBody::DutyClaimed { presumes: term }, None);
+        }
+    }
+
+    fn run_duty(&mut self) {
+        let world = World {
+            fleet: &self.fleet,
+            list: &self.list,
+            own: self.identity.incarnation,
+            now_ms: clock::now_ms(),
+        };
+        for action in self.duty.step(&world) {
+            match action {
+                DutyAction::Submit(body) => self.submit(body, None),
+                DutyAction::Reboot(instance) => self.reboot(instance),
+            }
+        }
+    }
+
+    fn reboot(&self, instance: InstanceName) {
+        let platform = self.platform.clone();
+        tokio::spawn(async move {
+            if let Err(error) = platform.reboot(&instance).await {
+                log::warn!(instance:% = instance, error:% = error; "reboot_failed");
+            }
+        });
+    }
+
     fn fold_records(&mut self, answer: &ReadAnswer, asked_ms: u64) {
         for record in &answer.records {
             self.fold_record(record);
@@ -225,6 +281,7 @@
 
     fn fail_writes(&mut self, failed: &WriteFailed) {
         self.joining = false;
+        self.claimed_term = None;
         for sequence in &failed.sequences {
             let reply = self.pending.remove(sequence).flatten();
             let error = if failed.uncertain {
--- /dev/null
+++ b/crates/cyclamentrail/src/control/duty.rs
@@ -0,0 +1,47 @@
+//! What the holder of the fleet duty does for the whole site.
+
+use std::collections::BTreeMap;
+
+use cyclamentrail_core::{Fleet, Incarnation, InstanceName, RecordBody};
+use cyclamentrail_platform::ListedInstance;
+
+use super::job_duty::JobDuty;
+use super::wave_duty::WaveDuty;
+
+/// What a duty may look at.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct World<'a> {
+    /// State that all entries agree on.
+    pub(crate) fleet: &'a Fleet,
+    /// The platform's list as it was last seen.
+    pub(crate) list: &'a BTreeMap<InstanceName, ListedInstance>,
+    /// This process.
+    pub(crate) own: Incarnation,
+    /// This process's clock in milliseconds.
+    pub(crate) now_ms: u64,
+}
+
+/// An effect that a duty asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum DutyAction {
+    /// Append a record.
+    Submit(RecordBody),
+    /// Ask the platform to reboot an instance.
+    Reboot(InstanceName),
+}
+
+/// All duties of the holder; the memory of a former holder is dropped.
+#[derive(Debug, Default)]
+pub(crate) struct FleetDuty {
+    waves: WaveDuty,
+    jobs: JobDuty,
+}
+
+impl FleetDuty {
+    /// Returns what to do now; called at each tick while this process holds the duty.
+    pub(crate) fn step(&mut self, world: &World<'_>) -> Vec<DutyAction> {
+        let mut actions = self.waves.step(world);
+        actions.extend(self.jobs.step(world));
+        actions
+    }
+}
--- a/crates/cyclamentrail/src/control/platform_client.rs
+++ b/crates/cyclamentrail/src/control/platform_client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cyclamentrail_core::PlatformSettings;
+use cyclamentrail_core::{InstanceName, PlatformSettings};
 use cyclamentrail_platform::{AppendAnswer, AppendRequest, InstanceList, ReadAnswer, ReadRequest};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
@@ -116,6 +116,24 @@
         serde_json::from_slice(&bytes).map_err(|error| PlatformError::Malformed(error.to_string()))
     }
 
+    /// Asks the platform to reboot an instance.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::NoAnswer`] means that it may reboot all the same.
+    pub(crate) async fn reboot(&self, instance: &InstanceName) -> Result<(), PlatformError> {
+        let path = format!("/v1/instances/{instance}/reboot");
+        self.call(
+            Method::POST,
+            self.settings.list_address,
+            &path,
+            Vec::new(),
+            self.timeout,
+        )
+        .await?;
+        Ok(())
+    }
+
     async fn call(
         &self,
         method: Method,
--- a/crates/cyclamentrail/src/entry.rs
+++ b/crates/cyclamentrail/src/entry.rs
@@ -138,7 +138,11 @@
             .enable_all()
             .build()
             .map_err(|source| io_error("the traffic threads", source))?;
-        let router = traffic::router(Arc::new(Traffic::new(Arc::clone(&shared), incarnation)));
+        let router = traffic::router(Arc::new(Traffic::new(
+            Arc::clone(&shared),
+            control.clone(),
+            incarnation,
+        )));
         let (ended, traffic_ended) = oneshot::channel();
         let limits = settings.caller_limits.clone();
         let callers = into_std(callers)?;
@@ -259,6 +263,7 @@
             Arc::clone(settings),
             parts.shared,
             writer,
+            platform.clone(),
         );
         let poll = control_settings.dispatch_lease_ms / POLLS_PER_LEASE;
         tokio::spawn(follow_log(platform.clone(), parts.control.clone(), poll));
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -15,6 +15,9 @@
 use crate::control::{ControlHandle, SubmitError};
 use crate::view::SharedView;
 
+mod jobs;
+mod waves;
+
 /// What the operators' listener shares between requests.
 #[derive(Debug, Clone)]
 pub(crate) struct Operator {
@@ -43,6 +46,8 @@
     let guarded = Router::new()
         .route("/state", get(state))
         .route("/v1/settings", post(change_settings))
+        .merge(waves::router())
+        .merge(jobs::router())
         .layer(middleware::from_fn_with_state(
             operator.clone(),
             check_token,
--- /dev/null
+++ b/crates/cyclamentrail/src/operator/jobs.rs
@@ -0,0 +1,10 @@
+//! Routes of long jobs.
+
+use axum::Router;
+
+use super::Operator;
+
+/// Returns the routes; the token is checked before they are reached.
+pub(crate) fn router() -> Router<Operator> {
+    Router::new()
+}
--- a/crates/cyclamentrail/src/traffic.rs
+++ b/crates/cyclamentrail/src/traffic.rs
@@ -2,6 +2,7 @@
 
 mod dispatch;
 mod guard;
+mod jobs;
 mod link;
 mod listener;
 
--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -17,7 +17,9 @@
 
 use super::dispatch::{Dispatched, dispatch};
 use super::guard::GuardedBody;
+use super::jobs;
 use crate::body::{Problem, outcome_text};
+use crate::control::ControlHandle;
 use crate::headers;
 use crate::view::{ServiceRoute, SharedView};
 
@@ -28,20 +30,31 @@
 #[derive(Debug)]
 pub(crate) struct Traffic {
     shared: Arc<SharedView>,
+    control: ControlHandle,
     incarnation: Incarnation,
     sequence: AtomicU64,
 }
 
 impl Traffic {
     /// Creates the state of the listener.
-    pub(crate) const fn new(shared: Arc<SharedView>, incarnation: Incarnation) -> Self {
+    pub(crate) const fn new(
+        shared: Arc<SharedView>,
+        control: ControlHandle,
+        incarnation: Incarnation,
+    ) -> Self {
         Self {
             shared,
+            control,
             incarnation,
             sequence: AtomicU64::new(0),
         }
     }
 
+    /// Returns the handle of the control thread.
+    pub(crate) const fn control(&self) -> &ControlHandle {
+        &self.control
+    }
+
     fn next_request_id(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         format!("{}-{sequence}", self.incarnation)
@@ -53,6 +66,7 @@
     Router::new()
         .route("/ready", get(ready))
         .route("/v1/services/{service}/{*path}", any(serve_request))
+        .merge(jobs::router())
         .with_state(traffic)
 }
 
