feat(claim): fold claims on idempotency keys

Non-idempotent requests must run at most once over retries through other entries. The first accepted claim of a key names the one process that may run it; it ends with an outcome or is released. A claim that was delayed longer than the claim window is rejected, so that it can't be accepted after the key was forgotten. Release and finish name the claim by its offset, so that a repeated release can't end a later claim of the same key. Expiry and the bound on kept answers follow from the log's time and order alone.

--- a/crates/cyclamentrail-core/src/fleet/rejection.rs
+++ b/crates/cyclamentrail-core/src/fleet/rejection.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::id::{Incarnation, RecordId, Term, Version};
+use crate::id::{Incarnation, Offset, RecordId, Term, Version};
 
 /// A record that the fold rejected; every entry rejects it alike.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +79,30 @@
         /// All members.
         members: usize,
     },
+    /// The idempotency key is claimed.
+    #[error("the key is claimed by process {owner}; ask it for the outcome")]
+    KeyClaimed {
+        /// The one process that may run it.
+        owner: Incarnation,
+    },
+    /// The claim was made long before it was appended.
+    #[error("the claim is {age_ms} ms old; claim again while the caller waits")]
+    ClaimTooOld {
+        /// Age in milliseconds by the time of the log.
+        age_ms: u64,
+    },
+    /// As many keys are remembered as may be.
+    #[error("too many idempotency keys are remembered; one is forgotten in {free_in_ms} ms")]
+    ClaimsFull {
+        /// Time in milliseconds until the next key is forgotten.
+        free_in_ms: u64,
+    },
+    /// The author has no claim there that is still running.
+    #[error("the claim at offset {claim} has ended or is another process's")]
+    ClaimEnded {
+        /// Offset at which the claim was accepted.
+        claim: Offset,
+    },
     /// The settings after the change are invalid.
     #[error("the changed settings are invalid: {problem}")]
     InvalidSettings {
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -25,7 +25,10 @@
 mod settings;
 mod wave;
 
-pub use claim::{ClaimRecord, Claims};
+pub use claim::{
+    CLAIM_WINDOW_MS, Claim, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody, KeptHeader,
+    KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, RequestDigest,
+};
 pub use fleet::{
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
     Rejection, RejectionKind,
@@ -35,7 +38,7 @@
 pub use name::{
     EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, ZoneName,
 };
-pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use outcome::{Ending, NotRunReason, Outcome, UnknownReason};
 pub use permit::{Permit, is_majority};
 pub use record::{
     CodecError, DrainReason, FORMAT, LeaveReason, Record, RecordBody, decode_record, encode_record,
--- a/crates/cyclamentrail-core/src/outcome.rs
+++ b/crates/cyclamentrail-core/src/outcome.rs
@@ -14,6 +14,58 @@
     Unknown(UnknownReason),
 }
 
+/// An outcome that isn't an answer, with when to come back.
+///
+/// ```
+/// use cyclamentrail_core::{Ending, NotRunReason};
+///
+/// let ending = Ending::from(NotRunReason::QueueFull).retry_after_ms(250);
+/// assert_eq!(ending.retry_after_ms, Some(250));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Ending {
+    /// How the request ended.
+    pub outcome: Outcome,
+    /// Time in milliseconds after which coming back makes sense, when that can be told.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Ending {
+    /// Creates an ending that doesn't say when to come back.
+    #[must_use]
+    pub const fn new(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Sets the time in milliseconds after which coming back makes sense.
+    #[must_use]
+    pub const fn retry_after_ms(mut self, wait_ms: u64) -> Self {
+        self.retry_after_ms = Some(wait_ms);
+        self
+    }
+}
+
+impl From<Outcome> for Ending {
+    fn from(outcome: Outcome) -> Self {
+        Self::new(outcome)
+    }
+}
+
+impl From<NotRunReason> for Ending {
+    fn from(reason: NotRunReason) -> Self {
+        Self::new(Outcome::NotRun(reason))
+    }
+}
+
+impl From<UnknownReason> for Ending {
+    fn from(reason: UnknownReason) -> Self {
+        Self::new(Outcome::Unknown(reason))
+    }
+}
+
 /// Why a request was not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -38,8 +90,16 @@
     Stopping,
     /// The request is malformed or too large.
     BadRequest,
+    /// The request body is larger than the site allows.
+    TooLarge,
     /// The idempotency key was used with another request.
     KeyReused,
+    /// The key's first request has no outcome yet; nothing was run for this repetition.
+    KeyBusy,
+    /// Too many idempotency keys are remembered.
+    KeysFull,
+    /// The caller went away before anything was sent.
+    CallerGone,
 }
 
 /// Why the outcome of a request is unknown.
@@ -52,4 +112,6 @@
     TimedOut,
     /// The entry that ran the request is gone.
     OwnerGone,
+    /// The request ran and was answered; the answer is no longer kept.
+    AnswerGone,
 }
