feat(traffic): run keyed requests once, stream bodies and stop in order

Keyed requests are claimed through the log, granted once by the control thread, and their outcome is recorded for repetitions; large answers stay with the entry that got them. Bodies are streamed both ways, cut, crossed and unframed answers are told apart, and hop-by-hop headers are removed. A planned stop turns the entry unready, lets the balancer see it, and lets requests end.

--- a/crates/cyclamentrail-core/src/claim.rs
+++ b/crates/cyclamentrail-core/src/claim.rs
@@ -21,9 +21,11 @@
 
 mod answer;
 mod digest;
+mod look;
 
 pub use answer::{ClaimOutcome, KeptAnswer, KeptBody, KeptHeader};
 pub use digest::{KeyDigest, RequestDigest};
+pub use look::ClaimLook;
 
 /// Age in milliseconds of a claim, by the time of the log, above which it is rejected.
 pub const CLAIM_WINDOW_MS: u64 = 60_000;
--- a/crates/cyclamentrail-core/src/claim/answer.rs
+++ b/crates/cyclamentrail-core/src/claim/answer.rs
@@ -52,29 +52,43 @@
 impl ClaimOutcome {
     /// Returns the bytes that are kept in the agreed state.
     #[must_use]
-    pub const fn kept_bytes(&self) -> usize {
+    pub fn kept_bytes(&self) -> usize {
         match self {
-            Self::Answered(KeptAnswer {
-                body: KeptBody::Here(bytes),
-                ..
-            }) => bytes.len(),
-            Self::Answered(_) | Self::Unknown(_) => 0,
+            Self::Answered(answer) => answer.kept_bytes(),
+            Self::Unknown(_) => 0,
         }
     }
 
-    /// Returns the outcome without a body.
+    /// Returns the outcome without a body and with the one header that says what it was.
     #[must_use]
     pub fn without_body(self) -> Self {
         match self {
-            Self::Answered(mut answer) => {
-                if let KeptBody::Here(bytes) = &answer.body {
-                    answer.body = KeptBody::AtOwner {
-                        length_bytes: bytes.len() as u64,
-                    };
-                }
-                Self::Answered(answer)
-            }
+            Self::Answered(answer) => Self::Answered(answer.without_body()),
             Self::Unknown(reason) => Self::Unknown(reason),
         }
     }
 }
+
+impl KeptAnswer {
+    fn kept_bytes(&self) -> usize {
+        let body_bytes = match &self.body {
+            KeptBody::Here(bytes) => bytes.len(),
+            KeptBody::AtOwner { .. } => return 0,
+        };
+        let header_bytes: usize = self
+            .headers
+            .iter()
+            .map(|header| header.name.len() + header.value.len())
+            .sum();
+        body_bytes + header_bytes
+    }
+
+    fn without_body(mut self) -> Self {
+        if let KeptBody::Here(bytes) = &self.body {
+            let length_bytes = bytes.len() as u64;
+            self.body = KeptBody::AtOwner { length_bytes };
+        }
+        self.headers.retain(|header| header.name == "content-type");
+        self
+    }
+}
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -26,8 +26,8 @@
 mod wave;
 
 pub use claim::{
-    CLAIM_WINDOW_MS, Claim, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody, KeptHeader,
-    KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, RequestDigest,
+    CLAIM_WINDOW_MS, Claim, ClaimLook, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody,
+    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, RequestDigest,
 };
 pub use fleet::{
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
@@ -48,7 +48,7 @@
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
     Fault, JobSettings, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings,
-    SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings,
-    merge_documents, settings_schema,
+    SecretSource, ServiceSettings, Settings, StopSettings, WorkerShape, ZoneSettings,
+    load_settings, merge_documents, settings_schema,
 };
 pub use wave::{WaveRecord, Waves};
--- a/crates/cyclamentrail-core/src/outcome.rs
+++ b/crates/cyclamentrail-core/src/outcome.rs
@@ -94,8 +94,6 @@
     TooLarge,
     /// The idempotency key was used with another request.
     KeyReused,
-    /// The key's first request has no outcome yet; nothing was run for this repetition.
-    KeyBusy,
     /// Too many idempotency keys are remembered.
     KeysFull,
     /// The caller went away before anything was sent.
@@ -112,6 +110,12 @@
     TimedOut,
     /// The entry that ran the request is gone.
     OwnerGone,
+    /// The key's first request has no outcome yet.
+    StillRunning,
+    /// The backend server sent the answer of another request.
+    CrossedAnswer,
+    /// The answer has neither a length nor a chunked end, so that it can't be told to be whole.
+    UnframedAnswer,
     /// The request ran and was answered; the answer is no longer kept.
     AnswerGone,
 }
--- a/crates/cyclamentrail-core/src/settings.rs
+++ b/crates/cyclamentrail-core/src/settings.rs
@@ -27,6 +27,7 @@
 mod load;
 mod process;
 mod request;
+mod stop;
 mod validate;
 
 pub use contract::{ContractSettings, CostWeights, FailureDomain};
@@ -35,6 +36,7 @@
 pub use load::{Fault, LoadError, load_settings, merge_documents, settings_schema};
 pub use process::{EntrySettings, LogSettings, PlatformSettings, SecretSource};
 pub use request::{CallerLimits, RequestSettings};
+pub use stop::StopSettings;
 
 /// Effective settings of one site.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -65,6 +67,9 @@
     /// Placing and limits of long jobs.
     #[serde(default)]
     pub jobs: JobSettings,
+    /// Timing of an entry's planned stop.
+    #[serde(default)]
+    pub stop: StopSettings,
     /// Where the platform's services are.
     pub platform: PlatformSettings,
     /// Source of the token that operators and peers present.
--- a/crates/cyclamentrail/src/body.rs
+++ b/crates/cyclamentrail/src/body.rs
@@ -1,59 +1,111 @@
-//! Body types of requests and answers, and the shared HTTP helpers.
+//! Answers of the entry itself: RFC 9457 problem bodies with the outcome of the request.
+
+use std::time::Duration;
 
 use axum::body::Body;
-use axum::http::{HeaderName, HeaderValue, StatusCode, header};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, header};
 use axum::response::Response;
-use cyclamentrail_core::Outcome;
+use cyclamentrail_core::{Ending, Outcome};
 use serde::Serialize;
 
 use crate::headers;
 
+mod explain;
+
+use explain::Explanation;
+
 /// An RFC 9457 problem body with the outcome of the request.
 #[derive(Debug, Serialize)]
-pub(crate) struct Problem {
-    /// URI reference of the problem type.
+struct Problem {
+    /// URI of the problem type.
     #[serde(rename = "type")]
-    pub(crate) kind: &'static str,
+    kind: String,
     /// Short summary.
-    pub(crate) title: &'static str,
+    title: &'static str,
     /// HTTP status code.
-    pub(crate) status: u16,
-    /// What happened and what to do.
-    pub(crate) detail: String,
+    status: u16,
+    /// What happened.
+    detail: &'static str,
     /// How the request ended.
-    pub(crate) outcome: Outcome,
+    outcome: &'static str,
+    /// Why it ended so.
+    reason: &'static str,
+    /// What the caller can do.
+    remedy: &'static str,
+    /// Time in milliseconds after which coming back makes sense.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
     /// The entry's id of the request.
-    pub(crate) request_id: String,
+    request_id: String,
+}
+
+/// Returns the answer for a request that has no answer of a backend server.
+pub(crate) fn problem(ending: Ending, request_id: String) -> Response {
+    let Explanation {
+        status,
+        reason,
+        detail,
+        remedy,
+    } = Explanation::from(ending.outcome);
+    let outcome = outcome_text(ending.outcome);
+    let problem = Problem {
+        kind: format!("urn:cyclamentrail:problem:{outcome}:{reason}"),
+        title: title(ending.outcome),
+        status: status.as_u16(),
+        detail,
+        outcome,
+        reason,
+        remedy,
+        retry_after_ms: ending.retry_after_ms,
+        request_id,
+    };
+    let bytes = serde_json::to_vec(&problem).unwrap_or_default();
+    let mut response = Response::new(Body::from(bytes));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    let content_type = HeaderValue::from_static("application/problem+json");
+    headers.insert(header::CONTENT_TYPE, content_type);
+    mark(headers, ending.outcome, &problem.request_id);
+    headers.insert(
+        HeaderName::from_static(headers::OUTCOME_REASON),
+        HeaderValue::from_static(reason),
+    );
+    if let Some(wait_ms) = ending.retry_after_ms {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds(wait_ms)));
+    }
+    response
 }
 
-impl Problem {
-    /// Returns the answer that carries the problem.
-    pub(crate) fn into_response(self, retry_after_s: Option<u64>) -> Response {
-        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        let bytes = serde_json::to_vec(&self).unwrap_or_default();
-        let mut response = Response::new(Body::from(bytes));
-        *response.status_mut() = status;
-        let headers = response.headers_mut();
-        headers.insert(
-            header::CONTENT_TYPE,
-            HeaderValue::from_static("application/problem+json"),
-        );
-        headers.insert(
-            HeaderName::from_static(headers::OUTCOME),
-            HeaderValue::from_static(outcome_text(self.outcome)),
-        );
-        if let Some(seconds) = retry_after_s {
-            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
-        }
-        response
+/// Marks an answer with the outcome and the entry's id of the request.
+pub(crate) fn mark(headers: &mut HeaderMap, outcome: Outcome, request_id: &str) {
+    headers.insert(
+        HeaderName::from_static(headers::OUTCOME),
+        HeaderValue::from_static(outcome_text(outcome)),
+    );
+    if let Ok(id) = HeaderValue::from_str(request_id) {
+        headers.insert(HeaderName::from_static(headers::REQUEST_ID), id);
     }
 }
 
+/// Returns the whole seconds that cover a wait.
+fn seconds(wait_ms: u64) -> u64 {
+    let wait = Duration::from_millis(wait_ms);
+    wait.as_secs() + u64::from(wait.subsec_nanos() > 0)
+}
+
 /// Returns the outcome as the header's value.
-pub(crate) const fn outcome_text(outcome: Outcome) -> &'static str {
+const fn outcome_text(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Answered => "answered",
         Outcome::NotRun(_) => "not-run",
         Outcome::Unknown(_) => "unknown",
     }
 }
+
+const fn title(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "Answered",
+        Outcome::NotRun(_) => "Not run",
+        Outcome::Unknown(_) => "Outcome unknown",
+    }
+}
--- a/crates/cyclamentrail/src/control.rs
+++ b/crates/cyclamentrail/src/control.rs
@@ -7,6 +7,7 @@
 use cyclamentrail_platform::{InstanceList, ReadAnswer};
 
 mod actor;
+mod claims;
 mod duty;
 mod follower;
 mod job_duty;
@@ -16,6 +17,7 @@
 mod writer;
 
 pub(crate) use actor::{Actor, Identity};
+pub(crate) use claims::{ClaimAnswer, ClaimMessage, Run, RunEnd};
 pub(crate) use follower::follow_log;
 pub(crate) use list_poller::poll_list;
 pub(crate) use platform_client::PlatformClient;
@@ -43,6 +45,8 @@
         body: RecordBody,
         reply: oneshot::Sender<Result<(), SubmitError>>,
     },
+    /// Something about an idempotency key.
+    Claim(ClaimMessage),
     /// The whole state is asked for.
     Dump(oneshot::Sender<serde_json::Value>),
     /// A copy of the agreed state is asked for.
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -13,10 +13,11 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 
+use super::claims::{ClaimDesk, DeskAction};
 use super::duty::{DutyAction, FleetDuty, World};
 use super::platform_client::PlatformClient;
 use super::writer::{WriteFailed, Writer};
-use super::{ControlMessage, SubmitError};
+use super::{ClaimAnswer, ClaimMessage, ControlMessage, SubmitError};
 use crate::clock;
 use crate::timer::Ticks;
 use crate::traffic::Link;
@@ -52,6 +53,7 @@
     joining: bool,
     released: BTreeMap<InstanceName, u64>,
     duty: FleetDuty,
+    claims: ClaimDesk,
     claimed_term: Option<Term>,
     shared: Arc<SharedView>,
     writer: Writer,
@@ -81,6 +83,7 @@
             joining: false,
             released: BTreeMap::new(),
             duty: FleetDuty::default(),
+            claims: ClaimDesk::default(),
             claimed_term: None,
             shared,
             writer,
@@ -124,6 +127,7 @@
                 self.submit(body, Some(reply));
             }
             ControlMessage::Submit { body, reply } => self.submit(body, Some(reply)),
+            ControlMessage::Claim(message) => self.handle_claim(message),
             ControlMessage::Fleet(reply) => drop(reply.send(Box::new(self.fleet.clone()))),
             ControlMessage::Dump(reply) => drop(reply.send(self.dump())),
             ControlMessage::WriteFailed(failed) => self.fail_writes(&failed),
@@ -137,7 +141,24 @@
         }
     }
 
+    fn handle_claim(&mut self, message: ClaimMessage) {
+        let own = self.identity.incarnation;
+        if let DeskAction::Claim { record, reply } = self.claims.handle(&self.fleet, own, message) {
+            let (result, folded) = oneshot::channel();
+            self.submit(RecordBody::Claim(record), Some(result));
+            drop(reply.send(ClaimAnswer::Submitted(folded)));
+        }
+        self.end_claims();
+    }
+
+    fn end_claims(&mut self) {
+        for record in self.claims.due(&self.fleet, self.identity.incarnation) {
+            self.submit(RecordBody::Claim(record), None);
+        }
+    }
+
     fn tick(&mut self) {
+        self.end_claims();
         self.release_drained();
         match self.fleet.duty().holder {
             Some(holder) if holder == self.identity.incarnation => self.run_duty(),
@@ -191,6 +212,7 @@
         if !answer.records.is_empty() {
             self.publish_view();
         }
+        self.claims.wake_changed(&self.fleet);
         self.release_drained();
     }
 
@@ -445,6 +467,7 @@
             "settings_version": self.shared.load().settings_version,
             "may_dispatch": self.shared.may_dispatch(),
             "pending_records": self.pending.len(),
+            "claims": self.claims.dump(),
             "fleet": self.fleet,
             "links": links,
         })
--- a/crates/cyclamentrail/src/entry.rs
+++ b/crates/cyclamentrail/src/entry.rs
@@ -17,6 +17,7 @@
     Actor, ControlHandle, Identity, PlatformClient, Writer, follow_log, poll_list,
 };
 use crate::operator::Operator;
+use crate::peer::claims::ClaimClient;
 use crate::timer::Timer;
 use crate::traffic::Traffic;
 use crate::view::SharedView;
@@ -80,6 +81,7 @@
     control: ControlHandle,
     stop: watch::Sender<bool>,
     traffic_ended: oneshot::Receiver<()>,
+    callers: Arc<Traffic>,
     traffic: Option<Runtime>,
     control_thread: Option<std::thread::JoinHandle<()>>,
     end_control: Option<oneshot::Sender<()>>,
@@ -110,7 +112,7 @@
         let operator = Operator {
             control: control.clone(),
             shared: Arc::clone(&shared),
-            token,
+            token: Arc::clone(&token),
         };
         let (stop, stopped) = watch::channel(false);
         let caller_address = address_of(&callers)?;
@@ -138,11 +140,13 @@
             .enable_all()
             .build()
             .map_err(|source| io_error("the traffic threads", source))?;
-        let router = traffic::router(Arc::new(Traffic::new(
+        let callers_state = Arc::new(Traffic::new(
             Arc::clone(&shared),
             control.clone(),
+            ClaimClient::new(token),
             incarnation,
-        )));
+        ));
+        let router = traffic::router(Arc::clone(&callers_state));
         let (ended, traffic_ended) = oneshot::channel();
         let limits = settings.caller_limits.clone();
         let callers = into_std(callers)?;
@@ -159,6 +163,7 @@
             control,
             stop,
             traffic_ended,
+            callers: callers_state,
             traffic: Some(runtime),
             control_thread: Some(control_thread),
             end_control: Some(end_control),
@@ -190,17 +195,36 @@
         self.shared.may_dispatch()
     }
 
-    /// Stops in order: takes no new connections, lets the requests in flight end, then leaves.
+    /// Stops in order: turns unready, lets the balancer see it, takes no new connections, lets the
+    /// requests in flight end, then leaves.
     pub async fn stop(mut self) {
+        let view = self.shared.load();
+        let timing = view
+            .settings
+            .as_ref()
+            .map(|settings| settings.stop.clone())
+            .unwrap_or_default();
+        drop(view);
+        self.shared.begin_stop();
+        log::info!("stop_begun");
+        tokio::time::sleep(timing.balancer_ms).await;
         self.stop.send_replace(true);
-        if (&mut self.traffic_ended).await.is_err() {
-            log::warn!("traffic_ended_early");
+        let ended = tokio::time::timeout(timing.limit_ms, self.requests_ended()).await;
+        if ended.is_err() {
+            log::warn!("requests_cut_at_limit");
         }
         if let Err(error) = self.control.leave().await {
             log::warn!(error:% = error; "leave_not_recorded");
         }
         log::info!("entry_stopped");
     }
+
+    async fn requests_ended(&mut self) {
+        if (&mut self.traffic_ended).await.is_err() {
+            log::warn!("traffic_ended_early");
+        }
+        self.callers.detached_ended().await;
+    }
 }
 
 impl Drop for Entry {
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -84,7 +84,7 @@
 }
 
 async fn ready(State(operator): State<Operator>) -> StatusCode {
-    if operator.shared.may_dispatch() {
+    if operator.shared.is_ready() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/cyclamentrail/src/peer.rs
+++ b/crates/cyclamentrail/src/peer.rs
@@ -7,9 +7,16 @@
 
 use crate::operator::{Operator, check_token};
 
+pub(crate) mod claims;
+
 /// Returns the routes of the peers' listener.
 pub(crate) fn router(operator: Operator) -> Router {
     Router::new()
         .route("/v1/peer/ping", get(|| async { StatusCode::NO_CONTENT }))
-        .layer(middleware::from_fn_with_state(operator, check_token))
+        .merge(claims::router())
+        .layer(middleware::from_fn_with_state(
+            operator.clone(),
+            check_token,
+        ))
+        .with_state(operator)
 }
--- /dev/null
+++ b/crates/cyclamentrail/src/peer/claims.rs
@@ -0,0 +1,96 @@
+//! How entries ask each other for the outcome of a key's request.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::{Path, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use bytes::Bytes;
+use cyclamentrail_core::{ClaimOutcome, KeyDigest};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use crate::operator::Operator;
+
+/// Time limit of one question.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest outcome in bytes.
+const MAX_OUTCOME_BYTES: usize = 2 * 1024 * 1024;
+
+/// Returns the routes about idempotency keys.
+pub(crate) fn router() -> Router<Operator> {
+    Router::new().route("/v1/peer/claims/{key}", get(outcome))
+}
+
+async fn outcome(State(operator): State<Operator>, Path(key): Path<KeyDigest>) -> Response {
+    match operator.control.fetch_claim(key).await {
+        Some(outcome) => match rmp_serde::to_vec_named(&outcome) {
+            Ok(bytes) => bytes.into_response(),
+            Err(error) => {
+                log::error!(error:% = error; "outcome_not_encoded");
+                StatusCode::INTERNAL_SERVER_ERROR.into_response()
+            }
+        },
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+/// Asks other entries for the outcome of a key's request.
+#[derive(Debug, Clone)]
+pub(crate) struct ClaimClient {
+    client: Client<HttpConnector, Empty<Bytes>>,
+    token: Arc<str>,
+}
+
+impl ClaimClient {
+    /// Creates a client that presents a token.
+    pub(crate) fn new(token: Arc<str>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(TIMEOUT));
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            token,
+        }
+    }
+
+    /// Returns the outcome of a key's request if the process at an address knows it.
+    pub(crate) async fn fetch(&self, owner: SocketAddr, key: KeyDigest) -> Option<ClaimOutcome> {
+        let fetched = tokio::time::timeout(TIMEOUT, self.exchange(owner, key)).await;
+        match fetched {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(error)) => {
+                log::info!(owner:% = owner, error:% = error; "outcome_not_fetched");
+                None
+            }
+            Err(_) => {
+                log::info!(owner:% = owner; "outcome_not_fetched_in_time");
+                None
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        owner: SocketAddr,
+        key: KeyDigest,
+    ) -> anyhow::Result<Option<ClaimOutcome>> {
+        let request = Request::get(format!("http://{owner}/v1/peer/claims/{key}"))
+            .header("authorization", format!("Bearer {}", self.token))
+            .body(Empty::new())?;
+        let response = self.client.request(request).await?;
+        if !response.status().is_success() {
+            return Ok(None);
+        }
+        let body = Limited::new(response.into_body(), MAX_OUTCOME_BYTES).collect();
+        let bytes = body.await.map_err(anyhow::Error::from_boxed)?.to_bytes();
+        Ok(Some(rmp_serde::from_slice(&bytes)?))
+    }
+}
--- a/crates/cyclamentrail/src/traffic/dispatch.rs
+++ b/crates/cyclamentrail/src/traffic/dispatch.rs
@@ -2,14 +2,13 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use cyclamentrail_core::{NotRunReason, Outcome, UnknownReason, choose};
-use http_body_util::Full;
+use cyclamentrail_core::{Ending, NotRunReason, UnknownReason, choose};
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use tokio::time::Instant;
 
 use super::link::{Sender, Slot};
+use super::request::Outgoing;
 use crate::headers;
 use crate::view::{ServiceRoute, SharedView};
 
@@ -32,15 +31,15 @@
 pub(crate) async fn dispatch(
     shared: &Arc<SharedView>,
     route: &ServiceRoute,
-    request: &Request<Full<Bytes>>,
+    request: &mut Outgoing,
     deadline: Instant,
-) -> Result<Dispatched, Outcome> {
+) -> Result<Dispatched, Ending> {
     let mut reason = NotRunReason::NoInstance;
     for _ in 0..MAX_TRIES {
-        let slot = pick(route).ok_or(Outcome::NotRun(reason))?;
+        let slot = pick(route).ok_or(Ending::from(reason))?;
         let connected = tokio::time::timeout_at(deadline, slot.link().connect()).await;
         let Ok(connected) = connected else {
-            return Err(Outcome::NotRun(NotRunReason::Deadline));
+            return Err(NotRunReason::Deadline.into());
         };
         let mut sender = match connected {
             Ok(sender) => sender,
@@ -51,17 +50,20 @@
             }
         };
         if !shared.may_dispatch() {
-            return Err(Outcome::NotRun(NotRunReason::NoPermission));
+            return Err(NotRunReason::NoPermission.into());
         }
-        let sent = tokio::time::timeout_at(deadline, sender.send_request(request.clone())).await;
+        let Some(attempt) = request.attempt() else {
+            return Err(reason.into());
+        };
+        let sent = tokio::time::timeout_at(deadline, sender.send_request(attempt)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.is_canceled() => {
                 reason = NotRunReason::NoInstance;
                 continue;
             }
-            Ok(Err(_)) => return Err(Outcome::Unknown(UnknownReason::ConnectionLost)),
-            Err(_) => return Err(Outcome::Unknown(UnknownReason::TimedOut)),
+            Ok(Err(_)) => return Err(UnknownReason::ConnectionLost.into()),
+            Err(_) => return Err(UnknownReason::TimedOut.into()),
         };
         if is_refusal(&response) {
             reason = NotRunReason::Refused;
@@ -73,7 +75,7 @@
             sender,
         });
     }
-    Err(Outcome::NotRun(reason))
+    Err(reason.into())
 }
 
 fn pick(route: &ServiceRoute) -> Option<Slot> {
--- a/crates/cyclamentrail/src/traffic/guard.rs
+++ b/crates/cyclamentrail/src/traffic/guard.rs
@@ -6,53 +6,126 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use thiserror::Error;
+use tokio::time::{Instant, Sleep};
 
 use super::link::{Sender, Slot};
+use super::recorder::Recorder;
+
+/// Why an answer is cut; the caller sees an aborted transfer.
+#[derive(Debug, Error)]
+pub(crate) enum CutAnswer {
+    /// The backend server cut it.
+    #[error("the backend server cut its answer: {0}")]
+    ByServer(#[from] hyper::Error),
+    /// The deadline passed first.
+    #[error("the deadline passed before the whole answer came")]
+    Deadline,
+}
+
+/// The slot and the connection of an answer on its way; dropping it frees the slot and closes the
+/// connection.
+#[derive(Debug)]
+pub(crate) struct Held {
+    slot: Slot,
+    sender: Sender,
+}
+
+impl Held {
+    /// Holds a slot and the connection that the request is on.
+    pub(crate) const fn new(slot: Slot, sender: Sender) -> Self {
+        Self { slot, sender }
+    }
+
+    /// Ends with a whole answer; the connection is kept.
+    pub(crate) fn whole(self) {
+        self.slot.link().keep(self.sender);
+    }
+
+    /// Ends with a cut answer; the connection is closed.
+    pub(crate) fn cut(self) {
+        metrics::counter!("answers_cut_total").increment(1);
+        log::warn!(instance:% = self.slot.link().instance; "answer_cut");
+    }
+}
 
 /// Body of an answer on its way to the caller.
 #[derive(Debug)]
 pub(crate) struct GuardedBody {
     inner: Incoming,
-    held: Option<(Slot, Sender)>,
+    held: Option<Held>,
+    recorder: Option<Recorder>,
+    deadline: Pin<Box<Sleep>>,
 }
 
 impl GuardedBody {
     /// Creates a body that frees the slot and keeps the connection once it is whole.
-    pub(crate) fn new(inner: Incoming, slot: Slot, sender: Sender) -> Self {
+    pub(crate) fn new(inner: Incoming, held: Held, deadline: Instant) -> Self {
         let mut body = Self {
             inner,
-            held: Some((slot, sender)),
+            held: Some(held),
+            recorder: None,
+            deadline: Box::pin(tokio::time::sleep_until(deadline)),
         };
         if body.inner.is_end_stream() {
-            body.release();
+            body.end();
         }
         body
     }
 
-    fn release(&mut self) {
-        if let Some((slot, sender)) = self.held.take() {
-            slot.link().keep(sender);
+    /// Records the answer of a key's request as it passes.
+    pub(crate) fn recorder(mut self, recorder: Recorder) -> Self {
+        self.recorder = Some(recorder);
+        self
+    }
+
+    fn end(&mut self) {
+        if let Some(held) = self.held.take() {
+            held.whole();
+        }
+        if let Some(recorder) = self.recorder.take() {
+            recorder.whole();
+        }
+    }
+
+    fn cut(&mut self, error: CutAnswer) -> Poll<Option<Result<Frame<Bytes>, CutAnswer>>> {
+        if let Some(held) = self.held.take() {
+            held.cut();
         }
+        drop(self.recorder.take());
+        Poll::Ready(Some(Err(error)))
     }
 }
 
 impl Body for GuardedBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = CutAnswer;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, CutAnswer>>> {
         let this = self.get_mut();
-        let polled = Pin::new(&mut this.inner).poll_frame(cx);
-        match &polled {
-            Poll::Ready(None) => this.release(),
-            Poll::Ready(Some(Err(_))) => this.held = None,
-            Poll::Ready(Some(Ok(_))) if this.inner.is_end_stream() => this.release(),
-            _ => {}
+        match Pin::new(&mut this.inner).poll_frame(cx) {
+            Poll::Ready(None) => {
+                this.end();
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Err(error))) => this.cut(error.into()),
+            Poll::Ready(Some(Ok(frame))) => {
+                if let (Some(recorder), Some(data)) = (&mut this.recorder, frame.data_ref()) {
+                    recorder.pass(data);
+                }
+                if this.inner.is_end_stream() {
+                    this.end();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Pending => match this.deadline.as_mut().poll(cx) {
+                Poll::Ready(()) => this.cut(CutAnswer::Deadline),
+                Poll::Pending => Poll::Pending,
+            },
         }
-        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/cyclamentrail/src/traffic/link.rs
+++ b/crates/cyclamentrail/src/traffic/link.rs
@@ -4,13 +4,13 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use bytes::Bytes;
 use cyclamentrail_core::{BootId, Candidate, InstanceName, Version};
-use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use super::request::RequestBody;
+
 /// Requests that this entry has at one backend server, with its idle connections.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -29,7 +29,7 @@
 }
 
 /// A connection that can take one request at a time.
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
+pub(crate) type Sender = SendRequest<RequestBody>;
 
 impl Link {
     /// Creates a link without connections.
--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -5,48 +5,73 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::Body;
 use axum::extract::{Path, Request, State};
-use axum::http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
-use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use axum::http::header::CONNECTION;
+use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::Response;
 use axum::routing::{any, get};
-use cyclamentrail_core::{Incarnation, NotRunReason, Outcome, ServiceName};
-use http_body_util::{BodyExt, Full, Limited};
+use cyclamentrail_core::{Ending, Incarnation, NotRunReason, ServiceName};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::dispatch::{Dispatched, dispatch};
-use super::guard::GuardedBody;
+use super::answer::pass_on;
+use super::claims::{Keyed, key_of, run_once};
+use super::dispatch::dispatch;
+use super::forward::{BodyLimits, forward};
 use super::jobs;
-use crate::body::{Problem, outcome_text};
+use super::request::Outgoing;
+use crate::body::problem;
 use crate::control::ControlHandle;
 use crate::headers;
-use crate::view::{ServiceRoute, SharedView};
-
-/// Seconds after which a caller may come back when nothing better is known.
-const RETRY_AFTER_S: u64 = 1;
+use crate::peer::claims::ClaimClient;
+use crate::view::{ServiceRoute, SharedView, View};
 
 /// What the callers' listener shares between requests.
 #[derive(Debug)]
 pub(crate) struct Traffic {
     shared: Arc<SharedView>,
     control: ControlHandle,
+    peers: ClaimClient,
     incarnation: Incarnation,
     sequence: AtomicU64,
+    detached: watch::Sender<u32>,
+}
+
+/// A request on its way, with what it needs until its answer.
+#[derive(Debug)]
+pub(crate) struct Routed {
+    pub(crate) request_id: String,
+    pub(crate) view: Arc<View>,
+    pub(crate) service: ServiceName,
+    pub(crate) outgoing: Outgoing,
+    pub(crate) deadline: Instant,
+}
+
+/// Holds back the end of a planned stop while a request goes on without its caller.
+#[derive(Debug)]
+pub(crate) struct StopHold(watch::Sender<u32>);
+
+impl Drop for StopHold {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
 }
 
 impl Traffic {
     /// Creates the state of the listener.
-    pub(crate) const fn new(
+    pub(crate) fn new(
         shared: Arc<SharedView>,
         control: ControlHandle,
+        peers: ClaimClient,
         incarnation: Incarnation,
     ) -> Self {
         Self {
             shared,
             control,
+            peers,
             incarnation,
             sequence: AtomicU64::new(0),
+            detached: watch::Sender::new(0),
         }
     }
 
@@ -55,12 +80,44 @@
         &self.control
     }
 
+    /// Returns the view that requests are routed from.
+    pub(crate) const fn shared(&self) -> &Arc<SharedView> {
+        &self.shared
+    }
+
+    /// Returns the client that asks other entries for outcomes.
+    pub(crate) const fn peers(&self) -> &ClaimClient {
+        &self.peers
+    }
+
+    /// Holds back the end of a planned stop.
+    pub(crate) fn hold_stop(&self) -> StopHold {
+        self.detached.send_modify(|count| *count += 1);
+        StopHold(self.detached.clone())
+    }
+
+    /// Waits until no request goes on without its caller.
+    pub(crate) async fn detached_ended(&self) {
+        let mut detached = self.detached.subscribe();
+        drop(detached.wait_for(|&count| count == 0).await);
+    }
+
     fn next_request_id(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         format!("{}-{sequence}", self.incarnation)
     }
 }
 
+impl Routed {
+    /// Returns how long to wait for the log when it can't be reached.
+    pub(crate) fn log_backoff(&self) -> Duration {
+        let settings = self.view.settings.as_ref();
+        settings.map_or(Duration::ZERO, |settings| {
+            settings.control.platform_timeout_ms
+        })
+    }
+}
+
 /// Returns the routes of the callers' listener.
 pub(crate) fn router(traffic: Arc<Traffic>) -> Router {
     Router::new()
@@ -71,7 +128,7 @@
 }
 
 async fn ready(State(traffic): State<Arc<Traffic>>) -> StatusCode {
-    if traffic.shared.may_dispatch() {
+    if traffic.shared.is_ready() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
@@ -84,27 +141,47 @@
     request: Request,
 ) -> Response {
     let request_id = traffic.next_request_id();
-    match try_request(&traffic, &service, request, &request_id).await {
-        Ok(dispatched) => pass_on(dispatched, &request_id),
-        Err(outcome) => explain(outcome, &service, request_id),
+    let ended = try_request(&traffic, &service, request, &request_id).await;
+    let mut response = ended.unwrap_or_else(|ending| explain(ending, &service, request_id));
+    if traffic.shared.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
     }
+    response
 }
 
 async fn try_request(
-    traffic: &Traffic,
+    traffic: &Arc<Traffic>,
     service: &ServiceName,
     request: Request,
     request_id: &str,
-) -> Result<Dispatched, Outcome> {
+) -> Result<Response, Ending> {
     let view = traffic.shared.load();
     let (Some(settings), Some(route)) = (&view.settings, view.services.get(service)) else {
-        return Err(Outcome::NotRun(NotRunReason::NoSuchService));
+        return Err(NotRunReason::NoSuchService.into());
+    };
+    let key = key_of(request.method(), request.headers(), service)?;
+    let limits = &settings.requests;
+    let deadline = Instant::now() + deadline_of(request.headers(), route, limits.max_deadline_ms);
+    let body_limits = BodyLimits {
+        max_bytes: usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX),
+        whole: key.is_some(),
+        deadline,
     };
-    let deadline =
-        Instant::now() + deadline_of(request.headers(), route, settings.requests.max_deadline_ms);
-    let max_body_bytes = usize::try_from(settings.requests.max_body_bytes).unwrap_or(usize::MAX);
-    let request = forwarded(service, request, request_id, max_body_bytes).await?;
-    dispatch(&traffic.shared, route, &request, deadline).await
+    let mut outgoing = forward(service, request, request_id, body_limits).await?;
+    let Some(key) = key else {
+        let dispatched = dispatch(&traffic.shared, route, &mut outgoing, deadline).await?;
+        return pass_on(dispatched, request_id, deadline).await;
+    };
+    let keyed = Keyed::new(key, &outgoing);
+    let routed = Routed {
+        request_id: request_id.to_owned(),
+        view: Arc::clone(&view),
+        service: service.clone(),
+        outgoing,
+        deadline,
+    };
+    run_once(traffic, keyed, routed).await
 }
 
 fn deadline_of(headers: &HeaderMap, route: &ServiceRoute, longest: Duration) -> Duration {
@@ -116,95 +193,7 @@
         .min(longest)
 }
 
-async fn forwarded(
-    service: &ServiceName,
-    request: Request,
-    request_id: &str,
-    max_body_bytes: usize,
-) -> Result<Request<Full<bytes::Bytes>>, Outcome> {
-    let bad = Outcome::NotRun(NotRunReason::BadRequest);
-    let (mut parts, body) = request.into_parts();
-    let body = Limited::new(body, max_body_bytes)
-        .collect()
-        .await
-        .map_err(|_error| bad)?
-        .to_bytes();
-    let path = parts
-        .uri
-        .path_and_query()
-        .and_then(|path| path.as_str().strip_prefix("/v1/services"))
-        .ok_or(bad)?;
-    parts.uri = path.parse().map_err(|_error| bad)?;
-    parts.headers.remove(CONNECTION);
-    parts.headers.remove(TRANSFER_ENCODING);
-    parts.headers.insert(
-        HOST,
-        HeaderValue::from_str(service.as_str()).map_err(|_error| bad)?,
-    );
-    let id = HeaderValue::from_str(request_id).map_err(|_error| bad)?;
-    parts
-        .headers
-        .insert(HeaderName::from_static(headers::REQUEST_ID), id);
-    Ok(Request::from_parts(parts, Full::new(body)))
-}
-
-fn pass_on(dispatched: Dispatched, request_id: &str) -> Response {
-    let Dispatched {
-        response,
-        slot,
-        sender,
-    } = dispatched;
-    let (mut parts, body) = response.into_parts();
-    parts.headers.remove(CONNECTION);
-    parts.headers.remove(TRANSFER_ENCODING);
-    parts.headers.insert(
-        HeaderName::from_static(headers::OUTCOME),
-        HeaderValue::from_static(outcome_text(Outcome::Answered)),
-    );
-    if let Ok(id) = HeaderValue::from_str(request_id) {
-        parts
-            .headers
-            .insert(HeaderName::from_static(headers::REQUEST_ID), id);
-    }
-    Response::from_parts(parts, Body::new(GuardedBody::new(body, slot, sender)))
-}
-
-fn explain(outcome: Outcome, service: &ServiceName, request_id: String) -> Response {
-    log::info!(service:% = service, request = request_id, outcome:? = outcome; "request_failed");
-    let (status, title, detail, retry_after_s) = match outcome {
-        Outcome::NotRun(NotRunReason::NoSuchService) => (
-            404,
-            "Not run",
-            format!("service \"{service}\" does not exist; check the path"),
-            None,
-        ),
-        Outcome::NotRun(NotRunReason::BadRequest) => (
-            400,
-            "Not run",
-            String::from("the request is malformed or too large; correct it"),
-            None,
-        ),
-        Outcome::NotRun(reason) => (
-            503,
-            "Not run",
-            format!("the request was not run ({reason:?}); send it again later"),
-            Some(RETRY_AFTER_S),
-        ),
-        Outcome::Unknown(reason) => (
-            504,
-            "Outcome unknown",
-            format!("the request may have run ({reason:?}); check before sending it again"),
-            None,
-        ),
-        Outcome::Answered => (200, "Answered", String::new(), None),
-    };
-    let problem = Problem {
-        kind: "about:blank",
-        title,
-        status,
-        detail,
-        outcome,
-        request_id,
-    };
-    problem.into_response(retry_after_s)
+fn explain(ending: Ending, service: &ServiceName, request_id: String) -> Response {
+    log::info!(service:% = service, request = request_id, outcome:? = ending.outcome; "request_failed");
+    problem(ending, request_id)
 }
--- a/crates/cyclamentrail/src/view.rs
+++ b/crates/cyclamentrail/src/view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use cyclamentrail_core::{ServiceName, ServiceSettings, Settings, Version};
@@ -35,6 +35,7 @@
 pub(crate) struct SharedView {
     view: ArcSwap<View>,
     permitted_until_ms: AtomicU64,
+    stopping: AtomicBool,
 }
 
 impl SharedView {
@@ -57,4 +58,19 @@
     pub(crate) fn may_dispatch(&self) -> bool {
         clock::now_ms() < self.permitted_until_ms.load(Ordering::SeqCst)
     }
+
+    /// Turns the process unready; it still serves the requests that come.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether the balancer may send requests here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.may_dispatch() && !self.is_stopping()
+    }
 }
