test(once): count runs against what callers were told

Twelve concurrent repetitions through three entries, killed owner, lost append answers, log outage, paused owner, other body, refusals, large answers and a caller that goes away.

--- a/crates/cyclamentrail-standin/src/backend.rs
+++ b/crates/cyclamentrail-standin/src/backend.rs
@@ -14,6 +14,7 @@
 use cyclamentrail_core::InstanceName;
 use serde::{Deserialize, Serialize};
 
+use crate::answers;
 use crate::serve::Served;
 
 /// Header by which a backend server says that it refused a request and ran nothing of it.
@@ -48,6 +49,9 @@
     pub runs: Vec<RunReport>,
     /// Requests that it refused.
     pub refused: u64,
+    /// Requests that run now.
+    #[serde(default)]
+    pub in_flight: u32,
     /// Most requests that ran at once.
     pub peak_in_flight: u32,
 }
@@ -71,7 +75,7 @@
 }
 
 #[derive(Debug, Clone)]
-struct Shared {
+pub(crate) struct Shared {
     name: InstanceName,
     slots: u32,
     state: Arc<Mutex<RunState>>,
@@ -109,6 +113,7 @@
         let router = Router::new()
             .route("/_standin/report", get(report))
             .route("/_standin/fault", post(set_fault))
+            .route("/{service}/answers", any(answers::run))
             .route("/{service}/{*path}", any(run))
             .with_state(shared.clone());
         let served = Served::start(address, router).await?;
@@ -138,7 +143,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn begin(&self, service: &str, headers: &HeaderMap) -> Option<BackendFault> {
+    pub(crate) fn begin(&self, service: &str, headers: &HeaderMap) -> Option<BackendFault> {
         let mut state = self.lock();
         if state.fault == BackendFault::Refuse || state.in_flight >= self.slots {
             state.report.refused += 1;
@@ -156,7 +161,14 @@
 }
 
 /// Frees the slot when the run ends or its caller goes away.
-struct SlotGuard(Shared);
+#[derive(Debug)]
+pub(crate) struct SlotGuard(Shared);
+
+impl From<Shared> for SlotGuard {
+    fn from(shared: Shared) -> Self {
+        Self(shared)
+    }
+}
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
@@ -172,8 +184,18 @@
         .to_owned()
 }
 
+/// Says that a request was refused and nothing of it was run.
+pub(crate) fn refusal() -> Response {
+    let headers = [(REFUSED_HEADER, "not-run")];
+    (StatusCode::SERVICE_UNAVAILABLE, headers).into_response()
+}
+
 async fn report(State(shared): State<Shared>) -> Json<BackendReport> {
-    Json(shared.lock().report.clone())
+    let state = shared.lock();
+    Json(BackendReport {
+        in_flight: state.in_flight,
+        ..state.report.clone()
+    })
 }
 
 async fn set_fault(State(shared): State<Shared>, Json(fault): Json<BackendFault>) -> StatusCode {
@@ -189,11 +211,7 @@
     body: Bytes,
 ) -> Response {
     let Some(fault) = shared.begin(&service, &headers) else {
-        return (
-            StatusCode::SERVICE_UNAVAILABLE,
-            [(REFUSED_HEADER, "not-run")],
-        )
-            .into_response();
+        return refusal();
     };
     let _slot = SlotGuard(shared.clone());
     let mut work_ms = query.work_ms;
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -10,12 +10,14 @@
 //! assert_eq!(store.head("control").get(), 0);
 //! ```
 
+mod answers;
 mod backend;
 mod list_service;
 mod log_service;
 mod log_store;
 mod serve;
 
+pub use answers::AnswerKind;
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
 pub use list_service::ListService;
 pub use log_service::{LogFault, LogService};
--- a/crates/cyclamentrail-testkit/src/client.rs
+++ b/crates/cyclamentrail-testkit/src/client.rs
@@ -28,6 +28,10 @@
     pub status: u16,
     /// Value of the outcome header; empty when there is none.
     pub outcome: String,
+    /// Value of the header that says why it ended so; empty when there is none.
+    pub reason: String,
+    /// Whether the answer is the one of an earlier request with the same key.
+    pub replayed: bool,
     /// The caller's mark of the request as the backend server repeated it; empty when it didn't.
     pub call_id: String,
     /// Seconds after which to come back, when the answer says so.
@@ -112,6 +116,8 @@
         Ok(Answer {
             status: parts.status.as_u16(),
             outcome: text("x-outcome"),
+            reason: text("x-outcome-reason"),
+            replayed: text("idempotency-replayed") == "true",
             call_id: text("x-call-id"),
             retry_after_s: text("retry-after").parse().ok(),
             body,
--- a/crates/cyclamentrail-testkit/src/lib.rs
+++ b/crates/cyclamentrail-testkit/src/lib.rs
@@ -13,10 +13,12 @@
 //! # }
 //! ```
 
+mod call;
 mod client;
 mod process;
 mod site;
 
+pub use call::Call;
 pub use client::{Answer, Client};
 pub use process::Process;
 pub use site::{Site, SiteBuilder, TOKEN};
--- a/crates/cyclamentrail-testkit/src/process.rs
+++ b/crates/cyclamentrail-testkit/src/process.rs
@@ -52,6 +52,12 @@
             .with_context(|| format!("no address {label:?} in {:?}", self.banner))
     }
 
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process at once.
     ///
     /// # Errors
