--- a/crates/cyclamentrail-testkit/src/call.rs
+++ b/crates/cyclamentrail-testkit/src/call.rs
@@ -11,7 +11,7 @@
 /// A request that may have effects.
 #[derive(Debug, Clone)]
 pub struct Call {
-    call_id: String,
+    mark: String,
     key: Option<String>,
     deadline_ms: Option<u64>,
     body: Bytes,
@@ -22,7 +22,7 @@
     #[must_use]
     pub fn new(call_id: &str) -> Self {
         Self {
-            call_id: call_id.to_owned(),
+            mark: call_id.to_owned(),
             key: None,
             deadline_ms: None,
             body: Bytes::new(),
@@ -62,7 +62,7 @@
         let mut request = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{address}/v1/services/{path}"))
-            .header("x-call-id", &call.call_id);
+            .header("x-call-id", &call.mark);
         if let Some(key) = &call.key {
             request = request.header("idempotency-key", key);
         }
--- a/crates/cyclamentrail/tests/once_keys.rs
+++ b/crates/cyclamentrail/tests/once_keys.rs
@@ -194,7 +194,7 @@
         .iter()
         .flatten()
         .filter(|answer| answer.outcome == "answered");
-    assert!(answered.count() as u32 <= runs, "{told:?}");
+    assert!(answered.count() <= runs as usize, "{told:?}");
     let again = site.post(1, path, &call).await?;
     assert_ne!(again.outcome, "not-run", "{again:?}");
     assert!(site.runs_of("warn").await <= 1);
