feat(tickets): run requests at most once without the log

A claim needs the log, so that a keyed station warning is refused while it is down. A ticket is a key that only the entry which minted it may run: it needs no record, and repetitions that reach other entries are passed to the minter. When the minter is gone, the outcome is unknown.

--- a/crates/cyclamentrail-core/src/claim.rs
+++ b/crates/cyclamentrail-core/src/claim.rs
@@ -22,10 +22,12 @@
 mod answer;
 mod digest;
 mod look;
+mod ticket;
 
 pub use answer::{ClaimOutcome, KeptAnswer, KeptBody, KeptHeader};
 pub use digest::{KeyDigest, RequestDigest};
 pub use look::ClaimLook;
+pub use ticket::{MAX_TICKETS, NotATicket, TICKET_MEMORY_MS, TicketBook, TicketId, TicketLook};
 
 /// Age in milliseconds of a claim, by the time of the log, above which it is rejected.
 pub const CLAIM_WINDOW_MS: u64 = 60_000;
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -27,7 +27,8 @@
 
 pub use claim::{
     CLAIM_WINDOW_MS, Claim, ClaimLook, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody,
-    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, RequestDigest,
+    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, MAX_TICKETS, NotATicket, RequestDigest,
+    TICKET_MEMORY_MS, TicketBook, TicketId, TicketLook,
 };
 pub use fleet::{
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -376,6 +376,11 @@
         self.shared.publish(View {
             settings_version: accepted.version,
             settings: Some(accepted.settings),
+            members: self
+                .fleet
+                .members()
+                .map(|(incarnation, member)| (incarnation, member.peer_address))
+                .collect(),
             services,
         });
     }
--- a/crates/cyclamentrail/src/control/claims/run.rs
+++ b/crates/cyclamentrail/src/control/claims/run.rs
@@ -1,8 +1,11 @@
 //! The right to run a key's request once, which always ends in a record.
 
-use cyclamentrail_core::{ClaimOutcome, KeyDigest, Offset, UnknownReason};
+use std::sync::Arc;
+
+use cyclamentrail_core::{ClaimOutcome, KeyDigest, Offset, TicketId, UnknownReason};
 
 use crate::control::ControlHandle;
+use crate::traffic::Tickets;
 
 /// Identifies a granted run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,20 +27,49 @@
 /// dropping it later says that the outcome is unknown.
 #[derive(Debug)]
 pub(crate) struct Run {
-    id: RunId,
-    control: ControlHandle,
+    told: Option<Told>,
     started: bool,
-    ended: bool,
+}
+
+/// Who is told how a run ended.
+#[derive(Debug)]
+enum Told {
+    Claim(RunId, ControlHandle),
+    Ticket(TicketId, Arc<Tickets>),
+}
+
+impl Told {
+    fn tell(self, end: RunEnd) {
+        match self {
+            Self::Claim(id, control) => control.end_claim(id, end),
+            Self::Ticket(id, tickets) => tickets.end(id, end.into()),
+        }
+    }
+}
+
+impl From<RunEnd> for Option<ClaimOutcome> {
+    fn from(end: RunEnd) -> Self {
+        match end {
+            RunEnd::NotRun => None,
+            RunEnd::Ended(outcome) => Some(outcome),
+        }
+    }
 }
 
 impl Run {
-    /// Creates the right to a run that hasn't started.
+    /// Creates the right to a run under an accepted claim.
     pub(crate) const fn new(id: RunId, control: ControlHandle) -> Self {
         Self {
-            id,
-            control,
+            told: Some(Told::Claim(id, control)),
+            started: false,
+        }
+    }
+
+    /// Creates the right to a run of a ticket.
+    pub(crate) const fn of_ticket(id: TicketId, tickets: Arc<Tickets>) -> Self {
+        Self {
+            told: Some(Told::Ticket(id, tickets)),
             started: false,
-            ended: false,
         }
     }
 
@@ -48,21 +80,20 @@
 
     /// Ends the run.
     pub(crate) fn end(mut self, end: RunEnd) {
-        self.ended = true;
-        self.control.end_claim(self.id, end);
+        if let Some(told) = self.told.take() {
+            told.tell(end);
+        }
     }
 }
 
 impl Drop for Run {
     fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
+        let Some(told) = self.told.take() else { return };
         let end = if self.started {
             RunEnd::Ended(ClaimOutcome::Unknown(UnknownReason::ConnectionLost))
         } else {
             RunEnd::NotRun
         };
-        self.control.end_claim(self.id, end);
+        told.tell(end);
     }
 }
--- a/crates/cyclamentrail/src/entry.rs
+++ b/crates/cyclamentrail/src/entry.rs
@@ -17,7 +17,6 @@
     Actor, ControlHandle, Identity, PlatformClient, Writer, follow_log, poll_list,
 };
 use crate::operator::Operator;
-use crate::peer::claims::ClaimClient;
 use crate::timer::Timer;
 use crate::traffic::Traffic;
 use crate::view::SharedView;
@@ -119,6 +118,18 @@
         let peer_address = address_of(&peers)?;
         let operator_address = address_of(&operators)?;
 
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .map_err(|source| io_error("the traffic threads", source))?;
+        let callers_state = Arc::new(Traffic::new(
+            Arc::clone(&shared),
+            control.clone(),
+            &token,
+            incarnation,
+            runtime.handle().clone(),
+        ));
         let (end_control, control_end) = oneshot::channel();
         let parts = ControlParts {
             identity,
@@ -127,6 +138,7 @@
             shared: Arc::clone(&shared),
             control: control.clone(),
             operator,
+            callers: Arc::clone(&callers_state),
         };
         let peers = into_std(peers)?;
         let operators = into_std(operators)?;
@@ -135,17 +147,6 @@
             .spawn(move || run_control(parts, messages, peers, operators, control_end))
             .map_err(|source| io_error("the control thread", source))?;
 
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .thread_name("traffic")
-            .enable_all()
-            .build()
-            .map_err(|source| io_error("the traffic threads", source))?;
-        let callers_state = Arc::new(Traffic::new(
-            Arc::clone(&shared),
-            control.clone(),
-            ClaimClient::new(token),
-            incarnation,
-        ));
         let router = traffic::router(Arc::clone(&callers_state));
         let (ended, traffic_ended) = oneshot::channel();
         let limits = settings.caller_limits.clone();
@@ -249,6 +250,7 @@
     shared: Arc<SharedView>,
     control: ControlHandle,
     operator: Operator,
+    callers: Arc<Traffic>,
 }
 
 fn run_control(
@@ -295,7 +297,7 @@
         tokio::spawn(poll_list(platform, parts.control.clone(), list_ticks));
         let (_keep_open, never) = watch::channel(false);
         for (listener, router) in [
-            (peers, peer::router(parts.operator.clone())),
+            (peers, peer::router(parts.operator.clone(), parts.callers)),
             (operators, operator::router(parts.operator.clone())),
         ] {
             match TcpListener::from_std(listener) {
--- a/crates/cyclamentrail/src/peer/claims.rs
+++ b/crates/cyclamentrail/src/peer/claims.rs
@@ -20,7 +20,7 @@
 use crate::operator::Operator;
 
 /// Time limit of one question.
-const TIMEOUT: Duration = Duration::from_secs(1);
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest outcome in bytes.
 const MAX_OUTCOME_BYTES: usize = 2 * 1024 * 1024;
 
--- /dev/null
+++ b/crates/cyclamentrail/src/peer/tickets.rs
@@ -0,0 +1,147 @@
+//! Passes a ticket's request to the entry that minted the ticket.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Path, Request, State};
+use axum::http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST};
+use axum::http::{HeaderName, HeaderValue, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::any;
+use bytes::Bytes;
+use cyclamentrail_core::{Ending, NotRunReason, ServiceName, UnknownReason};
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tokio::time::Instant;
+
+use crate::headers;
+use crate::peer::claims::TIMEOUT;
+use crate::traffic::{Outgoing, Traffic, serve_ticket};
+
+/// Start of the peers' paths for tickets' requests.
+const PEER_PATH: &str = "/v1/peer/services";
+/// The caller's own authorization, while the request is between two entries.
+const CALLER_AUTHORIZATION: HeaderName = HeaderName::from_static("x-caller-authorization");
+
+/// Returns the routes about tickets.
+pub(crate) fn router(traffic: Arc<Traffic>) -> Router {
+    Router::new()
+        .route("/v1/peer/services/{service}/{*path}", any(run_passed))
+        .with_state(traffic)
+}
+
+/// Runs a request that another entry passed on, on the traffic threads.
+async fn run_passed(
+    State(traffic): State<Arc<Traffic>>,
+    Path((service, _path)): Path<(ServiceName, String)>,
+    mut request: Request,
+) -> Response {
+    let path = request
+        .uri()
+        .path_and_query()
+        .and_then(|path| path.as_str().strip_prefix("/v1/peer"))
+        .and_then(|path| format!("/v1{path}").parse().ok());
+    let Some(path) = path else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    *request.uri_mut() = path;
+    let headers = request.headers_mut();
+    headers.remove(AUTHORIZATION);
+    if let Some(value) = headers.remove(CALLER_AUTHORIZATION) {
+        headers.insert(AUTHORIZATION, value);
+    }
+    let runtime = traffic.runtime().clone();
+    runtime
+        .spawn(serve_ticket(traffic, service, request))
+        .await
+        .unwrap_or_else(|_panic| StatusCode::INTERNAL_SERVER_ERROR.into_response())
+}
+
+/// A request on its way to another entry.
+pub(crate) type PassedRequest = hyper::Request<Full<Bytes>>;
+
+/// Passes requests to other entries.
+#[derive(Debug, Clone)]
+pub(crate) struct TicketClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    token: Arc<str>,
+}
+
+impl TicketClient {
+    /// Creates a client that presents a token.
+    pub(crate) fn new(token: Arc<str>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(TIMEOUT));
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            token,
+        }
+    }
+
+    /// Passes a request to the entry that minted its ticket and returns that entry's answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an unknown outcome when there is no answer: the entry may have run the request.
+    pub(crate) async fn pass(
+        &self,
+        minter: SocketAddr,
+        request: PassedRequest,
+        deadline: Instant,
+    ) -> Result<Response, Ending> {
+        match tokio::time::timeout_at(deadline, self.client.request(request)).await {
+            Ok(Ok(response)) => Ok(response.map(Body::new)),
+            Ok(Err(error)) => {
+                log::info!(minter:% = minter, error:% = error; "ticket_not_passed");
+                Err(UnknownReason::OwnerGone.into())
+            }
+            Err(_) => Err(UnknownReason::TimedOut.into()),
+        }
+    }
+
+    /// Returns the request for the entry that minted its ticket.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NotRunReason::BadRequest`] when the request can't be written.
+    pub(crate) fn request(
+        &self,
+        minter: SocketAddr,
+        outgoing: &Outgoing,
+        deadline: Instant,
+    ) -> Result<PassedRequest, Ending> {
+        self.try_request(minter, outgoing, deadline)
+            .ok_or_else(|| NotRunReason::BadRequest.into())
+    }
+
+    fn try_request(
+        &self,
+        minter: SocketAddr,
+        outgoing: &Outgoing,
+        deadline: Instant,
+    ) -> Option<PassedRequest> {
+        let path = outgoing.parts().uri.path_and_query()?;
+        let mut request = hyper::Request::new(Full::new(outgoing.body()?.clone()));
+        *request.method_mut() = outgoing.parts().method.clone();
+        *request.uri_mut() = format!("http://{minter}{PEER_PATH}{path}").parse().ok()?;
+        let headers = request.headers_mut();
+        headers.clone_from(&outgoing.parts().headers);
+        headers.remove(HOST);
+        headers.remove(CONTENT_LENGTH);
+        if let Some(value) = headers.remove(AUTHORIZATION) {
+            headers.insert(CALLER_AUTHORIZATION, value);
+        }
+        let token = HeaderValue::try_from(format!("Bearer {}", self.token)).ok()?;
+        headers.insert(AUTHORIZATION, token);
+        let left = deadline.saturating_duration_since(Instant::now());
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let name = HeaderName::from_static(headers::DEADLINE_MS);
+        headers.insert(name, HeaderValue::from(left_ms));
+        Some(request)
+    }
+}
--- a/crates/cyclamentrail/src/traffic.rs
+++ b/crates/cyclamentrail/src/traffic.rs
@@ -10,6 +10,9 @@
 mod listener;
 mod recorder;
 mod request;
+mod tickets;
 
 pub(crate) use link::Link;
-pub(crate) use listener::{Traffic, router};
+pub(crate) use listener::{Traffic, router, serve_ticket};
+pub(crate) use request::Outgoing;
+pub(crate) use tickets::Tickets;
--- a/crates/cyclamentrail/src/traffic/claims.rs
+++ b/crates/cyclamentrail/src/traffic/claims.rs
@@ -8,7 +8,7 @@
 use axum::response::Response;
 use cyclamentrail_core::{
     ClaimOutcome, Ending, KeptAnswer, KeptBody, KeyDigest, NotRunReason, RejectionKind,
-    RequestDigest, ServiceName, UnknownReason,
+    RequestDigest, ServiceName, TicketId, UnknownReason,
 };
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -30,8 +30,17 @@
 /// An idempotency key with the request that it came with.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Keyed {
-    key: KeyDigest,
-    request: RequestDigest,
+    pub(crate) key: Key,
+    pub(crate) request: RequestDigest,
+}
+
+/// What an idempotency key is.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Key {
+    /// The caller made it up; it is claimed in the log.
+    Claimed(KeyDigest),
+    /// An entry minted it; only that entry may run it.
+    Ticket(TicketId),
 }
 
 /// Returns the idempotency key of a request that may have effects.
@@ -43,7 +52,7 @@
     method: &Method,
     headers: &HeaderMap,
     service: &ServiceName,
-) -> Result<Option<KeyDigest>, Ending> {
+) -> Result<Option<Key>, Ending> {
     let Some(value) = headers.get(headers::IDEMPOTENCY_KEY) else {
         return Ok(None);
     };
@@ -55,16 +64,20 @@
         .ok()
         .filter(|key| !key.is_empty() && key.len() <= MAX_KEY_BYTES)
         .ok_or_else(|| Ending::from(NotRunReason::BadRequest))?;
+    if TicketId::is_meant_by(key) {
+        let ticket = key.parse().map_err(|_error| NotRunReason::BadRequest)?;
+        return Ok(Some(Key::Ticket(ticket)));
+    }
     let team = headers
         .get(headers::TEAM)
         .map_or(&[][..], |team| team.as_bytes());
     let parts = [team, service.as_str().as_bytes(), key.as_bytes()];
-    Ok(Some(KeyDigest::of(&parts)))
+    Ok(Some(Key::Claimed(KeyDigest::of(&parts))))
 }
 
 impl Keyed {
     /// Creates the key with its request.
-    pub(crate) fn new(key: KeyDigest, request: &Outgoing) -> Self {
+    pub(crate) fn new(key: Key, request: &Outgoing) -> Self {
         let parts = request.parts();
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
         let body = request.body().map_or(&[][..], |body| body.as_ref());
@@ -83,12 +96,13 @@
 /// Returns the outcome when there is no answer to pass on.
 pub(crate) async fn run_once(
     traffic: &Arc<Traffic>,
-    keyed: Keyed,
+    key: KeyDigest,
+    request: RequestDigest,
     routed: Routed,
 ) -> Result<Response, Ending> {
     let deadline = routed.deadline;
     loop {
-        let asked = traffic.control().ask_claim(keyed.key, keyed.request);
+        let asked = traffic.control().ask_claim(key, request);
         let answer = match tokio::time::timeout_at(deadline, asked).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => return Err(NotRunReason::Stopping.into()),
@@ -99,7 +113,7 @@
             ClaimAnswer::OtherRequest => return Err(NotRunReason::KeyReused.into()),
             ClaimAnswer::OwnerGone => return Err(UnknownReason::OwnerGone.into()),
             ClaimAnswer::Ended { outcome, owner } => {
-                let outcome = complete(traffic.peers(), keyed.key, outcome, owner).await;
+                let outcome = complete(traffic.peers(), key, outcome, owner).await;
                 return replay(outcome, &routed.request_id);
             }
             ClaimAnswer::Submitted(folded) => {
@@ -107,7 +121,7 @@
                 wait_folded(folded, deadline, backoff).await?;
             }
             ClaimAnswer::Running { owner, changed } => {
-                let waited = wait_changed(traffic.peers(), keyed.key, owner, changed);
+                let waited = wait_changed(traffic.peers(), key, owner, changed);
                 match tokio::time::timeout_at(deadline, waited).await {
                     Ok(Some(outcome)) => return replay(outcome, &routed.request_id),
                     Ok(None) => {}
@@ -120,7 +134,7 @@
 
 /// Runs a granted request to its end, also when its caller goes away: the caller may come back for
 /// the outcome.
-async fn run_detached(
+pub(crate) async fn run_detached(
     traffic: &Arc<Traffic>,
     routed: Routed,
     run: Run,
--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -9,21 +9,24 @@
 use axum::http::header::CONNECTION;
 use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::Response;
-use axum::routing::{any, get};
-use cyclamentrail_core::{Ending, Incarnation, NotRunReason, ServiceName};
+use axum::routing::{any, get, post};
+use cyclamentrail_core::{Ending, Incarnation, NotRunReason, ServiceName, UnknownReason};
+use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::answer::pass_on;
-use super::claims::{Keyed, key_of, run_once};
+use super::claims::{Key, Keyed, key_of, run_once};
 use super::dispatch::dispatch;
 use super::forward::{BodyLimits, forward};
 use super::jobs;
 use super::request::Outgoing;
+use super::tickets::{TicketPlace, Tickets, mint, run_ticket};
 use crate::body::problem;
 use crate::control::ControlHandle;
 use crate::headers;
 use crate::peer::claims::ClaimClient;
+use crate::peer::tickets::TicketClient;
 use crate::view::{ServiceRoute, SharedView, View};
 
 /// What the callers' listener shares between requests.
@@ -35,6 +38,9 @@
     incarnation: Incarnation,
     sequence: AtomicU64,
     detached: watch::Sender<u32>,
+    tickets: Arc<Tickets>,
+    passer: TicketClient,
+    runtime: Handle,
 }
 
 /// A request on its way, with what it needs until its answer.
@@ -58,17 +64,21 @@
 }
 
 impl Traffic {
-    /// Creates the state of the listener.
+    /// Creates the state of the listener, whose requests run on `runtime`.
     pub(crate) fn new(
         shared: Arc<SharedView>,
         control: ControlHandle,
-        peers: ClaimClient,
+        token: &Arc<str>,
         incarnation: Incarnation,
+        runtime: Handle,
     ) -> Self {
         Self {
             shared,
             control,
-            peers,
+            peers: ClaimClient::new(Arc::clone(token)),
+            passer: TicketClient::new(Arc::clone(token)),
+            tickets: Arc::new(Tickets::new(incarnation)),
+            runtime,
             incarnation,
             sequence: AtomicU64::new(0),
             detached: watch::Sender::new(0),
@@ -90,6 +100,21 @@
         &self.peers
     }
 
+    /// Returns the tickets that this entry minted.
+    pub(crate) const fn tickets(&self) -> &Arc<Tickets> {
+        &self.tickets
+    }
+
+    /// Returns the identity of this process.
+    pub(crate) const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the runtime of the traffic threads.
+    pub(crate) const fn runtime(&self) -> &Handle {
+        &self.runtime
+    }
+
     /// Holds back the end of a planned stop.
     pub(crate) fn hold_stop(&self) -> StopHold {
         self.detached.send_modify(|count| *count += 1);
@@ -122,6 +147,7 @@
 pub(crate) fn router(traffic: Arc<Traffic>) -> Router {
     Router::new()
         .route("/ready", get(ready))
+        .route("/v1/tickets", post(mint))
         .route("/v1/services/{service}/{*path}", any(serve_request))
         .merge(jobs::router())
         .with_state(traffic)
@@ -140,8 +166,12 @@
     Path((service, _path)): Path<(ServiceName, String)>,
     request: Request,
 ) -> Response {
+    serve(&traffic, service, request).await
+}
+
+async fn serve(traffic: &Arc<Traffic>, service: ServiceName, request: Request) -> Response {
     let request_id = traffic.next_request_id();
-    let ended = try_request(&traffic, &service, request, &request_id).await;
+    let ended = try_request(traffic, &service, request, &request_id).await;
     let mut response = ended.unwrap_or_else(|ending| explain(ending, &service, request_id));
     if traffic.shared.is_stopping() {
         let close = HeaderValue::from_static("close");
@@ -173,7 +203,13 @@
         let dispatched = dispatch(&traffic.shared, route, &mut outgoing, deadline).await?;
         return pass_on(dispatched, request_id, deadline).await;
     };
-    let keyed = Keyed::new(key, &outgoing);
+    let Keyed { key, request } = Keyed::new(key, &outgoing);
+    if let Key::Ticket(ticket) = key
+        && let TicketPlace::At(minter) = traffic.place_of(ticket)
+    {
+        let passed = traffic.passer.request(minter, &outgoing, deadline)?;
+        return traffic.passer.pass(minter, passed, deadline).await;
+    }
     let routed = Routed {
         request_id: request_id.to_owned(),
         view: Arc::clone(&view),
@@ -181,7 +217,26 @@
         outgoing,
         deadline,
     };
-    run_once(traffic, keyed, routed).await
+    match key {
+        Key::Claimed(key) => run_once(traffic, key, request, routed).await,
+        Key::Ticket(ticket) => run_ticket(traffic, ticket, request, routed).await,
+    }
+}
+
+/// Serves a request with a ticket that another entry passed on.
+pub(crate) async fn serve_ticket(
+    traffic: Arc<Traffic>,
+    service: ServiceName,
+    request: Request,
+) -> Response {
+    let key = key_of(request.method(), request.headers(), &service);
+    let is_here = matches!(key, Ok(Some(Key::Ticket(ticket)))
+        if traffic.place_of(ticket) == TicketPlace::Here);
+    if !is_here {
+        let request_id = traffic.next_request_id();
+        return explain(UnknownReason::OwnerGone.into(), &service, request_id);
+    }
+    serve(&traffic, service, request).await
 }
 
 fn deadline_of(headers: &HeaderMap, route: &ServiceRoute, longest: Duration) -> Duration {
--- a/crates/cyclamentrail/src/view.rs
+++ b/crates/cyclamentrail/src/view.rs
@@ -1,11 +1,12 @@
 //! The immutable view that control publishes and traffic routes from.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
-use cyclamentrail_core::{ServiceName, ServiceSettings, Settings, Version};
+use cyclamentrail_core::{Incarnation, ServiceName, ServiceSettings, Settings, Version};
 
 use crate::clock;
 use crate::traffic::Link;
@@ -17,6 +18,8 @@
     pub(crate) settings_version: Version,
     /// Settings in force; `None` before the first.
     pub(crate) settings: Option<Arc<Settings>>,
+    /// Addresses of the members' listeners for peers.
+    pub(crate) members: BTreeMap<Incarnation, SocketAddr>,
     /// Routes of the services.
     pub(crate) services: BTreeMap<ServiceName, ServiceRoute>,
 }
