--- a/crates/cyclamentrail/src/peer/tickets.rs
+++ b/crates/cyclamentrail/src/peer/tickets.rs
@@ -20,7 +20,7 @@
 
 use crate::headers;
 use crate::peer::claims::TIMEOUT;
-use crate::traffic::{Outgoing, Traffic, serve_ticket};
+use crate::traffic::{Outgoing, Traffic, remove_hop_by_hop, serve_ticket};
 
 /// Start of the peers' paths for tickets' requests.
 const PEER_PATH: &str = "/v1/peer/services";
@@ -95,7 +95,10 @@
         deadline: Instant,
     ) -> Result<Response, Ending> {
         match tokio::time::timeout_at(deadline, self.client.request(request)).await {
-            Ok(Ok(response)) => Ok(response.map(Body::new)),
+            Ok(Ok(mut response)) => {
+                remove_hop_by_hop(response.headers_mut());
+                Ok(response.map(Body::new))
+            }
             Ok(Err(error)) => {
                 log::info!(minter:% = minter, error:% = error; "ticket_not_passed");
                 Err(UnknownReason::OwnerGone.into())
--- a/crates/cyclamentrail/src/traffic.rs
+++ b/crates/cyclamentrail/src/traffic.rs
@@ -12,6 +12,7 @@
 mod request;
 mod tickets;
 
+pub(crate) use forward::remove_hop_by_hop;
 pub(crate) use link::Link;
 pub(crate) use listener::{Traffic, router, serve_ticket};
 pub(crate) use request::Outgoing;
