feat(fleet): harden the fold against ghosts, stale member sets and old boots

Cause: a review of the fold against delayed copies, replaced members and mixed builds found records that took effect and should not have, and records that two builds would have folded differently.

Change: - a process that left never becomes a member again (delayed copies of its join); - only a process itself can tell that it stopped; - a release counts only from a member that the drain waits for; - records fold only at the next offset; - formats: the newest format in use is kept, a join that supports less is refused, and the id of a record is folded alike whether or not a build can read the body; - an eviction needs witnesses in every member set that the evicted entry may still count its majority in; an operator can tell that an instance is switched off when no such majority is left; - an instance that needs a boot needs one that is newer than a boot recorded after the fence; the fence covers the longest lease that was ever in force; - settings that drop a pool or instance in use are refused; an instance that is removed and added again keeps rising versions and its need of a boot; - promises of a permit are kept when the member set changes.

Ruled out: an offset in join records instead of a bounded list of departed processes; boots cleared by one record, which may show a boot from before the end of the fence.

--- a/crates/cyclamentrail-core/src/fleet.rs
+++ b/crates/cyclamentrail-core/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet: the state that all entries agree on, as a fold of the log's records.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,14 +12,18 @@
 use crate::id::{BootId, Incarnation, Offset, Term, Version};
 use crate::job::Jobs;
 use crate::name::{EntryName, InstanceName, PoolName, ZoneName};
-use crate::record::DrainReason;
+use crate::record::{DrainReason, FIRST_FORMAT};
 use crate::registry::Registry;
 use crate::settings::Settings;
 use crate::wave::Waves;
 
 mod fold;
+mod instances;
+mod membership;
 mod rejection;
 
+use membership::{Departure, MemberSet};
+
 pub use fold::Applied;
 pub use rejection::{Rejection, RejectionKind};
 
@@ -31,7 +35,7 @@
 }
 
 /// State that follows from the records up to an offset; the same on every entry.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Fleet {
     next_offset: Offset,
     clock_ms: u64,
@@ -41,6 +45,17 @@
     instances: Registry<InstanceKey, InstanceName, Instance>,
     /// Time of the log until which an evicted member may still hold a permission to dispatch.
     fenced_until_ms: u64,
+    /// Longest dispatch lease that was ever in force; a lagging member may still use it.
+    longest_lease_ms: u64,
+    /// Newest record format that was ever in use.
+    used_format: u16,
+    /// Member sets that some member may still count its majority in, oldest first.
+    member_sets: Vec<MemberSet>,
+    departed: BTreeMap<Incarnation, Departure>,
+    /// Highest version of an instance that was removed; an instance that is added starts above.
+    removed_version: Version,
+    /// Instances that were removed while they needed a new boot.
+    removed_unbooted: BTreeSet<InstanceName>,
     claims: Claims,
     waves: Waves,
     jobs: Jobs,
@@ -69,7 +84,7 @@
     /// Operator who made the last change.
     pub operator: String,
     /// The whole document, which later patches are applied to.
-    pub document: Value,
+    pub document: Arc<Value>,
     /// The document as typed settings.
     pub settings: Arc<Settings>,
 }
@@ -96,6 +111,8 @@
     pub supports_format: u16,
     /// Last record of this member that was folded.
     pub last_sequence: u64,
+    /// Offset up to which it is known to have folded the log.
+    pub seen: Offset,
 }
 
 /// A worker instance as all entries agree on it.
@@ -111,7 +128,16 @@
     pub state: InstanceState,
     /// Whether an evicted member may still hold a connection to it, so that it needs a new boot
     /// before it may serve another pool.
+    ///
+    /// The boot must be newer than one that was recorded after the fence of the eviction, on top
+    /// of a change that was made after it too; so two records of boots clear it.
     pub needs_boot: bool,
+    /// Boot recorded after the fence; the next newer one clears `needs_boot`.
+    pub boot_floor: Option<BootId>,
+    /// Time of the log in milliseconds at the last accepted change.
+    pub changed_ms: u64,
+    /// Offset at which the last drain began.
+    pub began: Offset,
 }
 
 /// Whether an instance takes new work.
@@ -136,11 +162,34 @@
     },
 }
 
+impl Default for Fleet {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Fleet {
     /// Creates the state before the first record.
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            next_offset: Offset::default(),
+            clock_ms: 0,
+            settings: None,
+            duty: Duty::default(),
+            members: Registry::new(),
+            instances: Registry::new(),
+            fenced_until_ms: 0,
+            longest_lease_ms: 0,
+            used_format: FIRST_FORMAT,
+            member_sets: Vec::new(),
+            departed: BTreeMap::new(),
+            removed_version: Version::default(),
+            removed_unbooted: BTreeSet::new(),
+            claims: Claims::default(),
+            waves: Waves::default(),
+            jobs: Jobs::default(),
+        }
     }
 
     /// Returns the offset of the next record to fold.
--- /dev/null
+++ b/crates/cyclamentrail-core/src/fleet/instances.rs
@@ -0,0 +1,247 @@
+//! Folds what becomes of instances: drains, boots, and the pool that each belongs to.
+
+use std::collections::BTreeSet;
+
+use super::{Fleet, Instance, InstanceState, RejectionKind};
+use crate::id::{BootId, Incarnation, Offset, Version};
+use crate::name::{InstanceName, PoolName};
+use crate::record::DrainReason;
+use crate::settings::Settings;
+
+impl Fleet {
+    /// Refuses settings that drop a pool or an instance that is still in use.
+    pub(super) fn check_instances(&self, settings: &Settings) -> Result<(), RejectionKind> {
+        let listed = settings.pool_instances();
+        for (name, instance) in self.instances() {
+            let drained = matches!(instance.state, InstanceState::Drained { .. });
+            if !listed.contains_key(name) {
+                if drained {
+                    continue;
+                }
+                return Err(RejectionKind::InstanceInUse {
+                    instance: name.clone(),
+                    pool: instance.pool.clone(),
+                });
+            }
+            if !settings.pools.contains_key(&instance.pool) {
+                return Err(RejectionKind::PoolInUse {
+                    pool: instance.pool.clone(),
+                    instance: name.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Adds the instances that are new in the settings and removes those that are gone from them.
+    pub(super) fn list_instances(&mut self, settings: &Settings) {
+        let listed = settings.pool_instances();
+        let gone: Vec<InstanceName> = self
+            .instances()
+            .filter(|(name, _)| !listed.contains_key(name))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            self.remove_instance(name);
+        }
+        for (name, pool) in listed {
+            if self.instances.get(name).is_none() {
+                self.add_instance(name.clone(), pool.clone());
+            }
+        }
+    }
+
+    fn remove_instance(&mut self, name: InstanceName) {
+        let Some(instance) = self.instances.remove(&name) else {
+            return;
+        };
+        self.removed_version = self.removed_version.max(instance.version);
+        if instance.needs_boot {
+            self.removed_unbooted.insert(name);
+        }
+    }
+
+    fn add_instance(&mut self, name: InstanceName, pool: PoolName) {
+        let instance = Instance {
+            version: self.removed_version.next(),
+            pool,
+            boot: BootId::default(),
+            state: InstanceState::Serving,
+            needs_boot: self.removed_unbooted.remove(&name),
+            boot_floor: None,
+            changed_ms: self.clock_ms,
+            began: Offset::default(),
+        };
+        self.instances.insert(name, instance);
+    }
+
+    pub(super) fn fold_drain(
+        &mut self,
+        offset: Offset,
+        name: &InstanceName,
+        presumes: Version,
+        reason: &DrainReason,
+    ) -> Result<(), RejectionKind> {
+        let clock_ms = self.clock_ms;
+        let awaiting: BTreeSet<Incarnation> =
+            self.members().map(|(incarnation, _)| incarnation).collect();
+        let instance = self.changed_instance(name, presumes)?;
+        if instance.state != InstanceState::Serving {
+            return Err(instance.wrong_state("serving"));
+        }
+        instance.change(clock_ms);
+        instance.began = offset;
+        instance.state = InstanceState::Draining {
+            reason: reason.clone(),
+            drain: instance.version,
+            awaiting,
+        };
+        Ok(())
+    }
+
+    pub(super) fn fold_release(
+        &mut self,
+        author: Incarnation,
+        name: &InstanceName,
+        released: Version,
+    ) -> Result<(), RejectionKind> {
+        let clock_ms = self.clock_ms;
+        let instance = self.known_instance(name)?;
+        let began = instance.began;
+        match &mut instance.state {
+            InstanceState::Draining {
+                drain, awaiting, ..
+            } if *drain == released => {
+                if !awaiting.remove(&author) {
+                    return Err(RejectionKind::NotAwaited { author });
+                }
+                instance.finish_drain(clock_ms);
+                self.note_seen(author, began);
+                Ok(())
+            }
+            _ => Err(instance.wrong_state("draining")),
+        }
+    }
+
+    /// Folds a boot; see [`Instance::needs_boot`] for which one frees an instance.
+    pub(super) fn fold_boot(
+        &mut self,
+        name: &InstanceName,
+        presumes: Version,
+        boot: BootId,
+    ) -> Result<(), RejectionKind> {
+        let (clock_ms, fenced_until_ms) = (self.clock_ms, self.fenced_until_ms);
+        let instance = self.changed_instance(name, presumes)?;
+        let sets_floor = instance.needs_boot
+            && instance.boot_floor.is_none()
+            && instance.changed_ms >= fenced_until_ms;
+        let is_known = boot <= instance.boot;
+        if is_known && !(sets_floor && boot == instance.boot) {
+            return Err(instance.wrong_state("on a newer boot"));
+        }
+        if instance.boot_floor.is_some_and(|floor| boot > floor) {
+            instance.needs_boot = false;
+            instance.boot_floor = None;
+        } else if sets_floor {
+            instance.boot_floor = Some(boot);
+        }
+        instance.boot = boot;
+        instance.change(clock_ms);
+        Ok(())
+    }
+
+    pub(super) fn fold_assigned(
+        &mut self,
+        name: &InstanceName,
+        presumes: Version,
+        pool: &PoolName,
+    ) -> Result<(), RejectionKind> {
+        let known = self
+            .settings
+            .as_ref()
+            .is_some_and(|accepted| accepted.settings.pools.contains_key(pool));
+        if !known {
+            return Err(RejectionKind::Unknown {
+                what: format!("pool \"{pool}\""),
+            });
+        }
+        let clock_ms = self.clock_ms;
+        let fenced = clock_ms < self.fenced_until_ms;
+        let instance = self.changed_instance(name, presumes)?;
+        if !matches!(instance.state, InstanceState::Drained { .. }) {
+            return Err(instance.wrong_state("drained"));
+        }
+        if &instance.pool != pool && (instance.needs_boot || fenced) {
+            return Err(
+                instance.wrong_state("on a boot that began after the last eviction's fence")
+            );
+        }
+        instance.change(clock_ms);
+        instance.pool = pool.clone();
+        instance.state = InstanceState::Serving;
+        Ok(())
+    }
+
+    fn known_instance(&mut self, name: &InstanceName) -> Result<&mut Instance, RejectionKind> {
+        self.instances
+            .get_mut(name)
+            .ok_or_else(|| RejectionKind::Unknown {
+                what: format!("instance \"{name}\""),
+            })
+    }
+
+    fn changed_instance(
+        &mut self,
+        name: &InstanceName,
+        presumes: Version,
+    ) -> Result<&mut Instance, RejectionKind> {
+        let instance = self.known_instance(name)?;
+        if instance.version != presumes {
+            return Err(RejectionKind::VersionPassed {
+                presumed: presumes,
+                current: instance.version,
+                winner: String::from("another change of the instance"),
+            });
+        }
+        Ok(instance)
+    }
+}
+
+impl Instance {
+    fn change(&mut self, clock_ms: u64) {
+        self.version = self.version.next();
+        self.changed_ms = clock_ms;
+    }
+
+    pub(super) fn member_left(&mut self, gone: Incarnation, clock_ms: u64) {
+        if let InstanceState::Draining { awaiting, .. } = &mut self.state {
+            awaiting.remove(&gone);
+            self.finish_drain(clock_ms);
+        }
+    }
+
+    fn finish_drain(&mut self, clock_ms: u64) {
+        if let InstanceState::Draining {
+            reason, awaiting, ..
+        } = &self.state
+            && awaiting.is_empty()
+        {
+            self.state = InstanceState::Drained {
+                reason: reason.clone(),
+            };
+            self.change(clock_ms);
+        }
+    }
+
+    fn wrong_state(&self, needed: &str) -> RejectionKind {
+        let state = match &self.state {
+            InstanceState::Serving => "serving",
+            InstanceState::Draining { .. } => "draining",
+            InstanceState::Drained { .. } => "drained",
+        };
+        RejectionKind::WrongState {
+            state: String::from(state),
+            needed: needed.to_owned(),
+        }
+    }
+}
--- a/crates/cyclamentrail-core/src/fleet/rejection.rs
+++ b/crates/cyclamentrail-core/src/fleet/rejection.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::id::{Incarnation, RecordId, Term, Version};
+use crate::id::{Incarnation, Offset, RecordId, Term, Version};
+use crate::name::{InstanceName, PoolName};
 
 /// A record that the fold rejected; every entry rejects it alike.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,15 +19,60 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Error)]
 #[serde(rename_all = "snake_case")]
 pub enum RejectionKind {
-    /// The id was folded before.
-    #[error("the record was appended twice; its first copy counts")]
+    /// The id, or a later one of the same author, was folded before.
+    #[error(
+        "this record or a later one of the same process was folded before; read the state to see what is in force"
+    )]
     Duplicate,
+    /// The record isn't at the next offset.
+    #[error(
+        "record {offset} can't be folded before record {expected}; read the log or a snapshot from there"
+    )]
+    OutOfOrder {
+        /// Offset of the record.
+        offset: Offset,
+        /// Offset of the next record to fold.
+        expected: Offset,
+    },
+    /// The record's body can't be read.
+    #[error("the record's body is malformed; check that only entries write to this stream")]
+    Malformed,
     /// The author isn't a member.
     #[error("process {author} is not a member; it joins again as a new process")]
     NotMember {
         /// The author.
         author: Incarnation,
     },
+    /// The author was a member and is gone.
+    #[error("process {author} has left for good; start the entry again as a new process")]
+    Departed {
+        /// The author.
+        author: Incarnation,
+    },
+    /// Only a process itself can tell that it stopped in order.
+    #[error("process {author} can't tell that process {gone} stopped; evict it instead")]
+    NotOwn {
+        /// The author.
+        author: Incarnation,
+        /// The process that is said to have stopped.
+        gone: Incarnation,
+    },
+    /// The drain doesn't wait for the author.
+    #[error("the drain doesn't wait for process {author}; nothing needs to be released")]
+    NotAwaited {
+        /// The author.
+        author: Incarnation,
+    },
+    /// The build is older than the records in use.
+    #[error(
+        "the build supports record formats up to {supports} and format {used} is in use; start a newer build"
+    )]
+    BuildTooOld {
+        /// Newest format that the build understands.
+        supports: u16,
+        /// Newest format in use.
+        used: u16,
+    },
     /// The record's format is newer than some member understands.
     #[error(
         "record format {format} is newer than every member understands ({agreed}); upgrade the older entries first"
@@ -72,13 +118,35 @@
         needed: String,
     },
     /// Too few members witnessed an eviction.
-    #[error("{witnesses} of {members} members witness the eviction; more than half are needed")]
+    #[error(
+        "{witnesses} of {members} members witness the eviction; more than half are needed, or an operator's word that the instance is switched off"
+    )]
     TooFewWitnesses {
         /// Members that witness it.
         witnesses: usize,
         /// All members.
         members: usize,
     },
+    /// The settings drop an instance that isn't drained.
+    #[error(
+        "instance \"{instance}\" is in use in pool \"{pool}\"; let it drain, then remove it from the settings"
+    )]
+    InstanceInUse {
+        /// The instance.
+        instance: InstanceName,
+        /// Pool that it belongs to.
+        pool: PoolName,
+    },
+    /// The settings drop a pool that instances belong to.
+    #[error(
+        "instance \"{instance}\" belongs to pool \"{pool}\"; move it to another pool, then remove the pool"
+    )]
+    PoolInUse {
+        /// The pool.
+        pool: PoolName,
+        /// The first instance in it.
+        instance: InstanceName,
+    },
     /// The settings after the change are invalid.
     #[error("the changed settings are invalid: {problem}")]
     InvalidSettings {
--- a/crates/cyclamentrail-core/src/id.rs
+++ b/crates/cyclamentrail-core/src/id.rs
@@ -24,10 +24,10 @@
                 self.0
             }
 
-            /// Returns the number that follows.
+            /// Returns the number that follows; the greatest one is followed by itself.
             #[must_use]
             pub const fn next(self) -> Self {
-                Self(self.0 + 1)
+                Self(self.0.saturating_add(1))
             }
         }
 
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -38,7 +38,8 @@
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use permit::{Permit, is_majority};
 pub use record::{
-    CodecError, DrainReason, FORMAT, LeaveReason, Record, RecordBody, decode_record, encode_record,
+    CodecError, DrainReason, FIRST_FORMAT, FORMAT, LeaveReason, Record, RecordBody, decode_record,
+    encode_record,
 };
 pub use registry::Registry;
 pub use route::{Candidate, choose};
--- a/crates/cyclamentrail-core/src/permit.rs
+++ b/crates/cyclamentrail-core/src/permit.rs
@@ -63,7 +63,8 @@
         *confirmed_ms = (*confirmed_ms).max(asked_ms);
     }
 
-    /// Promises not to confirm a peer any more; there is no way back for that incarnation.
+    /// Promises not to confirm a peer any more, nor to count on it; there is no way back for that
+    /// incarnation.
     pub fn witness(&mut self, gone: Incarnation) {
         self.witnessed.insert(gone);
     }
@@ -80,11 +81,10 @@
         self.peer_confirmed_ms.get(&peer).copied()
     }
 
-    /// Forgets peers that are no longer members.
+    /// Forgets confirmations by peers that are no longer members; promises are kept for good.
     pub fn retain_members(&mut self, members: &[Incarnation]) {
         self.peer_confirmed_ms
             .retain(|peer, _| members.contains(peer));
-        self.witnessed.retain(|gone| members.contains(gone));
     }
 
     /// Returns the time in milliseconds until which the entry may dispatch, given all members.
@@ -106,7 +106,7 @@
     fn majority_confirmed_ms(&self, members: &[Incarnation]) -> Option<u64> {
         let mut confirmed_ms: Vec<u64> = members
             .iter()
-            .filter(|&&member| member != self.own)
+            .filter(|&&member| member != self.own && self.may_confirm(member))
             .filter_map(|&member| self.peer_confirmed_ms(member))
             .collect();
         confirmed_ms.sort_unstable_by(|left, right| right.cmp(left));
--- a/crates/cyclamentrail-core/src/record.rs
+++ b/crates/cyclamentrail-core/src/record.rs
@@ -13,6 +13,8 @@
 use crate::name::{EntryName, InstanceName, PoolName, ZoneName};
 use crate::wave::WaveRecord;
 
+/// Oldest record format; a log without records starts with it.
+pub const FIRST_FORMAT: u16 = 1;
 /// Newest record format that this build writes and understands.
 pub const FORMAT: u16 = 1;
 
@@ -23,7 +25,7 @@
     pub format: u16,
     /// Identity, the same for each copy of the record.
     pub id: RecordId,
-    /// Content; `None` when this build doesn't know the format.
+    /// Content; `None` when this build doesn't know the format, or when the content is malformed.
     pub body: Option<RecordBody>,
 }
 
@@ -111,6 +113,11 @@
 pub enum LeaveReason {
     /// The entry stopped in order; nothing of its work is in flight.
     Stopped,
+    /// An operator made sure that the entry's instance is switched off.
+    SwitchedOff {
+        /// The operator.
+        operator: String,
+    },
     /// The entry was not heard of for longer than its dispatch lease.
     Evicted {
         /// Members that promised not to confirm the entry any more; more than half of all members.
@@ -171,8 +178,8 @@
 
 /// Decodes a record from the log.
 ///
-/// A record of a newer format decodes without its body, so that the fold can still tell what the
-/// agreed format allows.
+/// A record of a newer format or with a malformed body decodes without its body, so that every
+/// build folds the same record ids, whichever formats it knows.
 ///
 /// # Errors
 ///
@@ -180,13 +187,9 @@
 pub fn decode_record(bytes: &[u8]) -> Result<Record, CodecError> {
     let envelope: Envelope =
         rmp_serde::from_slice(bytes).map_err(|error| CodecError::Malformed(error.to_string()))?;
-    let body = if envelope.format > FORMAT {
-        None
-    } else {
-        let body = rmp_serde::from_slice(&envelope.body)
-            .map_err(|error| CodecError::Malformed(error.to_string()))?;
-        Some(body)
-    };
+    let body = (envelope.format <= FORMAT)
+        .then(|| rmp_serde::from_slice(&envelope.body).ok())
+        .flatten();
     Ok(Record {
         format: envelope.format,
         id: envelope.id,
--- a/crates/cyclamentrail-core/src/settings/control.rs
+++ b/crates/cyclamentrail-core/src/settings/control.rs
@@ -34,3 +34,11 @@
     #[schemars(with = "u64")]
     pub platform_timeout_ms: Duration,
 }
+
+impl ControlSettings {
+    /// Returns the dispatch lease in milliseconds.
+    #[must_use]
+    pub fn dispatch_lease_ms(&self) -> u64 {
+        u64::try_from(self.dispatch_lease_ms.as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- a/crates/cyclamentrail-core/src/settings/validate.rs
+++ b/crates/cyclamentrail-core/src/settings/validate.rs
@@ -97,6 +97,18 @@
 }
 
 impl Settings {
+    /// Returns the pool that each instance starts in.
+    #[must_use]
+    pub fn pool_instances(&self) -> BTreeMap<&InstanceName, &PoolName> {
+        let mut pools = BTreeMap::new();
+        for (pool, pool_settings) in &self.pools {
+            for instance in &pool_settings.instances {
+                pools.insert(instance, pool);
+            }
+        }
+        pools
+    }
+
     /// Returns the rack of each instance.
     #[must_use]
     pub fn instance_racks(&self) -> BTreeMap<&InstanceName, (&ZoneName, &RackName)> {
--- /dev/null
+++ b/crates/cyclamentrail-core/tests/fold.rs
@@ -0,0 +1,336 @@
+//! What the fold accepts and rejects.
+
+use cyclamentrail_core::{
+    Applied, Fleet, Incarnation, InstanceState, LeaveReason, Offset, Record, RecordId, Version,
+    decode_record, encode_record,
+};
+use rstest::rstest;
+use serde_json::json;
+
+#[path = "fold/history.rs"]
+mod history;
+
+use history::{History, LEASE_MS, change, document, joined, left, rejected, w1};
+
+#[test]
+fn ghost_join() {
+    let mut history = History::default();
+    let join = history.record(1, joined(1));
+    assert_eq!(history.fold(&join), Applied::Accepted);
+    assert_eq!(
+        history.write(1, left(1, LeaveReason::Stopped)),
+        Applied::Accepted
+    );
+    assert!(rejected(&history.fold(&join)));
+    assert_eq!(history.fleet.members().count(), 0);
+}
+
+#[test]
+fn doubled_record() {
+    let mut history = History::with_members(&[1, 2]);
+    let first = history.record(1, change(1, json!({"region": "x"})));
+    assert_eq!(history.fold(&first), Applied::Accepted);
+    assert!(rejected(&history.fold(&first)));
+    let late = history.record(1, change(2, json!({"region": "y"})));
+    let later = history.record(1, change(2, json!({"region": "z"})));
+    assert_eq!(history.fold(&later), Applied::Accepted);
+    assert!(rejected(&history.fold(&late)));
+}
+
+#[test]
+fn folded_offset() {
+    let mut history = History::with_members(&[1]);
+    let before = history.fleet.clone();
+    let record = history.record(1, change(1, json!({"region": "x"})));
+    let applied = history.fleet.apply(Offset::new(0), 0, &record);
+    assert!(rejected(&applied));
+    assert_eq!(history.fleet, before);
+}
+
+#[test]
+fn missing_offset() {
+    let mut history = History::with_members(&[1]);
+    let before = history.fleet.clone();
+    let record = history.record(1, change(1, json!({"region": "x"})));
+    let applied = history.fleet.apply(Offset::new(99), 0, &record);
+    assert!(rejected(&applied));
+    assert_eq!(history.fleet, before);
+}
+
+#[test]
+fn foreign_stop() {
+    let mut history = History::with_members(&[1, 2]);
+    assert!(rejected(&history.write(1, left(2, LeaveReason::Stopped))));
+    assert_eq!(history.fleet.members().count(), 2);
+}
+
+#[test]
+fn late_release() {
+    let mut history = History::with_members(&[1, 2]);
+    assert_eq!(history.begin_drain(1), Applied::Accepted);
+    let drain = history.instance().version;
+    assert_eq!(history.join(3), Applied::Accepted);
+    assert!(rejected(&history.release(3, drain)));
+    assert_eq!(history.release(1, drain), Applied::Accepted);
+    assert_eq!(history.release(2, drain), Applied::Accepted);
+    assert!(matches!(
+        history.instance().state,
+        InstanceState::Drained { .. }
+    ));
+}
+
+#[test]
+fn stale_drain() {
+    let mut history = History::with_members(&[1, 2]);
+    history.drain(&[1, 2]);
+    let drain = Version::new(2);
+    assert_eq!(history.assign(1, "a"), Applied::Accepted);
+    assert_eq!(history.begin_drain(2), Applied::Accepted);
+    assert!(rejected(&history.release(1, drain)));
+}
+
+#[test]
+fn newer_format() {
+    let mut old = History::with_members(&[1, 2]);
+    let mut record = old.record(1, change(1, json!({"region": "x"})));
+    record.format = 2;
+    let mut new = old.clone();
+    let unread = Record {
+        body: None,
+        ..record.clone()
+    };
+    assert!(rejected(&new.fold(&record)));
+    assert!(rejected(&old.fold(&unread)));
+    assert_eq!(new.fleet, old.fleet);
+}
+
+#[test]
+fn newer_join() {
+    let mut old = History::with_members(&[1]);
+    let mut record = old.record(9, joined(2));
+    record.format = 2;
+    let mut new = old.clone();
+    let unread = Record {
+        body: None,
+        ..record.clone()
+    };
+    assert!(rejected(&new.fold(&record)));
+    assert!(rejected(&old.fold(&unread)));
+    assert_eq!(new.fleet, old.fleet);
+}
+
+/// Folds a history in which format 2 came into use, with bodies that this build can't read.
+fn used_format_2() -> History {
+    let mut history = History::default();
+    assert_eq!(history.write(1, joined(2)), Applied::Accepted);
+    let record = Record {
+        format: 2,
+        id: RecordId::new(Incarnation::new(1), 50),
+        body: None,
+    };
+    assert!(rejected(&history.fold(&record)));
+    history
+}
+
+#[test]
+fn older_join() {
+    let mut history = used_format_2();
+    assert!(rejected(&history.write(5, joined(1))));
+    assert_eq!(history.write(6, joined(2)), Applied::Accepted);
+}
+
+#[test]
+fn roll_out() {
+    let mut history = History::default();
+    for member in 1..=3 {
+        assert_eq!(history.join(member), Applied::Accepted);
+    }
+    for member in 1..=3 {
+        assert_eq!(history.fleet.agreed_format(), 1);
+        assert_eq!(history.write(member + 10, joined(2)), Applied::Accepted);
+        let gone = history.write(member, left(member, LeaveReason::Stopped));
+        assert_eq!(gone, Applied::Accepted);
+    }
+    assert_eq!(history.fleet.agreed_format(), 2);
+}
+
+#[test]
+fn malformed_body() {
+    let mut history = History::with_members(&[1]);
+    let good = history.record(1, change(1, json!({"region": "x"})));
+    let mut bytes = encode_record(&good).expect("record");
+    let at = bytes.len() - 3;
+    bytes[at] = 0xc1;
+    let record = decode_record(&bytes).expect("the envelope is whole");
+    assert!(rejected(&history.fold(&record)));
+    assert!(rejected(&history.fold(&good)), "the id was used");
+}
+
+#[rstest]
+#[case::majority(&[1, 2, 3], &[1, 2], true)]
+#[case::minority(&[1, 2, 3], &[1], false)]
+#[case::evicted_itself(&[1, 2, 3], &[1, 3], false)]
+#[case::no_members(&[1, 2, 3], &[1, 8, 9], false)]
+#[case::half(&[1, 2, 3, 4], &[1, 2], false)]
+fn eviction(#[case] members: &[u64], #[case] witnesses: &[u64], #[case] accepted: bool) {
+    let mut history = History::with_members(members);
+    assert_eq!(!rejected(&history.evict(1, 3, witnesses)), accepted);
+}
+
+#[test]
+fn newcomers_witness() {
+    let mut history = History::with_members(&[1, 2, 3]);
+    history.join(4);
+    history.join(5);
+    let applied = history.evict(3, 1, &[3, 4, 5]);
+    assert!(rejected(&applied), "1 and 2 are a majority of 1, 2 and 3");
+}
+
+#[test]
+fn seen_members() {
+    let mut history = History::with_members(&[1, 2, 3]);
+    history.join(4);
+    history.join(5);
+    history.drain(&[1, 2, 3, 4, 5]);
+    assert_eq!(history.evict(3, 1, &[3, 4, 5]), Applied::Accepted);
+}
+
+#[test]
+fn replaced_in_turn() {
+    let mut history = History::with_members(&[1, 2, 3]);
+    for gone in 1..=20 {
+        history.join(gone + 3);
+        let witnesses = [gone + 1, gone + 2, gone + 3];
+        assert_eq!(
+            history.evict(gone + 3, gone, &witnesses),
+            Applied::Accepted,
+            "{gone}"
+        );
+    }
+}
+
+#[test]
+fn needs_boot() {
+    let mut history = History::with_members(&[1, 2, 3]);
+    history.now_ms = 10_000;
+    assert_eq!(history.evict(1, 3, &[1, 2]), Applied::Accepted);
+    history.drain(&[1, 2]);
+    assert!(rejected(&history.assign(1, "b")));
+    history.now_ms += 2 * LEASE_MS;
+    assert!(rejected(&history.assign(1, "b")));
+    assert_eq!(history.boot(1, 1), Applied::Accepted);
+    assert!(rejected(&history.assign(1, "b")));
+    assert_eq!(history.boot(1, 2), Applied::Accepted);
+    assert!(rejected(&history.assign(1, "b")));
+    assert_eq!(history.boot(1, 3), Applied::Accepted);
+    assert_eq!(history.assign(1, "b"), Applied::Accepted);
+}
+
+#[test]
+fn fenced_boot_seen_late() {
+    let mut history = History::with_members(&[1, 2, 3]);
+    assert_eq!(history.evict(1, 3, &[1, 2]), Applied::Accepted);
+    history.now_ms += 2 * LEASE_MS;
+    history.drain(&[1, 2]);
+    assert_eq!(history.boot(1, 1), Applied::Accepted);
+    assert!(
+        rejected(&history.assign(1, "b")),
+        "the boot may have happened while the evicted member could still connect"
+    );
+}
+
+#[test]
+fn same_pool() {
+    let mut history = History::with_members(&[1, 2, 3]);
+    assert_eq!(history.evict(1, 3, &[1, 2]), Applied::Accepted);
+    history.drain(&[1, 2]);
+    assert_eq!(history.assign(1, "a"), Applied::Accepted);
+}
+
+#[test]
+fn shortened_lease() {
+    let mut history = History::with_members(&[1, 2, 3]);
+    let patch = json!({"control": {"dispatch_lease_ms": 1}});
+    assert_eq!(history.write(1, change(1, patch)), Applied::Accepted);
+    assert_eq!(history.evict(1, 3, &[1, 2]), Applied::Accepted);
+    assert_eq!(history.fleet.fenced_until_ms(), 2 * LEASE_MS);
+}
+
+#[test]
+fn dropped_pool() {
+    let mut history = History::with_members(&[1, 2]);
+    history.drain(&[1, 2]);
+    assert_eq!(history.assign(1, "c"), Applied::Accepted);
+    let patch = json!({"pools": {"c": null, "b": {"instances": ["w2", "w3"]}}});
+    assert!(rejected(&history.write(1, change(1, patch.clone()))));
+    history.drain(&[1, 2]);
+    assert_eq!(history.assign(1, "a"), Applied::Accepted);
+    assert!(
+        rejected(&history.write(1, change(1, patch))),
+        "w3 is still in pool c"
+    );
+}
+
+#[test]
+fn dropped_instance() {
+    let mut history = History::with_members(&[1, 2]);
+    let patch = json!({"pools": {"a": {"instances": []}}});
+    assert!(rejected(&history.write(1, change(1, patch.clone()))));
+    history.drain(&[1, 2]);
+    assert_eq!(history.write(1, change(1, patch)), Applied::Accepted);
+    assert!(history.fleet.instance(&w1()).is_none());
+}
+
+#[test]
+fn instance_added_again() {
+    let mut history = History::with_members(&[1, 2, 3]);
+    assert_eq!(history.evict(1, 3, &[1, 2]), Applied::Accepted);
+    history.drain(&[1, 2]);
+    let version = history.instance().version;
+    let without = json!({"pools": {"a": {"instances": []}}});
+    assert_eq!(history.write(1, change(1, without)), Applied::Accepted);
+    let again = json!({"pools": {"b": {"instances": ["w1", "w2"]}}});
+    assert_eq!(history.write(1, change(2, again)), Applied::Accepted);
+    assert!(history.instance().version > version);
+    assert!(history.instance().needs_boot);
+}
+
+#[test]
+fn moved_in_settings() {
+    let mut history = History::with_members(&[1]);
+    let patch = json!({"pools": {
+        "a": {"instances": []},
+        "b": {"instances": ["w1", "w2"]},
+    }});
+    assert_eq!(history.write(1, change(1, patch)), Applied::Accepted);
+    assert_eq!(history.instance().pool.as_str(), "a");
+    assert_eq!(history.instance().state, InstanceState::Serving);
+}
+
+#[test]
+fn racing_operators() {
+    let mut history = History::with_members(&[1, 2]);
+    let first = history.write(1, change(1, json!({"region": "x"})));
+    assert_eq!(first, Applied::Accepted);
+    let second = history.write(2, change(1, json!({"region": "y"})));
+    let Applied::Rejected(rejection) = second else {
+        panic!("both changes were accepted");
+    };
+    assert!(rejection.kind.to_string().contains("operator"));
+    let accepted = history.fleet.settings().expect("settings");
+    assert_eq!(accepted.settings.region, "x");
+}
+
+#[test]
+fn last_offset() {
+    assert_eq!(Offset::new(u64::MAX).next(), Offset::new(u64::MAX));
+}
+
+#[test]
+fn start_document() {
+    let mut history = History::default();
+    history.join(1);
+    assert!(rejected(&history.write(1, change(0, json!({})))));
+    assert_eq!(history.write(1, change(0, document())), Applied::Accepted);
+    assert_ne!(history.fleet, Fleet::new());
+}
--- /dev/null
+++ b/crates/cyclamentrail-core/tests/permit.rs
@@ -0,0 +1,54 @@
+//! The permission to dispatch.
+
+use cyclamentrail_core::{Incarnation, Permit};
+use rstest::rstest;
+
+const LEASE_MS: u64 = 100;
+
+fn ids(numbers: &[u64]) -> Vec<Incarnation> {
+    numbers.iter().copied().map(Incarnation::new).collect()
+}
+
+fn permit() -> Permit {
+    Permit::new(Incarnation::new(1), LEASE_MS)
+}
+
+#[rstest]
+#[case::alone(&[1], &[], 0)]
+#[case::no_majority(&[1, 2, 3, 4], &[(2, 5)], 0)]
+#[case::majority(&[1, 2, 3], &[(2, 5)], 105)]
+#[case::second_newest(&[1, 2, 3, 4, 5], &[(2, 5), (3, 9), (4, 7)], 107)]
+#[case::no_member(&[2, 3], &[(2, 5), (3, 5)], 0)]
+#[case::departed_peer(&[1, 2, 3], &[(9, 5)], 0)]
+fn peers(#[case] members: &[u64], #[case] confirmed: &[(u64, u64)], #[case] until_ms: u64) {
+    let mut permit = permit();
+    for &(peer, asked_ms) in confirmed {
+        permit.confirm_peer(Incarnation::new(peer), asked_ms);
+    }
+    assert_eq!(permit.valid_until_ms(&ids(members)), until_ms);
+}
+
+#[test]
+fn log_head() {
+    let mut permit = permit();
+    permit.confirm_log(50);
+    permit.confirm_log(40);
+    assert_eq!(permit.valid_until_ms(&ids(&[1, 2, 3])), 150);
+    assert_eq!(permit.valid_until_ms(&ids(&[2, 3])), 0);
+}
+
+#[test]
+fn kept_promise() {
+    let mut permit = permit();
+    permit.witness(Incarnation::new(2));
+    permit.retain_members(&ids(&[1, 3]));
+    assert!(!permit.may_confirm(Incarnation::new(2)));
+}
+
+#[test]
+fn witnessed_peer() {
+    let mut permit = permit();
+    permit.confirm_peer(Incarnation::new(2), 5);
+    permit.witness(Incarnation::new(2));
+    assert_eq!(permit.valid_until_ms(&ids(&[1, 2, 3])), 0);
+}
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -202,7 +202,9 @@
             Ok(record) => record,
             Err(error) => {
                 log::warn!(offset:% = logged.offset, error:% = error; "record_skipped");
-                self.fleet.skip(logged.offset, logged.appended_ms);
+                if let Err(reason) = self.fleet.skip(logged.offset, logged.appended_ms) {
+                    log::error!(offset:% = logged.offset, reason:% = reason; "record_out_of_order");
+                }
                 return;
             }
         };
