feat(control): exchange heartbeats, evict silent entries and hand the duty on

Cause: an entry was permitted to dispatch by its own reading of the log alone, a killed or paused entry stayed a member for ever, and the loss of the duty's holder ended the duty.

One exchange of each two entries serves both sides, since each message repeats the other's time stamp. The permission is the one of Permit. Members that at least half of the members haven't heard of are evicted with their promises as witnesses; an evicted process joins again as a new incarnation. An entry that can't read the log gets the records from its peers. The writer appends a batch in doubt again until the fold shows it, and refuses at once while the log is down.

In core's fold, permit and record files (owned by the specification's part): an eviction needs witnesses from at least half of the members instead of more than half (the evicted one and the rest are then no majority, and one of two entries can evict the other); EntryAlive is new, by which an entry shows through the log that it runs while a peer can't be asked.

Ruled out: heartbeats both ways for each two entries (twice the bytes), and counting only direct heartbeats for suspicion (a lost route between two parts of the site that both reach the log would evict live entries).

--- a/crates/cyclamentrail-core/src/fleet/fold.rs
+++ b/crates/cyclamentrail-core/src/fleet/fold.rs
@@ -9,7 +9,7 @@
 };
 use crate::id::{BootId, Incarnation, Offset, RecordId, Term, Version};
 use crate::name::{InstanceName, PoolName};
-use crate::permit::is_majority;
+use crate::permit::can_evict;
 use crate::record::{DrainReason, LeaveReason, Record, RecordBody};
 use crate::settings::{Settings, load_settings, merge_documents};
 
@@ -97,6 +97,7 @@
         };
         match body {
             RecordBody::EntryJoined { .. } => Err(RejectionKind::Duplicate),
+            RecordBody::EntryAlive => Ok(()),
             RecordBody::EntryLeft {
                 incarnation,
                 reason,
@@ -172,7 +173,7 @@
             .iter()
             .filter(|&&witness| witness != gone && self.members.get(&witness).is_some())
             .count();
-        if is_majority(counted, self.members.len()) {
+        if can_evict(counted, self.members.len()) {
             Ok(())
         } else {
             Err(RejectionKind::TooFewWitnesses {
--- a/crates/cyclamentrail-core/src/fleet/rejection.rs
+++ b/crates/cyclamentrail-core/src/fleet/rejection.rs
@@ -72,7 +72,7 @@
         needed: String,
     },
     /// Too few members witnessed an eviction.
-    #[error("{witnesses} of {members} members witness the eviction; more than half are needed")]
+    #[error("{witnesses} of {members} members witness the eviction; at least half are needed")]
     TooFewWitnesses {
         /// Members that witness it.
         witnesses: usize,
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -14,8 +14,10 @@
 
 mod claim;
 mod fleet;
+mod heartbeat;
 mod id;
 mod job;
+mod membership;
 mod name;
 mod outcome;
 mod permit;
@@ -23,6 +25,7 @@
 mod registry;
 mod route;
 mod settings;
+mod snapshot;
 mod wave;
 
 pub use claim::{ClaimRecord, Claims};
@@ -30,13 +33,18 @@
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
     Rejection, RejectionKind,
 };
+pub use heartbeat::{
+    Heartbeat, MAX_PASSED_BYTES, MAX_PASSED_RECORDS, PassedRecord, decode_heartbeat,
+    encode_heartbeat,
+};
 pub use id::{BootId, Incarnation, Offset, RecordId, Term, Version};
 pub use job::{JobRecord, Jobs};
+pub use membership::{Eviction, Membership, MembershipTiming, PeerStatus};
 pub use name::{
     EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, ZoneName,
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
-pub use permit::{Permit, is_majority};
+pub use permit::{Permit, can_evict, is_majority};
 pub use record::{
     CodecError, DrainReason, FORMAT, LeaveReason, Record, RecordBody, decode_record, encode_record,
 };
@@ -48,4 +56,5 @@
     SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings,
     merge_documents, settings_schema,
 };
+pub use snapshot::{MAX_SNAPSHOT_BYTES, SnapshotError, decode_snapshot, encode_snapshot};
 pub use wave::{WaveRecord, Waves};
--- a/crates/cyclamentrail-core/src/permit.rs
+++ b/crates/cyclamentrail-core/src/permit.rs
@@ -24,6 +24,13 @@
     counted * 2 > members
 }
 
+/// Returns whether `witnesses` of `members` are enough for an eviction: without them, the evicted
+/// member and the rest are not more than half, so nobody permits it to dispatch any more.
+#[must_use]
+pub const fn can_evict(witnesses: usize, members: usize) -> bool {
+    witnesses * 2 >= members
+}
+
 /// What an entry knows about its own permission, and what it promised about others.
 ///
 /// Times are milliseconds of the entry's own monotonic clock.
@@ -49,6 +56,11 @@
         }
     }
 
+    /// Sets the time in milliseconds for which a confirmation permits dispatch.
+    pub const fn set_lease_ms(&mut self, lease_ms: u64) {
+        self.lease_ms = lease_ms;
+    }
+
     /// Notes that the log had no newer record than the entry has folded, asked at `asked_ms`.
     pub fn confirm_log(&mut self, asked_ms: u64) {
         self.log_confirmed_ms = self.log_confirmed_ms.max(Some(asked_ms));
--- a/crates/cyclamentrail-core/src/record.rs
+++ b/crates/cyclamentrail-core/src/record.rs
@@ -42,6 +42,8 @@
         /// Newest record format that the entry understands.
         supports_format: u16,
     },
+    /// An entry process runs; written while it can't reach some peer directly.
+    EntryAlive,
     /// An entry process left or was evicted.
     EntryLeft {
         /// The process that is gone.
@@ -113,7 +115,7 @@
     Stopped,
     /// The entry was not heard of for longer than its dispatch lease.
     Evicted {
-        /// Members that promised not to confirm the entry any more; more than half of all members.
+        /// Members that promised not to confirm the entry any more; at least half of all members.
         witnesses: BTreeSet<Incarnation>,
     },
 }
--- a/crates/cyclamentrail-testkit/src/lib.rs
+++ b/crates/cyclamentrail-testkit/src/lib.rs
@@ -14,9 +14,11 @@
 //! ```
 
 mod client;
+mod forwarder;
 mod process;
 mod site;
 
 pub use client::{Answer, Client};
+pub use forwarder::Forwarder;
 pub use process::Process;
 pub use site::{Site, SiteBuilder, TOKEN};
--- /dev/null
+++ b/crates/cyclamentrail/src/control/actor/dump.rs
@@ -0,0 +1,40 @@
+//! The dump of the control thread's state.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Value, json};
+
+use super::Actor;
+use crate::clock;
+
+impl Actor {
+    /// Returns the whole state, as of one moment.
+    pub(super) fn dump(&self) -> Value {
+        let links: BTreeMap<&str, Value> = self
+            .links
+            .iter()
+            .map(|(name, link)| {
+                let candidate = link.candidate();
+                let value = json!({
+                    "address": link.address,
+                    "boot": link.boot,
+                    "in_flight": candidate.in_flight,
+                    "slots": candidate.slots,
+                });
+                (name.as_str(), value)
+            })
+            .collect();
+        json!({
+            "entry": self.parts.identity.entry,
+            "incarnation": self.parts.identity.incarnation,
+            "settings_version": self.parts.shared.load().settings_version,
+            "may_dispatch": self.parts.shared.may_dispatch(),
+            "log_reached": self.membership.reaches_log(clock::now_ms()),
+            "pending_records": self.pending.len(),
+            "snapshot_offset": self.snapshot.newest,
+            "in_force": self.in_force(),
+            "fleet": self.fleet,
+            "links": links,
+        })
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -0,0 +1,118 @@
+//! Folds records and snapshots into the agreed state.
+
+use cyclamentrail_core::{
+    Applied, Fleet, Offset, PassedRecord, RecordBody, RecordId, Version, decode_record,
+};
+use cyclamentrail_platform::ReadAnswer;
+
+use super::Actor;
+use crate::clock;
+
+impl Actor {
+    /// Takes an answer of the log.
+    pub(super) fn take_records(&mut self, answer: &ReadAnswer, asked_ms: u64) {
+        self.snapshot.oldest = answer.oldest;
+        let before = self.fleet.next_offset();
+        for record in &answer.records {
+            self.fold_next(record.offset, record.appended_ms, &record.bytes);
+        }
+        if self.fleet.next_offset() >= answer.head {
+            self.membership.confirm_log(asked_ms);
+            self.join_or_start();
+        }
+        self.after_fold(before);
+    }
+
+    /// Folds records that a peer passed on.
+    pub(super) fn take_passed(&mut self, records: &[PassedRecord]) {
+        let before = self.fleet.next_offset();
+        for record in records {
+            self.fold_next(record.offset, record.appended_ms, &record.bytes);
+        }
+        self.after_fold(before);
+    }
+
+    /// Takes a snapshot over, unless it is older than what this process holds.
+    pub(super) fn take_snapshot(&mut self, fleet: Fleet) {
+        if fleet.next_offset() <= self.fleet.next_offset() {
+            return;
+        }
+        log::info!(from:% = self.fleet.next_offset(), to:% = fleet.next_offset(); "snapshot_taken");
+        let before = self.fleet.next_offset();
+        self.snapshot.newest = self.snapshot.newest.max(fleet.next_offset());
+        self.fleet = fleet;
+        self.history.clear();
+        self.after_fold(before);
+    }
+
+    fn after_fold(&mut self, before: Offset) {
+        if self.fleet.next_offset() > before {
+            self.parts.folded.send_replace(self.fleet.next_offset());
+            self.notice_eviction();
+            self.tell_writer();
+            self.refresh_members(clock::now_ms());
+            self.publish_view();
+            self.release_drained();
+        }
+        self.publish_permit();
+    }
+
+    fn tell_writer(&self) {
+        let own = self.parts.identity.incarnation;
+        let last = self
+            .fleet
+            .member(own)
+            .map_or(0, |member| member.last_sequence);
+        self.parts.writer.folded(RecordId::new(own, last));
+    }
+
+    /// Folds a record if it is the next one; the log numbers its records without gaps.
+    fn fold_next(&mut self, offset: Offset, appended_ms: u64, bytes: &[u8]) {
+        if offset != self.fleet.next_offset() {
+            return;
+        }
+        self.history.push(PassedRecord {
+            offset,
+            appended_ms,
+            bytes: bytes.to_vec(),
+        });
+        let record = match decode_record(bytes) {
+            Ok(record) => record,
+            Err(error) => {
+                log::warn!(offset:% = offset, error:% = error; "record_skipped");
+                self.fleet.skip(offset, appended_ms);
+                return;
+            }
+        };
+        let applied = self.fleet.apply(offset, appended_ms, &record);
+        if let Applied::Rejected(rejection) = &applied {
+            log::info!(offset:% = offset, author:% = record.id.author, reason:% = rejection.kind; "record_rejected");
+        }
+        self.membership.hear_log(record.id.author, clock::now_ms());
+        self.settle(record.id, applied);
+    }
+
+    /// Joins once the state is as new as the log's head; the first entry brings the settings.
+    fn join_or_start(&mut self) {
+        if self.leaving {
+            return;
+        }
+        let own = self.parts.identity.incarnation;
+        if self.fleet.member(own).is_none() {
+            if !self.joining {
+                self.joining = true;
+                let body = self.parts.identity.joined();
+                self.submit(body, None);
+            }
+            return;
+        }
+        if self.fleet.settings().is_none() && self.pending.is_empty() {
+            let body = RecordBody::SettingsChanged {
+                presumes: Version::default(),
+                patch: self.parts.start_document.clone(),
+                operator: format!("entry {}", self.parts.identity.entry),
+            };
+            self.submit(body, None);
+        }
+    }
+}
--- a/crates/cyclamentrail/src/control/platform_client.rs
+++ b/crates/cyclamentrail/src/control/platform_client.rs
@@ -60,19 +60,20 @@
         &self,
         records: Vec<Vec<u8>>,
     ) -> Result<AppendAnswer, PlatformError> {
-        let body = rmp_serde::to_vec_named(&AppendRequest::from(records))
-            .map_err(|error| PlatformError::Refused(error.to_string()))?;
-        let path = format!("/v1/streams/{}/records", self.settings.control_stream);
-        let bytes = self
-            .call(
-                Method::POST,
-                self.settings.log_address,
-                &path,
-                body,
-                self.timeout,
-            )
-            .await?;
-        decode(&bytes)
+        self.append_to(&self.settings.control_stream, records).await
+    }
+
+    /// Appends a snapshot to the stream of snapshots.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::NoAnswer`] means that the snapshot may have been appended.
+    pub(crate) async fn append_snapshot(
+        &self,
+        snapshot: Vec<u8>,
+    ) -> Result<AppendAnswer, PlatformError> {
+        self.append_to(&self.snapshot_stream(), vec![snapshot])
+            .await
     }
 
     /// Reads records of the control stream, waiting for new ones.
@@ -81,19 +82,53 @@
     ///
     /// Returns why nothing was read.
     pub(crate) async fn read(&self, request: ReadRequest) -> Result<ReadAnswer, PlatformError> {
+        self.read_from(&self.settings.control_stream, request).await
+    }
+
+    /// Reads the stream of snapshots.
+    ///
+    /// # Errors
+    ///
+    /// Returns why nothing was read.
+    pub(crate) async fn read_snapshots(
+        &self,
+        request: ReadRequest,
+    ) -> Result<ReadAnswer, PlatformError> {
+        self.read_from(&self.snapshot_stream(), request).await
+    }
+
+    fn snapshot_stream(&self) -> String {
+        format!("{}-snapshots", self.settings.control_stream)
+    }
+
+    async fn append_to(
+        &self,
+        stream: &str,
+        records: Vec<Vec<u8>>,
+    ) -> Result<AppendAnswer, PlatformError> {
+        let body = rmp_serde::to_vec_named(&AppendRequest::from(records))
+            .map_err(|error| PlatformError::Refused(error.to_string()))?;
+        let path = format!("/v1/streams/{stream}/records");
+        let address = self.settings.log_address;
+        let bytes = self
+            .call(Method::POST, address, &path, body, self.timeout)
+            .await?;
+        decode(&bytes)
+    }
+
+    async fn read_from(
+        &self,
+        stream: &str,
+        request: ReadRequest,
+    ) -> Result<ReadAnswer, PlatformError> {
         let path = format!(
-            "/v1/streams/{}/records?from={}&max={}&wait_ms={}",
-            self.settings.control_stream, request.from, request.max, request.wait_ms
+            "/v1/streams/{stream}/records?from={}&max={}&wait_ms={}",
+            request.from, request.max, request.wait_ms
         );
         let timeout = self.timeout + Duration::from_millis(request.wait_ms);
+        let address = self.settings.log_address;
         let bytes = self
-            .call(
-                Method::GET,
-                self.settings.log_address,
-                &path,
-                Vec::new(),
-                timeout,
-            )
+            .call(Method::GET, address, &path, Vec::new(), timeout)
             .await?;
         decode(&bytes)
     }
--- a/crates/cyclamentrail/src/entry.rs
+++ b/crates/cyclamentrail/src/entry.rs
@@ -1,11 +1,11 @@
 //! One entry process: its listeners and its threads.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cyclamentrail_core::{
-    EntryName, Incarnation, LoadError, SecretSource, Settings, ZoneName, load_settings,
+    EntryName, LoadError, Offset, SecretSource, Settings, ZoneName, load_settings,
 };
 use serde_json::Value;
 use thiserror::Error;
@@ -14,9 +14,11 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::control::{
-    Actor, ControlHandle, Identity, PlatformClient, Writer, follow_log, poll_list,
+    Actor, ControlHandle, Follower, Identity, Parts, PeerAddresses, PlatformClient, Recovery,
+    SnapshotStore, Writer, follow_log, poll_list,
 };
 use crate::operator::Operator;
+use crate::peer::PeerClient;
 use crate::timer::Timer;
 use crate::traffic::Traffic;
 use crate::view::SharedView;
@@ -26,6 +28,8 @@
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 /// Parts of the dispatch lease: one long poll of the log takes at most one.
 const POLLS_PER_LEASE: u32 = 4;
+/// Parts of the dispatch lease: one call of a peer takes at most one.
+const CALLS_PER_LEASE: u32 = 4;
 
 /// What differs between the entry processes of a site.
 #[derive(Debug, Clone)]
@@ -98,7 +102,7 @@
         let callers = bind(options.caller_address).await?;
         let peers = bind(options.peer_address).await?;
         let operators = bind(options.operator_address).await?;
-        let incarnation = Incarnation::new(rand::random::<u64>() >> 1);
+        let incarnation = Identity::fresh_incarnation();
         let identity = Identity {
             entry: options.name,
             incarnation,
@@ -257,16 +261,39 @@
             parts.control.clone(),
             control_settings.append_delay_ms,
         );
-        let actor = Actor::new(
-            parts.identity,
-            parts.document,
-            Arc::clone(settings),
-            parts.shared,
-            writer,
-            platform.clone(),
+        let snapshots = SnapshotStore::new(platform.clone());
+        let peer_client = PeerClient::new(
+            Arc::clone(&parts.operator.token),
+            control_settings.dispatch_lease_ms / CALLS_PER_LEASE,
         );
-        let poll = control_settings.dispatch_lease_ms / POLLS_PER_LEASE;
-        tokio::spawn(follow_log(platform.clone(), parts.control.clone(), poll));
+        let peer_addresses = listed_peers(settings, &parts.identity);
+        let recovery = Recovery::new(
+            snapshots.clone(),
+            peer_client.clone(),
+            Arc::clone(&peer_addresses),
+        );
+        let (folded, next_offset) = watch::channel(Offset::default());
+        let follower = Follower {
+            platform: platform.clone(),
+            control: parts.control.clone(),
+            recovery,
+            folded: next_offset,
+            wait: control_settings.dispatch_lease_ms / POLLS_PER_LEASE,
+        };
+        let actor = Actor::new(Parts {
+            identity: parts.identity,
+            start_document: parts.document,
+            start_settings: Arc::clone(settings),
+            shared: parts.shared,
+            control: parts.control.clone(),
+            writer,
+            platform: platform.clone(),
+            snapshots,
+            peers: peer_client,
+            peer_addresses,
+            folded,
+        });
+        tokio::spawn(follow_log(follower));
         let list_ticks = timer.every(control_settings.list_interval_ms);
         tokio::spawn(poll_list(platform, parts.control.clone(), list_ticks));
         let (_keep_open, never) = watch::channel(false);
@@ -289,6 +316,18 @@
     });
 }
 
+/// Returns the addresses of the other entries as the settings list them.
+fn listed_peers(settings: &Settings, identity: &Identity) -> PeerAddresses {
+    let addresses = settings
+        .entries
+        .iter()
+        .filter(|(name, _)| **name != identity.entry)
+        .map(|(_, entry)| entry.peer_address)
+        .filter(|address| address.port() != 0)
+        .collect();
+    Arc::new(Mutex::new(addresses))
+}
+
 fn read_secret(source: &SecretSource) -> Result<String, EntryError> {
     let (place, read) = match source {
         SecretSource::Environment(name) => (
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -46,6 +46,7 @@
     let guarded = Router::new()
         .route("/state", get(state))
         .route("/v1/settings", post(change_settings))
+        .route("/v1/settings/in-force", get(in_force))
         .merge(waves::router())
         .merge(jobs::router())
         .layer(middleware::from_fn_with_state(
@@ -105,10 +106,28 @@
         .await;
     match result {
         Ok(()) => StatusCode::NO_CONTENT.into_response(),
-        Err(error) => (status_of(&error), format!("{error}\n")).into_response(),
+        Err(error) => refusal(&operator, &error),
     }
 }
 
+async fn in_force(State(operator): State<Operator>) -> Response {
+    match operator.control.in_force().await {
+        Ok(in_force) => Json(in_force).into_response(),
+        Err(error) => refusal(&operator, &error),
+    }
+}
+
+/// Returns the answer that tells why a change isn't in force, and when to come back.
+pub(crate) fn refusal(operator: &Operator, error: &SubmitError) -> Response {
+    let status = status_of(error);
+    let text = format!("{error}\n");
+    if *error == SubmitError::LogDown {
+        let retry_after_s = operator.control.health().retry_after_s().to_string();
+        return (status, [(header::RETRY_AFTER, retry_after_s)], text).into_response();
+    }
+    (status, text).into_response()
+}
+
 const fn status_of(error: &SubmitError) -> StatusCode {
     match error {
         SubmitError::Rejected(_) => StatusCode::CONFLICT,
--- a/crates/cyclamentrail/src/peer.rs
+++ b/crates/cyclamentrail/src/peer.rs
@@ -1,15 +1,70 @@
-//! The listener for the other entries.
+//! The other entries: the listener for them and the client of theirs.
 
 use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{DefaultBodyLimit, Query, State};
 use axum::http::StatusCode;
 use axum::middleware;
-use axum::routing::get;
+use axum::routing::{get, post};
+use cyclamentrail_core::{
+    MAX_PASSED_BYTES, Offset, decode_heartbeat, encode_heartbeat, encode_snapshot,
+};
+use serde::Deserialize;
 
 use crate::operator::{Operator, check_token};
 
+mod client;
+
+pub(crate) use client::PeerClient;
+
+/// Largest heartbeat in bytes, with the records that it passes on.
+const MAX_HEARTBEAT_BYTES: usize = MAX_PASSED_BYTES + 256 * 1024;
+
+#[derive(Debug, Deserialize)]
+struct StateQuery {
+    newer_than: Offset,
+}
+
 /// Returns the routes of the peers' listener.
 pub(crate) fn router(operator: Operator) -> Router {
     Router::new()
-        .route("/v1/peer/ping", get(|| async { StatusCode::NO_CONTENT }))
-        .layer(middleware::from_fn_with_state(operator, check_token))
+        .route("/v1/hb", post(heartbeat))
+        .route("/v1/state", get(state))
+        .layer(DefaultBodyLimit::max(MAX_HEARTBEAT_BYTES))
+        .layer(middleware::from_fn_with_state(
+            operator.clone(),
+            check_token,
+        ))
+        .with_state(operator)
+}
+
+async fn heartbeat(
+    State(operator): State<Operator>,
+    body: Bytes,
+) -> Result<Vec<u8>, (StatusCode, String)> {
+    let heartbeat =
+        decode_heartbeat(&body).map_err(|error| (StatusCode::BAD_REQUEST, format!("{error}\n")))?;
+    let answer = operator
+        .control
+        .heartbeat(Box::new(heartbeat))
+        .await
+        .map_err(|error| (StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n")))?;
+    encode_heartbeat(&answer)
+        .map_err(|error| (StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")))
+}
+
+async fn state(
+    State(operator): State<Operator>,
+    Query(query): Query<StateQuery>,
+) -> Result<Vec<u8>, (StatusCode, String)> {
+    let fleet = operator
+        .control
+        .fleet()
+        .await
+        .map_err(|error| (StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n")))?;
+    if fleet.next_offset() <= query.newer_than {
+        return Ok(Vec::new());
+    }
+    encode_snapshot(&fleet)
+        .map_err(|error| (StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")))
 }
