--- /dev/null
+++ b/crates/cyclamentrail/tests/agreement_settings.rs
@@ -0,0 +1,196 @@
+//! Changes of the settings in separate processes: races, outages, lost answers and replacements.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use cyclamentrail_standin::LogFault;
+use cyclamentrail_testkit::{Answer, Site, TOKEN};
+use http_body_util::Full;
+use hyper::Request;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+/// Longest time until an accepted change is in force on every live entry.
+const IN_FORCE: Duration = Duration::from_secs(3);
+/// Longest wait for conditions that have no bound of their own.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn cores(count: u64) -> Value {
+    json!({"worker": {"cores": count}})
+}
+
+fn document_cores(state: &Value) -> Option<u64> {
+    state["fleet"]["settings"]["document"]["worker"]["cores"].as_u64()
+}
+
+fn version(state: &Value) -> u64 {
+    state["settings_version"].as_u64().unwrap_or_default()
+}
+
+fn text(answer: &Answer) -> String {
+    String::from_utf8_lossy(&answer.body).into_owned()
+}
+
+async fn in_force(site: &Site, entry: usize) -> Result<Value> {
+    let address = site.entries[entry].address("operators")?;
+    let request = Request::builder()
+        .uri(format!("http://{address}/v1/settings/in-force"))
+        .header("authorization", format!("Bearer {TOKEN}"))
+        .body(Full::default())?;
+    Ok(serde_json::from_slice(
+        &site.client.send(request).await?.body,
+    )?)
+}
+
+#[tokio::test]
+async fn operators_race() -> Result<()> {
+    let site = Site::builder().entries(2).instances(4).start().await?;
+    let (left_patch, right_patch) = (cores(11), cores(12));
+    let (left, right) = tokio::join!(
+        site.change_settings(0, "ana", Some(1), &left_patch),
+        site.change_settings(1, "bea", Some(1), &right_patch),
+    );
+    let (left, right) = (left?, right?);
+    let (winner, won, loser) = if left.status == 204 {
+        ("ana", 11, right)
+    } else {
+        ("bea", 12, left)
+    };
+    assert_eq!(loser.status, 409, "{}", text(&loser));
+    assert!(text(&loser).contains(winner), "{}", text(&loser));
+    assert!(text(&loser).contains("try again"), "{}", text(&loser));
+    for entry in 0..2 {
+        site.wait_state(entry, IN_FORCE, |state| {
+            version(state) == 2 && document_cores(state) == Some(won)
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn names_who_lags() -> Result<()> {
+    let site = Site::builder().entries(3).instances(4).start().await?;
+    site.entries[2].pause()?;
+    let accepted = site.change_settings(0, "ana", None, &cores(6)).await?;
+    assert_eq!(accepted.status, 204, "{}", text(&accepted));
+    let asked = in_force(&site, 0).await?;
+    assert_eq!(asked["version"], 2);
+    let members = asked["members"].as_array().expect("members are listed");
+    let lagging: Vec<&Value> = members
+        .iter()
+        .filter(|member| member["settings_version"] == 1)
+        .map(|member| &member["entry"])
+        .collect();
+    assert!(lagging.contains(&&json!("e3")), "{asked}");
+    site.entries[2].resume()?;
+    let start = std::time::Instant::now();
+    while in_force(&site, 0).await?["everywhere"] != true {
+        assert!(start.elapsed() < PATIENCE, "e3 never caught up");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn invalid_refused() -> Result<()> {
+    let site = Site::builder().entries(2).instances(4).start().await?;
+    let invalid = json!({"services": {"checks": {"pool": "nowhere"}}});
+    let refused = site.change_settings(0, "ana", None, &invalid).await?;
+    assert_eq!(refused.status, 409, "{}", text(&refused));
+    assert!(text(&refused).contains("nowhere"), "{}", text(&refused));
+    let state = site.state(1).await?;
+    assert_eq!(version(&state), 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn outage_refuses() -> Result<()> {
+    let site = Site::builder().entries(3).instances(4).start().await?;
+    let accepted = site.change_settings(0, "ana", None, &cores(6)).await?;
+    assert_eq!(accepted.status, 204);
+    site.set_log_fault(LogFault::Down).await?;
+    let refused = site.change_settings(1, "bea", None, &cores(7)).await?;
+    assert_eq!(refused.status, 503, "{}", text(&refused));
+    assert!(text(&refused).contains("nothing was changed"));
+    assert!(refused.retry_after_s.is_some());
+    site.set_log_fault(LogFault::None).await?;
+    for entry in 0..3 {
+        site.wait_state(entry, PATIENCE, |state| {
+            state["log_reached"] == true && document_cores(state) == Some(6)
+        })
+        .await?;
+    }
+    let mut accepted = site.change_settings(2, "ana", None, &cores(8)).await?;
+    if accepted.status == 503 {
+        tokio::time::sleep(IN_FORCE).await;
+        accepted = site.change_settings(2, "ana", None, &cores(8)).await?;
+    }
+    assert_eq!(accepted.status, 204, "{}", text(&accepted));
+    for entry in 0..3 {
+        site.wait_state(entry, IN_FORCE, |state| document_cores(state) == Some(8))
+            .await?;
+        assert_eq!(version(&site.state(entry).await?), 3);
+    }
+    Ok(())
+}
+
+#[rstest]
+#[case::lost(LogFault::LoseAnswers)]
+#[case::slow(LogFault::Slow { delay_ms: 2_000 })]
+#[tokio::test]
+async fn truth_told(#[case] fault: LogFault) -> Result<()> {
+    let site = Site::builder().entries(2).instances(4).start().await?;
+    site.set_log_fault(fault).await?;
+    let answer = site.change_settings(0, "ana", Some(1), &cores(9)).await?;
+    site.set_log_fault(LogFault::None).await?;
+    site.wait_state(0, PATIENCE, |state| {
+        state["log_reached"] == true && state["pending_records"] == 0
+    })
+    .await?;
+    let state = site.state(0).await?;
+    match answer.status {
+        204 => assert_eq!((version(&state), document_cores(&state)), (2, Some(9))),
+        503 => assert_eq!(version(&state), 1, "the change was told to be refused"),
+        504 => assert!(version(&state) <= 2),
+        status => panic!("{status}: {}", text(&answer)),
+    }
+    if fault == LogFault::LoseAnswers {
+        assert_eq!(answer.status, 204, "the fold shows the change");
+    }
+    let next = site
+        .change_settings(1, "ana", Some(version(&state)), &cores(10))
+        .await?;
+    assert_eq!(next.status, 204, "{}", text(&next));
+    Ok(())
+}
+
+#[tokio::test]
+async fn replaced_in_turn() -> Result<()> {
+    let mut site = Site::builder().entries(3).instances(4).start().await?;
+    for round in 0..3 {
+        let count = 20 + round;
+        let accepted = site.change_settings(1, "ana", None, &cores(count)).await?;
+        assert_eq!(accepted.status, 204, "{}", text(&accepted));
+        site.start_entry(&format!("e{}", 4 + round))?;
+        site.entries[0].terminate()?;
+        for number in 0..20 {
+            let entry = 1 + number % 2;
+            let call_id = format!("call-{round}-{number}");
+            let answer = site.call(entry, "checks", &call_id).await?;
+            assert_eq!(answer.outcome, "answered", "{call_id}");
+        }
+        drop(site.entries.remove(0));
+        site.wait_ready(2).await?;
+        for entry in 0..3 {
+            site.wait_state(entry, IN_FORCE, |state| {
+                version(state) == round + 2 && document_cores(state) == Some(count)
+            })
+            .await?;
+        }
+    }
+    let runs = site.runs().await;
+    assert_eq!(runs.len(), 60);
+    assert!(runs.values().all(|&count| count == 1), "{runs:?}");
+    Ok(())
+}
