--- a/crates/cyclamentrail/src/control/actor/dump.rs
+++ b/crates/cyclamentrail/src/control/actor/dump.rs
@@ -29,7 +29,8 @@
             "incarnation": self.parts.identity.incarnation,
             "settings_version": self.parts.shared.load().settings_version,
             "may_dispatch": self.parts.shared.may_dispatch(),
-            "log_reached": self.membership.reaches_log(clock::now_ms()),
+            "log_reached": self.membership.reaches_log(clock::now_ms())
+                && !self.parts.control.health().is_down(),
             "pending_records": self.pending.len(),
             "snapshot_offset": self.snapshot.newest,
             "in_force": self.in_force(),
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -80,7 +80,9 @@
             Ok(record) => record,
             Err(error) => {
                 log::warn!(offset:% = offset, error:% = error; "record_skipped");
-                self.fleet.skip(offset, appended_ms);
+                if let Err(reason) = self.fleet.skip(offset, appended_ms) {
+                    log::error!(offset:% = offset, reason:% = reason; "record_out_of_order");
+                }
                 return;
             }
         };
--- a/crates/cyclamentrail/src/control/actor/members.rs
+++ b/crates/cyclamentrail/src/control/actor/members.rs
@@ -2,16 +2,18 @@
 
 use std::sync::PoisonError;
 
-use cyclamentrail_core::{Heartbeat, Incarnation, LeaveReason, Membership, RecordBody};
+use cyclamentrail_core::{FORMAT, Heartbeat, Incarnation, LeaveReason, Membership, RecordBody};
 
 use super::super::ControlMessage;
 use super::super::identity::Identity;
 use super::super::in_force::{InForce, MemberInForce};
-use super::{Actor, timing_of};
+use super::{Actor, EvictionTry, timing_of};
 use crate::clock;
 
 /// Pause in milliseconds before an eviction that had no effect is written again.
-const EVICTION_PAUSE_MS: u64 = 1000;
+const EVICTION_PAUSE_MS: u64 = 500;
+/// Longest such pause in milliseconds.
+const LONGEST_EVICTION_PAUSE_MS: u64 = 60_000;
 
 impl Actor {
     /// Takes over the members of the agreed state.
@@ -38,7 +40,8 @@
 
     /// Publishes until when traffic may dispatch.
     pub(super) fn publish_permit(&self) {
-        let until_ms = if self.fleet.settings().is_some() {
+        let readable = self.fleet.used_format() <= FORMAT;
+        let until_ms = if readable && self.fleet.settings().is_some() {
             self.membership.valid_until_ms(&self.member_ids())
         } else {
             0
@@ -142,13 +145,14 @@
 
     /// Evicts members that enough others haven't heard of.
     pub(super) fn evict_silent(&mut self, now_ms: u64) {
+        let fleet = &self.fleet;
+        self.evictions
+            .retain(|&gone, _| fleet.member(gone).is_some());
         for eviction in self.membership.evict(now_ms) {
             let gone = eviction.gone;
-            let written_ms = self.evicted_ms.get(&gone).copied();
-            if written_ms.is_some_and(|written_ms| now_ms < written_ms + EVICTION_PAUSE_MS) {
+            if !self.may_evict(gone, now_ms) {
                 continue;
             }
-            self.evicted_ms.insert(gone, now_ms);
             log::warn!(member:% = gone, witnesses = eviction.witnesses.len(); "member_evicted");
             let body = RecordBody::EntryLeft {
                 incarnation: gone,
@@ -160,6 +164,22 @@
         }
     }
 
+    /// Returns whether an eviction is due; the fold may refuse it for as long as a majority that
+    /// the member could count on isn't known to be gone.
+    fn may_evict(&mut self, gone: Incarnation, now_ms: u64) -> bool {
+        let pause_ms = match self.evictions.get(&gone) {
+            Some(tried) if now_ms < tried.written_ms + tried.pause_ms => return false,
+            Some(tried) => (tried.pause_ms * 2).min(LONGEST_EVICTION_PAUSE_MS),
+            None => EVICTION_PAUSE_MS,
+        };
+        let tried = EvictionTry {
+            written_ms: now_ms,
+            pause_ms,
+        };
+        self.evictions.insert(gone, tried);
+        true
+    }
+
     /// Returns which members have the settings in force.
     pub(super) fn in_force(&self) -> InForce {
         let now_ms = clock::now_ms();
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -15,6 +15,7 @@
 use crate::control::{ControlHandle, SubmitError};
 use crate::view::SharedView;
 
+mod entries;
 mod jobs;
 mod waves;
 
@@ -47,6 +48,7 @@
         .route("/state", get(state))
         .route("/v1/settings", post(change_settings))
         .route("/v1/settings/in-force", get(in_force))
+        .merge(entries::router())
         .merge(waves::router())
         .merge(jobs::router())
         .layer(middleware::from_fn_with_state(
