--- a/crates/cyclamentrail-core/src/fleet/fold.rs
+++ b/crates/cyclamentrail-core/src/fleet/fold.rs
@@ -91,6 +91,7 @@
         }
         match body {
             RecordBody::EntryJoined { .. } => Err(RejectionKind::Duplicate),
+            RecordBody::EntryAlive => Ok(()),
             RecordBody::EntryLeft {
                 incarnation,
                 reason,
--- a/crates/cyclamentrail-core/src/fleet/membership.rs
+++ b/crates/cyclamentrail-core/src/fleet/membership.rs
@@ -10,7 +10,7 @@
 
 use super::{Fleet, Member, RejectionKind};
 use crate::id::{Incarnation, Offset};
-use crate::permit::is_majority;
+use crate::permit::{can_evict, is_majority};
 use crate::record::LeaveReason;
 
 /// Dispatch leases for which an eviction keeps instances in their pools; the second one covers
@@ -170,7 +170,7 @@
             .filter(|&(member, _)| member != gone && witnesses.contains(&member))
             .count();
         let members = self.members.len();
-        if !is_majority(counted, members) {
+        if !can_evict(counted, members) {
             return Err(RejectionKind::TooFewWitnesses {
                 witnesses: counted,
                 members,
--- a/crates/cyclamentrail-core/src/fleet/rejection.rs
+++ b/crates/cyclamentrail-core/src/fleet/rejection.rs
@@ -119,7 +119,7 @@
     },
     /// Too few members witnessed an eviction.
     #[error(
-        "{witnesses} of {members} members witness the eviction; more than half are needed, or an operator's word that the instance is switched off"
+        "{witnesses} of {members} members witness the eviction; at least half are needed, or an operator's word that the instance is switched off"
     )]
     TooFewWitnesses {
         /// Members that witness it.
