--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -28,7 +28,10 @@
 mod snapshot;
 mod wave;
 
-pub use claim::{ClaimRecord, Claims};
+pub use claim::{
+    CLAIM_WINDOW_MS, Claim, ClaimLook, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody,
+    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, RequestDigest,
+};
 pub use fleet::{
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
     Rejection, RejectionKind,
@@ -43,7 +46,7 @@
 pub use name::{
     EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, ZoneName,
 };
-pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use outcome::{Ending, NotRunReason, Outcome, UnknownReason};
 pub use permit::{Permit, can_evict, is_majority};
 pub use record::{
     CodecError, DrainReason, FIRST_FORMAT, FORMAT, LeaveReason, Record, RecordBody, decode_record,
@@ -54,8 +57,8 @@
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
     Fault, JobSettings, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings,
-    SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings,
-    merge_documents, settings_schema,
+    SecretSource, ServiceSettings, Settings, StopSettings, WorkerShape, ZoneSettings,
+    load_settings, merge_documents, settings_schema,
 };
 pub use snapshot::{MAX_SNAPSHOT_BYTES, SnapshotError, decode_snapshot, encode_snapshot};
 pub use wave::{WaveRecord, Waves};
--- a/crates/cyclamentrail-testkit/src/lib.rs
+++ b/crates/cyclamentrail-testkit/src/lib.rs
@@ -13,11 +13,13 @@
 //! # }
 //! ```
 
+mod call;
 mod client;
 mod forwarder;
 mod process;
 mod site;
 
+pub use call::Call;
 pub use client::{Answer, Client};
 pub use forwarder::Forwarder;
 pub use process::Process;
--- a/crates/cyclamentrail/src/control.rs
+++ b/crates/cyclamentrail/src/control.rs
@@ -2,6 +2,7 @@
 
 mod actor;
 mod backoff;
+mod claims;
 mod duty;
 mod follower;
 mod history;
@@ -18,6 +19,7 @@
 mod writer;
 
 pub(crate) use actor::{Actor, Parts};
+pub(crate) use claims::{ClaimAnswer, ClaimMessage, Run, RunEnd};
 pub(crate) use follower::{Follower, follow_log};
 pub(crate) use identity::Identity;
 pub(crate) use list_poller::poll_list;
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -12,12 +12,16 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
+use super::claims::{ClaimDesk, DeskAction};
 use super::duty::FleetDuty;
 use super::history::History;
 use super::identity::Identity;
 use super::recovery::PeerAddresses;
 use super::writer::Writer;
-use super::{ControlHandle, ControlMessage, PlatformClient, SnapshotStore, SubmitError};
+use super::{
+    ClaimAnswer, ClaimMessage, ControlHandle, ControlMessage, PlatformClient, SnapshotStore,
+    SubmitError,
+};
 use crate::clock;
 use crate::peer::PeerClient;
 use crate::timer::Ticks;
@@ -78,6 +82,7 @@
     alive_ms: u64,
     released: BTreeMap<InstanceName, u64>,
     duty: FleetDuty,
+    claims: ClaimDesk,
     claimed: Option<(Term, u64)>,
     evictions: BTreeMap<Incarnation, EvictionTry>,
     snapshot: SnapshotState,
@@ -132,6 +137,7 @@
             alive_ms: 0,
             released: BTreeMap::new(),
             duty: FleetDuty::default(),
+            claims: ClaimDesk::default(),
             claimed: None,
             evictions: BTreeMap::new(),
             snapshot: SnapshotState::default(),
@@ -179,6 +185,7 @@
                 self.submit(body, Some(reply));
             }
             ControlMessage::Submit { body, reply } => self.submit(body, Some(reply)),
+            ControlMessage::Claim(message) => self.handle_claim(message),
             ControlMessage::Fleet(reply) => drop(reply.send(Box::new(self.fleet.clone()))),
             ControlMessage::InForce(reply) => drop(reply.send(self.in_force())),
             ControlMessage::Dump(reply) => drop(reply.send(self.dump())),
@@ -193,11 +200,31 @@
         }
     }
 
+    fn handle_claim(&mut self, message: ClaimMessage) {
+        let own = self.parts.identity.incarnation;
+        if let DeskAction::Claim { record, reply } = self.claims.handle(&self.fleet, own, message) {
+            let (result, folded) = oneshot::channel();
+            self.submit(RecordBody::Claim(record), Some(result));
+            drop(reply.send(ClaimAnswer::Submitted(folded)));
+        }
+        self.end_claims();
+    }
+
+    fn end_claims(&mut self) {
+        for record in self
+            .claims
+            .due(&self.fleet, self.parts.identity.incarnation)
+        {
+            self.submit(RecordBody::Claim(record), None);
+        }
+    }
+
     fn tick(&mut self) {
         let now_ms = clock::now_ms();
         self.refresh_members(now_ms);
         self.send_heartbeats(now_ms);
         self.expire_pending();
+        self.end_claims();
         self.release_drained();
         self.show_alive(now_ms);
         self.step_duty(now_ms);
--- a/crates/cyclamentrail/src/control/actor/dump.rs
+++ b/crates/cyclamentrail/src/control/actor/dump.rs
@@ -32,6 +32,7 @@
             "log_reached": self.membership.reaches_log(clock::now_ms())
                 && !self.parts.control.health().is_down(),
             "pending_records": self.pending.len(),
+            "claims": self.claims.dump(),
             "snapshot_offset": self.snapshot.newest,
             "in_force": self.in_force(),
             "fleet": self.fleet,
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -52,6 +52,7 @@
             self.tell_writer();
             self.refresh_members(clock::now_ms());
             self.publish_view();
+            self.claims.wake_changed(&self.fleet);
             self.release_drained();
         }
         self.publish_permit();
