feat(control): ask each peer less often when there are many, and read the list only when it changed

Cause: the list of 1,400 instances is some 140 KB of JSON, read twice a second; heartbeats grow with the number of entries.

Change: the list is asked for with its entity tag (RFC 9110), which the stand-in answers with 304 while nothing changed; a platform without tags is read whole as before.

--- a/crates/cyclamentrail-core/src/membership.rs
+++ b/crates/cyclamentrail-core/src/membership.rs
@@ -25,15 +25,16 @@
 /// Multiples of the silence after which nobody writes to the log for a silent member's sake.
 const SILENCES_UNTIL_FORGOTTEN: u64 = 4;
 
+/// Peers that are asked in one interval; with more of them, each is asked less often.
+const PEERS_PER_INTERVAL: usize = 8;
+
 /// Times that membership goes by, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MembershipTiming {
-    /// Interval between two exchanges with a peer.
+    /// Interval between two exchanges with a peer, as long as there are few.
     pub heartbeat_ms: u64,
     /// Time for which a confirmation permits dispatch.
     pub lease_ms: u64,
-    /// Silence after which a member is suspected.
-    pub silence_ms: u64,
 }
 
 impl MembershipTiming {
@@ -43,7 +44,6 @@
         Self {
             heartbeat_ms,
             lease_ms,
-            silence_ms: lease_ms + PATIENCE_INTERVALS * heartbeat_ms,
         }
     }
 }
@@ -145,7 +145,7 @@
         self.evicting.retain(|gone| members.contains(gone));
         self.witnessed.retain(|gone| members.contains(gone));
         self.permit.retain_members(members);
-        if slept_ms > self.timing.silence_ms / 2 {
+        if slept_ms > self.timing.lease_ms / 2 {
             for peer in self.peers.values_mut() {
                 peer.heard_ms = now_ms;
                 peer.direct_ms = now_ms;
@@ -190,14 +190,15 @@
     /// One of each two asks: the one with the lower incarnation, or both after silence.
     #[must_use]
     pub fn due(&self, now_ms: u64) -> Vec<Incarnation> {
-        let patience_ms = self.timing.heartbeat_ms * PATIENCE_INTERVALS;
+        let interval_ms = self.interval_ms(now_ms);
+        let patience_ms = interval_ms * PATIENCE_INTERVALS;
         self.peers
             .iter()
             .filter(|(_, status)| !status.in_flight)
             .filter(|(_, status)| {
-                status.asked_ms.is_none_or(|asked_ms| {
-                    now_ms.saturating_sub(asked_ms) >= self.timing.heartbeat_ms
-                })
+                status
+                    .asked_ms
+                    .is_none_or(|asked_ms| now_ms.saturating_sub(asked_ms) >= interval_ms)
             })
             .filter(|&(&peer, status)| {
                 self.own < peer || now_ms.saturating_sub(status.direct_ms) > patience_ms
@@ -268,7 +269,7 @@
     pub fn is_suspected(&self, member: Incarnation, now_ms: u64) -> bool {
         self.peers
             .get(&member)
-            .is_some_and(|status| now_ms.saturating_sub(status.heard_ms) > self.timing.silence_ms)
+            .is_some_and(|status| now_ms.saturating_sub(status.heard_ms) > self.silence_ms(now_ms))
     }
 
     /// Returns whether at least half of the members haven't heard of a member for too long.
@@ -291,7 +292,7 @@
     /// be asked directly.
     #[must_use]
     pub fn is_cut_off_from_peer(&self, now_ms: u64) -> bool {
-        let forgotten_ms = self.timing.silence_ms * SILENCES_UNTIL_FORGOTTEN;
+        let forgotten_ms = self.silence_ms(now_ms) * SILENCES_UNTIL_FORGOTTEN;
         self.peers.values().any(|status| {
             now_ms.saturating_sub(status.direct_ms) > self.timing.lease_ms
                 && now_ms.saturating_sub(status.heard_ms) < forgotten_ms
@@ -308,6 +309,27 @@
             .map_or(self.own, |peer| peer.min(self.own))
     }
 
+    /// Returns the interval in milliseconds between two exchanges with a peer.
+    ///
+    /// While the log can't be reached, the permission depends on the peers, so that all are asked
+    /// as often as a few would be.
+    #[must_use]
+    pub fn interval_ms(&self, now_ms: u64) -> u64 {
+        let rounds = if self.reaches_log(now_ms) {
+            self.peers.len().div_ceil(PEERS_PER_INTERVAL).max(1)
+        } else {
+            1
+        };
+        self.timing.heartbeat_ms * rounds as u64
+    }
+
+    /// Returns the silence in milliseconds after which a member is suspected.
+    #[must_use]
+    pub fn silence_ms(&self, now_ms: u64) -> u64 {
+        let interval_ms = self.interval_ms(now_ms);
+        self.timing.lease_ms + interval_ms + interval_ms / 2
+    }
+
     /// Asks for witnesses of members that are given up, and returns the evictions that have
     /// enough of them.
     pub fn evict(&mut self, now_ms: u64) -> Vec<Eviction> {
--- /dev/null
+++ b/crates/cyclamentrail-core/tests/agreement_decoders.rs
@@ -0,0 +1,84 @@
+//! Decoders of heartbeats and snapshots against arbitrary, cut and changed bytes.
+
+use cyclamentrail_core::{
+    Fleet, Heartbeat, Incarnation, Offset, PassedRecord, SnapshotError, decode_heartbeat,
+    decode_snapshot, encode_heartbeat, encode_snapshot,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn heartbeat() -> Heartbeat {
+    let mut heartbeat = Heartbeat::new(Incarnation::new(7), 250);
+    heartbeat.echo_ms = Some(240);
+    heartbeat.suspects = vec![Incarnation::new(9)];
+    heartbeat.records = vec![PassedRecord {
+        offset: Offset::new(3),
+        appended_ms: 1,
+        bytes: vec![1, 2, 3],
+    }];
+    heartbeat
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        prop_assert!(decode_snapshot(&bytes).is_err());
+        if let Ok(decoded) = decode_heartbeat(&bytes) {
+            prop_assert!(encode_heartbeat(&decoded).is_ok());
+        }
+    }
+
+    #[test]
+    fn cut_bytes(cut in any::<prop::sample::Index>()) {
+        let whole = encode_heartbeat(&heartbeat()).expect("heartbeat");
+        prop_assert!(decode_heartbeat(&whole[..cut.index(whole.len())]).is_err());
+        let whole = encode_snapshot(&Fleet::new()).expect("snapshot");
+        prop_assert!(decode_snapshot(&whole[..cut.index(whole.len())]).is_err());
+    }
+
+    #[test]
+    fn changed_snapshot(at in any::<prop::sample::Index>(), change in 1..=255_u8) {
+        let mut bytes = encode_snapshot(&Fleet::new()).expect("snapshot");
+        let at = at.index(bytes.len());
+        bytes[at] ^= change;
+        if let Ok(fleet) = decode_snapshot(&bytes) {
+            prop_assert_eq!(fleet, Fleet::new());
+        }
+    }
+}
+
+#[test]
+fn long_lists() {
+    let mut heartbeat = heartbeat();
+    heartbeat.suspects = vec![Incarnation::new(1); 5_000];
+    let bytes = encode_heartbeat(&heartbeat).expect("heartbeat");
+    assert!(decode_heartbeat(&bytes).is_err());
+}
+
+#[test]
+fn damaged_snapshot() {
+    let mut bytes = encode_snapshot(&Fleet::new()).expect("snapshot");
+    let last = bytes.len() - 1;
+    bytes[last] ^= 1;
+    assert_eq!(decode_snapshot(&bytes), Err(SnapshotError::Damaged));
+}
+
+#[test]
+fn large_snapshot() {
+    let bytes = vec![0; cyclamentrail_core::MAX_SNAPSHOT_BYTES + 1];
+    assert!(matches!(
+        decode_snapshot(&bytes),
+        Err(SnapshotError::TooLarge(_))
+    ));
+}
--- a/crates/cyclamentrail-standin/src/list_service.rs
+++ b/crates/cyclamentrail-standin/src/list_service.rs
@@ -1,11 +1,13 @@
 //! The list of live and leaving instances over HTTP.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use axum::extract::{Path, State};
-use axum::http::StatusCode;
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use cyclamentrail_core::InstanceName;
@@ -68,9 +70,25 @@
     }
 }
 
-async fn list(State(shared): State<Shared>) -> Json<InstanceList> {
-    let instances = shared.lock().values().cloned().collect();
-    Json(InstanceList { instances })
+async fn list(State(shared): State<Shared>, headers: HeaderMap) -> Response {
+    let instances: Vec<ListedInstance> = shared.lock().values().cloned().collect();
+    let list = InstanceList { instances };
+    let tag = entity_tag(&list);
+    if headers
+        .get(header::IF_NONE_MATCH)
+        .is_some_and(|known| known == tag.as_str())
+    {
+        return StatusCode::NOT_MODIFIED.into_response();
+    }
+    ([(header::ETAG, tag)], Json(list)).into_response()
+}
+
+fn entity_tag(list: &InstanceList) -> String {
+    let mut hasher = DefaultHasher::new();
+    serde_json::to_vec(list)
+        .unwrap_or_default()
+        .hash(&mut hasher);
+    format!("\"{:016x}\"", hasher.finish())
 }
 
 async fn put(State(shared): State<Shared>, Json(instance): Json<ListedInstance>) -> StatusCode {
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -5,7 +5,7 @@
 
 use cyclamentrail_core::{
     Fleet, Incarnation, InstanceName, LeaveReason, Membership, MembershipTiming, Offset,
-    RecordBody, RecordId, Settings, Term,
+    RecordBody, RecordId, Settings, Term, Version,
 };
 use cyclamentrail_platform::ListedInstance;
 use serde_json::Value;
@@ -108,7 +108,10 @@
     oldest: Offset,
     /// Clock in milliseconds when the last one was written or tried.
     tried_ms: u64,
-    writing: bool,
+    /// Settings version of the snapshot that is being written.
+    writing: Option<Version>,
+    /// Settings version of the newest known snapshot.
+    settings_version: Version,
 }
 
 impl Actor {
@@ -164,6 +167,7 @@
             }
             ControlMessage::SnapshotWritten(covered) => self.note_snapshot(covered),
             ControlMessage::List(list) => self.take_list(list),
+            ControlMessage::ListUnchanged => self.drain_leaving(),
             ControlMessage::ChangeSettings {
                 presumes,
                 patch,
@@ -212,6 +216,13 @@
         self.submit(body, Some(reply));
     }
 
+    fn settings_version(&self) -> Version {
+        self.fleet
+            .settings()
+            .map(|accepted| accepted.version)
+            .unwrap_or_default()
+    }
+
     fn settings(&self) -> &Settings {
         self.fleet
             .settings()
--- a/crates/cyclamentrail/src/control/actor/duties.rs
+++ b/crates/cyclamentrail/src/control/actor/duties.rs
@@ -10,6 +10,9 @@
 /// Time in milliseconds after which the newest snapshot is written anew, so that retention never
 /// takes the last one.
 const SNAPSHOT_AGE_MS: u64 = 600_000;
+/// Changes of the settings between two snapshots at most; to fold one takes far longer than to
+/// fold any other record.
+const SNAPSHOT_CHANGES: u64 = 50;
 /// Shortest time in milliseconds between two snapshots.
 const SNAPSHOT_PAUSE_MS: u64 = 1000;
 
@@ -75,10 +78,10 @@
     }
 
     fn write_snapshot(&mut self, now_ms: u64) {
-        if self.snapshot.writing || !self.is_snapshot_due(now_ms) {
+        if self.snapshot.writing.is_some() || !self.is_snapshot_due(now_ms) {
             return;
         }
-        self.snapshot.writing = true;
+        self.snapshot.writing = Some(self.settings_version());
         self.snapshot.tried_ms = now_ms;
         let fleet = self.fleet.clone();
         let store = self.parts.snapshots.clone();
@@ -93,7 +96,12 @@
         let since_ms = now_ms.saturating_sub(self.snapshot.tried_ms);
         let next = self.fleet.next_offset().get();
         let (newest, oldest) = (self.snapshot.newest.get(), self.snapshot.oldest.get());
-        let many = next.saturating_sub(newest) >= self.settings().control.snapshot_records;
+        let changes = self
+            .settings_version()
+            .get()
+            .saturating_sub(self.snapshot.settings_version.get());
+        let many = next.saturating_sub(newest) >= self.settings().control.snapshot_records
+            || changes >= SNAPSHOT_CHANGES;
         // Retention has taken records and comes near those that the newest snapshot needs.
         let half_kept = oldest + next.saturating_sub(oldest) / 2;
         let expiring = oldest > 0 && newest <= half_kept && next > newest;
@@ -102,9 +110,10 @@
 
     /// Takes note of a snapshot that this process tried to write.
     pub(super) fn note_snapshot(&mut self, covered: Option<Offset>) {
-        self.snapshot.writing = false;
+        let version = self.snapshot.writing.take().unwrap_or_default();
         if let Some(covered) = covered {
             self.snapshot.newest = self.snapshot.newest.max(covered);
+            self.snapshot.settings_version = self.snapshot.settings_version.max(version);
         }
     }
 }
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -41,6 +41,7 @@
         let before = self.fleet.next_offset();
         self.snapshot.newest = self.snapshot.newest.max(fleet.next_offset());
         self.fleet = fleet;
+        self.snapshot.settings_version = self.settings_version();
         self.history.clear();
         self.after_fold(before);
     }
--- a/crates/cyclamentrail/src/control/actor/links.rs
+++ b/crates/cyclamentrail/src/control/actor/links.rs
@@ -28,7 +28,8 @@
         }
     }
 
-    fn drain_leaving(&mut self) {
+    /// Begins to drain the instances that the list shows leaving.
+    pub(super) fn drain_leaving(&mut self) {
         let leaving: Vec<RecordBody> = self
             .fleet
             .instances()
--- a/crates/cyclamentrail/src/control/actor/members.rs
+++ b/crates/cyclamentrail/src/control/actor/members.rs
@@ -99,11 +99,7 @@
 
     fn fill(&self, heartbeat: &mut Heartbeat, now_ms: u64) {
         heartbeat.next_offset = self.fleet.next_offset();
-        heartbeat.settings_version = self
-            .fleet
-            .settings()
-            .map(|accepted| accepted.version)
-            .unwrap_or_default();
+        heartbeat.settings_version = self.settings_version();
         heartbeat.wants_records = !self.membership.reaches_log(now_ms);
     }
 
@@ -184,9 +180,7 @@
     pub(super) fn in_force(&self) -> InForce {
         let now_ms = clock::now_ms();
         let accepted = self.fleet.settings();
-        let version = accepted
-            .map(|accepted| accepted.version)
-            .unwrap_or_default();
+        let version = self.settings_version();
         let members: Vec<MemberInForce> = self
             .fleet
             .members()
--- a/crates/cyclamentrail/src/control/list_poller.rs
+++ b/crates/cyclamentrail/src/control/list_poller.rs
@@ -5,9 +5,14 @@
 
 /// Reads the list at each tick and sends it to the control thread.
 pub(crate) async fn poll_list(platform: PlatformClient, control: ControlHandle, mut ticks: Ticks) {
+    let mut tag = None;
     loop {
-        match platform.list().await {
-            Ok(list) => control.send(ControlMessage::List(list)).await,
+        match platform.list(tag.as_ref()).await {
+            Ok(Some(tagged)) => {
+                tag = tagged.tag;
+                control.send(ControlMessage::List(tagged.list)).await;
+            }
+            Ok(None) => control.send(ControlMessage::ListUnchanged).await,
             Err(error) => log::warn!(error:% = error; "list_read_failed"),
         }
         ticks.next().await;
--- a/crates/cyclamentrail/src/control/message.rs
+++ b/crates/cyclamentrail/src/control/message.rs
@@ -29,6 +29,8 @@
     SnapshotWritten(Option<Offset>),
     /// The platform's list came.
     List(InstanceList),
+    /// The platform's list is still the one that came last.
+    ListUnchanged,
     /// An operator changes the settings; `presumes` is the version that the change was made on.
     ChangeSettings {
         presumes: Option<Version>,
--- a/crates/cyclamentrail/src/control/platform_client.rs
+++ b/crates/cyclamentrail/src/control/platform_client.rs
@@ -7,6 +7,7 @@
 use cyclamentrail_core::{InstanceName, PlatformSettings};
 use cyclamentrail_platform::{AppendAnswer, AppendRequest, InstanceList, ReadAnswer, ReadRequest};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -30,6 +31,21 @@
     Malformed(String),
 }
 
+/// The instance list with the tag that it can be asked for again with.
+#[derive(Debug)]
+pub(crate) struct TaggedList {
+    /// The list.
+    pub(crate) list: InstanceList,
+    /// Tag of this state of the list, if the platform gives one.
+    pub(crate) tag: Option<HeaderValue>,
+}
+
+struct PlatformAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
 /// Calls the platform over HTTP.
 #[derive(Debug, Clone)]
 pub(crate) struct PlatformClient {
@@ -133,22 +149,31 @@
         decode(&bytes)
     }
 
-    /// Reads the list of live and leaving instances.
+    /// Reads the list of live and leaving instances; `None` when it is still the one of `known`.
     ///
     /// # Errors
     ///
     /// Returns why the list wasn't read.
-    pub(crate) async fn list(&self) -> Result<InstanceList, PlatformError> {
-        let bytes = self
-            .call(
-                Method::GET,
-                self.settings.list_address,
-                "/v1/instances",
-                Vec::new(),
-                self.timeout,
-            )
-            .await?;
-        serde_json::from_slice(&bytes).map_err(|error| PlatformError::Malformed(error.to_string()))
+    pub(crate) async fn list(
+        &self,
+        known: Option<&HeaderValue>,
+    ) -> Result<Option<TaggedList>, PlatformError> {
+        let address = self.settings.list_address;
+        let mut request = Request::builder().uri(format!("http://{address}/v1/instances"));
+        if let Some(known) = known {
+            request = request.header(header::IF_NONE_MATCH, known);
+        }
+        let request = request
+            .body(Full::default())
+            .map_err(|error| PlatformError::Refused(error.to_string()))?;
+        let answer = Self::within(self.timeout, self.exchange(request)).await?;
+        if answer.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        let list = serde_json::from_slice(&answer.body)
+            .map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        let tag = answer.headers.get(header::ETAG).cloned();
+        Ok(Some(TaggedList { list, tag }))
     }
 
     /// Asks the platform to reboot an instance.
@@ -182,12 +207,23 @@
             .uri(format!("http://{address}{path}"))
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| PlatformError::Refused(error.to_string()))?;
-        tokio::time::timeout(timeout, self.exchange(request))
+        let answer = Self::within(timeout, self.exchange(request)).await?;
+        Ok(answer.body)
+    }
+
+    async fn within<T>(
+        timeout: Duration,
+        call: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, PlatformError> {
+        tokio::time::timeout(timeout, call)
             .await
             .map_err(|_elapsed| PlatformError::NoAnswer(format!("no answer in {timeout:?}")))?
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, PlatformError> {
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<PlatformAnswer, PlatformError> {
         let response = self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
                 PlatformError::Refused(error.to_string())
@@ -199,14 +235,20 @@
         if status == StatusCode::SERVICE_UNAVAILABLE || status.is_client_error() {
             return Err(PlatformError::Refused(status.to_string()));
         }
-        if !status.is_success() {
+        if !status.is_success() && status != StatusCode::NOT_MODIFIED {
             return Err(PlatformError::NoAnswer(status.to_string()));
         }
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES)
             .collect()
             .await
-            .map_err(|error| PlatformError::NoAnswer(error.to_string()))?;
-        Ok(body.to_bytes())
+            .map_err(|error| PlatformError::NoAnswer(error.to_string()))?
+            .to_bytes();
+        Ok(PlatformAnswer {
+            status,
+            headers: parts.headers,
+            body,
+        })
     }
 }
 
