feat(core): decide routing, shares, admission, retries and ejection

Requests were routed by two random choices on load alone, with three tries and no queue. The decisions are now pure state in core: zone-aware choice at a bounded number of looks, a learned share of each server's slots, queues by class with turns between teams and admission by deadline, a retry budget that never lets tries pass 1 + ratio per request, and ejection by a failure score that spares what the contract promises.

--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -12,7 +12,9 @@
 //! assert_eq!(fleet.next_offset(), Offset::new(0));
 //! ```
 
+mod admit;
 mod claim;
+mod eject;
 mod fleet;
 mod id;
 mod job;
@@ -21,11 +23,15 @@
 mod permit;
 mod record;
 mod registry;
+mod retry;
 mod route;
 mod settings;
+mod share;
 mod wave;
 
+pub use admit::{Admission, AdmitLimits, Ask, Pace, Queued, Refusal, RequestClass, Ticket, Turn};
 pub use claim::{ClaimRecord, Claims};
+pub use eject::{Health, HealthChange, Intake, TryResult, may_eject};
 pub use fleet::{
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
     Rejection, RejectionKind,
@@ -41,11 +47,13 @@
     CodecError, DrainReason, FORMAT, LeaveReason, Record, RecordBody, decode_record, encode_record,
 };
 pub use registry::Registry;
-pub use route::{Candidate, choose};
+pub use retry::{RetryBudget, Tries, TryEnd};
+pub use route::{Candidate, Choice, Pool, ZONE_PENALTY, choose};
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
     Fault, JobSettings, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings,
     SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings,
     merge_documents, settings_schema,
 };
+pub use share::{HomeRing, LinkLimits, LinkState, Share, long_slots};
 pub use wave::{WaveRecord, Waves};
