feat(traffic): queue, route, retry and eject by the decisions in core

A request was tried three times at once on any instance with a free slot and was turned away when there was none. It now takes a slot at once or waits in the queue of its service and class; a freed slot goes straight to the request whose turn it is. Tries follow the retry budget and avoid the failed rack, bad servers are ejected, and refusals carry a Retry-After computed from the state. The stand-in backend server can die, cut, garble or swallow answers, leaves on its own word, and counts connections.

--- a/crates/cyclamentrail-core/src/admit.rs
+++ b/crates/cyclamentrail-core/src/admit.rs
@@ -10,8 +10,9 @@
 //! let mut admission = Admission::new(AdmitLimits { max_waiting: 8, start_interval_us: 1_000 });
 //! let ask = Ask { class: RequestClass::Quick, team: TeamName::from("a"), deadline_us: 5_000 };
 //! let admitted = admission.enqueue(&ask, 0, "request").expect("the queue is empty");
-//! assert_eq!(admission.next(RequestClass::Quick, 10).taken, Some("request"));
-//! # drop(admitted);
+//! let turn = admission.next(RequestClass::Quick, 10, |_class| true);
+//! assert_eq!(turn.taken, Some("request"));
+//! assert_eq!(admission.remove(&admitted.ticket), None);
 //! ```
 
 use crate::name::TeamName;
@@ -92,6 +93,15 @@
     pub late: Vec<(T, Refusal)>,
 }
 
+impl<T> Default for Turn<T> {
+    fn default() -> Self {
+        Self {
+            taken: None,
+            late: Vec::new(),
+        }
+    }
+}
+
 /// The queues of one service at one entry.
 #[derive(Debug)]
 pub struct Admission<T> {
@@ -180,24 +190,37 @@
     /// Returns the request that may use a slot which a request of class `freed` has left.
     ///
     /// The class that used the slot goes first, but for every few quick ones a long one does.
-    pub fn next(&mut self, freed: RequestClass, now_us: u64) -> Turn<T> {
-        let mut first = freed;
-        if freed == RequestClass::Quick && self.waiting(RequestClass::Long) > 0 {
-            self.quick_turns += 1;
-            if self.quick_turns >= QUICK_TURNS {
-                self.quick_turns = 0;
-                first = RequestClass::Long;
+    /// `has_room` tells whether the server takes one more of a class.
+    pub fn next(
+        &mut self,
+        freed: RequestClass,
+        now_us: u64,
+        has_room: impl Fn(RequestClass) -> bool,
+    ) -> Turn<T> {
+        let first = self.first_class(freed);
+        let mut turn = Turn::default();
+        for class in [first, first.other()] {
+            if turn.taken.is_none() && has_room(class) {
+                let mut next = self.next_of(class, now_us);
+                turn.taken = next.taken;
+                turn.late.append(&mut next.late);
             }
         }
-        let mut turn = self.queues[first as usize].pop(now_us);
-        if turn.taken.is_none() {
-            let mut other = self.next_of(first.other(), now_us);
-            turn.taken = other.taken.take();
-            turn.late.append(&mut other.late);
-        }
         turn
     }
 
+    fn first_class(&mut self, freed: RequestClass) -> RequestClass {
+        if freed == RequestClass::Long || self.waiting(RequestClass::Long) == 0 {
+            return freed;
+        }
+        self.quick_turns = (self.quick_turns + 1) % QUICK_TURNS;
+        if self.quick_turns == 0 {
+            RequestClass::Long
+        } else {
+            freed
+        }
+    }
+
     /// Returns the next request of one class.
     pub fn next_of(&mut self, class: RequestClass, now_us: u64) -> Turn<T> {
         self.queues[class as usize].pop(now_us)
--- a/crates/cyclamentrail-core/src/retry.rs
+++ b/crates/cyclamentrail-core/src/retry.rs
@@ -39,6 +39,8 @@
     Refused,
     /// The connection ended, or what came was no answer, after the request was sent.
     Lost,
+    /// Nothing came for so long that the server seems stalled; the request may run on.
+    Stalled,
     /// The whole answer says that the server failed.
     ServerError,
 }
--- a/crates/cyclamentrail-core/src/settings/request.rs
+++ b/crates/cyclamentrail-core/src/settings/request.rs
@@ -23,6 +23,9 @@
     pub retry_budget_ratio: f64,
     /// Requests that may wait for a slot, per service and entry.
     pub max_waiting: u32,
+    /// Slots of each worker that long requests leave to quick ones.
+    #[serde(default = "default_quick_reserved_slots")]
+    pub quick_reserved_slots: u32,
     /// Largest request body in bytes.
     pub max_body_bytes: u64,
     /// Time in milliseconds for which an idempotency key is remembered.
@@ -31,6 +34,10 @@
     pub key_memory_ms: Duration,
 }
 
+const fn default_quick_reserved_slots() -> u32 {
+    2
+}
+
 /// Limits against bad input on a listener.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
--- a/crates/cyclamentrail-core/src/share.rs
+++ b/crates/cyclamentrail-core/src/share.rs
@@ -16,7 +16,7 @@
 mod state;
 
 pub use ring::{HomeRing, long_slots};
-pub use state::{LinkLimits, LinkState};
+pub use state::{LinkLimits, LinkState, stall_us};
 
 /// Factor by which the limit falls.
 const DECREASE: f64 = 0.7;
--- a/crates/cyclamentrail-core/src/share/state.rs
+++ b/crates/cyclamentrail-core/src/share/state.rs
@@ -8,6 +8,11 @@
 /// Ratio to the service's mean time from which a server counts as slow.
 const SLOW_RATIO: f64 = 3.0;
 
+/// Mean times without any quick answer after which a server counts as stalled.
+const STALL_RATIO: u64 = 8;
+/// Shortest time without any quick answer after which a server counts as stalled, in microseconds.
+const MIN_STALL_US: u64 = 500_000;
+
 /// Limits of one entry at one server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LinkLimits {
@@ -28,6 +33,7 @@
     share: Share,
     health: Health,
     pace: [Pace; 2],
+    quick_progress_us: u64,
 }
 
 impl LinkState {
@@ -41,6 +47,7 @@
             share: Share::new(limits.slots, start),
             health: Health::new(),
             pace: [Pace::default(); 2],
+            quick_progress_us: 0,
         }
     }
 
@@ -55,6 +62,12 @@
         self.in_flight
     }
 
+    /// Returns the connections that this entry may hold.
+    #[must_use]
+    pub const fn connections(&self) -> u32 {
+        self.limits.connections
+    }
+
     /// Returns the health.
     #[must_use]
     pub const fn health(&self) -> &Health {
@@ -77,6 +90,7 @@
         now_us: u64,
     ) -> Candidate {
         let limit = match self.health.intake(now_us) {
+            _ if self.is_stalled(now_us) => 0,
             Intake::Open => self.limit(),
             Intake::Probe if !idempotent => 0,
             Intake::Probe | Intake::Single => 1,
@@ -94,12 +108,22 @@
     pub fn take(&mut self, class: RequestClass, idempotent: bool, now_us: u64) -> bool {
         let room = self.candidate(class, idempotent, 0, now_us).has_room();
         if room {
+            if class == RequestClass::Quick && self.in_flight == self.long_in_flight {
+                self.quick_progress_us = now_us;
+            }
             self.in_flight += 1;
             self.long_in_flight += u32::from(class == RequestClass::Long);
         }
         room
     }
 
+    /// Returns whether quick requests are in flight and none has been answered for long.
+    #[must_use]
+    pub fn is_stalled(&self, now_us: u64) -> bool {
+        let quiet_us = now_us.saturating_sub(self.quick_progress_us);
+        self.in_flight > self.long_in_flight && quiet_us > stall_us(&self.pace[0])
+    }
+
     /// Frees a slot.
     pub const fn release(&mut self, class: RequestClass) {
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -125,7 +149,10 @@
     }
 
     /// Takes in how long an answer took, beside the service's mean.
-    pub fn note_time(&mut self, class: RequestClass, took_us: u64, service: &Pace) {
+    pub fn note_time(&mut self, class: RequestClass, took_us: u64, now_us: u64, service: &Pace) {
+        if class == RequestClass::Quick {
+            self.quick_progress_us = now_us;
+        }
         let pace = &mut self.pace[class as usize];
         pace.add(took_us);
         if pace.is_slower(service, SLOW_RATIO) {
@@ -133,3 +160,10 @@
         }
     }
 }
+
+/// Returns the time without an answer after which a quick request or its server counts as
+/// stalled.
+#[must_use]
+pub fn stall_us(pace: &Pace) -> u64 {
+    (pace.mean_us() * STALL_RATIO).max(MIN_STALL_US)
+}
--- a/crates/cyclamentrail-standin/src/backend.rs
+++ b/crates/cyclamentrail-standin/src/backend.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -12,9 +13,14 @@
 use axum::routing::{any, get, post};
 use axum::{Json, Router};
 use cyclamentrail_core::InstanceName;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
 use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 
-use crate::serve::Served;
+use crate::faulty_io::{FaultyIo, WriteFault};
 
 /// Header by which a backend server says that it refused a request and ran nothing of it.
 const REFUSED_HEADER: &str = "x-refused";
@@ -22,6 +28,10 @@
 const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Header with the caller's own mark of the request, which the answer repeats.
 const CALL_ID_HEADER: &str = "x-call-id";
+/// Connections that a backend server accepts.
+const MAX_CONNECTIONS: u32 = 64;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// A fault of a backend server; set with `POST /_standin/fault`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +49,28 @@
         /// The extra time in milliseconds.
         delay_ms: u64,
     },
+    /// It refuses every request, saying that it leaves.
+    Leave,
+    /// It runs every request and then ends the connection without an answer.
+    Die,
+    /// It runs every request and ends the connection in the middle of the answer.
+    Cut,
+    /// It runs every request and answers something that isn't HTTP.
+    Garbage,
+    /// It runs every request, answers nothing and keeps the connection open.
+    HalfOpen,
+}
+
+impl BackendFault {
+    const fn write_fault(self) -> WriteFault {
+        match self {
+            Self::Die => WriteFault::End,
+            Self::Cut => WriteFault::Cut,
+            Self::Garbage => WriteFault::Garble,
+            Self::HalfOpen => WriteFault::Swallow,
+            _ => WriteFault::None,
+        }
+    }
 }
 
 /// What a backend server ran.
@@ -50,6 +82,12 @@
     pub refused: u64,
     /// Most requests that ran at once.
     pub peak_in_flight: u32,
+    /// Most connections that were open at once.
+    #[serde(default)]
+    pub peak_connections: u32,
+    /// Connections that it closed at once because too many were open.
+    #[serde(default)]
+    pub refused_connections: u64,
 }
 
 /// One run of a request.
@@ -67,7 +105,14 @@
 #[derive(Debug)]
 pub struct Backend {
     shared: Shared,
-    served: Served,
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -111,14 +156,20 @@
             .route("/_standin/fault", post(set_fault))
             .route("/{service}/{*path}", any(run))
             .with_state(shared.clone());
-        let served = Served::start(address, router).await?;
-        Ok(Self { shared, served })
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, router, shared.clone()));
+        Ok(Self {
+            shared,
+            address,
+            task,
+        })
     }
 
     /// Returns the address that it listens on.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
-        self.served.address()
+        self.address
     }
 
     /// Returns what it ran.
@@ -138,11 +189,24 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn begin(&self, service: &str, headers: &HeaderMap) -> Option<BackendFault> {
+    /// Counts a new connection; returns whether it may stay.
+    fn connected(&self, open: u32) -> bool {
         let mut state = self.lock();
-        if state.fault == BackendFault::Refuse || state.in_flight >= self.slots {
+        let allowed = open <= MAX_CONNECTIONS;
+        if allowed {
+            state.report.peak_connections = state.report.peak_connections.max(open);
+        } else {
+            state.report.refused_connections += 1;
+        }
+        allowed
+    }
+
+    fn begin(&self, service: &str, headers: &HeaderMap) -> Result<BackendFault, &'static str> {
+        let mut state = self.lock();
+        let leaves = state.fault == BackendFault::Leave;
+        if leaves || state.fault == BackendFault::Refuse || state.in_flight >= self.slots {
             state.report.refused += 1;
-            return None;
+            return Err(if leaves { "leaving" } else { "not-run" });
         }
         state.in_flight += 1;
         state.report.peak_in_flight = state.report.peak_in_flight.max(state.in_flight);
@@ -151,7 +215,7 @@
             request_id: header(headers, REQUEST_ID_HEADER),
             service: service.to_owned(),
         });
-        Some(state.fault)
+        Ok(state.fault)
     }
 }
 
@@ -172,6 +236,28 @@
         .to_owned()
 }
 
+async fn accept(listener: TcpListener, router: Router, shared: Shared) {
+    let open = Arc::new(AtomicU32::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let now_open = open.fetch_add(1, Ordering::SeqCst) + 1;
+        let faults = shared.clone();
+        let fault = move || faults.lock().fault.write_fault();
+        let io = FaultyIo::new(stream, fault, Arc::clone(&open));
+        if !shared.connected(now_open) {
+            continue;
+        }
+        let service = TowerToHyperService::new(router.clone());
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(io), service);
+        tokio::spawn(async move {
+            drop(connection.await);
+        });
+    }
+}
+
 async fn report(State(shared): State<Shared>) -> Json<BackendReport> {
     Json(shared.lock().report.clone())
 }
@@ -188,12 +274,12 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
-    let Some(fault) = shared.begin(&service, &headers) else {
-        return (
-            StatusCode::SERVICE_UNAVAILABLE,
-            [(REFUSED_HEADER, "not-run")],
-        )
-            .into_response();
+    let fault = match shared.begin(&service, &headers) {
+        Ok(fault) => fault,
+        Err(refused) => {
+            let headers = [(REFUSED_HEADER, refused)];
+            return (StatusCode::SERVICE_UNAVAILABLE, headers).into_response();
+        }
     };
     let _slot = SlotGuard(shared.clone());
     let mut work_ms = query.work_ms;
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod backend;
+mod faulty_io;
 mod list_service;
 mod log_service;
 mod log_store;
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -19,9 +19,12 @@
 use super::{ControlMessage, SubmitError};
 use crate::clock;
 use crate::timer::Ticks;
-use crate::traffic::Link;
+use crate::traffic::{Link, LinkTarget, Placement};
 use crate::view::{ServiceRoute, SharedView, View};
 
+/// Decisions about requests that a state dump shows.
+const DUMPED_DECISIONS: usize = 200;
+
 type Reply = oneshot::Sender<Result<(), SubmitError>>;
 
 /// Who this process is.
@@ -345,11 +348,11 @@
                 })
                 .map(|(_, link)| Arc::clone(link))
                 .collect();
-            let route = ServiceRoute {
-                settings: settings.clone(),
-                links,
-            };
-            services.insert(service.clone(), route);
+            let requests = &accepted.settings.requests;
+            let slots = self.links.len() * accepted.settings.worker.slots as usize;
+            let gate = self.shared.gate(service, settings, requests, slots);
+            let route = ServiceRoute::new(service.clone(), settings.clone(), links, requests, gate);
+            services.insert(service.clone(), Arc::new(route));
         }
         self.shared.publish(View {
             settings_version: accepted.version,
@@ -359,6 +362,9 @@
     }
 
     fn refresh_links(&mut self, settings: &Settings) {
+        let members = self.fleet.members().map(|(member, _)| member).collect();
+        let own = self.identity.incarnation;
+        let placement = Placement::new(settings, &self.identity.zone, own, members);
         let mut links = BTreeMap::new();
         for (name, instance) in self.fleet.instances() {
             let Some(listed) = self.list.get(name) else {
@@ -367,16 +373,20 @@
             if !takes_work(instance, listed) {
                 continue;
             }
+            let target = LinkTarget {
+                instance: name.clone(),
+                version: instance.version,
+                address: listed.address,
+                boot: listed.boot,
+                rack: placement.rack(name),
+                near: placement.is_near(name),
+            };
+            let limits = placement.limits(name);
             let link = match self.links.get(name) {
-                Some(link) if is_current(link, instance, listed) => Arc::clone(link),
-                _ => Arc::new(Link::new(
-                    name.clone(),
-                    instance.version,
-                    listed.address,
-                    listed.boot,
-                    settings.worker.slots,
-                )),
+                Some(link) if *link.target() == target => Arc::clone(link),
+                _ => Arc::new(Link::new(target, limits, placement.start())),
             };
+            link.set_limits(limits);
             links.insert(name.clone(), link);
         }
         let old = std::mem::replace(&mut self.links, links);
@@ -417,7 +427,7 @@
         let due = awaiting.contains(&self.identity.incarnation)
             && self.released.get(name) != Some(&drain.get())
             && !self.links.contains_key(name)
-            && !self.closing.iter().any(|link| &link.instance == name);
+            && !self.closing.iter().any(|link| link.instance() == name);
         due.then(|| RecordBody::DrainReleased {
             instance: name.clone(),
             drain: *drain,
@@ -429,12 +439,13 @@
             .links
             .iter()
             .map(|(name, link)| {
-                let candidate = link.candidate();
+                let state = link.state();
                 let value = json!({
-                    "address": link.address,
-                    "boot": link.boot,
-                    "in_flight": candidate.in_flight,
-                    "slots": candidate.slots,
+                    "address": link.target().address,
+                    "boot": link.target().boot,
+                    "in_flight": state.in_flight(),
+                    "limit": state.limit(),
+                    "ejected": state.health().is_ejected(),
                 });
                 (name.as_str(), value)
             })
@@ -447,6 +458,7 @@
             "pending_records": self.pending.len(),
             "fleet": self.fleet,
             "links": links,
+            "decisions": self.shared.journal().recent(DUMPED_DECISIONS).iter().map(Value::from).collect::<Vec<_>>(),
         })
     }
 }
@@ -460,7 +472,3 @@
 fn takes_work(instance: &Instance, listed: &ListedInstance) -> bool {
     instance.state == InstanceState::Serving && listed.state == ListedState::Live
 }
-
-fn is_current(link: &Link, instance: &Instance, listed: &ListedInstance) -> bool {
-    link.version == instance.version && link.address == listed.address && link.boot == listed.boot
-}
--- a/crates/cyclamentrail/src/headers.rs
+++ b/crates/cyclamentrail/src/headers.rs
@@ -8,3 +8,7 @@
 pub(crate) const REQUEST_ID: &str = "x-request-id";
 /// A backend server's word that it refused the request and ran nothing of it.
 pub(crate) const REFUSED: &str = "x-refused";
+/// Class of the request: `quick` or `long`.
+pub(crate) const CLASS: &str = "x-request-class";
+/// Team that the caller belongs to.
+pub(crate) const TEAM: &str = "x-team";
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -16,6 +16,7 @@
 use crate::view::SharedView;
 
 mod jobs;
+mod requests;
 mod waves;
 
 /// What the operators' listener shares between requests.
@@ -48,6 +49,7 @@
         .route("/v1/settings", post(change_settings))
         .merge(waves::router())
         .merge(jobs::router())
+        .merge(requests::router())
         .layer(middleware::from_fn_with_state(
             operator.clone(),
             check_token,
--- a/crates/cyclamentrail/src/traffic/dispatch.rs
+++ b/crates/cyclamentrail/src/traffic/dispatch.rs
@@ -1,92 +1,336 @@
-//! Sends one request to a backend server.
+//! Sends one request to a backend server, within its deadline and the retry budget.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use bytes::Bytes;
-use cyclamentrail_core::{NotRunReason, Outcome, UnknownReason, choose};
-use http_body_util::Full;
+use cyclamentrail_core::{
+    Ask, NotRunReason, Outcome, Refusal, RequestClass, TeamName, Tries, TryEnd, TryResult,
+    UnknownReason, stall_us,
+};
 use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
-use super::link::{Sender, Slot};
+use super::journal::Event;
+use super::link::RequestBody;
+use super::slot::Slot;
+use super::wait::take_slot;
+use crate::clock;
 use crate::headers;
 use crate::view::{ServiceRoute, SharedView};
 
-/// Tries of one request that were definitely not run before it is given up.
-const MAX_TRIES: u32 = 3;
+/// Value of the refusal's header by which a backend server says that it leaves.
+const LEAVING: &str = "leaving";
 
-/// A whole answer's head, with what must be held until its body has passed.
+/// What dispatch needs to know of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    /// The entry's id of the request.
+    pub(crate) request_id: Arc<str>,
+    /// Its class.
+    pub(crate) class: RequestClass,
+    /// Team of the caller.
+    pub(crate) team: TeamName,
+    /// Whether it may run more than once.
+    pub(crate) idempotent: bool,
+    /// When its answer is due.
+    pub(crate) deadline: Instant,
+}
+
+/// The head of an answer, with the slot that must be held until its body has passed.
 #[derive(Debug)]
 pub(crate) struct Dispatched {
     pub(crate) response: Response<Incoming>,
     pub(crate) slot: Slot,
-    pub(crate) sender: Sender,
+}
+
+/// Why there is no answer to pass on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Failure {
+    /// How the request ended.
+    pub(crate) outcome: Outcome,
+    /// Seconds after which to come back, computed from the state.
+    pub(crate) retry_after_s: Option<u64>,
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            outcome: Outcome::NotRun(refusal.reason),
+            retry_after_s: Some(refusal.retry_after_us.div_ceil(1_000_000).max(1)),
+        }
+    }
+}
+
+impl From<Outcome> for Failure {
+    fn from(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            retry_after_s: None,
+        }
+    }
+}
+
+impl Call {
+    /// Returns what admission needs to know.
+    pub(crate) fn ask(&self) -> Ask {
+        Ask {
+            class: self.class,
+            team: self.team.clone(),
+            deadline_us: clock::us_at(self.deadline.into_std()),
+        }
+    }
 }
 
 /// Sends a request and waits for the head of its answer.
 ///
+/// `next_request` is called once for each try; `None` means that the body can't be sent again.
+///
 /// # Errors
 ///
 /// Returns the outcome when there is no answer to pass on.
 pub(crate) async fn dispatch(
     shared: &Arc<SharedView>,
-    route: &ServiceRoute,
-    request: &Request<Full<Bytes>>,
-    deadline: Instant,
-) -> Result<Dispatched, Outcome> {
-    let mut reason = NotRunReason::NoInstance;
-    for _ in 0..MAX_TRIES {
-        let slot = pick(route).ok_or(Outcome::NotRun(reason))?;
-        let connected = tokio::time::timeout_at(deadline, slot.link().connect()).await;
-        let Ok(connected) = connected else {
-            return Err(Outcome::NotRun(NotRunReason::Deadline));
+    route: &Arc<ServiceRoute>,
+    call: &Call,
+    next_request: impl FnMut() -> Option<Request<RequestBody>> + Send,
+) -> Result<Dispatched, Failure> {
+    route.gate.earn();
+    let mut dispatch = Dispatch {
+        shared,
+        route,
+        call,
+        tries: Tries::new(call.idempotent, call.ask().deadline_us),
+        avoid: None,
+    };
+    let result = dispatch.run(next_request).await;
+    if let Err(failure) = &result {
+        let outcome = failure.outcome;
+        dispatch.note(Event::GivenUp { outcome });
+    }
+    result
+}
+
+/// How a try ended.
+enum Try {
+    Answered(Dispatched),
+    Ended {
+        end: TryEnd,
+        outcome: Outcome,
+        answer: Option<Dispatched>,
+    },
+}
+
+struct Dispatch<'a> {
+    shared: &'a Arc<SharedView>,
+    route: &'a Arc<ServiceRoute>,
+    call: &'a Call,
+    tries: Tries,
+    avoid: Option<u32>,
+}
+
+impl Dispatch<'_> {
+    async fn run(
+        &mut self,
+        mut next_request: impl FnMut() -> Option<Request<RequestBody>> + Send,
+    ) -> Result<Dispatched, Failure> {
+        let Some(mut request) = next_request() else {
+            return Err(Outcome::NotRun(NotRunReason::BadRequest).into());
         };
-        let mut sender = match connected {
+        loop {
+            let slot = take_slot(self.shared, self.route, self.call, self.avoid).await?;
+            let link = Arc::clone(slot.link());
+            let (end, outcome, answer) = match self.try_once(slot, request).await? {
+                Try::Answered(dispatched) => return Ok(dispatched),
+                Try::Ended {
+                    end,
+                    outcome,
+                    answer,
+                } => (end, outcome, answer),
+            };
+            self.avoid = Some(link.target().rack);
+            let pause_us = self.route.gate.next_try(&mut self.tries, end);
+            let instance = link.instance().clone();
+            self.note(Event::TryEnded {
+                instance,
+                end,
+                pause_us,
+            });
+            let again = pause_us.and_then(|pause_us| next_request().map(|again| (pause_us, again)));
+            let Some((pause_us, again)) = again else {
+                return answer.ok_or_else(|| self.failure(outcome));
+            };
+            if let Some(answer) = answer {
+                drop(answer.response);
+                answer.slot.fail(TryResult::ServerError, self.shared);
+            }
+            request = again;
+            tokio::time::sleep(Duration::from_micros(pause_us)).await;
+        }
+    }
+
+    async fn try_once(
+        &mut self,
+        mut slot: Slot,
+        request: Request<RequestBody>,
+    ) -> Result<Try, Failure> {
+        let link = Arc::clone(slot.link());
+        let left = self.call.deadline.saturating_duration_since(Instant::now());
+        let timeout = self.route.connect_timeout.min(left);
+        let mut sender = match link.connect(timeout).await {
             Ok(sender) => sender,
             Err(error) => {
-                log::warn!(instance:% = slot.link().instance, error:% = error; "connect_failed");
-                reason = NotRunReason::NoInstance;
-                continue;
+                log::info!(instance:% = link.instance(), error:% = error; "connect_failed");
+                return Ok(self.unreachable(slot));
             }
         };
-        if !shared.may_dispatch() {
-            return Err(Outcome::NotRun(NotRunReason::NoPermission));
+        if !self.shared.may_dispatch() {
+            return Err(Outcome::NotRun(NotRunReason::NoPermission).into());
         }
-        let sent = tokio::time::timeout_at(deadline, sender.send_request(request.clone())).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) if error.is_canceled() => {
-                reason = NotRunReason::NoInstance;
-                continue;
+        let instance = link.instance().clone();
+        self.note(Event::Sent { instance });
+        let sent = self.answer_head(&mut sender, request).await;
+        slot.hold(sender);
+        Ok(match sent {
+            Head::Came(response) => self.judge(slot, response),
+            Head::NotSent => self.unreachable(slot),
+            Head::Lost => self.broken(slot, TryEnd::Lost, UnknownReason::ConnectionLost),
+            Head::Stalled => self.broken(slot, TryEnd::Stalled, UnknownReason::TimedOut),
+            Head::Late => {
+                self.late(slot);
+                return Err(Outcome::Unknown(UnknownReason::TimedOut).into());
             }
-            Ok(Err(_)) => return Err(Outcome::Unknown(UnknownReason::ConnectionLost)),
-            Err(_) => return Err(Outcome::Unknown(UnknownReason::TimedOut)),
-        };
-        if is_refusal(&response) {
-            reason = NotRunReason::Refused;
-            continue;
+        })
+    }
+
+    async fn answer_head(
+        &self,
+        sender: &mut SendRequest<RequestBody>,
+        request: Request<RequestBody>,
+    ) -> Head {
+        let until = self.try_until();
+        match tokio::time::timeout_at(until, sender.send_request(request)).await {
+            Ok(Ok(response)) => Head::Came(response),
+            Ok(Err(error)) if error.is_canceled() => Head::NotSent,
+            Ok(Err(_)) => Head::Lost,
+            Err(_) if until < self.call.deadline => Head::Stalled,
+            Err(_) => Head::Late,
+        }
+    }
+
+    /// Returns when the try is given up: an idempotent quick one early, so that another can be
+    /// made in time.
+    fn try_until(&self) -> Instant {
+        let deadline = self.call.deadline;
+        if !self.call.idempotent || self.call.class == RequestClass::Long {
+            return deadline;
+        }
+        let pace = self.route.gate.pace(self.call.class);
+        let stalled = Instant::now() + Duration::from_micros(stall_us(&pace));
+        stalled.min(deadline)
+    }
+
+    fn judge(&self, slot: Slot, response: Response<Incoming>) -> Try {
+        let instance = slot.link().instance().clone();
+        let status = response.status();
+        if let Some(result) = refusal_of(&response) {
+            slot.fail(result, self.shared);
+            let outcome = Outcome::NotRun(NotRunReason::Refused);
+            let end = TryEnd::Refused;
+            return Try::Ended {
+                end,
+                outcome,
+                answer: None,
+            };
+        }
+        let dispatched = Dispatched { response, slot };
+        if is_server_error(status) && self.call.idempotent {
+            let end = TryEnd::ServerError;
+            let outcome = Outcome::Answered;
+            return Try::Ended {
+                end,
+                outcome,
+                answer: Some(dispatched),
+            };
+        }
+        let status = status.as_u16();
+        self.note(Event::Answered { instance, status });
+        Try::Answered(dispatched)
+    }
+
+    fn unreachable(&self, slot: Slot) -> Try {
+        slot.fail(TryResult::Unreachable, self.shared);
+        Try::Ended {
+            end: TryEnd::ConnectFailed,
+            outcome: Outcome::NotRun(NotRunReason::NoInstance),
+            answer: None,
+        }
+    }
+
+    fn broken(&self, slot: Slot, end: TryEnd, reason: UnknownReason) -> Try {
+        slot.fail(TryResult::Broken, self.shared);
+        let outcome = Outcome::Unknown(reason);
+        Try::Ended {
+            end,
+            outcome,
+            answer: None,
+        }
+    }
+
+    /// Ends a try at the caller's deadline, which is the server's fault when it took long.
+    fn late(&self, slot: Slot) {
+        let stalled_us = stall_us(&self.route.gate.pace(self.call.class));
+        if slot.age_us() > stalled_us {
+            slot.fail(TryResult::Broken, self.shared);
+        }
+    }
+
+    fn failure(&self, outcome: Outcome) -> Failure {
+        if !matches!(outcome, Outcome::NotRun(_)) {
+            return outcome.into();
         }
-        return Ok(Dispatched {
-            response,
-            slot,
-            sender,
-        });
+        let wait_us = self.route.gate.expected_wait_us(&self.call.ask());
+        let closed_us = self.route.closed_us();
+        Failure {
+            outcome,
+            retry_after_s: Some(wait_us.max(closed_us).div_ceil(1_000_000).max(1)),
+        }
+    }
+
+    fn note(&self, event: Event) {
+        let id = Some(&self.call.request_id);
+        self.shared.journal().note(id, event);
     }
-    Err(Outcome::NotRun(reason))
 }
 
-fn pick(route: &ServiceRoute) -> Option<Slot> {
-    let links = &route.links;
-    let index = choose(
-        links.len(),
-        |index| links[index].candidate(),
-        &mut rand::rng(),
-    )?;
-    links[index].take_slot()
+enum Head {
+    Came(Response<Incoming>),
+    NotSent,
+    Lost,
+    Stalled,
+    Late,
+}
+
+fn refusal_of(response: &Response<Incoming>) -> Option<TryResult> {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let refused = response.headers().get(headers::REFUSED)?;
+    if refused.as_bytes() == LEAVING.as_bytes() {
+        Some(TryResult::Leaving)
+    } else {
+        Some(TryResult::Refused)
+    }
 }
 
-fn is_refusal(response: &Response<Incoming>) -> bool {
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && response.headers().contains_key(headers::REFUSED)
+/// Returns whether the answer says that the backend server failed.
+pub(crate) fn is_server_error(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::INTERNAL_SERVER_ERROR
+            | StatusCode::BAD_GATEWAY
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::GATEWAY_TIMEOUT
+    )
 }
--- a/crates/cyclamentrail/src/traffic/guard.rs
+++ b/crates/cyclamentrail/src/traffic/guard.rs
@@ -1,27 +1,41 @@
 //! An answer's body that holds its slot until the whole answer has passed.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use cyclamentrail_core::TryResult;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
-use super::link::{Sender, Slot};
+use super::slot::Slot;
+use crate::view::SharedView;
 
 /// Body of an answer on its way to the caller.
 #[derive(Debug)]
 pub(crate) struct GuardedBody {
     inner: Incoming,
-    held: Option<(Slot, Sender)>,
+    held: Option<Slot>,
+    result: TryResult,
+    shared: Arc<SharedView>,
 }
 
 impl GuardedBody {
     /// Creates a body that frees the slot and keeps the connection once it is whole.
-    pub(crate) fn new(inner: Incoming, slot: Slot, sender: Sender) -> Self {
+    ///
+    /// `result` tells what a whole answer says about the server.
+    pub(crate) fn new(
+        inner: Incoming,
+        slot: Slot,
+        result: TryResult,
+        shared: Arc<SharedView>,
+    ) -> Self {
         let mut body = Self {
             inner,
-            held: Some((slot, sender)),
+            held: Some(slot),
+            result,
+            shared,
         };
         if body.inner.is_end_stream() {
             body.release();
@@ -30,8 +44,16 @@
     }
 
     fn release(&mut self) {
-        if let Some((slot, sender)) = self.held.take() {
-            slot.link().keep(sender);
+        match self.held.take() {
+            Some(slot) if self.result == TryResult::Served => slot.finish(&self.shared),
+            Some(slot) => slot.fail(self.result, &self.shared),
+            None => {}
+        }
+    }
+
+    fn cut(&mut self) {
+        if let Some(slot) = self.held.take() {
+            slot.fail(TryResult::Broken, &self.shared);
         }
     }
 }
@@ -48,7 +70,7 @@
         let polled = Pin::new(&mut this.inner).poll_frame(cx);
         match &polled {
             Poll::Ready(None) => this.release(),
-            Poll::Ready(Some(Err(_))) => this.held = None,
+            Poll::Ready(Some(Err(_))) => this.cut(),
             Poll::Ready(Some(Ok(_))) if this.inner.is_end_stream() => this.release(),
             _ => {}
         }
--- a/crates/cyclamentrail/src/traffic/link.rs
+++ b/crates/cyclamentrail/src/traffic/link.rs
@@ -1,19 +1,35 @@
 //! The link from this entry to one backend server.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
-use cyclamentrail_core::{BootId, Candidate, InstanceName, Version};
+use cyclamentrail_core::{
+    BootId, Candidate, HealthChange, InstanceName, LinkLimits, LinkState, Pace, RequestClass,
+    TryResult, Turn, Version,
+};
 use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-/// Requests that this entry has at one backend server, with its idle connections.
-#[derive(Debug)]
-pub(crate) struct Link {
+use super::gate::Waiter;
+use crate::clock;
+
+/// Time for which a kept connection may finish its last exchange.
+const READY_TIMEOUT: Duration = Duration::from_millis(5);
+
+/// Body of a request on its way to a backend server.
+pub(crate) type RequestBody = Full<Bytes>;
+
+/// A connection that can take one request at a time.
+pub(crate) type Sender = SendRequest<RequestBody>;
+
+/// What a link leads to; a change of any of these makes it another link.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct LinkTarget {
     /// The instance.
     pub(crate) instance: InstanceName,
     /// Version of the instance that the link belongs to.
@@ -22,61 +38,124 @@
     pub(crate) address: SocketAddr,
     /// Boot that the address belongs to.
     pub(crate) boot: BootId,
-    slots: u32,
-    in_flight: AtomicU32,
+    /// Number of the rack that it stands in.
+    pub(crate) rack: u32,
+    /// Whether it stands in the entry's own availability zone.
+    pub(crate) near: bool,
+}
+
+/// Requests that this entry has at one backend server, with its idle connections.
+#[derive(Debug)]
+pub(crate) struct Link {
+    target: LinkTarget,
     closed: AtomicBool,
+    state: Mutex<LinkState>,
     idle: Mutex<Vec<Sender>>,
 }
 
-/// A connection that can take one request at a time.
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
-
 impl Link {
-    /// Creates a link without connections.
-    pub(crate) const fn new(
-        instance: InstanceName,
-        version: Version,
-        address: SocketAddr,
-        boot: BootId,
-        slots: u32,
-    ) -> Self {
+    /// Creates a link without connections that starts with `start` slots.
+    pub(crate) fn new(target: LinkTarget, limits: LinkLimits, start: u32) -> Self {
         Self {
-            instance,
-            version,
-            address,
-            boot,
-            slots,
-            in_flight: AtomicU32::new(0),
+            target,
             closed: AtomicBool::new(false),
+            state: Mutex::new(LinkState::new(limits, start)),
             idle: Mutex::new(Vec::new()),
         }
     }
 
+    /// Returns what the link leads to.
+    pub(crate) const fn target(&self) -> &LinkTarget {
+        &self.target
+    }
+
+    /// Returns the instance.
+    pub(crate) const fn instance(&self) -> &InstanceName {
+        &self.target.instance
+    }
+
+    /// Sets new limits.
+    pub(crate) fn set_limits(&self, limits: LinkLimits) {
+        self.lock_state().set_limits(limits);
+    }
+
+    /// Returns a copy of the state.
+    pub(crate) fn state(&self) -> LinkState {
+        self.lock_state().clone()
+    }
+
+    /// Returns whether the link is out of routing because its server is bad.
+    pub(crate) fn is_ejected(&self) -> bool {
+        self.lock_state().health().is_ejected()
+    }
+
     /// Returns what routing needs to know.
-    pub(crate) fn candidate(&self) -> Candidate {
+    pub(crate) fn candidate(&self, class: RequestClass, idempotent: bool) -> Candidate {
+        let rack = self.target.rack;
+        let now_us = clock::now_us();
+        let candidate = self.lock_state().candidate(class, idempotent, rack, now_us);
+        let open = !self.closed.load(Ordering::SeqCst);
         Candidate {
-            in_flight: self.in_flight.load(Ordering::Relaxed),
-            slots: self.slots,
+            limit: if open { candidate.limit } else { 0 },
+            ..candidate
         }
     }
 
-    /// Takes a slot; `None` when the link is closed or full.
-    pub(crate) fn take_slot(self: &Arc<Self>) -> Option<Slot> {
-        let before = self.in_flight.fetch_add(1, Ordering::SeqCst);
-        let slot = Slot(Arc::clone(self));
-        let usable = before < self.slots && !self.closed.load(Ordering::SeqCst);
-        usable.then_some(slot)
+    /// Takes a slot; returns whether there was one.
+    pub(crate) fn take(&self, class: RequestClass, idempotent: bool) -> bool {
+        let mut state = self.lock_state();
+        let open = !self.closed.load(Ordering::SeqCst);
+        open && state.take(class, idempotent, clock::now_us())
+    }
+
+    /// Frees a slot and lets the request that `next` returns have it.
+    ///
+    /// `next` is told which classes of requests the server has room for.
+    pub(crate) fn pass_on(
+        &self,
+        freed: RequestClass,
+        next: impl FnOnce(&dyn Fn(RequestClass) -> bool) -> Turn<Waiter>,
+    ) -> Turn<Waiter> {
+        let now_us = clock::now_us();
+        let mut state = self.lock_state();
+        state.release(freed);
+        let open = !self.closed.load(Ordering::SeqCst);
+        let turn = next(&|class| open && state.candidate(class, false, 0, now_us).has_room());
+        if let Some(waiter) = &turn.taken {
+            state.take(waiter.class, false, now_us);
+        }
+        turn
+    }
+
+    /// Takes in how a try went.
+    pub(crate) fn note(&self, result: TryResult, spare: bool) -> Option<HealthChange> {
+        self.lock_state()
+            .note(result, clock::now_us(), spare, rand::random())
+    }
+
+    /// Takes in how long an answer took.
+    pub(crate) fn note_time(&self, class: RequestClass, took_us: u64, service: &Pace) {
+        self.lock_state()
+            .note_time(class, took_us, clock::now_us(), service);
+    }
+
+    /// Closes the idle connections.
+    pub(crate) fn drop_idle(&self) {
+        self.lock_idle().clear();
     }
 
     /// Closes the link to new work; work in flight goes on.
     pub(crate) fn close(&self) {
+        let state = self.lock_state();
         self.closed.store(true, Ordering::SeqCst);
+        drop(state);
         self.lock_idle().clear();
     }
 
     /// Returns whether the link is closed and nothing is in flight.
     pub(crate) fn is_released(&self) -> bool {
-        self.closed.load(Ordering::SeqCst) && self.in_flight.load(Ordering::SeqCst) == 0
+        let state = self.lock_state();
+        self.closed.load(Ordering::SeqCst) && state.in_flight() == 0
     }
 
     /// Returns an idle connection, or opens one.
@@ -84,13 +163,15 @@
     /// # Errors
     ///
     /// Returns the error of connecting; nothing was sent then.
-    pub(crate) async fn connect(&self) -> anyhow::Result<Sender> {
-        while let Some(sender) = self.pop_idle() {
-            if sender.is_ready() {
+    pub(crate) async fn connect(&self, timeout: Duration) -> anyhow::Result<Sender> {
+        while let Some(mut sender) = self.pop_idle() {
+            let ready = tokio::time::timeout(READY_TIMEOUT, sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
                 return Ok(sender);
             }
         }
-        let stream = TcpStream::connect(self.address).await?;
+        let address = self.target.address;
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         let (sender, connection) = handshake(TokioIo::new(stream)).await?;
         tokio::spawn(async move {
@@ -101,10 +182,14 @@
         Ok(sender)
     }
 
-    /// Keeps a connection for the next request.
+    /// Keeps a connection for the next request, within the limit of connections.
     pub(crate) fn keep(&self, sender: Sender) {
-        if !self.closed.load(Ordering::SeqCst) {
-            self.lock_idle().push(sender);
+        let in_use = self.lock_state().in_flight().saturating_sub(1);
+        let limit = self.lock_state().connections();
+        let mut idle = self.lock_idle();
+        let open = !self.closed.load(Ordering::SeqCst);
+        if open && idle.len() + (in_use as usize) < limit as usize {
+            idle.push(sender);
         }
     }
 
@@ -112,24 +197,11 @@
         self.lock_idle().pop()
     }
 
-    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<Sender>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock_state(&self) -> MutexGuard<'_, LinkState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
-}
 
-/// One slot of a link; dropping it frees the slot.
-#[derive(Debug)]
-pub(crate) struct Slot(Arc<Link>);
-
-impl Slot {
-    /// Returns the link of the slot.
-    pub(crate) const fn link(&self) -> &Arc<Link> {
-        &self.0
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+    fn lock_idle(&self) -> MutexGuard<'_, Vec<Sender>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -11,11 +11,12 @@
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use axum::response::Response;
 use axum::routing::{any, get};
-use cyclamentrail_core::{Incarnation, NotRunReason, Outcome, ServiceName};
+use cyclamentrail_core::{Incarnation, NotRunReason, Outcome, ServiceName, TryResult};
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::Instant;
 
-use super::dispatch::{Dispatched, dispatch};
+use super::call::call_of;
+use super::dispatch::{Dispatched, Failure, dispatch, is_server_error};
 use super::guard::GuardedBody;
 use super::jobs;
 use crate::body::{Problem, outcome_text};
@@ -85,8 +86,8 @@
 ) -> Response {
     let request_id = traffic.next_request_id();
     match try_request(&traffic, &service, request, &request_id).await {
-        Ok(dispatched) => pass_on(dispatched, &request_id),
-        Err(outcome) => explain(outcome, &service, request_id),
+        Ok(dispatched) => pass_on(&traffic.shared, dispatched, &request_id),
+        Err(failure) => explain(failure, &service, request_id),
     }
 }
 
@@ -95,16 +96,17 @@
     service: &ServiceName,
     request: Request,
     request_id: &str,
-) -> Result<Dispatched, Outcome> {
+) -> Result<Dispatched, Failure> {
     let view = traffic.shared.load();
     let (Some(settings), Some(route)) = (&view.settings, view.services.get(service)) else {
-        return Err(Outcome::NotRun(NotRunReason::NoSuchService));
+        return Err(Outcome::NotRun(NotRunReason::NoSuchService).into());
     };
     let deadline =
         Instant::now() + deadline_of(request.headers(), route, settings.requests.max_deadline_ms);
     let max_body_bytes = usize::try_from(settings.requests.max_body_bytes).unwrap_or(usize::MAX);
+    let call = call_of(&request, request_id, deadline);
     let request = forwarded(service, request, request_id, max_body_bytes).await?;
-    dispatch(&traffic.shared, route, &request, deadline).await
+    dispatch(&traffic.shared, route, &call, || Some(request.clone())).await
 }
 
 fn deadline_of(headers: &HeaderMap, route: &ServiceRoute, longest: Duration) -> Duration {
@@ -148,12 +150,13 @@
     Ok(Request::from_parts(parts, Full::new(body)))
 }
 
-fn pass_on(dispatched: Dispatched, request_id: &str) -> Response {
-    let Dispatched {
-        response,
-        slot,
-        sender,
-    } = dispatched;
+fn pass_on(shared: &Arc<SharedView>, dispatched: Dispatched, request_id: &str) -> Response {
+    let Dispatched { response, slot } = dispatched;
+    let result = if is_server_error(response.status()) {
+        TryResult::ServerError
+    } else {
+        TryResult::Served
+    };
     let (mut parts, body) = response.into_parts();
     parts.headers.remove(CONNECTION);
     parts.headers.remove(TRANSFER_ENCODING);
@@ -166,10 +169,12 @@
             .headers
             .insert(HeaderName::from_static(headers::REQUEST_ID), id);
     }
-    Response::from_parts(parts, Body::new(GuardedBody::new(body, slot, sender)))
+    let body = GuardedBody::new(body, slot, result, Arc::clone(shared));
+    Response::from_parts(parts, Body::new(body))
 }
 
-fn explain(outcome: Outcome, service: &ServiceName, request_id: String) -> Response {
+fn explain(failure: Failure, service: &ServiceName, request_id: String) -> Response {
+    let outcome = failure.outcome;
     log::info!(service:% = service, request = request_id, outcome:? = outcome; "request_failed");
     let (status, title, detail, retry_after_s) = match outcome {
         Outcome::NotRun(NotRunReason::NoSuchService) => (
@@ -188,7 +193,7 @@
             503,
             "Not run",
             format!("the request was not run ({reason:?}); send it again later"),
-            Some(RETRY_AFTER_S),
+            failure.retry_after_s.or(Some(RETRY_AFTER_S)),
         ),
         Outcome::Unknown(reason) => (
             504,
