--- /dev/null
+++ b/crates/cyclamentrail-core/tests/admit.rs
@@ -0,0 +1,184 @@
+//! Queues by class and team, and admission by deadline.
+
+use std::collections::BTreeSet;
+
+use cyclamentrail_core::{
+    Admission, AdmitLimits, Ask, NotRunReason, RequestClass, TeamName, Ticket,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const SEED: u64 = 4;
+const LIMITS: AdmitLimits = AdmitLimits {
+    max_waiting: 8,
+    start_interval_us: 1_000,
+};
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn ask(class: RequestClass, team: &str, deadline_us: u64) -> Ask {
+    Ask {
+        class,
+        team: TeamName::from(team),
+        deadline_us,
+    }
+}
+
+fn quick(team: &str, deadline_us: u64) -> Ask {
+    ask(RequestClass::Quick, team, deadline_us)
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Enqueue {
+        team: usize,
+        long: bool,
+        left_us: u64,
+    },
+    Next {
+        long: bool,
+    },
+    Leave(usize),
+    Sweep,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        5 => (0_usize..4, any::<bool>(), 0_u64..20_000)
+            .prop_map(|(team, long, left_us)| Step::Enqueue { team, long, left_us }),
+        3 => any::<bool>().prop_map(|long| Step::Next { long }),
+        1 => (0_usize..50).prop_map(Step::Leave),
+        1 => Just(Step::Sweep),
+    ];
+    prop::collection::vec(step, 0..120)
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn each_ends_once(steps in steps()) {
+        let mut admission = Admission::new(LIMITS);
+        let mut waiting = BTreeSet::new();
+        let mut tickets: Vec<(usize, Ticket)> = Vec::new();
+        let mut now_us = 0;
+        for (number, step) in steps.into_iter().enumerate() {
+            now_us += 700;
+            match step {
+                Step::Enqueue { team, long, left_us } => {
+                    let class = if long { RequestClass::Long } else { RequestClass::Quick };
+                    let ask = ask(class, ["a", "b", "c", "d"][team], now_us + left_us);
+                    if let Ok(queued) = admission.enqueue(&ask, now_us, number) {
+                        waiting.insert(number);
+                        tickets.push((number, queued.ticket));
+                        if let Some((evicted, _)) = queued.evicted {
+                            prop_assert!(waiting.remove(&evicted));
+                        }
+                    }
+                }
+                Step::Next { long } => {
+                    let freed = if long { RequestClass::Long } else { RequestClass::Quick };
+                    let turn = admission.next(freed, now_us, |_class| true);
+                    for (late, refusal) in turn.late {
+                        prop_assert!(waiting.remove(&late));
+                        prop_assert_eq!(refusal.reason, NotRunReason::Deadline);
+                    }
+                    match turn.taken {
+                        Some(taken) => prop_assert!(waiting.remove(&taken)),
+                        None => prop_assert!(waiting.is_empty()),
+                    }
+                }
+                Step::Leave(index) => {
+                    if let Some((number, ticket)) = tickets.get(index) {
+                        let removed = admission.remove(ticket);
+                        prop_assert_eq!(removed.is_some(), waiting.remove(number));
+                    }
+                }
+                Step::Sweep => {
+                    for (late, _) in admission.sweep(now_us) {
+                        prop_assert!(waiting.remove(&late));
+                    }
+                }
+            }
+            let held = admission.waiting(RequestClass::Quick) + admission.waiting(RequestClass::Long);
+            prop_assert_eq!(held, waiting.len());
+            prop_assert!(admission.waiting(RequestClass::Quick) <= 8);
+        }
+    }
+}
+
+#[test]
+fn late_refused_at_once() {
+    let mut admission = Admission::new(LIMITS);
+    for number in 0..4 {
+        admission
+            .enqueue(&quick("a", 1_000_000), 0, number)
+            .expect("it can be in time");
+    }
+    let refusal = admission
+        .enqueue(&quick("a", 2_000), 0, 4)
+        .expect_err("four are ahead of it");
+    assert_eq!(refusal.reason, NotRunReason::Deadline);
+    assert_eq!(refusal.retry_after_us, 3_000);
+}
+
+#[test]
+fn other_team_goes_ahead() {
+    let mut admission = Admission::new(LIMITS);
+    for number in 0..8 {
+        admission
+            .enqueue(&quick("large", 1_000_000), 0, number)
+            .expect("the queue has room");
+    }
+    let queued = admission
+        .enqueue(&quick("small", 1_000_000), 0, 8)
+        .expect("the large team makes room");
+    let (evicted, refusal) = queued.evicted.expect("the queue was full");
+    assert_eq!((evicted, refusal.reason), (7, NotRunReason::TeamShare));
+    let full = admission.enqueue(&quick("large", 1_000_000), 0, 9);
+    assert_eq!(
+        full.map(|_| ()).map_err(|refusal| refusal.reason),
+        Err(NotRunReason::QueueFull)
+    );
+    let order: Vec<i32> = (0..2)
+        .filter_map(|_| admission.next_of(RequestClass::Quick, 0).taken)
+        .collect();
+    assert_eq!(order, [0, 8]);
+}
+
+#[test]
+fn long_never_first() {
+    let mut admission = Admission::new(LIMITS);
+    for number in 0..8 {
+        let class = if number < 4 {
+            RequestClass::Long
+        } else {
+            RequestClass::Quick
+        };
+        admission
+            .enqueue(&ask(class, "a", 1_000_000), 0, number)
+            .expect("the queue has room");
+    }
+    let order: Vec<i32> = (0..5)
+        .filter_map(|_| admission.next(RequestClass::Quick, 0, |_class| true).taken)
+        .collect();
+    assert_eq!(order, [4, 5, 6, 0, 7]);
+}
+
+#[test]
+fn stall_raises_wait() {
+    let mut admission = Admission::new(LIMITS);
+    admission
+        .enqueue(&quick("a", 10_000_000), 0, 0)
+        .expect("the queue is empty");
+    let team = TeamName::from("b");
+    let wait_us = |now_us| admission.expected_wait_us(RequestClass::Quick, &team, now_us);
+    assert!(wait_us(1_000_000) > wait_us(1_000) + 900_000);
+}
--- /dev/null
+++ b/crates/cyclamentrail-core/tests/eject.rs
@@ -0,0 +1,111 @@
+//! Ejection of bad servers and their return.
+
+use cyclamentrail_core::{Health, HealthChange, Intake, TryResult, may_eject};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+const SEED: u64 = 4;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn failures_until_closed(result: TryResult) -> usize {
+    let mut health = Health::new();
+    let tries = std::iter::from_fn(|| {
+        health.note(result, 0, true, 0.5);
+        (!health.is_ejected()).then_some(())
+    });
+    tries.take(100).count() + 1
+}
+
+#[rstest]
+#[case(TryResult::Unreachable, 1)]
+#[case(TryResult::Leaving, 1)]
+#[case(TryResult::Broken, 2)]
+#[case(TryResult::ServerError, 5)]
+fn ejects_soon(#[case] result: TryResult, #[case] tries: usize) {
+    assert_eq!(failures_until_closed(result), tries);
+}
+
+#[test]
+fn probes_then_returns() {
+    let mut health = Health::new();
+    health.note(TryResult::Unreachable, 0, true, 1.0);
+    assert_eq!(health.intake(499_999), Intake::Closed);
+    assert_eq!(health.intake(500_000), Intake::Probe);
+    assert_eq!(health.intake(1_500_000), Intake::Single);
+    health.note(TryResult::Unreachable, 500_000, true, 1.0);
+    assert_eq!(health.intake(1_400_000), Intake::Closed);
+    let change = health.note(TryResult::Served, 1_600_000, true, 1.0);
+    assert_eq!(change, Some(HealthChange::Recovered));
+    assert_eq!(health.intake(1_600_000), Intake::Open);
+}
+
+#[test]
+fn spared_is_throttled() {
+    let mut health = Health::new();
+    let mut changes = (0..3).filter_map(|_| health.note(TryResult::Broken, 0, false, 0.5));
+    assert_eq!(changes.next(), Some(HealthChange::Throttled));
+    assert_eq!(changes.next(), None);
+    assert!(!health.is_ejected());
+    assert_eq!(health.intake(10_000_000), Intake::Single);
+}
+
+#[test]
+fn refusals_pause() {
+    let mut health = Health::new();
+    let mut now_us = 0;
+    for _ in 0..20 {
+        health.note(TryResult::Refused, now_us, true, 1.0);
+        assert_eq!(health.intake(now_us), Intake::Closed);
+        now_us = health.closed_until_us();
+    }
+    assert!(now_us > 1_000_000, "{now_us}");
+    assert_eq!(health.intake(now_us), Intake::Open);
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn promise_kept(failing in prop::collection::vec(any::<bool>(), 1..20), promised in 0_u32..20) {
+        let mut fleet = vec![Health::new(); failing.len()];
+        for round in 0..10 {
+            for index in 0..fleet.len() {
+                if !failing[index] {
+                    continue;
+                }
+                let ejected = fleet.iter().filter(|health| health.is_ejected()).count();
+                let others = ejected - usize::from(fleet[index].is_ejected());
+                let spare = may_eject(fleet.len(), others, promised);
+                fleet[index].note(TryResult::Broken, round, spare, 0.5);
+                let left = fleet.iter().filter(|health| !health.is_ejected()).count();
+                prop_assert!(left >= (promised as usize).min(fleet.len()));
+            }
+        }
+    }
+
+    #[test]
+    fn always_returns(results in prop::collection::vec(0_usize..6, 0..60)) {
+        let all = [
+            TryResult::Served, TryResult::Refused, TryResult::Leaving,
+            TryResult::Unreachable, TryResult::ServerError, TryResult::Broken,
+        ];
+        let mut health = Health::new();
+        let mut now_us = 0;
+        for result in results {
+            health.note(all[result], now_us, true, 0.5);
+            prop_assert!(health.closed_until_us().saturating_sub(now_us) <= 30_000_000);
+            now_us += 100_000;
+        }
+        now_us = health.closed_until_us().max(now_us);
+        prop_assert_ne!(health.intake(now_us), Intake::Closed);
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-core/tests/route.rs
@@ -0,0 +1,89 @@
+//! Choice of the instance that a request is sent to.
+
+use cyclamentrail_core::{Candidate, Pool, choose};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const SEED: u64 = 4;
+const RACK_SIZE: usize = 4;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn candidate(index: usize, in_flight: u32, limit: u32) -> Candidate {
+    let rack = u32::try_from(index / RACK_SIZE).expect("few racks");
+    Candidate {
+        in_flight,
+        limit,
+        rack,
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn takes_room(
+        loads in prop::collection::vec((0_u32..10, 0_u32..9), 0..28),
+        near in 0_usize..28,
+        avoid in prop::option::of(0_u32..7),
+        seed in any::<u64>(),
+    ) {
+        let describe = |index: usize| candidate(index, loads[index].0, loads[index].1);
+        let pool = Pool { near, count: loads.len(), avoid };
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let choice = choose(pool, describe, &mut random);
+        let any_room = (0..loads.len()).any(|index| describe(index).has_room());
+        prop_assert_eq!(choice.index.is_some(), any_room);
+        if let Some(index) = choice.index {
+            prop_assert!(describe(index).has_room());
+            let elsewhere = (0..loads.len())
+                .any(|other| describe(other).has_room() && Some(describe(other).rack) != avoid);
+            prop_assert!(!elsewhere || Some(describe(index).rack) != avoid);
+        }
+    }
+}
+
+#[rstest]
+#[case::near_idle(0, 0, true)]
+#[case::near_loaded(6, 0, false)]
+#[case::both_loaded(6, 6, true)]
+fn prefers_zone(#[case] near_load: u32, #[case] far_load: u32, #[case] stays: bool) {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let pool = Pool {
+        near: 3,
+        count: 9,
+        avoid: None,
+    };
+    for _ in 0..100 {
+        let load = |index| if index < 3 { near_load } else { far_load };
+        let choice = choose(pool, |index| candidate(index, load(index), 8), &mut random);
+        assert_eq!(choice.index.is_some_and(|index| index < 3), stays);
+    }
+}
+
+#[rstest]
+#[case(10)]
+#[case(100)]
+#[case(1_400)]
+fn looks_stay_few(#[case] count: usize) {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let pool = Pool {
+        near: count / 3,
+        count,
+        avoid: None,
+    };
+    for in_flight in [0, 8] {
+        let choice = choose(pool, |index| candidate(index, in_flight, 8), &mut random);
+        assert!(choice.looked_at <= 32, "{choice:?}");
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-core/tests/share.rs
@@ -0,0 +1,118 @@
+//! Sharing a server's slots among entries.
+
+use cyclamentrail_core::{
+    HomeRing, Incarnation, InstanceName, LinkLimits, LinkState, RequestClass, TryResult, long_slots,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const SEED: u64 = 4;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn members(count: usize) -> Vec<Incarnation> {
+    (1..=count as u64).map(Incarnation::new).collect()
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Take(bool),
+    Release(bool),
+    Note(TryResult),
+}
+
+fn class(long: bool) -> RequestClass {
+    if long {
+        RequestClass::Long
+    } else {
+        RequestClass::Quick
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => any::<bool>().prop_map(Step::Take),
+        3 => any::<bool>().prop_map(Step::Release),
+        1 => Just(Step::Note(TryResult::Served)),
+        1 => Just(Step::Note(TryResult::Refused)),
+        1 => Just(Step::Note(TryResult::Broken)),
+    ];
+    prop::collection::vec(step, 0..200)
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn limits_hold(steps in steps(), slots in 1_u32..9, connections in 1_u32..9, long in 0_u32..4) {
+        let limits = LinkLimits { slots, connections, long };
+        let mut link = LinkState::new(limits, slots);
+        let mut held = [0_u32; 2];
+        let mut now_us = 0;
+        for step in steps {
+            now_us += 50_000;
+            match step {
+                Step::Take(is_long) => {
+                    if link.take(class(is_long), true, now_us) {
+                        held[usize::from(is_long)] += 1;
+                    }
+                }
+                Step::Release(is_long) if held[usize::from(is_long)] > 0 => {
+                    held[usize::from(is_long)] -= 1;
+                    link.release(class(is_long));
+                }
+                Step::Release(_) => {}
+                Step::Note(result) => {
+                    link.note(result, now_us, true, 0.5);
+                }
+            }
+            prop_assert_eq!(link.in_flight(), held[0] + held[1]);
+            prop_assert!(link.in_flight() <= slots.min(connections));
+            prop_assert!(held[1] <= long);
+        }
+    }
+
+    #[test]
+    fn long_leaves_room(count in 1_usize..12, slots in 1_u32..17, reserved in 0_u32..4, name in "[a-z]{1,6}") {
+        let members = members(count);
+        let instance = InstanceName::from(name);
+        let sum: u32 = members
+            .iter()
+            .map(|&own| long_slots(&instance, own, &members, slots, reserved))
+            .sum();
+        prop_assert_eq!(sum, slots.saturating_sub(reserved));
+    }
+
+    #[test]
+    fn ring_is_even(servers in 1_usize..64, count in 1_usize..10) {
+        let ring = HomeRing::new(servers, &members(count));
+        let mut homes = vec![0_usize; count];
+        for server in 0..servers {
+            homes[ring.home(server).expect("every server has a home")] += 1;
+        }
+        prop_assert!(homes.iter().all(|&owned| owned <= servers.div_ceil(count)));
+    }
+}
+
+#[test]
+fn stalled_gets_none() {
+    let limits = LinkLimits {
+        slots: 8,
+        connections: 64,
+        long: 6,
+    };
+    let mut link = LinkState::new(limits, 8);
+    assert!(link.take(RequestClass::Quick, true, 0));
+    assert!(link.take(RequestClass::Quick, true, 400_000));
+    assert!(!link.take(RequestClass::Quick, true, 600_000));
+    link.release(RequestClass::Quick);
+    link.release(RequestClass::Quick);
+    assert!(link.take(RequestClass::Quick, true, 600_000));
+}
