--- a/crates/cyclamentrail-bench/src/lib.rs
+++ b/crates/cyclamentrail-bench/src/lib.rs
@@ -11,5 +11,6 @@
 //! ```
 
 mod bounds;
+pub mod requests;
 
 pub use bounds::{Bound, Bounds, Figure};
--- /dev/null
+++ b/crates/cyclamentrail-bench/src/requests/server.rs
@@ -0,0 +1,76 @@
+//! A server with slots.
+
+use super::scenario::{SLOTS, Scenario};
+
+/// Factor by which a slow server takes longer.
+const SLOW_FACTOR: u64 = 20;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    Slow,
+    FailAll,
+    Refuse,
+}
+
+/// A server, which refuses what finds no free slot.
+#[derive(Debug)]
+pub(crate) struct Server {
+    running: u32,
+    fault: Fault,
+    from_us: u64,
+    until_us: u64,
+    pub(crate) busy_us: u64,
+    pub(crate) refused: u64,
+}
+
+impl Server {
+    /// Creates the server at an index; in a brown-out, the first three are bad for half the run.
+    pub(crate) fn new(index: usize, scenario: &Scenario) -> Self {
+        let fault = match index {
+            0 if scenario.brown_out => Fault::Slow,
+            1 if scenario.brown_out => Fault::FailAll,
+            2 if scenario.brown_out => Fault::Refuse,
+            _ => Fault::None,
+        };
+        Self {
+            running: 0,
+            fault,
+            from_us: scenario.end_us() / 4,
+            until_us: scenario.end_us() * 3 / 4,
+            busy_us: 0,
+            refused: 0,
+        }
+    }
+
+    /// Starts a request and returns the time that it takes, or `None` when it is refused.
+    pub(crate) fn start(&mut self, work_us: u64, now_us: u64) -> Option<u64> {
+        let fault = self.fault_at(now_us);
+        if fault == Fault::Refuse || self.running >= SLOTS {
+            self.refused += 1;
+            return None;
+        }
+        self.running += 1;
+        let took_us = match fault {
+            Fault::Slow => work_us * SLOW_FACTOR,
+            Fault::FailAll => work_us / SLOW_FACTOR,
+            _ => work_us,
+        };
+        self.busy_us += took_us;
+        Some(took_us)
+    }
+
+    /// Ends a request; returns whether it was answered well.
+    pub(crate) fn end(&mut self, now_us: u64) -> bool {
+        self.running -= 1;
+        self.fault_at(now_us) != Fault::FailAll
+    }
+
+    const fn fault_at(&self, now_us: u64) -> Fault {
+        if self.from_us <= now_us && now_us < self.until_us {
+            self.fault
+        } else {
+            Fault::None
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-bench/src/requests/simulation.rs
@@ -0,0 +1,594 @@
+//! Runs a trace in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use cyclamentrail_core::{
+    HomeRing, Incarnation, NotRunReason, Refusal, RequestClass, Ticket, Tries, TryEnd, TryResult,
+    may_eject, stall_us,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::entry::{Entry, rack_of};
+use super::policy::{Policy, Sharing};
+use super::report::RunReport;
+use super::scenario::{SLOTS, Scenario};
+use super::server::Server;
+use super::trace::{Arrival, trace};
+
+/// Fixed timeout of the baseline in microseconds.
+const FIXED_TIMEOUT_US: u64 = 250_000;
+/// Retries of the baseline.
+const FIXED_RETRIES: u32 = 3;
+/// Interval of sweeps and gossip in microseconds.
+const TICK_US: u64 = 10_000;
+/// Time in microseconds that a message between entries takes.
+const PASS_US: u64 = 500;
+/// Mean times after which a second try is sent, where there is hedging.
+const HEDGE_RATIO: u64 = 3;
+/// Servers that the contract promises.
+const PROMISED: u32 = 6;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Pass { request: usize, to: usize },
+    Reach(usize),
+    Done(usize),
+    Reply { attempt: usize, result: Reply },
+    TimeOut(usize),
+    Hedge(usize),
+    Retry(usize),
+    Tick,
+    Members { leaves: bool },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Reply {
+    Served,
+    Refused,
+    Error,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Attempt {
+    request: usize,
+    entry: usize,
+    server: usize,
+    started_us: u64,
+    open: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    entry: usize,
+    tries: Tries,
+    fixed_retries: u32,
+    avoid: Option<u32>,
+    ended: bool,
+    hedged: bool,
+    ticket: Option<Ticket>,
+}
+
+struct Simulation {
+    policy: Policy,
+    scenario: Scenario,
+    now_us: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    arrivals: Vec<Arrival>,
+    states: Vec<State>,
+    attempts: Vec<Attempt>,
+    servers: Vec<Server>,
+    entries: Vec<Entry>,
+    report: RunReport,
+    random: ChaCha8Rng,
+    useful_us: u64,
+}
+
+/// Runs the scenario's trace under a policy and counts what became of the requests.
+#[must_use]
+pub fn run(scenario: &Scenario, policy: Policy) -> RunReport {
+    let mut simulation = Simulation::new(scenario, policy);
+    simulation.run();
+    simulation.report
+}
+
+impl Simulation {
+    fn new(scenario: &Scenario, policy: Policy) -> Self {
+        let arrivals = trace(scenario);
+        let state = |arrival: &Arrival| State {
+            entry: 0,
+            tries: Tries::new(arrival.idempotent, arrival.deadline_us),
+            fixed_retries: 0,
+            avoid: None,
+            ended: false,
+            hedged: false,
+            ticket: None,
+        };
+        let mut simulation = Self {
+            policy,
+            scenario: *scenario,
+            now_us: 0,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            states: arrivals.iter().map(state).collect(),
+            attempts: Vec::new(),
+            servers: (0..scenario.servers)
+                .map(|index| Server::new(index, scenario))
+                .collect(),
+            entries: (0..scenario.entries)
+                .map(|index| Entry::new(index, scenario))
+                .collect(),
+            report: RunReport::default(),
+            random: ChaCha8Rng::seed_from_u64(scenario.seed),
+            arrivals,
+            useful_us: 0,
+        };
+        for index in 0..simulation.arrivals.len() {
+            simulation.at(simulation.arrivals[index].at_us, Event::Arrive(index));
+        }
+        if scenario.churn {
+            simulation.at(scenario.end_us() / 10, Event::Members { leaves: true });
+            simulation.at(scenario.end_us() / 7, Event::Members { leaves: false });
+        }
+        simulation.at(TICK_US, Event::Tick);
+        simulation.refresh_members();
+        simulation
+    }
+
+    fn at(&mut self, at_us: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at_us, self.sequence, event)));
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((at_us, _, event))) = self.events.pop() {
+            self.now_us = at_us;
+            self.handle(event);
+        }
+        let busy_us: u64 = self.servers.iter().map(|server| server.busy_us).sum();
+        let slots = self.scenario.servers as u64 * u64::from(SLOTS);
+        self.report.utilisation = busy_us as f64 / (slots * self.scenario.end_us()) as f64;
+        self.report.useful = self.useful_us as f64 / (slots * self.scenario.end_us()) as f64;
+        self.report.server_refusals = self.servers.iter().map(|server| server.refused).sum();
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(request),
+            Event::Pass { request, to } => self.start(request, to, false),
+            Event::Reach(attempt) => self.reach(attempt),
+            Event::Done(attempt) => self.done(attempt),
+            Event::Reply { attempt, result } => self.reply(attempt, result),
+            Event::TimeOut(attempt) => self.time_out(attempt),
+            Event::Hedge(attempt) => self.hedge(attempt),
+            Event::Retry(request) => self.start(request, self.states[request].entry, true),
+            Event::Tick => self.tick(),
+            Event::Members { leaves } => {
+                self.entries[0].alive = !leaves;
+                self.refresh_members();
+            }
+        }
+    }
+
+    fn refresh_members(&mut self) {
+        let alive: Vec<usize> = (0..self.entries.len())
+            .filter(|&index| self.entries[index].alive)
+            .collect();
+        let members: Vec<Incarnation> = alive.iter().map(|&index| incarnation(index)).collect();
+        let ring = HomeRing::new(self.scenario.servers, &members);
+        let Policy::Core { sharing, .. } = self.policy else {
+            return;
+        };
+        for (position, &index) in alive.iter().enumerate() {
+            let is_home = |server| sharing != Sharing::Home || ring.home(server) == Some(position);
+            self.entries[index].set_members(incarnation(index), &members, sharing, is_home);
+        }
+    }
+
+    fn arrive(&mut self, request: usize) {
+        let alive: Vec<usize> = (0..self.entries.len())
+            .filter(|&index| self.entries[index].alive)
+            .collect();
+        let arrival = &self.arrivals[request];
+        let chosen = if self.scenario.skewed && arrival.balance.is_multiple_of(2) {
+            alive.len() - 1
+        } else {
+            (arrival.balance / 2 % alive.len() as u64) as usize
+        };
+        let entry = alive[chosen];
+        self.report.requests += 1;
+        match arrival.class {
+            RequestClass::Quick => {
+                self.report.offered += 1;
+                self.report.team_offered[arrival.team] += 1;
+            }
+            RequestClass::Long => self.report.long_offered += 1,
+        }
+        self.entries[entry].budget.earn();
+        self.start(request, entry, true);
+    }
+
+    fn start(&mut self, request: usize, entry: usize, may_pass: bool) {
+        self.states[request].entry = entry;
+        if self.policy == Policy::Baseline {
+            let server = self.entries[entry].next_round_robin % self.scenario.servers;
+            self.entries[entry].next_round_robin += 1;
+            self.send(request, entry, server);
+            return;
+        }
+        let arrival = &self.arrivals[request];
+        let (class, idempotent) = (arrival.class, arrival.idempotent);
+        let avoid = self.states[request].avoid;
+        if self.entries[entry].admission.waiting(class) == 0 {
+            let picked =
+                self.entries[entry].pick(class, idempotent, avoid, self.now_us, &mut self.random);
+            if let Some(server) = picked {
+                self.send(request, entry, server);
+                return;
+            }
+        }
+        if may_pass && self.pass(request, entry) {
+            return;
+        }
+        self.wait(request, entry);
+    }
+
+    fn pass(&mut self, request: usize, entry: usize) -> bool {
+        let is_home = matches!(
+            self.policy,
+            Policy::Core {
+                sharing: Sharing::Home,
+                ..
+            }
+        );
+        let rooms = &mut self.entries[entry].rooms;
+        let roomiest = (0..rooms.len()).max_by_key(|&other| rooms[other]);
+        let Some(to) = roomiest.filter(|&other| is_home && rooms[other] > 0) else {
+            return false;
+        };
+        rooms[to] -= 1;
+        self.report.passed += 1;
+        self.at(self.now_us + PASS_US, Event::Pass { request, to });
+        true
+    }
+
+    fn wait(&mut self, request: usize, entry: usize) {
+        let arrival = &self.arrivals[request];
+        let ask = cyclamentrail_core::Ask {
+            class: arrival.class,
+            team: arrival.team_name.clone(),
+            deadline_us: arrival.deadline_us,
+        };
+        match self.entries[entry]
+            .admission
+            .enqueue(&ask, self.now_us, request)
+        {
+            Ok(queued) => {
+                self.states[request].ticket = Some(queued.ticket);
+                if let Some((evicted, refusal)) = queued.evicted {
+                    self.refuse(evicted, refusal);
+                }
+            }
+            Err(refusal) => self.refuse(request, refusal),
+        }
+    }
+
+    fn refuse(&mut self, request: usize, refusal: Refusal) {
+        debug_assert_ne!(refusal.reason, NotRunReason::NoSuchService);
+        if std::mem::replace(&mut self.states[request].ended, true) {
+            return;
+        }
+        if self.arrivals[request].class == RequestClass::Quick {
+            self.report.refused += 1;
+            let took_us = self.now_us - self.arrivals[request].at_us;
+            self.report.refusal_us.saturating_record(took_us);
+        }
+    }
+
+    fn send(&mut self, request: usize, entry: usize, server: usize) {
+        self.report.tries += 1;
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt {
+            request,
+            entry,
+            server,
+            started_us: self.now_us,
+            open: true,
+        });
+        let delay_us = self.entries[entry].delay_us(server);
+        self.at(self.now_us + delay_us, Event::Reach(attempt));
+        let arrival = &self.arrivals[request];
+        let pace = self.entries[entry].admission.pace(arrival.class);
+        match self.policy {
+            Policy::Baseline if arrival.class == RequestClass::Quick => {
+                self.at(self.now_us + FIXED_TIMEOUT_US, Event::TimeOut(attempt));
+            }
+            Policy::Core { hedge, .. }
+                if arrival.idempotent && arrival.class == RequestClass::Quick =>
+            {
+                let stall_us = stall_us(pace);
+                let hedge_us = pace.mean_us() * HEDGE_RATIO;
+                self.at(self.now_us + stall_us, Event::TimeOut(attempt));
+                if hedge && hedge_us > 0 {
+                    self.at(self.now_us + hedge_us, Event::Hedge(attempt));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn reach(&mut self, attempt: usize) {
+        let Attempt {
+            request,
+            entry,
+            server,
+            ..
+        } = self.attempts[attempt];
+        let work_us = self.arrivals[request].work_us;
+        if let Some(took_us) = self.servers[server].start(work_us, self.now_us) {
+            self.at(self.now_us + took_us, Event::Done(attempt));
+            return;
+        }
+        let delay_us = self.entries[entry].delay_us(server);
+        let result = Reply::Refused;
+        self.at(self.now_us + delay_us, Event::Reply { attempt, result });
+    }
+
+    fn done(&mut self, attempt: usize) {
+        let Attempt { entry, server, .. } = self.attempts[attempt];
+        let served = self.servers[server].end(self.now_us);
+        let result = if served { Reply::Served } else { Reply::Error };
+        let delay_us = self.entries[entry].delay_us(server);
+        self.at(self.now_us + delay_us, Event::Reply { attempt, result });
+    }
+
+    fn reply(&mut self, attempt: usize, result: Reply) {
+        if !std::mem::replace(&mut self.attempts[attempt].open, false) {
+            return;
+        }
+        let request = self.attempts[attempt].request;
+        if self.policy != Policy::Baseline {
+            self.learn(attempt, result);
+        }
+        if self.states[request].ended {
+            return;
+        }
+        match result {
+            Reply::Served => self.answer(request),
+            Reply::Refused => self.again(attempt, TryEnd::Refused),
+            Reply::Error => self.again(attempt, TryEnd::ServerError),
+        }
+    }
+
+    /// Takes in what a reply tells about its server and passes the slot on.
+    fn learn(&mut self, attempt: usize, result: Reply) {
+        let Attempt {
+            request,
+            entry,
+            server,
+            started_us,
+            ..
+        } = self.attempts[attempt];
+        let class = self.arrivals[request].class;
+        let learns = matches!(
+            self.policy,
+            Policy::Core {
+                sharing: Sharing::Learned,
+                ..
+            }
+        );
+        let took_us = self.now_us - started_us;
+        match result {
+            Reply::Served => {
+                let entry = &mut self.entries[entry];
+                entry.admission.note_time(class, took_us);
+                let pace = *entry.admission.pace(class);
+                let result = entry.links[server].note_time(class, took_us, self.now_us, &pace);
+                self.note(self.attempts[attempt].entry, server, result);
+            }
+            Reply::Refused if learns => self.note(entry, server, TryResult::Refused),
+            Reply::Refused => {}
+            Reply::Error => self.note(entry, server, TryResult::ServerError),
+        }
+        self.free(entry, server, class);
+    }
+
+    fn note(&mut self, entry: usize, server: usize, result: TryResult) {
+        let entry = &mut self.entries[entry];
+        let ejected = entry.others_ejected(server);
+        let spare = may_eject(self.servers.len(), ejected, PROMISED);
+        let jitter = self.random.random();
+        entry.links[server].note(result, self.now_us, spare, jitter);
+    }
+
+    fn free(&mut self, entry: usize, server: usize, class: RequestClass) {
+        let now_us = self.now_us;
+        let at = &mut self.entries[entry];
+        let link = &mut at.links[server];
+        link.release(class);
+        let turn = at
+            .admission
+            .next(class, now_us, |class| link.may_follow(class, now_us));
+        let taken = turn.taken;
+        if let Some(request) = taken {
+            link.follow(self.arrivals[request].class, now_us);
+        }
+        for (late, refusal) in turn.late {
+            self.refuse(late, refusal);
+        }
+        if let Some(request) = taken {
+            self.send(request, entry, server);
+        }
+    }
+
+    fn answer(&mut self, request: usize) {
+        self.states[request].ended = true;
+        let arrival = &self.arrivals[request];
+        let in_time = self.now_us <= arrival.deadline_us;
+        if in_time {
+            self.useful_us += arrival.work_us;
+        }
+        if arrival.class == RequestClass::Long {
+            self.report.long_good += u64::from(in_time);
+            return;
+        }
+        self.report
+            .answer_us
+            .saturating_record(self.now_us - arrival.at_us);
+        if in_time {
+            self.report.good += 1;
+            self.report.team_good[arrival.team] += 1;
+        } else {
+            self.report.late += 1;
+        }
+    }
+
+    fn again(&mut self, attempt: usize, end: TryEnd) {
+        let Attempt {
+            request,
+            entry,
+            server,
+            ..
+        } = self.attempts[attempt];
+        if self.policy == Policy::Baseline {
+            self.again_fixed(request);
+            return;
+        }
+        let state = &mut self.states[request];
+        state.avoid = Some(rack_of(server));
+        let budget = &mut self.entries[entry].budget;
+        match state.tries.next(end, self.now_us, budget, &mut self.random) {
+            Some(pause_us) => self.at(self.now_us + pause_us, Event::Retry(request)),
+            None => self.fail(request),
+        }
+    }
+
+    fn again_fixed(&mut self, request: usize) {
+        let state = &mut self.states[request];
+        if state.fixed_retries >= FIXED_RETRIES {
+            self.fail(request);
+            return;
+        }
+        state.fixed_retries += 1;
+        self.start(request, self.states[request].entry, false);
+    }
+
+    fn fail(&mut self, request: usize) {
+        self.states[request].ended = true;
+        if self.arrivals[request].class == RequestClass::Quick {
+            self.report.failed += 1;
+        }
+    }
+
+    fn time_out(&mut self, attempt: usize) {
+        let Attempt {
+            request,
+            entry,
+            server,
+            open,
+            ..
+        } = self.attempts[attempt];
+        if !open || self.states[request].ended {
+            return;
+        }
+        if self.policy == Policy::Baseline {
+            self.attempts[attempt].open = false;
+            self.again_fixed(request);
+            return;
+        }
+        let state = &mut self.states[request];
+        let budget = &mut self.entries[entry].budget;
+        let pause = state
+            .tries
+            .next(TryEnd::Stalled, self.now_us, budget, &mut self.random);
+        let Some(pause_us) = pause else { return };
+        state.avoid = Some(rack_of(server));
+        self.attempts[attempt].open = false;
+        self.note(entry, server, TryResult::Broken);
+        self.free(entry, server, self.arrivals[request].class);
+        self.at(self.now_us + pause_us, Event::Retry(request));
+    }
+
+    fn hedge(&mut self, attempt: usize) {
+        let Attempt {
+            request,
+            entry,
+            server,
+            open,
+            ..
+        } = self.attempts[attempt];
+        let state = &self.states[request];
+        let waiting = self.entries[entry].admission.waiting(RequestClass::Quick);
+        if !open
+            || state.ended
+            || state.hedged
+            || waiting > 0
+            || !self.entries[entry].budget.spend()
+        {
+            return;
+        }
+        self.states[request].hedged = true;
+        let avoid = Some(rack_of(server));
+        let picked = self.entries[entry].pick(
+            RequestClass::Quick,
+            true,
+            avoid,
+            self.now_us,
+            &mut self.random,
+        );
+        if let Some(other) = picked {
+            self.send(request, entry, other);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now_us = self.now_us;
+        let rooms: Vec<u32> = self
+            .entries
+            .iter()
+            .map(|entry| entry.room(now_us))
+            .collect();
+        for index in 0..self.entries.len() {
+            self.entries[index].rooms.clone_from(&rooms);
+            self.entries[index].rooms[index] = 0;
+            for (late, refusal) in self.entries[index].admission.sweep(now_us) {
+                self.refuse(late, refusal);
+            }
+            self.pump(index);
+        }
+        let waiting = self.entries.iter().any(|entry| {
+            entry.admission.waiting(RequestClass::Quick)
+                + entry.admission.waiting(RequestClass::Long)
+                > 0
+        });
+        if now_us < self.scenario.end_us() || waiting {
+            self.at(now_us + TICK_US, Event::Tick);
+        }
+    }
+
+    /// Starts waiting requests on slots that nobody handed over.
+    fn pump(&mut self, entry: usize) {
+        for class in [RequestClass::Quick, RequestClass::Long] {
+            while self.entries[entry].admission.waiting(class) > 0 {
+                let picked =
+                    self.entries[entry].pick(class, false, None, self.now_us, &mut self.random);
+                let Some(server) = picked else { break };
+                let turn = self.entries[entry].admission.next_of(class, self.now_us);
+                for (late, refusal) in turn.late {
+                    self.refuse(late, refusal);
+                }
+                match turn.taken {
+                    Some(request) => self.send(request, entry, server),
+                    None => self.entries[entry].links[server].release(class),
+                }
+            }
+        }
+    }
+}
+
+fn incarnation(index: usize) -> Incarnation {
+    Incarnation::new(index as u64 + 1)
+}
--- a/crates/cyclamentrail-core/src/admit/queue.rs
+++ b/crates/cyclamentrail-core/src/admit/queue.rs
@@ -10,6 +10,9 @@
 /// Weight of a new interval between two starts.
 const INTERVAL_WEIGHT: f64 = 0.05;
 
+/// Part of the expected wait that is kept as a margin when a request is admitted.
+const WAIT_MARGIN: u64 = 3;
+
 /// Takes a waiting request out of its queue.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ticket {
@@ -31,10 +34,18 @@
     item: T,
 }
 
+/// Waiting requests of one team, with the rate at which they start.
+#[derive(Debug)]
+struct TeamQueue<T> {
+    waiting: VecDeque<Waiting<T>>,
+    last_start_us: u64,
+    interval_us: Option<f64>,
+}
+
 /// Waiting requests by team, with the rate at which they start.
 #[derive(Debug)]
 pub(crate) struct ClassQueue<T> {
-    teams: BTreeMap<TeamName, VecDeque<Waiting<T>>>,
+    teams: BTreeMap<TeamName, TeamQueue<T>>,
     turns: VecDeque<TeamName>,
     length: usize,
     next_number: u64,
@@ -61,18 +72,28 @@
         self.length
     }
 
-    /// Returns the wait of the team's next request, when each team gets its turn.
+    /// Returns the wait of the team's next request, when each team gets its turn and the team's
+    /// own requests start as they did.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "times are below a year"
+    )]
     pub(crate) fn expected_wait_us(&self, team: &TeamName, now_us: u64) -> u64 {
         if self.length == 0 {
             return 0;
         }
-        let own = self.teams.get(team).map_or(0, VecDeque::len);
+        let own = self.teams.get(team);
+        let own_count = own.map_or(0, |own| own.waiting.len());
         let ahead: usize = self
             .teams
             .values()
-            .map(|waiting| waiting.len().min(own + 1))
+            .map(|other| other.waiting.len().min(own_count + 1))
             .sum();
-        self.wait_us(ahead + 1, now_us)
+        let own_interval_us = own.and_then(|own| own.interval_us).unwrap_or_default();
+        let own_wait_us = own_interval_us * (own_count + 1) as f64;
+        self.wait_us(ahead + 1, now_us).max(own_wait_us as u64)
     }
 
     /// Returns the time in which all waiting requests start.
@@ -85,7 +106,8 @@
         if wait_us == 0 {
             return None;
         }
-        let done_us = now_us + wait_us + self.pace.mean_us();
+        let margin_us = wait_us / WAIT_MARGIN;
+        let done_us = now_us + wait_us + margin_us + self.pace.high_us();
         (done_us > deadline_us).then(|| done_us - deadline_us)
     }
 
@@ -95,11 +117,18 @@
         }
         let number = self.next_number;
         self.next_number += 1;
-        let waiting = self.teams.entry(ask.team.clone()).or_default();
-        if waiting.is_empty() {
+        let team = self
+            .teams
+            .entry(ask.team.clone())
+            .or_insert_with(|| TeamQueue {
+                waiting: VecDeque::new(),
+                last_start_us: now_us,
+                interval_us: None,
+            });
+        if team.waiting.is_empty() {
             self.turns.push_back(ask.team.clone());
         }
-        waiting.push_back(Waiting {
+        team.waiting.push_back(Waiting {
             number,
             deadline_us: ask.deadline_us,
             item,
@@ -115,10 +144,10 @@
     pub(crate) fn pop(&mut self, now_us: u64) -> Turn<T> {
         let mut late = Vec::new();
         while let Some(team) = self.turns.pop_front() {
-            let Some(waiting) = self.take_first(&team) else {
+            let Some(waiting) = self.take_first(&team, now_us) else {
                 continue;
             };
-            let is_late = now_us + self.pace.mean_us() > waiting.deadline_us;
+            let is_late = now_us + self.pace.high_us() > waiting.deadline_us;
             if self.teams.contains_key(&team) {
                 if is_late {
                     self.turns.push_front(team);
@@ -140,21 +169,21 @@
 
     /// Takes out the newest request of the largest team, if that has more than `team` would.
     pub(crate) fn evict_for(&mut self, team: &TeamName) -> Option<T> {
-        let own = self.teams.get(team).map_or(0, VecDeque::len);
+        let own = self.teams.get(team).map_or(0, |own| own.waiting.len());
         let (_, largest) = self
             .teams
             .iter_mut()
-            .max_by_key(|(_, waiting)| waiting.len())?;
-        if largest.len() <= own + 1 {
+            .max_by_key(|(_, other)| other.waiting.len())?;
+        if largest.waiting.len() <= own + 1 {
             return None;
         }
-        let evicted = largest.pop_back()?;
+        let evicted = largest.waiting.pop_back()?;
         self.length -= 1;
         Some(evicted.item)
     }
 
     pub(crate) fn remove(&mut self, ticket: &Ticket) -> Option<T> {
-        let waiting = self.teams.get_mut(&ticket.team)?;
+        let waiting = &mut self.teams.get_mut(&ticket.team)?.waiting;
         let index = waiting
             .iter()
             .position(|waiting| waiting.number == ticket.number)?;
@@ -168,12 +197,12 @@
         let rounds: Vec<(TeamName, Vec<u64>)> = self
             .teams
             .iter()
-            .map(|(team, waiting)| (team.clone(), self.late_numbers(waiting, now_us)))
+            .map(|(team, waiting)| (team.clone(), self.late_numbers(&waiting.waiting, now_us)))
             .filter(|(_, numbers)| !numbers.is_empty())
             .collect();
         let mut late = Vec::new();
         for (team, numbers) in rounds {
-            let Some(waiting) = self.teams.get_mut(&team) else {
+            let Some(TeamQueue { waiting, .. }) = self.teams.get_mut(&team) else {
                 continue;
             };
             let all = std::mem::take(waiting);
@@ -193,30 +222,36 @@
     fn late_numbers(&self, waiting: &VecDeque<Waiting<T>>, now_us: u64) -> Vec<u64> {
         waiting
             .iter()
-            .filter(|waiting| now_us + self.pace.mean_us() > waiting.deadline_us)
+            .filter(|waiting| now_us + self.pace.high_us() > waiting.deadline_us)
             .map(|waiting| waiting.number)
             .collect()
     }
 
-    fn take_first(&mut self, team: &TeamName) -> Option<Waiting<T>> {
-        let waiting = self.teams.get_mut(team)?;
-        let first = waiting.pop_front()?;
-        if waiting.is_empty() {
-            self.teams.remove(team);
-        }
+    #[expect(clippy::cast_precision_loss, reason = "intervals are below a year")]
+    fn take_first(&mut self, name: &TeamName, now_us: u64) -> Option<Waiting<T>> {
+        let team = self.teams.get_mut(name)?;
+        let first = team.waiting.pop_front()?;
         self.length -= 1;
+        let interval_us = now_us.saturating_sub(team.last_start_us) as f64;
+        let mean_us = team.interval_us.unwrap_or(interval_us);
+        team.interval_us = Some(mean_us + (interval_us - mean_us) * INTERVAL_WEIGHT);
+        team.last_start_us = now_us;
+        if team.waiting.is_empty() {
+            self.teams.remove(name);
+        }
         Some(first)
     }
 
-    fn forget_if_empty(&mut self, team: &TeamName) {
-        if self.teams.get(team).is_some_and(VecDeque::is_empty) {
-            self.teams.remove(team);
-            self.turns.retain(|other| other != team);
+    fn forget_if_empty(&mut self, name: &TeamName) {
+        let is_empty = |team: &TeamQueue<T>| team.waiting.is_empty();
+        if self.teams.get(name).is_some_and(is_empty) {
+            self.teams.remove(name);
+            self.turns.retain(|other| other != name);
         }
     }
 
     fn late_by(&self, deadline_us: u64, now_us: u64) -> Refusal {
-        let done_us = now_us + self.pace.mean_us();
+        let done_us = now_us + self.pace.high_us();
         Refusal {
             reason: NotRunReason::Deadline,
             retry_after_us: self
--- a/crates/cyclamentrail-core/src/eject.rs
+++ b/crates/cyclamentrail-core/src/eject.rs
@@ -21,6 +21,8 @@
 pub enum TryResult {
     /// It answered whole.
     Served,
+    /// It answered whole, and has become many times slower than its peers.
+    Slow,
     /// It refused because its slots are taken.
     Refused,
     /// It refused because it leaves.
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -55,5 +55,5 @@
     SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings,
     merge_documents, settings_schema,
 };
-pub use share::{HomeRing, LinkLimits, LinkState, Share, long_slots, stall_us};
+pub use share::{HomeRing, LinkLimits, LinkState, Share, stall_us, sure_slots};
 pub use wave::{WaveRecord, Waves};
--- a/crates/cyclamentrail-core/src/route.rs
+++ b/crates/cyclamentrail-core/src/route.rs
@@ -22,7 +22,7 @@
 /// Load added to instances that share a failure domain with the last failed try.
 const AVOIDED_PENALTY: f64 = 100.0;
 /// Instances looked at, at most, when the random ones have no room.
-const MAX_SCANNED: usize = 28;
+const MAX_SCANNED: usize = 12;
 
 /// What routing needs to know of one instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/cyclamentrail-core/src/share/ring.rs
+++ b/crates/cyclamentrail-core/src/share/ring.rs
@@ -53,22 +53,21 @@
     }
 }
 
-/// Returns how many long requests one member may have at an instance, so that those of all
-/// members together leave `reserved` of its slots to quick ones.
+/// Returns how many of an instance's slots one member may be sure of, so that those of all
+/// members together are just `slots`.
 ///
 /// What can't be split evenly goes to different members at different instances.
 #[must_use]
-pub fn long_slots(
+pub fn sure_slots(
     instance: &InstanceName,
     own: Incarnation,
     members: &[Incarnation],
     slots: u32,
-    reserved: u32,
 ) -> u32 {
     let Some(index) = members.iter().position(|&member| member == own) else {
         return 0;
     };
-    let shared = u64::from(slots.saturating_sub(reserved));
+    let shared = u64::from(slots);
     let count = members.len() as u64;
     let turn = (hash_of(instance.as_str()) % count + index as u64) % count;
     let extra = u64::from(turn < shared % count);
--- a/crates/cyclamentrail-core/src/share/state.rs
+++ b/crates/cyclamentrail-core/src/share/state.rs
@@ -8,6 +8,8 @@
 /// Ratio to the service's mean time from which a server counts as slow.
 const SLOW_RATIO: f64 = 3.0;
 
+/// Ratio to the service's mean time from which a slow answer counts as a failure.
+const FAILING_RATIO: f64 = 6.0;
 /// Mean times without any quick answer after which a server counts as stalled.
 const STALL_RATIO: u64 = 8;
 /// Shortest time without any quick answer after which a server counts as stalled, in microseconds.
@@ -18,6 +20,8 @@
 pub struct LinkLimits {
     /// Slots of the server.
     pub slots: u32,
+    /// Slots that this entry is sure of.
+    pub sure: u32,
     /// Connections that this entry may hold.
     pub connections: u32,
     /// Long requests that this entry may have there.
@@ -34,26 +38,29 @@
     health: Health,
     pace: [Pace; 2],
     quick_progress_us: u64,
+    refused_last: bool,
 }
 
 impl LinkState {
-    /// Creates the state of a link that starts with `start` slots.
+    /// Creates the state of a link that borrows no slots yet.
     #[must_use]
-    pub fn new(limits: LinkLimits, start: u32) -> Self {
+    pub fn new(limits: LinkLimits) -> Self {
         Self {
             limits,
             in_flight: 0,
             long_in_flight: 0,
-            share: Share::new(limits.slots, start),
+            share: Share::new(limits.slots, limits.sure),
             health: Health::new(),
             pace: [Pace::default(); 2],
             quick_progress_us: 0,
+            refused_last: false,
         }
     }
 
     /// Sets new limits.
-    pub const fn set_limits(&mut self, limits: LinkLimits) {
+    pub fn set_limits(&mut self, limits: LinkLimits) {
         self.limits = limits;
+        self.share.set_sure(limits.slots, limits.sure);
     }
 
     /// Returns the requests in flight.
@@ -76,8 +83,8 @@
 
     /// Returns the requests that may be in flight at once while the server is healthy.
     #[must_use]
-    pub fn limit(&self) -> u32 {
-        self.share.limit().min(self.limits.connections)
+    pub fn limit(&self, now_us: u64) -> u32 {
+        self.share.limit(now_us).min(self.limits.connections)
     }
 
     /// Returns what routing needs to know about one more request.
@@ -90,33 +97,59 @@
         now_us: u64,
     ) -> Candidate {
         let limit = match self.health.intake(now_us) {
-            _ if self.is_stalled(now_us) => 0,
-            Intake::Open => self.limit(),
+            _ if self.is_stalled(now_us) || self.is_full(class) => 0,
+            Intake::Open => self.limit(now_us),
             Intake::Probe if !idempotent => 0,
             Intake::Probe | Intake::Single => 1,
             Intake::Closed => 0,
         };
-        let full = class == RequestClass::Long && self.long_in_flight >= self.limits.long;
         Candidate {
             in_flight: self.in_flight,
-            limit: if full { 0 } else { limit },
+            limit,
             rack,
         }
     }
 
+    /// Returns whether a request may have the slot that another one has just left.
+    ///
+    /// The server has a free slot then, whatever it refused before, unless it refused that one.
+    #[must_use]
+    pub fn may_follow(&self, class: RequestClass, now_us: u64) -> bool {
+        if self.refused_last {
+            return self.candidate(class, false, 0, now_us).has_room();
+        }
+        let open = self.health.is_active() && !self.is_stalled(now_us);
+        open && !self.is_full(class) && self.in_flight < self.limit(now_us)
+    }
+
     /// Takes a slot if there is one.
     pub fn take(&mut self, class: RequestClass, idempotent: bool, now_us: u64) -> bool {
         let room = self.candidate(class, idempotent, 0, now_us).has_room();
         if room {
-            if class == RequestClass::Quick && self.in_flight == self.long_in_flight {
-                self.quick_progress_us = now_us;
-            }
-            self.in_flight += 1;
-            self.long_in_flight += u32::from(class == RequestClass::Long);
+            self.occupy(class, now_us);
         }
         room
     }
 
+    /// Takes a slot that another request has just left.
+    pub fn follow(&mut self, class: RequestClass, now_us: u64) {
+        self.occupy(class, now_us);
+    }
+
+    const fn occupy(&mut self, class: RequestClass, now_us: u64) {
+        if matches!(class, RequestClass::Quick) && self.in_flight == self.long_in_flight {
+            self.quick_progress_us = now_us;
+        }
+        self.in_flight += 1;
+        if matches!(class, RequestClass::Long) {
+            self.long_in_flight += 1;
+        }
+    }
+
+    const fn is_full(&self, class: RequestClass) -> bool {
+        matches!(class, RequestClass::Long) && self.long_in_flight >= self.limits.long
+    }
+
     /// Returns whether quick requests are in flight and none has been answered for long.
     #[must_use]
     pub fn is_stalled(&self, now_us: u64) -> bool {
@@ -140,16 +173,24 @@
         spare: bool,
         jitter: f64,
     ) -> Option<HealthChange> {
+        self.refused_last = result == TryResult::Refused;
         match result {
-            TryResult::Served => self.share.accepted(self.in_flight),
-            TryResult::Refused => self.share.refused(self.in_flight),
+            TryResult::Served => self.share.accepted(self.in_flight, now_us),
+            TryResult::Refused => self.share.refused(self.in_flight, now_us),
             _ => {}
         }
         self.health.note(result, now_us, spare, jitter)
     }
 
-    /// Takes in how long an answer took, beside the service's mean.
-    pub fn note_time(&mut self, class: RequestClass, took_us: u64, now_us: u64, service: &Pace) {
+    /// Takes in how long a whole answer took, beside the service's mean, and returns how the
+    /// try went.
+    pub fn note_time(
+        &mut self,
+        class: RequestClass,
+        took_us: u64,
+        now_us: u64,
+        service: &Pace,
+    ) -> TryResult {
         if class == RequestClass::Quick {
             self.quick_progress_us = now_us;
         }
@@ -158,6 +199,11 @@
         if pace.is_slower(service, SLOW_RATIO) {
             self.share.slowed();
         }
+        if pace.is_slower(service, FAILING_RATIO) {
+            TryResult::Slow
+        } else {
+            TryResult::Served
+        }
     }
 }
 
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -338,7 +338,7 @@
         self.refresh_links(&accepted.settings);
         let mut services = BTreeMap::new();
         for (service, settings) in &accepted.settings.services {
-            let links = self
+            let links: Vec<Arc<Link>> = self
                 .links
                 .iter()
                 .filter(|(name, _)| {
@@ -349,7 +349,7 @@
                 .map(|(_, link)| Arc::clone(link))
                 .collect();
             let requests = &accepted.settings.requests;
-            let slots = self.links.len() * accepted.settings.worker.slots as usize;
+            let slots = self.placement(&accepted.settings).sure_slots(links.len());
             let gate = self.shared.gate(service, settings, requests, slots);
             let route = ServiceRoute::new(service.clone(), settings.clone(), links, requests, gate);
             services.insert(service.clone(), Arc::new(route));
@@ -361,10 +361,14 @@
         });
     }
 
-    fn refresh_links(&mut self, settings: &Settings) {
+    fn placement<'a>(&'a self, settings: &'a Settings) -> Placement<'a> {
         let members = self.fleet.members().map(|(member, _)| member).collect();
         let own = self.identity.incarnation;
-        let placement = Placement::new(settings, &self.identity.zone, own, members);
+        Placement::new(settings, &self.identity.zone, own, members)
+    }
+
+    fn refresh_links(&mut self, settings: &Settings) {
+        let placement = self.placement(settings);
         let mut links = BTreeMap::new();
         for (name, instance) in self.fleet.instances() {
             let Some(listed) = self.list.get(name) else {
@@ -384,7 +388,7 @@
             let limits = placement.limits(name);
             let link = match self.links.get(name) {
                 Some(link) if *link.target() == target => Arc::clone(link),
-                _ => Arc::new(Link::new(target, limits, placement.start())),
+                _ => Arc::new(Link::new(target, limits)),
             };
             link.set_limits(limits);
             links.insert(name.clone(), link);
@@ -444,7 +448,7 @@
                     "address": link.target().address,
                     "boot": link.target().boot,
                     "in_flight": state.in_flight(),
-                    "limit": state.limit(),
+                    "limit": state.limit(clock::now_us()),
                     "ejected": state.health().is_ejected(),
                 });
                 (name.as_str(), value)
--- a/crates/cyclamentrail/src/traffic/dispatch.rs
+++ b/crates/cyclamentrail/src/traffic/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends one request to a backend server, within its deadline and the retry budget.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use tokio::time::Instant;
 
 use super::journal::Event;
-use super::link::RequestBody;
+use super::link::{Link, RequestBody};
 use super::slot::Slot;
 use super::wait::take_slot;
 use crate::clock;
@@ -103,6 +104,7 @@
         call,
         tries: Tries::new(call.idempotent, call.ask().deadline_us),
         avoid: None,
+        may_have_run: None,
     };
     let result = dispatch.run(next_request).await;
     if let Err(failure) = &result {
@@ -112,14 +114,31 @@
     result
 }
 
-/// How a try ended.
+/// How a try went.
 enum Try {
     Answered(Dispatched),
-    Ended {
-        end: TryEnd,
-        outcome: Outcome,
-        answer: Option<Dispatched>,
-    },
+    Ended(Ended),
+}
+
+/// A try that gave no answer to pass on, unless there is no further one.
+struct Ended {
+    end: TryEnd,
+    outcome: Outcome,
+    /// An answer that says that the server failed.
+    answer: Option<Dispatched>,
+    /// Pause in microseconds before a further try that is paid already.
+    paid_pause_us: Option<u64>,
+}
+
+impl Ended {
+    const fn new(end: TryEnd, outcome: Outcome) -> Self {
+        Self {
+            end,
+            outcome,
+            answer: None,
+            paid_pause_us: None,
+        }
+    }
 }
 
 struct Dispatch<'a> {
@@ -128,6 +147,8 @@
     call: &'a Call,
     tries: Tries,
     avoid: Option<u32>,
+    /// Set once a try may have run, after which the request can't be called not run.
+    may_have_run: Option<UnknownReason>,
 }
 
 impl Dispatch<'_> {
@@ -139,37 +160,58 @@
             return Err(Outcome::NotRun(NotRunReason::BadRequest).into());
         };
         loop {
-            let slot = take_slot(self.shared, self.route, self.call, self.avoid).await?;
+            let taken = take_slot(self.shared, self.route, self.call, self.avoid).await;
+            let slot = taken.map_err(|refusal| self.truthful(refusal.into()))?;
             let link = Arc::clone(slot.link());
-            let (end, outcome, answer) = match self.try_once(slot, request).await? {
+            let ended = match self.try_once(slot, request).await? {
                 Try::Answered(dispatched) => return Ok(dispatched),
-                Try::Ended {
-                    end,
-                    outcome,
-                    answer,
-                } => (end, outcome, answer),
+                Try::Ended(ended) => ended,
             };
-            self.avoid = Some(link.target().rack);
-            let pause_us = self.route.gate.next_try(&mut self.tries, end);
-            let instance = link.instance().clone();
-            self.note(Event::TryEnded {
-                instance,
-                end,
-                pause_us,
-            });
-            let again = pause_us.and_then(|pause_us| next_request().map(|again| (pause_us, again)));
-            let Some((pause_us, again)) = again else {
-                return answer.ok_or_else(|| self.failure(outcome));
+            let Some(pause_us) = self.pause_after(&ended, &link) else {
+                return ended.answer.ok_or_else(|| self.failure(ended.outcome));
             };
-            if let Some(answer) = answer {
-                drop(answer.response);
-                answer.slot.fail(TryResult::ServerError, self.shared);
-            }
+            let Some(again) = next_request() else {
+                return ended.answer.ok_or_else(|| self.failure(ended.outcome));
+            };
+            self.forget(ended);
             request = again;
             tokio::time::sleep(Duration::from_micros(pause_us)).await;
         }
     }
 
+    /// Returns the pause before a further try, or `None` when there is none.
+    fn pause_after(&mut self, ended: &Ended, link: &Link) -> Option<u64> {
+        self.avoid = Some(link.target().rack);
+        let pause_us = ended
+            .paid_pause_us
+            .or_else(|| self.route.gate.next_try(&mut self.tries, ended.end));
+        self.note(Event::TryEnded {
+            instance: link.instance().clone(),
+            end: ended.end,
+            pause_us,
+        });
+        pause_us
+    }
+
+    /// Leaves a try behind for a further one.
+    fn forget(&mut self, ended: Ended) {
+        if !ended.end.is_not_run() {
+            self.may_have_run = Some(UnknownReason::ConnectionLost);
+        }
+        if let Some(answer) = ended.answer {
+            drop(answer.response);
+            answer.slot.fail(TryResult::ServerError, self.shared);
+        }
+    }
+
+    /// Returns the failure, as unknown when an earlier try may have run.
+    fn truthful(&self, failure: Failure) -> Failure {
+        match self.may_have_run {
+            Some(reason) => Outcome::Unknown(reason).into(),
+            None => failure,
+        }
+    }
+
     async fn try_once(
         &mut self,
         mut slot: Slot,
@@ -186,7 +228,8 @@
             }
         };
         if !self.shared.may_dispatch() {
-            return Err(Outcome::NotRun(NotRunReason::NoPermission).into());
+            let failure = Outcome::NotRun(NotRunReason::NoPermission).into();
+            return Err(self.truthful(failure));
         }
         let instance = link.instance().clone();
         self.note(Event::Sent { instance });
@@ -196,7 +239,13 @@
             Head::Came(response) => self.judge(slot, response),
             Head::NotSent => self.unreachable(slot),
             Head::Lost => self.broken(slot, TryEnd::Lost, UnknownReason::ConnectionLost),
-            Head::Stalled => self.broken(slot, TryEnd::Stalled, UnknownReason::TimedOut),
+            Head::Stalled { pause_us } => {
+                slot.fail(TryResult::Broken, self.shared);
+                let outcome = Outcome::Unknown(UnknownReason::TimedOut);
+                let mut ended = Ended::new(TryEnd::Stalled, outcome);
+                ended.paid_pause_us = Some(pause_us);
+                Try::Ended(ended)
+            }
             Head::Late => {
                 self.late(slot);
                 return Err(Outcome::Unknown(UnknownReason::TimedOut).into());
@@ -204,17 +253,27 @@
         })
     }
 
+    /// Waits for the head of the answer; an idempotent quick request isn't left with a server
+    /// that seems stalled when another try can be paid.
     async fn answer_head(
-        &self,
+        &mut self,
         sender: &mut SendRequest<RequestBody>,
         request: Request<RequestBody>,
     ) -> Head {
-        let until = self.try_until();
-        match tokio::time::timeout_at(until, sender.send_request(request)).await {
+        let deadline = self.call.deadline;
+        let stalled_at = self.try_until();
+        let mut sent = pin!(sender.send_request(request));
+        let mut came = tokio::time::timeout_at(stalled_at, &mut sent).await;
+        if came.is_err() && stalled_at < deadline {
+            if let Some(pause_us) = self.route.gate.next_try(&mut self.tries, TryEnd::Stalled) {
+                return Head::Stalled { pause_us };
+            }
+            came = tokio::time::timeout_at(deadline, &mut sent).await;
+        }
+        match came {
             Ok(Ok(response)) => Head::Came(response),
             Ok(Err(error)) if error.is_canceled() => Head::NotSent,
             Ok(Err(_)) => Head::Lost,
-            Err(_) if until < self.call.deadline => Head::Stalled,
             Err(_) => Head::Late,
         }
     }
@@ -238,21 +297,15 @@
             slot.fail(result, self.shared);
             let outcome = Outcome::NotRun(NotRunReason::Refused);
             let end = TryEnd::Refused;
-            return Try::Ended {
-                end,
-                outcome,
-                answer: None,
-            };
+            return Try::Ended(Ended::new(end, outcome));
         }
         let dispatched = Dispatched { response, slot };
         if is_server_error(status) && self.call.idempotent {
             let end = TryEnd::ServerError;
             let outcome = Outcome::Answered;
-            return Try::Ended {
-                end,
-                outcome,
-                answer: Some(dispatched),
-            };
+            let mut ended = Ended::new(end, outcome);
+            ended.answer = Some(dispatched);
+            return Try::Ended(ended);
         }
         let status = status.as_u16();
         self.note(Event::Answered { instance, status });
@@ -261,21 +314,14 @@
 
     fn unreachable(&self, slot: Slot) -> Try {
         slot.fail(TryResult::Unreachable, self.shared);
-        Try::Ended {
-            end: TryEnd::ConnectFailed,
-            outcome: Outcome::NotRun(NotRunReason::NoInstance),
-            answer: None,
-        }
+        let outcome = Outcome::NotRun(NotRunReason::NoInstance);
+        Try::Ended(Ended::new(TryEnd::ConnectFailed, outcome))
     }
 
     fn broken(&self, slot: Slot, end: TryEnd, reason: UnknownReason) -> Try {
         slot.fail(TryResult::Broken, self.shared);
         let outcome = Outcome::Unknown(reason);
-        Try::Ended {
-            end,
-            outcome,
-            answer: None,
-        }
+        Try::Ended(Ended::new(end, outcome))
     }
 
     /// Ends a try at the caller's deadline, which is the server's fault when it took long.
@@ -287,15 +333,14 @@
     }
 
     fn failure(&self, outcome: Outcome) -> Failure {
-        if !matches!(outcome, Outcome::NotRun(_)) {
-            return outcome.into();
-        }
         let wait_us = self.route.gate.expected_wait_us(&self.call.ask());
         let closed_us = self.route.closed_us();
-        Failure {
+        let retry_after_s = wait_us.max(closed_us).div_ceil(1_000_000).max(1);
+        let not_run = matches!(outcome, Outcome::NotRun(_));
+        self.truthful(Failure {
             outcome,
-            retry_after_s: Some(wait_us.max(closed_us).div_ceil(1_000_000).max(1)),
-        }
+            retry_after_s: not_run.then_some(retry_after_s),
+        })
     }
 
     fn note(&self, event: Event) {
@@ -308,7 +353,7 @@
     Came(Response<Incoming>),
     NotSent,
     Lost,
-    Stalled,
+    Stalled { pause_us: u64 },
     Late,
 }
 
--- a/crates/cyclamentrail/src/traffic/link.rs
+++ b/crates/cyclamentrail/src/traffic/link.rs
@@ -54,12 +54,12 @@
 }
 
 impl Link {
-    /// Creates a link without connections that starts with `start` slots.
-    pub(crate) fn new(target: LinkTarget, limits: LinkLimits, start: u32) -> Self {
+    /// Creates a link without connections.
+    pub(crate) fn new(target: LinkTarget, limits: LinkLimits) -> Self {
         Self {
             target,
             closed: AtomicBool::new(false),
-            state: Mutex::new(LinkState::new(limits, start)),
+            state: Mutex::new(LinkState::new(limits)),
             idle: Mutex::new(Vec::new()),
         }
     }
@@ -120,9 +120,9 @@
         let mut state = self.lock_state();
         state.release(freed);
         let open = !self.closed.load(Ordering::SeqCst);
-        let turn = next(&|class| open && state.candidate(class, false, 0, now_us).has_room());
+        let turn = next(&|class| open && state.may_follow(class, now_us));
         if let Some(waiter) = &turn.taken {
-            state.take(waiter.class, false, now_us);
+            state.follow(waiter.class, now_us);
         }
         turn
     }
@@ -133,10 +133,10 @@
             .note(result, clock::now_us(), spare, rand::random())
     }
 
-    /// Takes in how long an answer took.
-    pub(crate) fn note_time(&self, class: RequestClass, took_us: u64, service: &Pace) {
+    /// Takes in how long a whole answer took and returns how the try went.
+    pub(crate) fn note_time(&self, class: RequestClass, took_us: u64, service: &Pace) -> TryResult {
         self.lock_state()
-            .note_time(class, took_us, clock::now_us(), service);
+            .note_time(class, took_us, clock::now_us(), service)
     }
 
     /// Closes the idle connections.
--- a/crates/cyclamentrail/src/traffic/placement.rs
+++ b/crates/cyclamentrail/src/traffic/placement.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use cyclamentrail_core::{
-    Incarnation, InstanceName, LinkLimits, RackName, Settings, ZoneName, long_slots,
+    Incarnation, InstanceName, LinkLimits, RackName, Settings, ZoneName, sure_slots,
 };
 
 /// Racks, zones and limits as of one version of the settings and one set of members.
@@ -54,16 +54,19 @@
     pub(crate) fn limits(&self, instance: &InstanceName) -> LinkLimits {
         let worker = &self.settings.worker;
         let reserved = self.settings.requests.quick_reserved_slots;
+        let sure = |slots| sure_slots(instance, self.own, &self.members, slots);
         LinkLimits {
             slots: worker.slots,
+            sure: sure(worker.slots),
             connections: (worker.connections / self.member_count()).max(1),
-            long: long_slots(instance, self.own, &self.members, worker.slots, reserved),
+            long: sure(worker.slots.saturating_sub(reserved)),
         }
     }
 
-    /// Returns the slots that this entry starts with at a new server.
-    pub(crate) fn start(&self) -> u32 {
-        self.settings.worker.slots.div_ceil(self.member_count())
+    /// Returns the slots that this entry is sure of, over so many instances.
+    pub(crate) fn sure_slots(&self, instances: usize) -> usize {
+        let slots = instances * self.settings.worker.slots as usize;
+        slots.div_ceil(self.members.len().max(1))
     }
 
     fn member_count(&self) -> u32 {
--- a/crates/cyclamentrail/src/traffic/slot.rs
+++ b/crates/cyclamentrail/src/traffic/slot.rs
@@ -68,8 +68,8 @@
     pub(crate) fn finish(mut self, shared: &SharedView) {
         let took_us = self.age_us();
         let pace = self.route.gate.note_time(self.class, took_us);
-        self.link.note_time(self.class, took_us, &pace);
-        self.note(TryResult::Served, shared);
+        let result = self.link.note_time(self.class, took_us, &pace);
+        self.note(result, shared);
         self.keep();
     }
 
