--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -30,7 +30,10 @@
 mod wave;
 
 pub use admit::{Admission, AdmitLimits, Ask, Pace, Queued, Refusal, RequestClass, Ticket, Turn};
-pub use claim::{ClaimRecord, Claims};
+pub use claim::{
+    CLAIM_WINDOW_MS, Claim, ClaimLook, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody,
+    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, RequestDigest,
+};
 pub use eject::{Health, HealthChange, Intake, TryResult, may_eject};
 pub use fleet::{
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
@@ -41,7 +44,7 @@
 pub use name::{
     EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, ZoneName,
 };
-pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use outcome::{Ending, NotRunReason, Outcome, UnknownReason};
 pub use permit::{Permit, is_majority};
 pub use record::{
     CodecError, DrainReason, FORMAT, LeaveReason, Record, RecordBody, decode_record, encode_record,
@@ -52,8 +55,8 @@
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
     Fault, JobSettings, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings,
-    SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings,
-    merge_documents, settings_schema,
+    SecretSource, ServiceSettings, Settings, StopSettings, WorkerShape, ZoneSettings,
+    load_settings, merge_documents, settings_schema,
 };
 pub use share::{HomeRing, LinkLimits, LinkState, Share, stall_us, sure_slots};
 pub use wave::{WaveRecord, Waves};
--- a/crates/cyclamentrail-standin/src/backend.rs
+++ b/crates/cyclamentrail-standin/src/backend.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::answers;
 use crate::faulty_io::{FaultyIo, WriteFault};
 
 /// Header by which a backend server says that it refused a request and ran nothing of it.
@@ -80,6 +81,9 @@
     pub runs: Vec<RunReport>,
     /// Requests that it refused.
     pub refused: u64,
+    /// Requests that run now.
+    #[serde(default)]
+    pub in_flight: u32,
     /// Most requests that ran at once.
     pub peak_in_flight: u32,
     /// Most connections that were open at once.
@@ -116,7 +120,7 @@
 }
 
 #[derive(Debug, Clone)]
-struct Shared {
+pub(crate) struct Shared {
     name: InstanceName,
     slots: u32,
     state: Arc<Mutex<RunState>>,
@@ -154,6 +158,7 @@
         let router = Router::new()
             .route("/_standin/report", get(report))
             .route("/_standin/fault", post(set_fault))
+            .route("/{service}/answers", any(answers::run))
             .route("/{service}/{*path}", any(run))
             .with_state(shared.clone());
         let listener = TcpListener::bind(address).await?;
@@ -201,7 +206,11 @@
         allowed
     }
 
-    fn begin(&self, service: &str, headers: &HeaderMap) -> Result<BackendFault, &'static str> {
+    pub(crate) fn begin(
+        &self,
+        service: &str,
+        headers: &HeaderMap,
+    ) -> Result<BackendFault, &'static str> {
         let mut state = self.lock();
         let leaves = state.fault == BackendFault::Leave;
         if leaves || state.fault == BackendFault::Refuse || state.in_flight >= self.slots {
@@ -220,7 +229,14 @@
 }
 
 /// Frees the slot when the run ends or its caller goes away.
-struct SlotGuard(Shared);
+#[derive(Debug)]
+pub(crate) struct SlotGuard(Shared);
+
+impl From<Shared> for SlotGuard {
+    fn from(shared: Shared) -> Self {
+        Self(shared)
+    }
+}
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
@@ -258,8 +274,18 @@
     }
 }
 
+/// Says that a request was refused and nothing of it was run.
+pub(crate) fn refusal(word: &'static str) -> Response {
+    let headers = [(REFUSED_HEADER, word)];
+    (StatusCode::SERVICE_UNAVAILABLE, headers).into_response()
+}
+
 async fn report(State(shared): State<Shared>) -> Json<BackendReport> {
-    Json(shared.lock().report.clone())
+    let state = shared.lock();
+    Json(BackendReport {
+        in_flight: state.in_flight,
+        ..state.report.clone()
+    })
 }
 
 async fn set_fault(State(shared): State<Shared>, Json(fault): Json<BackendFault>) -> StatusCode {
@@ -276,10 +302,7 @@
 ) -> Response {
     let fault = match shared.begin(&service, &headers) {
         Ok(fault) => fault,
-        Err(refused) => {
-            let headers = [(REFUSED_HEADER, refused)];
-            return (StatusCode::SERVICE_UNAVAILABLE, headers).into_response();
-        }
+        Err(word) => return refusal(word),
     };
     let _slot = SlotGuard(shared.clone());
     let mut work_ms = query.work_ms;
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert_eq!(store.head("control").get(), 0);
 //! ```
 
+mod answers;
 mod backend;
 mod faulty_io;
 mod list_service;
@@ -17,6 +18,7 @@
 mod log_store;
 mod serve;
 
+pub use answers::AnswerKind;
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
 pub use list_service::ListService;
 pub use log_service::{LogFault, LogService};
--- a/crates/cyclamentrail/src/traffic.rs
+++ b/crates/cyclamentrail/src/traffic.rs
@@ -1,7 +1,10 @@
 //! Traffic: takes callers' requests, sends them to backend servers and passes answers back.
 
+mod answer;
 mod call;
+mod claims;
 mod dispatch;
+mod forward;
 mod gate;
 mod guard;
 mod jobs;
@@ -10,6 +13,8 @@
 mod listener;
 mod pick;
 mod placement;
+mod recorder;
+mod request;
 mod slot;
 mod wait;
 
--- a/crates/cyclamentrail/src/traffic/call.rs
+++ b/crates/cyclamentrail/src/traffic/call.rs
@@ -3,12 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::http::{HeaderMap, HeaderValue, Method, Request};
-use cyclamentrail_core::{RequestClass, TeamName};
+use axum::http::{HeaderMap, HeaderValue};
+use cyclamentrail_core::{Ask, RequestClass, TeamName};
 use tokio::time::Instant;
 
-use super::dispatch::Call;
-use crate::headers;
+use crate::{clock, headers};
 
 /// Shortest deadline of a request that counts as long when its caller doesn't say.
 const LONG_DEADLINE: Duration = Duration::from_mins(1);
@@ -17,25 +16,49 @@
 /// Team of the callers that name none.
 const DEFAULT_TEAM: &str = "default";
 
-/// Returns the call of a request.
-pub(crate) fn call_of<B>(request: &Request<B>, request_id: &str, deadline: Instant) -> Call {
+/// What dispatch needs to know of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    /// The entry's id of the request.
+    pub(crate) request_id: Arc<str>,
+    /// Its class.
+    pub(crate) class: RequestClass,
+    /// Team of the caller.
+    pub(crate) team: TeamName,
+    /// Whether it may run more than once.
+    pub(crate) idempotent: bool,
+    /// When its answer is due.
+    pub(crate) deadline: Instant,
+}
+
+impl Call {
+    /// Sets whether the request may run more than once.
+    pub(crate) const fn idempotent(mut self, idempotent: bool) -> Self {
+        self.idempotent = idempotent;
+        self
+    }
+
+    /// Returns what admission needs to know.
+    pub(crate) fn ask(&self) -> Ask {
+        Ask {
+            class: self.class,
+            team: self.team.clone(),
+            deadline_us: clock::us_at(self.deadline.into_std()),
+        }
+    }
+}
+
+/// Returns the call of a request that may run only once.
+pub(crate) fn call_of(headers: &HeaderMap, request_id: &str, deadline: Instant) -> Call {
     Call {
         request_id: Arc::from(request_id),
-        class: class_of(request.headers(), deadline),
-        team: team_of(request.headers()),
-        idempotent: is_idempotent(request.method()),
+        class: class_of(headers, deadline),
+        team: team_of(headers),
+        idempotent: false,
         deadline,
     }
 }
 
-/// Returns whether a method is idempotent by RFC 9110.
-pub(crate) const fn is_idempotent(method: &Method) -> bool {
-    matches!(
-        *method,
-        Method::GET | Method::HEAD | Method::PUT | Method::DELETE | Method::OPTIONS | Method::TRACE
-    )
-}
-
 fn class_of(headers: &HeaderMap, deadline: Instant) -> RequestClass {
     match headers.get(headers::CLASS).map(HeaderValue::as_bytes) {
         Some(b"long") => RequestClass::Long,
--- a/crates/cyclamentrail/src/traffic/dispatch.rs
+++ b/crates/cyclamentrail/src/traffic/dispatch.rs
@@ -5,40 +5,26 @@
 use std::time::Duration;
 
 use cyclamentrail_core::{
-    Ask, NotRunReason, Outcome, Refusal, RequestClass, TeamName, Tries, TryEnd, TryResult,
-    UnknownReason, stall_us,
+    Ending, NotRunReason, Outcome, Refusal, RequestClass, Tries, TryEnd, TryResult, UnknownReason,
+    stall_us,
 };
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
+use super::call::Call;
 use super::journal::Event;
-use super::link::{Link, RequestBody};
+use super::link::Link;
+use super::request::{Outgoing, RequestBody};
 use super::slot::Slot;
 use super::wait::take_slot;
-use crate::clock;
 use crate::headers;
 use crate::view::{ServiceRoute, SharedView};
 
 /// Value of the refusal's header by which a backend server says that it leaves.
 const LEAVING: &str = "leaving";
 
-/// What dispatch needs to know of a request.
-#[derive(Debug, Clone)]
-pub(crate) struct Call {
-    /// The entry's id of the request.
-    pub(crate) request_id: Arc<str>,
-    /// Its class.
-    pub(crate) class: RequestClass,
-    /// Team of the caller.
-    pub(crate) team: TeamName,
-    /// Whether it may run more than once.
-    pub(crate) idempotent: bool,
-    /// When its answer is due.
-    pub(crate) deadline: Instant,
-}
-
 /// The head of an answer, with the slot that must be held until its body has passed.
 #[derive(Debug)]
 pub(crate) struct Dispatched {
@@ -46,48 +32,8 @@
     pub(crate) slot: Slot,
 }
 
-/// Why there is no answer to pass on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Failure {
-    /// How the request ended.
-    pub(crate) outcome: Outcome,
-    /// Seconds after which to come back, computed from the state.
-    pub(crate) retry_after_s: Option<u64>,
-}
-
-impl From<Refusal> for Failure {
-    fn from(refusal: Refusal) -> Self {
-        Self {
-            outcome: Outcome::NotRun(refusal.reason),
-            retry_after_s: Some(refusal.retry_after_us.div_ceil(1_000_000).max(1)),
-        }
-    }
-}
-
-impl From<Outcome> for Failure {
-    fn from(outcome: Outcome) -> Self {
-        Self {
-            outcome,
-            retry_after_s: None,
-        }
-    }
-}
-
-impl Call {
-    /// Returns what admission needs to know.
-    pub(crate) fn ask(&self) -> Ask {
-        Ask {
-            class: self.class,
-            team: self.team.clone(),
-            deadline_us: clock::us_at(self.deadline.into_std()),
-        }
-    }
-}
-
 /// Sends a request and waits for the head of its answer.
 ///
-/// `next_request` is called once for each try; `None` means that the body can't be sent again.
-///
 /// # Errors
 ///
 /// Returns the outcome when there is no answer to pass on.
@@ -95,8 +41,8 @@
     shared: &Arc<SharedView>,
     route: &Arc<ServiceRoute>,
     call: &Call,
-    next_request: impl FnMut() -> Option<Request<RequestBody>> + Send,
-) -> Result<Dispatched, Failure> {
+    request: &mut Outgoing,
+) -> Result<Dispatched, Ending> {
     route.gate.earn();
     let mut dispatch = Dispatch {
         shared,
@@ -106,9 +52,9 @@
         avoid: None,
         may_have_run: None,
     };
-    let result = dispatch.run(next_request).await;
-    if let Err(failure) = &result {
-        let outcome = failure.outcome;
+    let result = dispatch.run(request).await;
+    if let Err(ending) = &result {
+        let outcome = ending.outcome;
         dispatch.note(Event::GivenUp { outcome });
     }
     result
@@ -152,39 +98,36 @@
 }
 
 impl Dispatch<'_> {
-    async fn run(
-        &mut self,
-        mut next_request: impl FnMut() -> Option<Request<RequestBody>> + Send,
-    ) -> Result<Dispatched, Failure> {
-        let Some(mut request) = next_request() else {
-            return Err(Outcome::NotRun(NotRunReason::BadRequest).into());
+    async fn run(&mut self, request: &mut Outgoing) -> Result<Dispatched, Ending> {
+        let Some(mut attempt) = request.attempt() else {
+            return Err(NotRunReason::BadRequest.into());
         };
         loop {
             let taken = take_slot(self.shared, self.route, self.call, self.avoid).await;
-            let slot = taken.map_err(|refusal| self.truthful(refusal.into()))?;
+            let slot = taken.map_err(|refusal| self.truthful(ending_of(refusal)))?;
             let link = Arc::clone(slot.link());
-            let ended = match self.try_once(slot, request).await? {
+            let ended = match self.try_once(slot, attempt).await? {
                 Try::Answered(dispatched) => return Ok(dispatched),
                 Try::Ended(ended) => ended,
             };
-            let Some(pause_us) = self.pause_after(&ended, &link) else {
-                return ended.answer.ok_or_else(|| self.failure(ended.outcome));
-            };
-            let Some(again) = next_request() else {
-                return ended.answer.ok_or_else(|| self.failure(ended.outcome));
+            let paused = self.pause_after(&ended, &link, request.is_repeatable());
+            let again = paused.and_then(|pause_us| Some((pause_us, request.attempt()?)));
+            let Some((pause_us, again)) = again else {
+                return ended.answer.ok_or_else(|| self.ending(ended.outcome));
             };
             self.forget(ended);
-            request = again;
+            attempt = again;
             tokio::time::sleep(Duration::from_micros(pause_us)).await;
         }
     }
 
     /// Returns the pause before a further try, or `None` when there is none.
-    fn pause_after(&mut self, ended: &Ended, link: &Link) -> Option<u64> {
+    fn pause_after(&mut self, ended: &Ended, link: &Link, repeatable: bool) -> Option<u64> {
         self.avoid = Some(link.target().rack);
+        let next = || self.route.gate.next_try(&mut self.tries, ended.end);
         let pause_us = ended
             .paid_pause_us
-            .or_else(|| self.route.gate.next_try(&mut self.tries, ended.end));
+            .or_else(|| repeatable.then(next).flatten());
         self.note(Event::TryEnded {
             instance: link.instance().clone(),
             end: ended.end,
@@ -200,23 +143,20 @@
         }
         if let Some(answer) = ended.answer {
             drop(answer.response);
-            answer.slot.fail(TryResult::ServerError, self.shared);
+            answer.slot.fail(TryResult::ServerError);
         }
     }
 
-    /// Returns the failure, as unknown when an earlier try may have run.
-    fn truthful(&self, failure: Failure) -> Failure {
-        match self.may_have_run {
-            Some(reason) => Outcome::Unknown(reason).into(),
-            None => failure,
-        }
+    /// Returns the ending, as unknown when an earlier try may have run.
+    fn truthful(&self, ending: Ending) -> Ending {
+        self.may_have_run.map_or(ending, Ending::from)
     }
 
     async fn try_once(
         &mut self,
         mut slot: Slot,
         request: Request<RequestBody>,
-    ) -> Result<Try, Failure> {
+    ) -> Result<Try, Ending> {
         let link = Arc::clone(slot.link());
         let left = self.call.deadline.saturating_duration_since(Instant::now());
         let timeout = self.route.connect_timeout.min(left);
@@ -224,12 +164,11 @@
             Ok(sender) => sender,
             Err(error) => {
                 log::info!(instance:% = link.instance(), error:% = error; "connect_failed");
-                return Ok(self.unreachable(slot));
+                return Ok(unreachable(slot));
             }
         };
         if !self.shared.may_dispatch() {
-            let failure = Outcome::NotRun(NotRunReason::NoPermission).into();
-            return Err(self.truthful(failure));
+            return Err(self.truthful(NotRunReason::NoPermission.into()));
         }
         let instance = link.instance().clone();
         self.note(Event::Sent { instance });
@@ -237,10 +176,10 @@
         slot.hold(sender);
         Ok(match sent {
             Head::Came(response) => self.judge(slot, response),
-            Head::NotSent => self.unreachable(slot),
-            Head::Lost => self.broken(slot, TryEnd::Lost, UnknownReason::ConnectionLost),
+            Head::NotSent => unreachable(slot),
+            Head::Lost => broken(slot, TryEnd::Lost, UnknownReason::ConnectionLost),
             Head::Stalled { pause_us } => {
-                slot.fail(TryResult::Broken, self.shared);
+                slot.fail(TryResult::Broken);
                 let outcome = Outcome::Unknown(UnknownReason::TimedOut);
                 let mut ended = Ended::new(TryEnd::Stalled, outcome);
                 ended.paid_pause_us = Some(pause_us);
@@ -248,7 +187,7 @@
             }
             Head::Late => {
                 self.late(slot);
-                return Err(Outcome::Unknown(UnknownReason::TimedOut).into());
+                return Err(UnknownReason::TimedOut.into());
             }
         })
     }
@@ -294,7 +233,7 @@
         let instance = slot.link().instance().clone();
         let status = response.status();
         if let Some(result) = refusal_of(&response) {
-            slot.fail(result, self.shared);
+            slot.fail(result);
             let outcome = Outcome::NotRun(NotRunReason::Refused);
             let end = TryEnd::Refused;
             return Try::Ended(Ended::new(end, outcome));
@@ -312,35 +251,21 @@
         Try::Answered(dispatched)
     }
 
-    fn unreachable(&self, slot: Slot) -> Try {
-        slot.fail(TryResult::Unreachable, self.shared);
-        let outcome = Outcome::NotRun(NotRunReason::NoInstance);
-        Try::Ended(Ended::new(TryEnd::ConnectFailed, outcome))
-    }
-
-    fn broken(&self, slot: Slot, end: TryEnd, reason: UnknownReason) -> Try {
-        slot.fail(TryResult::Broken, self.shared);
-        let outcome = Outcome::Unknown(reason);
-        Try::Ended(Ended::new(end, outcome))
-    }
-
     /// Ends a try at the caller's deadline, which is the server's fault when it took long.
     fn late(&self, slot: Slot) {
         let stalled_us = stall_us(&self.route.gate.pace(self.call.class));
         if slot.age_us() > stalled_us {
-            slot.fail(TryResult::Broken, self.shared);
+            slot.fail(TryResult::Broken);
         }
     }
 
-    fn failure(&self, outcome: Outcome) -> Failure {
+    fn ending(&self, outcome: Outcome) -> Ending {
+        if !matches!(outcome, Outcome::NotRun(_)) {
+            return outcome.into();
+        }
         let wait_us = self.route.gate.expected_wait_us(&self.call.ask());
-        let closed_us = self.route.closed_us();
-        let retry_after_s = wait_us.max(closed_us).div_ceil(1_000_000).max(1);
-        let not_run = matches!(outcome, Outcome::NotRun(_));
-        self.truthful(Failure {
-            outcome,
-            retry_after_s: not_run.then_some(retry_after_s),
-        })
+        let retry_after_us = wait_us.max(self.route.closed_us());
+        self.truthful(Ending::new(outcome).retry_after_ms(retry_after_us.div_ceil(1_000)))
     }
 
     fn note(&self, event: Event) {
@@ -357,6 +282,24 @@
     Late,
 }
 
+/// Ends a try of which nothing was sent.
+fn unreachable(slot: Slot) -> Try {
+    slot.fail(TryResult::Unreachable);
+    let outcome = Outcome::NotRun(NotRunReason::NoInstance);
+    Try::Ended(Ended::new(TryEnd::ConnectFailed, outcome))
+}
+
+/// Ends a try that may have run.
+fn broken(slot: Slot, end: TryEnd, reason: UnknownReason) -> Try {
+    slot.fail(TryResult::Broken);
+    Try::Ended(Ended::new(end, Outcome::Unknown(reason)))
+}
+
+/// Returns the ending of a request that wasn't admitted.
+fn ending_of(refusal: Refusal) -> Ending {
+    Ending::from(refusal.reason).retry_after_ms(refusal.retry_after_us.div_ceil(1_000))
+}
+
 fn refusal_of(response: &Response<Incoming>) -> Option<TryResult> {
     if response.status() != StatusCode::SERVICE_UNAVAILABLE {
         return None;
--- a/crates/cyclamentrail/src/traffic/gate.rs
+++ b/crates/cyclamentrail/src/traffic/gate.rs
@@ -9,6 +9,7 @@
 };
 use tokio::sync::oneshot;
 
+use super::journal::Journal;
 use super::link::Link;
 use super::pick::pick;
 use super::slot::Slot;
@@ -33,18 +34,25 @@
     admission: Mutex<Admission<Waiter>>,
     budget: Mutex<RetryBudget>,
     next_pump_us: AtomicU64,
+    journal: Arc<Journal>,
 }
 
 impl Gate {
     /// Creates empty queues.
-    pub(crate) fn new(limits: AdmitLimits, retry_ratio: f64) -> Self {
+    pub(crate) fn new(limits: AdmitLimits, retry_ratio: f64, journal: Arc<Journal>) -> Self {
         Self {
             admission: Mutex::new(Admission::new(limits)),
             budget: Mutex::new(RetryBudget::new(retry_ratio)),
             next_pump_us: AtomicU64::new(0),
+            journal,
         }
     }
 
+    /// Returns the journal of decisions.
+    pub(crate) fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
     /// Sets new limits.
     pub(crate) fn set_limits(&self, limits: AdmitLimits, retry_ratio: f64) {
         self.lock().set_limits(limits);
--- a/crates/cyclamentrail/src/traffic/link.rs
+++ b/crates/cyclamentrail/src/traffic/link.rs
@@ -5,25 +5,21 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use cyclamentrail_core::{
     BootId, Candidate, HealthChange, InstanceName, LinkLimits, LinkState, Pace, RequestClass,
     TryResult, Turn, Version,
 };
-use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
 use super::gate::Waiter;
+use super::request::RequestBody;
 use crate::clock;
 
 /// Time for which a kept connection may finish its last exchange.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
-/// Body of a request on its way to a backend server.
-pub(crate) type RequestBody = Full<Bytes>;
-
 /// A connection that can take one request at a time.
 pub(crate) type Sender = SendRequest<RequestBody>;
 
--- a/crates/cyclamentrail/src/traffic/slot.rs
+++ b/crates/cyclamentrail/src/traffic/slot.rs
@@ -7,7 +7,7 @@
 use super::journal::Event;
 use super::link::{Link, Sender};
 use crate::clock;
-use crate::view::{ServiceRoute, SharedView};
+use crate::view::ServiceRoute;
 
 /// A taken slot with its connection; dropping it frees the slot and closes the connection.
 ///
@@ -65,17 +65,17 @@
     }
 
     /// Ends the try with a whole answer and keeps the connection.
-    pub(crate) fn finish(mut self, shared: &SharedView) {
+    pub(crate) fn finish(mut self) {
         let took_us = self.age_us();
         let pace = self.route.gate.note_time(self.class, took_us);
         let result = self.link.note_time(self.class, took_us, &pace);
-        self.note(result, shared);
+        self.note(result);
         self.keep();
     }
 
     /// Ends the try without a whole answer from a working server.
-    pub(crate) fn fail(mut self, result: TryResult, shared: &SharedView) {
-        self.note(result, shared);
+    pub(crate) fn fail(mut self, result: TryResult) {
+        self.note(result);
         if matches!(result, TryResult::Refused | TryResult::ServerError) {
             self.keep();
         }
@@ -87,7 +87,7 @@
         }
     }
 
-    fn note(&self, result: TryResult, shared: &SharedView) {
+    fn note(&self, result: TryResult) {
         let spare = result == TryResult::Served || self.may_be_spared();
         let Some(change) = self.link.note(result, spare) else {
             return;
@@ -97,7 +97,7 @@
         if matches!(change, HealthChange::Ejected { .. }) {
             self.link.drop_idle();
         }
-        shared.journal().note(
+        self.route.gate.journal().note(
             None,
             Event::Health {
                 instance,
--- a/crates/cyclamentrail/src/traffic/wait.rs
+++ b/crates/cyclamentrail/src/traffic/wait.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use super::dispatch::Call;
+use super::call::Call;
 use super::gate::{Gate, Waiter};
 use super::journal::Event;
 use super::pick::pick;
--- a/crates/cyclamentrail/src/view.rs
+++ b/crates/cyclamentrail/src/view.rs
@@ -1,7 +1,7 @@
 //! The immutable view that control publishes and traffic routes from.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -79,7 +79,8 @@
     view: ArcSwap<View>,
     permitted_until_ms: AtomicU64,
     gates: Mutex<BTreeMap<ServiceName, Arc<Gate>>>,
-    journal: Journal,
+    journal: Arc<Journal>,
+    stopping: AtomicBool,
 }
 
 impl SharedView {
@@ -94,7 +95,7 @@
     }
 
     /// Returns the journal of decisions about requests.
-    pub(crate) const fn journal(&self) -> &Journal {
+    pub(crate) fn journal(&self) -> &Journal {
         &self.journal
     }
 
@@ -114,7 +115,7 @@
         let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
         let gate = gates
             .entry(name.clone())
-            .or_insert_with(|| Arc::new(Gate::new(limits, ratio)));
+            .or_insert_with(|| Arc::new(Gate::new(limits, ratio, Arc::clone(&self.journal))));
         gate.set_limits(limits, ratio);
         Arc::clone(gate)
     }
@@ -128,6 +129,21 @@
     pub(crate) fn may_dispatch(&self) -> bool {
         clock::now_ms() < self.permitted_until_ms.load(Ordering::SeqCst)
     }
+
+    /// Turns the process unready; it still serves the requests that come.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether the balancer may send requests here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.may_dispatch() && !self.is_stopping()
+    }
 }
 
 /// Returns the time between two starts when all slots work at the mean that was declared.
