--- a/crates/cyclamentrail/src/headers.rs
+++ b/crates/cyclamentrail/src/headers.rs
@@ -10,6 +10,8 @@
 pub(crate) const REQUEST_ID: &str = "x-request-id";
 /// A backend server's word that it refused the request and ran nothing of it.
 pub(crate) const REFUSED: &str = "x-refused";
+/// Class of the request: `quick` or `long`.
+pub(crate) const CLASS: &str = "x-request-class";
 /// Team that the request belongs to.
 pub(crate) const TEAM: &str = "x-team";
 /// Caller's key: requests of one key run at most once.
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -17,6 +17,7 @@
 
 mod entries;
 mod jobs;
+mod requests;
 mod waves;
 
 /// What the operators' listener shares between requests.
@@ -51,6 +52,7 @@
         .merge(entries::router())
         .merge(waves::router())
         .merge(jobs::router())
+        .merge(requests::router())
         .layer(middleware::from_fn_with_state(
             operator.clone(),
             check_token,
--- a/crates/cyclamentrail/src/traffic/guard.rs
+++ b/crates/cyclamentrail/src/traffic/guard.rs
@@ -4,13 +4,16 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use cyclamentrail_core::TryResult;
 use http_body::{Body, Frame, SizeHint};
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::time::{Instant, Sleep};
 
-use super::link::{Sender, Slot};
+use super::dispatch::is_server_error;
 use super::recorder::Recorder;
+use super::slot::Slot;
 
 /// Why an answer is cut; the caller sees an aborted transfer.
 #[derive(Debug, Error)]
@@ -23,29 +26,43 @@
     Deadline,
 }
 
-/// The slot and the connection of an answer on its way; dropping it frees the slot and closes the
-/// connection.
+/// The slot of an answer on its way; dropping it frees the slot and closes the connection.
 #[derive(Debug)]
 pub(crate) struct Held {
     slot: Slot,
-    sender: Sender,
+    status: StatusCode,
 }
 
 impl Held {
-    /// Holds a slot and the connection that the request is on.
-    pub(crate) const fn new(slot: Slot, sender: Sender) -> Self {
-        Self { slot, sender }
+    /// Holds a slot with its connection for an answer of this status.
+    pub(crate) const fn new(slot: Slot, status: StatusCode) -> Self {
+        Self { slot, status }
     }
 
     /// Ends with a whole answer; the connection is kept.
     pub(crate) fn whole(self) {
-        self.slot.link().keep(self.sender);
+        if is_server_error(self.status) {
+            self.slot.fail(TryResult::ServerError);
+        } else {
+            self.slot.finish();
+        }
     }
 
-    /// Ends with a cut answer; the connection is closed.
+    /// Ends with an answer that the server cut; the connection is closed.
     pub(crate) fn cut(self) {
+        self.note_cut();
+        self.slot.fail(TryResult::Broken);
+    }
+
+    /// Ends at the deadline; the connection is closed.
+    pub(crate) fn late(self) {
+        self.note_cut();
+        drop(self);
+    }
+
+    fn note_cut(&self) {
         metrics::counter!("answers_cut_total").increment(1);
-        log::warn!(instance:% = self.slot.link().instance; "answer_cut");
+        log::warn!(instance:% = self.slot.link().instance(); "answer_cut");
     }
 }
 
@@ -89,8 +106,10 @@
     }
 
     fn cut(&mut self, error: CutAnswer) -> Poll<Option<Result<Frame<Bytes>, CutAnswer>>> {
-        if let Some(held) = self.held.take() {
-            held.cut();
+        match (self.held.take(), &error) {
+            (Some(held), CutAnswer::ByServer(_)) => held.cut(),
+            (Some(held), CutAnswer::Deadline) => held.late(),
+            (None, _) => {}
         }
         drop(self.recorder.take());
         Poll::Ready(Some(Err(error)))
