feat(claims): refuse new keys at once while the log doesn't answer

A log that hangs held keyed requests until their records expired. A new key is refused when the log hasn't confirmed the entry's state within the lease, and Retry-After is the time until the entry tries the log again.

--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -208,7 +208,11 @@
         let own = self.parts.identity.incarnation;
         if let DeskAction::Claim { record, reply } = self.claims.handle(&self.fleet, own, message) {
             let (result, folded) = oneshot::channel();
-            self.submit(RecordBody::Claim(record), Some(result));
+            if self.membership.reaches_log(clock::now_ms()) {
+                self.submit(RecordBody::Claim(record), Some(result));
+            } else {
+                drop(result.send(Err(SubmitError::LogDown)));
+            }
             drop(reply.send(ClaimAnswer::Submitted(folded)));
         }
         self.end_claims();
--- a/crates/cyclamentrail/src/control/log_health.rs
+++ b/crates/cyclamentrail/src/control/log_health.rs
@@ -37,10 +37,16 @@
         self.retry_ms.load(Ordering::Relaxed) != 0
     }
 
+    /// Returns the milliseconds until the log is tried again.
+    pub(crate) fn retry_after_ms(&self) -> u64 {
+        let retry_ms = self.retry_ms.load(Ordering::Relaxed);
+        retry_ms.saturating_sub(clock::now_ms())
+    }
+
     /// Returns the seconds after which a refused change may be tried again.
     pub(crate) fn retry_after_s(&self) -> u64 {
-        let retry_ms = self.retry_ms.load(Ordering::Relaxed);
-        let wait_ms = retry_ms.saturating_sub(clock::now_ms());
-        wait_ms.div_ceil(MS_PER_S).max(MIN_RETRY_AFTER_S)
+        self.retry_after_ms()
+            .div_ceil(MS_PER_S)
+            .max(MIN_RETRY_AFTER_S)
     }
 }
--- a/crates/cyclamentrail/src/traffic/claims.rs
+++ b/crates/cyclamentrail/src/traffic/claims.rs
@@ -17,7 +17,7 @@
 use super::dispatch::dispatch;
 use super::listener::{Routed, Traffic};
 use super::request::Outgoing;
-use crate::control::{ClaimAnswer, Run, SubmitError};
+use crate::control::{ClaimAnswer, ControlHandle, Run, SubmitError};
 use crate::headers;
 use crate::peer::claims::ClaimClient;
 use crate::view::SharedView;
@@ -117,8 +117,7 @@
                 return replay(outcome, &routed.request_id);
             }
             ClaimAnswer::Submitted(folded) => {
-                let backoff = routed.log_backoff();
-                wait_folded(folded, deadline, backoff).await?;
+                wait_folded(traffic.control(), folded, deadline).await?;
             }
             ClaimAnswer::Running { owner, changed } => {
                 let waited = wait_changed(traffic.peers(), key, owner, changed);
@@ -168,12 +167,12 @@
 }
 
 async fn wait_folded(
+    control: &ControlHandle,
     folded: oneshot::Receiver<Result<(), SubmitError>>,
     deadline: Instant,
-    log_backoff: Duration,
 ) -> Result<(), Ending> {
     let log_down = || {
-        let wait_ms = u64::try_from(log_backoff.as_millis()).unwrap_or(u64::MAX);
+        let wait_ms = control.health().retry_after_ms();
         Ending::from(NotRunReason::LogDown).retry_after_ms(wait_ms)
     };
     match tokio::time::timeout_at(deadline, folded).await {
--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -130,16 +130,6 @@
     }
 }
 
-impl Routed {
-    /// Returns how long to wait for the log when it can't be reached.
-    pub(crate) fn log_backoff(&self) -> Duration {
-        let settings = self.view.settings.as_ref();
-        settings.map_or(Duration::ZERO, |settings| {
-            settings.control.platform_timeout_ms
-        })
-    }
-}
-
 /// Returns the routes of the callers' listener.
 pub(crate) fn router(traffic: Arc<Traffic>) -> Router {
     Router::new()
--- a/crates/cyclamentrail/tests/once_keys.rs
+++ b/crates/cyclamentrail/tests/once_keys.rs
@@ -82,10 +82,31 @@
         let answer = site.post(entry, path, &retry).await?;
         assert_eq!(answer.outcome, "unknown", "{answer:?}");
     }
+    let gone = until_reason(&site, 1, path, &retry, "owner-gone").await?;
+    assert_eq!(gone.outcome, "unknown");
     assert_eq!(site.runs_of("warn").await, 1);
     Ok(())
 }
 
+/// Sends a call until it ends for a reason.
+async fn until_reason(
+    site: &Site,
+    entry: usize,
+    path: &str,
+    call: &Call,
+    reason: &str,
+) -> Result<Answer> {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let answer = site.post(entry, path, call).await?;
+        if answer.reason == reason {
+            return Ok(answer);
+        }
+        ensure!(Instant::now() < until, "not {reason}: {answer:?}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 #[tokio::test]
 async fn lost_appends() -> Result<()> {
     let site = Site::builder().start().await?;
@@ -142,6 +163,29 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn log_hangs() -> Result<()> {
+    let site = Site::builder().start().await?;
+    let hang = LogFault::Slow { delay_ms: 600_000 };
+    site.set_log_fault(hang).await?;
+    // The last answer of the log is older than the lease now.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let asked = Instant::now();
+    let call = Call::new("during").key("k1").deadline_ms(30_000);
+    let refused = site.post(0, "checks/work", &call).await?;
+    assert_eq!(
+        (refused.outcome.as_str(), refused.reason.as_str()),
+        ("not-run", "log-down")
+    );
+    assert!(
+        asked.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        asked.elapsed()
+    );
+    assert_eq!(site.runs_of("during").await, 0);
+    Ok(())
+}
+
 #[tokio::test]
 async fn outage_peer() -> Result<()> {
     let site = Site::builder().start().await?;
@@ -201,6 +245,36 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn evicted_owner() -> Result<()> {
+    let site = Site::builder().entries(3).start().await?;
+    let call = Call::new("warn").key("k1").deadline_ms(30_000);
+    let path = "checks/work?work_ms=1000";
+    let evicted = async {
+        until_runs(&site, "warn").await?;
+        site.entries[0].pause()?;
+        let retry = call.clone().deadline_ms(1_000);
+        let gone = until_reason(&site, 1, path, &retry, "owner-gone").await;
+        site.entries[0].resume()?;
+        gone
+    };
+    let (first, gone) = tokio::join!(site.post(0, path, &call), evicted);
+    let (first, gone) = (first?, gone?);
+    // Its own caller may have been answered by the one run; the others are never told otherwise.
+    assert!(
+        ["answered", "unknown"].contains(&first.outcome.as_str()),
+        "{first:?}"
+    );
+    assert_eq!(gone.outcome, "unknown");
+    site.wait_ready(0).await?;
+    for entry in 0..3 {
+        let again = site.post(entry, path, &call).await?;
+        assert_eq!(again.outcome, "unknown", "{again:?}");
+    }
+    assert_eq!(site.runs_of("warn").await, 1);
+    Ok(())
+}
+
 #[tokio::test]
 async fn refused_runs_later() -> Result<()> {
     let site = Site::builder().start().await?;
