feat(answers): receive a key's streamed answer to its end without its caller

A caller that went away in the middle of a chunked answer left its key with an unknown outcome, though the backend server had run the request. The answer is received to its end now, at the caller's pace while there is one, and its repetition gets it whole.

--- a/crates/cyclamentrail/src/traffic.rs
+++ b/crates/cyclamentrail/src/traffic.rs
@@ -13,6 +13,7 @@
 mod listener;
 mod pick;
 mod placement;
+mod pump;
 mod recorder;
 mod request;
 mod slot;
--- a/crates/cyclamentrail/src/traffic/answer.rs
+++ b/crates/cyclamentrail/src/traffic/answer.rs
@@ -14,6 +14,7 @@
 use super::dispatch::Dispatched;
 use super::forward::remove_hop_by_hop;
 use super::guard::{GuardedBody, Held};
+use super::pump::pump;
 use super::recorder::{KEPT_BODY_BYTES, Recorder};
 use crate::body;
 use crate::control::{Run, RunEnd};
@@ -59,7 +60,7 @@
     let mut recorder = Recorder::new(run, &parts);
     if !is_short(&body, KEPT_BODY_BYTES) {
         let body = GuardedBody::new(body, held, deadline).recorder(recorder);
-        return Ok(finished(parts, Body::new(body), request_id));
+        return Ok(finished(parts, pump(body), request_id));
     }
     let body = receive(body, held, deadline).await?;
     recorder.pass(&body);
--- a/crates/cyclamentrail/src/traffic/guard.rs
+++ b/crates/cyclamentrail/src/traffic/guard.rs
@@ -24,6 +24,9 @@
     /// The deadline passed first.
     #[error("the deadline passed before the whole answer came")]
     Deadline,
+    /// This process didn't receive it to its end.
+    #[error("the answer was not received to its end")]
+    Unfinished,
 }
 
 /// The slot of an answer on its way; dropping it frees the slot and closes the connection.
@@ -108,7 +111,7 @@
     fn cut(&mut self, error: CutAnswer) -> Poll<Option<Result<Frame<Bytes>, CutAnswer>>> {
         match (self.held.take(), &error) {
             (Some(held), CutAnswer::ByServer(_)) => held.cut(),
-            (Some(held), CutAnswer::Deadline) => held.late(),
+            (Some(held), CutAnswer::Deadline | CutAnswer::Unfinished) => held.late(),
             (None, _) => {}
         }
         drop(self.recorder.take());
--- a/crates/cyclamentrail/tests/once_keys.rs
+++ b/crates/cyclamentrail/tests/once_keys.rs
@@ -1,5 +1,6 @@
 //! Requests with an idempotency key run at most once, whatever fails.
 
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 use anyhow::{Result, ensure};
@@ -331,3 +332,23 @@
     assert_eq!(site.runs_of("warn").await, 1);
     Ok(())
 }
+
+#[tokio::test]
+async fn gone_midway() -> Result<()> {
+    let site = Site::builder().start().await?;
+    let call = Call::new("render").key("k1").deadline_ms(20_000);
+    let path = "renders/answers?kind=chunked&bytes=320000&pause_ms=50";
+    let address = site.entries[0].address("callers")?;
+    let request = format!(
+        "POST /v1/services/{path} HTTP/1.1\r\nHost: test\r\nContent-Length: 0\r\n\
+         X-Call-Id: render\r\nIdempotency-Key: k1\r\nX-Request-Deadline-Ms: 20000\r\n\r\n"
+    );
+    let mut caller = std::net::TcpStream::connect(address)?;
+    caller.write_all(request.as_bytes())?;
+    let mut head = [0; 12];
+    tokio::task::spawn_blocking(move || caller.read_exact(&mut head)).await??;
+    let again = until_answered(&site, 1, path, &call).await?;
+    assert_eq!((again.body.len(), again.replayed), (320_000, true));
+    assert_eq!(site.runs_of("render").await, 1);
+    Ok(())
+}
