feat(check): name every fault of the settings in one run

Reading stopped at the first fault, and a fault did not say which file it came from. The merged document is now compared with the schema of the types, which finds every fault of shape; values of a wrong shape are replaced by neutral ones, so that the cross-checks run on the rest. A fault names the file, JSON pointer, value, what is allowed and the remedy. Ruled out: collecting faults through serde alone, which can't go on after the first.

--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -44,8 +44,8 @@
 pub use route::{Candidate, choose};
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
-    Fault, JobSettings, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings,
-    SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings,
-    merge_documents, settings_schema,
+    Fault, JobSettings, LoadError, LogLevel, LogSettings, PlatformSettings, PoolSettings,
+    RequestSettings, SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings,
+    load_settings, merge_documents, settings_schema,
 };
 pub use wave::{WaveRecord, Waves};
--- a/crates/cyclamentrail-core/src/settings.rs
+++ b/crates/cyclamentrail-core/src/settings.rs
@@ -33,7 +33,7 @@
 pub use control::ControlSettings;
 pub use job::JobSettings;
 pub use load::{Fault, LoadError, load_settings, merge_documents, settings_schema};
-pub use process::{EntrySettings, LogSettings, PlatformSettings, SecretSource};
+pub use process::{EntrySettings, LogLevel, LogSettings, PlatformSettings, SecretSource};
 pub use request::{CallerLimits, RequestSettings};
 
 /// Effective settings of one site.
@@ -90,12 +90,16 @@
 #[serde(deny_unknown_fields)]
 pub struct WorkerShape {
     /// Processor cores.
+    #[schemars(range(min = 1))]
     pub cores: u32,
     /// Memory in MiB.
+    #[schemars(range(min = 1))]
     pub memory_mib: u64,
     /// Requests that a worker runs at once.
+    #[schemars(range(min = 1))]
     pub slots: u32,
     /// Connections that a worker accepts.
+    #[schemars(range(min = 1))]
     pub connections: u32,
 }
 
@@ -121,7 +125,7 @@
     pub contract: ContractSettings,
     /// Deadline in milliseconds of a request that brings none.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
+    #[schemars(with = "u64", range(min = 1))]
     pub default_deadline_ms: Duration,
     /// Mean work of one request in milliseconds of one slot.
     pub mean_work_ms: f64,
--- a/crates/cyclamentrail-core/src/settings/contract.rs
+++ b/crates/cyclamentrail-core/src/settings/contract.rs
@@ -8,10 +8,12 @@
 #[serde(deny_unknown_fields)]
 pub struct ContractSettings {
     /// Instances that the service is promised.
+    #[schemars(range(min = 1))]
     pub promised_instances: u32,
     /// Instance-seconds that may be missing in one window, planned and unplanned together.
     pub budget_instance_s: u64,
     /// Length of the window in seconds.
+    #[schemars(range(min = 1))]
     pub window_s: u64,
     /// Failure domain whose loss the promise survives.
     pub survives: FailureDomain,
@@ -36,9 +38,12 @@
 #[serde(deny_unknown_fields)]
 pub struct CostWeights {
     /// Weight of one instance held as a buffer.
+    #[schemars(range(min = 0.0))]
     pub buffer: f64,
     /// Weight of one minute of roll-out.
+    #[schemars(range(min = 0.0))]
     pub roll_out: f64,
     /// Weight of one move between pools.
+    #[schemars(range(min = 0.0))]
     pub moves: f64,
 }
--- a/crates/cyclamentrail-core/src/settings/control.rs
+++ b/crates/cyclamentrail-core/src/settings/control.rs
@@ -13,11 +13,11 @@
 pub struct ControlSettings {
     /// Interval in milliseconds between heartbeats to each peer.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
+    #[schemars(with = "u64", range(min = 1))]
     pub heartbeat_ms: Duration,
     /// Time in milliseconds for which a confirmed view permits dispatch.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
+    #[schemars(with = "u64", range(min = 1))]
     pub dispatch_lease_ms: Duration,
     /// Longest delay in milliseconds before records are appended as a batch.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -25,12 +25,13 @@
     pub append_delay_ms: Duration,
     /// Interval in milliseconds between two looks at the instance list.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
+    #[schemars(with = "u64", range(min = 1))]
     pub list_interval_ms: Duration,
     /// Records between two snapshots.
+    #[schemars(range(min = 1))]
     pub snapshot_records: u64,
     /// Time limit in milliseconds for one call of the platform.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[schemars(with = "u64")]
+    #[schemars(with = "u64", range(min = 1))]
     pub platform_timeout_ms: Duration,
 }
--- a/crates/cyclamentrail-core/src/settings/load.rs
+++ b/crates/cyclamentrail-core/src/settings/load.rs
@@ -10,17 +10,36 @@
 /// One fault in the settings.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Fault {
-    /// Path of the value in the merged document.
+    /// JSON pointer (RFC 6901) to the value in the merged document.
     pub path: String,
-    /// What is wrong, and what is allowed.
+    /// What is wrong.
     pub problem: String,
+    /// What is allowed.
+    pub allowed: String,
     /// What to do about it.
     pub remedy: String,
 }
 
+impl Fault {
+    /// Creates a fault.
+    #[must_use]
+    pub fn new(path: String, problem: String, allowed: &str, remedy: &str) -> Self {
+        Self {
+            path,
+            problem,
+            allowed: allowed.to_owned(),
+            remedy: remedy.to_owned(),
+        }
+    }
+}
+
 impl std::fmt::Display for Fault {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}: {}; {}", self.path, self.problem, self.remedy)
+        write!(
+            f,
+            "{}: {}; allowed: {}; {}",
+            self.path, self.problem, self.allowed, self.remedy
+        )
     }
 }
 
@@ -50,11 +69,12 @@
 /// Returns [`LoadError`] with every fault that was found.
 pub fn load_settings(document: &Value) -> Result<Settings, LoadError> {
     let settings: Settings = serde_path_to_error::deserialize(document).map_err(|error| {
-        let fault = Fault {
-            path: error.path().to_string(),
-            problem: error.inner().to_string(),
-            remedy: String::from("correct the value; docs/SETTINGS.md lists what is allowed"),
-        };
+        let fault = Fault::new(
+            pointer(error.path()),
+            error.inner().to_string(),
+            "what docs/SETTINGS.md lists",
+            "correct the value",
+        );
         LoadError {
             faults: vec![fault],
         }
@@ -67,6 +87,16 @@
     }
 }
 
+/// Returns a path as a JSON pointer.
+fn pointer(path: &serde_path_to_error::Path) -> String {
+    let mut pointer = String::new();
+    for segment in path {
+        pointer.push('/');
+        pointer.push_str(&segment.to_string().replace('~', "~0").replace('/', "~1"));
+    }
+    pointer
+}
+
 /// Returns the JSON schema of the settings.
 #[must_use]
 pub fn settings_schema() -> Schema {
--- a/crates/cyclamentrail-core/src/settings/process.rs
+++ b/crates/cyclamentrail-core/src/settings/process.rs
@@ -7,6 +7,9 @@
 
 use crate::name::ZoneName;
 
+/// Pattern of an IP address with a port.
+const ADDRESS_PATTERN: &str = r"^([0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9A-Fa-f:.]+\]):[0-9]{1,5}$";
+
 /// What one entry process learns of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -14,13 +17,13 @@
     /// Availability zone that the entry stands in.
     pub zone: ZoneName,
     /// Listener for callers.
-    #[schemars(with = "String")]
+    #[schemars(with = "String", regex(pattern = ADDRESS_PATTERN))]
     pub caller_address: SocketAddr,
     /// Listener for the other entries.
-    #[schemars(with = "String")]
+    #[schemars(with = "String", regex(pattern = ADDRESS_PATTERN))]
     pub peer_address: SocketAddr,
     /// Listener for operators.
-    #[schemars(with = "String")]
+    #[schemars(with = "String", regex(pattern = ADDRESS_PATTERN))]
     pub operator_address: SocketAddr,
 }
 
@@ -29,10 +32,10 @@
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Address of the log service.
-    #[schemars(with = "String")]
+    #[schemars(with = "String", regex(pattern = ADDRESS_PATTERN))]
     pub log_address: SocketAddr,
     /// Address of the list of live and leaving instances.
-    #[schemars(with = "String")]
+    #[schemars(with = "String", regex(pattern = ADDRESS_PATTERN))]
     pub list_address: SocketAddr,
     /// Stream of the log that holds the control records.
     pub control_stream: String,
@@ -52,8 +55,24 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct LogSettings {
-    /// Lowest level that is written: `error`, `warn`, `info`, `debug` or `trace`.
-    pub level: String,
+    /// Lowest level that is written.
+    pub level: LogLevel,
     /// Destination: `stderr`, `stdout` or a file's path.
     pub destination: String,
 }
+
+/// Level of a log event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Something failed that an operator must look at.
+    Error,
+    /// Something failed that the system works around.
+    Warn,
+    /// Decisions and changes.
+    Info,
+    /// Details for finding faults.
+    Debug,
+    /// Every step.
+    Trace,
+}
--- a/crates/cyclamentrail/src/command.rs
+++ b/crates/cyclamentrail/src/command.rs
@@ -5,6 +5,7 @@
 use anyhow::Result;
 use getopts::{Matches, Options};
 
+mod check;
 mod client;
 mod documents;
 mod entry;
@@ -16,6 +17,7 @@
 Usage: cyclamentrail <command> [options]
 
 Commands:
+  check    reads, merges and validates the settings of a site
   entry    runs one entry
   state    prints the whole state of an entry
 
@@ -60,6 +62,7 @@
             println!("cyclamentrail {}", env!("CARGO_PKG_VERSION"));
             ExitStatus::Done
         }
+        "check" => check::run(rest),
         "entry" => entry::run(rest),
         "state" => state::run(rest),
         other => {
--- a/crates/cyclamentrail/src/command/entry.rs
+++ b/crates/cyclamentrail/src/command/entry.rs
@@ -1,20 +1,18 @@
 //! `cyclamentrail entry`: runs one entry.
 
-use std::path::PathBuf;
-
-use anyhow::{Context, Result};
-use cyclamentrail_core::{EntryName, load_settings};
+use anyhow::Result;
+use cyclamentrail_core::EntryName;
 use getopts::{Matches, Options};
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::{ExitStatus, documents};
+use super::ExitStatus;
+use super::documents::Documents;
 use crate::entry::{Entry, EntryError, EntryOptions};
 use crate::logging;
 
 fn options() -> Options {
     let mut options = Options::new();
-    options.reqopt("", "settings", "base settings", "FILE");
-    options.reqopt("", "overlay", "settings of the site", "FILE");
+    Documents::add_options(&mut options);
     options.reqopt("", "name", "name of this entry", "NAME");
     options.optopt("", "caller-address", "listener for callers", "IP:PORT");
     options.optopt("", "peer-address", "listener for entries", "IP:PORT");
@@ -29,14 +27,7 @@
 }
 
 fn serve(matches: &Matches) -> Result<()> {
-    let base: PathBuf = matches
-        .opt_get("settings")?
-        .context("--settings is missing")?;
-    let overlay: PathBuf = matches
-        .opt_get("overlay")?
-        .context("--overlay is missing")?;
-    let document = documents::read_merged(&base, &overlay)?;
-    let settings = load_settings(&document)?;
+    let (document, settings) = Documents::from_matches(matches)?.load()?;
     let name = EntryName::from(matches.opt_str("name").unwrap_or_default());
     logging::start(&settings.log, name.as_str())?;
     let listed = settings
--- a/crates/cyclamentrail/src/lib.rs
+++ b/crates/cyclamentrail/src/lib.rs
@@ -18,6 +18,7 @@
 mod headers;
 mod logging;
 mod operator;
+mod pages;
 mod peer;
 mod serve;
 mod timer;
@@ -28,3 +29,4 @@
 
 pub use command::{ExitStatus, run};
 pub use entry::{Entry, EntryError, EntryOptions};
+pub use pages::settings_page;
--- a/crates/cyclamentrail/src/logging.rs
+++ b/crates/cyclamentrail/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logs by `log4rs`: one line of key=value pairs for each event.
 
 use anyhow::Result;
-use cyclamentrail_core::LogSettings;
+use cyclamentrail_core::{LogLevel, LogSettings};
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use log4rs::append::console::{ConsoleAppender, Target};
@@ -19,7 +19,7 @@
 }
 
 fn config(settings: &LogSettings, process: &str) -> Result<Config> {
-    let level: LevelFilter = settings.level.parse()?;
+    let level = filter(settings.level);
     let encoder = Box::new(KeyValueEncoder {
         process: process.to_owned(),
     });
@@ -35,6 +35,16 @@
     Ok(Config::builder().appender(appender).build(root)?)
 }
 
+const fn filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    }
+}
+
 fn console(target: Target, encoder: Box<KeyValueEncoder>) -> Appender {
     let console = ConsoleAppender::builder()
         .target(target)
--- /dev/null
+++ b/crates/cyclamentrail/tests/check_settings.rs
@@ -0,0 +1,168 @@
+//! `check` names every fault of the settings in one run.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use anyhow::{Context, Result};
+use rstest::rstest;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+fn sites() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../sites")
+}
+
+fn read(name: &str) -> Result<Value> {
+    Ok(serde_json::from_slice(&std::fs::read(sites().join(name))?)?)
+}
+
+fn check(base: &Value, overlay: &Value, more: &[&str]) -> Result<Output> {
+    let folder = TempDir::new()?;
+    let base_path = folder.path().join("base.json");
+    let overlay_path = folder.path().join("overlay.json");
+    std::fs::write(&base_path, base.to_string())?;
+    std::fs::write(&overlay_path, overlay.to_string())?;
+    let output = Command::new(env!("CARGO_BIN_EXE_cyclamentrail"))
+        .arg("check")
+        .arg("--settings")
+        .arg(&base_path)
+        .arg("--overlay")
+        .arg(&overlay_path)
+        .args(more)
+        .output()?;
+    Ok(output)
+}
+
+/// Returns the lines that `check` prints when the garza overlay is patched.
+fn faults_of(patch: &Value) -> Result<Vec<String>> {
+    let mut overlay = read("garza.json")?;
+    json_patch(&mut overlay, patch);
+    let output = check(&read("base.json")?, &overlay, &[])?;
+    assert_eq!(output.status.code(), Some(1), "{output:?}");
+    let text = String::from_utf8(output.stderr)?;
+    Ok(text.lines().map(str::to_owned).collect())
+}
+
+fn json_patch(document: &mut Value, patch: &Value) {
+    *document = cyclamentrail::core::merge_documents(document.take(), patch);
+}
+
+#[rstest]
+fn sites_pass(#[values("garza", "corran")] site: &str) -> Result<()> {
+    let overlay = read(&format!("{site}.json"))?;
+    let output = check(&read("base.json")?, &overlay, &["--print"])?;
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let printed: Value = serde_json::from_slice(&output.stdout)?;
+    assert_eq!(printed["site"], site);
+    assert_eq!(printed["worker"]["slots"], 8);
+    Ok(())
+}
+
+#[test]
+fn all_faults() -> Result<()> {
+    let lines = faults_of(&json!({
+        "wrong_key": 1,
+        "worker": {"cores": "many"},
+        "services": {"platform-forecasts": {"contract": {"promised_instances": 99}}},
+        "control": {"heartbeat_ms": 0},
+        "entries": {"e1": {"zone": "nowhere", "peer_address": "localhost"}},
+        "log": {"level": "loud"},
+    }))?;
+    for path in [
+        "/wrong_key",
+        "/worker/cores",
+        "/services/platform-forecasts/contract/promised_instances",
+        "/control/heartbeat_ms",
+        "/entries/e1/zone",
+        "/entries/e1/peer_address",
+        "/log/level",
+    ] {
+        let found = lines
+            .iter()
+            .filter(|line| line.contains(&format!(": {path}: ")))
+            .count();
+        assert_eq!(found, 1, "{path} in {lines:#?}");
+    }
+    assert_eq!(lines.len(), 8, "{lines:#?}");
+    Ok(())
+}
+
+#[test]
+fn fault_parts() -> Result<()> {
+    let lines = faults_of(&json!({"control": {"heartbeat_ms": 0}}))?;
+    let line = lines.first().context("no fault")?;
+    for part in [
+        "overlay.json: /control/heartbeat_ms: ",
+        "value: 0; ",
+        "allowed: 1 or more; ",
+        "remedy: ",
+    ] {
+        assert!(line.contains(part), "{part:?} in {line}");
+    }
+    Ok(())
+}
+
+#[test]
+fn base_named() -> Result<()> {
+    let mut base = read("base.json")?;
+    json_patch(&mut base, &json!({"control": {"dispatch_lease_ms": 100}}));
+    let output = check(&base, &read("garza.json")?, &[])?;
+    let text = String::from_utf8(output.stderr)?;
+    assert!(
+        text.contains("base.json: /control/dispatch_lease_ms: "),
+        "{text}"
+    );
+    Ok(())
+}
+
+#[rstest]
+#[case::small_pool(
+    json!({"services": {"platform-forecasts": {"contract": {"promised_instances": 10}}}}),
+    "/services/platform-forecasts/contract/promised_instances"
+)]
+#[case::unmet_budget(
+    json!({"services": {"platform-forecasts": {"contract":
+        {"promised_instances": 9, "budget_instance_s": 10, "survives": "instance"}}}}),
+    "/services/platform-forecasts/contract/budget_instance_s"
+)]
+#[case::unlimited_budget(
+    json!({"services": {"platform-forecasts": {"contract": {"budget_instance_s": 10_000_000}}}}),
+    "/services/platform-forecasts/contract/budget_instance_s"
+)]
+#[case::lost_rack(
+    json!({"services": {"platform-forecasts": {"contract": {"promised_instances": 9}}}}),
+    "/services/platform-forecasts/contract/survives"
+)]
+#[case::two_pools(
+    json!({"pools": {"transfer-forecasts": {"instances": ["w01", "w02", "w06", "w10", "w14", "w18", "w37", "w41", "w45", "w49"]}}}),
+    "/pools/transfer-forecasts/instances"
+)]
+#[case::two_zones(
+    json!({"zones": {"valle-b": {"racks": {"valle-a-r1": []}}}}),
+    "/zones/valle-b/racks/valle-a-r1"
+)]
+#[case::unknown_zone(json!({"entries": {"e1": {"zone": "valle-x"}}}), "/entries/e1/zone")]
+#[case::shared_address(
+    json!({"entries": {"e2": {"caller_address": "127.0.0.1:8001"}}}),
+    "/entries/e2/caller_address"
+)]
+#[case::short_lease(json!({"control": {"dispatch_lease_ms": 300}}), "/control/dispatch_lease_ms")]
+#[case::unknown_pool(
+    json!({"services": {"platform-forecasts": {"pool": "none"}}}),
+    "/services/platform-forecasts/pool"
+)]
+#[case::bad_port(
+    json!({"entries": {"e1": {"caller_address": "127.0.0.1:99999"}}}),
+    "/entries/e1/caller_address"
+)]
+#[case::missing_key(json!({"region": null}), "/region")]
+#[case::bad_secret(json!({"token": {"environment": null, "plain": "x"}}), "/token")]
+#[case::no_worker(json!({"worker": []}), "/worker")]
+fn cross_checks(#[case] patch: Value, #[case] path: &str) -> Result<()> {
+    let lines = faults_of(&patch)?;
+    assert!(
+        lines.iter().any(|line| line.contains(&format!(": {path}"))),
+        "{path} in {lines:#?}"
+    );
+    Ok(())
+}
