--- a/crates/cyclamentrail-core/src/settings/validate/service.rs
+++ b/crates/cyclamentrail-core/src/settings/validate/service.rs
@@ -1,12 +1,10 @@
 //! Checks of services, contracts and the weights of costs.
 
-use std::collections::BTreeMap;
-
-use crate::name::{RackName, ServiceName, ZoneName};
-use crate::settings::{FailureDomain, Fault, PoolSettings, ServiceSettings, Settings};
+use crate::name::{PoolName, ServiceName};
+use crate::settings::{Fault, PoolSettings, ServiceSettings, Settings};
 
 /// Shortest time in seconds for which maintenance takes an instance away.
-const SHORTEST_MAINTENANCE_S: u64 = 60;
+const SHORTEST_MAINTENANCE_S: u64 = 1;
 
 pub(super) fn check(settings: &Settings, faults: &mut Vec<Fault>) {
     for (service, service_settings) in &settings.services {
@@ -72,23 +70,17 @@
         ));
         return;
     }
-    let lost = worst_loss(settings, pool, contract.survives);
-    if size.saturating_sub(lost) < promised {
-        faults.push(Fault::new(
-            format!("{path}/survives"),
-            format!(
-                "the worst loss takes {lost} of {size} instances of pool \"{}\" and leaves less than the {promised} promised",
-                service_settings.pool
-            ),
-            "a failure domain whose loss leaves the promise",
-            "spread the pool over more racks and zones, add instances, or lower the promise",
-        ));
-    }
-    check_budget(&path, service_settings, size, faults);
+    check_budget(&path, settings, service_settings, size, faults);
 }
 
-fn check_budget(path: &str, settings: &ServiceSettings, size: u64, faults: &mut Vec<Fault>) {
-    let contract = &settings.contract;
+fn check_budget(
+    path: &str,
+    settings: &Settings,
+    service_settings: &ServiceSettings,
+    size: u64,
+    faults: &mut Vec<Fault>,
+) {
+    let contract = &service_settings.contract;
     let promised = u64::from(contract.promised_instances);
     if contract.window_s == 0 {
         faults.push(Fault::new(
@@ -100,48 +92,26 @@
         return;
     }
     let needed = size.saturating_mul(SHORTEST_MAINTENANCE_S);
-    if size == promised && contract.budget_instance_s < needed {
+    let lends = may_borrow(settings, &service_settings.pool);
+    if size == promised && !lends && contract.budget_instance_s < needed {
         faults.push(Fault::new(
             format!("{path}/budget_instance_s"),
             format!(
-                "no wave can ever meet {} instance-seconds: all {size} instances of the pool are promised",
+                "no wave can ever meet {} instance-seconds: all {size} instances of the pool are promised and no spare pool lends one",
                 contract.budget_instance_s
             ),
-            &format!("at least {needed} (one minute an instance), or a pool above the promise"),
+            &format!("at least {needed} (one second an instance), a pool above the promise, or a spare pool"),
             "raise the budget, add instances to the pool, or lower the promise",
         ));
     }
-    let whole = promised.saturating_mul(contract.window_s);
-    if contract.budget_instance_s >= whole {
-        faults.push(Fault::new(
-            format!("{path}/budget_instance_s"),
-            format!(
-                "{} instance-seconds allow the whole promise to be missing for the whole window",
-                contract.budget_instance_s
-            ),
-            &format!("below {whole} (promised_instances times window_s)"),
-            "lower the budget",
-        ));
-    }
 }
 
-/// Returns how many instances of a pool the loss of one failure domain takes at most.
-fn worst_loss(settings: &Settings, pool: &PoolSettings, domain: FailureDomain) -> u64 {
-    let racks = settings.instance_racks();
-    let mut by_rack: BTreeMap<&RackName, u64> = BTreeMap::new();
-    let mut by_zone: BTreeMap<&ZoneName, u64> = BTreeMap::new();
-    for instance in &pool.instances {
-        if let Some((zone, rack)) = racks.get(instance) {
-            *by_rack.entry(rack).or_default() += 1;
-            *by_zone.entry(zone).or_default() += 1;
-        }
-    }
-    let worst = match domain {
-        FailureDomain::Instance => pool.instances.first().map(|_| 1),
-        FailureDomain::Rack => by_rack.into_values().max(),
-        FailureDomain::Zone => by_zone.into_values().max(),
-    };
-    worst.unwrap_or_default()
+/// Returns whether another pool may lend an instance while one is away.
+fn may_borrow(settings: &Settings, pool: &PoolName) -> bool {
+    settings
+        .pools
+        .iter()
+        .any(|(name, other)| other.spare && name != pool && !other.instances.is_empty())
 }
 
 fn check_weights(settings: &Settings, faults: &mut Vec<Fault>) {
--- a/crates/cyclamentrail/src/command/entry.rs
+++ b/crates/cyclamentrail/src/command/entry.rs
@@ -1,5 +1,7 @@
 //! `cyclamentrail entry`: runs one entry.
 
+use std::time::Duration;
+
 use anyhow::Result;
 use cyclamentrail_core::EntryName;
 use getopts::{Matches, Options};
@@ -8,7 +10,11 @@
 use super::ExitStatus;
 use super::documents::Documents;
 use crate::entry::{Entry, EntryError, EntryOptions};
-use crate::logging;
+use crate::logging::Logging;
+use crate::timer::Timer;
+
+/// Interval between two looks at the log settings in force.
+const LOG_SETTINGS_INTERVAL: Duration = Duration::from_millis(250);
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -29,7 +35,7 @@
 fn serve(matches: &Matches) -> Result<()> {
     let (document, settings) = Documents::from_matches(matches)?.load()?;
     let name = EntryName::from(matches.opt_str("name").unwrap_or_default());
-    logging::start(&settings.log, name.as_str())?;
+    let logging = Logging::start(&settings.log, name.as_str())?;
     let listed = settings
         .entries
         .get(&name)
@@ -54,11 +60,14 @@
         );
         let mut terminate = signal(SignalKind::terminate())?;
         let mut hang_up = signal(SignalKind::hangup())?;
+        let timer = Timer::start();
+        let mut ticks = timer.every(LOG_SETTINGS_INTERVAL);
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = tokio::signal::ctrl_c() => break,
                 _ = hang_up.recv() => log::info!("hang_up_ignored"),
+                () = ticks.next() => follow_log_settings(&entry, &logging),
             }
         }
         tokio::select! {
@@ -68,3 +77,9 @@
         Ok(())
     })
 }
+
+fn follow_log_settings(entry: &Entry, logging: &Logging) {
+    if let Some(settings) = entry.settings() {
+        logging.apply(&settings.log);
+    }
+}
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -17,10 +17,10 @@
 use super::platform_client::PlatformClient;
 use super::writer::{WriteFailed, Writer};
 use super::{ControlMessage, SubmitError};
-use crate::clock;
 use crate::timer::Ticks;
 use crate::traffic::Link;
 use crate::view::{ServiceRoute, SharedView, View};
+use crate::{clock, metrics};
 
 type Reply = oneshot::Sender<Result<(), SubmitError>>;
 
@@ -207,6 +207,7 @@
             }
         };
         let applied = self.fleet.apply(logged.offset, logged.appended_ms, &record);
+        metrics::count_record(matches!(applied, Applied::Accepted));
         if let Applied::Rejected(rejection) = &applied {
             log::info!(offset:% = logged.offset, author:% = record.id.author, reason:% = rejection.kind; "record_rejected");
         }
--- a/crates/cyclamentrail/src/entry.rs
+++ b/crates/cyclamentrail/src/entry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cyclamentrail_core::{
-    EntryName, Incarnation, LoadError, SecretSource, Settings, ZoneName, load_settings,
+    EntryName, Incarnation, LoadError, SecretSource, Settings, Version, ZoneName, load_settings,
 };
 use serde_json::Value;
 use thiserror::Error;
@@ -17,13 +17,16 @@
     Actor, ControlHandle, Identity, PlatformClient, Writer, follow_log, poll_list,
 };
 use crate::operator::Operator;
+use crate::serve::Audience;
 use crate::timer::Timer;
 use crate::traffic::Traffic;
 use crate::view::SharedView;
-use crate::{operator, peer, serve, traffic};
+use crate::{metrics, operator, peer, serve, traffic};
 
 /// Interval between two looks at drains.
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// Interval between two upkeeps of the metrics.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
 /// Parts of the dispatch lease: one long poll of the log takes at most one.
 const POLLS_PER_LEASE: u32 = 4;
 
@@ -94,6 +97,7 @@
     /// Returns why the entry can't start; nothing is left running then.
     pub async fn start(document: Value, options: EntryOptions) -> Result<Self, EntryError> {
         let settings = Arc::new(load_settings(&document)?);
+        metrics::install();
         let token: Arc<str> = Arc::from(read_secret(&settings.token)?);
         let callers = bind(options.caller_address).await?;
         let peers = bind(options.peer_address).await?;
@@ -148,7 +152,7 @@
         let callers = into_std(callers)?;
         runtime.spawn(async move {
             if let Ok(callers) = TcpListener::from_std(callers) {
-                serve::serve(callers, router, limits, stopped).await;
+                serve::serve(Audience::Callers, callers, router, limits, stopped).await;
             }
             ended.send(()).unwrap_or_default();
         });
@@ -190,6 +194,18 @@
         self.shared.may_dispatch()
     }
 
+    /// Returns the settings in force, or `None` before the first.
+    #[must_use]
+    pub fn settings(&self) -> Option<Arc<Settings>> {
+        self.shared.load().settings.clone()
+    }
+
+    /// Returns the version of the settings in force.
+    #[must_use]
+    pub fn settings_version(&self) -> Version {
+        self.shared.load().settings_version
+    }
+
     /// Stops in order: takes no new connections, lets the requests in flight end, then leaves.
     pub async fn stop(mut self) {
         self.stop.send_replace(true);
@@ -246,6 +262,7 @@
     };
     runtime.block_on(async move {
         let timer = Timer::start();
+        tokio::spawn(metrics::keep_up(timer.every(METRICS_UPKEEP)));
         let settings = &parts.settings;
         let control_settings = &settings.control;
         let platform = PlatformClient::new(
@@ -270,14 +287,24 @@
         let list_ticks = timer.every(control_settings.list_interval_ms);
         tokio::spawn(poll_list(platform, parts.control.clone(), list_ticks));
         let (_keep_open, never) = watch::channel(false);
-        for (listener, router) in [
-            (peers, peer::router(parts.operator.clone())),
-            (operators, operator::router(parts.operator.clone())),
+        for (audience, listener, router) in [
+            (Audience::Peers, peers, peer::router(parts.operator.clone())),
+            (
+                Audience::Operators,
+                operators,
+                operator::router(parts.operator.clone()),
+            ),
         ] {
             match TcpListener::from_std(listener) {
                 Ok(listener) => {
                     let limits = settings.caller_limits.clone();
-                    tokio::spawn(serve::serve(listener, router, limits, never.clone()));
+                    tokio::spawn(serve::serve(
+                        audience,
+                        listener,
+                        router,
+                        limits,
+                        never.clone(),
+                    ));
                 }
                 Err(error) => log::error!(error:% = error; "listener_not_started"),
             }
--- a/crates/cyclamentrail/src/lib.rs
+++ b/crates/cyclamentrail/src/lib.rs
@@ -17,6 +17,7 @@
 mod entry;
 mod headers;
 mod logging;
+mod metrics;
 mod operator;
 mod pages;
 mod peer;
@@ -29,4 +30,5 @@
 
 pub use command::{ExitStatus, run};
 pub use entry::{Entry, EntryError, EntryOptions};
-pub use pages::settings_page;
+pub use metrics::{METRICS, Metric, MetricKind};
+pub use pages::{metrics_page, settings_page};
--- a/crates/cyclamentrail/src/logging.rs
+++ b/crates/cyclamentrail/src/logging.rs
@@ -1,37 +1,82 @@
 //! Logs by `log4rs`: one line of key=value pairs for each event.
 
-use anyhow::Result;
+use std::sync::{Mutex, PoisonError};
+
+use anyhow::{Context, Result};
 use cyclamentrail_core::{LogLevel, LogSettings};
-use log::kv::{Error, Key, Value, VisitSource};
-use log::{LevelFilter, Record};
+use log::LevelFilter;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
 use log4rs::config::{Appender, Config, Root};
-use log4rs::encode::{Encode, Write};
 
-/// Starts logging as the settings say; `process` names this process in each line.
-///
-/// # Errors
-///
-/// Returns an error when the destination can't be opened or logging was started before.
-pub(crate) fn start(settings: &LogSettings, process: &str) -> Result<log4rs::Handle> {
-    Ok(log4rs::init_config(config(settings, process)?)?)
+mod encoder;
+
+use encoder::KeyValueEncoder;
+
+/// Name of the one appender.
+const APPENDER: &str = "main";
+
+/// The log of this process; level and destination change while it runs.
+#[derive(Debug)]
+pub(crate) struct Logging {
+    handle: log4rs::Handle,
+    process: String,
+    seen: Mutex<LogSettings>,
+}
+
+impl Logging {
+    /// Starts logging as the settings say; `process` names this process in each line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the destination can't be opened or logging was started before.
+    pub(crate) fn start(settings: &LogSettings, process: &str) -> Result<Self> {
+        let handle = log4rs::init_config(config(settings, process)?)?;
+        Ok(Self {
+            handle,
+            process: process.to_owned(),
+            seen: Mutex::new(settings.clone()),
+        })
+    }
+
+    /// Goes over to other settings; keeps the old ones when the destination can't be opened.
+    pub(crate) fn apply(&self, settings: &LogSettings) {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        if *seen == *settings {
+            return;
+        }
+        *seen = settings.clone();
+        drop(seen);
+        match config(settings, &self.process) {
+            Ok(config) => {
+                self.handle.set_config(config);
+                log::info!(level:? = settings.level, destination = settings.destination; "log_settings_changed");
+            }
+            Err(error) => {
+                log::warn!(destination = settings.destination, error:% = format!("{error:#}"); "log_settings_kept");
+            }
+        }
+    }
 }
 
 fn config(settings: &LogSettings, process: &str) -> Result<Config> {
-    let level = filter(settings.level);
-    let encoder = Box::new(KeyValueEncoder {
-        process: process.to_owned(),
-    });
+    let encoder = Box::new(KeyValueEncoder::new(process));
     let appender = match settings.destination.as_str() {
         "stdout" => console(Target::Stdout, encoder),
         "stderr" => console(Target::Stderr, encoder),
         path => {
-            let file = FileAppender::builder().encoder(encoder).build(path)?;
-            Appender::builder().build("main", Box::new(file))
+            let file = FileAppender::builder()
+                .encoder(encoder)
+                .build(path)
+                .with_context(|| {
+                    format!("log file {path} can't be opened; set log.destination to another path")
+                })?;
+            Appender::builder().build(APPENDER, Box::new(file))
         }
     };
-    let root = Root::builder().appender("main").build(level);
+    let root = Root::builder()
+        .appender(APPENDER)
+        .build(filter(settings.level));
     Ok(Config::builder().appender(appender).build(root)?)
 }
 
@@ -50,53 +95,5 @@
         .target(target)
         .encoder(encoder)
         .build();
-    Appender::builder().build("main", Box::new(console))
-}
-
-/// Writes a record as `time=… level=… process=… event=… key=value …`.
-#[derive(Debug)]
-struct KeyValueEncoder {
-    process: String,
-}
-
-impl Encode for KeyValueEncoder {
-    fn encode(&self, w: &mut dyn Write, record: &Record<'_>) -> Result<()> {
-        let now = std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH)
-            .unwrap_or_default();
-        let mut line = format!("time={}.{:03}", now.as_secs(), now.subsec_millis());
-        push_pair(&mut line, "level", record.level().as_str());
-        push_pair(&mut line, "process", &self.process);
-        push_pair(&mut line, "event", &record.args().to_string());
-        record.key_values().visit(&mut PairVisitor(&mut line))?;
-        line.push('\n');
-        w.write_all(line.as_bytes())?;
-        Ok(())
-    }
-}
-
-struct PairVisitor<'a>(&'a mut String);
-
-impl<'kvs> VisitSource<'kvs> for PairVisitor<'_> {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        push_pair(self.0, key.as_str(), &value.to_string());
-        Ok(())
-    }
-}
-
-fn push_pair(line: &mut String, key: &str, value: &str) {
-    line.push(' ');
-    line.push_str(key);
-    line.push('=');
-    let plain = !value.is_empty()
-        && value
-            .chars()
-            .all(|character| character.is_ascii_graphic() && !matches!(character, '"' | '='));
-    if plain {
-        line.push_str(value);
-    } else {
-        line.push('"');
-        line.extend(value.escape_debug());
-        line.push('"');
-    }
+    Appender::builder().build(APPENDER, Box::new(console))
 }
--- /dev/null
+++ b/crates/cyclamentrail/src/metrics.rs
@@ -0,0 +1,149 @@
+//! Metrics of the process, exported in the Prometheus text format.
+//!
+//! Label values come from closed sets (services, pools, outcomes, reasons), never from requests,
+//! callers or instances.
+
+use std::sync::OnceLock;
+
+use cyclamentrail_core::{Fleet, InstanceState, Outcome};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+
+use crate::timer::Ticks;
+
+mod catalog;
+
+pub(crate) use catalog::{
+    APPLIED_OFFSET, CONNECTIONS, INSTANCES, MEMBERS, RECORDS, REFUSED, REQUEST_SECONDS, REQUESTS,
+    SETTINGS_VERSION,
+};
+pub use catalog::{METRICS, Metric, MetricKind};
+
+/// Label of requests for a service that doesn't exist.
+const NO_SERVICE: &str = "none";
+/// Upper bounds of the buckets of answer times, in seconds.
+const SECONDS_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 30.0, 600.0,
+];
+
+static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Why a listener refused something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// Too many connections are open.
+    Connections,
+    /// Too many requests are served.
+    Requests,
+    /// The header is too large.
+    HeaderSize,
+    /// The header didn't come in time.
+    HeaderTimeout,
+    /// The bytes are no HTTP request.
+    Malformed,
+    /// The token is missing or wrong.
+    Token,
+}
+
+impl Refusal {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Connections => "connections",
+            Self::Requests => "requests",
+            Self::HeaderSize => "header_size",
+            Self::HeaderTimeout => "header_timeout",
+            Self::Malformed => "malformed",
+            Self::Token => "token",
+        }
+    }
+}
+
+/// Installs the recorder of this process once and returns its handle.
+pub(crate) fn install() -> PrometheusHandle {
+    HANDLE.get_or_init(build).clone()
+}
+
+fn build() -> PrometheusHandle {
+    let builder = PrometheusBuilder::new();
+    let builder = builder
+        .set_buckets_for_metric(Matcher::Full(REQUEST_SECONDS.to_owned()), &SECONDS_BUCKETS)
+        .unwrap_or_default();
+    let recorder = builder.build_recorder();
+    let handle = recorder.handle();
+    if metrics::set_global_recorder(recorder).is_err() {
+        log::warn!("metrics_recorder_kept");
+    }
+    for metric in METRICS {
+        metric.describe();
+    }
+    handle
+}
+
+/// Folds recorded values into the exported ones, so that they don't pile up between scrapes.
+pub(crate) async fn keep_up(mut ticks: Ticks) {
+    loop {
+        ticks.next().await;
+        install().run_upkeep();
+    }
+}
+
+/// Counts a request that ended.
+pub(crate) fn count_request(service: &str, outcome: Outcome, seconds: f64) {
+    let service = match outcome {
+        Outcome::NotRun(cyclamentrail_core::NotRunReason::NoSuchService) => NO_SERVICE,
+        _ => service,
+    };
+    let service = service.to_owned();
+    let outcome = crate::body::outcome_text(outcome);
+    metrics::counter!(REQUESTS, "service" => service.clone(), "outcome" => outcome).increment(1);
+    metrics::histogram!(REQUEST_SECONDS, "service" => service).record(seconds);
+}
+
+/// Counts what a listener refused.
+pub(crate) fn count_refusal(listener: &'static str, refusal: Refusal) {
+    metrics::counter!(REFUSED, "listener" => listener, "reason" => refusal.label()).increment(1);
+}
+
+/// Counts a folded record.
+pub(crate) fn count_record(accepted: bool) {
+    let result = if accepted { "accepted" } else { "rejected" };
+    metrics::counter!(RECORDS, "result" => result).increment(1);
+}
+
+/// Sets the gauges that show the agreed state.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "gauges are floating-point numbers"
+)]
+pub(crate) fn show_fleet(fleet: &Fleet) {
+    let version = fleet
+        .settings()
+        .map_or(0, |accepted| accepted.version.get());
+    metrics::gauge!(SETTINGS_VERSION).set(version as f64);
+    metrics::gauge!(APPLIED_OFFSET).set(fleet.next_offset().get() as f64);
+    metrics::gauge!(MEMBERS).set(fleet.members().count() as f64);
+    let pools = fleet
+        .settings()
+        .map(|accepted| accepted.settings.pools.keys())
+        .into_iter()
+        .flatten();
+    for pool in pools {
+        for state in ["serving", "draining", "drained"] {
+            let count = fleet
+                .instances()
+                .filter(|(_, instance)| {
+                    instance.pool == *pool && state_label(&instance.state) == state
+                })
+                .count();
+            let pool = pool.to_string();
+            metrics::gauge!(INSTANCES, "pool" => pool, "state" => state).set(count as f64);
+        }
+    }
+}
+
+const fn state_label(state: &InstanceState) -> &'static str {
+    match state {
+        InstanceState::Serving => "serving",
+        InstanceState::Draining { .. } => "draining",
+        InstanceState::Drained { .. } => "drained",
+    }
+}
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -13,11 +13,16 @@
 use subtle::ConstantTimeEq;
 
 use crate::control::{ControlHandle, SubmitError};
+use crate::metrics::{self, Refusal};
+use crate::serve::Audience;
 use crate::view::SharedView;
 
 mod jobs;
 mod waves;
 
+/// Content type of the Prometheus text format.
+const METRICS_CONTENT_TYPE: &str = "text/plain; version=0.0.4";
+
 /// What the operators' listener shares between requests.
 #[derive(Debug, Clone)]
 pub(crate) struct Operator {
@@ -45,6 +50,7 @@
 pub(crate) fn router(operator: Operator) -> Router {
     let guarded = Router::new()
         .route("/state", get(state))
+        .route("/metrics", get(show_metrics))
         .route("/v1/settings", post(change_settings))
         .merge(waves::router())
         .merge(jobs::router())
@@ -75,6 +81,7 @@
     if matches {
         next.run(request).await
     } else {
+        metrics::count_refusal(audience_of(request.uri().path()).as_str(), Refusal::Token);
         (
             StatusCode::UNAUTHORIZED,
             "the token is missing or wrong; present it as a bearer token\n",
@@ -83,6 +90,14 @@
     }
 }
 
+fn audience_of(path: &str) -> Audience {
+    if path.starts_with("/v1/peer/") {
+        Audience::Peers
+    } else {
+        Audience::Operators
+    }
+}
+
 async fn ready(State(operator): State<Operator>) -> StatusCode {
     if operator.shared.may_dispatch() {
         StatusCode::OK
@@ -95,6 +110,14 @@
     Json(operator.control.dump().await)
 }
 
+async fn show_metrics(State(operator): State<Operator>) -> Response {
+    if let Ok(fleet) = operator.control.fleet().await {
+        metrics::show_fleet(&fleet);
+    }
+    let content_type = [(header::CONTENT_TYPE, METRICS_CONTENT_TYPE)];
+    (content_type, metrics::install().render()).into_response()
+}
+
 async fn change_settings(
     State(operator): State<Operator>,
     Json(change): Json<SettingsChange>,
--- /dev/null
+++ b/crates/cyclamentrail/src/pages/metrics.rs
@@ -0,0 +1,40 @@
+//! The page of all metrics, generated from their catalogue.
+
+use std::fmt::Write as _;
+
+use crate::metrics::METRICS;
+
+const HEAD: &str = "\
+# Metrics
+
+Each entry exports its metrics in the Prometheus text format at `GET /metrics` on the listener for
+operators, with the operators' token. Labels take their values from closed sets: services, pools,
+states, outcomes, listeners and reasons; never requests, callers or instances. Entries that share
+one process, as in `cyclamentrail local`, share one set of metrics.
+
+This page is generated from the catalogue in the code.
+
+| metric | kind | labels | meaning |
+|---|---|---|---|
+";
+
+/// Returns the page `docs/METRICS.md`.
+#[must_use]
+pub fn metrics_page() -> String {
+    let mut page = String::from(HEAD);
+    for metric in METRICS {
+        let labels = if metric.labels.is_empty() {
+            String::from("none")
+        } else {
+            metric.labels.join(", ")
+        };
+        let _ = writeln!(
+            page,
+            "| `{}` | {} | {labels} | {} |",
+            metric.name,
+            metric.kind.as_str(),
+            metric.help
+        );
+    }
+    page
+}
--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -20,8 +20,8 @@
 use super::jobs;
 use crate::body::{Problem, outcome_text};
 use crate::control::ControlHandle;
-use crate::headers;
 use crate::view::{ServiceRoute, SharedView};
+use crate::{headers, metrics};
 
 /// Seconds after which a caller may come back when nothing better is known.
 const RETRY_AFTER_S: u64 = 1;
@@ -84,7 +84,11 @@
     request: Request,
 ) -> Response {
     let request_id = traffic.next_request_id();
-    match try_request(&traffic, &service, request, &request_id).await {
+    let arrived = Instant::now();
+    let result = try_request(&traffic, &service, request, &request_id).await;
+    let outcome = result.as_ref().err().copied().unwrap_or(Outcome::Answered);
+    metrics::count_request(service.as_str(), outcome, arrived.elapsed().as_secs_f64());
+    match result {
         Ok(dispatched) => pass_on(dispatched, &request_id),
         Err(outcome) => explain(outcome, &service, request_id),
     }
