feat(local): run a whole site in one process and count what went wrong

A newcomer had to start some sixty processes to see the system work. Callers and backend servers count what was lost, doubled or crossed; the entries' own counters aren't asked.

--- a/crates/cyclamentrail/src/command.rs
+++ b/crates/cyclamentrail/src/command.rs
@@ -1,16 +1,21 @@
 //! The command line.
 
 use std::process::ExitCode;
+use std::str::FromStr;
 
 use anyhow::Result;
 use getopts::{Matches, Options};
+use thiserror::Error;
 
 mod check;
 mod client;
 mod documents;
 mod entry;
+mod local;
 mod state;
 
+pub(crate) use client::OperatorClient;
+
 const USAGE: &str = "\
 cyclamentrail: fleet capacity and maintenance manager
 
@@ -19,6 +24,7 @@
 Commands:
   check    reads, merges and validates the settings of a site
   entry    runs one entry
+  local    runs a whole site in this process, under load
   state    prints the whole state of an entry
 
 Run `cyclamentrail <command> --help` for the options of a command.
@@ -64,6 +70,7 @@
         }
         "check" => check::run(rest),
         "entry" => entry::run(rest),
+        "local" => local::run(rest),
         "state" => state::run(rest),
         other => {
             eprintln!("cyclamentrail: unknown command \"{other}\"; run `cyclamentrail --help`");
@@ -72,6 +79,27 @@
     }
 }
 
+/// A flag whose value can't be used.
+#[derive(Debug, Error)]
+#[error("{0}")]
+pub(crate) struct UsageError(String);
+
+/// Returns the value of a flag, or `None` when it is left out.
+///
+/// # Errors
+///
+/// Returns [`UsageError`] when the value can't be read; `wanted` says what it should be.
+pub(crate) fn flag<T: FromStr>(
+    matches: &Matches,
+    name: &str,
+    wanted: &str,
+) -> Result<Option<T>, UsageError> {
+    matches.opt_str(name).map_or(Ok(None), |text| {
+        let problem = format!("--{name} takes {wanted}, not {text:?}");
+        text.parse().map(Some).map_err(|_error| UsageError(problem))
+    })
+}
+
 /// Parses a command's arguments and runs its action.
 pub(crate) fn run_parsed(
     command: &str,
@@ -92,8 +120,18 @@
             return ExitStatus::Usage;
         }
     };
+    if let Some(argument) = matches.free.first() {
+        eprintln!(
+            "cyclamentrail {command}: \"{argument}\" is one argument too many; run `cyclamentrail {command} --help`"
+        );
+        return ExitStatus::Usage;
+    }
     match action(&matches) {
         Ok(()) => ExitStatus::Done,
+        Err(error) if error.is::<UsageError>() => {
+            eprintln!("cyclamentrail {command}: {error}; run `cyclamentrail {command} --help`");
+            ExitStatus::Usage
+        }
         Err(error) => {
             eprintln!("cyclamentrail {command}: {error:#}");
             ExitStatus::Failed
--- a/crates/cyclamentrail/src/command/client.rs
+++ b/crates/cyclamentrail/src/command/client.rs
@@ -7,11 +7,13 @@
 use bytes::Bytes;
 use getopts::{Matches, Options};
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request};
+use hyper::Request;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
 
+use super::flag;
+
 /// Time limit of one call, unless the command sets another.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Environment variable with the operators' token.
@@ -37,17 +39,11 @@
     ///
     /// Returns what is missing.
     pub(crate) fn from_matches(matches: &Matches) -> Result<Self> {
-        let address = matches
-            .opt_get("entry")
-            .context("--entry takes an address such as 127.0.0.1:8201")?
+        let address = flag(matches, "entry", "an address such as 127.0.0.1:8201")?
             .context("--entry is missing")?;
         let token = std::env::var(TOKEN_VARIABLE)
             .with_context(|| format!("set {TOKEN_VARIABLE} to the operators' token"))?;
-        Ok(Self {
-            address,
-            token,
-            timeout: CALL_TIMEOUT,
-        })
+        Ok(Self::new(address, token))
     }
 
     /// Sets the time limit of one call.
@@ -57,13 +53,36 @@
         self
     }
 
+    /// Creates a client of the entry at an address.
+    pub(crate) const fn new(address: SocketAddr, token: String) -> Self {
+        Self {
+            address,
+            token,
+            timeout: CALL_TIMEOUT,
+        }
+    }
+
+    /// Returns a client of another entry with the same token.
+    pub(crate) fn at(&self, address: SocketAddr) -> Self {
+        Self {
+            address,
+            token: self.token.clone(),
+            timeout: self.timeout,
+        }
+    }
+
+    /// Returns the address of the entry that is called.
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Gets a JSON document.
     ///
     /// # Errors
     ///
     /// Returns the entry's refusal, or that it can't be reached.
     pub(crate) fn get(&self, path: &str) -> Result<Value> {
-        self.call(Method::GET, path, None)
+        block_on(self.send("GET", path, None))
     }
 
     /// Posts a JSON document and returns the answer, `null` when it is empty.
@@ -72,13 +91,20 @@
     ///
     /// Returns the entry's refusal, or that it can't be reached.
     pub(crate) fn post(&self, path: &str, body: &Value) -> Result<Value> {
-        self.call(Method::POST, path, Some(body))
+        block_on(self.send("POST", path, Some(body)))
     }
 
-    fn call(&self, method: Method, path: &str, body: Option<&Value>) -> Result<Value> {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
+    /// Sends one request and returns the JSON answer, `null` when it is empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal, or that it can't be reached.
+    pub(crate) async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Value> {
         let bytes = body
             .map(serde_json::to_vec)
             .transpose()?
@@ -89,19 +115,24 @@
             .header("authorization", format!("Bearer {}", self.token))
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(bytes)))?;
-        runtime.block_on(async {
-            tokio::time::timeout(self.timeout, exchange(request))
-                .await
-                .with_context(|| {
-                    format!(
-                        "{} gave no answer in {:?}; ask another entry",
-                        self.address, self.timeout
-                    )
-                })?
-        })
+        tokio::time::timeout(self.timeout, exchange(request))
+            .await
+            .with_context(|| {
+                format!(
+                    "{} gave no answer in {:?}; ask another entry",
+                    self.address, self.timeout
+                )
+            })?
     }
 }
 
+fn block_on<T>(work: impl Future<Output = Result<T>>) -> Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(work)
+}
+
 async fn exchange(request: Request<Full<Bytes>>) -> Result<Value> {
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     let response = client
--- a/crates/cyclamentrail/src/command/entry.rs
+++ b/crates/cyclamentrail/src/command/entry.rs
@@ -7,8 +7,8 @@
 use getopts::{Matches, Options};
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::ExitStatus;
 use super::documents::Documents;
+use super::{ExitStatus, flag};
 use crate::entry::{Entry, EntryError, EntryOptions};
 use crate::logging::Logging;
 use crate::timer::Timer;
@@ -42,9 +42,12 @@
         .ok_or_else(|| EntryError::UnknownEntry(name.clone()))?;
     let entry_options = EntryOptions {
         zone: listed.zone.clone(),
-        caller_address: matches.opt_get_default("caller-address", listed.caller_address)?,
-        peer_address: matches.opt_get_default("peer-address", listed.peer_address)?,
-        operator_address: matches.opt_get_default("operator-address", listed.operator_address)?,
+        caller_address: flag(matches, "caller-address", "an IP address with a port")?
+            .unwrap_or(listed.caller_address),
+        peer_address: flag(matches, "peer-address", "an IP address with a port")?
+            .unwrap_or(listed.peer_address),
+        operator_address: flag(matches, "operator-address", "an IP address with a port")?
+            .unwrap_or(listed.operator_address),
         name,
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/cyclamentrail/src/lib.rs
+++ b/crates/cyclamentrail/src/lib.rs
@@ -16,6 +16,7 @@
 mod control;
 mod entry;
 mod headers;
+mod local;
 mod logging;
 mod metrics;
 mod operator;
@@ -30,5 +31,6 @@
 
 pub use command::{ExitStatus, run};
 pub use entry::{Entry, EntryError, EntryOptions};
+pub use local::{Call, CallEnd, Counts, Wrongs};
 pub use metrics::{METRICS, Metric, MetricKind};
 pub use pages::{metrics_page, settings_page};
--- /dev/null
+++ b/crates/cyclamentrail/src/local/platform.rs
@@ -0,0 +1,104 @@
+//! The stand-ins of the platform and of the backend servers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use anyhow::Result;
+use cyclamentrail_core::{BootId, InstanceName, Settings, merge_documents};
+use cyclamentrail_platform::{ListedInstance, ListedState};
+use cyclamentrail_standin::{Backend, ListService, LogService};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Stand-ins of everything around the entries.
+#[derive(Debug)]
+pub(super) struct Platform {
+    log: LogService,
+    list: ListService,
+    backends: BTreeMap<InstanceName, Backend>,
+    folder: TempDir,
+    token: String,
+}
+
+/// Returns the address of a free port on loopback.
+pub(super) fn free_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl Platform {
+    /// Starts the log, the list and a backend server for each instance of the site.
+    ///
+    /// # Errors
+    ///
+    /// Returns what can't be opened.
+    pub(super) async fn start(settings: &Settings) -> Result<Self> {
+        let folder = TempDir::new()?;
+        let token = format!("{:032x}", rand::random::<u128>());
+        std::fs::write(folder.path().join("token"), &token)?;
+        let list = ListService::start(free_address()).await?;
+        let mut backends = BTreeMap::new();
+        for instance in settings.instance_racks().into_keys() {
+            let backend =
+                Backend::start(free_address(), instance.clone(), settings.worker.slots).await?;
+            list.put(ListedInstance {
+                name: instance.clone(),
+                address: backend.address(),
+                boot: BootId::new(1),
+                state: ListedState::Live,
+            });
+            backends.insert(instance.clone(), backend);
+        }
+        Ok(Self {
+            log: LogService::start(free_address()).await?,
+            list,
+            backends,
+            folder,
+            token,
+        })
+    }
+
+    /// Returns the settings document with the addresses of the stand-ins.
+    pub(super) fn document(&self, document: &Value) -> Value {
+        let patch = json!({
+            "platform": {
+                "log_address": self.log.address(),
+                "list_address": self.list.address(),
+            },
+            "token": {"environment": null, "file": self.folder.path().join("token")},
+        });
+        merge_documents(document.clone(), &patch)
+    }
+
+    /// Returns the operators' token.
+    pub(super) fn token(&self) -> &str {
+        &self.token
+    }
+
+    /// Returns the number of backend servers.
+    pub(super) fn backend_count(&self) -> usize {
+        self.backends.len()
+    }
+
+    /// Returns how often each call was run, as the backend servers counted it.
+    pub(super) fn runs(&self) -> BTreeMap<String, u32> {
+        let mut runs = BTreeMap::new();
+        for backend in self.backends.values() {
+            for run in backend.report().runs {
+                *runs.entry(run.call_id).or_default() += 1;
+            }
+        }
+        runs
+    }
+
+    /// Marks an instance as leaving on the list.
+    pub(super) fn mark_leaving(&self, name: &InstanceName) {
+        if let Some(backend) = self.backends.get(name) {
+            self.list.put(ListedInstance {
+                name: name.clone(),
+                address: backend.address(),
+                boot: BootId::new(1),
+                state: ListedState::Leaving,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/local/report.rs
@@ -0,0 +1,156 @@
+//! The report of a run, as JSON and as a readable summary.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use cyclamentrail_core::{ServiceName, Settings, SiteName};
+use serde::Serialize;
+
+use super::LocalOptions;
+use super::changes::Changed;
+use super::load::Load;
+use super::tally::{Call, Counts, Wrongs};
+
+/// What a run came to; the callers and the backend servers counted it.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct LocalReport {
+    site: SiteName,
+    seed: u64,
+    seconds: u64,
+    #[serde(flatten)]
+    counts: Counts,
+    #[serde(flatten)]
+    wrongs: Wrongs,
+    services: BTreeMap<ServiceName, Counts>,
+    answer_p50_ms: u64,
+    answer_p99_ms: u64,
+    answer_max_ms: u64,
+    moves: u64,
+    wave_ms: Option<u64>,
+    drain_ms: Option<u64>,
+    settings_in_force_ms: Option<u64>,
+    problems: Vec<String>,
+}
+
+impl LocalReport {
+    /// Counts a run.
+    pub(super) fn new(
+        settings: &Settings,
+        options: LocalOptions,
+        load: &Load,
+        runs: &BTreeMap<String, u32>,
+        changed: &Changed,
+    ) -> Self {
+        let calls = load.calls();
+        let mut by_service: BTreeMap<ServiceName, Vec<Call>> = BTreeMap::new();
+        for call in &calls {
+            by_service
+                .entry(call.service.clone())
+                .or_default()
+                .push(call.clone());
+        }
+        Self {
+            site: settings.site.clone(),
+            seed: options.seed,
+            seconds: options.seconds,
+            counts: Counts::from(calls.as_slice()),
+            wrongs: Wrongs::new(&calls, runs),
+            services: by_service
+                .into_iter()
+                .map(|(service, calls)| (service, Counts::from(calls.as_slice())))
+                .collect(),
+            answer_p50_ms: load.latency_ms(0.5),
+            answer_p99_ms: load.latency_ms(0.99),
+            answer_max_ms: load.latency_ms(1.0),
+            moves: changed.moves,
+            wave_ms: changed.wave_ms,
+            drain_ms: changed.drain_ms,
+            settings_in_force_ms: changed.settings_in_force_ms,
+            problems: changed.problems.clone(),
+        }
+    }
+
+    /// Returns what must be 0 and isn't.
+    pub(crate) fn faults(&self) -> Vec<String> {
+        [
+            ("lost", self.counts.lost),
+            ("doubled", self.wrongs.doubled),
+            ("crossed", self.counts.crossed),
+            (
+                "ran though told \"not run\"",
+                self.wrongs.ran_though_not_run,
+            ),
+            (
+                "answered though never run",
+                self.wrongs.answered_though_not_run,
+            ),
+        ]
+        .into_iter()
+        .filter(|(_, count)| *count > 0)
+        .map(|(what, count)| format!("{count} {what}"))
+        .collect()
+    }
+}
+
+impl fmt::Display for LocalReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Counts {
+            requests_sent,
+            answered_whole,
+            not_run,
+            outcome_unknown,
+            lost,
+            crossed,
+        } = self.counts;
+        writeln!(
+            f,
+            "{:<28} {:>8} {:>8} {:>8} {:>8}",
+            "service", "sent", "answered", "not run", "unknown"
+        )?;
+        for (service, counts) in &self.services {
+            writeln!(
+                f,
+                "{:<28} {:>8} {:>8} {:>8} {:>8}",
+                service.as_str(),
+                counts.requests_sent,
+                counts.answered_whole,
+                counts.not_run,
+                counts.outcome_unknown
+            )?;
+        }
+        writeln!(
+            f,
+            "{:<28} {requests_sent:>8} {answered_whole:>8} {not_run:>8} {outcome_unknown:>8}",
+            "all"
+        )?;
+        writeln!(
+            f,
+            "lost {lost}, doubled {}, crossed {crossed} (counted by callers and backend servers)",
+            self.wrongs.doubled
+        )?;
+        writeln!(
+            f,
+            "answer times from the intended start: median {} ms, 99% {} ms, longest {} ms",
+            self.answer_p50_ms, self.answer_p99_ms, self.answer_max_ms
+        )?;
+        writeln!(
+            f,
+            "settings in force on all entries after {}; wave took {}; drain took {}; moves {}",
+            duration(self.settings_in_force_ms),
+            duration(self.wave_ms),
+            duration(self.drain_ms),
+            self.moves
+        )?;
+        for problem in &self.problems {
+            writeln!(f, "problem: {problem}")?;
+        }
+        Ok(())
+    }
+}
+
+fn duration(millis: Option<u64>) -> String {
+    millis.map_or_else(
+        || String::from("(not done)"),
+        |millis| format!("{millis} ms"),
+    )
+}
--- /dev/null
+++ b/crates/cyclamentrail/tests/local_site.rs
@@ -0,0 +1,69 @@
+//! `local` runs both sites with nothing lost, doubled or crossed.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use anyhow::Result;
+use rstest::rstest;
+use serde_json::Value;
+use tempfile::TempDir;
+
+fn sites() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../sites")
+}
+
+fn local(site: &str, more: &[&str]) -> Result<Output> {
+    Ok(Command::new(env!("CARGO_BIN_EXE_cyclamentrail"))
+        .arg("local")
+        .arg("--settings")
+        .arg(sites().join("base.json"))
+        .arg("--overlay")
+        .arg(sites().join(format!("{site}.json")))
+        .args(more)
+        .output()?)
+}
+
+#[rstest]
+#[case::garza("garza")]
+#[case::corran("corran")]
+fn nothing_wrong(#[case] site: &str) -> Result<()> {
+    let folder = TempDir::new()?;
+    let path = folder.path().join("report.json");
+    let path_text = path.to_string_lossy();
+    let output = local(
+        site,
+        &["--seconds", "5", "--seed", "7", "--report", &path_text],
+    )?;
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let report: Value = serde_json::from_slice(&std::fs::read(&path)?)?;
+    for key in [
+        "lost",
+        "doubled",
+        "crossed",
+        "ran_though_not_run",
+        "answered_though_not_run",
+    ] {
+        assert_eq!(report[key], 0, "{key} in {report:#}");
+    }
+    let count = |key: &str| report[key].as_u64().unwrap_or_default();
+    assert!(count("answered_whole") > 0, "{report:#}");
+    let ended = count("answered_whole") + count("not_run") + count("outcome_unknown");
+    assert_eq!(count("requests_sent"), ended);
+    assert_eq!(report["seed"], 7);
+    assert!(report["settings_in_force_ms"].is_u64(), "{report:#}");
+    assert_eq!(report["problems"], serde_json::json!([]));
+    let summary = String::from_utf8(output.stdout)?;
+    assert!(
+        summary.contains("lost 0, doubled 0, crossed 0"),
+        "{summary}"
+    );
+    Ok(())
+}
+
+#[rstest]
+#[case::seconds(&["--seconds", "0"])]
+#[case::seed(&["--seed", "many"])]
+fn bad_flags(#[case] flags: &[&str]) -> Result<()> {
+    assert_eq!(local("garza", flags)?.status.code(), Some(2));
+    Ok(())
+}
