--- a/crates/cyclamentrail-core/src/membership.rs
+++ b/crates/cyclamentrail-core/src/membership.rs
@@ -22,6 +22,9 @@
 /// Intervals without a message after which the side that waits asks itself.
 const PATIENCE_INTERVALS: u64 = 2;
 
+/// Multiples of the silence after which nobody writes to the log for a silent member's sake.
+const SILENCES_UNTIL_FORGOTTEN: u64 = 4;
+
 /// Times that membership goes by, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MembershipTiming {
@@ -288,9 +291,11 @@
     /// be asked directly.
     #[must_use]
     pub fn is_cut_off_from_peer(&self, now_ms: u64) -> bool {
-        self.peers
-            .values()
-            .any(|status| now_ms.saturating_sub(status.direct_ms) > self.timing.lease_ms)
+        let forgotten_ms = self.timing.silence_ms * SILENCES_UNTIL_FORGOTTEN;
+        self.peers.values().any(|status| {
+            now_ms.saturating_sub(status.direct_ms) > self.timing.lease_ms
+                && now_ms.saturating_sub(status.heard_ms) < forgotten_ms
+        })
     }
 
     /// Returns the first member that isn't suspected: it acts when the duty has no holder.
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use cyclamentrail_core::{
-    Fleet, InstanceName, LeaveReason, Membership, MembershipTiming, Offset, RecordBody, RecordId,
-    Settings, Term,
+    Fleet, Incarnation, InstanceName, LeaveReason, Membership, MembershipTiming, Offset,
+    RecordBody, RecordId, Settings, Term,
 };
 use cyclamentrail_platform::ListedInstance;
 use serde_json::Value;
@@ -79,7 +79,7 @@
     released: BTreeMap<InstanceName, u64>,
     duty: FleetDuty,
     claimed: Option<(Term, u64)>,
-    evicted_ms: BTreeMap<cyclamentrail_core::Incarnation, u64>,
+    evictions: BTreeMap<Incarnation, EvictionTry>,
     snapshot: SnapshotState,
 }
 
@@ -90,6 +90,15 @@
     due: Instant,
 }
 
+/// An eviction that this process wrote.
+#[derive(Debug, Clone, Copy)]
+struct EvictionTry {
+    /// Clock in milliseconds when it was written.
+    written_ms: u64,
+    /// Pause in milliseconds before it is written again.
+    pause_ms: u64,
+}
+
 /// What this process knows of the snapshots in the log.
 #[derive(Debug, Default)]
 struct SnapshotState {
@@ -124,7 +133,7 @@
             released: BTreeMap::new(),
             duty: FleetDuty::default(),
             claimed: None,
-            evicted_ms: BTreeMap::new(),
+            evictions: BTreeMap::new(),
             snapshot: SnapshotState::default(),
         }
     }
--- a/crates/cyclamentrail/src/control/actor/submit.rs
+++ b/crates/cyclamentrail/src/control/actor/submit.rs
@@ -93,7 +93,6 @@
         self.joining = false;
         self.claimed = None;
         self.released.clear();
-        self.evicted_ms.clear();
     }
 }
 
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -17,6 +17,7 @@
 use crate::serve::Audience;
 use crate::view::SharedView;
 
+mod entries;
 mod jobs;
 mod waves;
 
@@ -53,6 +54,7 @@
         .route("/metrics", get(show_metrics))
         .route("/v1/settings", post(change_settings))
         .route("/v1/settings/in-force", get(in_force))
+        .merge(entries::router())
         .merge(waves::router())
         .merge(jobs::router())
         .layer(middleware::from_fn_with_state(
