--- a/crates/cyclamentrail/src/body.rs
+++ b/crates/cyclamentrail/src/body.rs
@@ -94,7 +94,7 @@
 }
 
 /// Returns the outcome as the header's value.
-const fn outcome_text(outcome: Outcome) -> &'static str {
+pub(crate) const fn outcome_text(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Answered => "answered",
         Outcome::NotRun(_) => "not-run",
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -6,7 +6,7 @@
 use cyclamentrail_platform::ReadAnswer;
 
 use super::Actor;
-use crate::clock;
+use crate::{clock, metrics};
 
 impl Actor {
     /// Takes an answer of the log.
@@ -89,6 +89,7 @@
             }
         };
         let applied = self.fleet.apply(offset, appended_ms, &record);
+        metrics::count_record(matches!(applied, Applied::Accepted));
         if let Applied::Rejected(rejection) = &applied {
             log::info!(offset:% = offset, author:% = record.id.author, reason:% = rejection.kind; "record_rejected");
         }
--- a/crates/cyclamentrail/src/traffic/forward.rs
+++ b/crates/cyclamentrail/src/traffic/forward.rs
@@ -9,7 +9,6 @@
 use axum::http::{HeaderMap, HeaderValue};
 use bytes::Bytes;
 use cyclamentrail_core::{Ending, NotRunReason, ServiceName};
-use http_body::Body as _;
 use http_body_util::{BodyExt, Limited};
 use tokio::time::Instant;
 
@@ -62,6 +61,7 @@
         .ok_or_else(bad)?;
     parts.uri = path.parse().map_err(|_error| bad())?;
     let takes_trailers = accepts_trailers(&parts.headers);
+    let declared_bytes = declared_bytes(&parts.headers);
     remove_hop_by_hop(&mut parts.headers);
     parts.headers.remove(EXPECT);
     if takes_trailers {
@@ -74,13 +74,10 @@
     let id = HeaderValue::from_str(request_id).map_err(|_error| bad())?;
     let id_name = HeaderName::from_static(headers::REQUEST_ID);
     parts.headers.insert(id_name, id);
-    if body.size_hint().lower() > limits.max_bytes as u64 {
+    if declared_bytes.is_some_and(|bytes| bytes > limits.max_bytes as u64) {
         return Err(NotRunReason::TooLarge.into());
     }
-    let is_small = body
-        .size_hint()
-        .upper()
-        .is_some_and(|bytes| bytes <= BUFFERED_BYTES as u64);
+    let is_small = declared_bytes.is_some_and(|bytes| bytes <= BUFFERED_BYTES as u64);
     if !is_small && !limits.whole {
         return Ok(Outgoing::stream(parts, body, limits.max_bytes));
     }
@@ -94,6 +91,19 @@
     Ok(Outgoing::whole(parts, bytes))
 }
 
+/// Returns the length in bytes that the headers declare, or `None` for a body that ends by itself.
+///
+/// The body's own size hint is lost behind the listener's time limits.
+fn declared_bytes(headers: &HeaderMap) -> Option<u64> {
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return None;
+    }
+    let Some(length) = headers.get(CONTENT_LENGTH) else {
+        return Some(0);
+    };
+    length.to_str().ok()?.parse().ok()
+}
+
 async fn receive(body: Body, limits: BodyLimits) -> Result<Bytes, Ending> {
     let received = Limited::new(body, limits.max_bytes).collect();
     match tokio::time::timeout_at(limits.deadline, received).await {
--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -10,7 +10,7 @@
 use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::Response;
 use axum::routing::{any, get};
-use cyclamentrail_core::{Ending, Incarnation, NotRunReason, ServiceName};
+use cyclamentrail_core::{Ending, Incarnation, NotRunReason, Outcome, ServiceName};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -23,9 +23,9 @@
 use super::request::Outgoing;
 use crate::body::problem;
 use crate::control::ControlHandle;
-use crate::headers;
 use crate::peer::claims::ClaimClient;
 use crate::view::{ServiceRoute, SharedView, View};
+use crate::{headers, metrics};
 
 /// What the callers' listener shares between requests.
 #[derive(Debug)]
@@ -143,7 +143,13 @@
     request: Request,
 ) -> Response {
     let request_id = traffic.next_request_id();
+    let arrived = Instant::now();
     let ended = try_request(&traffic, &service, request, &request_id).await;
+    let outcome = ended
+        .as_ref()
+        .err()
+        .map_or(Outcome::Answered, |ending| ending.outcome);
+    metrics::count_request(service.as_str(), outcome, arrived.elapsed().as_secs_f64());
     let mut response = ended.unwrap_or_else(|ending| explain(ending, &service, request_id));
     if traffic.shared.is_stopping() {
         let close = HeaderValue::from_static("close");
