--- a/crates/cyclamentrail-testkit/src/process.rs
+++ b/crates/cyclamentrail-testkit/src/process.rs
@@ -66,6 +66,22 @@
             .context("the system tells no peak of memory")
     }
 
+    /// Returns the processor time that the process has used, in clock ticks of 10 ms.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system doesn't tell.
+    pub fn processor_ticks(&self) -> Result<u64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let (_, after_name) = stat.rsplit_once(')').context("malformed stat")?;
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        let ticks = |index: usize| -> Option<u64> { fields.get(index)?.parse().ok() };
+        ticks(11)
+            .zip(ticks(12))
+            .map(|(user, system)| user + system)
+            .context("the system tells no processor time")
+    }
+
     /// Kills the process at once.
     ///
     /// # Errors
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -1,7 +1,8 @@
 //! Folds records and snapshots into the agreed state.
 
 use cyclamentrail_core::{
-    Applied, Fleet, Offset, PassedRecord, RecordBody, RecordId, Version, decode_record,
+    Applied, Fleet, Offset, PassedRecord, RecordBody, RecordId, RejectionKind, Version,
+    decode_record,
 };
 use cyclamentrail_platform::ReadAnswer;
 
@@ -91,10 +92,23 @@
         if let Applied::Rejected(rejection) = &applied {
             log::info!(offset:% = offset, author:% = record.id.author, reason:% = rejection.kind; "record_rejected");
         }
+        if record.id.author == self.parts.identity.incarnation {
+            self.note_own(&applied);
+        }
         self.membership.hear_log(record.id.author, clock::now_ms());
         self.settle(record.id, applied);
     }
 
+    /// Notes from an own record whether this incarnation is or was a member.
+    fn note_own(&mut self, applied: &Applied) {
+        self.joined |= match applied {
+            Applied::Accepted => true,
+            Applied::Rejected(rejection) => {
+                matches!(rejection.kind, RejectionKind::Departed { .. })
+            }
+        };
+    }
+
     /// Joins once the state is as new as the log's head; the first entry brings the settings.
     fn join_or_start(&mut self) {
         if self.leaving {
--- a/crates/cyclamentrail/tests/agreement_recovery.rs
+++ b/crates/cyclamentrail/tests/agreement_recovery.rs
@@ -320,6 +320,10 @@
     }
     site.start_entry("e3")?;
     let beside = wait_listener_ready(&site, 2, FRESH_READY).await?;
+    let before = site.entries[0].processor_ticks()?;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let used = site.entries[0].processor_ticks()? - before;
+    println!("control used {used} ticks of 10 ms in 5 s");
     for entry in &site.entries {
         let peak_kib = entry.peak_memory_kib()?;
         println!("peak memory {peak_kib} KiB");
