--- a/crates/cyclamentrail-core/src/fleet/membership.rs
+++ b/crates/cyclamentrail-core/src/fleet/membership.rs
@@ -61,6 +61,12 @@
         self.used_format
     }
 
+    /// Returns whether a process was a member and is gone.
+    #[must_use]
+    pub fn has_left(&self, incarnation: Incarnation) -> bool {
+        self.departed.contains_key(&incarnation)
+    }
+
     pub(super) fn fold_joined(
         &mut self,
         offset: Offset,
