--- a/crates/cyclamentrail-testkit/src/lib.rs
+++ b/crates/cyclamentrail-testkit/src/lib.rs
@@ -13,10 +13,14 @@
 //! # }
 //! ```
 
+mod call;
 mod client;
+mod forwarder;
 mod process;
 mod site;
 
+pub use call::Call;
 pub use client::{Answer, Client};
+pub use forwarder::Forwarder;
 pub use process::Process;
 pub use site::{Site, SiteBuilder, TOKEN};
--- a/crates/cyclamentrail/src/entry.rs
+++ b/crates/cyclamentrail/src/entry.rs
@@ -1,11 +1,11 @@
 //! One entry process: its listeners and its threads.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cyclamentrail_core::{
-    EntryName, Incarnation, LoadError, SecretSource, Settings, ZoneName, load_settings,
+    EntryName, LoadError, Offset, SecretSource, Settings, ZoneName, load_settings,
 };
 use serde_json::Value;
 use thiserror::Error;
@@ -14,9 +14,12 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::control::{
-    Actor, ControlHandle, Identity, PlatformClient, Writer, follow_log, poll_list,
+    Actor, ControlHandle, Follower, Identity, Parts, PeerAddresses, PlatformClient, Recovery,
+    SnapshotStore, Writer, follow_log, poll_list,
 };
 use crate::operator::Operator;
+use crate::peer::PeerClient;
+use crate::peer::claims::ClaimClient;
 use crate::timer::Timer;
 use crate::traffic::Traffic;
 use crate::view::SharedView;
@@ -26,6 +29,8 @@
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 /// Parts of the dispatch lease: one long poll of the log takes at most one.
 const POLLS_PER_LEASE: u32 = 4;
+/// Parts of the dispatch lease: one call of a peer takes at most one.
+const CALLS_PER_LEASE: u32 = 4;
 
 /// What differs between the entry processes of a site.
 #[derive(Debug, Clone)]
@@ -80,6 +85,7 @@
     control: ControlHandle,
     stop: watch::Sender<bool>,
     traffic_ended: oneshot::Receiver<()>,
+    callers: Arc<Traffic>,
     traffic: Option<Runtime>,
     control_thread: Option<std::thread::JoinHandle<()>>,
     end_control: Option<oneshot::Sender<()>>,
@@ -98,7 +104,7 @@
         let callers = bind(options.caller_address).await?;
         let peers = bind(options.peer_address).await?;
         let operators = bind(options.operator_address).await?;
-        let incarnation = Incarnation::new(rand::random::<u64>() >> 1);
+        let incarnation = Identity::fresh_incarnation();
         let identity = Identity {
             entry: options.name,
             incarnation,
@@ -110,7 +116,7 @@
         let operator = Operator {
             control: control.clone(),
             shared: Arc::clone(&shared),
-            token,
+            token: Arc::clone(&token),
         };
         let (stop, stopped) = watch::channel(false);
         let caller_address = address_of(&callers)?;
@@ -138,11 +144,13 @@
             .enable_all()
             .build()
             .map_err(|source| io_error("the traffic threads", source))?;
-        let router = traffic::router(Arc::new(Traffic::new(
+        let callers_state = Arc::new(Traffic::new(
             Arc::clone(&shared),
             control.clone(),
+            ClaimClient::new(token),
             incarnation,
-        )));
+        ));
+        let router = traffic::router(Arc::clone(&callers_state));
         let (ended, traffic_ended) = oneshot::channel();
         let limits = settings.caller_limits.clone();
         let callers = into_std(callers)?;
@@ -159,6 +167,7 @@
             control,
             stop,
             traffic_ended,
+            callers: callers_state,
             traffic: Some(runtime),
             control_thread: Some(control_thread),
             end_control: Some(end_control),
@@ -190,17 +199,36 @@
         self.shared.may_dispatch()
     }
 
-    /// Stops in order: takes no new connections, lets the requests in flight end, then leaves.
+    /// Stops in order: turns unready, lets the balancer see it, takes no new connections, lets the
+    /// requests in flight end, then leaves.
     pub async fn stop(mut self) {
+        let view = self.shared.load();
+        let timing = view
+            .settings
+            .as_ref()
+            .map(|settings| settings.stop.clone())
+            .unwrap_or_default();
+        drop(view);
+        self.shared.begin_stop();
+        log::info!("stop_begun");
+        tokio::time::sleep(timing.balancer_ms).await;
         self.stop.send_replace(true);
-        if (&mut self.traffic_ended).await.is_err() {
-            log::warn!("traffic_ended_early");
+        let ended = tokio::time::timeout(timing.limit_ms, self.requests_ended()).await;
+        if ended.is_err() {
+            log::warn!("requests_cut_at_limit");
         }
         if let Err(error) = self.control.leave().await {
             log::warn!(error:% = error; "leave_not_recorded");
         }
         log::info!("entry_stopped");
     }
+
+    async fn requests_ended(&mut self) {
+        if (&mut self.traffic_ended).await.is_err() {
+            log::warn!("traffic_ended_early");
+        }
+        self.callers.detached_ended().await;
+    }
 }
 
 impl Drop for Entry {
@@ -257,16 +285,39 @@
             parts.control.clone(),
             control_settings.append_delay_ms,
         );
-        let actor = Actor::new(
-            parts.identity,
-            parts.document,
-            Arc::clone(settings),
-            parts.shared,
-            writer,
-            platform.clone(),
+        let snapshots = SnapshotStore::new(platform.clone());
+        let peer_client = PeerClient::new(
+            Arc::clone(&parts.operator.token),
+            control_settings.dispatch_lease_ms / CALLS_PER_LEASE,
+        );
+        let peer_addresses = listed_peers(settings, &parts.identity);
+        let recovery = Recovery::new(
+            snapshots.clone(),
+            peer_client.clone(),
+            Arc::clone(&peer_addresses),
         );
-        let poll = control_settings.dispatch_lease_ms / POLLS_PER_LEASE;
-        tokio::spawn(follow_log(platform.clone(), parts.control.clone(), poll));
+        let (folded, next_offset) = watch::channel(Offset::default());
+        let follower = Follower {
+            platform: platform.clone(),
+            control: parts.control.clone(),
+            recovery,
+            folded: next_offset,
+            wait: control_settings.dispatch_lease_ms / POLLS_PER_LEASE,
+        };
+        let actor = Actor::new(Parts {
+            identity: parts.identity,
+            start_document: parts.document,
+            start_settings: Arc::clone(settings),
+            shared: parts.shared,
+            control: parts.control.clone(),
+            writer,
+            platform: platform.clone(),
+            snapshots,
+            peers: peer_client,
+            peer_addresses,
+            folded,
+        });
+        tokio::spawn(follow_log(follower));
         let list_ticks = timer.every(control_settings.list_interval_ms);
         tokio::spawn(poll_list(platform, parts.control.clone(), list_ticks));
         let (_keep_open, never) = watch::channel(false);
@@ -289,6 +340,18 @@
     });
 }
 
+/// Returns the addresses of the other entries as the settings list them.
+fn listed_peers(settings: &Settings, identity: &Identity) -> PeerAddresses {
+    let addresses = settings
+        .entries
+        .iter()
+        .filter(|(name, _)| **name != identity.entry)
+        .map(|(_, entry)| entry.peer_address)
+        .filter(|address| address.port() != 0)
+        .collect();
+    Arc::new(Mutex::new(addresses))
+}
+
 fn read_secret(source: &SecretSource) -> Result<String, EntryError> {
     let (place, read) = match source {
         SecretSource::Environment(name) => (
