test(requests): load, bad servers and leaving in separate processes

The first run found that an ejected server was never asked again while others were idle, since a probe counted as full load: a probe now goes first.

--- a/crates/cyclamentrail-bench/src/requests/growth.rs
+++ b/crates/cyclamentrail-bench/src/requests/growth.rs
@@ -30,6 +30,7 @@
                     .sum(),
                 limit: SLOTS,
                 rack: (worker / RACK_SIZE) as u32,
+                probe: false,
             })
             .collect();
         Self { workers, random }
--- a/crates/cyclamentrail-core/src/route.rs
+++ b/crates/cyclamentrail-core/src/route.rs
@@ -9,7 +9,7 @@
 //! use rand::SeedableRng;
 //!
 //! let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(1);
-//! let idle = Candidate { in_flight: 0, limit: 8, rack: 0 };
+//! let idle = Candidate { in_flight: 0, limit: 8, rack: 0, probe: false };
 //! let pool = Pool { near: 2, count: 4, avoid: None };
 //! let choice = choose(pool, |_| idle, &mut random);
 //! assert!(choice.index.is_some_and(|index| index < 2));
@@ -33,6 +33,8 @@
     pub limit: u32,
     /// Number of its rack; equal numbers fail together.
     pub rack: u32,
+    /// Whether one request is to find out whether it works again.
+    pub probe: bool,
 }
 
 impl Candidate {
@@ -42,9 +44,12 @@
         self.in_flight < self.limit
     }
 
-    /// Returns the share of the limit that one more request would make.
+    /// Returns the share of the limit that one more request would make; a probe counts as none.
     #[must_use]
     pub fn load(&self) -> f64 {
+        if self.probe {
+            return 0.0;
+        }
         f64::from(self.in_flight + 1) / f64::from(self.limit.max(1))
     }
 }
--- a/crates/cyclamentrail-core/src/share/state.rs
+++ b/crates/cyclamentrail-core/src/share/state.rs
@@ -96,7 +96,8 @@
         rack: u32,
         now_us: u64,
     ) -> Candidate {
-        let limit = match self.health.intake(now_us) {
+        let intake = self.health.intake(now_us);
+        let limit = match intake {
             _ if self.is_stalled(now_us) || self.is_full(class) => 0,
             Intake::Open => self.limit(now_us),
             Intake::Probe if !idempotent => 0,
@@ -107,6 +108,7 @@
             in_flight: self.in_flight,
             limit,
             rack,
+            probe: matches!(intake, Intake::Probe | Intake::Single),
         }
     }
 
--- a/crates/cyclamentrail-core/tests/route.rs
+++ b/crates/cyclamentrail-core/tests/route.rs
@@ -25,6 +25,7 @@
         in_flight,
         limit,
         rack,
+        probe: false,
     }
 }
 
@@ -87,3 +88,25 @@
         assert!(choice.looked_at <= 16, "{choice:?}");
     }
 }
+
+#[test]
+fn probe_goes_first() {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let pool = Pool {
+        near: 2,
+        count: 2,
+        avoid: None,
+    };
+    let probe = Candidate {
+        probe: true,
+        ..candidate(1, 0, 1)
+    };
+    let describe = |index| {
+        if index == 1 {
+            probe
+        } else {
+            candidate(0, 0, 8)
+        }
+    };
+    assert_eq!(choose(pool, describe, &mut random).index, Some(1));
+}
--- a/crates/cyclamentrail-testkit/src/lib.rs
+++ b/crates/cyclamentrail-testkit/src/lib.rs
@@ -15,10 +15,12 @@
 
 mod call;
 mod client;
+mod load;
 mod process;
 mod site;
 
 pub use call::Call;
 pub use client::{Answer, Client};
+pub use load::{Ended, Load, tally};
 pub use process::Process;
 pub use site::{Site, SiteBuilder, TOKEN};
--- a/crates/cyclamentrail-testkit/src/site.rs
+++ b/crates/cyclamentrail-testkit/src/site.rs
@@ -9,7 +9,7 @@
 use anyhow::{Result, bail};
 use cyclamentrail_core::{BootId, InstanceName};
 use cyclamentrail_platform::{ListedInstance, ListedState};
-use cyclamentrail_standin::{BackendReport, LogFault};
+use cyclamentrail_standin::{BackendFault, BackendReport, LogFault};
 use http_body_util::Full;
 use hyper::Request;
 use serde_json::{Value, json};
@@ -314,6 +314,19 @@
         Ok(())
     }
 
+    /// Switches a fault of a backend server on or off.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the backend server doesn't answer.
+    pub async fn set_backend_fault(&self, name: &str, fault: BackendFault) -> Result<()> {
+        let address = self.backends[name].address("")?;
+        self.client
+            .post_json(address, "/_standin/fault", None, &fault)
+            .await?;
+        Ok(())
+    }
+
     /// Switches a fault of the log service on or off.
     ///
     /// # Errors
