fix(share): probe a slow server and trust it again by one answer

The pause test failed: after SIGCONT a server's mean time held the answers of the pause, its limit stayed at one, and with its peers idle it was never chosen. A slow server without requests for a second is now probed, and one answer as fast as its peers clears its mean and its limit.

--- a/crates/cyclamentrail-core/src/share.rs
+++ b/crates/cyclamentrail-core/src/share.rs
@@ -97,6 +97,17 @@
         self.hold_until_us = now_us + HOLD_US;
     }
 
+    /// Returns whether the limit is lowered because the server is slow.
+    #[must_use]
+    pub fn is_slowed(&self) -> bool {
+        self.slow_limit < f64::from(self.slots)
+    }
+
+    /// Notes that the server is as fast as its peers again.
+    pub fn restored(&mut self) {
+        self.slow_limit = f64::from(self.slots);
+    }
+
     /// Notes that the server takes much longer than its peers.
     pub fn slowed(&mut self) {
         self.slow_limit = (self.slow_limit * SLOW_DECREASE).max(1.0);
--- a/crates/cyclamentrail-core/src/share/state.rs
+++ b/crates/cyclamentrail-core/src/share/state.rs
@@ -10,6 +10,8 @@
 
 /// Ratio to the service's mean time from which a slow answer counts as a failure.
 const FAILING_RATIO: f64 = 6.0;
+/// Time without a request after which a slow server is probed, in microseconds.
+const SLOW_PROBE_US: u64 = 1_000_000;
 /// Mean times without any quick answer after which a server counts as stalled.
 const STALL_RATIO: u64 = 8;
 /// Shortest time without any quick answer after which a server counts as stalled, in microseconds.
@@ -39,6 +41,7 @@
     pace: [Pace; 2],
     quick_progress_us: u64,
     refused_last: bool,
+    taken_us: u64,
 }
 
 impl LinkState {
@@ -54,6 +57,7 @@
             pace: [Pace::default(); 2],
             quick_progress_us: 0,
             refused_last: false,
+            taken_us: 0,
         }
     }
 
@@ -108,10 +112,17 @@
             in_flight: self.in_flight,
             limit,
             rack,
-            probe: matches!(intake, Intake::Probe | Intake::Single),
+            probe: self.wants_probe(intake, now_us),
         }
     }
 
+    /// Returns whether one request is to find out how the server is now.
+    fn wants_probe(&self, intake: Intake, now_us: u64) -> bool {
+        let idle_us = now_us.saturating_sub(self.taken_us);
+        let unsure = self.share.is_slowed() && idle_us > SLOW_PROBE_US;
+        unsure || matches!(intake, Intake::Probe | Intake::Single)
+    }
+
     /// Returns whether a request may have the slot that another one has just left.
     ///
     /// The server has a free slot then, whatever it refused before, unless it refused that one.
@@ -142,6 +153,7 @@
         if matches!(class, RequestClass::Quick) && self.in_flight == self.long_in_flight {
             self.quick_progress_us = now_us;
         }
+        self.taken_us = now_us;
         self.in_flight += 1;
         if matches!(class, RequestClass::Long) {
             self.long_in_flight += 1;
@@ -196,6 +208,11 @@
         if class == RequestClass::Quick {
             self.quick_progress_us = now_us;
         }
+        let suspect = self.share.is_slowed() || !self.health.is_active();
+        if suspect && took_us <= service.high_us() {
+            self.pace[class as usize] = Pace::default();
+            self.share.restored();
+        }
         let pace = &mut self.pace[class as usize];
         pace.add(took_us);
         if pace.is_slower(service, SLOW_RATIO) {
--- a/crates/cyclamentrail-testkit/src/client.rs
+++ b/crates/cyclamentrail-testkit/src/client.rs
@@ -9,12 +9,15 @@
 use hyper::{Method, Request};
 use hyper_util::client::legacy::Client as HyperClient;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 
 /// Longest time that a test waits for an answer.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time after which an unused connection is closed; entries close it later.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Calls the processes of a site.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -51,7 +54,10 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            inner: HyperClient::builder(TokioExecutor::new()).build_http(),
+            inner: HyperClient::builder(TokioExecutor::new())
+                .pool_timer(TokioTimer::new())
+                .pool_idle_timeout(IDLE_TIMEOUT)
+                .build_http(),
         }
     }
 
