--- a/crates/cyclamentrail-testkit/src/lib.rs
+++ b/crates/cyclamentrail-testkit/src/lib.rs
@@ -16,11 +16,13 @@
 mod call;
 mod client;
 mod forwarder;
+mod load;
 mod process;
 mod site;
 
 pub use call::Call;
 pub use client::{Answer, Client};
 pub use forwarder::Forwarder;
+pub use load::{Ended, Load, tally};
 pub use process::Process;
 pub use site::{Site, SiteBuilder, TOKEN};
