--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -35,7 +35,8 @@
 pub use admit::{Admission, AdmitLimits, Ask, Pace, Queued, Refusal, RequestClass, Ticket, Turn};
 pub use claim::{
     CLAIM_WINDOW_MS, Claim, ClaimLook, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody,
-    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, RequestDigest,
+    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, MAX_TICKETS, NotATicket, RequestDigest,
+    TICKET_MEMORY_MS, TicketBook, TicketId, TicketLook,
 };
 pub use eject::{Health, HealthChange, Intake, TryResult, may_eject};
 pub use fleet::{
--- a/crates/cyclamentrail/src/control/actor/links.rs
+++ b/crates/cyclamentrail/src/control/actor/links.rs
@@ -80,6 +80,12 @@
         self.parts.shared.publish(View {
             settings_version: accepted.version,
             settings: Some(accepted.settings),
+            own: self.parts.identity.incarnation,
+            members: self
+                .fleet
+                .members()
+                .map(|(incarnation, member)| (incarnation, member.peer_address))
+                .collect(),
             services,
         });
     }
--- a/crates/cyclamentrail/src/peer.rs
+++ b/crates/cyclamentrail/src/peer.rs
@@ -1,5 +1,7 @@
 //! The other entries: the listener for them and the client of theirs.
 
+use std::sync::Arc;
+
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Query, State};
@@ -12,9 +14,11 @@
 use serde::Deserialize;
 
 use crate::operator::{Operator, check_token};
+use crate::traffic::Traffic;
 
 pub(crate) mod claims;
 mod client;
+pub(crate) mod tickets;
 
 pub(crate) use client::PeerClient;
 
@@ -27,17 +31,15 @@
 }
 
 /// Returns the routes of the peers' listener.
-pub(crate) fn router(operator: Operator) -> Router {
+pub(crate) fn router(operator: Operator, traffic: Arc<Traffic>) -> Router {
     Router::new()
         .route("/v1/hb", post(heartbeat))
         .route("/v1/state", get(state))
         .merge(claims::router())
         .layer(DefaultBodyLimit::max(MAX_HEARTBEAT_BYTES))
-        .layer(middleware::from_fn_with_state(
-            operator.clone(),
-            check_token,
-        ))
-        .with_state(operator)
+        .with_state(operator.clone())
+        .merge(tickets::router(traffic))
+        .layer(middleware::from_fn_with_state(operator, check_token))
 }
 
 async fn heartbeat(
--- a/crates/cyclamentrail/src/view.rs
+++ b/crates/cyclamentrail/src/view.rs
@@ -1,13 +1,14 @@
 //! The immutable view that control publishes and traffic routes from.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use cyclamentrail_core::{
-    AdmitLimits, RequestSettings, ServiceName, ServiceSettings, Settings, Version,
+    AdmitLimits, Incarnation, RequestSettings, ServiceName, ServiceSettings, Settings, Version,
 };
 
 use crate::clock;
@@ -20,6 +21,10 @@
     pub(crate) settings_version: Version,
     /// Settings in force; `None` before the first.
     pub(crate) settings: Option<Arc<Settings>>,
+    /// This process, as the other entries know it.
+    pub(crate) own: Incarnation,
+    /// Addresses of the members' listeners for peers.
+    pub(crate) members: BTreeMap<Incarnation, SocketAddr>,
     /// Routes of the services.
     pub(crate) services: BTreeMap<ServiceName, Arc<ServiceRoute>>,
 }
