feat(command): publish, explain and a readable state

An operator could only post a change and look at a raw dump. `publish` sends a merge patch, waits until every live entry has it in force, says how long that took and who lags; when another operator's change won it says whose and what to do.

--- a/crates/cyclamentrail-core/src/settings/validate.rs
+++ b/crates/cyclamentrail-core/src/settings/validate.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::{Fault, Settings};
-use crate::name::{InstanceName, RackName, ZoneName};
+use crate::name::{InstanceName, PoolName, RackName, ZoneName};
 
 mod layout;
 mod process;
--- a/crates/cyclamentrail/src/command.rs
+++ b/crates/cyclamentrail/src/command.rs
@@ -11,8 +11,11 @@
 mod client;
 mod documents;
 mod entry;
+mod explain;
 mod local;
+mod publish;
 mod state;
+mod text;
 
 pub(crate) use client::OperatorClient;
 
@@ -24,8 +27,10 @@
 Commands:
   check    reads, merges and validates the settings of a site
   entry    runs one entry
+  explain  tells the story of one request, instance, wave or change
   local    runs a whole site in this process, under load
-  state    prints the whole state of an entry
+  publish  changes the settings and waits until the change is in force
+  state    prints the state of an entry
 
 Run `cyclamentrail <command> --help` for the options of a command.
 Exit codes: 0 done, 1 refused or failed, 2 usage.
@@ -65,12 +70,14 @@
             ExitStatus::Done
         }
         "--version" | "-V" => {
-            println!("cyclamentrail {}", env!("CARGO_PKG_VERSION"));
+            print_version();
             ExitStatus::Done
         }
         "check" => check::run(rest),
         "entry" => entry::run(rest),
+        "explain" => explain::run(rest),
         "local" => local::run(rest),
+        "publish" => publish::run(rest),
         "state" => state::run(rest),
         other => {
             eprintln!("cyclamentrail: unknown command \"{other}\"; run `cyclamentrail --help`");
@@ -84,6 +91,13 @@
 #[error("{0}")]
 pub(crate) struct UsageError(String);
 
+impl UsageError {
+    /// Creates an error that says what is wrong with the command line.
+    pub(crate) fn new(problem: impl Into<String>) -> Self {
+        Self(problem.into())
+    }
+}
+
 /// Returns the value of a flag, or `None` when it is left out.
 ///
 /// # Errors
@@ -100,19 +114,36 @@
     })
 }
 
-/// Parses a command's arguments and runs its action.
+/// Parses a command's options and runs its action.
 pub(crate) fn run_parsed(
     command: &str,
     options: &Options,
     arguments: &[String],
     action: impl FnOnce(&Matches) -> Result<()>,
+) -> ExitStatus {
+    run_with_words(command, "", 0, options, arguments, action)
+}
+
+/// Parses the options and words of a command and runs its action; `words` describes the words.
+pub(crate) fn run_with_words(
+    command: &str,
+    words: &str,
+    max_words: usize,
+    options: &Options,
+    arguments: &[String],
+    action: impl FnOnce(&Matches) -> Result<()>,
 ) -> ExitStatus {
     let asks_help = |argument: &String| argument == "--help" || argument == "-h";
     if arguments.iter().any(asks_help) {
-        let brief = format!("Usage: cyclamentrail {command} [options]");
+        let gap = if words.is_empty() { "" } else { " " };
+        let brief = format!("Usage: cyclamentrail {command}{gap}{words} [options]");
         print!("{}", options.usage(&brief));
         return ExitStatus::Done;
     }
+    if arguments.iter().any(|argument| argument == "--version") {
+        print_version();
+        return ExitStatus::Done;
+    }
     let matches = match options.parse(arguments) {
         Ok(matches) => matches,
         Err(error) => {
@@ -120,7 +151,7 @@
             return ExitStatus::Usage;
         }
     };
-    if let Some(argument) = matches.free.first() {
+    if let Some(argument) = matches.free.get(max_words) {
         eprintln!(
             "cyclamentrail {command}: \"{argument}\" is one argument too many; run `cyclamentrail {command} --help`"
         );
@@ -138,3 +169,7 @@
         }
     }
 }
+
+fn print_version() {
+    println!("cyclamentrail {}", env!("CARGO_PKG_VERSION"));
+}
--- a/crates/cyclamentrail/src/command/client.rs
+++ b/crates/cyclamentrail/src/command/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result};
 use bytes::Bytes;
 use getopts::{Matches, Options};
 use http_body_util::{BodyExt, Full};
@@ -11,6 +11,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
+use thiserror::Error;
 
 use super::flag;
 
@@ -19,6 +20,16 @@
 /// Environment variable with the operators' token.
 const TOKEN_VARIABLE: &str = "CYCLAMENTRAIL_TOKEN";
 
+/// An entry refused a call.
+#[derive(Debug, Error)]
+#[error("{text} (HTTP {status})")]
+pub(crate) struct Refused {
+    /// HTTP status code.
+    pub(crate) status: u16,
+    /// The entry's reason, with the remedy.
+    pub(crate) text: String,
+}
+
 /// Calls one entry; blocks until it has answered.
 #[derive(Debug)]
 pub(crate) struct OperatorClient {
@@ -142,7 +153,11 @@
     let status = response.status();
     let bytes = response.into_body().collect().await?.to_bytes();
     if !status.is_success() {
-        bail!("{status}: {}", String::from_utf8_lossy(&bytes).trim());
+        let refused = Refused {
+            status: status.as_u16(),
+            text: String::from_utf8_lossy(&bytes).trim().to_owned(),
+        };
+        return Err(refused.into());
     }
     if bytes.is_empty() {
         return Ok(Value::Null);
--- a/crates/cyclamentrail/src/command/state.rs
+++ b/crates/cyclamentrail/src/command/state.rs
@@ -1,15 +1,20 @@
-//! `cyclamentrail state`: prints the whole state of an entry.
+//! `cyclamentrail state`: prints the state of an entry.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
 
 use anyhow::Result;
 use getopts::{Matches, Options};
+use serde_json::Value;
 
 use super::ExitStatus;
 use super::client::OperatorClient;
+use super::explain::text_of;
 
 fn options() -> Options {
     let mut options = Options::new();
     OperatorClient::add_options(&mut options);
-    options.optflag("", "json", "print JSON on one line");
+    options.optflag("", "json", "print the whole state as JSON on one line");
     options.optflag("h", "help", "print this help");
     options
 }
@@ -24,7 +29,88 @@
     if matches.opt_present("json") {
         println!("{state}");
     } else {
-        println!("{state:#}");
+        print!("{}", summary(&state));
     }
     Ok(())
 }
+
+/// Returns the state in some readable lines; `--json` has all of it.
+fn summary(state: &Value) -> String {
+    let fleet = &state["fleet"];
+    let settings = &fleet["settings"];
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "entry {} (process {}): {}",
+        text_of(&state["entry"]),
+        state["incarnation"],
+        if state["may_dispatch"] == true {
+            "ready"
+        } else {
+            "not ready, gives out no work"
+        }
+    );
+    let _ = writeln!(
+        text,
+        "settings version {} by {} (offset {}); next record {}",
+        settings["version"],
+        text_of(&settings["operator"]),
+        settings["offset"],
+        fleet["next_offset"]
+    );
+    let _ = writeln!(
+        text,
+        "fleet duty: term {}, held by process {}",
+        fleet["duty"]["term"], fleet["duty"]["holder"]
+    );
+    push_members(&mut text, fleet);
+    push_pools(&mut text, fleet);
+    text
+}
+
+fn push_members(text: &mut String, fleet: &Value) {
+    text.push_str("members:\n");
+    for pair in fleet["members"].as_array().into_iter().flatten() {
+        let (incarnation, member) = (&pair[0], &pair[1]);
+        let _ = writeln!(
+            text,
+            "  {:<8} {:<12} {:<22} process {incarnation}",
+            text_of(&member["entry"]),
+            text_of(&member["zone"]),
+            text_of(&member["peer_address"]),
+        );
+    }
+}
+
+fn push_pools(text: &mut String, fleet: &Value) {
+    let mut pools: BTreeMap<String, BTreeMap<String, Vec<String>>> = BTreeMap::new();
+    for pair in fleet["instances"].as_array().into_iter().flatten() {
+        let (name, instance) = (&pair[0], &pair[1]);
+        pools
+            .entry(text_of(&instance["pool"]))
+            .or_default()
+            .entry(state_name(&instance["state"]))
+            .or_default()
+            .push(text_of(name));
+    }
+    text.push_str("pools:\n");
+    for (pool, states) in pools {
+        let _ = writeln!(text, "  {pool}");
+        for (state, instances) in states {
+            let _ = writeln!(
+                text,
+                "    {state:<9} {:>3}  {}",
+                instances.len(),
+                instances.join(" ")
+            );
+        }
+    }
+}
+
+/// Returns the name of a state that is a word or an object with one key.
+fn state_name(state: &Value) -> String {
+    state
+        .as_object()
+        .and_then(|object| object.keys().next().cloned())
+        .unwrap_or_else(|| text_of(state))
+}
--- a/crates/cyclamentrail/src/control.rs
+++ b/crates/cyclamentrail/src/control.rs
@@ -20,6 +20,7 @@
 pub(crate) use actor::{Actor, Parts};
 pub(crate) use follower::{Follower, follow_log};
 pub(crate) use identity::Identity;
+pub(crate) use in_force::MemberInForce;
 pub(crate) use list_poller::poll_list;
 pub(crate) use message::{ControlHandle, ControlMessage, SubmitError};
 pub(crate) use platform_client::PlatformClient;
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -88,6 +88,13 @@
         };
         let applied = self.fleet.apply(offset, appended_ms, &record);
         metrics::count_record(matches!(applied, Applied::Accepted));
+        let version = self.fleet.settings().map(|accepted| accepted.version);
+        self.parts.shared.changes().note(
+            (offset, appended_ms),
+            record.body.as_ref(),
+            &applied,
+            version.unwrap_or_default(),
+        );
         if let Applied::Rejected(rejection) = &applied {
             log::info!(offset:% = offset, author:% = record.id.author, reason:% = rejection.kind; "record_rejected");
         }
--- a/crates/cyclamentrail/src/lib.rs
+++ b/crates/cyclamentrail/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod body;
+mod change_journal;
 mod clock;
 mod command;
 mod control;
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -17,6 +17,7 @@
 use crate::serve::Audience;
 use crate::view::SharedView;
 
+mod changes;
 mod entries;
 mod jobs;
 mod waves;
@@ -54,6 +55,7 @@
         .route("/metrics", get(show_metrics))
         .route("/v1/settings", post(change_settings))
         .route("/v1/settings/in-force", get(in_force))
+        .merge(changes::router())
         .merge(entries::router())
         .merge(waves::router())
         .merge(jobs::router())
--- a/crates/cyclamentrail/src/view.rs
+++ b/crates/cyclamentrail/src/view.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use cyclamentrail_core::{ServiceName, ServiceSettings, Settings, Version};
 
+use crate::change_journal::ChangeJournal;
 use crate::clock;
 use crate::traffic::Link;
 
@@ -35,9 +36,15 @@
 pub(crate) struct SharedView {
     view: ArcSwap<View>,
     permitted_until_ms: AtomicU64,
+    changes: ChangeJournal,
 }
 
 impl SharedView {
+    /// Returns the journal of settings changes.
+    pub(crate) const fn changes(&self) -> &ChangeJournal {
+        &self.changes
+    }
+
     /// Returns the newest view.
     pub(crate) fn load(&self) -> Arc<View> {
         self.view.load_full()
--- /dev/null
+++ b/crates/cyclamentrail/tests/commands_operator.rs
@@ -0,0 +1,191 @@
+//! The operators' commands against running entries, and the exit codes of all commands.
+
+use std::process::{Command, Output};
+
+use anyhow::Result;
+use cyclamentrail_testkit::{Site, TOKEN};
+use rstest::rstest;
+use serde_json::Value;
+
+fn run(arguments: &[&str]) -> Result<Output> {
+    Ok(Command::new(env!("CARGO_BIN_EXE_cyclamentrail"))
+        .args(arguments)
+        .env("CYCLAMENTRAIL_TOKEN", TOKEN)
+        .output()?)
+}
+
+fn on_entry(site: &Site, arguments: &[&str]) -> Result<Output> {
+    let address = site.entries[0].address("operators")?.to_string();
+    let mut all = arguments.to_vec();
+    all.extend(["--entry", &address]);
+    run(&all)
+}
+
+fn json_of(output: &Output) -> Result<Value> {
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    Ok(serde_json::from_slice(&output.stdout)?)
+}
+
+fn stderr_of(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[rstest]
+fn help_everywhere(
+    #[values("check", "entry", "local", "publish", "state", "explain")] command: &str,
+    #[values("--help", "-h", "--version")] flag: &str,
+) -> Result<()> {
+    let output = run(&[command, flag])?;
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let text = String::from_utf8(output.stdout)?;
+    let start = if flag == "--version" {
+        String::from("cyclamentrail 0.")
+    } else {
+        format!("Usage: cyclamentrail {command}")
+    };
+    assert!(text.starts_with(&start), "{text}");
+    Ok(())
+}
+
+#[rstest]
+#[case::nothing(&[], 2)]
+#[case::help(&["--help"], 0)]
+#[case::version(&["--version"], 0)]
+#[case::unknown(&["dance"], 2)]
+#[case::no_flags(&["check"], 2)]
+#[case::unknown_flag(&["state", "--entry", "127.0.0.1:1", "--loud"], 2)]
+#[case::bad_address(&["state", "--entry", "here"], 2)]
+#[case::word(&["state", "--entry", "127.0.0.1:1", "more"], 2)]
+#[case::no_patch(&["publish", "--entry", "127.0.0.1:1"], 2)]
+#[case::no_kind(&["explain", "--entry", "127.0.0.1:1"], 2)]
+#[case::bad_kind(&["explain", "rack", "r1", "--entry", "127.0.0.1:1"], 2)]
+#[case::no_file(&["check", "--settings", "/none", "--overlay", "/none"], 1)]
+#[case::unreachable(&["state", "--entry", "127.0.0.1:1"], 1)]
+#[case::bad_patch(&["publish", "--entry", "127.0.0.1:1", "--patch", "{"], 1)]
+fn exit_codes(#[case] arguments: &[&str], #[case] code: i32) -> Result<()> {
+    let output = run(arguments)?;
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn publish_waits() -> Result<()> {
+    let site = Site::builder().entries(3).instances(4).start().await?;
+    let patch = r#"{"requests": {"max_waiting": 99}}"#;
+    let report = json_of(&on_entry(
+        &site,
+        &["publish", "--operator", "ana", "--patch", patch, "--json"],
+    )?)?;
+    assert_eq!(report["version"], 2, "{report}");
+    assert_eq!(report["lagging"], serde_json::json!([]));
+    assert_eq!(report["in_force_on"].as_array().map(Vec::len), Some(3));
+    assert!(report["in_force_ms"].is_u64());
+    for entry in 0..3 {
+        let state = site.state(entry).await?;
+        assert_eq!(state["settings_version"], 2);
+    }
+    let text = on_entry(&site, &["publish", "--patch", patch])?;
+    let text = String::from_utf8(text.stdout)?;
+    assert!(
+        text.starts_with("version 3 in force on 3 of 3 live entries after "),
+        "{text}"
+    );
+    Ok(())
+}
+
+#[tokio::test]
+async fn publish_raced() -> Result<()> {
+    let site = Site::builder().entries(2).instances(4).start().await?;
+    let publish = |operator: &str, waiting: u32| {
+        let patch = format!(r#"{{"requests": {{"max_waiting": {waiting}}}}}"#);
+        on_entry(
+            &site,
+            &[
+                "publish",
+                "--operator",
+                operator,
+                "--presumes",
+                "1",
+                "--patch",
+                &patch,
+            ],
+        )
+    };
+    assert_eq!(publish("ana", 10)?.status.code(), Some(0));
+    let late = publish("bela", 20)?;
+    assert_eq!(late.status.code(), Some(1), "{late:?}");
+    let text = stderr_of(&late);
+    assert!(text.contains("version 2 by ana is in force"), "{text}");
+    assert!(text.contains("publish again"), "{text}");
+    let story = json_of(&on_entry(&site, &["explain", "change", "2", "--json"])?)?;
+    assert_eq!(story["change"]["operator"], "ana");
+    assert_eq!(story["change"]["patch"]["requests"]["max_waiting"], 10);
+    assert_eq!(story["rivals"][0]["operator"], "bela");
+    assert_eq!(story["members"].as_array().map(Vec::len), Some(2));
+    Ok(())
+}
+
+#[tokio::test]
+async fn publish_invalid() -> Result<()> {
+    let site = Site::builder().entries(1).instances(4).start().await?;
+    let patch = r#"{"control": {"heartbeat_ms": 0}}"#;
+    let refused = on_entry(&site, &["publish", "--patch", patch])?;
+    assert_eq!(refused.status.code(), Some(1));
+    assert!(stderr_of(&refused).contains("/control/heartbeat_ms"));
+    assert_eq!(site.state(0).await?["settings_version"], 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn publish_lagging() -> Result<()> {
+    let site = Site::builder()
+        .entries(3)
+        .instances(4)
+        .patch(serde_json::json!({"control": {"dispatch_lease_ms": 60000}}))
+        .start()
+        .await?;
+    site.entries[2].pause()?;
+    let arguments = ["publish", "--timeout", "1", "--patch", r#"{"region": "x"}"#];
+    let output = on_entry(&site, &arguments)?;
+    site.entries[2].resume()?;
+    let text = format!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        stderr_of(&output)
+    );
+    assert!(text.contains("e3"), "{text}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn state_printed() -> Result<()> {
+    let site = Site::builder().entries(2).instances(4).start().await?;
+    let whole = json_of(&on_entry(&site, &["state", "--json"])?)?;
+    for key in ["entry", "incarnation", "settings_version", "fleet", "links"] {
+        assert!(!whole[key].is_null(), "{key} in {whole}");
+    }
+    let text = String::from_utf8(on_entry(&site, &["state"])?.stdout)?;
+    for part in [
+        "entry e1 ",
+        "settings version 1 by ",
+        "members:",
+        "checks",
+        "serving",
+    ] {
+        assert!(text.contains(part), "{part:?} in {text}");
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn wrong_token() -> Result<()> {
+    let site = Site::builder().entries(1).instances(4).start().await?;
+    let address = site.entries[0].address("operators")?.to_string();
+    let output = Command::new(env!("CARGO_BIN_EXE_cyclamentrail"))
+        .args(["state", "--entry", &address])
+        .env("CYCLAMENTRAIL_TOKEN", "wrong")
+        .output()?;
+    assert_eq!(output.status.code(), Some(1));
+    assert!(stderr_of(&output).contains("token"));
+    Ok(())
+}
