--- a/crates/cyclamentrail/src/change_journal.rs
+++ b/crates/cyclamentrail/src/change_journal.rs
@@ -68,7 +68,7 @@
             offset,
             appended_ms,
             operator: operator.clone(),
-            patch: is_short.then(|| patch.clone()).unwrap_or_default(),
+            patch: if is_short { patch.clone() } else { Value::Null },
             result: match applied {
                 Applied::Accepted => ChangeResult::InForce(version),
                 Applied::Rejected(rejection) => ChangeResult::Rejected(rejection.kind.to_string()),
--- a/crates/cyclamentrail/src/command/explain.rs
+++ b/crates/cyclamentrail/src/command/explain.rs
@@ -99,15 +99,15 @@
 
 /// Returns the operators' address of the entry that served a request.
 fn server_of(client: &OperatorClient, request_id: &str) -> Result<Option<SocketAddr>> {
-    let Some((incarnation, _)) = request_id.rsplit_once('-') else {
-        return Ok(None);
-    };
+    let incarnation: Option<u64> = request_id
+        .split_once('-')
+        .and_then(|(incarnation, _)| incarnation.parse().ok());
     let state = client.get("/state")?;
     let members = state["fleet"]["members"].as_array();
     let entry = members
         .into_iter()
         .flatten()
-        .find(|member| member[0].to_string() == incarnation)
+        .find(|member| incarnation.is_some() && member[0].as_u64() == incarnation)
         .and_then(|member| member[1]["entry"].as_str());
     let Some(entry) = entry else {
         return Ok(None);
--- a/crates/cyclamentrail/src/command/publish.rs
+++ b/crates/cyclamentrail/src/command/publish.rs
@@ -1,5 +1,6 @@
 //! `cyclamentrail publish`: changes the settings and waits until the change is in force.
 
+use std::fmt::Write as _;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -173,7 +174,7 @@
         );
         for (label, entries) in [("lagging", &self.lagging), ("not heard of", &self.silent)] {
             if !entries.is_empty() {
-                text.push_str(&format!("{label}: {}\n", entries.join(", ")));
+                let _ = writeln!(text, "{label}: {}", entries.join(", "));
             }
         }
         text
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -5,19 +5,23 @@
 
 use cyclamentrail_core::{
     Fleet, Incarnation, InstanceName, LeaveReason, Membership, MembershipTiming, Offset,
-    RecordBody, RecordId, Settings, Term,
+    RecordBody, RecordId, Settings, Term, Version,
 };
 use cyclamentrail_platform::ListedInstance;
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
+use super::claims::{ClaimDesk, DeskAction};
 use super::duty::FleetDuty;
 use super::history::History;
 use super::identity::Identity;
 use super::recovery::PeerAddresses;
 use super::writer::Writer;
-use super::{ControlHandle, ControlMessage, PlatformClient, SnapshotStore, SubmitError};
+use super::{
+    ClaimAnswer, ClaimMessage, ControlHandle, ControlMessage, PlatformClient, SnapshotStore,
+    SubmitError,
+};
 use crate::clock;
 use crate::peer::PeerClient;
 use crate::timer::Ticks;
@@ -78,6 +82,7 @@
     alive_ms: u64,
     released: BTreeMap<InstanceName, u64>,
     duty: FleetDuty,
+    claims: ClaimDesk,
     claimed: Option<(Term, u64)>,
     evictions: BTreeMap<Incarnation, EvictionTry>,
     snapshot: SnapshotState,
@@ -108,7 +113,10 @@
     oldest: Offset,
     /// Clock in milliseconds when the last one was written or tried.
     tried_ms: u64,
-    writing: bool,
+    /// Settings version of the snapshot that is being written.
+    writing: Option<Version>,
+    /// Settings version of the newest known snapshot.
+    settings_version: Version,
 }
 
 impl Actor {
@@ -132,6 +140,7 @@
             alive_ms: 0,
             released: BTreeMap::new(),
             duty: FleetDuty::default(),
+            claims: ClaimDesk::default(),
             claimed: None,
             evictions: BTreeMap::new(),
             snapshot: SnapshotState::default(),
@@ -164,6 +173,7 @@
             }
             ControlMessage::SnapshotWritten(covered) => self.note_snapshot(covered),
             ControlMessage::List(list) => self.take_list(list),
+            ControlMessage::ListUnchanged => self.drain_leaving(),
             ControlMessage::ChangeSettings {
                 presumes,
                 patch,
@@ -179,6 +189,7 @@
                 self.submit(body, Some(reply));
             }
             ControlMessage::Submit { body, reply } => self.submit(body, Some(reply)),
+            ControlMessage::Claim(message) => self.handle_claim(message),
             ControlMessage::Fleet(reply) => drop(reply.send(Box::new(self.fleet.clone()))),
             ControlMessage::InForce(reply) => drop(reply.send(self.in_force())),
             ControlMessage::Dump(reply) => drop(reply.send(self.dump())),
@@ -193,11 +204,31 @@
         }
     }
 
+    fn handle_claim(&mut self, message: ClaimMessage) {
+        let own = self.parts.identity.incarnation;
+        if let DeskAction::Claim { record, reply } = self.claims.handle(&self.fleet, own, message) {
+            let (result, folded) = oneshot::channel();
+            self.submit(RecordBody::Claim(record), Some(result));
+            drop(reply.send(ClaimAnswer::Submitted(folded)));
+        }
+        self.end_claims();
+    }
+
+    fn end_claims(&mut self) {
+        for record in self
+            .claims
+            .due(&self.fleet, self.parts.identity.incarnation)
+        {
+            self.submit(RecordBody::Claim(record), None);
+        }
+    }
+
     fn tick(&mut self) {
         let now_ms = clock::now_ms();
         self.refresh_members(now_ms);
         self.send_heartbeats(now_ms);
         self.expire_pending();
+        self.end_claims();
         self.release_drained();
         self.show_alive(now_ms);
         self.step_duty(now_ms);
@@ -212,6 +243,13 @@
         self.submit(body, Some(reply));
     }
 
+    fn settings_version(&self) -> Version {
+        self.fleet
+            .settings()
+            .map(|accepted| accepted.version)
+            .unwrap_or_default()
+    }
+
     fn settings(&self) -> &Settings {
         self.fleet
             .settings()
--- a/crates/cyclamentrail/src/control/actor/dump.rs
+++ b/crates/cyclamentrail/src/control/actor/dump.rs
@@ -7,6 +7,9 @@
 use super::Actor;
 use crate::clock;
 
+/// Decisions about requests that a state dump shows.
+const DUMPED_DECISIONS: usize = 200;
+
 impl Actor {
     /// Returns the whole state, as of one moment.
     pub(super) fn dump(&self) -> Value {
@@ -14,12 +17,13 @@
             .links
             .iter()
             .map(|(name, link)| {
-                let candidate = link.candidate();
+                let state = link.state();
                 let value = json!({
-                    "address": link.address,
-                    "boot": link.boot,
-                    "in_flight": candidate.in_flight,
-                    "slots": candidate.slots,
+                    "address": link.target().address,
+                    "boot": link.target().boot,
+                    "in_flight": state.in_flight(),
+                    "limit": state.limit(clock::now_us()),
+                    "ejected": state.health().is_ejected(),
                 });
                 (name.as_str(), value)
             })
@@ -32,10 +36,12 @@
             "log_reached": self.membership.reaches_log(clock::now_ms())
                 && !self.parts.control.health().is_down(),
             "pending_records": self.pending.len(),
+            "claims": self.claims.dump(),
             "snapshot_offset": self.snapshot.newest,
             "in_force": self.in_force(),
             "fleet": self.fleet,
             "links": links,
+            "decisions": self.parts.shared.journal().recent(DUMPED_DECISIONS).iter().map(Value::from).collect::<Vec<_>>(),
         })
     }
 }
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -41,6 +41,7 @@
         let before = self.fleet.next_offset();
         self.snapshot.newest = self.snapshot.newest.max(fleet.next_offset());
         self.fleet = fleet;
+        self.snapshot.settings_version = self.settings_version();
         self.history.clear();
         self.after_fold(before);
     }
@@ -52,6 +53,7 @@
             self.tell_writer();
             self.refresh_members(clock::now_ms());
             self.publish_view();
+            self.claims.wake_changed(&self.fleet);
             self.release_drained();
         }
         self.publish_permit();
--- a/crates/cyclamentrail/src/control/message.rs
+++ b/crates/cyclamentrail/src/control/message.rs
@@ -7,6 +7,7 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 
+use super::claims::ClaimMessage;
 use super::in_force::InForce;
 use super::log_health::LogHealth;
 use super::writer::WriteFailed;
@@ -29,6 +30,8 @@
     SnapshotWritten(Option<Offset>),
     /// The platform's list came.
     List(InstanceList),
+    /// The platform's list is still the one that came last.
+    ListUnchanged,
     /// An operator changes the settings; `presumes` is the version that the change was made on.
     ChangeSettings {
         presumes: Option<Version>,
@@ -41,6 +44,8 @@
         body: RecordBody,
         reply: oneshot::Sender<Result<(), SubmitError>>,
     },
+    /// Something about an idempotency key.
+    Claim(ClaimMessage),
     /// The whole state is asked for.
     Dump(oneshot::Sender<serde_json::Value>),
     /// A copy of the agreed state is asked for.
@@ -85,7 +90,7 @@
 /// Sends messages to the control thread.
 #[derive(Debug, Clone)]
 pub(crate) struct ControlHandle {
-    sender: mpsc::Sender<ControlMessage>,
+    pub(super) sender: mpsc::Sender<ControlMessage>,
     health: LogHealth,
 }
 
--- a/crates/cyclamentrail/src/metrics.rs
+++ b/crates/cyclamentrail/src/metrics.rs
@@ -4,10 +4,13 @@
 //! callers or instances.
 
 use std::sync::OnceLock;
+use std::time::Duration;
 
-use cyclamentrail_core::{Fleet, InstanceState, Outcome};
+use axum::http::{HeaderMap, HeaderValue};
+use cyclamentrail_core::{Fleet, InstanceState, ServiceName};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
+use crate::headers;
 use crate::timer::Ticks;
 
 mod catalog;
@@ -86,16 +89,23 @@
     }
 }
 
-/// Counts a request that ended.
-pub(crate) fn count_request(service: &str, outcome: Outcome, seconds: f64) {
-    let service = match outcome {
-        Outcome::NotRun(cyclamentrail_core::NotRunReason::NoSuchService) => NO_SERVICE,
-        _ => service,
-    };
-    let service = service.to_owned();
-    let outcome = crate::body::outcome_text(outcome);
+/// Counts a request that ended; `service` is `None` when there is no such service.
+pub(crate) fn count_request(service: Option<&ServiceName>, headers: &HeaderMap, took: Duration) {
+    let service = service.map_or_else(|| String::from(NO_SERVICE), ToString::to_string);
+    let outcome = outcome_label(headers);
     metrics::counter!(REQUESTS, "service" => service.clone(), "outcome" => outcome).increment(1);
-    metrics::histogram!(REQUEST_SECONDS, "service" => service).record(seconds);
+    metrics::histogram!(REQUEST_SECONDS, "service" => service).record(took.as_secs_f64());
+}
+
+/// Returns how an answer says that its request ended.
+fn outcome_label(headers: &HeaderMap) -> &'static str {
+    let value = headers.get(headers::OUTCOME).map(HeaderValue::as_bytes);
+    match value {
+        Some(b"answered") => "answered",
+        Some(b"not-run") => "not-run",
+        Some(b"unknown") => "unknown",
+        _ => "other",
+    }
 }
 
 /// Counts what a listener refused.
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -20,6 +20,7 @@
 mod changes;
 mod entries;
 mod jobs;
+mod requests;
 mod waves;
 
 /// Content type of the Prometheus text format.
@@ -59,6 +60,7 @@
         .merge(entries::router())
         .merge(waves::router())
         .merge(jobs::router())
+        .merge(requests::router())
         .layer(middleware::from_fn_with_state(
             operator.clone(),
             check_token,
@@ -104,7 +106,7 @@
 }
 
 async fn ready(State(operator): State<Operator>) -> StatusCode {
-    if operator.shared.may_dispatch() {
+    if operator.shared.is_ready() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
