--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -10,7 +10,7 @@
 use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::Response;
 use axum::routing::{any, get, post};
-use cyclamentrail_core::{Ending, Incarnation, NotRunReason, Outcome, ServiceName, UnknownReason};
+use cyclamentrail_core::{Ending, Incarnation, NotRunReason, ServiceName, UnknownReason};
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -160,12 +160,10 @@
     let request_id = traffic.next_request_id();
     let arrived = Instant::now();
     let ended = try_request(traffic, &service, request, &request_id).await;
-    let outcome = ended
-        .as_ref()
-        .err()
-        .map_or(Outcome::Answered, |ending| ending.outcome);
-    metrics::count_request(service.as_str(), outcome, arrived.elapsed().as_secs_f64());
+    let known = traffic.shared.load().services.contains_key(&service);
+    let label = known.then(|| service.clone());
     let mut response = ended.unwrap_or_else(|ending| explain(ending, &service, request_id));
+    metrics::count_request(label.as_ref(), response.headers(), arrived.elapsed());
     if traffic.shared.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
--- a/crates/cyclamentrail/src/view.rs
+++ b/crates/cyclamentrail/src/view.rs
@@ -11,6 +11,7 @@
     AdmitLimits, Incarnation, RequestSettings, ServiceName, ServiceSettings, Settings, Version,
 };
 
+use crate::change_journal::ChangeJournal;
 use crate::clock;
 use crate::traffic::{Gate, Journal, Link};
 
@@ -83,12 +84,18 @@
 pub(crate) struct SharedView {
     view: ArcSwap<View>,
     permitted_until_ms: AtomicU64,
+    changes: ChangeJournal,
     gates: Mutex<BTreeMap<ServiceName, Arc<Gate>>>,
     journal: Arc<Journal>,
     stopping: AtomicBool,
 }
 
 impl SharedView {
+    /// Returns the journal of settings changes.
+    pub(crate) const fn changes(&self) -> &ChangeJournal {
+        &self.changes
+    }
+
     /// Returns the newest view.
     pub(crate) fn load(&self) -> Arc<View> {
         self.view.load_full()
