--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -64,9 +64,9 @@
 pub use route::{Candidate, Choice, Pool, ZONE_PENALTY, choose};
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
-    Fault, JobSettings, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings,
-    SecretSource, ServiceSettings, Settings, StopSettings, WorkerShape, ZoneSettings,
-    load_settings, merge_documents, settings_schema,
+    Fault, JobSettings, LoadError, LogLevel, LogSettings, PlatformSettings, PoolSettings,
+    RequestSettings, SecretSource, ServiceSettings, Settings, StopSettings, WorkerShape,
+    ZoneSettings, load_settings, merge_documents, settings_schema,
 };
 pub use share::{HomeRing, LinkLimits, LinkState, Share, stall_us, sure_slots};
 pub use snapshot::{MAX_SNAPSHOT_BYTES, SnapshotError, decode_snapshot, encode_snapshot};
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -1,12 +1,13 @@
 //! Folds records and snapshots into the agreed state.
 
 use cyclamentrail_core::{
-    Applied, Fleet, Offset, PassedRecord, RecordBody, RecordId, Version, decode_record,
+    Applied, Fleet, Offset, PassedRecord, RecordBody, RecordId, RejectionKind, Version,
+    decode_record,
 };
 use cyclamentrail_platform::ReadAnswer;
 
 use super::Actor;
-use crate::clock;
+use crate::{clock, metrics};
 
 impl Actor {
     /// Takes an answer of the log.
@@ -89,13 +90,34 @@
             }
         };
         let applied = self.fleet.apply(offset, appended_ms, &record);
+        metrics::count_record(matches!(applied, Applied::Accepted));
+        let version = self.fleet.settings().map(|accepted| accepted.version);
+        self.parts.shared.changes().note(
+            (offset, appended_ms),
+            record.body.as_ref(),
+            &applied,
+            version.unwrap_or_default(),
+        );
         if let Applied::Rejected(rejection) = &applied {
             log::info!(offset:% = offset, author:% = record.id.author, reason:% = rejection.kind; "record_rejected");
         }
+        if record.id.author == self.parts.identity.incarnation {
+            self.note_own(&applied);
+        }
         self.membership.hear_log(record.id.author, clock::now_ms());
         self.settle(record.id, applied);
     }
 
+    /// Notes from an own record whether this incarnation is or was a member.
+    fn note_own(&mut self, applied: &Applied) {
+        self.joined |= match applied {
+            Applied::Accepted => true,
+            Applied::Rejected(rejection) => {
+                matches!(rejection.kind, RejectionKind::Departed { .. })
+            }
+        };
+    }
+
     /// Joins once the state is as new as the log's head; the first entry brings the settings.
     fn join_or_start(&mut self) {
         if self.leaving {
--- a/crates/cyclamentrail/src/lib.rs
+++ b/crates/cyclamentrail/src/lib.rs
@@ -11,13 +11,17 @@
 //! ```
 
 mod body;
+mod change_journal;
 mod clock;
 mod command;
 mod control;
 mod entry;
 mod headers;
+mod local;
 mod logging;
+mod metrics;
 mod operator;
+mod pages;
 mod peer;
 mod serve;
 mod timer;
@@ -28,3 +32,6 @@
 
 pub use command::{ExitStatus, run};
 pub use entry::{Entry, EntryError, EntryOptions};
+pub use local::{Call, CallEnd, Counts, Wrongs};
+pub use metrics::{METRICS, Metric, MetricKind};
+pub use pages::{metrics_page, settings_page};
--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -25,10 +25,10 @@
 use super::tickets::{TicketPlace, Tickets, mint, run_ticket};
 use crate::body::problem;
 use crate::control::ControlHandle;
-use crate::headers;
 use crate::peer::claims::ClaimClient;
 use crate::peer::tickets::TicketClient;
 use crate::view::{ServiceRoute, SharedView, View};
+use crate::{headers, metrics};
 
 /// What the callers' listener shares between requests.
 #[derive(Debug)]
@@ -158,8 +158,12 @@
 
 async fn serve(traffic: &Arc<Traffic>, service: ServiceName, request: Request) -> Response {
     let request_id = traffic.next_request_id();
+    let arrived = Instant::now();
     let ended = try_request(traffic, &service, request, &request_id).await;
+    let known = traffic.shared.load().services.contains_key(&service);
+    let label = known.then(|| service.clone());
     let mut response = ended.unwrap_or_else(|ending| explain(ending, &service, request_id));
+    metrics::count_request(label.as_ref(), response.headers(), arrived.elapsed());
     if traffic.shared.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
