--- a/crates/cyclamentrail-spec/src/barrier.rs
+++ b/crates/cyclamentrail-spec/src/barrier.rs
@@ -5,9 +5,11 @@
 //! steps, for as long as the others take to do all that they can: that is a pause. The log may
 //! stop at any step: that is an outage. An append may be lost, or come a second time later.
 
+use std::collections::BTreeSet;
 use std::fmt;
+use std::rc::Rc;
 
-use cyclamentrail_core::{Fleet, Instance, InstanceState};
+use cyclamentrail_core::{Fleet, Incarnation, Instance, InstanceState};
 
 use crate::explore::{Model, Violation};
 use crate::fact::{Fact, Logged, Pool, incarnation, small};
@@ -91,16 +93,16 @@
 }
 
 impl fmt::Display for BarrierAction {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Append(logged) => write!(formatter, "{logged} is appended"),
-            Self::Lose(logged) => write!(formatter, "{logged} is lost"),
-            Self::Copy(index) => write!(formatter, "a copy of record {index} is appended"),
-            Self::Read(entry) => write!(formatter, "entry {entry} folds a record"),
-            Self::Pass { to, from } => write!(formatter, "entry {to} takes records of {from}"),
-            Self::Choose(entry) => write!(formatter, "entry {entry} chooses the instance"),
-            Self::Send(entry) => write!(formatter, "entry {entry} sends"),
-            Self::End(entry) => write!(formatter, "entry {entry} ends its request"),
+            Self::Append(logged) => write!(f, "{logged} is appended"),
+            Self::Lose(logged) => write!(f, "{logged} is lost"),
+            Self::Copy(index) => write!(f, "a copy of record {index} is appended"),
+            Self::Read(entry) => write!(f, "entry {entry} folds a record"),
+            Self::Pass { to, from } => write!(f, "entry {to} takes records of {from}"),
+            Self::Choose(entry) => write!(f, "entry {entry} chooses the instance"),
+            Self::Send(entry) => write!(f, "entry {entry} sends"),
+            Self::End(entry) => write!(f, "entry {entry} ends its request"),
         }
     }
 }
@@ -133,12 +135,12 @@
         self
     }
 
-    fn view(&self, state: &BarrierState, entry: u8) -> std::rc::Rc<Fleet> {
+    fn view(&self, state: &BarrierState, entry: u8) -> Rc<Fleet> {
         let view = state.entries[usize::from(entry)].view;
         self.folds.fleet(&state.log[..view])
     }
 
-    fn facts(&self, fleet: &Fleet, entry: u8, work: Work) -> Vec<Fact> {
+    fn facts(fleet: &Fleet, entry: u8, work: Work) -> Vec<Fact> {
         if fleet.member(incarnation(entry)).is_none() {
             return if entry < MEMBERS || fleet.has_left(incarnation(entry)) {
                 Vec::new()
@@ -187,7 +189,7 @@
         if state.log.len() >= self.max_log {
             return;
         }
-        for fact in self.facts(&fleet, number, entry.work) {
+        for fact in Self::facts(&fleet, number, entry.work) {
             let logged = Logged {
                 author: number,
                 sequence: entry.sequence + 1,
@@ -246,20 +248,10 @@
 }
 
 /// Returns whether a drain waits for an entry whose stop was lost; an eviction ends that.
-fn waits_for_stop(
-    state: &BarrierState,
-    awaiting: &std::collections::BTreeSet<cyclamentrail_core::Incarnation>,
-) -> bool {
-    let is_stopped = |number: u8| state.entries[usize::from(number)].stopped;
-    let has_stopped = |number: u8| {
-        is_stopped(number)
-            && !state
-                .log
-                .iter()
-                .any(|logged| logged.author == number && logged.fact == Fact::Stop)
-    };
-    (0..small(state.entries.len() as u64))
-        .any(|number| has_stopped(number) && awaiting.contains(&incarnation(number)))
+fn waits_for_stop(state: &BarrierState, awaiting: &BTreeSet<Incarnation>) -> bool {
+    (0..).zip(&state.entries).any(|(number, entry)| {
+        entry.stopped && !state.is_stop_logged(number) && awaiting.contains(&incarnation(number))
+    })
 }
 
 fn serving(fleet: &Fleet) -> Option<Pool> {
@@ -388,6 +380,12 @@
         &mut self.entries[usize::from(number)]
     }
 
+    fn is_stop_logged(&self, number: u8) -> bool {
+        self.log
+            .iter()
+            .any(|logged| logged.author == number && logged.fact == Fact::Stop)
+    }
+
     fn note_written(&mut self, logged: Logged) {
         let entry = self.entry(logged.author);
         entry.sequence = entry.sequence.max(logged.sequence);
--- a/crates/cyclamentrail-spec/src/change.rs
+++ b/crates/cyclamentrail-spec/src/change.rs
@@ -57,12 +57,12 @@
 }
 
 impl fmt::Display for ChangeAction {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Append(logged) => write!(formatter, "{logged} is appended"),
-            Self::Copy(index) => write!(formatter, "a copy of record {index} is appended"),
-            Self::Read(entry) => write!(formatter, "entry {entry} folds a record"),
-            Self::Take { to, from } => write!(formatter, "entry {to} takes the state of {from}"),
+            Self::Append(logged) => write!(f, "{logged} is appended"),
+            Self::Copy(index) => write!(f, "a copy of record {index} is appended"),
+            Self::Read(entry) => write!(f, "entry {entry} folds a record"),
+            Self::Take { to, from } => write!(f, "entry {to} takes the state of {from}"),
         }
     }
 }
--- a/crates/cyclamentrail-spec/src/duty.rs
+++ b/crates/cyclamentrail-spec/src/duty.rs
@@ -48,11 +48,11 @@
 }
 
 impl fmt::Display for DutyAction {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Append(logged) => write!(formatter, "{logged} is appended"),
-            Self::Copy(index) => write!(formatter, "a copy of record {index} is appended"),
-            Self::Read(entry) => write!(formatter, "entry {entry} folds a record"),
+            Self::Append(logged) => write!(f, "{logged} is appended"),
+            Self::Copy(index) => write!(f, "a copy of record {index} is appended"),
+            Self::Read(entry) => write!(f, "entry {entry} folds a record"),
         }
     }
 }
@@ -174,11 +174,11 @@
         }
         let before = self.fleet(state, length - 1);
         let known = self.fleet(state, seen);
-        let stale = match last.fact {
+        let is_behind = match last.fact {
             Fact::Claim { .. } => before.duty() != known.duty(),
             _ => before.instance(&site::instance()) != known.instance(&site::instance()),
         };
-        if stale {
+        if is_behind {
             return Err(Violation {
                 invariant: "a record takes effect only on the state that its author knew",
                 seen: format!("{last} took effect on another state"),
--- a/crates/cyclamentrail-spec/src/eviction.rs
+++ b/crates/cyclamentrail-spec/src/eviction.rs
@@ -42,6 +42,8 @@
 /// How late the platform's list shows a boot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ListLag {
+    /// At once.
+    None,
     /// Within one tick.
     Bounded,
     /// At any later time.
@@ -115,10 +117,10 @@
 }
 
 impl fmt::Display for EvictionAction {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Append(logged) => write!(formatter, "{logged} is appended"),
-            other => write!(formatter, "{other:?}"),
+            Self::Append(logged) => write!(f, "{logged} is appended"),
+            other => write!(f, "{other:?}"),
         }
     }
 }
@@ -132,7 +134,7 @@
             fault: None,
             max_log,
             max_ticks,
-            max_boot: 3,
+            max_boot: 2,
             slow_ticks: 0,
             list_lag: ListLag::Bounded,
         }
@@ -153,10 +155,10 @@
         self
     }
 
-    /// Sets how many times the instance boots at most.
+    /// Lets the platform's list show a boot at once.
     #[must_use]
-    pub const fn max_boot(mut self, max_boot: u8) -> Self {
-        self.max_boot = max_boot;
+    pub const fn no_list_lag(mut self) -> Self {
+        self.list_lag = ListLag::None;
         self
     }
 
@@ -435,7 +437,12 @@
                     state.mover_work = Work::Sent { pool, boot };
                 }
             }
-            EvictionAction::Reboot => state.boot += 1,
+            EvictionAction::Reboot => {
+                state.boot += 1;
+                if self.list_lag == ListLag::None {
+                    state.listed_boot = state.boot;
+                }
+            }
             EvictionAction::List => state.listed_boot = state.boot,
         }
         state.pass_over();
--- a/crates/cyclamentrail-spec/src/fact.rs
+++ b/crates/cyclamentrail-spec/src/fact.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 
 use cyclamentrail_core::{
-    BootId, DrainReason, Incarnation, LeaveReason, PoolName, Record, RecordBody, RecordId, Term,
-    Version,
+    BootId, ClaimOutcome, ClaimRecord, DrainReason, Incarnation, KeyDigest, LeaveReason, Offset,
+    PoolName, Record, RecordBody, RecordId, RequestDigest, Term, UnknownReason, Version,
 };
 use serde_json::json;
 
@@ -99,6 +99,18 @@
         /// The value.
         value: u8,
     },
+    /// The author claims the key.
+    KeyClaim,
+    /// The author ran the key's request.
+    KeyFinish {
+        /// Offset of the claim.
+        claim: u8,
+    },
+    /// The author didn't run the key's request and never will under this claim.
+    KeyRelease {
+        /// Offset of the claim.
+        claim: u8,
+    },
 }
 
 /// One record of the model's log.
@@ -115,15 +127,15 @@
 }
 
 impl fmt::Display for Logged {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "entry {} {:?}", self.author, self.fact)
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "entry {} {:?}", self.author, self.fact)
     }
 }
 
 impl Logged {
     /// Returns the record as the product writes it.
     #[must_use]
-    pub fn record(&self) -> Record {
+    pub fn record(self) -> Record {
         Record {
             format: 1,
             id: RecordId::new(incarnation(self.author), u64::from(self.sequence)),
@@ -131,13 +143,13 @@
         }
     }
 
-    fn body(&self) -> RecordBody {
+    fn body(self) -> RecordBody {
         match self.fact {
             Fact::Join => site::joined(self.author),
             Fact::Stop => left(self.author, LeaveReason::Stopped),
             Fact::Evict { gone, witnesses } => {
-                let witnesses = (0..u8::BITS as u8)
-                    .filter(|entry| witnesses & (1 << entry) != 0)
+                let witnesses = (0..8)
+                    .filter(|entry| witnesses & (1_u8 << entry) != 0)
                     .map(incarnation)
                     .collect();
                 left(gone, LeaveReason::Evicted { witnesses })
@@ -164,6 +176,20 @@
                 presumes: Version::new(presumes.into()),
                 pool: pool.name(),
             },
+            Fact::KeyClaim => RecordBody::Claim(ClaimRecord::Claimed {
+                key: key(),
+                request: RequestDigest::of(&["request"]),
+                seen_ms: 0,
+            }),
+            Fact::KeyFinish { claim } => RecordBody::Claim(ClaimRecord::Finished {
+                key: key(),
+                claim: Offset::new(claim.into()),
+                outcome: ClaimOutcome::Unknown(UnknownReason::TimedOut),
+            }),
+            Fact::KeyRelease { claim } => RecordBody::Claim(ClaimRecord::Released {
+                key: key(),
+                claim: Offset::new(claim.into()),
+            }),
             Fact::Change { presumes, value } => RecordBody::SettingsChanged {
                 presumes: Version::new(presumes.into()),
                 patch: json!({"region": value.to_string()}),
@@ -189,3 +215,8 @@
 pub(crate) fn small(number: u64) -> u8 {
     u8::try_from(number).unwrap_or(u8::MAX)
 }
+
+/// Returns the only idempotency key.
+pub(crate) fn key() -> KeyDigest {
+    KeyDigest::of(&["key"])
+}
--- a/crates/cyclamentrail-spec/src/folds.rs
+++ b/crates/cyclamentrail-spec/src/folds.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use cyclamentrail_core::{
-    Applied, Fleet, Instance, InstanceState, LeaveReason, Record, RecordBody, RecordId,
+    Applied, Fleet, Incarnation, Instance, InstanceState, LeaveReason, Record, RecordBody, RecordId,
 };
 
 use crate::fact::Logged;
@@ -20,7 +20,15 @@
 pub(crate) struct Folds {
     start: Rc<Fleet>,
     fault: Option<Fault>,
-    known: RefCell<HashMap<Vec<Logged>, (Rc<Fleet>, bool)>>,
+    known: RefCell<HashMap<Vec<Logged>, Folded>>,
+}
+
+/// What folding a log gave.
+#[derive(Debug, Clone)]
+struct Folded {
+    fleet: Rc<Fleet>,
+    /// Whether its last record took effect.
+    accepted: bool,
 }
 
 impl Folds {
@@ -35,29 +43,35 @@
 
     /// Returns the fleet that follows from a log.
     pub(crate) fn fleet(&self, log: &[Logged]) -> Rc<Fleet> {
-        self.fold(log).0
+        self.fold(log).fleet
     }
 
     /// Returns whether the last record of a log took effect.
     pub(crate) fn accepts(&self, log: &[Logged]) -> bool {
-        self.fold(log).1
+        self.fold(log).accepted
     }
 
-    fn fold(&self, log: &[Logged]) -> (Rc<Fleet>, bool) {
+    fn fold(&self, log: &[Logged]) -> Folded {
         let Some((last, before)) = log.split_last() else {
-            return (Rc::clone(&self.start), true);
+            return Folded {
+                fleet: Rc::clone(&self.start),
+                accepted: true,
+            };
         };
         if let Some(known) = self.known.borrow().get(log) {
             return known.clone();
         }
-        let mut fleet = Fleet::clone(&self.fold(before).0);
-        let accepted = self.feed(&mut fleet, last);
-        let folded = (Rc::new(fleet), accepted);
+        let mut fleet = Fleet::clone(&self.fold(before).fleet);
+        let accepted = self.feed(&mut fleet, *last);
+        let folded = Folded {
+            fleet: Rc::new(fleet),
+            accepted,
+        };
         self.known.borrow_mut().insert(log.to_vec(), folded.clone());
         folded
     }
 
-    fn feed(&self, fleet: &mut Fleet, logged: &Logged) -> bool {
+    fn feed(&self, fleet: &mut Fleet, logged: Logged) -> bool {
         let mut record = logged.record();
         self.alter(fleet, &mut record);
         let at_ms = u64::from(logged.at);
@@ -69,55 +83,68 @@
     }
 
     fn alter(&self, fleet: &Fleet, record: &mut Record) {
-        let Some(fault) = self.fault else { return };
-        if fault == Fault::NoIdCheck {
-            let fresh = COPY_SEQUENCE + fleet.next_offset().get();
-            record.id = RecordId::new(fresh_author(fleet, record), fresh);
+        match self.fault {
+            Some(Fault::NoIdCheck) => renew_id(fleet, record),
+            Some(Fault::NoVersionCheck) => presume_current(fleet, record),
+            Some(Fault::NoTermCheck) => presume_term(fleet, record),
+            Some(Fault::NoBootRule) => stop_evicted(record),
+            _ => {}
         }
-        let current = fleet
-            .instance(&site::instance())
-            .map(|instance| instance.version);
-        match (fault, &mut record.body) {
-            (
-                Fault::NoVersionCheck,
-                Some(
-                    RecordBody::DrainBegun { presumes, .. }
-                    | RecordBody::InstanceAssigned { presumes, .. }
-                    | RecordBody::InstanceBooted { presumes, .. },
-                ),
-            ) => *presumes = current.unwrap_or(*presumes),
-            (Fault::NoVersionCheck, Some(RecordBody::DrainReleased { drain, .. })) => {
-                *drain = current.unwrap_or(*drain);
-            }
-            (Fault::NoVersionCheck, Some(RecordBody::SettingsChanged { presumes, .. })) => {
-                *presumes = fleet
-                    .settings()
-                    .map_or(*presumes, |settings| settings.version);
-            }
-            (Fault::NoTermCheck, Some(RecordBody::DutyClaimed { presumes })) => {
-                *presumes = fleet.duty().term;
-            }
-            (
-                Fault::NoBootRule,
-                Some(RecordBody::EntryLeft {
-                    incarnation,
-                    reason: reason @ LeaveReason::Evicted { .. },
-                }),
-            ) => {
-                *reason = LeaveReason::Stopped;
-                record.id = RecordId::new(*incarnation, COPY_SEQUENCE);
+    }
+}
+
+/// Makes a copy count as a record of its own.
+fn renew_id(fleet: &Fleet, record: &mut Record) {
+    let sequence = COPY_SEQUENCE + fleet.next_offset().get();
+    record.id = RecordId::new(fresh_author(fleet, record), sequence);
+}
+
+/// Makes a record presume whatever is in force.
+fn presume_current(fleet: &Fleet, record: &mut Record) {
+    let instance = fleet.instance(&site::instance());
+    let version = instance.map(|instance| instance.version);
+    match &mut record.body {
+        Some(
+            RecordBody::DrainBegun { presumes, .. }
+            | RecordBody::DrainReleased {
+                drain: presumes, ..
             }
-            _ => {}
+            | RecordBody::InstanceAssigned { presumes, .. }
+            | RecordBody::InstanceBooted { presumes, .. },
+        ) => *presumes = version.unwrap_or(*presumes),
+        Some(RecordBody::SettingsChanged { presumes, .. }) => {
+            let settings = fleet.settings();
+            *presumes = settings.map_or(*presumes, |settings| settings.version);
         }
+        _ => {}
+    }
+}
+
+/// Makes a claim of the duty presume the term in force.
+fn presume_term(fleet: &Fleet, record: &mut Record) {
+    if let Some(RecordBody::DutyClaimed { presumes }) = &mut record.body {
+        *presumes = fleet.duty().term;
+    }
+}
+
+/// Makes an eviction look like an entry that stopped in order.
+fn stop_evicted(record: &mut Record) {
+    if let Some(RecordBody::EntryLeft {
+        incarnation,
+        reason: reason @ LeaveReason::Evicted { .. },
+    }) = &mut record.body
+    {
+        *reason = LeaveReason::Stopped;
+        record.id = RecordId::new(*incarnation, COPY_SEQUENCE);
     }
 }
 
 /// Returns the author, or one that was never seen when the author has left and joins again.
-fn fresh_author(fleet: &Fleet, record: &Record) -> cyclamentrail_core::Incarnation {
+fn fresh_author(fleet: &Fleet, record: &Record) -> Incarnation {
     let author = record.id.author;
     let joins = matches!(record.body, Some(RecordBody::EntryJoined { .. }));
     if joins && fleet.member(author).is_none() && fleet.has_left(author) {
-        return cyclamentrail_core::Incarnation::new(COPY_SEQUENCE);
+        return Incarnation::new(COPY_SEQUENCE);
     }
     author
 }
--- a/crates/cyclamentrail-spec/src/lib.rs
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod barrier;
 mod change;
+mod claim;
 mod duty;
 mod eviction;
 mod explore;
@@ -24,6 +25,7 @@
 
 pub use barrier::{BarrierAction, BarrierModel, BarrierState};
 pub use change::{ChangeAction, ChangeModel, ChangeState};
+pub use claim::{ClaimAction, ClaimModel, ClaimState};
 pub use duty::{DutyAction, DutyModel, DutyState};
 pub use eviction::{EvictionAction, EvictionModel, EvictionState};
 pub use explore::{Model, Report, Trace, Violation, explore};
--- /dev/null
+++ b/crates/cyclamentrail-spec/tests/barrier.rs
@@ -0,0 +1,26 @@
+//! One instance, one pool: drains and moves.
+
+use cyclamentrail_spec::{BarrierModel, Fault, explore};
+use rstest::rstest;
+
+#[rstest]
+#[case::joining(BarrierModel::new(6, 1))]
+#[case::members(BarrierModel::new(9, 2).members_only())]
+fn holds(#[case] model: BarrierModel) {
+    let report = explore(&model);
+    println!("{report}");
+    assert!(report.violation.is_none(), "{report}");
+}
+
+#[rstest]
+#[case::barrier(Fault::NoBarrier, BarrierModel::new(6, 1), 3)]
+#[case::id(Fault::NoIdCheck, BarrierModel::new(6, 1), 5)]
+#[case::permission(Fault::NoPermission, BarrierModel::new(6, 1), 7)]
+#[case::older_state(Fault::NoOrder, BarrierModel::new(6, 1), 8)]
+#[case::version(Fault::NoVersionCheck, BarrierModel::new(7, 0).members_only(), 16)]
+fn finds(#[case] fault: Fault, #[case] model: BarrierModel, #[case] steps: usize) {
+    let report = explore(&model.fault(fault));
+    println!("{fault:?}: {report}");
+    let trace = report.violation.expect("a violation");
+    assert_eq!(trace.steps.len(), steps, "{trace}");
+}
--- /dev/null
+++ b/crates/cyclamentrail-spec/tests/duty.rs
@@ -0,0 +1,21 @@
+//! The fleet duty: terms, and holders that are behind.
+
+use cyclamentrail_spec::{DutyModel, Fault, explore};
+use rstest::rstest;
+
+#[rstest]
+#[case::two_entries(DutyModel::new(2, 5))]
+#[case::three_entries(DutyModel::new(3, 4))]
+fn holds(#[case] model: DutyModel) {
+    let report = explore(&model);
+    println!("{report}");
+    assert!(report.violation.is_none(), "{report}");
+}
+
+#[test]
+fn finds_term() {
+    let report = explore(&DutyModel::new(2, 5).fault(Fault::NoTermCheck));
+    println!("{report}");
+    let trace = report.violation.expect("a violation");
+    assert_eq!(trace.steps.len(), 2, "{trace}");
+}
