--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -12,7 +12,9 @@
 //! assert_eq!(fleet.next_offset(), Offset::new(0));
 //! ```
 
+mod admit;
 mod claim;
+mod eject;
 mod fleet;
 mod heartbeat;
 mod id;
@@ -23,12 +25,19 @@
 mod permit;
 mod record;
 mod registry;
+mod retry;
 mod route;
 mod settings;
+mod share;
 mod snapshot;
 mod wave;
 
-pub use claim::{ClaimRecord, Claims};
+pub use admit::{Admission, AdmitLimits, Ask, Pace, Queued, Refusal, RequestClass, Ticket, Turn};
+pub use claim::{
+    CLAIM_WINDOW_MS, Claim, ClaimLook, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody,
+    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, RequestDigest,
+};
+pub use eject::{Health, HealthChange, Intake, TryResult, may_eject};
 pub use fleet::{
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
     Rejection, RejectionKind,
@@ -43,19 +52,21 @@
 pub use name::{
     EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, ZoneName,
 };
-pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use outcome::{Ending, NotRunReason, Outcome, UnknownReason};
 pub use permit::{Permit, can_evict, is_majority};
 pub use record::{
     CodecError, DrainReason, FIRST_FORMAT, FORMAT, LeaveReason, Record, RecordBody, decode_record,
     encode_record,
 };
 pub use registry::Registry;
-pub use route::{Candidate, choose};
+pub use retry::{RetryBudget, Tries, TryEnd};
+pub use route::{Candidate, Choice, Pool, ZONE_PENALTY, choose};
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
     Fault, JobSettings, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings,
-    SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings,
-    merge_documents, settings_schema,
+    SecretSource, ServiceSettings, Settings, StopSettings, WorkerShape, ZoneSettings,
+    load_settings, merge_documents, settings_schema,
 };
+pub use share::{HomeRing, LinkLimits, LinkState, Share, stall_us, sure_slots};
 pub use snapshot::{MAX_SNAPSHOT_BYTES, SnapshotError, decode_snapshot, encode_snapshot};
 pub use wave::{WaveRecord, Waves};
--- a/crates/cyclamentrail-testkit/src/process.rs
+++ b/crates/cyclamentrail-testkit/src/process.rs
@@ -82,6 +82,12 @@
             .context("the system tells no processor time")
     }
 
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process at once.
     ///
     /// # Errors
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -12,12 +12,16 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
+use super::claims::{ClaimDesk, DeskAction};
 use super::duty::FleetDuty;
 use super::history::History;
 use super::identity::Identity;
 use super::recovery::PeerAddresses;
 use super::writer::Writer;
-use super::{ControlHandle, ControlMessage, PlatformClient, SnapshotStore, SubmitError};
+use super::{
+    ClaimAnswer, ClaimMessage, ControlHandle, ControlMessage, PlatformClient, SnapshotStore,
+    SubmitError,
+};
 use crate::clock;
 use crate::peer::PeerClient;
 use crate::timer::Ticks;
@@ -73,16 +77,29 @@
     closing: Vec<Arc<Link>>,
     pending: BTreeMap<RecordId, Pending>,
     sequence: u64,
-    joining: bool,
-    joined: bool,
-    leaving: bool,
+    standing: Standing,
     alive_ms: u64,
     released: BTreeMap<InstanceName, u64>,
     duty: FleetDuty,
+    claims: ClaimDesk,
     claimed: Option<(Term, u64)>,
     evictions: BTreeMap<Incarnation, EvictionTry>,
     snapshot: SnapshotState,
     lag: catch_up::Lag,
+    view_stale: bool,
+}
+
+/// How this incarnation stands to the members.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// It hasn't asked to join, or its record was lost.
+    Outside,
+    /// Its record is on the way.
+    Joining,
+    /// It was a member; whether it still is, the fold tells.
+    Member,
+    /// It asked to leave.
+    Leaving,
 }
 
 /// A record that was submitted and isn't folded yet.
@@ -131,16 +148,16 @@
             closing: Vec::new(),
             pending: BTreeMap::new(),
             sequence: 0,
-            joining: false,
-            joined: false,
-            leaving: false,
+            standing: Standing::Outside,
             alive_ms: 0,
             released: BTreeMap::new(),
             duty: FleetDuty::default(),
+            claims: ClaimDesk::default(),
             claimed: None,
             evictions: BTreeMap::new(),
             snapshot: SnapshotState::default(),
             lag: catch_up::Lag::default(),
+            view_stale: false,
         }
     }
 
@@ -186,6 +203,7 @@
                 self.submit(body, Some(reply));
             }
             ControlMessage::Submit { body, reply } => self.submit(body, Some(reply)),
+            ControlMessage::Claim(message) => self.handle_claim(message),
             ControlMessage::Fleet(reply) => drop(reply.send(Box::new(self.fleet.clone()))),
             ControlMessage::InForce(reply) => drop(reply.send(self.in_force())),
             ControlMessage::Dump(reply) => drop(reply.send(self.dump())),
@@ -200,18 +218,38 @@
         }
     }
 
+    fn handle_claim(&mut self, message: ClaimMessage) {
+        let own = self.parts.identity.incarnation;
+        if let DeskAction::Claim { record, reply } = self.claims.handle(&self.fleet, own, message) {
+            let (result, folded) = oneshot::channel();
+            self.submit(RecordBody::Claim(record), Some(result));
+            drop(reply.send(ClaimAnswer::Submitted(folded)));
+        }
+        self.end_claims();
+    }
+
+    fn end_claims(&mut self) {
+        for record in self
+            .claims
+            .due(&self.fleet, self.parts.identity.incarnation)
+        {
+            self.submit(RecordBody::Claim(record), None);
+        }
+    }
+
     fn tick(&mut self) {
         let now_ms = clock::now_ms();
         self.refresh_members(now_ms);
         self.send_heartbeats(now_ms);
         self.expire_pending();
+        self.end_claims();
         self.release_drained();
         self.show_alive(now_ms);
         self.step_duty(now_ms);
     }
 
     fn leave(&mut self, reply: Reply) {
-        self.leaving = true;
+        self.standing = Standing::Leaving;
         let body = RecordBody::EntryLeft {
             incarnation: self.parts.identity.incarnation,
             reason: LeaveReason::Stopped,
--- a/crates/cyclamentrail/src/control/actor/members.rs
+++ b/crates/cyclamentrail/src/control/actor/members.rs
@@ -9,7 +9,7 @@
 use super::super::ControlMessage;
 use super::super::identity::Identity;
 use super::super::in_force::{InForce, MemberInForce};
-use super::{Actor, EvictionTry, timing_of};
+use super::{Actor, EvictionTry, Standing, timing_of};
 use crate::clock;
 
 /// Pause in milliseconds before an eviction that had no effect is written again.
@@ -118,14 +118,17 @@
     /// Notices that this process was evicted, and starts anew as another incarnation.
     pub(super) fn notice_eviction(&mut self) {
         let own = self.parts.identity.incarnation;
+        if self.standing == Standing::Leaving {
+            return;
+        }
         if self.fleet.member(own).is_some() {
-            self.joined = true;
+            self.standing = Standing::Member;
             return;
         }
-        if !self.joined || self.leaving {
+        if self.standing != Standing::Member {
             return;
         }
-        self.joined = false;
+        self.standing = Standing::Outside;
         let incarnation = Identity::fresh_incarnation();
         log::warn!(old:% = own, new:% = incarnation; "evicted_joins_again");
         self.parts.identity.incarnation = incarnation;
@@ -142,7 +145,7 @@
         let period_ms = timing_of(self.settings()).lease_ms;
         let due = now_ms.saturating_sub(self.alive_ms) >= period_ms;
         if due
-            && self.joined
+            && self.standing == Standing::Member
             && self.membership.reaches_log(now_ms)
             && self.membership.is_cut_off_from_peer(now_ms)
         {
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -17,6 +17,7 @@
 
 mod entries;
 mod jobs;
+mod requests;
 mod waves;
 
 /// What the operators' listener shares between requests.
@@ -51,6 +52,7 @@
         .merge(entries::router())
         .merge(waves::router())
         .merge(jobs::router())
+        .merge(requests::router())
         .layer(middleware::from_fn_with_state(
             operator.clone(),
             check_token,
@@ -87,7 +89,7 @@
 }
 
 async fn ready(State(operator): State<Operator>) -> StatusCode {
-    if operator.shared.may_dispatch() {
+    if operator.shared.is_ready() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/cyclamentrail/src/peer.rs
+++ b/crates/cyclamentrail/src/peer.rs
@@ -13,6 +13,7 @@
 
 use crate::operator::{Operator, check_token};
 
+pub(crate) mod claims;
 mod client;
 
 pub(crate) use client::PeerClient;
@@ -30,6 +31,7 @@
     Router::new()
         .route("/v1/hb", post(heartbeat))
         .route("/v1/state", get(state))
+        .merge(claims::router())
         .layer(DefaultBodyLimit::max(MAX_HEARTBEAT_BYTES))
         .layer(middleware::from_fn_with_state(
             operator.clone(),
--- a/crates/cyclamentrail/src/traffic/dispatch.rs
+++ b/crates/cyclamentrail/src/traffic/dispatch.rs
@@ -1,27 +1,35 @@
-//! Sends one request to a backend server.
+//! Sends one request to a backend server, within its deadline and the retry budget.
 
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
-use bytes::Bytes;
-use cyclamentrail_core::{NotRunReason, Outcome, UnknownReason, choose};
-use http_body_util::Full;
+use cyclamentrail_core::{
+    Ending, NotRunReason, Outcome, Refusal, RequestClass, Tries, TryEnd, TryResult, UnknownReason,
+    stall_us,
+};
 use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
-use super::link::{Sender, Slot};
+use super::call::Call;
+use super::journal::Event;
+use super::link::Link;
+use super::request::{Outgoing, RequestBody};
+use super::slot::Slot;
+use super::wait::take_slot;
 use crate::headers;
 use crate::view::{ServiceRoute, SharedView};
 
-/// Tries of one request that were definitely not run before it is given up.
-const MAX_TRIES: u32 = 3;
+/// Value of the refusal's header by which a backend server says that it leaves.
+const LEAVING: &str = "leaving";
 
-/// A whole answer's head, with what must be held until its body has passed.
+/// The head of an answer, with the slot that must be held until its body has passed.
 #[derive(Debug)]
 pub(crate) struct Dispatched {
     pub(crate) response: Response<Incoming>,
     pub(crate) slot: Slot,
-    pub(crate) sender: Sender,
 }
 
 /// Sends a request and waits for the head of its answer.
@@ -31,62 +39,286 @@
 /// Returns the outcome when there is no answer to pass on.
 pub(crate) async fn dispatch(
     shared: &Arc<SharedView>,
-    route: &ServiceRoute,
-    request: &Request<Full<Bytes>>,
-    deadline: Instant,
-) -> Result<Dispatched, Outcome> {
-    let mut reason = NotRunReason::NoInstance;
-    for _ in 0..MAX_TRIES {
-        let slot = pick(route).ok_or(Outcome::NotRun(reason))?;
-        let connected = tokio::time::timeout_at(deadline, slot.link().connect()).await;
-        let Ok(connected) = connected else {
-            return Err(Outcome::NotRun(NotRunReason::Deadline));
+    route: &Arc<ServiceRoute>,
+    call: &Call,
+    request: &mut Outgoing,
+) -> Result<Dispatched, Ending> {
+    route.gate.earn();
+    let mut dispatch = Dispatch {
+        shared,
+        route,
+        call,
+        tries: Tries::new(call.idempotent, call.ask().deadline_us),
+        avoid: None,
+        may_have_run: None,
+    };
+    let result = dispatch.run(request).await;
+    if let Err(ending) = &result {
+        let outcome = ending.outcome;
+        dispatch.note(Event::GivenUp { outcome });
+    }
+    result
+}
+
+/// How a try went.
+enum Try {
+    Answered(Dispatched),
+    Ended(Ended),
+}
+
+/// A try that gave no answer to pass on, unless there is no further one.
+struct Ended {
+    end: TryEnd,
+    outcome: Outcome,
+    /// An answer that says that the server failed.
+    answer: Option<Dispatched>,
+    /// Pause in microseconds before a further try that is paid already.
+    paid_pause_us: Option<u64>,
+}
+
+impl Ended {
+    const fn new(end: TryEnd, outcome: Outcome) -> Self {
+        Self {
+            end,
+            outcome,
+            answer: None,
+            paid_pause_us: None,
+        }
+    }
+}
+
+struct Dispatch<'a> {
+    shared: &'a Arc<SharedView>,
+    route: &'a Arc<ServiceRoute>,
+    call: &'a Call,
+    tries: Tries,
+    avoid: Option<u32>,
+    /// Set once a try may have run, after which the request can't be called not run.
+    may_have_run: Option<UnknownReason>,
+}
+
+impl Dispatch<'_> {
+    async fn run(&mut self, request: &mut Outgoing) -> Result<Dispatched, Ending> {
+        let Some(mut attempt) = request.attempt() else {
+            return Err(NotRunReason::BadRequest.into());
         };
-        let mut sender = match connected {
+        loop {
+            let taken = take_slot(self.shared, self.route, self.call, self.avoid).await;
+            let slot = taken.map_err(|refusal| self.truthful(ending_of(refusal)))?;
+            let link = Arc::clone(slot.link());
+            let ended = match self.try_once(slot, attempt).await? {
+                Try::Answered(dispatched) => return Ok(dispatched),
+                Try::Ended(ended) => ended,
+            };
+            let paused = self.pause_after(&ended, &link, request.is_repeatable());
+            let again = paused.and_then(|pause_us| Some((pause_us, request.attempt()?)));
+            let Some((pause_us, again)) = again else {
+                return ended.answer.ok_or_else(|| self.ending(ended.outcome));
+            };
+            self.forget(ended);
+            attempt = again;
+            tokio::time::sleep(Duration::from_micros(pause_us)).await;
+        }
+    }
+
+    /// Returns the pause before a further try, or `None` when there is none.
+    fn pause_after(&mut self, ended: &Ended, link: &Link, repeatable: bool) -> Option<u64> {
+        self.avoid = Some(link.target().rack);
+        let next = || self.route.gate.next_try(&mut self.tries, ended.end);
+        let pause_us = ended
+            .paid_pause_us
+            .or_else(|| repeatable.then(next).flatten());
+        self.note(Event::TryEnded {
+            instance: link.instance().clone(),
+            end: ended.end,
+            pause_us,
+        });
+        pause_us
+    }
+
+    /// Leaves a try behind for a further one.
+    fn forget(&mut self, ended: Ended) {
+        if !ended.end.is_not_run() {
+            self.may_have_run = Some(UnknownReason::ConnectionLost);
+        }
+        if let Some(answer) = ended.answer {
+            drop(answer.response);
+            answer.slot.fail(TryResult::ServerError);
+        }
+    }
+
+    /// Returns the ending, as unknown when an earlier try may have run.
+    fn truthful(&self, ending: Ending) -> Ending {
+        self.may_have_run.map_or(ending, Ending::from)
+    }
+
+    async fn try_once(
+        &mut self,
+        mut slot: Slot,
+        request: Request<RequestBody>,
+    ) -> Result<Try, Ending> {
+        let link = Arc::clone(slot.link());
+        let left = self.call.deadline.saturating_duration_since(Instant::now());
+        let timeout = self.route.connect_timeout.min(left);
+        let mut sender = match link.connect(timeout).await {
             Ok(sender) => sender,
             Err(error) => {
-                log::warn!(instance:% = slot.link().instance, error:% = error; "connect_failed");
-                reason = NotRunReason::NoInstance;
-                continue;
+                log::info!(instance:% = link.instance(), error:% = error; "connect_failed");
+                return Ok(unreachable(slot));
             }
         };
-        if !shared.may_dispatch() {
-            return Err(Outcome::NotRun(NotRunReason::NoPermission));
+        if !self.shared.may_dispatch() {
+            return Err(self.truthful(NotRunReason::NoPermission.into()));
         }
-        let sent = tokio::time::timeout_at(deadline, sender.send_request(request.clone())).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) if error.is_canceled() => {
-                reason = NotRunReason::NoInstance;
-                continue;
+        let instance = link.instance().clone();
+        self.note(Event::Sent { instance });
+        let sent = self.answer_head(&mut sender, request).await;
+        slot.hold(sender);
+        Ok(match sent {
+            Head::Came(response) => self.judge(slot, response),
+            Head::NotSent => unreachable(slot),
+            Head::Lost => broken(slot, TryEnd::Lost, UnknownReason::ConnectionLost),
+            Head::Stalled { pause_us } => {
+                slot.fail(TryResult::Broken);
+                let outcome = Outcome::Unknown(UnknownReason::TimedOut);
+                let mut ended = Ended::new(TryEnd::Stalled, outcome);
+                ended.paid_pause_us = Some(pause_us);
+                Try::Ended(ended)
             }
-            Ok(Err(_)) => return Err(Outcome::Unknown(UnknownReason::ConnectionLost)),
-            Err(_) => return Err(Outcome::Unknown(UnknownReason::TimedOut)),
-        };
-        if is_refusal(&response) {
-            reason = NotRunReason::Refused;
-            continue;
+            Head::Late => {
+                self.late(slot);
+                return Err(UnknownReason::TimedOut.into());
+            }
+        })
+    }
+
+    /// Waits for the head of the answer; an idempotent quick request isn't left with a server
+    /// that seems stalled when another try can be paid.
+    async fn answer_head(
+        &mut self,
+        sender: &mut SendRequest<RequestBody>,
+        request: Request<RequestBody>,
+    ) -> Head {
+        let deadline = self.call.deadline;
+        let stalled_at = self.try_until();
+        let mut sent = pin!(sender.send_request(request));
+        let mut came = tokio::time::timeout_at(stalled_at, &mut sent).await;
+        if came.is_err() && stalled_at < deadline {
+            if let Some(pause_us) = self.route.gate.next_try(&mut self.tries, TryEnd::Stalled) {
+                return Head::Stalled { pause_us };
+            }
+            came = tokio::time::timeout_at(deadline, &mut sent).await;
         }
-        return Ok(Dispatched {
-            response,
-            slot,
-            sender,
-        });
+        match came {
+            Ok(Ok(response)) => Head::Came(response),
+            Ok(Err(error)) if error.is_canceled() => Head::NotSent,
+            Ok(Err(_)) => Head::Lost,
+            Err(_) => Head::Late,
+        }
+    }
+
+    /// Returns when the try is given up: an idempotent quick one early, so that another can be
+    /// made in time.
+    fn try_until(&self) -> Instant {
+        let deadline = self.call.deadline;
+        if !self.call.idempotent || self.call.class == RequestClass::Long {
+            return deadline;
+        }
+        let pace = self.route.gate.pace(self.call.class);
+        let stalled = Instant::now() + Duration::from_micros(stall_us(&pace));
+        stalled.min(deadline)
+    }
+
+    fn judge(&self, slot: Slot, response: Response<Incoming>) -> Try {
+        let instance = slot.link().instance().clone();
+        let status = response.status();
+        if let Some(result) = refusal_of(&response) {
+            slot.fail(result);
+            let outcome = Outcome::NotRun(NotRunReason::Refused);
+            let end = TryEnd::Refused;
+            return Try::Ended(Ended::new(end, outcome));
+        }
+        let dispatched = Dispatched { response, slot };
+        if is_server_error(status) && self.call.idempotent {
+            let end = TryEnd::ServerError;
+            let outcome = Outcome::Answered;
+            let mut ended = Ended::new(end, outcome);
+            ended.answer = Some(dispatched);
+            return Try::Ended(ended);
+        }
+        let status = status.as_u16();
+        self.note(Event::Answered { instance, status });
+        Try::Answered(dispatched)
+    }
+
+    /// Ends a try at the caller's deadline, which is the server's fault when it took long.
+    fn late(&self, slot: Slot) {
+        let stalled_us = stall_us(&self.route.gate.pace(self.call.class));
+        if slot.age_us() > stalled_us {
+            slot.fail(TryResult::Broken);
+        }
+    }
+
+    fn ending(&self, outcome: Outcome) -> Ending {
+        if !matches!(outcome, Outcome::NotRun(_)) {
+            return outcome.into();
+        }
+        let wait_us = self.route.gate.expected_wait_us(&self.call.ask());
+        let retry_after_us = wait_us.max(self.route.closed_us());
+        self.truthful(Ending::new(outcome).retry_after_ms(retry_after_us.div_ceil(1_000)))
+    }
+
+    fn note(&self, event: Event) {
+        let id = Some(&self.call.request_id);
+        self.shared.journal().note(id, event);
     }
-    Err(Outcome::NotRun(reason))
 }
 
-fn pick(route: &ServiceRoute) -> Option<Slot> {
-    let links = &route.links;
-    let index = choose(
-        links.len(),
-        |index| links[index].candidate(),
-        &mut rand::rng(),
-    )?;
-    links[index].take_slot()
+enum Head {
+    Came(Response<Incoming>),
+    NotSent,
+    Lost,
+    Stalled { pause_us: u64 },
+    Late,
+}
+
+/// Ends a try of which nothing was sent.
+fn unreachable(slot: Slot) -> Try {
+    slot.fail(TryResult::Unreachable);
+    let outcome = Outcome::NotRun(NotRunReason::NoInstance);
+    Try::Ended(Ended::new(TryEnd::ConnectFailed, outcome))
+}
+
+/// Ends a try that may have run.
+fn broken(slot: Slot, end: TryEnd, reason: UnknownReason) -> Try {
+    slot.fail(TryResult::Broken);
+    Try::Ended(Ended::new(end, Outcome::Unknown(reason)))
+}
+
+/// Returns the ending of a request that wasn't admitted.
+fn ending_of(refusal: Refusal) -> Ending {
+    Ending::from(refusal.reason).retry_after_ms(refusal.retry_after_us.div_ceil(1_000))
+}
+
+fn refusal_of(response: &Response<Incoming>) -> Option<TryResult> {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let refused = response.headers().get(headers::REFUSED)?;
+    if refused.as_bytes() == LEAVING.as_bytes() {
+        Some(TryResult::Leaving)
+    } else {
+        Some(TryResult::Refused)
+    }
 }
 
-fn is_refusal(response: &Response<Incoming>) -> bool {
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && response.headers().contains_key(headers::REFUSED)
+/// Returns whether the answer says that the backend server failed.
+pub(crate) fn is_server_error(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::INTERNAL_SERVER_ERROR
+            | StatusCode::BAD_GATEWAY
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::GATEWAY_TIMEOUT
+    )
 }
