--- a/crates/cyclamentrail/tests/agreement_recovery.rs
+++ b/crates/cyclamentrail/tests/agreement_recovery.rs
@@ -228,10 +228,19 @@
     })
     .await?;
     let before = site.report("w01").await?.runs.len();
-    site.entries[0].resume()?;
-    for number in 0..40 {
-        let answer = site.call(0, "checks", &format!("call-{number}")).await?;
-        assert_ne!(answer.outcome, "unknown", "call {number}");
+    let waiting = futures_util::future::join_all((0..40).map(|number| {
+        let call_id = format!("call-{number}");
+        let site = &site;
+        async move { site.call(0, "checks", &call_id).await }
+    }));
+    let resumed = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        site.entries[0].resume()
+    };
+    let (answers, resumed) = tokio::join!(waiting, resumed);
+    resumed?;
+    for answer in answers {
+        assert_ne!(answer?.outcome, "unknown");
     }
     site.wait_state(0, PATIENCE, |state| state["may_dispatch"] == true)
         .await?;
