--- a/crates/cyclamentrail-core/tests/fold/history.rs
+++ b/crates/cyclamentrail-core/tests/fold/history.rs
@@ -162,7 +162,12 @@
         },
         "services": {},
         "cost_weights": {"buffer": 1.0, "roll_out": 1.0, "moves": 1.0},
-        "entries": {},
+        "entries": {"e1": {
+            "zone": "za",
+            "caller_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0",
+            "operator_address": "127.0.0.1:0",
+        }},
         "control": {"dispatch_lease_ms": LEASE_MS},
     });
     merge_documents(base, &site)
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -6,7 +6,7 @@
 };
 use cyclamentrail_platform::ReadAnswer;
 
-use super::Actor;
+use super::{Actor, Standing};
 use crate::{clock, metrics};
 
 impl Actor {
@@ -44,6 +44,7 @@
         self.fleet = fleet;
         self.snapshot.settings_version = self.settings_version();
         self.history.clear();
+        self.view_stale = true;
         self.after_fold(before);
     }
 
@@ -53,7 +54,7 @@
             self.notice_eviction();
             self.tell_writer();
             self.refresh_members(clock::now_ms());
-            self.publish_view();
+            self.publish_if_stale();
             self.claims.wake_changed(&self.fleet);
             self.release_drained();
         }
@@ -98,6 +99,7 @@
             &applied,
             version.unwrap_or_default(),
         );
+        self.view_stale |= applied == Applied::Accepted && changes_view(record.body.as_ref());
         if let Applied::Rejected(rejection) = &applied {
             log::info!(offset:% = offset, author:% = record.id.author, reason:% = rejection.kind; "record_rejected");
         }
@@ -110,23 +112,26 @@
 
     /// Notes from an own record whether this incarnation is or was a member.
     fn note_own(&mut self, applied: &Applied) {
-        self.joined |= match applied {
+        let used = match applied {
             Applied::Accepted => true,
             Applied::Rejected(rejection) => {
                 matches!(rejection.kind, RejectionKind::Departed { .. })
             }
         };
+        if used && self.standing != Standing::Leaving {
+            self.standing = Standing::Member;
+        }
     }
 
     /// Joins once the state is as new as the log's head; the first entry brings the settings.
     fn join_or_start(&mut self) {
-        if self.leaving {
+        if self.standing == Standing::Leaving {
             return;
         }
         let own = self.parts.identity.incarnation;
         if self.fleet.member(own).is_none() {
-            if !self.joining {
-                self.joining = true;
+            if self.standing == Standing::Outside {
+                self.standing = Standing::Joining;
                 let body = self.parts.identity.joined();
                 self.submit(body, None);
             }
@@ -142,3 +147,17 @@
         }
     }
 }
+
+/// Returns whether a record changes what traffic routes by; claims and jobs come too often to
+/// build a view for each.
+const fn changes_view(body: Option<&RecordBody>) -> bool {
+    !matches!(
+        body,
+        None | Some(
+            RecordBody::Claim(_)
+                | RecordBody::Job(_)
+                | RecordBody::DutyClaimed { .. }
+                | RecordBody::EntryAlive
+        )
+    )
+}
