feat(wave): keep contracts through maintenance waves and moves

Cause: the fold knew drains but not what a service is promised, so nothing could say how many instances may be away at once. Ruled out: batches checked against what serves now (a rack lost in mid-wave breaks the promise), and progress kept by the duty's holder (a change of holder would forget reboots). Change: accounts of missing capacity by log time, the capacity of pools with their worst domain lost, a planner (greedy with repair, and an assignment of least cost), and a wave whose steps are records that presume the step they were decided on. The holder only paces. Conclusion: the budget's rules are in the pure core and are driven in virtual time.

--- /dev/null
+++ b/crates/cyclamentrail-core/src/contract.rs
@@ -0,0 +1,197 @@
+//! Accounts of what each service was missing, by log time.
+//!
+//! A service has one account for planned and unplanned loss. It is part of the agreed state, so it
+//! survives the replacement of every entry.
+//!
+//! ```
+//! use cyclamentrail_core::{Accounts, Cause, ServiceName};
+//!
+//! let checks = ServiceName::from("checks");
+//! let mut accounts = Accounts::default();
+//! accounts.set_missing(&checks, [(Cause::Lost, 2)].into());
+//! accounts.charge(3_000);
+//! assert_eq!(accounts.spent_ms(&checks, 3_000, 60_000), 6_000);
+//! ```
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::ServiceName;
+use crate::record::DrainReason;
+use crate::settings::ContractSettings;
+
+/// Length of one line of an account in milliseconds.
+const LINE_MS: u64 = 60_000;
+/// Milliseconds in one second.
+const MS_PER_S: u64 = 1_000;
+
+/// What takes capacity away; a shortfall is charged to the causes in this order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// Instances that stopped working.
+    Lost,
+    /// Instances that the platform takes away.
+    Leaving,
+    /// A maintenance wave.
+    Wave,
+    /// A move between pools.
+    Move,
+}
+
+impl From<&DrainReason> for Cause {
+    fn from(reason: &DrainReason) -> Self {
+        match reason {
+            DrainReason::Move => Self::Move,
+            DrainReason::Wave => Self::Wave,
+            DrainReason::Leaving => Self::Leaving,
+        }
+    }
+}
+
+/// One line of an account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spent {
+    /// Log time in milliseconds at which the line begins.
+    pub from_ms: u64,
+    /// Instance-milliseconds that were missing, by cause.
+    pub instance_ms: BTreeMap<Cause, u64>,
+}
+
+/// What one service was missing.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Account {
+    missing: BTreeMap<Cause, u32>,
+    lines: VecDeque<Spent>,
+    window_ms: u64,
+}
+
+/// The accounts of all services.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accounts {
+    charged_ms: u64,
+    accounts: BTreeMap<ServiceName, Account>,
+}
+
+impl Accounts {
+    /// Charges what is missing up to a moment of log time.
+    pub fn charge(&mut self, clock_ms: u64) {
+        let elapsed_ms = clock_ms.saturating_sub(self.charged_ms);
+        if elapsed_ms == 0 {
+            return;
+        }
+        for account in self.accounts.values_mut() {
+            account.charge(self.charged_ms, clock_ms);
+        }
+        self.charged_ms = clock_ms;
+    }
+
+    /// Sets how many instances a service misses from the last charge on, by cause.
+    pub fn set_missing(&mut self, service: &ServiceName, missing: BTreeMap<Cause, u32>) {
+        if missing.is_empty() && !self.accounts.contains_key(service) {
+            return;
+        }
+        let account = self.accounts.entry(service.clone()).or_default();
+        account.missing = missing;
+    }
+
+    /// Sets the window of a service's contract in milliseconds; older lines are dropped.
+    pub(crate) fn set_window(&mut self, service: &ServiceName, window_ms: u64) {
+        if let Some(account) = self.accounts.get_mut(service) {
+            account.window_ms = window_ms;
+        }
+    }
+
+    /// Returns the account of a service; `None` when it never missed anything.
+    #[must_use]
+    pub fn account(&self, service: &ServiceName) -> Option<&Account> {
+        self.accounts.get(service)
+    }
+
+    /// Returns the instance-milliseconds missing in the window that ends at `clock_ms`.
+    #[must_use]
+    pub fn spent_ms(&self, service: &ServiceName, clock_ms: u64, window_ms: u64) -> u64 {
+        let spent = self.spent_by_cause_ms(service, clock_ms, window_ms);
+        spent.values().sum()
+    }
+
+    /// Returns the instance-milliseconds missing in the window that ends at `clock_ms`, by cause.
+    #[must_use]
+    pub fn spent_by_cause_ms(
+        &self,
+        service: &ServiceName,
+        clock_ms: u64,
+        window_ms: u64,
+    ) -> BTreeMap<Cause, u64> {
+        let mut account = self.accounts.get(service).cloned().unwrap_or_default();
+        account.charge(self.charged_ms, clock_ms.max(self.charged_ms));
+        account.spent_since(clock_ms.saturating_sub(window_ms))
+    }
+
+    /// Returns whether a service has used up its budget.
+    #[must_use]
+    pub fn is_exhausted(
+        &self,
+        service: &ServiceName,
+        contract: &ContractSettings,
+        clock_ms: u64,
+    ) -> bool {
+        let spent_ms = self.spent_ms(service, clock_ms, contract.window_s * MS_PER_S);
+        spent_ms > 0 && spent_ms >= contract.budget_instance_s * MS_PER_S
+    }
+}
+
+impl Account {
+    /// Returns the lines, oldest first.
+    pub fn lines(&self) -> impl Iterator<Item = &Spent> {
+        self.lines.iter()
+    }
+
+    /// Returns how many instances are missing now, by cause.
+    #[must_use]
+    pub const fn missing(&self) -> &BTreeMap<Cause, u32> {
+        &self.missing
+    }
+
+    fn charge(&mut self, from_ms: u64, to_ms: u64) {
+        let mut at_ms = from_ms;
+        while at_ms < to_ms && !self.missing.is_empty() {
+            let line_ms = at_ms - at_ms % LINE_MS;
+            let end_ms = to_ms.min(line_ms + LINE_MS);
+            self.add(line_ms, end_ms - at_ms);
+            at_ms = end_ms;
+        }
+        if self.window_ms > 0 {
+            let oldest_ms = to_ms.saturating_sub(self.window_ms);
+            self.lines.retain(|line| line.from_ms + LINE_MS > oldest_ms);
+        }
+    }
+
+    fn add(&mut self, line_ms: u64, elapsed_ms: u64) {
+        if self.lines.back().is_none_or(|line| line.from_ms != line_ms) {
+            self.lines.push_back(Spent {
+                from_ms: line_ms,
+                instance_ms: BTreeMap::new(),
+            });
+        }
+        let Some(line) = self.lines.back_mut() else {
+            return;
+        };
+        for (&cause, &missing) in &self.missing {
+            *line.instance_ms.entry(cause).or_default() += u64::from(missing) * elapsed_ms;
+        }
+    }
+
+    fn spent_since(&self, from_ms: u64) -> BTreeMap<Cause, u64> {
+        let mut spent = BTreeMap::new();
+        for line in &self.lines {
+            if line.from_ms + LINE_MS > from_ms {
+                for (&cause, &instance_ms) in &line.instance_ms {
+                    *spent.entry(cause).or_default() += instance_ms;
+                }
+            }
+        }
+        spent
+    }
+}
--- a/crates/cyclamentrail-core/src/fleet/fold.rs
+++ b/crates/cyclamentrail-core/src/fleet/fold.rs
@@ -31,7 +31,11 @@
     pub fn apply(&mut self, offset: Offset, appended_ms: u64, record: &Record) -> Applied {
         self.next_offset = offset.next();
         self.clock_ms = self.clock_ms.max(appended_ms);
-        match self.fold(offset, record) {
+        let result = self.fold(offset, record);
+        if changes_capacity(record) {
+            self.settle_accounts();
+        }
+        match result {
             Ok(()) => Applied::Accepted,
             Err(kind) => Applied::Rejected(Rejection {
                 id: record.id,
@@ -40,6 +44,14 @@
         }
     }
 
+    fn settle_accounts(&mut self) {
+        if let Some(accepted) = &self.settings {
+            let settings = Arc::clone(&accepted.settings);
+            self.waves
+                .settle(self.clock_ms, &settings, self.instances.iter());
+        }
+    }
+
     /// Passes over a record that can't be decoded; every entry passes over it alike.
     pub fn skip(&mut self, offset: Offset, appended_ms: u64) {
         self.next_offset = offset.next();
@@ -349,6 +361,7 @@
         instance.version = instance.version.next();
         instance.pool = pool.clone();
         instance.state = InstanceState::Serving;
+        self.waves.assigned(name, pool, self.clock_ms);
         Ok(())
     }
 
@@ -377,6 +390,13 @@
     }
 }
 
+const fn changes_capacity(record: &Record) -> bool {
+    !matches!(
+        record.body,
+        None | Some(RecordBody::Claim(_) | RecordBody::Job(_) | RecordBody::EntryJoined { .. })
+    )
+}
+
 impl Instance {
     fn member_left(&mut self, gone: Incarnation) {
         if let InstanceState::Draining { awaiting, .. } = &mut self.state {
--- a/crates/cyclamentrail-core/src/fleet/rejection.rs
+++ b/crates/cyclamentrail-core/src/fleet/rejection.rs
@@ -71,6 +71,14 @@
         /// State that the change needs.
         needed: String,
     },
+    /// The change clashes with something that is under way.
+    #[error("{problem}; {remedy}")]
+    Clash {
+        /// What is under way.
+        problem: String,
+        /// What to do about it.
+        remedy: String,
+    },
     /// Too few members witnessed an eviction.
     #[error("{witnesses} of {members} members witness the eviction; more than half are needed")]
     TooFewWitnesses {
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -12,20 +12,25 @@
 //! assert_eq!(fleet.next_offset(), Offset::new(0));
 //! ```
 
+mod capacity;
 mod claim;
+mod contract;
 mod fleet;
 mod id;
 mod job;
 mod name;
 mod outcome;
 mod permit;
+mod plan;
 mod record;
 mod registry;
 mod route;
 mod settings;
 mod wave;
 
+pub use capacity::{Blocked, Capacity, DomainName, PoolCapacity};
 pub use claim::{ClaimRecord, Claims};
+pub use contract::{Account, Accounts, Cause, Spent};
 pub use fleet::{
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
     Rejection, RejectionKind,
@@ -33,10 +38,12 @@
 pub use id::{BootId, Incarnation, Offset, RecordId, Term, Version};
 pub use job::{JobRecord, Jobs};
 pub use name::{
-    EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, ZoneName,
+    EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, WaveName,
+    ZoneName,
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use permit::{Permit, is_majority};
+pub use plan::{Plan, PlanInput, PlanMethod, PlannedMove, plan};
 pub use record::{
     CodecError, DrainReason, FORMAT, LeaveReason, Record, RecordBody, decode_record, encode_record,
 };
@@ -44,8 +51,12 @@
 pub use route::{Candidate, choose};
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
-    Fault, JobSettings, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings,
-    SecretSource, ServiceSettings, Settings, WorkerShape, ZoneSettings, load_settings,
-    merge_documents, settings_schema,
+    Fault, JobSettings, LoadError, LogSettings, MaintenanceSettings, PlatformSettings,
+    PoolSettings, RequestSettings, SecretSource, ServiceSettings, Settings, WorkerShape,
+    ZoneSettings, load_settings, merge_documents, settings_schema,
+};
+pub use wave::{
+    Advance, Failure, FailureKind, InstanceStory, LossKind, MoveOrder, MoveReason, Moved, OpenStep,
+    Seen, Wave, WaveAction, WaveControl, WaveInput, WaveRecord, WaveRunner, WaveState, WaveStory,
+    Waves, explain_instance, explain_wave,
 };
-pub use wave::{WaveRecord, Waves};
--- a/crates/cyclamentrail-core/src/name.rs
+++ b/crates/cyclamentrail-core/src/name.rs
@@ -69,6 +69,8 @@
     ServiceName,
     /// Names a team of callers with a quota.
     TeamName,
+    /// Names a maintenance wave.
+    WaveName,
     /// Names an entry instance; the name is reused when the instance is replaced.
     EntryName,
 }
--- a/crates/cyclamentrail-core/src/settings.rs
+++ b/crates/cyclamentrail-core/src/settings.rs
@@ -29,7 +29,7 @@
 mod request;
 mod validate;
 
-pub use contract::{ContractSettings, CostWeights, FailureDomain};
+pub use contract::{ContractSettings, CostWeights, FailureDomain, MaintenanceSettings};
 pub use control::ControlSettings;
 pub use job::JobSettings;
 pub use load::{Fault, LoadError, load_settings, merge_documents, settings_schema};
@@ -65,6 +65,9 @@
     /// Placing and limits of long jobs.
     #[serde(default)]
     pub jobs: JobSettings,
+    /// Timing and limits of maintenance waves and moves.
+    #[serde(default)]
+    pub maintenance: MaintenanceSettings,
     /// Where the platform's services are.
     pub platform: PlatformSettings,
     /// Source of the token that operators and peers present.
--- /dev/null
+++ b/crates/cyclamentrail-core/src/wave/fold.rs
@@ -0,0 +1,384 @@
+//! Folds records about waves, moves and lost instances.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::{
+    Advance, Failure, FailureKind, InstanceSet, MoveOrder, MoveReason, Moved, OpenStep, Wave,
+    WaveControl, WaveRecord, WaveState, Waves,
+};
+use crate::fleet::{FoldContext, RejectionKind};
+use crate::id::{BootId, Version};
+use crate::name::{InstanceName, PoolName, WaveName};
+use crate::settings::MaintenanceSettings;
+
+/// Finished waves that are remembered.
+const FINISHED_WAVES: usize = 16;
+/// Finished moves that are remembered.
+const FINISHED_MOVES: usize = 64;
+
+pub(super) fn fold(
+    waves: &mut Waves,
+    context: &FoldContext<'_>,
+    record: &WaveRecord,
+) -> Result<(), RejectionKind> {
+    match record {
+        WaveRecord::Created {
+            presumes,
+            wave,
+            instances,
+            operator,
+        } => create(waves, context, *presumes, wave, instances, operator),
+        WaveRecord::Controlled {
+            presumes,
+            wave,
+            control,
+            operator,
+        } => run_control(waves, context, *presumes, wave, *control, operator),
+        WaveRecord::Advanced {
+            presumes,
+            wave,
+            advance,
+        } => run_advance(waves, context, *presumes, wave, advance),
+        WaveRecord::Lost { instance, kind } => {
+            if waves.lost.get(instance) == Some(kind) {
+                return Err(RejectionKind::Duplicate);
+            }
+            waves.lost.insert(instance.clone(), *kind);
+            waves.bump_step();
+            Ok(())
+        }
+        WaveRecord::Found { instance } => {
+            if waves.lost.remove(instance).is_none() {
+                return Err(RejectionKind::Duplicate);
+            }
+            waves.bump_step();
+            Ok(())
+        }
+        WaveRecord::MoveOrdered {
+            presumes,
+            instance,
+            to,
+            boot,
+            reason,
+        } => {
+            let order = MoveOrder {
+                to: to.clone(),
+                boot: *boot,
+                reason: reason.clone(),
+                ordered_ms: context.clock_ms,
+            };
+            order_move(waves, context, *presumes, instance, order)
+        }
+        WaveRecord::MoveDropped { presumes, instance } => {
+            check_version(*presumes, waves.step, "another step of the fleet's duty")?;
+            if waves.moves.remove(instance).is_none() {
+                return Err(unknown(format!("move of instance \"{instance}\"")));
+            }
+            waves.bump_step();
+            Ok(())
+        }
+    }
+}
+
+/// Notes that an instance was given to a pool, which ends its move.
+pub(super) fn assigned(waves: &mut Waves, instance: &InstanceName, pool: &PoolName, clock_ms: u64) {
+    waves.bump_step();
+    let Some(order) = waves.moves.remove(instance) else {
+        return;
+    };
+    if &order.to != pool {
+        return;
+    }
+    waves.moves_done += 1;
+    waves.moved.push_back(Moved {
+        instance: instance.clone(),
+        to: order.to,
+        reason: order.reason,
+        at_ms: clock_ms,
+    });
+    if waves.moved.len() > FINISHED_MOVES {
+        waves.moved.pop_front();
+    }
+}
+
+fn create(
+    waves: &mut Waves,
+    context: &FoldContext<'_>,
+    presumes: Version,
+    name: &WaveName,
+    instances: &InstanceSet,
+    operator: &str,
+) -> Result<(), RejectionKind> {
+    let winner = waves.newest_operator();
+    check_version(presumes, waves.version, &winner)?;
+    if waves.by_name.contains_key(name) {
+        return Err(clash(
+            format!("wave \"{name}\" exists"),
+            "choose another name",
+        ));
+    }
+    if instances.is_empty() {
+        return Err(clash(
+            String::from("the wave has no instances"),
+            "name a pool that holds some",
+        ));
+    }
+    if let Some(other) = instances.iter().find_map(|name| waves.covering(name)) {
+        return Err(clash(
+            format!("wave \"{other}\" covers some of the instances"),
+            "wait until it ends, or cancel it",
+        ));
+    }
+    let wave = Wave {
+        version: Version::new(1),
+        operator: operator.to_owned(),
+        created_ms: context.clock_ms,
+        ended_ms: None,
+        state: WaveState::Running,
+        pending: instances.clone(),
+        open: BTreeMap::new(),
+        done: BTreeMap::new(),
+        failed: BTreeMap::new(),
+        recent: VecDeque::new(),
+    };
+    waves.by_name.insert(name.clone(), wave);
+    waves.forget_finished();
+    waves.bump_version();
+    Ok(())
+}
+
+fn run_control(
+    waves: &mut Waves,
+    context: &FoldContext<'_>,
+    presumes: Version,
+    name: &WaveName,
+    control: WaveControl,
+    operator: &str,
+) -> Result<(), RejectionKind> {
+    let wave = known_wave(waves, name)?;
+    check_version(presumes, wave.version, "another change of the wave")?;
+    if wave.is_finished() || wave.is_cancelled() {
+        return Err(clash(
+            format!("wave \"{name}\" has ended or was cancelled"),
+            "create another one",
+        ));
+    }
+    let operator = operator.to_owned();
+    match control {
+        WaveControl::Pause => wave.state = WaveState::Paused { operator },
+        WaveControl::Resume => {
+            wave.state = WaveState::Running;
+            wave.recent.clear();
+        }
+        WaveControl::Cancel => {
+            wave.state = WaveState::Cancelled { operator };
+            wave.pending.clear();
+        }
+    }
+    wave.version = wave.version.next();
+    wave.finish(context.clock_ms);
+    waves.bump_step();
+    Ok(())
+}
+
+fn run_advance(
+    waves: &mut Waves,
+    context: &FoldContext<'_>,
+    presumes: Version,
+    name: &WaveName,
+    advance: &Advance,
+) -> Result<(), RejectionKind> {
+    check_version(presumes, waves.step, "another step of the fleet's duty")?;
+    let limits = context.settings.map(|settings| &settings.maintenance);
+    let limits = limits.cloned().unwrap_or_default();
+    let wave = known_wave(waves, name)?;
+    wave.check(name, advance)?;
+    wave.advance(advance, context.clock_ms, &limits);
+    wave.finish(context.clock_ms);
+    waves.bump_step();
+    Ok(())
+}
+
+fn order_move(
+    waves: &mut Waves,
+    context: &FoldContext<'_>,
+    presumes: Version,
+    instance: &InstanceName,
+    order: MoveOrder,
+) -> Result<(), RejectionKind> {
+    if matches!(order.reason, MoveReason::Operator { .. }) {
+        check_version(presumes, waves.version, "another operator")?;
+    } else {
+        check_version(presumes, waves.step, "another step of the fleet's duty")?;
+    }
+    let known = context
+        .settings
+        .is_some_and(|settings| settings.pools.contains_key(&order.to));
+    if !known {
+        return Err(unknown(format!("pool \"{}\"", order.to)));
+    }
+    if let Some(other) = waves.moves.get(instance) {
+        return Err(clash(
+            format!("instance \"{instance}\" moves to pool \"{}\"", other.to),
+            "wait until it has moved",
+        ));
+    }
+    if let Some((wave, _)) = waves.open(instance) {
+        return Err(clash(
+            format!("wave \"{wave}\" has instance \"{instance}\" in hand"),
+            "wait until it is back",
+        ));
+    }
+    waves.moves.insert(instance.clone(), order);
+    waves.bump_version();
+    Ok(())
+}
+
+impl Waves {
+    fn newest_operator(&self) -> String {
+        self.by_name
+            .values()
+            .max_by_key(|wave| wave.created_ms)
+            .map_or_else(String::new, |wave| wave.operator.clone())
+    }
+
+    fn forget_finished(&mut self) {
+        let finished = self
+            .by_name
+            .iter()
+            .filter_map(|(name, wave)| wave.ended_ms.map(|ended_ms| (ended_ms, name.clone())));
+        let mut finished: Vec<(u64, WaveName)> = finished.collect();
+        finished.sort();
+        let surplus = finished.len().saturating_sub(FINISHED_WAVES);
+        for (_, name) in finished.into_iter().take(surplus) {
+            self.by_name.remove(&name);
+        }
+    }
+}
+
+impl Wave {
+    fn check(&self, name: &WaveName, advance: &Advance) -> Result<(), RejectionKind> {
+        if !advance.taken.is_empty() && !self.is_running() {
+            return Err(clash(
+                format!("wave \"{name}\" takes no instances now"),
+                "resume it first",
+            ));
+        }
+        let pending = advance.taken.keys().all(|name| self.pending.contains(name));
+        let later = advance
+            .rebooting
+            .iter()
+            .chain(&advance.returned)
+            .chain(&advance.done)
+            .chain(&advance.released);
+        let open = later.clone().all(|name| self.open.contains_key(name));
+        let failed = advance
+            .failed
+            .keys()
+            .all(|name| self.open.contains_key(name) || self.pending.contains(name));
+        if pending && open && failed {
+            Ok(())
+        } else {
+            Err(clash(
+                format!("an instance of the step is not where wave \"{name}\" has it"),
+                "look at the wave again",
+            ))
+        }
+    }
+
+    fn advance(&mut self, advance: &Advance, clock_ms: u64, limits: &MaintenanceSettings) {
+        for (name, &boot) in &advance.taken {
+            self.pending.remove(name);
+            self.open.insert(name.clone(), OpenStep::Taken { boot });
+        }
+        self.set_steps(&advance.rebooting, |boot| OpenStep::Rebooting { boot });
+        self.set_steps(&advance.returned, |boot| OpenStep::Returned { boot });
+        for name in &advance.released {
+            self.open.remove(name);
+        }
+        for name in &advance.done {
+            self.open.remove(name);
+            self.done.insert(name.clone(), clock_ms);
+            self.recent.push_back(true);
+        }
+        for (name, &kind) in &advance.failed {
+            self.pending.remove(name);
+            let boot = self
+                .open
+                .remove(name)
+                .map_or_else(BootId::default, |step| step.boot());
+            let failure = Failure {
+                kind,
+                boot,
+                at_ms: clock_ms,
+            };
+            self.failed.insert(name.clone(), failure);
+            if kind != FailureKind::Gone {
+                self.recent.push_back(false);
+            }
+        }
+        self.halt_if_failing(limits);
+    }
+
+    fn set_steps(&mut self, names: &InstanceSet, step: impl Fn(BootId) -> OpenStep) {
+        for name in names {
+            if let Some(open) = self.open.get_mut(name) {
+                *open = step(open.boot());
+            }
+        }
+    }
+
+    fn halt_if_failing(&mut self, limits: &MaintenanceSettings) {
+        while self.recent.len() > limits.halt_sample as usize {
+            self.recent.pop_front();
+        }
+        let failures = self.recent.iter().filter(|&&passed| !passed).count();
+        let failures = u32::try_from(failures).unwrap_or(u32::MAX);
+        if self.is_running() && failures >= limits.halt_failures.max(1) {
+            self.state = WaveState::Halted {
+                failures,
+                of: u32::try_from(self.recent.len()).unwrap_or(u32::MAX),
+            };
+            self.version = self.version.next();
+        }
+    }
+
+    fn finish(&mut self, clock_ms: u64) {
+        if !self.pending.is_empty() || !self.open.is_empty() || self.is_finished() {
+            return;
+        }
+        self.ended_ms = Some(clock_ms);
+        if !self.is_cancelled() {
+            self.state = WaveState::Ended;
+        }
+    }
+}
+
+fn known_wave<'a>(waves: &'a mut Waves, name: &WaveName) -> Result<&'a mut Wave, RejectionKind> {
+    waves
+        .by_name
+        .get_mut(name)
+        .ok_or_else(|| unknown(format!("wave \"{name}\"")))
+}
+
+fn check_version(presumed: Version, current: Version, winner: &str) -> Result<(), RejectionKind> {
+    if presumed == current {
+        return Ok(());
+    }
+    Err(RejectionKind::VersionPassed {
+        presumed,
+        current,
+        winner: winner.to_owned(),
+    })
+}
+
+const fn unknown(what: String) -> RejectionKind {
+    RejectionKind::Unknown { what }
+}
+
+fn clash(problem: String, remedy: &str) -> RejectionKind {
+    RejectionKind::Clash {
+        problem,
+        remedy: remedy.to_owned(),
+    }
+}
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -15,9 +15,11 @@
 mod log_service;
 mod log_store;
 mod serve;
+mod virtual_site;
 
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
 pub use list_service::ListService;
 pub use log_service::{LogFault, LogService};
 pub use log_store::LogStore;
 pub use serve::Served;
+pub use virtual_site::{Counts, Machine, RebootFault, VirtualSite};
