--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -16,8 +16,10 @@
 mod claim;
 mod contract;
 mod fleet;
+mod heartbeat;
 mod id;
 mod job;
+mod membership;
 mod name;
 mod outcome;
 mod permit;
@@ -26,6 +28,7 @@
 mod registry;
 mod route;
 mod settings;
+mod snapshot;
 mod wave;
 
 pub use capacity::{Blocked, Capacity, DomainName, PoolCapacity};
@@ -35,17 +38,23 @@
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
     Rejection, RejectionKind,
 };
+pub use heartbeat::{
+    Heartbeat, MAX_PASSED_BYTES, MAX_PASSED_RECORDS, PassedRecord, decode_heartbeat,
+    encode_heartbeat,
+};
 pub use id::{BootId, Incarnation, Offset, RecordId, Term, Version};
 pub use job::{JobRecord, Jobs};
+pub use membership::{Eviction, Membership, MembershipTiming, PeerStatus};
 pub use name::{
     EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, WaveName,
     ZoneName,
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
-pub use permit::{Permit, is_majority};
+pub use permit::{Permit, can_evict, is_majority};
 pub use plan::{Plan, PlanInput, PlanMethod, PlannedMove, plan};
 pub use record::{
-    CodecError, DrainReason, FORMAT, LeaveReason, Record, RecordBody, decode_record, encode_record,
+    CodecError, DrainReason, FIRST_FORMAT, FORMAT, LeaveReason, Record, RecordBody, decode_record,
+    encode_record,
 };
 pub use registry::Registry;
 pub use route::{Candidate, choose};
@@ -55,6 +64,7 @@
     PoolSettings, RequestSettings, SecretSource, ServiceSettings, Settings, WorkerShape,
     ZoneSettings, load_settings, merge_documents, settings_schema,
 };
+pub use snapshot::{MAX_SNAPSHOT_BYTES, SnapshotError, decode_snapshot, encode_snapshot};
 pub use wave::{
     Advance, Failure, FailureKind, InstanceStory, LossKind, MoveOrder, MoveReason, Moved, OpenStep,
     Seen, Wave, WaveAction, WaveControl, WaveInput, WaveRecord, WaveRunner, WaveState, WaveStory,
--- a/crates/cyclamentrail-core/src/permit.rs
+++ b/crates/cyclamentrail-core/src/permit.rs
@@ -24,6 +24,13 @@
     counted * 2 > members
 }
 
+/// Returns whether `witnesses` of `members` are enough for an eviction: without them, the evicted
+/// member and the rest are not more than half, so nobody permits it to dispatch any more.
+#[must_use]
+pub const fn can_evict(witnesses: usize, members: usize) -> bool {
+    witnesses * 2 >= members
+}
+
 /// What an entry knows about its own permission, and what it promised about others.
 ///
 /// Times are milliseconds of the entry's own monotonic clock.
@@ -49,6 +56,11 @@
         }
     }
 
+    /// Sets the time in milliseconds for which a confirmation permits dispatch.
+    pub const fn set_lease_ms(&mut self, lease_ms: u64) {
+        self.lease_ms = lease_ms;
+    }
+
     /// Notes that the log had no newer record than the entry has folded, asked at `asked_ms`.
     pub fn confirm_log(&mut self, asked_ms: u64) {
         self.log_confirmed_ms = self.log_confirmed_ms.max(Some(asked_ms));
@@ -63,7 +75,8 @@
         *confirmed_ms = (*confirmed_ms).max(asked_ms);
     }
 
-    /// Promises not to confirm a peer any more; there is no way back for that incarnation.
+    /// Promises not to confirm a peer any more, nor to count on it; there is no way back for that
+    /// incarnation.
     pub fn witness(&mut self, gone: Incarnation) {
         self.witnessed.insert(gone);
     }
@@ -80,11 +93,10 @@
         self.peer_confirmed_ms.get(&peer).copied()
     }
 
-    /// Forgets peers that are no longer members.
+    /// Forgets confirmations by peers that are no longer members; promises are kept for good.
     pub fn retain_members(&mut self, members: &[Incarnation]) {
         self.peer_confirmed_ms
             .retain(|peer, _| members.contains(peer));
-        self.witnessed.retain(|gone| members.contains(gone));
     }
 
     /// Returns the time in milliseconds until which the entry may dispatch, given all members.
@@ -106,7 +118,7 @@
     fn majority_confirmed_ms(&self, members: &[Incarnation]) -> Option<u64> {
         let mut confirmed_ms: Vec<u64> = members
             .iter()
-            .filter(|&&member| member != self.own)
+            .filter(|&&member| member != self.own && self.may_confirm(member))
             .filter_map(|&member| self.peer_confirmed_ms(member))
             .collect();
         confirmed_ms.sort_unstable_by(|left, right| right.cmp(left));
--- a/crates/cyclamentrail-core/src/wave/runner.rs
+++ b/crates/cyclamentrail-core/src/wave/runner.rs
@@ -126,6 +126,7 @@
             return Vec::new();
         }
         self.observe(input);
+        self.forget_unknown(input);
         self.take_open(input, &mut capacity);
         self.run_waves(input, &mut capacity);
         self.run_moves(input, &mut capacity);
@@ -175,6 +176,18 @@
         }
     }
 
+    /// Forgets lost instances that the settings no longer list.
+    fn forget_unknown(&mut self, input: &WaveInput<'_>) {
+        for name in input.fleet.waves().lost().keys() {
+            if input.fleet.instance(name).is_none() {
+                let record = WaveRecord::Found {
+                    instance: name.clone(),
+                };
+                self.send(input, Subject::Found(name.clone()), record.into());
+            }
+        }
+    }
+
     /// Counts instances that are taken as out, even if their drain hasn't begun.
     #[expect(
         clippy::unused_self,
--- a/crates/cyclamentrail-core/src/wave/runner/moves.rs
+++ b/crates/cyclamentrail-core/src/wave/runner/moves.rs
@@ -62,12 +62,17 @@
             self.assign(input, name, instance, &order.to);
             return;
         }
-        if seen.boot > order.boot && seen.boot > instance.boot {
-            if Seen::is_well(seen) {
-                self.note_boot(input, name, instance, seen.boot);
-            }
-        } else {
+        let is_fenced = instance.changed_ms < input.fleet.fenced_until_ms();
+        let is_next = match instance.boot_floor {
+            Some(floor) => seen.boot > floor,
+            None if is_fenced => seen.boot > instance.boot,
+            None => seen.boot >= instance.boot,
+        };
+        if !is_next {
             self.reboot(input, name);
+        } else if Seen::is_well(seen) {
+            self.sent.remove(&Subject::Reboot(name.clone()));
+            self.note_boot(input, name, instance, seen.boot);
         }
     }
 
