feat(wave): run waves and moves from the duty, with routes and commands

Cause: the pure wave had no process to run it and no way for operators to reach it. Change: the duty's holder steps the wave at each fold and four times a second; routes under /v1/waves, /v1/pools, /v1/moves and /v1/instances; commands wave and pool. The stand-in list can lag, take time to reboot, and keep an instance away. Conclusion: a wave survives its holder, since every step is a record.

--- a/crates/cyclamentrail-core/src/capacity.rs
+++ b/crates/cyclamentrail-core/src/capacity.rs
@@ -16,6 +16,10 @@
 use crate::name::{InstanceName, PoolName, RackName, ServiceName, ZoneName};
 use crate::settings::{FailureDomain, Settings};
 
+mod explain;
+
+pub use explain::{PoolStory, ServiceStory, explain_pools};
+
 /// One set of instances that fail together.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -31,7 +31,9 @@
 mod snapshot;
 mod wave;
 
-pub use capacity::{Blocked, Capacity, DomainName, PoolCapacity};
+pub use capacity::{
+    Blocked, Capacity, DomainName, PoolCapacity, PoolStory, ServiceStory, explain_pools,
+};
 pub use claim::{ClaimRecord, Claims};
 pub use contract::{Account, Accounts, Cause, Spent};
 pub use fleet::{
--- a/crates/cyclamentrail-core/src/wave/fold.rs
+++ b/crates/cyclamentrail-core/src/wave/fold.rs
@@ -58,12 +58,10 @@
             presumes,
             instance,
             to,
-            boot,
             reason,
         } => {
             let order = MoveOrder {
                 to: to.clone(),
-                boot: *boot,
                 reason: reason.clone(),
                 ordered_ms: context.clock_ms,
             };
--- a/crates/cyclamentrail-core/src/wave/record.rs
+++ b/crates/cyclamentrail-core/src/wave/record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Boots, InstanceSet};
-use crate::id::{BootId, Version};
+use crate::id::Version;
 use crate::name::{InstanceName, PoolName, WaveName};
 
 /// A record about maintenance waves, moves or lost instances.
@@ -63,8 +63,6 @@
         instance: InstanceName,
         /// The pool that it is to belong to.
         to: PoolName,
-        /// Boot that the list showed when the move was ordered.
-        boot: BootId,
         /// Why it moves.
         reason: MoveReason,
     },
--- a/crates/cyclamentrail-core/src/wave/runner/planner.rs
+++ b/crates/cyclamentrail-core/src/wave/runner/planner.rs
@@ -36,15 +36,11 @@
         let Some(planned) = plan.moves.into_iter().next() else {
             return;
         };
-        let Some(seen) = input.seen.get(&planned.instance) else {
-            return;
-        };
         let presumes = input.fleet.waves().step();
         let record = WaveRecord::MoveOrdered {
             presumes,
             instance: planned.instance,
             to: planned.to,
-            boot: seen.boot,
             reason: planned.reason,
         };
         self.send(input, Subject::Step(presumes), record.into());
--- a/crates/cyclamentrail-core/src/wave/state.rs
+++ b/crates/cyclamentrail-core/src/wave/state.rs
@@ -97,8 +97,6 @@
 pub struct MoveOrder {
     /// The pool that the instance is to belong to.
     pub to: PoolName,
-    /// Boot that the list showed when the move was ordered.
-    pub boot: BootId,
     /// Why it moves.
     pub reason: MoveReason,
     /// Log time in milliseconds at which it was ordered.
--- a/crates/cyclamentrail-core/tests/wave.rs
+++ b/crates/cyclamentrail-core/tests/wave.rs
@@ -367,7 +367,6 @@
             presumes: site.fleet.waves().version(),
             instance: InstanceName::from(name),
             to: PoolName::from(to),
-            boot: BootId::new(1),
             reason: MoveReason::Operator {
                 operator: String::from("ana"),
             },
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -18,7 +18,7 @@
 mod virtual_site;
 
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
-pub use list_service::ListService;
+pub use list_service::{ListBehaviour, ListService};
 pub use log_service::{LogFault, LogService};
 pub use log_store::LogStore;
 pub use serve::Served;
--- a/crates/cyclamentrail/src/command.rs
+++ b/crates/cyclamentrail/src/command.rs
@@ -8,7 +8,9 @@
 mod client;
 mod documents;
 mod entry;
+mod pool;
 mod state;
+mod wave;
 
 const USAGE: &str = "\
 cyclamentrail: fleet capacity and maintenance manager
@@ -17,7 +19,9 @@
 
 Commands:
   entry    runs one entry
+  pool     shows pools, or moves an instance to another pool
   state    prints the whole state of an entry
+  wave     creates, shows, pauses, resumes or cancels a maintenance wave
 
 Run `cyclamentrail <command> --help` for the options of a command.
 Exit codes: 0 done, 1 refused or failed, 2 usage.
@@ -61,7 +65,9 @@
             ExitStatus::Done
         }
         "entry" => entry::run(rest),
+        "pool" => pool::run(rest),
         "state" => state::run(rest),
+        "wave" => wave::run(rest),
         other => {
             eprintln!("cyclamentrail: unknown command \"{other}\"; run `cyclamentrail --help`");
             ExitStatus::Usage
--- /dev/null
+++ b/crates/cyclamentrail/src/command/wave.rs
@@ -0,0 +1,90 @@
+//! `cyclamentrail wave`: creates, shows, pauses, resumes or cancels a maintenance wave.
+
+use anyhow::{Context, Result, bail};
+use getopts::{Matches, Options};
+use serde_json::json;
+
+use super::ExitStatus;
+use super::client::OperatorClient;
+
+fn options() -> Options {
+    let mut options = Options::new();
+    OperatorClient::add_options(&mut options);
+    options.optopt("", "wave", "name of the wave", "NAME");
+    options.optmulti("", "pool", "pool to maintain (default all)", "NAME");
+    options.optopt("", "operator", "who asks (default $USER)", "NAME");
+    options.optflag("", "json", "print JSON on one line");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+/// Runs the command.
+pub(crate) fn run(arguments: &[String]) -> ExitStatus {
+    let (action, rest) = split_action(arguments, "show");
+    let usage = "wave create|show|pause|resume|cancel";
+    super::run_parsed(usage, &options(), rest, |matches| {
+        let client = OperatorClient::from_matches(matches)?;
+        match action {
+            "create" => create(&client, matches),
+            "show" => show(&client, matches),
+            "pause" | "resume" | "cancel" => control(&client, matches, action),
+            other => bail!("\"{other}\" is no action; use create, show, pause, resume or cancel"),
+        }
+    })
+}
+
+/// Splits the action off a command's arguments; `default` stands for none.
+pub(super) fn split_action<'a>(
+    arguments: &'a [String],
+    default: &'a str,
+) -> (&'a str, &'a [String]) {
+    match arguments.split_first() {
+        Some((action, rest)) if !action.starts_with('-') => (action, rest),
+        _ => (default, arguments),
+    }
+}
+
+/// Returns who asks.
+pub(super) fn operator(matches: &Matches) -> String {
+    let user = || std::env::var("USER").unwrap_or_else(|_missing| String::from("operator"));
+    matches.opt_str("operator").unwrap_or_else(user)
+}
+
+/// Prints a document as the options say.
+pub(super) fn print(matches: &Matches, document: &serde_json::Value) {
+    if matches.opt_present("json") {
+        println!("{document}");
+    } else {
+        println!("{document:#}");
+    }
+}
+
+fn wave_name(matches: &Matches) -> Result<String> {
+    matches.opt_str("wave").context("--wave is missing")
+}
+
+fn create(client: &OperatorClient, matches: &Matches) -> Result<()> {
+    let request = json!({
+        "wave": wave_name(matches)?,
+        "pools": matches.opt_strs("pool"),
+        "operator": operator(matches),
+    });
+    client.post("/v1/waves", &request)?;
+    show(client, matches)
+}
+
+fn show(client: &OperatorClient, matches: &Matches) -> Result<()> {
+    let path = matches.opt_str("wave").map_or_else(
+        || String::from("/v1/waves"),
+        |name| format!("/v1/waves/{name}"),
+    );
+    print(matches, &client.get(&path)?);
+    Ok(())
+}
+
+fn control(client: &OperatorClient, matches: &Matches, action: &str) -> Result<()> {
+    let name = wave_name(matches)?;
+    let request = json!({"control": action, "operator": operator(matches)});
+    client.post(&format!("/v1/waves/{name}/control"), &request)?;
+    show(client, matches)
+}
--- a/crates/cyclamentrail/src/control/actor/duties.rs
+++ b/crates/cyclamentrail/src/control/actor/duties.rs
@@ -1,5 +1,7 @@
 //! The fleet duty: who holds it, and what its holder does.
 
+use std::collections::BTreeSet;
+
 use cyclamentrail_core::{InstanceName, Offset, RecordBody};
 
 use super::super::ControlMessage;
@@ -51,9 +53,11 @@
     }
 
     fn run_duty(&mut self) {
+        let failing = BTreeSet::new();
         let world = World {
             fleet: &self.fleet,
             list: &self.list,
+            failing: &failing,
             own: self.parts.identity.incarnation,
             now_ms: clock::now_ms(),
         };
--- a/crates/cyclamentrail/src/control/duty.rs
+++ b/crates/cyclamentrail/src/control/duty.rs
@@ -1,6 +1,6 @@
 //! What the holder of the fleet duty does for the whole site.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cyclamentrail_core::{Fleet, Incarnation, InstanceName, RecordBody};
 use cyclamentrail_platform::ListedInstance;
@@ -15,6 +15,8 @@
     pub(crate) fleet: &'a Fleet,
     /// The platform's list as it was last seen.
     pub(crate) list: &'a BTreeMap<InstanceName, ListedInstance>,
+    /// Instances that fail what this process sends them.
+    pub(crate) failing: &'a BTreeSet<InstanceName>,
     /// This process.
     pub(crate) own: Incarnation,
     /// This process's clock in milliseconds.
--- a/crates/cyclamentrail/src/control/wave_duty.rs
+++ b/crates/cyclamentrail/src/control/wave_duty.rs
@@ -1,17 +1,63 @@
 //! Runs maintenance waves and moves instances between pools.
 
+use std::collections::BTreeMap;
+
+use cyclamentrail_core::{InstanceName, Offset, Seen, WaveAction, WaveInput, WaveRunner};
+use cyclamentrail_platform::ListedState;
+
 use super::duty::{DutyAction, World};
 
+/// Longest time in milliseconds between two steps while no record is folded.
+const IDLE_STEP_MS: u64 = 250;
+
 /// Memory of this duty between two steps; nothing in it needs to survive its holder.
 #[derive(Debug, Default)]
 pub(crate) struct WaveDuty {
-    steps: u64,
+    runner: WaveRunner,
+    stepped: Option<(Offset, u64)>,
 }
 
 impl WaveDuty {
     /// Returns what to do now.
-    pub(crate) fn step(&mut self, _world: &World<'_>) -> Vec<DutyAction> {
-        self.steps += 1;
-        Vec::new()
+    pub(crate) fn step(&mut self, world: &World<'_>) -> Vec<DutyAction> {
+        let next_offset = world.fleet.next_offset();
+        let is_idle = self.stepped.is_some_and(|(offset, at_ms)| {
+            offset == next_offset && world.now_ms.saturating_sub(at_ms) < IDLE_STEP_MS
+        });
+        if is_idle {
+            return Vec::new();
+        }
+        self.stepped = Some((next_offset, world.now_ms));
+        let seen = seen(world);
+        let input = WaveInput {
+            fleet: world.fleet,
+            seen: &seen,
+            now_ms: world.now_ms,
+        };
+        let actions = self.runner.step(&input);
+        actions.into_iter().map(DutyAction::from).collect()
+    }
+}
+
+impl From<WaveAction> for DutyAction {
+    fn from(action: WaveAction) -> Self {
+        match action {
+            WaveAction::Submit(body) => Self::Submit(body),
+            WaveAction::Reboot(instance) => Self::Reboot(instance),
+        }
     }
 }
+
+fn seen(world: &World<'_>) -> BTreeMap<InstanceName, Seen> {
+    let listed = world.list.iter();
+    listed
+        .map(|(name, listed)| {
+            let seen = Seen {
+                boot: listed.boot,
+                leaving: listed.state == ListedState::Leaving,
+                failing: world.failing.contains(name),
+            };
+            (name.clone(), seen)
+        })
+        .collect()
+}
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -17,6 +17,7 @@
 
 mod entries;
 mod jobs;
+mod pools;
 mod waves;
 
 /// What the operators' listener shares between requests.
@@ -50,6 +51,7 @@
         .route("/v1/settings/in-force", get(in_force))
         .merge(entries::router())
         .merge(waves::router())
+        .merge(pools::router())
         .merge(jobs::router())
         .layer(middleware::from_fn_with_state(
             operator.clone(),
