--- /dev/null
+++ b/crates/cyclamentrail-bench/src/bin/waves_report.rs
@@ -0,0 +1,191 @@
+//! Prints the figures of waves, planner and bursts, and draws their plots into `docs/plots`.
+
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result};
+use cyclamentrail_bench::capacity::{Answer, BurstRun, TURNS_MS, best, weigh_bursts};
+use cyclamentrail_bench::waves::{
+    Baseline, Trace, TraceShape, compare_planners, letter_size, run_baseline, run_planner, today,
+    with_room,
+};
+use cyclamentrail_core::{PlanMethod, Settings, load_settings};
+use plotters::prelude::*;
+use serde_json::Value;
+
+const SEED: u64 = 6;
+const DAYS: u64 = 14;
+const PLOT_SIZE: (u32, u32) = (720, 440);
+
+type Series = (String, Vec<(f64, f64)>);
+
+fn main() -> Result<()> {
+    let plots = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/plots");
+    for site in ["garza", "corran"] {
+        let document = today(site)?;
+        report_waves(site, &document, DAYS)?;
+        report_bursts(site, &load_settings(&document)?);
+    }
+    report_waves("letter", &letter_size()?, 1)?;
+    report_planners()?;
+    plot_room(&plots.join("waves-room.svg"))?;
+    for turn_ms in TURNS_MS {
+        plot_bursts(&plots.join(format!("bursts-{turn_ms}ms.svg")), turn_ms)?;
+    }
+    Ok(())
+}
+
+fn report_waves(site: &str, document: &Value, days: u64) -> Result<()> {
+    let settings = load_settings(document)?;
+    let count = settings.instance_racks().len();
+    let trace = Trace::draw(&settings, TraceShape::ordinary(count), days, SEED);
+    println!(
+        "{site}: {} losses, {} left out",
+        trace.losses.len(),
+        trace.left_out
+    );
+    println!("  planner {:?}", run_planner(document, &trace, days));
+    for baseline in [Baseline::OneAtATime, Baseline::FixedShare] {
+        let outcome = run_baseline(document, &trace, baseline, days);
+        println!("  {baseline:?} {outcome:?}");
+    }
+    Ok(())
+}
+
+fn report_bursts(site: &str, settings: &Settings) {
+    for turn_ms in TURNS_MS {
+        let base = BurstRun::new(9, 100.0).turn_ms(turn_ms);
+        let choices = weigh_bursts(base, &settings.cost_weights);
+        println!("{site}: turns of {turn_ms} ms, best {:?}", best(&choices));
+        for choice in choices.iter().filter(|choice| choice.buffer % 4 == 0) {
+            println!("  {choice:?}");
+        }
+    }
+}
+
+fn report_planners() -> Result<()> {
+    for (name, document) in [("garza", today("garza")?), ("letter", letter_size()?)] {
+        for needs in [1, 4, 16, 64] {
+            for method in [PlanMethod::Greedy, PlanMethod::Assignment] {
+                let begun = std::time::Instant::now();
+                let figures = compare_planners(&document, needs, method)?;
+                println!(
+                    "{name} {method:?} {figures:?} in {:?} with setup",
+                    begun.elapsed()
+                );
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Draws roll-out time over the room that each pool holds.
+fn plot_room(path: &PathBuf) -> Result<()> {
+    let document = today("garza")?;
+    let quiet = Trace::default();
+    let mut planner = Vec::new();
+    let mut one = Vec::new();
+    let mut fixed = Vec::new();
+    for room in 1..=4 {
+        let roomy = with_room(&document, room);
+        let x = f64::from(room);
+        planner.push((x, run_planner(&roomy, &quiet, 1).roll_out_min));
+        one.push((
+            x,
+            run_baseline(&roomy, &quiet, Baseline::OneAtATime, 1).roll_out_min,
+        ));
+        fixed.push((
+            x,
+            run_baseline(&roomy, &quiet, Baseline::FixedShare, 1).roll_out_min,
+        ));
+    }
+    println!("room: planner {planner:?} one {one:?} fixed {fixed:?}");
+    let series = [
+        (String::from("contracts (this project)"), planner),
+        (String::from("one at a time"), one),
+        (String::from("a tenth of each pool at a time"), fixed),
+    ];
+    let titles = [
+        "Roll-out of 49 instances",
+        "room held in each pool, instances",
+        "virtual minutes",
+    ];
+    draw(path, titles, &series)
+}
+
+/// Draws the share answered in time over the buffer, for each way to serve a burst.
+fn plot_bursts(path: &PathBuf, turn_ms: u64) -> Result<()> {
+    let settings = load_settings(&today("garza")?)?;
+    let base = BurstRun::new(9, 100.0).turn_ms(turn_ms);
+    let choices = weigh_bursts(base, &settings.cost_weights);
+    let mut series: Vec<Series> = Vec::new();
+    for (answer, label) in [
+        (Answer::RefuseAtOnce, "refuse at once"),
+        (Answer::Queue, "queue, however late"),
+        (
+            Answer::QueueOrRefuse,
+            "queue within the deadline, else refuse",
+        ),
+    ] {
+        for moves in [false, true] {
+            let chosen = choices
+                .iter()
+                .filter(|choice| choice.answer == answer && choice.moves == moves);
+            let points = chosen.map(|choice| {
+                let share = 100.0 * choice.outcome.in_time_share();
+                (
+                    f64::from(u32::try_from(choice.buffer).unwrap_or_default()),
+                    share,
+                )
+            });
+            let suffix = if moves { ", with moves" } else { "" };
+            series.push((format!("{label}{suffix}"), points.collect()));
+        }
+    }
+    let titles = [
+        "Bursts of five times the mean",
+        "buffer beyond 9 instances",
+        "percent in time",
+    ];
+    draw(path, titles, &series)
+}
+
+fn draw(path: &PathBuf, titles: [&str; 3], series: &[Series]) -> Result<()> {
+    let points = || series.iter().flat_map(|(_, points)| points);
+    let max = |values: &mut dyn Iterator<Item = f64>| values.fold(0.0, f64::max);
+    let min = |values: &mut dyn Iterator<Item = f64>| values.fold(f64::INFINITY, f64::min);
+    let (left, right) = (
+        min(&mut points().map(|point| point.0)),
+        max(&mut points().map(|point| point.0)),
+    );
+    let top = max(&mut points().map(|point| point.1)) * 1.05;
+    let bottom = min(&mut points().map(|point| point.1)) * 0.9;
+    let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(titles[0], ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(56)
+        .build_cartesian_2d(left..right, bottom..top)?;
+    chart
+        .configure_mesh()
+        .x_desc(titles[1])
+        .y_desc(titles[2])
+        .draw()?;
+    for (index, (label, points)) in series.iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        chart
+            .draw_series(LineSeries::new(
+                points.iter().copied(),
+                colour.stroke_width(2),
+            ))?
+            .label(label.as_str())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    area.present().context("the plot can't be written")
+}
--- a/crates/cyclamentrail-bench/src/lib.rs
+++ b/crates/cyclamentrail-bench/src/lib.rs
@@ -11,5 +11,17 @@
 //! ```
 
 mod bounds;
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counted figures are far below the precision of a float"
+)]
+pub mod capacity;
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "counted figures are far below the precision of a float"
+)]
+pub mod waves;
 
 pub use bounds::{Bound, Bounds, Figure};
--- /dev/null
+++ b/crates/cyclamentrail-bench/src/waves/baseline.rs
@@ -0,0 +1,235 @@
+//! The two policies that a user would otherwise pick.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cyclamentrail_core::{InstanceName, PoolName, Settings, load_settings};
+use serde_json::Value;
+
+use super::{DAY_MS, DRAIN_MS, MINUTE_MS, Outcome, REBOOT_MS, Trace, WAVE_AT_MS};
+
+/// Step in milliseconds.
+const STEP_MS: u64 = 2_000;
+/// Time in milliseconds that an instance is watched after its return.
+const WATCH_MS: u64 = 10_000;
+/// Time in milliseconds after which a lost instance is replaced from a spare pool.
+const REPLACE_AFTER_MS: u64 = 60_000;
+
+/// A policy to compare with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Baseline {
+    /// One instance of the whole site at a time; pools stay as they are.
+    OneAtATime,
+    /// A tenth of each pool at a time; a fifth of each pool is held as a buffer, from spare pools.
+    FixedShare,
+}
+
+struct Run<'a> {
+    settings: &'a Settings,
+    baseline: Baseline,
+    pool_of: BTreeMap<InstanceName, PoolName>,
+    promised: BTreeMap<PoolName, usize>,
+    target: BTreeMap<PoolName, usize>,
+    pending: BTreeSet<InstanceName>,
+    back_at_ms: BTreeMap<InstanceName, u64>,
+    moving: BTreeMap<InstanceName, (PoolName, u64)>,
+    dead_since_ms: BTreeMap<InstanceName, u64>,
+    outcome: Outcome,
+}
+
+/// Runs one wave over all instances on a trace of some days.
+///
+/// # Panics
+///
+/// Panics when the document is invalid.
+#[must_use]
+pub fn run_baseline(document: &Value, trace: &Trace, baseline: Baseline, days: u64) -> Outcome {
+    let settings = load_settings(document).expect("the document is valid");
+    let mut run = Run::new(&settings, baseline);
+    let length_ms = days * DAY_MS;
+    let mut at_ms = 0;
+    while at_ms < length_ms {
+        run.step(trace, at_ms);
+        at_ms += STEP_MS;
+    }
+    run.outcome.buffer /= length_ms as f64;
+    if run.outcome.roll_out_min == 0.0 {
+        run.outcome.roll_out_min = f64::INFINITY;
+    }
+    run.outcome
+}
+
+impl<'a> Run<'a> {
+    fn new(settings: &'a Settings, baseline: Baseline) -> Self {
+        let mut promised: BTreeMap<PoolName, usize> = BTreeMap::new();
+        for service in settings.services.values() {
+            *promised.entry(service.pool.clone()).or_default() +=
+                service.contract.promised_instances as usize;
+        }
+        let pools = settings.pools.iter();
+        let listed = pools.flat_map(|(pool, listed)| {
+            listed
+                .instances
+                .iter()
+                .map(|name| (name.clone(), pool.clone()))
+        });
+        let pool_of: BTreeMap<InstanceName, PoolName> = listed.collect();
+        let target = settings.pools.iter().map(|(name, pool)| {
+            let size = pool.instances.len();
+            let held = promised.get(name).copied().unwrap_or_default() + size.div_ceil(5);
+            (name.clone(), held)
+        });
+        Self {
+            settings,
+            baseline,
+            pending: pool_of.keys().cloned().collect(),
+            target: target.collect(),
+            pool_of,
+            promised,
+            back_at_ms: BTreeMap::new(),
+            moving: BTreeMap::new(),
+            dead_since_ms: BTreeMap::new(),
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn step(&mut self, trace: &Trace, at_ms: u64) {
+        let dead: BTreeSet<InstanceName> = trace.dead(at_ms).into_iter().cloned().collect();
+        self.dead_since_ms.retain(|name, _| dead.contains(name));
+        for name in &dead {
+            self.dead_since_ms.entry(name.clone()).or_insert(at_ms);
+        }
+        self.back_at_ms.retain(|_, &mut back_ms| back_ms > at_ms);
+        self.end_moves(at_ms);
+        if self.baseline == Baseline::FixedShare {
+            self.refill(at_ms);
+        }
+        if at_ms >= WAVE_AT_MS && self.outcome.roll_out_min == 0.0 {
+            self.run_wave(&dead, at_ms);
+        }
+        self.count(&dead);
+    }
+
+    fn end_moves(&mut self, at_ms: u64) {
+        let ended: Vec<(InstanceName, PoolName)> = self
+            .moving
+            .iter()
+            .filter(|(_, (_, until_ms))| *until_ms <= at_ms)
+            .map(|(name, (to, _))| (name.clone(), to.clone()))
+            .collect();
+        for (name, to) in ended {
+            self.moving.remove(&name);
+            self.pool_of.insert(name, to);
+            self.outcome.moves += 1;
+        }
+    }
+
+    /// Holds each pool's size, without those that have been dead for a while, at its target.
+    fn refill(&mut self, at_ms: u64) {
+        let sizes = self.sizes(at_ms);
+        let spare = |pool: &PoolName| self.settings.pools[pool].spare;
+        let size_of = |pool: &PoolName| sizes.get(pool).copied().unwrap_or_default();
+        let short = self
+            .target
+            .iter()
+            .find(|(pool, target)| !spare(pool) && size_of(pool) < **target);
+        let over = self
+            .target
+            .iter()
+            .find(|(pool, target)| !spare(pool) && size_of(pool) > **target);
+        let lender = self
+            .target
+            .iter()
+            .find(|(pool, target)| spare(pool) && size_of(pool) > **target);
+        let home = self.settings.pools.keys().find(|pool| spare(pool));
+        let step = match (short, lender, over, home) {
+            (Some((to, _)), Some((from, _)), _, _) | (_, _, Some((from, _)), Some(to)) => {
+                Some((from.clone(), to.clone()))
+            }
+            _ => None,
+        };
+        let Some((from, to)) = step else {
+            return;
+        };
+        let free = self.pool_of.iter().find(|(name, pool)| {
+            **pool == from
+                && !self.dead_since_ms.contains_key(*name)
+                && !self.back_at_ms.contains_key(*name)
+                && !self.moving.contains_key(*name)
+        });
+        if let Some((name, _)) = free {
+            self.moving.insert(name.clone(), (to, at_ms + DRAIN_MS));
+        }
+    }
+
+    fn sizes(&self, at_ms: u64) -> BTreeMap<PoolName, usize> {
+        let mut sizes = BTreeMap::new();
+        for (name, pool) in &self.pool_of {
+            let dead_ms = self
+                .dead_since_ms
+                .get(name)
+                .map_or(0, |since| at_ms - since);
+            let pool = self.moving.get(name).map_or(pool, |(to, _)| to);
+            if dead_ms < REPLACE_AFTER_MS {
+                *sizes.entry(pool.clone()).or_default() += 1;
+            }
+        }
+        sizes
+    }
+
+    fn run_wave(&mut self, dead: &BTreeSet<InstanceName>, at_ms: u64) {
+        let away_ms = DRAIN_MS + REBOOT_MS + WATCH_MS;
+        let pending: Vec<InstanceName> = self.pending.iter().cloned().collect();
+        let mut sizes: BTreeMap<&PoolName, usize> = BTreeMap::new();
+        for pool in self.pool_of.values() {
+            *sizes.entry(pool).or_default() += 1;
+        }
+        for name in pending {
+            if dead.contains(&name) || self.moving.contains_key(&name) {
+                continue;
+            }
+            let pool = &self.pool_of[&name];
+            let in_pool = |other: &&InstanceName| &self.pool_of[*other] == pool;
+            let full = match self.baseline {
+                Baseline::OneAtATime => !self.back_at_ms.is_empty(),
+                Baseline::FixedShare => {
+                    self.back_at_ms.keys().filter(in_pool).count() >= sizes[pool].div_ceil(10)
+                }
+            };
+            if !full {
+                self.pending.remove(&name);
+                self.back_at_ms.insert(name, at_ms + away_ms);
+                self.outcome.maintained += 1;
+            }
+        }
+        if self.pending.is_empty() && self.back_at_ms.is_empty() {
+            self.outcome.roll_out_min = (at_ms - WAVE_AT_MS) as f64 / MINUTE_MS as f64;
+        }
+    }
+
+    fn count(&mut self, dead: &BTreeSet<InstanceName>) {
+        let mut working: BTreeMap<&PoolName, usize> = BTreeMap::new();
+        for (name, pool) in &self.pool_of {
+            let away = dead.contains(name)
+                || self.back_at_ms.contains_key(name)
+                || self.moving.contains_key(name);
+            *working.entry(pool).or_default() += usize::from(!away);
+        }
+        let mut missing = 0;
+        let mut extra = 0;
+        for (pool, &count) in &working {
+            let promised = self.promised.get(*pool).copied().unwrap_or_default();
+            missing += promised.saturating_sub(count);
+            let held = count.saturating_sub(promised);
+            extra += match self.baseline {
+                Baseline::OneAtATime => held,
+                Baseline::FixedShare => held.min(self.target[*pool] - promised),
+            };
+        }
+        let minutes = STEP_MS as f64 / MINUTE_MS as f64;
+        self.outcome.buffer += extra as f64 * STEP_MS as f64;
+        self.outcome.spent_instance_min += missing as f64 * minutes;
+        if missing > 0 {
+            self.outcome.broken_min += minutes;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-bench/src/waves/letter.rs
@@ -0,0 +1,75 @@
+//! Sites to measure on: today's two, and one of the size to design for.
+
+use anyhow::{Context, Result};
+use cyclamentrail_core::merge_documents;
+use serde_json::{Value, json};
+
+/// Pools that serve, of the 214.
+const SERVING_POOLS: usize = 210;
+/// Instances of each of them.
+const POOL_INSTANCES: usize = 6;
+/// Instances promised of each of them.
+const POOL_PROMISED: usize = 4;
+/// Spare pools.
+const SPARE_POOLS: usize = 4;
+/// Instances of each spare pool.
+const SPARE_INSTANCES: usize = 35;
+/// Availability zones.
+const ZONES: usize = 7;
+/// Instances of one rack.
+const RACK_INSTANCES: usize = 4;
+
+/// Returns the merged settings of one of today's sites.
+///
+/// # Errors
+///
+/// Returns an error when there is no such site.
+pub fn today(site: &str) -> Result<Value> {
+    let read = |file: &str| -> Result<Value> {
+        let path = format!("{}/../../sites/{file}.json", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read_to_string(&path).with_context(|| path.clone())?;
+        Ok(serde_json::from_str(&text)?)
+    };
+    Ok(merge_documents(read("base")?, &read(site)?))
+}
+
+/// Returns the settings of a site with 1,400 instances in 214 pools and 7 zones.
+///
+/// # Errors
+///
+/// Returns an error when today's settings, which give the rest, can't be read.
+pub fn letter_size() -> Result<Value> {
+    let mut document = today("garza")?;
+    let total = SERVING_POOLS * POOL_INSTANCES + SPARE_POOLS * SPARE_INSTANCES;
+    let names: Vec<String> = (0..total).map(|number| format!("w{number:04}")).collect();
+    let mut zones = json!({});
+    for (rack, chunk) in names.chunks(RACK_INSTANCES).enumerate() {
+        let zone = format!("z{}", rack % ZONES);
+        if zones.get(&zone).is_none() {
+            zones[&zone] = json!({"zone_delay_us": 1000, "caller_delay_us": 3000, "racks": {}});
+        }
+        zones[&zone]["racks"][format!("r{rack:03}")] = json!(chunk);
+    }
+    let mut pools = json!({});
+    let mut services = json!({});
+    for pool in 0..SERVING_POOLS {
+        let held: Vec<&String> = (0..POOL_INSTANCES)
+            .map(|turn| &names[turn * SERVING_POOLS + pool])
+            .collect();
+        pools[format!("p{pool:03}")] = json!({"instances": held});
+        services[format!("s{pool:03}")] = json!({
+            "pool": format!("p{pool:03}"),
+            "contract": {"promised_instances": POOL_PROMISED, "budget_instance_s": 4800,
+                         "window_s": 86400, "survives": "rack"},
+            "default_deadline_ms": 5000, "mean_work_ms": 200.0, "mean_rate_per_s": 50.0,
+        });
+    }
+    let spare = &names[SERVING_POOLS * POOL_INSTANCES..];
+    for (pool, held) in spare.chunks(SPARE_INSTANCES).enumerate() {
+        pools[format!("spare{pool}")] = json!({"instances": held, "spare": true});
+    }
+    document["zones"] = zones;
+    document["pools"] = pools;
+    document["services"] = services;
+    Ok(document)
+}
--- /dev/null
+++ b/crates/cyclamentrail-bench/src/waves/planner.rs
@@ -0,0 +1,94 @@
+//! The planner's two ways on the same needs.
+
+use std::collections::BTreeMap;
+
+use anyhow::{Context, Result};
+use cyclamentrail_core::{
+    Capacity, InstanceName, MoveReason, Plan, PlanInput, PlanMethod, PoolName, plan,
+};
+use cyclamentrail_standin::VirtualSite;
+use serde::Serialize;
+use serde_json::Value;
+
+/// What a planner did.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct PlannerFigures {
+    /// Needs that were asked for.
+    pub needs: usize,
+    /// Moves planned.
+    pub moves: usize,
+    /// Needs that weren't met.
+    pub unmet: usize,
+    /// Pairs of need and instance that were weighed.
+    pub work: u64,
+    /// Instances already in the domains that the moved ones come from, over all moves.
+    pub misfit: u64,
+}
+
+/// Plans one instance for each of the first `needs` serving pools, each of which has lost one.
+///
+/// # Errors
+///
+/// Returns an error when the document is no site.
+pub fn compare_planners(
+    document: &Value,
+    needs: usize,
+    method: PlanMethod,
+) -> Result<PlannerFigures> {
+    let site = VirtualSite::new(document);
+    let mut capacity = site.fleet.capacity().context("settings are in force")?;
+    let short = serving_pools(&capacity, needs);
+    for pool in &short {
+        let held = capacity
+            .available()
+            .iter()
+            .filter(|(_, held)| *held == pool);
+        let lost: Vec<InstanceName> = held.map(|(name, _)| name.clone()).take(2).collect();
+        for name in &lost {
+            capacity.take(name);
+        }
+    }
+    let input = PlanInput {
+        needs: short
+            .into_iter()
+            .map(|pool| (pool, MoveReason::Shortage))
+            .collect(),
+        surplus: Vec::new(),
+        movable: homes(&capacity),
+        capacity: &capacity,
+        method,
+    };
+    Ok(figures(&input, &plan(&input)))
+}
+
+fn figures(input: &PlanInput<'_, '_>, plan: &Plan) -> PlannerFigures {
+    let misfit = plan.moves.iter().filter_map(|planned| {
+        let pool = input.capacity.pool(&planned.to)?;
+        let domain = input.capacity.domain(&planned.instance, pool);
+        Some(u64::from(pool.in_domain(&domain)))
+    });
+    PlannerFigures {
+        needs: input.needs.len(),
+        moves: plan.moves.len(),
+        unmet: plan.unmet.len(),
+        work: plan.work,
+        misfit: misfit.sum(),
+    }
+}
+
+fn serving_pools(capacity: &Capacity<'_>, needs: usize) -> Vec<PoolName> {
+    let serving = capacity.pools().iter().filter(|(_, pool)| !pool.spare);
+    serving.map(|(name, _)| name.clone()).take(needs).collect()
+}
+
+fn homes(capacity: &Capacity<'_>) -> BTreeMap<InstanceName, PoolName> {
+    let pools = capacity.settings().pools.iter();
+    pools
+        .flat_map(|(pool, listed)| {
+            listed
+                .instances
+                .iter()
+                .map(|name| (name.clone(), pool.clone()))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/cyclamentrail-bench/src/waves/run.rs
@@ -0,0 +1,125 @@
+//! Runs the project's own waves and planner on a trace.
+
+use std::collections::BTreeSet;
+
+use cyclamentrail_core::{WaveName, WaveRecord};
+use cyclamentrail_standin::VirtualSite;
+use serde_json::{Value, json};
+
+use super::{DAY_MS, DRAIN_MS, MINUTE_MS, Outcome, REBOOT_MS, Trace, WAVE_AT_MS};
+
+/// Step in milliseconds while a wave is under way.
+const WAVE_STEP_MS: u64 = 2_000;
+/// Time in milliseconds after which instances that a wave passed over get another one.
+const FOLLOW_UP_MS: u64 = 6 * 60 * MINUTE_MS;
+/// Step in milliseconds otherwise.
+const IDLE_STEP_MS: u64 = 30_000;
+
+/// Runs one wave over all instances on a trace of some days, and another one for those that it
+/// passed over.
+///
+/// # Panics
+///
+/// Panics when the document is invalid.
+#[must_use]
+pub fn run_planner(document: &Value, trace: &Trace, days: u64) -> Outcome {
+    let length_ms = days * DAY_MS;
+    let mut site = VirtualSite::new(document);
+    site.drain_ms = DRAIN_MS;
+    site.reboot_ms = REBOOT_MS;
+    let start_ms = site.now_ms();
+    let mut created_ms = None;
+    let mut ended_ms = None;
+    while site.now_ms() - start_ms < length_ms {
+        let at_ms = site.now_ms() - start_ms;
+        set_dead(&mut site, trace, at_ms);
+        if created_ms.is_none() && at_ms >= WAVE_AT_MS {
+            site.create_wave("bench").expect("there is no other wave");
+            created_ms = Some(site.now_ms());
+        }
+        let under_way = created_ms.is_some() && ended_ms.is_none();
+        site.step(if under_way {
+            WAVE_STEP_MS
+        } else {
+            IDLE_STEP_MS
+        });
+        if under_way && site.has_ended("bench") {
+            ended_ms = Some(site.now_ms());
+        }
+        if ended_ms.is_some_and(|ended_ms| ended_ms + FOLLOW_UP_MS <= site.now_ms()) {
+            follow_up(&mut site);
+        }
+    }
+    outcome(&site, created_ms, ended_ms, length_ms)
+}
+
+fn outcome(
+    site: &VirtualSite,
+    created_ms: Option<u64>,
+    ended_ms: Option<u64>,
+    length_ms: u64,
+) -> Outcome {
+    let counts = &site.counts;
+    let waves = site.fleet.waves();
+    let roll_out_ms = ended_ms.zip(created_ms).map(|(end, begin)| end - begin);
+    let maintained = waves.waves().map(|(_, wave)| wave.done.len() as u64).sum();
+    Outcome {
+        buffer: counts.buffer_instance_ms as f64 / length_ms as f64,
+        roll_out_min: roll_out_ms.map_or(f64::INFINITY, |ms| ms as f64 / MINUTE_MS as f64),
+        moves: waves.moves_done(),
+        spent_instance_min: counts.missing_instance_ms as f64 / MINUTE_MS as f64,
+        broken_min: counts.broken_ms as f64 / MINUTE_MS as f64,
+        planner_work: site.runner().planner_work(),
+        record_bytes: counts.bytes,
+        records: counts.records,
+        maintained,
+    }
+}
+
+/// Creates one more wave for the instances that the first one passed over.
+fn follow_up(site: &mut VirtualSite) {
+    let waves = site.fleet.waves();
+    let (first, second) = (WaveName::from("bench"), WaveName::from("bench-2"));
+    let passed_over = waves.wave(&first).map(|wave| &wave.failed);
+    let instances: BTreeSet<_> = passed_over
+        .into_iter()
+        .flat_map(|failed| failed.keys().cloned())
+        .collect();
+    if instances.is_empty() || waves.wave(&second).is_some() {
+        return;
+    }
+    let record = WaveRecord::Created {
+        presumes: waves.version(),
+        wave: second,
+        instances,
+        operator: String::from("bench"),
+    };
+    site.append(2, record.into()).expect("no wave covers them");
+}
+
+fn set_dead(site: &mut VirtualSite, trace: &Trace, at_ms: u64) {
+    let dead = trace.dead(at_ms);
+    for (name, machine) in &mut site.machines {
+        machine.dead = dead.contains(name);
+    }
+}
+
+/// Returns a site's settings with room for as many instances in maintenance in each pool, made by
+/// lowering or raising the promises.
+#[must_use]
+pub fn with_room(document: &Value, room: u32) -> Value {
+    let mut document = document.clone();
+    let services = document["services"]
+        .as_object()
+        .cloned()
+        .unwrap_or_default();
+    for (name, service) in services {
+        let pool = service["pool"].as_str().unwrap_or_default();
+        let size = document["pools"][pool]["instances"]
+            .as_array()
+            .map_or(0, Vec::len);
+        let promised = size.saturating_sub(1 + room as usize).max(1);
+        document["services"][&name]["contract"]["promised_instances"] = json!(promised);
+    }
+    document
+}
--- a/crates/cyclamentrail-core/src/capacity.rs
+++ b/crates/cyclamentrail-core/src/capacity.rs
@@ -147,6 +147,20 @@
         i64::from(self.available) - i64::from(self.worst()) - i64::from(self.promised)
     }
 
+    /// Returns the smallest number of instances that the contract needs beyond the promise, when
+    /// those that are kept are chosen well; the rest is free to be lent or given back.
+    #[must_use]
+    pub fn reserve(&self) -> u32 {
+        let extra = self.available.saturating_sub(self.promised);
+        let kept = |reserve: u32| -> u32 {
+            let counts = self.domains.values();
+            counts.map(|&count| count.min(reserve)).sum()
+        };
+        (0..extra)
+            .find(|&reserve| kept(reserve) >= self.promised + reserve)
+            .unwrap_or(extra)
+    }
+
     /// Returns how many instances are missing for the promise right now.
     #[must_use]
     pub const fn shortfall(&self) -> u32 {
@@ -214,15 +228,8 @@
     }
 
     fn count(&mut self, name: &InstanceName, instance: &Instance, lost: bool) {
-        let cause = match &instance.state {
-            _ if lost => Some(Cause::Lost),
-            InstanceState::Serving => None,
-            InstanceState::Draining { reason, .. } | InstanceState::Drained { reason } => {
-                Some(Cause::from(reason))
-            }
-        };
         let pool = self.pools.entry(instance.pool.clone()).or_default();
-        match cause {
+        match cause_of(instance, lost) {
             Some(cause) => *pool.out.entry(cause).or_default() += 1,
             None => self.put(name, &instance.pool),
         }
@@ -317,6 +324,35 @@
     }
 }
 
+/// Returns how many instances work in each pool and how many don't, without their places.
+pub(crate) fn count_pools<'a>(
+    settings: &Settings,
+    instances: impl Iterator<Item = (&'a InstanceName, &'a Instance)>,
+    is_lost: impl Fn(&InstanceName) -> bool,
+) -> BTreeMap<PoolName, PoolCapacity> {
+    let mut pools = promises(settings);
+    for (name, instance) in instances {
+        if let Some(pool) = pools.get_mut(&instance.pool) {
+            match cause_of(instance, is_lost(name)) {
+                Some(cause) => *pool.out.entry(cause).or_default() += 1,
+                None => pool.available += 1,
+            }
+        }
+    }
+    pools
+}
+
+/// Returns why an instance doesn't work for its pool.
+fn cause_of(instance: &Instance, lost: bool) -> Option<Cause> {
+    match &instance.state {
+        _ if lost => Some(Cause::Lost),
+        InstanceState::Serving => None,
+        InstanceState::Draining { reason, .. } | InstanceState::Drained { reason } => {
+            Some(Cause::from(reason))
+        }
+    }
+}
+
 fn promises(settings: &Settings) -> BTreeMap<PoolName, PoolCapacity> {
     let mut pools: BTreeMap<PoolName, PoolCapacity> = BTreeMap::new();
     for (name, pool) in &settings.pools {
--- a/crates/cyclamentrail-core/src/settings/contract.rs
+++ b/crates/cyclamentrail-core/src/settings/contract.rs
@@ -55,6 +55,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[schemars(with = "u64")]
     pub return_timeout_ms: Duration,
+    /// Time in milliseconds after which a wave passes over an instance that stays away.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(with = "u64")]
+    pub pass_over_after_ms: Duration,
     /// Time in milliseconds for which a returned instance must work before it counts as done.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[schemars(with = "u64")]
@@ -81,6 +85,7 @@
     fn default() -> Self {
         Self {
             return_timeout_ms: Duration::from_mins(10),
+            pass_over_after_ms: Duration::from_hours(1),
             probation_ms: Duration::from_secs(10),
             lost_after_ms: Duration::from_secs(5),
             halt_failures: 2,
--- a/crates/cyclamentrail-core/src/wave.rs
+++ b/crates/cyclamentrail-core/src/wave.rs
@@ -154,8 +154,8 @@
     ) {
         self.accounts.charge(clock_ms);
         let lost = |name: &InstanceName| self.lost.contains_key(name);
-        let capacity = crate::capacity::Capacity::new(settings, instances, lost);
-        for pool in capacity.pools().values() {
+        let pools = crate::capacity::count_pools(settings, instances, lost);
+        for pool in pools.values() {
             let shortfall = pool.shortfall();
             for service in &pool.services {
                 let contract = &settings.services[service].contract;
--- a/crates/cyclamentrail-core/src/wave/runner.rs
+++ b/crates/cyclamentrail-core/src/wave/runner.rs
@@ -87,6 +87,7 @@
     Unwell,
     Well,
     Rebooting,
+    Away,
     Unfit,
     Short,
     Surplus,
--- a/crates/cyclamentrail-core/src/wave/runner/advance.rs
+++ b/crates/cyclamentrail-core/src/wave/runner/advance.rs
@@ -45,7 +45,7 @@
     ) {
         let waves = input.fleet.waves();
         let may_take = |name: &InstanceName| {
-            let seen = input.seen.get(name).is_some_and(|seen| !seen.leaving);
+            let seen = input.seen.get(name).is_some_and(Seen::is_well);
             let serves = input
                 .fleet
                 .instance(name)
@@ -66,12 +66,12 @@
 
     /// Passes over pending instances that have been gone, or kept by a leave, for too long.
     fn skip_gone(&mut self, input: &WaveInput<'_>, wave: &Wave, advance: &mut Advance) {
-        let timeout_ms = millis(limits(input.fleet).return_timeout_ms);
+        let timeout_ms = millis(limits(input.fleet).pass_over_after_ms);
         for name in &wave.pending {
-            let listed = input.seen.get(name).is_some_and(|seen| !seen.leaving);
+            let is_well = input.seen.get(name).is_some_and(Seen::is_well);
             let known = input.fleet.instance(name).is_some();
-            let gone_ms = self.held_ms(input, instance_thing(name), Mark::Unfit, !listed);
-            if !known || (!listed && gone_ms >= timeout_ms) {
+            let gone_ms = self.held_ms(input, instance_thing(name), Mark::Away, !is_well);
+            if !known || (!is_well && gone_ms >= timeout_ms) {
                 advance.failed.insert(name.clone(), FailureKind::Gone);
             }
         }
--- a/crates/cyclamentrail-standin/src/virtual_site.rs
+++ b/crates/cyclamentrail-standin/src/virtual_site.rs
@@ -392,11 +392,7 @@
             broken |= shortfall > 0;
             self.counts.missing_instance_ms += shortfall * step_ms;
             let extra = pool.available.saturating_sub(pool.promised);
-            let reserved = if pool.spare && settings.cost_weights.lends_wave_room() {
-                extra.min(pool.worst())
-            } else {
-                extra
-            };
+            let reserved = if pool.spare { pool.reserve() } else { extra };
             self.counts.buffer_instance_ms += u64::from(reserved) * step_ms;
         }
         if broken {
