--- a/crates/cyclamentrail-core/src/record.rs
+++ b/crates/cyclamentrail-core/src/record.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use thiserror::Error;
@@ -18,6 +19,9 @@
 /// Newest record format that this build writes and understands.
 pub const FORMAT: u16 = 1;
 
+/// Levels of lists and maps that a message may hold inside one another.
+const MAX_DEPTH: usize = 256;
+
 /// One agreed fact, or an attempt at one: the fold decides.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Record {
@@ -188,9 +192,9 @@
 /// Returns [`CodecError::Malformed`] when the bytes are no record.
 pub fn decode_record(bytes: &[u8]) -> Result<Record, CodecError> {
     let envelope: Envelope =
-        rmp_serde::from_slice(bytes).map_err(|error| CodecError::Malformed(error.to_string()))?;
+        decode(bytes).map_err(|error| CodecError::Malformed(error.to_string()))?;
     let body = (envelope.format <= FORMAT)
-        .then(|| rmp_serde::from_slice(&envelope.body).ok())
+        .then(|| decode(&envelope.body).ok())
         .flatten();
     Ok(Record {
         format: envelope.format,
@@ -198,3 +202,10 @@
         body,
     })
 }
+
+/// Decodes bytes that come from outside, however deeply they nest.
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, rmp_serde::decode::Error> {
+    let mut deserializer = rmp_serde::Deserializer::from_read_ref(bytes);
+    deserializer.set_max_depth(MAX_DEPTH);
+    T::deserialize(&mut deserializer)
+}
--- a/crates/cyclamentrail-core/tests/fold.rs
+++ b/crates/cyclamentrail-core/tests/fold.rs
@@ -5,7 +5,7 @@
     decode_record, encode_record,
 };
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{Value, json};
 
 #[path = "fold/history.rs"]
 mod history;
@@ -251,7 +251,7 @@
 #[test]
 fn shortened_lease() {
     let mut history = History::with_members(&[1, 2, 3]);
-    let patch = json!({"control": {"dispatch_lease_ms": 1}});
+    let patch = json!({"control": {"dispatch_lease_ms": 1000}});
     assert_eq!(history.write(1, change(1, patch)), Applied::Accepted);
     assert_eq!(history.evict(1, 3, &[1, 2]), Applied::Accepted);
     assert_eq!(history.fleet.fenced_until_ms(), 2 * LEASE_MS);
@@ -272,10 +272,17 @@
     );
 }
 
+fn without_w1() -> Value {
+    json!({
+        "zones": {"za": {"racks": {"r1": ["w2", "w3"]}}},
+        "pools": {"a": {"instances": []}},
+    })
+}
+
 #[test]
 fn dropped_instance() {
     let mut history = History::with_members(&[1, 2]);
-    let patch = json!({"pools": {"a": {"instances": []}}});
+    let patch = without_w1();
     assert!(rejected(&history.write(1, change(1, patch.clone()))));
     history.drain(&[1, 2]);
     assert_eq!(history.write(1, change(1, patch)), Applied::Accepted);
@@ -288,9 +295,11 @@
     assert_eq!(history.evict(1, 3, &[1, 2]), Applied::Accepted);
     history.drain(&[1, 2]);
     let version = history.instance().version;
-    let without = json!({"pools": {"a": {"instances": []}}});
-    assert_eq!(history.write(1, change(1, without)), Applied::Accepted);
-    let again = json!({"pools": {"b": {"instances": ["w1", "w2"]}}});
+    assert_eq!(history.write(1, change(1, without_w1())), Applied::Accepted);
+    let again = json!({
+        "zones": {"za": {"racks": {"r1": ["w1", "w2", "w3"]}}},
+        "pools": {"b": {"instances": ["w1", "w2"]}},
+    });
     assert_eq!(history.write(1, change(2, again)), Applied::Accepted);
     assert!(history.instance().version > version);
     assert!(history.instance().needs_boot);
--- a/crates/cyclamentrail-core/tests/fold/history.rs
+++ b/crates/cyclamentrail-core/tests/fold/history.rs
@@ -162,11 +162,11 @@
         },
         "services": {},
         "cost_weights": {"buffer": 1.0, "roll_out": 1.0, "moves": 1.0},
-        "entries": {"e1": {
+        "entries": {"entry": {
             "zone": "za",
-            "caller_address": "127.0.0.1:0",
-            "peer_address": "127.0.0.1:0",
-            "operator_address": "127.0.0.1:0",
+            "caller_address": "127.0.0.1:1",
+            "peer_address": "127.0.0.1:2",
+            "operator_address": "127.0.0.1:3",
         }},
         "control": {"dispatch_lease_ms": LEASE_MS},
     });
--- a/crates/cyclamentrail-spec/src/eviction.rs
+++ b/crates/cyclamentrail-spec/src/eviction.rs
@@ -307,7 +307,7 @@
         let view = self.view(state);
         let members: Vec<Incarnation> = view.members().map(|(member, _)| member).collect();
         let until_ms = state.permits[usize::from(EVICTED)].valid_until_ms(&members);
-        u64::from(state.clock) < until_ms
+        state.clock_ms() < until_ms
     }
 }
 
@@ -319,6 +319,10 @@
 }
 
 impl EvictionState {
+    fn clock_ms(&self) -> u64 {
+        u64::from(self.clock) * site::TICK_MS
+    }
+
     fn has_promised(&self, entry: u8) -> bool {
         !self.permits[usize::from(entry)].may_confirm(incarnation(EVICTED))
     }
@@ -356,7 +360,7 @@
     type Action = EvictionAction;
 
     fn start(&self) -> EvictionState {
-        let permit = |entry| Permit::new(incarnation(entry), u64::from(LEASE));
+        let permit = |entry| Permit::new(incarnation(entry), u64::from(LEASE) * site::TICK_MS);
         EvictionState {
             log: Vec::new(),
             now: 0,
@@ -408,12 +412,12 @@
             }
             EvictionAction::Read => state.view += 1,
             EvictionAction::ConfirmLog => {
-                let clock_ms = u64::from(state.clock);
+                let clock_ms = state.clock_ms();
                 state.evicted_permit().confirm_log(clock_ms);
                 state.confirmed = state.clock + 1;
             }
             EvictionAction::ConfirmPeer => {
-                let clock_ms = u64::from(state.clock);
+                let clock_ms = state.clock_ms();
                 state
                     .evicted_permit()
                     .confirm_peer(incarnation(WITNESS), clock_ms);
--- a/crates/cyclamentrail-spec/src/fault.rs
+++ b/crates/cyclamentrail-spec/src/fault.rs
@@ -20,6 +20,8 @@
     NoWitnesses,
     /// An evicted entry counts as one that stopped in order: no fence and no new boot.
     NoBootRule,
+    /// An eviction needs witnesses among the newest members only.
+    NoMemberSets,
     /// An entry takes over the agreed state of a peer that is behind its own.
     NoOrder,
 }
--- a/crates/cyclamentrail-spec/src/folds.rs
+++ b/crates/cyclamentrail-spec/src/folds.rs
@@ -74,7 +74,7 @@
     fn feed(&self, fleet: &mut Fleet, logged: Logged) -> bool {
         let mut record = logged.record();
         self.alter(fleet, &mut record);
-        let at_ms = u64::from(logged.at);
+        let at_ms = u64::from(logged.at) * site::TICK_MS;
         let applied = fleet.apply(fleet.next_offset(), at_ms, &record);
         if self.fault == Some(Fault::NoBarrier) {
             release_all(fleet, at_ms);
@@ -87,7 +87,7 @@
             Some(Fault::NoIdCheck) => renew_id(fleet, record),
             Some(Fault::NoVersionCheck) => presume_current(fleet, record),
             Some(Fault::NoTermCheck) => presume_term(fleet, record),
-            Some(Fault::NoBootRule) => stop_evicted(record),
+            Some(Fault::NoBootRule | Fault::NoMemberSets) => stop_evicted(record),
             _ => {}
         }
     }
--- a/crates/cyclamentrail-spec/src/lib.rs
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -21,6 +21,7 @@
 mod fact;
 mod fault;
 mod folds;
+mod membership;
 mod site;
 
 pub use barrier::{BarrierAction, BarrierModel, BarrierState};
@@ -31,3 +32,4 @@
 pub use explore::{Model, Report, Trace, Violation, explore};
 pub use fact::{Fact, Logged, Pool};
 pub use fault::Fault;
+pub use membership::{MembershipAction, MembershipModel, MembershipState};
--- a/crates/cyclamentrail-spec/src/site.rs
+++ b/crates/cyclamentrail-spec/src/site.rs
@@ -16,6 +16,9 @@
 /// Sequence numbers that the start takes from the entries.
 pub(crate) const START_SEQUENCE: u8 = 2;
 
+/// Milliseconds of one tick of the models' clocks.
+pub(crate) const TICK_MS: u64 = 10;
+
 /// Returns the only instance.
 pub(crate) fn instance() -> InstanceName {
     InstanceName::from("w")
@@ -65,8 +68,17 @@
         "pools": {"a": {"instances": ["w"]}, "b": {"instances": []}},
         "services": {},
         "cost_weights": {"buffer": 1.0, "roll_out": 1.0, "moves": 1.0},
-        "entries": {},
-        "control": {"dispatch_lease_ms": lease},
+        "entries": {"entry-0": {
+            "zone": "z",
+            "caller_address": "127.0.0.1:1",
+            "peer_address": "127.0.0.1:2",
+            "operator_address": "127.0.0.1:3",
+        }},
+        "control": {
+            "heartbeat_ms": 1,
+            "append_delay_ms": 1,
+            "dispatch_lease_ms": u64::from(lease) * TICK_MS,
+        },
     });
     merge_documents(base, &site)
 }
--- /dev/null
+++ b/crates/cyclamentrail-spec/tests/membership.rs
@@ -0,0 +1,18 @@
+//! Member sets that an evicted entry may still hold.
+
+use cyclamentrail_spec::{Fault, MembershipModel, explore};
+
+#[test]
+fn holds() {
+    let report = explore(&MembershipModel::new(4));
+    println!("{report}");
+    assert!(report.violation.is_none(), "{report}");
+}
+
+#[test]
+fn finds_newcomers() {
+    let report = explore(&MembershipModel::new(4).fault(Fault::NoMemberSets));
+    println!("{report}");
+    let trace = report.violation.expect("a violation");
+    assert_eq!(trace.steps.len(), 2, "{trace}");
+}
