--- a/crates/cyclamentrail/src/control/actor/submit.rs
+++ b/crates/cyclamentrail/src/control/actor/submit.rs
@@ -18,7 +18,7 @@
         self.sequence += 1;
         let id = RecordId::new(self.parts.identity.incarnation, self.sequence);
         let record = Record {
-            format: FORMAT,
+            format: FORMAT.min(self.fleet.agreed_format()),
             id,
             body: Some(body),
         };
