--- a/crates/cyclamentrail-core/src/fleet/fold.rs
+++ b/crates/cyclamentrail-core/src/fleet/fold.rs
@@ -25,6 +25,9 @@
         let folded = self
             .advance(offset, appended_ms)
             .and_then(|()| self.fold(offset, record));
+        if changes_capacity(record) {
+            self.settle_accounts();
+        }
         match folded {
             Ok(()) => Applied::Accepted,
             Err(kind) => Applied::Rejected(Rejection {
@@ -34,6 +37,14 @@
         }
     }
 
+    fn settle_accounts(&mut self) {
+        if let Some(accepted) = &self.settings {
+            let settings = Arc::clone(&accepted.settings);
+            self.waves
+                .settle(self.clock_ms, &settings, self.instances.iter());
+        }
+    }
+
     /// Passes over a record that can't be decoded; every entry passes over it alike.
     ///
     /// # Errors
@@ -213,3 +224,10 @@
         Ok(())
     }
 }
+
+const fn changes_capacity(record: &Record) -> bool {
+    !matches!(
+        record.body,
+        None | Some(RecordBody::Claim(_) | RecordBody::Job(_) | RecordBody::EntryJoined { .. })
+    )
+}
--- a/crates/cyclamentrail-core/src/fleet/instances.rs
+++ b/crates/cyclamentrail-core/src/fleet/instances.rs
@@ -179,6 +179,7 @@
         instance.change(clock_ms);
         instance.pool = pool.clone();
         instance.state = InstanceState::Serving;
+        self.waves.assigned(name, pool, clock_ms);
         Ok(())
     }
 
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -13,7 +13,9 @@
 //! ```
 
 mod admit;
+mod capacity;
 mod claim;
+mod contract;
 mod eject;
 mod fleet;
 mod heartbeat;
@@ -23,6 +25,7 @@
 mod name;
 mod outcome;
 mod permit;
+mod plan;
 mod record;
 mod registry;
 mod retry;
@@ -33,11 +36,15 @@
 mod wave;
 
 pub use admit::{Admission, AdmitLimits, Ask, Pace, Queued, Refusal, RequestClass, Ticket, Turn};
+pub use capacity::{
+    Blocked, Capacity, DomainName, PoolCapacity, PoolStory, ServiceStory, explain_pools,
+};
 pub use claim::{
     CLAIM_WINDOW_MS, Claim, ClaimLook, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody,
     KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, MAX_TICKETS, NotATicket, RequestDigest,
     TICKET_MEMORY_MS, TicketBook, TicketId, TicketLook,
 };
+pub use contract::{Account, Accounts, Cause, Spent};
 pub use eject::{Health, HealthChange, Intake, TryResult, may_eject};
 pub use fleet::{
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
@@ -51,10 +58,12 @@
 pub use job::{JobRecord, Jobs};
 pub use membership::{Eviction, Membership, MembershipTiming, PeerStatus};
 pub use name::{
-    EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, ZoneName,
+    EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, WaveName,
+    ZoneName,
 };
 pub use outcome::{Ending, NotRunReason, Outcome, UnknownReason};
 pub use permit::{Permit, can_evict, is_majority};
+pub use plan::{Plan, PlanInput, PlanMethod, PlannedMove, plan};
 pub use record::{
     CodecError, DrainReason, FIRST_FORMAT, FORMAT, LeaveReason, Record, RecordBody, decode_record,
     encode_record,
@@ -64,10 +73,14 @@
 pub use route::{Candidate, Choice, Pool, ZONE_PENALTY, choose};
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
-    Fault, JobSettings, LoadError, LogLevel, LogSettings, PlatformSettings, PoolSettings,
-    RequestSettings, SecretSource, ServiceSettings, Settings, StopSettings, WorkerShape,
-    ZoneSettings, load_settings, merge_documents, settings_schema,
+    Fault, JobSettings, LoadError, LogLevel, LogSettings, MaintenanceSettings, PlatformSettings,
+    PoolSettings, RequestSettings, SecretSource, ServiceSettings, Settings, StopSettings,
+    WorkerShape, ZoneSettings, load_settings, merge_documents, settings_schema,
 };
 pub use share::{HomeRing, LinkLimits, LinkState, Share, stall_us, sure_slots};
 pub use snapshot::{MAX_SNAPSHOT_BYTES, SnapshotError, decode_snapshot, encode_snapshot};
-pub use wave::{WaveRecord, Waves};
+pub use wave::{
+    Advance, Failure, FailureKind, InstanceStory, LossKind, MoveOrder, MoveReason, Moved, OpenStep,
+    Seen, Wave, WaveAction, WaveControl, WaveInput, WaveRecord, WaveRunner, WaveState, WaveStory,
+    Waves, explain_instance, explain_wave,
+};
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -20,6 +20,7 @@
 mod changes;
 mod entries;
 mod jobs;
+mod pools;
 mod requests;
 mod waves;
 
@@ -59,6 +60,7 @@
         .merge(changes::router())
         .merge(entries::router())
         .merge(waves::router())
+        .merge(pools::router())
         .merge(jobs::router())
         .merge(requests::router())
         .layer(middleware::from_fn_with_state(
