--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -7,7 +7,7 @@
 use cyclamentrail_platform::ReadAnswer;
 
 use super::{Actor, Standing};
-use crate::clock;
+use crate::{clock, metrics};
 
 impl Actor {
     /// Takes an answer of the log.
@@ -92,6 +92,14 @@
         };
         let applied = self.fleet.apply(offset, appended_ms, &record);
         self.view_stale |= applied == Applied::Accepted && changes_view(record.body.as_ref());
+        metrics::count_record(matches!(applied, Applied::Accepted));
+        let version = self.fleet.settings().map(|accepted| accepted.version);
+        self.parts.shared.changes().note(
+            (offset, appended_ms),
+            record.body.as_ref(),
+            &applied,
+            version.unwrap_or_default(),
+        );
         if let Applied::Rejected(rejection) = &applied {
             log::info!(offset:% = offset, author:% = record.id.author, reason:% = rejection.kind; "record_rejected");
         }
--- a/crates/cyclamentrail/src/entry.rs
+++ b/crates/cyclamentrail/src/entry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cyclamentrail_core::{
-    EntryName, LoadError, Offset, SecretSource, Settings, ZoneName, load_settings,
+    EntryName, LoadError, Offset, SecretSource, Settings, Version, ZoneName, load_settings,
 };
 use serde_json::Value;
 use thiserror::Error;
@@ -19,14 +19,16 @@
 };
 use crate::operator::Operator;
 use crate::peer::PeerClient;
-use crate::peer::claims::ClaimClient;
+use crate::serve::Audience;
 use crate::timer::Timer;
 use crate::traffic::Traffic;
 use crate::view::SharedView;
-use crate::{operator, peer, serve, traffic};
+use crate::{metrics, operator, peer, serve, traffic};
 
 /// Interval between two looks at drains.
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// Interval between two upkeeps of the metrics.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
 /// Parts of the dispatch lease: one long poll of the log takes at most one.
 const POLLS_PER_LEASE: u32 = 4;
 /// Parts of the dispatch lease: one call of a peer takes at most one.
@@ -100,6 +102,7 @@
     /// Returns why the entry can't start; nothing is left running then.
     pub async fn start(document: Value, options: EntryOptions) -> Result<Self, EntryError> {
         let settings = Arc::new(load_settings(&document)?);
+        metrics::install();
         let token: Arc<str> = Arc::from(read_secret(&settings.token)?);
         let callers = bind(options.caller_address).await?;
         let peers = bind(options.peer_address).await?;
@@ -123,6 +126,18 @@
         let peer_address = address_of(&peers)?;
         let operator_address = address_of(&operators)?;
 
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .map_err(|source| io_error("the traffic threads", source))?;
+        let callers_state = Arc::new(Traffic::new(
+            Arc::clone(&shared),
+            control.clone(),
+            &token,
+            incarnation,
+            runtime.handle().clone(),
+        ));
         let (end_control, control_end) = oneshot::channel();
         let parts = ControlParts {
             identity,
@@ -131,6 +146,7 @@
             shared: Arc::clone(&shared),
             control: control.clone(),
             operator,
+            callers: Arc::clone(&callers_state),
         };
         let peers = into_std(peers)?;
         let operators = into_std(operators)?;
@@ -139,24 +155,13 @@
             .spawn(move || run_control(parts, messages, peers, operators, control_end))
             .map_err(|source| io_error("the control thread", source))?;
 
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .thread_name("traffic")
-            .enable_all()
-            .build()
-            .map_err(|source| io_error("the traffic threads", source))?;
-        let callers_state = Arc::new(Traffic::new(
-            Arc::clone(&shared),
-            control.clone(),
-            ClaimClient::new(token),
-            incarnation,
-        ));
         let router = traffic::router(Arc::clone(&callers_state));
         let (ended, traffic_ended) = oneshot::channel();
         let limits = settings.caller_limits.clone();
         let callers = into_std(callers)?;
         runtime.spawn(async move {
             if let Ok(callers) = TcpListener::from_std(callers) {
-                serve::serve(callers, router, limits, stopped).await;
+                serve::serve(Audience::Callers, callers, router, limits, stopped).await;
             }
             ended.send(()).unwrap_or_default();
         });
@@ -199,6 +204,18 @@
         self.shared.may_dispatch()
     }
 
+    /// Returns the settings in force, or `None` before the first.
+    #[must_use]
+    pub fn settings(&self) -> Option<Arc<Settings>> {
+        self.shared.load().settings.clone()
+    }
+
+    /// Returns the version of the settings in force.
+    #[must_use]
+    pub fn settings_version(&self) -> Version {
+        self.shared.load().settings_version
+    }
+
     /// Stops in order: turns unready, lets the balancer see it, takes no new connections, lets the
     /// requests in flight end, then leaves.
     pub async fn stop(mut self) {
@@ -253,6 +270,7 @@
     shared: Arc<SharedView>,
     control: ControlHandle,
     operator: Operator,
+    callers: Arc<Traffic>,
 }
 
 fn run_control(
@@ -274,6 +292,7 @@
     };
     runtime.block_on(async move {
         let timer = Timer::start();
+        tokio::spawn(metrics::keep_up(timer.every(METRICS_UPKEEP)));
         let settings = &parts.settings;
         let control_settings = &settings.control;
         let platform = PlatformClient::new(
@@ -321,14 +340,28 @@
         let list_ticks = timer.every(control_settings.list_interval_ms);
         tokio::spawn(poll_list(platform, parts.control.clone(), list_ticks));
         let (_keep_open, never) = watch::channel(false);
-        for (listener, router) in [
-            (peers, peer::router(parts.operator.clone())),
-            (operators, operator::router(parts.operator.clone())),
+        for (audience, listener, router) in [
+            (
+                Audience::Peers,
+                peers,
+                peer::router(parts.operator.clone(), parts.callers),
+            ),
+            (
+                Audience::Operators,
+                operators,
+                operator::router(parts.operator.clone()),
+            ),
         ] {
             match TcpListener::from_std(listener) {
                 Ok(listener) => {
                     let limits = settings.caller_limits.clone();
-                    tokio::spawn(serve::serve(listener, router, limits, never.clone()));
+                    tokio::spawn(serve::serve(
+                        audience,
+                        listener,
+                        router,
+                        limits,
+                        never.clone(),
+                    ));
                 }
                 Err(error) => log::error!(error:% = error; "listener_not_started"),
             }
--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -9,23 +9,26 @@
 use axum::http::header::CONNECTION;
 use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::Response;
-use axum::routing::{any, get};
-use cyclamentrail_core::{Ending, Incarnation, NotRunReason, ServiceName};
+use axum::routing::{any, get, post};
+use cyclamentrail_core::{Ending, Incarnation, NotRunReason, ServiceName, UnknownReason};
+use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::answer::pass_on;
 use super::call::{Call, call_of};
-use super::claims::{Keyed, key_of, run_once};
+use super::claims::{Key, Keyed, key_of, run_once};
 use super::dispatch::dispatch;
 use super::forward::{BodyLimits, forward};
 use super::jobs;
 use super::request::Outgoing;
+use super::tickets::{TicketPlace, Tickets, mint, run_ticket};
 use crate::body::problem;
 use crate::control::ControlHandle;
-use crate::headers;
 use crate::peer::claims::ClaimClient;
+use crate::peer::tickets::TicketClient;
 use crate::view::{ServiceRoute, SharedView, View};
+use crate::{headers, metrics};
 
 /// What the callers' listener shares between requests.
 #[derive(Debug)]
@@ -36,6 +39,9 @@
     incarnation: Incarnation,
     sequence: AtomicU64,
     detached: watch::Sender<u32>,
+    tickets: Arc<Tickets>,
+    passer: TicketClient,
+    runtime: Handle,
 }
 
 /// A request on its way, with what it needs until its answer.
@@ -60,17 +66,21 @@
 }
 
 impl Traffic {
-    /// Creates the state of the listener.
+    /// Creates the state of the listener, whose requests run on `runtime`.
     pub(crate) fn new(
         shared: Arc<SharedView>,
         control: ControlHandle,
-        peers: ClaimClient,
+        token: &Arc<str>,
         incarnation: Incarnation,
+        runtime: Handle,
     ) -> Self {
         Self {
             shared,
             control,
-            peers,
+            peers: ClaimClient::new(Arc::clone(token)),
+            passer: TicketClient::new(Arc::clone(token)),
+            tickets: Arc::new(Tickets::new()),
+            runtime,
             incarnation,
             sequence: AtomicU64::new(0),
             detached: watch::Sender::new(0),
@@ -92,6 +102,16 @@
         &self.peers
     }
 
+    /// Returns the tickets that this entry minted.
+    pub(crate) const fn tickets(&self) -> &Arc<Tickets> {
+        &self.tickets
+    }
+
+    /// Returns the runtime of the traffic threads.
+    pub(crate) const fn runtime(&self) -> &Handle {
+        &self.runtime
+    }
+
     /// Holds back the end of a planned stop.
     pub(crate) fn hold_stop(&self) -> StopHold {
         self.detached.send_modify(|count| *count += 1);
@@ -110,20 +130,11 @@
     }
 }
 
-impl Routed {
-    /// Returns how long to wait for the log when it can't be reached.
-    pub(crate) fn log_backoff(&self) -> Duration {
-        let settings = self.view.settings.as_ref();
-        settings.map_or(Duration::ZERO, |settings| {
-            settings.control.platform_timeout_ms
-        })
-    }
-}
-
 /// Returns the routes of the callers' listener.
 pub(crate) fn router(traffic: Arc<Traffic>) -> Router {
     Router::new()
         .route("/ready", get(ready))
+        .route("/v1/tickets", post(mint))
         .route("/v1/services/{service}/{*path}", any(serve_request))
         .merge(jobs::router())
         .with_state(traffic)
@@ -142,9 +153,17 @@
     Path((service, _path)): Path<(ServiceName, String)>,
     request: Request,
 ) -> Response {
+    serve(&traffic, service, request).await
+}
+
+async fn serve(traffic: &Arc<Traffic>, service: ServiceName, request: Request) -> Response {
     let request_id = traffic.next_request_id();
-    let ended = try_request(&traffic, &service, request, &request_id).await;
+    let arrived = Instant::now();
+    let ended = try_request(traffic, &service, request, &request_id).await;
+    let known = traffic.shared.load().services.contains_key(&service);
+    let label = known.then(|| service.clone());
     let mut response = ended.unwrap_or_else(|ending| explain(ending, &service, request_id));
+    metrics::count_request(label.as_ref(), response.headers(), arrived.elapsed());
     if traffic.shared.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -177,7 +196,13 @@
         let dispatched = dispatch(&traffic.shared, route, &call, &mut outgoing).await?;
         return pass_on(dispatched, request_id, deadline).await;
     };
-    let keyed = Keyed::new(key, &outgoing);
+    let Keyed { key, request } = Keyed::new(key, &outgoing);
+    if let Key::Ticket(ticket) = key
+        && let TicketPlace::At(minter) = traffic.place_of(ticket)
+    {
+        let passed = traffic.passer.request(minter, &outgoing, deadline)?;
+        return traffic.passer.pass(minter, passed, deadline).await;
+    }
     let routed = Routed {
         request_id: request_id.to_owned(),
         view: Arc::clone(&view),
@@ -186,7 +211,26 @@
         call,
         deadline,
     };
-    run_once(traffic, keyed, routed).await
+    match key {
+        Key::Claimed(key) => run_once(traffic, key, request, routed).await,
+        Key::Ticket(ticket) => run_ticket(traffic, ticket, request, routed).await,
+    }
+}
+
+/// Serves a request with a ticket that another entry passed on.
+pub(crate) async fn serve_ticket(
+    traffic: Arc<Traffic>,
+    service: ServiceName,
+    request: Request,
+) -> Response {
+    let key = key_of(request.method(), request.headers(), &service);
+    let is_here = matches!(key, Ok(Some(Key::Ticket(ticket)))
+        if traffic.place_of(ticket) == TicketPlace::Here);
+    if !is_here {
+        let request_id = traffic.next_request_id();
+        return explain(UnknownReason::OwnerGone.into(), &service, request_id);
+    }
+    serve(&traffic, service, request).await
 }
 
 fn deadline_of(headers: &HeaderMap, route: &ServiceRoute, longest: Duration) -> Duration {
--- a/crates/cyclamentrail/src/view.rs
+++ b/crates/cyclamentrail/src/view.rs
@@ -1,15 +1,17 @@
 //! The immutable view that control publishes and traffic routes from.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use cyclamentrail_core::{
-    AdmitLimits, RequestSettings, ServiceName, ServiceSettings, Settings, Version,
+    AdmitLimits, Incarnation, RequestSettings, ServiceName, ServiceSettings, Settings, Version,
 };
 
+use crate::change_journal::ChangeJournal;
 use crate::clock;
 use crate::traffic::{Gate, Journal, Link};
 
@@ -20,6 +22,10 @@
     pub(crate) settings_version: Version,
     /// Settings in force; `None` before the first.
     pub(crate) settings: Option<Arc<Settings>>,
+    /// This process, as the other entries know it.
+    pub(crate) own: Incarnation,
+    /// Addresses of the members' listeners for peers.
+    pub(crate) members: BTreeMap<Incarnation, SocketAddr>,
     /// Routes of the services.
     pub(crate) services: BTreeMap<ServiceName, Arc<ServiceRoute>>,
 }
@@ -78,12 +84,18 @@
 pub(crate) struct SharedView {
     view: ArcSwap<View>,
     permitted_until_ms: AtomicU64,
+    changes: ChangeJournal,
     gates: Mutex<BTreeMap<ServiceName, Arc<Gate>>>,
     journal: Arc<Journal>,
     stopping: AtomicBool,
 }
 
 impl SharedView {
+    /// Returns the journal of settings changes.
+    pub(crate) const fn changes(&self) -> &ChangeJournal {
+        &self.changes
+    }
+
     /// Returns the newest view.
     pub(crate) fn load(&self) -> Arc<View> {
         self.view.load_full()
