--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -91,7 +91,6 @@
             }
         };
         let applied = self.fleet.apply(offset, appended_ms, &record);
-        self.view_stale |= applied == Applied::Accepted && changes_view(record.body.as_ref());
         metrics::count_record(matches!(applied, Applied::Accepted));
         let version = self.fleet.settings().map(|accepted| accepted.version);
         self.parts.shared.changes().note(
@@ -100,6 +99,7 @@
             &applied,
             version.unwrap_or_default(),
         );
+        self.view_stale |= applied == Applied::Accepted && changes_view(record.body.as_ref());
         if let Applied::Rejected(rejection) = &applied {
             log::info!(offset:% = offset, author:% = record.id.author, reason:% = rejection.kind; "record_rejected");
         }
