fix(control): hand the duty on when its holder can't reach the log

Cause: a holder that the peers hear but that is cut off from the log stopped working, and nobody claimed the duty, since nobody suspected it.

Change: heartbeats tell how long ago the log confirmed their sender; a holder without the log for the time after which a silent one is suspected loses the duty to the first member that reaches the log.

--- a/crates/cyclamentrail-core/src/membership.rs
+++ b/crates/cyclamentrail-core/src/membership.rs
@@ -303,13 +303,23 @@
         })
     }
 
-    /// Returns the first member that isn't suspected: it acts when the duty has no holder.
+    /// Returns whether a member can't write to the log, as far as it last said.
+    #[must_use]
+    pub fn is_without_log(&self, member: Incarnation, now_ms: u64) -> bool {
+        self.peers.get(&member).is_some_and(|status| {
+            let silence_ms = self.silence_ms(now_ms);
+            status.log_age_ms.is_some_and(|age_ms| age_ms > silence_ms)
+        })
+    }
+
+    /// Returns the first member that is heard of and reaches the log: it acts when the duty has
+    /// no holder.
     #[must_use]
     pub fn first_live(&self, now_ms: u64) -> Incarnation {
         self.peers
             .keys()
             .copied()
-            .find(|&peer| !self.is_suspected(peer, now_ms))
+            .find(|&peer| !self.is_suspected(peer, now_ms) && !self.is_without_log(peer, now_ms))
             .map_or(self.own, |peer| peer.min(self.own))
     }
 
--- a/crates/cyclamentrail/src/control/actor/duties.rs
+++ b/crates/cyclamentrail/src/control/actor/duties.rs
@@ -33,7 +33,10 @@
             return;
         }
         self.duty = FleetDuty::default();
-        let vacant = holder.is_none_or(|holder| self.membership.is_given_up(holder, now_ms));
+        let vacant = holder.is_none_or(|holder| {
+            self.membership.is_given_up(holder, now_ms)
+                || self.membership.is_without_log(holder, now_ms)
+        });
         if vacant && self.membership.first_live(now_ms) == own {
             self.claim_duty(now_ms);
         } else {
--- a/crates/cyclamentrail/tests/agreement_membership.rs
+++ b/crates/cyclamentrail/tests/agreement_membership.rs
@@ -89,6 +89,29 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn holder_cut_off() -> Result<()> {
+    let mut site = Site::builder().entries(0).instances(4).start().await?;
+    let cut = Forwarder::start(site.log.address("")?).await?;
+    let patch = json!({"platform": {"log_address": cut.address()}});
+    site.start_entry_with("e1", &patch)?;
+    site.wait_ready(0).await?;
+    let first = incarnation(&site, 0).await?;
+    site.wait_state(0, PATIENCE, |state| holder(state) == first)
+        .await?;
+    for (entry, name) in [(1, "e2"), (2, "e3")] {
+        site.start_entry(name)?;
+        site.wait_ready(entry).await?;
+    }
+    cut.set_cut(true);
+    site.wait_state(1, DUTY_DELAY, |state| holder(state) != first)
+        .await?;
+    let answer = site.call(0, "checks", "cut-off").await?;
+    assert_eq!(answer.outcome, "answered");
+    assert!(members(&site.state(1).await?).contains(&first));
+    Ok(())
+}
+
 #[tokio::test]
 async fn last_one_evicts() -> Result<()> {
     let mut site = Site::builder().entries(2).instances(4).start().await?;
