--- a/crates/cyclamentrail-core/src/settings.rs
+++ b/crates/cyclamentrail-core/src/settings.rs
@@ -30,7 +30,7 @@
 mod stop;
 mod validate;
 
-pub use contract::{ContractSettings, CostWeights, FailureDomain};
+pub use contract::{ContractSettings, CostWeights, FailureDomain, MaintenanceSettings};
 pub use control::ControlSettings;
 pub use job::JobSettings;
 pub use load::{Fault, LoadError, load_settings, merge_documents, settings_schema};
@@ -70,6 +70,9 @@
     /// Timing of an entry's planned stop.
     #[serde(default)]
     pub stop: StopSettings,
+    /// Timing and limits of maintenance waves and moves.
+    #[serde(default)]
+    pub maintenance: MaintenanceSettings,
     /// Where the platform's services are.
     pub platform: PlatformSettings,
     /// Source of the token that operators and peers present.
