--- /dev/null
+++ b/crates/cyclamentrail-bench/src/bin/request_cost.rs
@@ -0,0 +1,105 @@
+//! Compares processor time and latency of a request through an entry with a bare pass-through.
+//!
+//! Build the workspace with the same profile first; the rounds of both alternate.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use cyclamentrail_testkit::{Client, Process, Site};
+use hdrhistogram::Histogram;
+use serde_json::json;
+
+/// Rounds of each.
+const ROUNDS: usize = 9;
+/// Requests of a round.
+const REQUESTS: usize = 4_000;
+/// Requests at once.
+const CALLERS: usize = 8;
+/// Position of the user time in `/proc/PID/stat`, after the name of the process.
+const USER_TIME_FIELD: usize = 11;
+
+/// What a round measured.
+#[derive(Debug)]
+struct Round {
+    cpu_ticks: f64,
+    p50_us: f64,
+    p99_us: f64,
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let patch = json!({"control": {"list_interval_ms": 1_000}, "log": {"level": "warn"}});
+    let site = Site::builder()
+        .entries(1)
+        .instances(2)
+        .slots(64)
+        .patch(patch);
+    let site = site.start().await?;
+    let backend = site.backends["w01"].address("")?;
+    let arguments = [String::from("pass"), format!("--to={backend}")];
+    let bare = Process::spawn("cyclamentrail-standin", &arguments, &[])?;
+    let entry = site.entries[0].address("callers")?;
+    let entry_id = site.entries[0].id();
+    measure(entry_id, entry, "/v1/services/checks/work").await?;
+    measure(bare.id(), bare.address("")?, "/checks/work").await?;
+    let mut cpu = Vec::new();
+    let mut p50 = Vec::new();
+    let mut p99 = Vec::new();
+    for _ in 0..ROUNDS {
+        let through = measure(entry_id, entry, "/v1/services/checks/work").await?;
+        let passed = measure(bare.id(), bare.address("")?, "/checks/work").await?;
+        cpu.push(through.cpu_ticks / passed.cpu_ticks);
+        p50.push(through.p50_us / passed.p50_us);
+        p99.push(through.p99_us / passed.p99_us);
+    }
+    println!("| entry to bare pass-through | median | least | most |");
+    println!("|---|---|---|---|");
+    for (name, mut ratios) in [("CPU a request", cpu), ("p50", p50), ("p99", p99)] {
+        ratios.sort_by(f64::total_cmp);
+        let [median, least, most] = [ratios[ROUNDS / 2], ratios[0], ratios[ROUNDS - 1]];
+        println!("| {name} | {median:.2} | {least:.2} | {most:.2} |");
+    }
+    Ok(())
+}
+
+#[expect(clippy::cast_precision_loss, reason = "times are small")]
+async fn measure(process: u32, address: SocketAddr, path: &str) -> Result<Round> {
+    let before = cpu_ticks(process)?;
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        let path = path.to_owned();
+        callers.push(tokio::spawn(async move { call(address, &path).await }));
+    }
+    let mut times: Histogram<u64> = Histogram::new(3)?;
+    for caller in callers {
+        for took in caller.await?? {
+            times.record(u64::try_from(took.as_micros())?)?;
+        }
+    }
+    Ok(Round {
+        cpu_ticks: cpu_ticks(process)? - before,
+        p50_us: times.value_at_quantile(0.5) as f64,
+        p99_us: times.value_at_quantile(0.99) as f64,
+    })
+}
+
+async fn call(address: SocketAddr, path: &str) -> Result<Vec<Duration>> {
+    let client = Client::new();
+    let mut times = Vec::new();
+    for _ in 0..REQUESTS / CALLERS {
+        let started = Instant::now();
+        let answer = client.get(address, path).await?;
+        anyhow::ensure!(answer.status == 200, "{answer:?}");
+        times.push(started.elapsed());
+    }
+    Ok(times)
+}
+
+fn cpu_ticks(process: u32) -> Result<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat"))?;
+    let (_, fields) = stat.rsplit_once(')').context("the process has no name")?;
+    let times = fields.split_whitespace().skip(USER_TIME_FIELD).take(2);
+    let ticks: f64 = times.filter_map(|ticks| ticks.parse::<f64>().ok()).sum();
+    Ok(ticks)
+}
--- a/crates/cyclamentrail-core/tests/route.rs
+++ b/crates/cyclamentrail-core/tests/route.rs
@@ -56,6 +56,7 @@
 
 #[rstest]
 #[case::near_idle(0, 0, true)]
+#[case::near_busier(2, 0, true)]
 #[case::near_loaded(6, 0, false)]
 #[case::both_loaded(6, 6, true)]
 fn prefers_zone(#[case] near_load: u32, #[case] far_load: u32, #[case] stays: bool) {
--- a/crates/cyclamentrail-standin/src/bin/cyclamentrail-standin.rs
+++ b/crates/cyclamentrail-standin/src/bin/cyclamentrail-standin.rs
@@ -4,13 +4,22 @@
 
 use anyhow::{Context, Result, bail};
 use cyclamentrail_core::InstanceName;
-use cyclamentrail_standin::{Backend, ListService, LogService};
+use cyclamentrail_standin::{Backend, ListService, LogService, PassThrough};
 use getopts::Options;
 
 const DEFAULT_SLOTS: u32 = 8;
 
-#[tokio::main(flavor = "current_thread")]
-async fn main() -> Result<()> {
+fn main() -> Result<()> {
+    let is_proxy = std::env::args().nth(1).is_some_and(|role| role == "pass");
+    let mut builder = if is_proxy {
+        tokio::runtime::Builder::new_multi_thread()
+    } else {
+        tokio::runtime::Builder::new_current_thread()
+    };
+    builder.enable_all().build()?.block_on(run())
+}
+
+async fn run() -> Result<()> {
     let mut options = Options::new();
     options.optopt(
         "",
@@ -25,6 +34,7 @@
         "slots of the instance (backend only, default 8)",
         "N",
     );
+    options.optopt("", "to", "backend server (pass-through only)", "IP:PORT");
     let matches = options
         .parse(std::env::args().skip(1))
         .context("reading arguments")?;
@@ -48,9 +58,15 @@
             let service = Backend::start(address, InstanceName::from(name), slots).await?;
             serve_until_killed(service.address()).await;
         }
+        Some("pass") => {
+            let to = matches.opt_str("to").context("a pass-through needs --to")?;
+            let to = to.parse().context("reading --to")?;
+            let service = PassThrough::start(address, to).await?;
+            serve_until_killed(service.address()).await;
+        }
         _ => bail!(
             "{}",
-            options.usage("cyclamentrail-standin log|list|backend [options]")
+            options.usage("cyclamentrail-standin log|list|backend|pass [options]")
         ),
     }
     Ok(())
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -16,6 +16,7 @@
 mod list_service;
 mod log_service;
 mod log_store;
+mod pass_through;
 mod serve;
 
 pub use answers::AnswerKind;
@@ -23,4 +24,5 @@
 pub use list_service::ListService;
 pub use log_service::{LogFault, LogService};
 pub use log_store::LogStore;
+pub use pass_through::PassThrough;
 pub use serve::Served;
