--- a/crates/cyclamentrail-bench/src/lib.rs
+++ b/crates/cyclamentrail-bench/src/lib.rs
@@ -11,6 +11,8 @@
 //! ```
 
 mod bounds;
+mod control;
 pub mod requests;
 
 pub use bounds::{Bound, Bounds, Figure};
+pub use control::{ControlReport, ControlSize, control_day, heartbeat_figures};
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -35,7 +35,8 @@
 pub use admit::{Admission, AdmitLimits, Ask, Pace, Queued, Refusal, RequestClass, Ticket, Turn};
 pub use claim::{
     CLAIM_WINDOW_MS, Claim, ClaimLook, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody,
-    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, RequestDigest,
+    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, MAX_TICKETS, NotATicket, RequestDigest,
+    TICKET_MEMORY_MS, TicketBook, TicketId, TicketLook,
 };
 pub use eject::{Health, HealthChange, Intake, TryResult, may_eject};
 pub use fleet::{
@@ -63,9 +64,9 @@
 pub use route::{Candidate, Choice, Pool, ZONE_PENALTY, choose};
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
-    Fault, JobSettings, LoadError, LogSettings, PlatformSettings, PoolSettings, RequestSettings,
-    SecretSource, ServiceSettings, Settings, StopSettings, WorkerShape, ZoneSettings,
-    load_settings, merge_documents, settings_schema,
+    Fault, JobSettings, LoadError, LogLevel, LogSettings, PlatformSettings, PoolSettings,
+    RequestSettings, SecretSource, ServiceSettings, Settings, StopSettings, WorkerShape,
+    ZoneSettings, load_settings, merge_documents, settings_schema,
 };
 pub use share::{HomeRing, LinkLimits, LinkState, Share, stall_us, sure_slots};
 pub use snapshot::{MAX_SNAPSHOT_BYTES, SnapshotError, decode_snapshot, encode_snapshot};
--- a/crates/cyclamentrail-testkit/src/process.rs
+++ b/crates/cyclamentrail-testkit/src/process.rs
@@ -58,6 +58,36 @@
         self.child.id()
     }
 
+    /// Returns the most memory in KiB that the process ever held.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system doesn't tell.
+    pub fn peak_memory_kib(&self) -> Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .and_then(|rest| rest.split_whitespace().next()?.parse().ok())
+            .context("the system tells no peak of memory")
+    }
+
+    /// Returns the processor time that the process has used, in clock ticks of 10 ms.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system doesn't tell.
+    pub fn processor_ticks(&self) -> Result<u64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let (_, after_name) = stat.rsplit_once(')').context("malformed stat")?;
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        let ticks = |index: usize| -> Option<u64> { fields.get(index)?.parse().ok() };
+        ticks(11)
+            .zip(ticks(12))
+            .map(|(user, system)| user + system)
+            .context("the system tells no processor time")
+    }
+
     /// Kills the process at once.
     ///
     /// # Errors
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -28,6 +28,7 @@
 use crate::traffic::Link;
 use crate::view::SharedView;
 
+mod catch_up;
 mod dump;
 mod duties;
 mod folding;
@@ -76,9 +77,7 @@
     closing: Vec<Arc<Link>>,
     pending: BTreeMap<RecordId, Pending>,
     sequence: u64,
-    joining: bool,
-    joined: bool,
-    leaving: bool,
+    standing: Standing,
     alive_ms: u64,
     released: BTreeMap<InstanceName, u64>,
     duty: FleetDuty,
@@ -86,6 +85,21 @@
     claimed: Option<(Term, u64)>,
     evictions: BTreeMap<Incarnation, EvictionTry>,
     snapshot: SnapshotState,
+    lag: catch_up::Lag,
+    view_stale: bool,
+}
+
+/// How this incarnation stands to the members.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// It hasn't asked to join, or its record was lost.
+    Outside,
+    /// Its record is on the way.
+    Joining,
+    /// It was a member; whether it still is, the fold tells.
+    Member,
+    /// It asked to leave.
+    Leaving,
 }
 
 /// A record that was submitted and isn't folded yet.
@@ -134,9 +148,7 @@
             closing: Vec::new(),
             pending: BTreeMap::new(),
             sequence: 0,
-            joining: false,
-            joined: false,
-            leaving: false,
+            standing: Standing::Outside,
             alive_ms: 0,
             released: BTreeMap::new(),
             duty: FleetDuty::default(),
@@ -144,6 +156,8 @@
             claimed: None,
             evictions: BTreeMap::new(),
             snapshot: SnapshotState::default(),
+            lag: catch_up::Lag::default(),
+            view_stale: false,
         }
     }
 
@@ -208,7 +222,11 @@
         let own = self.parts.identity.incarnation;
         if let DeskAction::Claim { record, reply } = self.claims.handle(&self.fleet, own, message) {
             let (result, folded) = oneshot::channel();
-            self.submit(RecordBody::Claim(record), Some(result));
+            if self.membership.reaches_log(clock::now_ms()) {
+                self.submit(RecordBody::Claim(record), Some(result));
+            } else {
+                drop(result.send(Err(SubmitError::LogDown)));
+            }
             drop(reply.send(ClaimAnswer::Submitted(folded)));
         }
         self.end_claims();
@@ -235,7 +253,7 @@
     }
 
     fn leave(&mut self, reply: Reply) {
-        self.leaving = true;
+        self.standing = Standing::Leaving;
         let body = RecordBody::EntryLeft {
             incarnation: self.parts.identity.incarnation,
             reason: LeaveReason::Stopped,
--- a/crates/cyclamentrail/src/control/actor/duties.rs
+++ b/crates/cyclamentrail/src/control/actor/duties.rs
@@ -4,7 +4,7 @@
 
 use super::super::ControlMessage;
 use super::super::duty::{DutyAction, FleetDuty, World};
-use super::{Actor, timing_of};
+use super::{Actor, Standing, timing_of};
 use crate::clock;
 
 /// Time in milliseconds after which the newest snapshot is written anew, so that retention never
@@ -20,7 +20,7 @@
     /// Does what is due of the duty, or claims it when its holder is gone.
     pub(super) fn step_duty(&mut self, now_ms: u64) {
         let own = self.parts.identity.incarnation;
-        if !self.joined || !self.membership.reaches_log(now_ms) {
+        if self.standing != Standing::Member || !self.membership.reaches_log(now_ms) {
             self.duty = FleetDuty::default();
             self.membership.stop_evicting();
             return;
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -1,12 +1,13 @@
 //! Folds records and snapshots into the agreed state.
 
 use cyclamentrail_core::{
-    Applied, Fleet, Offset, PassedRecord, RecordBody, RecordId, Version, decode_record,
+    Applied, Fleet, Offset, PassedRecord, RecordBody, RecordId, RejectionKind, Version,
+    decode_record,
 };
 use cyclamentrail_platform::ReadAnswer;
 
-use super::Actor;
-use crate::clock;
+use super::{Actor, Standing};
+use crate::{clock, metrics};
 
 impl Actor {
     /// Takes an answer of the log.
@@ -43,6 +44,7 @@
         self.fleet = fleet;
         self.snapshot.settings_version = self.settings_version();
         self.history.clear();
+        self.view_stale = true;
         self.after_fold(before);
     }
 
@@ -52,7 +54,7 @@
             self.notice_eviction();
             self.tell_writer();
             self.refresh_members(clock::now_ms());
-            self.publish_view();
+            self.publish_if_stale();
             self.claims.wake_changed(&self.fleet);
             self.release_drained();
         }
@@ -89,22 +91,47 @@
             }
         };
         let applied = self.fleet.apply(offset, appended_ms, &record);
+        metrics::count_record(matches!(applied, Applied::Accepted));
+        let version = self.fleet.settings().map(|accepted| accepted.version);
+        self.parts.shared.changes().note(
+            (offset, appended_ms),
+            record.body.as_ref(),
+            &applied,
+            version.unwrap_or_default(),
+        );
+        self.view_stale |= applied == Applied::Accepted && changes_view(record.body.as_ref());
         if let Applied::Rejected(rejection) = &applied {
             log::info!(offset:% = offset, author:% = record.id.author, reason:% = rejection.kind; "record_rejected");
         }
+        if record.id.author == self.parts.identity.incarnation {
+            self.note_own(&applied);
+        }
         self.membership.hear_log(record.id.author, clock::now_ms());
         self.settle(record.id, applied);
     }
 
+    /// Notes from an own record whether this incarnation is or was a member.
+    fn note_own(&mut self, applied: &Applied) {
+        let used = match applied {
+            Applied::Accepted => true,
+            Applied::Rejected(rejection) => {
+                matches!(rejection.kind, RejectionKind::Departed { .. })
+            }
+        };
+        if used && self.standing != Standing::Leaving {
+            self.standing = Standing::Member;
+        }
+    }
+
     /// Joins once the state is as new as the log's head; the first entry brings the settings.
     fn join_or_start(&mut self) {
-        if self.leaving {
+        if self.standing == Standing::Leaving {
             return;
         }
         let own = self.parts.identity.incarnation;
         if self.fleet.member(own).is_none() {
-            if !self.joining {
-                self.joining = true;
+            if self.standing == Standing::Outside {
+                self.standing = Standing::Joining;
                 let body = self.parts.identity.joined();
                 self.submit(body, None);
             }
@@ -120,3 +147,17 @@
         }
     }
 }
+
+/// Returns whether a record changes what traffic routes by; claims and jobs come too often to
+/// build a view for each.
+const fn changes_view(body: Option<&RecordBody>) -> bool {
+    !matches!(
+        body,
+        None | Some(
+            RecordBody::Claim(_)
+                | RecordBody::Job(_)
+                | RecordBody::DutyClaimed { .. }
+                | RecordBody::EntryAlive
+        )
+    )
+}
--- a/crates/cyclamentrail/src/control/actor/members.rs
+++ b/crates/cyclamentrail/src/control/actor/members.rs
@@ -2,12 +2,14 @@
 
 use std::sync::PoisonError;
 
-use cyclamentrail_core::{FORMAT, Heartbeat, Incarnation, LeaveReason, Membership, RecordBody};
+use cyclamentrail_core::{
+    FORMAT, Heartbeat, Incarnation, LeaveReason, Membership, PassedRecord, RecordBody,
+};
 
 use super::super::ControlMessage;
 use super::super::identity::Identity;
 use super::super::in_force::{InForce, MemberInForce};
-use super::{Actor, EvictionTry, timing_of};
+use super::{Actor, EvictionTry, Standing, timing_of};
 use crate::clock;
 
 /// Pause in milliseconds before an eviction that had no effect is written again.
@@ -57,6 +59,7 @@
             };
             let mut heartbeat = self.membership.ask(peer, now_ms);
             self.fill(&mut heartbeat, now_ms);
+            heartbeat.records = self.records_for(peer);
             let client = self.parts.peers.clone();
             let control = self.parts.control.clone();
             tokio::spawn(async move {
@@ -94,26 +97,38 @@
         self.take_passed(&heartbeat.records);
         let own_next = self.fleet.next_offset();
         self.membership.take(heartbeat, own_next, now_ms);
+        self.watch_lag(heartbeat, now_ms);
         self.publish_permit();
     }
 
+    /// Returns records that a peer asked for in its last message.
+    fn records_for(&self, peer: Incarnation) -> Vec<PassedRecord> {
+        match self.membership.peer(peer) {
+            Some(status) if status.wants_records => self.history.from(status.next_offset),
+            _ => Vec::new(),
+        }
+    }
+
     fn fill(&self, heartbeat: &mut Heartbeat, now_ms: u64) {
         heartbeat.next_offset = self.fleet.next_offset();
         heartbeat.settings_version = self.settings_version();
-        heartbeat.wants_records = !self.membership.reaches_log(now_ms);
+        heartbeat.wants_records = self.lacks_log(now_ms);
     }
 
     /// Notices that this process was evicted, and starts anew as another incarnation.
     pub(super) fn notice_eviction(&mut self) {
         let own = self.parts.identity.incarnation;
+        if self.standing == Standing::Leaving {
+            return;
+        }
         if self.fleet.member(own).is_some() {
-            self.joined = true;
+            self.standing = Standing::Member;
             return;
         }
-        if !self.joined || self.leaving {
+        if self.standing != Standing::Member {
             return;
         }
-        self.joined = false;
+        self.standing = Standing::Outside;
         let incarnation = Identity::fresh_incarnation();
         log::warn!(old:% = own, new:% = incarnation; "evicted_joins_again");
         self.parts.identity.incarnation = incarnation;
@@ -130,7 +145,7 @@
         let period_ms = timing_of(self.settings()).lease_ms;
         let due = now_ms.saturating_sub(self.alive_ms) >= period_ms;
         if due
-            && self.joined
+            && self.standing == Standing::Member
             && self.membership.reaches_log(now_ms)
             && self.membership.is_cut_off_from_peer(now_ms)
         {
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -13,13 +13,19 @@
 use subtle::ConstantTimeEq;
 
 use crate::control::{ControlHandle, SubmitError};
+use crate::metrics::{self, Refusal};
+use crate::serve::Audience;
 use crate::view::SharedView;
 
+mod changes;
 mod entries;
 mod jobs;
 mod requests;
 mod waves;
 
+/// Content type of the Prometheus text format.
+const METRICS_CONTENT_TYPE: &str = "text/plain; version=0.0.4";
+
 /// What the operators' listener shares between requests.
 #[derive(Debug, Clone)]
 pub(crate) struct Operator {
@@ -47,8 +53,10 @@
 pub(crate) fn router(operator: Operator) -> Router {
     let guarded = Router::new()
         .route("/state", get(state))
+        .route("/metrics", get(show_metrics))
         .route("/v1/settings", post(change_settings))
         .route("/v1/settings/in-force", get(in_force))
+        .merge(changes::router())
         .merge(entries::router())
         .merge(waves::router())
         .merge(jobs::router())
@@ -80,6 +88,7 @@
     if matches {
         next.run(request).await
     } else {
+        metrics::count_refusal(audience_of(request.uri().path()).as_str(), Refusal::Token);
         (
             StatusCode::UNAUTHORIZED,
             "the token is missing or wrong; present it as a bearer token\n",
@@ -88,6 +97,14 @@
     }
 }
 
+fn audience_of(path: &str) -> Audience {
+    if path.starts_with("/v1/peer/") {
+        Audience::Peers
+    } else {
+        Audience::Operators
+    }
+}
+
 async fn ready(State(operator): State<Operator>) -> StatusCode {
     if operator.shared.is_ready() {
         StatusCode::OK
@@ -100,6 +117,14 @@
     Json(operator.control.dump().await)
 }
 
+async fn show_metrics(State(operator): State<Operator>) -> Response {
+    if let Ok(fleet) = operator.control.fleet().await {
+        metrics::show_fleet(&fleet);
+    }
+    let content_type = [(header::CONTENT_TYPE, METRICS_CONTENT_TYPE)];
+    (content_type, metrics::install().render()).into_response()
+}
+
 async fn change_settings(
     State(operator): State<Operator>,
     Json(change): Json<SettingsChange>,
--- a/crates/cyclamentrail/tests/agreement_recovery.rs
+++ b/crates/cyclamentrail/tests/agreement_recovery.rs
@@ -5,11 +5,13 @@
 
 use anyhow::{Result, bail};
 use cyclamentrail_standin::LogFault;
-use cyclamentrail_testkit::{Site, TOKEN};
+use cyclamentrail_testkit::{Forwarder, Site, TOKEN};
 use serde_json::{Value, json};
 
 /// Longest time until a fresh entry is ready.
 const FRESH_READY: Duration = Duration::from_secs(5);
+/// Most memory of an entry in KiB.
+const MEMORY_KIB: u64 = 256 * 1024;
 /// Longest wait for conditions that have no bound of their own.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -135,6 +137,31 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn far_behind_cut_off() -> Result<()> {
+    let mut site = Site::builder().entries(2).instances(4).start().await?;
+    let cut = Forwarder::start(site.log.address("")?).await?;
+    let patch = json!({"platform": {"log_address": cut.address()}});
+    site.start_entry_with("e3", &patch)?;
+    site.wait_ready(2).await?;
+    site.entries[2].pause()?;
+    cut.set_cut(true);
+    let long = json!({"region": "x".repeat(300_000)});
+    for count in 0..18 {
+        change(&site, 0, &long).await?;
+        change(&site, 0, &cores(10 + count)).await?;
+    }
+    site.entries[2].resume()?;
+    site.wait_state(2, PATIENCE, |state| state["settings_version"] == 37)
+        .await?;
+    let answer = site.call(2, "checks", "cut-off").await?;
+    assert_ne!(answer.outcome, "unknown");
+    cut.set_cut(false);
+    site.wait_state(2, PATIENCE, |state| state["may_dispatch"] == true)
+        .await?;
+    Ok(())
+}
+
 #[tokio::test]
 async fn all_lost() -> Result<()> {
     let mut site = Site::builder().entries(3).instances(4).start().await?;
@@ -201,10 +228,19 @@
     })
     .await?;
     let before = site.report("w01").await?.runs.len();
-    site.entries[0].resume()?;
-    for number in 0..40 {
-        let answer = site.call(0, "checks", &format!("call-{number}")).await?;
-        assert_ne!(answer.outcome, "unknown", "call {number}");
+    let waiting = futures_util::future::join_all((0..40).map(|number| {
+        let call_id = format!("call-{number}");
+        let site = &site;
+        async move { site.call(0, "checks", &call_id).await }
+    }));
+    let resumed = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        site.entries[0].resume()
+    };
+    let (answers, resumed) = tokio::join!(waiting, resumed);
+    resumed?;
+    for answer in answers {
+        assert_ne!(answer?.outcome, "unknown");
     }
     site.wait_state(0, PATIENCE, |state| state["may_dispatch"] == true)
         .await?;
@@ -256,6 +292,30 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn list_lost() -> Result<()> {
+    let mut site = Site::builder().entries(2).instances(4).start().await?;
+    for name in ["w01", "w02", "w03", "w04"] {
+        site.remove_listed(name).await?;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for number in 0..10 {
+        let answer = site
+            .call(number % 2, "checks", &format!("empty-{number}"))
+            .await?;
+        assert_eq!(answer.outcome, "answered");
+    }
+    site.list.kill()?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for number in 0..10 {
+        let answer = site
+            .call(number % 2, "checks", &format!("killed-{number}"))
+            .await?;
+        assert_eq!(answer.outcome, "answered");
+    }
+    Ok(())
+}
+
 #[tokio::test]
 async fn letter_size() -> Result<()> {
     let mut site = Site::builder()
@@ -269,6 +329,15 @@
     }
     site.start_entry("e3")?;
     let beside = wait_listener_ready(&site, 2, FRESH_READY).await?;
+    let before = site.entries[0].processor_ticks()?;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let used = site.entries[0].processor_ticks()? - before;
+    println!("control used {used} ticks of 10 ms in 5 s");
+    for entry in &site.entries {
+        let peak_kib = entry.peak_memory_kib()?;
+        println!("peak memory {peak_kib} KiB");
+        assert!(peak_kib <= MEMORY_KIB, "{peak_kib} KiB");
+    }
     site.entries.clear();
     site.start_entry("e4")?;
     let alone = wait_listener_ready(&site, 0, FRESH_READY).await?;
