--- a/crates/cyclamentrail-bench/src/lib.rs
+++ b/crates/cyclamentrail-bench/src/lib.rs
@@ -16,6 +16,8 @@
     reason = "counted figures are far below the precision of a float"
 )]
 pub mod capacity;
+mod control;
+pub mod requests;
 #[expect(
     clippy::cast_precision_loss,
     clippy::cast_possible_truncation,
@@ -25,3 +27,4 @@
 pub mod waves;
 
 pub use bounds::{Bound, Bounds, Figure};
+pub use control::{ControlReport, ControlSize, control_day, heartbeat_figures};
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -12,9 +12,11 @@
 //! assert_eq!(fleet.next_offset(), Offset::new(0));
 //! ```
 
+mod admit;
 mod capacity;
 mod claim;
 mod contract;
+mod eject;
 mod fleet;
 mod heartbeat;
 mod id;
@@ -26,16 +28,24 @@
 mod plan;
 mod record;
 mod registry;
+mod retry;
 mod route;
 mod settings;
+mod share;
 mod snapshot;
 mod wave;
 
+pub use admit::{Admission, AdmitLimits, Ask, Pace, Queued, Refusal, RequestClass, Ticket, Turn};
 pub use capacity::{
     Blocked, Capacity, DomainName, PoolCapacity, PoolStory, ServiceStory, explain_pools,
 };
-pub use claim::{ClaimRecord, Claims};
+pub use claim::{
+    CLAIM_WINDOW_MS, Claim, ClaimLook, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody,
+    KeptHeader, KeyDigest, MAX_CLAIMS, MAX_KEPT_BYTES, MAX_TICKETS, NotATicket, RequestDigest,
+    TICKET_MEMORY_MS, TicketBook, TicketId, TicketLook,
+};
 pub use contract::{Account, Accounts, Cause, Spent};
+pub use eject::{Health, HealthChange, Intake, TryResult, may_eject};
 pub use fleet::{
     AcceptedSettings, Applied, Duty, Fleet, FoldContext, Instance, InstanceState, Member,
     Rejection, RejectionKind,
@@ -51,7 +61,7 @@
     EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, WaveName,
     ZoneName,
 };
-pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use outcome::{Ending, NotRunReason, Outcome, UnknownReason};
 pub use permit::{Permit, can_evict, is_majority};
 pub use plan::{Plan, PlanInput, PlanMethod, PlannedMove, plan};
 pub use record::{
@@ -59,13 +69,15 @@
     encode_record,
 };
 pub use registry::Registry;
-pub use route::{Candidate, choose};
+pub use retry::{RetryBudget, Tries, TryEnd};
+pub use route::{Candidate, Choice, Pool, ZONE_PENALTY, choose};
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
-    Fault, JobSettings, LoadError, LogSettings, MaintenanceSettings, PlatformSettings,
-    PoolSettings, RequestSettings, SecretSource, ServiceSettings, Settings, WorkerShape,
-    ZoneSettings, load_settings, merge_documents, settings_schema,
+    Fault, JobSettings, LoadError, LogLevel, LogSettings, MaintenanceSettings, PlatformSettings,
+    PoolSettings, RequestSettings, SecretSource, ServiceSettings, Settings, StopSettings,
+    WorkerShape, ZoneSettings, load_settings, merge_documents, settings_schema,
 };
+pub use share::{HomeRing, LinkLimits, LinkState, Share, stall_us, sure_slots};
 pub use snapshot::{MAX_SNAPSHOT_BYTES, SnapshotError, decode_snapshot, encode_snapshot};
 pub use wave::{
     Advance, Failure, FailureKind, InstanceStory, LossKind, MoveOrder, MoveReason, Moved, OpenStep,
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -10,13 +10,16 @@
 //! assert_eq!(store.head("control").get(), 0);
 //! ```
 
+mod answers;
 mod backend;
+mod faulty_io;
 mod list_service;
 mod log_service;
 mod log_store;
 mod serve;
 mod virtual_site;
 
+pub use answers::AnswerKind;
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
 pub use list_service::{ListBehaviour, ListService};
 pub use log_service::{LogFault, LogService};
--- a/crates/cyclamentrail-testkit/src/client.rs
+++ b/crates/cyclamentrail-testkit/src/client.rs
@@ -9,12 +9,15 @@
 use hyper::{Method, Request};
 use hyper_util::client::legacy::Client as HyperClient;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 
 /// Longest time that a test waits for an answer.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time after which an unused connection is closed; entries close it later.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Calls the processes of a site.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -28,6 +31,10 @@
     pub status: u16,
     /// Value of the outcome header; empty when there is none.
     pub outcome: String,
+    /// Value of the header that says why it ended so; empty when there is none.
+    pub reason: String,
+    /// Whether the answer is the one of an earlier request with the same key.
+    pub replayed: bool,
     /// The caller's mark of the request as the backend server repeated it; empty when it didn't.
     pub call_id: String,
     /// Seconds after which to come back, when the answer says so.
@@ -47,7 +54,10 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            inner: HyperClient::builder(TokioExecutor::new()).build_http(),
+            inner: HyperClient::builder(TokioExecutor::new())
+                .pool_timer(TokioTimer::new())
+                .pool_idle_timeout(IDLE_TIMEOUT)
+                .build_http(),
         }
     }
 
@@ -112,6 +122,8 @@
         Ok(Answer {
             status: parts.status.as_u16(),
             outcome: text("x-outcome"),
+            reason: text("x-outcome-reason"),
+            replayed: text("idempotency-replayed") == "true",
             call_id: text("x-call-id"),
             retry_after_s: text("retry-after").parse().ok(),
             body,
--- a/crates/cyclamentrail-testkit/src/site.rs
+++ b/crates/cyclamentrail-testkit/src/site.rs
@@ -9,7 +9,7 @@
 use anyhow::{Result, bail};
 use cyclamentrail_core::{BootId, InstanceName};
 use cyclamentrail_platform::{ListedInstance, ListedState};
-use cyclamentrail_standin::{BackendReport, LogFault};
+use cyclamentrail_standin::{BackendFault, BackendReport, LogFault};
 use http_body_util::Full;
 use hyper::Request;
 use serde_json::{Value, json};
@@ -380,6 +380,31 @@
         Ok(())
     }
 
+    /// Takes an instance off the list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the list doesn't answer.
+    pub async fn remove_listed(&self, name: &str) -> Result<()> {
+        let list = self.list.address("")?;
+        let path = format!("/_standin/remove/{name}");
+        self.client.post_json(list, &path, None, &()).await?;
+        Ok(())
+    }
+
+    /// Switches a fault of a backend server on or off.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the backend server doesn't answer.
+    pub async fn set_backend_fault(&self, name: &str, fault: BackendFault) -> Result<()> {
+        let address = self.backends[name].address("")?;
+        self.client
+            .post_json(address, "/_standin/fault", None, &fault)
+            .await?;
+        Ok(())
+    }
+
     /// Switches a fault of the log service on or off.
     ///
     /// # Errors
--- a/crates/cyclamentrail/src/command/entry.rs
+++ b/crates/cyclamentrail/src/command/entry.rs
@@ -1,20 +1,24 @@
 //! `cyclamentrail entry`: runs one entry.
 
-use std::path::PathBuf;
+use std::time::Duration;
 
-use anyhow::{Context, Result};
-use cyclamentrail_core::{EntryName, load_settings};
+use anyhow::Result;
+use cyclamentrail_core::EntryName;
 use getopts::{Matches, Options};
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::{ExitStatus, documents};
+use super::documents::Documents;
+use super::{ExitStatus, flag};
 use crate::entry::{Entry, EntryError, EntryOptions};
-use crate::logging;
+use crate::logging::Logging;
+use crate::timer::Timer;
+
+/// Interval between two looks at the log settings in force.
+const LOG_SETTINGS_INTERVAL: Duration = Duration::from_millis(250);
 
 fn options() -> Options {
     let mut options = Options::new();
-    options.reqopt("", "settings", "base settings", "FILE");
-    options.reqopt("", "overlay", "settings of the site", "FILE");
+    Documents::add_options(&mut options);
     options.reqopt("", "name", "name of this entry", "NAME");
     options.optopt("", "caller-address", "listener for callers", "IP:PORT");
     options.optopt("", "peer-address", "listener for entries", "IP:PORT");
@@ -29,25 +33,21 @@
 }
 
 fn serve(matches: &Matches) -> Result<()> {
-    let base: PathBuf = matches
-        .opt_get("settings")?
-        .context("--settings is missing")?;
-    let overlay: PathBuf = matches
-        .opt_get("overlay")?
-        .context("--overlay is missing")?;
-    let document = documents::read_merged(&base, &overlay)?;
-    let settings = load_settings(&document)?;
+    let (document, settings) = Documents::from_matches(matches)?.load()?;
     let name = EntryName::from(matches.opt_str("name").unwrap_or_default());
-    logging::start(&settings.log, name.as_str())?;
+    let logging = Logging::start(&settings.log, name.as_str())?;
     let listed = settings
         .entries
         .get(&name)
         .ok_or_else(|| EntryError::UnknownEntry(name.clone()))?;
     let entry_options = EntryOptions {
         zone: listed.zone.clone(),
-        caller_address: matches.opt_get_default("caller-address", listed.caller_address)?,
-        peer_address: matches.opt_get_default("peer-address", listed.peer_address)?,
-        operator_address: matches.opt_get_default("operator-address", listed.operator_address)?,
+        caller_address: flag(matches, "caller-address", "an IP address with a port")?
+            .unwrap_or(listed.caller_address),
+        peer_address: flag(matches, "peer-address", "an IP address with a port")?
+            .unwrap_or(listed.peer_address),
+        operator_address: flag(matches, "operator-address", "an IP address with a port")?
+            .unwrap_or(listed.operator_address),
         name,
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -63,11 +63,14 @@
         );
         let mut terminate = signal(SignalKind::terminate())?;
         let mut hang_up = signal(SignalKind::hangup())?;
+        let timer = Timer::start();
+        let mut ticks = timer.every(LOG_SETTINGS_INTERVAL);
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = tokio::signal::ctrl_c() => break,
                 _ = hang_up.recv() => log::info!("hang_up_ignored"),
+                () = ticks.next() => follow_log_settings(&entry, &logging),
             }
         }
         tokio::select! {
@@ -77,3 +80,9 @@
         Ok(())
     })
 }
+
+fn follow_log_settings(entry: &Entry, logging: &Logging) {
+    if let Some(settings) = entry.settings() {
+        logging.apply(&settings.log);
+    }
+}
--- a/crates/cyclamentrail/src/control/actor/links.rs
+++ b/crates/cyclamentrail/src/control/actor/links.rs
@@ -9,7 +9,7 @@
 use cyclamentrail_platform::{InstanceList, ListedInstance, ListedState};
 
 use super::Actor;
-use crate::traffic::Link;
+use crate::traffic::{Link, LinkTarget, Placement};
 use crate::view::{ServiceRoute, View};
 
 impl Actor {
@@ -28,7 +28,8 @@
         }
     }
 
-    fn drain_leaving(&mut self) {
+    /// Begins to drain the instances that the list shows leaving.
+    pub(super) fn drain_leaving(&mut self) {
         let leaving: Vec<RecordBody> = self
             .fleet
             .instances()
@@ -60,7 +61,7 @@
         self.refresh_links(&accepted.settings);
         let mut services = BTreeMap::new();
         for (service, settings) in &accepted.settings.services {
-            let links = self
+            let links: Vec<Arc<Link>> = self
                 .links
                 .iter()
                 .filter(|(name, _)| {
@@ -70,20 +71,33 @@
                 })
                 .map(|(_, link)| Arc::clone(link))
                 .collect();
-            let route = ServiceRoute {
-                settings: settings.clone(),
-                links,
-            };
-            services.insert(service.clone(), route);
+            let requests = &accepted.settings.requests;
+            let slots = self.placement(&accepted.settings).sure_slots(links.len());
+            let gate = self.parts.shared.gate(service, settings, requests, slots);
+            let route = ServiceRoute::new(service.clone(), settings.clone(), links, requests, gate);
+            services.insert(service.clone(), Arc::new(route));
         }
         self.parts.shared.publish(View {
             settings_version: accepted.version,
             settings: Some(accepted.settings),
+            own: self.parts.identity.incarnation,
+            members: self
+                .fleet
+                .members()
+                .map(|(incarnation, member)| (incarnation, member.peer_address))
+                .collect(),
             services,
         });
     }
 
+    fn placement<'a>(&'a self, settings: &'a Settings) -> Placement<'a> {
+        let members = self.fleet.members().map(|(member, _)| member).collect();
+        let identity = &self.parts.identity;
+        Placement::new(settings, &identity.zone, identity.incarnation, members)
+    }
+
     fn refresh_links(&mut self, settings: &Settings) {
+        let placement = self.placement(settings);
         let mut links = BTreeMap::new();
         for (name, instance) in self.fleet.instances() {
             let Some(listed) = self.list.get(name) else {
@@ -92,16 +106,20 @@
             if !takes_work(instance, listed) {
                 continue;
             }
+            let target = LinkTarget {
+                instance: name.clone(),
+                version: instance.version,
+                address: listed.address,
+                boot: listed.boot,
+                rack: placement.rack(name),
+                near: placement.is_near(name),
+            };
+            let limits = placement.limits(name);
             let link = match self.links.get(name) {
-                Some(link) if is_current(link, instance, listed) => Arc::clone(link),
-                _ => Arc::new(Link::new(
-                    name.clone(),
-                    instance.version,
-                    listed.address,
-                    listed.boot,
-                    settings.worker.slots,
-                )),
+                Some(link) if *link.target() == target => Arc::clone(link),
+                _ => Arc::new(Link::new(target, limits)),
             };
+            link.set_limits(limits);
             links.insert(name.clone(), link);
         }
         let old = std::mem::replace(&mut self.links, links);
@@ -151,7 +169,7 @@
         let due = awaiting.contains(&self.parts.identity.incarnation)
             && self.released.get(name) != Some(&drain.get())
             && !self.links.contains_key(name)
-            && !self.closing.iter().any(|link| &link.instance == name);
+            && !self.closing.iter().any(|link| link.instance() == name);
         due.then(|| RecordBody::DrainReleased {
             instance: name.clone(),
             drain: *drain,
@@ -162,7 +180,3 @@
 fn takes_work(instance: &Instance, listed: &ListedInstance) -> bool {
     instance.state == InstanceState::Serving && listed.state == ListedState::Live
 }
-
-fn is_current(link: &Link, instance: &Instance, listed: &ListedInstance) -> bool {
-    link.version == instance.version && link.address == listed.address && link.boot == listed.boot
-}
