--- a/crates/cyclamentrail-core/tests/wave.rs
+++ b/crates/cyclamentrail-core/tests/wave.rs
@@ -63,6 +63,7 @@
     assert!(ends(&mut site, "w"));
     assert_eq!(wave(&site, "w").state, WaveState::Ended);
     assert_eq!(wave(&site, "w").done.len(), 49);
+    assert_eq!(site.runner().planner_work(), 0, "no pool needed room");
     assert!(site.machines.values().all(|machine| machine.reboots == 1));
     assert_kept(&site);
     assert_all_serve(&site);
