--- a/crates/cyclamentrail-core/src/settings.rs
+++ b/crates/cyclamentrail-core/src/settings.rs
@@ -67,12 +67,12 @@
     /// Placing and limits of long jobs.
     #[serde(default)]
     pub jobs: JobSettings,
-    /// Timing and limits of maintenance waves and moves.
-    #[serde(default)]
-    pub maintenance: MaintenanceSettings,
     /// Timing of an entry's planned stop.
     #[serde(default)]
     pub stop: StopSettings,
+    /// Timing and limits of maintenance waves and moves.
+    #[serde(default)]
+    pub maintenance: MaintenanceSettings,
     /// Where the platform's services are.
     pub platform: PlatformSettings,
     /// Source of the token that operators and peers present.
--- a/crates/cyclamentrail/src/control/actor/links.rs
+++ b/crates/cyclamentrail/src/control/actor/links.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cyclamentrail_core::{
-    DrainReason, Instance, InstanceName, InstanceState, RecordBody, Settings,
+    DrainReason, Instance, InstanceName, InstanceState, PoolName, RecordBody, Settings,
 };
 use cyclamentrail_platform::{InstanceList, ListedInstance, ListedState};
 
@@ -53,26 +53,26 @@
             .is_some_and(|listed| listed.state == ListedState::Leaving)
     }
 
+    /// Publishes a view when folded records changed what it shows.
+    pub(super) fn publish_if_stale(&mut self) {
+        if std::mem::take(&mut self.view_stale) {
+            self.publish_view();
+        }
+    }
+
     /// Publishes the view that traffic routes from.
     pub(super) fn publish_view(&mut self) {
         let Some(accepted) = self.fleet.settings().cloned() else {
             return;
         };
         self.refresh_links(&accepted.settings);
+        let mut pools = self.links_by_pool();
+        let placement = self.placement(&accepted.settings);
+        let requests = &accepted.settings.requests;
         let mut services = BTreeMap::new();
         for (service, settings) in &accepted.settings.services {
-            let links: Vec<Arc<Link>> = self
-                .links
-                .iter()
-                .filter(|(name, _)| {
-                    self.fleet
-                        .instance(name)
-                        .is_some_and(|instance| instance.pool == settings.pool)
-                })
-                .map(|(_, link)| Arc::clone(link))
-                .collect();
-            let requests = &accepted.settings.requests;
-            let slots = self.placement(&accepted.settings).sure_slots(links.len());
+            let links = pools.entry(&settings.pool).or_default().clone();
+            let slots = placement.sure_slots(links.len());
             let gate = self.parts.shared.gate(service, settings, requests, slots);
             let route = ServiceRoute::new(service.clone(), settings.clone(), links, requests, gate);
             services.insert(service.clone(), Arc::new(route));
@@ -90,6 +90,17 @@
         });
     }
 
+    fn links_by_pool(&self) -> BTreeMap<&PoolName, Vec<Arc<Link>>> {
+        let mut pools: BTreeMap<&PoolName, Vec<Arc<Link>>> = BTreeMap::new();
+        for (name, link) in &self.links {
+            if let Some(instance) = self.fleet.instance(name) {
+                let links = pools.entry(&instance.pool).or_default();
+                links.push(Arc::clone(link));
+            }
+        }
+        pools
+    }
+
     fn placement<'a>(&'a self, settings: &'a Settings) -> Placement<'a> {
         let members = self.fleet.members().map(|(member, _)| member).collect();
         let identity = &self.parts.identity;
--- a/crates/cyclamentrail/src/control/actor/submit.rs
+++ b/crates/cyclamentrail/src/control/actor/submit.rs
@@ -7,7 +7,7 @@
 
 use super::super::SubmitError;
 use super::super::writer::WriteFailed;
-use super::{Actor, Pending, Reply};
+use super::{Actor, Pending, Reply, Standing};
 
 /// Time after which a submitter is told that the outcome isn't known.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(7);
@@ -90,7 +90,9 @@
 
     /// Lets everything that this process wrote of its own accord be written again.
     pub(super) fn forget_intents(&mut self) {
-        self.joining = false;
+        if self.standing == Standing::Joining {
+            self.standing = Standing::Outside;
+        }
         self.claimed = None;
         self.released.clear();
     }
