--- a/crates/cyclamentrail-bench/src/waves.rs
+++ b/crates/cyclamentrail-bench/src/waves.rs
@@ -23,7 +23,7 @@
 pub use baseline::{Baseline, run_baseline};
 pub use letter::{letter_size, today};
 pub use planner::{PlannerFigures, compare_planners};
-pub use run::{run_planner, with_room};
+pub use run::{run_planner, run_planner_for, with_room};
 pub use trace::{Loss, Trace, TraceShape};
 
 /// Time in milliseconds that requests in flight take to end.
--- a/crates/cyclamentrail-core/tests/wave.rs
+++ b/crates/cyclamentrail-core/tests/wave.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeSet;
 
 use cyclamentrail_core::{
-    Advance, BootId, FailureKind, InstanceName, InstanceState, MoveReason, OpenStep, PoolName,
-    RecordBody, RejectionKind, WaveControl, WaveName, WaveRecord, WaveState, explain_instance,
-    explain_wave,
+    Advance, BootId, FailureKind, Incarnation, InstanceName, InstanceState, LeaveReason,
+    MoveReason, OpenStep, PoolName, RecordBody, RejectionKind, WaveControl, WaveName, WaveRecord,
+    WaveState, explain_instance, explain_wave,
 };
 use cyclamentrail_standin::{RebootFault, VirtualSite};
 use serde_json::{Value, json};
@@ -63,6 +63,7 @@
     assert!(ends(&mut site, "w"));
     assert_eq!(wave(&site, "w").state, WaveState::Ended);
     assert_eq!(wave(&site, "w").done.len(), 49);
+    assert_eq!(site.runner().planner_work(), 0, "no pool needed room");
     assert!(site.machines.values().all(|machine| machine.reboots == 1));
     assert_kept(&site);
     assert_all_serve(&site);
@@ -453,3 +454,45 @@
     assert_eq!(site.fleet.waves().moves_done(), 0);
     assert!(site.fleet.waves().moves().is_empty());
 }
+
+#[test]
+fn evicted_move_reboots() {
+    let mut site = garza();
+    let left = RecordBody::EntryLeft {
+        incarnation: Incarnation::new(3),
+        reason: LeaveReason::Evicted {
+            witnesses: [Incarnation::new(1), Incarnation::new(2)].into(),
+        },
+    };
+    site.append(1, left).expect("more than half witness it");
+    let record = WaveRecord::MoveOrdered {
+        presumes: site.fleet.waves().version(),
+        instance: InstanceName::from("w20"),
+        to: PoolName::from("platform-forecasts"),
+        reason: MoveReason::Operator {
+            operator: String::from("ana"),
+        },
+    };
+    site.append(2, record.into()).expect("it is ordered");
+    let moved = site.run_until(60 * MINUTE_MS, STEP_MS, |site| {
+        site.fleet.waves().moves().is_empty()
+    });
+    assert!(moved, "{:?}", site.fleet.instance(&"w20".into()));
+    let instance = site.fleet.instance(&"w20".into()).expect("it is known");
+    assert_eq!(instance.pool.as_str(), "platform-forecasts");
+    assert!(
+        site.machine("w20").reboots > 0,
+        "it may hold an old connection"
+    );
+}
+
+#[test]
+fn dead_one_moves_help() {
+    let mut site = garza();
+    site.create_wave("w").expect("it is created");
+    site.run_until(MINUTE_MS, STEP_MS, |_| false);
+    site.machine("w01").dead = true;
+    assert!(ends(&mut site, "w"));
+    assert_eq!(site.fleet.waves().moves_done(), 1, "one moves to make room");
+    assert_kept(&site);
+}
--- a/crates/cyclamentrail/src/control/actor/duties.rs
+++ b/crates/cyclamentrail/src/control/actor/duties.rs
@@ -59,7 +59,7 @@
     }
 
     fn run_duty(&mut self) {
-        let failing = BTreeSet::new();
+        let failing = self.failing_instances();
         let world = World {
             fleet: &self.fleet,
             list: &self.list,
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Returns the instances that this process no longer sends work to, since they failed it.
+    fn failing_instances(&self) -> BTreeSet<InstanceName> {
+        let ejected = self.links.iter().filter(|(_, link)| link.is_ejected());
+        ejected.map(|(name, _)| name.clone()).collect()
+    }
+
     fn reboot(&self, instance: InstanceName) {
         let platform = self.parts.platform.clone();
         tokio::spawn(async move {
--- a/crates/cyclamentrail/src/operator/waves.rs
+++ b/crates/cyclamentrail/src/operator/waves.rs
@@ -57,7 +57,8 @@
         .route("/v1/waves", get(list).post(create))
         .route("/v1/waves/{wave}", get(show))
         .route("/v1/waves/{wave}/control", post(control))
-        .route("/v1/instances/{instance}", get(show_instance))
+        .route("/v1/explain/waves/{wave}", get(show))
+        .route("/v1/explain/instances/{instance}", get(show_instance))
 }
 
 async fn list(State(operator): State<Operator>) -> Response {
