--- a/crates/cyclamentrail-testkit/src/process.rs
+++ b/crates/cyclamentrail-testkit/src/process.rs
@@ -126,6 +126,15 @@
         self.signal(Signal::TERM)
     }
 
+    /// Hangs up on the process (SIGHUP).
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the signal can't be sent.
+    pub fn hang_up(&self) -> Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Returns how the process ended, or `None` while it runs.
     ///
     /// # Errors
--- a/crates/cyclamentrail/tests/commands_operator.rs
+++ b/crates/cyclamentrail/tests/commands_operator.rs
@@ -189,3 +189,15 @@
     assert!(stderr_of(&output).contains("token"));
     Ok(())
 }
+
+#[tokio::test]
+async fn hang_up_harmless() -> Result<()> {
+    let mut site = Site::builder().entries(1).instances(4).start().await?;
+    for number in 0..5 {
+        site.entries[0].hang_up()?;
+        let answer = site.call(0, "checks", &format!("call-{number}")).await?;
+        assert_eq!(answer.outcome, "answered");
+    }
+    assert!(site.entries[0].try_wait()?.is_none());
+    Ok(())
+}
