--- a/crates/cyclamentrail/src/command.rs
+++ b/crates/cyclamentrail/src/command.rs
@@ -13,9 +13,11 @@
 mod entry;
 mod explain;
 mod local;
+mod pool;
 mod publish;
 mod state;
 mod text;
+mod wave;
 
 pub(crate) use client::OperatorClient;
 
@@ -29,8 +31,10 @@
   entry    runs one entry
   explain  tells the story of one request, instance, wave or change
   local    runs a whole site in this process, under load
+  pool     shows pools, or moves an instance to another pool
   publish  changes the settings and waits until the change is in force
   state    prints the state of an entry
+  wave     creates, shows, pauses, resumes or cancels a maintenance wave
 
 Run `cyclamentrail <command> --help` for the options of a command.
 Exit codes: 0 done, 1 refused or failed, 2 usage.
@@ -78,7 +82,9 @@
         "explain" => explain::run(rest),
         "local" => local::run(rest),
         "publish" => publish::run(rest),
+        "pool" => pool::run(rest),
         "state" => state::run(rest),
+        "wave" => wave::run(rest),
         other => {
             eprintln!("cyclamentrail: unknown command \"{other}\"; run `cyclamentrail --help`");
             ExitStatus::Usage
--- a/crates/cyclamentrail/src/local/platform.rs
+++ b/crates/cyclamentrail/src/local/platform.rs
@@ -6,10 +6,15 @@
 use anyhow::Result;
 use cyclamentrail_core::{BootId, InstanceName, Settings, merge_documents};
 use cyclamentrail_platform::{ListedInstance, ListedState};
-use cyclamentrail_standin::{Backend, ListService, LogService};
+use cyclamentrail_standin::{Backend, ListBehaviour, ListService, LogService};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
+/// Time in milliseconds by which the list lags behind.
+const LIST_LAG_MS: u64 = 50;
+/// Time in milliseconds that an instance takes to reboot.
+const REBOOT_MS: u64 = 200;
+
 /// Stand-ins of everything around the entries.
 #[derive(Debug)]
 pub(super) struct Platform {
@@ -36,6 +41,10 @@
         let token = format!("{:032x}", rand::random::<u128>());
         std::fs::write(folder.path().join("token"), &token)?;
         let list = ListService::start(free_address()).await?;
+        list.set_behaviour(ListBehaviour {
+            lag_ms: LIST_LAG_MS,
+            reboot_ms: REBOOT_MS,
+        });
         let mut backends = BTreeMap::new();
         for instance in settings.instance_racks().into_keys() {
             let backend =
@@ -57,13 +66,17 @@
         })
     }
 
-    /// Returns the settings document with the addresses of the stand-ins.
+    /// Returns the settings document with the addresses of the stand-ins, and with shorter waits of
+    /// the wave, since a stand-in reboots at once.
     pub(super) fn document(&self, document: &Value) -> Value {
         let patch = json!({
             "platform": {
                 "log_address": self.log.address(),
                 "list_address": self.list.address(),
             },
+            "maintenance": {
+                "probation_ms": 100, "return_timeout_ms": 10_000, "pass_over_after_ms": 10_000,
+            },
             "token": {"environment": null, "file": self.folder.path().join("token")},
         });
         merge_documents(document.clone(), &patch)
@@ -89,16 +102,4 @@
         }
         runs
     }
-
-    /// Marks an instance as leaving on the list.
-    pub(super) fn mark_leaving(&self, name: &InstanceName) {
-        if let Some(backend) = self.backends.get(name) {
-            self.list.put(ListedInstance {
-                name: name.clone(),
-                address: backend.address(),
-                boot: BootId::new(1),
-                state: ListedState::Leaving,
-            });
-        }
-    }
 }
--- a/crates/cyclamentrail/tests/local_site.rs
+++ b/crates/cyclamentrail/tests/local_site.rs
@@ -50,7 +50,9 @@
     let ended = count("answered_whole") + count("not_run") + count("outcome_unknown");
     assert_eq!(count("requests_sent"), ended);
     assert_eq!(report["seed"], 7);
-    assert!(report["settings_in_force_ms"].is_u64(), "{report:#}");
+    for key in ["settings_in_force_ms", "wave_ms", "moves"] {
+        assert!(report[key].is_u64(), "{key} in {report:#}");
+    }
     assert_eq!(report["problems"], serde_json::json!([]));
     let summary = String::from_utf8(output.stdout)?;
     assert!(
