--- a/crates/cyclamentrail-bench/src/control/size.rs
+++ b/crates/cyclamentrail-bench/src/control/size.rs
@@ -96,8 +96,9 @@
         let entries: BTreeMap<String, Value> = (0..entries)
             .map(|number| {
                 let entry = json!({
-                    "zone": "zone-0", "caller_address": "10.0.0.1:8001",
-                    "peer_address": "10.0.0.1:8101", "operator_address": "10.0.0.1:8201",
+                    "zone": "zone-0", "caller_address": format!("10.0.0.{number}:8001"),
+                    "peer_address": format!("10.0.0.{number}:8101"),
+                    "operator_address": format!("10.0.0.{number}:8201"),
                 });
                 (format!("entry-{number}"), entry)
             })
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -77,9 +77,7 @@
     closing: Vec<Arc<Link>>,
     pending: BTreeMap<RecordId, Pending>,
     sequence: u64,
-    joining: bool,
-    joined: bool,
-    leaving: bool,
+    standing: Standing,
     alive_ms: u64,
     released: BTreeMap<InstanceName, u64>,
     duty: FleetDuty,
@@ -88,6 +86,20 @@
     evictions: BTreeMap<Incarnation, EvictionTry>,
     snapshot: SnapshotState,
     lag: catch_up::Lag,
+    view_stale: bool,
+}
+
+/// How this incarnation stands to the members.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// It hasn't asked to join, or its record was lost.
+    Outside,
+    /// Its record is on the way.
+    Joining,
+    /// It was a member; whether it still is, the fold tells.
+    Member,
+    /// It asked to leave.
+    Leaving,
 }
 
 /// A record that was submitted and isn't folded yet.
@@ -136,9 +148,7 @@
             closing: Vec::new(),
             pending: BTreeMap::new(),
             sequence: 0,
-            joining: false,
-            joined: false,
-            leaving: false,
+            standing: Standing::Outside,
             alive_ms: 0,
             released: BTreeMap::new(),
             duty: FleetDuty::default(),
@@ -147,6 +157,7 @@
             evictions: BTreeMap::new(),
             snapshot: SnapshotState::default(),
             lag: catch_up::Lag::default(),
+            view_stale: false,
         }
     }
 
@@ -242,7 +253,7 @@
     }
 
     fn leave(&mut self, reply: Reply) {
-        self.leaving = true;
+        self.standing = Standing::Leaving;
         let body = RecordBody::EntryLeft {
             incarnation: self.parts.identity.incarnation,
             reason: LeaveReason::Stopped,
