--- a/crates/cyclamentrail-core/src/settings/validate/timing.rs
+++ b/crates/cyclamentrail-core/src/settings/validate/timing.rs
@@ -16,6 +16,7 @@
     check_zeros(settings, faults);
     check_control(settings, faults);
     check_requests(settings, faults);
+    check_maintenance(settings, faults);
     check_deadlines(settings, faults);
 }
 
@@ -123,6 +124,39 @@
     }
 }
 
+fn check_maintenance(settings: &Settings, faults: &mut Vec<Fault>) {
+    let maintenance = &settings.maintenance;
+    if maintenance.return_timeout_ms.is_zero() {
+        faults.push(zero(
+            "/maintenance/return_timeout_ms",
+            "every reboot would count as failed",
+        ));
+    }
+    if maintenance.halt_failures == 0 {
+        faults.push(zero(
+            "/maintenance/halt_failures",
+            "every wave would halt before it begins",
+        ));
+    }
+    if maintenance.halt_failures > maintenance.halt_sample {
+        faults.push(Fault::new(
+            String::from("/maintenance/halt_failures"),
+            format!(
+                "{} failures can't come among {} instances, so that no wave ever halts",
+                maintenance.halt_failures, maintenance.halt_sample
+            ),
+            "1 to maintenance.halt_sample",
+            "lower it, or raise maintenance.halt_sample",
+        ));
+    }
+    if settings.stop.limit_ms.is_zero() {
+        faults.push(zero(
+            "/stop/limit_ms",
+            "every planned stop would cut the requests in flight",
+        ));
+    }
+}
+
 fn check_deadlines(settings: &Settings, faults: &mut Vec<Fault>) {
     let longest = settings.requests.max_deadline_ms;
     for (service, service_settings) in &settings.services {
--- a/crates/cyclamentrail/src/command/explain.rs
+++ b/crates/cyclamentrail/src/command/explain.rs
@@ -35,10 +35,10 @@
 
     const fn path(self) -> &'static str {
         match self {
-            Self::Request => "requests",
-            Self::Instance => "instances",
-            Self::Wave => "waves",
-            Self::Change => "changes",
+            Self::Request => "/v1/explain/requests",
+            Self::Instance => "/v1/instances",
+            Self::Wave => "/v1/waves",
+            Self::Change => "/v1/explain/changes",
         }
     }
 }
@@ -73,7 +73,7 @@
         return Err(UsageError::new(problem).into());
     };
     let client = OperatorClient::from_matches(matches)?;
-    let path = format!("/v1/explain/{}/{id}", kind.path());
+    let path = format!("{}/{id}", kind.path());
     let story = match client.get(&path) {
         Err(error) if kind == Kind::Request && is_not_found(&error) => {
             match server_of(&client, id)? {
--- a/crates/cyclamentrail/src/local.rs
+++ b/crates/cyclamentrail/src/local.rs
@@ -121,7 +121,5 @@
     let Some(entries) = Arc::into_inner(entries) else {
         return;
     };
-    for entry in entries {
-        entry.stop().await;
-    }
+    futures_util::future::join_all(entries.into_iter().map(Entry::stop)).await;
 }
--- a/crates/cyclamentrail/src/local/changes.rs
+++ b/crates/cyclamentrail/src/local/changes.rs
@@ -14,7 +14,7 @@
 /// Longest time that a change may take.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest time that the wave may take.
-const WAVE_TIMEOUT: Duration = Duration::from_secs(120);
+const WAVE_TIMEOUT: Duration = Duration::from_mins(2);
 /// Name of the wave.
 const WAVE: &str = "local";
 /// Interval between two looks at the state.
--- a/crates/cyclamentrail/src/local/platform.rs
+++ b/crates/cyclamentrail/src/local/platform.rs
@@ -77,6 +77,7 @@
             "maintenance": {
                 "probation_ms": 100, "return_timeout_ms": 10_000, "pass_over_after_ms": 10_000,
             },
+            "stop": {"balancer_ms": 100},
             "token": {"environment": null, "file": self.folder.path().join("token")},
         });
         merge_documents(document.clone(), &patch)
--- a/crates/cyclamentrail/tests/check_settings.rs
+++ b/crates/cyclamentrail/tests/check_settings.rs
@@ -142,6 +142,11 @@
     "/entries/e2/caller_address"
 )]
 #[case::short_lease(json!({"control": {"dispatch_lease_ms": 300}}), "/control/dispatch_lease_ms")]
+#[case::never_halts(
+    json!({"maintenance": {"halt_failures": 20, "halt_sample": 10}}),
+    "/maintenance/halt_failures"
+)]
+#[case::cutting_stop(json!({"stop": {"limit_ms": 0}}), "/stop/limit_ms")]
 #[case::unknown_pool(
     json!({"services": {"platform-forecasts": {"pool": "none"}}}),
     "/services/platform-forecasts/pool"
--- a/crates/cyclamentrail/tests/commands_operator.rs
+++ b/crates/cyclamentrail/tests/commands_operator.rs
@@ -32,7 +32,10 @@
 
 #[rstest]
 fn help_everywhere(
-    #[values("check", "entry", "local", "publish", "state", "explain")] command: &str,
+    #[values(
+        "check", "entry", "local", "publish", "state", "explain", "wave", "pool"
+    )]
+    command: &str,
     #[values("--help", "-h", "--version")] flag: &str,
 ) -> Result<()> {
     let output = run(&[command, flag])?;
@@ -201,3 +204,32 @@
     assert!(site.entries[0].try_wait()?.is_none());
     Ok(())
 }
+
+#[rstest]
+#[case::instance("instance", "w01", "pool: checks")]
+#[case::wave("wave", "spring", "operator: ana")]
+#[tokio::test]
+async fn stories(#[case] kind: &str, #[case] id: &str, #[case] part: &str) -> Result<()> {
+    let site = Site::builder().entries(1).instances(4).start().await?;
+    let create = ["wave", "create", "--wave", "spring", "--operator", "ana"];
+    assert_eq!(on_entry(&site, &create)?.status.code(), Some(0));
+    let told = on_entry(&site, &["explain", kind, id])?;
+    let text = String::from_utf8_lossy(&told.stdout).into_owned();
+    assert!(text.contains(part), "{told:?}");
+    let unknown = on_entry(&site, &["explain", kind, "nobody"])?;
+    assert_eq!(unknown.status.code(), Some(1), "{unknown:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn request_story() -> Result<()> {
+    let site = Site::builder().entries(1).instances(4).start().await?;
+    let answer = site.call(0, "checks", "call").await?;
+    assert_eq!(answer.outcome, "answered");
+    let state = site.state(0).await?;
+    let request_id = format!("{}-0", state["incarnation"]);
+    let told = on_entry(&site, &["explain", "request", &request_id])?;
+    let text = String::from_utf8_lossy(&told.stdout).into_owned();
+    assert!(text.contains("Answered"), "{told:?}");
+    Ok(())
+}
