--- a/crates/cyclamentrail/src/local/changes.rs
+++ b/crates/cyclamentrail/src/local/changes.rs
@@ -1,10 +1,9 @@
-//! The operators' changes under way: a change of settings, then an instance that leaves.
+//! The operators' changes under way: a change of settings, then a maintenance wave.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail};
-use cyclamentrail_core::{InstanceName, Settings, Version};
+use cyclamentrail_core::{Settings, Version};
 use serde_json::{Value, json};
 
 use super::POLL_INTERVAL;
@@ -14,18 +13,20 @@
 
 /// Longest time that a change may take.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time that the wave may take.
+const WAVE_TIMEOUT: Duration = Duration::from_mins(2);
+/// Name of the wave.
+const WAVE: &str = "local";
 /// Interval between two looks at the state.
 const STATE_INTERVAL: Duration = Duration::from_millis(50);
 /// The change of settings comes after this part of the load.
-const CHANGE_PART: u32 = 4;
+const CHANGE_PART: u32 = 8;
 
 /// What the changes came to.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct Changed {
     /// Time in milliseconds until the change was in force on all entries.
     pub(super) settings_in_force_ms: Option<u64>,
-    /// Time in milliseconds until the leaving instance was drained.
-    pub(super) drain_ms: Option<u64>,
     /// Time in milliseconds that the wave took.
     pub(super) wave_ms: Option<u64>,
     /// Instances that changed their pool.
@@ -62,7 +63,6 @@
     /// Makes the changes one after the other.
     pub(super) async fn run(self) -> Changed {
         let mut changed = Changed::default();
-        let before = self.pools().await.unwrap_or_default();
         tokio::time::sleep(self.pause).await;
         match self.change_settings().await {
             Ok(took) => {
@@ -71,15 +71,14 @@
             }
             Err(error) => changed.problems.push(format!("settings change: {error:#}")),
         }
-        match self.drain().await {
-            Ok(took) => changed.drain_ms = Some(took),
-            Err(error) => changed.problems.push(format!("drain: {error:#}")),
+        match self.wave().await {
+            Ok(took) => changed.wave_ms = Some(took),
+            Err(error) => changed.problems.push(format!("wave: {error:#}")),
+        }
+        match self.moves().await {
+            Ok(moves) => changed.moves = moves,
+            Err(error) => changed.problems.push(format!("moves: {error:#}")),
         }
-        let after = self.pools().await.unwrap_or_default();
-        changed.moves = before
-            .iter()
-            .filter(|(name, pool)| after.get(*name).is_some_and(|now| now != *pool))
-            .count() as u64;
         changed
     }
 
@@ -116,25 +115,31 @@
         versions.min().unwrap_or_default()
     }
 
-    async fn drain(&self) -> Result<u64> {
-        let pool = self.settings.pools.values().next();
-        let name = pool
-            .and_then(|pool| pool.instances.first())
-            .context("the site has no instance")?;
+    /// Maintains every instance of the site in one wave.
+    async fn wave(&self) -> Result<u64> {
         let start = Instant::now();
-        self.platform.mark_leaving(name);
+        let request = json!({"wave": WAVE, "operator": "local"});
+        self.client()?
+            .send("POST", "/v1/waves", Some(&request))
+            .await?;
+        let path = format!("/v1/waves/{WAVE}");
         loop {
-            let state = self.state().await?;
-            let instance = instances_of(&state)
-                .find(|(listed, _)| *listed == *name)
-                .map(|(_, instance)| &instance["state"]);
-            if instance.is_some_and(|state| state.get("drained").is_some()) {
+            let story = self.client()?.send("GET", &path, None).await?;
+            if story["state"] == "ended" {
                 let took = millis(start);
-                println!("        leaving instance {name} drained after {took} ms");
+                println!(
+                    "        wave over {} instances ended after {took} ms",
+                    story["done"]
+                );
                 return Ok(took);
             }
-            if start.elapsed() > CHANGE_TIMEOUT {
-                bail!("instance {name} is {instance:?} after {CHANGE_TIMEOUT:?}");
+            if start.elapsed() > WAVE_TIMEOUT {
+                bail!(
+                    "{} instances done and {} waiting after {WAVE_TIMEOUT:?}: {}",
+                    story["done"],
+                    story["pending"],
+                    story["waits_for"]
+                );
             }
             tokio::time::sleep(STATE_INTERVAL).await;
         }
@@ -144,27 +149,15 @@
         self.client()?.send("GET", "/state", None).await
     }
 
-    /// Returns the pool of each instance.
-    async fn pools(&self) -> Result<BTreeMap<InstanceName, String>> {
+    /// Returns how many moves between pools were finished.
+    async fn moves(&self) -> Result<u64> {
         let state = self.state().await?;
-        Ok(instances_of(&state)
-            .map(|(name, instance)| {
-                let pool = instance["pool"].as_str().unwrap_or_default();
-                (name, pool.to_owned())
-            })
-            .collect())
+        state["fleet"]["waves"]["moves_done"]
+            .as_u64()
+            .context("the state shows no moves")
     }
 }
 
-/// Returns the instances of a dumped state with their names.
-fn instances_of(state: &Value) -> impl Iterator<Item = (InstanceName, &Value)> {
-    let instances = state["fleet"]["instances"].as_array();
-    instances
-        .into_iter()
-        .flatten()
-        .filter_map(|pair| Some((InstanceName::from(pair.get(0)?.as_str()?), pair.get(1)?)))
-}
-
 fn millis(start: Instant) -> u64 {
     u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/cyclamentrail/src/local/report.rs
+++ b/crates/cyclamentrail/src/local/report.rs
@@ -27,7 +27,6 @@
     answer_max_ms: u64,
     moves: u64,
     wave_ms: Option<u64>,
-    drain_ms: Option<u64>,
     settings_in_force_ms: Option<u64>,
     problems: Vec<String>,
 }
@@ -64,7 +63,6 @@
             answer_max_ms: load.latency_ms(1.0),
             moves: changed.moves,
             wave_ms: changed.wave_ms,
-            drain_ms: changed.drain_ms,
             settings_in_force_ms: changed.settings_in_force_ms,
             problems: changed.problems.clone(),
         }
@@ -135,10 +133,9 @@
         )?;
         writeln!(
             f,
-            "settings in force on all entries after {}; wave took {}; drain took {}; moves {}",
+            "settings in force on all entries after {}; wave took {}; moves {}",
             duration(self.settings_in_force_ms),
             duration(self.wave_ms),
-            duration(self.drain_ms),
             self.moves
         )?;
         for problem in &self.problems {
