--- a/crates/cyclamentrail/src/control/actor/duties.rs
+++ b/crates/cyclamentrail/src/control/actor/duties.rs
@@ -64,7 +64,6 @@
             fleet: &self.fleet,
             list: &self.list,
             failing: &failing,
-            own: self.parts.identity.incarnation,
             now_ms: clock::now_ms(),
         };
         for action in self.duty.step(&world) {
--- a/crates/cyclamentrail/src/control/duty.rs
+++ b/crates/cyclamentrail/src/control/duty.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cyclamentrail_core::{Fleet, Incarnation, InstanceName, RecordBody};
+use cyclamentrail_core::{Fleet, InstanceName, RecordBody};
 use cyclamentrail_platform::ListedInstance;
 
 use super::job_duty::JobDuty;
@@ -17,8 +17,6 @@
     pub(crate) list: &'a BTreeMap<InstanceName, ListedInstance>,
     /// Instances that fail what this process sends them.
     pub(crate) failing: &'a BTreeSet<InstanceName>,
-    /// This process.
-    pub(crate) own: Incarnation,
     /// This process's clock in milliseconds.
     pub(crate) now_ms: u64,
 }
