--- /dev/null
+++ b/crates/cyclamentrail-bench/src/bin/site_load.rs
@@ -0,0 +1,181 @@
+//! Loads a site of separate processes over loopback, and measures what control costs an entry.
+//!
+//! `site_load load [RATE] [SECONDS]` sends requests at their intended times and prints answer times
+//! from these times, so that a stalled entry isn't measured too kindly. `site_load control` prints
+//! processor time and memory of an entry without requests, at four sizes of the fleet.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail, ensure};
+use cyclamentrail_bench::ControlSize;
+use cyclamentrail_core::{BootId, InstanceName};
+use cyclamentrail_platform::{ListedInstance, ListedState};
+use cyclamentrail_testkit::{Ended, Load, Site, tally};
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+
+/// Requests a second when none are given.
+const RATE_PER_S: u32 = 400;
+/// Length of the load in seconds when none is given.
+const LOAD_S: u32 = 20;
+/// Entries of the loaded site.
+const LOAD_ENTRIES: usize = 6;
+/// Backend servers of the loaded site.
+const LOAD_INSTANCES: usize = 18;
+/// Entries of the site whose control is measured.
+const CONTROL_ENTRIES: usize = 6;
+/// Time without requests over which control is measured.
+const IDLE: Duration = Duration::from_secs(20);
+/// Time after the start that isn't measured.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Changes of the settings that are measured.
+const CHANGES: u64 = 20;
+/// Length of a processor tick in milliseconds.
+const TICK_MS: f64 = 10.0;
+/// Longest answer time that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let number = |index: usize, default: u32| -> Result<u32> {
+        arguments.get(index).map_or(Ok(default), |text| {
+            text.parse().context("a number is needed")
+        })
+    };
+    match arguments.first().map(String::as_str) {
+        Some("load") => load(number(1, RATE_PER_S)?, number(2, LOAD_S)?).await,
+        Some("control") => control().await,
+        _ => bail!("site_load load [RATE] [SECONDS] | site_load control"),
+    }
+}
+
+async fn load(rate_per_s: u32, seconds: u32) -> Result<()> {
+    let site = Site::builder()
+        .entries(LOAD_ENTRIES)
+        .instances(LOAD_INSTANCES)
+        .start()
+        .await?;
+    let running = Load::new("load")
+        .path("checks/work?work_ms=20")
+        .rate_per_s(rate_per_s)
+        .seconds(seconds)
+        .start(&site)?;
+    let ended = running.await?;
+    let runs = site.check_told(&ended).await?;
+    println!(
+        "{} requests at {rate_per_s}/s through {LOAD_ENTRIES} entries, {} runs",
+        ended.len(),
+        runs.values().sum::<u32>()
+    );
+    for (outcome, count) in tally(&ended) {
+        println!("{count:>8}  {outcome}");
+    }
+    let latency_us = from_intended(&ended, rate_per_s)?;
+    for quantile in [0.5, 0.9, 0.99, 0.999, 1.0] {
+        let value_us = latency_us.value_at_quantile(quantile);
+        println!("{:>7}%  {value_us:>8} us", quantile * 100.0);
+    }
+    Ok(())
+}
+
+/// Returns answer times in microseconds from the time at which each request was due.
+fn from_intended(ended: &[Ended], rate_per_s: u32) -> Result<Histogram<u64>> {
+    let mut latency_us = Histogram::new_with_max(MAX_LATENCY_US, 3)?;
+    for request in ended.iter().filter(|request| request.is_good()) {
+        let number: u32 = request
+            .call_id
+            .rsplit('-')
+            .next()
+            .context("a call has a number")?
+            .parse()?;
+        let due = Duration::from_secs(u64::from(number)) / rate_per_s;
+        let took = (request.after + request.took).saturating_sub(due);
+        latency_us.saturating_record(u64::try_from(took.as_micros())?);
+    }
+    Ok(latency_us)
+}
+
+async fn control() -> Result<()> {
+    println!("workers  pools  idle, % of a core  ms of processor a change  peak memory MiB");
+    for size in ControlSize::ALL {
+        measure_control(&size).await?;
+    }
+    Ok(())
+}
+
+async fn measure_control(size: &ControlSize) -> Result<()> {
+    let document = size.document(1);
+    let site = Site::builder()
+        .entries(CONTROL_ENTRIES)
+        .instances(2)
+        .patch(json!({
+            "zones": document["zones"],
+            "pools": document["pools"],
+            "services": document["services"],
+            "control": {"heartbeat_ms": 500, "dispatch_lease_ms": 2000, "list_interval_ms": 500},
+        }))
+        .start()
+        .await?;
+    list_workers(&site, &document).await?;
+    tokio::time::sleep(SETTLE).await;
+    let before = busiest_ticks(&site)?;
+    tokio::time::sleep(IDLE).await;
+    let idle_ms = ticks_ms(busiest_ticks(&site)? - before);
+    let before = busiest_ticks(&site)?;
+    for number in 0..CHANGES {
+        let patch = json!({"worker": {"cores": 10 + number}});
+        let answer = site.change_settings(0, "bench", None, &patch).await?;
+        ensure!(answer.status < 300, "the change was refused: {answer:?}");
+    }
+    tokio::time::sleep(SETTLE).await;
+    let change_ms = ticks_ms(busiest_ticks(&site)? - before);
+    let peaks: Result<Vec<u64>> = site
+        .entries
+        .iter()
+        .map(|entry| entry.peak_memory_kib())
+        .collect();
+    let peak_kib = peaks?.into_iter().max().unwrap_or_default();
+    let idle_share = idle_ms / 1_000.0 / IDLE.as_secs_f64() * 100.0;
+    println!(
+        "{:>7}  {:>5}  {idle_share:>17.2}  {:>24.1}  {:>15}",
+        size.workers,
+        size.pools,
+        change_ms / f64::from(u32::try_from(CHANGES)?),
+        peak_kib / 1024
+    );
+    Ok(())
+}
+
+/// Puts the workers of a document on the platform's list; nothing answers at their address.
+async fn list_workers(site: &Site, document: &Value) -> Result<()> {
+    let list = site.list.address("")?;
+    let pools = document["pools"].as_object().context("pools")?;
+    for pool in pools.values() {
+        for name in pool["instances"].as_array().context("instances")? {
+            let listed = ListedInstance {
+                name: InstanceName::from(name.as_str().context("a name")?),
+                address: ([127, 0, 0, 1], 9).into(),
+                boot: BootId::new(1),
+                state: ListedState::Live,
+            };
+            site.client
+                .post_json(list, "/_standin/instances", None, &listed)
+                .await?;
+        }
+    }
+    Ok(())
+}
+
+fn busiest_ticks(site: &Site) -> Result<u64> {
+    let ticks: Result<Vec<u64>> = site
+        .entries
+        .iter()
+        .map(|entry| entry.processor_ticks())
+        .collect();
+    Ok(ticks?.into_iter().max().unwrap_or_default())
+}
+
+fn ticks_ms(ticks: u64) -> f64 {
+    f64::from(u32::try_from(ticks).unwrap_or(u32::MAX)) * TICK_MS
+}
--- a/crates/cyclamentrail-bench/src/control/size.rs
+++ b/crates/cyclamentrail-bench/src/control/size.rs
@@ -73,7 +73,8 @@
     }
 
     /// Returns the settings document of the site.
-    pub(crate) fn document(&self, entries: u64) -> Value {
+    #[must_use]
+    pub fn document(&self, entries: u64) -> Value {
         let names: Vec<String> = (0..self.workers).map(instance).collect();
         let mut zones: BTreeMap<String, Value> = BTreeMap::new();
         for (number, zone) in names.chunks(names.len().div_ceil(ZONES)).enumerate() {
--- /dev/null
+++ b/crates/cyclamentrail/tests/pages_proof.rs
@@ -0,0 +1,54 @@
+//! The page of proofs names tests that exist.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Returns the `file::test` names that stand in backquotes on a page.
+fn named_tests(page: &str) -> BTreeSet<(String, String)> {
+    page.split('`')
+        .skip(1)
+        .step_by(2)
+        .filter_map(|quoted| quoted.split_once("::"))
+        .filter(|(file, test)| is_name(file) && is_name(test))
+        .map(|(file, test)| (file.to_owned(), test.to_owned()))
+        .collect()
+}
+
+fn is_name(text: &str) -> bool {
+    text.chars()
+        .all(|character| character.is_ascii_lowercase() || character == '_')
+}
+
+/// Returns the text of all test files of a name, over all crates.
+fn test_sources(name: &str) -> Result<String> {
+    let mut sources = String::new();
+    for entry in fs::read_dir(root().join("crates"))? {
+        let file = entry?.path().join("tests").join(format!("{name}.rs"));
+        if file.is_file() {
+            sources.push_str(&fs::read_to_string(file)?);
+        }
+    }
+    Ok(sources)
+}
+
+#[test]
+fn tests_exist() -> Result<()> {
+    let page = fs::read_to_string(root().join("docs/PROOF.md")).context("docs/PROOF.md")?;
+    let named = named_tests(&page);
+    assert!(named.len() > 40, "only {} tests are named", named.len());
+    for (file, test) in named {
+        let sources = test_sources(&file)?;
+        assert!(
+            sources.contains(&format!("fn {test}(")),
+            "docs/PROOF.md names {file}::{test}, which doesn't exist"
+        );
+    }
+    Ok(())
+}
