--- a/crates/cyclamentrail-bench/src/bin/site_load.rs
+++ b/crates/cyclamentrail-bench/src/bin/site_load.rs
@@ -10,7 +10,7 @@
 use cyclamentrail_bench::ControlSize;
 use cyclamentrail_core::{BootId, InstanceName};
 use cyclamentrail_platform::{ListedInstance, ListedState};
-use cyclamentrail_testkit::{Ended, Load, Site, tally};
+use cyclamentrail_testkit::{Ended, Load, Process, Site, tally};
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 
@@ -98,14 +98,14 @@
 
 async fn control() -> Result<()> {
     println!("workers  pools  idle, % of a core  ms of processor a change  peak memory MiB");
-    for size in ControlSize::ALL {
-        measure_control(&size).await?;
+    for scale in ControlSize::ALL {
+        measure_control(&scale).await?;
     }
     Ok(())
 }
 
-async fn measure_control(size: &ControlSize) -> Result<()> {
-    let document = size.document(1);
+async fn measure_control(scale: &ControlSize) -> Result<()> {
+    let document = scale.document(1);
     let site = Site::builder()
         .entries(CONTROL_ENTRIES)
         .instances(2)
@@ -130,17 +130,13 @@
     }
     tokio::time::sleep(SETTLE).await;
     let change_ms = ticks_ms(busiest_ticks(&site)? - before);
-    let peaks: Result<Vec<u64>> = site
-        .entries
-        .iter()
-        .map(|entry| entry.peak_memory_kib())
-        .collect();
+    let peaks: Result<Vec<u64>> = site.entries.iter().map(Process::peak_memory_kib).collect();
     let peak_kib = peaks?.into_iter().max().unwrap_or_default();
     let idle_share = idle_ms / 1_000.0 / IDLE.as_secs_f64() * 100.0;
     println!(
         "{:>7}  {:>5}  {idle_share:>17.2}  {:>24.1}  {:>15}",
-        size.workers,
-        size.pools,
+        scale.workers,
+        scale.pools,
         change_ms / f64::from(u32::try_from(CHANGES)?),
         peak_kib / 1024
     );
@@ -168,11 +164,7 @@
 }
 
 fn busiest_ticks(site: &Site) -> Result<u64> {
-    let ticks: Result<Vec<u64>> = site
-        .entries
-        .iter()
-        .map(|entry| entry.processor_ticks())
-        .collect();
+    let ticks: Result<Vec<u64>> = site.entries.iter().map(Process::processor_ticks).collect();
     Ok(ticks?.into_iter().max().unwrap_or_default())
 }
 
