--- a/crates/cyclamentrail-testkit/src/site.rs
+++ b/crates/cyclamentrail-testkit/src/site.rs
@@ -380,6 +380,25 @@
         Ok(())
     }
 
+    /// Puts an instance on the list that no process stands for.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the list doesn't answer.
+    pub async fn put_listed(&self, name: &str, address: SocketAddr) -> Result<()> {
+        let listed = ListedInstance {
+            name: InstanceName::from(name),
+            address,
+            boot: BootId::new(1),
+            state: ListedState::Live,
+        };
+        let list = self.list.address("")?;
+        self.client
+            .post_json(list, "/_standin/instances", None, &listed)
+            .await?;
+        Ok(())
+    }
+
     /// Takes an instance off the list.
     ///
     /// # Errors
--- a/crates/cyclamentrail/tests/agreement_recovery.rs
+++ b/crates/cyclamentrail/tests/agreement_recovery.rs
@@ -1,6 +1,7 @@
 //! Recovery in separate processes: snapshots, trimmed logs, the loss of all entries, pauses.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use anyhow::{Result, bail};
@@ -319,11 +320,19 @@
 #[tokio::test]
 async fn letter_size() -> Result<()> {
     let mut site = Site::builder()
-        .entries(2)
+        .entries(0)
         .instances(2)
         .patch(large_site())
         .start()
         .await?;
+    for number in 0..1400 {
+        let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+        site.put_listed(&format!("x{number:04}"), nobody).await?;
+    }
+    for (entry, name) in [(0, "e1"), (1, "e2")] {
+        site.start_entry(name)?;
+        site.wait_ready(entry).await?;
+    }
     for count in 0..30 {
         change(&site, 0, &cores(10 + count)).await?;
     }
