--- a/crates/cyclamentrail-core/src/wave/runner.rs
+++ b/crates/cyclamentrail-core/src/wave/runner.rs
@@ -13,7 +13,7 @@
 //! assert!(WaveRunner::default().step(&input).is_empty());
 //! ```
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::{LossKind, WaveRecord};
@@ -70,6 +70,7 @@
     since: BTreeMap<(Thing, Mark), u64>,
     sent: BTreeMap<Subject, u64>,
     waits: BTreeMap<PoolName, Blocked>,
+    taking: BTreeSet<PoolName>,
     planner_work: u64,
     actions: Vec<WaveAction>,
 }
@@ -116,6 +117,7 @@
     pub fn step(&mut self, input: &WaveInput<'_>) -> Vec<WaveAction> {
         self.actions.clear();
         self.waits.clear();
+        self.taking.clear();
         self.sent.retain(|subject, &mut sent_ms| match subject {
             Subject::Reboot(_) => true,
             _ => sent_ms + RESEND_MS > input.now_ms,
--- a/crates/cyclamentrail-core/src/wave/runner/planner.rs
+++ b/crates/cyclamentrail-core/src/wave/runner/planner.rs
@@ -3,11 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::super::{MoveReason, WaveRecord};
-use super::{Mark, Subject, Thing, WaveInput, WaveRunner, limits, millis};
+use super::{Mark, Subject, Thing, WaveAction, WaveInput, WaveRunner, limits, millis};
 use crate::capacity::{Blocked, Capacity, PoolCapacity};
 use crate::fleet::InstanceState;
+use crate::id::Version;
 use crate::name::{InstanceName, PoolName};
 use crate::plan::{PlanInput, PlanMethod, plan};
+use crate::record::RecordBody;
 
 impl WaveRunner {
     pub(super) fn plan_moves(&mut self, input: &WaveInput<'_>, capacity: &Capacity<'_>) {
@@ -43,9 +45,25 @@
             to: planned.to,
             reason: planned.reason,
         };
+        self.put_off_advances(presumes);
         self.send(input, Subject::Step(presumes), record.into());
     }
 
+    /// Takes back this step's advances, which would make a move's order stale; a wave that
+    /// advances at each step would otherwise keep every move from being ordered.
+    fn put_off_advances(&mut self, step: Version) {
+        let is_advance = |action: &WaveAction| {
+            matches!(
+                action,
+                WaveAction::Submit(RecordBody::Wave(WaveRecord::Advanced { .. }))
+            )
+        };
+        if self.actions.iter().any(is_advance) {
+            self.actions.retain(|action| !is_advance(action));
+            self.sent.remove(&Subject::Step(step));
+        }
+    }
+
     /// Returns the pools that need an instance, the shortest first.
     fn needs(
         &mut self,
@@ -68,7 +86,8 @@
         let stuck = self.waits.iter().filter(|(name, blocked)| {
             let is_promise = matches!(blocked, Blocked::Promise { .. });
             let slack = capacity.pool(name).map_or(1, PoolCapacity::slack);
-            is_promise && slack <= 0 && !open.contains_key(*name)
+            let in_hand = open.contains_key(*name) || self.taking.contains(*name);
+            is_promise && slack <= 0 && !in_hand
         });
         for (name, _) in stuck {
             needs.push((0, name.clone(), MoveReason::WaveRoom));
