fix(eject): pause longer after the first refusals

A server that refuses everything had about ten requests of each entry within its first 100 ms, more than a new retry budget pays, so that 16 of 400 requests were told not run (requests_servers, bad_ejected refuse, busy machine).

--- a/crates/cyclamentrail-core/src/eject/health.rs
+++ b/crates/cyclamentrail-core/src/eject/health.rs
@@ -17,7 +17,7 @@
 /// Time after which a probe need not be idempotent, in microseconds.
 const PROBE_GRACE_US: u64 = 1_000_000;
 /// First pause after a refusal, in microseconds.
-const BASE_PAUSE_US: u64 = 1_000;
+const BASE_PAUSE_US: u64 = 8_000;
 /// Longest pause after refusals in a row, in microseconds.
 const MAX_PAUSE_US: u64 = 500_000;
 
