--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -18,11 +18,13 @@
 mod log_store;
 mod pass_through;
 mod serve;
+mod virtual_site;
 
 pub use answers::AnswerKind;
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
-pub use list_service::ListService;
+pub use list_service::{ListBehaviour, ListService};
 pub use log_service::{LogFault, LogService};
 pub use log_store::LogStore;
 pub use pass_through::PassThrough;
 pub use serve::Served;
+pub use virtual_site::{Counts, Machine, RebootFault, VirtualSite};
--- a/crates/cyclamentrail/src/control/actor/duties.rs
+++ b/crates/cyclamentrail/src/control/actor/duties.rs
@@ -1,5 +1,7 @@
 //! The fleet duty: who holds it, and what its holder does.
 
+use std::collections::BTreeSet;
+
 use cyclamentrail_core::{InstanceName, Offset, RecordBody};
 
 use super::super::ControlMessage;
@@ -33,7 +35,10 @@
             return;
         }
         self.duty = FleetDuty::default();
-        let vacant = holder.is_none_or(|holder| self.membership.is_given_up(holder, now_ms));
+        let vacant = holder.is_none_or(|holder| {
+            self.membership.is_given_up(holder, now_ms)
+                || self.membership.is_without_log(holder, now_ms)
+        });
         if vacant && self.membership.first_live(now_ms) == own {
             self.claim_duty(now_ms);
         } else {
@@ -54,10 +59,11 @@
     }
 
     fn run_duty(&mut self) {
+        let failing = self.failing_instances();
         let world = World {
             fleet: &self.fleet,
             list: &self.list,
-            own: self.parts.identity.incarnation,
+            failing: &failing,
             now_ms: clock::now_ms(),
         };
         for action in self.duty.step(&world) {
@@ -68,6 +74,12 @@
         }
     }
 
+    /// Returns the instances that this process no longer sends work to, since they failed it.
+    fn failing_instances(&self) -> BTreeSet<InstanceName> {
+        let ejected = self.links.iter().filter(|(_, link)| link.is_ejected());
+        ejected.map(|(name, _)| name.clone()).collect()
+    }
+
     fn reboot(&self, instance: InstanceName) {
         let platform = self.parts.platform.clone();
         tokio::spawn(async move {
--- a/crates/cyclamentrail/src/control/duty.rs
+++ b/crates/cyclamentrail/src/control/duty.rs
@@ -1,8 +1,8 @@
 //! What the holder of the fleet duty does for the whole site.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use cyclamentrail_core::{Fleet, Incarnation, InstanceName, RecordBody};
+use cyclamentrail_core::{Fleet, InstanceName, RecordBody};
 use cyclamentrail_platform::ListedInstance;
 
 use super::job_duty::JobDuty;
@@ -15,8 +15,8 @@
     pub(crate) fleet: &'a Fleet,
     /// The platform's list as it was last seen.
     pub(crate) list: &'a BTreeMap<InstanceName, ListedInstance>,
-    /// This process.
-    pub(crate) own: Incarnation,
+    /// Instances that fail what this process sends them.
+    pub(crate) failing: &'a BTreeSet<InstanceName>,
     /// This process's clock in milliseconds.
     pub(crate) now_ms: u64,
 }
