--- a/crates/cyclamentrail-bench/src/waves/letter.rs
+++ b/crates/cyclamentrail-bench/src/waves/letter.rs
@@ -68,6 +68,10 @@
     for (pool, held) in spare.chunks(SPARE_INSTANCES).enumerate() {
         pools[format!("spare{pool}")] = json!({"instances": held, "spare": true});
     }
+    let entries = document["entries"].as_object_mut();
+    for (number, entry) in entries.into_iter().flatten().enumerate() {
+        entry.1["zone"] = json!(format!("z{}", number % ZONES));
+    }
     document["zones"] = zones;
     document["pools"] = pools;
     document["services"] = services;
--- a/crates/cyclamentrail-bench/src/waves/run.rs
+++ b/crates/cyclamentrail-bench/src/waves/run.rs
@@ -23,7 +23,16 @@
 /// Panics when the document is invalid.
 #[must_use]
 pub fn run_planner(document: &Value, trace: &Trace, days: u64) -> Outcome {
-    let length_ms = days * DAY_MS;
+    run_planner_for(document, trace, days * DAY_MS)
+}
+
+/// Runs one wave over all instances for some virtual milliseconds; see [`run_planner`].
+///
+/// # Panics
+///
+/// Panics when the document is invalid.
+#[must_use]
+pub fn run_planner_for(document: &Value, trace: &Trace, length_ms: u64) -> Outcome {
     let mut site = VirtualSite::new(document);
     site.drain_ms = DRAIN_MS;
     site.reboot_ms = REBOOT_MS;
--- a/crates/cyclamentrail-core/src/wave/runner/advance.rs
+++ b/crates/cyclamentrail-core/src/wave/runner/advance.rs
@@ -58,6 +58,9 @@
         let batch = batch::choose(wave, waves, capacity, clock_ms, may_take);
         self.waits.extend(batch.waits);
         for name in batch.taken {
+            if let Some(instance) = input.fleet.instance(&name) {
+                self.taking.insert(instance.pool.clone());
+            }
             if let Some(seen) = input.seen.get(&name) {
                 advance.taken.insert(name, seen.boot);
             }
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -16,6 +16,7 @@
 mod list_service;
 mod log_service;
 mod log_store;
+mod pass_through;
 mod serve;
 mod virtual_site;
 
@@ -24,5 +25,6 @@
 pub use list_service::{ListBehaviour, ListService};
 pub use log_service::{LogFault, LogService};
 pub use log_store::LogStore;
+pub use pass_through::PassThrough;
 pub use serve::Served;
 pub use virtual_site::{Counts, Machine, RebootFault, VirtualSite};
--- a/crates/cyclamentrail/src/command/pool.rs
+++ b/crates/cyclamentrail/src/command/pool.rs
@@ -44,6 +44,9 @@
     let to = matches.opt_str("to").context("--to is missing")?;
     let request = json!({"instance": instance, "to": to, "operator": operator(matches)});
     client.post("/v1/moves", &request)?;
-    print(matches, &client.get(&format!("/v1/instances/{instance}"))?);
+    print(
+        matches,
+        &client.get(&format!("/v1/explain/instances/{instance}"))?,
+    );
     Ok(())
 }
--- a/crates/cyclamentrail/src/control/actor/duties.rs
+++ b/crates/cyclamentrail/src/control/actor/duties.rs
@@ -35,7 +35,10 @@
             return;
         }
         self.duty = FleetDuty::default();
-        let vacant = holder.is_none_or(|holder| self.membership.is_given_up(holder, now_ms));
+        let vacant = holder.is_none_or(|holder| {
+            self.membership.is_given_up(holder, now_ms)
+                || self.membership.is_without_log(holder, now_ms)
+        });
         if vacant && self.membership.first_live(now_ms) == own {
             self.claim_duty(now_ms);
         } else {
@@ -56,12 +59,11 @@
     }
 
     fn run_duty(&mut self) {
-        let failing = BTreeSet::new();
+        let failing = self.failing_instances();
         let world = World {
             fleet: &self.fleet,
             list: &self.list,
             failing: &failing,
-            own: self.parts.identity.incarnation,
             now_ms: clock::now_ms(),
         };
         for action in self.duty.step(&world) {
@@ -72,6 +74,12 @@
         }
     }
 
+    /// Returns the instances that this process no longer sends work to, since they failed it.
+    fn failing_instances(&self) -> BTreeSet<InstanceName> {
+        let ejected = self.links.iter().filter(|(_, link)| link.is_ejected());
+        ejected.map(|(name, _)| name.clone()).collect()
+    }
+
     fn reboot(&self, instance: InstanceName) {
         let platform = self.parts.platform.clone();
         tokio::spawn(async move {
