--- a/crates/cyclamentrail-core/src/heartbeat.rs
+++ b/crates/cyclamentrail-core/src/heartbeat.rs
@@ -16,7 +16,7 @@
 use serde_with::{Bytes, serde_as};
 
 use crate::id::{Incarnation, Offset, Version};
-use crate::record::{CodecError, decode};
+use crate::record::{CodecError, decode_message};
 
 /// Most members that a heartbeat names in one of its lists.
 const MAX_NAMED: usize = 4096;
@@ -128,8 +128,7 @@
 ///
 /// Returns [`CodecError::Malformed`] when the bytes are no heartbeat or its lists are too long.
 pub fn decode_heartbeat(bytes: &[u8]) -> Result<Heartbeat, CodecError> {
-    let heartbeat: Heartbeat =
-        decode(bytes).map_err(|error| CodecError::Malformed(error.to_string()))?;
+    let heartbeat: Heartbeat = decode_message(bytes)?;
     if heartbeat.is_bounded() {
         Ok(heartbeat)
     } else {
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -65,8 +65,8 @@
 pub use permit::{Permit, can_evict, is_majority};
 pub use plan::{Plan, PlanInput, PlanMethod, PlannedMove, plan};
 pub use record::{
-    CodecError, DrainReason, FIRST_FORMAT, FORMAT, LeaveReason, Record, RecordBody, decode_record,
-    encode_record,
+    CodecError, DrainReason, FIRST_FORMAT, FORMAT, LeaveReason, Record, RecordBody, decode_message,
+    decode_record, encode_record,
 };
 pub use registry::Registry;
 pub use retry::{RetryBudget, Tries, TryEnd};
--- a/crates/cyclamentrail-core/src/record.rs
+++ b/crates/cyclamentrail-core/src/record.rs
@@ -147,7 +147,9 @@
 #[derive(Debug, Error)]
 pub enum CodecError {
     /// The bytes are no record.
-    #[error("log record is malformed: {0}; check that only entries write to this stream")]
+    #[error(
+        "message is malformed: {0}; check that only this product writes to the stream or listener"
+    )]
     Malformed(String),
     /// The record can't be written.
     #[error("log record can't be encoded: {0}; report this as a bug")]
@@ -191,10 +193,9 @@
 ///
 /// Returns [`CodecError::Malformed`] when the bytes are no record.
 pub fn decode_record(bytes: &[u8]) -> Result<Record, CodecError> {
-    let envelope: Envelope =
-        decode(bytes).map_err(|error| CodecError::Malformed(error.to_string()))?;
+    let envelope: Envelope = decode_message(bytes)?;
     let body = (envelope.format <= FORMAT)
-        .then(|| decode(&envelope.body).ok())
+        .then(|| decode_message(&envelope.body).ok())
         .flatten();
     Ok(Record {
         format: envelope.format,
@@ -203,9 +204,13 @@
     })
 }
 
-/// Decodes bytes that come from outside, however deeply they nest.
-pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, rmp_serde::decode::Error> {
+/// Decodes a message that comes from outside; one that nests too deeply is refused.
+///
+/// # Errors
+///
+/// Returns [`CodecError::Malformed`] when the bytes are no such message.
+pub fn decode_message<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
     let mut deserializer = rmp_serde::Deserializer::from_read_ref(bytes);
     deserializer.set_max_depth(MAX_DEPTH);
-    T::deserialize(&mut deserializer)
+    T::deserialize(&mut deserializer).map_err(|error| CodecError::Malformed(error.to_string()))
 }
--- a/crates/cyclamentrail-core/src/snapshot.rs
+++ b/crates/cyclamentrail-core/src/snapshot.rs
@@ -13,7 +13,7 @@
 use thiserror::Error;
 
 use crate::fleet::Fleet;
-use crate::record::decode;
+use crate::record::{CodecError, decode_message};
 
 /// Newest snapshot format that this build writes and understands.
 const SNAPSHOT_FORMAT: u16 = 1;
@@ -76,13 +76,13 @@
     if bytes.len() > MAX_SNAPSHOT_BYTES {
         return Err(SnapshotError::TooLarge(bytes.len()));
     }
-    let malformed = |error: rmp_serde::decode::Error| SnapshotError::Malformed(error.to_string());
-    let envelope: Envelope = decode(bytes).map_err(malformed)?;
+    let malformed = |error: CodecError| SnapshotError::Malformed(error.to_string());
+    let envelope: Envelope = decode_message(bytes).map_err(malformed)?;
     if envelope.snapshot_format > SNAPSHOT_FORMAT {
         return Err(SnapshotError::FormatTooNew(envelope.snapshot_format));
     }
     if Sha256::digest(&envelope.fleet).as_slice() != envelope.checksum {
         return Err(SnapshotError::Damaged);
     }
-    decode(&envelope.fleet).map_err(malformed)
+    decode_message(&envelope.fleet).map_err(malformed)
 }
--- a/crates/cyclamentrail-standin/src/log_service.rs
+++ b/crates/cyclamentrail-standin/src/log_service.rs
@@ -10,7 +10,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
 use axum::{Json, Router};
-use cyclamentrail_core::Offset;
+use cyclamentrail_core::{Offset, decode_message};
 use cyclamentrail_platform::{AppendAnswer, AppendRequest, ReadRequest};
 use serde::{Deserialize, Serialize};
 
@@ -126,8 +126,7 @@
     body: Bytes,
 ) -> Result<Response, StatusCode> {
     let fault = shared.meet_fault().await?;
-    let request: AppendRequest =
-        rmp_serde::from_slice(&body).map_err(|_error| StatusCode::BAD_REQUEST)?;
+    let request: AppendRequest = decode_message(&body).map_err(|_error| StatusCode::BAD_REQUEST)?;
     let first_offset = shared.store.append(&stream, request.records);
     if fault == LogFault::LoseAnswers {
         return Err(StatusCode::GATEWAY_TIMEOUT);
--- a/crates/cyclamentrail/src/control/platform_client.rs
+++ b/crates/cyclamentrail/src/control/platform_client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cyclamentrail_core::{InstanceName, PlatformSettings};
+use cyclamentrail_core::{InstanceName, PlatformSettings, decode_message};
 use cyclamentrail_platform::{AppendAnswer, AppendRequest, InstanceList, ReadAnswer, ReadRequest};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{self, HeaderMap, HeaderValue};
@@ -253,5 +253,5 @@
 }
 
 fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, PlatformError> {
-    rmp_serde::from_slice(bytes).map_err(|error| PlatformError::Malformed(error.to_string()))
+    decode_message(bytes).map_err(|error| PlatformError::Malformed(error.to_string()))
 }
--- a/crates/cyclamentrail/src/peer/claims.rs
+++ b/crates/cyclamentrail/src/peer/claims.rs
@@ -10,7 +10,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use bytes::Bytes;
-use cyclamentrail_core::{ClaimOutcome, KeyDigest};
+use cyclamentrail_core::{ClaimOutcome, KeyDigest, decode_message};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
 use hyper_util::client::legacy::Client;
@@ -91,6 +91,6 @@
         }
         let body = Limited::new(response.into_body(), MAX_OUTCOME_BYTES).collect();
         let bytes = body.await.map_err(anyhow::Error::from_boxed)?.to_bytes();
-        Ok(Some(rmp_serde::from_slice(&bytes)?))
+        Ok(Some(decode_message(&bytes)?))
     }
 }
