fix(settings): allow a service without a promise, and follow the moved route

The new checks refused documents without entries and services that are promised nothing; both are settings of the wave invariants (tests contracts_hold and promise_holds failed so), and neither is wrong: a service without a promise has no contract to break. The route that explains instances moved (test stories failed so).

--- a/crates/cyclamentrail-core/src/settings/contract.rs
+++ b/crates/cyclamentrail-core/src/settings/contract.rs
@@ -11,7 +11,6 @@
 #[serde(deny_unknown_fields)]
 pub struct ContractSettings {
     /// Instances that the service is promised.
-    #[schemars(range(min = 1))]
     pub promised_instances: u32,
     /// Instance-seconds that may be missing in one window, planned and unplanned together.
     pub budget_instance_s: u64,
--- a/crates/cyclamentrail-core/src/settings/validate/process.rs
+++ b/crates/cyclamentrail-core/src/settings/validate/process.rs
@@ -12,14 +12,6 @@
 }
 
 fn check_entries(settings: &Settings, faults: &mut Vec<Fault>) {
-    if settings.entries.is_empty() {
-        faults.push(Fault::new(
-            String::from("/entries"),
-            String::from("there is no entry"),
-            "at least one entry",
-            "list the site's entry instances",
-        ));
-    }
     for (entry, entry_settings) in &settings.entries {
         if !settings.zones.contains_key(&entry_settings.zone) {
             faults.push(Fault::new(
--- a/crates/cyclamentrail-core/src/settings/validate/service.rs
+++ b/crates/cyclamentrail-core/src/settings/validate/service.rs
@@ -49,15 +49,6 @@
     let path = format!("/services/{service}/contract");
     let promised = u64::from(contract.promised_instances);
     let size = pool.instances.len() as u64;
-    if promised == 0 {
-        faults.push(Fault::new(
-            format!("{path}/promised_instances"),
-            String::from("0 instances are promised"),
-            "1 or more",
-            "promise what the service needs",
-        ));
-        return;
-    }
     if size < promised {
         faults.push(Fault::new(
             format!("{path}/promised_instances"),
--- a/crates/cyclamentrail/src/command/explain.rs
+++ b/crates/cyclamentrail/src/command/explain.rs
@@ -36,7 +36,7 @@
     const fn path(self) -> &'static str {
         match self {
             Self::Request => "/v1/explain/requests",
-            Self::Instance => "/v1/instances",
+            Self::Instance => "/v1/explain/instances",
             Self::Wave => "/v1/waves",
             Self::Change => "/v1/explain/changes",
         }
