refactor(core): take out the unused parts for long jobs; look at instances less often

Cause: long jobs aren't built in this stage, and their empty records, settings and routes would mislead a reader.

Change: the parts are gone; the duty looks at the instances only when a step is due, every 500 ms without a folded record. Retry-After is at least 1 s; it was 0 with no-instance.

--- a/crates/cyclamentrail-core/src/fleet.rs
+++ b/crates/cyclamentrail-core/src/fleet.rs
@@ -10,7 +10,6 @@
 
 use crate::claim::Claims;
 use crate::id::{BootId, Incarnation, Offset, Term, Version};
-use crate::job::Jobs;
 use crate::name::{EntryName, InstanceName, PoolName, ZoneName};
 use crate::record::{DrainReason, FIRST_FORMAT};
 use crate::registry::Registry;
@@ -58,7 +57,6 @@
     removed_unbooted: BTreeSet<InstanceName>,
     claims: Claims,
     waves: Waves,
-    jobs: Jobs,
 }
 
 /// What a part of the fold may know of the record that it folds.
@@ -188,7 +186,6 @@
             removed_unbooted: BTreeSet::new(),
             claims: Claims::default(),
             waves: Waves::default(),
-            jobs: Jobs::default(),
         }
     }
 
@@ -235,12 +232,6 @@
         &self.waves
     }
 
-    /// Returns the agreed state of long jobs.
-    #[must_use]
-    pub const fn jobs(&self) -> &Jobs {
-        &self.jobs
-    }
-
     /// Returns the members in the order of incarnations.
     pub fn members(&self) -> impl Iterator<Item = (Incarnation, &Member)> {
         self.members
--- a/crates/cyclamentrail-core/src/fleet/fold.rs
+++ b/crates/cyclamentrail-core/src/fleet/fold.rs
@@ -128,7 +128,6 @@
             } => self.fold_boot(instance, *presumes, *boot),
             RecordBody::Claim(record) => self.claims.fold(&context, record),
             RecordBody::Wave(record) => self.waves.fold(&context, record),
-            RecordBody::Job(record) => self.jobs.fold(&context, record),
             RecordBody::InstanceAssigned {
                 instance,
                 presumes,
@@ -228,6 +227,6 @@
 const fn changes_capacity(record: &Record) -> bool {
     !matches!(
         record.body,
-        None | Some(RecordBody::Claim(_) | RecordBody::Job(_) | RecordBody::EntryJoined { .. })
+        None | Some(RecordBody::Claim(_) | RecordBody::EntryJoined { .. })
     )
 }
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -20,7 +20,6 @@
 mod fleet;
 mod heartbeat;
 mod id;
-mod job;
 mod membership;
 mod name;
 mod outcome;
@@ -55,7 +54,6 @@
     encode_heartbeat,
 };
 pub use id::{BootId, Incarnation, Offset, RecordId, Term, Version};
-pub use job::{JobRecord, Jobs};
 pub use membership::{Eviction, Membership, MembershipTiming, PeerStatus};
 pub use name::{
     EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, WaveName,
@@ -73,9 +71,9 @@
 pub use route::{Candidate, Choice, Pool, ZONE_PENALTY, choose};
 pub use settings::{
     CallerLimits, ContractSettings, ControlSettings, CostWeights, EntrySettings, FailureDomain,
-    Fault, JobSettings, LoadError, LogLevel, LogSettings, MaintenanceSettings, PlatformSettings,
-    PoolSettings, RequestSettings, SecretSource, ServiceSettings, Settings, StopSettings,
-    WorkerShape, ZoneSettings, load_settings, merge_documents, settings_schema,
+    Fault, LoadError, LogLevel, LogSettings, MaintenanceSettings, PlatformSettings, PoolSettings,
+    RequestSettings, SecretSource, ServiceSettings, Settings, StopSettings, WorkerShape,
+    ZoneSettings, load_settings, merge_documents, settings_schema,
 };
 pub use share::{HomeRing, LinkLimits, LinkState, Share, stall_us, sure_slots};
 pub use snapshot::{MAX_SNAPSHOT_BYTES, SnapshotError, decode_snapshot, encode_snapshot};
--- a/crates/cyclamentrail-core/src/record.rs
+++ b/crates/cyclamentrail-core/src/record.rs
@@ -10,7 +10,6 @@
 
 use crate::claim::ClaimRecord;
 use crate::id::{BootId, Incarnation, RecordId, Term, Version};
-use crate::job::JobRecord;
 use crate::name::{EntryName, InstanceName, PoolName, ZoneName};
 use crate::wave::WaveRecord;
 
@@ -100,8 +99,6 @@
     Claim(ClaimRecord),
     /// Something about maintenance waves.
     Wave(WaveRecord),
-    /// Something about long jobs.
-    Job(JobRecord),
     /// A drained instance is given to a pool.
     InstanceAssigned {
         /// The drained instance.
--- a/crates/cyclamentrail-core/src/settings.rs
+++ b/crates/cyclamentrail-core/src/settings.rs
@@ -23,7 +23,6 @@
 
 mod contract;
 mod control;
-mod job;
 mod load;
 mod process;
 mod request;
@@ -32,7 +31,6 @@
 
 pub use contract::{ContractSettings, CostWeights, FailureDomain, MaintenanceSettings};
 pub use control::ControlSettings;
-pub use job::JobSettings;
 pub use load::{Fault, LoadError, load_settings, merge_documents, settings_schema};
 pub use process::{EntrySettings, LogLevel, LogSettings, PlatformSettings, SecretSource};
 pub use request::{CallerLimits, RequestSettings};
@@ -64,9 +62,6 @@
     pub caller_limits: CallerLimits,
     /// Timing of membership and agreement.
     pub control: ControlSettings,
-    /// Placing and limits of long jobs.
-    #[serde(default)]
-    pub jobs: JobSettings,
     /// Timing of an entry's planned stop.
     #[serde(default)]
     pub stop: StopSettings,
--- a/crates/cyclamentrail/src/body.rs
+++ b/crates/cyclamentrail/src/body.rs
@@ -87,10 +87,11 @@
     }
 }
 
-/// Returns the whole seconds that cover a wait.
+/// Returns the whole seconds that cover a wait; at least one, which is the header's unit.
 fn seconds(wait_ms: u64) -> u64 {
     let wait = Duration::from_millis(wait_ms);
-    wait.as_secs() + u64::from(wait.subsec_nanos() > 0)
+    let whole = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
+    whole.max(1)
 }
 
 /// Returns the outcome as the header's value.
--- a/crates/cyclamentrail/src/control.rs
+++ b/crates/cyclamentrail/src/control.rs
@@ -8,7 +8,6 @@
 mod history;
 mod identity;
 mod in_force;
-mod job_duty;
 mod list_poller;
 mod log_health;
 mod message;
--- a/crates/cyclamentrail/src/control/actor/duties.rs
+++ b/crates/cyclamentrail/src/control/actor/duties.rs
@@ -59,12 +59,16 @@
     }
 
     fn run_duty(&mut self) {
+        let now_ms = clock::now_ms();
+        if !self.duty.is_due(self.fleet.next_offset(), now_ms) {
+            return;
+        }
         let failing = self.failing_instances();
         let world = World {
             fleet: &self.fleet,
             list: &self.list,
             failing: &failing,
-            now_ms: clock::now_ms(),
+            now_ms,
         };
         for action in self.duty.step(&world) {
             match action {
--- a/crates/cyclamentrail/src/control/actor/folding.rs
+++ b/crates/cyclamentrail/src/control/actor/folding.rs
@@ -148,16 +148,11 @@
     }
 }
 
-/// Returns whether a record changes what traffic routes by; claims and jobs come too often to
+/// Returns whether a record changes what traffic routes by; claims come too often to
 /// build a view for each.
 const fn changes_view(body: Option<&RecordBody>) -> bool {
     !matches!(
         body,
-        None | Some(
-            RecordBody::Claim(_)
-                | RecordBody::Job(_)
-                | RecordBody::DutyClaimed { .. }
-                | RecordBody::EntryAlive
-        )
+        None | Some(RecordBody::Claim(_) | RecordBody::DutyClaimed { .. } | RecordBody::EntryAlive)
     )
 }
--- a/crates/cyclamentrail/src/control/duty.rs
+++ b/crates/cyclamentrail/src/control/duty.rs
@@ -2,10 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cyclamentrail_core::{Fleet, InstanceName, RecordBody};
+use cyclamentrail_core::{Fleet, InstanceName, Offset, RecordBody};
 use cyclamentrail_platform::ListedInstance;
 
-use super::job_duty::JobDuty;
 use super::wave_duty::WaveDuty;
 
 /// What a duty may look at.
@@ -34,14 +33,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetDuty {
     waves: WaveDuty,
-    jobs: JobDuty,
 }
 
 impl FleetDuty {
-    /// Returns what to do now; called at each tick while this process holds the duty.
+    /// Returns whether a step is due: after a folded record, and now and then without one.
+    pub(crate) fn is_due(&self, next_offset: Offset, now_ms: u64) -> bool {
+        self.waves.is_due(next_offset, now_ms)
+    }
+
+    /// Returns what to do now.
     pub(crate) fn step(&mut self, world: &World<'_>) -> Vec<DutyAction> {
-        let mut actions = self.waves.step(world);
-        actions.extend(self.jobs.step(world));
-        actions
+        self.waves.step(world)
     }
 }
--- a/crates/cyclamentrail/src/control/wave_duty.rs
+++ b/crates/cyclamentrail/src/control/wave_duty.rs
@@ -8,7 +8,7 @@
 use super::duty::{DutyAction, World};
 
 /// Longest time in milliseconds between two steps while no record is folded.
-const IDLE_STEP_MS: u64 = 250;
+const IDLE_STEP_MS: u64 = 500;
 
 /// Memory of this duty between two steps; nothing in it needs to survive its holder.
 #[derive(Debug, Default)]
@@ -18,16 +18,16 @@
 }
 
 impl WaveDuty {
+    /// Returns whether a step is due.
+    pub(crate) fn is_due(&self, next_offset: Offset, now_ms: u64) -> bool {
+        self.stepped.is_none_or(|(offset, at_ms)| {
+            offset != next_offset || now_ms.saturating_sub(at_ms) >= IDLE_STEP_MS
+        })
+    }
+
     /// Returns what to do now.
     pub(crate) fn step(&mut self, world: &World<'_>) -> Vec<DutyAction> {
-        let next_offset = world.fleet.next_offset();
-        let is_idle = self.stepped.is_some_and(|(offset, at_ms)| {
-            offset == next_offset && world.now_ms.saturating_sub(at_ms) < IDLE_STEP_MS
-        });
-        if is_idle {
-            return Vec::new();
-        }
-        self.stepped = Some((next_offset, world.now_ms));
+        self.stepped = Some((world.fleet.next_offset(), world.now_ms));
         let seen = seen(world);
         let input = WaveInput {
             fleet: world.fleet,
--- a/crates/cyclamentrail/src/operator.rs
+++ b/crates/cyclamentrail/src/operator.rs
@@ -19,7 +19,6 @@
 
 mod changes;
 mod entries;
-mod jobs;
 mod pools;
 mod requests;
 mod waves;
@@ -61,7 +60,6 @@
         .merge(entries::router())
         .merge(waves::router())
         .merge(pools::router())
-        .merge(jobs::router())
         .merge(requests::router())
         .layer(middleware::from_fn_with_state(
             operator.clone(),
--- a/crates/cyclamentrail/src/traffic.rs
+++ b/crates/cyclamentrail/src/traffic.rs
@@ -7,7 +7,6 @@
 mod forward;
 mod gate;
 mod guard;
-mod jobs;
 mod journal;
 mod link;
 mod listener;
--- a/crates/cyclamentrail/src/traffic/listener.rs
+++ b/crates/cyclamentrail/src/traffic/listener.rs
@@ -20,7 +20,6 @@
 use super::claims::{Key, Keyed, key_of, run_once};
 use super::dispatch::dispatch;
 use super::forward::{BodyLimits, forward};
-use super::jobs;
 use super::request::Outgoing;
 use super::tickets::{TicketPlace, Tickets, mint, run_ticket};
 use crate::body::problem;
@@ -136,7 +135,6 @@
         .route("/ready", get(ready))
         .route("/v1/tickets", post(mint))
         .route("/v1/services/{service}/{*path}", any(serve_request))
-        .merge(jobs::router())
         .with_state(traffic)
 }
 
