--- a/crates/cyclamentrail-spec/src/lib.rs
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each model has a few entries, one instance, the log and what can go wrong, and drives the same
 //! [`Fleet`](cyclamentrail_core::Fleet) and [`Permit`](cyclamentrail_core::Permit) as the process.
-//! [`explore`] visits every reachable state. docs/SPEC.md tells how to read a model.
+//! [`explore()`] visits every reachable state. docs/SPEC.md tells how to read a model.
 //!
 //! ```
 //! use cyclamentrail_spec::{DutyModel, explore};
