--- a/crates/cyclamentrail/tests/requests_load.rs
+++ b/crates/cyclamentrail/tests/requests_load.rs
@@ -9,6 +9,8 @@
 
 const SLOTS: u32 = 8;
 const CONNECTIONS: u32 = 64;
+/// Deadline of the requests in a burst.
+const BURST_DEADLINE: Duration = Duration::from_millis(800);
 /// Time after which a leaving server gets nothing new.
 const LEAVING: Duration = Duration::from_secs(2);
 
@@ -25,7 +27,7 @@
         .path("checks/work?work_ms=100")
         .rate_per_s(400)
         .seconds(4)
-        .deadline_ms(800)
+        .deadline_ms(u64::try_from(BURST_DEADLINE.as_millis())?)
         .start(&site)?
         .await?;
     let runs = site.check_told(&burst).await?;
@@ -45,6 +47,16 @@
         let answer = request.answer.as_ref().expect("it was told");
         ensure!(answer.retry_after_s.is_some(), "{answer:?}");
     }
+    let mut waits: Vec<Duration> = burst
+        .iter()
+        .filter(|request| request.is_not_run())
+        .map(|request| request.took)
+        .collect();
+    waits.sort_unstable();
+    let median = waits[waits.len() / 2];
+    ensure!(median < BURST_DEADLINE / 4, "half waited {median:?}");
+    let longest = waits.last();
+    ensure!(longest < Some(&BURST_DEADLINE), "one waited {longest:?}");
     for name in ["w01", "w02"] {
         let report = site.report(name).await?;
         ensure!(report.peak_in_flight <= SLOTS, "{}", report.peak_in_flight);
