fix(dispatch): leave a server only when it answers nobody

A request was abandoned as stalled after eight mean times, which long work alone reaches, and a refusal of its next try made it unknown.

Change: a try is left only while its server has answered no quick request for that long; the ending carries the abandoned try's own reason.

--- a/crates/cyclamentrail/src/command/wave.rs
+++ b/crates/cyclamentrail/src/command/wave.rs
@@ -6,6 +6,7 @@
 
 use super::ExitStatus;
 use super::client::OperatorClient;
+use super::text::readable;
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -55,7 +56,7 @@
     if matches.opt_present("json") {
         println!("{document}");
     } else {
-        println!("{document:#}");
+        print!("{}", readable(document));
     }
 }
 
--- a/crates/cyclamentrail/src/traffic/dispatch.rs
+++ b/crates/cyclamentrail/src/traffic/dispatch.rs
@@ -19,8 +19,8 @@
 use super::request::{Outgoing, RequestBody};
 use super::slot::Slot;
 use super::wait::take_slot;
-use crate::headers;
 use crate::view::{ServiceRoute, SharedView};
+use crate::{clock, headers};
 
 /// Value of the refusal's header by which a backend server says that it leaves.
 const LEAVING: &str = "leaving";
@@ -139,7 +139,10 @@
     /// Leaves a try behind for a further one.
     fn forget(&mut self, ended: Ended) {
         if !ended.end.is_not_run() {
-            self.may_have_run = Some(UnknownReason::ConnectionLost);
+            self.may_have_run = Some(match ended.outcome {
+                Outcome::Unknown(reason) => reason,
+                Outcome::Answered | Outcome::NotRun(_) => UnknownReason::ConnectionLost,
+            });
         }
         if let Some(answer) = ended.answer {
             drop(answer.response);
@@ -172,7 +175,7 @@
         }
         let instance = link.instance().clone();
         self.note(Event::Sent { instance });
-        let sent = self.answer_head(&mut sender, request).await;
+        let sent = self.answer_head(&link, &mut sender, request).await;
         slot.hold(sender);
         Ok(match sent {
             Head::Came(response) => self.judge(slot, response),
@@ -193,22 +196,27 @@
     }
 
     /// Waits for the head of the answer; an idempotent quick request isn't left with a server
-    /// that seems stalled when another try can be paid.
+    /// that answers nobody when another try can be paid.
     async fn answer_head(
         &mut self,
+        link: &Link,
         sender: &mut SendRequest<RequestBody>,
         request: Request<RequestBody>,
     ) -> Head {
         let deadline = self.call.deadline;
-        let stalled_at = self.try_until();
         let mut sent = pin!(sender.send_request(request));
-        let mut came = tokio::time::timeout_at(stalled_at, &mut sent).await;
-        if came.is_err() && stalled_at < deadline {
-            if let Some(pause_us) = self.route.gate.next_try(&mut self.tries, TryEnd::Stalled) {
+        let came = loop {
+            let until = self.try_until();
+            let came = tokio::time::timeout_at(until, &mut sent).await;
+            if came.is_ok() || until >= deadline {
+                break came;
+            }
+            let stalled = link.state().is_stalled(clock::now_us());
+            let next = || self.route.gate.next_try(&mut self.tries, TryEnd::Stalled);
+            if let Some(pause_us) = stalled.then(next).flatten() {
                 return Head::Stalled { pause_us };
             }
-            came = tokio::time::timeout_at(deadline, &mut sent).await;
-        }
+        };
         match came {
             Ok(Ok(response)) => Head::Came(response),
             Ok(Err(error)) if error.is_canceled() => Head::NotSent,
