--- a/crates/cyclamentrail-bench/src/requests/simulation.rs
+++ b/crates/cyclamentrail-bench/src/requests/simulation.rs
@@ -4,19 +4,20 @@
 use std::collections::BinaryHeap;
 
 use cyclamentrail_core::{
-    HomeRing, Incarnation, NotRunReason, Refusal, RequestClass, Ticket, Tries, TryEnd, TryResult,
-    may_eject, stall_us,
+    HomeRing, Incarnation, NotRunReason, Refusal, RequestClass, Ticket, Tries, stall_us,
 };
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::entry::{Entry, rack_of};
+use super::entry::Entry;
 use super::policy::{Policy, Sharing};
 use super::report::RunReport;
 use super::scenario::{SLOTS, Scenario};
 use super::server::Server;
 use super::trace::{Arrival, trace};
 
+mod attempts;
+
 /// Fixed timeout of the baseline in microseconds.
 const FIXED_TIMEOUT_US: u64 = 250_000;
 /// Retries of the baseline.
@@ -320,230 +321,6 @@
         }
     }
 
-    fn reach(&mut self, attempt: usize) {
-        let Attempt {
-            request,
-            entry,
-            server,
-            ..
-        } = self.attempts[attempt];
-        let work_us = self.arrivals[request].work_us;
-        if let Some(took_us) = self.servers[server].start(work_us, self.now_us) {
-            self.at(self.now_us + took_us, Event::Done(attempt));
-            return;
-        }
-        let delay_us = self.entries[entry].delay_us(server);
-        let result = Reply::Refused;
-        self.at(self.now_us + delay_us, Event::Reply { attempt, result });
-    }
-
-    fn done(&mut self, attempt: usize) {
-        let Attempt { entry, server, .. } = self.attempts[attempt];
-        let served = self.servers[server].end(self.now_us);
-        let result = if served { Reply::Served } else { Reply::Error };
-        let delay_us = self.entries[entry].delay_us(server);
-        self.at(self.now_us + delay_us, Event::Reply { attempt, result });
-    }
-
-    fn reply(&mut self, attempt: usize, result: Reply) {
-        if !std::mem::replace(&mut self.attempts[attempt].open, false) {
-            return;
-        }
-        let request = self.attempts[attempt].request;
-        if self.policy != Policy::Baseline {
-            self.learn(attempt, result);
-        }
-        if self.states[request].ended {
-            return;
-        }
-        match result {
-            Reply::Served => self.answer(request),
-            Reply::Refused => self.again(attempt, TryEnd::Refused),
-            Reply::Error => self.again(attempt, TryEnd::ServerError),
-        }
-    }
-
-    /// Takes in what a reply tells about its server and passes the slot on.
-    fn learn(&mut self, attempt: usize, result: Reply) {
-        let Attempt {
-            request,
-            entry,
-            server,
-            started_us,
-            ..
-        } = self.attempts[attempt];
-        let class = self.arrivals[request].class;
-        let learns = matches!(
-            self.policy,
-            Policy::Core {
-                sharing: Sharing::Learned,
-                ..
-            }
-        );
-        let took_us = self.now_us - started_us;
-        match result {
-            Reply::Served => {
-                let entry = &mut self.entries[entry];
-                entry.admission.note_time(class, took_us);
-                let pace = *entry.admission.pace(class);
-                let result = entry.links[server].note_time(class, took_us, self.now_us, &pace);
-                self.note(self.attempts[attempt].entry, server, result);
-            }
-            Reply::Refused if learns => self.note(entry, server, TryResult::Refused),
-            Reply::Refused => {}
-            Reply::Error => self.note(entry, server, TryResult::ServerError),
-        }
-        self.free(entry, server, class);
-    }
-
-    fn note(&mut self, entry: usize, server: usize, result: TryResult) {
-        let entry = &mut self.entries[entry];
-        let ejected = entry.others_ejected(server);
-        let spare = may_eject(self.servers.len(), ejected, PROMISED);
-        let jitter = self.random.random();
-        entry.links[server].note(result, self.now_us, spare, jitter);
-    }
-
-    fn free(&mut self, entry: usize, server: usize, class: RequestClass) {
-        let now_us = self.now_us;
-        let at = &mut self.entries[entry];
-        let link = &mut at.links[server];
-        link.release(class);
-        let turn = at
-            .admission
-            .next(class, now_us, |class| link.may_follow(class, now_us));
-        let taken = turn.taken;
-        if let Some(request) = taken {
-            link.follow(self.arrivals[request].class, now_us);
-        }
-        for (late, refusal) in turn.late {
-            self.refuse(late, refusal);
-        }
-        if let Some(request) = taken {
-            self.send(request, entry, server);
-        }
-    }
-
-    fn answer(&mut self, request: usize) {
-        self.states[request].ended = true;
-        let arrival = &self.arrivals[request];
-        let in_time = self.now_us <= arrival.deadline_us;
-        if in_time {
-            self.useful_us += arrival.work_us;
-        }
-        if arrival.class == RequestClass::Long {
-            self.report.long_good += u64::from(in_time);
-            return;
-        }
-        self.report
-            .answer_us
-            .saturating_record(self.now_us - arrival.at_us);
-        if in_time {
-            self.report.good += 1;
-            self.report.team_good[arrival.team] += 1;
-        } else {
-            self.report.late += 1;
-        }
-    }
-
-    fn again(&mut self, attempt: usize, end: TryEnd) {
-        let Attempt {
-            request,
-            entry,
-            server,
-            ..
-        } = self.attempts[attempt];
-        if self.policy == Policy::Baseline {
-            self.again_fixed(request);
-            return;
-        }
-        let state = &mut self.states[request];
-        state.avoid = Some(rack_of(server));
-        let budget = &mut self.entries[entry].budget;
-        match state.tries.next(end, self.now_us, budget, &mut self.random) {
-            Some(pause_us) => self.at(self.now_us + pause_us, Event::Retry(request)),
-            None => self.fail(request),
-        }
-    }
-
-    fn again_fixed(&mut self, request: usize) {
-        let state = &mut self.states[request];
-        if state.fixed_retries >= FIXED_RETRIES {
-            self.fail(request);
-            return;
-        }
-        state.fixed_retries += 1;
-        self.start(request, self.states[request].entry, false);
-    }
-
-    fn fail(&mut self, request: usize) {
-        self.states[request].ended = true;
-        if self.arrivals[request].class == RequestClass::Quick {
-            self.report.failed += 1;
-        }
-    }
-
-    fn time_out(&mut self, attempt: usize) {
-        let Attempt {
-            request,
-            entry,
-            server,
-            open,
-            ..
-        } = self.attempts[attempt];
-        if !open || self.states[request].ended {
-            return;
-        }
-        if self.policy == Policy::Baseline {
-            self.attempts[attempt].open = false;
-            self.again_fixed(request);
-            return;
-        }
-        let state = &mut self.states[request];
-        let budget = &mut self.entries[entry].budget;
-        let pause = state
-            .tries
-            .next(TryEnd::Stalled, self.now_us, budget, &mut self.random);
-        let Some(pause_us) = pause else { return };
-        state.avoid = Some(rack_of(server));
-        self.attempts[attempt].open = false;
-        self.note(entry, server, TryResult::Broken);
-        self.free(entry, server, self.arrivals[request].class);
-        self.at(self.now_us + pause_us, Event::Retry(request));
-    }
-
-    fn hedge(&mut self, attempt: usize) {
-        let Attempt {
-            request,
-            entry,
-            server,
-            open,
-            ..
-        } = self.attempts[attempt];
-        let state = &self.states[request];
-        let waiting = self.entries[entry].admission.waiting(RequestClass::Quick);
-        if !open
-            || state.ended
-            || state.hedged
-            || waiting > 0
-            || !self.entries[entry].budget.spend()
-        {
-            return;
-        }
-        self.states[request].hedged = true;
-        let avoid = Some(rack_of(server));
-        let picked = self.entries[entry].pick(
-            RequestClass::Quick,
-            true,
-            avoid,
-            self.now_us,
-            &mut self.random,
-        );
-        if let Some(other) = picked {
-            self.send(request, entry, other);
-        }
-    }
-
     fn tick(&mut self) {
         let now_us = self.now_us;
         let rooms: Vec<u32> = self
