test(membership): an entry that is cut off learns of a leaving server from its peers

The entry sees neither the log nor the list; 2 s after the server is marked as leaving, 20 requests through that entry reach others only.

--- a/crates/cyclamentrail/tests/agreement_membership.rs
+++ b/crates/cyclamentrail/tests/agreement_membership.rs
@@ -9,6 +9,8 @@
 
 /// Longest delay of a duty by the loss of its holder.
 const DUTY_DELAY: Duration = Duration::from_secs(5);
+/// Time after which a leaving server gets nothing new.
+const LEAVING: Duration = Duration::from_secs(2);
 /// Longest wait for conditions that have no bound of their own.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -177,3 +179,27 @@
     assert!(refused.retry_after_s.is_some());
     Ok(())
 }
+
+/// The entry sees neither the log nor the list; only its peers can tell it.
+#[tokio::test]
+async fn leaving_told_by_peers() -> Result<()> {
+    let mut site = Site::builder().entries(2).instances(4).start().await?;
+    let log = Forwarder::start(site.log.address("")?).await?;
+    let list = Forwarder::start(site.list.address("")?).await?;
+    let platform = json!({"log_address": log.address(), "list_address": list.address()});
+    site.start_entry_with("e3", &json!({"platform": platform}))?;
+    site.wait_ready(2).await?;
+    log.set_cut(true);
+    list.set_cut(true);
+    site.wait_state(2, PATIENCE, |state| state["log_reached"] == false)
+        .await?;
+    site.mark_leaving("w01").await?;
+    tokio::time::sleep(LEAVING).await;
+    let before = site.report("w01").await?.runs.len();
+    for number in 0..20 {
+        let answer = site.call(2, "checks", &format!("cut-{number}")).await?;
+        assert_eq!(answer.outcome, "answered");
+    }
+    assert_eq!(site.report("w01").await?.runs.len(), before);
+    Ok(())
+}
