refactor: name explanations and the table of claims by their usual terms

Names that need explaining: a story is an explanation, the desk of claims is a table. No change of behaviour. Checked: linter, docs, and the tests of keys, tickets, commands, waves, pages, schema, metrics and answers.

--- a/crates/cyclamentrail-core/src/capacity.rs
+++ b/crates/cyclamentrail-core/src/capacity.rs
@@ -18,7 +18,7 @@
 
 mod explain;
 
-pub use explain::{PoolStory, ServiceStory, explain_pools};
+pub use explain::{PoolExplanation, ServiceExplanation, explain_pools};
 
 /// One set of instances that fail together.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/cyclamentrail-core/src/capacity/explain.rs
+++ b/crates/cyclamentrail-core/src/capacity/explain.rs
@@ -15,7 +15,7 @@
 
 /// What a pool holds, and why this much.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PoolStory {
+pub struct PoolExplanation {
     /// Instances promised to the services on the pool.
     pub promised: u32,
     /// Instances that work for the pool.
@@ -31,12 +31,12 @@
     /// Why the pool holds this much.
     pub buffer_reason: String,
     /// The accounts of the services on the pool.
-    pub services: BTreeMap<ServiceName, ServiceStory>,
+    pub services: BTreeMap<ServiceName, ServiceExplanation>,
 }
 
 /// What a service has spent of its availability budget.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceStory {
+pub struct ServiceExplanation {
     /// Instance-seconds that may be missing in the window.
     pub budget_instance_s: u64,
     /// Length of the window in seconds.
@@ -47,19 +47,19 @@
 
 /// Returns what each pool holds; empty before the first settings.
 #[must_use]
-pub fn explain_pools(fleet: &Fleet) -> BTreeMap<PoolName, PoolStory> {
+pub fn explain_pools(fleet: &Fleet) -> BTreeMap<PoolName, PoolExplanation> {
     let Some(capacity) = fleet.capacity() else {
         return BTreeMap::new();
     };
     let pools = capacity.pools().iter();
     pools
-        .map(|(name, pool)| (name.clone(), story(fleet, &capacity, pool)))
+        .map(|(name, pool)| (name.clone(), explanation(fleet, &capacity, pool)))
         .collect()
 }
 
-fn story(fleet: &Fleet, capacity: &Capacity<'_>, pool: &PoolCapacity) -> PoolStory {
+fn explanation(fleet: &Fleet, capacity: &Capacity<'_>, pool: &PoolCapacity) -> PoolExplanation {
     let services = pool.services.iter();
-    PoolStory {
+    PoolExplanation {
         promised: pool.promised,
         available: pool.available,
         worst: pool.worst(),
@@ -68,20 +68,20 @@
         out: pool.out.clone(),
         buffer_reason: buffer_reason(capacity, pool),
         services: services
-            .filter_map(|name| Some((name.clone(), service_story(fleet, capacity, name)?)))
+            .filter_map(|name| Some((name.clone(), explain_service(fleet, capacity, name)?)))
             .collect(),
     }
 }
 
-fn service_story(
+fn explain_service(
     fleet: &Fleet,
     capacity: &Capacity<'_>,
     name: &ServiceName,
-) -> Option<ServiceStory> {
+) -> Option<ServiceExplanation> {
     let contract = &capacity.settings().services.get(name)?.contract;
     let window_ms = contract.window_s.saturating_mul(MS_PER_S);
     let accounts = fleet.waves().accounts();
-    Some(ServiceStory {
+    Some(ServiceExplanation {
         budget_instance_s: contract.budget_instance_s,
         window_s: contract.window_s,
         spent_instance_ms: accounts.spent_by_cause_ms(name, fleet.clock_ms(), window_ms),
--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -36,7 +36,7 @@
 
 pub use admit::{Admission, AdmitLimits, Ask, Pace, Queued, Refusal, RequestClass, Ticket, Turn};
 pub use capacity::{
-    Blocked, Capacity, DomainName, PoolCapacity, PoolStory, ServiceStory, explain_pools,
+    Blocked, Capacity, DomainName, PoolCapacity, PoolExplanation, ServiceExplanation, explain_pools,
 };
 pub use claim::{
     CLAIM_WINDOW_MS, Claim, ClaimLook, ClaimOutcome, ClaimRecord, Claims, KeptAnswer, KeptBody,
@@ -78,7 +78,7 @@
 pub use share::{HomeRing, LinkLimits, LinkState, Share, stall_us, sure_slots};
 pub use snapshot::{MAX_SNAPSHOT_BYTES, SnapshotError, decode_snapshot, encode_snapshot};
 pub use wave::{
-    Advance, Failure, FailureKind, InstanceStory, LossKind, MoveOrder, MoveReason, Moved, OpenStep,
-    Seen, Wave, WaveAction, WaveControl, WaveInput, WaveRecord, WaveRunner, WaveState, WaveStory,
-    Waves, explain_instance, explain_wave,
+    Advance, Failure, FailureKind, InstanceExplanation, LossKind, MoveOrder, MoveReason, Moved,
+    OpenStep, Seen, Wave, WaveAction, WaveControl, WaveExplanation, WaveInput, WaveRecord,
+    WaveRunner, WaveState, Waves, explain_instance, explain_wave,
 };
--- a/crates/cyclamentrail-core/src/wave.rs
+++ b/crates/cyclamentrail-core/src/wave.rs
@@ -26,7 +26,7 @@
 mod runner;
 mod state;
 
-pub use explain::{InstanceStory, WaveStory, explain_instance, explain_wave};
+pub use explain::{InstanceExplanation, WaveExplanation, explain_instance, explain_wave};
 pub use record::{Advance, FailureKind, LossKind, MoveReason, WaveControl, WaveRecord};
 pub use runner::{Seen, WaveAction, WaveInput, WaveRunner};
 pub use state::{Failure, MoveOrder, Moved, OpenStep, Wave, WaveState};
--- a/crates/cyclamentrail-core/src/wave/explain.rs
+++ b/crates/cyclamentrail-core/src/wave/explain.rs
@@ -1,4 +1,4 @@
-//! Tells the story of one instance or one wave.
+//! Explains one instance or one wave.
 
 use std::collections::BTreeMap;
 
@@ -12,7 +12,7 @@
 
 /// Why an instance is where it is, and what it waits for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct InstanceStory {
+pub struct InstanceExplanation {
     /// The pool that it belongs to.
     pub pool: PoolName,
     /// Its state.
@@ -31,7 +31,7 @@
 
 /// How far a wave is, and why it doesn't go on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WaveStory {
+pub struct WaveExplanation {
     /// Whether it takes instances.
     pub state: WaveState,
     /// Operator who created it.
@@ -48,9 +48,9 @@
     pub waits_for: Vec<String>,
 }
 
-/// Returns the story of an instance; `None` when it isn't known.
+/// Returns the explanation of an instance; `None` when it isn't known.
 #[must_use]
-pub fn explain_instance(fleet: &Fleet, name: &InstanceName) -> Option<InstanceStory> {
+pub fn explain_instance(fleet: &Fleet, name: &InstanceName) -> Option<InstanceExplanation> {
     let instance = fleet.instance(name)?;
     let waves = fleet.waves();
     let wave = waves.covering(name).map(|wave| {
@@ -60,7 +60,7 @@
     let moved = waves.moved().iter().filter(|moved| &moved.instance == name);
     let waits = wave.is_some() || waves.moves().contains_key(name);
     let blocked = waits.then(|| capacity_now(fleet)?.blocked(name)).flatten();
-    Some(InstanceStory {
+    Some(InstanceExplanation {
         pool: instance.pool.clone(),
         state: instance.state.clone(),
         lost: waves.lost().contains_key(name),
@@ -71,12 +71,12 @@
     })
 }
 
-/// Returns the story of a wave; `None` when it isn't known.
+/// Returns the explanation of a wave; `None` when it isn't known.
 #[must_use]
-pub fn explain_wave(fleet: &Fleet, name: &WaveName) -> Option<WaveStory> {
+pub fn explain_wave(fleet: &Fleet, name: &WaveName) -> Option<WaveExplanation> {
     let wave = fleet.waves().wave(name)?;
     let failed = wave.failed.iter();
-    Some(WaveStory {
+    Some(WaveExplanation {
         state: wave.state.clone(),
         operator: wave.operator.clone(),
         pending: wave.pending.len(),
--- a/crates/cyclamentrail-core/tests/wave.rs
+++ b/crates/cyclamentrail-core/tests/wave.rs
@@ -81,10 +81,13 @@
     });
     assert!(halted, "{:?}", wave(&site, "w"));
     let done = wave(&site, "w").done.len();
-    let story = explain_wave(&site.fleet, &WaveName::from("w")).expect("it is known");
-    assert!(story.waits_for[0].contains("resume or cancel"), "{story:?}");
+    let explanation = explain_wave(&site.fleet, &WaveName::from("w")).expect("it is known");
     assert!(
-        story
+        explanation.waits_for[0].contains("resume or cancel"),
+        "{explanation:?}"
+    );
+    assert!(
+        explanation
             .failed
             .values()
             .all(|&kind| kind == FailureKind::DidNotReturn)
@@ -134,8 +137,8 @@
     let taken = site.counts.taken.len();
     site.run_until(5 * MINUTE_MS, STEP_MS, |_| false);
     assert_eq!(site.counts.taken.len(), taken, "taken with a zone lost");
-    let story = explain_wave(&site.fleet, &WaveName::from("w")).expect("it is known");
-    let reasons = story.waits_for.join("\n");
+    let explanation = explain_wave(&site.fleet, &WaveName::from("w")).expect("it is known");
+    let reasons = explanation.waits_for.join("\n");
     assert!(
         reasons.contains("more in the pool would free it"),
         "{reasons}"
@@ -250,13 +253,13 @@
     site.change_settings(&promise(9)).expect("it is valid");
     site.run_until(2 * 60 * MINUTE_MS, STEP_MS, |_| false);
     assert!(!site.has_ended("w"));
-    let story = explain_wave(&site.fleet, &WaveName::from("w")).expect("it is known");
+    let explanation = explain_wave(&site.fleet, &WaveName::from("w")).expect("it is known");
     assert!(
-        story
+        explanation
             .waits_for
             .iter()
             .any(|reason| reason.contains("transfer-forecasts")),
-        "{story:?}"
+        "{explanation:?}"
     );
     site.change_settings(&promise(7)).expect("it is valid");
     assert!(ends(&mut site, "w"));
@@ -273,8 +276,11 @@
     site.run_until(60 * MINUTE_MS, STEP_MS, |_| false);
     assert_eq!(site.counts.taken.len(), taken);
     assert_eq!(in_hand(&site), 0, "those in hand came back");
-    let story = explain_wave(&site.fleet, &WaveName::from("w")).expect("it is known");
-    assert_eq!(story.waits_for, ["test paused it; resume it to go on"]);
+    let explanation = explain_wave(&site.fleet, &WaveName::from("w")).expect("it is known");
+    assert_eq!(
+        explanation.waits_for,
+        ["test paused it; resume it to go on"]
+    );
     site.control("w", WaveControl::Resume).expect("it resumes");
     assert!(ends(&mut site, "w"));
     assert_kept(&site);
@@ -379,8 +385,8 @@
     site.run_until(MINUTE_MS, STEP_MS, |_| false);
     let moved = site.fleet.instance(&"w20".into()).expect("it is known");
     assert_eq!(moved.pool.as_str(), "platform-forecasts");
-    let story = explain_instance(&site.fleet, &"w20".into()).expect("it is known");
-    assert_eq!(story.moved.len(), 1);
+    let explanation = explain_instance(&site.fleet, &"w20".into()).expect("it is known");
+    assert_eq!(explanation.moved.len(), 1);
     for name in ["w02", "w06"] {
         let body = order(&site, name, "platform-forecasts");
         site.append(2, body).expect("it is ordered");
--- a/crates/cyclamentrail/src/command.rs
+++ b/crates/cyclamentrail/src/command.rs
@@ -29,7 +29,7 @@
 Commands:
   check    reads, merges and validates the settings of a site
   entry    runs one entry
-  explain  tells the story of one request, instance, wave or change
+  explain  explains one request, instance, wave or change
   local    runs a whole site in this process, under load
   pool     shows pools, or moves an instance to another pool
   publish  changes the settings and waits until the change is in force
--- a/crates/cyclamentrail/src/command/explain.rs
+++ b/crates/cyclamentrail/src/command/explain.rs
@@ -1,4 +1,4 @@
-//! `cyclamentrail explain`: tells the story of one request, instance, wave or change.
+//! `cyclamentrail explain`: explains one request, instance, wave or change.
 
 use std::net::SocketAddr;
 
@@ -74,7 +74,7 @@
     };
     let client = OperatorClient::from_matches(matches)?;
     let path = format!("{}/{id}", kind.path());
-    let story = match client.get(&path) {
+    let explanation = match client.get(&path) {
         Err(error) if kind == Kind::Request && is_not_found(&error) => {
             match server_of(&client, id)? {
                 Some(address) => client.at(address).get(&path)?,
@@ -84,9 +84,9 @@
         other => other?,
     };
     if matches.opt_present("json") {
-        println!("{story}");
+        println!("{explanation}");
     } else {
-        print!("{}", readable(&story));
+        print!("{}", readable(&explanation));
     }
     Ok(())
 }
--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
-use super::claims::{ClaimDesk, DeskAction};
+use super::claims::{ClaimAction, ClaimTable};
 use super::duty::FleetDuty;
 use super::history::History;
 use super::identity::Identity;
@@ -81,7 +81,7 @@
     alive_ms: u64,
     released: BTreeMap<InstanceName, u64>,
     duty: FleetDuty,
-    claims: ClaimDesk,
+    claims: ClaimTable,
     claimed: Option<(Term, u64)>,
     evictions: BTreeMap<Incarnation, EvictionTry>,
     snapshot: SnapshotState,
@@ -152,7 +152,7 @@
             alive_ms: 0,
             released: BTreeMap::new(),
             duty: FleetDuty::default(),
-            claims: ClaimDesk::default(),
+            claims: ClaimTable::default(),
             claimed: None,
             evictions: BTreeMap::new(),
             snapshot: SnapshotState::default(),
@@ -220,7 +220,8 @@
 
     fn handle_claim(&mut self, message: ClaimMessage) {
         let own = self.parts.identity.incarnation;
-        if let DeskAction::Claim { record, reply } = self.claims.handle(&self.fleet, own, message) {
+        if let ClaimAction::Claim { record, reply } = self.claims.handle(&self.fleet, own, message)
+        {
             let (result, folded) = oneshot::channel();
             self.submit(RecordBody::Claim(record), Some(result));
             drop(reply.send(ClaimAnswer::Submitted(folded)));
--- a/crates/cyclamentrail/src/control/claims.rs
+++ b/crates/cyclamentrail/src/control/claims.rs
@@ -7,12 +7,12 @@
 
 use super::{ControlHandle, ControlMessage, SubmitError};
 
-mod desk;
 mod memory;
 mod run;
+mod table;
 
-pub(crate) use desk::{ClaimDesk, DeskAction};
 pub(crate) use run::{Run, RunEnd, RunId};
+pub(crate) use table::{ClaimAction, ClaimTable};
 
 /// A message about an idempotency key.
 #[derive(Debug)]
--- a/crates/cyclamentrail/src/control/claims/desk.rs
+++ b/crates/cyclamentrail/src/control/claims/table.rs
@@ -17,9 +17,9 @@
 /// Interval in milliseconds between two searches for claims that nobody here waits for.
 const SWEEP_MS: u64 = 2000;
 
-/// What the desk wants done after a message.
+/// What is to be done after a message.
 #[derive(Debug)]
-pub(crate) enum DeskAction {
+pub(crate) enum ClaimAction {
     /// Nothing.
     None,
     /// Append a claim, and hand the receiver of its result to the request.
@@ -39,7 +39,7 @@
 
 /// What the control thread keeps about idempotency keys beside the agreed state.
 #[derive(Debug, Default)]
-pub(crate) struct ClaimDesk {
+pub(crate) struct ClaimTable {
     runs: BTreeMap<KeyDigest, GrantedRun>,
     waiting: BTreeMap<KeyDigest, Vec<oneshot::Sender<()>>>,
     memory: AnswerMemory,
@@ -48,23 +48,23 @@
     swept_ms: u64,
 }
 
-impl ClaimDesk {
+impl ClaimTable {
     /// Handles a message.
     pub(crate) fn handle(
         &mut self,
         fleet: &Fleet,
         own: Incarnation,
         message: ClaimMessage,
-    ) -> DeskAction {
+    ) -> ClaimAction {
         match message {
             ClaimMessage::Ask(question) => return self.ask(fleet, own, question),
             ClaimMessage::End { run, end } => self.end(run, end),
             ClaimMessage::Fetch { key, reply } => drop(reply.send(self.known(fleet, &key))),
         }
-        DeskAction::None
+        ClaimAction::None
     }
 
-    fn ask(&mut self, fleet: &Fleet, own: Incarnation, question: ClaimQuestion) -> DeskAction {
+    fn ask(&mut self, fleet: &Fleet, own: Incarnation, question: ClaimQuestion) -> ClaimAction {
         let ClaimQuestion {
             key,
             request,
@@ -79,7 +79,7 @@
                     request,
                     seen_ms: fleet.clock_ms(),
                 };
-                return DeskAction::Claim { record, reply };
+                return ClaimAction::Claim { record, reply };
             }
             ClaimLook::OtherRequest => ClaimAnswer::OtherRequest,
             ClaimLook::OwnerGone => ClaimAnswer::OwnerGone,
@@ -103,7 +103,7 @@
             },
         };
         drop(reply.send(answer));
-        DeskAction::None
+        ClaimAction::None
     }
 
     fn is_granted(&self, key: &KeyDigest, claim: Offset) -> bool {
--- a/crates/cyclamentrail/src/local/changes.rs
+++ b/crates/cyclamentrail/src/local/changes.rs
@@ -124,21 +124,21 @@
             .await?;
         let path = format!("/v1/waves/{WAVE}");
         loop {
-            let story = self.client()?.send("GET", &path, None).await?;
-            if story["state"] == "ended" {
+            let explanation = self.client()?.send("GET", &path, None).await?;
+            if explanation["state"] == "ended" {
                 let took = millis(start);
                 println!(
                     "        wave over {} instances ended after {took} ms",
-                    story["done"]
+                    explanation["done"]
                 );
                 return Ok(took);
             }
             if start.elapsed() > WAVE_TIMEOUT {
                 bail!(
                     "{} instances done and {} waiting after {WAVE_TIMEOUT:?}: {}",
-                    story["done"],
-                    story["pending"],
-                    story["waits_for"]
+                    explanation["done"],
+                    explanation["pending"],
+                    explanation["waits_for"]
                 );
             }
             tokio::time::sleep(STATE_INTERVAL).await;
--- a/crates/cyclamentrail/src/operator/changes.rs
+++ b/crates/cyclamentrail/src/operator/changes.rs
@@ -12,9 +12,9 @@
 use crate::change_journal::Change;
 use crate::control::MemberInForce;
 
-/// The story of one version of the settings.
+/// Explanation of one version of the settings.
 #[derive(Debug, Serialize)]
-struct ChangeStory {
+struct ChangeExplanation {
     /// The version.
     version: Version,
     /// The change that brought it into force.
@@ -22,11 +22,11 @@
     /// Changes that were made on the same version and came too late or were invalid.
     rivals: Vec<Change>,
     /// Where it is in force.
-    members: Vec<MemberStory>,
+    members: Vec<MemberExplanation>,
 }
 
 #[derive(Debug, Serialize)]
-struct MemberStory {
+struct MemberExplanation {
     /// Whether this version or a newer one is in force there.
     in_force: bool,
     #[serde(flatten)]
@@ -56,13 +56,13 @@
     let members = in_force
         .members
         .into_iter()
-        .map(|member| MemberStory {
+        .map(|member| MemberExplanation {
             in_force: member.settings_version >= version,
             member,
         })
         .collect();
     let rivals = journal.rejected_on(change.presumes);
-    Json(ChangeStory {
+    Json(ChangeExplanation {
         version,
         change,
         rivals,
--- a/crates/cyclamentrail/src/operator/pools.rs
+++ b/crates/cyclamentrail/src/operator/pools.rs
@@ -7,8 +7,8 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use cyclamentrail_core::{
-    Fleet, InstanceName, MoveOrder, MoveReason, Moved, PoolName, PoolStory, Version, WaveRecord,
-    explain_pools,
+    Fleet, InstanceName, MoveOrder, MoveReason, Moved, PoolExplanation, PoolName, Version,
+    WaveRecord, explain_pools,
 };
 use serde::{Deserialize, Serialize};
 
@@ -32,7 +32,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct PoolList {
     /// The pools.
-    pub(crate) pools: BTreeMap<PoolName, PoolStory>,
+    pub(crate) pools: BTreeMap<PoolName, PoolExplanation>,
     /// Moves that are under way.
     pub(crate) moving: BTreeMap<InstanceName, MoveOrder>,
     /// The latest finished moves, oldest first.
--- a/crates/cyclamentrail/src/operator/waves.rs
+++ b/crates/cyclamentrail/src/operator/waves.rs
@@ -8,8 +8,8 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use cyclamentrail_core::{
-    Fleet, InstanceName, PoolName, RecordBody, Version, WaveControl, WaveName, WaveRecord,
-    WaveStory, explain_instance, explain_wave,
+    Fleet, InstanceName, PoolName, RecordBody, Version, WaveControl, WaveExplanation, WaveName,
+    WaveRecord, explain_instance, explain_wave,
 };
 use serde::{Deserialize, Serialize};
 
@@ -48,7 +48,7 @@
     /// Version that a new wave presumes.
     pub(crate) version: Version,
     /// The waves that are remembered.
-    pub(crate) waves: BTreeMap<WaveName, WaveStory>,
+    pub(crate) waves: BTreeMap<WaveName, WaveExplanation>,
 }
 
 /// Returns the routes; the token is checked before they are reached.
@@ -146,11 +146,11 @@
 
 fn wave_list(fleet: &Fleet) -> WaveList {
     let waves = fleet.waves();
-    let stories = waves
+    let explanations = waves
         .waves()
         .filter_map(|(name, _)| Some((name.clone(), explain_wave(fleet, name)?)));
     WaveList {
         version: waves.version(),
-        waves: stories.collect(),
+        waves: explanations.collect(),
     }
 }
--- a/crates/cyclamentrail/tests/commands_operator.rs
+++ b/crates/cyclamentrail/tests/commands_operator.rs
@@ -120,11 +120,14 @@
     let text = stderr_of(&late);
     assert!(text.contains("version 2 by ana is in force"), "{text}");
     assert!(text.contains("publish again"), "{text}");
-    let story = json_of(&on_entry(&site, &["explain", "change", "2", "--json"])?)?;
-    assert_eq!(story["change"]["operator"], "ana");
-    assert_eq!(story["change"]["patch"]["requests"]["max_waiting"], 10);
-    assert_eq!(story["rivals"][0]["operator"], "bela");
-    assert_eq!(story["members"].as_array().map(Vec::len), Some(2));
+    let explanation = json_of(&on_entry(&site, &["explain", "change", "2", "--json"])?)?;
+    assert_eq!(explanation["change"]["operator"], "ana");
+    assert_eq!(
+        explanation["change"]["patch"]["requests"]["max_waiting"],
+        10
+    );
+    assert_eq!(explanation["rivals"][0]["operator"], "bela");
+    assert_eq!(explanation["members"].as_array().map(Vec::len), Some(2));
     Ok(())
 }
 
@@ -209,7 +212,7 @@
 #[case::instance("instance", "w01", "pool: checks")]
 #[case::wave("wave", "spring", "operator: ana")]
 #[tokio::test]
-async fn stories(#[case] kind: &str, #[case] id: &str, #[case] part: &str) -> Result<()> {
+async fn explanations(#[case] kind: &str, #[case] id: &str, #[case] part: &str) -> Result<()> {
     let site = Site::builder().entries(1).instances(4).start().await?;
     let create = ["wave", "create", "--wave", "spring", "--operator", "ana"];
     assert_eq!(on_entry(&site, &create)?.status.code(), Some(0));
@@ -222,7 +225,7 @@
 }
 
 #[tokio::test]
-async fn request_story() -> Result<()> {
+async fn explain_request() -> Result<()> {
     let site = Site::builder().entries(1).instances(4).start().await?;
     let answer = site.call(0, "checks", "call").await?;
     assert_eq!(answer.outcome, "answered");
--- a/crates/cyclamentrail/tests/waves_process.rs
+++ b/crates/cyclamentrail/tests/waves_process.rs
@@ -61,16 +61,16 @@
 
 async fn wait_ended(site: &Site, entry: usize, wave: &str) -> Result<Value> {
     let until = Instant::now() + WAVE_TIMEOUT;
-    let mut story = Value::Null;
+    let mut explanation = Value::Null;
     while Instant::now() < until {
-        story = get(site, entry, &format!("/v1/waves/{wave}")).await?;
-        if story["state"] == "ended" {
-            return Ok(story);
+        explanation = get(site, entry, &format!("/v1/waves/{wave}")).await?;
+        if explanation["state"] == "ended" {
+            return Ok(explanation);
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    ensure!(false, "the wave has not ended: {story}");
-    Ok(story)
+    ensure!(false, "the wave has not ended: {explanation}");
+    Ok(explanation)
 }
 
 async fn boots(site: &Site) -> Result<BTreeMap<String, u64>> {
@@ -114,8 +114,8 @@
     assert_eq!(create(&site, 0, "w").await?, 204);
     let callers = (0..9).map(|caller| call_while(&site, caller % 3, "w"));
     let results = join_all(callers).await;
-    let story = wait_ended(&site, 1, "w").await?;
-    assert_eq!(story["done"], INSTANCES, "{story}");
+    let explanation = wait_ended(&site, 1, "w").await?;
+    assert_eq!(explanation["done"], INSTANCES, "{explanation}");
     let mut calls = 0;
     for outcomes in results {
         for (call_id, outcome) in outcomes? {
@@ -149,8 +149,8 @@
     }
     let killed = killed.expect("some entry holds the duty");
     site.entries[killed].kill()?;
-    let story = wait_ended(&site, (killed + 1) % 3, "w").await?;
-    assert_eq!(story["done"], INSTANCES, "{story}");
+    let explanation = wait_ended(&site, (killed + 1) % 3, "w").await?;
+    assert_eq!(explanation["done"], INSTANCES, "{explanation}");
     assert_rebooted_once(&site).await
 }
 
