refactor(control): drop a wrapper that was left of the jobs, share the peers' client

Cause: after the parts for long jobs went, FleetDuty only passed calls on to WaveDuty; the clients of keys and of tickets built the same HTTP client twice. No change of behaviour.

Checked: formatter, linter, docs, and once_keys (13), once_tickets (5), waves_process (3) and agreement_membership (8), all passed.

--- a/crates/cyclamentrail/src/control/actor.rs
+++ b/crates/cyclamentrail/src/control/actor.rs
@@ -13,10 +13,10 @@
 use tokio::time::Instant;
 
 use super::claims::{ClaimAction, ClaimTable};
-use super::duty::FleetDuty;
 use super::history::History;
 use super::identity::Identity;
 use super::recovery::PeerAddresses;
+use super::wave_duty::WaveDuty;
 use super::writer::Writer;
 use super::{
     ClaimAnswer, ClaimMessage, ControlHandle, ControlMessage, PlatformClient, SnapshotStore,
@@ -80,7 +80,7 @@
     standing: Standing,
     alive_ms: u64,
     released: BTreeMap<InstanceName, u64>,
-    duty: FleetDuty,
+    duty: WaveDuty,
     claims: ClaimTable,
     claimed: Option<(Term, u64)>,
     evictions: BTreeMap<Incarnation, EvictionTry>,
@@ -151,7 +151,7 @@
             standing: Standing::Outside,
             alive_ms: 0,
             released: BTreeMap::new(),
-            duty: FleetDuty::default(),
+            duty: WaveDuty::default(),
             claims: ClaimTable::default(),
             claimed: None,
             evictions: BTreeMap::new(),
--- a/crates/cyclamentrail/src/control/actor/duties.rs
+++ b/crates/cyclamentrail/src/control/actor/duties.rs
@@ -5,7 +5,8 @@
 use cyclamentrail_core::{InstanceName, Offset, RecordBody};
 
 use super::super::ControlMessage;
-use super::super::duty::{DutyAction, FleetDuty, World};
+use super::super::duty::{DutyAction, World};
+use super::super::wave_duty::WaveDuty;
 use super::{Actor, Standing, timing_of};
 use crate::clock;
 
@@ -23,7 +24,7 @@
     pub(super) fn step_duty(&mut self, now_ms: u64) {
         let own = self.parts.identity.incarnation;
         if self.standing != Standing::Member || !self.membership.reaches_log(now_ms) {
-            self.duty = FleetDuty::default();
+            self.duty = WaveDuty::default();
             self.membership.stop_evicting();
             return;
         }
@@ -34,7 +35,7 @@
             self.write_snapshot(now_ms);
             return;
         }
-        self.duty = FleetDuty::default();
+        self.duty = WaveDuty::default();
         let vacant = holder.is_none_or(|holder| {
             self.membership.is_given_up(holder, now_ms)
                 || self.membership.is_without_log(holder, now_ms)
--- a/crates/cyclamentrail/src/control/duty.rs
+++ b/crates/cyclamentrail/src/control/duty.rs
@@ -2,11 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cyclamentrail_core::{Fleet, InstanceName, Offset, RecordBody};
+use cyclamentrail_core::{Fleet, InstanceName, RecordBody};
 use cyclamentrail_platform::ListedInstance;
 
-use super::wave_duty::WaveDuty;
-
 /// What a duty may look at.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct World<'a> {
@@ -28,21 +26,3 @@
     /// Ask the platform to reboot an instance.
     Reboot(InstanceName),
 }
-
-/// All duties of the holder; the memory of a former holder is dropped.
-#[derive(Debug, Default)]
-pub(crate) struct FleetDuty {
-    waves: WaveDuty,
-}
-
-impl FleetDuty {
-    /// Returns whether a step is due: after a folded record, and now and then without one.
-    pub(crate) fn is_due(&self, next_offset: Offset, now_ms: u64) -> bool {
-        self.waves.is_due(next_offset, now_ms)
-    }
-
-    /// Returns what to do now.
-    pub(crate) fn step(&mut self, world: &World<'_>) -> Vec<DutyAction> {
-        self.waves.step(world)
-    }
-}
--- a/crates/cyclamentrail/src/peer.rs
+++ b/crates/cyclamentrail/src/peer.rs
@@ -18,6 +18,7 @@
 
 pub(crate) mod claims;
 mod client;
+mod connect;
 pub(crate) mod tickets;
 
 pub(crate) use client::PeerClient;
--- a/crates/cyclamentrail/src/peer/claims.rs
+++ b/crates/cyclamentrail/src/peer/claims.rs
@@ -15,8 +15,8 @@
 use hyper::Request;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 
+use super::connect;
 use crate::operator::Operator;
 
 /// Time limit of one question.
@@ -52,11 +52,8 @@
 impl ClaimClient {
     /// Creates a client that presents a token.
     pub(crate) fn new(token: Arc<str>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(TIMEOUT));
-        connector.set_nodelay(true);
         Self {
-            client: Client::builder(TokioExecutor::new()).build(connector),
+            client: connect::client(),
             token,
         }
     }
--- /dev/null
+++ b/crates/cyclamentrail/src/peer/connect.rs
@@ -0,0 +1,20 @@
+//! The HTTP client that calls other entries.
+
+use bytes::Bytes;
+use http_body::Body;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use super::claims::TIMEOUT;
+
+/// Returns a client that gives up connecting after [`TIMEOUT`].
+pub(crate) fn client<B>() -> Client<HttpConnector, B>
+where
+    B: Body<Data = Bytes> + Send,
+{
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(TIMEOUT));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new()).build(connector)
+}
--- a/crates/cyclamentrail/src/peer/tickets.rs
+++ b/crates/cyclamentrail/src/peer/tickets.rs
@@ -15,11 +15,10 @@
 use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use tokio::time::Instant;
 
+use super::connect;
 use crate::headers;
-use crate::peer::claims::TIMEOUT;
 use crate::traffic::{Outgoing, Traffic, remove_hop_by_hop, serve_ticket};
 
 /// Start of the peers' paths for tickets' requests.
@@ -74,11 +73,8 @@
 impl TicketClient {
     /// Creates a client that presents a token.
     pub(crate) fn new(token: Arc<str>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(TIMEOUT));
-        connector.set_nodelay(true);
         Self {
-            client: Client::builder(TokioExecutor::new()).build(connector),
+            client: connect::client(),
             token,
         }
     }
