feat(edge): serve jobs on the users' platform, thin path

Cause: the product had no jobs and did not speak the platform's interfaces. Change: a pure scheduler (cyclamentrail-jobs), the adapter (platform/), one role `edge` whose processes are dealt services by the consumer group, claim them in the store, and fence earlier owners with the claim's offset.

--- a/crates/cyclamentrail-core/src/lib.rs
+++ b/crates/cyclamentrail-core/src/lib.rs
@@ -56,8 +56,8 @@
 pub use id::{BootId, Incarnation, Offset, RecordId, Term, Version};
 pub use membership::{Eviction, Membership, MembershipTiming, PeerStatus};
 pub use name::{
-    EntryName, InstanceName, PoolName, RackName, ServiceName, SiteName, TeamName, WaveName,
-    ZoneName,
+    EntryName, ImageName, InstanceName, JobId, LabelName, PoolName, RackName, RouteName,
+    ServiceName, SiteName, TeamName, WaveName, WorkerId, ZoneName,
 };
 pub use outcome::{Ending, NotRunReason, Outcome, UnknownReason};
 pub use permit::{Permit, can_evict, is_majority};
--- a/crates/cyclamentrail-core/src/name.rs
+++ b/crates/cyclamentrail-core/src/name.rs
@@ -73,4 +73,14 @@
     WaveName,
     /// Names an entry instance; the name is reused when the instance is replaced.
     EntryName,
+    /// Names a job; callers choose it.
+    JobId,
+    /// Names a route: a queue of jobs.
+    RouteName,
+    /// Names a registered backend server; kept when it restarts in place.
+    WorkerId,
+    /// Names what the tasks of a step run.
+    ImageName,
+    /// Names a label of a worker.
+    LabelName,
 }
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -0,0 +1,50 @@
+//! Pure scheduling of jobs.
+//!
+//! A [`Shard`] holds the jobs of one service and the workers that run them. Time and events come
+//! in as arguments, [`Effect`]s go out; what must be durable before an effect happens is in the
+//! [`Commit`] that the effect waits for. It does no input or output and reads no clock, so that a
+//! failure seen anywhere can be replayed as a test.
+//!
+//! ```
+//! use cyclamentrail_jobs::{Now, Shard, ShardTiming};
+//!
+//! let mut shard = Shard::new(ShardTiming::default());
+//! let now = Now { boot_ms: 0, unix_ms: 1_700_000_000_000 };
+//! shard.advance(now);
+//! assert!(shard.take_commit(now).is_none());
+//! ```
+
+mod admission;
+mod effect;
+mod job;
+mod lease;
+mod placing;
+mod ranking;
+mod record;
+mod resources;
+mod shard;
+mod spec;
+mod terms;
+mod worker;
+
+pub use admission::{Admission, Applicant, Backlog, admit};
+pub use effect::{
+    Answer, CallerTicket, Effect, EndKind, EndedRow, GoneProof, Look, LookOutcome, Note,
+    OrderOutcome, OrderRejection, RejectReason, Report, RunName, RunningRow, StartOrder, StopOrder,
+    Target,
+};
+pub use job::{
+    Job, JobKey, JobState, Occurrence, Phase, Placement, StepProgress, Task, TaskKey,
+};
+pub use lease::{ClockSample, Lease};
+pub use placing::{Wish, choose};
+pub use ranking::{Rank, Waiting};
+pub use record::{
+    AcceptRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord, ProgressRecord,
+    RecordError, TaskRecord, decode, encode,
+};
+pub use resources::Resources;
+pub use shard::{Commit, Now, Shard, ShardTiming, Submission};
+pub use spec::{JobSpec, MAX_TASKS, Schedule, StepSpec};
+pub use terms::{AdviceTerms, RouteTerms};
+pub use worker::{Contact, Registration, Worker, WorkerKey};
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/placing.rs
@@ -0,0 +1,70 @@
+//! Which worker gets a task.
+//!
+//! Answers uneven load: tasks are spread over the least loaded workers, near their data, away
+//! from workers that fail what they start.
+
+use cyclamentrail_core::{LabelName, RackName};
+
+use crate::worker::{Worker, WorkerKey};
+use crate::{Resources, StepSpec};
+
+/// What counts against a worker off the wanted rack, in thousandths of a whole worker.
+const REMOTE_PENALTY: u64 = 2_000;
+/// What counts against a worker for each failure in a row, in thousandths of a whole worker.
+const STRIKE_PENALTY: u64 = 300;
+
+/// What a step asks of a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// What the task takes.
+    pub demand: Resources,
+    /// Label that the worker must have.
+    pub requires: Option<&'a LabelName>,
+    /// Rack that it had better be on.
+    pub rack: Option<&'a RackName>,
+}
+
+impl<'a> From<&'a StepSpec> for Wish<'a> {
+    fn from(step: &'a StepSpec) -> Self {
+        Self {
+            demand: step.counted(),
+            requires: step.requires.as_ref(),
+            rack: step.affinity.as_ref(),
+        }
+    }
+}
+
+impl Wish<'_> {
+    /// Returns whether a worker could ever hold the task.
+    #[must_use]
+    pub fn suits(&self, worker: &Worker) -> bool {
+        worker.registration.capacity.contains(&self.demand)
+            && self
+                .requires
+                .is_none_or(|label| worker.has_label(label.as_str()))
+    }
+
+    /// Returns what speaks against a worker; less is better.
+    #[must_use]
+    pub fn cost(&self, worker: &Worker) -> u64 {
+        let capacity = &worker.registration.capacity;
+        let load = worker.used.plus(&self.demand).dominant_milli(capacity);
+        let remote = match self.rack {
+            Some(rack) if !worker.is_on(rack) => REMOTE_PENALTY,
+            _ => 0,
+        };
+        load + remote + u64::from(worker.strikes) * STRIKE_PENALTY
+    }
+}
+
+/// Returns the best of the workers that can take a task now.
+#[must_use]
+pub fn choose<'a>(
+    wish: &Wish<'_>,
+    workers: impl Iterator<Item = (WorkerKey, &'a Worker)>,
+) -> Option<WorkerKey> {
+    workers
+        .filter(|(_, worker)| wish.suits(worker) && worker.free().contains(&wish.demand))
+        .min_by_key(|(_, worker)| wish.cost(worker))
+        .map(|(key, _)| key)
+}
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/resources.rs
@@ -0,0 +1,78 @@
+//! Resources of workers and of the tasks that run on them.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of processor, memory and accelerators.
+///
+/// ```
+/// use cyclamentrail_jobs::Resources;
+///
+/// let worker = Resources::new(32_000, 131_072, 0);
+/// assert!(worker.contains(&Resources::new(1_800, 6_500, 0)));
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processor in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory in mebibytes.
+    pub memory_mib: u64,
+    /// Accelerators.
+    pub gpus: u64,
+}
+
+impl Resources {
+    /// Creates an amount.
+    #[must_use]
+    pub const fn new(cpu_milli: u64, memory_mib: u64, gpus: u64) -> Self {
+        Self {
+            cpu_milli,
+            memory_mib,
+            gpus,
+        }
+    }
+
+    /// Returns whether another amount fits into this one.
+    #[must_use]
+    pub const fn contains(&self, other: &Self) -> bool {
+        self.cpu_milli >= other.cpu_milli
+            && self.memory_mib >= other.memory_mib
+            && self.gpus >= other.gpus
+    }
+
+    /// Returns the sum of two amounts.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            gpus: self.gpus.saturating_add(other.gpus),
+        }
+    }
+
+    /// Returns what is left of this amount, at least nothing.
+    #[must_use]
+    pub const fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            gpus: self.gpus.saturating_sub(other.gpus),
+        }
+    }
+
+    /// Returns the largest share, in thousandths, that this amount takes of a capacity.
+    #[must_use]
+    pub fn dominant_milli(&self, capacity: &Self) -> u64 {
+        let share = |part: u64, whole: u64| {
+            if part == 0 {
+                0
+            } else {
+                part.saturating_mul(1_000)
+                    .checked_div(whole)
+                    .unwrap_or(1_000)
+            }
+        };
+        share(self.cpu_milli, capacity.cpu_milli)
+            .max(share(self.memory_mib, capacity.memory_mib))
+            .max(share(self.gpus, capacity.gpus))
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -0,0 +1,303 @@
+//! What workers report: runs that go on and runs that have ended.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::{Estimate, Now, Shard};
+use crate::effect::{
+    Effect, EndKind, EndedRow, GoneProof, LookOutcome, Note, Report, RunName, RunningRow,
+};
+use crate::job::{Phase, TaskKey};
+use crate::worker::{Contact, WorkerKey};
+
+/// Time for which a worker that fails what it starts gets nothing more, in milliseconds.
+const FAILURE_MS: u64 = 500;
+/// Failures in a row after which a worker gets nothing for a while.
+const MAX_STRIKES: u32 = 3;
+
+impl Shard {
+    /// Takes in what became of a look; returns whether the worker has seen a higher fencing
+    /// token.
+    pub fn look_done(&mut self, now: Now, key: WorkerKey, seen: u64, outcome: LookOutcome) -> bool {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return false;
+        };
+        worker.is_looking = false;
+        match outcome {
+            LookOutcome::Report(report) => self.take_report(now, key, seen, report),
+            LookOutcome::Fenced => return true,
+            LookOutcome::OtherLife => self.other_life(key),
+            LookOutcome::NoAnswer => self.look_failed(now, key),
+            LookOutcome::NotSent => {
+                worker.look_ms = now.boot_ms + self.timing.look_gap_ms;
+            }
+        }
+        false
+    }
+
+    fn take_report(&mut self, now: Now, key: WorkerKey, seen: u64, report: Report) {
+        let worker = &mut self.workers[key];
+        let own_born_ms = worker.registration.born_ms;
+        if report.born_ms.is_some_and(|born_ms| born_ms > own_born_ms) {
+            self.other_life(key);
+            return;
+        }
+        worker.look_ms = now.boot_ms + self.timing.look_gap_ms;
+        worker.acknowledged_seen = worker.acknowledged_seen.max(seen);
+        worker.lease.read_clock(report.clock_ms, now.boot_ms);
+        worker.is_adopted = true;
+        worker.lease.adopt();
+        if worker.contact != Contact::Good {
+            worker.contact = Contact::Good;
+            self.ready.push(Effect::Note(Note::Contact {
+                worker: worker.registration.id.clone(),
+                answers: true,
+            }));
+        }
+        let mut listed = BTreeSet::new();
+        for row in report.ended {
+            if let Some(task) = self.task_of(&row.name) {
+                listed.insert((task, row.name.run));
+            }
+            self.take_end(now, key, row);
+        }
+        for row in report.running {
+            if let Some(task) = self.task_of(&row.name) {
+                listed.insert((task, row.name.run));
+                self.take_running(now, task, row);
+            }
+        }
+        self.release_unlisted(key, &listed);
+        self.forget_if_idle(key);
+    }
+
+    fn take_running(&mut self, now: Now, key: TaskKey, row: RunningRow) {
+        let keeps_checkpoints = self.step_of(key).is_some_and(|step| step.checkpoints);
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        let Some(task) = job.task_mut(key) else {
+            return;
+        };
+        let Some(placement) = task
+            .placement
+            .as_mut()
+            .filter(|placement| placement.run == row.name.run)
+        else {
+            return;
+        };
+        if placement.phase == Phase::Sent {
+            placement.phase = Phase::Running {
+                since_ms: now.boot_ms,
+            };
+        }
+        if row.percent != placement.percent {
+            placement.percent = row.percent;
+            placement.progress_ms = now.boot_ms;
+        }
+        if keeps_checkpoints && !row.checkpoint.is_empty() {
+            task.checkpoint = row.checkpoint;
+        }
+    }
+
+    fn take_end(&mut self, now: Now, worker_key: WorkerKey, row: EndedRow) {
+        let Some(worker) = self.workers.get_mut(worker_key) else {
+            return;
+        };
+        if row.number <= worker.seen {
+            return;
+        }
+        worker.seen = row.number;
+        let worker_id = worker.registration.id.clone();
+        let Some(key) = self.task_of(&row.name) else {
+            // A job that was forgotten: its end only has to be acknowledged.
+            self.has_bare_ends = true;
+            return;
+        };
+        self.dirty.insert(key.job);
+        self.gated.push(Effect::Note(Note::Ended {
+            job: row.name.job.clone(),
+            task: key,
+            run: row.name.run,
+            how: row.how,
+            worker: worker_id,
+        }));
+        self.judge_worker(now, worker_key, key, row.how);
+        self.learn_duration(now, key, &row);
+        let is_present = self
+            .jobs
+            .get(key.job)
+            .and_then(|job| job.task(key))
+            .and_then(|task| task.placement)
+            .is_some_and(|placement| {
+                placement.run == row.name.run && placement.worker == worker_key
+            });
+        if is_present {
+            self.release(key, None);
+        }
+        self.count_end(key, &row);
+    }
+
+    fn count_end(&mut self, key: TaskKey, row: &EndedRow) {
+        let Some(step) = self.step_of(key).cloned() else {
+            return;
+        };
+        let max_attempts = self.max_attempts(key);
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        let Some(task) = job.task_mut(key) else {
+            return;
+        };
+        if step.checkpoints && !row.checkpoint.is_empty() {
+            task.checkpoint = Arc::clone(&row.checkpoint);
+        }
+        match row.how {
+            EndKind::Done if !step.long_running => self.finish_task(key, step.gang),
+            EndKind::Failed if !step.long_running && !task.is_done => {
+                task.failures += 1;
+                let failures = if step.gang {
+                    self.gang_failures(key)
+                } else {
+                    task.failures
+                };
+                if failures >= max_attempts {
+                    self.fail_job(key);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn finish_task(&mut self, key: TaskKey, is_gang: bool) {
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        if is_gang {
+            let step = job
+                .occurrences
+                .iter_mut()
+                .find(|one| one.number == key.occurrence)
+                .and_then(|one| one.steps.get_mut(key.step as usize));
+            for task in step.into_iter().flat_map(|step| &mut step.tasks) {
+                task.is_done = true;
+            }
+            return;
+        }
+        let Some(task) = job.task_mut(key) else {
+            return;
+        };
+        task.is_done = true;
+        if task.placement.is_some() {
+            self.stop(key);
+        }
+    }
+
+    fn gang_failures(&self, key: TaskKey) -> u32 {
+        self.jobs
+            .get(key.job)
+            .and_then(|job| job.occurrence(key.occurrence))
+            .and_then(|one| one.steps.get(key.step as usize))
+            .map_or(0, |step| step.tasks.iter().map(|task| task.failures).sum())
+    }
+
+    fn fail_job(&mut self, key: TaskKey) {
+        if let Some(job) = self.jobs.get_mut(key.job) {
+            job.is_failed = true;
+        }
+        self.stop_all(key.job);
+    }
+
+    fn max_attempts(&self, key: TaskKey) -> u32 {
+        self.jobs
+            .get(key.job)
+            .and_then(|job| self.terms.get(&job.route))
+            .map_or(u32::MAX, |terms| terms.max_attempts.max(1))
+    }
+
+    /// Takes note of how a worker does with what it starts.
+    fn judge_worker(&mut self, now: Now, worker_key: WorkerKey, key: TaskKey, how: EndKind) {
+        let Some(worker) = self.workers.get_mut(worker_key) else {
+            return;
+        };
+        match how {
+            EndKind::Done => worker.strikes /= 2,
+            EndKind::Failed => {
+                let had_failed = self
+                    .jobs
+                    .get(key.job)
+                    .and_then(|job| job.task(key))
+                    .is_some_and(|task| task.failures > 0);
+                // A task that has failed elsewhere too says little about this worker.
+                if had_failed {
+                    return;
+                }
+                worker.strikes += 1;
+                if worker.strikes >= MAX_STRIKES {
+                    self.avoid(now, worker_key, FAILURE_MS);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn learn_duration(&mut self, now: Now, key: TaskKey, row: &EndedRow) {
+        if row.how != EndKind::Done {
+            return;
+        }
+        let Some(job) = self.jobs.get(key.job) else {
+            return;
+        };
+        let Some(Phase::Running { since_ms }) = job
+            .task(key)
+            .and_then(|task| task.placement)
+            .map(|placement| placement.phase)
+        else {
+            return;
+        };
+        let estimate_ms = job.spec.steps[key.step as usize].estimate_ms;
+        let actual_ms = now.boot_ms.saturating_sub(since_ms);
+        self.estimates
+            .entry(job.route.clone())
+            .or_insert(Estimate { ratio_milli: 1_000 })
+            .observe(actual_ms, estimate_ms);
+    }
+
+    /// Releases runs that the worker had confirmed before the look was sent and doesn't list.
+    fn release_unlisted(&mut self, worker_key: WorkerKey, listed: &BTreeSet<(TaskKey, u32)>) {
+        let Some(worker) = self.workers.get(worker_key) else {
+            return;
+        };
+        let sent_ms = worker.look_sent_ms;
+        let is_gone = |key: &TaskKey| {
+            let Some(placement) = self
+                .jobs
+                .get(key.job)
+                .and_then(|job| job.task(*key))
+                .and_then(|task| task.placement)
+            else {
+                return false;
+            };
+            let was_settled = match placement.phase {
+                Phase::Running { since_ms } => since_ms < sent_ms,
+                Phase::Stopping { confirmed_ms } => confirmed_ms.is_some_and(|ms| ms < sent_ms),
+                Phase::Placed | Phase::Sent => false,
+            };
+            was_settled && !listed.contains(&(*key, placement.run))
+        };
+        let gone: Vec<TaskKey> = worker.tasks.iter().copied().filter(is_gone).collect();
+        for key in gone {
+            self.release(key, Some(GoneProof::NotListed));
+        }
+    }
+
+    fn task_of(&self, name: &RunName) -> Option<TaskKey> {
+        let key = TaskKey {
+            job: *self.ids.get(&name.job)?,
+            occurrence: name.occurrence,
+            step: name.step,
+            index: name.index,
+        };
+        self.jobs[key.job].task(key).map(|_| key)
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/shard/snapshot.rs
@@ -0,0 +1,58 @@
+//! The durable form of a job's progress.
+
+use std::sync::Arc;
+
+use super::Shard;
+use crate::job::{Job, Occurrence, Phase, Placement, Task};
+use crate::record::{OccurrenceRecord, PlacementRecord, ProgressRecord, TaskRecord};
+
+impl Shard {
+    pub(super) fn progress_of(&self, job: &Job) -> ProgressRecord {
+        ProgressRecord {
+            is_cancelled: job.is_cancelled,
+            is_failed: job.is_failed,
+            has_started: job.has_started,
+            next_occurrence: job.next_occurrence,
+            ended_ms: job.ended_ms,
+            occurrences: job
+                .occurrences
+                .iter()
+                .filter(|one| !one.is_done() || one.has_placements())
+                .map(|one| self.occurrence_record(one))
+                .collect(),
+        }
+    }
+
+    fn occurrence_record(&self, occurrence: &Occurrence) -> OccurrenceRecord {
+        OccurrenceRecord {
+            number: occurrence.number,
+            steps: occurrence
+                .steps
+                .iter()
+                .map(|step| step.tasks.iter().map(|task| self.task_record(task)).collect())
+                .collect(),
+        }
+    }
+
+    fn task_record(&self, task: &Task) -> TaskRecord {
+        TaskRecord {
+            is_done: task.is_done,
+            run: task.run,
+            failures: task.failures,
+            checkpoint: Arc::clone(&task.checkpoint),
+            placement: task
+                .placement
+                .and_then(|placement| self.placement_record(placement)),
+        }
+    }
+
+    fn placement_record(&self, placement: Placement) -> Option<PlacementRecord> {
+        let worker = self.workers.get(placement.worker)?;
+        Some(PlacementRecord {
+            worker: worker.registration.id.clone(),
+            born_ms: worker.registration.born_ms,
+            run: placement.run,
+            is_stopping: matches!(placement.phase, Phase::Stopping { .. }),
+        })
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -0,0 +1,265 @@
+//! Accepting jobs and telling about them.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+use cyclamentrail_core::{JobId, RouteName};
+
+use super::{Now, Shard};
+use crate::admission::{Admission, Applicant, Backlog, admit};
+use crate::effect::{Answer, CallerTicket, Effect, Note, RejectReason};
+use crate::job::{Job, JobState, Occurrence};
+use crate::placing::Wish;
+use crate::worker::Worker;
+use crate::{JobSpec, Resources, RouteTerms};
+
+/// When a caller may come back whose job no worker can hold, in milliseconds.
+const NO_WORKER_RETRY_MS: u64 = 5_000;
+/// When a caller may come back to an owner that keeps too many jobs, in milliseconds.
+const FULL_RETRY_MS: u64 = 5_000;
+
+/// A job that is handed in.
+#[derive(Debug, Clone)]
+pub struct Submission {
+    /// Who waits for the answer.
+    pub caller: CallerTicket,
+    /// The job's id.
+    pub id: JobId,
+    /// Its route.
+    pub route: RouteName,
+    /// What is asked for.
+    pub spec: Arc<JobSpec>,
+}
+
+impl Shard {
+    /// Accepts or rejects a job; the same id is the same job.
+    pub fn submit(&mut self, now: Now, submission: Submission) {
+        let caller = submission.caller;
+        if let Some(&key) = self.ids.get(&submission.id) {
+            let answer = Effect::Answer(caller, Answer::Accepted);
+            if self.undurable.contains(&key) {
+                self.gated.push(answer);
+            } else {
+                self.ready.push(answer);
+            }
+            return;
+        }
+        if !submission.spec.is_well_formed() {
+            self.ready.push(Effect::Answer(caller, Answer::Malformed));
+            return;
+        }
+        match self.judge(&submission) {
+            Ok(wait_ms) => self.accept(now, submission, wait_ms),
+            Err(rejection) => {
+                self.ready.push(Effect::Note(Note::Rejected {
+                    job: submission.id,
+                    reason: rejection.reason,
+                    wait_ms: rejection.wait_ms,
+                }));
+                let answer = Answer::Rejected {
+                    retry_after_ms: rejection.retry_after_ms,
+                    reason: rejection.reason,
+                };
+                self.ready.push(Effect::Answer(caller, answer));
+            }
+        }
+    }
+
+    fn accept(&mut self, now: Now, submission: Submission, wait_ms: u64) {
+        let Submission {
+            caller,
+            id,
+            route,
+            spec,
+        } = submission;
+        let job = Job::new(id.clone(), route, spec, now.unix_ms);
+        let key = self.jobs.insert(job);
+        self.ids.insert(id.clone(), key);
+        self.active.insert(key);
+        self.undurable.insert(key);
+        self.dirty.insert(key);
+        self.gated.push(Effect::Note(Note::Accepted { job: id, wait_ms }));
+        self.gated.push(Effect::Answer(caller, Answer::Accepted));
+    }
+
+    /// Answers with the state of a job.
+    pub fn tell_state(&mut self, caller: CallerTicket, id: &JobId) {
+        let answer = match self.ids.get(id) {
+            Some(&key) => {
+                let job = &self.jobs[key];
+                if self.undurable.contains(&key) {
+                    self.gated
+                        .push(Effect::Answer(caller, Answer::State(job.shown)));
+                    return;
+                }
+                Answer::State(job.shown)
+            }
+            None => Answer::Unknown,
+        };
+        self.ready.push(Effect::Answer(caller, answer));
+    }
+
+    /// Answers with the number of a route's jobs that haven't begun.
+    pub fn tell_pending(&mut self, caller: CallerTicket, route: &RouteName) {
+        let pending = self
+            .active
+            .iter()
+            .filter_map(|&key| self.jobs.get(key))
+            .filter(|job| job.route == *route && job.state() == JobState::Queued)
+            .count();
+        let answer = Answer::Pending(pending as u64);
+        self.ready.push(Effect::Answer(caller, answer));
+    }
+
+    /// Begins the occurrences that are due.
+    pub(super) fn begin_occurrences(&mut self, now: Now) {
+        for &key in &self.active {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            while job.next_due_ms().is_some_and(|due| due <= now.unix_ms) {
+                let occurrence = Occurrence::new(job.next_occurrence, &job.spec);
+                job.occurrences.push(occurrence);
+                job.next_occurrence += 1;
+                self.dirty.insert(key);
+            }
+            let whole = job.occurrences.len();
+            if whole > 1 {
+                job.occurrences
+                    .retain(|one| !one.is_done() || one.has_placements());
+                if job.occurrences.len() < whole {
+                    self.dirty.insert(key);
+                }
+            }
+        }
+    }
+
+    fn judge(&self, submission: &Submission) -> Result<u64, Rejected> {
+        if self.jobs.len() >= self.timing.max_jobs {
+            return Err(Rejected::new(RejectReason::TooManyJobs, FULL_RETRY_MS, 0));
+        }
+        let Some(terms) = self.terms.get(&submission.route) else {
+            return Err(Rejected::new(RejectReason::NotReady, FULL_RETRY_MS, 0));
+        };
+        let listed = || self.workers.values().filter(|worker| worker.is_listed);
+        let spec = &submission.spec;
+        let possible = spec.steps.iter().all(|step| {
+            let wish = Wish::from(step);
+            listed().any(|worker| wish.suits(worker))
+        });
+        if !possible {
+            let reason = RejectReason::NoSuchWorker;
+            return Err(Rejected::new(reason, NO_WORKER_RETRY_MS, 0));
+        }
+        if spec.is_long_running() || spec.schedule.is_some() {
+            return Ok(0);
+        }
+        let backlog = self.backlog();
+        let chain_ms = spec.chain_ms();
+        let applicant = Applicant {
+            work_ms: self.work_ms(terms, spec),
+            chain_ms,
+            objective_ms: terms.objective_ms(chain_ms),
+            seed: seed_of(&submission.id),
+        };
+        match admit(backlog, applicant) {
+            Admission::Accept => Ok(backlog.wait_ms()),
+            Admission::Reject { retry_after_ms } => Err(Rejected::new(
+                RejectReason::Overload,
+                retry_after_ms,
+                backlog.wait_ms(),
+            )),
+        }
+    }
+
+    /// Returns the work that is accepted and not done; work in progress counts half.
+    fn backlog(&self) -> Backlog {
+        let workers = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_listed && !worker.registration.is_draining)
+            .count() as u64;
+        let capacity = self.usual_capacity();
+        let mut work = 0;
+        for job in self.active.iter().filter_map(|&key| self.jobs.get(key)) {
+            if job.is_over() || job.spec.is_long_running() {
+                continue;
+            }
+            let ratio_milli = self.ratio_milli(&job.route);
+            for occurrence in &job.occurrences {
+                for (spec, progress) in job.spec.steps.iter().zip(&occurrence.steps) {
+                    let each = spec.counted().dominant_milli(&capacity) * spec.estimate_ms
+                        * ratio_milli
+                        / 1_000_000;
+                    for task in progress.tasks.iter().filter(|task| !task.is_done) {
+                        work += if task.placement.is_some() {
+                            each / 2
+                        } else {
+                            each
+                        };
+                    }
+                }
+            }
+            if job.next_occurrence == 0 && job.spec.schedule.is_none() {
+                work += spec_work_ms(&job.spec, &capacity, ratio_milli);
+            }
+        }
+        Backlog {
+            work_ms: work,
+            workers,
+        }
+    }
+
+    fn work_ms(&self, terms: &RouteTerms, spec: &JobSpec) -> u64 {
+        spec_work_ms(spec, &self.usual_capacity(), self.ratio_milli(&terms.name))
+    }
+
+    fn ratio_milli(&self, route: &RouteName) -> u64 {
+        self.estimates
+            .get(route)
+            .map_or(1_000, |estimate| estimate.ratio_milli)
+    }
+
+    fn usual_capacity(&self) -> Resources {
+        let capacity = |worker: &Worker| worker.registration.capacity;
+        self.workers
+            .values()
+            .map(capacity)
+            .max_by_key(|capacity| (capacity.cpu_milli, capacity.memory_mib))
+            .unwrap_or_default()
+    }
+}
+
+/// Returns the work of a whole job in milliseconds of a whole worker.
+fn spec_work_ms(spec: &JobSpec, capacity: &Resources, ratio_milli: u64) -> u64 {
+    spec.steps
+        .iter()
+        .map(|step| {
+            let each = step.counted().dominant_milli(capacity) * step.estimate_ms;
+            u64::from(step.count) * each * ratio_milli / 1_000_000
+        })
+        .sum()
+}
+
+/// Why a job isn't accepted, and when its caller may come back.
+struct Rejected {
+    reason: RejectReason,
+    retry_after_ms: u64,
+    wait_ms: u64,
+}
+
+impl Rejected {
+    const fn new(reason: RejectReason, retry_after_ms: u64, wait_ms: u64) -> Self {
+        Self {
+            reason,
+            retry_after_ms,
+            wait_ms,
+        }
+    }
+}
+
+fn seed_of(id: &JobId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.as_str().hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/cyclamentrail/src/command.rs
+++ b/crates/cyclamentrail/src/command.rs
@@ -10,6 +10,7 @@
 mod check;
 mod client;
 mod documents;
+mod edge;
 mod entry;
 mod explain;
 mod local;
@@ -28,6 +29,7 @@
 
 Commands:
   check    reads, merges and validates the settings of a site
+  edge     runs one process of the system on the users' platform
   entry    runs one entry
   explain  explains one request, instance, wave or change
   local    runs a whole site in this process, under load
@@ -78,6 +80,7 @@
             ExitStatus::Done
         }
         "check" => check::run(rest),
+        "edge" => edge::run(rest),
         "entry" => entry::run(rest),
         "explain" => explain::run(rest),
         "local" => local::run(rest),
--- /dev/null
+++ b/crates/cyclamentrail/src/command/edge.rs
@@ -0,0 +1,39 @@
+//! `cyclamentrail edge`: runs one process of the system on the users' platform.
+
+use anyhow::Result;
+use cyclamentrail_adapter::NodeSettings;
+use getopts::{Matches, Options};
+
+use super::ExitStatus;
+use crate::edge;
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "settings", "settings file of the platform", "FILE");
+    options.optflag("", "check", "check the settings file and exit");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+/// Runs the command.
+pub(crate) fn run(arguments: &[String]) -> ExitStatus {
+    super::run_parsed("edge", &options(), arguments, serve)
+}
+
+fn serve(matches: &Matches) -> Result<()> {
+    let settings = match matches.opt_str("settings") {
+        Some(path) => NodeSettings::load_from(path.as_ref())?,
+        None => NodeSettings::load()?,
+    };
+    if matches.opt_present("check") {
+        println!(
+            "node {} in zone {}: callers {}, store {}; no fault",
+            settings.name, settings.zone, settings.front, settings.store
+        );
+        return Ok(());
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(edge::run(settings))
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/edge.rs
@@ -0,0 +1,133 @@
+//! The one role on the users' platform: takes jobs from callers and owns a part of the work.
+//!
+//! Every process is the same. Callers' requests go to the owner of their service, which is this
+//! process or another one. Which process owns which service is dealt by the platform's consumer
+//! group; what makes an owner is its claim in the store, whose offset is the fencing token for
+//! workers and the epoch for the service's records.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use cyclamentrail_adapter::{Caller, NodeSettings, Store};
+use cyclamentrail_core::{LogLevel, LogSettings};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::logging::Logging;
+use crate::serve::{self, Audience};
+
+mod boot_clock;
+mod commits;
+mod configuration;
+mod front;
+mod internal;
+mod journal;
+mod lanes;
+mod machines;
+mod membership;
+mod messages;
+mod node;
+mod owner;
+mod owners;
+mod peers;
+mod registry;
+mod takeover;
+
+use node::Node;
+
+/// Time limit for connecting to anything.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time limit of a call of the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Part of the grace period after which no new requests are taken, as a divisor.
+const LINGER_PART: u32 = 2;
+/// Part of the grace period at whose end the process is gone, in percent.
+const END_PERCENT: u64 = 90;
+
+/// Runs the process until it is told to stop.
+///
+/// # Errors
+///
+/// Returns why the process can't start.
+pub(crate) async fn run(settings: NodeSettings) -> Result<()> {
+    let log_settings = LogSettings {
+        level: LogLevel::Info,
+        destination: String::from("stdout"),
+    };
+    let _logging = Logging::start(&log_settings, &settings.name)?;
+    log::info!(zone:% = settings.zone, store:% = settings.store; "started");
+    let caller = Caller::new(CONNECT_TIMEOUT);
+    let store = Store::new(caller.clone(), settings.store, STORE_TIMEOUT);
+    let grace = Duration::from_millis(settings.bounds.grace_ms);
+    let (front_stop, front_stopped) = watch::channel(false);
+    let (all_stop, all_stopped) = watch::channel(false);
+    let node = Arc::new(Node::new(settings, caller, store));
+
+    let limits = node.limits();
+    let front = bind(node.settings.front).await?;
+    let ready = bind(node.settings.ready).await?;
+    let internal = bind(node.settings.internal).await?;
+    let metrics = bind(node.settings.metrics).await?;
+    let front = tokio::spawn(serve::serve(
+        Audience::Callers,
+        front,
+        front::router(Arc::clone(&node)),
+        limits.clone(),
+        front_stopped,
+    ));
+    let others = [
+        (Audience::Operators, ready, front::ready_router(Arc::clone(&node))),
+        (Audience::Peers, internal, internal::router(Arc::clone(&node))),
+        (Audience::Operators, metrics, internal::metrics_router(Arc::clone(&node))),
+    ];
+    for (audience, listener, router) in others {
+        let stop = all_stopped.clone();
+        tokio::spawn(serve::serve(audience, listener, router, limits.clone(), stop));
+    }
+    tokio::spawn(configuration::follow(Arc::clone(&node)));
+    tokio::spawn(owners::follow(Arc::clone(&node)));
+    tokio::spawn(registry::follow(Arc::clone(&node)));
+    let members = tokio::spawn(membership::keep(Arc::clone(&node), all_stopped));
+
+    wait_for_stop(&node).await?;
+    log::info!("stopping");
+    node.stop();
+    let end = tokio::time::Instant::now()
+        + Duration::from_millis(node.settings.bounds.grace_ms * END_PERCENT / 100);
+    node.leave().await;
+    tokio::time::sleep(grace / LINGER_PART).await;
+    front_stop.send_replace(true);
+    drop(tokio::time::timeout_at(end, front).await);
+    all_stop.send_replace(true);
+    drop(tokio::time::timeout_at(end, members).await);
+    log::info!("stopped");
+    Ok(())
+}
+
+async fn bind(address: std::net::SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("can't listen on {address}; free the address or change it"))
+}
+
+/// Waits for SIGTERM; reads the settings again at each SIGHUP.
+async fn wait_for_stop(node: &Node) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = hang_up.recv() => reload(node),
+        }
+    }
+}
+
+fn reload(node: &Node) {
+    match NodeSettings::load() {
+        Ok(settings) if settings == node.settings => log::info!("settings_unchanged"),
+        Ok(_) => log::warn!(remedy = "restart the process"; "settings_changed"),
+        Err(error) => log::warn!(error:% = error; "settings_kept"),
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/boot_clock.rs
@@ -0,0 +1,32 @@
+//! The clocks of the process: one that counts suspension, and the time of day.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use cyclamentrail_jobs::Now;
+use rustix::time::{ClockId, clock_gettime};
+
+const MS_PER_S: u64 = 1_000;
+const NS_PER_MS: u64 = 1_000_000;
+
+/// Returns the milliseconds of the clock that also runs while the machine is suspended.
+pub(crate) fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanoseconds = u64::try_from(time.tv_nsec).unwrap_or(0);
+    seconds * MS_PER_S + nanoseconds / NS_PER_MS
+}
+
+/// Returns the Unix time in milliseconds.
+pub(crate) fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Returns the present moment on both clocks.
+pub(crate) fn now() -> Now {
+    Now {
+        boot_ms: boot_ms(),
+        unix_ms: unix_ms(),
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/commits.rs
@@ -0,0 +1,161 @@
+//! Makes an owner's records durable, one append at a time.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cyclamentrail_adapter::{Append, Store, StoreError, Writer};
+use cyclamentrail_jobs::KeyedRecord;
+
+use super::boot_clock::boot_ms;
+
+/// First pause after a failed append.
+const MIN_RETRY: Duration = Duration::from_millis(30);
+/// Longest pause after a failed append.
+const MAX_RETRY: Duration = Duration::from_millis(300);
+
+/// When the ownership of a shard was last confirmed by the store.
+#[derive(Debug, Clone)]
+pub(crate) struct Confirmation {
+    confirmed_ms: Arc<AtomicU64>,
+    valid_ms: u64,
+}
+
+impl Confirmation {
+    /// Creates a confirmation of a moment, which is valid for a while.
+    pub(crate) fn new(confirmed_ms: u64, valid_ms: u64) -> Self {
+        Self {
+            confirmed_ms: Arc::new(AtomicU64::new(confirmed_ms)),
+            valid_ms,
+        }
+    }
+
+    /// Returns whether orders may be given now.
+    pub(crate) fn is_valid(&self) -> bool {
+        self.age_ms() < self.valid_ms
+    }
+
+    /// Returns the time since the last confirmation in milliseconds.
+    pub(crate) fn age_ms(&self) -> u64 {
+        boot_ms().saturating_sub(self.confirmed_ms.load(Ordering::Relaxed))
+    }
+
+    fn confirm(&self, sent_ms: u64) {
+        self.confirmed_ms.fetch_max(sent_ms, Ordering::Relaxed);
+    }
+}
+
+/// Appends an owner's records in order.
+#[derive(Debug, Clone)]
+pub(crate) struct CommitLog {
+    store: Store,
+    topic: Arc<str>,
+    epoch: u64,
+    sequence: u64,
+    max_bytes: usize,
+    confirmation: Confirmation,
+}
+
+impl CommitLog {
+    /// Creates the log of an owner whose next append has a sequence number.
+    pub(crate) fn new(
+        store: Store,
+        topic: &str,
+        writer: Writer,
+        max_bytes: usize,
+        confirmation: Confirmation,
+    ) -> Self {
+        Self {
+            store,
+            topic: Arc::from(topic),
+            epoch: writer.epoch,
+            sequence: writer.sequence,
+            max_bytes,
+            confirmation,
+        }
+    }
+
+    /// Appends records and returns the log for the next ones; tries until the outcome is known.
+    ///
+    /// # Errors
+    ///
+    /// Returns why this process no longer owns the shard.
+    pub(crate) async fn append(mut self, records: &[KeyedRecord]) -> Result<Self, StoreError> {
+        for part in split(records, self.max_bytes) {
+            self.append_part(&part).await?;
+        }
+        Ok(self)
+    }
+
+    /// Confirms the ownership without appending anything, and returns the log for the next
+    /// records.
+    ///
+    /// # Errors
+    ///
+    /// Returns why this process no longer owns the shard.
+    pub(crate) async fn confirm(mut self) -> Result<Self, StoreError> {
+        self.append_part(&[]).await?;
+        Ok(self)
+    }
+
+    const fn writer(&self) -> Writer {
+        Writer {
+            epoch: self.epoch,
+            sequence: self.sequence,
+        }
+    }
+
+    async fn append_part(&mut self, records: &[(String, Vec<u8>)]) -> Result<(), StoreError> {
+        let mut pause = MIN_RETRY;
+        let mut is_ambiguous = false;
+        loop {
+            let sent_ms = boot_ms();
+            let append = Append {
+                topic: &self.topic,
+                records,
+                writer: Some(self.writer()),
+            };
+            match self.store.append(append).await {
+                Ok(_) => {
+                    self.confirmation.confirm(sent_ms);
+                    // An append without records has no place in the sequence.
+                    self.sequence += u64::from(!records.is_empty());
+                    return Ok(());
+                }
+                Err(StoreError::OutOfSequence { expected }) if !is_ambiguous => {
+                    log::info!(topic:% = self.topic, expected; "sequence_corrected");
+                    self.sequence = expected;
+                }
+                Err(error @ (StoreError::Fenced | StoreError::OutOfSequence { .. })) => {
+                    return Err(error);
+                }
+                Err(error) => {
+                    is_ambiguous |= matches!(error, StoreError::NoAnswer(_));
+                    log::debug!(topic:% = self.topic, error:% = error; "append_repeated");
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(MAX_RETRY);
+                }
+            }
+        }
+    }
+}
+
+/// Splits records into parts that one append takes.
+fn split(records: &[KeyedRecord], max_bytes: usize) -> Vec<Vec<(String, Vec<u8>)>> {
+    let mut parts = Vec::new();
+    let mut part = Vec::new();
+    let mut bytes = 0;
+    for record in records {
+        let size = record.key.len() + record.value.len() + 8;
+        if bytes + size > max_bytes && !part.is_empty() {
+            parts.push(std::mem::take(&mut part));
+            bytes = 0;
+        }
+        bytes += size;
+        part.push((record.key.clone(), record.value.clone()));
+    }
+    if !part.is_empty() {
+        parts.push(part);
+    }
+    parts
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/node.rs
@@ -0,0 +1,160 @@
+//! What the tasks of a process share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cyclamentrail_adapter::{Caller, Configuration, NodeSettings, Store, Wave};
+use cyclamentrail_core::{CallerLimits, ServiceName};
+use cyclamentrail_jobs::Registration;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, watch};
+
+use super::owner::OwnerMessage;
+use super::peers::Peers;
+
+/// Requests served at once by a listener.
+const MAX_REQUESTS: u32 = 2_000;
+/// Descriptors that a listener may take, beside those of calls.
+const MAX_CONNECTIONS: u32 = 2_000;
+/// Largest header block in bytes.
+const MAX_HEADER_BYTES: u32 = 16_384;
+/// Time limit of a header and between two parts of a body.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A process's claim of a shard, as it stands in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Claim {
+    /// Name of the owner's machine.
+    pub(crate) node: String,
+    /// Where the owner answers the other processes.
+    pub(crate) address: SocketAddr,
+}
+
+/// A claim with the token that its offset makes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Owner {
+    /// The claim.
+    pub(crate) claim: Claim,
+    /// Rises with each claim of any shard.
+    pub(crate) token: u64,
+}
+
+/// What the operators have written.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Orders {
+    /// The newest configuration.
+    pub(crate) configuration: Option<Arc<Configuration>>,
+    /// The waves by their keys.
+    pub(crate) waves: HashMap<String, Wave>,
+}
+
+/// The workers that are registered.
+pub(crate) type Workers = HashMap<String, Registration>;
+
+/// State that the tasks of a process share.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) settings: NodeSettings,
+    pub(crate) caller: Caller,
+    pub(crate) store: Store,
+    pub(crate) peers: Peers,
+    pub(crate) orders: watch::Sender<Orders>,
+    pub(crate) owners: watch::Sender<HashMap<String, Owner>>,
+    pub(crate) workers: watch::Sender<Arc<Workers>>,
+    owned: Mutex<HashMap<String, mpsc::UnboundedSender<OwnerMessage>>>,
+    is_stopping: AtomicBool,
+}
+
+impl Node {
+    /// Creates the state of a process that knows nothing yet.
+    pub(crate) fn new(settings: NodeSettings, caller: Caller, store: Store) -> Self {
+        Self {
+            settings,
+            caller,
+            store,
+            peers: Peers::new(),
+            orders: watch::Sender::new(Orders::default()),
+            owners: watch::Sender::new(HashMap::new()),
+            workers: watch::Sender::new(Arc::default()),
+            owned: Mutex::new(HashMap::new()),
+            is_stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the configuration in force here.
+    pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.orders.borrow().configuration.clone()
+    }
+
+    /// Returns the owner of a shard, as far as this process knows.
+    pub(crate) fn owner(&self, shard: &str) -> Option<Owner> {
+        self.owners.borrow().get(shard).cloned()
+    }
+
+    /// Returns where a shard that this process owns takes messages.
+    pub(crate) fn owned(&self, shard: &ServiceName) -> Option<mpsc::UnboundedSender<OwnerMessage>> {
+        self.lock_owned().get(shard.as_str()).cloned()
+    }
+
+    /// Takes in that this process owns a shard.
+    pub(crate) fn insert_owned(&self, shard: &str, sender: mpsc::UnboundedSender<OwnerMessage>) {
+        self.lock_owned().insert(shard.to_owned(), sender);
+    }
+
+    /// Takes in that this process no longer owns a shard.
+    pub(crate) fn remove_owned(&self, shard: &str) {
+        self.lock_owned().remove(shard);
+    }
+
+    /// Begins the end of this process.
+    pub(crate) fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether this process is about to end.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.configuration().is_some()
+    }
+
+    /// Ends the ownership of all shards and lets others have them at once.
+    pub(crate) async fn leave(&self) {
+        let senders: Vec<_> = self.lock_owned().drain().collect();
+        for (_, sender) in senders {
+            drop(sender.send(OwnerMessage::Stop));
+        }
+        let left = self
+            .store
+            .leave(super::membership::GROUP, &self.settings.name)
+            .await;
+        if let Err(error) = left {
+            log::warn!(error:% = error; "group_not_left");
+        }
+    }
+
+    /// Returns the limits of the listeners.
+    #[expect(
+        clippy::unused_self,
+        reason = "limits follow the settings once they name any"
+    )]
+    pub(crate) fn limits(&self) -> CallerLimits {
+        CallerLimits {
+            max_connections: MAX_CONNECTIONS,
+            max_requests: MAX_REQUESTS,
+            max_header_bytes: MAX_HEADER_BYTES,
+            header_timeout_ms: READ_TIMEOUT,
+            body_timeout_ms: READ_TIMEOUT,
+        }
+    }
+
+    fn lock_owned(&self) -> MutexGuard<'_, HashMap<String, mpsc::UnboundedSender<OwnerMessage>>> {
+        self.owned.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/owners.rs
@@ -0,0 +1,102 @@
+//! Follows the claims in the store: which process owns which shard.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamentrail_adapter::{Append, KeyedRow, StoreError, keyed_topic};
+
+use super::node::{Claim, Node, Owner};
+
+/// Topic of the claims.
+const TOPIC: &str = "owners";
+/// How long one read waits for something new.
+const WAIT: Duration = Duration::from_secs(3);
+/// Time after which the store is asked again when it gave no answer.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// Follows the claims for as long as the process runs.
+pub(crate) async fn follow(node: Arc<Node>) {
+    let topic = keyed_topic(TOPIC);
+    let mut next: Option<u64> = None;
+    loop {
+        let result = match next {
+            None => read_all(&node, &topic).await,
+            Some(from) => read_on(&node, &topic, from).await,
+        };
+        match result {
+            Ok(end) => next = Some(end),
+            Err(StoreError::Expired { .. }) => next = None,
+            Err(error) => {
+                log::debug!(topic = topic.as_str(), error:% = error; "topic_not_read");
+                tokio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Claims a shard for this process; returns its token.
+///
+/// # Errors
+///
+/// Returns why the shard may not be claimed.
+pub(crate) async fn claim(node: &Node, shard: &str) -> Result<u64, StoreError> {
+    let claim = Claim {
+        node: node.settings.name.clone(),
+        address: node.settings.internal,
+    };
+    // Writing this type to memory can't fail.
+    let value = rmp_serde::to_vec(&claim).unwrap_or_default();
+    let records = [(shard.to_owned(), value)];
+    let topic = keyed_topic(TOPIC);
+    let append = Append {
+        topic: &topic,
+        records: &records,
+        writer: None,
+    };
+    let appended = node.store.append(append).await?;
+    // Tokens begin at 1, because a worker counts a missing one as 0.
+    let token = appended.offset + 1;
+    take_claim(node, shard, Owner { claim, token });
+    Ok(token)
+}
+
+async fn read_all(node: &Node, topic: &str) -> Result<u64, StoreError> {
+    let page = node.store.all_newest(topic).await?;
+    take(node, page.rows);
+    Ok(page.end)
+}
+
+async fn read_on(node: &Node, topic: &str, from: u64) -> Result<u64, StoreError> {
+    let page = node.store.read(topic, from, WAIT).await?;
+    take(node, page.rows);
+    Ok(page.next)
+}
+
+fn take(node: &Node, rows: Vec<KeyedRow>) {
+    for row in rows {
+        match rmp_serde::from_slice::<Claim>(&row.value) {
+            Ok(claim) => {
+                let token = row.offset + 1;
+                take_claim(node, &row.key, Owner { claim, token });
+            }
+            Err(error) => {
+                log::warn!(shard = row.key, offset = row.offset, error:% = error; "claim_unreadable");
+            }
+        }
+    }
+}
+
+fn take_claim(node: &Node, shard: &str, owner: Owner) {
+    let change = |owners: &mut HashMap<String, Owner>| {
+        let is_newer = owners
+            .get(shard)
+            .is_none_or(|known| known.token < owner.token);
+        if is_newer {
+            log::info!(shard, owner = owner.claim.node, token = owner.token; "owner_known");
+            owners.insert(shard.to_owned(), owner);
+        }
+        is_newer
+    };
+    node.owners.send_if_modified(change);
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/takeover.rs
@@ -0,0 +1,91 @@
+//! Taking over a shard: claim it, fence its earlier owner, read its records.
+
+use std::time::Duration;
+
+use cyclamentrail_adapter::{Append, StoreError, Writer, keyed_topic};
+use cyclamentrail_jobs::KeyedRecord;
+
+use super::boot_clock::boot_ms;
+use super::node::Node;
+use super::owners;
+
+/// Time after which the store is asked again when it gave no answer.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// A shard that was taken over.
+pub(crate) struct Taken {
+    /// Fencing token for workers, and epoch of the records.
+    pub(crate) token: u64,
+    /// Topic of the records.
+    pub(crate) topic: String,
+    /// The records.
+    pub(crate) records: Vec<KeyedRecord>,
+    /// When the ownership was last confirmed, on the clock that counts suspension.
+    pub(crate) confirmed_ms: u64,
+}
+
+/// Takes over a shard; tries until it succeeds or another process is the newer owner.
+///
+/// # Errors
+///
+/// Returns [`StoreError::Fenced`] when another process has taken it over since.
+pub(crate) async fn take_over(node: &Node, shard: &str) -> Result<Taken, StoreError> {
+    let token = claim(node, shard).await;
+    let topic = keyed_topic(&format!("jobs.{shard}"));
+    let confirmed_ms = fence(node, &topic, token).await?;
+    let records = loop {
+        match node.store.all_newest(&topic).await {
+            Ok(page) => break page.rows,
+            Err(error) => pause(shard, &error).await,
+        }
+    };
+    let records = records
+        .into_iter()
+        .map(|row| KeyedRecord {
+            key: row.key,
+            value: row.value.to_vec(),
+        })
+        .collect();
+    Ok(Taken {
+        token,
+        topic,
+        records,
+        confirmed_ms,
+    })
+}
+
+/// Returns the sequence number of the first append after the fence.
+pub(crate) const FIRST_SEQUENCE: u64 = 1;
+
+async fn claim(node: &Node, shard: &str) -> u64 {
+    loop {
+        match owners::claim(node, shard).await {
+            Ok(token) => return token,
+            Err(error) => pause(shard, &error).await,
+        }
+    }
+}
+
+async fn fence(node: &Node, topic: &str, token: u64) -> Result<u64, StoreError> {
+    loop {
+        let sent_ms = boot_ms();
+        let append = Append {
+            topic,
+            records: &[],
+            writer: Some(Writer {
+                epoch: token,
+                sequence: FIRST_SEQUENCE - 1,
+            }),
+        };
+        match node.store.append(append).await {
+            Ok(_) => return Ok(sent_ms),
+            Err(StoreError::Fenced) => return Err(StoreError::Fenced),
+            Err(error) => pause(topic, &error).await,
+        }
+    }
+}
+
+async fn pause(what: &str, error: &StoreError) {
+    log::debug!(what, error:% = error; "takeover_waits");
+    tokio::time::sleep(RETRY).await;
+}
--- a/crates/cyclamentrail/src/lib.rs
+++ b/crates/cyclamentrail/src/lib.rs
@@ -15,6 +15,7 @@
 mod clock;
 mod command;
 mod control;
+mod edge;
 mod entry;
 mod headers;
 mod local;
