fix(jobs): let the lease of a silent worker end

A process cut from the store claimed shards by a membership that had lapsed. Ruled out: the takeover itself; the records named the runs rightly. Change: a worker that doesn't answer is looked at without a lease, and gets no start again.

--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -9,7 +9,7 @@
 use crate::effect::{Effect, GoneProof, Note, StopOrder, Target};
 use crate::job::{Job, JobKey, JobState, Phase, TaskKey};
 use crate::record::{AcceptRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
-use crate::worker::{Worker, WorkerKey};
+use crate::worker::{Contact, Worker, WorkerKey};
 use crate::{RouteTerms, StepSpec};
 
 mod cancel;
@@ -23,6 +23,8 @@
 
 pub use submit::Submission;
 
+/// Time after which an unanswered start is sent again, in milliseconds.
+const START_AGAIN_MS: u64 = 150;
 /// Time between two orders to stop the same run, in milliseconds.
 const STOP_AGAIN_MS: u64 = 400;
 
@@ -429,7 +431,17 @@
                 .and_then(|job| job.task(resend.task))
                 .and_then(|task| task.placement)
                 .filter(|placement| placement.run == resend.run);
+            let answers = placement.is_some_and(|placement| {
+                self.workers
+                    .get(placement.worker)
+                    .is_some_and(|worker| worker.contact == Contact::Good)
+            });
             match placement.map(|placement| placement.phase) {
+                // Each start extends the lease, so a worker that doesn't answer gets none.
+                Some(Phase::Sent) if !answers => {
+                    let due_ms = now.boot_ms + START_AGAIN_MS;
+                    self.resend_later(due_ms, resend.task, resend.run);
+                }
                 Some(Phase::Sent) => self.ready.push(Effect::Start(resend.task)),
                 Some(Phase::Stopping { confirmed_ms: None }) => self.send_stop(resend.task),
                 _ => {}
--- a/crates/cyclamentrail-jobs/src/shard/orders.rs
+++ b/crates/cyclamentrail-jobs/src/shard/orders.rs
@@ -2,13 +2,11 @@
 
 use std::sync::Arc;
 
-use super::{Now, STOP_AGAIN_MS, Shard};
+use super::{Now, START_AGAIN_MS, STOP_AGAIN_MS, Shard};
 use crate::effect::{Effect, GoneProof, Look, Note, OrderOutcome, OrderRejection, StartOrder};
 use crate::job::{Phase, Placement, TaskKey};
 use crate::worker::{Contact, WorkerKey};
 
-/// Time after which an unanswered start is sent again, in milliseconds.
-const START_AGAIN_MS: u64 = 150;
 /// Time for which a worker that did nothing with an order gets no more, in milliseconds.
 const UNWELL_MS: u64 = 1_000;
 /// Longest time for which a failing worker gets nothing, in milliseconds.
@@ -137,12 +135,15 @@
             let look_wait_ms = self.timing.look_wait_ms;
             let worker = &mut self.workers[key];
             let has_tasks = !worker.tasks.is_empty();
-            let until_ms = if has_tasks {
+            let answers = worker.contact == Contact::Good;
+            // A worker that doesn't answer keeps the lease that it has: its tasks can only be
+            // placed elsewhere once that has ended.
+            let until_ms = if has_tasks && answers {
                 worker.lease.extend(now.boot_ms, lease_ms)
             } else {
                 None
             };
-            let may_wait = has_tasks && worker.contact == Contact::Good && worker.is_adopted;
+            let may_wait = has_tasks && answers && worker.is_adopted;
             worker.is_looking = true;
             worker.look_sent_ms = now.boot_ms;
             self.ready.push(Effect::Look(Look {
--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -42,6 +42,7 @@
             .join(GROUP, &node.settings.name, TOPIC, ttl_ms, generation)
             .await;
         let mut is_changed = false;
+        let is_confirmed = joined.is_ok();
         match joined {
             Ok(answer) => {
                 is_changed = answer.generation != generation;
@@ -57,7 +58,9 @@
             let wanted = wanted_shards(&configuration, &partitions, node.settings.partitions);
             drop_ended(&node, &mut held, &mut lost_ms);
             release(&node, &mut held, &wanted);
-            acquire(&node, &mut held, &lost_ms, wanted);
+            if is_confirmed {
+                acquire(&node, &mut held, &lost_ms, wanted);
+            }
         }
         let pause = if is_changed { INTERVAL / 8 } else { INTERVAL };
         tokio::select! {
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -33,6 +33,8 @@
 const OWNERSHIP_MS: u64 = 5_000;
 /// Age of the last confirmation at which an idle owner asks for another, in milliseconds.
 const CONFIRM_MS: u64 = 1_500;
+/// Age of the last confirmation up to which a job is said to be unknown, in milliseconds.
+const MAX_UNKNOWN_AGE_MS: u64 = 2_000;
 /// Age of a commit at which new jobs are rejected, because the store doesn't answer.
 const STUCK_COMMIT: Duration = Duration::from_millis(700);
 /// Part of the longest lease that is granted, in percent.
@@ -86,7 +88,7 @@
     }
     let workers = node.workers.subscribe();
     let orders = node.orders.subscribe();
-    let mut owner = Owner::new(Arc::clone(&node), &shard, taken, sender.clone());
+    let mut owner = Owner::new(&node, &shard, taken, sender.clone());
     owner.take_orders(&orders.borrow());
     owner.take_workers(&workers.borrow());
     owner.restore();
@@ -97,7 +99,6 @@
 }
 
 struct Owner {
-    node: Arc<Node>,
     service: ServiceName,
     shard: Shard,
     taken: Option<Taken>,
@@ -117,7 +118,7 @@
 
 impl Owner {
     fn new(
-        node: Arc<Node>,
+        node: &Node,
         shard: &str,
         taken: Taken,
         sender: mpsc::UnboundedSender<OwnerMessage>,
@@ -160,7 +161,6 @@
             evacuating: Vec::new(),
             sender,
             is_over: false,
-            node,
         }
     }
 
@@ -320,6 +320,13 @@
                 };
                 self.shard.submit(now(), submission);
             }
+            // Another process may have taken over and accepted the job since.
+            Question::State(id) | Question::Cancel(id)
+                if self.shard.job(&id).is_none()
+                    && self.confirmation.age_ms() > MAX_UNKNOWN_AGE_MS =>
+            {
+                drop(reply.send(Reply::NotOwner));
+            }
             Question::State(id) => {
                 self.callers.insert(caller, reply);
                 self.shard.tell_state(caller, &id);
