feat(jobs): predict run times by the closer of two estimates; hand over by asking the earlier owner

Cause: ratios of single tasks overstated the backlog where declared times are far off, so jobs were rejected with workers free; each takeover added the earlier owner's whole validity to the wait for workers that can't be reached; an owner that gave up answered as if nothing had been sent. Change: Estimate keeps the mean and the scaled prediction and uses the one with the smaller error; the new owner asks the earlier one to stop, and a 504 of a peer counts as unknown.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod admission;
 mod effect;
+mod estimate;
 mod job;
 mod lease;
 mod placing;
@@ -33,6 +34,7 @@
     OrderOutcome, OrderRejection, RejectReason, Report, RunName, RunningRow, StartOrder, StopOrder,
     Target,
 };
+pub use estimate::Estimate;
 pub use job::{
     Job, JobKey, JobState, Occurrence, Phase, Placement, StepProgress, Task, TaskKey,
 };
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -10,7 +10,7 @@
 use crate::job::{Job, JobKey, JobState, Phase, TaskKey};
 use crate::record::{AcceptRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
 use crate::worker::{Contact, Worker, WorkerKey};
-use crate::{RouteTerms, StepSpec};
+use crate::{Estimate, RouteTerms, StepSpec};
 
 mod cancel;
 mod orders;
@@ -42,10 +42,6 @@
 pub struct ShardTiming {
     /// Length of a worker's lease.
     pub lease_ms: u64,
-    /// Longest lease that a worker accepts.
-    pub max_lease_ms: u64,
-    /// How long an owner may act after its last confirmation by the platform.
-    pub ownership_ms: u64,
     /// How long a worker may wait for an end before it answers a look.
     pub look_wait_ms: u64,
     /// Time between two looks at a busy worker.
@@ -60,8 +56,6 @@
     fn default() -> Self {
         Self {
             lease_ms: 4_500,
-            max_lease_ms: 6_000,
-            ownership_ms: 5_000,
             look_wait_ms: 1_200,
             look_gap_ms: 60,
             keep_ms: 125_000,
@@ -113,25 +107,6 @@
     run: u32,
 }
 
-/// How long a route's tasks take against their estimates.
-#[derive(Debug, Clone, Copy)]
-struct Estimate {
-    /// Moving mean of actual time over estimated time, in thousandths.
-    ratio_milli: u64,
-}
-
-impl Estimate {
-    /// Weight of a new observation, as one part in this many.
-    const WEIGHT: u64 = 16;
-    /// Largest ratio that one observation counts with, in thousandths.
-    const MAX_MILLI: u64 = 10_000;
-
-    fn observe(&mut self, actual_ms: u64, estimate_ms: u64) {
-        let ratio = (actual_ms * 1_000 / estimate_ms.max(1)).min(Self::MAX_MILLI);
-        self.ratio_milli = (self.ratio_milli * (Self::WEIGHT - 1) + ratio) / Self::WEIGHT;
-    }
-}
-
 impl Shard {
     /// Creates a shard without jobs and workers.
     #[must_use]
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -70,12 +70,20 @@
                 .occurrences
                 .first()
                 .map_or(job.accepted_ms, |one| job.due_ms(one.number));
-            let chain_ms = job.spec.chain_ms();
+            let estimate = self.estimate(&job.route);
+            let predict_ms = |step: &StepSpec| estimate.predict_ms(step.estimate_ms);
+            let chain_ms = job.spec.chain_by(|_, step| predict_ms(step));
+            let occurrence = job.occurrences.first();
+            let is_done =
+                |index: usize| occurrence.is_some_and(|one| one.steps[index].is_done());
+            let remaining_ms = job
+                .spec
+                .chain_by(|index, step| if is_done(index) { 0 } else { predict_ms(step) });
             let waiting = Waiting {
                 priority: terms.priority,
                 is_long_running: job.spec.is_long_running(),
                 deadline_ms: begun_ms + terms.objective_ms(chain_ms),
-                remaining_ms: remaining_ms(job.spec.steps.as_slice(), job.occurrences.first()),
+                remaining_ms,
             };
             Some((waiting.rank(now.unix_ms), key))
         };
@@ -305,20 +313,3 @@
         .filter(|_| labels.len() > 1)
         .map(|label| RackName::from(label.as_str()))
 }
-
-/// Returns the time of the longest chain of steps that aren't done, in milliseconds.
-fn remaining_ms(steps: &[StepSpec], occurrence: Option<&Occurrence>) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
-    for (index, step) in steps.iter().enumerate() {
-        let begin = step
-            .after
-            .iter()
-            .filter_map(|&other| ends.get(other as usize))
-            .copied()
-            .max()
-            .unwrap_or(0);
-        let is_done = occurrence.is_some_and(|one| one.steps[index].is_done());
-        ends.push(begin + if is_done { 0 } else { step.estimate_ms });
-    }
-    ends.into_iter().max().unwrap_or(0)
-}
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -32,8 +32,14 @@
     /// Restores jobs from their records; returns how many records couldn't be read.
     ///
     /// Workers that are registered before are taken as they are; others that the records name are
-    /// kept until nothing can run on them any more.
-    pub fn restore(&mut self, now: Now, records: impl IntoIterator<Item = KeyedRecord>) -> usize {
+    /// kept until nothing can run on them any more. The earlier owner may still act for
+    /// `earlier_acts_ms`.
+    pub fn restore(
+        &mut self,
+        now: Now,
+        records: impl IntoIterator<Item = KeyedRecord>,
+        earlier_acts_ms: u64,
+    ) -> usize {
         let mut accepted: HashMap<String, AcceptRecord> = HashMap::new();
         let mut progress: HashMap<String, ProgressRecord> = HashMap::new();
         let mut unreadable = 0;
@@ -48,16 +54,17 @@
             let reached = progress.remove(&id).unwrap_or_default();
             self.restore_job(now, JobId::from(id), accept, reached);
         }
-        let over_ms = now.boot_ms + self.timing.ownership_ms + self.longest_lease_ms();
+        let over_ms = now.boot_ms + earlier_acts_ms + self.longest_lease_ms();
         for worker in self.workers.values_mut() {
             worker.lease.inherit(over_ms);
         }
         unreadable
     }
 
-    /// Returns the longest time that a lease can last on the slowest clock, in milliseconds.
+    /// Returns the longest time that a lease lasts on the slowest clock, in milliseconds; every
+    /// owner grants leases of the same length.
     const fn longest_lease_ms(&self) -> u64 {
-        self.timing.max_lease_ms + self.timing.max_lease_ms / SLOW_CLOCK_PART + 1
+        self.timing.lease_ms + self.timing.lease_ms / SLOW_CLOCK_PART + 1
     }
 
     fn restore_job(&mut self, now: Now, id: JobId, accept: AcceptRecord, reached: ProgressRecord) {
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::{Estimate, Now, Shard};
+use super::{Now, Shard};
 use crate::effect::{
     Effect, EndKind, EndedRow, GoneProof, LookOutcome, Note, Report, RunName, RunningRow,
 };
@@ -259,8 +259,8 @@
         let actual_ms = now.boot_ms.saturating_sub(since_ms);
         self.estimates
             .entry(job.route.clone())
-            .or_insert(Estimate { ratio_milli: 1_000 })
-            .observe(actual_ms, estimate_ms);
+            .or_default()
+            .observe(estimate_ms, actual_ms);
     }
 
     /// Releases runs that the worker had confirmed before the look was sent and doesn't list.
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -11,7 +11,7 @@
 use crate::job::{Job, JobState, Occurrence};
 use crate::placing::Wish;
 use crate::worker::Worker;
-use crate::{JobSpec, Resources, RouteTerms};
+use crate::{Estimate, JobSpec, Resources, StepSpec};
 
 /// When a caller may come back whose job no worker can hold, in milliseconds.
 const NO_WORKER_RETRY_MS: u64 = 5_000;
@@ -155,9 +155,10 @@
             return Ok(0);
         }
         let backlog = self.backlog();
-        let chain_ms = spec.chain_ms();
+        let estimate = self.estimate(&terms.name);
+        let chain_ms = spec.chain_by(|_, step| estimate.predict_ms(step.estimate_ms));
         let applicant = Applicant {
-            work_ms: self.work_ms(terms, spec),
+            work_ms: spec_work_ms(spec, &self.usual_capacity(), estimate),
             chain_ms,
             objective_ms: terms.objective_ms(chain_ms),
             seed: seed_of(&submission.id),
@@ -185,12 +186,10 @@
             if job.is_over() || job.spec.is_long_running() {
                 continue;
             }
-            let ratio_milli = self.ratio_milli(&job.route);
+            let estimate = self.estimate(&job.route);
             for occurrence in &job.occurrences {
                 for (spec, progress) in job.spec.steps.iter().zip(&occurrence.steps) {
-                    let each = spec.counted().dominant_milli(&capacity) * spec.estimate_ms
-                        * ratio_milli
-                        / 1_000_000;
+                    let each = task_work_ms(spec, &capacity, estimate);
                     for task in progress.tasks.iter().filter(|task| !task.is_done) {
                         work += if task.placement.is_some() {
                             each / 2
@@ -201,7 +200,7 @@
                 }
             }
             if job.next_occurrence == 0 && job.spec.schedule.is_none() {
-                work += spec_work_ms(&job.spec, &capacity, ratio_milli);
+                work += spec_work_ms(&job.spec, &capacity, estimate);
             }
         }
         Backlog {
@@ -210,14 +209,8 @@
         }
     }
 
-    fn work_ms(&self, terms: &RouteTerms, spec: &JobSpec) -> u64 {
-        spec_work_ms(spec, &self.usual_capacity(), self.ratio_milli(&terms.name))
-    }
-
-    fn ratio_milli(&self, route: &RouteName) -> u64 {
-        self.estimates
-            .get(route)
-            .map_or(1_000, |estimate| estimate.ratio_milli)
+    pub(super) fn estimate(&self, route: &RouteName) -> Estimate {
+        self.estimates.get(route).copied().unwrap_or_default()
     }
 
     fn usual_capacity(&self) -> Resources {
@@ -231,16 +224,18 @@
 }
 
 /// Returns the work of a whole job in milliseconds of a whole worker.
-fn spec_work_ms(spec: &JobSpec, capacity: &Resources, ratio_milli: u64) -> u64 {
+fn spec_work_ms(spec: &JobSpec, capacity: &Resources, estimate: Estimate) -> u64 {
     spec.steps
         .iter()
-        .map(|step| {
-            let each = step.counted().dominant_milli(capacity) * step.estimate_ms;
-            u64::from(step.count) * each * ratio_milli / 1_000_000
-        })
+        .map(|step| u64::from(step.count) * task_work_ms(step, capacity, estimate))
         .sum()
 }
 
+/// Returns the work of one task in milliseconds of a whole worker.
+fn task_work_ms(step: &StepSpec, capacity: &Resources, estimate: Estimate) -> u64 {
+    step.counted().dominant_milli(capacity) * estimate.predict_ms(step.estimate_ms) / 1_000
+}
+
 /// Why a job isn't accepted, and when its caller may come back.
 struct Rejected {
     reason: RejectReason,
--- a/crates/cyclamentrail-jobs/src/spec.rs
+++ b/crates/cyclamentrail-jobs/src/spec.rs
@@ -86,19 +86,25 @@
 }
 
 impl JobSpec {
-    /// Returns the time of the longest chain of steps in milliseconds, by the estimates.
+    /// Returns the time of the longest chain of steps in milliseconds, by the declared times.
     #[must_use]
     pub fn chain_ms(&self) -> u64 {
+        self.chain_by(|_, step| step.estimate_ms)
+    }
+
+    /// Returns the time of the longest chain of steps in milliseconds, where a step takes what
+    /// `step_ms` says of its index and description.
+    pub fn chain_by(&self, step_ms: impl Fn(usize, &StepSpec) -> u64) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (index, step) in self.steps.iter().enumerate() {
             let begin = step
                 .after
                 .iter()
-                .filter_map(|&index| ends.get(index as usize))
+                .filter_map(|&other| ends.get(other as usize))
                 .copied()
                 .max()
                 .unwrap_or(0);
-            ends.push(begin.saturating_add(step.estimate_ms));
+            ends.push(begin.saturating_add(step_ms(index, step)));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/cyclamentrail/src/edge/internal.rs
+++ b/crates/cyclamentrail/src/edge/internal.rs
@@ -1,6 +1,7 @@
 //! The listeners for the other processes and for metrics.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::Router;
 use axum::body::Bytes;
@@ -16,6 +17,9 @@
 use super::peers::ASK_PATH;
 use crate::metrics;
 
+/// Longest time that the end of an ownership is waited for.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Returns the routes for the other processes.
 pub(crate) fn router(node: Arc<Node>) -> Router {
     Router::new().route(ASK_PATH, post(answer)).with_state(node)
@@ -41,6 +45,9 @@
     let Ok(ask) = rmp_serde::from_slice::<Ask>(&body) else {
         return StatusCode::BAD_REQUEST.into_response();
     };
+    if matches!(ask.question, Question::Release) {
+        return encode(&release(&node, &ask).await);
+    }
     let owns = node.owned(&ask.service).is_some();
     match ask_here(&node, ask).await {
         Some(reply) => encode(&reply),
@@ -49,6 +56,18 @@
     }
 }
 
+/// Ends the ownership of a shard here, and waits until it has ended.
+async fn release(node: &Node, ask: &Ask) -> Reply {
+    let Some(sender) = node.owned(&ask.service) else {
+        return Reply::Released;
+    };
+    drop(sender.send(OwnerMessage::Stop));
+    match tokio::time::timeout(RELEASE_TIMEOUT, sender.closed()).await {
+        Ok(()) => Reply::Released,
+        Err(_elapsed) => Reply::NotOwner,
+    }
+}
+
 fn encode(reply: &Reply) -> Response {
     rmp_serde::to_vec(reply).map_or_else(
         |_error| StatusCode::INTERNAL_SERVER_ERROR.into_response(),
--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -102,7 +102,7 @@
     held.retain(|shard, held| {
         let has_ended = held.task.is_finished();
         if has_ended {
-            node.remove_owned(shard);
+            node.remove_owned(shard, &held.sender);
             lost_ms.insert(shard.clone(), boot_ms());
         }
         !has_ended
@@ -114,7 +114,7 @@
         let is_wanted = wanted.contains(shard);
         if !is_wanted {
             log::info!(shard = shard.as_str(); "shard_released");
-            node.remove_owned(shard);
+            node.remove_owned(shard, &held.sender);
             drop(held.sender.send(OwnerMessage::Stop));
         }
         is_wanted
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -36,6 +36,8 @@
     Cancel(JobId),
     /// How many jobs of a route haven't begun.
     Pending(RouteName),
+    /// To stop acting as the owner, because another process has claimed the shard.
+    Release,
     /// To keep workers empty; answers which still have tasks.
     Evacuate(Vec<WorkerId>),
 }
@@ -64,6 +66,8 @@
     Pending(u64),
     /// Workers of those asked for on which something is still placed.
     Busy(Vec<WorkerId>),
+    /// This process no longer acts as the owner, and won't.
+    Released,
     /// This process doesn't own the service, and did nothing.
     NotOwner,
 }
--- a/crates/cyclamentrail/src/edge/node.rs
+++ b/crates/cyclamentrail/src/edge/node.rs
@@ -104,9 +104,12 @@
         self.lock_owned().insert(shard.to_owned(), sender);
     }
 
-    /// Takes in that this process no longer owns a shard.
-    pub(crate) fn remove_owned(&self, shard: &str) {
-        self.lock_owned().remove(shard);
+    /// Takes in that this process no longer owns a shard; a newer ownership of it stays.
+    pub(crate) fn remove_owned(&self, shard: &str, sender: &mpsc::UnboundedSender<OwnerMessage>) {
+        let mut owned = self.lock_owned();
+        if owned.get(shard).is_some_and(|kept| kept.same_channel(sender)) {
+            owned.remove(shard);
+        }
     }
 
     /// Begins the end of this process.
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -37,6 +37,8 @@
 const MAX_UNKNOWN_AGE_MS: u64 = 2_000;
 /// Age of a commit at which new jobs are rejected, because the store doesn't answer.
 const STUCK_COMMIT: Duration = Duration::from_millis(700);
+/// Longest time for which an owner that gives up makes durable what it knows.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Part of the longest lease that is granted, in percent.
 const LEASE_PERCENT: u64 = 75;
 /// Part of a lease for which a worker may wait before it answers a look, as a divisor.
@@ -68,12 +70,14 @@
     node: Arc<Node>,
     shard: String,
     sender: mpsc::UnboundedSender<OwnerMessage>,
-    receiver: mpsc::UnboundedReceiver<OwnerMessage>,
+    mut receiver: mpsc::UnboundedReceiver<OwnerMessage>,
 ) {
+    node.insert_owned(&shard, sender.clone());
     let taken = match take_over(&node, &shard).await {
         Ok(taken) => taken,
         Err(error) => {
             log::info!(shard = shard.as_str(), error:% = error; "takeover_lost");
+            node.remove_owned(&shard, &sender);
             return;
         }
     };
@@ -92,9 +96,9 @@
     owner.take_orders(&orders.borrow());
     owner.take_workers(&workers.borrow());
     owner.restore();
-    node.insert_owned(&shard, sender);
-    owner.serve(receiver, workers, orders).await;
-    node.remove_owned(&shard);
+    owner.serve(&mut receiver, workers, orders).await;
+    node.remove_owned(&shard, &sender);
+    owner.finish(&mut receiver).await;
     log::info!(shard; "ownership_ended");
 }
 
@@ -127,8 +131,6 @@
         let lease_ms = bounds.max_lease_ms * LEASE_PERCENT / 100;
         let timing = ShardTiming {
             lease_ms,
-            max_lease_ms: bounds.max_lease_ms,
-            ownership_ms: OWNERSHIP_MS,
             look_wait_ms: lease_ms / LOOK_WAIT_PART,
             keep_ms: bounds.status_ms + KEEP_EXTRA_MS,
             ..ShardTiming::default()
@@ -168,7 +170,8 @@
         let Some(taken) = self.taken.take() else {
             return;
         };
-        let unreadable = self.shard.restore(now(), taken.records);
+        let earlier_acts_ms = if taken.is_released { 0 } else { OWNERSHIP_MS };
+        let unreadable = self.shard.restore(now(), taken.records, earlier_acts_ms);
         if unreadable > 0 {
             log::warn!(shard:% = self.service, records = unreadable; "records_unreadable");
         }
@@ -176,7 +179,7 @@
 
     async fn serve(
         &mut self,
-        mut receiver: mpsc::UnboundedReceiver<OwnerMessage>,
+        receiver: &mut mpsc::UnboundedReceiver<OwnerMessage>,
         mut workers: watch::Receiver<Arc<Workers>>,
         mut orders: watch::Receiver<Orders>,
     ) {
@@ -203,6 +206,35 @@
         }
     }
 
+    /// Makes durable what is known, and answers the callers that wait for it.
+    async fn finish(&mut self, receiver: &mut mpsc::UnboundedReceiver<OwnerMessage>) {
+        let end = Instant::now() + FINISH_TIMEOUT;
+        let mut may_commit = true;
+        loop {
+            if self.log.is_some() {
+                let commit = self.shard.take_commit(now()).filter(|_| may_commit);
+                let Some(commit) = commit else {
+                    return;
+                };
+                may_commit = false;
+                self.spawn_commit(Some(commit));
+            }
+            match tokio::time::timeout_at(end, receiver.recv()).await {
+                Ok(Some(OwnerMessage::Committed(commit, Ok(log)))) => {
+                    self.log = Some(log);
+                    for effect in self.shard.finish_commit(*commit) {
+                        if let Effect::Answer(caller, answer) = effect {
+                            self.answer(caller, answer);
+                        }
+                    }
+                }
+                Ok(Some(OwnerMessage::Ask(_, reply))) => drop(reply.send(Reply::NotOwner)),
+                Ok(Some(OwnerMessage::Committed(_, Err(_))) | None) | Err(_) => return,
+                Ok(Some(_)) => {}
+            }
+        }
+    }
+
     /// Starts a commit if one is due; returns how long to wait for the next round.
     fn commit(&mut self, last_commit: &mut Instant) -> Duration {
         let is_busy = self.shard.is_busy();
@@ -339,6 +371,7 @@
                 self.callers.insert(caller, reply);
                 self.shard.tell_pending(caller, &route);
             }
+            Question::Release => drop(reply.send(Reply::NotOwner)),
             Question::Evacuate(workers) => drop(reply.send(self.evacuate(workers))),
         }
         self.carry_out_ready();
--- a/crates/cyclamentrail/src/edge/peers.rs
+++ b/crates/cyclamentrail/src/edge/peers.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::Request;
+use hyper::{Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -73,8 +73,11 @@
                 Unanswered::Unknown
             }
         })?;
-        if !response.status().is_success() {
-            return Err(Unanswered::NotSent);
+        match response.status() {
+            status if status.is_success() => {}
+            // The owner gave up while the question was with it.
+            StatusCode::GATEWAY_TIMEOUT => return Err(Unanswered::Unknown),
+            _ => return Err(Unanswered::NotSent),
         }
         let body = Limited::new(response.into_body(), MAX_REPLY_BYTES)
             .collect()
--- a/crates/cyclamentrail/src/edge/takeover.rs
+++ b/crates/cyclamentrail/src/edge/takeover.rs
@@ -3,15 +3,20 @@
 use std::time::Duration;
 
 use cyclamentrail_adapter::{Append, StoreError, Writer, keyed_topic};
+use cyclamentrail_core::ServiceName;
 use cyclamentrail_jobs::KeyedRecord;
 
 use super::boot_clock::boot_ms;
-use super::node::Node;
+use super::messages::{Ask, Question, Reply};
+use super::node::{Node, Owner};
 use super::owners;
 
 /// Time after which the store is asked again when it gave no answer.
 const RETRY: Duration = Duration::from_millis(100);
 
+/// Longest time that the earlier owner is waited for.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A shard that was taken over.
 pub(crate) struct Taken {
     /// Fencing token for workers, and epoch of the records.
@@ -22,6 +27,8 @@
     pub(crate) records: Vec<KeyedRecord>,
     /// When the ownership was last confirmed, on the clock that counts suspension.
     pub(crate) confirmed_ms: u64,
+    /// Whether the earlier owner surely acts no more.
+    pub(crate) is_released: bool,
 }
 
 /// Takes over a shard; tries until it succeeds or another process is the newer owner.
@@ -30,9 +37,11 @@
 ///
 /// Returns [`StoreError::Fenced`] when another process has taken it over since.
 pub(crate) async fn take_over(node: &Node, shard: &str) -> Result<Taken, StoreError> {
+    let earlier = node.owner(shard);
     let token = claim(node, shard).await;
     let topic = keyed_topic(&format!("jobs.{shard}"));
     let confirmed_ms = fence(node, &topic, token).await?;
+    let is_released = is_released(node, shard, earlier).await;
     let records = loop {
         match node.store.all_newest(&topic).await {
             Ok(page) => break page.rows,
@@ -51,9 +60,30 @@
         topic,
         records,
         confirmed_ms,
+        is_released,
     })
 }
 
+/// Asks the earlier owner to stop; returns whether it surely acts no more.
+async fn is_released(node: &Node, shard: &str, earlier: Option<Owner>) -> bool {
+    let Some(earlier) = earlier else {
+        return false;
+    };
+    if earlier.claim.address == node.settings.internal {
+        // An earlier process at this address is gone, or its owner has ended here.
+        return true;
+    }
+    let ask = Ask {
+        service: ServiceName::from(shard),
+        question: Question::Release,
+    };
+    let reply = node
+        .peers
+        .ask(earlier.claim.address, &ask, RELEASE_TIMEOUT)
+        .await;
+    matches!(reply, Ok(Reply::Released))
+}
+
 /// Returns the sequence number of the first append after the fence.
 pub(crate) const FIRST_SEQUENCE: u64 = 1;
 
