feat(fleet): maintenance waves and moves of machines that follow demand

Change: one process holds the duties over machines; a pure planner takes idle machines first, keeps the wave's cap, moves machines to the pool whose demand rises (by a learnt period where there is one) and switches off what nobody needs. Owners tell their load and empty workers on request; long-running tasks share few workers.

--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -0,0 +1,284 @@
+//! The duties over machines: maintenance waves, and moves between pools.
+//!
+//! Answers demand that comes by turns: a pool whose queue asks for more than it holds gets
+//! machines that others don't need, and machines that nobody needs are switched off. Maintenance
+//! goes to machines that are idle first.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cyclamentrail_core::{InstanceName, ServiceName, WorkerId};
+
+mod forecast;
+mod moves;
+mod waves;
+
+pub use forecast::Forecast;
+pub use waves::WaveOrder;
+
+/// Time for which the worker of a machine that was ordered away is kept empty, in milliseconds;
+/// its registration may outlive it.
+const LEAVING_MS: u64 = 6_000;
+/// Time after which a machine that doesn't become empty is let go, in milliseconds.
+const GIVE_UP_MS: u64 = 8_000;
+
+/// A machine as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MachineView {
+    /// The machine.
+    pub machine: InstanceName,
+    /// Its pool.
+    pub pool: ServiceName,
+    /// Whether it runs a worker.
+    pub is_up: bool,
+    /// Its worker, if it has one.
+    pub worker: Option<WorkerId>,
+}
+
+/// What is placed on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerLoad {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Tasks that are placed there.
+    pub tasks: u32,
+    /// Those of them that run until their job is cancelled.
+    pub long_running: u32,
+}
+
+/// What a pool's owner says of its load.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PoolLoad {
+    /// Work that arrived in the last moments, in thousandths of a worker.
+    pub demand_milli: u64,
+    /// Work that is accepted and hasn't started, in milliseconds of a whole worker.
+    pub waiting_ms: u64,
+    /// Capacity that is taken by what runs, in thousandths of a worker.
+    pub running_milli: u64,
+    /// Capacity that is taken by long-running tasks, in thousandths of a worker.
+    pub long_running_milli: u64,
+    /// The workers.
+    pub workers: Vec<WorkerLoad>,
+}
+
+/// What a machine is taken from its pool for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Purpose {
+    /// Maintenance in a wave, by the wave's number.
+    Maintain(u64),
+    /// A move to another pool.
+    Move(ServiceName),
+}
+
+/// An order for a machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MachineTask {
+    /// The machine.
+    pub machine: InstanceName,
+    /// What is to be done with it.
+    pub purpose: Purpose,
+}
+
+/// What became of an order for a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineOutcome {
+    /// It is done, or was done before.
+    Done,
+    /// It can't be done.
+    Impossible,
+    /// It wasn't done, and can be ordered again.
+    Refused,
+    /// Nobody answered; it may be done later.
+    NoAnswer,
+}
+
+/// Bounds that the duties keep.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetTiming {
+    /// Time that a machine is away for maintenance, in milliseconds.
+    pub maintenance_ms: u64,
+}
+
+/// A machine that is taken from its pool.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Leaving {
+    purpose: Purpose,
+    pool: ServiceName,
+    worker: Option<WorkerId>,
+    since_ms: u64,
+    ordered_ms: Option<u64>,
+    done_ms: Option<u64>,
+}
+
+/// The state of a moment that the duties decide from.
+#[derive(Debug, Clone, Default)]
+pub struct FleetView {
+    /// All machines.
+    pub machines: Vec<MachineView>,
+    /// The load of each pool whose owner answered.
+    pub loads: BTreeMap<ServiceName, PoolLoad>,
+    /// Pools whose machines are switched off.
+    pub standby: BTreeSet<ServiceName>,
+    /// The waves that the operators ask for.
+    pub waves: Vec<WaveOrder>,
+}
+
+/// Decides which machines are taken from their pools, and for what.
+#[derive(Debug)]
+pub struct FleetPlanner {
+    timing: FleetTiming,
+    leaving: BTreeMap<InstanceName, Leaving>,
+    /// Machines that had their maintenance, by wave.
+    maintained: BTreeMap<u64, BTreeSet<InstanceName>>,
+    /// Machines that were refused, and until when they aren't tried again.
+    resting: BTreeMap<InstanceName, u64>,
+    /// When each wave was first seen.
+    seen_ms: BTreeMap<u64, u64>,
+    /// Since when a pool has had more machines than it needs.
+    surplus_since_ms: BTreeMap<ServiceName, u64>,
+    forecasts: BTreeMap<ServiceName, Forecast>,
+}
+
+impl FleetPlanner {
+    /// Creates a planner that knows of nothing under way.
+    #[must_use]
+    pub const fn new(timing: FleetTiming) -> Self {
+        Self {
+            timing,
+            leaving: BTreeMap::new(),
+            maintained: BTreeMap::new(),
+            resting: BTreeMap::new(),
+            seen_ms: BTreeMap::new(),
+            surplus_since_ms: BTreeMap::new(),
+            forecasts: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in that machines had their maintenance in a wave.
+    pub fn restore_maintained(
+        &mut self,
+        wave: u64,
+        machines: impl IntoIterator<Item = InstanceName>,
+    ) {
+        self.maintained.entry(wave).or_default().extend(machines);
+    }
+
+    /// Returns the machines that had their maintenance in a wave.
+    #[must_use]
+    pub fn maintained(&self, wave: u64) -> Vec<InstanceName> {
+        self.maintained
+            .get(&wave)
+            .map(|machines| machines.iter().cloned().collect())
+            .unwrap_or_default()
+    }
+
+    /// Decides what to take from which pool next.
+    pub fn plan(&mut self, now_ms: u64, view: &FleetView) {
+        self.forget_finished(now_ms, view);
+        self.plan_waves(now_ms, view);
+        self.plan_moves(now_ms, view);
+    }
+
+    /// Returns the workers of a pool that its owner should keep empty.
+    #[must_use]
+    pub fn evacuations(&self, pool: &ServiceName) -> Vec<WorkerId> {
+        self.leaving
+            .values()
+            .filter(|leaving| leaving.pool == *pool)
+            .filter_map(|leaving| leaving.worker.clone())
+            .collect()
+    }
+
+    /// Returns the orders for machines whose workers are empty, and takes note of them.
+    pub fn take_orders(&mut self, now_ms: u64, view: &FleetView) -> Vec<MachineTask> {
+        let mut orders = Vec::new();
+        for (machine, leaving) in &mut self.leaving {
+            let is_empty = leaving.worker.as_ref().is_none_or(|worker| {
+                view.loads.get(&leaving.pool).is_some_and(|load| {
+                    load.workers
+                        .iter()
+                        .all(|other| other.worker != *worker || other.tasks == 0)
+                })
+            });
+            if leaving.ordered_ms.is_none() && is_empty {
+                leaving.ordered_ms = Some(now_ms);
+                orders.push(MachineTask {
+                    machine: machine.clone(),
+                    purpose: leaving.purpose.clone(),
+                });
+            }
+        }
+        orders
+    }
+
+    /// Takes note of what became of an order.
+    pub fn finish_order(&mut self, now_ms: u64, task: &MachineTask, outcome: MachineOutcome) {
+        let Some(leaving) = self.leaving.get_mut(&task.machine) else {
+            return;
+        };
+        match outcome {
+            MachineOutcome::Done => {
+                leaving.done_ms = Some(now_ms);
+                if let Purpose::Maintain(wave) = task.purpose {
+                    self.maintained
+                        .entry(wave)
+                        .or_default()
+                        .insert(task.machine.clone());
+                }
+            }
+            MachineOutcome::Refused | MachineOutcome::NoAnswer => leaving.ordered_ms = None,
+            MachineOutcome::Impossible => {
+                self.leaving.remove(&task.machine);
+                self.resting
+                    .insert(task.machine.clone(), now_ms + LEAVING_MS / 2);
+            }
+        }
+    }
+
+    /// Returns whether a machine is taken for something.
+    #[must_use]
+    pub fn is_leaving(&self, machine: &InstanceName) -> bool {
+        self.leaving.contains_key(machine)
+    }
+
+    fn take(&mut self, now_ms: u64, machine: &MachineView, purpose: Purpose) {
+        let leaving = Leaving {
+            purpose,
+            pool: machine.pool.clone(),
+            worker: machine.worker.clone(),
+            since_ms: now_ms,
+            ordered_ms: None,
+            done_ms: None,
+        };
+        self.leaving.insert(machine.machine.clone(), leaving);
+    }
+
+    fn is_free(&self, now_ms: u64, machine: &MachineView) -> bool {
+        machine.is_up
+            && !self.leaving.contains_key(&machine.machine)
+            && self
+                .resting
+                .get(&machine.machine)
+                .is_none_or(|&until| until <= now_ms)
+    }
+
+    fn forget_finished(&mut self, now_ms: u64, view: &FleetView) {
+        let away_ms = self.timing.maintenance_ms;
+        self.leaving.retain(|name, leaving| {
+            let listed = view.machines.iter().find(|one| one.machine == *name);
+            match leaving.done_ms {
+                Some(done_ms) => {
+                    let is_back = listed.is_some_and(|one| {
+                        one.is_up && (leaving.worker.is_none() || one.worker != leaving.worker)
+                    });
+                    let is_due = now_ms >= done_ms + away_ms.min(LEAVING_MS);
+                    !(is_back && is_due) && now_ms < done_ms + 2 * LEAVING_MS
+                }
+                None if leaving.ordered_ms.is_some() => true,
+                None => {
+                    let same_life = listed.is_some_and(|one| one.worker == leaving.worker);
+                    same_life && now_ms < leaving.since_ms + GIVE_UP_MS
+                }
+            }
+        });
+    }
+}
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -17,6 +17,7 @@
 mod admission;
 mod effect;
 mod estimate;
+mod fleet;
 mod job;
 mod lease;
 mod placing;
@@ -35,6 +36,10 @@
     Target,
 };
 pub use estimate::Estimate;
+pub use fleet::{
+    FleetPlanner, FleetTiming, FleetView, Forecast, MachineOutcome, MachineTask, MachineView,
+    PoolLoad, Purpose, WaveOrder, WorkerLoad,
+};
 pub use job::{
     Job, JobKey, JobState, Occurrence, Phase, Placement, StepProgress, Task, TaskKey,
 };
--- a/crates/cyclamentrail-jobs/src/placing.rs
+++ b/crates/cyclamentrail-jobs/src/placing.rs
@@ -1,13 +1,20 @@
 //! Which worker gets a task.
 //!
-//! Answers uneven load: tasks are spread over the least loaded workers, near their data, away
-//! from workers that fail what they start.
+//! Tasks fill the workers that are busy already, so that whole workers stay free for large tasks
+//! and for other pools; near their data, and away from workers that fail what they start.
+//! Long-running tasks share few workers, because each of them ties its worker to the pool.
+
+use std::collections::BTreeSet;
 
 use cyclamentrail_core::{LabelName, RackName};
 
 use crate::worker::{Worker, WorkerKey};
 use crate::{Resources, StepSpec};
 
+/// A whole worker, in thousandths.
+const WHOLE_WORKER: u64 = 1_000;
+/// What counts against a worker that isn't preferred, in thousandths of a whole worker.
+const OTHER_PENALTY: u64 = 4_000;
 /// What counts against a worker off the wanted rack, in thousandths of a whole worker.
 const REMOTE_PENALTY: u64 = 2_000;
 /// What counts against a worker for each failure in a row, in thousandths of a whole worker.
@@ -22,6 +29,8 @@
     pub requires: Option<&'a LabelName>,
     /// Rack that it had better be on.
     pub rack: Option<&'a RackName>,
+    /// Workers that it had better be on, if that matters.
+    pub preferred: Option<&'a BTreeSet<WorkerKey>>,
 }
 
 impl<'a> From<&'a StepSpec> for Wish<'a> {
@@ -30,6 +39,7 @@
             demand: step.counted(),
             requires: step.requires.as_ref(),
             rack: step.affinity.as_ref(),
+            preferred: None,
         }
     }
 }
@@ -46,14 +56,19 @@
 
     /// Returns what speaks against a worker; less is better.
     #[must_use]
-    pub fn cost(&self, worker: &Worker) -> u64 {
+    pub fn cost(&self, key: WorkerKey, worker: &Worker) -> u64 {
         let capacity = &worker.registration.capacity;
         let load = worker.used.plus(&self.demand).dominant_milli(capacity);
+        let empty = WHOLE_WORKER.saturating_sub(load);
+        let other = match self.preferred {
+            Some(preferred) if !preferred.contains(&key) => OTHER_PENALTY,
+            _ => 0,
+        };
         let remote = match self.rack {
             Some(rack) if !worker.is_on(rack) => REMOTE_PENALTY,
             _ => 0,
         };
-        load + remote + u64::from(worker.strikes) * STRIKE_PENALTY
+        empty + remote + other + u64::from(worker.strikes) * STRIKE_PENALTY
     }
 }
 
@@ -65,6 +80,6 @@
 ) -> Option<WorkerKey> {
     workers
         .filter(|(_, worker)| wish.suits(worker) && worker.free().contains(&wish.demand))
-        .min_by_key(|(_, worker)| wish.cost(worker))
+        .min_by_key(|(key, worker)| wish.cost(*key, worker))
         .map(|(key, _)| key)
 }
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -13,6 +13,7 @@
 use crate::{Estimate, RouteTerms, StepSpec};
 
 mod cancel;
+mod evacuation;
 mod orders;
 mod placement;
 mod recovery;
@@ -97,6 +98,7 @@
     ready: Vec<Effect>,
     resends: Vec<Resend>,
     estimates: HashMap<RouteName, Estimate>,
+    arrivals: evacuation::Arrivals,
 }
 
 /// An order to be sent again, because nobody answered it.
@@ -179,6 +181,7 @@
         self.begin_occurrences(now);
         self.release_lapsed(now);
         self.send_again(now);
+        self.evacuate_tasks(now);
         self.place_tasks(now);
         self.look_at_workers(now);
         self.drop_expired(now);
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -123,7 +123,8 @@
             return;
         }
         let rack = self.rack_of(ready, &spec);
-        let mut per_worker = self.tasks_per_worker(ready);
+        let mut per_worker = self.tasks_per_worker(ready.task(0));
+        let mut preferred;
         for index in 0..spec.count {
             let key = ready.task(index);
             if !self.is_waiting(key) {
@@ -131,6 +132,10 @@
             }
             let mut wish = Wish::from(&spec);
             wish.rack = rack.as_ref();
+            if spec.long_running {
+                preferred = self.workers_with_long_running();
+                wish.preferred = Some(&preferred);
+            }
             if misses.contains(&wish.demand) && wish.requires.is_none() {
                 return;
             }
@@ -256,13 +261,14 @@
         })
     }
 
-    fn tasks_per_worker(&self, ready: ReadyStep) -> BTreeMap<WorkerKey, u32> {
+    /// Returns how many tasks of the same step and occurrence as this one each worker has.
+    pub(super) fn tasks_per_worker(&self, of: TaskKey) -> BTreeMap<WorkerKey, u32> {
         let mut counts = BTreeMap::new();
         let progress = self
             .jobs
-            .get(ready.job)
-            .and_then(|job| job.occurrence(ready.occurrence))
-            .and_then(|one| one.steps.get(ready.step as usize));
+            .get(of.job)
+            .and_then(|job| job.occurrence(of.occurrence))
+            .and_then(|one| one.steps.get(of.step as usize));
         let placements = progress
             .into_iter()
             .flat_map(|progress| &progress.tasks)
@@ -278,7 +284,7 @@
         if spec.affinity.is_some() || !spec.same_rack {
             return spec.affinity.clone();
         }
-        let counts = self.tasks_per_worker(ready);
+        let counts = self.tasks_per_worker(ready.task(0));
         let placed = counts.keys().next().map(|&key| &self.workers[key]);
         match placed {
             Some(worker) => rack_label(worker),
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -39,9 +39,10 @@
     }
 
     /// Takes in that a duty wants a worker empty, or no longer.
-    pub fn set_evacuating(&mut self, id: &WorkerId, is_evacuating: bool) {
+    pub fn set_evacuating(&mut self, now: Now, id: &WorkerId, is_evacuating: bool) {
         if let Some(&key) = self.worker_ids.get(id) {
-            self.workers[key].is_evacuating = is_evacuating;
+            let since = &mut self.workers[key].evacuating_since_ms;
+            *since = is_evacuating.then(|| since.unwrap_or(now.boot_ms));
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -13,6 +13,8 @@
 use crate::worker::Worker;
 use crate::{Estimate, JobSpec, Resources, StepSpec};
 
+/// Part of the work in progress that is still to be done on average, in percent.
+const RUNNING_PART: u64 = 50;
 /// When a caller may come back whose job no worker can hold, in milliseconds.
 const NO_WORKER_RETRY_MS: u64 = 5_000;
 /// When a caller may come back to an owner that keeps too many jobs, in milliseconds.
@@ -48,7 +50,10 @@
             self.ready.push(Effect::Answer(caller, Answer::Malformed));
             return;
         }
-        match self.judge(&submission) {
+        let estimate = self.estimate(&submission.route);
+        let work_ms = spec_work_ms(&submission.spec, &self.usual_capacity(), estimate);
+        self.count_arrival(now, &submission.id, &submission.spec, work_ms);
+        match self.judge(&submission, work_ms) {
             Ok(wait_ms) => self.accept(now, submission, wait_ms),
             Err(rejection) => {
                 self.ready.push(Effect::Note(Note::Rejected {
@@ -134,7 +139,7 @@
         }
     }
 
-    fn judge(&self, submission: &Submission) -> Result<u64, Rejected> {
+    fn judge(&self, submission: &Submission, work_ms: u64) -> Result<u64, Rejected> {
         if self.jobs.len() >= self.timing.max_jobs {
             return Err(Rejected::new(RejectReason::TooManyJobs, FULL_RETRY_MS, 0));
         }
@@ -158,7 +163,7 @@
         let estimate = self.estimate(&terms.name);
         let chain_ms = spec.chain_by(|_, step| estimate.predict_ms(step.estimate_ms));
         let applicant = Applicant {
-            work_ms: spec_work_ms(spec, &self.usual_capacity(), estimate),
+            work_ms,
             chain_ms,
             objective_ms: terms.objective_ms(chain_ms),
             seed: seed_of(&submission.id),
@@ -175,6 +180,16 @@
 
     /// Returns the work that is accepted and not done; work in progress counts half.
     fn backlog(&self) -> Backlog {
+        self.backlog_with(RUNNING_PART)
+    }
+
+    /// Returns the work that is accepted and hasn't started, in milliseconds of a whole worker.
+    pub(super) fn waiting_ms(&self) -> u64 {
+        self.backlog_with(0).work_ms
+    }
+
+    /// Returns the work that isn't done; of what runs, this many percent count.
+    fn backlog_with(&self, running_percent: u64) -> Backlog {
         let workers = self
             .workers
             .values()
@@ -192,7 +207,7 @@
                     let each = task_work_ms(spec, &capacity, estimate);
                     for task in progress.tasks.iter().filter(|task| !task.is_done) {
                         work += if task.placement.is_some() {
-                            each / 2
+                            each * running_percent / 100
                         } else {
                             each
                         };
@@ -213,7 +228,7 @@
         self.estimates.get(route).copied().unwrap_or_default()
     }
 
-    fn usual_capacity(&self) -> Resources {
+    pub(super) fn usual_capacity(&self) -> Resources {
         let capacity = |worker: &Worker| worker.registration.capacity;
         self.workers
             .values()
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -82,8 +82,8 @@
     pub avoid_until_ms: u64,
     /// Failures in a row; halved by each success.
     pub strikes: u32,
-    /// Whether a duty wants it empty.
-    pub is_evacuating: bool,
+    /// Since when a duty wants it empty, on our clock in milliseconds.
+    pub evacuating_since_ms: Option<u64>,
     /// Whether it has answered with our fencing token.
     pub is_adopted: bool,
 }
@@ -109,7 +109,7 @@
             contact: Contact::Good,
             avoid_until_ms: 0,
             strikes: 0,
-            is_evacuating: false,
+            evacuating_since_ms: None,
             is_adopted: false,
         }
     }
@@ -119,7 +119,7 @@
     pub fn is_open(&self, now_ms: u64) -> bool {
         self.is_listed
             && !self.registration.is_draining
-            && !self.is_evacuating
+            && self.evacuating_since_ms.is_none()
             && self.contact == Contact::Good
             && self.avoid_until_ms <= now_ms
     }
--- a/crates/cyclamentrail/src/edge/machines.rs
+++ b/crates/cyclamentrail/src/edge/machines.rs
@@ -1,16 +1,43 @@
-//! The duties over machines: maintenance waves.
+//! The duties over machines: carries out what the planner decides.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use cyclamentrail_adapter::{
+    Append, Cloud, MachineOrder, MachineRow, MachineState, WAVE_PREFIX, Writer,
+    keyed_topic, wave_status,
+};
+use cyclamentrail_core::{InstanceName, ServiceName};
+use cyclamentrail_jobs::{
+    FleetPlanner, FleetTiming, FleetView, KeyedRecord, MachineOutcome, MachineTask, MachineView,
+    PoolLoad, Purpose, WaveOrder, decode, encode,
+};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
+use super::boot_clock::boot_ms;
+use super::commits::{CommitLog, Confirmation};
+use super::internal::ask_here;
+use super::messages::{Ask, FLEET_SHARD, Question, Reply};
 use super::node::Node;
 use super::owner::OwnerMessage;
-use super::takeover::Taken;
+use super::takeover::{FIRST_SEQUENCE, Taken};
 
-/// Time between two looks at the duties.
-const INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two rounds.
+const INTERVAL: Duration = Duration::from_millis(200);
+/// Time limit of a question to an owner.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time limit of a call of the platform's machines.
+const CLOUD_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which orders may be given after the last confirmation by the store.
+const HOLDING_MS: u64 = 1_000;
+/// Time beyond the platform's pause between two holders, in milliseconds.
+const EXTRA_PAUSE_MS: u64 = 500;
+/// Topic of the states that operators read.
+const STATUS_TOPIC: &str = "status";
+/// Pause before a failed write is tried again.
+const RETRY: Duration = Duration::from_millis(150);
 
 /// Holds the duties until they are given up or lost.
 pub(crate) async fn run(
@@ -18,20 +45,315 @@
     taken: Taken,
     mut receiver: mpsc::UnboundedReceiver<OwnerMessage>,
 ) {
+    let Some(address) = node.settings.cloud else {
+        return wait_for_stop(&mut receiver).await;
+    };
+    let cloud = Cloud::new(node.caller.clone(), address, CLOUD_TIMEOUT);
+    let mut duty = MachineDuty::new(node, cloud, taken);
+    let mut next = Instant::now();
     loop {
         tokio::select! {
             message = receiver.recv() => match message {
                 Some(OwnerMessage::Stop) | None => return,
                 Some(_) => {}
             },
-            () = tokio::time::sleep(INTERVAL) => {
-                let is_newest = node
-                    .owner(super::messages::FLEET_SHARD)
-                    .is_some_and(|owner| owner.token == taken.token);
-                if !is_newest {
+            () = tokio::time::sleep_until(next) => {
+                next = Instant::now() + INTERVAL;
+                if !duty.round().await {
+                    log::info!(token = duty.token; "machine_duty_lost");
                     return;
                 }
             }
         }
     }
 }
+
+async fn wait_for_stop(receiver: &mut mpsc::UnboundedReceiver<OwnerMessage>) {
+    while let Some(message) = receiver.recv().await {
+        if matches!(message, OwnerMessage::Stop) {
+            return;
+        }
+    }
+}
+
+struct MachineDuty {
+    node: Arc<Node>,
+    cloud: Cloud,
+    token: u64,
+    log: Option<CommitLog>,
+    confirmation: Confirmation,
+    planner: FleetPlanner,
+    /// When the first order may be given, on the clock that counts suspension.
+    begin_ms: u64,
+    /// Waves whose state was written, and whether they were complete.
+    told: BTreeMap<u64, bool>,
+}
+
+impl MachineDuty {
+    fn new(node: Arc<Node>, cloud: Cloud, taken: Taken) -> Self {
+        let confirmation = Confirmation::new(taken.confirmed_ms, HOLDING_MS);
+        let writer = Writer {
+            epoch: taken.token,
+            sequence: FIRST_SEQUENCE,
+        };
+        let log = CommitLog::new(
+            node.store.clone(),
+            &taken.topic,
+            writer,
+            node.settings.max_append_bytes,
+            confirmation.clone(),
+        );
+        let mut planner = FleetPlanner::new(FleetTiming {
+            maintenance_ms: node.settings.bounds.maintenance_ms,
+        });
+        restore(&mut planner, &taken.records);
+        let pause_ms = if taken.is_first {
+            0
+        } else {
+            node.settings.bounds.duty_lease_ms + EXTRA_PAUSE_MS
+        };
+        Self {
+            begin_ms: taken.confirmed_ms + pause_ms,
+            node,
+            cloud,
+            token: taken.token,
+            log: Some(log),
+            confirmation,
+            planner,
+            told: BTreeMap::new(),
+        }
+    }
+
+    /// Does one round; returns whether the duties are still held.
+    async fn round(&mut self) -> bool {
+        let is_newest = self
+            .node
+            .owner(FLEET_SHARD)
+            .is_some_and(|owner| owner.token == self.token);
+        if !is_newest {
+            return false;
+        }
+        if boot_ms() < self.begin_ms {
+            return true;
+        }
+        let Some(rows) = self.cloud.machines().await else {
+            return true;
+        };
+        let mut view = self.view(&rows);
+        self.ask_owners(&mut view).await;
+        self.planner.plan(boot_ms(), &view);
+        self.ask_owners(&mut view).await;
+        let orders = self.planner.take_orders(boot_ms(), &view);
+        if !orders.is_empty() && !self.give(orders).await {
+            return false;
+        }
+        self.tell_waves(&view).await;
+        true
+    }
+
+    fn view(&self, rows: &[MachineRow]) -> FleetView {
+        let orders = self.node.orders.borrow();
+        let standby = orders
+            .configuration
+            .iter()
+            .flat_map(|configuration| configuration.standby.iter().cloned())
+            .collect();
+        let waves = orders.waves.values().map(|wave| WaveOrder {
+            number: wave.number,
+            machines: wave.machines.clone(),
+            duration_ms: wave.duration_ms,
+            max_away: wave.max_away,
+        });
+        FleetView {
+            machines: rows.iter().map(machine_view).collect(),
+            loads: BTreeMap::new(),
+            standby,
+            waves: waves.collect(),
+        }
+    }
+
+    /// Tells the owners which workers to keep empty, and takes in the loads of their pools.
+    async fn ask_owners(&self, view: &mut FleetView) {
+        let services: BTreeSet<ServiceName> = self
+            .node
+            .configuration()
+            .iter()
+            .flat_map(|configuration| &configuration.routes)
+            .map(|route| route.terms.service.clone())
+            .collect();
+        let asks = services.into_iter().map(|service| async move {
+            let load = self.ask_owner(&service).await;
+            (service, load)
+        });
+        let loads = futures_util::future::join_all(asks).await;
+        view.loads = loads
+            .into_iter()
+            .filter_map(|(service, load)| Some((service, load?)))
+            .collect();
+    }
+
+    async fn ask_owner(&self, service: &ServiceName) -> Option<PoolLoad> {
+        let ask = Ask {
+            service: service.clone(),
+            question: Question::Evacuate(self.planner.evacuations(service)),
+        };
+        let reply = if self.node.owned(service).is_some() {
+            let asked = ask_here(&self.node, ask);
+            tokio::time::timeout(ASK_TIMEOUT, asked).await.ok()??
+        } else {
+            let owner = self.node.owner(service.as_str())?;
+            let address = owner.claim.address;
+            self.node.peers.ask(address, &ask, ASK_TIMEOUT).await.ok()?
+        };
+        match reply {
+            Reply::Load(load) => Some(load.into()),
+            _ => None,
+        }
+    }
+
+    /// Gives orders, if the duties are confirmed; returns whether they are still held.
+    async fn give(&mut self, orders: Vec<MachineTask>) -> bool {
+        if !self.confirm(&orders).await {
+            return false;
+        }
+        let given = orders.iter().map(|task| async {
+            if self.confirmation.is_valid() {
+                self.order(task).await
+            } else {
+                MachineOrder::Refused
+            }
+        });
+        let outcomes = futures_util::future::join_all(given).await;
+        let now_ms = boot_ms();
+        for (task, outcome) in orders.iter().zip(outcomes) {
+            log::info!(
+                machine:% = task.machine, purpose:? = task.purpose, outcome:? = outcome,
+                token = self.token;
+                "machine_ordered"
+            );
+            if outcome == MachineOrder::Fenced {
+                return false;
+            }
+            self.planner.finish_order(now_ms, task, outcome_of(outcome));
+        }
+        true
+    }
+
+    async fn order(&self, task: &MachineTask) -> MachineOrder {
+        let holder = &self.node.settings.name;
+        match &task.purpose {
+            Purpose::Maintain(wave) => {
+                self.cloud
+                    .maintain(&task.machine, *wave, holder, self.token)
+                    .await
+            }
+            Purpose::Move(pool) => {
+                self.cloud
+                    .move_to(&task.machine, pool, holder, self.token)
+                    .await
+            }
+        }
+    }
+
+    /// Confirms the duties, and keeps which machines had their maintenance.
+    async fn confirm(&mut self, orders: &[MachineTask]) -> bool {
+        let Some(log) = self.log.take() else {
+            return false;
+        };
+        let waves: BTreeSet<u64> = orders
+            .iter()
+            .filter_map(|task| match task.purpose {
+                Purpose::Maintain(wave) => Some(wave),
+                Purpose::Move(_) => None,
+            })
+            .collect();
+        let records: Vec<KeyedRecord> = waves
+            .into_iter()
+            .map(|wave| KeyedRecord {
+                key: format!("{WAVE_PREFIX}{wave}"),
+                value: encode(&self.planner.maintained(wave)),
+            })
+            .collect();
+        let result = if records.is_empty() {
+            log.confirm().await
+        } else {
+            log.append(&records).await
+        };
+        match result {
+            Ok(log) => {
+                self.log = Some(log);
+                true
+            }
+            Err(error) => {
+                log::info!(error:% = error, token = self.token; "machine_duty_not_confirmed");
+                false
+            }
+        }
+    }
+
+    /// Writes the states of the waves that operators read.
+    async fn tell_waves(&mut self, view: &FleetView) {
+        for wave in &view.waves {
+            let is_complete = self.planner.is_complete(wave, view);
+            if self.told.get(&wave.number) == Some(&is_complete) {
+                continue;
+            }
+            if self.tell_wave(wave.number, is_complete).await {
+                log::info!(wave = wave.number, is_complete; "wave_told");
+                self.told.insert(wave.number, is_complete);
+            }
+        }
+    }
+
+    async fn tell_wave(&self, wave: u64, is_complete: bool) -> bool {
+        let records = [(format!("{WAVE_PREFIX}{wave}"), wave_status(is_complete))];
+        let topic = keyed_topic(STATUS_TOPIC);
+        let append = Append {
+            topic: &topic,
+            records: &records,
+            writer: None,
+        };
+        match self.node.store.append(append).await {
+            Ok(_) => true,
+            Err(error) => {
+                log::debug!(wave, error:% = error; "wave_not_told");
+                tokio::time::sleep(RETRY).await;
+                false
+            }
+        }
+    }
+}
+
+fn restore(planner: &mut FleetPlanner, records: &[KeyedRecord]) {
+    for record in records {
+        let number = record
+            .key
+            .strip_prefix(WAVE_PREFIX)
+            .and_then(|number| number.parse().ok());
+        let Some(number) = number else {
+            continue;
+        };
+        match decode::<Vec<InstanceName>>(&record.value) {
+            Ok(machines) => planner.restore_maintained(number, machines),
+            Err(error) => log::warn!(key = record.key, error:% = error; "record_unreadable"),
+        }
+    }
+}
+
+fn machine_view(row: &MachineRow) -> MachineView {
+    MachineView {
+        machine: row.machine.clone(),
+        pool: row.pool.clone(),
+        is_up: row.state == MachineState::Up,
+        worker: row.worker.clone(),
+    }
+}
+
+const fn outcome_of(order: MachineOrder) -> MachineOutcome {
+    match order {
+        MachineOrder::Done => MachineOutcome::Done,
+        MachineOrder::Busy | MachineOrder::Impossible => MachineOutcome::Impossible,
+        MachineOrder::Refused | MachineOrder::Fenced => MachineOutcome::Refused,
+        MachineOrder::NoAnswer => MachineOutcome::NoAnswer,
+    }
+}
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cyclamentrail_core::{JobId, RouteName, ServiceName, WorkerId};
-use cyclamentrail_jobs::{Answer, JobSpec, JobState, RejectReason};
+use cyclamentrail_jobs::{Answer, JobSpec, JobState, PoolLoad, RejectReason, WorkerLoad};
 use serde::{Deserialize, Serialize};
 
 /// Name of the shard that holds the duties over machines.
@@ -38,7 +38,7 @@
     Pending(RouteName),
     /// To stop acting as the owner, because another process has claimed the shard.
     Release,
-    /// To keep workers empty; answers which still have tasks.
+    /// To keep exactly these workers empty; answers with the load of the pool.
     Evacuate(Vec<WorkerId>),
 }
 
@@ -64,14 +64,58 @@
     Cancelled,
     /// Jobs that haven't begun.
     Pending(u64),
-    /// Workers of those asked for on which something is still placed.
-    Busy(Vec<WorkerId>),
+    /// The load of the service's pool.
+    Load(LoadWord),
     /// This process no longer acts as the owner, and won't.
     Released,
     /// This process doesn't own the service, and did nothing.
     NotOwner,
 }
 
+/// Load of a pool between processes; see [`PoolLoad`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct LoadWord {
+    demand_milli: u64,
+    waiting_ms: u64,
+    running_milli: u64,
+    long_running_milli: u64,
+    /// Worker, its tasks, and its long-running tasks.
+    workers: Vec<(WorkerId, u32, u32)>,
+}
+
+impl From<PoolLoad> for LoadWord {
+    fn from(load: PoolLoad) -> Self {
+        Self {
+            demand_milli: load.demand_milli,
+            waiting_ms: load.waiting_ms,
+            running_milli: load.running_milli,
+            long_running_milli: load.long_running_milli,
+            workers: load
+                .workers
+                .into_iter()
+                .map(|one| (one.worker, one.tasks, one.long_running))
+                .collect(),
+        }
+    }
+}
+
+impl From<LoadWord> for PoolLoad {
+    fn from(word: LoadWord) -> Self {
+        let worker = |(worker, tasks, long_running)| WorkerLoad {
+            worker,
+            tasks,
+            long_running,
+        };
+        Self {
+            demand_milli: word.demand_milli,
+            waiting_ms: word.waiting_ms,
+            running_milli: word.running_milli,
+            long_running_milli: word.long_running_milli,
+            workers: word.workers.into_iter().map(worker).collect(),
+        }
+    }
+}
+
 /// State of a job between processes.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) enum StateWord {
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -381,22 +381,17 @@
         self.log.is_none() && self.committing_since.elapsed() > STUCK_COMMIT
     }
 
-    /// Keeps exactly these workers empty; replies which of them still have tasks.
+    /// Keeps exactly these workers empty, and replies with the load of the pool.
     fn evacuate(&mut self, workers: Vec<WorkerId>) -> Reply {
+        let now = now();
         for worker in self.evacuating.iter().filter(|old| !workers.contains(old)) {
-            self.shard.set_evacuating(worker, false);
+            self.shard.set_evacuating(now, worker, false);
         }
         for worker in &workers {
-            self.shard.set_evacuating(worker, true);
+            self.shard.set_evacuating(now, worker, true);
         }
-        let has_tasks = |worker: &&WorkerId| {
-            self.shard
-                .worker(worker)
-                .is_some_and(|worker| !worker.tasks.is_empty())
-        };
-        let busy = workers.iter().filter(has_tasks).cloned().collect();
         self.evacuating = workers;
-        Reply::Busy(busy)
+        Reply::Load(self.shard.load(now).into())
     }
 
     fn take_orders(&mut self, orders: &Orders) {
--- a/crates/cyclamentrail/src/edge/owners.rs
+++ b/crates/cyclamentrail/src/edge/owners.rs
@@ -61,6 +61,15 @@
     Ok(token)
 }
 
+/// Reads the newest claims, so that an earlier owner of a shard is surely known.
+///
+/// # Errors
+///
+/// Returns why they weren't read.
+pub(crate) async fn refresh(node: &Node) -> Result<(), StoreError> {
+    read_all(node, &keyed_topic(TOPIC)).await.map(|_end| ())
+}
+
 async fn read_all(node: &Node, topic: &str) -> Result<u64, StoreError> {
     let page = node.store.all_newest(topic).await?;
     take(node, page.rows);
--- a/crates/cyclamentrail/src/edge/takeover.rs
+++ b/crates/cyclamentrail/src/edge/takeover.rs
@@ -27,6 +27,8 @@
     pub(crate) records: Vec<KeyedRecord>,
     /// When the ownership was last confirmed, on the clock that counts suspension.
     pub(crate) confirmed_ms: u64,
+    /// Whether nobody is known to have owned the shard before.
+    pub(crate) is_first: bool,
     /// Whether the earlier owner surely acts no more.
     pub(crate) is_released: bool,
 }
@@ -37,7 +39,11 @@
 ///
 /// Returns [`StoreError::Fenced`] when another process has taken it over since.
 pub(crate) async fn take_over(node: &Node, shard: &str) -> Result<Taken, StoreError> {
+    while let Err(error) = owners::refresh(node).await {
+        pause(shard, &error).await;
+    }
     let earlier = node.owner(shard);
+    let is_first = earlier.is_none();
     let token = claim(node, shard).await;
     let topic = keyed_topic(&format!("jobs.{shard}"));
     let confirmed_ms = fence(node, &topic, token).await?;
@@ -61,6 +67,7 @@
         records,
         confirmed_ms,
         is_released,
+        is_first,
     })
 }
 
