feat(fleet): keep a reserve in each pool for the rise of its demand

Cause: pools were emptied to two machines between their turns, so each turn began with 2 s of waiting for machines; at the start machines moved before any worker was known. Change: a pool keeps 60% of its first size; no move before every owner knows its workers.

--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -136,6 +136,8 @@
     /// Since when a pool has had more machines than it needs.
     surplus_since_ms: BTreeMap<ServiceName, u64>,
     forecasts: BTreeMap<ServiceName, Forecast>,
+    /// Machines that each pool had when the duties were taken up.
+    first_sizes: BTreeMap<ServiceName, usize>,
 }
 
 impl FleetPlanner {
@@ -150,6 +152,7 @@
             seen_ms: BTreeMap::new(),
             surplus_since_ms: BTreeMap::new(),
             forecasts: BTreeMap::new(),
+            first_sizes: BTreeMap::new(),
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/fleet/moves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/moves.rs
@@ -18,6 +18,8 @@
 const SURPLUS_MS: u64 = 1_500;
 /// Machines that a pool keeps in any case.
 const MIN_MACHINES: usize = 2;
+/// Part of its first size that a pool keeps for a rise in its demand, in percent.
+const RESERVE_PERCENT: usize = 60;
 
 /// What a pool has and needs.
 #[derive(Debug, Clone)]
@@ -34,6 +36,11 @@
         if view.standby.is_empty() && view.loads.len() < 2 {
             return;
         }
+        let has_workers = |load: &PoolLoad| !load.workers.is_empty();
+        if !view.loads.values().all(has_workers) {
+            return;
+        }
+        self.note_sizes(view);
         let mut balances = self.balances(now_ms, view);
         let mut off = self.switched_off(now_ms, view);
         balances.sort_by_key(|balance| balance.has.saturating_sub(balance.needs));
@@ -53,6 +60,15 @@
         self.switch_off_surplus(now_ms, view, balances);
     }
 
+    fn note_sizes(&mut self, view: &FleetView) {
+        if !self.first_sizes.is_empty() {
+            return;
+        }
+        for machine in &view.machines {
+            *self.first_sizes.entry(machine.pool.clone()).or_default() += 1;
+        }
+    }
+
     fn balances(&mut self, now_ms: u64, view: &FleetView) -> Vec<Balance> {
         let mut balances = Vec::new();
         for (pool, load) in &view.loads {
@@ -61,7 +77,9 @@
             }
             let forecast = self.forecasts.entry(pool.clone()).or_default();
             forecast.observe(now_ms, load.demand_milli);
-            let needs = needed(now_ms, load, forecast);
+            let first_size = self.first_sizes.get(pool).copied().unwrap_or(0);
+            let reserve = (first_size * RESERVE_PERCENT / 100).max(MIN_MACHINES);
+            let needs = needed(now_ms, load, forecast).max(reserve);
             balances.push(self.balance(now_ms, pool, needs, load, view));
         }
         balances
@@ -176,5 +194,5 @@
         .filter(|worker| worker.long_running > 0)
         .count();
     let needs = usize::try_from(milli.div_ceil(1_000)).unwrap_or(usize::MAX);
-    needs.max(pinned).max(MIN_MACHINES)
+    needs.max(pinned)
 }
