--- /dev/null
+++ b/crates/cyclamentrail-jobs/tests/duties.rs
@@ -0,0 +1,193 @@
+//! The duties over machines.
+
+use std::collections::BTreeMap;
+
+use cyclamentrail_core::{InstanceName, ServiceName, WorkerId};
+use cyclamentrail_jobs::{
+    FleetPlanner, FleetTiming, FleetView, MachineOutcome, MachineTask, MachineView, PoolLoad,
+    Purpose, WaveOrder, WorkerLoad,
+};
+
+const TIMING: FleetTiming = FleetTiming {
+    maintenance_ms: 2_000,
+};
+
+fn machine(name: &str, pool: &str) -> MachineView {
+    MachineView {
+        machine: InstanceName::from(name),
+        pool: ServiceName::from(pool),
+        is_up: true,
+        worker: Some(WorkerId::from(format!("w-{name}").as_str())),
+    }
+}
+
+fn view(pools: &[(&str, usize)]) -> FleetView {
+    let mut view = FleetView::default();
+    for (pool, count) in pools {
+        let mut load = PoolLoad::default();
+        for index in 0..*count {
+            let machine = machine(&format!("{pool}{index}"), pool);
+            load.workers
+                .extend(machine.worker.clone().map(|worker| WorkerLoad {
+                    worker,
+                    tasks: 0,
+                    long_running: 0,
+                }));
+            view.machines.push(machine);
+        }
+        view.loads.insert(ServiceName::from(*pool), load);
+    }
+    view
+}
+
+fn wave(machines: &[&str], max_away: usize) -> WaveOrder {
+    WaveOrder {
+        number: 1,
+        machines: machines.iter().copied().map(InstanceName::from).collect(),
+        duration_ms: 20_000,
+        max_away,
+    }
+}
+
+fn finish(planner: &mut FleetPlanner, now_ms: u64, tasks: &[MachineTask]) {
+    for task in tasks {
+        planner.finish_order(now_ms, task, MachineOutcome::Done);
+    }
+}
+
+#[test]
+fn cap_kept() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 6), ("b", 6)]);
+    view.waves = vec![wave(&["a0", "a1", "a2", "b0", "b1", "b2"], 2)];
+    let mut away: BTreeMap<InstanceName, u64> = BTreeMap::new();
+    let mut begun = 0;
+    for round in 0..150_u64 {
+        let now_ms = round * 200;
+        for machine in &mut view.machines {
+            let is_away = away
+                .get(&machine.machine)
+                .is_some_and(|&since| now_ms < since + 2_200);
+            machine.is_up = !is_away;
+            if away.contains_key(&machine.machine) && !is_away {
+                machine.worker = Some(WorkerId::from(format!("new-{}", machine.machine).as_str()));
+            }
+        }
+        planner.plan(now_ms, &view);
+        let orders = planner.take_orders(now_ms, &view);
+        for order in orders
+            .iter()
+            .filter(|order| order.purpose == Purpose::Maintain(1))
+        {
+            away.insert(order.machine.clone(), now_ms);
+            begun += 1;
+        }
+        let down = away
+            .values()
+            .filter(|&&since| now_ms < since + 2_000)
+            .count();
+        assert!(down <= 2, "{down} machines are away at once");
+        finish(&mut planner, now_ms, &orders);
+    }
+    assert_eq!(begun, 6, "each machine has its maintenance once");
+    assert!(planner.is_complete(&view.waves[0], &view));
+}
+
+#[test]
+fn busy_waits() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 3)]);
+    view.waves = vec![wave(&["a0"], 1)];
+    let load = view
+        .loads
+        .get_mut(&ServiceName::from("a"))
+        .expect("pool a is part of the view");
+    load.workers[0].tasks = 2;
+    for now_ms in [0, 5_000, 10_000] {
+        planner.plan(now_ms, &view);
+        assert!(
+            planner.take_orders(now_ms, &view).is_empty(),
+            "tasks are still there"
+        );
+    }
+    assert_eq!(planner.evacuations(&ServiceName::from("a")).len(), 1);
+}
+
+#[test]
+fn not_twice() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 3)]);
+    view.waves = vec![wave(&["a0", "a1"], 2)];
+    planner.restore_maintained(1, [InstanceName::from("a0"), InstanceName::from("a1")]);
+    planner.plan(0, &view);
+    assert!(planner.take_orders(0, &view).is_empty());
+    assert!(planner.is_complete(&view.waves[0], &view));
+}
+
+/// An order that nobody answered counts as away and is given again.
+#[test]
+fn unanswered_again() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 4)]);
+    view.waves = vec![wave(&["a0", "a1"], 1)];
+    planner.plan(0, &view);
+    let first = planner.take_orders(0, &view);
+    assert_eq!(first.len(), 1);
+    planner.finish_order(100, &first[0], MachineOutcome::NoAnswer);
+    planner.plan(200, &view);
+    let again = planner.take_orders(200, &view);
+    assert_eq!(again, first);
+}
+
+/// One pool's turn: it gets machines that others don't need, and keeps those it has.
+#[test]
+fn follows_demand() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 9), ("b", 9)]);
+    planner.plan(0, &view);
+    let load = view
+        .loads
+        .get_mut(&ServiceName::from("a"))
+        .expect("pool a is part of the view");
+    load.demand_milli = 11_000;
+    planner.plan(1_000, &view);
+    let orders = planner.take_orders(1_000, &view);
+    assert!(!orders.is_empty());
+    let to_a = Purpose::Move(ServiceName::from("a"));
+    assert!(orders.iter().all(|order| order.purpose == to_a));
+    assert!(
+        orders
+            .iter()
+            .all(|order| order.machine.as_str().starts_with('b'))
+    );
+    assert!(orders.len() <= 4, "pool b keeps its reserve");
+}
+
+#[test]
+fn surplus_off() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 10), ("b", 10)]);
+    view.standby.insert(ServiceName::from("off"));
+    planner.plan(0, &view);
+    planner.plan(5_000, &view);
+    let orders = planner.take_orders(5_000, &view);
+    let off = Purpose::Move(ServiceName::from("off"));
+    assert_eq!(orders.len(), 8, "each pool keeps six of ten");
+    assert!(orders.iter().all(|order| order.purpose == off));
+}
+
+#[test]
+fn pinned_stay() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 4), ("b", 4)]);
+    view.standby.insert(ServiceName::from("off"));
+    for load in view.loads.values_mut() {
+        for worker in &mut load.workers {
+            worker.tasks = 1;
+            worker.long_running = 1;
+        }
+    }
+    planner.plan(0, &view);
+    planner.plan(5_000, &view);
+    assert!(planner.take_orders(5_000, &view).is_empty());
+}
--- a/crates/cyclamentrail-jobs/tests/support/world.rs
+++ b/crates/cyclamentrail-jobs/tests/support/world.rs
@@ -132,7 +132,10 @@
     sequence: u64,
     committing: Option<Commit>,
     records: BTreeMap<String, Vec<u8>>,
+    /// Tasks that must not run again.
     done: BTreeSet<(JobId, u32, u32, u32)>,
+    /// Tasks of which a run has ended well, whether anybody took note of it or not.
+    ever_done: BTreeSet<(JobId, u32, u32, u32)>,
     next_caller: u64,
     specs: HashMap<JobId, Arc<JobSpec>>,
     fails: BTreeSet<JobId>,
@@ -156,6 +159,7 @@
             committing: None,
             records: BTreeMap::new(),
             done: BTreeSet::new(),
+            ever_done: BTreeSet::new(),
             next_caller: 0,
             specs: HashMap::new(),
             fails: BTreeSet::new(),
@@ -532,8 +536,10 @@
         for &other in &step.after {
             let spec = &self.specs[&task.0];
             let count = spec.steps[other as usize].count;
-            let all_done =
-                (0..count).all(|index| self.done.contains(&(task.0.clone(), task.1, other, index)));
+            let all_done = (0..count).all(|index| {
+                self.ever_done
+                    .contains(&(task.0.clone(), task.1, other, index))
+            });
             assert!(all_done, "{task:?} runs before step {other} is done");
         }
     }
@@ -609,6 +615,13 @@
         let now_ms = self.now_ms;
         for worker in self.workers.values_mut().filter(|worker| worker.is_alive) {
             let has_lapsed = worker.until_ms < now_ms;
+            if has_lapsed {
+                // Ends that nobody took note of before the lease lapsed don't count.
+                for name in worker.ended.iter().map(|row| &row.name) {
+                    self.done
+                        .remove(&(name.job.clone(), name.occurrence, name.step, name.index));
+                }
+            }
             let mut left = Vec::new();
             for run in std::mem::take(&mut worker.running) {
                 let how = if has_lapsed {
@@ -630,8 +643,9 @@
                 };
                 if how == EndKind::Done {
                     let name = &run.name;
-                    self.done
-                        .insert((name.job.clone(), name.occurrence, name.step, name.index));
+                    let task = (name.job.clone(), name.occurrence, name.step, name.index);
+                    self.ever_done.insert(task.clone());
+                    self.done.insert(task);
                 }
                 worker.ended.push(EndedRow {
                     number: worker.next_end,
