fix(jobs): count a failed run once, leave a release record, keep unknown workers

Change: failures are kept by run number; an owner that gives up leaves a record with its token, and gives up as soon as it sees a newer claim; a machine is only ordered away when its owner lists its worker as empty.

--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -195,11 +195,12 @@
     pub fn take_orders(&mut self, now_ms: u64, view: &FleetView) -> Vec<MachineTask> {
         let mut orders = Vec::new();
         for (machine, leaving) in &mut self.leaving {
+            // A worker that its owner doesn't know may still run something.
             let is_empty = leaving.worker.as_ref().is_none_or(|worker| {
                 view.loads.get(&leaving.pool).is_some_and(|load| {
                     load.workers
                         .iter()
-                        .all(|other| other.worker != *worker || other.tasks == 0)
+                        .any(|other| other.worker == *worker && other.tasks == 0)
                 })
             });
             if leaving.ordered_ms.is_none() && is_empty {
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -90,14 +90,29 @@
     pub is_done: bool,
     /// Highest number of a run so far.
     pub run: u32,
-    /// Runs that failed.
-    pub failures: u32,
+    /// Numbers of the runs that failed; a worker may list the same end to two owners.
+    pub failed_runs: Vec<u32>,
     /// Where the next run resumes; empty for the beginning.
     pub checkpoint: Arc<str>,
     /// The present run.
     pub placement: Option<Placement>,
 }
 
+impl Task {
+    /// Counts a run that failed, once.
+    pub fn count_failure(&mut self, run: u32) {
+        if !self.failed_runs.contains(&run) {
+            self.failed_runs.push(run);
+        }
+    }
+
+    /// Returns how many runs failed.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        u32::try_from(self.failed_runs.len()).unwrap_or(u32::MAX)
+    }
+}
+
 /// The tasks of one step of one occurrence.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StepProgress {
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -46,7 +46,7 @@
 pub use ranking::{Rank, Waiting};
 pub use record::{
     AcceptRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord, ProgressRecord,
-    RecordError, TaskRecord, decode, encode,
+    RELEASE_KEY, RecordError, ReleaseRecord, TaskRecord, decode, encode,
 };
 pub use resources::Resources;
 pub use shard::{Commit, Now, Shard, ShardTiming, Submission};
--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -67,14 +67,24 @@
     pub is_done: bool,
     /// Highest number of a run so far.
     pub run: u32,
-    /// Runs that failed.
-    pub failures: u32,
+    /// Numbers of the runs that failed.
+    pub failed_runs: Vec<u32>,
     /// Where the next run resumes.
     pub checkpoint: Arc<str>,
     /// The present run.
     pub placement: Option<PlacementRecord>,
 }
 
+/// Key of the record that an owner leaves when it gives up its shard.
+pub const RELEASE_KEY: &str = "~release";
+
+/// An owner's word that it acts no more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleaseRecord {
+    /// The owner's fencing token.
+    pub token: u64,
+}
+
 /// Where a run is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PlacementRecord {
--- a/crates/cyclamentrail-jobs/src/shard/evacuation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/evacuation.rs
@@ -67,7 +67,7 @@
             waiting_ms: self.waiting_ms(),
             ..PoolLoad::default()
         };
-        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+        for worker in self.workers.values() {
             let mut long_running = 0;
             for &key in &worker.tasks {
                 let Some(step) = self.step_of(key) else {
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -14,7 +14,7 @@
 use crate::job::{Job, JobKey, Occurrence, Phase, Placement, StepProgress, Task, TaskKey};
 use crate::record::{
     AcceptRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord, ProgressRecord,
-    RecordError, TaskRecord, decode,
+    RELEASE_KEY, RecordError, TaskRecord, decode,
 };
 use crate::worker::{Contact, Registration, Worker, WorkerKey};
 use crate::{Resources, StepSpec};
@@ -43,7 +43,7 @@
         let mut accepted: HashMap<String, AcceptRecord> = HashMap::new();
         let mut progress: HashMap<String, ProgressRecord> = HashMap::new();
         let mut unreadable = 0;
-        for record in records {
+        for record in records.into_iter().filter(|record| record.key != RELEASE_KEY) {
             let taken = match record.key.strip_suffix(PROGRESS_SUFFIX) {
                 Some(id) => take(&mut progress, id, &record.value),
                 None => take(&mut accepted, &record.key, &record.value),
@@ -215,7 +215,7 @@
     Task {
         is_done: record.is_done,
         run: record.run,
-        failures: record.failures,
+        failed_runs: record.failed_runs,
         checkpoint: record.checkpoint,
         placement: None,
     }
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -7,7 +7,7 @@
 use crate::effect::{
     Effect, EndKind, EndedRow, GoneProof, LookOutcome, Note, Report, RunName, RunningRow,
 };
-use crate::job::{Phase, TaskKey};
+use crate::job::{Phase, Task, TaskKey};
 use crate::worker::{Contact, WorkerKey};
 
 /// Time for which a worker that fails what it starts gets nothing more, in milliseconds.
@@ -155,11 +155,11 @@
         match row.how {
             EndKind::Done if !step.long_running => self.finish_task(key, step.gang),
             EndKind::Failed if !step.long_running && !task.is_done => {
-                task.failures += 1;
+                task.count_failure(row.name.run);
                 let failures = if step.gang {
                     self.gang_failures(key)
                 } else {
-                    task.failures
+                    task.failures()
                 };
                 if failures >= max_attempts {
                     self.fail_job(key);
@@ -198,7 +198,7 @@
             .get(key.job)
             .and_then(|job| job.occurrence(key.occurrence))
             .and_then(|one| one.steps.get(key.step as usize))
-            .map_or(0, |step| step.tasks.iter().map(|task| task.failures).sum())
+            .map_or(0, |step| step.tasks.iter().map(Task::failures).sum())
     }
 
     fn fail_job(&mut self, key: TaskKey) {
@@ -227,7 +227,7 @@
                     .jobs
                     .get(key.job)
                     .and_then(|job| job.task(key))
-                    .is_some_and(|task| task.failures > 0);
+                    .is_some_and(|task| !task.failed_runs.is_empty());
                 // A task that has failed elsewhere too says little about this worker.
                 if had_failed {
                     return;
--- a/crates/cyclamentrail-jobs/src/shard/snapshot.rs
+++ b/crates/cyclamentrail-jobs/src/shard/snapshot.rs
@@ -43,7 +43,7 @@
         TaskRecord {
             is_done: task.is_done,
             run: task.run,
-            failures: task.failures,
+            failed_runs: task.failed_runs.clone(),
             checkpoint: Arc::clone(&task.checkpoint),
             placement: task
                 .placement
--- a/crates/cyclamentrail-jobs/tests/duties.rs
+++ b/crates/cyclamentrail-jobs/tests/duties.rs
@@ -191,3 +191,15 @@
     planner.plan(5_000, &view);
     assert!(planner.take_orders(5_000, &view).is_empty());
 }
+
+/// A worker that its owner doesn't list was taken for empty, and its tasks ended.
+#[test]
+fn unknown_isnt_empty() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 3)]);
+    view.waves = vec![wave(&["a0"], 1)];
+    let load = view.loads.get_mut(&ServiceName::from("a")).expect("pool a is part of the view");
+    load.workers.remove(0);
+    planner.plan(0, &view);
+    assert!(planner.take_orders(0, &view).is_empty());
+}
--- a/crates/cyclamentrail-jobs/tests/takeover.rs
+++ b/crates/cyclamentrail-jobs/tests/takeover.rs
@@ -130,3 +130,17 @@
     assert_eq!(world.answers[&caller], Answer::Accepted);
     assert_eq!(world.state("a"), Some(JobState::Completed));
 }
+
+/// An end that the earlier owner had counted and not acknowledged was counted again.
+#[test]
+fn failures_count_once() {
+    let mut world = World::new(2, WORKER);
+    world.submit_hopeless("a", job(1, 1_000, 300));
+    for _ in 0..2 {
+        world.run_for(325);
+        world.take_over(0);
+    }
+    world.run_for(5_000);
+    assert_eq!(world.state("a"), Some(JobState::Failed));
+    assert_eq!(world.starts[&JobId::from("a")], 3, "as often as the route allows");
+}
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -7,8 +7,8 @@
 use cyclamentrail_adapter::{StoreError, WorkerCalls, Writer};
 use cyclamentrail_core::{ServiceName, WorkerId};
 use cyclamentrail_jobs::{
-    Answer, CallerTicket, Commit, Effect, LookOutcome, OrderOutcome, RejectReason, Shard,
-    ShardTiming, Submission, TaskKey, WorkerKey,
+    Answer, CallerTicket, Commit, Effect, KeyedRecord, LookOutcome, OrderOutcome, RELEASE_KEY,
+    RejectReason, ReleaseRecord, Shard, ShardTiming, Submission, TaskKey, WorkerKey, encode,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
@@ -18,7 +18,7 @@
 use super::journal::Journal;
 use super::lanes::Lanes;
 use super::messages::{FLEET_SHARD, Question, Reply};
-use super::node::{Node, Orders, Workers};
+use super::node::{Node, Orders, Owner as Claimed, Workers};
 use super::takeover::{FIRST_SEQUENCE, Taken, take_over};
 
 /// Time limit of a call to a worker, beside what it may wait for.
@@ -96,7 +96,8 @@
     owner.take_orders(&orders.borrow());
     owner.take_workers(&workers.borrow());
     owner.restore();
-    owner.serve(&mut receiver, workers, orders).await;
+    let owners = node.owners.subscribe();
+    owner.serve(&mut receiver, workers, orders, owners).await;
     node.remove_owned(&shard, &sender);
     owner.finish(&mut receiver).await;
     log::info!(shard; "ownership_ended");
@@ -111,6 +112,7 @@
     committing_since: Instant,
     confirmation: Confirmation,
     journal: Journal,
+    token: u64,
     lanes: Lanes,
     callers: HashMap<CallerTicket, oneshot::Sender<Reply>>,
     next_caller: u64,
@@ -151,6 +153,7 @@
             calls: WorkerCalls::new(node.caller.clone(), taken.token, WORKER_TIMEOUT),
             service: ServiceName::from(shard),
             shard: Shard::new(timing),
+            token: taken.token,
             taken: Some(taken),
             log: Some(Box::new(log)),
             committing_since: Instant::now(),
@@ -182,6 +185,7 @@
         receiver: &mut mpsc::UnboundedReceiver<OwnerMessage>,
         mut workers: watch::Receiver<Arc<Workers>>,
         mut orders: watch::Receiver<Orders>,
+        mut owners: watch::Receiver<HashMap<String, Claimed>>,
     ) {
         let mut last_commit = Instant::now();
         while !self.is_over {
@@ -197,6 +201,7 @@
                     let workers = Arc::clone(&workers.borrow_and_update());
                     self.take_workers(&workers);
                 }
+                Ok(()) = owners.changed() => self.take_owners(&owners.borrow_and_update()),
                 Ok(()) = orders.changed() => self.take_orders(&orders.borrow_and_update()),
                 () = tokio::time::sleep(wait) => {}
             }
@@ -209,14 +214,18 @@
     /// Makes durable what is known, and answers the callers that wait for it.
     async fn finish(&mut self, receiver: &mut mpsc::UnboundedReceiver<OwnerMessage>) {
         let end = Instant::now() + FINISH_TIMEOUT;
-        let mut may_commit = true;
+        let mut is_last = false;
         loop {
             if self.log.is_some() {
-                let commit = self.shard.take_commit(now()).filter(|_| may_commit);
-                let Some(commit) = commit else {
+                if is_last {
                     return;
-                };
-                may_commit = false;
+                }
+                is_last = true;
+                let mut commit = self.shard.take_commit(now()).unwrap_or_default();
+                commit.records.push(KeyedRecord {
+                    key: RELEASE_KEY.to_owned(),
+                    value: encode(&ReleaseRecord { token: self.token }),
+                });
                 self.spawn_commit(Some(commit));
             }
             match tokio::time::timeout_at(end, receiver.recv()).await {
@@ -405,6 +414,15 @@
         }
     }
 
+    /// Gives up when another process has claimed the shard since.
+    fn take_owners(&mut self, owners: &HashMap<String, Claimed>) {
+        let newest = owners.get(self.service.as_str());
+        if let Some(newest) = newest.filter(|newest| newest.token > self.token) {
+            log::info!(shard:% = self.service, token = newest.token; "claimed_by_another");
+            self.is_over = true;
+        }
+    }
+
     fn take_workers(&mut self, workers: &Arc<Workers>) {
         let now = now();
         for registration in workers.values() {
--- a/crates/cyclamentrail/src/edge/takeover.rs
+++ b/crates/cyclamentrail/src/edge/takeover.rs
@@ -4,7 +4,7 @@
 
 use cyclamentrail_adapter::{Append, StoreError, Writer, keyed_topic};
 use cyclamentrail_core::ServiceName;
-use cyclamentrail_jobs::KeyedRecord;
+use cyclamentrail_jobs::{KeyedRecord, RELEASE_KEY, ReleaseRecord, decode};
 
 use super::boot_clock::boot_ms;
 use super::messages::{Ask, Question, Reply};
@@ -47,20 +47,25 @@
     let token = claim(node, shard).await;
     let topic = keyed_topic(&format!("jobs.{shard}"));
     let confirmed_ms = fence(node, &topic, token).await?;
-    let is_released = is_released(node, shard, earlier).await;
     let records = loop {
         match node.store.all_newest(&topic).await {
             Ok(page) => break page.rows,
             Err(error) => pause(shard, &error).await,
         }
     };
-    let records = records
+    let records: Vec<KeyedRecord> = records
         .into_iter()
         .map(|row| KeyedRecord {
             key: row.key,
             value: row.value.to_vec(),
         })
         .collect();
+    let is_released = match &earlier {
+        None => false,
+        Some(earlier) if has_released(&records, earlier.token) => true,
+        Some(earlier) => is_released(node, shard, earlier).await,
+    };
+    log::info!(shard, token, earlier = earlier.map_or(0, |owner| owner.token), is_released; "shard_claimed");
     Ok(Taken {
         token,
         topic,
@@ -71,11 +76,17 @@
     })
 }
 
+/// Returns whether the earlier owner left its word that it acts no more.
+fn has_released(records: &[KeyedRecord], earlier_token: u64) -> bool {
+    records
+        .iter()
+        .filter(|record| record.key == RELEASE_KEY)
+        .filter_map(|record| decode::<ReleaseRecord>(&record.value).ok())
+        .any(|release| release.token == earlier_token)
+}
+
 /// Asks the earlier owner to stop; returns whether it surely acts no more.
-async fn is_released(node: &Node, shard: &str, earlier: Option<Owner>) -> bool {
-    let Some(earlier) = earlier else {
-        return false;
-    };
+async fn is_released(node: &Node, shard: &str, earlier: &Owner) -> bool {
     if earlier.claim.address == node.settings.internal {
         // An earlier process at this address is gone, or its owner has ended here.
         return true;
