fix(fleet): keep the workers of ordered machines empty until their registration lapses

A life that another one answered for was registered again from the stale entry. Change: workers of ordered machines stay on the list for 6 s; ended lives aren't registered again.

--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -109,6 +109,13 @@
     done_ms: Option<u64>,
 }
 
+/// A worker whose machine was ordered away.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Departed {
+    pool: ServiceName,
+    until_ms: u64,
+}
+
 /// The state of a moment that the duties decide from.
 #[derive(Debug, Clone, Default)]
 pub struct FleetView {
@@ -129,6 +136,8 @@
     leaving: BTreeMap<InstanceName, Leaving>,
     /// Machines that had their maintenance, by wave.
     maintained: BTreeMap<u64, BTreeSet<InstanceName>>,
+    /// Workers of machines that were ordered away, and until when they may still be registered.
+    departed: BTreeMap<WorkerId, Departed>,
     /// Machines that were refused, and until when they aren't tried again.
     resting: BTreeMap<InstanceName, u64>,
     /// When each wave was first seen.
@@ -148,6 +157,7 @@
             timing,
             leaving: BTreeMap::new(),
             maintained: BTreeMap::new(),
+            departed: BTreeMap::new(),
             resting: BTreeMap::new(),
             seen_ms: BTreeMap::new(),
             surplus_since_ms: BTreeMap::new(),
@@ -184,10 +194,16 @@
     /// Returns the workers of a pool that its owner should keep empty.
     #[must_use]
     pub fn evacuations(&self, pool: &ServiceName) -> Vec<WorkerId> {
+        let departed = self
+            .departed
+            .iter()
+            .filter(|(_, departed)| departed.pool == *pool)
+            .map(|(worker, _)| worker.clone());
         self.leaving
             .values()
             .filter(|leaving| leaving.pool == *pool)
             .filter_map(|leaving| leaving.worker.clone())
+            .chain(departed)
             .collect()
     }
 
@@ -205,6 +221,13 @@
             });
             if leaving.ordered_ms.is_none() && is_empty {
                 leaving.ordered_ms = Some(now_ms);
+                if let Some(worker) = leaving.worker.clone() {
+                    let departed = Departed {
+                        pool: leaving.pool.clone(),
+                        until_ms: now_ms + LEAVING_MS,
+                    };
+                    self.departed.insert(worker, departed);
+                }
                 orders.push(MachineTask {
                     machine: machine.clone(),
                     purpose: leaving.purpose.clone(),
@@ -231,7 +254,13 @@
             }
             MachineOutcome::Refused | MachineOutcome::NoAnswer => leaving.ordered_ms = None,
             MachineOutcome::Impossible => {
-                self.leaving.remove(&task.machine);
+                if let Some(worker) = self
+                    .leaving
+                    .remove(&task.machine)
+                    .and_then(|leaving| leaving.worker)
+                {
+                    self.departed.remove(&worker);
+                }
                 self.resting
                     .insert(task.machine.clone(), now_ms + LEAVING_MS / 2);
             }
@@ -266,6 +295,8 @@
     }
 
     fn forget_finished(&mut self, now_ms: u64, view: &FleetView) {
+        self.departed
+            .retain(|_, departed| now_ms < departed.until_ms);
         let away_ms = self.timing.maintenance_ms;
         self.leaving.retain(|name, leaving| {
             let listed = view.machines.iter().find(|one| one.machine == *name);
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -84,6 +84,8 @@
     ids: HashMap<JobId, JobKey>,
     workers: SlotMap<WorkerKey, Worker>,
     worker_ids: HashMap<WorkerId, WorkerKey>,
+    /// Lives that have surely ended although the registry may still list them, by their birth.
+    ended_lives: HashMap<WorkerId, u64>,
     /// Jobs that may still need placing or watching.
     active: BTreeSet<JobKey>,
     /// Final jobs by the Unix time at which they are dropped.
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -43,7 +43,10 @@
         let mut accepted: HashMap<String, AcceptRecord> = HashMap::new();
         let mut progress: HashMap<String, ProgressRecord> = HashMap::new();
         let mut unreadable = 0;
-        for record in records.into_iter().filter(|record| record.key != RELEASE_KEY) {
+        for record in records
+            .into_iter()
+            .filter(|record| record.key != RELEASE_KEY)
+        {
             let taken = match record.key.strip_suffix(PROGRESS_SUFFIX) {
                 Some(id) => take(&mut progress, id, &record.value),
                 None => take(&mut accepted, &record.key, &record.value),
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -10,6 +10,10 @@
 impl Shard {
     /// Takes in what the registry says of a worker.
     pub fn register(&mut self, now: Now, registration: Registration) {
+        let ended_ms = self.ended_lives.get(&registration.id);
+        if ended_ms.is_some_and(|&born_ms| registration.born_ms <= born_ms) {
+            return;
+        }
         let Some(&key) = self.worker_ids.get(&registration.id) else {
             let id = registration.id.clone();
             let key = self.workers.insert(Worker::new(registration, now.boot_ms));
@@ -31,6 +35,7 @@
 
     /// Takes in that the registry no longer lists a worker.
     pub fn unregister(&mut self, id: &WorkerId) {
+        self.ended_lives.remove(id);
         let Some(&key) = self.worker_ids.get(id) else {
             return;
         };
@@ -62,6 +67,9 @@
     pub(super) fn other_life(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(key) {
             worker.is_listed = false;
+            let registration = &worker.registration;
+            self.ended_lives
+                .insert(registration.id.clone(), registration.born_ms);
         }
         self.release_all(key, GoneProof::Reborn);
         self.forget_if_idle(key);
--- a/crates/cyclamentrail-jobs/tests/duties.rs
+++ b/crates/cyclamentrail-jobs/tests/duties.rs
@@ -198,8 +198,28 @@
     let mut planner = FleetPlanner::new(TIMING);
     let mut view = view(&[("a", 3)]);
     view.waves = vec![wave(&["a0"], 1)];
-    let load = view.loads.get_mut(&ServiceName::from("a")).expect("pool a is part of the view");
+    let load = view
+        .loads
+        .get_mut(&ServiceName::from("a"))
+        .expect("pool a is part of the view");
     load.workers.remove(0);
     planner.plan(0, &view);
     assert!(planner.take_orders(0, &view).is_empty());
 }
+
+/// The old worker of a machine that is back stays registered for a while; tasks were sent there.
+#[test]
+fn departed_stay_empty() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 3)]);
+    view.waves = vec![wave(&["a0"], 1)];
+    planner.plan(0, &view);
+    let orders = planner.take_orders(0, &view);
+    finish(&mut planner, 10, &orders);
+    view.machines[0].worker = Some(WorkerId::from("new"));
+    planner.plan(3_000, &view);
+    let kept = planner.evacuations(&ServiceName::from("a"));
+    assert_eq!(kept, [WorkerId::from("w-a0")]);
+    planner.plan(6_500, &view);
+    assert!(planner.evacuations(&ServiceName::from("a")).is_empty());
+}
--- a/crates/cyclamentrail-jobs/tests/silence.rs
+++ b/crates/cyclamentrail-jobs/tests/silence.rs
@@ -86,3 +86,36 @@
         assert_eq!(world.state(&index.to_string()), Some(JobState::Completed));
     }
 }
+
+/// A worker whose address answers for another one is listed until its registration lapses.
+#[test]
+fn address_reused() {
+    let mut world = World::new(2, WORKER);
+    world.run_for(200);
+    let stale = world
+        .shard
+        .worker(&"w0".into())
+        .expect("w0 is listed")
+        .registration
+        .clone();
+    world.add_worker("w0", WORKER, "r0");
+    let fresh = world
+        .shard
+        .worker(&"w0".into())
+        .expect("w0 is listed")
+        .registration
+        .clone();
+    world.shard.unregister(&"w0".into());
+    world.shard.register(world.now(), stale.clone());
+    world.submit("a", job(8, 8_000, 500));
+    world.run_for(500);
+    world.shard.register(world.now(), stale);
+    assert!(
+        world.shard.worker(&"w0".into()).is_none(),
+        "that life has ended"
+    );
+    world.shard.register(world.now(), fresh);
+    assert!(world.shard.worker(&"w0".into()).is_some());
+    world.run_for(4_000);
+    assert_eq!(world.state("a"), Some(JobState::Completed));
+}
--- a/crates/cyclamentrail-jobs/tests/takeover.rs
+++ b/crates/cyclamentrail-jobs/tests/takeover.rs
@@ -142,5 +142,9 @@
     }
     world.run_for(5_000);
     assert_eq!(world.state("a"), Some(JobState::Failed));
-    assert_eq!(world.starts[&JobId::from("a")], 3, "as often as the route allows");
+    assert_eq!(
+        world.starts[&JobId::from("a")],
+        3,
+        "as often as the route allows"
+    );
 }
