fix(jobs): place a task elsewhere at once when its start never left

Cause: a refused or timed-out connection counted as an order that may still be carried out, so each task sent to a crashed worker waited for a lease that was never granted. Change: the adapter tells calls that were never sent; such a run is released unless an earlier order for it may still act (test refused_goes_elsewhere).

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -77,6 +77,8 @@
     pub run: u32,
     /// How far it has come.
     pub phase: Phase,
+    /// Whether an order to start it may still be carried out although nobody answered.
+    pub is_ambiguous: bool,
     /// Progress in percent that the worker last reported.
     pub percent: u32,
     /// When the progress last changed, on our clock in milliseconds.
--- a/crates/cyclamentrail-jobs/src/shard/orders.rs
+++ b/crates/cyclamentrail-jobs/src/shard/orders.rs
@@ -74,7 +74,12 @@
                 self.reject(now, key, placement);
             }
             OrderOutcome::OtherLife => self.other_life(placement.worker),
+            OrderOutcome::NotSent if !placement.is_ambiguous => {
+                self.lose_contact(now, placement.worker);
+                self.release(key, Some(GoneProof::NeverSent));
+            }
             OrderOutcome::NoAnswer | OrderOutcome::NotSent => {
+                self.mark_ambiguous(key);
                 self.resend_later(now.boot_ms + START_AGAIN_MS, key, run);
             }
         }
@@ -199,12 +204,26 @@
 
     /// Frees a run that its worker rejected, unless an earlier order may still be carried out.
     fn reject(&mut self, now: Now, key: TaskKey, placement: Placement) {
-        if placement.phase == Phase::Sent {
+        if placement.is_ambiguous {
+            self.resend_later(now.boot_ms + START_AGAIN_MS, key, placement.run);
+        } else if placement.phase == Phase::Sent {
             self.release(key, Some(GoneProof::Rejected));
             self.avoid(now, placement.worker, UNWELL_MS / 4);
         }
     }
 
+    /// Takes note that an order to start a run may be carried out later.
+    fn mark_ambiguous(&mut self, key: TaskKey) {
+        let placement = self
+            .jobs
+            .get_mut(key.job)
+            .and_then(|job| job.task_mut(key))
+            .and_then(|task| task.placement.as_mut());
+        if let Some(placement) = placement {
+            placement.is_ambiguous = true;
+        }
+    }
+
     fn set_phase(&mut self, key: TaskKey, phase: Phase) {
         let placement = self
             .jobs
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -242,6 +242,7 @@
             worker: worker_key,
             run: task.run,
             phase: Phase::Placed,
+            is_ambiguous: false,
             percent: 0,
             progress_ms: now.boot_ms,
         });
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -128,6 +128,7 @@
                 worker: worker_key,
                 run: record.run,
                 phase,
+                is_ambiguous: true,
                 percent: 0,
                 progress_ms: now.boot_ms,
             });
--- a/crates/cyclamentrail-jobs/tests/silence.rs
+++ b/crates/cyclamentrail-jobs/tests/silence.rs
@@ -119,3 +119,17 @@
     world.run_for(4_000);
     assert_eq!(world.state("a"), Some(JobState::Completed));
 }
+
+/// A start that never left waited for a lease that was never granted.
+#[test]
+fn refused_goes_elsewhere() {
+    let mut world = World::new(2, WORKER);
+    world.run_for(200);
+    world.worker("w0").refuses = true;
+    world.worker("w1").refuses = true;
+    world.submit("a", job(4, 1_000, 300));
+    world.run_for(300);
+    world.add_worker("w9", WORKER, "r9");
+    world.run_for(1_000);
+    assert_eq!(world.state("a"), Some(JobState::Completed));
+}
--- a/crates/cyclamentrail-jobs/tests/support/world.rs
+++ b/crates/cyclamentrail-jobs/tests/support/world.rs
@@ -88,6 +88,8 @@
     pub is_alive: bool,
     /// Whether calls reach it.
     pub is_reachable: bool,
+    /// Whether connections are refused, so that callers know that nothing was sent.
+    pub refuses: bool,
     /// Whether its answers come back.
     pub answers: bool,
     /// Time by which orders are carried out late, unanswered.
@@ -203,6 +205,7 @@
             until_ms: 0,
             is_alive: true,
             is_reachable: true,
+            refuses: false,
             answers: true,
             late_ms: None,
             fails_all: false,
@@ -423,6 +426,11 @@
         let Some(worker) = self.workers.get_mut(&order.target.id) else {
             return;
         };
+        if worker.refuses {
+            let outcome = OrderOutcome::NotSent;
+            self.schedule(HOP_MS, Event::Started(key.0, key.1, key.2, outcome, token));
+            return;
+        }
         if !worker.is_reachable || !worker.is_alive {
             self.schedule(
                 500,
