fix(fleet): leave one worker of each pool open, keep the pools' first sizes on record

A new holder of the duties took the shrunk pools for their first sizes. Ruled out: the placement, the registry, the leases (task_waits with reason=Room, no other event). Change: at most half of a pool is taken while a wave is late; machines that can't be emptied rest; evacuations end when nobody asks for them; sizes are a record. Owners tell of tasks that wait.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -208,6 +208,17 @@
         /// For how long, in milliseconds.
         for_ms: u64,
     },
+    /// A task whose turn has come hasn't begun for a while.
+    Waiting {
+        /// The job.
+        job: JobId,
+        /// The task.
+        task: TaskKey,
+        /// Time since its job was accepted, in milliseconds.
+        age_ms: u64,
+        /// What it waits for.
+        reason: WaitReason,
+    },
     /// A run makes no progress and is stopped.
     Stalled {
         /// The job.
@@ -217,6 +228,19 @@
     },
 }
 
+/// What a task waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitReason {
+    /// For a worker with room.
+    Room,
+    /// For its start to be sent.
+    Sending,
+    /// For its worker to answer the start.
+    Answer,
+    /// For its last run to stop.
+    Stop,
+}
+
 /// What shows that a run is no longer on its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GoneProof {
--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -21,6 +21,9 @@
 /// Time after which a machine that doesn't become empty is let go, in milliseconds.
 const GIVE_UP_MS: u64 = 8_000;
 
+/// Time for which a machine that couldn't be taken isn't tried again, in milliseconds.
+const REST_MS: u64 = 3_000;
+
 /// A machine as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MachineView {
@@ -175,6 +178,17 @@
         self.maintained.entry(wave).or_default().extend(machines);
     }
 
+    /// Takes in how many machines the operators gave to each pool.
+    pub fn restore_sizes(&mut self, sizes: impl IntoIterator<Item = (ServiceName, usize)>) {
+        self.first_sizes.extend(sizes);
+    }
+
+    /// Returns how many machines the operators gave to each pool, once that is known.
+    #[must_use]
+    pub const fn sizes(&self) -> &BTreeMap<ServiceName, usize> {
+        &self.first_sizes
+    }
+
     /// Returns the machines that had their maintenance in a wave.
     #[must_use]
     pub fn maintained(&self, wave: u64) -> Vec<InstanceName> {
@@ -261,8 +275,7 @@
                 {
                     self.departed.remove(&worker);
                 }
-                self.resting
-                    .insert(task.machine.clone(), now_ms + LEAVING_MS / 2);
+                self.resting.insert(task.machine.clone(), now_ms + REST_MS);
             }
         }
     }
@@ -298,6 +311,18 @@
         self.departed
             .retain(|_, departed| now_ms < departed.until_ms);
         let away_ms = self.timing.maintenance_ms;
+        let given_up: Vec<InstanceName> = self
+            .leaving
+            .iter()
+            .filter(|(_, leaving)| {
+                leaving.ordered_ms.is_none() && now_ms >= leaving.since_ms + GIVE_UP_MS
+            })
+            .map(|(machine, _)| machine.clone())
+            .collect();
+        for machine in given_up {
+            self.leaving.remove(&machine);
+            self.resting.insert(machine, now_ms + REST_MS);
+        }
         self.leaving.retain(|name, leaving| {
             let listed = view.machines.iter().find(|one| one.machine == *name);
             match leaving.done_ms {
@@ -311,7 +336,7 @@
                 None if leaving.ordered_ms.is_some() => true,
                 None => {
                     let same_life = listed.is_some_and(|one| one.worker == leaving.worker);
-                    same_life && now_ms < leaving.since_ms + GIVE_UP_MS
+                    same_life
                 }
             }
         });
--- a/crates/cyclamentrail-jobs/src/fleet/waves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/waves.rs
@@ -10,6 +10,8 @@
 const FINISH_PERCENT: u64 = 70;
 /// Part of a pool that is away at once while the wave is on time, as a divisor.
 const POOL_PART: usize = 3;
+/// Part of a pool that is away at once while the wave is late, as a divisor.
+const LATE_POOL_PART: usize = 2;
 
 /// A wave that the operators ask for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -53,8 +55,8 @@
                 return;
             }
             let is_idle = Self::reluctance(&machine, view) == (0, 0);
-            let pool_has_room = is_behind || self.pool_has_room(&machine.pool, view);
-            if (is_idle || is_behind) && pool_has_room {
+            let part = if is_behind { LATE_POOL_PART } else { POOL_PART };
+            if (is_idle || is_behind) && self.pool_has_room(&machine.pool, part, view) {
                 away += 1;
                 self.take(now_ms, &machine, Purpose::Maintain(wave.number));
             }
@@ -93,7 +95,9 @@
             .count()
     }
 
-    fn pool_has_room(&self, pool: &ServiceName, view: &FleetView) -> bool {
+    /// Returns whether one more machine of a pool may be away; at least one always stays, unless
+    /// the pool has only one.
+    fn pool_has_room(&self, pool: &ServiceName, part: usize, view: &FleetView) -> bool {
         if view.standby.contains(pool) {
             return true;
         }
@@ -103,7 +107,7 @@
             all += 1;
             away += usize::from(!machine.is_up || self.leaving.contains_key(&machine.machine));
         }
-        away < (all / POOL_PART).max(1)
+        away < (all / part).max(1)
     }
 
     /// Returns what speaks against taking a machine now: its tasks.
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -33,7 +33,7 @@
 pub use effect::{
     Answer, CallerTicket, Effect, EndKind, EndedRow, GoneProof, Look, LookOutcome, Note,
     OrderOutcome, OrderRejection, RejectReason, Report, RunName, RunningRow, StartOrder, StopOrder,
-    Target,
+    Target, WaitReason,
 };
 pub use estimate::Estimate;
 pub use fleet::{
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -21,6 +21,7 @@
 mod reports;
 mod snapshot;
 mod submit;
+mod waiting;
 
 pub use submit::Submission;
 
@@ -99,6 +100,8 @@
     gated: Vec<Effect>,
     ready: Vec<Effect>,
     resends: Vec<Resend>,
+    /// When waiting tasks were last told of, on our clock in milliseconds.
+    waiting_told_ms: u64,
     estimates: HashMap<RouteName, Estimate>,
     arrivals: evacuation::Arrivals,
 }
@@ -185,6 +188,7 @@
         self.send_again(now);
         self.evacuate_tasks(now);
         self.place_tasks(now);
+        self.tell_waiting(now);
         self.look_at_workers(now);
         self.drop_expired(now);
     }
--- a/crates/cyclamentrail-jobs/tests/duties.rs
+++ b/crates/cyclamentrail-jobs/tests/duties.rs
@@ -223,3 +223,22 @@
     planner.plan(6_500, &view);
     assert!(planner.evacuations(&ServiceName::from("a")).is_empty());
 }
+
+/// A wave that is late took all workers of a small pool at once, so that none could be emptied.
+#[test]
+fn one_stays_open() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 2), ("b", 2)]);
+    view.waves = vec![wave(&["a0", "a1", "b0", "b1"], 4)];
+    for load in view.loads.values_mut() {
+        for worker in &mut load.workers {
+            worker.tasks = 1;
+        }
+    }
+    planner.plan(0, &view);
+    planner.plan(19_000, &view);
+    for pool in ["a", "b"] {
+        let pool = ServiceName::from(pool);
+        assert_eq!(planner.evacuations(&pool).len(), 1, "one worker stays open");
+    }
+}
--- a/crates/cyclamentrail/src/edge/journal.rs
+++ b/crates/cyclamentrail/src/edge/journal.rs
@@ -121,6 +121,19 @@
             Note::Avoided { worker, for_ms } => {
                 log::info!(shard, worker:% = worker, for_ms; "worker_avoided");
             }
+            Note::Waiting {
+                job,
+                task,
+                age_ms,
+                reason,
+            } => {
+                let (step, index) = (task.step, task.index);
+                log::info!(
+                    shard, job:% = job, occurrence = task.occurrence, step, index, age_ms,
+                    reason:? = reason;
+                    "task_waits"
+                );
+            }
             Note::Stalled { job, worker } => {
                 log::info!(shard, job:% = job, worker:% = worker; "run_stalled");
             }
--- a/crates/cyclamentrail/src/edge/machines.rs
+++ b/crates/cyclamentrail/src/edge/machines.rs
@@ -34,6 +34,8 @@
 const HOLDING_MS: u64 = 1_000;
 /// Time beyond the platform's pause between two holders, in milliseconds.
 const EXTRA_PAUSE_MS: u64 = 500;
+/// Key of the record of the pools' first sizes.
+const SIZES_KEY: &str = "sizes";
 /// Topic of the states that operators read.
 const STATUS_TOPIC: &str = "status";
 /// Pause before a failed write is tried again.
@@ -85,6 +87,8 @@
     planner: FleetPlanner,
     /// When the first order may be given, on the clock that counts suspension.
     begin_ms: u64,
+    /// Whether the first sizes of the pools are on record.
+    has_kept_sizes: bool,
     /// Waves whose state was written, and whether they were complete.
     told: BTreeMap<u64, bool>,
 }
@@ -119,6 +123,7 @@
             token: taken.token,
             log: Some(log),
             confirmation,
+            has_kept_sizes: !planner.sizes().is_empty(),
             planner,
             told: BTreeMap::new(),
         }
@@ -267,13 +272,20 @@
                 Purpose::Move(_) => None,
             })
             .collect();
-        let records: Vec<KeyedRecord> = waves
+        let mut records: Vec<KeyedRecord> = waves
             .into_iter()
             .map(|wave| KeyedRecord {
                 key: format!("{WAVE_PREFIX}{wave}"),
                 value: encode(&self.planner.maintained(wave)),
             })
             .collect();
+        if !self.has_kept_sizes && !self.planner.sizes().is_empty() {
+            self.has_kept_sizes = true;
+            records.push(KeyedRecord {
+                key: SIZES_KEY.to_owned(),
+                value: encode(self.planner.sizes()),
+            });
+        }
         let result = if records.is_empty() {
             log.confirm().await
         } else {
@@ -326,6 +338,12 @@
 
 fn restore(planner: &mut FleetPlanner, records: &[KeyedRecord]) {
     for record in records {
+        if record.key == SIZES_KEY {
+            match decode::<BTreeMap<ServiceName, usize>>(&record.value) {
+                Ok(sizes) => planner.restore_sizes(sizes),
+                Err(error) => log::warn!(key = SIZES_KEY, error:% = error; "record_unreadable"),
+            }
+        }
         let number = record
             .key
             .strip_prefix(WAVE_PREFIX)
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -37,6 +37,9 @@
 const MAX_UNKNOWN_AGE_MS: u64 = 2_000;
 /// Age of a commit at which new jobs are rejected, because the store doesn't answer.
 const STUCK_COMMIT: Duration = Duration::from_millis(700);
+/// Time for which workers are kept empty after they were last asked for; longer than the holder
+/// of the duties takes between its last question and its last order.
+const EVACUATION_LEASE: Duration = Duration::from_secs(6);
 /// Longest time for which an owner that gives up makes durable what it knows.
 const FINISH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Part of the longest lease that is granted, in percent.
@@ -118,6 +121,7 @@
     next_caller: u64,
     known: Arc<Workers>,
     evacuating: Vec<WorkerId>,
+    evacuating_since: Instant,
     sender: mpsc::UnboundedSender<OwnerMessage>,
     is_over: bool,
 }
@@ -164,6 +168,7 @@
             next_caller: 0,
             known: Arc::default(),
             evacuating: Vec::new(),
+            evacuating_since: Instant::now(),
             sender,
             is_over: false,
         }
@@ -189,6 +194,7 @@
     ) {
         let mut last_commit = Instant::now();
         while !self.is_over {
+            self.end_old_evacuations();
             self.shard.advance(now());
             self.carry_out_ready();
             let wait = self.commit(&mut last_commit);
@@ -400,9 +406,19 @@
             self.shard.set_evacuating(now, worker, true);
         }
         self.evacuating = workers;
+        self.evacuating_since = Instant::now();
         Reply::Load(self.shard.load(now).into())
     }
 
+    /// Uses workers again whose evacuation nobody has asked for lately.
+    fn end_old_evacuations(&mut self) {
+        if !self.evacuating.is_empty() && self.evacuating_since.elapsed() > EVACUATION_LEASE {
+            for worker in std::mem::take(&mut self.evacuating) {
+                self.shard.set_evacuating(now(), &worker, false);
+            }
+        }
+    }
+
     fn take_orders(&mut self, orders: &Orders) {
         if let Some(configuration) = &orders.configuration {
             let terms = configuration
