test(edge): jobs through separate processes on a stand-in of the platform

A small store with epochs, compacted topics and groups, and workers with leases and ends. The scheduler's tests in virtual time are one binary, so that their world has no unused parts.

--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -334,10 +334,7 @@
                     !(is_back && is_due) && now_ms < done_ms + 2 * LEAVING_MS
                 }
                 None if leaving.ordered_ms.is_some() => true,
-                None => {
-                    let same_life = listed.is_some_and(|one| one.worker == leaving.worker);
-                    same_life
-                }
+                None => listed.is_some_and(|one| one.worker == leaving.worker),
             }
         });
     }
--- /dev/null
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -0,0 +1,14 @@
+//! The scheduler on workers, a store and callers in virtual time.
+
+#[path = "scheduler/jobs.rs"]
+mod jobs;
+#[path = "scheduler/overload.rs"]
+mod overload;
+#[path = "scheduler/promises.rs"]
+mod promises;
+#[path = "scheduler/silence.rs"]
+mod silence;
+#[path = "scheduler/takeover.rs"]
+mod takeover;
+#[path = "scheduler/world.rs"]
+mod world;
--- a/crates/cyclamentrail-jobs/tests/overload.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/overload.rs
@@ -1,10 +1,7 @@
 //! More work than the workers hold.
 
-#[path = "support/world.rs"]
-mod world;
-
+use crate::world::{World, job};
 use cyclamentrail_jobs::{Admission, Answer, Applicant, Backlog, JobState, Resources, admit};
-use world::{World, job};
 
 const WORKER: Resources = Resources::new(32_000, 131_072, 0);
 
--- a/crates/cyclamentrail-jobs/tests/promises.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/promises.rs
@@ -1,12 +1,9 @@
 //! Random work and faults: whatever happens, the promises hold and every job ends.
 
-#[path = "support/world.rs"]
-mod world;
-
+use crate::world::{World, job, step};
 use cyclamentrail_jobs::{Answer, JobState, Resources};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use world::{World, job, step};
 
 const WORKER: Resources = Resources::new(8_000, 32_768, 0);
 /// Cases of each property.
@@ -15,7 +12,7 @@
 const CALM_MS: u64 = 30_000;
 
 /// Something that happens.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Happening {
     Submit {
         count: u32,
--- a/crates/cyclamentrail-jobs/tests/silence.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/silence.rs
@@ -1,11 +1,8 @@
 //! Workers that don't answer, answer late, or start anew.
 
-#[path = "support/world.rs"]
-mod world;
-
+use crate::world::{World, job};
 use cyclamentrail_core::JobId;
 use cyclamentrail_jobs::{GoneProof, JobState, Note, Resources};
-use world::{World, job};
 
 const WORKER: Resources = Resources::new(32_000, 131_072, 0);
 
--- a/crates/cyclamentrail-jobs/tests/takeover.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/takeover.rs
@@ -1,12 +1,9 @@
 //! An owner that ends or is replaced.
 
-#[path = "support/world.rs"]
-mod world;
-
+use crate::world::{World, job, step};
 use cyclamentrail_core::JobId;
 use cyclamentrail_jobs::{Answer, JobState, Resources};
 use rstest::rstest;
-use world::{World, job, step};
 
 const WORKER: Resources = Resources::new(32_000, 131_072, 0);
 
--- a/crates/cyclamentrail-jobs/tests/support/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -3,8 +3,6 @@
 //! Each start that a worker carries out is checked against the promises: no task runs twice at
 //! once or after it was done, nothing exceeds a worker's capacity, no step overtakes another.
 
-#![expect(dead_code, reason = "each test file uses a part of it")]
-
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -76,6 +74,10 @@
 
 /// A worker and its link to the owner.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is a fault of its own that tests combine"
+)]
 pub struct FakeWorker {
     registration: Registration,
     running: Vec<Run>,
--- /dev/null
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -0,0 +1,346 @@
+//! The store: keyed topics with epochs, and consumer groups.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{Query, State};
+use axum::http::StatusCode;
+use axum::middleware::{self, Next};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, extract::Request};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use crate::Served;
+
+/// Partitions of each topic, for groups.
+const PARTITIONS: u32 = 24;
+/// Most items of a page of newest records.
+const PAGE_ITEMS: usize = 500;
+
+/// The store and its faults.
+#[derive(Debug)]
+pub struct JobStore {
+    shared: Arc<Shared>,
+    served: Served,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<Stored>,
+    changed: Notify,
+    is_down: AtomicBool,
+}
+
+#[derive(Debug, Default)]
+struct Stored {
+    topics: HashMap<String, Topic>,
+    members: BTreeMap<String, Instant>,
+    ttl: Duration,
+    generation: u64,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    records: Vec<(String, Vec<u8>)>,
+    epoch: u64,
+    sequence: Option<u64>,
+    last: Option<(u64, u64, usize)>,
+}
+
+impl JobStore {
+    /// Starts a store on an address; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let router = Router::new()
+            .route("/log-append", post(append))
+            .route("/log-read", get(read))
+            .route("/log-newest", get(newest))
+            .route("/log-join", post(join))
+            .route("/log-leave", post(leave))
+            .layer(middleware::from_fn_with_state(
+                Arc::clone(&shared),
+                refuse_when_down,
+            ))
+            .with_state(Arc::clone(&shared));
+        let served = Served::start(address, router).await?;
+        Ok(Self { shared, served })
+    }
+
+    /// Returns the address that it listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.served.address()
+    }
+
+    /// Refuses all calls from now on, or no longer.
+    pub fn set_down(&self, is_down: bool) {
+        self.shared.is_down.store(is_down, Ordering::Relaxed);
+    }
+
+    /// Puts a record, as the operators and the workers do.
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        let value = if value.is_null() {
+            Vec::new()
+        } else {
+            value.to_string().into_bytes()
+        };
+        let mut state = self.shared.lock();
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.records.push((key.to_owned(), value));
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns the newest value of a key, if it has one.
+    #[must_use]
+    pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.lock();
+        let records = &state.topics.get(topic)?.records;
+        let newest = records.iter().rev().find(|(other, _)| other == key);
+        newest
+            .map(|(_, value)| value.clone())
+            .filter(|value| !value.is_empty())
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Stored> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn refuse_when_down(
+    State(shared): State<Arc<Shared>>,
+    request: Request,
+    next: Next,
+) -> Response {
+    if shared.is_down.load(Ordering::Relaxed) {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    next.run(request).await
+}
+
+#[derive(Debug, Deserialize)]
+struct AppendQuery {
+    #[serde(rename = "Topic")]
+    topic: String,
+    epoch: Option<u64>,
+    #[serde(rename = "Seq")]
+    sequence: Option<u64>,
+}
+
+async fn append(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<AppendQuery>,
+    body: Bytes,
+) -> Response {
+    let records = split(&body);
+    let mut state = shared.lock();
+    let topic = state.topics.entry(query.topic).or_default();
+    if let Some(epoch) = query.epoch {
+        if epoch < topic.epoch {
+            let refusal = Json(json!({"Reason": "fenced"}));
+            return (StatusCode::CONFLICT, refusal).into_response();
+        }
+        if epoch > topic.epoch {
+            topic.epoch = epoch;
+            topic.sequence = None;
+        }
+    }
+    if records.is_empty() {
+        return Json(json!({})).into_response();
+    }
+    if let Some(sequence) = query.sequence {
+        if let Some((last, offset, count)) = topic.last
+            && topic.sequence == Some(sequence)
+            && last == sequence
+        {
+            return appended(offset, count);
+        }
+        let expected = topic.sequence.map_or(sequence, |last| last + 1);
+        if sequence != expected {
+            let refusal = Json(json!({"Reason": "seq", "Seq": expected}));
+            return (StatusCode::CONFLICT, refusal).into_response();
+        }
+        topic.sequence = Some(sequence);
+        topic.last = Some((sequence, topic.records.len() as u64, records.len()));
+    }
+    let offset = topic.records.len() as u64;
+    let count = records.len();
+    topic.records.extend(records);
+    drop(state);
+    shared.changed.notify_waiters();
+    appended(offset, count)
+}
+
+fn appended(offset: u64, count: usize) -> Response {
+    Json(json!({"Offset": offset, "End": offset + count as u64})).into_response()
+}
+
+fn split(mut body: &[u8]) -> Vec<(String, Vec<u8>)> {
+    let mut records = Vec::new();
+    while let Some((length, rest)) = body.split_first_chunk::<4>() {
+        let length = u32::from_be_bytes(*length) as usize;
+        let Some((record, rest)) = rest.split_at_checked(length) else {
+            break;
+        };
+        body = rest;
+        if let Some((&key_length, rest)) = record.split_first()
+            && let Some((key, value)) = rest.split_at_checked(usize::from(key_length))
+        {
+            let key = String::from_utf8_lossy(key).into_owned();
+            records.push((key, value.to_vec()));
+        }
+    }
+    records
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadQuery {
+    #[serde(rename = "Topic")]
+    topic: String,
+    #[serde(rename = "From", default)]
+    from: u64,
+    #[serde(rename = "WaitMs", default)]
+    wait_ms: u64,
+}
+
+async fn read(State(shared): State<Arc<Shared>>, Query(query): Query<ReadQuery>) -> Response {
+    let end = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        let changed = shared.changed.notified();
+        if let Some(body) = read_now(&shared, &query, Instant::now() >= end) {
+            return body.into_response();
+        }
+        let left = end.saturating_duration_since(Instant::now());
+        drop(tokio::time::timeout(left, changed).await);
+    }
+}
+
+fn read_now(shared: &Shared, query: &ReadQuery, even_empty: bool) -> Option<Vec<u8>> {
+    let state = shared.lock();
+    let records = state
+        .topics
+        .get(&query.topic)
+        .map_or(&[][..], |topic| topic.records.as_slice());
+    let from = usize::try_from(query.from).unwrap_or(usize::MAX);
+    let new = records.get(from..).unwrap_or(&[]);
+    if new.is_empty() && !even_empty {
+        return None;
+    }
+    let mut body = (records.len() as u64).to_be_bytes().to_vec();
+    body.extend(0_u64.to_be_bytes());
+    for (key, value) in new {
+        let length = u32::try_from(1 + key.len() + value.len()).unwrap_or(0);
+        body.extend(length.to_be_bytes());
+        body.push(u8::try_from(key.len()).unwrap_or(0));
+        body.extend(key.as_bytes());
+        body.extend(value);
+    }
+    Some(body)
+}
+
+#[derive(Debug, Deserialize)]
+struct NewestQuery {
+    #[serde(rename = "Topic")]
+    topic: String,
+    #[serde(rename = "After", default)]
+    after: String,
+}
+
+async fn newest(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<NewestQuery>,
+) -> Json<Value> {
+    let state = shared.lock();
+    let records = state
+        .topics
+        .get(&query.topic)
+        .map_or(&[][..], |topic| topic.records.as_slice());
+    let mut newest: BTreeMap<&str, (usize, &[u8])> = BTreeMap::new();
+    for (offset, (key, value)) in records.iter().enumerate() {
+        newest.insert(key, (offset, value));
+    }
+    let items: Vec<Value> = newest
+        .into_iter()
+        .filter(|(key, (_, value))| *key > query.after.as_str() && !value.is_empty())
+        .map(|(key, (offset, value))| json!({"Key": key, "Value": base64(value), "Offset": offset}))
+        .collect();
+    let more = items.len() > PAGE_ITEMS;
+    let items: Vec<Value> = items.into_iter().take(PAGE_ITEMS).collect();
+    Json(json!({"items": items, "More": more, "End": records.len()}))
+}
+
+/// Encodes bytes in base64.
+fn base64(bytes: &[u8]) -> String {
+    const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let mut group = [0; 3];
+        group[..chunk.len()].copy_from_slice(chunk);
+        let bits = u32::from_be_bytes([0, group[0], group[1], group[2]]);
+        for index in 0..4_usize {
+            if index > chunk.len() {
+                text.push('=');
+            } else {
+                let sextet = (bits >> (18 - 6 * index)) & 63;
+                text.push(char::from(ALPHABET[sextet as usize]));
+            }
+        }
+    }
+    text
+}
+
+#[derive(Debug, Deserialize)]
+struct MemberBody {
+    #[serde(rename = "Member")]
+    member: String,
+    #[serde(rename = "Topics", default)]
+    topics: Vec<String>,
+    #[serde(rename = "TtlMs", default)]
+    ttl_ms: u64,
+}
+
+async fn join(State(shared): State<Arc<Shared>>, Json(body): Json<MemberBody>) -> Json<Value> {
+    let mut state = shared.lock();
+    state.ttl = Duration::from_millis(body.ttl_ms);
+    let before: Vec<String> = state.members.keys().cloned().collect();
+    let ttl = state.ttl;
+    state.members.retain(|_, seen| seen.elapsed() < ttl);
+    state.members.insert(body.member.clone(), Instant::now());
+    if !state.members.keys().eq(before.iter()) {
+        state.generation += 1;
+    }
+    let count = u32::try_from(state.members.len()).unwrap_or(1);
+    let own = state
+        .members
+        .keys()
+        .position(|member| *member == body.member);
+    let own = u32::try_from(own.unwrap_or(0)).unwrap_or(0);
+    let topic = body.topics.first().cloned().unwrap_or_default();
+    let parts: Vec<Value> = (0..PARTITIONS)
+        .filter(|partition| partition % count == own)
+        .map(|partition| json!([topic, partition, 0]))
+        .collect();
+    Json(json!({"Generation": state.generation, "parts": parts}))
+}
+
+async fn leave(State(shared): State<Arc<Shared>>, Json(body): Json<MemberBody>) -> Json<Value> {
+    let mut state = shared.lock();
+    if state.members.remove(&body.member).is_some() {
+        state.generation += 1;
+    }
+    Json(json!({}))
+}
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod answers;
 mod backend;
 mod faulty_io;
+mod jobs;
 mod list_service;
 mod log_service;
 mod log_store;
@@ -22,6 +23,7 @@
 
 pub use answers::AnswerKind;
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
+pub use jobs::{JobStore, JobWorker, TaskRun};
 pub use list_service::{ListBehaviour, ListService};
 pub use log_service::{LogFault, LogService};
 pub use log_store::LogStore;
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -56,8 +56,6 @@
         level: LogLevel::Info,
         destination: String::from("stdout"),
     };
-    let _logging = Logging::start(&log_settings, &settings.name)?;
-    log::info!(zone:% = settings.zone, store:% = settings.store; "started");
     let caller = Caller::new(CONNECT_TIMEOUT);
     let store = Store::new(caller.clone(), settings.store, STORE_TIMEOUT);
     let grace = Duration::from_millis(settings.bounds.grace_ms);
@@ -70,6 +68,12 @@
     let ready = bind(node.settings.ready).await?;
     let internal = bind(node.settings.internal).await?;
     let metrics = bind(node.settings.metrics).await?;
+    println!(
+        "listening callers={} ready={} peers={} metrics={}",
+        node.settings.front, node.settings.ready, node.settings.internal, node.settings.metrics
+    );
+    let _logging = Logging::start(&log_settings, &node.settings.name)?;
+    log::info!(zone:% = node.settings.zone, store:% = node.settings.store; "started");
     let front = tokio::spawn(serve::serve(
         Audience::Callers,
         front,
