perf(jobs): accept on the workers that are coming, keep long-running tasks off the others

Change: short tasks use tied workers last, tied workers can be emptied too, 120% of the slack may be waited for, owners read the registry each 200 ms.

--- a/crates/cyclamentrail-jobs/src/admission.rs
+++ b/crates/cyclamentrail-jobs/src/admission.rs
@@ -5,7 +5,7 @@
 //! caller is told when there will be room.
 
 /// Part of a job's slack that waiting may use up, in percent; the rest covers wrong estimates.
-const USABLE_SLACK_PERCENT: u64 = 80;
+const USABLE_SLACK_PERCENT: u64 = 120;
 /// Earliest return of a rejected caller, in milliseconds.
 const MIN_RETRY_MS: u64 = 1_000;
 /// Latest return of a rejected caller, in milliseconds.
--- a/crates/cyclamentrail-jobs/src/fleet/moves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/moves.rs
@@ -110,7 +110,7 @@
         for machine in view.machines.iter().filter(|one| one.pool == *pool) {
             if self.is_free(now_ms, machine) {
                 has += 1;
-                if load_of(machine).is_some_and(|(long_running, _)| long_running == 0) {
+                if load_of(machine).is_some() {
                     donors.push(machine.clone());
                 }
             }
@@ -123,7 +123,7 @@
                 Purpose::Maintain(_) => leaving.pool == *pool,
             })
             .count();
-        // The last ones are taken first.
+        // The last ones are taken first: the idle, then those without long-running tasks.
         donors.sort_by_key(|machine| std::cmp::Reverse(load_of(machine)));
         Balance {
             pool: pool.clone(),
@@ -188,11 +188,5 @@
     let expected = present.max(soon).max(later);
     let short_milli = (expected + waiting_milli).max(running_milli);
     let milli = load.long_running_milli + short_milli * HEADROOM_PERCENT / 100;
-    let pinned = load
-        .workers
-        .iter()
-        .filter(|worker| worker.long_running > 0)
-        .count();
-    let needs = usize::try_from(milli.div_ceil(1_000)).unwrap_or(usize::MAX);
-    needs.max(pinned)
+    usize::try_from(milli.div_ceil(1_000)).unwrap_or(usize::MAX)
 }
--- a/crates/cyclamentrail-jobs/src/placing.rs
+++ b/crates/cyclamentrail-jobs/src/placing.rs
@@ -13,8 +13,12 @@
 
 /// A whole worker, in thousandths.
 const WHOLE_WORKER: u64 = 1_000;
-/// What counts against a worker that isn't preferred, in thousandths of a whole worker.
-const OTHER_PENALTY: u64 = 4_000;
+/// What counts against tying another worker with a long-running task, in thousandths of a whole
+/// worker.
+const UNTIED_PENALTY: u64 = 4_000;
+/// What counts against filling a worker with long-running tasks, whose room is kept for those
+/// that start again, in thousandths of a whole worker.
+const TIED_PENALTY: u64 = 1_200;
 /// What counts against a worker off the wanted rack, in thousandths of a whole worker.
 const REMOTE_PENALTY: u64 = 2_000;
 /// What counts against a worker for each failure in a row, in thousandths of a whole worker.
@@ -29,8 +33,10 @@
     pub requires: Option<&'a LabelName>,
     /// Rack that it had better be on.
     pub rack: Option<&'a RackName>,
-    /// Workers that it had better be on, if that matters.
-    pub preferred: Option<&'a BTreeSet<WorkerKey>>,
+    /// Whether the task runs until its job is cancelled.
+    pub is_long_running: bool,
+    /// Workers with long-running tasks, if that matters.
+    pub tied: Option<&'a BTreeSet<WorkerKey>>,
 }
 
 impl<'a> From<&'a StepSpec> for Wish<'a> {
@@ -39,7 +45,8 @@
             demand: step.counted(),
             requires: step.requires.as_ref(),
             rack: step.affinity.as_ref(),
-            preferred: None,
+            is_long_running: step.long_running,
+            tied: None,
         }
     }
 }
@@ -60,8 +67,10 @@
         let capacity = &worker.registration.capacity;
         let load = worker.used.plus(&self.demand).dominant_milli(capacity);
         let empty = WHOLE_WORKER.saturating_sub(load);
-        let other = match self.preferred {
-            Some(preferred) if !preferred.contains(&key) => OTHER_PENALTY,
+        let is_tied = self.tied.is_some_and(|tied| tied.contains(&key));
+        let other = match (self.is_long_running, is_tied) {
+            (true, false) if self.tied.is_some() => UNTIED_PENALTY,
+            (false, true) => TIED_PENALTY,
             _ => 0,
         };
         let remote = match self.rack {
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -1,6 +1,6 @@
 //! Placing the tasks whose turn has come.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cyclamentrail_core::RackName;
 
@@ -47,12 +47,13 @@
         let mut waiting = self.waiting_jobs(now);
         waiting.sort_unstable();
         let mut misses: Vec<Resources> = Vec::new();
+        let mut tied = self.workers_with_long_running();
         for (_, key) in waiting {
             for ready in self.ready_steps(key) {
                 if misses.len() >= MAX_MISSES {
                     return;
                 }
-                self.place_step(now, ready, &mut misses);
+                self.place_step(now, ready, &mut misses, &mut tied);
             }
         }
     }
@@ -117,7 +118,13 @@
         ready
     }
 
-    fn place_step(&mut self, now: Now, ready: ReadyStep, misses: &mut Vec<Resources>) {
+    fn place_step(
+        &mut self,
+        now: Now,
+        ready: ReadyStep,
+        misses: &mut Vec<Resources>,
+        tied: &mut BTreeSet<WorkerKey>,
+    ) {
         let Some(spec) = self.step_of(ready.task(0)).cloned() else {
             return;
         };
@@ -127,7 +134,6 @@
         }
         let rack = self.rack_of(ready, &spec);
         let mut per_worker = self.tasks_per_worker(ready.task(0));
-        let mut preferred;
         for index in 0..spec.count {
             let key = ready.task(index);
             if !self.is_waiting(key) {
@@ -136,9 +142,9 @@
             let mut wish = Wish::from(&spec);
             wish.rack = rack.as_ref();
             if spec.long_running {
-                preferred = self.workers_with_long_running();
-                wish.preferred = Some(&preferred);
+                *tied = self.workers_with_long_running();
             }
+            wish.tied = Some(tied);
             if misses.contains(&wish.demand) && wish.requires.is_none() {
                 return;
             }
--- a/crates/cyclamentrail/src/edge/node.rs
+++ b/crates/cyclamentrail/src/edge/node.rs
@@ -99,6 +99,11 @@
         self.lock_owned().get(shard.as_str()).cloned()
     }
 
+    /// Returns whether this process owns a shard.
+    pub(crate) fn owns_any(&self) -> bool {
+        !self.lock_owned().is_empty()
+    }
+
     /// Takes in that this process owns a shard.
     pub(crate) fn insert_owned(&self, shard: &str, sender: mpsc::UnboundedSender<OwnerMessage>) {
         self.lock_owned().insert(shard.to_owned(), sender);
--- a/crates/cyclamentrail/src/edge/registry.rs
+++ b/crates/cyclamentrail/src/edge/registry.rs
@@ -11,8 +11,11 @@
 
 /// The workers' topic.
 const TOPIC: &str = "servers";
-/// Time between two reads; many workers write at once, so each read takes in several.
-const INTERVAL: Duration = Duration::from_millis(400);
+/// Time between two reads of a process that owns a shard; many workers write at once, so each
+/// read takes in several.
+const INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two reads of a process that owns nothing.
+const IDLE_INTERVAL: Duration = Duration::from_millis(800);
 
 /// Follows the registry for as long as the process runs.
 pub(crate) async fn follow(node: Arc<Node>) {
@@ -28,7 +31,8 @@
             Err(StoreError::Expired { .. }) => next = None,
             Err(error) => log::debug!(topic = topic.as_str(), error:% = error; "topic_not_read"),
         }
-        tokio::time::sleep(INTERVAL).await;
+        let owns = node.owns_any();
+        tokio::time::sleep(if owns { INTERVAL } else { IDLE_INTERVAL }).await;
     }
 }
 
