perf(fleet): replace machines in maintenance, keep a wave's age over a hand-over

Change: a machine in maintenance doesn't count for its pool, so that another one takes its place; a wave is to be done in 60% of its time; its age is on record. 200% of the slack may be waited for.

--- a/crates/cyclamentrail-jobs/src/admission.rs
+++ b/crates/cyclamentrail-jobs/src/admission.rs
@@ -4,8 +4,9 @@
 //! job that would be late is rejected at once, so that those before it are on time, and its
 //! caller is told when there will be room.
 
-/// Part of a job's slack that waiting may use up, in percent; the rest covers wrong estimates.
-const USABLE_SLACK_PERCENT: u64 = 120;
+/// Part of a job's slack that waiting for the present workers may use up, in percent; more than
+/// all of it, because a pool whose queue grows gets further workers meanwhile.
+const USABLE_SLACK_PERCENT: u64 = 200;
 /// Earliest return of a rejected caller, in milliseconds.
 const MIN_RETRY_MS: u64 = 1_000;
 /// Latest return of a rejected caller, in milliseconds.
--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -169,12 +169,15 @@
         }
     }
 
-    /// Takes in that machines had their maintenance in a wave.
+    /// Takes in that machines had their maintenance in a wave, which was first seen at a moment
+    /// of our clock in milliseconds.
     pub fn restore_maintained(
         &mut self,
         wave: u64,
+        seen_ms: u64,
         machines: impl IntoIterator<Item = InstanceName>,
     ) {
+        self.seen_ms.insert(wave, seen_ms);
         self.maintained.entry(wave).or_default().extend(machines);
     }
 
@@ -198,6 +201,12 @@
             .unwrap_or_default()
     }
 
+    /// Returns when a wave was first seen, on our clock in milliseconds.
+    #[must_use]
+    pub fn seen_ms(&self, wave: u64) -> Option<u64> {
+        self.seen_ms.get(&wave).copied()
+    }
+
     /// Decides what to take from which pool next.
     pub fn plan(&mut self, now_ms: u64, view: &FleetView) {
         self.forget_finished(now_ms, view);
--- a/crates/cyclamentrail-jobs/src/fleet/moves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/moves.rs
@@ -115,13 +115,11 @@
                 }
             }
         }
+        // A machine that has its maintenance doesn't count, so that another one takes its place.
         has += self
             .leaving
             .values()
-            .filter(|leaving| match &leaving.purpose {
-                Purpose::Move(target) => target == pool,
-                Purpose::Maintain(_) => leaving.pool == *pool,
-            })
+            .filter(|leaving| leaving.purpose == Purpose::Move(pool.clone()))
             .count();
         // The last ones are taken first: the idle, then those without long-running tasks.
         donors.sort_by_key(|machine| std::cmp::Reverse(load_of(machine)));
--- a/crates/cyclamentrail-jobs/src/fleet/waves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/waves.rs
@@ -7,7 +7,7 @@
 use super::{FleetPlanner, FleetView, MachineView, Purpose};
 
 /// Part of a wave's time after which it is to be done, in percent.
-const FINISH_PERCENT: u64 = 70;
+const FINISH_PERCENT: u64 = 60;
 /// Part of a pool that is away at once while the wave is on time, as a divisor.
 const POOL_PART: usize = 3;
 /// Part of a pool that is away at once while the wave is late, as a divisor.
--- a/crates/cyclamentrail-jobs/tests/duties.rs
+++ b/crates/cyclamentrail-jobs/tests/duties.rs
@@ -118,7 +118,7 @@
     let mut planner = FleetPlanner::new(TIMING);
     let mut view = view(&[("a", 3)]);
     view.waves = vec![wave(&["a0", "a1"], 2)];
-    planner.restore_maintained(1, [InstanceName::from("a0"), InstanceName::from("a1")]);
+    planner.restore_maintained(1, 0, [InstanceName::from("a0"), InstanceName::from("a1")]);
     planner.plan(0, &view);
     assert!(planner.take_orders(0, &view).is_empty());
     assert!(planner.is_complete(&view.waves[0], &view));
--- a/crates/cyclamentrail/src/edge/machines.rs
+++ b/crates/cyclamentrail/src/edge/machines.rs
@@ -13,10 +13,11 @@
     FleetPlanner, FleetTiming, FleetView, KeyedRecord, MachineOutcome, MachineTask, MachineView,
     PoolLoad, Purpose, WaveOrder, decode, encode,
 };
+use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::boot_clock::boot_ms;
+use super::boot_clock::{boot_ms, unix_ms};
 use super::commits::{CommitLog, Confirmation};
 use super::internal::ask_here;
 use super::messages::{Ask, FLEET_SHARD, Question, Reply};
@@ -41,6 +42,17 @@
 /// Pause before a failed write is tried again.
 const RETRY: Duration = Duration::from_millis(150);
 
+/// How far a wave has come.
+#[derive(Debug, Serialize, Deserialize)]
+struct WaveRecord {
+    /// Time since it was first seen, in milliseconds.
+    age_ms: u64,
+    /// Unix time of this record in milliseconds.
+    written_ms: u64,
+    /// Machines that had their maintenance.
+    machines: Vec<InstanceName>,
+}
+
 /// Holds the duties until they are given up or lost.
 pub(crate) async fn run(
     node: Arc<Node>,
@@ -276,7 +288,14 @@
             .into_iter()
             .map(|wave| KeyedRecord {
                 key: format!("{WAVE_PREFIX}{wave}"),
-                value: encode(&self.planner.maintained(wave)),
+                value: encode(&WaveRecord {
+                    age_ms: self
+                        .planner
+                        .seen_ms(wave)
+                        .map_or(0, |seen_ms| boot_ms().saturating_sub(seen_ms)),
+                    written_ms: unix_ms(),
+                    machines: self.planner.maintained(wave),
+                }),
             })
             .collect();
         if !self.has_kept_sizes && !self.planner.sizes().is_empty() {
@@ -351,8 +370,12 @@
         let Some(number) = number else {
             continue;
         };
-        match decode::<Vec<InstanceName>>(&record.value) {
-            Ok(machines) => planner.restore_maintained(number, machines),
+        match decode::<WaveRecord>(&record.value) {
+            Ok(wave) => {
+                let age_ms = wave.age_ms + unix_ms().saturating_sub(wave.written_ms);
+                let seen_ms = boot_ms().saturating_sub(age_ms);
+                planner.restore_maintained(number, seen_ms, wave.machines);
+            }
             Err(error) => log::warn!(key = record.key, error:% = error; "record_unreadable"),
         }
     }
