--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -20,6 +20,7 @@
 mod registry;
 mod reports;
 mod snapshot;
+mod stalls;
 mod submit;
 mod waiting;
 
@@ -100,6 +101,8 @@
     gated: Vec<Effect>,
     ready: Vec<Effect>,
     resends: Vec<Resend>,
+    /// When runs that stand still were last looked for, on our clock in milliseconds.
+    stalls_seen_ms: u64,
     /// When waiting tasks were last told of, on our clock in milliseconds.
     waiting_told_ms: u64,
     estimates: HashMap<RouteName, Estimate>,
@@ -186,6 +189,7 @@
         self.begin_occurrences(now);
         self.release_lapsed(now);
         self.send_again(now);
+        self.stop_stalled(now);
         self.evacuate_tasks(now);
         self.place_tasks(now);
         self.tell_waiting(now);
--- a/crates/cyclamentrail-jobs/src/shard/evacuation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/evacuation.rs
@@ -8,7 +8,7 @@
 use crate::fleet::{PoolLoad, WorkerLoad};
 use crate::job::{Phase, Task, TaskKey};
 use crate::placing::{Wish, choose};
-use crate::worker::WorkerKey;
+use crate::worker::{Contact, WorkerKey};
 use crate::{JobSpec, StepSpec};
 
 /// Time over which arriving work is counted, in milliseconds.
@@ -142,12 +142,25 @@
         };
         let away = (0_u32..)
             .zip(&others.tasks)
-            .filter(|(index, task)| *index != key.index && !is_at_work(task))
+            .filter(|(index, task)| *index != key.index && !self.is_at_work(task))
             .count();
         let may_miss = step.may_miss.unwrap_or(1).max(1);
         away < may_miss as usize
     }
 
+    /// Returns whether a long-running task is surely at work: its worker answers and says so.
+    fn is_at_work(&self, task: &Task) -> bool {
+        task.placement.is_some_and(|placement| {
+            let answers = self
+                .workers
+                .get(placement.worker)
+                .is_some_and(|worker| worker.contact == Contact::Good);
+            answers
+                && matches!(placement.phase, Phase::Running { .. })
+                && placement.percent >= AT_WORK_PERCENT
+        })
+    }
+
     fn has_room_elsewhere(&self, now: Now, key: TaskKey, step: &StepSpec) -> bool {
         let counts = self.tasks_per_worker(key);
         let open = self.workers.iter().filter(|(other, worker)| {
@@ -167,9 +180,3 @@
             .collect()
     }
 }
-
-fn is_at_work(task: &Task) -> bool {
-    task.placement.is_some_and(|placement| {
-        matches!(placement.phase, Phase::Running { .. }) && placement.percent >= AT_WORK_PERCENT
-    })
-}
--- a/crates/cyclamentrail-jobs/tests/scheduler/silence.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/silence.rs
@@ -130,3 +130,39 @@
     world.run_for(1_000);
     assert_eq!(world.state("a"), Some(JobState::Completed));
 }
+
+#[test]
+fn hanging_goes_elsewhere() {
+    let mut world = World::new(2, WORKER);
+    world.worker("w0").hangs = true;
+    world.submit("a", job(8, 8_000, 500));
+    world.run_for(7_000);
+    assert_eq!(world.state("a"), Some(JobState::Completed));
+}
+
+/// A long-running task was moved for a duty while others of its step were on silent workers.
+#[test]
+fn silent_counts_as_away() {
+    let mut world = World::new(5, WORKER);
+    let mut spec = long_running(3);
+    spec.steps[0].may_miss = Some(1);
+    world.submit("a", spec);
+    world.run_for(500);
+    let busy: Vec<&str> = ["w0", "w1", "w2", "w3", "w4"]
+        .into_iter()
+        .filter(|id| world.running_on(id) == 1)
+        .collect();
+    world.worker(busy[0]).is_reachable = false;
+    world.run_for(2_500);
+    let now = world.now();
+    world.shard.set_evacuating(now, &busy[1].into(), true);
+    world.run_for(1_000);
+    assert_eq!(
+        world.running_on(busy[1]),
+        1,
+        "one is away already, and one may be"
+    );
+    world.run_for(8_000);
+    assert_eq!(world.running_on(busy[1]), 0, "the others are back");
+    assert_eq!(world.running(), 3);
+}
--- a/crates/cyclamentrail-jobs/tests/scheduler/takeover.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/takeover.rs
@@ -131,17 +131,14 @@
 /// An end that the earlier owner had counted and not acknowledged was counted again.
 #[test]
 fn failures_count_once() {
-    let mut world = World::new(2, WORKER);
-    world.submit_hopeless("a", job(1, 1_000, 300));
-    for _ in 0..2 {
-        world.run_for(325);
+    for after_ms in (300..500).step_by(5) {
+        let mut world = World::new(2, WORKER);
+        world.submit_hopeless("a", job(1, 1_000, 300));
+        world.run_for(after_ms);
         world.take_over(0);
+        world.run_for(5_000);
+        assert_eq!(world.state("a"), Some(JobState::Failed));
+        let starts = world.starts[&JobId::from("a")];
+        assert_eq!(starts, 3, "taken over after {after_ms} ms");
     }
-    world.run_for(5_000);
-    assert_eq!(world.state("a"), Some(JobState::Failed));
-    assert_eq!(
-        world.starts[&JobId::from("a")],
-        3,
-        "as often as the route allows"
-    );
 }
--- a/crates/cyclamentrail/tests/pages_proof.rs
+++ b/crates/cyclamentrail/tests/pages_proof.rs
@@ -30,9 +30,18 @@
 fn test_sources(name: &str) -> Result<String> {
     let mut sources = String::new();
     for entry in fs::read_dir(root().join("crates"))? {
-        let file = entry?.path().join("tests").join(format!("{name}.rs"));
-        if file.is_file() {
-            sources.push_str(&fs::read_to_string(file)?);
+        let tests = entry?.path().join("tests");
+        let mut folders = vec![tests.clone()];
+        if tests.is_dir() {
+            for entry in fs::read_dir(&tests)? {
+                folders.push(entry?.path());
+            }
+        }
+        for folder in folders {
+            let file = folder.join(format!("{name}.rs"));
+            if file.is_file() {
+                sources.push_str(&fs::read_to_string(file)?);
+            }
         }
     }
     Ok(sources)
