--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -44,7 +44,7 @@
 /// Part of the grace period after which no new requests are taken, as a divisor.
 const LINGER_PART: u32 = 2;
 /// Part of the grace period at whose end the process is gone, in percent.
-const END_PERCENT: u64 = 90;
+const END_PERCENT: u64 = 80;
 
 /// Runs the process until it is told to stop.
 ///
@@ -116,10 +116,10 @@
     wait_for_stop(&node).await?;
     log::info!("stopping");
     node.stop();
-    let end = tokio::time::Instant::now()
-        + Duration::from_millis(node.settings.bounds.grace_ms * END_PERCENT / 100);
+    let now = tokio::time::Instant::now();
+    let end = now + Duration::from_millis(node.settings.bounds.grace_ms * END_PERCENT / 100);
     node.leave().await;
-    tokio::time::sleep(grace / LINGER_PART).await;
+    tokio::time::sleep_until(now + grace / LINGER_PART).await;
     front_stop.send_replace(true);
     drop(tokio::time::timeout_at(end, front).await);
     all_stop.send_replace(true);
