refactor(edge): one follower of topics, owner split into questions and effects

Change: Topic reads the newest records and then on; CommitLog is made from what was taken over; one way to a placement that is changed. Behaviour stays.

--- a/crates/cyclamentrail-jobs/src/shard/orders.rs
+++ b/crates/cyclamentrail-jobs/src/shard/orders.rs
@@ -189,12 +189,7 @@
         let running = Phase::Running {
             since_ms: now.boot_ms,
         };
-        let placement = self
-            .jobs
-            .get_mut(key.job)
-            .and_then(|job| job.task_mut(key))
-            .and_then(|task| task.placement.as_mut());
-        if let Some(placement) = placement
+        if let Some(placement) = self.placement_mut(key)
             && matches!(placement.phase, Phase::Sent)
         {
             placement.phase = running;
@@ -214,27 +209,22 @@
 
     /// Takes note that an order to start a run may be carried out later.
     fn mark_ambiguous(&mut self, key: TaskKey) {
-        let placement = self
-            .jobs
-            .get_mut(key.job)
-            .and_then(|job| job.task_mut(key))
-            .and_then(|task| task.placement.as_mut());
-        if let Some(placement) = placement {
+        if let Some(placement) = self.placement_mut(key) {
             placement.is_ambiguous = true;
         }
     }
 
     fn set_phase(&mut self, key: TaskKey, phase: Phase) {
-        let placement = self
-            .jobs
-            .get_mut(key.job)
-            .and_then(|job| job.task_mut(key))
-            .and_then(|task| task.placement.as_mut());
-        if let Some(placement) = placement {
+        if let Some(placement) = self.placement_mut(key) {
             placement.phase = phase;
         }
     }
 
+    fn placement_mut(&mut self, key: TaskKey) -> Option<&mut Placement> {
+        let task = self.jobs.get_mut(key.job)?.task_mut(key)?;
+        task.placement.as_mut()
+    }
+
     fn placement(&self, key: TaskKey, run: u32) -> Option<Placement> {
         self.jobs
             .get(key.job)?
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -34,6 +34,7 @@
 mod peers;
 mod registry;
 mod takeover;
+mod topic;
 
 use node::Node;
 
--- a/crates/cyclamentrail/src/edge/commits.rs
+++ b/crates/cyclamentrail/src/edge/commits.rs
@@ -8,6 +8,8 @@
 use cyclamentrail_jobs::KeyedRecord;
 
 use super::boot_clock::boot_ms;
+use super::node::Node;
+use super::takeover::{FIRST_SEQUENCE, Taken};
 
 /// First pause after a failed append.
 const MIN_RETRY: Duration = Duration::from_millis(30);
@@ -57,20 +59,14 @@
 }
 
 impl CommitLog {
-    /// Creates the log of an owner whose next append has a sequence number.
-    pub(crate) fn new(
-        store: Store,
-        topic: &str,
-        writer: Writer,
-        max_bytes: usize,
-        confirmation: Confirmation,
-    ) -> Self {
+    /// Creates the log of an owner that has taken over.
+    pub(crate) fn new(node: &Node, taken: &Taken, confirmation: Confirmation) -> Self {
         Self {
-            store,
-            topic: Arc::from(topic),
-            epoch: writer.epoch,
-            sequence: writer.sequence,
-            max_bytes,
+            store: node.store.clone(),
+            topic: Arc::from(taken.topic.as_str()),
+            epoch: taken.token,
+            sequence: FIRST_SEQUENCE,
+            max_bytes: node.settings.max_append_bytes,
             confirmation,
         }
     }
--- a/crates/cyclamentrail/src/edge/machines.rs
+++ b/crates/cyclamentrail/src/edge/machines.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use cyclamentrail_adapter::{
-    Append, Cloud, MachineOrder, MachineRow, MachineState, WAVE_PREFIX, Writer, keyed_topic,
-    wave_status,
+    Append, Cloud, MachineOrder, MachineRow, MachineState, WAVE_PREFIX, keyed_topic, wave_status,
 };
 use cyclamentrail_core::{InstanceName, ServiceName};
 use cyclamentrail_jobs::{
@@ -23,7 +22,7 @@
 use super::messages::{Ask, FLEET_SHARD, Question, Reply};
 use super::node::Node;
 use super::owner::OwnerMessage;
-use super::takeover::{FIRST_SEQUENCE, Taken};
+use super::takeover::Taken;
 
 /// Time between two rounds.
 const INTERVAL: Duration = Duration::from_millis(200);
@@ -108,17 +107,7 @@
 impl MachineDuty {
     fn new(node: Arc<Node>, cloud: Cloud, taken: &Taken) -> Self {
         let confirmation = Confirmation::new(taken.confirmed_ms, HOLDING_MS);
-        let writer = Writer {
-            epoch: taken.token,
-            sequence: FIRST_SEQUENCE,
-        };
-        let log = CommitLog::new(
-            node.store.clone(),
-            &taken.topic,
-            writer,
-            node.settings.max_append_bytes,
-            confirmation.clone(),
-        );
+        let log = CommitLog::new(&node, taken, confirmation.clone());
         let mut planner = FleetPlanner::new(FleetTiming {
             maintenance_ms: node.settings.bounds.maintenance_ms,
         });
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamentrail_adapter::{StoreError, WorkerCalls, Writer};
+use cyclamentrail_adapter::{StoreError, WorkerCalls};
 use cyclamentrail_core::{ServiceName, WorkerId};
 use cyclamentrail_jobs::{
-    Answer, CallerTicket, Commit, Effect, KeyedRecord, LookOutcome, OrderOutcome, RELEASE_KEY,
-    RejectReason, ReleaseRecord, Shard, ShardTiming, Submission, TaskKey, WorkerKey, encode,
+    CallerTicket, Commit, Effect, KeyedRecord, LookOutcome, OrderOutcome, RELEASE_KEY,
+    ReleaseRecord, Shard, ShardTiming, TaskKey, WorkerKey, encode,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
@@ -19,7 +19,10 @@
 use super::lanes::Lanes;
 use super::messages::{FLEET_SHARD, Question, Reply};
 use super::node::{Node, Orders, Owner as Claimed, Workers};
-use super::takeover::{FIRST_SEQUENCE, Taken, take_over};
+use super::takeover::{Taken, take_over};
+
+mod effects;
+mod questions;
 
 /// Time limit of a call to a worker, beside what it may wait for.
 const WORKER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -33,13 +36,6 @@
 const OWNERSHIP_MS: u64 = 5_000;
 /// Age of the last confirmation at which an idle owner asks for another, in milliseconds.
 const CONFIRM_MS: u64 = 1_500;
-/// Age of the last confirmation up to which a job is said to be unknown, in milliseconds.
-const MAX_UNKNOWN_AGE_MS: u64 = 2_000;
-/// Age of a commit at which new jobs are rejected, because the store doesn't answer.
-const STUCK_COMMIT: Duration = Duration::from_millis(700);
-/// Time for which workers are kept empty after they were last asked for; longer than the holder
-/// of the duties takes between its last question and its last order.
-const EVACUATION_LEASE: Duration = Duration::from_secs(6);
 /// Longest time for which an owner that gives up makes durable what it knows.
 const FINISH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Part of the longest lease that is granted, in percent.
@@ -48,8 +44,6 @@
 const LOOK_WAIT_PART: u64 = 4;
 /// Time in milliseconds for which a state is kept beyond what is asked for.
 const KEEP_EXTRA_MS: u64 = 10_000;
-/// When a caller may come back to an owner that can't store anything, in milliseconds.
-const STUCK_RETRY_MS: u64 = 1_000;
 
 /// What an owner is told.
 #[derive(Debug)]
@@ -142,17 +136,7 @@
             ..ShardTiming::default()
         };
         let confirmation = Confirmation::new(taken.confirmed_ms, OWNERSHIP_MS);
-        let writer = Writer {
-            epoch: taken.token,
-            sequence: FIRST_SEQUENCE,
-        };
-        let log = CommitLog::new(
-            node.store.clone(),
-            &taken.topic,
-            writer,
-            node.settings.max_append_bytes,
-            confirmation.clone(),
-        );
+        let log = CommitLog::new(node, &taken, confirmation.clone());
         Self {
             calls: WorkerCalls::new(node.caller.clone(), taken.token, WORKER_TIMEOUT),
             service: ServiceName::from(shard),
@@ -345,80 +329,6 @@
         }
     }
 
-    fn take_question(&mut self, question: Question, reply: oneshot::Sender<Reply>) {
-        if !self.confirmation.is_valid() {
-            drop(reply.send(Reply::NotOwner));
-            return;
-        }
-        let caller = CallerTicket(self.next_caller);
-        self.next_caller += 1;
-        match question {
-            Question::Submit { id, route, spec } => {
-                if self.is_stuck() && self.shard.job(&id).is_none() {
-                    drop(reply.send(stuck()));
-                    return;
-                }
-                self.callers.insert(caller, reply);
-                let submission = Submission {
-                    caller,
-                    id,
-                    route,
-                    spec,
-                };
-                self.shard.submit(now(), submission);
-            }
-            // Another process may have taken over and accepted the job since.
-            Question::State(id) | Question::Cancel(id)
-                if self.shard.job(&id).is_none()
-                    && self.confirmation.age_ms() > MAX_UNKNOWN_AGE_MS =>
-            {
-                drop(reply.send(Reply::NotOwner));
-            }
-            Question::State(id) => {
-                self.callers.insert(caller, reply);
-                self.shard.tell_state(caller, &id);
-            }
-            Question::Cancel(id) => {
-                self.callers.insert(caller, reply);
-                self.shard.cancel(caller, &id);
-            }
-            Question::Pending(route) => {
-                self.callers.insert(caller, reply);
-                self.shard.tell_pending(caller, &route);
-            }
-            Question::Release => drop(reply.send(Reply::NotOwner)),
-            Question::Evacuate(workers) => drop(reply.send(self.evacuate(workers))),
-        }
-        self.carry_out_ready();
-    }
-
-    fn is_stuck(&self) -> bool {
-        self.log.is_none() && self.committing_since.elapsed() > STUCK_COMMIT
-    }
-
-    /// Keeps exactly these workers empty, and replies with the load of the pool.
-    fn evacuate(&mut self, workers: Vec<WorkerId>) -> Reply {
-        let now = now();
-        for worker in self.evacuating.iter().filter(|old| !workers.contains(old)) {
-            self.shard.set_evacuating(now, worker, false);
-        }
-        for worker in &workers {
-            self.shard.set_evacuating(now, worker, true);
-        }
-        self.evacuating = workers;
-        self.evacuating_since = Instant::now();
-        Reply::Load(self.shard.load(now).into())
-    }
-
-    /// Uses workers again whose evacuation nobody has asked for lately.
-    fn end_old_evacuations(&mut self) {
-        if !self.evacuating.is_empty() && self.evacuating_since.elapsed() > EVACUATION_LEASE {
-            for worker in std::mem::take(&mut self.evacuating) {
-                self.shard.set_evacuating(now(), &worker, false);
-            }
-        }
-    }
-
     fn take_orders(&mut self, orders: &Orders) {
         if let Some(configuration) = &orders.configuration {
             let terms = configuration
@@ -457,93 +367,4 @@
         }
         self.known = Arc::clone(workers);
     }
-
-    fn carry_out_ready(&mut self) {
-        let effects = self.shard.take_ready();
-        self.carry_out(effects);
-    }
-
-    fn carry_out(&mut self, effects: Vec<Effect>) {
-        let mut touched = Vec::new();
-        for effect in effects {
-            match effect {
-                Effect::Answer(caller, answer) => self.answer(caller, answer),
-                Effect::Start(task) => {
-                    if let Some(worker) = self.shard.worker_of(task) {
-                        self.lanes.push(worker, task);
-                        touched.push(worker);
-                    }
-                }
-                Effect::Stop(order) => {
-                    let (sender, calls) = (self.sender.clone(), self.calls.clone());
-                    let confirmation = self.confirmation.clone();
-                    tokio::spawn(async move {
-                        let outcome = if confirmation.is_valid() {
-                            calls.stop(&order).await
-                        } else {
-                            OrderOutcome::NotSent
-                        };
-                        drop(sender.send(OwnerMessage::Stopped(order.task, order.run, outcome)));
-                    });
-                }
-                Effect::Look(look) => {
-                    let (sender, calls) = (self.sender.clone(), self.calls.clone());
-                    let confirmation = self.confirmation.clone();
-                    tokio::spawn(async move {
-                        let outcome = if confirmation.is_valid() {
-                            calls.look(&look).await
-                        } else {
-                            LookOutcome::NotSent
-                        };
-                        drop(sender.send(OwnerMessage::Looked(
-                            look.target.key,
-                            look.seen,
-                            outcome,
-                        )));
-                    });
-                }
-                Effect::Note(note) => self.journal.note(&note),
-            }
-        }
-        touched.sort_unstable();
-        touched.dedup();
-        for worker in touched {
-            self.send_starts(worker);
-        }
-    }
-
-    /// Sends the next starts of a worker.
-    fn send_starts(&mut self, worker: WorkerKey) {
-        while let Some(task) = self.lanes.pop(worker) {
-            if !self.confirmation.is_valid() {
-                self.lanes.finish(worker);
-                self.lanes.push(worker, task);
-                return;
-            }
-            let Some(order) = self.shard.start_order(now(), task) else {
-                self.lanes.finish(worker);
-                continue;
-            };
-            let (sender, calls) = (self.sender.clone(), self.calls.clone());
-            tokio::spawn(async move {
-                let outcome = calls.start(&order).await;
-                let message = OwnerMessage::Started(worker, order.task, order.run, outcome);
-                drop(sender.send(message));
-            });
-        }
-    }
-
-    fn answer(&mut self, caller: CallerTicket, answer: Answer) {
-        if let Some(reply) = self.callers.remove(&caller) {
-            drop(reply.send(Reply::from(answer)));
-        }
-    }
-}
-
-/// Returns the reply to a job that can't be stored now.
-fn stuck() -> Reply {
-    Reply::from(Answer::Rejected {
-        retry_after_ms: STUCK_RETRY_MS,
-        reason: RejectReason::NotReady,
-    })
 }
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/owner/questions.rs
@@ -0,0 +1,106 @@
+//! Questions to an owner, from callers and from the holder of the duties over machines.
+
+use std::time::Duration;
+
+use cyclamentrail_core::WorkerId;
+use cyclamentrail_jobs::{Answer, CallerTicket, RejectReason, Submission};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::Owner;
+use crate::edge::boot_clock::now;
+use crate::edge::messages::{Question, Reply};
+
+/// Age of the last confirmation up to which a job is said to be unknown, in milliseconds.
+const MAX_UNKNOWN_AGE_MS: u64 = 2_000;
+/// Age of a commit at which new jobs are rejected, because the store doesn't answer.
+const STUCK_COMMIT: Duration = Duration::from_millis(700);
+/// Time for which workers are kept empty after they were last asked for; longer than the holder
+/// of the duties takes between its last question and its last order.
+const EVACUATION_LEASE: Duration = Duration::from_secs(6);
+/// When a caller may come back to an owner that can't store anything, in milliseconds.
+const STUCK_RETRY_MS: u64 = 1_000;
+
+impl Owner {
+    pub(super) fn take_question(&mut self, question: Question, reply: oneshot::Sender<Reply>) {
+        if !self.confirmation.is_valid() {
+            drop(reply.send(Reply::NotOwner));
+            return;
+        }
+        let caller = CallerTicket(self.next_caller);
+        self.next_caller += 1;
+        match question {
+            Question::Submit { id, route, spec } => {
+                if self.is_stuck() && self.shard.job(&id).is_none() {
+                    drop(reply.send(stuck()));
+                    return;
+                }
+                self.callers.insert(caller, reply);
+                let submission = Submission {
+                    caller,
+                    id,
+                    route,
+                    spec,
+                };
+                self.shard.submit(now(), submission);
+            }
+            // Another process may have taken over and accepted the job since.
+            Question::State(id) | Question::Cancel(id)
+                if self.shard.job(&id).is_none()
+                    && self.confirmation.age_ms() > MAX_UNKNOWN_AGE_MS =>
+            {
+                drop(reply.send(Reply::NotOwner));
+            }
+            Question::State(id) => {
+                self.callers.insert(caller, reply);
+                self.shard.tell_state(caller, &id);
+            }
+            Question::Cancel(id) => {
+                self.callers.insert(caller, reply);
+                self.shard.cancel(caller, &id);
+            }
+            Question::Pending(route) => {
+                self.callers.insert(caller, reply);
+                self.shard.tell_pending(caller, &route);
+            }
+            Question::Release => drop(reply.send(Reply::NotOwner)),
+            Question::Evacuate(workers) => drop(reply.send(self.evacuate(workers))),
+        }
+        self.carry_out_ready();
+    }
+
+    fn is_stuck(&self) -> bool {
+        self.log.is_none() && self.committing_since.elapsed() > STUCK_COMMIT
+    }
+
+    /// Keeps exactly these workers empty, and replies with the load of the pool.
+    fn evacuate(&mut self, workers: Vec<WorkerId>) -> Reply {
+        let now = now();
+        for worker in self.evacuating.iter().filter(|old| !workers.contains(old)) {
+            self.shard.set_evacuating(now, worker, false);
+        }
+        for worker in &workers {
+            self.shard.set_evacuating(now, worker, true);
+        }
+        self.evacuating = workers;
+        self.evacuating_since = Instant::now();
+        Reply::Load(self.shard.load(now).into())
+    }
+
+    /// Uses workers again whose evacuation nobody has asked for lately.
+    pub(super) fn end_old_evacuations(&mut self) {
+        if !self.evacuating.is_empty() && self.evacuating_since.elapsed() > EVACUATION_LEASE {
+            for worker in std::mem::take(&mut self.evacuating) {
+                self.shard.set_evacuating(now(), &worker, false);
+            }
+        }
+    }
+}
+
+/// Returns the reply to a job that can't be stored now.
+fn stuck() -> Reply {
+    Reply::from(Answer::Rejected {
+        retry_after_ms: STUCK_RETRY_MS,
+        reason: RejectReason::NotReady,
+    })
+}
--- a/crates/cyclamentrail/src/edge/owners.rs
+++ b/crates/cyclamentrail/src/edge/owners.rs
@@ -7,31 +7,18 @@
 use cyclamentrail_adapter::{Append, KeyedRow, StoreError, keyed_topic};
 
 use super::node::{Claim, Node, Owner};
+use super::topic::{Read, Topic};
 
 /// Topic of the claims.
 const TOPIC: &str = "owners";
 /// How long one read waits for something new.
 const WAIT: Duration = Duration::from_secs(3);
-/// Time after which the store is asked again when it gave no answer.
-const RETRY: Duration = Duration::from_millis(150);
-
 /// Follows the claims for as long as the process runs.
 pub(crate) async fn follow(node: Arc<Node>) {
-    let topic = keyed_topic(TOPIC);
-    let mut next: Option<u64> = None;
+    let mut topic = Topic::new(TOPIC);
     loop {
-        let result = match next {
-            None => read_all(&node, &topic).await,
-            Some(from) => read_on(&node, &topic, from).await,
-        };
-        match result {
-            Ok(end) => next = Some(end),
-            Err(StoreError::Expired { .. }) => next = None,
-            Err(error) => {
-                log::debug!(topic = topic.as_str(), error:% = error; "topic_not_read");
-                tokio::time::sleep(RETRY).await;
-            }
-        }
+        let (Read::All(rows) | Read::More(rows)) = topic.read(&node.store, WAIT).await;
+        take(&node, rows);
     }
 }
 
@@ -67,19 +54,9 @@
 ///
 /// Returns why they weren't read.
 pub(crate) async fn refresh(node: &Node) -> Result<(), StoreError> {
-    read_all(node, &keyed_topic(TOPIC)).await.map(|_end| ())
-}
-
-async fn read_all(node: &Node, topic: &str) -> Result<u64, StoreError> {
-    let page = node.store.all_newest(topic).await?;
-    take(node, page.rows);
-    Ok(page.end)
-}
-
-async fn read_on(node: &Node, topic: &str, from: u64) -> Result<u64, StoreError> {
-    let page = node.store.read(topic, from, WAIT).await?;
+    let page = node.store.all_newest(&keyed_topic(TOPIC)).await?;
     take(node, page.rows);
-    Ok(page.next)
+    Ok(())
 }
 
 fn take(node: &Node, rows: Vec<KeyedRow>) {
--- a/crates/cyclamentrail/src/edge/registry.rs
+++ b/crates/cyclamentrail/src/edge/registry.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamentrail_adapter::{
-    KeyedRow, RegistryChange, StoreError, decode_registration, keyed_topic,
-};
+use cyclamentrail_adapter::{KeyedRow, RegistryChange, decode_registration};
 
 use super::node::{Node, Workers};
+use super::topic::{Read, Topic};
 
 /// The workers' topic.
 const TOPIC: &str = "servers";
@@ -19,40 +18,24 @@
 
 /// Follows the registry for as long as the process runs.
 pub(crate) async fn follow(node: Arc<Node>) {
-    let topic = keyed_topic(TOPIC);
-    let mut next: Option<u64> = None;
+    let mut topic = Topic::new(TOPIC);
     loop {
-        let result = match next {
-            None => read_all(&node, &topic).await,
-            Some(from) => read_on(&node, &topic, from).await,
-        };
-        match result {
-            Ok(end) => next = Some(end),
-            Err(StoreError::Expired { .. }) => next = None,
-            Err(error) => log::debug!(topic = topic.as_str(), error:% = error; "topic_not_read"),
+        match topic.read(&node.store, Duration::ZERO).await {
+            Read::All(rows) => {
+                let mut workers = Workers::new();
+                take(&mut workers, &rows);
+                node.workers.send_replace(Arc::new(workers));
+            }
+            Read::More(rows) if !rows.is_empty() => node
+                .workers
+                .send_modify(|workers| take(Arc::make_mut(workers), &rows)),
+            Read::More(_) => {}
         }
         let owns = node.owns_any();
         tokio::time::sleep(if owns { INTERVAL } else { IDLE_INTERVAL }).await;
     }
 }
 
-async fn read_all(node: &Node, topic: &str) -> Result<u64, StoreError> {
-    let page = node.store.all_newest(topic).await?;
-    let mut workers = Workers::new();
-    take(&mut workers, &page.rows);
-    node.workers.send_replace(Arc::new(workers));
-    Ok(page.end)
-}
-
-async fn read_on(node: &Node, topic: &str, from: u64) -> Result<u64, StoreError> {
-    let page = node.store.read(topic, from, Duration::ZERO).await?;
-    if !page.rows.is_empty() {
-        node.workers
-            .send_modify(|workers| take(Arc::make_mut(workers), &page.rows));
-    }
-    Ok(page.next)
-}
-
 fn take(workers: &mut Workers, rows: &[KeyedRow]) {
     for row in rows {
         match decode_registration(row) {
