--- a/crates/cyclamentrail-jobs/src/shard/evacuation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/evacuation.rs
@@ -163,11 +163,7 @@
 
     fn has_room_elsewhere(&self, now: Now, key: TaskKey, step: &StepSpec) -> bool {
         let counts = self.tasks_per_worker(key);
-        let open = self.workers.iter().filter(|(other, worker)| {
-            let count = counts.get(other).copied().unwrap_or(0);
-            worker.is_open(now.boot_ms) && step.max_per_worker.is_none_or(|most| count < most)
-        });
-        choose(&Wish::from(step), open).is_some()
+        choose(&Wish::from(step), self.open_workers(now, step, &counts)).is_some()
     }
 
     /// Returns the workers on which something runs until its job is cancelled.
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -259,7 +259,8 @@
         self.gated.push(Effect::Start(key));
     }
 
-    fn open_workers<'a>(
+    /// Returns the workers that may get another task of a step, by how many each has of it.
+    pub(super) fn open_workers<'a>(
         &'a self,
         now: Now,
         spec: &'a StepSpec,
