--- a/crates/cyclamentrail-jobs/src/fleet/forecast.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/forecast.rs
@@ -11,8 +11,9 @@
 const MAX_SLOTS: usize = 480;
 /// Shortest period that is looked for, in slots.
 const MIN_PERIOD: usize = 16;
-/// Slots beyond one period that have to agree before a period is believed.
-const MIN_OVERLAP: usize = 12;
+/// Repetitions that the history has to cover before a period is believed: one that is seen once
+/// may be two turns of different length.
+const MIN_REPETITIONS: usize = 2;
 /// Difference up to which two periods agree, in percent of the demand's own variation.
 const MAX_DIFFERENCE_PERCENT: u64 = 45;
 
@@ -94,7 +95,7 @@
     #[must_use]
     pub fn period(&self) -> Option<usize> {
         let length = self.slots.len();
-        let longest = length.checked_sub(MIN_OVERLAP)?;
+        let longest = length / MIN_REPETITIONS;
         let variation = self.variation();
         if variation == 0 {
             return None;
