perf(fleet): maintain machines with long-running tasks from the beginning of a wave

All tasks of a step stood on one worker, so that emptying it took up to 8 s.

Now one such machine of each pool is emptied at a time from the start; it takes its place among those that are away when it is ordered. A machine is let go only after 6 s without progress. Tasks of a step are spread over the workers that have long-running tasks anyway. Machines that haven't started yet when the duties are taken up count, so that others aren't moved into their pools.

Tests: long_running_begun_early, starting_count, long_running_spread; each failed before.

--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -18,8 +18,11 @@
 /// Time for which the worker of a machine that was ordered away is kept empty, in milliseconds;
 /// its registration may outlive it.
 const LEAVING_MS: u64 = 6_000;
-/// Time after which a machine that doesn't become empty is let go, in milliseconds.
-const GIVE_UP_MS: u64 = 8_000;
+/// Time without progress after which a machine that doesn't become empty is let go, in
+/// milliseconds.
+const GIVE_UP_MS: u64 = 6_000;
+/// Time after the duties were taken up in which machines may still be starting, in milliseconds.
+const SETTLING_MS: u64 = 4_000;
 
 /// Time for which a machine that couldn't be taken isn't tried again, in milliseconds.
 const REST_MS: u64 = 3_000;
@@ -107,11 +110,41 @@
     purpose: Purpose,
     pool: ServiceName,
     worker: Option<WorkerId>,
-    since_ms: u64,
+    /// When it was taken, or last had fewer tasks than before.
+    progress_ms: u64,
+    /// Fewest tasks that were seen on its worker.
+    fewest_tasks: u32,
     ordered_ms: Option<u64>,
+    /// Whether an order was ever given, so that it may be carried out at any time.
+    may_be_away: bool,
     done_ms: Option<u64>,
 }
 
+impl Leaving {
+    /// Returns how many tasks its worker has, if its owner says so.
+    fn tasks_in(&self, view: &FleetView) -> Option<u32> {
+        let worker = self.worker.as_ref()?;
+        let load = view.loads.get(&self.pool)?;
+        let known = load.workers.iter().find(|one| one.worker == *worker)?;
+        Some(known.tasks)
+    }
+
+    /// Takes note of how many tasks its worker has, if its owner said so.
+    const fn observe(&mut self, now_ms: u64, tasks: Option<u32>) {
+        if let Some(tasks) = tasks
+            && tasks < self.fewest_tasks
+        {
+            self.fewest_tasks = tasks;
+            self.progress_ms = now_ms;
+        }
+    }
+
+    /// Returns whether its worker doesn't become empty.
+    const fn is_stuck(&self, now_ms: u64) -> bool {
+        self.ordered_ms.is_none() && now_ms >= self.progress_ms + GIVE_UP_MS
+    }
+}
+
 /// A worker whose machine was ordered away.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Departed {
@@ -150,6 +183,8 @@
     forecasts: BTreeMap<ServiceName, Forecast>,
     /// Machines that each pool had when the duties were taken up.
     first_sizes: BTreeMap<ServiceName, usize>,
+    /// When the first plan was made, on our clock in milliseconds.
+    begun_ms: Option<u64>,
 }
 
 impl FleetPlanner {
@@ -166,6 +201,7 @@
             surplus_since_ms: BTreeMap::new(),
             forecasts: BTreeMap::new(),
             first_sizes: BTreeMap::new(),
+            begun_ms: None,
         }
     }
 
@@ -209,6 +245,7 @@
 
     /// Decides what to take from which pool next.
     pub fn plan(&mut self, now_ms: u64, view: &FleetView) {
+        self.begun_ms.get_or_insert(now_ms);
         self.forget_finished(now_ms, view);
         self.plan_waves(now_ms, view);
         self.plan_moves(now_ms, view);
@@ -232,30 +269,29 @@
 
     /// Returns the orders for machines whose workers are empty, and takes note of them.
     pub fn take_orders(&mut self, now_ms: u64, view: &FleetView) -> Vec<MachineTask> {
+        let mut room = self.maintenance_room(view);
         let mut orders = Vec::new();
         for (machine, leaving) in &mut self.leaving {
+            let tasks = leaving.tasks_in(view);
+            leaving.observe(now_ms, tasks);
             // A worker that its owner doesn't know may still run something.
-            let is_empty = leaving.worker.as_ref().is_none_or(|worker| {
-                view.loads.get(&leaving.pool).is_some_and(|load| {
-                    load.workers
-                        .iter()
-                        .any(|other| other.worker == *worker && other.tasks == 0)
-                })
-            });
-            if leaving.ordered_ms.is_none() && is_empty {
-                leaving.ordered_ms = Some(now_ms);
-                if let Some(worker) = leaving.worker.clone() {
-                    let departed = Departed {
-                        pool: leaving.pool.clone(),
-                        until_ms: now_ms + LEAVING_MS,
-                    };
-                    self.departed.insert(worker, departed);
-                }
-                orders.push(MachineTask {
-                    machine: machine.clone(),
-                    purpose: leaving.purpose.clone(),
-                });
+            let is_empty = leaving.worker.is_none() || tasks == Some(0);
+            if leaving.ordered_ms.is_some() || !is_empty || !room.admit(leaving) {
+                continue;
+            }
+            leaving.ordered_ms = Some(now_ms);
+            leaving.may_be_away = true;
+            if let Some(worker) = leaving.worker.clone() {
+                let departed = Departed {
+                    pool: leaving.pool.clone(),
+                    until_ms: now_ms + LEAVING_MS,
+                };
+                self.departed.insert(worker, departed);
             }
+            orders.push(MachineTask {
+                machine: machine.clone(),
+                purpose: leaving.purpose.clone(),
+            });
         }
         orders
     }
@@ -295,15 +331,19 @@
         self.leaving.contains_key(machine)
     }
 
-    fn take(&mut self, now_ms: u64, machine: &MachineView, purpose: Purpose) {
-        let leaving = Leaving {
+    fn take(&mut self, now_ms: u64, machine: &MachineView, purpose: Purpose, view: &FleetView) {
+        let mut leaving = Leaving {
             purpose,
             pool: machine.pool.clone(),
             worker: machine.worker.clone(),
-            since_ms: now_ms,
+            progress_ms: now_ms,
+            fewest_tasks: u32::MAX,
             ordered_ms: None,
+            may_be_away: false,
             done_ms: None,
         };
+        let tasks = leaving.tasks_in(view);
+        leaving.observe(now_ms, tasks);
         self.leaving.insert(machine.machine.clone(), leaving);
     }
 
@@ -323,9 +363,7 @@
         let given_up: Vec<InstanceName> = self
             .leaving
             .iter()
-            .filter(|(_, leaving)| {
-                leaving.ordered_ms.is_none() && now_ms >= leaving.since_ms + GIVE_UP_MS
-            })
+            .filter(|(_, leaving)| leaving.is_stuck(now_ms))
             .map(|(machine, _)| machine.clone())
             .collect();
         for machine in given_up {
--- a/crates/cyclamentrail-jobs/src/fleet/moves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/moves.rs
@@ -4,7 +4,7 @@
 
 use cyclamentrail_core::ServiceName;
 
-use super::{FleetPlanner, FleetView, Forecast, MachineView, PoolLoad, Purpose};
+use super::{FleetPlanner, FleetView, Forecast, MachineView, PoolLoad, Purpose, SETTLING_MS};
 
 /// Time from the decision to a move until the machine works, in milliseconds.
 const LEAD_MS: u64 = 2_000;
@@ -54,7 +54,7 @@
                 let Some(machine) = off.pop().or_else(|| next_donor(&mut balances)) else {
                     return;
                 };
-                self.take(now_ms, &machine, Purpose::Move(pool.clone()));
+                self.take(now_ms, &machine, Purpose::Move(pool.clone()), view);
             }
         }
         self.switch_off_surplus(now_ms, view, balances);
@@ -108,11 +108,10 @@
         let mut has = 0;
         let mut donors = Vec::new();
         for machine in view.machines.iter().filter(|one| one.pool == *pool) {
-            if self.is_free(now_ms, machine) {
-                has += 1;
-                if load_of(machine).is_some() {
-                    donors.push(machine.clone());
-                }
+            let is_free = self.is_free(now_ms, machine);
+            has += usize::from(is_free || self.is_starting(now_ms, machine));
+            if is_free && load_of(machine).is_some() {
+                donors.push(machine.clone());
             }
         }
         // A machine that has its maintenance doesn't count, so that another one takes its place.
@@ -131,6 +130,14 @@
         }
     }
 
+    /// Returns whether a machine isn't up because the fleet has just started.
+    fn is_starting(&self, now_ms: u64, machine: &MachineView) -> bool {
+        let is_early = self
+            .begun_ms
+            .is_some_and(|begun_ms| now_ms < begun_ms + SETTLING_MS);
+        is_early && !machine.is_up && !self.leaving.contains_key(&machine.machine)
+    }
+
     fn switched_off(&self, now_ms: u64, view: &FleetView) -> Vec<MachineView> {
         view.machines
             .iter()
@@ -160,7 +167,7 @@
                 let Some(machine) = balance.donors.pop() else {
                     break;
                 };
-                self.take(now_ms, &machine, Purpose::Move(standby.clone()));
+                self.take(now_ms, &machine, Purpose::Move(standby.clone()), view);
             }
         }
     }
--- a/crates/cyclamentrail-jobs/src/fleet/waves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/waves.rs
@@ -4,7 +4,7 @@
 
 use cyclamentrail_core::{InstanceName, ServiceName};
 
-use super::{FleetPlanner, FleetView, MachineView, Purpose};
+use super::{FleetPlanner, FleetView, Leaving, MachineView, Purpose};
 
 /// Part of a wave's time after which it is to be done, in percent.
 const FINISH_PERCENT: u64 = 60;
@@ -26,6 +26,30 @@
     pub max_away: usize,
 }
 
+/// How many more machines of each wave may be away at once.
+#[derive(Debug)]
+pub(super) struct MaintenanceRoom {
+    left: BTreeMap<u64, usize>,
+}
+
+impl MaintenanceRoom {
+    /// Takes a place for a machine; returns whether there was one. Moves need none, and a machine
+    /// that was ordered away before has one.
+    pub(super) fn admit(&mut self, leaving: &Leaving) -> bool {
+        let Purpose::Maintain(wave) = leaving.purpose else {
+            return true;
+        };
+        if leaving.may_be_away {
+            return true;
+        }
+        let Some(left) = self.left.get_mut(&wave).filter(|left| **left > 0) else {
+            return false;
+        };
+        *left -= 1;
+        true
+    }
+}
+
 impl FleetPlanner {
     /// Returns whether each machine of a wave that is still listed had its maintenance.
     #[must_use]
@@ -51,18 +75,44 @@
         left.sort_by_key(|machine| Self::reluctance(machine, view));
         let mut away = self.away_in(wave, view);
         for machine in left {
-            if away >= wave.max_away {
-                return;
-            }
-            let is_idle = Self::reluctance(&machine, view) == (0, 0);
+            let (long_running, tasks) = Self::reluctance(&machine, view);
             let part = if is_behind { LATE_POOL_PART } else { POOL_PART };
-            if (is_idle || is_behind) && self.pool_has_room(&machine.pool, part, view) {
-                away += 1;
-                self.take(now_ms, &machine, Purpose::Maintain(wave.number));
+            let has_room = self.pool_has_room(&machine.pool, part, view);
+            let begins = if long_running > 0 {
+                // Its tasks move one after the other, so that it doesn't wait for its place among
+                // those that are away, and one of a pool at a time does.
+                has_room && !self.is_emptying(&machine.pool)
+            } else {
+                has_room && away < wave.max_away && (tasks == 0 || is_behind)
+            };
+            if begins {
+                away += usize::from(long_running == 0);
+                self.take(now_ms, &machine, Purpose::Maintain(wave.number), view);
             }
         }
     }
 
+    /// Returns whether a machine of a pool waits for its long-running tasks to move.
+    fn is_emptying(&self, pool: &ServiceName) -> bool {
+        self.leaving.values().any(|leaving| {
+            leaving.pool == *pool
+                && matches!(leaving.purpose, Purpose::Maintain(_))
+                && leaving.fewest_tasks > 0
+                && leaving.ordered_ms.is_none()
+        })
+    }
+
+    /// Returns how many more machines of each wave may be away.
+    pub(super) fn maintenance_room(&self, view: &FleetView) -> MaintenanceRoom {
+        let left = view.waves.iter().map(|wave| {
+            let away = self.surely_away_in(wave, view);
+            (wave.number, wave.max_away.saturating_sub(away))
+        });
+        MaintenanceRoom {
+            left: left.collect(),
+        }
+    }
+
     /// Returns the machines of a wave that are listed and haven't had their maintenance.
     fn left(&self, wave: &WaveOrder, view: &FleetView) -> Vec<MachineView> {
         let done = self.maintained.get(&wave.number);
@@ -82,8 +132,24 @@
             .count()
     }
 
-    /// Returns how many machines of a wave are away, or are about to be.
+    /// Returns how many machines of a wave are away, or will be as soon as they are empty.
     fn away_in(&self, wave: &WaveOrder, view: &FleetView) -> usize {
+        self.count_away(wave, view, |leaving| {
+            leaving.may_be_away || leaving.fewest_tasks == 0
+        })
+    }
+
+    /// Returns how many machines of a wave are away, or were ordered to be.
+    fn surely_away_in(&self, wave: &WaveOrder, view: &FleetView) -> usize {
+        self.count_away(wave, view, |leaving| leaving.may_be_away)
+    }
+
+    fn count_away(
+        &self,
+        wave: &WaveOrder,
+        view: &FleetView,
+        counts: impl Fn(&Leaving) -> bool,
+    ) -> usize {
         let is_down = |name: &InstanceName| {
             view.machines
                 .iter()
@@ -91,7 +157,7 @@
         };
         wave.machines
             .iter()
-            .filter(|name| self.leaving.contains_key(*name) || is_down(name))
+            .filter(|name| self.leaving.get(*name).is_some_and(&counts) || is_down(name))
             .count()
     }
 
--- a/crates/cyclamentrail-jobs/src/placing.rs
+++ b/crates/cyclamentrail-jobs/src/placing.rs
@@ -4,7 +4,7 @@
 //! and for other pools; near their data, and away from workers that fail what they start.
 //! Long-running tasks share few workers, because each of them ties its worker to the pool.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cyclamentrail_core::{LabelName, RackName};
 
@@ -19,6 +19,10 @@
 /// What counts against filling a worker with long-running tasks, whose room is kept for those
 /// that start again, in thousandths of a whole worker.
 const TIED_PENALTY: u64 = 1_200;
+/// What counts against a worker for each long-running task of the same step, in thousandths of a
+/// whole worker: one that fails takes few of them with it, and few have to be moved one after the
+/// other when it is to be empty.
+const SAME_STEP_PENALTY: u64 = 2_500;
 /// What counts against a worker off the wanted rack, in thousandths of a whole worker.
 const REMOTE_PENALTY: u64 = 2_000;
 /// What counts against a worker for each failure in a row, in thousandths of a whole worker.
@@ -37,6 +41,8 @@
     pub is_long_running: bool,
     /// Workers with long-running tasks, if that matters.
     pub tied: Option<&'a BTreeSet<WorkerKey>>,
+    /// Tasks of the same step that each worker has, if that matters.
+    pub same_step: Option<&'a BTreeMap<WorkerKey, u32>>,
 }
 
 impl<'a> From<&'a StepSpec> for Wish<'a> {
@@ -47,6 +53,7 @@
             rack: step.affinity.as_ref(),
             is_long_running: step.long_running,
             tied: None,
+            same_step: None,
         }
     }
 }
@@ -77,7 +84,11 @@
             Some(rack) if !worker.is_on(rack) => REMOTE_PENALTY,
             _ => 0,
         };
-        empty + remote + other + u64::from(worker.strikes) * STRIKE_PENALTY
+        let same_step = match self.same_step.and_then(|counts| counts.get(&key)) {
+            Some(&count) if self.is_long_running => u64::from(count) * SAME_STEP_PENALTY,
+            _ => 0,
+        };
+        empty + remote + other + same_step + u64::from(worker.strikes) * STRIKE_PENALTY
     }
 }
 
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -145,6 +145,7 @@
                 *tied = self.workers_with_long_running();
             }
             wish.tied = Some(tied);
+            wish.same_step = Some(&per_worker);
             if misses.contains(&wish.demand) && wish.requires.is_none() {
                 return;
             }
--- a/crates/cyclamentrail-jobs/tests/duties.rs
+++ b/crates/cyclamentrail-jobs/tests/duties.rs
@@ -4,8 +4,8 @@
 
 use cyclamentrail_core::{InstanceName, ServiceName, WorkerId};
 use cyclamentrail_jobs::{
-    FleetPlanner, FleetTiming, FleetView, MachineOutcome, MachineTask, MachineView, PoolLoad,
-    Purpose, WaveOrder, WorkerLoad,
+    FleetPlanner, FleetTiming, FleetView, Forecast, MachineOutcome, MachineTask, MachineView,
+    PoolLoad, Purpose, WaveOrder, WorkerLoad,
 };
 
 const TIMING: FleetTiming = FleetTiming {
@@ -242,3 +242,69 @@
         assert_eq!(planner.evacuations(&pool).len(), 1, "one worker stays open");
     }
 }
+
+/// One task of a step may be away at a time, so that a worker with several of them takes a while
+/// to become empty; such machines were begun last and let go before they were empty.
+#[test]
+fn long_running_begun_early() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 6)]);
+    view.waves = vec![wave(&["a0", "a1", "a2"], 1)];
+    set_tasks(&mut view, "a", 0, 5);
+    set_tasks(&mut view, "a", 1, 5);
+    planner.plan(0, &view);
+    let kept = planner.evacuations(&ServiceName::from("a"));
+    assert_eq!(kept.len(), 2, "an idle one and one with tasks begin");
+    for tasks in (0..5_u32).rev() {
+        let now_ms = u64::from(5 - tasks) * 3_000;
+        set_tasks(&mut view, "a", 0, tasks);
+        planner.plan(now_ms, &view);
+        let orders = planner.take_orders(now_ms, &view);
+        finish(&mut planner, now_ms, &orders);
+    }
+    let maintained = planner.maintained(1);
+    assert!(maintained.contains(&InstanceName::from("a0")));
+}
+
+/// The platform's list shows machines that haven't started yet at first; others were moved into
+/// their pools.
+#[test]
+fn starting_count() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut view = view(&[("a", 6), ("off", 2)]);
+    view.standby.insert(ServiceName::from("off"));
+    for machine in &mut view.machines[..5] {
+        machine.is_up = false;
+    }
+    planner.plan(0, &view);
+    assert!(planner.take_orders(0, &view).is_empty());
+    planner.plan(6_000, &view);
+    assert_eq!(planner.take_orders(6_000, &view).len(), 2, "they are down");
+}
+
+fn set_tasks(view: &mut FleetView, pool: &str, index: usize, tasks: u32) {
+    let load = view
+        .loads
+        .get_mut(&ServiceName::from(pool))
+        .expect("the pool is part of the view");
+    load.workers[index].tasks = tasks;
+    load.workers[index].long_running = tasks;
+}
+
+/// A turn and a smaller one before it were taken for a period, and machines kept for its return.
+#[test]
+fn one_turn_isnt_a_period() {
+    let mut forecast = Forecast::new();
+    for slot in 0..160_u64 {
+        let demand_milli = match slot {
+            20..30 => 1_000,
+            60..92 => 20_000,
+            _ => 0,
+        };
+        forecast.observe(slot * 250, demand_milli);
+        let expected = forecast.expect_milli(slot * 250, 2_000);
+        if slot > 100 {
+            assert_eq!(expected, 0, "slot {slot}");
+        }
+    }
+}
--- a/crates/cyclamentrail-jobs/tests/scheduler/jobs.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/jobs.rs
@@ -171,3 +171,16 @@
     world.run_for(8_000);
     assert_eq!(world.running(), 3);
 }
+
+/// All tasks of a long-running step were put on one worker: its loss took all of them, and
+/// emptying it took a task at a time.
+#[test]
+fn long_running_spread() {
+    let mut world = World::new(6, WORKER);
+    let mut spec = job(5, 2_700, 0);
+    spec.steps[0].long_running = true;
+    world.submit("a", spec);
+    world.run_for(1_000);
+    let most = (0..6).map(|index| world.running_on(&format!("w{index}")));
+    assert_eq!(most.max(), Some(2));
+}
