perf(fleet): keep surplus machines long enough for the next turn

Now a surplus is kept for 4 s: switching a machine off and on again costs as much as keeping it for over 2 s, and it is gone for two moves. Machines with long-running tasks are no longer moved between pools.

--- a/crates/cyclamentrail-jobs/src/fleet/moves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/moves.rs
@@ -15,7 +15,7 @@
 /// What is needed beyond the expected demand, in percent: tasks don't fill workers exactly.
 const HEADROOM_PERCENT: u64 = 120;
 /// Time for which a pool must have had too many machines before some are switched off.
-const SURPLUS_MS: u64 = 1_500;
+const SURPLUS_MS: u64 = 4_000;
 /// Machines that a pool keeps in any case.
 const MIN_MACHINES: usize = 2;
 /// Part of its first size that a pool keeps for a rise in its demand, in percent.
@@ -110,7 +110,8 @@
         for machine in view.machines.iter().filter(|one| one.pool == *pool) {
             let is_free = self.is_free(now_ms, machine);
             has += usize::from(is_free || self.is_starting(now_ms, machine));
-            if is_free && load_of(machine).is_some() {
+            let is_untied = load_of(machine).is_some_and(|(long_running, _)| long_running == 0);
+            if is_free && is_untied {
                 donors.push(machine.clone());
             }
         }
