perf(edge): an owner that acts keeps its shard when the group is dealt anew

The duties over machines, which wait for 3.5 s after each change, made waves late.

Now a process to which a shard is dealt asks the owner first and takes over from one that is silent, has ended, isn't confirmed by the store any longer, or owns two shards more (jobs::should_take_over). Appends that stay without an answer for 350 ms are sent again on another connection under the same sequence number; before, the next attempt came up to 1.8 s after the store's return.

Tests: succession; owners_kept, which failed before.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -26,6 +26,7 @@
 mod resources;
 mod shard;
 mod spec;
+mod succession;
 mod terms;
 mod worker;
 
@@ -51,5 +52,6 @@
 pub use resources::Resources;
 pub use shard::{Commit, Now, Shard, ShardTiming, Submission};
 pub use spec::{JobSpec, MAX_TASKS, Schedule, StepSpec};
+pub use succession::{Candidate, Incumbent, should_take_over};
 pub use terms::{AdviceTerms, RouteTerms};
 pub use worker::{Contact, Registration, Worker, WorkerKey};
--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -103,6 +103,16 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Returns how many records were added to a topic.
+    #[must_use]
+    pub fn count(&self, topic: &str) -> usize {
+        let state = self.shared.lock();
+        state
+            .topics
+            .get(topic)
+            .map_or(0, |topic| topic.records.len())
+    }
+
     /// Returns the newest value of a key, if it has one.
     #[must_use]
     pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
--- a/crates/cyclamentrail/src/edge/commits.rs
+++ b/crates/cyclamentrail/src/edge/commits.rs
@@ -6,6 +6,8 @@
 
 use cyclamentrail_adapter::{Append, Store, StoreError, Writer};
 use cyclamentrail_jobs::KeyedRecord;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use tokio::time::Instant;
 
 use super::boot_clock::boot_ms;
 use super::node::Node;
@@ -15,6 +17,11 @@
 const MIN_RETRY: Duration = Duration::from_millis(30);
 /// Longest pause after a failed append.
 const MAX_RETRY: Duration = Duration::from_millis(300);
+/// Time without an answer after which an append is sent again on another connection; several
+/// times what the store takes.
+const REPEAT_AFTER: Duration = Duration::from_millis(350);
+/// Most attempts that wait for an answer at once.
+const MAX_ATTEMPTS: usize = 5;
 
 /// When the ownership of a shard was last confirmed by the store.
 #[derive(Debug, Clone)]
@@ -105,20 +112,17 @@
         let mut pause = MIN_RETRY;
         let mut is_ambiguous = false;
         loop {
-            let sent_ms = boot_ms();
-            let append = Append {
-                topic: &self.topic,
-                records,
-                writer: Some(self.writer()),
-            };
-            match self.store.append(append).await {
-                Ok(_) => {
+            let outcome = self.try_append(records).await;
+            match outcome.result {
+                Ok(sent_ms) => {
                     self.confirmation.confirm(sent_ms);
                     // An append without records has no place in the sequence.
                     self.sequence += u64::from(!records.is_empty());
                     return Ok(());
                 }
-                Err(StoreError::OutOfSequence { expected }) if !is_ambiguous => {
+                Err(StoreError::OutOfSequence { expected })
+                    if !is_ambiguous && outcome.attempts == 1 =>
+                {
                     log::info!(topic:% = self.topic, expected; "sequence_corrected");
                     self.sequence = expected;
                 }
@@ -134,6 +138,44 @@
             }
         }
     }
+
+    /// Appends under the present sequence number, which the store takes only once however often
+    /// it is sent; a connection that stays silent is followed by another one.
+    async fn try_append(&self, records: &[(String, Vec<u8>)]) -> Attempted {
+        let mut running = FuturesUnordered::new();
+        let mut attempts = 0;
+        loop {
+            if running.len() < MAX_ATTEMPTS {
+                running.push(self.send(records));
+                attempts += 1;
+            }
+            let until = Instant::now() + REPEAT_AFTER;
+            while let Ok(Some(result)) = tokio::time::timeout_at(until, running.next()).await {
+                // What another attempt may still bring goes before a failure without an answer.
+                if running.is_empty() || !matches!(result, Err(StoreError::NoAnswer(_))) {
+                    return Attempted { result, attempts };
+                }
+            }
+        }
+    }
+
+    /// Sends one append; returns when it was sent, on the clock that counts suspension.
+    async fn send(&self, records: &[(String, Vec<u8>)]) -> Result<u64, StoreError> {
+        let sent_ms = boot_ms();
+        let append = Append {
+            topic: &self.topic,
+            records,
+            writer: Some(self.writer()),
+        };
+        self.store.append(append).await?;
+        Ok(sent_ms)
+    }
+}
+
+/// What became of the attempts to append something.
+struct Attempted {
+    result: Result<u64, StoreError>,
+    attempts: u32,
 }
 
 /// Splits records into parts that one append takes.
--- a/crates/cyclamentrail/src/edge/internal.rs
+++ b/crates/cyclamentrail/src/edge/internal.rs
@@ -45,8 +45,13 @@
     let Ok(ask) = rmp_serde::from_slice::<Ask>(&body) else {
         return StatusCode::BAD_REQUEST.into_response();
     };
-    if matches!(ask.question, Question::Release) {
-        return encode(&release(&node, &ask).await);
+    match ask.question {
+        Question::Release => return encode(&release(&node, &ask).await),
+        Question::Standing => {
+            let standing = node.standing(ask.service.as_str());
+            return encode(&standing.map_or(Reply::NotOwner, Reply::Standing));
+        }
+        _ => {}
     }
     let owns = node.owned(&ask.service).is_some();
     match ask_here(&node, ask).await {
--- a/crates/cyclamentrail/src/edge/machines.rs
+++ b/crates/cyclamentrail/src/edge/machines.rs
@@ -32,6 +32,8 @@
 const CLOUD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which orders may be given after the last confirmation by the store.
 const HOLDING_MS: u64 = 1_000;
+/// Age of the last confirmation at which another one is asked for, in milliseconds.
+const CONFIRM_MS: u64 = 1_500;
 /// Time beyond the platform's pause between two holders, in milliseconds.
 const EXTRA_PAUSE_MS: u64 = 500;
 /// Key of the record of the pools' first sizes.
@@ -107,6 +109,7 @@
 impl MachineDuty {
     fn new(node: Arc<Node>, cloud: Cloud, taken: &Taken) -> Self {
         let confirmation = Confirmation::new(taken.confirmed_ms, HOLDING_MS);
+        node.confirm_owned(FLEET_SHARD, confirmation.clone());
         let log = CommitLog::new(&node, taken, confirmation.clone());
         let mut planner = FleetPlanner::new(FleetTiming {
             maintenance_ms: node.settings.bounds.maintenance_ms,
@@ -139,6 +142,9 @@
         if !is_newest {
             return false;
         }
+        if self.confirmation.age_ms() > CONFIRM_MS && !self.confirm(&[]).await {
+            return false;
+        }
         if boot_ms() < self.begin_ms {
             return true;
         }
--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use cyclamentrail_adapter::Configuration;
+use cyclamentrail_core::ServiceName;
+use cyclamentrail_jobs::{Candidate, Incumbent, should_take_over};
 use tokio::sync::{mpsc, watch};
 
 use super::boot_clock::boot_ms;
-use super::messages::FLEET_SHARD;
+use super::messages::{Ask, FLEET_SHARD, Question, Reply};
 use super::node::Node;
 use super::owner::{self, OwnerMessage};
 
@@ -23,44 +25,44 @@
 /// Time after which a shard that was lost to another owner is claimed again, in milliseconds.
 const RECLAIM_MS: u64 = 1_500;
 
+/// Time limit of a question to the present owner of a shard.
+const STANDING_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A shard that this process owns or is taking over.
 struct Held {
     sender: mpsc::UnboundedSender<OwnerMessage>,
     task: tokio::task::JoinHandle<()>,
 }
 
-/// Keeps the membership and owns what it deals to this process, until told to stop.
+/// The membership and what follows from it.
+#[derive(Default)]
+struct Membership {
+    generation: u64,
+    partitions: BTreeSet<u32>,
+    held: HashMap<String, Held>,
+    /// When shards were lost to other owners, on the clock that counts suspension.
+    lost_ms: HashMap<String, u64>,
+    /// Since when shards are dealt to this process.
+    dealt_ms: HashMap<String, u64>,
+    /// Since when the store answers.
+    connected_ms: Option<u64>,
+}
+
+/// Keeps the membership and takes over what it deals to this process, until told to stop.
 pub(crate) async fn keep(node: Arc<Node>, mut stop: watch::Receiver<bool>) {
-    let ttl_ms = node.settings.min_member_ttl_ms * TTL_PERCENT / 100;
-    let mut generation = 0;
-    let mut partitions = BTreeSet::new();
-    let mut held: HashMap<String, Held> = HashMap::new();
-    let mut lost_ms: HashMap<String, u64> = HashMap::new();
+    let mut membership = Membership::default();
     while !node.is_stopping() {
-        let joined = node
-            .store
-            .join(GROUP, &node.settings.name, TOPIC, ttl_ms, generation)
-            .await;
-        let mut is_changed = false;
-        let is_confirmed = joined.is_ok();
-        match joined {
-            Ok(answer) => {
-                is_changed = answer.generation != generation;
-                generation = answer.generation;
-                partitions = answer.partitions.into_iter().collect();
-            }
-            Err(error) => log::debug!(error:% = error; "membership_not_confirmed"),
-        }
+        let is_changed = membership.join(&node).await;
         if node.is_stopping() {
             break;
         }
-        if let Some(configuration) = node.configuration() {
-            let wanted = wanted_shards(&configuration, &partitions, node.settings.partitions);
-            drop_ended(&node, &mut held, &mut lost_ms);
-            release(&node, &mut held, &wanted);
-            if is_confirmed {
-                acquire(&node, &mut held, &lost_ms, wanted);
-            }
+        membership.drop_ended(&node);
+        if let (Some(configuration), Some(connected_ms)) =
+            (node.configuration(), membership.connected_ms)
+        {
+            let partitions = node.settings.partitions;
+            let wanted = wanted_shards(&configuration, &membership.partitions, partitions);
+            membership.acquire(&node, connected_ms, wanted).await;
         }
         let pause = if is_changed { INTERVAL / 8 } else { INTERVAL };
         tokio::select! {
@@ -68,11 +70,114 @@
             _ = stop.wait_for(|stopped| *stopped) => break,
         }
     }
-    for held in held.into_values() {
+    for held in membership.held.into_values() {
         drop(held.sender.send(OwnerMessage::Stop));
     }
 }
 
+impl Membership {
+    /// Confirms the membership; returns whether the partitions were dealt anew.
+    async fn join(&mut self, node: &Node) -> bool {
+        let ttl_ms = node.settings.min_member_ttl_ms * TTL_PERCENT / 100;
+        let joined = node
+            .store
+            .join(GROUP, &node.settings.name, TOPIC, ttl_ms, self.generation)
+            .await;
+        match joined {
+            Ok(answer) => {
+                let is_changed = answer.generation != self.generation;
+                self.generation = answer.generation;
+                self.partitions = answer.partitions.into_iter().collect();
+                self.connected_ms.get_or_insert_with(boot_ms);
+                is_changed
+            }
+            Err(error) => {
+                log::debug!(error:% = error; "membership_not_confirmed");
+                self.connected_ms = None;
+                false
+            }
+        }
+    }
+
+    fn drop_ended(&mut self, node: &Node) {
+        let lost_ms = &mut self.lost_ms;
+        self.held.retain(|shard, held| {
+            let has_ended = held.task.is_finished();
+            if has_ended {
+                node.remove_owned(shard, &held.sender);
+                lost_ms.insert(shard.clone(), boot_ms());
+            }
+            !has_ended
+        });
+    }
+
+    /// Takes over the shards that are dealt to this process and have no owner that acts.
+    async fn acquire(&mut self, node: &Arc<Node>, connected_ms: u64, wanted: BTreeSet<String>) {
+        let now_ms = boot_ms();
+        self.dealt_ms.retain(|shard, _| wanted.contains(shard));
+        for shard in &wanted {
+            self.dealt_ms.entry(shard.clone()).or_insert(now_ms);
+        }
+        let open: Vec<String> = wanted
+            .into_iter()
+            .filter(|shard| !self.held.contains_key(shard) && !self.has_just_lost(shard, now_ms))
+            .collect();
+        let incumbents = open.iter().map(|shard| incumbent(node, shard));
+        let incumbents = futures_util::future::join_all(incumbents).await;
+        for (shard, incumbent) in open.into_iter().zip(incumbents) {
+            let candidate = Candidate {
+                connected_ms: now_ms.saturating_sub(connected_ms),
+                dealt_ms: now_ms.saturating_sub(self.dealt_ms[&shard]),
+                shards: node.owned_count(),
+            };
+            if should_take_over(incumbent, candidate) && !node.is_stopping() {
+                log::info!(shard = shard.as_str(), incumbent:? = incumbent; "shard_wanted");
+                self.take_over(node, shard);
+            }
+        }
+    }
+
+    fn has_just_lost(&self, shard: &str, now_ms: u64) -> bool {
+        self.lost_ms
+            .get(shard)
+            .is_some_and(|lost| now_ms.saturating_sub(*lost) < RECLAIM_MS)
+    }
+
+    fn take_over(&mut self, node: &Arc<Node>, shard: String) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let task = tokio::spawn(owner::run(
+            Arc::clone(node),
+            shard.clone(),
+            sender.clone(),
+            receiver,
+        ));
+        self.held.insert(shard, Held { sender, task });
+    }
+}
+
+/// Finds out how the process stands that last claimed a shard.
+async fn incumbent(node: &Node, shard: &str) -> Incumbent {
+    let Some(owner) = node.owner(shard) else {
+        return Incumbent::Nobody;
+    };
+    if owner.claim.address == node.settings.internal {
+        return Incumbent::Here;
+    }
+    let ask = Ask {
+        service: ServiceName::from(shard),
+        question: Question::Standing,
+    };
+    let asked = node.peers.ask(owner.claim.address, &ask, STANDING_TIMEOUT);
+    match asked.await {
+        Ok(Reply::Standing(standing)) => Incumbent::Acting {
+            confirmed_age_ms: standing.confirmed_age_ms,
+            shards: standing.shards,
+        },
+        Ok(_) => Incumbent::Ended,
+        Err(_unanswered) => Incumbent::Silent,
+    }
+}
+
 /// Returns the shards whose partitions this process holds.
 fn wanted_shards(
     configuration: &Configuration,
@@ -97,50 +202,3 @@
         .map(|(_, shard)| shard)
         .collect()
 }
-
-fn drop_ended(node: &Node, held: &mut HashMap<String, Held>, lost_ms: &mut HashMap<String, u64>) {
-    held.retain(|shard, held| {
-        let has_ended = held.task.is_finished();
-        if has_ended {
-            node.remove_owned(shard, &held.sender);
-            lost_ms.insert(shard.clone(), boot_ms());
-        }
-        !has_ended
-    });
-}
-
-fn release(node: &Node, held: &mut HashMap<String, Held>, wanted: &BTreeSet<String>) {
-    held.retain(|shard, held| {
-        let is_wanted = wanted.contains(shard);
-        if !is_wanted {
-            log::info!(shard = shard.as_str(); "shard_released");
-            node.remove_owned(shard, &held.sender);
-            drop(held.sender.send(OwnerMessage::Stop));
-        }
-        is_wanted
-    });
-}
-
-fn acquire(
-    node: &Arc<Node>,
-    held: &mut HashMap<String, Held>,
-    lost_ms: &HashMap<String, u64>,
-    wanted: BTreeSet<String>,
-) {
-    for shard in wanted {
-        let waits = lost_ms
-            .get(&shard)
-            .is_some_and(|lost| boot_ms().saturating_sub(*lost) < RECLAIM_MS);
-        if held.contains_key(&shard) || waits {
-            continue;
-        }
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let task = tokio::spawn(owner::run(
-            Arc::clone(node),
-            shard.clone(),
-            sender.clone(),
-            receiver,
-        ));
-        held.insert(shard, Held { sender, task });
-    }
-}
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -36,6 +36,8 @@
     Cancel(JobId),
     /// How many jobs of a route haven't begun.
     Pending(RouteName),
+    /// Whether this process acts as the owner.
+    Standing,
     /// To stop acting as the owner, because another process has claimed the shard.
     Release,
     /// To keep exactly these workers empty; answers with the load of the pool.
@@ -66,12 +68,23 @@
     Pending(u64),
     /// The load of the service's pool.
     Load(LoadWord),
+    /// This process acts as the owner.
+    Standing(Standing),
     /// This process no longer acts as the owner, and won't.
     Released,
     /// This process doesn't own the service, and did nothing.
     NotOwner,
 }
 
+/// How well a process stands as the owner of a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Standing {
+    /// Time since the store last confirmed the ownership, in milliseconds.
+    pub(crate) confirmed_age_ms: u64,
+    /// Shards that the process owns.
+    pub(crate) shards: u64,
+}
+
 /// Load of a pool between processes; see [`PoolLoad`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct LoadWord {
--- a/crates/cyclamentrail/src/edge/node.rs
+++ b/crates/cyclamentrail/src/edge/node.rs
@@ -12,6 +12,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
+use super::boot_clock::boot_ms;
+use super::commits::Confirmation;
+use super::messages::Standing;
 use super::owner::OwnerMessage;
 use super::peers::Peers;
 
@@ -54,6 +57,15 @@
 /// The workers that are registered.
 pub(crate) type Workers = HashMap<String, Registration>;
 
+/// A shard that this process owns, or is taking over.
+#[derive(Debug)]
+struct Owned {
+    sender: mpsc::UnboundedSender<OwnerMessage>,
+    /// When the takeover began, on the clock that counts suspension.
+    begun_ms: u64,
+    confirmation: Option<Confirmation>,
+}
+
 /// State that the tasks of a process share.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -64,7 +76,7 @@
     pub(crate) orders: watch::Sender<Orders>,
     pub(crate) owners: watch::Sender<HashMap<String, Owner>>,
     pub(crate) workers: watch::Sender<Arc<Workers>>,
-    owned: Mutex<HashMap<String, mpsc::UnboundedSender<OwnerMessage>>>,
+    owned: Mutex<HashMap<String, Owned>>,
     is_stopping: AtomicBool,
 }
 
@@ -96,7 +108,38 @@
 
     /// Returns where a shard that this process owns takes messages.
     pub(crate) fn owned(&self, shard: &ServiceName) -> Option<mpsc::UnboundedSender<OwnerMessage>> {
-        self.lock_owned().get(shard.as_str()).cloned()
+        self.lock_owned()
+            .get(shard.as_str())
+            .map(|owned| owned.sender.clone())
+    }
+
+    /// Returns how well this process stands as the owner of a shard.
+    pub(crate) fn standing(&self, shard: &str) -> Option<Standing> {
+        if self.is_stopping() {
+            return None;
+        }
+        let owned = self.lock_owned();
+        let own = owned.get(shard)?;
+        let confirmed_age_ms = own.confirmation.as_ref().map_or_else(
+            || boot_ms().saturating_sub(own.begun_ms),
+            Confirmation::age_ms,
+        );
+        Some(Standing {
+            confirmed_age_ms,
+            shards: owned.len() as u64,
+        })
+    }
+
+    /// Returns how many shards this process owns or is taking over.
+    pub(crate) fn owned_count(&self) -> u64 {
+        self.lock_owned().len() as u64
+    }
+
+    /// Takes in when the ownership of a shard was confirmed.
+    pub(crate) fn confirm_owned(&self, shard: &str, confirmation: Confirmation) {
+        if let Some(owned) = self.lock_owned().get_mut(shard) {
+            owned.confirmation = Some(confirmation);
+        }
     }
 
     /// Returns whether this process owns a shard.
@@ -106,7 +149,12 @@
 
     /// Takes in that this process owns a shard.
     pub(crate) fn insert_owned(&self, shard: &str, sender: mpsc::UnboundedSender<OwnerMessage>) {
-        self.lock_owned().insert(shard.to_owned(), sender);
+        let owned = Owned {
+            sender,
+            begun_ms: boot_ms(),
+            confirmation: None,
+        };
+        self.lock_owned().insert(shard.to_owned(), owned);
     }
 
     /// Takes in that this process no longer owns a shard; a newer ownership of it stays.
@@ -114,7 +162,7 @@
         let mut owned = self.lock_owned();
         if owned
             .get(shard)
-            .is_some_and(|kept| kept.same_channel(sender))
+            .is_some_and(|kept| kept.sender.same_channel(sender))
         {
             owned.remove(shard);
         }
@@ -138,8 +186,8 @@
     /// Ends the ownership of all shards and lets others have them at once.
     pub(crate) async fn leave(&self) {
         let senders: Vec<_> = self.lock_owned().drain().collect();
-        for (_, sender) in senders {
-            drop(sender.send(OwnerMessage::Stop));
+        for (_, owned) in senders {
+            drop(owned.sender.send(OwnerMessage::Stop));
         }
         let left = self
             .store
@@ -165,7 +213,7 @@
         }
     }
 
-    fn lock_owned(&self) -> MutexGuard<'_, HashMap<String, mpsc::UnboundedSender<OwnerMessage>>> {
+    fn lock_owned(&self) -> MutexGuard<'_, HashMap<String, Owned>> {
         self.owned.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -136,6 +136,7 @@
             ..ShardTiming::default()
         };
         let confirmation = Confirmation::new(taken.confirmed_ms, OWNERSHIP_MS);
+        node.confirm_owned(shard, confirmation.clone());
         let log = CommitLog::new(node, &taken, confirmation.clone());
         Self {
             calls: WorkerCalls::new(node.caller.clone(), taken.token, WORKER_TIMEOUT),
--- a/crates/cyclamentrail/src/edge/owner/questions.rs
+++ b/crates/cyclamentrail/src/edge/owner/questions.rs
@@ -63,7 +63,7 @@
                 self.callers.insert(caller, reply);
                 self.shard.tell_pending(caller, &route);
             }
-            Question::Release => drop(reply.send(Reply::NotOwner)),
+            Question::Release | Question::Standing => drop(reply.send(Reply::NotOwner)),
             Question::Evacuate(workers) => drop(reply.send(self.evacuate(workers))),
         }
         self.carry_out_ready();
--- a/crates/cyclamentrail/tests/jobs_process.rs
+++ b/crates/cyclamentrail/tests/jobs_process.rs
@@ -243,6 +243,28 @@
     site.check_once("00000000000000d1", 4)
 }
 
+/// After an outage the group is dealt anew; each shard changed its owner, once or more.
+#[tokio::test]
+async fn owners_kept() -> Result<()> {
+    let site = Site::start(3, 2, 300).await?;
+    site.submit(0, "00000000000000d2", 2).await?;
+    site.wait_completed(0, "00000000000000d2").await?;
+    // Longer than the time after which shards are shared out evenly.
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    let claims = site.store.count("keyed.owners");
+    site.store.set_down(true);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    site.store.set_down(false);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    site.submit(1, "00000000000000d3", 2).await?;
+    site.wait_completed(1, "00000000000000d3").await?;
+    ensure!(
+        site.store.count("keyed.owners") == claims,
+        "a shard was claimed again"
+    );
+    Ok(())
+}
+
 #[tokio::test]
 async fn late_order() -> Result<()> {
     let site = Site::start(1, 1, 300).await?;
