feat(jobs): act on queues' policies, and hold back what harms serving tasks

A queue with a policy had all its starts rejected for want of a ticket, so that none of its jobs ever ran. Now the shard asks which workers may run a step, in the order of the jobs' ranks and ahead for later steps, names at most 30 workers at once, keeps what is granted for as long as it is valid and never asks again for what was refused (grants, shard/advice).

Tasks that fill a worker beside tasks that serve there are held back to a quarter, then to nothing, when a serving task's tail comes to 85 percent of its target, and get their share back in steps of 15 percent (pacing, shard/harm).

Tests: scheduler policy and sharing. granted_only needs the tickets and harm_ends the pace; neither could be met before.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -5,6 +5,7 @@
 
 use cyclamentrail_core::{JobId, WorkerId};
 
+use crate::grants::StepKey;
 use crate::job::{JobState, TaskKey};
 use crate::worker::WorkerKey;
 
@@ -109,6 +110,21 @@
     pub run: u32,
 }
 
+/// An order to let a task work at a share.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PaceOrder {
+    /// Where it runs.
+    pub target: Target,
+    /// The task.
+    pub task: TaskKey,
+    /// Its job's id.
+    pub job: JobId,
+    /// Number of the run.
+    pub run: u32,
+    /// The share in percent.
+    pub percent: u32,
+}
+
 /// A look at a worker: renews the lease and asks what runs and what has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Look {
@@ -122,6 +138,44 @@
     pub wait_ms: u64,
 }
 
+/// A question to a queue's policy: which of these workers may run a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdviceQuestion {
+    /// The step.
+    pub step: StepKey,
+    /// Its job's id.
+    pub job: JobId,
+    /// The workers by their ids.
+    pub workers: Vec<WorkerId>,
+    /// The same workers by their keys.
+    pub asked: Vec<WorkerKey>,
+    /// When it was asked, on our clock in milliseconds.
+    pub sent_ms: u64,
+}
+
+/// A worker that may run a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GrantRow {
+    /// The worker.
+    pub worker: WorkerId,
+    /// What shows the worker that it may.
+    pub ticket: Arc<str>,
+}
+
+/// What became of a question to a queue's policy.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AdviceOutcome {
+    /// Those of the named workers that may run the step.
+    Granted {
+        /// The workers.
+        rows: Vec<GrantRow>,
+        /// How long the tickets are valid, in milliseconds.
+        valid_ms: u64,
+    },
+    /// Nothing was answered, or the service is busy.
+    NoAnswer,
+}
+
 /// Something to be done outside of the shard.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
@@ -133,6 +187,10 @@
     Stop(StopOrder),
     /// Look at a worker.
     Look(Look),
+    /// Set the share at which a task works.
+    Pace(PaceOrder),
+    /// Ask a queue's policy which workers may run a step.
+    Advise(AdviceQuestion),
     /// Tell what was decided.
     Note(Note),
 }
@@ -219,6 +277,15 @@
         /// What it waits for.
         reason: WaitReason,
     },
+    /// The share of the tasks that fill a worker was changed.
+    Paced {
+        /// The worker.
+        worker: WorkerId,
+        /// The new share in percent.
+        percent: u32,
+        /// Worst tail of a serving task there, in percent of its target.
+        worst_percent: u64,
+    },
     /// A run makes no progress and is stopped.
     Stalled {
         /// The job.
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -79,6 +79,8 @@
     pub phase: Phase,
     /// Whether an order to start it may still be carried out although nobody answered.
     pub is_ambiguous: bool,
+    /// Share in percent at which the worker was told to let it work, if that is known.
+    pub paced_percent: Option<u32>,
     /// Progress in percent that the worker last reported.
     pub percent: u32,
     /// When the progress last changed, on our clock in milliseconds.
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -18,8 +18,10 @@
 mod effect;
 mod estimate;
 mod fleet;
+mod grants;
 mod job;
 mod lease;
+mod pacing;
 mod placing;
 mod ranking;
 mod record;
@@ -32,17 +34,19 @@
 
 pub use admission::{Admission, Applicant, Backlog, admit};
 pub use effect::{
-    Answer, CallerTicket, Effect, EndKind, EndedRow, GoneProof, Look, LookOutcome, Note,
-    OrderOutcome, OrderRejection, RejectReason, Report, RunName, RunningRow, StartOrder, StopOrder,
-    Target, WaitReason,
+    AdviceOutcome, AdviceQuestion, Answer, CallerTicket, Effect, EndKind, EndedRow, GoneProof,
+    GrantRow, Look, LookOutcome, Note, OrderOutcome, OrderRejection, PaceOrder, RejectReason,
+    Report, RunName, RunningRow, StartOrder, StopOrder, Target, WaitReason,
 };
 pub use estimate::Estimate;
 pub use fleet::{
     FleetPlanner, FleetTiming, FleetView, Forecast, MachineOutcome, MachineTask, MachineView,
     PoolLoad, Purpose, WaveOrder, WorkerLoad,
 };
+pub use grants::{Grant, Grants, MAX_NAMED, StepKey};
 pub use job::{Job, JobKey, JobState, Occurrence, Phase, Placement, StepProgress, Task, TaskKey};
 pub use lease::{ClockSample, Lease};
+pub use pacing::Pace;
 pub use placing::{Wish, choose};
 pub use ranking::{Rank, Waiting};
 pub use record::{
--- a/crates/cyclamentrail-jobs/src/placing.rs
+++ b/crates/cyclamentrail-jobs/src/placing.rs
@@ -8,6 +8,7 @@
 
 use cyclamentrail_core::{LabelName, RackName};
 
+use crate::pacing::WHOLE_PERCENT;
 use crate::worker::{Worker, WorkerKey};
 use crate::{Resources, StepSpec};
 
@@ -25,6 +26,9 @@
 const SAME_STEP_PENALTY: u64 = 2_500;
 /// What counts against a worker off the wanted rack, in thousandths of a whole worker.
 const REMOTE_PENALTY: u64 = 2_000;
+/// What counts against a worker on which tasks that fill are held back, for another such task,
+/// in thousandths of a whole worker.
+const HELD_BACK_PENALTY: u64 = 3_000;
 /// What counts against a worker for each failure in a row, in thousandths of a whole worker.
 const STRIKE_PENALTY: u64 = 300;
 
@@ -39,10 +43,14 @@
     pub rack: Option<&'a RackName>,
     /// Whether the task runs until its job is cancelled.
     pub is_long_running: bool,
+    /// Whether the task uses only what others leave.
+    pub fills: bool,
     /// Workers with long-running tasks, if that matters.
     pub tied: Option<&'a BTreeSet<WorkerKey>>,
     /// Tasks of the same step that each worker has, if that matters.
     pub same_step: Option<&'a BTreeMap<WorkerKey, u32>>,
+    /// Workers that may run the task, where a policy decides it.
+    pub granted: Option<&'a BTreeSet<WorkerKey>>,
 }
 
 impl<'a> From<&'a StepSpec> for Wish<'a> {
@@ -52,8 +60,10 @@
             requires: step.requires.as_ref(),
             rack: step.affinity.as_ref(),
             is_long_running: step.long_running,
+            fills: step.fills,
             tied: None,
             same_step: None,
+            granted: None,
         }
     }
 }
@@ -88,7 +98,9 @@
             Some(&count) if self.is_long_running => u64::from(count) * SAME_STEP_PENALTY,
             _ => 0,
         };
-        empty + remote + other + same_step + u64::from(worker.strikes) * STRIKE_PENALTY
+        let is_held_back = self.fills && worker.pace.percent() < WHOLE_PERCENT;
+        let held_back = if is_held_back { HELD_BACK_PENALTY } else { 0 };
+        empty + remote + other + same_step + held_back + u64::from(worker.strikes) * STRIKE_PENALTY
     }
 }
 
@@ -99,6 +111,7 @@
     workers: impl Iterator<Item = (WorkerKey, &'a Worker)>,
 ) -> Option<WorkerKey> {
     workers
+        .filter(|(key, _)| wish.granted.is_none_or(|granted| granted.contains(key)))
         .filter(|(_, worker)| wish.suits(worker) && worker.free().contains(&wish.demand))
         .min_by_key(|(key, worker)| wish.cost(*key, worker))
         .map(|(key, _)| key)
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -7,13 +7,16 @@
 use slotmap::SlotMap;
 
 use crate::effect::{Effect, GoneProof, Note, StopOrder, Target};
+use crate::grants::Grants;
 use crate::job::{Job, JobKey, JobState, Phase, TaskKey};
 use crate::record::{AcceptRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
 use crate::worker::{Contact, Worker, WorkerKey};
 use crate::{Estimate, RouteTerms, StepSpec};
 
+mod advice;
 mod cancel;
 mod evacuation;
+mod harm;
 mod orders;
 mod placement;
 mod recovery;
@@ -47,6 +50,8 @@
     pub lease_ms: u64,
     /// How long a worker may wait for an end before it answers a look.
     pub look_wait_ms: u64,
+    /// How long a worker on which some tasks fill beside others that serve may wait.
+    pub shared_wait_ms: u64,
     /// Time between two looks at a busy worker.
     pub look_gap_ms: u64,
     /// How long the state of a final job is kept.
@@ -60,6 +65,7 @@
         Self {
             lease_ms: 4_500,
             look_wait_ms: 1_200,
+            shared_wait_ms: 400,
             look_gap_ms: 60,
             keep_ms: 125_000,
             max_jobs: 20_000,
@@ -107,6 +113,9 @@
     waiting_told_ms: u64,
     estimates: HashMap<RouteName, Estimate>,
     arrivals: evacuation::Arrivals,
+    grants: Grants,
+    /// Questions to queues' policies that are under way.
+    questions: usize,
 }
 
 /// An order to be sent again, because nobody answered it.
@@ -192,6 +201,7 @@
         self.stop_stalled(now);
         self.evacuate_tasks(now);
         self.place_tasks(now);
+        self.want_later_advice(now);
         self.tell_waiting(now);
         self.look_at_workers(now);
         self.drop_expired(now);
@@ -259,6 +269,7 @@
         }
         if state.is_final() && !job.has_placements() {
             self.active.remove(&key);
+            self.grants.forget_job(key);
             let drop_ms = job.ended_ms.unwrap_or(now.unix_ms) + self.timing.keep_ms;
             self.expiring.insert((drop_ms, key));
         }
--- a/crates/cyclamentrail-jobs/src/shard/evacuation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/evacuation.rs
@@ -161,9 +161,18 @@
         })
     }
 
-    fn has_room_elsewhere(&self, now: Now, key: TaskKey, step: &StepSpec) -> bool {
+    /// Returns whether a task could be placed on another worker; asks the queue's policy for
+    /// further workers when it can't.
+    fn has_room_elsewhere(&mut self, now: Now, key: TaskKey, step: &StepSpec) -> bool {
+        let granted = self.granted(now, key.into());
         let counts = self.tasks_per_worker(key);
-        choose(&Wish::from(step), self.open_workers(now, step, &counts)).is_some()
+        let mut wish = Wish::from(step);
+        wish.granted = granted.as_ref();
+        let has_room = choose(&wish, self.open_workers(now, step, &counts)).is_some();
+        if !has_room && granted.is_some() {
+            self.want_advice(now, key.into());
+        }
+        has_room
     }
 
     /// Returns the workers on which something runs until its job is cancelled.
--- a/crates/cyclamentrail-jobs/src/shard/orders.rs
+++ b/crates/cyclamentrail-jobs/src/shard/orders.rs
@@ -23,10 +23,16 @@
             return None;
         }
         let is_over = job.is_over();
+        let grant = self
+            .grants
+            .ticket(key.into(), placement.worker, now.boot_ms);
+        // A run that may be there already is ordered again in any case: the answer tells.
+        let is_refused =
+            grant.is_none() && placement.phase == Phase::Placed && self.is_advised(key.job);
         let lease_ms = self.timing.lease_ms;
         let worker = self.workers.get_mut(placement.worker)?;
         let until_ms = worker.lease.extend(now.boot_ms, lease_ms);
-        let (Some(until_ms), false) = (until_ms, is_over) else {
+        let (Some(until_ms), false) = (until_ms, is_over || is_refused) else {
             if placement.phase == Phase::Placed {
                 self.release(key, Some(GoneProof::NeverSent));
             }
@@ -49,7 +55,7 @@
             text,
             until_ms,
             checkpoint,
-            grant: None,
+            grant,
         })
     }
 
@@ -68,6 +74,10 @@
             OrderOutcome::Rejected(OrderRejection::Late, _) => {
                 self.resend_later(now.boot_ms, key, run);
             }
+            OrderOutcome::Rejected(OrderRejection::Grant, _) => {
+                self.grants.reject(key.into(), placement.worker);
+                self.free_rejected(now, key, placement);
+            }
             OrderOutcome::Rejected(..) => self.reject(now, key, placement),
             OrderOutcome::Unwell => {
                 self.avoid(now, placement.worker, UNWELL_MS);
@@ -125,7 +135,11 @@
         for key in due {
             let target = self.target(key);
             let lease_ms = self.timing.lease_ms;
-            let look_wait_ms = self.timing.look_wait_ms;
+            let look_wait_ms = if self.is_shared(key) {
+                self.timing.shared_wait_ms
+            } else {
+                self.timing.look_wait_ms
+            };
             let worker = &mut self.workers[key];
             let has_tasks = !worker.tasks.is_empty();
             let answers = worker.contact == Contact::Good;
@@ -197,14 +211,25 @@
         }
     }
 
-    /// Frees a run that its worker rejected, unless an earlier order may still be carried out.
+    /// Frees a run that its worker rejected, and places nothing there for a moment.
     fn reject(&mut self, now: Now, key: TaskKey, placement: Placement) {
+        if self.free_rejected(now, key, placement) {
+            self.avoid(now, placement.worker, UNWELL_MS / 4);
+        }
+    }
+
+    /// Frees a run that its worker rejected, unless an earlier order may still be carried out;
+    /// returns whether it is free.
+    fn free_rejected(&mut self, now: Now, key: TaskKey, placement: Placement) -> bool {
         if placement.is_ambiguous {
             self.resend_later(now.boot_ms + START_AGAIN_MS, key, placement.run);
-        } else if placement.phase == Phase::Sent {
+            return false;
+        }
+        if placement.phase == Phase::Sent {
             self.release(key, Some(GoneProof::Rejected));
-            self.avoid(now, placement.worker, UNWELL_MS / 4);
+            return true;
         }
+        false
     }
 
     /// Takes note that an order to start a run may be carried out later.
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -7,6 +7,7 @@
 use super::{Now, Shard};
 use crate::effect::Effect;
 use crate::job::{JobKey, Occurrence, Phase, Placement, TaskKey};
+use crate::pacing::WHOLE_PERCENT;
 use crate::placing::{Wish, choose};
 use crate::ranking::{Rank, Waiting};
 use crate::worker::{Worker, WorkerKey};
@@ -128,8 +129,11 @@
         let Some(spec) = self.step_of(ready.task(0)).cloned() else {
             return;
         };
+        let granted = self.granted(now, ready.task(0).into());
         if spec.gang {
-            self.place_gang(now, ready, &spec);
+            if !self.place_gang(now, ready, &spec, granted.as_ref()) && granted.is_some() {
+                self.want_advice(now, ready.task(0).into());
+            }
             return;
         }
         let rack = self.rack_of(ready, &spec);
@@ -146,12 +150,18 @@
             }
             wish.tied = Some(tied);
             wish.same_step = Some(&per_worker);
-            if misses.contains(&wish.demand) && wish.requires.is_none() {
+            wish.granted = granted.as_ref();
+            let is_common = wish.requires.is_none() && granted.is_none();
+            if misses.contains(&wish.demand) && is_common {
                 return;
             }
             let open = self.open_workers(now, &spec, &per_worker);
             let Some(worker) = choose(&wish, open) else {
-                misses.push(wish.demand);
+                if granted.is_some() {
+                    self.want_advice(now, key.into());
+                } else {
+                    misses.push(wish.demand);
+                }
                 return;
             };
             *per_worker.entry(worker).or_default() += 1;
@@ -159,11 +169,17 @@
         }
     }
 
-    /// Places all tasks of a gang at once, or none.
-    fn place_gang(&mut self, now: Now, ready: ReadyStep, spec: &StepSpec) {
+    /// Places all tasks of a gang at once, or none; returns whether there was room.
+    fn place_gang(
+        &mut self,
+        now: Now,
+        ready: ReadyStep,
+        spec: &StepSpec,
+        granted: Option<&BTreeSet<WorkerKey>>,
+    ) -> bool {
         let keys: Vec<TaskKey> = (0..spec.count).map(|index| ready.task(index)).collect();
         if !keys.iter().all(|&key| self.is_waiting(key)) {
-            return;
+            return true;
         }
         let racks = self.racks();
         let preferred = spec.affinity.iter().cloned();
@@ -175,9 +191,9 @@
         let only_rack = |rack: &Option<RackName>| spec.same_rack && rack.is_some();
         let plan = tried
             .iter()
-            .find_map(|rack| self.plan_gang(now, spec, rack.as_ref(), only_rack(rack)));
+            .find_map(|rack| self.plan_gang(now, spec, rack.as_ref(), only_rack(rack), granted));
         let Some(plan) = plan else {
-            return;
+            return false;
         };
         let run = keys
             .iter()
@@ -188,6 +204,7 @@
         for (key, worker) in keys.into_iter().zip(plan) {
             self.place(now, key, worker, Some(run));
         }
+        true
     }
 
     fn plan_gang(
@@ -196,10 +213,12 @@
         spec: &StepSpec,
         rack: Option<&RackName>,
         only_rack: bool,
+        granted: Option<&BTreeSet<WorkerKey>>,
     ) -> Option<Vec<WorkerKey>> {
         let demand = spec.counted();
         let mut wish = Wish::from(spec);
         wish.rack = rack;
+        wish.granted = granted;
         let mut trial: Vec<(WorkerKey, Worker)> = self
             .workers
             .iter()
@@ -250,6 +269,7 @@
             run: task.run,
             phase: Phase::Placed,
             is_ambiguous: false,
+            paced_percent: Some(WHOLE_PERCENT),
             percent: 0,
             progress_ms: now.boot_ms,
         });
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -129,6 +129,7 @@
                 run: record.run,
                 phase,
                 is_ambiguous: true,
+                paced_percent: None,
                 percent: 0,
                 progress_ms: now.boot_ms,
             });
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -54,6 +54,7 @@
                 answers: true,
             }));
         }
+        self.set_pace(now, key, &report);
         let mut listed = BTreeSet::new();
         for row in report.ended {
             if let Some(task) = self.task_of(&row.name) {
@@ -291,7 +292,7 @@
         }
     }
 
-    fn task_of(&self, name: &RunName) -> Option<TaskKey> {
+    pub(super) fn task_of(&self, name: &RunName) -> Option<TaskKey> {
         let key = TaskKey {
             job: *self.ids.get(&name.job)?,
             occurrence: name.occurrence,
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -7,7 +7,7 @@
 use slotmap::new_key_type;
 
 use crate::job::TaskKey;
-use crate::{Lease, Resources};
+use crate::{Lease, Pace, Resources};
 
 new_key_type! {
     /// Key of a worker in its shard.
@@ -78,6 +78,8 @@
     pub look_ms: u64,
     /// Whether it answers.
     pub contact: Contact,
+    /// Share of the tasks that fill it.
+    pub pace: Pace,
     /// Until when nothing new is placed there, on our clock in milliseconds.
     pub avoid_until_ms: u64,
     /// Failures in a row; halved by each success.
@@ -107,6 +109,7 @@
             is_looking: false,
             look_ms: 0,
             contact: Contact::Good,
+            pace: Pace::new(),
             avoid_until_ms: 0,
             strikes: 0,
             evacuating_since_ms: None,
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -4,8 +4,12 @@
 mod jobs;
 #[path = "scheduler/overload.rs"]
 mod overload;
+#[path = "scheduler/policy.rs"]
+mod policy;
 #[path = "scheduler/promises.rs"]
 mod promises;
+#[path = "scheduler/sharing.rs"]
+mod sharing;
 #[path = "scheduler/silence.rs"]
 mod silence;
 #[path = "scheduler/takeover.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -9,12 +9,14 @@
 
 use cyclamentrail_core::{JobId, LabelName, RouteName, ServiceName, WorkerId, ZoneName};
 use cyclamentrail_jobs::{
-    Answer, CallerTicket, Commit, Effect, EndKind, EndedRow, JobSpec, JobState, KeyedRecord, Look,
-    LookOutcome, Note, Now, OrderOutcome, OrderRejection, Registration, Report, Resources,
-    RouteTerms, RunName, RunningRow, Shard, ShardTiming, StartOrder, StepSpec, StopOrder, TaskKey,
-    WorkerKey,
+    AdviceQuestion, Answer, CallerTicket, Commit, Effect, EndKind, EndedRow, JobSpec, JobState,
+    KeyedRecord, Look, LookOutcome, Note, Now, OrderOutcome, OrderRejection, PaceOrder,
+    Registration, Report, Resources, RouteTerms, RunName, RunningRow, Shard, ShardTiming,
+    StartOrder, StepSpec, StopOrder, TaskKey, WorkerKey,
 };
 
+use crate::policy::Policy;
+
 /// Route that all jobs of these tests use.
 pub const ROUTE: &str = "route";
 /// Time of a call and its answer, each, in milliseconds.
@@ -70,6 +72,10 @@
     end_ms: Option<u64>,
     stop_ms: Option<u64>,
     fails: bool,
+    fills: bool,
+    serves: bool,
+    /// Share in percent at which it works.
+    paced_percent: u64,
 }
 
 /// A worker and its link to the owner.
@@ -100,6 +106,8 @@
     pub fails_all: bool,
     /// Whether what it starts makes no progress.
     pub hangs: bool,
+    /// Time that each filling task adds to the tail of the serving ones.
+    pub harm_ms: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -110,6 +118,8 @@
     Started(WorkerKey, TaskKey, u32, OrderOutcome, u64),
     Stopped(TaskKey, u32, OrderOutcome, u64),
     Looked(WorkerKey, u64, LookOutcome, u64),
+    Paced(PaceOrder),
+    Advise(AdviceQuestion),
     Committed(u64),
 }
 
@@ -130,6 +140,8 @@
     pub store_answers: bool,
     /// Whether the owner does anything.
     pub is_owned: bool,
+    /// Which workers may run anything, if a policy decides it.
+    pub policy: Option<Policy>,
     now_ms: u64,
     token: u64,
     events: BTreeMap<(u64, u64), Event>,
@@ -156,6 +168,7 @@
             starts: HashMap::new(),
             store_answers: true,
             is_owned: true,
+            policy: None,
             now_ms: 1_000,
             token: 1,
             events: BTreeMap::new(),
@@ -212,6 +225,7 @@
             late_ms: None,
             fails_all: false,
             hangs: false,
+            harm_ms: 0,
         };
         self.workers.insert(registration.id.clone(), worker);
         self.shard.register(self.now(), registration);
@@ -375,6 +389,8 @@
                 }
                 Effect::Stop(order) => self.schedule(HOP_MS, Event::Stop(order, self.token)),
                 Effect::Look(look) => self.schedule(HOP_MS, Event::Look(look, self.token)),
+                Effect::Pace(order) => self.schedule(HOP_MS, Event::Paced(order)),
+                Effect::Advise(question) => self.schedule(40, Event::Advise(question)),
                 Effect::Note(note) => self.notes.push(note),
             }
         }
@@ -386,6 +402,8 @@
             Event::Start(order, token, may_be_late) => self.start(order, token, may_be_late),
             Event::Stop(order, token) => self.stop(&order, token),
             Event::Look(look, token) => self.look(&look, token),
+            Event::Paced(order) => self.pace(&order),
+            Event::Advise(question) => self.advise(&question),
             Event::Started(worker, task, run, outcome, token) if token == self.token => {
                 let now = self.now();
                 let _ = worker;
@@ -403,6 +421,28 @@
         }
     }
 
+    fn pace(&mut self, order: &PaceOrder) {
+        let runs = self
+            .workers
+            .get_mut(&order.target.id)
+            .map(|worker| &mut worker.running);
+        for run in runs.into_iter().flatten() {
+            let name = &run.name;
+            if (&name.job, name.step, name.index) == (&order.job, order.task.step, order.task.index)
+            {
+                run.paced_percent = u64::from(order.percent);
+            }
+        }
+    }
+
+    fn advise(&mut self, question: &AdviceQuestion) {
+        let now = self.now();
+        if let Some(policy) = &mut self.policy {
+            let outcome = policy.answer(question, now.boot_ms);
+            self.shard.advice_done(now, question, outcome);
+        }
+    }
+
     fn committed(&mut self, token: u64) {
         if token != self.token {
             return;
@@ -479,6 +519,11 @@
         );
         let spec = Arc::clone(&self.specs[&order.job]);
         let step = spec.steps[order.task.step as usize].clone();
+        if let Some(policy) = &self.policy
+            && !policy.accepts(order, now_ms)
+        {
+            return OrderOutcome::Rejected(OrderRejection::Grant, Some(now_ms));
+        }
         let worker = self
             .workers
             .get_mut(&order.target.id)
@@ -517,6 +562,9 @@
             end_ms: (!lasts).then_some(now_ms + step.estimate_ms),
             stop_ms: None,
             fails,
+            fills: step.fills,
+            serves: step.target_ms.is_some(),
+            paced_percent: 100,
         };
         worker.running.push(run);
         let used = worker
@@ -671,12 +719,24 @@
 }
 
 impl FakeWorker {
+    /// Returns the tail of the serving tasks in milliseconds.
+    pub fn tail_ms(&self) -> u64 {
+        let filling = self.running.iter().filter(|run| run.fills);
+        20 + filling.map(|run| run.paced_percent).sum::<u64>() * self.harm_ms / 100
+    }
+
+    /// Returns the highest share of a filling task in percent.
+    pub fn filling_percent(&self) -> u64 {
+        let filling = self.running.iter().filter(|run| run.fills);
+        filling.map(|run| run.paced_percent).max().unwrap_or(0)
+    }
+
     fn row(&self, run: &Run) -> RunningRow {
         RunningRow {
             name: run.name.clone(),
             checkpoint: Arc::from(""),
             percent: if self.hangs { 0 } else { 100 },
-            load: 0,
+            load: if run.serves { self.tail_ms() } else { 0 },
         }
     }
 }
--- a/crates/cyclamentrail/src/edge/journal.rs
+++ b/crates/cyclamentrail/src/edge/journal.rs
@@ -134,6 +134,13 @@
                     "task_waits"
                 );
             }
+            Note::Paced {
+                worker,
+                percent,
+                worst_percent,
+            } => {
+                log::info!(shard, worker:% = worker, percent, worst_percent; "filling_tasks_paced");
+            }
             Note::Stalled { job, worker } => {
                 log::info!(shard, job:% = job, worker:% = worker; "run_stalled");
             }
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamentrail_adapter::{StoreError, WorkerCalls};
+use cyclamentrail_adapter::{Advisor, StoreError, WorkerCalls};
 use cyclamentrail_core::{ServiceName, WorkerId};
 use cyclamentrail_jobs::{
-    CallerTicket, Commit, Effect, KeyedRecord, LookOutcome, OrderOutcome, RELEASE_KEY,
-    ReleaseRecord, Shard, ShardTiming, TaskKey, WorkerKey, encode,
+    AdviceOutcome, AdviceQuestion, CallerTicket, Commit, Effect, KeyedRecord, LookOutcome,
+    OrderOutcome, RELEASE_KEY, ReleaseRecord, Shard, ShardTiming, TaskKey, WorkerKey, encode,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
@@ -26,6 +26,8 @@
 
 /// Time limit of a call to a worker, beside what it may wait for.
 const WORKER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time limit of a question to a queue's policy, which answers one at a time.
+const ADVICE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time between two rounds while work is under way.
 const BUSY_TICK: Duration = Duration::from_millis(40);
 /// Time between two rounds while there is nothing to do.
@@ -54,6 +56,10 @@
     Started(WorkerKey, TaskKey, u32, OrderOutcome),
     /// What became of a stop.
     Stopped(TaskKey, u32, OrderOutcome),
+    /// Whether a worker holds a run at the share that it was told.
+    Paced(TaskKey, u32, bool),
+    /// What a queue's policy answered.
+    Advised(Box<AdviceQuestion>, AdviceOutcome),
     /// What became of a look, which acknowledged the ends up to a number.
     Looked(WorkerKey, u64, LookOutcome),
     /// A commit is durable, or never will be.
@@ -105,6 +111,7 @@
     shard: Shard,
     taken: Option<Taken>,
     calls: WorkerCalls,
+    advisor: Option<Advisor>,
     log: Option<Box<CommitLog>>,
     committing_since: Instant,
     confirmation: Confirmation,
@@ -140,6 +147,10 @@
         let log = CommitLog::new(node, &taken, confirmation.clone());
         Self {
             calls: WorkerCalls::new(node.caller.clone(), taken.token, WORKER_TIMEOUT),
+            advisor: node
+                .settings
+                .advice
+                .map(|address| Advisor::new(node.caller.clone(), address, ADVICE_TIMEOUT)),
             service: ServiceName::from(shard),
             shard: Shard::new(timing),
             token: taken.token,
@@ -301,6 +312,14 @@
             OwnerMessage::Looked(worker, seen, outcome) => {
                 self.shard.look_done(now(), worker, seen, outcome)
             }
+            OwnerMessage::Paced(task, run, is_done) => {
+                self.shard.pace_done(task, run, is_done);
+                false
+            }
+            OwnerMessage::Advised(question, outcome) => {
+                self.shard.advice_done(now(), &question, outcome);
+                false
+            }
             OwnerMessage::Committed(commit, result) => {
                 self.take_committed(*commit, result);
                 false
--- a/crates/cyclamentrail/src/edge/owner/effects.rs
+++ b/crates/cyclamentrail/src/edge/owner/effects.rs
@@ -1,7 +1,8 @@
 //! Carries out what a shard wants done.
 
 use cyclamentrail_jobs::{
-    Answer, CallerTicket, Effect, Look, LookOutcome, OrderOutcome, StopOrder, WorkerKey,
+    AdviceOutcome, AdviceQuestion, Answer, CallerTicket, Effect, Look, LookOutcome, OrderOutcome,
+    PaceOrder, StopOrder, WorkerKey,
 };
 
 use super::{Owner, OwnerMessage};
@@ -27,6 +28,8 @@
                 }
                 Effect::Stop(order) => self.send_stop(order),
                 Effect::Look(look) => self.send_look(look),
+                Effect::Pace(order) => self.send_pace(order),
+                Effect::Advise(question) => self.send_question(question),
                 Effect::Note(note) => self.journal.note(&note),
             }
         }
@@ -50,6 +53,26 @@
         });
     }
 
+    fn send_pace(&self, order: PaceOrder) {
+        let (sender, calls) = (self.sender.clone(), self.calls.clone());
+        let confirmation = self.confirmation.clone();
+        tokio::spawn(async move {
+            let is_done = confirmation.is_valid() && calls.pace(&order).await;
+            drop(sender.send(OwnerMessage::Paced(order.task, order.run, is_done)));
+        });
+    }
+
+    fn send_question(&self, question: AdviceQuestion) {
+        let (sender, advisor) = (self.sender.clone(), self.advisor.clone());
+        tokio::spawn(async move {
+            let outcome = match advisor {
+                Some(advisor) => advisor.ask(&question).await,
+                None => AdviceOutcome::NoAnswer,
+            };
+            drop(sender.send(OwnerMessage::Advised(Box::new(question), outcome)));
+        });
+    }
+
     fn send_look(&self, look: Look) {
         let (sender, calls) = (self.sender.clone(), self.calls.clone());
         let confirmation = self.confirmation.clone();
