--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -308,6 +308,19 @@
     Stop,
 }
 
+impl WaitReason {
+    /// Returns the name in logs and labels.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Room => "room",
+            Self::Sending => "sending",
+            Self::Answer => "answer",
+            Self::Stop => "stop",
+        }
+    }
+}
+
 /// What shows that a run is no longer on its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GoneProof {
@@ -323,6 +336,20 @@
     Rejected,
 }
 
+impl GoneProof {
+    /// Returns the name in logs and labels.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::LeaseOver => "lease_over",
+            Self::Reborn => "worker_restarted",
+            Self::NotListed => "not_listed",
+            Self::NeverSent => "never_sent",
+            Self::Rejected => "rejected",
+        }
+    }
+}
+
 /// How a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndKind {
@@ -340,6 +367,21 @@
     Alone,
 }
 
+impl EndKind {
+    /// Returns the name in logs and labels.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+        }
+    }
+}
+
 /// Names a run of a task in a worker's report.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunName {
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -29,6 +29,18 @@
 }
 
 impl JobState {
+    /// Returns the name in logs and labels.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+
     /// Returns whether nothing of the job will be started any more.
     #[must_use]
     pub const fn is_final(self) -> bool {
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -161,6 +161,12 @@
         self.worker_ids.get(id).map(|&key| &self.workers[key])
     }
 
+    /// Returns a worker by its key.
+    #[must_use]
+    pub fn worker_by_key(&self, key: WorkerKey) -> Option<&Worker> {
+        self.workers.get(key)
+    }
+
     /// Returns all workers.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.values()
--- /dev/null
+++ b/crates/cyclamentrail-testkit/src/job_site.rs
@@ -0,0 +1,263 @@
+//! A small site of the jobs path: a store, workers and processes.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result, ensure};
+use bytes::Bytes;
+use cyclamentrail_standin::{JobStore, JobWorker, TaskRun};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::Process;
+
+const LOCAL: [u8; 4] = [127, 0, 0, 1];
+const HOST: &str = "jobs.example";
+/// Time in which something that is to happen has happened.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Time between two looks.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// A store, workers and processes of the system.
+#[derive(Debug)]
+pub struct JobSite {
+    /// The platform's store.
+    pub store: Arc<JobStore>,
+    /// The workers.
+    pub workers: Vec<JobWorker>,
+    /// The processes and where they take requests.
+    pub nodes: Vec<(Process, SocketAddr)>,
+    client: Client<HttpConnector, Full<Bytes>>,
+    folder: tempfile::TempDir,
+}
+
+impl JobSite {
+    /// Starts a store, workers and processes; a task takes `task_ms`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn start(nodes: usize, workers: usize, task_ms: u64) -> Result<Self> {
+        let store = Arc::new(JobStore::start(SocketAddr::from((LOCAL, 0))).await?);
+        let config = json!({
+            "Version": 3,
+            "Routes": [{
+                "Name": "r", "Host": HOST, "PathPrefix": "/q/", "Service": "svc", "Priority": 0,
+                "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3, "Stretch": 2.0,
+            }],
+            "Services": [{"Name": "svc", "Standby": false}],
+        });
+        store.put("keyed.op", "config", &config);
+        let mut site = Self {
+            store,
+            workers: Vec::new(),
+            nodes: Vec::new(),
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            folder: tempfile::tempdir()?,
+        };
+        for index in 0..workers {
+            site.add_worker(&format!("i-{index}"), task_ms).await?;
+        }
+        for index in 0..nodes {
+            site.add_node(&format!("n{index}"))?;
+        }
+        Ok(site)
+    }
+
+    /// Adds a worker.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn add_worker(&mut self, id: &str, task_ms: u64) -> Result<()> {
+        let worker = JobWorker::start(&self.store, id, "svc", task_ms).await?;
+        self.workers.push(worker);
+        Ok(())
+    }
+
+    /// Adds a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub fn add_node(&mut self, name: &str) -> Result<()> {
+        self.start_node(name, Process::spawn)
+    }
+
+    /// Adds a process whose output nobody reads.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub fn add_unread_node(&mut self, name: &str) -> Result<()> {
+        self.start_node(name, Process::spawn_unread)
+    }
+
+    fn start_node(
+        &mut self,
+        name: &str,
+        spawn: impl Fn(&str, &[String], &[(&str, &str)]) -> Result<Process>,
+    ) -> Result<()> {
+        let [front, ready, internal] = free_ports()?;
+        let path = self.folder.path().join(name);
+        let text = format!(
+            "NodeName={name}\nZone=z\nIp=127.0.0.1\nListen.Front=127.0.0.1:{front}\n\
+             Listen.Ready=127.0.0.1:{ready}\nInternalPortRange={internal},{}\n\
+             platform.Address={}\nplatform.TtlMinMs=500\n",
+            internal + 2,
+            self.store.address(),
+        );
+        std::fs::write(&path, text)?;
+        let arguments = [
+            String::from("edge"),
+            String::from("--settings"),
+            path.display().to_string(),
+        ];
+        let process = spawn("cyclamentrail", &arguments, &[])?;
+        self.nodes.push((process, SocketAddr::from((LOCAL, front))));
+        Ok(())
+    }
+
+    /// Calls a process about a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn call(
+        &self,
+        node: usize,
+        method: Method,
+        id: &str,
+        body: String,
+    ) -> Result<(StatusCode, Bytes)> {
+        let address = self.nodes[node].1;
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}/q/{id}"))
+            .header("host", HOST)
+            .header("deadline-ms", "3000")
+            .body(Full::new(Bytes::from(body)))?;
+        let response = self.client.request(request).await?;
+        let status = response.status();
+        Ok((status, response.into_body().collect().await?.to_bytes()))
+    }
+
+    /// Hands in a job until it is accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn submit(&self, node: usize, id: &str, count: u32) -> Result<()> {
+        let step = json!({"Count": count, "Cpu": 500, "MemMb": 100, "EstimateMs": 500});
+        let body = json!({"Spec": "work", "Steps": [step]}).to_string();
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let answer = self.call(node, Method::POST, id, body.clone()).await;
+            match answer {
+                Ok((StatusCode::OK, _)) => return Ok(()),
+                other => ensure!(Instant::now() < end, "{id} isn't accepted: {other:?}"),
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Returns what a process tells of a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn state(&self, node: usize, id: &str) -> Result<String> {
+        let (status, body) = self.call(node, Method::GET, id, String::new()).await?;
+        ensure!(status == StatusCode::OK, "{id} is told as {status}");
+        let body: serde_json::Value = serde_json::from_slice(&body)?;
+        Ok(body["State"].as_str().context("no state")?.to_owned())
+    }
+
+    /// Waits until a process tells a job as completed.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn wait_completed(&self, node: usize, id: &str) -> Result<()> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let state = self.state(node, id).await;
+            if matches!(&state, Ok(state) if state == "completed") {
+                return Ok(());
+            }
+            ensure!(Instant::now() < end, "{id} isn't completed: {state:?}");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Waits until a job has begun; returns its runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn wait_begun(&self, id: &str) -> Result<Vec<TaskRun>> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let runs = self.runs(id);
+            if !runs.is_empty() {
+                return Ok(runs);
+            }
+            ensure!(Instant::now() < end, "{id} doesn't begin");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Returns the runs of a job's tasks.
+    #[must_use]
+    pub fn runs(&self, id: &str) -> Vec<TaskRun> {
+        self.workers
+            .iter()
+            .flat_map(JobWorker::runs)
+            .filter(|run| run.task.starts_with(id))
+            .collect()
+    }
+
+    /// Checks that each task was done exactly once.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub fn check_once(&self, id: &str, count: usize) -> Result<()> {
+        let mut done: HashMap<String, u32> = HashMap::new();
+        for run in self.runs(id).into_iter().filter(|run| run.how == "done") {
+            *done.entry(run.task).or_default() += 1;
+        }
+        ensure!(
+            done.len() == count,
+            "{} of {count} tasks are done",
+            done.len()
+        );
+        ensure!(done.values().all(|&times| times == 1), "{done:?}");
+        Ok(())
+    }
+}
+
+/// Returns ports that are free, the last with two free ones behind it.
+fn free_ports() -> Result<[u16; 3]> {
+    loop {
+        let held = [listen(0)?, listen(0)?];
+        let first = held[0].local_addr()?.port();
+        let second = held[1].local_addr()?.port();
+        let third = listen(0)?;
+        let internal = third.local_addr()?.port();
+        if internal < u16::MAX - 2 && listen(internal + 1).is_ok() {
+            return Ok([first, second, internal]);
+        }
+    }
+}
+
+fn listen(port: u16) -> std::io::Result<TcpListener> {
+    TcpListener::bind(SocketAddr::from((LOCAL, port)))
+}
--- a/crates/cyclamentrail-testkit/src/lib.rs
+++ b/crates/cyclamentrail-testkit/src/lib.rs
@@ -16,6 +16,7 @@
 mod call;
 mod client;
 mod forwarder;
+mod job_site;
 mod load;
 mod process;
 mod site;
@@ -23,6 +24,7 @@
 pub use call::Call;
 pub use client::{Answer, Client};
 pub use forwarder::Forwarder;
+pub use job_site::JobSite;
 pub use load::{Ended, Load, tally};
 pub use process::Process;
 pub use site::{Site, SiteBuilder, TOKEN};
--- a/crates/cyclamentrail-testkit/src/process.rs
+++ b/crates/cyclamentrail-testkit/src/process.rs
@@ -3,16 +3,22 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 
 use anyhow::{Context, Result, ensure};
+use rustix::pipe::fcntl_setpipe_size;
 use rustix::process::{Pid, Signal, kill_process};
 
+/// Output that the system keeps for a reader, in bytes.
+const UNREAD_BYTES: usize = 4_096;
+
 /// A started process; dropping it kills it.
 #[derive(Debug)]
 pub struct Process {
     child: Child,
     banner: String,
+    /// Output that nobody reads.
+    unread: Option<ChildStdout>,
 }
 
 impl Process {
@@ -22,6 +28,22 @@
     ///
     /// Returns an error when the binary isn't built or doesn't start serving.
     pub fn spawn(binary: &str, arguments: &[String], environment: &[(&str, &str)]) -> Result<Self> {
+        let mut process = Self::spawn_unread(binary, arguments, environment)?;
+        process.unread = None;
+        Ok(process)
+    }
+
+    /// Starts a binary of this workspace and reads nothing of its output once it serves; the
+    /// system keeps a page of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the binary isn't built or doesn't start serving.
+    pub fn spawn_unread(
+        binary: &str,
+        arguments: &[String],
+        environment: &[(&str, &str)],
+    ) -> Result<Self> {
         let path = binary_path(binary)?;
         let mut child = Command::new(&path)
             .args(arguments)
@@ -30,13 +52,19 @@
             .spawn()
             .with_context(|| format!("{} can't be started", path.display()))?;
         let stdout = child.stdout.take().context("the process has no output")?;
+        fcntl_setpipe_size(&stdout, UNREAD_BYTES)?;
         let mut banner = String::new();
-        BufReader::new(stdout).read_line(&mut banner)?;
+        let mut reader = BufReader::new(stdout);
+        reader.read_line(&mut banner)?;
         ensure!(
             banner.starts_with("listening"),
             "{binary} didn't start: {banner:?}"
         );
-        Ok(Self { child, banner })
+        Ok(Self {
+            child,
+            banner,
+            unread: Some(reader.into_inner()),
+        })
     }
 
     /// Returns the address that the process printed after a label, or as its only one.
--- a/crates/cyclamentrail/src/command.rs
+++ b/crates/cyclamentrail/src/command.rs
@@ -31,7 +31,7 @@
   check    reads, merges and validates the settings of a site
   edge     runs one process of the system on the users' platform
   entry    runs one entry
-  explain  explains one request, instance, wave or change
+  explain  explains one request, instance, wave, change or job
   local    runs a whole site in this process, under load
   pool     shows pools, or moves an instance to another pool
   publish  changes the settings and waits until the change is in force
--- a/crates/cyclamentrail/src/command/client.rs
+++ b/crates/cyclamentrail/src/command/client.rs
@@ -44,6 +44,23 @@
         options.reqopt("", "entry", "operators' address of any entry", "IP:PORT");
     }
 
+    /// Adds the options that say which entry, or which process on the users' platform, to call.
+    pub(crate) fn add_either_options(options: &mut Options) {
+        options.optopt("", "entry", "operators' address of any entry", "IP:PORT");
+        options.optopt("", "edge", "metrics address of any edge process", "IP:PORT");
+    }
+
+    /// Creates a client of an edge process, if the command line names one.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the address can't be read.
+    pub(crate) fn of_edge(matches: &Matches) -> Result<Option<Self>> {
+        let address = flag(matches, "edge", "an address such as 127.0.0.1:7061")?;
+        // Only the platform's own network reaches these listeners; they ask for no token.
+        Ok(address.map(|address| Self::new(address, String::new())))
+    }
+
     /// Creates a client from parsed options and the environment.
     ///
     /// # Errors
--- a/crates/cyclamentrail/src/command/explain.rs
+++ b/crates/cyclamentrail/src/command/explain.rs
@@ -1,4 +1,4 @@
-//! `cyclamentrail explain`: explains one request, instance, wave or change.
+//! `cyclamentrail explain`: explains one request, instance, wave, change or job.
 
 use std::net::SocketAddr;
 
@@ -20,6 +20,7 @@
     Instance,
     Wave,
     Change,
+    Job,
 }
 
 impl Kind {
@@ -29,6 +30,7 @@
             "instance" => Some(Self::Instance),
             "wave" => Some(Self::Wave),
             "change" => Some(Self::Change),
+            "job" => Some(Self::Job),
             _ => None,
         }
     }
@@ -39,13 +41,14 @@
             Self::Instance => "/v1/explain/instances",
             Self::Wave => "/v1/waves",
             Self::Change => "/v1/explain/changes",
+            Self::Job => "/v1/explain/jobs",
         }
     }
 }
 
 fn options() -> Options {
     let mut options = Options::new();
-    OperatorClient::add_options(&mut options);
+    OperatorClient::add_either_options(&mut options);
     options.optflag("", "json", "print JSON on one line");
     options.optflag("h", "help", "print this help");
     options
@@ -55,7 +58,7 @@
 pub(crate) fn run(arguments: &[String]) -> ExitStatus {
     super::run_with_words(
         "explain",
-        "request|instance|wave|change ID",
+        "request|instance|wave|change|job ID",
         2,
         &options(),
         arguments,
@@ -69,10 +72,13 @@
     };
     let Some(kind) = Kind::parse(kind) else {
         let problem =
-            format!("{kind:?} can't be explained; name request, instance, wave or change");
+            format!("{kind:?} can't be explained; name request, instance, wave, change or job");
         return Err(UsageError::new(problem).into());
     };
-    let client = OperatorClient::from_matches(matches)?;
+    let client = match OperatorClient::of_edge(matches)? {
+        Some(client) => client,
+        None => OperatorClient::from_matches(matches)?,
+    };
     let path = format!("{}/{id}", kind.path());
     let explanation = match client.get(&path) {
         Err(error) if kind == Kind::Request && is_not_found(&error) => {
--- a/crates/cyclamentrail/src/command/state.rs
+++ b/crates/cyclamentrail/src/command/state.rs
@@ -10,10 +10,11 @@
 use super::ExitStatus;
 use super::client::OperatorClient;
 use super::explain::text_of;
+use super::text::readable;
 
 fn options() -> Options {
     let mut options = Options::new();
-    OperatorClient::add_options(&mut options);
+    OperatorClient::add_either_options(&mut options);
     options.optflag("", "json", "print the whole state as JSON on one line");
     options.optflag("h", "help", "print this help");
     options
@@ -25,9 +26,17 @@
 }
 
 fn print_state(matches: &Matches) -> Result<()> {
-    let state = OperatorClient::from_matches(matches)?.get("/state")?;
+    let edge = OperatorClient::of_edge(matches)?;
+    let is_edge = edge.is_some();
+    let client = match edge {
+        Some(client) => client,
+        None => OperatorClient::from_matches(matches)?,
+    };
+    let state = client.get("/state")?;
     if matches.opt_present("json") {
         println!("{state}");
+    } else if is_edge {
+        print!("{}", readable(&state));
     } else {
         print!("{}", summary(&state));
     }
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -16,11 +16,13 @@
 use tokio::sync::watch;
 
 use crate::logging::Logging;
+use crate::metrics;
 use crate::serve::{self, Audience};
 
 mod boot_clock;
 mod commits;
 mod configuration;
+mod describe;
 mod front;
 mod internal;
 mod journal;
@@ -42,6 +44,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time limit of a call of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time between two foldings of recorded times.
+const METRICS_INTERVAL: Duration = Duration::from_secs(5);
 /// Part of the grace period after which no new requests are taken, as a divisor.
 const LINGER_PART: u32 = 2;
 /// Part of the grace period at whose end the process is gone, in percent.
@@ -73,7 +77,10 @@
         "listening callers={} ready={} peers={} metrics={}",
         node.settings.front, node.settings.ready, node.settings.internal, node.settings.metrics
     );
-    let _logging = Logging::start(&log_settings, &node.settings.name)?;
+    let logging = Arc::new(Logging::start(&log_settings, &node.settings.name)?);
+    // Counts before the first look at the metrics are kept.
+    metrics::install();
+    tokio::spawn(keep_metrics(Arc::clone(&logging)));
     log::info!(zone:% = node.settings.zone, store:% = node.settings.store; "started");
     let front = tokio::spawn(serve::serve(
         Audience::Callers,
@@ -96,7 +103,7 @@
         (
             Audience::Operators,
             metrics,
-            internal::metrics_router(Arc::clone(&node)),
+            internal::metrics_router(Arc::clone(&node)).merge(describe::router(Arc::clone(&node))),
         ),
     ];
     for (audience, listener, router) in others {
@@ -129,6 +136,15 @@
     Ok(())
 }
 
+/// Folds recorded times into the exported ones, so that they don't pile up between scrapes.
+async fn keep_metrics(logging: Arc<Logging>) {
+    loop {
+        tokio::time::sleep(METRICS_INTERVAL).await;
+        metrics::install().run_upkeep();
+        metrics::show_dropped_lines(logging.dropped_lines());
+    }
+}
+
 async fn bind(address: std::net::SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/cyclamentrail/src/edge/commits.rs
+++ b/crates/cyclamentrail/src/edge/commits.rs
@@ -12,6 +12,7 @@
 use super::boot_clock::boot_ms;
 use super::node::Node;
 use super::takeover::{FIRST_SEQUENCE, Taken};
+use crate::metrics;
 
 /// First pause after a failed append.
 const MIN_RETRY: Duration = Duration::from_millis(30);
@@ -167,8 +168,10 @@
             records,
             writer: Some(self.writer()),
         };
-        self.store.append(append).await?;
-        Ok(sent_ms)
+        let sent = Instant::now();
+        let result = self.store.append(append).await;
+        metrics::count_store_call("append", result.is_ok(), sent.elapsed());
+        result.map(|_appended| sent_ms)
     }
 }
 
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/describe.rs
@@ -0,0 +1,300 @@
+//! What a process tells operators of itself and of jobs.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::{Path, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Json, Response};
+use axum::routing::get;
+use cyclamentrail_core::{JobId, ServiceName};
+use cyclamentrail_jobs::{Contact, Job, Phase, Shard, Task};
+use serde::{Deserialize, Serialize};
+
+use super::internal::ask_here;
+use super::messages::{Ask, Question, Reply};
+use super::node::Node;
+
+/// Time limit of a question to an owner.
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// A shard as its owner sees it.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct ShardView {
+    /// Fencing token of the ownership.
+    pub(crate) token: u64,
+    /// Time since the store last confirmed the ownership, in milliseconds.
+    pub(crate) confirmed_age_ms: u64,
+    /// Jobs that are kept, by state.
+    pub(crate) jobs: BTreeMap<String, u64>,
+    /// The workers.
+    pub(crate) workers: Vec<WorkerView>,
+}
+
+/// A worker as its owner sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct WorkerView {
+    /// Its id.
+    pub(crate) id: String,
+    /// Tasks that are placed there.
+    pub(crate) tasks: u64,
+    /// Capacity that is taken, in thousandths of a core.
+    pub(crate) used_cpu_milli: u64,
+    /// Whether it answers.
+    pub(crate) answers: bool,
+    /// Whether it is registered.
+    pub(crate) is_listed: bool,
+    /// Whether it is about to leave, or kept empty for a duty.
+    pub(crate) is_leaving: bool,
+    /// Failures in a row.
+    pub(crate) strikes: u32,
+}
+
+/// A job as its owner sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct JobView {
+    /// Its id.
+    pub(crate) id: String,
+    /// Service that runs its tasks.
+    pub(crate) service: String,
+    /// What callers are told of it.
+    pub(crate) state: String,
+    /// Unix time of its acceptance in milliseconds.
+    pub(crate) accepted_ms: u64,
+    /// Its tasks that aren't done, or were started more than once.
+    pub(crate) tasks: Vec<TaskView>,
+    /// The last decisions about it, the oldest first.
+    pub(crate) decisions: Vec<DecisionView>,
+}
+
+/// A task as its owner sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct TaskView {
+    /// Its name in the job: occurrence, step and index.
+    pub(crate) name: String,
+    /// Whether a run has ended well.
+    pub(crate) is_done: bool,
+    /// Highest number of a run so far.
+    pub(crate) run: u32,
+    /// Runs that failed.
+    pub(crate) failures: u32,
+    /// How far the present run has come, if there is one.
+    pub(crate) phase: Option<String>,
+    /// Worker of the present run.
+    pub(crate) worker: Option<String>,
+}
+
+/// A decision and when it was made.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct DecisionView {
+    /// Unix time in milliseconds.
+    pub(crate) unix_ms: u64,
+    /// The decision as in the log.
+    pub(crate) line: String,
+}
+
+/// A process as it sees itself.
+#[derive(Debug, Serialize)]
+struct NodeView {
+    node: String,
+    zone: String,
+    is_ready: bool,
+    configuration_version: Option<u64>,
+    owners: BTreeMap<String, OwnerView>,
+    shards: BTreeMap<String, ShardView>,
+}
+
+/// The owner of a shard, as a process knows it.
+#[derive(Debug, Serialize)]
+struct OwnerView {
+    node: String,
+    address: String,
+    token: u64,
+}
+
+/// Returns the routes for operators.
+pub(crate) fn router(node: Arc<Node>) -> Router {
+    Router::new()
+        .route("/state", get(state))
+        .route("/v1/explain/jobs/{id}", get(explain))
+        .with_state(node)
+}
+
+/// Describes the workers and counts the jobs of a shard.
+pub(super) fn describe_shard(shard: &Shard, token: u64, confirmed_age_ms: u64) -> ShardView {
+    let mut jobs: BTreeMap<String, u64> = BTreeMap::new();
+    for job in shard.jobs() {
+        *jobs.entry(job.state().as_str().to_owned()).or_default() += 1;
+    }
+    let workers = shard.workers().map(|worker| WorkerView {
+        id: worker.registration.id.to_string(),
+        tasks: worker.tasks.len() as u64,
+        used_cpu_milli: worker.used.cpu_milli,
+        answers: worker.contact == Contact::Good,
+        is_listed: worker.is_listed,
+        is_leaving: worker.registration.is_draining || worker.evacuating_since_ms.is_some(),
+        strikes: worker.strikes,
+    });
+    ShardView {
+        token,
+        confirmed_age_ms,
+        jobs,
+        workers: workers.collect(),
+    }
+}
+
+/// Describes a job and the last decisions about it; `None` when nothing is known of it.
+pub(super) fn describe_job(
+    shard: &Shard,
+    service: &ServiceName,
+    id: &JobId,
+    decisions: Vec<(u64, String)>,
+) -> Option<JobView> {
+    let job = shard.job(id);
+    if job.is_none() && decisions.is_empty() {
+        return None;
+    }
+    let decisions = decisions
+        .into_iter()
+        .map(|(unix_ms, line)| DecisionView { unix_ms, line });
+    Some(JobView {
+        id: id.to_string(),
+        service: service.to_string(),
+        state: job.map_or_else(
+            || String::from("not accepted here, or no longer kept"),
+            |job| job.shown.as_str().to_owned(),
+        ),
+        accepted_ms: job.map_or(0, |job| job.accepted_ms),
+        tasks: job.map_or_else(Vec::new, |job| describe_tasks(shard, job)),
+        decisions: decisions.collect(),
+    })
+}
+
+fn describe_tasks(shard: &Shard, job: &Job) -> Vec<TaskView> {
+    let mut views = Vec::new();
+    for occurrence in &job.occurrences {
+        for (step, progress) in occurrence.steps.iter().enumerate() {
+            for (index, task) in progress.tasks.iter().enumerate() {
+                if !task.is_done || task.run > 1 {
+                    let name = format!("{}.{step}.{index}", occurrence.number);
+                    views.push(describe_task(shard, name, task));
+                }
+            }
+        }
+    }
+    views
+}
+
+fn describe_task(shard: &Shard, name: String, task: &Task) -> TaskView {
+    let worker = task
+        .placement
+        .and_then(|placement| shard.worker_by_key(placement.worker))
+        .map(|worker| worker.registration.id.to_string());
+    let phase = task.placement.map(|placement| match placement.phase {
+        Phase::Placed => "placed",
+        Phase::Sent => "sent",
+        Phase::Running { .. } => "running",
+        Phase::Stopping { .. } => "stopping",
+    });
+    TaskView {
+        name,
+        is_done: task.is_done,
+        run: task.run,
+        failures: task.failures(),
+        phase: phase.map(str::to_owned),
+        worker,
+    }
+}
+
+async fn state(State(node): State<Arc<Node>>) -> Json<NodeView> {
+    let known: Vec<(String, super::node::Owner)> = node
+        .owners
+        .borrow()
+        .iter()
+        .map(|(shard, owner)| (shard.clone(), owner.clone()))
+        .collect();
+    let mut shards = BTreeMap::new();
+    for (shard, _) in &known {
+        if let Some(view) = own_shard(&node, shard).await {
+            shards.insert(shard.clone(), view);
+        }
+    }
+    let owners = known.into_iter().map(|(shard, owner)| {
+        let view = OwnerView {
+            node: owner.claim.node,
+            address: owner.claim.address.to_string(),
+            token: owner.token,
+        };
+        (shard, view)
+    });
+    Json(NodeView {
+        node: node.settings.name.clone(),
+        zone: node.settings.zone.to_string(),
+        is_ready: node.is_ready(),
+        configuration_version: node.configuration().map(|one| one.version),
+        owners: owners.collect(),
+        shards,
+    })
+}
+
+/// Returns how a shard stands that this process owns.
+async fn own_shard(node: &Node, shard: &str) -> Option<ShardView> {
+    let standing = node.standing(shard)?;
+    let service = ServiceName::from(shard);
+    let ask = Ask {
+        service,
+        question: Question::Describe,
+    };
+    match tokio::time::timeout(ASK_TIMEOUT, ask_here(node, ask)).await {
+        Ok(Some(Reply::Shard(view))) => Some(view),
+        // The duties over machines have no jobs to tell of.
+        _ => Some(ShardView {
+            confirmed_age_ms: standing.confirmed_age_ms,
+            ..ShardView::default()
+        }),
+    }
+}
+
+async fn explain(State(node): State<Arc<Node>>, Path(id): Path<String>) -> Response {
+    let id = JobId::from(id.as_str());
+    let services: Vec<ServiceName> = node
+        .owners
+        .borrow()
+        .keys()
+        .map(|shard| ServiceName::from(shard.as_str()))
+        .collect();
+    let asks = services
+        .into_iter()
+        .map(|service| ask_about(&node, service, &id));
+    let views = futures_util::future::join_all(asks).await;
+    match views.into_iter().flatten().next() {
+        Some(view) => Json(view).into_response(),
+        None => (
+            StatusCode::NOT_FOUND,
+            "no owner knows this job; its id is 16 hexadecimal digits, and its owner may have changed since",
+        )
+            .into_response(),
+    }
+}
+
+/// Asks the owner of a service about a job, here or at another process.
+async fn ask_about(node: &Node, service: ServiceName, id: &JobId) -> Option<JobView> {
+    let ask = Ask {
+        service: service.clone(),
+        question: Question::Explain(id.clone()),
+    };
+    let reply = if node.owned(&service).is_some() {
+        let asked = ask_here(node, ask);
+        tokio::time::timeout(ASK_TIMEOUT, asked).await.ok()??
+    } else {
+        let owner = node.owner(service.as_str())?;
+        let address = owner.claim.address;
+        node.peers.ask(address, &ask, ASK_TIMEOUT).await.ok()?
+    };
+    match reply {
+        Reply::Job(view) => Some(*view),
+        _ => None,
+    }
+}
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -196,9 +196,12 @@
         Reply::State(state) => json(StatusCode::OK, job_state_body(state.into())),
         Reply::Unknown => StatusCode::GONE.into_response(),
         Reply::Pending(count) => json(StatusCode::OK, pending_body(count)),
-        Reply::Load(_) | Reply::Standing(_) | Reply::Released | Reply::NotOwner => {
-            unavailable(NO_OWNER_RETRY_MS)
-        }
+        Reply::Load(_)
+        | Reply::Shard(_)
+        | Reply::Job(_)
+        | Reply::Standing(_)
+        | Reply::Released
+        | Reply::NotOwner => unavailable(NO_OWNER_RETRY_MS),
     }
 }
 
--- a/crates/cyclamentrail/src/edge/journal.rs
+++ b/crates/cyclamentrail/src/edge/journal.rs
@@ -1,25 +1,42 @@
-//! Log lines of an owner's decisions, within a budget.
+//! An owner's decisions: log lines within a budget, counts, and the last ones for explanations.
 
-use std::cell::Cell;
+use std::collections::VecDeque;
 
+use cyclamentrail_core::JobId;
 use cyclamentrail_jobs::Note;
 
-use super::boot_clock::boot_ms;
+use super::boot_clock::{boot_ms, unix_ms};
+use crate::metrics;
+
+mod line;
+
+pub(crate) use line::Line;
 
 /// Lines a second of ordinary events.
 const ORDINARY_PER_S: u32 = 20;
 /// Lines a second of failures and rejections.
 const FAILURES_PER_S: u32 = 60;
+/// Time over which lines are counted against the budget, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
+/// Decisions that are kept for explanations.
+const MAX_KEPT: usize = 2_000;
+
+/// A decision and when it was made.
+#[derive(Debug)]
+struct Kept {
+    unix_ms: u64,
+    note: Note,
+}
 
-/// Writes an owner's decisions to the log.
+/// Writes an owner's decisions to the log, counts them, and keeps the last ones.
 #[derive(Debug, Default)]
 pub(crate) struct Journal {
     shard: String,
-    window_ms: Cell<u64>,
-    ordinary: Cell<u32>,
-    failures: Cell<u32>,
-    left_out: Cell<u32>,
+    window_ms: u64,
+    ordinary: u32,
+    failures: u32,
+    left_out: u64,
+    kept: VecDeque<Kept>,
 }
 
 impl Journal {
@@ -31,121 +48,61 @@
         }
     }
 
-    /// Writes what was decided, if the budget allows it.
-    pub(crate) fn note(&self, note: &Note) {
+    /// Takes note of a decision; writes it if the budget allows it.
+    pub(crate) fn note(&mut self, note: Note) {
+        metrics::count_note(&self.shard, &note);
         self.turn_window();
-        if !self.spend(is_failure(note)) {
-            self.left_out.set(self.left_out.get() + 1);
-            return;
+        if self.spend(is_failure(&note)) {
+            Line::from(&note).write(&self.shard);
+        } else {
+            self.left_out += 1;
         }
-        self.write(note);
+        if self.kept.len() == MAX_KEPT {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(Kept {
+            unix_ms: unix_ms(),
+            note,
+        });
+    }
+
+    /// Returns the last decisions about a job, the oldest first, each with its Unix time in
+    /// milliseconds.
+    pub(crate) fn about(&self, job: &JobId) -> Vec<(u64, String)> {
+        self.kept
+            .iter()
+            .filter(|kept| line::job_of(&kept.note) == Some(job))
+            .map(|kept| (kept.unix_ms, Line::from(&kept.note).to_string()))
+            .collect()
     }
 
-    fn turn_window(&self) {
+    fn turn_window(&mut self) {
         let now_ms = boot_ms();
-        if now_ms.saturating_sub(self.window_ms.get()) < WINDOW_MS {
+        if now_ms.saturating_sub(self.window_ms) < WINDOW_MS {
             return;
         }
-        self.window_ms.set(now_ms);
-        self.ordinary.set(0);
-        self.failures.set(0);
-        let left_out = self.left_out.replace(0);
+        self.window_ms = now_ms;
+        self.ordinary = 0;
+        self.failures = 0;
+        let left_out = std::mem::take(&mut self.left_out);
         if left_out > 0 {
+            metrics::count_lines_left_out(left_out);
             log::info!(shard = self.shard, lines = left_out; "log_lines_left_out");
         }
     }
 
-    fn spend(&self, is_failure: bool) -> bool {
+    const fn spend(&mut self, is_failure: bool) -> bool {
         let (spent, budget) = if is_failure {
-            (&self.failures, FAILURES_PER_S)
+            (&mut self.failures, FAILURES_PER_S)
         } else {
-            (&self.ordinary, ORDINARY_PER_S)
+            (&mut self.ordinary, ORDINARY_PER_S)
         };
-        let allowed = spent.get() < budget;
+        let allowed = *spent < budget;
         if allowed {
-            spent.set(spent.get() + 1);
+            *spent += 1;
         }
         allowed
     }
-
-    fn write(&self, note: &Note) {
-        let shard = self.shard.as_str();
-        match note {
-            Note::Accepted { job, wait_ms } => {
-                log::info!(shard, job:% = job, wait_ms; "job_accepted");
-            }
-            Note::Rejected {
-                job,
-                reason,
-                wait_ms,
-            } => {
-                let reason = reason.as_str();
-                log::info!(shard, job:% = job, reason, wait_ms; "job_rejected");
-            }
-            Note::Ended {
-                job,
-                task,
-                run,
-                how,
-                worker,
-            } => {
-                let (step, index) = (task.step, task.index);
-                log::info!(
-                    shard, job:% = job, occurrence = task.occurrence, step, index, run, how:? = how,
-                    worker:% = worker;
-                    "run_ended"
-                );
-            }
-            Note::Vanished {
-                job,
-                task,
-                worker,
-                proof,
-            } => {
-                let (step, index) = (task.step, task.index);
-                log::info!(
-                    shard, job:% = job, occurrence = task.occurrence, step, index, proof:? = proof,
-                    worker:% = worker;
-                    "run_gone"
-                );
-            }
-            Note::Final {
-                job,
-                state,
-                took_ms,
-            } => log::info!(shard, job:% = job, state:? = state, took_ms; "job_final"),
-            Note::Contact { worker, answers } => {
-                log::info!(shard, worker:% = worker, answers; "worker_contact");
-            }
-            Note::Reborn { worker } => log::info!(shard, worker:% = worker; "worker_restarted"),
-            Note::Avoided { worker, for_ms } => {
-                log::info!(shard, worker:% = worker, for_ms; "worker_avoided");
-            }
-            Note::Waiting {
-                job,
-                task,
-                age_ms,
-                reason,
-            } => {
-                let (step, index) = (task.step, task.index);
-                log::info!(
-                    shard, job:% = job, occurrence = task.occurrence, step, index, age_ms,
-                    reason:? = reason;
-                    "task_waits"
-                );
-            }
-            Note::Paced {
-                worker,
-                percent,
-                worst_percent,
-            } => {
-                log::info!(shard, worker:% = worker, percent, worst_percent; "filling_tasks_paced");
-            }
-            Note::Stalled { job, worker } => {
-                log::info!(shard, job:% = job, worker:% = worker; "run_stalled");
-            }
-        }
-    }
 }
 
 const fn is_failure(note: &Note) -> bool {
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/journal/line.rs
@@ -0,0 +1,153 @@
+//! A decision as an event with key=value pairs.
+
+use std::fmt::{Display, Formatter, Result};
+
+use cyclamentrail_core::JobId;
+use cyclamentrail_jobs::{Note, TaskKey};
+use log::{Level, Record};
+
+/// A log line: what happened, and with which inputs and outcome.
+#[derive(Debug)]
+pub(crate) struct Line {
+    event: &'static str,
+    pairs: Vec<(&'static str, String)>,
+}
+
+impl Line {
+    fn new(event: &'static str) -> Self {
+        Self {
+            event,
+            pairs: Vec::new(),
+        }
+    }
+
+    fn with(mut self, key: &'static str, value: impl Display) -> Self {
+        self.pairs.push((key, value.to_string()));
+        self
+    }
+
+    fn with_task(self, task: &TaskKey) -> Self {
+        self.with("occurrence", task.occurrence)
+            .with("step", task.step)
+            .with("index", task.index)
+    }
+
+    /// Writes the line to the log.
+    pub(crate) fn write(&self, shard: &str) {
+        let shard = [("shard", shard)];
+        let pairs: Vec<(&str, &str)> = shard
+            .into_iter()
+            .chain(self.pairs.iter().map(|(key, value)| (*key, value.as_str())))
+            .collect();
+        log::logger().log(
+            &Record::builder()
+                .level(Level::Info)
+                .target(module_path!())
+                .args(format_args!("{}", self.event))
+                .key_values(&pairs.as_slice())
+                .build(),
+        );
+    }
+}
+
+impl Display for Line {
+    fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+        write!(f, "{}", self.event)?;
+        for (key, value) in &self.pairs {
+            write!(f, " {key}={value}")?;
+        }
+        Ok(())
+    }
+}
+
+impl From<&Note> for Line {
+    fn from(note: &Note) -> Self {
+        match note {
+            Note::Accepted { job, wait_ms } => Self::new("job_accepted")
+                .with("job", job)
+                .with("wait_ms", wait_ms),
+            Note::Rejected {
+                job,
+                reason,
+                wait_ms,
+            } => Self::new("job_rejected")
+                .with("job", job)
+                .with("reason", reason.as_str())
+                .with("wait_ms", wait_ms),
+            Note::Ended {
+                job,
+                task,
+                run,
+                how,
+                worker,
+            } => Self::new("run_ended")
+                .with("job", job)
+                .with_task(task)
+                .with("run", run)
+                .with("how", how.as_str())
+                .with("worker", worker),
+            Note::Vanished {
+                job,
+                task,
+                worker,
+                proof,
+            } => Self::new("run_gone")
+                .with("job", job)
+                .with_task(task)
+                .with("proof", proof.as_str())
+                .with("worker", worker),
+            Note::Final {
+                job,
+                state,
+                took_ms,
+            } => Self::new("job_final")
+                .with("job", job)
+                .with("state", state.as_str())
+                .with("took_ms", took_ms),
+            Note::Contact { worker, answers } => Self::new("worker_contact")
+                .with("worker", worker)
+                .with("answers", answers),
+            Note::Reborn { worker } => Self::new("worker_restarted").with("worker", worker),
+            Note::Avoided { worker, for_ms } => Self::new("worker_avoided")
+                .with("worker", worker)
+                .with("for_ms", for_ms),
+            Note::Waiting {
+                job,
+                task,
+                age_ms,
+                reason,
+            } => Self::new("task_waits")
+                .with("job", job)
+                .with_task(task)
+                .with("age_ms", age_ms)
+                .with("reason", reason.as_str()),
+            Note::Paced {
+                worker,
+                percent,
+                worst_percent,
+            } => Self::new("filling_tasks_paced")
+                .with("worker", worker)
+                .with("percent", percent)
+                .with("worst_percent", worst_percent),
+            Note::Stalled { job, worker } => Self::new("run_stalled")
+                .with("job", job)
+                .with("worker", worker),
+        }
+    }
+}
+
+/// Returns the job that a decision is about.
+pub(super) const fn job_of(note: &Note) -> Option<&JobId> {
+    match note {
+        Note::Accepted { job, .. }
+        | Note::Rejected { job, .. }
+        | Note::Ended { job, .. }
+        | Note::Vanished { job, .. }
+        | Note::Final { job, .. }
+        | Note::Waiting { job, .. }
+        | Note::Stalled { job, .. } => Some(job),
+        Note::Contact { .. } | Note::Reborn { .. } | Note::Avoided { .. } | Note::Paced { .. } => {
+            None
+        }
+    }
+}
--- a/crates/cyclamentrail/src/edge/machines.rs
+++ b/crates/cyclamentrail/src/edge/machines.rs
@@ -23,6 +23,7 @@
 use super::node::Node;
 use super::owner::OwnerMessage;
 use super::takeover::Taken;
+use crate::metrics;
 
 /// Time between two rounds.
 const INTERVAL: Duration = Duration::from_millis(200);
@@ -243,6 +244,7 @@
                 token = self.token;
                 "machine_ordered"
             );
+            metrics::count_machine_order(name_of(&task.purpose), outcome == MachineOrder::Done);
             if outcome == MachineOrder::Fenced {
                 return false;
             }
@@ -385,6 +387,14 @@
     }
 }
 
+/// Returns the name of an order in labels.
+const fn name_of(purpose: &Purpose) -> &'static str {
+    match purpose {
+        Purpose::Maintain(_) => "maintain",
+        Purpose::Move(_) => "move",
+    }
+}
+
 const fn outcome_of(order: MachineOrder) -> MachineOutcome {
     match order {
         MachineOrder::Done => MachineOutcome::Done,
--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -8,11 +8,13 @@
 use cyclamentrail_core::ServiceName;
 use cyclamentrail_jobs::{Candidate, Incumbent, should_take_over};
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 use super::boot_clock::boot_ms;
 use super::messages::{Ask, FLEET_SHARD, Question, Reply};
 use super::node::Node;
 use super::owner::{self, OwnerMessage};
+use crate::metrics;
 
 /// The consumer group.
 pub(crate) const GROUP: &str = "owners";
@@ -79,10 +81,12 @@
     /// Confirms the membership; returns whether the partitions were dealt anew.
     async fn join(&mut self, node: &Node) -> bool {
         let ttl_ms = node.settings.min_member_ttl_ms * TTL_PERCENT / 100;
+        let sent = Instant::now();
         let joined = node
             .store
             .join(GROUP, &node.settings.name, TOPIC, ttl_ms, self.generation)
             .await;
+        metrics::count_store_call("join", joined.is_ok(), sent.elapsed());
         match joined {
             Ok(answer) => {
                 let is_changed = answer.generation != self.generation;
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -6,6 +6,8 @@
 use cyclamentrail_jobs::{Answer, JobSpec, JobState, PoolLoad, RejectReason, WorkerLoad};
 use serde::{Deserialize, Serialize};
 
+use super::describe::{JobView, ShardView};
+
 /// Name of the shard that holds the duties over machines.
 pub(crate) const FLEET_SHARD: &str = "_fleet";
 
@@ -40,6 +42,10 @@
     Standing,
     /// To stop acting as the owner, because another process has claimed the shard.
     Release,
+    /// What the owner knows of its workers and jobs.
+    Describe,
+    /// What the owner knows of a job.
+    Explain(JobId),
     /// To keep exactly these workers empty; answers with the load of the pool.
     Evacuate(Vec<WorkerId>),
 }
@@ -68,6 +74,10 @@
     Pending(u64),
     /// The load of the service's pool.
     Load(LoadWord),
+    /// The owner's workers and jobs.
+    Shard(ShardView),
+    /// A job.
+    Job(Box<JobView>),
     /// This process acts as the owner.
     Standing(Standing),
     /// This process no longer acts as the owner, and won't.
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -20,6 +20,7 @@
 use super::messages::{FLEET_SHARD, Question, Reply};
 use super::node::{Node, Orders, Owner as Claimed, Workers};
 use super::takeover::{Taken, take_over};
+use crate::metrics;
 
 mod effects;
 mod questions;
@@ -84,6 +85,7 @@
             return;
         }
     };
+    metrics::count_takeover();
     log::info!(
         shard = shard.as_str(),
         token = taken.token,
@@ -302,11 +304,13 @@
             }
             OwnerMessage::Started(worker, task, run, outcome) => {
                 self.lanes.finish(worker);
+                metrics::count_order("start", &outcome);
                 let is_fenced = self.shard.start_done(now(), task, run, &outcome);
                 self.send_starts(worker);
                 is_fenced
             }
             OwnerMessage::Stopped(task, run, outcome) => {
+                metrics::count_order("stop", &outcome);
                 self.shard.stop_done(now(), task, run, &outcome)
             }
             OwnerMessage::Looked(worker, seen, outcome) => {
--- a/crates/cyclamentrail/src/edge/owner/effects.rs
+++ b/crates/cyclamentrail/src/edge/owner/effects.rs
@@ -30,7 +30,7 @@
                 Effect::Look(look) => self.send_look(look),
                 Effect::Pace(order) => self.send_pace(order),
                 Effect::Advise(question) => self.send_question(question),
-                Effect::Note(note) => self.journal.note(&note),
+                Effect::Note(note) => self.journal.note(note),
             }
         }
         touched.sort_unstable();
--- a/crates/cyclamentrail/src/edge/owner/questions.rs
+++ b/crates/cyclamentrail/src/edge/owner/questions.rs
@@ -2,14 +2,16 @@
 
 use std::time::Duration;
 
-use cyclamentrail_core::WorkerId;
+use cyclamentrail_core::{JobId, WorkerId};
 use cyclamentrail_jobs::{Answer, CallerTicket, RejectReason, Submission};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::Owner;
 use crate::edge::boot_clock::now;
+use crate::edge::describe::{describe_job, describe_shard};
 use crate::edge::messages::{Question, Reply};
+use crate::metrics;
 
 /// Age of the last confirmation up to which a job is said to be unknown, in milliseconds.
 const MAX_UNKNOWN_AGE_MS: u64 = 2_000;
@@ -64,11 +66,24 @@
                 self.shard.tell_pending(caller, &route);
             }
             Question::Release | Question::Standing => drop(reply.send(Reply::NotOwner)),
+            Question::Describe => drop(reply.send(self.describe())),
+            Question::Explain(id) => drop(reply.send(self.explain(&id))),
             Question::Evacuate(workers) => drop(reply.send(self.evacuate(workers))),
         }
         self.carry_out_ready();
     }
 
+    fn describe(&self) -> Reply {
+        let age_ms = self.confirmation.age_ms();
+        Reply::Shard(describe_shard(&self.shard, self.token, age_ms))
+    }
+
+    fn explain(&self, id: &JobId) -> Reply {
+        let decisions = self.journal.about(id);
+        describe_job(&self.shard, &self.service, id, decisions)
+            .map_or(Reply::Unknown, |view| Reply::Job(Box::new(view)))
+    }
+
     fn is_stuck(&self) -> bool {
         self.log.is_none() && self.committing_since.elapsed() > STUCK_COMMIT
     }
@@ -84,7 +99,9 @@
         }
         self.evacuating = workers;
         self.evacuating_since = Instant::now();
-        Reply::Load(self.shard.load(now).into())
+        let load = self.shard.load(now);
+        metrics::show_load(self.service.as_str(), &load);
+        Reply::Load(load.into())
     }
 
     /// Uses workers again whose evacuation nobody has asked for lately.
--- a/crates/cyclamentrail/src/edge/topic.rs
+++ b/crates/cyclamentrail/src/edge/topic.rs
@@ -4,6 +4,8 @@
 
 use cyclamentrail_adapter::{KeyedRow, Store, StoreError, keyed_topic};
 
+use crate::metrics;
+
 /// Time after which the store is asked again when it gave no answer.
 const RETRY: Duration = Duration::from_millis(150);
 
@@ -35,7 +37,9 @@
     /// Reads on, for as long as it takes; each read waits up to `wait` for something new.
     pub(crate) async fn read(&mut self, store: &Store, wait: Duration) -> Read {
         loop {
-            match self.try_read(store, wait).await {
+            let read = self.try_read(store, wait).await;
+            metrics::count_topic_read(read.is_ok());
+            match read {
                 Ok(read) => return read,
                 Err(StoreError::Expired { .. }) => self.next = None,
                 Err(error) => {
--- /dev/null
+++ b/crates/cyclamentrail/src/logging/queue.rs
@@ -0,0 +1,86 @@
+//! Writes log lines from a thread of its own, so that a reader which stalls blocks nobody.
+
+use std::fmt::{Debug, Formatter};
+use std::io::Write as _;
+use std::sync::{Mutex, PoisonError};
+
+use anyhow::Result;
+use log::Record;
+use log4rs::append::Append;
+use log4rs::encode::Encode;
+use log4rs::encode::writer::simple::SimpleWriter;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
+
+use super::encoder::KeyValueEncoder;
+
+/// Lines that wait for the reader; further ones are dropped and counted.
+const MAX_LINES: usize = 4_096;
+
+/// Queues lines for a thread that writes them.
+pub(super) struct QueueAppender {
+    encoder: Box<KeyValueEncoder>,
+    writer: Mutex<NonBlocking>,
+}
+
+/// Keeps the writing thread, which writes what is queued when this is dropped.
+pub(super) struct Queue {
+    dropped: ErrorCounter,
+    _guard: WorkerGuard,
+}
+
+impl Queue {
+    /// Returns how many lines were dropped because the reader stalled.
+    pub(super) fn dropped_lines(&self) -> usize {
+        self.dropped.dropped_lines()
+    }
+}
+
+impl Debug for Queue {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Queue")
+            .field("dropped", &self.dropped_lines())
+            .finish_non_exhaustive()
+    }
+}
+
+impl QueueAppender {
+    /// Creates an appender that writes to `output`, and what keeps its thread.
+    pub(super) fn new(
+        encoder: Box<KeyValueEncoder>,
+        output: impl std::io::Write + Send + 'static,
+    ) -> (Self, Queue) {
+        let (writer, guard) = NonBlockingBuilder::default()
+            .lossy(true)
+            .buffered_lines_limit(MAX_LINES)
+            .thread_name("log-writer")
+            .finish(output);
+        let dropped = writer.error_counter();
+        let appender = Self {
+            encoder,
+            writer: Mutex::new(writer),
+        };
+        let queue = Queue {
+            dropped,
+            _guard: guard,
+        };
+        (appender, queue)
+    }
+}
+
+impl Debug for QueueAppender {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("QueueAppender").finish_non_exhaustive()
+    }
+}
+
+impl Append for QueueAppender {
+    fn append(&self, record: &Record<'_>) -> Result<()> {
+        let mut line = Vec::new();
+        self.encoder.encode(&mut SimpleWriter(&mut line), record)?;
+        let mut writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        writer.write_all(&line)?;
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
--- a/crates/cyclamentrail/src/metrics.rs
+++ b/crates/cyclamentrail/src/metrics.rs
@@ -14,12 +14,17 @@
 use crate::timer::Ticks;
 
 mod catalog;
+mod jobs;
 
 pub(crate) use catalog::{
     APPLIED_OFFSET, CONNECTIONS, INSTANCES, MEMBERS, RECORDS, REFUSED, REQUEST_SECONDS, REQUESTS,
     SETTINGS_VERSION,
 };
 pub use catalog::{METRICS, Metric, MetricKind};
+pub(crate) use jobs::{
+    count_lines_left_out, count_machine_order, count_note, count_order, count_store_call,
+    count_takeover, count_topic_read, show_dropped_lines, show_load,
+};
 
 /// Label of requests for a service that doesn't exist.
 const NO_SERVICE: &str = "none";
@@ -67,8 +72,9 @@
 
 fn build() -> PrometheusHandle {
     let builder = PrometheusBuilder::new();
+    // Every histogram measures seconds.
     let builder = builder
-        .set_buckets_for_metric(Matcher::Full(REQUEST_SECONDS.to_owned()), &SECONDS_BUCKETS)
+        .set_buckets_for_metric(Matcher::Suffix(String::from("_seconds")), &SECONDS_BUCKETS)
         .unwrap_or_default();
     let recorder = builder.build_recorder();
     let handle = recorder.handle();
--- a/crates/cyclamentrail/tests/jobs_process.rs
+++ b/crates/cyclamentrail/tests/jobs_process.rs
@@ -1,204 +1,14 @@
 //! Jobs through separate processes on a stand-in of the users' platform.
 
-use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, Result, ensure};
-use bytes::Bytes;
-use cyclamentrail_standin::{JobStore, JobWorker, TaskRun};
-use cyclamentrail_testkit::Process;
-use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
-use serde_json::json;
-use tokio::time::Instant;
-
-const LOCAL: [u8; 4] = [127, 0, 0, 1];
-const HOST: &str = "jobs.example";
-/// Time in which something that is to happen has happened.
-const PATIENCE: Duration = Duration::from_secs(30);
-/// Time between two looks.
-const PAUSE: Duration = Duration::from_millis(40);
-
-/// A store, workers and processes of the system.
-struct Site {
-    store: Arc<JobStore>,
-    workers: Vec<JobWorker>,
-    nodes: Vec<(Process, SocketAddr)>,
-    client: Client<HttpConnector, Full<Bytes>>,
-    folder: tempfile::TempDir,
-}
-
-impl Site {
-    async fn start(nodes: usize, workers: usize, task_ms: u64) -> Result<Self> {
-        let store = Arc::new(JobStore::start(SocketAddr::from((LOCAL, 0))).await?);
-        let config = json!({
-            "Version": 3,
-            "Routes": [{
-                "Name": "r", "Host": HOST, "PathPrefix": "/q/", "Service": "svc", "Priority": 0,
-                "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3, "Stretch": 2.0,
-            }],
-            "Services": [{"Name": "svc", "Standby": false}],
-        });
-        store.put("keyed.op", "config", &config);
-        let mut site = Self {
-            store,
-            workers: Vec::new(),
-            nodes: Vec::new(),
-            client: Client::builder(TokioExecutor::new()).build_http(),
-            folder: tempfile::tempdir()?,
-        };
-        for index in 0..workers {
-            site.add_worker(&format!("i-{index}"), task_ms).await?;
-        }
-        for index in 0..nodes {
-            site.add_node(&format!("n{index}"))?;
-        }
-        Ok(site)
-    }
-
-    async fn add_worker(&mut self, id: &str, task_ms: u64) -> Result<()> {
-        let worker = JobWorker::start(&self.store, id, "svc", task_ms).await?;
-        self.workers.push(worker);
-        Ok(())
-    }
-
-    fn add_node(&mut self, name: &str) -> Result<()> {
-        let [front, ready, internal] = free_ports()?;
-        let path = self.folder.path().join(name);
-        let text = format!(
-            "NodeName={name}\nZone=z\nIp=127.0.0.1\nListen.Front=127.0.0.1:{front}\n\
-             Listen.Ready=127.0.0.1:{ready}\nInternalPortRange={internal},{}\n\
-             platform.Address={}\nplatform.TtlMinMs=500\n",
-            internal + 2,
-            self.store.address(),
-        );
-        std::fs::write(&path, text)?;
-        let arguments = [
-            String::from("edge"),
-            String::from("--settings"),
-            path.display().to_string(),
-        ];
-        let process = Process::spawn("cyclamentrail", &arguments, &[])?;
-        self.nodes.push((process, SocketAddr::from((LOCAL, front))));
-        Ok(())
-    }
-
-    async fn call(
-        &self,
-        node: usize,
-        method: Method,
-        id: &str,
-        body: String,
-    ) -> Result<(StatusCode, Bytes)> {
-        let address = self.nodes[node].1;
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}/q/{id}"))
-            .header("host", HOST)
-            .header("deadline-ms", "3000")
-            .body(Full::new(Bytes::from(body)))?;
-        let response = self.client.request(request).await?;
-        let status = response.status();
-        Ok((status, response.into_body().collect().await?.to_bytes()))
-    }
-
-    /// Hands in a job until it is accepted.
-    async fn submit(&self, node: usize, id: &str, count: u32) -> Result<()> {
-        let step = json!({"Count": count, "Cpu": 500, "MemMb": 100, "EstimateMs": 500});
-        let body = json!({"Spec": "work", "Steps": [step]}).to_string();
-        let end = Instant::now() + PATIENCE;
-        loop {
-            let answer = self.call(node, Method::POST, id, body.clone()).await;
-            match answer {
-                Ok((StatusCode::OK, _)) => return Ok(()),
-                other => ensure!(Instant::now() < end, "{id} isn't accepted: {other:?}"),
-            }
-            tokio::time::sleep(PAUSE).await;
-        }
-    }
-
-    async fn state(&self, node: usize, id: &str) -> Result<String> {
-        let (status, body) = self.call(node, Method::GET, id, String::new()).await?;
-        ensure!(status == StatusCode::OK, "{id} is told as {status}");
-        let body: serde_json::Value = serde_json::from_slice(&body)?;
-        Ok(body["State"].as_str().context("no state")?.to_owned())
-    }
-
-    async fn wait_completed(&self, node: usize, id: &str) -> Result<()> {
-        let end = Instant::now() + PATIENCE;
-        loop {
-            let state = self.state(node, id).await;
-            if matches!(&state, Ok(state) if state == "completed") {
-                return Ok(());
-            }
-            ensure!(Instant::now() < end, "{id} isn't completed: {state:?}");
-            tokio::time::sleep(PAUSE).await;
-        }
-    }
-
-    /// Waits until a job has begun; returns its runs.
-    async fn wait_begun(&self, id: &str) -> Result<Vec<TaskRun>> {
-        let end = Instant::now() + PATIENCE;
-        loop {
-            let runs = self.runs(id);
-            if !runs.is_empty() {
-                return Ok(runs);
-            }
-            ensure!(Instant::now() < end, "{id} doesn't begin");
-            tokio::time::sleep(PAUSE).await;
-        }
-    }
-
-    fn runs(&self, id: &str) -> Vec<TaskRun> {
-        self.workers
-            .iter()
-            .flat_map(JobWorker::runs)
-            .filter(|run| run.task.starts_with(id))
-            .collect()
-    }
-
-    /// Checks that each task was done exactly once.
-    fn check_once(&self, id: &str, count: usize) -> Result<()> {
-        let mut done: HashMap<String, u32> = HashMap::new();
-        for run in self.runs(id).into_iter().filter(|run| run.how == "done") {
-            *done.entry(run.task).or_default() += 1;
-        }
-        ensure!(
-            done.len() == count,
-            "{} of {count} tasks are done",
-            done.len()
-        );
-        ensure!(done.values().all(|&times| times == 1), "{done:?}");
-        Ok(())
-    }
-}
-
-/// Returns ports that are free, the last with two free ones behind it.
-fn free_ports() -> Result<[u16; 3]> {
-    loop {
-        let held = [listen(0)?, listen(0)?];
-        let first = held[0].local_addr()?.port();
-        let second = held[1].local_addr()?.port();
-        let third = listen(0)?;
-        let internal = third.local_addr()?.port();
-        if internal < u16::MAX - 2 && listen(internal + 1).is_ok() {
-            return Ok([first, second, internal]);
-        }
-    }
-}
-
-fn listen(port: u16) -> std::io::Result<TcpListener> {
-    TcpListener::bind(SocketAddr::from((LOCAL, port)))
-}
+use anyhow::{Result, ensure};
+use cyclamentrail_testkit::JobSite;
+use hyper::{Method, StatusCode};
 
 #[tokio::test]
 async fn through_two() -> Result<()> {
-    let site = Site::start(2, 2, 300).await?;
+    let site = JobSite::start(2, 2, 300).await?;
     site.submit(0, "00000000000000a1", 4).await?;
     site.submit(1, "00000000000000a2", 4).await?;
     for id in ["00000000000000a1", "00000000000000a2"] {
@@ -215,7 +25,7 @@
 
 #[tokio::test]
 async fn owner_killed() -> Result<()> {
-    let mut site = Site::start(2, 3, 1_500).await?;
+    let mut site = JobSite::start(2, 3, 1_500).await?;
     site.submit(0, "00000000000000b1", 6).await?;
     site.wait_begun("00000000000000b1").await?;
     // Whichever owned the service, both are replaced in turn.
@@ -233,7 +43,7 @@
 
 #[tokio::test]
 async fn store_gone() -> Result<()> {
-    let site = Site::start(2, 2, 2_000).await?;
+    let site = JobSite::start(2, 2, 2_000).await?;
     site.submit(0, "00000000000000d1", 4).await?;
     site.wait_begun("00000000000000d1").await?;
     site.store.set_down(true);
@@ -246,7 +56,7 @@
 /// After an outage the group is dealt anew; each shard changed its owner, once or more.
 #[tokio::test]
 async fn owners_kept() -> Result<()> {
-    let site = Site::start(3, 2, 300).await?;
+    let site = JobSite::start(3, 2, 300).await?;
     site.submit(0, "00000000000000d2", 2).await?;
     site.wait_completed(0, "00000000000000d2").await?;
     // Longer than the time after which shards are shared out evenly.
@@ -267,7 +77,7 @@
 
 #[tokio::test]
 async fn late_order() -> Result<()> {
-    let site = Site::start(1, 1, 300).await?;
+    let site = JobSite::start(1, 1, 300).await?;
     site.submit(0, "00000000000000e0", 1).await?;
     site.wait_completed(0, "00000000000000e0").await?;
     site.workers[0].delay_next_start(2_000);
@@ -279,7 +89,7 @@
 
 #[tokio::test]
 async fn worker_reborn() -> Result<()> {
-    let mut site = Site::start(1, 1, 3_000).await?;
+    let mut site = JobSite::start(1, 1, 3_000).await?;
     site.submit(0, "00000000000000f1", 2).await?;
     site.wait_begun("00000000000000f1").await?;
     drop(site.workers.remove(0));
--- /dev/null
+++ b/crates/cyclamentrail/tests/jobs_watched.rs
@@ -0,0 +1,134 @@
+//! What operators see of the jobs path: metrics, state, explanations, logs.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result, ensure};
+use bytes::Bytes;
+use cyclamentrail::METRICS;
+use cyclamentrail_testkit::JobSite;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+
+/// Time in which a process that is told to stop has ended.
+const STOP_TIME: Duration = Duration::from_secs(20);
+
+async fn get(site: &JobSite, node: usize, path: &str) -> Result<(StatusCode, String)> {
+    let address = site.nodes[node].0.address("metrics")?;
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let request = Request::get(format!("http://{address}{path}")).body(Full::default())?;
+    let response = client.request(request).await?;
+    let status = response.status();
+    let body = response.into_body().collect().await?.to_bytes();
+    Ok((status, String::from_utf8(body.to_vec())?))
+}
+
+async fn get_json(site: &JobSite, node: usize, path: &str) -> Result<Value> {
+    let (status, text) = get(site, node, path).await?;
+    ensure!(status == StatusCode::OK, "{status}: {text}");
+    Ok(serde_json::from_str(&text)?)
+}
+
+#[tokio::test]
+async fn metrics_listed() -> Result<()> {
+    let site = JobSite::start(1, 2, 200).await?;
+    site.submit(0, "00000000000000a1", 3).await?;
+    site.wait_completed(0, "00000000000000a1").await?;
+    let (_, text) = get(&site, 0, "/metrics").await?;
+    let exported = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE ")?.split_once(' '));
+    for (name, kind) in exported {
+        let metric = METRICS.iter().find(|metric| metric.name == name);
+        let metric = metric.with_context(|| format!("{name} is not on the page"))?;
+        ensure!(kind == metric.kind.as_str(), "{name} is a {kind}");
+    }
+    for line in [
+        "cyclamentrail_jobs_total{service=\"svc\",outcome=\"accepted\"} 1",
+        "cyclamentrail_jobs_total{service=\"svc\",outcome=\"completed\"} 1",
+        "cyclamentrail_runs_ended_total{service=\"svc\",how=\"done\"} 3",
+        "cyclamentrail_store_calls_total{call=\"append\",outcome=\"answered\"}",
+        "cyclamentrail_shards_taken_total",
+    ] {
+        ensure!(text.contains(line), "{line} in {text}");
+    }
+    Ok(())
+}
+
+/// The way from the id of a rejected job to the cause, as on the operators' page.
+#[tokio::test]
+async fn rejected_explained() -> Result<()> {
+    let site = JobSite::start(2, 1, 200).await?;
+    site.submit(0, "00000000000000b1", 1).await?;
+    let step = json!({"Count": 1, "Cpu": 900_000, "MemMb": 100, "EstimateMs": 500});
+    let body = json!({"Spec": "work", "Steps": [step]}).to_string();
+    let id = "00000000000000b2";
+    let (status, _) = site.call(0, Method::POST, id, body).await?;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    for node in 0..2 {
+        let view = get_json(&site, node, &format!("/v1/explain/jobs/{id}")).await?;
+        let line = view["decisions"][0]["line"].as_str().context("no line")?;
+        assert!(line.starts_with("job_rejected"), "{line}");
+        assert!(line.contains("reason=no_such_worker"), "{line}");
+    }
+    let (status, _) = get(&site, 0, "/v1/explain/jobs/00000000000000ff").await?;
+    assert_eq!(status, StatusCode::NOT_FOUND);
+    Ok(())
+}
+
+#[tokio::test]
+async fn state_told() -> Result<()> {
+    let site = JobSite::start(1, 2, 200).await?;
+    site.submit(0, "00000000000000c1", 2).await?;
+    site.wait_completed(0, "00000000000000c1").await?;
+    let state = get_json(&site, 0, "/state").await?;
+    assert_eq!(state["is_ready"], true);
+    assert_eq!(state["configuration_version"], 3);
+    assert_eq!(state["shards"]["svc"]["jobs"]["completed"], 1);
+    let workers = state["shards"]["svc"]["workers"].as_array();
+    assert_eq!(workers.map(Vec::len), Some(2));
+    Ok(())
+}
+
+/// A reader that stalls held up the process with its log lines.
+#[tokio::test]
+async fn stalled_reader() -> Result<()> {
+    let mut site = JobSite::start(0, 2, 50).await?;
+    site.add_unread_node("n0")?;
+    for number in 0..60 {
+        let id = format!("{:016x}", 0xd00 + number);
+        site.submit(0, &id, 4).await?;
+    }
+    site.wait_completed(0, &format!("{:016x}", 0xd00 + 59))
+        .await
+}
+
+/// A planned stop cuts nothing: what runs goes on under the next owner, and callers are answered.
+#[tokio::test]
+async fn planned_stop() -> Result<()> {
+    let mut site = JobSite::start(2, 2, 2_500).await?;
+    site.submit(0, "00000000000000e1", 4).await?;
+    site.wait_begun("00000000000000e1").await?;
+    for index in 0..2 {
+        let (mut process, _) = site.nodes.remove(0);
+        process.terminate()?;
+        site.submit(0, &format!("00000000000000e{}", index + 2), 1)
+            .await?;
+        let end = tokio::time::Instant::now() + STOP_TIME;
+        let status = loop {
+            if let Some(status) = process.try_wait()? {
+                break status;
+            }
+            ensure!(tokio::time::Instant::now() < end, "the process doesn't end");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        };
+        ensure!(status.success(), "{status}");
+        site.add_node(&format!("m{index}"))?;
+    }
+    for id in ["00000000000000e1", "00000000000000e2", "00000000000000e3"] {
+        site.wait_completed(0, id).await?;
+    }
+    site.check_once("00000000000000e1", 4)
+}
