fix(jobs): reject what waits behind a store that doesn't answer

Cause: in an outage of the store, jobs that came in its first 700 ms waited for a commit that wasn't sent, until their callers gave up or got a 504, after which a request that isn't idempotent can't be tried again; later ones were all told to come back after one second, together.

Now jobs whose record was never sent are withdrawn and rejected once an append has stood for 700 ms; those whose record is on its way stay. A rejected caller comes back after as long as the outage has lasted, spread over 1.5 s.

Tests: scheduler outage; waiting_told couldn't be met before.

--- a/crates/cyclamentrail-jobs/src/admission.rs
+++ b/crates/cyclamentrail-jobs/src/admission.rs
@@ -59,6 +59,21 @@
     },
 }
 
+/// Returns when a caller may come back to an owner that has been unable to store anything for a
+/// while, in milliseconds: an outage that has lasted for some time may well last as long again.
+///
+/// ```
+/// use cyclamentrail_jobs::outage_retry_ms;
+///
+/// assert!(outage_retry_ms(700, 0) >= 1_000);
+/// assert!(outage_retry_ms(4_000, 0) >= 4_000);
+/// assert_ne!(outage_retry_ms(4_000, 0), outage_retry_ms(4_000, 1_000));
+/// ```
+#[must_use]
+pub fn outage_retry_ms(outage_ms: u64, seed: u64) -> u64 {
+    outage_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS) + seed % SPREAD_MS
+}
+
 /// Decides whether a job is accepted.
 ///
 /// ```
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -32,7 +32,7 @@
 mod terms;
 mod worker;
 
-pub use admission::{Admission, Applicant, Backlog, admit};
+pub use admission::{Admission, Applicant, Backlog, admit, outage_retry_ms};
 pub use effect::{
     AdviceOutcome, AdviceQuestion, Answer, CallerTicket, Effect, EndKind, EndedRow, GoneProof,
     GrantRow, Look, LookOutcome, Note, OrderOutcome, OrderRejection, PaceOrder, RejectReason,
@@ -54,7 +54,7 @@
     RELEASE_KEY, RecordError, ReleaseRecord, TaskRecord, decode, encode,
 };
 pub use resources::Resources;
-pub use shard::{Commit, Now, Shard, ShardTiming, Submission};
+pub use shard::{Commit, Now, Shard, ShardTiming, Submission, seed_of};
 pub use spec::{JobSpec, MAX_TASKS, Schedule, StepSpec};
 pub use succession::{Candidate, Incumbent, should_take_over};
 pub use terms::{AdviceTerms, RouteTerms};
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -1,12 +1,12 @@
 //! The jobs of one service and the workers that run them.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use cyclamentrail_core::{JobId, RouteName, WorkerId};
 use slotmap::SlotMap;
 
-use crate::effect::{Effect, GoneProof, Note, StopOrder, Target};
+use crate::effect::{CallerTicket, Effect, GoneProof, Note, StopOrder, Target};
 use crate::grants::Grants;
 use crate::job::{Job, JobKey, JobState, Phase, TaskKey};
 use crate::record::{AcceptRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
@@ -26,8 +26,9 @@
 mod stalls;
 mod submit;
 mod waiting;
+mod withdrawal;
 
-pub use submit::Submission;
+pub use submit::{Submission, seed_of};
 
 /// Time after which an unanswered start is sent again, in milliseconds.
 const START_AGAIN_MS: u64 = 150;
@@ -98,8 +99,10 @@
     active: BTreeSet<JobKey>,
     /// Final jobs by the Unix time at which they are dropped.
     expiring: BTreeSet<(u64, JobKey)>,
-    /// Accepted jobs that aren't durable yet.
-    undurable: BTreeSet<JobKey>,
+    /// Accepted jobs that aren't durable yet, and the callers that wait for it.
+    undurable: BTreeMap<JobKey, Vec<CallerTicket>>,
+    /// Those of them whose record is on its way to the store.
+    in_flight: BTreeSet<JobKey>,
     dirty: BTreeSet<JobKey>,
     dropped: Vec<JobId>,
     /// Whether workers listed ends that concern no job.
@@ -253,6 +256,7 @@
         }
         for (key, state) in commit.shown {
             self.undurable.remove(&key);
+            self.in_flight.remove(&key);
             if let Some(job) = self.jobs.get_mut(key) {
                 job.shown = state;
             }
@@ -279,7 +283,8 @@
             let drop_ms = job.ended_ms.unwrap_or(now.unix_ms) + self.timing.keep_ms;
             self.expiring.insert((drop_ms, key));
         }
-        if self.undurable.contains(&key) {
+        if self.undurable.contains_key(&key) {
+            self.in_flight.insert(key);
             let accept = AcceptRecord {
                 route: job.route.clone(),
                 spec: Arc::clone(&job.spec),
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -39,7 +39,8 @@
         let caller = submission.caller;
         if let Some(&key) = self.ids.get(&submission.id) {
             let answer = Effect::Answer(caller, Answer::Accepted);
-            if self.undurable.contains(&key) {
+            if let Some(callers) = self.undurable.get_mut(&key) {
+                callers.push(caller);
                 self.gated.push(answer);
             } else {
                 self.ready.push(answer);
@@ -81,7 +82,7 @@
         let key = self.jobs.insert(job);
         self.ids.insert(id.clone(), key);
         self.active.insert(key);
-        self.undurable.insert(key);
+        self.undurable.insert(key, vec![caller]);
         self.dirty.insert(key);
         self.gated
             .push(Effect::Note(Note::Accepted { job: id, wait_ms }));
@@ -93,7 +94,8 @@
         let answer = match self.ids.get(id) {
             Some(&key) => {
                 let job = &self.jobs[key];
-                if self.undurable.contains(&key) {
+                if let Some(callers) = self.undurable.get_mut(&key) {
+                    callers.push(caller);
                     self.gated
                         .push(Effect::Answer(caller, Answer::State(job.shown)));
                     return;
@@ -269,7 +271,9 @@
     }
 }
 
-fn seed_of(id: &JobId) -> u64 {
+/// Returns what spreads the callers of different jobs.
+#[must_use]
+pub fn seed_of(id: &JobId) -> u64 {
     let mut hasher = DefaultHasher::new();
     id.as_str().hash(&mut hasher);
     hasher.finish()
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -2,6 +2,8 @@
 
 #[path = "scheduler/jobs.rs"]
 mod jobs;
+#[path = "scheduler/outage.rs"]
+mod outage;
 #[path = "scheduler/overload.rs"]
 mod overload;
 #[path = "scheduler/policy.rs"]
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -193,6 +193,7 @@
         let mut last_commit = Instant::now();
         while !self.is_over {
             self.end_old_evacuations();
+            self.withdraw_stuck();
             self.shard.advance(now());
             self.carry_out_ready();
             let wait = self.commit(&mut last_commit);
--- a/crates/cyclamentrail/src/edge/owner/questions.rs
+++ b/crates/cyclamentrail/src/edge/owner/questions.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use cyclamentrail_core::{JobId, WorkerId};
-use cyclamentrail_jobs::{Answer, CallerTicket, RejectReason, Submission};
+use cyclamentrail_jobs::{
+    Answer, CallerTicket, RejectReason, Submission, outage_retry_ms, seed_of,
+};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -20,8 +22,6 @@
 /// Time for which workers are kept empty after they were last asked for; longer than the holder
 /// of the duties takes between its last question and its last order.
 const EVACUATION_LEASE: Duration = Duration::from_secs(6);
-/// When a caller may come back to an owner that can't store anything, in milliseconds.
-const STUCK_RETRY_MS: u64 = 1_000;
 
 impl Owner {
     pub(super) fn take_question(&mut self, question: Question, reply: oneshot::Sender<Reply>) {
@@ -34,7 +34,7 @@
         match question {
             Question::Submit { id, route, spec } => {
                 if self.is_stuck() && self.shard.job(&id).is_none() {
-                    drop(reply.send(stuck()));
+                    drop(reply.send(self.stuck(&id)));
                     return;
                 }
                 self.callers.insert(caller, reply);
@@ -84,10 +84,30 @@
             .map_or(Reply::Unknown, |view| Reply::Job(Box::new(view)))
     }
 
+    /// Rejects what waits behind a store that doesn't answer.
+    pub(super) fn withdraw_stuck(&mut self) {
+        if self.is_stuck() {
+            self.shard.withdraw_waiting(self.outage_ms());
+        }
+    }
+
+    /// Returns for how long the store hasn't answered, in milliseconds.
+    fn outage_ms(&self) -> u64 {
+        u64::try_from(self.committing_since.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn is_stuck(&self) -> bool {
         self.log.is_none() && self.committing_since.elapsed() > STUCK_COMMIT
     }
 
+    /// Returns the reply to a job that can't be stored now.
+    fn stuck(&self, id: &JobId) -> Reply {
+        Reply::from(Answer::Rejected {
+            retry_after_ms: outage_retry_ms(self.outage_ms(), seed_of(id)),
+            reason: RejectReason::NotReady,
+        })
+    }
+
     /// Keeps exactly these workers empty, and replies with the load of the pool.
     fn evacuate(&mut self, workers: Vec<WorkerId>) -> Reply {
         let now = now();
@@ -113,11 +133,3 @@
         }
     }
 }
-
-/// Returns the reply to a job that can't be stored now.
-fn stuck() -> Reply {
-    Reply::from(Answer::Rejected {
-        retry_after_ms: STUCK_RETRY_MS,
-        reason: RejectReason::NotReady,
-    })
-}
