fix(jobs): count a job as pending until a worker has begun one of its tasks

By reading: a job counted as begun as soon as a task was placed. On workers that don't answer, the order stays unanswered until their lease has ended, longer than a pending count may be behind.

Now the first answer, report or end of a worker makes the job begun. An append that was sent more than once counts as ambiguous, whatever the last answer. Test: unanswered_counts_as_pending, failed before.

--- a/crates/cyclamentrail-jobs/src/lease.rs
+++ b/crates/cyclamentrail-jobs/src/lease.rs
@@ -7,7 +7,7 @@
 const SLOWEST_RATE: u64 = 975;
 
 /// A reading of a worker's clock.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct ClockSample {
     /// What the worker's clock said, in milliseconds.
     pub worker_ms: u64,
@@ -26,7 +26,7 @@
 /// assert!(!lease.is_over(14_000));
 /// assert!(lease.is_over(14_400));
 /// ```
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub struct Lease {
     sample: Option<ClockSample>,
     until_ms: u64,
--- a/crates/cyclamentrail-jobs/src/shard/orders.rs
+++ b/crates/cyclamentrail-jobs/src/shard/orders.rs
@@ -209,6 +209,17 @@
             placement.phase = running;
             placement.progress_ms = now.boot_ms;
         }
+        self.note_begun(key);
+    }
+
+    /// Takes note that a worker has begun a task of a job.
+    pub(super) fn note_begun(&mut self, key: TaskKey) {
+        if let Some(job) = self.jobs.get_mut(key.job)
+            && !job.has_started
+        {
+            job.has_started = true;
+            self.dirty.insert(key.job);
+        }
     }
 
     /// Frees a run that its worker rejected, and places nothing there for a moment.
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -259,7 +259,6 @@
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
-        job.has_started = true;
         let Some(task) = job.task_mut(key) else {
             return;
         };
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -66,6 +66,7 @@
             if let Some(task) = self.task_of(&row.name) {
                 listed.insert((task, row.name.run));
                 self.take_running(now, task, row);
+                self.note_begun(task);
             }
         }
         self.release_unlisted(key, &listed);
@@ -116,6 +117,7 @@
             return;
         };
         self.dirty.insert(key.job);
+        self.note_begun(key);
         self.gated.push(Effect::Note(Note::Ended {
             job: row.name.job.clone(),
             task: key,
--- a/crates/cyclamentrail-jobs/tests/scheduler/silence.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/silence.rs
@@ -2,7 +2,7 @@
 
 use crate::world::{World, job};
 use cyclamentrail_core::JobId;
-use cyclamentrail_jobs::{GoneProof, JobState, Note, Resources};
+use cyclamentrail_jobs::{Answer, GoneProof, JobState, Note, Resources};
 
 const WORKER: Resources = Resources::new(32_000, 131_072, 0);
 
@@ -166,3 +166,20 @@
     assert_eq!(world.running_on(busy[1]), 0, "the others are back");
     assert_eq!(world.running(), 3);
 }
+
+/// A job whose starts nobody answered wasn't counted as pending any more.
+#[test]
+fn unanswered_counts_as_pending() {
+    let mut world = World::new(1, WORKER);
+    world.run_for(100);
+    world.worker("w0").is_reachable = false;
+    world.submit("a", job(2, 1_000, 300));
+    world.run_for(1_000);
+    assert_eq!(world.state("a"), Some(JobState::Queued));
+    let caller = world.ask_pending();
+    world.run_for(50);
+    assert_eq!(world.answers[&caller], Answer::Pending(1));
+    world.worker("w0").is_reachable = true;
+    world.run_for(4_000);
+    assert_eq!(world.state("a"), Some(JobState::Completed));
+}
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -188,6 +188,14 @@
         world
     }
 
+    /// Asks how many jobs haven't begun; returns the caller's number.
+    pub fn ask_pending(&mut self) -> u64 {
+        let caller = self.caller();
+        self.shard
+            .tell_pending(CallerTicket(caller), &RouteName::from(ROUTE));
+        caller
+    }
+
     /// Returns the present moment.
     pub const fn now(&self) -> Now {
         Now {
--- a/crates/cyclamentrail/src/edge/commits.rs
+++ b/crates/cyclamentrail/src/edge/commits.rs
@@ -131,7 +131,8 @@
                     return Err(error);
                 }
                 Err(error) => {
-                    is_ambiguous |= matches!(error, StoreError::NoAnswer(_));
+                    is_ambiguous |=
+                        outcome.attempts > 1 || matches!(error, StoreError::NoAnswer(_));
                     log::debug!(topic:% = self.topic, error:% = error; "append_repeated");
                     tokio::time::sleep(pause).await;
                     pause = (pause * 2).min(MAX_RETRY);
