--- a/crates/cyclamentrail-spec/src/lib.rs
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -21,6 +21,7 @@
 mod fact;
 mod fault;
 mod folds;
+mod jobs;
 mod membership;
 mod site;
 
@@ -32,4 +33,5 @@
 pub use explore::{Model, Report, Trace, Violation, explore};
 pub use fact::{Fact, Logged, Pool};
 pub use fault::Fault;
+pub use jobs::{JobsAction, JobsFault, JobsModel, JobsState, Order};
 pub use membership::{MembershipAction, MembershipModel, MembershipState};
--- /dev/null
+++ b/crates/cyclamentrail-spec/tests/jobs.rs
@@ -0,0 +1,23 @@
+//! Jobs: tokens, leases with slow clocks, late orders, ends and suspended owners.
+
+use cyclamentrail_spec::{JobsFault, JobsModel, explore};
+use rstest::rstest;
+
+#[test]
+fn holds() {
+    let report = explore(&JobsModel::new(3));
+    println!("{report}");
+    assert!(report.violation.is_none(), "{report}");
+}
+
+#[rstest]
+#[case::token(JobsFault::TokenStays)]
+#[case::acknowledged(JobsFault::AcknowledgedEarly)]
+#[case::suspension(JobsFault::SuspensionMissed)]
+#[case::unanswered(JobsFault::UnansweredFreed)]
+fn finds(#[case] fault: JobsFault) {
+    let report = explore(&JobsModel::new(3).fault(fault));
+    println!("{report}");
+    let trace = report.violation.expect("a violation");
+    assert!(trace.steps.len() <= 24, "{trace}");
+}
