--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -23,7 +23,10 @@
 
 pub use answers::AnswerKind;
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
-pub use jobs::{JobStore, JobWorker, TaskRun};
+pub use jobs::{
+    JOB_SERVICE, JobClient, JobStore, JobWorker, NodePorts, Submitted, TaskRun, node_settings,
+    put_configuration,
+};
 pub use list_service::{ListBehaviour, ListService};
 pub use log_service::{LogFault, LogService};
 pub use log_store::LogStore;
--- a/crates/cyclamentrail-testkit/src/job_site.rs
+++ b/crates/cyclamentrail-testkit/src/job_site.rs
@@ -5,21 +5,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, Result, ensure};
+use anyhow::{Result, ensure};
 use bytes::Bytes;
-use cyclamentrail_standin::{JobStore, JobWorker, TaskRun};
-use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
-use serde_json::json;
+use cyclamentrail_standin::{
+    JOB_SERVICE, JobClient, JobStore, JobWorker, NodePorts, Submitted, TaskRun, node_settings,
+    put_configuration,
+};
+use hyper::{Method, StatusCode};
 use tokio::time::Instant;
 
 use crate::Process;
 
 const LOCAL: [u8; 4] = [127, 0, 0, 1];
-const HOST: &str = "jobs.example";
 /// Time in which something that is to happen has happened.
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Time between two looks.
@@ -34,7 +31,7 @@
     pub workers: Vec<JobWorker>,
     /// The processes and where they take requests.
     pub nodes: Vec<(Process, SocketAddr)>,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: JobClient,
     folder: tempfile::TempDir,
 }
 
@@ -46,20 +43,12 @@
     /// Returns what went wrong.
     pub async fn start(nodes: usize, workers: usize, task_ms: u64) -> Result<Self> {
         let store = Arc::new(JobStore::start(SocketAddr::from((LOCAL, 0))).await?);
-        let config = json!({
-            "Version": 3,
-            "Routes": [{
-                "Name": "r", "Host": HOST, "PathPrefix": "/q/", "Service": "svc", "Priority": 0,
-                "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3, "Stretch": 2.0,
-            }],
-            "Services": [{"Name": "svc", "Standby": false}],
-        });
-        store.put("keyed.op", "config", &config);
+        put_configuration(&store);
         let mut site = Self {
             store,
             workers: Vec::new(),
             nodes: Vec::new(),
-            client: Client::builder(TokioExecutor::new()).build_http(),
+            client: JobClient::new(),
             folder: tempfile::tempdir()?,
         };
         for index in 0..workers {
@@ -77,7 +66,7 @@
     ///
     /// Returns what went wrong.
     pub async fn add_worker(&mut self, id: &str, task_ms: u64) -> Result<()> {
-        let worker = JobWorker::start(&self.store, id, "svc", task_ms).await?;
+        let worker = JobWorker::start(&self.store, id, JOB_SERVICE, task_ms).await?;
         self.workers.push(worker);
         Ok(())
     }
@@ -105,15 +94,9 @@
         name: &str,
         spawn: impl Fn(&str, &[String], &[(&str, &str)]) -> Result<Process>,
     ) -> Result<()> {
-        let [front, ready, internal] = free_ports()?;
+        let ports = free_ports()?;
         let path = self.folder.path().join(name);
-        let text = format!(
-            "NodeName={name}\nZone=z\nIp=127.0.0.1\nListen.Front=127.0.0.1:{front}\n\
-             Listen.Ready=127.0.0.1:{ready}\nInternalPortRange={internal},{}\n\
-             platform.Address={}\nplatform.TtlMinMs=500\n",
-            internal + 2,
-            self.store.address(),
-        );
+        let text = node_settings(name, ports, self.store.address());
         std::fs::write(&path, text)?;
         let arguments = [
             String::from("edge"),
@@ -121,7 +104,8 @@
             path.display().to_string(),
         ];
         let process = spawn("cyclamentrail", &arguments, &[])?;
-        self.nodes.push((process, SocketAddr::from((LOCAL, front))));
+        self.nodes
+            .push((process, SocketAddr::from((LOCAL, ports.front))));
         Ok(())
     }
 
@@ -138,15 +122,7 @@
         body: String,
     ) -> Result<(StatusCode, Bytes)> {
         let address = self.nodes[node].1;
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}/q/{id}"))
-            .header("host", HOST)
-            .header("deadline-ms", "3000")
-            .body(Full::new(Bytes::from(body)))?;
-        let response = self.client.request(request).await?;
-        let status = response.status();
-        Ok((status, response.into_body().collect().await?.to_bytes()))
+        self.client.call(address, method, id, body).await
     }
 
     /// Hands in a job until it is accepted.
@@ -155,13 +131,10 @@
     ///
     /// Returns what went wrong.
     pub async fn submit(&self, node: usize, id: &str, count: u32) -> Result<()> {
-        let step = json!({"Count": count, "Cpu": 500, "MemMb": 100, "EstimateMs": 500});
-        let body = json!({"Spec": "work", "Steps": [step]}).to_string();
         let end = Instant::now() + PATIENCE;
         loop {
-            let answer = self.call(node, Method::POST, id, body.clone()).await;
-            match answer {
-                Ok((StatusCode::OK, _)) => return Ok(()),
+            match self.client.submit(self.nodes[node].1, id, count).await {
+                Submitted::Accepted => return Ok(()),
                 other => ensure!(Instant::now() < end, "{id} isn't accepted: {other:?}"),
             }
             tokio::time::sleep(PAUSE).await;
@@ -174,10 +147,7 @@
     ///
     /// Returns what went wrong.
     pub async fn state(&self, node: usize, id: &str) -> Result<String> {
-        let (status, body) = self.call(node, Method::GET, id, String::new()).await?;
-        ensure!(status == StatusCode::OK, "{id} is told as {status}");
-        let body: serde_json::Value = serde_json::from_slice(&body)?;
-        Ok(body["State"].as_str().context("no state")?.to_owned())
+        self.client.state(self.nodes[node].1, id).await
     }
 
     /// Waits until a process tells a job as completed.
@@ -245,7 +215,7 @@
 }
 
 /// Returns ports that are free, the last with two free ones behind it.
-fn free_ports() -> Result<[u16; 3]> {
+fn free_ports() -> Result<NodePorts> {
     loop {
         let held = [listen(0)?, listen(0)?];
         let first = held[0].local_addr()?.port();
@@ -253,7 +223,11 @@
         let third = listen(0)?;
         let internal = third.local_addr()?.port();
         if internal < u16::MAX - 2 && listen(internal + 1).is_ok() {
-            return Ok([first, second, internal]);
+            return Ok(NodePorts {
+                front: first,
+                ready: second,
+                internal,
+            });
         }
     }
 }
--- a/crates/cyclamentrail/src/command/client.rs
+++ b/crates/cyclamentrail/src/command/client.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
-use super::flag;
+use super::{UsageError, flag};
 
 /// Time limit of one call, unless the command sets another.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -68,7 +68,7 @@
     /// Returns what is missing.
     pub(crate) fn from_matches(matches: &Matches) -> Result<Self> {
         let address = flag(matches, "entry", "an address such as 127.0.0.1:8201")?
-            .context("--entry is missing")?;
+            .ok_or_else(|| UsageError::new("--entry is missing"))?;
         let token = std::env::var(TOKEN_VARIABLE)
             .with_context(|| format!("set {TOKEN_VARIABLE} to the operators' token"))?;
         Ok(Self::new(address, token))
--- a/crates/cyclamentrail/src/command/documents.rs
+++ b/crates/cyclamentrail/src/command/documents.rs
@@ -7,6 +7,7 @@
 use getopts::{Matches, Options};
 use serde_json::Value;
 
+use super::UsageError;
 use super::check::{LocatedFault, faults};
 
 /// A base document with the overlay of a site.
@@ -25,6 +26,12 @@
         options.reqopt("", "overlay", "settings of the site", "FILE");
     }
 
+    /// Adds the options that name the documents, for a command that can do without.
+    pub(crate) fn add_optional_options(options: &mut Options) {
+        options.optopt("", "settings", "base settings", "FILE");
+        options.optopt("", "overlay", "settings of the site", "FILE");
+    }
+
     /// Reads the files that the options name.
     ///
     /// # Errors
@@ -33,10 +40,10 @@
     pub(crate) fn from_matches(matches: &Matches) -> Result<Self> {
         let base_path: PathBuf = matches
             .opt_get("settings")?
-            .context("--settings is missing")?;
+            .ok_or_else(|| UsageError::new("--settings is missing"))?;
         let overlay_path: PathBuf = matches
             .opt_get("overlay")?
-            .context("--overlay is missing")?;
+            .ok_or_else(|| UsageError::new("--overlay is missing"))?;
         match (read(&base_path), read(&overlay_path)) {
             (Ok(base), Ok(overlay)) => Ok(Self {
                 base_path,
--- a/crates/cyclamentrail/src/command/local.rs
+++ b/crates/cyclamentrail/src/command/local.rs
@@ -22,11 +22,16 @@
 
 fn options() -> Options {
     let mut options = Options::new();
-    Documents::add_options(&mut options);
+    Documents::add_optional_options(&mut options);
     options.optopt("", "seconds", "length of the load (default 10)", "N");
     options.optopt("", "seed", "seed of the load (default 1)", "N");
     options.optopt("", "report", "write the report as JSON", "FILE");
     options.optopt("", "log", "write the entries' logs, at level info", "FILE");
+    options.optflag(
+        "",
+        "jobs",
+        "run jobs on a stand-in of the users' platform instead of a site",
+    );
     options.optflag("h", "help", "print this help");
     options
 }
@@ -43,6 +48,9 @@
             UsageError(format!("--seconds takes 1 to {MAX_SECONDS}, not {seconds}")).into(),
         );
     }
+    if matches.opt_present("jobs") {
+        return run_jobs(seconds, matches.opt_str("log"));
+    }
     let seed = flag(matches, "seed", "a number")?.unwrap_or(DEFAULT_SEED);
     let local_options = LocalOptions { seconds, seed };
     let report_path: Option<PathBuf> = matches.opt_get("report")?;
@@ -72,6 +80,20 @@
     Ok(())
 }
 
+fn run_jobs(seconds: u64, log: Option<String>) -> Result<()> {
+    let _logging = Logging::start(&log_settings(log), "local")?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(THREADS)
+        .enable_all()
+        .build()?;
+    let report = runtime.block_on(local::jobs::run(seconds))?;
+    print!("{report}");
+    if report.has_faults() {
+        bail!("jobs were lost or tasks done twice");
+    }
+    Ok(())
+}
+
 fn log_settings(path: Option<String>) -> LogSettings {
     match path {
         Some(destination) => LogSettings {
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -12,7 +12,7 @@
 use cyclamentrail_adapter::{Caller, NodeSettings, Store};
 use cyclamentrail_core::{LogLevel, LogSettings};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 use crate::logging::Logging;
@@ -61,79 +61,106 @@
         level: LogLevel::Info,
         destination: String::from("stdout"),
     };
-    let caller = Caller::new(CONNECT_TIMEOUT);
-    let store = Store::new(caller.clone(), settings.store, STORE_TIMEOUT);
-    let grace = Duration::from_millis(settings.bounds.grace_ms);
-    let (front_stop, front_stopped) = watch::channel(false);
-    let (all_stop, all_stopped) = watch::channel(false);
-    let node = Arc::new(Node::new(settings, caller, store));
-
-    let limits = node.limits();
-    let front = bind(node.settings.front).await?;
-    let ready = bind(node.settings.ready).await?;
-    let internal = bind(node.settings.internal).await?;
-    let metrics = bind(node.settings.metrics).await?;
+    let started = start(settings).await?;
+    let node = Arc::clone(&started.node);
     println!(
         "listening callers={} ready={} peers={} metrics={}",
         node.settings.front, node.settings.ready, node.settings.internal, node.settings.metrics
     );
     let logging = Arc::new(Logging::start(&log_settings, &node.settings.name)?);
-    // Counts before the first look at the metrics are kept.
-    metrics::install();
     tokio::spawn(keep_metrics(Arc::clone(&logging)));
     log::info!(zone:% = node.settings.zone, store:% = node.settings.store; "started");
-    let front = tokio::spawn(serve::serve(
-        Audience::Callers,
-        front,
-        front::router(Arc::clone(&node)),
-        limits.clone(),
-        front_stopped,
-    ));
-    let others = [
-        (
-            Audience::Operators,
-            ready,
-            front::ready_router(Arc::clone(&node)),
-        ),
-        (
-            Audience::Peers,
-            internal,
-            internal::router(Arc::clone(&node)),
-        ),
-        (
-            Audience::Operators,
-            metrics,
-            internal::metrics_router(Arc::clone(&node)).merge(describe::router(Arc::clone(&node))),
-        ),
-    ];
-    for (audience, listener, router) in others {
-        let stop = all_stopped.clone();
-        tokio::spawn(serve::serve(
-            audience,
-            listener,
-            router,
+    let mut signals = Signals::new()?;
+    started
+        .until(async move { signals.wait(&node).await })
+        .await;
+    log::info!("stopped");
+    Ok(())
+}
+
+/// A process that listens.
+pub(crate) struct Started {
+    node: Arc<Node>,
+    front: TcpListener,
+    ready: TcpListener,
+    internal: TcpListener,
+    metrics: TcpListener,
+}
+
+/// Listens on the addresses of the settings.
+///
+/// # Errors
+///
+/// Returns which address can't be had.
+pub(crate) async fn start(settings: NodeSettings) -> Result<Started> {
+    let caller = Caller::new(CONNECT_TIMEOUT);
+    let store = Store::new(caller.clone(), settings.store, STORE_TIMEOUT);
+    let node = Arc::new(Node::new(settings, caller, store));
+    // Counts before the first look at the metrics are kept.
+    metrics::install();
+    Ok(Started {
+        front: bind(node.settings.front).await?,
+        ready: bind(node.settings.ready).await?,
+        internal: bind(node.settings.internal).await?,
+        metrics: bind(node.settings.metrics).await?,
+        node,
+    })
+}
+
+impl Started {
+    /// Serves until `stop`, then stops in order.
+    pub(crate) async fn until(self, stop: impl Future<Output = ()>) {
+        let (front_stop, front_stopped) = watch::channel(false);
+        let (all_stop, all_stopped) = watch::channel(false);
+        let node = self.node;
+        let limits = node.limits();
+        let front = tokio::spawn(serve::serve(
+            Audience::Callers,
+            self.front,
+            front::router(Arc::clone(&node)),
             limits.clone(),
-            stop,
+            front_stopped,
         ));
+        let operators =
+            internal::metrics_router(Arc::clone(&node)).merge(describe::router(Arc::clone(&node)));
+        let ready_router = front::ready_router(Arc::clone(&node));
+        let others = [
+            (Audience::Operators, self.ready, ready_router),
+            (
+                Audience::Peers,
+                self.internal,
+                internal::router(Arc::clone(&node)),
+            ),
+            (Audience::Operators, self.metrics, operators),
+        ];
+        for (audience, listener, router) in others {
+            let stop = all_stopped.clone();
+            tokio::spawn(serve::serve(
+                audience,
+                listener,
+                router,
+                limits.clone(),
+                stop,
+            ));
+        }
+        tokio::spawn(configuration::follow(Arc::clone(&node)));
+        tokio::spawn(owners::follow(Arc::clone(&node)));
+        tokio::spawn(registry::follow(Arc::clone(&node)));
+        let members = tokio::spawn(membership::keep(Arc::clone(&node), all_stopped));
+
+        stop.await;
+        log::info!("stopping");
+        node.stop();
+        let grace_ms = node.settings.bounds.grace_ms;
+        let now = tokio::time::Instant::now();
+        let end = now + Duration::from_millis(grace_ms * END_PERCENT / 100);
+        node.leave().await;
+        tokio::time::sleep_until(now + Duration::from_millis(grace_ms) / LINGER_PART).await;
+        front_stop.send_replace(true);
+        drop(tokio::time::timeout_at(end, front).await);
+        all_stop.send_replace(true);
+        drop(tokio::time::timeout_at(end, members).await);
     }
-    tokio::spawn(configuration::follow(Arc::clone(&node)));
-    tokio::spawn(owners::follow(Arc::clone(&node)));
-    tokio::spawn(registry::follow(Arc::clone(&node)));
-    let members = tokio::spawn(membership::keep(Arc::clone(&node), all_stopped));
-
-    wait_for_stop(&node).await?;
-    log::info!("stopping");
-    node.stop();
-    let now = tokio::time::Instant::now();
-    let end = now + Duration::from_millis(node.settings.bounds.grace_ms * END_PERCENT / 100);
-    node.leave().await;
-    tokio::time::sleep_until(now + grace / LINGER_PART).await;
-    front_stop.send_replace(true);
-    drop(tokio::time::timeout_at(end, front).await);
-    all_stop.send_replace(true);
-    drop(tokio::time::timeout_at(end, members).await);
-    log::info!("stopped");
-    Ok(())
 }
 
 /// Folds recorded times into the exported ones, so that they don't pile up between scrapes.
@@ -151,14 +178,27 @@
         .with_context(|| format!("can't listen on {address}; free the address or change it"))
 }
 
-/// Waits for SIGTERM; reads the settings again at each SIGHUP.
-async fn wait_for_stop(node: &Node) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = hang_up.recv() => reload(node),
+/// The signals that a process listens to.
+struct Signals {
+    terminate: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM; reads the settings again at each SIGHUP.
+    async fn wait(&mut self, node: &Node) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.hang_up.recv() => reload(node),
+            }
         }
     }
 }
--- a/crates/cyclamentrail/src/local.rs
+++ b/crates/cyclamentrail/src/local.rs
@@ -15,6 +15,7 @@
 mod arrival;
 mod call;
 mod changes;
+pub(crate) mod jobs;
 mod load;
 mod platform;
 mod report;
