--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -14,7 +14,11 @@
 mod sharing;
 #[path = "scheduler/silence.rs"]
 mod silence;
+#[path = "scheduler/specs.rs"]
+mod specs;
 #[path = "scheduler/takeover.rs"]
 mod takeover;
+#[path = "scheduler/worker.rs"]
+mod worker;
 #[path = "scheduler/world.rs"]
 mod world;
--- /dev/null
+++ b/crates/cyclamentrail-jobs/tests/scheduler/specs.rs
@@ -0,0 +1,41 @@
+//! Jobs that the tests hand in, and the terms of their one route.
+
+use std::sync::Arc;
+
+use cyclamentrail_core::{RouteName, ServiceName};
+use cyclamentrail_jobs::{JobSpec, Resources, RouteTerms, StepSpec};
+
+/// Route that all jobs of these tests use.
+pub const ROUTE: &str = "route";
+
+/// Returns a job of one step.
+pub fn job(count: u32, cpu_milli: u64, estimate_ms: u64) -> JobSpec {
+    JobSpec {
+        text: Arc::from("work"),
+        steps: vec![step(count, cpu_milli, estimate_ms)],
+        schedule: None,
+    }
+}
+
+/// Returns a step without predecessors.
+pub fn step(count: u32, cpu_milli: u64, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        count,
+        demand: Resources::new(cpu_milli, 1_000, 0),
+        estimate_ms,
+        ..StepSpec::default()
+    }
+}
+
+/// Returns the terms of the one route.
+pub fn terms() -> RouteTerms {
+    RouteTerms {
+        name: RouteName::from(ROUTE),
+        service: ServiceName::from("service"),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.6,
+        target_latency_ms: 600,
+        advice: None,
+    }
+}
