refactor(edge): ask an owner here or elsewhere in one place, find free ports in one place

The duties over machines and the explanation of jobs had the same code for asking a service's owner; both call internal::ask_owner. Behaviour is the same. Checked by the linter and jobs_watched, jobs_process and local_jobs; not by the whole script.

--- a/crates/cyclamentrail-standin/src/jobs/client.rs
+++ b/crates/cyclamentrail-standin/src/jobs/client.rs
@@ -1,6 +1,6 @@
 //! A caller of the system on the users' platform, and the settings of a small site there.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 
 use anyhow::{Context, Result, ensure};
 use bytes::Bytes;
@@ -31,6 +31,32 @@
     pub internal: u16,
 }
 
+impl NodePorts {
+    /// Finds ports that are free on loopback.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no address can be bound.
+    pub fn free() -> std::io::Result<Self> {
+        let listen = |port| TcpListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+        loop {
+            let held = [listen(0)?, listen(0)?, listen(0)?];
+            let [front, ready, internal] = held
+                .each_ref()
+                .map(|listener| listener.local_addr().map(|address| address.port()));
+            let ports = Self {
+                front: front?,
+                ready: ready?,
+                internal: internal?,
+            };
+            // The range of internal ports ends two behind the first.
+            if ports.internal < u16::MAX - 2 && listen(ports.internal + 1).is_ok() {
+                return Ok(ports);
+            }
+        }
+    }
+}
+
 /// Puts the configuration of a site with one route into its store.
 pub fn put_configuration(store: &JobStore) {
     let configuration = json!({
--- a/crates/cyclamentrail-testkit/src/job_site.rs
+++ b/crates/cyclamentrail-testkit/src/job_site.rs
@@ -1,7 +1,7 @@
 //! A small site of the jobs path: a store, workers and processes.
 
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -94,7 +94,7 @@
         name: &str,
         spawn: impl Fn(&str, &[String], &[(&str, &str)]) -> Result<Process>,
     ) -> Result<()> {
-        let ports = free_ports()?;
+        let ports = NodePorts::free()?;
         let path = self.folder.path().join(name);
         let text = node_settings(name, ports, self.store.address());
         std::fs::write(&path, text)?;
@@ -213,25 +213,3 @@
         Ok(())
     }
 }
-
-/// Returns ports that are free, the last with two free ones behind it.
-fn free_ports() -> Result<NodePorts> {
-    loop {
-        let held = [listen(0)?, listen(0)?];
-        let first = held[0].local_addr()?.port();
-        let second = held[1].local_addr()?.port();
-        let third = listen(0)?;
-        let internal = third.local_addr()?.port();
-        if internal < u16::MAX - 2 && listen(internal + 1).is_ok() {
-            return Ok(NodePorts {
-                front: first,
-                ready: second,
-                internal,
-            });
-        }
-    }
-}
-
-fn listen(port: u16) -> std::io::Result<TcpListener> {
-    TcpListener::bind(SocketAddr::from((LOCAL, port)))
-}
--- a/crates/cyclamentrail/src/edge/describe.rs
+++ b/crates/cyclamentrail/src/edge/describe.rs
@@ -13,7 +13,7 @@
 use cyclamentrail_jobs::{Contact, Job, Phase, Shard, Task};
 use serde::{Deserialize, Serialize};
 
-use super::internal::ask_here;
+use super::internal::{ask_here, ask_owner};
 use super::messages::{Ask, Question, Reply};
 use super::node::Node;
 
@@ -282,18 +282,10 @@
 /// Asks the owner of a service about a job, here or at another process.
 async fn ask_about(node: &Node, service: ServiceName, id: &JobId) -> Option<JobView> {
     let ask = Ask {
-        service: service.clone(),
+        service,
         question: Question::Explain(id.clone()),
     };
-    let reply = if node.owned(&service).is_some() {
-        let asked = ask_here(node, ask);
-        tokio::time::timeout(ASK_TIMEOUT, asked).await.ok()??
-    } else {
-        let owner = node.owner(service.as_str())?;
-        let address = owner.claim.address;
-        node.peers.ask(address, &ask, ASK_TIMEOUT).await.ok()?
-    };
-    match reply {
+    match ask_owner(node, ask, ASK_TIMEOUT).await? {
         Reply::Job(view) => Some(*view),
         _ => None,
     }
--- a/crates/cyclamentrail/src/edge/internal.rs
+++ b/crates/cyclamentrail/src/edge/internal.rs
@@ -41,6 +41,17 @@
     replied.await.ok()
 }
 
+/// Asks the owner of a service, here or at another process; `None` without a reply in time.
+pub(crate) async fn ask_owner(node: &Node, ask: Ask, timeout: Duration) -> Option<Reply> {
+    if node.owned(&ask.service).is_some() {
+        return tokio::time::timeout(timeout, ask_here(node, ask))
+            .await
+            .ok()?;
+    }
+    let address = node.owner(ask.service.as_str())?.claim.address;
+    node.peers.ask(address, &ask, timeout).await.ok()
+}
+
 async fn answer(State(node): State<Arc<Node>>, body: Bytes) -> Response {
     let Ok(ask) = rmp_serde::from_slice::<Ask>(&body) else {
         return StatusCode::BAD_REQUEST.into_response();
--- a/crates/cyclamentrail/src/edge/machines.rs
+++ b/crates/cyclamentrail/src/edge/machines.rs
@@ -18,7 +18,7 @@
 
 use super::boot_clock::{boot_ms, unix_ms};
 use super::commits::{CommitLog, Confirmation};
-use super::internal::ask_here;
+use super::internal::ask_owner;
 use super::messages::{Ask, FLEET_SHARD, Question, Reply};
 use super::node::Node;
 use super::owner::OwnerMessage;
@@ -210,15 +210,7 @@
             service: service.clone(),
             question: Question::Evacuate(self.planner.evacuations(service)),
         };
-        let reply = if self.node.owned(service).is_some() {
-            let asked = ask_here(&self.node, ask);
-            tokio::time::timeout(ASK_TIMEOUT, asked).await.ok()??
-        } else {
-            let owner = self.node.owner(service.as_str())?;
-            let address = owner.claim.address;
-            self.node.peers.ask(address, &ask, ASK_TIMEOUT).await.ok()?
-        };
-        match reply {
+        match ask_owner(&self.node, ask, ASK_TIMEOUT).await? {
             Reply::Load(load) => Some(load.into()),
             _ => None,
         }
--- a/crates/cyclamentrail/src/local/jobs.rs
+++ b/crates/cyclamentrail/src/local/jobs.rs
@@ -4,11 +4,11 @@
 
 use std::collections::HashMap;
 use std::fmt::{Display, Formatter};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, Result, ensure};
+use anyhow::{Result, ensure};
 use cyclamentrail_adapter::NodeSettings;
 use cyclamentrail_standin::{
     JOB_SERVICE, JobClient, JobStore, JobWorker, NodePorts, Submitted, node_settings,
@@ -86,7 +86,7 @@
     let mut fronts = Vec::new();
     let mut nodes = Vec::new();
     for index in 0..NODES {
-        let ports = free_ports()?;
+        let ports = NodePorts::free()?;
         let text = node_settings(&format!("node-{index}"), ports, store.address());
         let served = edge::start(NodeSettings::parse(&text)?).await?;
         fronts.push(loopback(ports.front));
@@ -178,23 +178,3 @@
 const fn loopback(port: u16) -> SocketAddr {
     SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), port)
 }
-
-/// Returns ports that are free, the last with a free one behind it.
-fn free_ports() -> Result<NodePorts> {
-    let listen = |port| TcpListener::bind(loopback(port));
-    loop {
-        let held = [listen(0)?, listen(0)?, listen(0)?];
-        let [front, ready, internal] = held
-            .each_ref()
-            .map(|listener| listener.local_addr().map(|address| address.port()));
-        let (front, ready, internal) = (front?, ready?, internal?);
-        let next = internal.checked_add(1).context("no port is left")?;
-        if listen(next).is_ok() {
-            return Ok(NodePorts {
-                front,
-                ready,
-                internal,
-            });
-        }
-    }
-}
