feat(owner): show calls, commits and starts to leaving workers each second

On an owner under load the log's budget leaves out most lines about single decisions, so that nothing told whether calls to workers, commits, the age of the registrations or the room in the pool held a job up.

Adds a line a second and owner (owner_activity) with sums and the longest durations, histograms of calls to workers and of the registrations' age at each start, and a counter of starts by whether the worker was known to leave. A job that is rejected while a commit is stuck is now a decision as well: it was neither logged nor counted. No other behaviour changes.

--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -23,6 +23,7 @@
 mod claims;
 mod clocks;
 mod commit_log;
+mod confirmation;
 mod decision_log;
 mod front;
 mod internal;
--- a/crates/cyclamentrail/src/edge/commit_log.rs
+++ b/crates/cyclamentrail/src/edge/commit_log.rs
@@ -1,7 +1,6 @@
 //! Makes an owner's records durable in the store, one append at a time.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use cyclamentrail_adapter::{Append, Store, StoreError, Writer};
@@ -10,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::clocks::boot_ms;
+use super::confirmation::Confirmation;
 use super::process_state::ProcessState;
 use super::takeover::{FIRST_SEQUENCE, Takeover};
 use crate::metrics;
@@ -24,41 +24,6 @@
 /// Most attempts of one append that wait for a response at the same time.
 const MAX_ATTEMPTS_IN_FLIGHT: usize = 5;
 
-/// When the store last confirmed the ownership of a shard; clones share the time.
-#[derive(Debug, Clone)]
-pub(crate) struct Confirmation {
-    /// Time of the confirmation on the boot-time clock.
-    confirmed_ms: Arc<AtomicU64>,
-    valid_ms: u64,
-}
-
-impl Confirmation {
-    /// Creates a confirmation at `confirmed_ms` on the boot-time clock that is valid for
-    /// `valid_ms`.
-    pub(crate) fn new(confirmed_ms: u64, valid_ms: u64) -> Self {
-        Self {
-            confirmed_ms: Arc::new(AtomicU64::new(confirmed_ms)),
-            valid_ms,
-        }
-    }
-
-    /// Returns whether the owner may send commands now.
-    pub(crate) fn is_valid(&self) -> bool {
-        self.age_ms() < self.valid_ms
-    }
-
-    /// Returns the time since the last confirmation in milliseconds.
-    pub(crate) fn age_ms(&self) -> u64 {
-        boot_ms().saturating_sub(self.confirmed_ms.load(Ordering::Relaxed))
-    }
-
-    /// Extends the confirmation: `sent_ms` is when the confirmed append was sent, so that the time
-    /// until its response doesn't count.
-    fn confirm(&self, sent_ms: u64) {
-        self.confirmed_ms.fetch_max(sent_ms, Ordering::Relaxed);
-    }
-}
-
 /// Appends an owner's records to the topic of its shard, in order and each batch once.
 #[derive(Debug, Clone)]
 pub(crate) struct CommitLog {
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/confirmation.rs
@@ -0,0 +1,42 @@
+//! Time of the last confirmation of something that may be relied on for a limited time.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use super::clocks::boot_ms;
+
+/// When the store last confirmed something, such as the ownership of a shard; clones share the
+/// time.
+#[derive(Debug, Clone)]
+pub(crate) struct Confirmation {
+    /// Time of the confirmation on the boot-time clock.
+    confirmed_ms: Arc<AtomicU64>,
+    valid_ms: u64,
+}
+
+impl Confirmation {
+    /// Creates a confirmation at `confirmed_ms` on the boot-time clock that is valid for
+    /// `valid_ms`.
+    pub(crate) fn new(confirmed_ms: u64, valid_ms: u64) -> Self {
+        Self {
+            confirmed_ms: Arc::new(AtomicU64::new(confirmed_ms)),
+            valid_ms,
+        }
+    }
+
+    /// Returns whether what was confirmed may be relied on now.
+    pub(crate) fn is_valid(&self) -> bool {
+        self.age_ms() < self.valid_ms
+    }
+
+    /// Returns the time since the last confirmation in milliseconds.
+    pub(crate) fn age_ms(&self) -> u64 {
+        boot_ms().saturating_sub(self.confirmed_ms.load(Ordering::Relaxed))
+    }
+
+    /// Extends the confirmation: `sent_ms` is when the confirmed call was sent, so that the time
+    /// until its response doesn't count.
+    pub(crate) fn confirm(&self, sent_ms: u64) {
+        self.confirmed_ms.fetch_max(sent_ms, Ordering::Relaxed);
+    }
+}
--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -19,7 +19,8 @@
 use tokio::time::Instant;
 
 use super::clocks::{boot_ms, unix_ms};
-use super::commit_log::{CommitLog, Confirmation};
+use super::commit_log::CommitLog;
+use super::confirmation::Confirmation;
 use super::internal::call_owner;
 use super::messages::{FLEET_SHARD, OwnerCall, OwnerRequest, Reply};
 use super::owner::OwnerMessage;
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamentrail_adapter::{AdviceService, StoreError, WorkerClient};
+use cyclamentrail_adapter::{AdviceService, HttpClient, StoreError, WorkerClient};
 use cyclamentrail_core::{ServiceName, WorkerId};
 use cyclamentrail_jobs::{
     AdviceOutcome, AdviceQuery, CallerId, CommandOutcome, Commit, Effect, KeyedRecord, PollOutcome,
@@ -15,7 +15,8 @@
 use tokio::time::Instant;
 
 use super::clocks::now;
-use super::commit_log::{CommitLog, Confirmation};
+use super::commit_log::CommitLog;
+use super::confirmation::Confirmation;
 use super::decision_log::DecisionLog;
 use super::messages::{FLEET_SHARD, OwnerRequest, Reply};
 use super::process_state::{KnownOwner, OperatorState, ProcessState, RegisteredWorkers};
@@ -23,9 +24,12 @@
 use super::takeover::{Takeover, take_over};
 use crate::metrics;
 
+mod activity;
 mod effects;
 mod requests;
 
+use activity::Activity;
+
 /// Time limit of a call to a worker, beyond the time that the worker may wait before it responds.
 const WORKER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time limit of a request to a queue's policy, which serves one request at a time.
@@ -56,22 +60,45 @@
 pub(crate) enum OwnerMessage {
     /// Request of a caller or another process, with the channel for the reply.
     Request(OwnerRequest, oneshot::Sender<Reply>),
-    /// Outcome of a start command for a run, given by worker, task and number of the run.
-    StartResult(WorkerKey, TaskKey, u32, CommandOutcome),
+    /// Outcome of a start command.
+    StartResult(StartResult),
     /// Outcome of a stop command for a run, given by task and number of the run.
     StopResult(TaskKey, u32, CommandOutcome),
     /// Whether a worker accepted the share, in percent, at which a run may work.
     CpuShareResult(TaskKey, u32, bool),
     /// Response of a queue's policy to a query.
     AdviceResult(Box<AdviceQuery>, AdviceOutcome),
-    /// Outcome of a worker poll, which acknowledged the ended runs up to a sequence number.
-    PollResult(WorkerKey, u64, PollOutcome),
+    /// Outcome of a worker poll.
+    PollResult(PollResult),
     /// Result of a commit: the log for the next one, or why the commit will never be durable.
     CommitResult(Box<Commit>, Result<Box<CommitLog>, StoreError>),
     /// Request to give up the shard.
     Stop,
 }
 
+/// Outcome of a start command for a run.
+#[derive(Debug)]
+pub(crate) struct StartResult {
+    worker: WorkerKey,
+    task: TaskKey,
+    run: u32,
+    outcome: CommandOutcome,
+    /// Time from the sending of the command to its outcome.
+    duration: Duration,
+}
+
+/// Outcome of a poll of a worker.
+#[derive(Debug)]
+pub(crate) struct PollResult {
+    worker: WorkerKey,
+    /// Sequence number up to which the poll acknowledged ended runs.
+    durable_sequence: u64,
+    outcome: PollOutcome,
+    /// Time from the sending of the poll to its outcome, less the time for which the worker was
+    /// allowed to wait.
+    duration: Duration,
+}
+
 /// Takes over a shard and owns it until the shard is given up or lost.
 pub(crate) async fn run(
     process: Arc<ProcessState>,
@@ -118,12 +145,17 @@
     /// Result of the takeover until its records are restored.
     takeover: Option<Takeover>,
     worker_client: WorkerClient,
+    /// Client that the calls to workers share, for its count of bytes.
+    http_client: HttpClient,
     advice_service: Option<AdviceService>,
     /// Log for the next commit; `None` while a commit is under way.
     commit_log: Option<Box<CommitLog>>,
     /// When the last commit or confirmation was started.
     committing_since: Instant,
     confirmation: Confirmation,
+    /// When the registrations of the workers were last read.
+    registry_confirmation: Confirmation,
+    activity: Activity,
     decision_log: DecisionLog,
     token: u64,
     start_queues: StartQueues,
@@ -164,6 +196,7 @@
                 takeover.token,
                 WORKER_TIMEOUT,
             ),
+            http_client: process.http_client.clone(),
             advice_service: process.settings.advice_service.map(|address| {
                 AdviceService::new(process.http_client.clone(), address, ADVICE_TIMEOUT)
             }),
@@ -174,6 +207,8 @@
             commit_log: Some(Box::new(commit_log)),
             committing_since: Instant::now(),
             confirmation,
+            registry_confirmation: process.registry_confirmation.clone(),
+            activity: Activity::new(shard),
             decision_log: DecisionLog::new(shard),
             start_queues: StartQueues::default(),
             waiting_callers: HashMap::new(),
@@ -214,6 +249,7 @@
     ) {
         let mut last_commit = Instant::now();
         while !self.has_ended {
+            self.activity.write_if_due(self.http_client.body_bytes());
             self.end_expired_evacuations();
             self.reject_unsent_in_outage();
             self.shard.advance(now());
@@ -331,20 +367,12 @@
                 self.handle_request(request, reply);
                 false
             }
-            OwnerMessage::StartResult(worker, task, run, outcome) => {
-                self.start_queues.finish_start(worker);
-                metrics::count_worker_command("start", &outcome);
-                let is_fenced = self.shard.handle_start_result(now(), task, run, &outcome);
-                self.send_starts(worker);
-                is_fenced
-            }
+            OwnerMessage::StartResult(result) => self.handle_start_result(&result),
             OwnerMessage::StopResult(task, run, outcome) => {
                 metrics::count_worker_command("stop", &outcome);
                 self.shard.handle_stop_result(now(), task, run, &outcome)
             }
-            OwnerMessage::PollResult(worker, durable_sequence, outcome) => self
-                .shard
-                .handle_poll_result(now(), worker, durable_sequence, outcome),
+            OwnerMessage::PollResult(result) => self.handle_poll_result(result),
             OwnerMessage::CpuShareResult(task, run, is_done) => {
                 self.shard.handle_cpu_share_result(task, run, is_done);
                 false
@@ -368,7 +396,38 @@
         }
     }
 
+    /// Handles the outcome of a start command, and sends the next ones to its worker; returns
+    /// whether the worker has seen a higher fencing token.
+    fn handle_start_result(&mut self, result: &StartResult) -> bool {
+        self.start_queues.finish_start(result.worker);
+        metrics::count_worker_command("start", &result.outcome);
+        metrics::record_worker_call("start", result.duration);
+        self.activity
+            .record_start_result(&result.outcome, result.duration);
+        let is_fenced =
+            self.shard
+                .handle_start_result(now(), result.task, result.run, &result.outcome);
+        self.send_starts(result.worker);
+        is_fenced
+    }
+
+    /// Handles the outcome of a poll; returns whether the worker has seen a higher fencing token.
+    fn handle_poll_result(&mut self, result: PollResult) -> bool {
+        metrics::record_worker_call("poll", result.duration);
+        self.activity
+            .record_poll_result(&result.outcome, result.duration);
+        self.shard.handle_poll_result(
+            now(),
+            result.worker,
+            result.durable_sequence,
+            result.outcome,
+        )
+    }
+
     fn handle_commit_result(&mut self, commit: Commit, result: Result<Box<CommitLog>, StoreError>) {
+        let bytes = commit.records.iter().map(|record| record.value.len()).sum();
+        self.activity
+            .record_commit(bytes, self.committing_since.elapsed());
         match result {
             Ok(commit_log) => {
                 self.commit_log = Some(commit_log);
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/owner/activity.rs
@@ -0,0 +1,146 @@
+//! Summary of an owner's work in each second: one log line that stays bounded under load, while
+//! the lines about single decisions are left out.
+
+use std::time::Duration;
+
+use cyclamentrail_adapter::BodyBytes;
+use cyclamentrail_jobs::{CommandOutcome, Decision, PollOutcome, RejectReason};
+
+use crate::edge::clocks::boot_ms;
+
+/// Length of the window that one line covers, in milliseconds.
+const WINDOW_MS: u64 = 1_000;
+
+/// Counts of one window.
+#[derive(Debug, Default)]
+struct Counts {
+    accepted: u32,
+    rejected_overload: u32,
+    rejected_other: u32,
+    starts: u32,
+    /// Starts sent to workers that are known to leave.
+    starts_to_leaving: u32,
+    /// Largest age of the registrations at a start.
+    registry_age_ms: u64,
+    longest_start_ms: u64,
+    longest_poll_ms: u64,
+    /// Calls to workers without a response.
+    unanswered: u32,
+    commits: u32,
+    longest_commit_ms: u64,
+    committed_bytes: usize,
+    ended: u32,
+}
+
+/// Counts an owner's work and writes one line for each window in which there was any.
+#[derive(Debug)]
+pub(super) struct Activity {
+    shard: String,
+    window_start_ms: u64,
+    /// Body bytes of the process's calls to workers at the beginning of the window.
+    bytes_before: BodyBytes,
+    counts: Counts,
+}
+
+impl Activity {
+    /// Creates the summary of a shard's owner.
+    pub(super) fn new(shard: &str) -> Self {
+        Self {
+            shard: shard.to_owned(),
+            window_start_ms: boot_ms(),
+            bytes_before: BodyBytes::default(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Counts a decision.
+    pub(super) const fn record_decision(&mut self, decision: &Decision) {
+        match decision {
+            Decision::JobAccepted { .. } => self.counts.accepted += 1,
+            Decision::JobRejected { reason, .. } => match reason {
+                RejectReason::Overload => self.counts.rejected_overload += 1,
+                _ => self.counts.rejected_other += 1,
+            },
+            Decision::RunEnded { .. } => self.counts.ended += 1,
+            _ => {}
+        }
+    }
+
+    /// Counts a start command that is sent, by the state in which its worker is known to be.
+    pub(super) fn record_start(&mut self, is_worker_leaving: bool, registry_age_ms: u64) {
+        self.counts.starts += 1;
+        self.counts.starts_to_leaving += u32::from(is_worker_leaving);
+        self.counts.registry_age_ms = self.counts.registry_age_ms.max(registry_age_ms);
+    }
+
+    /// Counts the result of a start command.
+    pub(super) fn record_start_result(&mut self, outcome: &CommandOutcome, duration: Duration) {
+        self.counts.unanswered += u32::from(matches!(outcome, CommandOutcome::NoResponse));
+        self.counts.longest_start_ms = self.counts.longest_start_ms.max(whole_ms(duration));
+    }
+
+    /// Counts the result of a poll; `duration` is the time beyond that for which the worker was
+    /// allowed to wait.
+    pub(super) fn record_poll_result(&mut self, outcome: &PollOutcome, duration: Duration) {
+        self.counts.unanswered += u32::from(matches!(outcome, PollOutcome::NoResponse));
+        self.counts.longest_poll_ms = self.counts.longest_poll_ms.max(whole_ms(duration));
+    }
+
+    /// Counts a commit that has ended.
+    pub(super) fn record_commit(&mut self, bytes: usize, duration: Duration) {
+        self.counts.commits += 1;
+        self.counts.committed_bytes += bytes;
+        self.counts.longest_commit_ms = self.counts.longest_commit_ms.max(whole_ms(duration));
+    }
+
+    /// Writes the line of the window if the window is over; `bytes` are the body bytes of the
+    /// process's calls to workers so far.
+    pub(super) fn write_if_due(&mut self, bytes: BodyBytes) {
+        let now_ms = boot_ms();
+        if now_ms.saturating_sub(self.window_start_ms) < WINDOW_MS {
+            return;
+        }
+        let window_ms = now_ms.saturating_sub(self.window_start_ms);
+        let counts = std::mem::take(&mut self.counts);
+        let sent_bytes = bytes.sent.saturating_sub(self.bytes_before.sent);
+        let received_bytes = bytes.received.saturating_sub(self.bytes_before.received);
+        self.bytes_before = bytes;
+        self.window_start_ms = now_ms;
+        if !counts.has_any() {
+            return;
+        }
+        log::info!(
+            shard = self.shard, window_ms,
+            accepted = counts.accepted,
+            rejected_overload = counts.rejected_overload,
+            rejected_other = counts.rejected_other,
+            ended = counts.ended,
+            starts = counts.starts,
+            starts_to_leaving = counts.starts_to_leaving,
+            registry_age_ms = counts.registry_age_ms,
+            longest_start_ms = counts.longest_start_ms,
+            longest_poll_ms = counts.longest_poll_ms,
+            unanswered = counts.unanswered,
+            commits = counts.commits,
+            longest_commit_ms = counts.longest_commit_ms,
+            committed_bytes = counts.committed_bytes,
+            sent_bytes, received_bytes;
+            "owner_activity"
+        );
+    }
+}
+
+impl Counts {
+    const fn has_any(&self) -> bool {
+        self.accepted > 0
+            || self.rejected_overload > 0
+            || self.rejected_other > 0
+            || self.ended > 0
+            || self.starts > 0
+            || self.unanswered > 0
+    }
+}
+
+fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/cyclamentrail/src/edge/owner/effects.rs
+++ b/crates/cyclamentrail/src/edge/owner/effects.rs
@@ -1,14 +1,19 @@
 //! Carries out the effects that a shard decides on. Calls run in tasks of their own, which send
 //! their outcome to the owner as a message.
 
+use std::time::Duration;
+
 use cyclamentrail_jobs::{
-    AdviceOutcome, AdviceQuery, CallerId, CallerReply, CommandOutcome, CpuShareCommand, Effect,
-    PollOutcome, StopCommand, WorkerKey, WorkerPoll,
+    AdviceOutcome, AdviceQuery, CallerId, CallerReply, CommandOutcome, CpuShareCommand, Decision,
+    Effect, PollOutcome, StopCommand, WorkerKey, WorkerPoll,
 };
 
-use super::{Owner, OwnerMessage};
+use tokio::time::Instant;
+
+use super::{Owner, OwnerMessage, PollResult, StartResult};
 use crate::edge::clocks::now;
 use crate::edge::messages::Reply;
+use crate::metrics;
 
 impl Owner {
     /// Carries out the effects that wait for no commit.
@@ -33,7 +38,7 @@
                 Effect::Poll(poll) => self.send_poll(poll),
                 Effect::SetCpuShare(command) => self.send_cpu_share(command),
                 Effect::QueryPolicy(query) => self.query_policy(query),
-                Effect::Log(decision) => self.decision_log.record(decision),
+                Effect::Log(decision) => self.record_decision(decision),
             }
         }
         changed_workers.sort_unstable();
@@ -84,13 +89,21 @@
         let (sender, worker_client) = (self.sender.clone(), self.worker_client.clone());
         let confirmation = self.confirmation.clone();
         tokio::spawn(async move {
+            let sent = Instant::now();
             let outcome = if confirmation.is_valid() {
                 worker_client.poll(&poll).await
             } else {
                 PollOutcome::NotSent
             };
-            let message = OwnerMessage::PollResult(poll.target.key, poll.durable_sequence, outcome);
-            drop(sender.send(message));
+            let result = PollResult {
+                worker: poll.target.key,
+                durable_sequence: poll.durable_sequence,
+                outcome,
+                duration: sent
+                    .elapsed()
+                    .saturating_sub(Duration::from_millis(poll.wait_ms)),
+            };
+            drop(sender.send(OwnerMessage::PollResult(result)));
         });
     }
 
@@ -107,15 +120,41 @@
                 self.start_queues.finish_start(worker);
                 continue;
             };
+            self.record_start(worker);
             let (sender, worker_client) = (self.sender.clone(), self.worker_client.clone());
             tokio::spawn(async move {
+                let sent = Instant::now();
                 let outcome = worker_client.start(&command).await;
-                let message = OwnerMessage::StartResult(worker, command.task, command.run, outcome);
-                drop(sender.send(message));
+                let result = StartResult {
+                    worker,
+                    task: command.task,
+                    run: command.run,
+                    outcome,
+                    duration: sent.elapsed(),
+                };
+                drop(sender.send(OwnerMessage::StartResult(result)));
             });
         }
     }
 
+    /// Counts a start command by whether its worker is known to leave.
+    fn record_start(&mut self, worker: WorkerKey) {
+        let is_worker_leaving = self
+            .shard
+            .worker_by_key(worker)
+            .is_none_or(|worker| worker.registration.is_draining || !worker.is_registered);
+        let registry_age_ms = self.registry_confirmation.age_ms();
+        metrics::count_start(is_worker_leaving, registry_age_ms);
+        self.activity
+            .record_start(is_worker_leaving, registry_age_ms);
+    }
+
+    /// Counts, logs and keeps a decision.
+    pub(super) fn record_decision(&mut self, decision: Decision) {
+        self.activity.record_decision(&decision);
+        self.decision_log.record(decision);
+    }
+
     /// Replies to a caller, if it still waits.
     pub(super) fn reply_to(&mut self, caller: CallerId, reply: CallerReply) {
         if let Some(sender) = self.waiting_callers.remove(&caller) {
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -4,7 +4,7 @@
 
 use cyclamentrail_core::{JobId, WorkerId};
 use cyclamentrail_jobs::{
-    CallerId, CallerReply, RejectReason, Submission, retry_after_outage_ms, retry_seed,
+    CallerId, CallerReply, Decision, RejectReason, Submission, retry_after_outage_ms, retry_seed,
 };
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -37,7 +37,7 @@
         match request {
             OwnerRequest::Submit { id, route, spec } => {
                 if self.is_commit_stuck() && self.shard.job(&id).is_none() {
-                    drop(reply.send(self.outage_rejection(&id)));
+                    self.reject_in_outage(id, reply);
                     return;
                 }
                 self.waiting_callers.insert(caller, reply);
@@ -105,12 +105,19 @@
         self.commit_log.is_none() && self.committing_since.elapsed() > STUCK_COMMIT_AGE
     }
 
-    /// Returns the rejection of a job that can't be stored during an outage.
-    fn outage_rejection(&self, id: &JobId) -> Reply {
-        Reply::from(CallerReply::Rejected {
-            retry_after_ms: retry_after_outage_ms(self.outage_ms(), retry_seed(id)),
+    /// Rejects a job that can't be stored during an outage.
+    fn reject_in_outage(&mut self, id: JobId, reply: oneshot::Sender<Reply>) {
+        let outage_ms = self.outage_ms();
+        let rejection = CallerReply::Rejected {
+            retry_after_ms: retry_after_outage_ms(outage_ms, retry_seed(&id)),
             reason: RejectReason::NotReady,
-        })
+        };
+        self.record_decision(Decision::JobRejected {
+            job: id,
+            reason: RejectReason::NotReady,
+            wait_ms: outage_ms,
+        });
+        drop(reply.send(Reply::from(rejection)));
     }
 
     /// Keeps exactly these workers empty, and replies with the load of the pool.
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::clocks::boot_ms;
-use super::commit_log::Confirmation;
+use super::confirmation::Confirmation;
 use super::messages::OwnershipStatus;
 use super::owner::OwnerMessage;
 use super::peers::PeerClient;
@@ -24,6 +24,8 @@
 const MAX_CONNECTIONS: u32 = 2_000;
 /// Largest header block in bytes.
 const MAX_HEADER_BYTES: u32 = 16_384;
+/// Time for which registrations may be relied on after they were read, in milliseconds.
+const REGISTRY_VALID_MS: u64 = 2_000;
 /// Time limit for reading a header, and between two parts of a body.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -81,6 +83,8 @@
     pub(crate) owners: watch::Sender<HashMap<String, KnownOwner>>,
     /// Registered workers of all services.
     pub(crate) workers: watch::Sender<Arc<RegisteredWorkers>>,
+    /// When the registrations were last read.
+    pub(crate) registry_confirmation: Confirmation,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
     is_stopping: AtomicBool,
 }
@@ -96,6 +100,7 @@
             operator_state: watch::Sender::new(OperatorState::default()),
             owners: watch::Sender::new(HashMap::new()),
             workers: watch::Sender::new(Arc::default()),
+            registry_confirmation: Confirmation::new(0, REGISTRY_VALID_MS),
             owned_shards: Mutex::new(HashMap::new()),
             is_stopping: AtomicBool::new(false),
         }
--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -5,6 +5,7 @@
 
 use cyclamentrail_adapter::{Store, StoreError, StoredRecord, keyed_topic};
 
+use super::clocks::boot_ms;
 use crate::metrics;
 
 /// Pause before a failed read is repeated.
@@ -25,6 +26,8 @@
     name: String,
     /// Offset of the next record; `None` before a snapshot is read.
     next_offset: Option<u64>,
+    /// Boot time in milliseconds at which the last successful read was sent; 0 before the first.
+    read_sent_ms: u64,
 }
 
 impl TopicReader {
@@ -33,6 +36,7 @@
         Self {
             name: keyed_topic(name),
             next_offset: None,
+            read_sent_ms: 0,
         }
     }
 
@@ -41,10 +45,14 @@
     /// at the reader's position.
     pub(crate) async fn read(&mut self, store: &Store, wait: Duration) -> TopicRead {
         loop {
+            let sent_ms = boot_ms();
             let read = self.try_read(store, wait).await;
             metrics::count_topic_read(read.is_ok());
             match read {
-                Ok(read) => return read,
+                Ok(read) => {
+                    self.read_sent_ms = sent_ms;
+                    return read;
+                }
                 Err(StoreError::RecordsDeleted { .. }) => self.next_offset = None,
                 Err(error) => {
                     log::debug!(topic = self.name.as_str(), error:% = error; "topic_not_read");
@@ -54,6 +62,12 @@
         }
     }
 
+    /// Returns the boot time in milliseconds at which the last successful read was sent; 0 before
+    /// the first.
+    pub(crate) const fn read_sent_ms(&self) -> u64 {
+        self.read_sent_ms
+    }
+
     async fn try_read(&mut self, store: &Store, wait: Duration) -> Result<TopicRead, StoreError> {
         if let Some(from) = self.next_offset {
             let page = store.read(&self.name, from, wait).await?;
--- a/crates/cyclamentrail/src/edge/worker_registry.rs
+++ b/crates/cyclamentrail/src/edge/worker_registry.rs
@@ -31,6 +31,7 @@
                 .send_modify(|workers| apply_records(Arc::make_mut(workers), &records)),
             TopicRead::Update(_) => {}
         }
+        process.registry_confirmation.confirm(topic.read_sent_ms());
         let owns_any = process.owns_any();
         tokio::time::sleep(if owns_any {
             OWNER_READ_INTERVAL
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -36,6 +36,12 @@
 pub(crate) const POOL_WAITING: &str = "cyclamentrail_pool_waiting_worker_seconds";
 /// Commands to workers, by kind and outcome.
 pub(crate) const WORKER_COMMANDS: &str = "cyclamentrail_worker_calls_total";
+/// Seconds that calls to workers took, by kind; of a poll, without the time that it may wait.
+pub(crate) const WORKER_SECONDS: &str = "cyclamentrail_worker_call_seconds";
+/// Start commands that were sent, by whether their worker was known to leave.
+pub(crate) const STARTS: &str = "cyclamentrail_starts_total";
+/// Seconds since the registrations were read, at each start command.
+pub(crate) const REGISTRY_AGE: &str = "cyclamentrail_registry_age_seconds";
 /// Calls to the platform's store, by kind and outcome.
 pub(crate) const STORE_CALLS: &str = "cyclamentrail_store_calls_total";
 /// Seconds that calls to the platform's store took; reads of topics aren't included.
@@ -189,6 +195,24 @@
         labels: &["call", "outcome"],
         help: "Commands to workers, by kind and outcome.",
     },
+    Metric {
+        name: WORKER_SECONDS,
+        kind: MetricKind::Histogram,
+        labels: &["call"],
+        help: "Seconds that calls to workers took, by kind; of a poll, without the time that it may wait.",
+    },
+    Metric {
+        name: STARTS,
+        kind: MetricKind::Counter,
+        labels: &["worker"],
+        help: "Start commands that were sent, by whether their worker was known to leave.",
+    },
+    Metric {
+        name: REGISTRY_AGE,
+        kind: MetricKind::Histogram,
+        labels: &[],
+        help: "Seconds since the registrations were read, at each start command.",
+    },
     Metric {
         name: STORE_CALLS,
         kind: MetricKind::Counter,
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -6,8 +6,8 @@
 
 use super::catalog::{
     JOB_SECONDS, JOBS, LINES_DROPPED, LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND, POOL_WAITING,
-    RUNS_ENDED, SHARD_TAKEOVERS, STORE_CALLS, STORE_SECONDS, TASK_WAITS, WORKER_COMMANDS,
-    WORKERS_AVOIDED,
+    REGISTRY_AGE, RUNS_ENDED, SHARD_TAKEOVERS, STARTS, STORE_CALLS, STORE_SECONDS, TASK_WAITS,
+    WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
 };
 
 /// Number of thousandths in one unit, such as milliseconds in a second.
@@ -83,6 +83,22 @@
     metrics::counter!(WORKER_COMMANDS, "call" => call, "outcome" => outcome).increment(1);
 }
 
+/// Records the duration of a call to a worker; `call` names the kind of call.
+pub(crate) fn record_worker_call(call: &'static str, duration: Duration) {
+    metrics::histogram!(WORKER_SECONDS, "call" => call).record(duration.as_secs_f64());
+}
+
+/// Counts a start command and records the age of the registrations by which it is sent.
+pub(crate) fn count_start(is_worker_leaving: bool, registry_age_ms: u64) {
+    let worker = if is_worker_leaving {
+        "leaving"
+    } else {
+        "listed"
+    };
+    metrics::counter!(STARTS, "worker" => worker).increment(1);
+    metrics::histogram!(REGISTRY_AGE).record(Duration::from_millis(registry_age_ms).as_secs_f64());
+}
+
 /// Counts a call to the platform's store and records its duration.
 pub(crate) fn count_store_call(call: &'static str, is_answered: bool, duration: Duration) {
     let outcome = if is_answered { "answered" } else { "failed" };
