fix(explain): don't call a job unknown before every owner has replied

Operators who asked a process for a job got "no owner knows this job" (404) while the process had not yet read who owns the service, or while the owner didn't reply. Regression test: unreached_owner_told, which gave 404 on the code before.

404 now takes a reply of the owner of each service in the configuration; otherwise the response is 503 and says so. rejected_job_explained asks again while it gets 503, and checks the same as before.

--- a/crates/cyclamentrail/src/edge/operator_views.rs
+++ b/crates/cyclamentrail/src/edge/operator_views.rs
@@ -1,6 +1,6 @@
 //! State and explanations that a process shows to operators.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -265,36 +265,52 @@
 }
 
 /// Responds with what the owners of all services know of a job; the first that knows it counts.
+/// The job counts as unknown only if the owner of each service has replied so.
 async fn explain_job(State(process): State<Arc<ProcessState>>, Path(id): Path<String>) -> Response {
     let id = JobId::from(id.as_str());
-    let services: Vec<ServiceName> = process
-        .owners
-        .borrow()
-        .keys()
-        .map(|shard| ServiceName::from(shard.as_str()))
+    let Some(configuration) = process.configuration() else {
+        return owners_not_reached();
+    };
+    let services: BTreeSet<ServiceName> = configuration
+        .routes
+        .iter()
+        .map(|route| route.config.service.clone())
         .collect();
     let calls = services
         .into_iter()
         .map(|service| request_job(&process, service, &id));
-    let views = futures_util::future::join_all(calls).await;
-    match views.into_iter().flatten().next() {
+    let replies = futures_util::future::join_all(calls).await;
+    let have_all_replied = replies.iter().all(Option::is_some);
+    let view = replies.into_iter().flatten().find_map(|reply| match reply {
+        Reply::Job(view) => Some(view),
+        _ => None,
+    });
+    match view {
         Some(view) => Json(view).into_response(),
-        None => (
+        None if have_all_replied => (
             StatusCode::NOT_FOUND,
             "no owner knows this job; its id is 16 hexadecimal digits, and its owner may have changed since",
         )
             .into_response(),
+        None => owners_not_reached(),
     }
 }
 
-/// Requests a job from the owner of a service, in this process or another one.
-async fn request_job(process: &ProcessState, service: ServiceName, id: &JobId) -> Option<JobView> {
+fn owners_not_reached() -> Response {
+    (
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not every service has an owner that this process knows and reaches; ask again in a second",
+    )
+        .into_response()
+}
+
+/// Requests a job from the owner of a service, in this process or another one; `None` if the owner
+/// isn't known, doesn't reply or isn't the owner any more.
+async fn request_job(process: &ProcessState, service: ServiceName, id: &JobId) -> Option<Reply> {
     let call = OwnerCall {
         service,
         request: OwnerRequest::Explain(id.clone()),
     };
-    match call_owner(process, call, CALL_TIMEOUT).await? {
-        Reply::Job(view) => Some(*view),
-        _ => None,
-    }
+    let reply = call_owner(process, call, CALL_TIMEOUT).await?;
+    (!matches!(reply, Reply::NotOwner)).then_some(reply)
 }
--- a/crates/cyclamentrail/tests/jobs_watched.rs
+++ b/crates/cyclamentrail/tests/jobs_watched.rs
@@ -25,8 +25,16 @@
     Ok((status, String::from_utf8(body.to_vec())?))
 }
 
+/// Asks again as long as the process says that it doesn't reach every owner yet.
 async fn get_json(site: &JobSite, process: usize, path: &str) -> Result<Value> {
-    let (status, text) = get(site, process, path).await?;
+    let end = tokio::time::Instant::now() + STOP_TIME;
+    let (status, text) = loop {
+        let (status, text) = get(site, process, path).await?;
+        if status != StatusCode::SERVICE_UNAVAILABLE || tokio::time::Instant::now() > end {
+            break (status, text);
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
     ensure!(status == StatusCode::OK, "{status}: {text}");
     Ok(serde_json::from_str(&text)?)
 }
@@ -79,6 +87,19 @@
     Ok(())
 }
 
+/// A process that doesn't reach the owner must not tell that nobody knows a job.
+#[tokio::test]
+async fn unreached_owner_told() -> Result<()> {
+    let mut site = JobSite::start(1, 1, 200).await?;
+    site.submit(0, "00000000000000f1", 1).await?;
+    site.add_process("n1")?;
+    site.submit(1, "00000000000000f2", 1).await?;
+    site.processes[0].0.kill()?;
+    let (status, text) = get(&site, 1, "/v1/explain/jobs/00000000000000f1").await?;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{text}");
+    Ok(())
+}
+
 #[tokio::test]
 async fn state_counts_jobs() -> Result<()> {
     let site = JobSite::start(1, 2, 200).await?;
