fix(shard): withdraw starts whose worker gives notice before they are sent

Cause: whether a worker takes tasks was decided once, when a task was placed. The start command then waited for its commit and behind three others to the same worker, and was sent without another look; a start without a response was sent again to a leaving worker for as long as it took. On an owner whose link is at its limit that takes 1 to 3 s. The owner knew: up to 173 starts a second went to workers that it listed as leaving, with registrations at most 1.7 s old.

Ruled out as the main cause: old registrations (at most 2.0 s at the first such starts) and late delivery (starts to known leavers account for them).

Now the decision is taken again when the command is about to be sent: a run that was never sent is freed and placed elsewhere, one whose command may have arrived is stopped, and the members of a gang are given up together.

Tests: leaving::waiting_start_withdrawn, leaving::waiting_gang_withdrawn and leaving::unanswered_start_not_repeated; all three failed on the code before.

--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -25,6 +25,7 @@
 mod registry;
 mod reports;
 mod stalls;
+mod starts;
 mod submit;
 mod unsent_jobs;
 
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -1,11 +1,7 @@
-//! Start commands, stop commands and polls sent to workers, and their results.
-
-use std::sync::Arc;
+//! Polls sent to workers, and the results of start and stop commands.
 
 use super::{Now, START_RETRY_MS, STOP_RETRY_MS, Shard};
-use crate::effect::{
-    CommandOutcome, CommandRejection, Decision, Effect, EndProof, StartCommand, WorkerPoll,
-};
+use crate::effect::{CommandOutcome, CommandRejection, Decision, Effect, EndProof, WorkerPoll};
 use crate::job::{Placement, RunPhase, TaskKey};
 use crate::worker::{Reachability, WorkerKey};
 
@@ -18,52 +14,6 @@
 const LOST_POLL_INTERVAL_MS: u64 = 300;
 
 impl Shard {
-    /// Returns the start command of a task, or `None` when the task's run isn't to be started any
-    /// more.
-    pub fn start_command(&mut self, now: Now, key: TaskKey) -> Option<StartCommand> {
-        let job = self.jobs.get(key.job)?;
-        let placement = job.task(key)?.placement?;
-        if !matches!(placement.phase, RunPhase::Placed | RunPhase::Sent) {
-            return None;
-        }
-        let is_aborted = job.is_aborted();
-        let ticket = self
-            .grants
-            .ticket(key.into(), placement.worker, now.boot_ms);
-        // A run whose start command was sent before is sent again even without a ticket: the
-        // worker's response shows whether it has the run.
-        let lacks_ticket =
-            ticket.is_none() && placement.phase == RunPhase::Placed && self.is_advised(key.job);
-        let lease_ms = self.timing.lease_ms;
-        let worker = self.workers.get_mut(placement.worker)?;
-        let lease_end_ms = worker.lease.extend(now.boot_ms, lease_ms);
-        let (Some(lease_end_ms), false) = (lease_end_ms, is_aborted || lacks_ticket) else {
-            if placement.phase == RunPhase::Placed {
-                self.release(key, Some(EndProof::NeverSent));
-            }
-            return None;
-        };
-        let target = self.target(placement.worker);
-        let job = self.jobs.get_mut(key.job)?;
-        let job_id = job.id.clone();
-        let text = Arc::clone(&job.spec.text);
-        let task = job.task_mut(key)?;
-        let checkpoint = Arc::clone(&task.checkpoint);
-        if let Some(placement) = &mut task.placement {
-            placement.phase = RunPhase::Sent;
-        }
-        Some(StartCommand {
-            target,
-            task: key,
-            job: job_id,
-            run: placement.run,
-            text,
-            lease_end_ms,
-            checkpoint,
-            ticket,
-        })
-    }
-
     /// Handles the result of a start command; returns whether the worker has seen a higher fencing
     /// token.
     pub fn handle_start_result(
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/shard/starts.rs
@@ -0,0 +1,86 @@
+//! Start commands, and the withdrawal of those whose worker leaves before they are sent.
+
+use std::sync::Arc;
+
+use super::{Now, Shard};
+use crate::effect::{EndProof, StartCommand};
+use crate::job::{Placement, RunPhase, TaskKey};
+
+impl Shard {
+    /// Returns the start command of a task, or `None` when the task's run isn't to be started any
+    /// more. Called when the command is about to be sent, because the run may have waited for its
+    /// commit and for other starts since it was placed.
+    pub fn start_command(&mut self, now: Now, key: TaskKey) -> Option<StartCommand> {
+        let job = self.jobs.get(key.job)?;
+        let placement = job.task(key)?.placement?;
+        if !matches!(placement.phase, RunPhase::Placed | RunPhase::Sent) {
+            return None;
+        }
+        if self.must_withdraw(placement) {
+            self.withdraw(key);
+            return None;
+        }
+        let is_aborted = job.is_aborted();
+        let ticket = self
+            .grants
+            .ticket(key.into(), placement.worker, now.boot_ms);
+        // A run whose start command was sent before is sent again even without a ticket: the
+        // worker's response shows whether it has the run.
+        let lacks_ticket =
+            ticket.is_none() && placement.phase == RunPhase::Placed && self.is_advised(key.job);
+        let lease_ms = self.timing.lease_ms;
+        let worker = self.workers.get_mut(placement.worker)?;
+        let lease_end_ms = worker.lease.extend(now.boot_ms, lease_ms);
+        let (Some(lease_end_ms), false) = (lease_end_ms, is_aborted || lacks_ticket) else {
+            if placement.phase == RunPhase::Placed {
+                self.release(key, Some(EndProof::NeverSent));
+            }
+            return None;
+        };
+        let target = self.target(placement.worker);
+        let job = self.jobs.get_mut(key.job)?;
+        let job_id = job.id.clone();
+        let text = Arc::clone(&job.spec.text);
+        let task = job.task_mut(key)?;
+        let checkpoint = Arc::clone(&task.checkpoint);
+        if let Some(placement) = &mut task.placement {
+            placement.phase = RunPhase::Sent;
+        }
+        Some(StartCommand {
+            target,
+            task: key,
+            job: job_id,
+            run: placement.run,
+            text,
+            lease_end_ms,
+            checkpoint,
+            ticket,
+        })
+    }
+
+    /// Returns whether a run may not be started on its worker any more, because the worker leaves.
+    /// A command that was sent before is only given up on a worker that gave notice itself.
+    fn must_withdraw(&self, placement: Placement) -> bool {
+        let Some(worker) = self.workers.get(placement.worker) else {
+            return false;
+        };
+        worker.registration.is_draining
+            || (placement.phase == RunPhase::Placed
+                && (!worker.is_registered || worker.evacuating_since_ms.is_some()))
+    }
+
+    /// Gives up a run so that its task can be placed again, for a gang with all of its members. An
+    /// earlier command may still take effect late, unless a stop reaches the worker first.
+    fn withdraw(&mut self, key: TaskKey) {
+        let is_gang = self.step_of(key).is_some_and(|step| step.gang);
+        if !is_gang {
+            self.stop(key);
+            return;
+        }
+        let members = self.placed_tasks(key.job);
+        let is_member = |task: &TaskKey| (task.occurrence, task.step) == (key.occurrence, key.step);
+        for member in members.into_iter().filter(is_member) {
+            self.stop(member);
+        }
+    }
+}
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -2,6 +2,8 @@
 
 #[path = "scheduler/jobs.rs"]
 mod jobs;
+#[path = "scheduler/leaving.rs"]
+mod leaving;
 #[path = "scheduler/outage.rs"]
 mod outage;
 #[path = "scheduler/overload.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -282,6 +282,16 @@
         assert_eq!(self.shard.restore(now, records, predecessor_active_ms), 0);
     }
 
+    /// Makes a worker give notice that it leaves; it goes on running what it has.
+    pub fn announce_leaving(&mut self, id: &str) {
+        let now = self.now();
+        let registration = &mut self.worker(id).registration;
+        registration.is_draining = true;
+        let mut registration = registration.clone();
+        registration.clock_ms = now.boot_ms;
+        self.shard.register(now, registration);
+    }
+
     /// Ends a worker's process and removes its registration.
     pub fn remove_worker(&mut self, id: &str) {
         let worker = self.worker(id);
