fix(owner): hold starts back while the registrations are old

An owner started tasks by whatever registrations it had read last, also when its reads had failed or waited for seconds, so that a worker's notice could pass unseen (DRAIN).

Starts are now held back unless the registrations were asked for within the notice less the time limit of a call.

Test: jobs_process::old_registrations_hold_starts, which gave "a task started" without the check.

--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -1,6 +1,6 @@
 //! The platform's store: topics of keyed records with fencing epochs, and one consumer group.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -50,6 +50,8 @@
     member_ttl: Duration,
     /// Number of changes of the group's members.
     generation: u64,
+    /// Topics whose reads are rejected.
+    unreadable: HashSet<String>,
 }
 
 #[derive(Debug, Default)]
@@ -100,6 +102,16 @@
         self.shared.is_down.store(is_down, Ordering::Relaxed);
     }
 
+    /// Sets whether the store rejects the reads of a topic with the status 503.
+    pub fn set_unreadable(&self, topic: &str, is_unreadable: bool) {
+        let mut state = self.shared.lock();
+        if is_unreadable {
+            state.unreadable.insert(topic.to_owned());
+        } else {
+            state.unreadable.remove(topic);
+        }
+    }
+
     /// Appends a record without an epoch, as operators and workers do; a null value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: &Value) {
         let value = if value.is_null() {
@@ -245,6 +257,9 @@
 
 /// Returns records, waiting up to `wait_ms` while there are none from the requested offset on.
 async fn read(State(shared): State<Arc<Shared>>, Query(query): Query<ReadQuery>) -> Response {
+    if shared.lock().unreadable.contains(&query.topic) {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     let deadline = Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
         let next_append = shared.appended.notified();
--- a/crates/cyclamentrail/src/edge/confirmation.rs
+++ b/crates/cyclamentrail/src/edge/confirmation.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use super::clocks::boot_ms;
 
@@ -11,22 +12,22 @@
 pub(crate) struct Confirmation {
     /// Time of the confirmation on the boot-time clock.
     confirmed_ms: Arc<AtomicU64>,
-    valid_ms: u64,
+    valid: Duration,
 }
 
 impl Confirmation {
     /// Creates a confirmation at `confirmed_ms` on the boot-time clock that is valid for
-    /// `valid_ms`.
-    pub(crate) fn new(confirmed_ms: u64, valid_ms: u64) -> Self {
+    /// `valid`.
+    pub(crate) fn new(confirmed_ms: u64, valid: Duration) -> Self {
         Self {
             confirmed_ms: Arc::new(AtomicU64::new(confirmed_ms)),
-            valid_ms,
+            valid,
         }
     }
 
     /// Returns whether what was confirmed may be relied on now.
     pub(crate) fn is_valid(&self) -> bool {
-        self.age_ms() < self.valid_ms
+        Duration::from_millis(self.age_ms()) < self.valid
     }
 
     /// Returns the time since the last confirmation in milliseconds.
--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -34,8 +34,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time limit of a call to the service for machines.
 const MACHINE_SERVICE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time for which commands may be sent after the last confirmation by the store, in milliseconds.
-const DUTY_VALID_MS: u64 = 1_000;
+/// Time for which commands may be sent after the last confirmation by the store.
+const DUTY_VALID: Duration = Duration::from_secs(1);
 /// Age of the last confirmation at which another one is requested, in milliseconds.
 const CONFIRM_AGE_MS: u64 = 1_500;
 /// Time that a new holder waits beyond the pause that the platform requires between two holders, in
@@ -124,7 +124,7 @@
         machine_service: MachineService,
         takeover: &Takeover,
     ) -> Self {
-        let confirmation = Confirmation::new(takeover.confirmed_ms, DUTY_VALID_MS);
+        let confirmation = Confirmation::new(takeover.confirmed_ms, DUTY_VALID);
         process.set_confirmation(FLEET_SHARD, confirmation.clone());
         let commit_log = CommitLog::new(&process, takeover, confirmation.clone());
         let mut planner = FleetPlanner::new(FleetTiming {
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -31,7 +31,7 @@
 use activity::Activity;
 
 /// Time limit of a call to a worker, beyond the time that the worker may wait before it responds.
-const WORKER_TIMEOUT: Duration = Duration::from_millis(800);
+pub(super) const WORKER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time limit of a request to a queue's policy, which serves one request at a time.
 const ADVICE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time between two rounds while jobs or runs are unfinished.
@@ -40,8 +40,8 @@
 const IDLE_TICK: Duration = Duration::from_millis(500);
 /// Shortest time between two commits, so that one commit covers several events.
 const MIN_COMMIT_INTERVAL: Duration = Duration::from_millis(8);
-/// Time for which an owner may act after the last confirmation by the store, in milliseconds.
-const OWNERSHIP_VALID_MS: u64 = 5_000;
+/// Time for which an owner may act after the last confirmation by the store.
+const OWNERSHIP_VALID: Duration = Duration::from_secs(5);
 /// Age of the last confirmation at which an idle owner requests another one, in milliseconds.
 const CONFIRM_AGE_MS: u64 = 1_500;
 /// Longest time that an owner takes for its last commits after it has lost or given up its shard.
@@ -159,6 +159,8 @@
     decision_log: DecisionLog,
     token: u64,
     start_queues: StartQueues,
+    /// Whether queued starts were held back since they were last sent.
+    has_held_starts: bool,
     /// Channels to the callers whose replies wait for a decision or a commit.
     waiting_callers: HashMap<CallerId, oneshot::Sender<Reply>>,
     next_caller: u64,
@@ -187,7 +189,7 @@
             keep_ms: bounds.job_state_retention_ms + EXTRA_KEEP_MS,
             ..ShardTiming::default()
         };
-        let confirmation = Confirmation::new(takeover.confirmed_ms, OWNERSHIP_VALID_MS);
+        let confirmation = Confirmation::new(takeover.confirmed_ms, OWNERSHIP_VALID);
         process.set_confirmation(shard, confirmation.clone());
         let commit_log = CommitLog::new(process, &takeover, confirmation.clone());
         Self {
@@ -211,6 +213,7 @@
             activity: Activity::new(shard),
             decision_log: DecisionLog::new(shard),
             start_queues: StartQueues::default(),
+            has_held_starts: false,
             waiting_callers: HashMap::new(),
             next_caller: 0,
             known_workers: Arc::default(),
@@ -230,7 +233,7 @@
         let earlier_acts_ms = if takeover.is_released {
             0
         } else {
-            OWNERSHIP_VALID_MS
+            u64::try_from(OWNERSHIP_VALID.as_millis()).unwrap_or(u64::MAX)
         };
         let unreadable = self.shard.restore(now(), takeover.records, earlier_acts_ms);
         if unreadable > 0 {
@@ -254,6 +257,7 @@
             self.reject_unsent_in_outage();
             self.shard.advance(now());
             self.carry_out_ready();
+            self.send_held_starts();
             let wait = self.start_due_commit(&mut last_commit);
             tokio::select! {
                 message = receiver.recv() => match message {
--- a/crates/cyclamentrail/src/edge/owner/effects.rs
+++ b/crates/cyclamentrail/src/edge/owner/effects.rs
@@ -107,15 +107,31 @@
         });
     }
 
-    /// Sends the next queued starts of a worker. A start stays queued if the ownership isn't
-    /// confirmed, and is dropped if the task isn't to be started any more.
+    /// Sends the queued starts that were held back while the owner couldn't send any.
+    pub(super) fn send_held_starts(&mut self) {
+        if !self.has_held_starts || !self.may_send_starts() {
+            return;
+        }
+        self.has_held_starts = false;
+        for worker in self.start_queues.sendable_workers() {
+            self.send_starts(worker);
+        }
+    }
+
+    /// Returns whether starts may be sent: the ownership is confirmed, and the registrations are
+    /// new enough that no worker's notice can have passed unseen.
+    fn may_send_starts(&self) -> bool {
+        self.confirmation.is_valid() && self.registry_confirmation.is_valid()
+    }
+
+    /// Sends the next queued starts of a worker. A start stays queued while none may be sent, and is
+    /// dropped if the task isn't to be started any more.
     pub(super) fn send_starts(&mut self, worker: WorkerKey) {
+        if !self.may_send_starts() {
+            self.has_held_starts = true;
+            return;
+        }
         while let Some(task) = self.start_queues.pop(worker) {
-            if !self.confirmation.is_valid() {
-                self.start_queues.finish_start(worker);
-                self.start_queues.push(worker, task);
-                return;
-            }
             let Some(command) = self.shard.start_command(now(), task) else {
                 self.start_queues.finish_start(worker);
                 continue;
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -15,7 +15,7 @@
 use super::clocks::boot_ms;
 use super::confirmation::Confirmation;
 use super::messages::OwnershipStatus;
-use super::owner::OwnerMessage;
+use super::owner::{OwnerMessage, WORKER_TIMEOUT};
 use super::peers::PeerClient;
 
 /// Largest number of requests that a listener serves at once.
@@ -24,8 +24,9 @@
 const MAX_CONNECTIONS: u32 = 2_000;
 /// Largest header block in bytes.
 const MAX_HEADER_BYTES: u32 = 16_384;
-/// Time for which registrations may be relied on after they were read, in milliseconds.
-const REGISTRY_VALID_MS: u64 = 2_000;
+/// Shortest time for which registrations may be relied on; several times the interval at which
+/// owners read them.
+const MIN_REGISTRY_VALID: Duration = Duration::from_millis(600);
 /// Time limit for reading a header, and between two parts of a body.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -83,7 +84,8 @@
     pub(crate) owners: watch::Sender<HashMap<String, KnownOwner>>,
     /// Registered workers of all services.
     pub(crate) workers: watch::Sender<Arc<RegisteredWorkers>>,
-    /// When the registrations were last read.
+    /// When the registrations were last read. They may be relied on for a start as long as it
+    /// arrives within the notice of a worker that gave it right after the read.
     pub(crate) registry_confirmation: Confirmation,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
     is_stopping: AtomicBool,
@@ -92,6 +94,10 @@
 impl ProcessState {
     /// Creates the state of a process that has read nothing from the store yet.
     pub(crate) fn new(settings: ProcessSettings, http_client: HttpClient, store: Store) -> Self {
+        let drain_notice = Duration::from_millis(settings.bounds.drain_notice_ms);
+        let registry_valid = drain_notice
+            .saturating_sub(WORKER_TIMEOUT)
+            .max(MIN_REGISTRY_VALID);
         Self {
             settings,
             http_client,
@@ -100,7 +106,7 @@
             operator_state: watch::Sender::new(OperatorState::default()),
             owners: watch::Sender::new(HashMap::new()),
             workers: watch::Sender::new(Arc::default()),
-            registry_confirmation: Confirmation::new(0, REGISTRY_VALID_MS),
+            registry_confirmation: Confirmation::new(0, registry_valid),
             owned_shards: Mutex::new(HashMap::new()),
             is_stopping: AtomicBool::new(false),
         }
--- a/crates/cyclamentrail/src/edge/start_queues.rs
+++ b/crates/cyclamentrail/src/edge/start_queues.rs
@@ -40,6 +40,16 @@
         Some(task)
     }
 
+    /// Returns the workers that may be sent another start and for which one waits.
+    pub(crate) fn sendable_workers(&self) -> Vec<WorkerKey> {
+        self.queues
+            .iter()
+            .filter(|(_, queue)| !queue.waiting.is_empty())
+            .filter(|(_, queue)| queue.in_flight < MAX_STARTS_IN_FLIGHT)
+            .map(|(&worker, _)| worker)
+            .collect()
+    }
+
     /// Records that a start is no longer in flight, because its outcome is known or it wasn't sent.
     pub(crate) fn finish_start(&mut self, worker: WorkerKey) {
         if let Some(queue) = self.queues.get_mut(&worker) {
--- a/crates/cyclamentrail/tests/jobs_process.rs
+++ b/crates/cyclamentrail/tests/jobs_process.rs
@@ -56,6 +56,23 @@
     site.check_done_once("00000000000000d1", 4)
 }
 
+/// An owner that can't read who gives notice must not start tasks by old registrations; the starts
+/// that it held back are sent once it can.
+#[tokio::test]
+async fn old_registrations_hold_starts() -> Result<()> {
+    let site = JobSite::start(1, 2, 200).await?;
+    site.submit(0, "00000000000000d4", 2).await?;
+    site.wait_completed(0, "00000000000000d4").await?;
+    site.store.set_unreadable("keyed.servers", true);
+    // Longer than the notice that workers give.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    site.submit(0, "00000000000000d5", 2).await?;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    ensure!(site.runs("00000000000000d5").is_empty(), "a task started");
+    site.store.set_unreadable("keyed.servers", false);
+    site.wait_completed(0, "00000000000000d5").await
+}
+
 /// After an outage of the store, the consumer group rebalances its partitions. Each shard then used
 /// to change its owner once or more, and callers had no owner for that time.
 #[tokio::test]
