fix(standin): take test ports below those of outgoing connections

jobs_watched::planned_stop_loses_nothing failed in 1 of 40 runs with "can't listen on 127.0.0.1:38805 … Address already in use": ports were bound and released before the process started, and lay in the range from which the system takes the ports of outgoing connections. The earlier failure without kept output may have been the same; that isn't shown.

Ports now come in blocks from 12,000 to 31,999, and each test process begins at another block.

--- a/crates/cyclamentrail-standin/src/jobs/client.rs
+++ b/crates/cyclamentrail-standin/src/jobs/client.rs
@@ -1,6 +1,7 @@
 //! A client that submits jobs, and the configuration and settings of a small site.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use anyhow::{Context, Result, ensure};
 use bytes::Bytes;
@@ -20,6 +21,15 @@
 /// CPU that each task requests, in thousandths of a core.
 const TASK_CPU_MILLI: u64 = 500;
 
+/// First of the ports that processes of the site listen on.
+const FIRST_PORT: u16 = 12_000;
+/// Number of ports that a process listens on.
+const PORTS_PER_BLOCK: u16 = 4;
+/// Number of blocks of ports; the last one ends below the ports of outgoing connections.
+const PORT_BLOCKS: u32 = 5_000;
+/// Number of blocks between the first ones that two test processes in a row try.
+const BLOCKS_PER_PROCESS: u32 = 61;
+
 /// Ports on which a process of the site listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProcessPorts {
@@ -32,29 +42,44 @@
 }
 
 impl ProcessPorts {
-    /// Finds ports that are free on the loopback address.
+    /// Finds ports that are free on the loopback address. They lie below those that the system
+    /// gives to outgoing connections, which could take a port again before its process listens.
     ///
     /// # Errors
     ///
-    /// Returns the error of binding or reading an address.
+    /// Returns the error of binding the last of the ports that were tried.
     pub fn allocate() -> std::io::Result<Self> {
-        let bind = |port| TcpListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
-        loop {
-            let listeners = [bind(0)?, bind(0)?, bind(0)?];
-            let [caller, ready, internal] = listeners
-                .each_ref()
-                .map(|listener| listener.local_addr().map(|address| address.port()));
-            let ports = Self {
-                caller: caller?,
-                ready: ready?,
-                internal: internal?,
-            };
-            // The range of internal ports ends two above its first port.
-            if ports.internal < u16::MAX - 2 && bind(ports.internal + 1).is_ok() {
-                return Ok(ports);
+        let mut result = Self::try_block(next_block());
+        for _ in 1..PORT_BLOCKS {
+            if result.is_ok() {
+                break;
             }
+            result = Self::try_block(next_block());
         }
+        result
     }
+
+    /// Returns the ports of a block if all of them are free.
+    fn try_block(block: u16) -> std::io::Result<Self> {
+        let first = FIRST_PORT + block * PORTS_PER_BLOCK;
+        let bind = |port| TcpListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+        let ports = first..first + PORTS_PER_BLOCK;
+        let _listeners = ports.map(bind).collect::<std::io::Result<Vec<_>>>()?;
+        Ok(Self {
+            caller: first,
+            ready: first + 1,
+            // The metrics listener takes the port after the first internal one.
+            internal: first + 2,
+        })
+    }
+}
+
+/// Returns the number of the next block of ports; processes begin at different blocks.
+fn next_block() -> u16 {
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+    let block = (std::process::id().wrapping_mul(BLOCKS_PER_PROCESS) + taken) % PORT_BLOCKS;
+    u16::try_from(block).unwrap_or(0)
 }
 
 /// Writes the configuration of a site with one route to its store.
