fix(membership): leave shards to larger machines

Cause: the consumer group deals shards to all processes alike. Of the 30 machines there 22 have 0.12 of a core and a link of 10 Mbit/s, 8 have 0.5 and 200 Mbit/s. An owner sends a command with the job's text for each task, up to 900 a second; on a small machine that is more than the link carries (up to 1.45 MB of bodies a second, commits of 0.3 to 1.3 s, calls that reach their time limit), and beside it more than the processor does (some 400 starts a second).

A process now derives from its settings how many tasks a second it can start as an owner, by processor and link, and tells it in its name in the group. Processes leave the group while the members on larger machines can give each shard 1.5 times what a single shard would have here; they watch the group, and join it again when these have been missing for 1.5 s. A process to which a shard is assigned takes it over from an owner with clearly less capacity after 1 s. Where all machines are alike nothing changes.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -26,6 +26,7 @@
 mod grants;
 mod job;
 mod lease;
+mod owner_capacity;
 mod ranking;
 mod record;
 mod resources;
@@ -54,6 +55,7 @@
     Job, JobKey, JobState, Occurrence, Placement, RunPhase, StepProgress, Task, TaskKey,
 };
 pub use lease::{ClockSample, Lease};
+pub use owner_capacity::{MachineLimits, OwnerCapacity, leaves_shards_to_others};
 pub use ranking::{JobRank, WaitingJob};
 pub use record::{
     AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
--- a/crates/cyclamentrail-jobs/src/succession.rs
+++ b/crates/cyclamentrail-jobs/src/succession.rs
@@ -15,10 +15,15 @@
 /// Time for which a shard must have been assigned to this process before it is taken over for
 /// balance, in milliseconds.
 const MIN_ASSIGNED_MS: u64 = 4_000;
+/// Time for which a shard must have been assigned to this process before it is taken over from an
+/// owner with clearly less capacity, in milliseconds.
+const MIN_UPGRADE_ASSIGNED_MS: u64 = 1_000;
 /// Number of shards that an owner must have more than this process before one is taken over for
 /// balance.
 const MIN_IMBALANCE: u64 = 2;
 
+use crate::OwnerCapacity;
+
 /// State of the process that last claimed a shard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Incumbent {
@@ -37,6 +42,8 @@
         confirmed_age_ms: u64,
         /// Number of shards that the owner has.
         shards: u64,
+        /// Capacity of the owner for all of its shards; `None` if it isn't known.
+        capacity: Option<OwnerCapacity>,
     },
 }
 
@@ -49,16 +56,20 @@
     pub assigned_ms: u64,
     /// Number of shards that this process owns.
     pub shards: u64,
+    /// Capacity of this process for all of its shards.
+    pub capacity: OwnerCapacity,
 }
 
 /// Returns whether a process should take over a shard that is assigned to it: the shard has no
-/// active owner, its owner is cut off from the store, or its owner has too many shards.
+/// active owner, its owner is cut off from the store, its owner has too many shards, or its owner
+/// has clearly less capacity for the shard.
 ///
 /// ```
-/// use cyclamentrail_jobs::{Candidate, Incumbent, should_take_over};
+/// use cyclamentrail_jobs::{Candidate, Incumbent, OwnerCapacity, should_take_over};
 ///
-/// let candidate = Candidate { connected_ms: 60_000, assigned_ms: 400, shards: 0 };
-/// let acting = Incumbent::Acting { confirmed_age_ms: 300, shards: 1 };
+/// let capacity = OwnerCapacity::new(800);
+/// let candidate = Candidate { connected_ms: 60_000, assigned_ms: 400, shards: 0, capacity };
+/// let acting = Incumbent::Acting { confirmed_age_ms: 300, shards: 1, capacity: Some(capacity) };
 /// assert!(should_take_over(Incumbent::Silent, candidate));
 /// assert!(!should_take_over(acting, candidate));
 /// ```
@@ -69,12 +80,24 @@
         Incumbent::Acting {
             confirmed_age_ms,
             shards,
+            capacity,
         } => {
             let is_cut_off = confirmed_age_ms > MAX_CONFIRMED_AGE_MS
                 && candidate.connected_ms >= MIN_CONNECTED_MS;
             let is_overloaded = shards >= candidate.shards + MIN_IMBALANCE
                 && candidate.assigned_ms >= MIN_ASSIGNED_MS;
-            is_cut_off || is_overloaded
+            let is_outclassed = match capacity {
+                Some(capacity) => {
+                    candidate.capacity.is_clearly_above(capacity)
+                        && candidate
+                            .capacity
+                            .per_shard(candidate.shards + 1)
+                            .is_clearly_above(capacity.per_shard(shards))
+                        && candidate.assigned_ms >= MIN_UPGRADE_ASSIGNED_MS
+                }
+                None => false,
+            };
+            is_cut_off || is_overloaded || is_outclassed
         }
     }
 }
--- a/crates/cyclamentrail-jobs/tests/succession.rs
+++ b/crates/cyclamentrail-jobs/tests/succession.rs
@@ -1,18 +1,27 @@
 //! Takeover of a shard by the process that it is assigned to.
 
-use cyclamentrail_jobs::{Candidate, Incumbent, should_take_over};
+use cyclamentrail_jobs::{
+    Candidate, Incumbent, MachineLimits, OwnerCapacity, leaves_shards_to_others, should_take_over,
+};
 use rstest::rstest;
 
+/// Capacity of a machine with 0.12 of a core and a link of 10 Mbit/s.
+const SMALL: OwnerCapacity = OwnerCapacity::new(400);
+/// Capacity of a machine with 0.5 of a core.
+const LARGE: OwnerCapacity = OwnerCapacity::new(1_666);
+
 const CANDIDATE: Candidate = Candidate {
     connected_ms: 60_000,
     assigned_ms: 400,
     shards: 0,
+    capacity: LARGE,
 };
 
 const fn acting(confirmed_age_ms: u64, shards: u64) -> Incumbent {
     Incumbent::Acting {
         confirmed_age_ms,
         shards,
+        capacity: Some(LARGE),
     }
 }
 
@@ -52,3 +61,58 @@
     assert!(!should_take_over(acting(100, 5), CANDIDATE));
     assert!(!should_take_over(acting(100, 1), settled));
 }
+
+/// Owners on small machines held up their whole service at its peak, while larger machines were
+/// idle.
+#[test]
+fn small_owner_relieved() {
+    let small = Incumbent::Acting {
+        confirmed_age_ms: 100,
+        shards: 1,
+        capacity: Some(SMALL),
+    };
+    let settled = Candidate {
+        assigned_ms: 1_200,
+        ..CANDIDATE
+    };
+    assert!(should_take_over(small, settled));
+    assert!(!should_take_over(small, CANDIDATE), "not at once");
+    assert!(!should_take_over(acting(100, 1), settled), "equal machines");
+    let busy = Candidate {
+        shards: 3,
+        ..settled
+    };
+    assert!(!should_take_over(small, busy), "no better with four shards");
+    let unknown = Incumbent::Acting {
+        confirmed_age_ms: 100,
+        shards: 1,
+        capacity: None,
+    };
+    assert!(!should_take_over(unknown, settled));
+}
+
+#[rstest]
+#[case(120, 10_000, 400)]
+#[case(500, 200_000, 1_666)]
+#[case(500, 10_000, 500)]
+#[case(120, 200_000, 400)]
+fn scarcer_limit_counts(#[case] cpu_milli: u64, #[case] link: u64, #[case] tasks_per_s: u64) {
+    let limits = MachineLimits {
+        cpu_milli,
+        link_kbit_per_s: link,
+    };
+    assert_eq!(OwnerCapacity::from(limits).tasks_per_s(), tasks_per_s);
+}
+
+/// Processes on small machines own shards only while the larger ones are too few.
+#[rstest]
+#[case(8, true)]
+#[case(3, true)]
+#[case(2, false)]
+#[case(0, false)]
+fn small_machines_stand_back(#[case] large_count: usize, #[case] expected: bool) {
+    let mut others = vec![SMALL; 22];
+    others.extend(vec![LARGE; large_count]);
+    assert_eq!(leaves_shards_to_others(SMALL, &others, 6), expected);
+    assert!(!leaves_shards_to_others(LARGE, &others, 6));
+}
--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -48,6 +48,8 @@
     members: BTreeMap<String, Instant>,
     /// Time without a join call after which a member is removed; set by the latest join call.
     member_ttl: Duration,
+    /// Topic whose partitions the group assigns; set by the latest join call.
+    group_topic: String,
     /// Number of changes of the group's members.
     generation: u64,
     /// Topics whose reads are rejected.
@@ -82,6 +84,7 @@
             .route("/log-newest", get(newest))
             .route("/log-join", post(join))
             .route("/log-leave", post(leave))
+            .route("/log-owners", get(owners))
             .layer(middleware::from_fn_with_state(
                 Arc::clone(&shared),
                 reject_when_down,
@@ -148,6 +151,21 @@
     }
 }
 
+impl StoreState {
+    /// Removes the members whose time to live has passed.
+    fn remove_expired(&mut self) {
+        let (count, ttl) = (self.members.len(), self.member_ttl);
+        self.members.retain(|_, seen| seen.elapsed() < ttl);
+        self.generation += u64::from(self.members.len() < count);
+    }
+
+    /// Returns the partitions of the group's topic with their members: round-robin over the sorted
+    /// members.
+    fn assignments(&self) -> impl Iterator<Item = (u32, &String)> {
+        (0..PARTITIONS).zip(self.members.keys().cycle())
+    }
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, StoreState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -361,32 +379,32 @@
 }
 
 /// Adds a member to the group or renews the membership, and returns the member's partitions.
-///
-/// Partitions are assigned round-robin over the sorted members.
 async fn join(State(shared): State<Arc<Shared>>, Json(body): Json<MemberBody>) -> Json<Value> {
     let mut state = shared.lock();
     state.member_ttl = Duration::from_millis(body.ttl_ms);
-    let previous_members: Vec<String> = state.members.keys().cloned().collect();
-    let ttl = state.member_ttl;
-    state.members.retain(|_, seen| seen.elapsed() < ttl);
-    state.members.insert(body.member.clone(), Instant::now());
-    if !state.members.keys().eq(previous_members.iter()) {
-        state.generation += 1;
-    }
-    let count = u32::try_from(state.members.len()).unwrap_or(1);
-    let index = state
-        .members
-        .keys()
-        .position(|member| *member == body.member);
-    let index = u32::try_from(index.unwrap_or(0)).unwrap_or(0);
-    let topic = body.topics.first().cloned().unwrap_or_default();
-    let partitions: Vec<Value> = (0..PARTITIONS)
-        .filter(|partition| partition % count == index)
-        .map(|partition| json!([topic, partition, 0]))
+    state.remove_expired();
+    let previous = state.members.insert(body.member.clone(), Instant::now());
+    state.generation += u64::from(previous.is_none());
+    state.group_topic = body.topics.first().cloned().unwrap_or_default();
+    let partitions: Vec<Value> = state
+        .assignments()
+        .filter(|(_, member)| **member == body.member)
+        .map(|(partition, _)| json!([state.group_topic, partition, 0]))
         .collect();
     Json(json!({"Generation": state.generation, "parts": partitions}))
 }
 
+/// Returns the partitions with the members that hold them.
+async fn owners(State(shared): State<Arc<Shared>>) -> Json<Value> {
+    let mut state = shared.lock();
+    state.remove_expired();
+    let rows: Vec<Value> = state
+        .assignments()
+        .map(|(partition, member)| json!([state.group_topic, partition, member, 0]))
+        .collect();
+    Json(json!({"parts": rows}))
+}
+
 async fn leave(State(shared): State<Arc<Shared>>, Json(body): Json<MemberBody>) -> Json<Value> {
     let mut state = shared.lock();
     if state.members.remove(&body.member).is_some() {
--- a/crates/cyclamentrail-testkit/src/job_site.rs
+++ b/crates/cyclamentrail-testkit/src/job_site.rs
@@ -82,7 +82,17 @@
     ///
     /// Returns an error when the process doesn't start.
     pub fn add_process(&mut self, name: &str) -> Result<()> {
-        self.start_process(name, Process::spawn)
+        self.start_process(name, "", Process::spawn)
+    }
+
+    /// Starts one more process on a machine with limits, given as lines of the settings file, and
+    /// waits until it serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process doesn't start.
+    pub fn add_limited_process(&mut self, name: &str, limits: &str) -> Result<()> {
+        self.start_process(name, limits, Process::spawn)
     }
 
     /// Starts one more process whose log output isn't read, so that its writes block once the pipe
@@ -92,17 +102,18 @@
     ///
     /// Returns an error when the process doesn't start.
     pub fn add_process_with_stalled_log_reader(&mut self, name: &str) -> Result<()> {
-        self.start_process(name, Process::spawn_with_stalled_output)
+        self.start_process(name, "", Process::spawn_with_stalled_output)
     }
 
     fn start_process(
         &mut self,
         name: &str,
+        limits: &str,
         spawn: impl Fn(&str, &[String], &[(&str, &str)]) -> Result<Process>,
     ) -> Result<()> {
         let ports = ProcessPorts::allocate()?;
         let path = self.folder.path().join(name);
-        let text = process_settings(name, ports, self.store.address());
+        let text = process_settings(name, ports, self.store.address()) + limits;
         std::fs::write(&path, text)?;
         let arguments = [
             String::from("edge"),
--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -1,5 +1,9 @@
 //! Membership of this process in the platform's consumer group, and takeover of the shards that the
 //! group assigns to it.
+//!
+//! Where the machines differ, processes on small ones leave the group while enough larger ones are
+//! members, so that the group assigns shards to these only; see [`leaves_shards_to_others`]. They
+//! watch the group and join it again when the larger ones are gone.
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -7,7 +11,9 @@
 
 use cyclamentrail_adapter::Configuration;
 use cyclamentrail_core::ServiceName;
-use cyclamentrail_jobs::{Candidate, Incumbent, should_take_over};
+use cyclamentrail_jobs::{
+    Candidate, Incumbent, OwnerCapacity, leaves_shards_to_others, should_take_over,
+};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -17,12 +23,21 @@
 use super::process_state::ProcessState;
 use crate::metrics;
 
+mod member;
+
+pub(crate) use member::MemberName;
+
 /// Name of the consumer group.
 pub(crate) const OWNER_GROUP: &str = "owners";
 /// Topic whose partitions the group assigns; no records are written to it.
 const PARTITION_TOPIC: &str = "shards";
 /// Time between two confirmations of the membership.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between two looks at the group's members while this process leaves the shards to them.
+const WATCH_INTERVAL: Duration = Duration::from_millis(800);
+/// Time for which larger members must be missing before a process joins the group again, in
+/// milliseconds. After an outage of the store, all members are missing for a moment.
+const MIN_MISSING_MS: u64 = 1_500;
 /// Requested time to live of the membership, in percent of the shortest one that the store accepts.
 const TTL_PERCENT: u64 = 160;
 /// Time for which a shard that was lost to another owner isn't claimed again, in milliseconds.
@@ -50,6 +65,23 @@
     assigned_ms: HashMap<String, u64>,
     /// Boot time in milliseconds since which the store has responded without a failure.
     connected_ms: Option<u64>,
+    /// Whether this process takes part in the group.
+    role: GroupRole,
+    /// Whether the members have changed since this process last looked at their capacities.
+    has_unseen_members: bool,
+}
+
+/// Part that a process has in the consumer group.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum GroupRole {
+    /// The process is a member and takes over the shards that are assigned to it.
+    #[default]
+    Member,
+    /// The process has left the group to members on larger machines.
+    Watcher {
+        /// Boot time in milliseconds since which too few of these members have been seen.
+        missing_since_ms: Option<u64>,
+    },
 }
 
 /// Maintains the membership and takes over the shards that are assigned to this process, until
@@ -57,7 +89,7 @@
 pub(crate) async fn maintain(process: Arc<ProcessState>, mut stop: watch::Receiver<bool>) {
     let mut membership = Membership::default();
     while !process.is_stopping() {
-        let is_rebalanced = membership.join(&process).await;
+        let pause = membership.update(&process).await;
         if process.is_stopping() {
             break;
         }
@@ -71,11 +103,6 @@
                 .take_over_assigned(&process, connected_ms, assigned)
                 .await;
         }
-        let pause = if is_rebalanced {
-            CONFIRM_INTERVAL / 8
-        } else {
-            CONFIRM_INTERVAL
-        };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             _ = stop.wait_for(|stopped| *stopped) => break,
@@ -87,6 +114,98 @@
 }
 
 impl Membership {
+    /// Confirms the membership, or looks whether this process is to join again; returns the pause
+    /// until the next update.
+    async fn update(&mut self, process: &ProcessState) -> Duration {
+        match self.role {
+            GroupRole::Member => {
+                self.has_unseen_members |= self.join(process).await;
+                if !self.has_unseen_members {
+                    return CONFIRM_INTERVAL;
+                }
+                self.leave_to_larger(process).await;
+                CONFIRM_INTERVAL / 8
+            }
+            GroupRole::Watcher { missing_since_ms } => {
+                self.watch(process, missing_since_ms).await;
+                WATCH_INTERVAL
+            }
+        }
+    }
+
+    /// Leaves the group if its members on larger machines are enough for all shards.
+    async fn leave_to_larger(&mut self, process: &ProcessState) {
+        let Some(are_enough) = self.are_larger_enough(process).await else {
+            return;
+        };
+        self.has_unseen_members = false;
+        if process.is_stopping() || !are_enough {
+            return;
+        }
+        match process.leave_group().await {
+            Ok(()) => {
+                log::info!(tasks_per_s = process.capacity().tasks_per_s(); "shards_left_to_larger");
+                self.partitions.clear();
+                self.role = GroupRole::Watcher {
+                    missing_since_ms: None,
+                };
+            }
+            Err(error) => {
+                log::debug!(error:% = error; "group_not_left");
+                self.has_unseen_members = true;
+            }
+        }
+    }
+
+    /// Joins the group again once its members on larger machines have been too few for
+    /// [`MIN_MISSING_MS`].
+    async fn watch(&mut self, process: &ProcessState, missing_since_ms: Option<u64>) {
+        let now_ms = boot_ms();
+        let missing_since_ms = match self.are_larger_enough(process).await {
+            Some(false) => Some(missing_since_ms.unwrap_or(now_ms)),
+            Some(true) | None => None,
+        };
+        let is_missing =
+            missing_since_ms.is_some_and(|since_ms| now_ms >= since_ms + MIN_MISSING_MS);
+        self.role = if is_missing {
+            log::info!("larger_members_missing");
+            GroupRole::Member
+        } else {
+            GroupRole::Watcher { missing_since_ms }
+        };
+    }
+
+    /// Returns whether the group's members on larger machines are enough for all shards; `None` if
+    /// the store doesn't tell, or this process has no configuration yet.
+    async fn are_larger_enough(&mut self, process: &ProcessState) -> Option<bool> {
+        let shard_count = all_shards(process.configuration()?.as_ref()).len();
+        let sent = Instant::now();
+        let members = process
+            .store
+            .group_members(OWNER_GROUP, PARTITION_TOPIC)
+            .await;
+        metrics::count_store_call("members", members.is_ok(), sent.elapsed());
+        let members = match members {
+            Ok(members) => members,
+            Err(error) => {
+                log::debug!(error:% = error; "members_not_read");
+                self.connected_ms = None;
+                return None;
+            }
+        };
+        self.connected_ms.get_or_insert_with(boot_ms);
+        let capacities: Vec<OwnerCapacity> = members
+            .iter()
+            .filter_map(|member| MemberName::parse(member))
+            .map(|member| member.capacity)
+            .collect();
+        Some(leaves_shards_to_others(
+            process.capacity(),
+            &capacities,
+            shard_count,
+        ))
+    }
+
     /// Confirms the membership; returns whether the group has rebalanced its partitions.
     async fn join(&mut self, process: &ProcessState) -> bool {
         let ttl_ms = process.settings.min_member_ttl_ms * TTL_PERCENT / 100;
@@ -95,7 +214,7 @@
             .store
             .join(
                 OWNER_GROUP,
-                &process.settings.machine_name,
+                &process.member_name().to_string(),
                 PARTITION_TOPIC,
                 ttl_ms,
                 self.generation,
@@ -107,6 +226,12 @@
                 let is_rebalanced = response.generation != self.generation;
                 self.generation = response.generation;
                 self.partitions = response.partitions.into_iter().collect();
+                if is_rebalanced {
+                    log::info!(
+                        generation = self.generation, partitions:? = self.partitions;
+                        "partitions_assigned"
+                    );
+                }
                 self.connected_ms.get_or_insert_with(boot_ms);
                 is_rebalanced
             }
@@ -155,6 +280,7 @@
                 connected_ms: now_ms.saturating_sub(connected_ms),
                 assigned_ms: now_ms.saturating_sub(self.assigned_ms[&shard]),
                 shards: process.owned_shard_count(),
+                capacity: process.capacity(),
             };
             if should_take_over(incumbent, candidate) && !process.is_stopping() {
                 log::info!(shard = shard.as_str(), incumbent:? = incumbent; "shard_wanted");
@@ -201,6 +327,8 @@
         Ok(Reply::Status(ownership_status)) => Incumbent::Acting {
             confirmed_age_ms: ownership_status.confirmed_age_ms,
             shards: ownership_status.shards,
+            capacity: (ownership_status.tasks_per_s > 0)
+                .then(|| OwnerCapacity::new(ownership_status.tasks_per_s)),
         },
         Ok(_) => Incumbent::Ended,
         Err(_error) => Incumbent::Silent,
@@ -214,12 +342,7 @@
     partitions: &BTreeSet<u32>,
     all_partitions: u32,
 ) -> BTreeSet<String> {
-    let mut shards: BTreeSet<String> = configuration
-        .routes
-        .iter()
-        .map(|route| route.config.service.to_string())
-        .collect();
-    shards.insert(FLEET_SHARD.to_owned());
+    let shards = all_shards(configuration);
     let shard_count = shards.len();
     let is_assigned = |index: usize| {
         let partition = index * all_partitions as usize / shard_count;
@@ -232,3 +355,14 @@
         .map(|(_, shard)| shard)
         .collect()
 }
+
+/// Returns the names of all shards: one for each service, and that of the duties over machines.
+fn all_shards(configuration: &Configuration) -> BTreeSet<String> {
+    let mut shards: BTreeSet<String> = configuration
+        .routes
+        .iter()
+        .map(|route| route.config.service.to_string())
+        .collect();
+    shards.insert(FLEET_SHARD.to_owned());
+    shards
+}
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -99,6 +99,9 @@
     pub(crate) confirmed_age_ms: u64,
     /// Number of shards that the process owns or is taking over.
     pub(crate) shards: u64,
+    /// Tasks per second that the process can start for all of its shards; 0 if it doesn't tell.
+    #[serde(default)]
+    pub(crate) tasks_per_s: u64,
 }
 
 /// Load of a pool as sent between processes; see [`PoolLoad`].
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -6,14 +6,15 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cyclamentrail_adapter::{Configuration, HttpClient, ProcessSettings, Store, Wave};
+use cyclamentrail_adapter::{Configuration, HttpClient, ProcessSettings, Store, StoreError, Wave};
 use cyclamentrail_core::{CallerLimits, ServiceName};
-use cyclamentrail_jobs::WorkerRegistration;
+use cyclamentrail_jobs::{OwnerCapacity, WorkerRegistration};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
 use super::clocks::boot_ms;
 use super::confirmation::Confirmation;
+use super::membership::{MemberName, OWNER_GROUP};
 use super::messages::OwnershipStatus;
 use super::owner::{OwnerMessage, WORKER_TIMEOUT};
 use super::peers::PeerClient;
@@ -148,6 +149,7 @@
         Some(OwnershipStatus {
             confirmed_age_ms,
             shards: owned_shards.len() as u64,
+            tasks_per_s: self.capacity().tasks_per_s(),
         })
     }
 
@@ -220,15 +222,34 @@
         for (_, owned) in owned_shards {
             drop(owned.sender.send(OwnerMessage::Stop));
         }
-        let result = self
-            .store
-            .leave(super::membership::OWNER_GROUP, &self.settings.machine_name)
-            .await;
-        if let Err(error) = result {
+        if let Err(error) = self.leave_group().await {
             log::warn!(error:% = error; "group_not_left");
         }
     }
 
+    /// Returns the capacity of this process as an owner.
+    pub(crate) fn capacity(&self) -> OwnerCapacity {
+        OwnerCapacity::from(self.settings.limits)
+    }
+
+    /// Returns the name of this process in the consumer group.
+    pub(crate) fn member_name(&self) -> MemberName {
+        MemberName {
+            capacity: self.capacity(),
+            machine: self.settings.machine_name.clone(),
+        }
+    }
+
+    /// Leaves the consumer group, so that its shards are assigned to other processes at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's error; this process may still be a member.
+    pub(crate) async fn leave_group(&self) -> Result<(), StoreError> {
+        let member = self.member_name().to_string();
+        self.store.leave(OWNER_GROUP, &member).await
+    }
+
     /// Returns the limits of the listeners.
     #[expect(
         clippy::unused_self,
--- a/crates/cyclamentrail/tests/jobs_watched.rs
+++ b/crates/cyclamentrail/tests/jobs_watched.rs
@@ -87,6 +87,41 @@
     Ok(())
 }
 
+/// Waits until a process knows `machine` as the owner of the site's service.
+async fn wait_owner(site: &JobSite, process: usize, machine: &str) -> Result<()> {
+    let end = tokio::time::Instant::now() + STOP_TIME;
+    loop {
+        let state = get_json(site, process, "/state").await?;
+        let owner = &state["owners"]["svc"]["node"];
+        if owner == machine {
+            return Ok(());
+        }
+        ensure!(tokio::time::Instant::now() < end, "{owner} is the owner");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// The owner of a service ran on a machine whose link and processor held up the whole service, while
+/// larger machines were idle.
+#[tokio::test]
+async fn service_moves_to_larger() -> Result<()> {
+    let mut site = JobSite::start(0, 2, 200).await?;
+    site.add_limited_process("small", "Limits.CpuShare=0.12\nLimits.LinkMbps=10\n")?;
+    site.submit(0, "00000000000000a7", 2).await?;
+    wait_owner(&site, 0, "small").await?;
+    site.add_limited_process("large", "Limits.CpuShare=0.5\nLimits.LinkMbps=200\n")?;
+    wait_owner(&site, 0, "large").await?;
+    site.submit(0, "00000000000000a8", 2).await?;
+    site.processes[1].0.kill()?;
+    wait_owner(&site, 0, "small").await?;
+    site.submit(0, "00000000000000a9", 2).await?;
+    for id in ["00000000000000a7", "00000000000000a8", "00000000000000a9"] {
+        site.wait_completed(0, id).await?;
+        site.check_done_once(id, 2)?;
+    }
+    Ok(())
+}
+
 /// A process that doesn't reach the owner must not tell that nobody knows a job.
 #[tokio::test]
 async fn unreached_owner_told() -> Result<()> {
