fix(front): answer callers before a stopping process exits

A request may wait 2.55 s for the owner of its service, but a process exits at 80% of its grace period, 4.8 s of 6.

A stopping process now gives its final response by 250 ms before its exit, and tells whether the request may have run, as at any other deadline. Requests taken before the signal aren't affected.

Test: jobs_watched::late_request_answered; on the code before it ended with "connection closed before message completed".

--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -50,6 +50,8 @@
 const METRICS_INTERVAL: Duration = Duration::from_secs(5);
 /// Divisor of the grace period: the listener for callers stops after this part of the period.
 const FRONT_STOP_DIVISOR: u32 = 2;
+/// Time before its exit by which a process has sent its last response to a caller.
+const LAST_RESPONSE_MARGIN: Duration = Duration::from_millis(250);
 /// Part of the grace period, in percent, within which the process exits.
 const STOP_END_PERCENT: u64 = 80;
 
@@ -161,10 +163,10 @@
 
         stop.await;
         log::info!("stopping");
-        process.begin_stop();
         let grace_ms = process.settings.bounds.shutdown_grace_ms;
         let now = tokio::time::Instant::now();
         let end = now + Duration::from_millis(grace_ms * STOP_END_PERCENT / 100);
+        process.begin_stop(end - LAST_RESPONSE_MARGIN);
         process.give_up_shards().await;
         tokio::time::sleep_until(now + Duration::from_millis(grace_ms) / FRONT_STOP_DIVISOR).await;
         front_stop.send_replace(true);
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -60,7 +60,7 @@
     let Some(configuration) = process.configuration() else {
         return unavailable(NO_OWNER_RETRY_MS);
     };
-    let deadline = Instant::now() + deadline_of(request.headers());
+    let deadline = process.response_deadline(Instant::now() + deadline_of(request.headers()));
     let (parts, body) = request.into_parts();
     let host = host_of(&parts.headers);
     let path = parts.uri.path();
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -2,8 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use cyclamentrail_adapter::{Configuration, HttpClient, ProcessSettings, Store, StoreError, Wave};
@@ -11,6 +10,7 @@
 use cyclamentrail_jobs::{OwnerCapacity, WorkerRegistration};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 use super::clocks::boot_ms;
 use super::confirmation::Confirmation;
@@ -89,7 +89,8 @@
     /// arrives within the notice of a worker that gave it right after the read.
     pub(crate) registry_confirmation: Confirmation,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
-    is_stopping: AtomicBool,
+    /// Time by which callers get their responses; set once the process is stopping.
+    last_response: OnceLock<Instant>,
 }
 
 impl ProcessState {
@@ -109,7 +110,7 @@
             workers: watch::Sender::new(Arc::default()),
             registry_confirmation: Confirmation::new(0, registry_valid),
             owned_shards: Mutex::new(HashMap::new()),
-            is_stopping: AtomicBool::new(false),
+            last_response: OnceLock::new(),
         }
     }
 
@@ -201,13 +202,22 @@
     }
 
     /// Marks the process as stopping: it takes over no more shards and is no longer ready.
-    pub(crate) fn begin_stop(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+    /// Callers get their responses by `last_response`, because the process exits then.
+    pub(crate) fn begin_stop(&self, last_response: Instant) {
+        self.last_response.get_or_init(|| last_response);
     }
 
     /// Returns whether the process is stopping.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
+        self.last_response.get().is_some()
+    }
+
+    /// Returns the time by which a request with a deadline gets its response: the deadline, unless
+    /// the process exits before.
+    pub(crate) fn response_deadline(&self, deadline: Instant) -> Instant {
+        self.last_response
+            .get()
+            .map_or(deadline, |last_response| deadline.min(*last_response))
     }
 
     /// Returns whether the platform may send callers to this process.
--- a/crates/cyclamentrail/tests/jobs_watched.rs
+++ b/crates/cyclamentrail/tests/jobs_watched.rs
@@ -122,6 +122,21 @@
     Ok(())
 }
 
+/// A request on an open connection that a stopping process takes shortly before its listener
+/// closes gets its response before the process exits: it was cut off.
+#[tokio::test]
+async fn late_request_answered() -> Result<()> {
+    let site = JobSite::start(1, 1, 200).await?;
+    let id = "00000000000000ab";
+    site.submit(0, id, 1).await?;
+    site.processes[0].0.terminate()?;
+    tokio::time::sleep(Duration::from_millis(2_800)).await;
+    // Its service has no owner any more, so that the request waits for one.
+    let (status, _) = site.call(0, Method::GET, id, String::new()).await?;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    Ok(())
+}
+
 /// A process that doesn't reach the owner must not tell that nobody knows a job.
 #[tokio::test]
 async fn unreached_owner_told() -> Result<()> {
