--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -5,12 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamentrail_adapter::{AdviceService, HttpClient, StoreError, WorkerClient};
+use cyclamentrail_adapter::{AdviceService, HttpClient, WorkerClient};
 use cyclamentrail_core::{ServiceName, WorkerId};
-use cyclamentrail_jobs::{
-    AdviceOutcome, AdviceQuery, CallerId, CommandOutcome, Commit, Effect, KeyedRecord, PollOutcome,
-    RELEASE_KEY, ReleaseRecord, Shard, ShardTiming, TaskKey, WorkerKey, encode,
-};
+use cyclamentrail_jobs::{CallerId, Shard, ShardTiming};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -18,34 +15,28 @@
 use super::commit_log::CommitLog;
 use super::confirmation::Confirmation;
 use super::decision_log::DecisionLog;
-use super::messages::{FLEET_SHARD, OwnerRequest, Reply};
+use super::messages::{FLEET_SHARD, Reply};
 use super::process_state::{KnownOwner, OperatorState, ProcessState, RegisteredWorkers};
 use super::start_queues::StartQueues;
 use super::takeover::{Takeover, take_over};
 use crate::metrics;
 
 mod activity;
+mod commits;
 mod effects;
+mod message;
 mod requests;
 
 use activity::Activity;
+pub(crate) use message::OwnerMessage;
+use message::{PollResult, StartResult};
 
 /// Time limit of a call to a worker, beyond the time that the worker may wait before it responds.
 pub(super) const WORKER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time limit of a request to a queue's policy, which serves one request at a time.
 const ADVICE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Longest time between two rounds while jobs or runs are unfinished.
-const BUSY_TICK: Duration = Duration::from_millis(40);
-/// Longest time between two rounds while there is nothing to do.
-const IDLE_TICK: Duration = Duration::from_millis(500);
-/// Shortest time between two commits, so that one commit covers several events.
-const MIN_COMMIT_INTERVAL: Duration = Duration::from_millis(8);
 /// Time for which an owner may act after the last confirmation by the store.
 const OWNERSHIP_VALID: Duration = Duration::from_secs(5);
-/// Age of the last confirmation at which an idle owner requests another one, in milliseconds.
-const CONFIRM_AGE_MS: u64 = 1_500;
-/// Longest time that an owner takes for its last commits after it has lost or given up its shard.
-const FINISH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Length of the leases that owners grant, in percent of the longest lease that the platform
 /// allows.
 const LEASE_PERCENT: u64 = 75;
@@ -55,50 +46,6 @@
 /// milliseconds.
 const EXTRA_KEEP_MS: u64 = 10_000;
 
-/// Message to the task of an owner.
-#[derive(Debug)]
-pub(crate) enum OwnerMessage {
-    /// Request of a caller or another process, with the channel for the reply.
-    Request(OwnerRequest, oneshot::Sender<Reply>),
-    /// Outcome of a start command.
-    StartResult(StartResult),
-    /// Outcome of a stop command for a run, given by task and number of the run.
-    StopResult(TaskKey, u32, CommandOutcome),
-    /// Whether a worker accepted the share, in percent, at which a run may work.
-    CpuShareResult(TaskKey, u32, bool),
-    /// Response of a queue's policy to a query.
-    AdviceResult(Box<AdviceQuery>, AdviceOutcome),
-    /// Outcome of a worker poll.
-    PollResult(PollResult),
-    /// Result of a commit: the log for the next one, or why the commit will never be durable.
-    CommitResult(Box<Commit>, Result<Box<CommitLog>, StoreError>),
-    /// Request to give up the shard.
-    Stop,
-}
-
-/// Outcome of a start command for a run.
-#[derive(Debug)]
-pub(crate) struct StartResult {
-    worker: WorkerKey,
-    task: TaskKey,
-    run: u32,
-    outcome: CommandOutcome,
-    /// Time from the sending of the command to its outcome.
-    duration: Duration,
-}
-
-/// Outcome of a poll of a worker.
-#[derive(Debug)]
-pub(crate) struct PollResult {
-    worker: WorkerKey,
-    /// Sequence number up to which the poll acknowledged ended runs.
-    durable_sequence: u64,
-    outcome: PollOutcome,
-    /// Time from the sending of the poll to its outcome, less the time for which the worker was
-    /// allowed to wait.
-    duration: Duration,
-}
-
 /// Takes over a shard and owns it until the shard is given up or lost.
 pub(crate) async fn run(
     process: Arc<ProcessState>,
@@ -278,91 +225,6 @@
         }
     }
 
-    /// Commits what isn't durable yet together with the release record, and replies to the callers
-    /// that wait for it. Gives up after [`FINISH_TIMEOUT`].
-    async fn finish(&mut self, receiver: &mut mpsc::UnboundedReceiver<OwnerMessage>) {
-        let end = Instant::now() + FINISH_TIMEOUT;
-        let mut has_sent_last_commit = false;
-        loop {
-            if self.commit_log.is_some() {
-                if has_sent_last_commit {
-                    return;
-                }
-                has_sent_last_commit = true;
-                let mut commit = self.shard.take_commit(now()).unwrap_or_default();
-                commit.records.push(KeyedRecord {
-                    key: RELEASE_KEY.to_owned(),
-                    value: encode(&ReleaseRecord { token: self.token }),
-                });
-                self.spawn_commit(Some(commit));
-            }
-            match tokio::time::timeout_at(end, receiver.recv()).await {
-                Ok(Some(OwnerMessage::CommitResult(commit, Ok(commit_log)))) => {
-                    self.commit_log = Some(commit_log);
-                    for effect in self.shard.finish_commit(*commit) {
-                        if let Effect::Reply(caller, reply) = effect {
-                            self.reply_to(caller, reply);
-                        }
-                    }
-                }
-                Ok(Some(OwnerMessage::Request(_, reply))) => drop(reply.send(Reply::NotOwner)),
-                Ok(Some(OwnerMessage::CommitResult(_, Err(_))) | None) | Err(_) => return,
-                Ok(Some(_)) => {}
-            }
-        }
-    }
-
-    /// Starts a commit if one is due, or requests a confirmation if the last one is old; returns
-    /// the longest wait until the next round.
-    fn start_due_commit(&mut self, last_commit: &mut Instant) -> Duration {
-        let is_busy = self.shard.is_busy();
-        let tick = if is_busy { BUSY_TICK } else { IDLE_TICK };
-        if self.commit_log.is_none() {
-            return tick;
-        }
-        if !self.shard.needs_commit() {
-            if self.confirmation.age_ms() > CONFIRM_AGE_MS {
-                self.spawn_commit(None);
-            }
-            return tick;
-        }
-        let time_since_commit = last_commit.elapsed();
-        if time_since_commit < MIN_COMMIT_INTERVAL {
-            return MIN_COMMIT_INTERVAL.saturating_sub(time_since_commit);
-        }
-        *last_commit = Instant::now();
-        if let Some(commit) = self.shard.take_commit(now()) {
-            if commit.records.is_empty() {
-                let effects = self.shard.finish_commit(commit);
-                self.carry_out(effects);
-            } else {
-                self.spawn_commit(Some(commit));
-            }
-        }
-        tick
-    }
-
-    /// Appends the records of a commit in a task of its own, or only confirms the ownership if
-    /// there is no commit.
-    fn spawn_commit(&mut self, commit: Option<Commit>) {
-        let Some(commit_log) = self.commit_log.take() else {
-            return;
-        };
-        self.committing_since = Instant::now();
-        let sender = self.sender.clone();
-        tokio::spawn(async move {
-            let (commit, result) = match commit {
-                Some(commit) => {
-                    let result = commit_log.append(&commit.records).await;
-                    (commit, result)
-                }
-                None => (Commit::default(), commit_log.confirm().await),
-            };
-            let result = result.map(Box::new);
-            drop(sender.send(OwnerMessage::CommitResult(Box::new(commit), result)));
-        });
-    }
-
     /// Handles a message; ends the ownership if a worker rejected a call because it knows a higher
     /// fencing token.
     fn handle_message(&mut self, message: OwnerMessage) {
@@ -428,23 +290,6 @@
         )
     }
 
-    fn handle_commit_result(&mut self, commit: Commit, result: Result<Box<CommitLog>, StoreError>) {
-        let bytes = commit.records.iter().map(|record| record.value.len()).sum();
-        self.activity
-            .record_commit(bytes, self.committing_since.elapsed());
-        match result {
-            Ok(commit_log) => {
-                self.commit_log = Some(commit_log);
-                let effects = self.shard.finish_commit(commit);
-                self.carry_out(effects);
-            }
-            Err(error) => {
-                log::info!(shard:% = self.service, error:% = error; "ownership_lost");
-                self.has_ended = true;
-            }
-        }
-    }
-
     /// Sets the configuration of the routes that belong to the service of the shard.
     fn apply_operator_state(&mut self, operator_state: &OperatorState) {
         if let Some(configuration) = &operator_state.configuration {
