fix(succession): don't relieve an owner by a smaller one

Balancing now takes a shard only if it gets more capacity than it has. Test: succession::large_owner_kept, which failed before.

--- a/crates/cyclamentrail-jobs/src/succession.rs
+++ b/crates/cyclamentrail-jobs/src/succession.rs
@@ -84,19 +84,25 @@
         } => {
             let is_cut_off = confirmed_age_ms > MAX_CONFIRMED_AGE_MS
                 && candidate.connected_ms >= MIN_CONNECTED_MS;
+            let own_share = candidate.capacity.per_shard(candidate.shards + 1);
+            let is_better_off = match capacity {
+                Some(capacity) => {
+                    own_share.tasks_per_s() > capacity.per_shard(shards).tasks_per_s()
+                }
+                None => true,
+            };
             let is_overloaded = shards >= candidate.shards + MIN_IMBALANCE
+                && is_better_off
                 && candidate.assigned_ms >= MIN_ASSIGNED_MS;
-            let is_outclassed = match capacity {
+            let is_clearly_better_off = match capacity {
                 Some(capacity) => {
                     candidate.capacity.is_clearly_above(capacity)
-                        && candidate
-                            .capacity
-                            .per_shard(candidate.shards + 1)
-                            .is_clearly_above(capacity.per_shard(shards))
-                        && candidate.assigned_ms >= MIN_UPGRADE_ASSIGNED_MS
+                        && own_share.is_clearly_above(capacity.per_shard(shards))
                 }
                 None => false,
             };
+            let is_outclassed =
+                is_clearly_better_off && candidate.assigned_ms >= MIN_UPGRADE_ASSIGNED_MS;
             is_cut_off || is_overloaded || is_outclassed
         }
     }
--- a/crates/cyclamentrail-jobs/tests/succession.rs
+++ b/crates/cyclamentrail-jobs/tests/succession.rs
@@ -91,6 +91,18 @@
     assert!(!should_take_over(unknown, settled));
 }
 
+/// A process on a small machine relieved a large one of its third shard, which then was worse off.
+#[test]
+fn large_owner_kept() {
+    let small = Candidate {
+        assigned_ms: 60_000,
+        capacity: SMALL,
+        ..CANDIDATE
+    };
+    assert!(!should_take_over(acting(100, 3), small));
+    assert!(should_take_over(acting(100, 6), small), "far too many");
+}
+
 #[rstest]
 #[case(120, 10_000, 400)]
 #[case(500, 200_000, 1_666)]
