fix(membership): let larger machines that join late be seen

Cause: the store lists a group's members only if they hold partitions, 24 in all, and moves as few as it can. A process that joins a group of more members holds none. And a new member receives its partitions only when the others have joined once more, while small machines looked at the members once, right after the change.

A member looks again until 1.5 s after the last change, and a large machine that sees smaller members with partitions announces itself each second.

How many shards one large machine has then depends on which partitions it kept; that isn't balanced further.

--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -20,8 +20,11 @@
 
 use crate::Served;
 
-/// Partitions of each topic that are assigned to group members.
+/// Number of partitions of each topic that are assigned to group members, unless it is set.
 const PARTITIONS: u32 = 24;
+/// Time after which a new group member holds partitions; the other members have to join once more
+/// before.
+const HAND_OVER: Duration = Duration::from_millis(300);
 /// Most items on a page of newest records.
 const PAGE_ITEMS: usize = 500;
 
@@ -44,12 +47,14 @@
 #[derive(Debug, Default)]
 struct StoreState {
     topics: HashMap<String, Topic>,
-    /// Group members with the times of their last join calls.
-    members: BTreeMap<String, Instant>,
+    /// Group members by name.
+    members: BTreeMap<String, GroupMember>,
     /// Time without a join call after which a member is removed; set by the latest join call.
     member_ttl: Duration,
-    /// Topic whose partitions the group assigns; set by the latest join call.
-    group_topic: String,
+    /// Topics whose partitions the group assigns; set by the latest join call.
+    group_topics: Vec<String>,
+    /// Number of partitions of each topic.
+    partitions: u32,
     /// Number of changes of the group's members.
     generation: u64,
     /// Topics whose reads are rejected.
@@ -78,6 +83,7 @@
     /// Returns the error of binding the address.
     pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
         let shared = Arc::new(Shared::default());
+        shared.lock().partitions = PARTITIONS;
         let router = Router::new()
             .route("/log-append", post(append))
             .route("/log-read", get(read))
@@ -105,6 +111,11 @@
         self.shared.is_down.store(is_down, Ordering::Relaxed);
     }
 
+    /// Sets the number of partitions of each topic that the group assigns.
+    pub fn set_partitions(&self, partitions: u32) {
+        self.shared.lock().partitions = partitions;
+    }
+
     /// Sets whether the store rejects the reads of a topic with the status 503.
     pub fn set_unreadable(&self, topic: &str, is_unreadable: bool) {
         let mut state = self.shared.lock();
@@ -151,18 +162,43 @@
     }
 }
 
+/// Times of a group member's join calls.
+#[derive(Debug, Clone, Copy)]
+struct GroupMember {
+    first_join: Instant,
+    last_join: Instant,
+}
+
+/// Partition that a group member holds.
+struct Assignment<'a> {
+    topic: &'a str,
+    partition: u32,
+    member: &'a str,
+}
+
 impl StoreState {
     /// Removes the members whose time to live has passed.
     fn remove_expired(&mut self) {
         let (count, ttl) = (self.members.len(), self.member_ttl);
-        self.members.retain(|_, seen| seen.elapsed() < ttl);
+        self.members
+            .retain(|_, member| member.last_join.elapsed() < ttl);
         self.generation += u64::from(self.members.len() < count);
     }
 
-    /// Returns the partitions of the group's topic with their members: round-robin over the sorted
+    /// Returns the partitions of the group's topics with their members: round-robin over the sorted
     /// members.
-    fn assignments(&self) -> impl Iterator<Item = (u32, &String)> {
-        (0..PARTITIONS).zip(self.members.keys().cycle())
+    fn assignments(&self) -> impl Iterator<Item = Assignment<'_>> {
+        let partitions = self
+            .group_topics
+            .iter()
+            .flat_map(|topic| (0..self.partitions).map(move |partition| (topic, partition)));
+        partitions
+            .zip(self.members.keys().cycle())
+            .map(|((topic, partition), member)| Assignment {
+                topic,
+                partition,
+                member,
+            })
     }
 }
 
@@ -383,24 +419,34 @@
     let mut state = shared.lock();
     state.member_ttl = Duration::from_millis(body.ttl_ms);
     state.remove_expired();
-    let previous = state.members.insert(body.member.clone(), Instant::now());
-    state.generation += u64::from(previous.is_none());
-    state.group_topic = body.topics.first().cloned().unwrap_or_default();
+    let now = Instant::now();
+    let is_new = !state.members.contains_key(&body.member);
+    state.generation += u64::from(is_new);
+    let member = state.members.entry(body.member.clone());
+    member
+        .or_insert(GroupMember {
+            first_join: now,
+            last_join: now,
+        })
+        .last_join = now;
+    state.group_topics = body.topics;
     let partitions: Vec<Value> = state
         .assignments()
-        .filter(|(_, member)| **member == body.member)
-        .map(|(partition, _)| json!([state.group_topic, partition, 0]))
+        .filter(|assignment| assignment.member == body.member)
+        .map(|assignment| json!([assignment.topic, assignment.partition, 0]))
         .collect();
     Json(json!({"Generation": state.generation, "parts": partitions}))
 }
 
-/// Returns the partitions with the members that hold them.
+/// Returns the partitions with the members that hold them; those of a new member are listed after
+/// [`HAND_OVER`].
 async fn owners(State(shared): State<Arc<Shared>>) -> Json<Value> {
     let mut state = shared.lock();
     state.remove_expired();
     let rows: Vec<Value> = state
         .assignments()
-        .map(|(partition, member)| json!([state.group_topic, partition, member, 0]))
+        .filter(|held| state.members[held.member].first_join.elapsed() >= HAND_OVER)
+        .map(|held| json!([held.topic, held.partition, held.member, 0]))
         .collect();
     Json(json!({"parts": rows}))
 }
--- a/crates/cyclamentrail/src/edge/claims.rs
+++ b/crates/cyclamentrail/src/edge/claims.rs
@@ -1,4 +1,5 @@
-//! Follows the claims in the store, which tell which process owns which shard.
+//! Follows the claims in the store, which tell which process owns which shard, and the
+//! announcements of processes on larger machines, which stand in the same topic.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -6,11 +7,14 @@
 
 use cyclamentrail_adapter::{Append, StoreError, StoredRecord, keyed_topic};
 
+use super::membership::MemberName;
 use super::process_state::{Claim, KnownOwner, ProcessState};
 use super::topic_reader::{TopicRead, TopicReader};
 
 /// Topic of the claims.
 const TOPIC: &str = "owners";
+/// Prefix of the keys of announcements; no shard has such a name.
+const ANNOUNCEMENT_PREFIX: &str = "~member/";
 /// Time that one read waits for new claims.
 const READ_WAIT: Duration = Duration::from_secs(3);
 
@@ -18,9 +22,14 @@
 pub(crate) async fn follow(process: Arc<ProcessState>) {
     let mut topic = TopicReader::new(TOPIC);
     loop {
-        let (TopicRead::Snapshot(records) | TopicRead::Update(records)) =
-            topic.read(&process.store, READ_WAIT).await;
-        apply_claims(&process, records);
+        match topic.read(&process.store, READ_WAIT).await {
+            TopicRead::Snapshot(records) => apply_claims(&process, records),
+            TopicRead::Update(records) => {
+                // The announcements of a snapshot may be old, those of an update are new.
+                record_announcements(&process, &records);
+                apply_claims(&process, records);
+            }
+        }
     }
 }
 
@@ -50,6 +59,33 @@
     Ok(token)
 }
 
+/// Announces this process to the others, which may not see it in the group.
+///
+/// # Errors
+///
+/// Returns the store's error if the announcement may not have been appended.
+pub(crate) async fn announce(process: &ProcessState) -> Result<(), StoreError> {
+    let member = process.member_name();
+    let key = format!("{ANNOUNCEMENT_PREFIX}{}", member.machine);
+    let topic = keyed_topic(TOPIC);
+    let append = Append {
+        topic: &topic,
+        records: &[(key, member.to_string().into_bytes())],
+        writer: None,
+    };
+    process.store.append(append).await.map(|_appended| ())
+}
+
+fn record_announcements(process: &ProcessState, records: &[StoredRecord]) {
+    let announced = records
+        .iter()
+        .filter(|record| record.key.starts_with(ANNOUNCEMENT_PREFIX))
+        .filter_map(|record| MemberName::parse(std::str::from_utf8(&record.value).ok()?));
+    for member in announced {
+        process.announcements.record(member);
+    }
+}
+
 /// Reads the newest claim of each shard, so that the previous owner of a shard is known for sure.
 ///
 /// # Errors
@@ -62,7 +98,10 @@
 }
 
 fn apply_claims(process: &ProcessState, records: Vec<StoredRecord>) {
-    for record in records {
+    let claims = records
+        .into_iter()
+        .filter(|record| !record.key.starts_with(ANNOUNCEMENT_PREFIX));
+    for record in claims {
         match rmp_serde::from_slice::<Claim>(&record.value) {
             Ok(claim) => {
                 let token = record.offset + 1;
--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -14,9 +14,11 @@
 use super::owner::{self, OwnerMessage};
 use super::process_state::ProcessState;
 
+mod announcements;
 mod group;
 mod member;
 
+pub(crate) use announcements::Announcements;
 use group::Group;
 pub(crate) use group::OWNER_GROUP;
 pub(crate) use member::MemberName;
--- a/crates/cyclamentrail/src/edge/membership/group.rs
+++ b/crates/cyclamentrail/src/edge/membership/group.rs
@@ -4,13 +4,14 @@
 //! members, so that the group assigns shards to these only; see [`leaves_shards_to_others`]. They
 //! watch the group and join it again when the larger ones are gone.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use cyclamentrail_jobs::{OwnerCapacity, leaves_shards_to_others};
 use tokio::time::Instant;
 
 use super::{MemberName, all_shards};
+use crate::edge::claims;
 use crate::edge::clocks::boot_ms;
 use crate::edge::process_state::ProcessState;
 use crate::metrics;
@@ -21,13 +22,21 @@
 const PARTITION_TOPIC: &str = "shards";
 /// Time between two confirmations of the membership.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(400);
-/// Time between two updates while the group changes.
+/// Time between two updates when the group has just changed.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two updates until the group's members have settled.
+const SETTLING_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after a change of the group in which its new members receive their partitions, in
+/// milliseconds: the others give them up when they join the next time.
+const SETTLE_MS: u64 = 1_500;
 /// Time between two looks at the group's members while this process leaves the shards to them.
 const WATCH_INTERVAL: Duration = Duration::from_millis(800);
 /// Time for which larger members must be missing before a process joins the group again, in
 /// milliseconds. After an outage of the store, all members are missing for a moment.
 const MIN_MISSING_MS: u64 = 1_500;
+/// Time between two announcements of this process while smaller members have partitions, in
+/// milliseconds.
+const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
 /// Requested time to live of the membership, in percent of the shortest one that the store accepts.
 const TTL_PERCENT: u64 = 160;
 
@@ -55,7 +64,11 @@
     connected_ms: Option<u64>,
     /// Whether this process takes part in the group.
     role: Role,
-    /// Whether the members have changed since this process last looked at their capacities.
+    /// Boot time in milliseconds at which the group last changed.
+    changed_ms: u64,
+    /// Boot time in milliseconds of this process's last announcement.
+    announced_ms: u64,
+    /// Whether this process hasn't looked at the members' capacities since they settled.
     has_unseen_members: bool,
 }
 
@@ -75,14 +88,7 @@
     /// until the next update.
     pub(super) async fn update(&mut self, process: &ProcessState) -> Duration {
         match self.role {
-            Role::Member => {
-                self.has_unseen_members |= self.join(process).await;
-                if !self.has_unseen_members {
-                    return CONFIRM_INTERVAL;
-                }
-                self.leave_to_larger(process).await;
-                CHANGE_INTERVAL
-            }
+            Role::Member => self.update_member(process).await,
             Role::Watcher { missing_since_ms } => {
                 self.watch(process, missing_since_ms).await;
                 WATCH_INTERVAL
@@ -90,15 +96,54 @@
         }
     }
 
-    /// Leaves the group if its members on larger machines are enough for all shards.
-    async fn leave_to_larger(&mut self, process: &ProcessState) {
-        let Some(are_enough) = self.are_larger_enough(process).await else {
+    async fn update_member(&mut self, process: &ProcessState) -> Duration {
+        let is_rebalanced = self.join(process).await;
+        if is_rebalanced {
+            self.changed_ms = boot_ms();
+            self.has_unseen_members = true;
+        }
+        let own = process.capacity();
+        let announced = process.announcements.members();
+        let is_larger_announced = announced
+            .iter()
+            .any(|member| member.capacity.is_clearly_above(own));
+        if self.has_unseen_members || is_larger_announced {
+            self.review_members(process).await;
+        }
+        if is_rebalanced {
+            CHANGE_INTERVAL
+        } else if self.is_settling() {
+            SETTLING_INTERVAL
+        } else {
+            CONFIRM_INTERVAL
+        }
+    }
+
+    /// Returns whether new members may not have received their partitions yet.
+    fn is_settling(&self) -> bool {
+        boot_ms() < self.changed_ms + SETTLE_MS
+    }
+
+    /// Leaves the group if its members on larger machines are enough for all shards, and makes this
+    /// process known while smaller members hold partitions.
+    async fn review_members(&mut self, process: &ProcessState) {
+        let is_settling = self.is_settling();
+        let Some(others) = self.read_capacities(process).await else {
             return;
         };
-        self.has_unseen_members = false;
-        if process.is_stopping() || !are_enough {
-            return;
+        let own = process.capacity();
+        let has_smaller = others.iter().any(|other| own.is_clearly_above(*other));
+        if has_smaller && !process.is_stopping() {
+            self.announce_if_due(process).await;
+        }
+        let are_enough = are_larger_enough(process, &others);
+        self.has_unseen_members = is_settling || has_smaller || are_enough.is_none();
+        if !process.is_stopping() && are_enough == Some(true) {
+            self.leave(process).await;
         }
+    }
+
+    async fn leave(&mut self, process: &ProcessState) {
         match process.leave_group().await {
             Ok(()) => {
                 log::info!(tasks_per_s = process.capacity().tasks_per_s(); "shards_left_to_larger");
@@ -114,11 +159,25 @@
         }
     }
 
+    async fn announce_if_due(&mut self, process: &ProcessState) {
+        let now_ms = boot_ms();
+        if now_ms < self.announced_ms + ANNOUNCE_INTERVAL_MS {
+            return;
+        }
+        self.announced_ms = now_ms;
+        match claims::announce(process).await {
+            Ok(()) => log::info!("member_announced"),
+            Err(error) => log::debug!(error:% = error; "member_not_announced"),
+        }
+    }
+
     /// Joins the group again once its members on larger machines have been too few for
     /// [`MIN_MISSING_MS`].
     async fn watch(&mut self, process: &ProcessState, missing_since_ms: Option<u64>) {
         let now_ms = boot_ms();
-        let missing_since_ms = match self.are_larger_enough(process).await {
+        let others = self.read_capacities(process).await;
+        let are_enough = others.and_then(|others| are_larger_enough(process, &others));
+        let missing_since_ms = match are_enough {
             Some(false) => Some(missing_since_ms.unwrap_or(now_ms)),
             Some(true) | None => None,
         };
@@ -132,17 +191,13 @@
         };
     }
 
-    /// Returns whether the group's members on larger machines are enough for all shards; `None` if
-    /// the store doesn't tell, or this process has no configuration yet.
-    async fn are_larger_enough(&mut self, process: &ProcessState) -> Option<bool> {
-        let shard_count = all_shards(process.configuration()?.as_ref()).len();
+    /// Returns the capacities of the processes that the group lists or that have announced
+    /// themselves; `None` if the store doesn't tell.
+    async fn read_capacities(&mut self, process: &ProcessState) -> Option<Vec<OwnerCapacity>> {
         let sent = Instant::now();
-        let members = process
-            .store
-            .group_members(OWNER_GROUP, PARTITION_TOPIC)
-            .await;
+        let members = process.store.group_members(OWNER_GROUP).await;
         metrics::count_store_call("members", members.is_ok(), sent.elapsed());
-        let members = match members {
+        let listed = match members {
             Ok(members) => members,
             Err(error) => {
                 log::debug!(error:% = error; "members_not_read");
@@ -151,16 +206,12 @@
             }
         };
         self.connected_ms.get_or_insert_with(boot_ms);
-        let capacities: Vec<OwnerCapacity> = members
-            .iter()
-            .filter_map(|member| MemberName::parse(member))
-            .map(|member| member.capacity)
+        let listed = listed.iter().filter_map(|name| MemberName::parse(name));
+        let by_machine: BTreeMap<String, OwnerCapacity> = listed
+            .chain(process.announcements.members())
+            .map(|member| (member.machine, member.capacity))
             .collect();
-        Some(leaves_shards_to_others(
-            process.capacity(),
-            &capacities,
-            shard_count,
-        ))
+        Some(by_machine.into_values().collect())
     }
 
     /// Confirms the membership; returns whether the group has rebalanced its partitions.
@@ -200,3 +251,15 @@
         }
     }
 }
+
+/// Returns whether the processes on larger machines are enough for all shards; `None` if this process
+/// has no configuration yet.
+fn are_larger_enough(process: &ProcessState, others: &[OwnerCapacity]) -> Option<bool> {
+    let configuration = process.configuration()?;
+    let shard_count = all_shards(&configuration).len();
+    Some(leaves_shards_to_others(
+        process.capacity(),
+        others,
+        shard_count,
+    ))
+}
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -14,7 +14,7 @@
 
 use super::clocks::boot_ms;
 use super::confirmation::Confirmation;
-use super::membership::{MemberName, OWNER_GROUP};
+use super::membership::{Announcements, MemberName, OWNER_GROUP};
 use super::messages::OwnershipStatus;
 use super::owner::{OwnerMessage, WORKER_TIMEOUT};
 use super::peers::PeerClient;
@@ -83,6 +83,8 @@
     pub(crate) operator_state: watch::Sender<OperatorState>,
     /// Newest known owner of each shard.
     pub(crate) owners: watch::Sender<HashMap<String, KnownOwner>>,
+    /// Processes on larger machines that have made themselves known.
+    pub(crate) announcements: Announcements,
     /// Registered workers of all services.
     pub(crate) workers: watch::Sender<Arc<RegisteredWorkers>>,
     /// When the registrations were last read. They may be relied on for a start as long as it
@@ -107,6 +109,7 @@
             peers: PeerClient::new(),
             operator_state: watch::Sender::new(OperatorState::default()),
             owners: watch::Sender::new(HashMap::new()),
+            announcements: Announcements::default(),
             workers: watch::Sender::new(Arc::default()),
             registry_confirmation: Confirmation::new(0, registry_valid),
             owned_shards: Mutex::new(HashMap::new()),
--- a/crates/cyclamentrail/tests/jobs_watched.rs
+++ b/crates/cyclamentrail/tests/jobs_watched.rs
@@ -122,6 +122,23 @@
     Ok(())
 }
 
+/// A larger machine that joins when there are more members than partitions holds none of the shards'
+/// partitions; the small ones didn't see it and kept the service.
+#[tokio::test]
+async fn late_larger_machine_seen() -> Result<()> {
+    let mut site = JobSite::start(0, 2, 200).await?;
+    site.store.set_partitions(1);
+    let small = "platform.parts=1\nLimits.CpuShare=0.3\nLimits.LinkMbps=200\n";
+    for name in ["small-1", "small-2"] {
+        site.add_limited_process(name, small)?;
+    }
+    site.submit(0, "00000000000000ba", 2).await?;
+    let large = "platform.parts=1\nLimits.CpuShare=0.9\nLimits.LinkMbps=200\n";
+    site.add_limited_process("large", large)?;
+    wait_owner(&site, 0, "large").await?;
+    site.submit(0, "00000000000000bb", 2).await
+}
+
 /// A request on an open connection that a stopping process takes shortly before its listener
 /// closes gets its response before the process exits: it was cut off.
 #[tokio::test]
