fix(duty): send no machine command by an evacuation that may have ended

The holder of the machine duties has workers emptied, confirms its duty with an append that is repeated until it is known, and then sends the commands. Owners keep a worker empty for 6 s after the last request. If the append takes longer, tasks run on the worker again, and the machine is taken away under them.

Commands are now sent only within 5 s of the request, on the clock that counts suspension; otherwise they are planned again in the next round. There is no stand-in of the service for machines, so that no test covers this.

--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -23,7 +23,7 @@
 use super::confirmation::Confirmation;
 use super::internal::call_owner;
 use super::messages::{FLEET_SHARD, OwnerCall, OwnerRequest, Reply};
-use super::owner::OwnerMessage;
+use super::owner::{EVACUATION_LEASE, OwnerMessage};
 use super::process_state::ProcessState;
 use super::takeover::Takeover;
 use crate::metrics;
@@ -36,6 +36,9 @@
 const MACHINE_SERVICE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which commands may be sent after the last confirmation by the store.
 const DUTY_VALID: Duration = Duration::from_secs(1);
+/// Time for which owners surely keep workers empty after a request to do so; they place tasks on
+/// these workers again after [`EVACUATION_LEASE`].
+const EVACUATION_TRUSTED: Duration = EVACUATION_LEASE.saturating_sub(MACHINE_SERVICE_TIMEOUT);
 /// Age of the last confirmation at which another one is requested, in milliseconds.
 const CONFIRM_AGE_MS: u64 = 1_500;
 /// Time that a new holder waits beyond the pause that the platform requires between two holders, in
@@ -171,9 +174,10 @@
         let mut fleet = self.fleet_state(&machines);
         self.request_evacuations(&mut fleet).await;
         self.planner.plan(boot_ms(), &fleet);
+        let evacuation = Confirmation::new(boot_ms(), EVACUATION_TRUSTED);
         self.request_evacuations(&mut fleet).await;
         let commands = self.planner.take_commands(boot_ms(), &fleet);
-        if !commands.is_empty() && !self.send_commands(commands).await {
+        if !commands.is_empty() && !self.send_commands(commands, &evacuation).await {
             return false;
         }
         self.report_waves(&fleet).await;
@@ -236,13 +240,18 @@
         }
     }
 
-    /// Sends commands if the store confirms the duties; returns whether the duties are still held.
-    async fn send_commands(&mut self, commands: Vec<MachineCommand>) -> bool {
+    /// Sends commands if the store confirms the duties, as long as the owners surely keep the workers
+    /// empty; returns whether the duties are still held.
+    async fn send_commands(
+        &mut self,
+        commands: Vec<MachineCommand>,
+        evacuation: &Confirmation,
+    ) -> bool {
         if !self.confirm_duty(&commands).await {
             return false;
         }
         let sending = commands.iter().map(|command| async {
-            if self.confirmation.is_valid() {
+            if self.confirmation.is_valid() && evacuation.is_valid() {
                 self.send_command(command).await
             } else {
                 MachineCommandOutcome::Refused
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -30,6 +30,7 @@
 use activity::Activity;
 pub(crate) use message::OwnerMessage;
 use message::{PollResult, StartResult};
+pub(crate) use requests::EVACUATION_LEASE;
 
 /// Time limit of a call to a worker, beyond the time that the worker may wait before it responds.
 pub(super) const WORKER_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -20,9 +20,8 @@
 const MAX_UNKNOWN_AGE_MS: u64 = 2_000;
 /// Age of a commit at which new jobs are rejected, because the store doesn't respond.
 const STUCK_COMMIT_AGE: Duration = Duration::from_millis(700);
-/// Time for which workers are kept empty after the last request to evacuate them; longer than the
-/// holder of the duties takes between its last request and its last command.
-const EVACUATION_LEASE: Duration = Duration::from_secs(6);
+/// Time for which workers are kept empty after the last request to evacuate them.
+pub(crate) const EVACUATION_LEASE: Duration = Duration::from_secs(6);
 
 impl Owner {
     /// Handles a request. While the ownership isn't confirmed, the reply is that this process isn't
