feat(membership): share shards evenly among the listed members

Which partitions a member holds is up to the store: with 24 partitions for 6 shards one large machine had up to four shards, two of them of queues with short jobs, while others had none. Members now take turns at the shards, in the order of their names as the store lists them; without a list that holds this process, its partitions count as before.

--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -58,8 +58,7 @@
         if let (Some(configuration), Some(connected_ms)) =
             (process.configuration(), group.connected_ms())
         {
-            let partitions = process.settings.partitions;
-            let assigned = assigned_shards(&configuration, group.partitions(), partitions);
+            let assigned = group.assigned_shards(&process, &all_shards(&configuration));
             shards
                 .take_over_assigned(&process, connected_ms, assigned)
                 .await;
@@ -167,27 +166,6 @@
     }
 }
 
-/// Returns the shards that belong to the partitions of this process. The shards, sorted by name,
-/// are spread evenly over all partitions.
-fn assigned_shards(
-    configuration: &Configuration,
-    partitions: &BTreeSet<u32>,
-    all_partitions: u32,
-) -> BTreeSet<String> {
-    let shards = all_shards(configuration);
-    let shard_count = shards.len();
-    let is_assigned = |index: usize| {
-        let partition = index * all_partitions as usize / shard_count;
-        u32::try_from(partition).is_ok_and(|partition| partitions.contains(&partition))
-    };
-    shards
-        .into_iter()
-        .enumerate()
-        .filter(|(index, _)| is_assigned(*index))
-        .map(|(_, shard)| shard)
-        .collect()
-}
-
 /// Returns the names of all shards: one for each service, and that of the duties over machines.
 fn all_shards(configuration: &Configuration) -> BTreeSet<String> {
     let mut shards: BTreeSet<String> = configuration
--- a/crates/cyclamentrail/src/edge/membership/group.rs
+++ b/crates/cyclamentrail/src/edge/membership/group.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cyclamentrail_jobs::{OwnerCapacity, leaves_shards_to_others};
+use cyclamentrail_jobs::{OwnerCapacity, leaves_shards_to_others, shards_of_member};
 use tokio::time::Instant;
 
 use super::{MemberName, all_shards};
@@ -60,6 +60,8 @@
     generation: u64,
     /// Partitions that are assigned to this process.
     partitions: BTreeSet<u32>,
+    /// Names of the members that the store listed last; those without partitions are missing.
+    listed: BTreeSet<String>,
     /// Boot time in milliseconds since which the store has responded without a failure.
     connected_ms: Option<u64>,
     /// Whether this process takes part in the group.
@@ -73,9 +75,18 @@
 }
 
 impl Group {
-    /// Returns the partitions that are assigned to this process.
-    pub(super) const fn partitions(&self) -> &BTreeSet<u32> {
-        &self.partitions
+    /// Returns the shards that are assigned to this process: its share among the listed members or,
+    /// while the list isn't known or lacks this process, the shards of its partitions.
+    pub(super) fn assigned_shards(
+        &self,
+        process: &ProcessState,
+        shards: &BTreeSet<String>,
+    ) -> BTreeSet<String> {
+        let own = process.member_name().to_string();
+        if self.listed.contains(&own) && !self.partitions.is_empty() {
+            return shards_of_member(&own, &self.listed, shards);
+        }
+        shards_of_partitions(shards, &self.partitions, process.settings.partitions)
     }
 
     /// Returns the boot time in milliseconds since which the store has responded without a failure;
@@ -206,7 +217,9 @@
             }
         };
         self.connected_ms.get_or_insert_with(boot_ms);
-        let listed = listed.iter().filter_map(|name| MemberName::parse(name));
+        self.listed = listed;
+        let listed = self.listed.iter();
+        let listed = listed.filter_map(|name| MemberName::parse(name));
         let by_machine: BTreeMap<String, OwnerCapacity> = listed
             .chain(process.announcements.members())
             .map(|member| (member.machine, member.capacity))
@@ -263,3 +276,22 @@
         shard_count,
     ))
 }
+
+/// Returns the shards that belong to the partitions of this process. The shards, sorted by name,
+/// are spread evenly over all partitions.
+fn shards_of_partitions(
+    shards: &BTreeSet<String>,
+    partitions: &BTreeSet<u32>,
+    all_partitions: u32,
+) -> BTreeSet<String> {
+    let is_assigned = |index: usize| {
+        let partition = index * all_partitions as usize / shards.len();
+        u32::try_from(partition).is_ok_and(|partition| partitions.contains(&partition))
+    };
+    shards
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| is_assigned(*index))
+        .map(|(_, shard)| shard.clone())
+        .collect()
+}
