fix(membership): take over assigned shards before looking at the members

Shards go by partitions again, as the join itself returns them, and only a process that may be among the small ones looks first.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -19,7 +19,6 @@
 //! ```
 
 mod admission;
-mod assignment;
 mod best_effort_share;
 mod effect;
 mod estimate;
@@ -39,7 +38,6 @@
 mod worker;
 
 pub use admission::{Admission, AdmissionRequest, Backlog, admit, retry_after_outage_ms};
-pub use assignment::shards_of_member;
 pub use best_effort_share::BestEffortShare;
 pub use effect::{
     ActiveRun, AdviceOutcome, AdviceQuery, CallerId, CallerReply, CommandOutcome, CommandRejection,
--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -47,7 +47,7 @@
 /// Maintains the membership and takes over the shards that are assigned to this process, until
 /// `stop` is set or the process is stopping.
 pub(crate) async fn maintain(process: Arc<ProcessState>, mut stop: watch::Receiver<bool>) {
-    let mut group = Group::default();
+    let mut group = Group::new();
     let mut shards = Shards::default();
     while !process.is_stopping() {
         let pause = group.update(&process).await;
@@ -58,11 +58,13 @@
         if let (Some(configuration), Some(connected_ms)) =
             (process.configuration(), group.connected_ms())
         {
-            let assigned = group.assigned_shards(&process, &all_shards(&configuration));
+            let assigned =
+                group.assigned_shards(all_shards(&configuration), process.settings.partitions);
             shards
                 .take_over_assigned(&process, connected_ms, assigned)
                 .await;
         }
+        group.review_if_due(&process).await;
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             _ = stop.wait_for(|stopped| *stopped) => break,
--- a/crates/cyclamentrail/src/edge/membership/group.rs
+++ b/crates/cyclamentrail/src/edge/membership/group.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cyclamentrail_jobs::{OwnerCapacity, leaves_shards_to_others, shards_of_member};
+use cyclamentrail_jobs::{OwnerCapacity, leaves_shards_to_others};
 use tokio::time::Instant;
 
 use super::{MemberName, all_shards};
@@ -41,10 +41,9 @@
 const TTL_PERCENT: u64 = 160;
 
 /// Part that a process has in the consumer group.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Role {
     /// The process is a member and takes over the shards that are assigned to it.
-    #[default]
     Member,
     /// The process has left the group to members on larger machines.
     Watcher {
@@ -54,14 +53,12 @@
 }
 
 /// Membership of this process in the consumer group.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Group {
     /// Generation of the group, which rises with each rebalancing.
     generation: u64,
     /// Partitions that are assigned to this process.
     partitions: BTreeSet<u32>,
-    /// Names of the members that the store listed last; those without partitions are missing.
-    listed: BTreeSet<String>,
     /// Boot time in milliseconds since which the store has responded without a failure.
     connected_ms: Option<u64>,
     /// Whether this process takes part in the group.
@@ -72,21 +69,43 @@
     announced_ms: u64,
     /// Whether this process hasn't looked at the members' capacities since they settled.
     has_unseen_members: bool,
+    /// Whether members on larger machines were seen at the last look, or none was made yet.
+    may_be_smaller: bool,
 }
 
 impl Group {
-    /// Returns the shards that are assigned to this process: its share among the listed members or,
-    /// while the list isn't known or lacks this process, the shards of its partitions.
+    /// Creates the membership of a process that hasn't joined yet.
+    pub(super) const fn new() -> Self {
+        Self {
+            generation: 0,
+            partitions: BTreeSet::new(),
+            connected_ms: None,
+            role: Role::Member,
+            changed_ms: 0,
+            announced_ms: 0,
+            has_unseen_members: false,
+            may_be_smaller: true,
+        }
+    }
+
+    /// Returns the shards that belong to the partitions of this process. The shards, sorted by name,
+    /// are spread evenly over all partitions.
     pub(super) fn assigned_shards(
         &self,
-        process: &ProcessState,
-        shards: &BTreeSet<String>,
+        shards: BTreeSet<String>,
+        all_partitions: u32,
     ) -> BTreeSet<String> {
-        let own = process.member_name().to_string();
-        if self.listed.contains(&own) && !self.partitions.is_empty() {
-            return shards_of_member(&own, &self.listed, shards);
-        }
-        shards_of_partitions(shards, &self.partitions, process.settings.partitions)
+        let shard_count = shards.len();
+        let is_assigned = |index: usize| {
+            let partition = index * all_partitions as usize / shard_count;
+            u32::try_from(partition).is_ok_and(|partition| self.partitions.contains(&partition))
+        };
+        shards
+            .into_iter()
+            .enumerate()
+            .filter(|(index, _)| is_assigned(*index))
+            .map(|(_, shard)| shard)
+            .collect()
     }
 
     /// Returns the boot time in milliseconds since which the store has responded without a failure;
@@ -113,12 +132,8 @@
             self.changed_ms = boot_ms();
             self.has_unseen_members = true;
         }
-        let own = process.capacity();
-        let announced = process.announcements.members();
-        let is_larger_announced = announced
-            .iter()
-            .any(|member| member.capacity.is_clearly_above(own));
-        if self.has_unseen_members || is_larger_announced {
+        // Only a process that may be among the small ones looks before it takes over shards.
+        if self.may_be_smaller || Self::is_larger_announced(process) {
             self.review_members(process).await;
         }
         if is_rebalanced {
@@ -130,6 +145,22 @@
         }
     }
 
+    /// Looks at the members if they have changed since the last look. Called after the takeover of
+    /// assigned shards, which mustn't wait for it.
+    pub(super) async fn review_if_due(&mut self, process: &ProcessState) {
+        let is_due = self.has_unseen_members && !self.may_be_smaller;
+        if is_due && self.role == Role::Member {
+            self.review_members(process).await;
+        }
+    }
+
+    fn is_larger_announced(process: &ProcessState) -> bool {
+        let announced = process.announcements.members();
+        announced
+            .iter()
+            .any(|member| member.capacity.is_clearly_above(process.capacity()))
+    }
+
     /// Returns whether new members may not have received their partitions yet.
     fn is_settling(&self) -> bool {
         boot_ms() < self.changed_ms + SETTLE_MS
@@ -147,6 +178,7 @@
         if has_smaller && !process.is_stopping() {
             self.announce_if_due(process).await;
         }
+        self.may_be_smaller = others.iter().any(|other| other.is_clearly_above(own));
         let are_enough = are_larger_enough(process, &others);
         self.has_unseen_members = is_settling || has_smaller || are_enough.is_none();
         if !process.is_stopping() && are_enough == Some(true) {
@@ -217,9 +249,7 @@
             }
         };
         self.connected_ms.get_or_insert_with(boot_ms);
-        self.listed = listed;
-        let listed = self.listed.iter();
-        let listed = listed.filter_map(|name| MemberName::parse(name));
+        let listed = listed.iter().filter_map(|name| MemberName::parse(name));
         let by_machine: BTreeMap<String, OwnerCapacity> = listed
             .chain(process.announcements.members())
             .map(|member| (member.machine, member.capacity))
@@ -276,22 +306,3 @@
         shard_count,
     ))
 }
-
-/// Returns the shards that belong to the partitions of this process. The shards, sorted by name,
-/// are spread evenly over all partitions.
-fn shards_of_partitions(
-    shards: &BTreeSet<String>,
-    partitions: &BTreeSet<u32>,
-    all_partitions: u32,
-) -> BTreeSet<String> {
-    let is_assigned = |index: usize| {
-        let partition = index * all_partitions as usize / shards.len();
-        u32::try_from(partition).is_ok_and(|partition| partitions.contains(&partition))
-    };
-    shards
-        .iter()
-        .enumerate()
-        .filter(|(index, _)| is_assigned(*index))
-        .map(|(_, shard)| shard.clone())
-        .collect()
-}
