--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -93,7 +93,7 @@
     /// Result of the takeover until its records are restored.
     takeover: Option<Takeover>,
     worker_client: WorkerClient,
-    /// Client that the calls to workers share, for its count of bytes.
+    /// Client that the process's calls to workers and the store share, for its count of bytes.
     http_client: HttpClient,
     advice_service: Option<AdviceService>,
     /// Log for the next commit; `None` while a commit is under way.
--- a/crates/cyclamentrail/src/edge/owner/activity.rs
+++ b/crates/cyclamentrail/src/edge/owner/activity.rs
@@ -37,7 +37,7 @@
 pub(super) struct Activity {
     shard: String,
     window_start_ms: u64,
-    /// Body bytes of the process's calls to workers at the beginning of the window.
+    /// Body bytes of the process's calls to workers and the store at the beginning of the window.
     bytes_before: BodyBytes,
     counts: Counts,
 }
@@ -94,7 +94,7 @@
     }
 
     /// Writes the line of the window if the window is over; `bytes` are the body bytes of the
-    /// process's calls to workers so far.
+    /// process's calls to workers and the store so far.
     pub(super) fn write_if_due(&mut self, bytes: BodyBytes) {
         let now_ms = boot_ms();
         if now_ms.saturating_sub(self.window_start_ms) < WINDOW_MS {
