fix(placement): let restricted steps tell nothing about the room for others

Cause: a placement pass noted the demand of any step that found no worker as unplaceable, also when only the step's label, its limit of tasks a worker or its policy kept the workers away. Jobs of the same demand then waited as long as that step, on free workers. Change: a step that only some workers may run counts by itself; after a number of such failures a pass leaves the other steps of this kind to the next one. Jobs whose steps aren't ready yet, and passes without waiting jobs, cost nothing any more. Evidence: overload::spread_step_blocks_nobody fails on the code before (4 starts missing) and passes.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -153,6 +153,13 @@
     pub fn is_done(&self) -> bool {
         self.tasks.iter().all(|task| task.is_done)
     }
+
+    /// Returns whether a task isn't done and isn't placed on a worker.
+    #[must_use]
+    pub fn has_unplaced(&self) -> bool {
+        let is_unplaced = |task: &Task| !task.is_done && task.placement.is_none();
+        self.tasks.iter().any(is_unplaced)
+    }
 }
 
 /// Progress of one occurrence of a job.
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -15,6 +15,9 @@
 
 /// Number of distinct demands without room after which a placement pass ends.
 const MAX_UNPLACEABLE: usize = 12;
+/// Number of steps that only some workers may run, and found no room, after which a pass leaves the
+/// other steps of this kind to the next one.
+const MAX_RESTRICTED_FAILURES: u32 = 48;
 
 /// A step with tasks to place whose preceding steps are done.
 #[derive(Debug, Clone, Copy)]
@@ -24,6 +27,37 @@
     step: u32,
 }
 
+/// What a placement pass has found out so far.
+#[derive(Debug, Default)]
+struct PlacementPass {
+    /// Demands for which no worker has room.
+    unplaceable: Vec<Resources>,
+    /// Number of steps without room that only some workers may run. They tell nothing about the
+    /// room for other steps.
+    restricted_failures: u32,
+    /// Workers with long-running tasks.
+    pinned: BTreeSet<WorkerKey>,
+}
+
+impl PlacementPass {
+    /// Returns whether there is no need to look for a worker for a step.
+    fn is_hopeless(&self, is_restricted: bool, demand: &Resources) -> bool {
+        if is_restricted {
+            self.restricted_failures >= MAX_RESTRICTED_FAILURES
+        } else {
+            self.unplaceable.contains(demand)
+        }
+    }
+
+    fn record_failure(&mut self, is_restricted: bool, demand: Resources) {
+        if is_restricted {
+            self.restricted_failures += 1;
+        } else {
+            self.unplaceable.push(demand);
+        }
+    }
+}
+
 impl ReadyStep {
     const fn task(self, index: u32) -> TaskKey {
         TaskKey {
@@ -38,23 +72,22 @@
 impl Shard {
     /// Places waiting tasks in the order of their jobs' ranks.
     pub(super) fn place_tasks(&mut self, now: Now) {
-        if !self
-            .workers
-            .values()
-            .any(|worker| worker.accepts_tasks(now.boot_ms))
-        {
+        let mut waiting = self.waiting_jobs(now);
+        let accepts_tasks = |worker: &Worker| worker.accepts_tasks(now.boot_ms);
+        if waiting.is_empty() || !self.workers.values().any(accepts_tasks) {
             return;
         }
-        let mut waiting = self.waiting_jobs(now);
         waiting.sort_unstable();
-        let mut unplaceable: Vec<Resources> = Vec::new();
-        let mut pinned = self.workers_with_long_running();
+        let mut pass = PlacementPass {
+            pinned: self.workers_with_long_running(),
+            ..PlacementPass::default()
+        };
         for (_, key) in waiting {
             for ready_step in self.ready_steps(key) {
-                if unplaceable.len() >= MAX_UNPLACEABLE {
+                if pass.unplaceable.len() >= MAX_UNPLACEABLE {
                     return;
                 }
-                self.place_step(now, ready_step, &mut unplaceable, &mut pinned);
+                self.place_step(now, ready_step, &mut pass);
             }
         }
     }
@@ -64,14 +97,11 @@
         let rank = |&key: &JobKey| {
             let job = self.jobs.get(key)?;
             let route = self.routes.get(&job.route)?;
-            let has_unplaced = |occurrence: &Occurrence| {
-                occurrence
-                    .steps
-                    .iter()
-                    .flat_map(|step| &step.tasks)
-                    .any(|task| !task.is_done && task.placement.is_none())
+            let has_placeable = |occurrence: &Occurrence| {
+                let mut steps = occurrence.steps.iter().zip(&job.spec.steps);
+                steps.any(|(step, spec)| step.has_unplaced() && occurrence.is_step_ready(spec))
             };
-            if job.is_aborted() || !job.occurrences.iter().any(has_unplaced) {
+            if job.is_aborted() || !job.occurrences.iter().any(has_placeable) {
                 return None;
             }
             let first_due_ms = job
@@ -109,11 +139,7 @@
         let mut ready = Vec::new();
         for occurrence in &job.occurrences {
             for (step, spec) in (0_u32..).zip(&job.spec.steps) {
-                let progress = &occurrence.steps[step as usize];
-                let has_unplaced = progress
-                    .tasks
-                    .iter()
-                    .any(|task| !task.is_done && task.placement.is_none());
+                let has_unplaced = occurrence.steps[step as usize].has_unplaced();
                 if has_unplaced && occurrence.is_step_ready(spec) {
                     ready.push(ReadyStep {
                         job: key,
@@ -127,20 +153,25 @@
     }
 
     /// Places the waiting tasks of a step as far as there is room.
-    fn place_step(
-        &mut self,
-        now: Now,
-        ready_step: ReadyStep,
-        unplaceable: &mut Vec<Resources>,
-        pinned: &mut BTreeSet<WorkerKey>,
-    ) {
-        let Some(spec) = self.step_of(ready_step.task(0)).cloned() else {
+    fn place_step(&mut self, now: Now, ready_step: ReadyStep, pass: &mut PlacementPass) {
+        let Some(spec) = self.step_of(ready_step.task(0)) else {
             return;
         };
+        let is_restricted = spec.gang
+            || spec.required_label.is_some()
+            || spec.max_per_worker.is_some()
+            || self.is_advised(ready_step.job);
+        if pass.is_hopeless(is_restricted, &spec.reserved_resources()) {
+            return;
+        }
+        let spec = spec.clone();
         let granted = self.granted_workers(now, ready_step.task(0).into());
         if spec.gang {
-            if !self.place_gang(now, ready_step, &spec, granted.as_ref()) && granted.is_some() {
-                self.query_policy(now, ready_step.task(0).into());
+            if !self.place_gang(now, ready_step, &spec, granted.as_ref()) {
+                pass.record_failure(is_restricted, spec.reserved_resources());
+                if granted.is_some() {
+                    self.query_policy(now, ready_step.task(0).into());
+                }
             }
             return;
         }
@@ -154,21 +185,16 @@
             let mut request = PlacementRequest::from(&spec);
             request.preferred_rack = rack.as_ref();
             if spec.long_running {
-                *pinned = self.workers_with_long_running();
+                pass.pinned = self.workers_with_long_running();
             }
-            request.pinned_workers = Some(pinned);
+            request.pinned_workers = Some(&pass.pinned);
             request.same_step_counts = Some(&per_worker);
             request.granted_workers = granted.as_ref();
-            let is_unrestricted = request.required_label.is_none() && granted.is_none();
-            if unplaceable.contains(&request.demand) && is_unrestricted {
-                return;
-            }
             let open = self.open_workers(now, &spec, &per_worker);
             let Some(worker) = select_worker(&request, open) else {
+                pass.record_failure(is_restricted, spec.reserved_resources());
                 if granted.is_some() {
                     self.query_policy(now, key.into());
-                } else {
-                    unplaceable.push(request.demand);
                 }
                 return;
             };
@@ -301,9 +327,8 @@
         per_worker: &'a BTreeMap<WorkerKey, u32>,
     ) -> impl Iterator<Item = (WorkerKey, &'a Worker)> {
         self.workers.iter().filter(move |(key, worker)| {
-            let count = per_worker.get(key).copied().unwrap_or(0);
-            worker.accepts_tasks(now.boot_ms)
-                && spec.max_per_worker.is_none_or(|limit| count < limit)
+            let is_below_limit = |limit| per_worker.get(key).copied().unwrap_or(0) < limit;
+            worker.accepts_tasks(now.boot_ms) && spec.max_per_worker.is_none_or(is_below_limit)
         })
     }
 
--- a/crates/cyclamentrail-jobs/tests/scheduler/overload.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/overload.rs
@@ -1,6 +1,7 @@
 //! Tests with more work than the workers can do.
 
 use crate::world::{Simulation, job};
+use cyclamentrail_core::JobId;
 use cyclamentrail_jobs::{
     Admission, AdmissionRequest, Backlog, CallerReply, JobState, Resources, admit,
 };
@@ -96,3 +97,18 @@
         assert_eq!(sim.state("late"), Some(JobState::Running));
     }
 }
+
+/// A step that spreads its tasks over workers finds no further worker, while there is room for other
+/// jobs: these used to wait as long as the first one did.
+#[test]
+fn spread_step_blocks_nobody() {
+    let mut sim = Simulation::new(2, WORKER);
+    let mut spread = job(6, 1_800, 2_000);
+    spread.steps[0].max_per_worker = Some(1);
+    sim.submit("spread", spread);
+    sim.run_for(100);
+    sim.submit("other", job(4, 1_800, 3_000));
+    sim.run_for(200);
+    assert_eq!(sim.starts[&JobId::from("spread")], 2);
+    assert_eq!(sim.starts.get(&JobId::from("other")), Some(&4));
+}
