perf(owner): run one scheduling round for the events of a few milliseconds

Cause: the owner ran a whole round, which looks at all workers and jobs, after each message. Measured with a turn of 200 jobs a second on 243 workers in virtual time (a profile, release build): 52,000 rounds for 9,600 starts, 191 us a start for placement alone, some 340 us for all decisions. Change: rounds are at least 4 ms apart; messages that arrive meanwhile are handled together. The line owner_activity tells the number of rounds and the time that rounds and messages took. Ruled out: the encoding of commits (1% of the profile).

--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -43,6 +43,9 @@
 const LEASE_PERCENT: u64 = 75;
 /// Divisor of the lease: a worker may wait for this part of it before it responds to a poll.
 const POLL_WAIT_DIVISOR: u64 = 4;
+/// Shortest time between two rounds. A round looks at all jobs and workers of the service, so one
+/// round covers the events of a short time.
+const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(4);
 /// Time for which a final job's state is kept beyond the time that the platform requires, in
 /// milliseconds.
 const EXTRA_KEEP_MS: u64 = 10_000;
@@ -190,7 +193,7 @@
     }
 
     /// Runs the shard until the ownership ends: handles messages and changes in the store, and
-    /// carries out what is due in each round.
+    /// carries out what is due in each round. Rounds are at least [`MIN_ROUND_INTERVAL`] apart.
     async fn serve(
         &mut self,
         receiver: &mut mpsc::UnboundedReceiver<OwnerMessage>,
@@ -200,6 +203,7 @@
     ) {
         let mut last_commit = Instant::now();
         while !self.has_ended {
+            let round_start = Instant::now();
             self.activity.write_if_due(self.http_client.body_bytes());
             self.end_expired_evacuations();
             self.reject_unsent_in_outage();
@@ -207,6 +211,7 @@
             self.carry_out_ready();
             self.send_held_starts();
             let wait = self.start_due_commit(&mut last_commit);
+            self.activity.record_round(round_start.elapsed());
             tokio::select! {
                 message = receiver.recv() => match message {
                     Some(message) => self.handle_message(message),
@@ -220,9 +225,12 @@
                 Ok(()) = operators.changed() => self.apply_operator_state(&operators.borrow_and_update()),
                 () = tokio::time::sleep(wait) => {}
             }
+            tokio::time::sleep_until(round_start + MIN_ROUND_INTERVAL).await;
+            let handling_start = Instant::now();
             while let Ok(message) = receiver.try_recv() {
                 self.handle_message(message);
             }
+            self.activity.record_handling(handling_start.elapsed());
         }
     }
 
--- a/crates/cyclamentrail/src/edge/owner/activity.rs
+++ b/crates/cyclamentrail/src/edge/owner/activity.rs
@@ -14,6 +14,11 @@
 /// Counts of one window.
 #[derive(Debug, Default)]
 struct Counts {
+    rounds: u32,
+    /// Time that the rounds took.
+    deciding: Duration,
+    /// Time that the handling of messages took.
+    handling: Duration,
     accepted: u32,
     rejected_overload: u32,
     rejected_other: u32,
@@ -53,6 +58,17 @@
         }
     }
 
+    /// Counts a scheduling round and the time that it took.
+    pub(super) fn record_round(&mut self, duration: Duration) {
+        self.counts.rounds += 1;
+        self.counts.deciding += duration;
+    }
+
+    /// Counts the time that the messages between two rounds took.
+    pub(super) fn record_handling(&mut self, duration: Duration) {
+        self.counts.handling += duration;
+    }
+
     /// Counts a decision.
     pub(super) const fn record_decision(&mut self, decision: &Decision) {
         match decision {
@@ -111,6 +127,9 @@
         }
         log::info!(
             shard = self.shard, window_ms,
+            rounds = counts.rounds,
+            deciding_ms = whole_ms(counts.deciding),
+            handling_ms = whole_ms(counts.handling),
             accepted = counts.accepted,
             rejected_overload = counts.rejected_overload,
             rejected_other = counts.rejected_other,
