fix(membership): give no member more than its even share of the shards

Cause: each shard went to the holder of one partition of the group, so that by chance one process held several shards while others held none. No test in separate processes shows it yet.

--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -58,8 +58,7 @@
         if let (Some(configuration), Some(connected_ms)) =
             (process.configuration(), group.connected_ms())
         {
-            let assigned =
-                group.assigned_shards(all_shards(&configuration), process.settings.partitions);
+            let assigned = group.assigned_shards(&process, &all_shards(&configuration));
             shards
                 .take_over_assigned(&process, connected_ms, assigned)
                 .await;
--- a/crates/cyclamentrail/src/edge/membership/group.rs
+++ b/crates/cyclamentrail/src/edge/membership/group.rs
@@ -7,7 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cyclamentrail_jobs::{OwnerCapacity, leaves_shards_to_others};
+use cyclamentrail_jobs::{
+    OwnerCapacity, leaves_shards_to_others, shards_of_member, shards_of_partitions,
+};
 use tokio::time::Instant;
 
 use super::{MemberName, all_shards};
@@ -29,6 +31,8 @@
 /// Time after a change of the group in which its new members receive their partitions, in
 /// milliseconds: the others give them up when they join the next time.
 const SETTLE_MS: u64 = 1_500;
+/// Time limit for reading who holds the partitions before assigned shards are taken over.
+const HOLDERS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time between two looks at the group's members while this process leaves the shards to them.
 const WATCH_INTERVAL: Duration = Duration::from_millis(800);
 /// Time for which larger members must be missing before a process joins the group again, in
@@ -59,6 +63,8 @@
     generation: u64,
     /// Partitions that are assigned to this process.
     partitions: BTreeSet<u32>,
+    /// Member that holds each partition, as it was last read.
+    holders: BTreeMap<u32, String>,
     /// Boot time in milliseconds since which the store has responded without a failure.
     connected_ms: Option<u64>,
     /// Whether this process takes part in the group.
@@ -79,6 +85,7 @@
         Self {
             generation: 0,
             partitions: BTreeSet::new(),
+            holders: BTreeMap::new(),
             connected_ms: None,
             role: Role::Member,
             changed_ms: 0,
@@ -88,24 +95,23 @@
         }
     }
 
-    /// Returns the shards that belong to the partitions of this process. The shards, sorted by name,
-    /// are spread evenly over all partitions.
+    /// Returns the shards that are assigned to this process: its part of the even spread over all
+    /// members, or those of its own partitions while it doesn't know the other members.
     pub(super) fn assigned_shards(
         &self,
-        shards: BTreeSet<String>,
-        all_partitions: u32,
+        process: &ProcessState,
+        shards: &BTreeSet<String>,
     ) -> BTreeSet<String> {
-        let shard_count = shards.len();
-        let is_assigned = |index: usize| {
-            let partition = index * all_partitions as usize / shard_count;
-            u32::try_from(partition).is_ok_and(|partition| self.partitions.contains(&partition))
-        };
-        shards
-            .into_iter()
-            .enumerate()
-            .filter(|(index, _)| is_assigned(*index))
-            .map(|(_, shard)| shard)
-            .collect()
+        let own_name = process.member_name().to_string();
+        let all_partitions = process.settings.partitions;
+        let own_held = self.holders.iter().filter(|(_, name)| **name == own_name);
+        let are_holders_current = own_held
+            .map(|(partition, _)| partition)
+            .eq(&self.partitions);
+        if are_holders_current {
+            return shards_of_member(shards, &self.holders, all_partitions, &own_name);
+        }
+        shards_of_partitions(shards, &self.partitions, all_partitions)
     }
 
     /// Returns the boot time in milliseconds since which the store has responded without a failure;
@@ -135,6 +141,10 @@
         // Only a process that may be among the small ones looks before it takes over shards.
         if self.may_be_smaller || Self::is_larger_announced(process) {
             self.review_members(process).await;
+        } else if is_rebalanced {
+            // A store that is slow mustn't hold up takeovers.
+            let read = self.read_capacities(process);
+            drop(tokio::time::timeout(HOLDERS_TIMEOUT, read).await);
         }
         if is_rebalanced {
             CHANGE_INTERVAL
@@ -238,18 +248,22 @@
     /// themselves; `None` if the store doesn't tell.
     async fn read_capacities(&mut self, process: &ProcessState) -> Option<Vec<OwnerCapacity>> {
         let sent = Instant::now();
-        let members = process.store.group_members(OWNER_GROUP).await;
-        metrics::count_store_call("members", members.is_ok(), sent.elapsed());
-        let listed = match members {
-            Ok(members) => members,
+        let holders = process
+            .store
+            .partition_holders(OWNER_GROUP, PARTITION_TOPIC)
+            .await;
+        metrics::count_store_call("members", holders.is_ok(), sent.elapsed());
+        match holders {
+            Ok(holders) => self.holders = holders,
             Err(error) => {
                 log::debug!(error:% = error; "members_not_read");
                 self.connected_ms = None;
                 return None;
             }
-        };
+        }
         self.connected_ms.get_or_insert_with(boot_ms);
-        let listed = listed.iter().filter_map(|name| MemberName::parse(name));
+        let listed = self.holders.values();
+        let listed = listed.filter_map(|name| MemberName::parse(name));
         let by_machine: BTreeMap<String, OwnerCapacity> = listed
             .chain(process.announcements.members())
             .map(|member| (member.machine, member.capacity))
