feat(relay): send an owner's calls to workers through other processes

Change: processes that own nothing list themselves in a second consumer group. Where a service has 24 workers or more, its owner spreads them over some of these, within the availability zone where it can, and sends batches over one streamed request for each relay. A relay sends the calls under the owner's fencing token and reports the outcomes in batches. A batch carries until when its starts and other calls may be sent, on the relay's own boot clock; later ones are reported as expired. A relay that is silent for 800 ms, or holds an outcome back, is lost: its commands are unknown, its workers are called directly or by another relay, and nobody blames the workers. Tests: relays (pure), jobs_relayed in separate processes: relays killed, suspended with batches, stopped in order, owner killed with calls under way. The stand-in of the store knows several groups.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cyclamentrail_core::{JobId, WorkerId};
+use serde::{Deserialize, Serialize};
 
 use crate::grants::StepKey;
 use crate::job::{JobState, TaskKey};
@@ -66,7 +67,7 @@
 }
 
 /// Address and identity of the worker that a call is sent to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerTarget {
     /// Key of the worker in the shard.
     pub key: WorkerKey,
@@ -79,7 +80,7 @@
 }
 
 /// Command to start a run of a task.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartCommand {
     /// Worker that the command is sent to.
     pub target: WorkerTarget,
@@ -101,7 +102,7 @@
 }
 
 /// Command to stop a run of a task.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StopCommand {
     /// Worker that the command is sent to.
     pub target: WorkerTarget,
@@ -114,7 +115,7 @@
 }
 
 /// Command that sets the processor share of a best-effort task.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CpuShareCommand {
     /// Worker that the command is sent to.
     pub target: WorkerTarget,
@@ -129,7 +130,7 @@
 }
 
 /// Poll of a worker, which renews its lease and fetches its running tasks and ended runs.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerPoll {
     /// Worker that is polled.
     pub target: WorkerTarget,
@@ -358,7 +359,7 @@
 }
 
 /// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndKind {
     /// The run completed the task.
     Done,
@@ -390,7 +391,7 @@
 }
 
 /// Identifies a run in a worker's report.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRunId {
     /// Id of the job.
     pub job: JobId,
@@ -405,7 +406,7 @@
 }
 
 /// Run that a worker reports as executing.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ActiveRun {
     /// Identity of the run.
     pub id: TaskRunId,
@@ -419,7 +420,7 @@
 }
 
 /// Ended run that a worker reports until it is acknowledged.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRun {
     /// Sequence number of the entry, which counts the ended runs of this incarnation of the
     /// worker.
@@ -433,7 +434,7 @@
 }
 
 /// Response of a worker to a poll.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// Start time of the incarnation that responded, as Unix time in milliseconds, if the response
     /// has one.
@@ -447,7 +448,7 @@
 }
 
 /// Outcome of a command to a worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CommandOutcome {
     /// The worker carried out the command; with a reading of its clock in milliseconds, if the
     /// response has one.
@@ -464,10 +465,16 @@
     NoResponse,
     /// The command wasn't sent, so that it is never carried out.
     NotSent,
+    /// The command was given to a relay that was too late to send it, so that it is never carried
+    /// out. Tells nothing about the worker.
+    Expired,
+    /// The command was given to a relay that has been lost; the worker may have carried it out, or
+    /// may still do so. Tells nothing about the worker.
+    RelayLost,
 }
 
 /// Reason for which a worker rejected a command.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CommandRejection {
     /// The command's fencing token is lower than one that the worker has seen.
     StaleToken,
@@ -484,7 +491,7 @@
 }
 
 /// Outcome of a worker poll.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PollOutcome {
     /// The worker responded.
     Report(WorkerReport),
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cyclamentrail_core::{JobId, RouteName};
+use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
 use crate::worker::WorkerKey;
@@ -49,7 +50,7 @@
 }
 
 /// Identifies a task of a job in its shard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskKey {
     /// Key of the job.
     pub job: JobKey,
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -29,6 +29,7 @@
 mod owner_capacity;
 mod ranking;
 mod record;
+mod relays;
 mod resources;
 mod route;
 mod selection;
@@ -62,6 +63,7 @@
     AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
     ProgressRecord, RELEASE_KEY, RecordError, ReleaseRecord, TaskRecord, decode, encode,
 };
+pub use relays::{MIN_RELAYED_WORKERS, Relay, RelaySpread, RelayedWorker, spread_workers};
 pub use resources::Resources;
 pub use route::{AdviceConfig, RouteConfig};
 pub use selection::{PlacementRequest, select_worker};
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -49,7 +49,13 @@
                 self.mark_unreachable(now, placement.worker);
                 self.release(key, Some(EndProof::NeverSent));
             }
-            CommandOutcome::NoResponse | CommandOutcome::NotSent => {
+            CommandOutcome::Expired if !placement.may_start_late => {
+                self.release(key, Some(EndProof::NeverSent));
+            }
+            CommandOutcome::NoResponse
+            | CommandOutcome::NotSent
+            | CommandOutcome::Expired
+            | CommandOutcome::RelayLost => {
                 self.mark_may_start_late(key);
                 self.schedule_resend(now.boot_ms + START_RETRY_MS, key, run);
             }
@@ -79,7 +85,11 @@
                 self.set_phase(key, confirmed);
             }
             CommandOutcome::OtherIncarnation => self.handle_other_incarnation(placement.worker),
-            CommandOutcome::Unhealthy | CommandOutcome::NoResponse | CommandOutcome::NotSent => {
+            CommandOutcome::Unhealthy
+            | CommandOutcome::NoResponse
+            | CommandOutcome::NotSent
+            | CommandOutcome::Expired
+            | CommandOutcome::RelayLost => {
                 self.schedule_resend(now.boot_ms + STOP_RETRY_MS, key, run);
             }
         }
--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -1,4 +1,4 @@
-//! The platform's store: topics of keyed records with fencing epochs, and one consumer group.
+//! The platform's store: topics of keyed records with fencing epochs, and consumer groups.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -20,11 +20,12 @@
 
 use crate::Served;
 
+mod group;
+
+use group::Group;
+
 /// Number of partitions of each topic that are assigned to group members, unless it is set.
 const PARTITIONS: u32 = 24;
-/// Time after which a new group member holds partitions; the other members have to join once more
-/// before.
-const HAND_OVER: Duration = Duration::from_millis(300);
 /// Most items on a page of newest records.
 const PAGE_ITEMS: usize = 500;
 
@@ -47,16 +48,10 @@
 #[derive(Debug, Default)]
 struct StoreState {
     topics: HashMap<String, Topic>,
-    /// Group members by name.
-    members: BTreeMap<String, GroupMember>,
-    /// Time without a join call after which a member is removed; set by the latest join call.
-    member_ttl: Duration,
-    /// Topics whose partitions the group assigns; set by the latest join call.
-    group_topics: Vec<String>,
+    /// Consumer groups by name.
+    groups: HashMap<String, Group>,
     /// Number of partitions of each topic.
     partitions: u32,
-    /// Number of changes of the group's members.
-    generation: u64,
     /// Topics whose reads are rejected.
     unreadable: HashSet<String>,
 }
@@ -162,46 +157,6 @@
     }
 }
 
-/// Times of a group member's join calls.
-#[derive(Debug, Clone, Copy)]
-struct GroupMember {
-    first_join: Instant,
-    last_join: Instant,
-}
-
-/// Partition that a group member holds.
-struct Assignment<'a> {
-    topic: &'a str,
-    partition: u32,
-    member: &'a str,
-}
-
-impl StoreState {
-    /// Removes the members whose time to live has passed.
-    fn remove_expired(&mut self) {
-        let (count, ttl) = (self.members.len(), self.member_ttl);
-        self.members
-            .retain(|_, member| member.last_join.elapsed() < ttl);
-        self.generation += u64::from(self.members.len() < count);
-    }
-
-    /// Returns the partitions of the group's topics with their members: round-robin over the sorted
-    /// members.
-    fn assignments(&self) -> impl Iterator<Item = Assignment<'_>> {
-        let partitions = self
-            .group_topics
-            .iter()
-            .flat_map(|topic| (0..self.partitions).map(move |partition| (topic, partition)));
-        partitions
-            .zip(self.members.keys().cycle())
-            .map(|((topic, partition), member)| Assignment {
-                topic,
-                partition,
-                member,
-            })
-    }
-}
-
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, StoreState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -406,6 +361,8 @@
 /// Body of a join or leave call.
 #[derive(Debug, Deserialize)]
 struct MemberBody {
+    #[serde(default)]
+    group: String,
     #[serde(rename = "Member")]
     member: String,
     #[serde(rename = "Topics", default)]
@@ -414,38 +371,38 @@
     ttl_ms: u64,
 }
 
-/// Adds a member to the group or renews the membership, and returns the member's partitions.
+/// Adds a member to a group or renews the membership, and returns the member's partitions.
 async fn join(State(shared): State<Arc<Shared>>, Json(body): Json<MemberBody>) -> Json<Value> {
     let mut state = shared.lock();
-    state.member_ttl = Duration::from_millis(body.ttl_ms);
-    state.remove_expired();
-    let now = Instant::now();
-    let is_new = !state.members.contains_key(&body.member);
-    state.generation += u64::from(is_new);
-    let member = state.members.entry(body.member.clone());
-    member
-        .or_insert(GroupMember {
-            first_join: now,
-            last_join: now,
-        })
-        .last_join = now;
-    state.group_topics = body.topics;
-    let partitions: Vec<Value> = state
-        .assignments()
+    let all_partitions = state.partitions;
+    let group = state.groups.entry(body.group).or_default();
+    let ttl = Duration::from_millis(body.ttl_ms);
+    let generation = group.join(&body.member, body.topics, ttl);
+    let partitions: Vec<Value> = group
+        .assignments(all_partitions)
         .filter(|assignment| assignment.member == body.member)
         .map(|assignment| json!([assignment.topic, assignment.partition, 0]))
         .collect();
-    Json(json!({"Generation": state.generation, "parts": partitions}))
+    Json(json!({"Generation": generation, "parts": partitions}))
+}
+
+#[derive(Debug, Deserialize)]
+struct OwnersQuery {
+    #[serde(default)]
+    group: String,
 }
 
-/// Returns the partitions with the members that hold them; those of a new member are listed after
-/// [`HAND_OVER`].
-async fn owners(State(shared): State<Arc<Shared>>) -> Json<Value> {
+/// Returns the partitions of a group with the members that hold them.
+async fn owners(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<OwnersQuery>,
+) -> Json<Value> {
     let mut state = shared.lock();
-    state.remove_expired();
-    let rows: Vec<Value> = state
-        .assignments()
-        .filter(|held| state.members[held.member].first_join.elapsed() >= HAND_OVER)
+    let all_partitions = state.partitions;
+    let group = state.groups.entry(query.group).or_default();
+    group.remove_expired();
+    let rows: Vec<Value> = group
+        .listed(all_partitions)
         .map(|held| json!([held.topic, held.partition, held.member, 0]))
         .collect();
     Json(json!({"parts": rows}))
@@ -453,8 +410,10 @@
 
 async fn leave(State(shared): State<Arc<Shared>>, Json(body): Json<MemberBody>) -> Json<Value> {
     let mut state = shared.lock();
-    if state.members.remove(&body.member).is_some() {
-        state.generation += 1;
-    }
+    state
+        .groups
+        .entry(body.group)
+        .or_default()
+        .leave(&body.member);
     Json(json!({}))
 }
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -35,6 +35,7 @@
 mod owner;
 mod peers;
 mod process_state;
+mod relay;
 mod start_queues;
 mod takeover;
 mod topic_reader;
@@ -159,6 +160,7 @@
         tokio::spawn(operator_topic::follow(Arc::clone(&process)));
         tokio::spawn(claims::follow(Arc::clone(&process)));
         tokio::spawn(worker_registry::follow(Arc::clone(&process)));
+        let relay_task = tokio::spawn(relay::maintain(Arc::clone(&process)));
         let membership_task = tokio::spawn(membership::maintain(Arc::clone(&process), all_stopped));
 
         stop.await;
@@ -173,6 +175,7 @@
         drop(tokio::time::timeout_at(end, front).await);
         all_stop.send_replace(true);
         drop(tokio::time::timeout_at(end, membership_task).await);
+        drop(tokio::time::timeout_at(end, relay_task).await);
     }
 }
 
--- a/crates/cyclamentrail/src/edge/confirmation.rs
+++ b/crates/cyclamentrail/src/edge/confirmation.rs
@@ -35,6 +35,12 @@
         boot_ms().saturating_sub(self.confirmed_ms.load(Ordering::Relaxed))
     }
 
+    /// Returns for how long what was confirmed may be relied on, in milliseconds.
+    pub(crate) fn remaining_ms(&self) -> u64 {
+        let valid_ms = u64::try_from(self.valid.as_millis()).unwrap_or(u64::MAX);
+        valid_ms.saturating_sub(self.age_ms())
+    }
+
     /// Extends the confirmation: `sent_ms` is when the confirmed call was sent, so that the time
     /// until its response doesn't count.
     pub(crate) fn confirm(&self, sent_ms: u64) {
--- a/crates/cyclamentrail/src/edge/internal.rs
+++ b/crates/cyclamentrail/src/edge/internal.rs
@@ -15,6 +15,7 @@
 use super::owner::OwnerMessage;
 use super::peers::OWNER_CALL_PATH;
 use super::process_state::ProcessState;
+use super::relay::{RELAY_PATH, accept_session};
 use crate::metrics;
 
 /// Longest time to wait for the local owner of a shard to end.
@@ -24,6 +25,7 @@
 pub(crate) fn router(process: Arc<ProcessState>) -> Router {
     Router::new()
         .route(OWNER_CALL_PATH, post(handle_peer_call))
+        .route(RELAY_PATH, post(accept_session))
         .with_state(process)
 }
 
--- a/crates/cyclamentrail/src/edge/operator_views.rs
+++ b/crates/cyclamentrail/src/edge/operator_views.rs
@@ -15,6 +15,7 @@
 
 use super::internal::{call_local_owner, call_owner};
 use super::messages::{OwnerCall, OwnerRequest, Reply};
+use super::owner::RelayLinkView;
 use super::process_state::ProcessState;
 
 /// Time limit of a request to an owner.
@@ -31,6 +32,9 @@
     pub(crate) jobs: BTreeMap<String, u64>,
     /// Workers of the shard.
     pub(crate) workers: Vec<WorkerView>,
+    /// Relays of the shard's calls, by the addresses of their internal listeners.
+    #[serde(default)]
+    pub(crate) relays: BTreeMap<String, RelayLinkView>,
 }
 
 /// State of a worker, as its owner knows it.
@@ -125,7 +129,12 @@
 }
 
 /// Describes the workers of a shard and counts its jobs by state.
-pub(super) fn describe_shard(shard: &Shard, token: u64, confirmed_age_ms: u64) -> ShardView {
+pub(super) fn describe_shard(
+    shard: &Shard,
+    token: u64,
+    confirmed_age_ms: u64,
+    relays: BTreeMap<String, RelayLinkView>,
+) -> ShardView {
     let mut jobs: BTreeMap<String, u64> = BTreeMap::new();
     for job in shard.jobs() {
         *jobs.entry(job.state().as_str().to_owned()).or_default() += 1;
@@ -144,6 +153,7 @@
         confirmed_age_ms,
         jobs,
         workers: workers.collect(),
+        relays,
     }
 }
 
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -7,7 +7,7 @@
 
 use cyclamentrail_adapter::{AdviceService, HttpClient, WorkerClient};
 use cyclamentrail_core::{ServiceName, WorkerId};
-use cyclamentrail_jobs::{CallerId, Shard, ShardTiming};
+use cyclamentrail_jobs::{CallerId, Relay, RelayedWorker, Shard, ShardTiming};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -17,6 +17,7 @@
 use super::decision_log::DecisionLog;
 use super::messages::{FLEET_SHARD, Reply};
 use super::process_state::{KnownOwner, OperatorState, ProcessState, RegisteredWorkers};
+use super::relay::SessionEvent;
 use super::start_queues::StartQueues;
 use super::takeover::{Takeover, take_over};
 use crate::metrics;
@@ -25,12 +26,16 @@
 mod commits;
 mod effects;
 mod message;
+mod relay_links;
 mod requests;
+mod worker_calls;
 
 use activity::Activity;
 pub(crate) use message::OwnerMessage;
-use message::{PollResult, StartResult};
+pub(crate) use relay_links::RelayLinkView;
+use relay_links::RelayLinks;
 pub(crate) use requests::EVACUATION_LEASE;
+use worker_calls::WorkerCalls;
 
 /// Time limit of a call to a worker, beyond the time that the worker may wait before it responds.
 pub(super) const WORKER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -95,7 +100,9 @@
     shard: Shard,
     /// Result of the takeover until its records are restored.
     takeover: Option<Takeover>,
-    worker_client: WorkerClient,
+    worker_calls: WorkerCalls,
+    /// Processes that relay calls.
+    relays: watch::Receiver<Arc<Vec<Relay>>>,
     /// Client that the process's calls to workers and the store share, for its count of bytes.
     http_client: HttpClient,
     advice_service: Option<AdviceService>,
@@ -143,19 +150,25 @@
         let confirmation = Confirmation::new(takeover.confirmed_ms, OWNERSHIP_VALID);
         process.set_confirmation(shard, confirmation.clone());
         let commit_log = CommitLog::new(process, &takeover, confirmation.clone());
+        let token = takeover.token;
+        let worker_calls = WorkerCalls::new(
+            WorkerClient::new(process.http_client.clone(), token, WORKER_TIMEOUT),
+            WORKER_TIMEOUT,
+            confirmation.clone(),
+            process.registry_confirmation.clone(),
+            RelayLinks::new(process.relay_client.clone(), shard, token, sender.clone()),
+            sender.clone(),
+        );
         Self {
-            worker_client: WorkerClient::new(
-                process.http_client.clone(),
-                takeover.token,
-                WORKER_TIMEOUT,
-            ),
+            worker_calls,
+            relays: process.relays.subscribe(),
             http_client: process.http_client.clone(),
             advice_service: process.settings.advice_service.map(|address| {
                 AdviceService::new(process.http_client.clone(), address, ADVICE_TIMEOUT)
             }),
             service: ServiceName::from(shard),
             shard: Shard::new(timing),
-            token: takeover.token,
+            token,
             takeover: Some(takeover),
             commit_log: Some(Box::new(commit_log)),
             committing_since: Instant::now(),
@@ -210,7 +223,12 @@
             self.shard.advance(now());
             self.carry_out_ready();
             self.send_held_starts();
+            self.maintain_relays();
             let wait = self.start_due_commit(&mut last_commit);
+            let wait = self
+                .worker_calls
+                .send_batches()
+                .map_or(wait, |due| due.min(wait));
             self.activity.record_round(round_start.elapsed());
             tokio::select! {
                 message = receiver.recv() => match message {
@@ -242,15 +260,17 @@
                 self.handle_request(request, reply);
                 false
             }
-            OwnerMessage::StartResult(result) => self.handle_start_result(&result),
-            OwnerMessage::StopResult(task, run, outcome) => {
-                metrics::count_worker_command("stop", &outcome);
-                self.shard.handle_stop_result(now(), task, run, &outcome)
+            OwnerMessage::CallResult(result) => {
+                let finished = self.worker_calls.finish(result);
+                self.handle_finished_calls(finished)
             }
-            OwnerMessage::PollResult(result) => self.handle_poll_result(result),
-            OwnerMessage::CpuShareResult(task, run, is_done) => {
-                self.shard.handle_cpu_share_result(task, run, is_done);
-                false
+            OwnerMessage::Relay(relay, SessionEvent::Report(report)) => {
+                let finished = self.worker_calls.finish_reported(relay, report);
+                self.handle_finished_calls(finished)
+            }
+            OwnerMessage::Relay(relay, SessionEvent::Ended) => {
+                let finished = self.worker_calls.finish_lost(relay);
+                self.handle_finished_calls(finished)
             }
             OwnerMessage::AdviceResult(query, outcome) => {
                 self.shard.handle_advice_result(now(), &query, outcome);
@@ -271,32 +291,16 @@
         }
     }
 
-    /// Handles the outcome of a start command, and sends the next ones to its worker; returns
-    /// whether the worker has seen a higher fencing token.
-    fn handle_start_result(&mut self, result: &StartResult) -> bool {
-        self.start_queues.finish_start(result.worker);
-        metrics::count_worker_command("start", &result.outcome);
-        metrics::record_worker_call("start", result.duration);
-        self.activity
-            .record_start_result(&result.outcome, result.duration);
-        let is_fenced =
-            self.shard
-                .handle_start_result(now(), result.task, result.run, &result.outcome);
-        self.send_starts(result.worker);
-        is_fenced
-    }
-
-    /// Handles the outcome of a poll; returns whether the worker has seen a higher fencing token.
-    fn handle_poll_result(&mut self, result: PollResult) -> bool {
-        metrics::record_worker_call("poll", result.duration);
-        self.activity
-            .record_poll_result(&result.outcome, result.duration);
-        self.shard.handle_poll_result(
-            now(),
-            result.worker,
-            result.durable_sequence,
-            result.outcome,
-        )
+    /// Gives up relays that are lost, and spreads the workers over the others.
+    fn maintain_relays(&mut self) {
+        let finished = self.worker_calls.finish_overdue();
+        if self.handle_finished_calls(finished) {
+            self.has_ended = true;
+        }
+        let relays = Arc::clone(&self.relays.borrow());
+        let shard = &self.shard;
+        self.worker_calls
+            .review_relays(&relays, || relayed_workers(shard));
     }
 
     /// Sets the configuration of the routes that belong to the service of the shard.
@@ -340,3 +344,15 @@
         self.known_workers = Arc::clone(workers);
     }
 }
+
+/// Returns the listed workers of a shard.
+fn relayed_workers(shard: &Shard) -> Vec<RelayedWorker> {
+    shard
+        .workers()
+        .filter(|worker| worker.is_registered)
+        .map(|worker| RelayedWorker {
+            id: worker.registration.id.clone(),
+            zone: worker.registration.zone.clone(),
+        })
+        .collect()
+}
--- a/crates/cyclamentrail/src/edge/owner/activity.rs
+++ b/crates/cyclamentrail/src/edge/owner/activity.rs
@@ -19,6 +19,10 @@
     deciding: Duration,
     /// Time that the handling of messages took.
     handling: Duration,
+    /// Calls to workers that the owner sent itself.
+    direct_calls: u32,
+    /// Calls to workers that were given to relays.
+    relayed_calls: u32,
     accepted: u32,
     rejected_overload: u32,
     rejected_other: u32,
@@ -69,6 +73,12 @@
         self.counts.handling += duration;
     }
 
+    /// Counts a call to a worker.
+    pub(super) fn record_call(&mut self, is_relayed: bool) {
+        self.counts.relayed_calls += u32::from(is_relayed);
+        self.counts.direct_calls += u32::from(!is_relayed);
+    }
+
     /// Counts a decision.
     pub(super) const fn record_decision(&mut self, decision: &Decision) {
         match decision {
@@ -130,6 +140,8 @@
             rounds = counts.rounds,
             deciding_ms = whole_ms(counts.deciding),
             handling_ms = whole_ms(counts.handling),
+            direct_calls = counts.direct_calls,
+            relayed_calls = counts.relayed_calls,
             accepted = counts.accepted,
             rejected_overload = counts.rejected_overload,
             rejected_other = counts.rejected_other,
--- a/crates/cyclamentrail/src/edge/owner/effects.rs
+++ b/crates/cyclamentrail/src/edge/owner/effects.rs
@@ -1,18 +1,14 @@
-//! Carries out the effects that a shard decides on. Calls run in tasks of their own, which send
-//! their outcome to the owner as a message.
-
-use std::time::Duration;
+//! Carries out the effects that a shard decides on, and hands the outcomes back to it.
 
 use cyclamentrail_jobs::{
-    AdviceOutcome, AdviceQuery, CallerId, CallerReply, CommandOutcome, CpuShareCommand, Decision,
-    Effect, PollOutcome, StopCommand, WorkerKey, WorkerPoll,
+    AdviceOutcome, AdviceQuery, CallerId, CallerReply, Decision, Effect, WorkerKey,
 };
 
-use tokio::time::Instant;
-
-use super::{Owner, OwnerMessage, PollResult, StartResult};
+use super::worker_calls::{CallPurpose, FinishedCall};
+use super::{Owner, OwnerMessage};
 use crate::edge::clocks::now;
 use crate::edge::messages::Reply;
+use crate::edge::relay::{CallOutcome, WorkerCall};
 use crate::metrics;
 
 impl Owner {
@@ -34,9 +30,9 @@
                         changed_workers.push(worker);
                     }
                 }
-                Effect::Stop(command) => self.send_stop(command),
-                Effect::Poll(poll) => self.send_poll(poll),
-                Effect::SetCpuShare(command) => self.send_cpu_share(command),
+                Effect::Stop(command) => self.send_call(WorkerCall::Stop(command)),
+                Effect::Poll(poll) => self.send_call(WorkerCall::Poll(poll)),
+                Effect::SetCpuShare(command) => self.send_call(WorkerCall::SetCpuShare(command)),
                 Effect::QueryPolicy(query) => self.query_policy(query),
                 Effect::Log(decision) => self.record_decision(decision),
             }
@@ -48,30 +44,9 @@
         }
     }
 
-    fn send_stop(&self, command: StopCommand) {
-        let (sender, worker_client) = (self.sender.clone(), self.worker_client.clone());
-        let confirmation = self.confirmation.clone();
-        tokio::spawn(async move {
-            let outcome = if confirmation.is_valid() {
-                worker_client.stop(&command).await
-            } else {
-                CommandOutcome::NotSent
-            };
-            drop(sender.send(OwnerMessage::StopResult(command.task, command.run, outcome)));
-        });
-    }
-
-    fn send_cpu_share(&self, command: CpuShareCommand) {
-        let (sender, worker_client) = (self.sender.clone(), self.worker_client.clone());
-        let confirmation = self.confirmation.clone();
-        tokio::spawn(async move {
-            let is_done = confirmation.is_valid() && worker_client.set_cpu_share(&command).await;
-            drop(sender.send(OwnerMessage::CpuShareResult(
-                command.task,
-                command.run,
-                is_done,
-            )));
-        });
+    fn send_call(&mut self, call: WorkerCall) {
+        let is_relayed = self.worker_calls.send(call);
+        self.activity.record_call(is_relayed);
     }
 
     fn query_policy(&self, query: AdviceQuery) {
@@ -85,31 +60,9 @@
         });
     }
 
-    fn send_poll(&self, poll: WorkerPoll) {
-        let (sender, worker_client) = (self.sender.clone(), self.worker_client.clone());
-        let confirmation = self.confirmation.clone();
-        tokio::spawn(async move {
-            let sent = Instant::now();
-            let outcome = if confirmation.is_valid() {
-                worker_client.poll(&poll).await
-            } else {
-                PollOutcome::NotSent
-            };
-            let result = PollResult {
-                worker: poll.target.key,
-                durable_sequence: poll.durable_sequence,
-                outcome,
-                duration: sent
-                    .elapsed()
-                    .saturating_sub(Duration::from_millis(poll.wait_ms)),
-            };
-            drop(sender.send(OwnerMessage::PollResult(result)));
-        });
-    }
-
     /// Sends the queued starts that were held back while the owner couldn't send any.
     pub(super) fn send_held_starts(&mut self) {
-        if !self.has_held_starts || !self.may_send_starts() {
+        if !self.has_held_starts || !self.worker_calls.may_send_starts() {
             return;
         }
         self.has_held_starts = false;
@@ -118,16 +71,10 @@
         }
     }
 
-    /// Returns whether starts may be sent: the ownership is confirmed, and the registrations are
-    /// new enough that no worker's notice can have passed unseen.
-    fn may_send_starts(&self) -> bool {
-        self.confirmation.is_valid() && self.registry_confirmation.is_valid()
-    }
-
     /// Sends the next queued starts of a worker. A start stays queued while none may be sent, and is
     /// dropped if the task isn't to be started any more.
     pub(super) fn send_starts(&mut self, worker: WorkerKey) {
-        if !self.may_send_starts() {
+        if !self.worker_calls.may_send_starts() {
             self.has_held_starts = true;
             return;
         }
@@ -137,19 +84,7 @@
                 continue;
             };
             self.record_start(worker);
-            let (sender, worker_client) = (self.sender.clone(), self.worker_client.clone());
-            tokio::spawn(async move {
-                let sent = Instant::now();
-                let outcome = worker_client.start(&command).await;
-                let result = StartResult {
-                    worker,
-                    task: command.task,
-                    run: command.run,
-                    outcome,
-                    duration: sent.elapsed(),
-                };
-                drop(sender.send(OwnerMessage::StartResult(result)));
-            });
+            self.send_call(WorkerCall::Start(command));
         }
     }
 
@@ -165,6 +100,64 @@
             .record_start(is_worker_leaving, registry_age_ms);
     }
 
+    /// Handles the outcomes of calls to workers; returns whether a worker has seen a higher fencing
+    /// token.
+    pub(super) fn handle_finished_calls(
+        &mut self,
+        calls: impl IntoIterator<Item = FinishedCall>,
+    ) -> bool {
+        let mut is_fenced = false;
+        for call in calls {
+            is_fenced |= self.handle_finished_call(call);
+        }
+        is_fenced
+    }
+
+    fn handle_finished_call(&mut self, call: FinishedCall) -> bool {
+        let FinishedCall {
+            purpose,
+            outcome,
+            duration,
+        } = call;
+        match (purpose, outcome) {
+            (CallPurpose::Start { worker, task, run }, CallOutcome::Command(outcome)) => {
+                self.start_queues.finish_start(worker);
+                metrics::count_worker_command("start", &outcome);
+                metrics::record_worker_call("start", duration);
+                self.activity.record_start_result(&outcome, duration);
+                let is_fenced = self.shard.handle_start_result(now(), task, run, &outcome);
+                self.send_starts(worker);
+                is_fenced
+            }
+            (CallPurpose::Stop { task, run }, CallOutcome::Command(outcome)) => {
+                metrics::count_worker_command("stop", &outcome);
+                self.shard.handle_stop_result(now(), task, run, &outcome)
+            }
+            (CallPurpose::SetCpuShare { task, run }, CallOutcome::CpuShare(is_done)) => {
+                self.shard.handle_cpu_share_result(task, run, is_done);
+                false
+            }
+            (
+                CallPurpose::Poll {
+                    worker,
+                    durable_sequence,
+                    ..
+                },
+                CallOutcome::Poll(outcome),
+            ) => {
+                metrics::record_worker_call("poll", duration);
+                self.activity.record_poll_result(&outcome, duration);
+                let now = now();
+                self.shard
+                    .handle_poll_result(now, worker, durable_sequence, outcome)
+            }
+            (purpose, outcome) => {
+                log::error!(purpose:? = purpose, outcome:? = outcome; "outcome_of_other_call");
+                false
+            }
+        }
+    }
+
     /// Counts, logs and keeps a decision.
     pub(super) fn record_decision(&mut self, decision: Decision) {
         self.activity.record_decision(&decision);
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use super::Owner;
+use super::{Owner, relayed_workers};
 use crate::edge::clocks::now;
 use crate::edge::messages::{OwnerRequest, Reply};
 use crate::edge::operator_views::{describe_job, describe_shard};
@@ -77,7 +77,10 @@
 
     fn describe(&self) -> Reply {
         let age_ms = self.confirmation.age_ms();
-        Reply::Shard(describe_shard(&self.shard, self.token, age_ms))
+        let relays = self
+            .worker_calls
+            .describe_relays(&relayed_workers(&self.shard));
+        Reply::Shard(describe_shard(&self.shard, self.token, age_ms, relays))
     }
 
     fn explain(&self, id: &JobId) -> Reply {
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -7,7 +7,7 @@
 
 use cyclamentrail_adapter::{Configuration, HttpClient, ProcessSettings, Store, StoreError, Wave};
 use cyclamentrail_core::{CallerLimits, ServiceName};
-use cyclamentrail_jobs::{OwnerCapacity, WorkerRegistration};
+use cyclamentrail_jobs::{OwnerCapacity, Relay, WorkerRegistration};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -18,6 +18,7 @@
 use super::messages::OwnershipStatus;
 use super::owner::{OwnerMessage, WORKER_TIMEOUT};
 use super::peers::PeerClient;
+use super::relay::{RelayClient, relay_client};
 
 /// Largest number of requests that a listener serves at once.
 const MAX_REQUESTS: u32 = 2_000;
@@ -79,6 +80,9 @@
     pub(crate) http_client: HttpClient,
     pub(crate) store: Store,
     pub(crate) peers: PeerClient,
+    pub(crate) relay_client: RelayClient,
+    /// Processes that relay calls, as they were listed last.
+    pub(crate) relays: watch::Sender<Arc<Vec<Relay>>>,
     /// Newest configuration and waves.
     pub(crate) operator_state: watch::Sender<OperatorState>,
     /// Newest known owner of each shard.
@@ -107,6 +111,8 @@
             http_client,
             store,
             peers: PeerClient::new(),
+            relay_client: relay_client(),
+            relays: watch::Sender::new(Arc::default()),
             operator_state: watch::Sender::new(OperatorState::default()),
             owners: watch::Sender::new(HashMap::new()),
             announcements: Announcements::default(),
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -48,6 +48,8 @@
 pub(crate) const STORE_SECONDS: &str = "cyclamentrail_store_call_seconds";
 /// Shards that this process took over.
 pub(crate) const SHARD_TAKEOVERS: &str = "cyclamentrail_shards_taken_total";
+/// Calls to workers that this process sent for owners in other processes, by outcome.
+pub(crate) const RELAYED_CALLS: &str = "cyclamentrail_relayed_calls_total";
 /// Commands for machines (moves and maintenance), by outcome.
 pub(crate) const MACHINE_COMMANDS: &str = "cyclamentrail_machine_orders_total";
 /// Log lines that were dropped because their reader stalled.
@@ -231,6 +233,12 @@
         labels: &[],
         help: "Shards that this process took over.",
     },
+    Metric {
+        name: RELAYED_CALLS,
+        kind: MetricKind::Counter,
+        labels: &["outcome"],
+        help: "Calls to workers that this process took for owners in other processes: sent, or expired before they could be sent.",
+    },
     Metric {
         name: MACHINE_COMMANDS,
         kind: MetricKind::Counter,
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -6,8 +6,8 @@
 
 use super::catalog::{
     JOB_SECONDS, JOBS, LINES_DROPPED, LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND, POOL_WAITING,
-    REGISTRY_AGE, RUNS_ENDED, SHARD_TAKEOVERS, STARTS, STORE_CALLS, STORE_SECONDS, TASK_WAITS,
-    WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
+    REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS, STORE_CALLS, STORE_SECONDS,
+    TASK_WAITS, WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
 };
 
 /// Number of thousandths in one unit, such as milliseconds in a second.
@@ -79,6 +79,8 @@
         CommandOutcome::OtherIncarnation => "other_life",
         CommandOutcome::NoResponse => "no_answer",
         CommandOutcome::NotSent => "not_sent",
+        CommandOutcome::Expired => "expired",
+        CommandOutcome::RelayLost => "relay_lost",
     };
     metrics::counter!(WORKER_COMMANDS, "call" => call, "outcome" => outcome).increment(1);
 }
@@ -124,6 +126,12 @@
     metrics::counter!(SHARD_TAKEOVERS).increment(1);
 }
 
+/// Counts calls that this process took for an owner in another process.
+pub(crate) fn count_relayed_calls(sent: u64, expired: u64) {
+    metrics::counter!(RELAYED_CALLS, "outcome" => "sent").increment(sent);
+    metrics::counter!(RELAYED_CALLS, "outcome" => "expired").increment(expired);
+}
+
 /// Sets the demand and the waiting work of a service's pool.
 #[expect(
     clippy::cast_precision_loss,
--- /dev/null
+++ b/crates/cyclamentrail/tests/jobs_relayed.rs
@@ -0,0 +1,170 @@
+//! Owners whose calls to workers go over relays, in separate processes.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result, ensure};
+use cyclamentrail_testkit::JobSite;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::body::Bytes;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use tokio::time::Instant;
+
+/// Number of workers, enough for the owner to use relays.
+const WORKERS: usize = 30;
+/// Longest time to wait for a state of the site.
+const MAX_WAIT: Duration = Duration::from_secs(20);
+/// Time within which the tasks of a lost relay's workers run again or are seen to run: the relay's
+/// silence is noticed, and each call is repeated once.
+const RECOVERY: Duration = Duration::from_secs(6);
+const LARGE: &str = "Limits.CpuShare=0.9\nLimits.LinkMbps=200\n";
+const SMALL: &str = "Limits.CpuShare=0.12\nLimits.LinkMbps=10\n";
+
+/// Index of the owner's process; the others are relays.
+const OWNER: usize = 0;
+
+async fn get(site: &JobSite, process: usize, path: &str) -> Result<String> {
+    let address = site.processes[process].0.address("metrics")?;
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let request = Request::get(format!("http://{address}{path}")).body(Full::default())?;
+    let body = client.request(request).await?.into_body();
+    Ok(String::from_utf8(
+        body.collect().await?.to_bytes().to_vec(),
+    )?)
+}
+
+/// Returns the calls that a process took as a relay, with an outcome.
+async fn relayed_calls(site: &JobSite, process: usize, outcome: &str) -> Result<u64> {
+    let text = get(site, process, "/metrics").await?;
+    let name = format!("cyclamentrail_relayed_calls_total{{outcome=\"{outcome}\"}} ");
+    let line = text.lines().find_map(|line| line.strip_prefix(&name));
+    Ok(line.map(str::parse).transpose()?.unwrap_or(0))
+}
+
+/// Returns how many workers the relays that an owner may use have.
+async fn relayed_workers(site: &JobSite, process: usize) -> Result<u64> {
+    let state: Value = serde_json::from_str(&get(site, process, "/state").await?)?;
+    let relays = state["shards"]["svc"]["relays"].as_object();
+    let usable = relays.context("no relays")?.values();
+    let usable = usable.filter(|relay| relay["is_usable"] == true);
+    Ok(usable.filter_map(|relay| relay["workers"].as_u64()).sum())
+}
+
+/// Starts a site with one owner and small processes that relay its calls, and waits until all
+/// workers have a relay.
+async fn relayed_site(relays: usize, task_ms: u64) -> Result<JobSite> {
+    let mut site = JobSite::start(0, WORKERS, task_ms).await?;
+    site.add_limited_process("large", LARGE)?;
+    site.submit(OWNER, "00000000000000f0", 1).await?;
+    for index in 0..relays {
+        site.add_limited_process(&format!("small-{index}"), SMALL)?;
+    }
+    let end = Instant::now() + MAX_WAIT;
+    while relayed_workers(&site, OWNER).await.unwrap_or(0) < WORKERS as u64 {
+        ensure!(Instant::now() < end, "not all workers have a relay");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(site)
+}
+
+/// Waits until all tasks of a job have started, so that their starts have been relayed.
+async fn wait_all_started(site: &JobSite, id: &str, count: usize) -> Result<()> {
+    let end = Instant::now() + MAX_WAIT;
+    while site.runs(id).len() < count {
+        ensure!(Instant::now() < end, "not all tasks of {id} have started");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn calls_go_over_relays() -> Result<()> {
+    let site = relayed_site(2, 100).await?;
+    let id = "00000000000000f1";
+    site.submit(OWNER, id, 24).await?;
+    site.wait_completed(OWNER, id).await?;
+    site.check_done_once(id, 24)?;
+    let mut sent = 0;
+    for process in 1..site.processes.len() {
+        sent += relayed_calls(&site, process, "sent").await?;
+    }
+    ensure!(sent >= 24, "{sent} calls were relayed");
+    Ok(())
+}
+
+/// The relays are lost while tasks run and while others wait for their starts.
+#[tokio::test]
+async fn killed_relays_bypassed() -> Result<()> {
+    let mut site = relayed_site(2, 1_000).await?;
+    let (first, second) = ("00000000000000f2", "00000000000000f3");
+    site.submit(OWNER, first, 24).await?;
+    wait_all_started(&site, first, 24).await?;
+    for process in 1..site.processes.len() {
+        site.processes[process].0.kill()?;
+    }
+    let lost = Instant::now();
+    site.submit(OWNER, second, 24).await?;
+    for id in [first, second] {
+        site.wait_completed(OWNER, id).await?;
+        site.check_done_once(id, 24)?;
+    }
+    ensure!(lost.elapsed() < RECOVERY, "took {:?}", lost.elapsed());
+    Ok(())
+}
+
+/// Relays that are suspended hold batches. Their workers are called another way meanwhile, and what
+/// the relays send after they wake up changes nothing.
+#[tokio::test]
+async fn late_batches_harmless() -> Result<()> {
+    let site = relayed_site(2, 300).await?;
+    let ids = ["00000000000000f4", "00000000000000f5"];
+    for process in 1..site.processes.len() {
+        site.processes[process].0.pause()?;
+    }
+    let paused = Instant::now();
+    site.submit(OWNER, ids[0], 24).await?;
+    site.wait_completed(OWNER, ids[0]).await?;
+    ensure!(paused.elapsed() < RECOVERY, "took {:?}", paused.elapsed());
+    // Longer than the starts that wait at the relays may be sent.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    for process in 1..site.processes.len() {
+        site.processes[process].0.resume()?;
+    }
+    site.submit(OWNER, ids[1], 24).await?;
+    site.wait_completed(OWNER, ids[1]).await?;
+    for id in ids {
+        site.check_done_once(id, 24)?;
+        let runs = site.runs(id);
+        ensure!(runs.len() == 24, "{} runs of {id}", runs.len());
+    }
+    Ok(())
+}
+
+/// The owner is lost while its calls are under way; the next one goes on under its own token.
+#[tokio::test]
+async fn owner_changes_midway() -> Result<()> {
+    let mut site = relayed_site(2, 1_500).await?;
+    site.add_limited_process("large-2", LARGE)?;
+    let id = "00000000000000f6";
+    site.submit(OWNER, id, 24).await?;
+    site.wait_started(id).await?;
+    site.processes[OWNER].0.kill()?;
+    site.wait_completed(1, id).await?;
+    site.check_done_once(id, 24)
+}
+
+/// Relays that stop in order tell the owner before they exit, so that no call is lost.
+#[tokio::test]
+async fn stopping_relays_replaced() -> Result<()> {
+    let mut site = relayed_site(2, 300).await?;
+    let id = "00000000000000f7";
+    for process in 1..site.processes.len() {
+        site.processes[process].0.terminate()?;
+    }
+    site.add_limited_process("small-9", SMALL)?;
+    site.submit(OWNER, id, 24).await?;
+    site.wait_completed(OWNER, id).await?;
+    site.check_done_once(id, 24)
+}
