perf(fleet): look up machines and workers of a plan by name

Cause: the planner of the machine duties searched lists for each machine, and built a map of the pool's workers for each comparison of a sort. Change: one index of the fleet's state a plan, counted pool sizes, sort keys computed once. No decision changes.

--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -9,10 +9,14 @@
 use cyclamentrail_core::{InstanceName, ServiceName, WorkerId};
 
 mod forecast;
+mod index;
 mod moves;
+mod pool_sizes;
 mod waves;
 
 pub use forecast::Forecast;
+use index::FleetIndex;
+use pool_sizes::PoolSizes;
 pub use waves::MaintenanceWave;
 
 /// Time for which no tasks are placed on the worker of a machine that was sent a command, in
@@ -130,14 +134,9 @@
 impl Reservation {
     /// Returns the number of tasks on the worker, or `None` if the owner of its shard doesn't
     /// report it.
-    fn task_count(&self, fleet: &FleetState) -> Option<u32> {
-        let worker = self.worker.as_ref()?;
-        let pool_load = fleet.loads.get(&self.pool)?;
-        let worker_load = pool_load
-            .workers
-            .iter()
-            .find(|load| load.worker == *worker)?;
-        Some(worker_load.tasks)
+    fn task_count(&self, index: &FleetIndex<'_>) -> Option<u32> {
+        let counts = index.task_counts(&self.pool, self.worker.as_ref())?;
+        Some(counts.tasks)
     }
 
     /// Records the number of tasks on the worker, if it was reported.
@@ -271,9 +270,10 @@
     /// failed.
     pub fn plan(&mut self, now_ms: u64, fleet: &FleetState) {
         self.first_plan_ms.get_or_insert(now_ms);
-        self.drop_finished(now_ms, fleet);
-        self.plan_waves(now_ms, fleet);
-        self.plan_moves(now_ms, fleet);
+        let index = FleetIndex::from(fleet);
+        self.drop_finished(now_ms, &index);
+        self.plan_waves(now_ms, fleet, &index);
+        self.plan_moves(now_ms, fleet, &index);
     }
 
     /// Returns the workers of a pool that its shard's owner has to empty and keep empty.
@@ -295,10 +295,11 @@
     /// Returns the commands for reserved machines whose workers are empty, as far as their wave
     /// has a free place, and records them as sent.
     pub fn take_commands(&mut self, now_ms: u64, fleet: &FleetState) -> Vec<MachineCommand> {
-        let mut slots = self.maintenance_slots(fleet);
+        let index = FleetIndex::from(fleet);
+        let mut slots = self.maintenance_slots(fleet, &index);
         let mut commands = Vec::new();
         for (machine, reservation) in &mut self.reservations {
-            let task_count = reservation.task_count(fleet);
+            let task_count = reservation.task_count(&index);
             reservation.observe(now_ms, task_count);
             // A worker without a reported load may still run tasks, so it doesn't count as empty.
             let is_empty = reservation.worker.is_none() || task_count == Some(0);
@@ -368,7 +369,7 @@
         now_ms: u64,
         machine: &MachineStatus,
         purpose: Purpose,
-        fleet: &FleetState,
+        index: &FleetIndex<'_>,
     ) {
         let mut reservation = Reservation {
             purpose,
@@ -380,7 +381,7 @@
             was_commanded: false,
             done_ms: None,
         };
-        let task_count = reservation.task_count(fleet);
+        let task_count = reservation.task_count(index);
         reservation.observe(now_ms, task_count);
         self.reservations.insert(machine.name.clone(), reservation);
     }
@@ -398,7 +399,7 @@
     /// Drops reservations whose machine is back with a new worker, has left the platform's list or
     /// doesn't become empty. A machine that doesn't return from its maintenance or move stays
     /// reserved for twice [`DEPARTED_KEPT_MS`].
-    fn drop_finished(&mut self, now_ms: u64, fleet: &FleetState) {
+    fn drop_finished(&mut self, now_ms: u64, index: &FleetIndex<'_>) {
         self.departed_workers
             .retain(|_, departed| now_ms < departed.until_ms);
         let maintenance_ms = self.timing.maintenance_ms;
@@ -413,7 +414,7 @@
             self.retry_ms.insert(machine, now_ms + RETRY_DELAY_MS);
         }
         self.reservations.retain(|name, reservation| {
-            let listed = fleet.machines.iter().find(|machine| machine.name == *name);
+            let listed = index.machine(name);
             match reservation.done_ms {
                 Some(done_ms) => {
                     let is_back = listed.is_some_and(|machine| {
--- a/crates/cyclamentrail-jobs/src/fleet/moves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/moves.rs
@@ -1,10 +1,10 @@
 //! Moves of machines between pools.
 
-use std::collections::BTreeMap;
-
 use cyclamentrail_core::ServiceName;
 
-use super::{FleetPlanner, FleetState, Forecast, MachineStatus, PoolLoad, Purpose, STARTUP_MS};
+use super::{
+    FleetIndex, FleetPlanner, FleetState, Forecast, MachineStatus, PoolLoad, Purpose, STARTUP_MS,
+};
 
 /// Time from the decision to move a machine until it works in its new pool, in milliseconds.
 const MOVE_DURATION_MS: u64 = 2_000;
@@ -39,7 +39,7 @@
     /// Moves machines to the pools that have too few, first from the standby pools and then from
     /// pools that have too many, and switches off machines that no pool requires. Nothing is moved
     /// if there is neither a standby pool nor a second pool, or while a pool has no workers.
-    pub(super) fn plan_moves(&mut self, now_ms: u64, fleet: &FleetState) {
+    pub(super) fn plan_moves(&mut self, now_ms: u64, fleet: &FleetState, index: &FleetIndex<'_>) {
         if fleet.standby.is_empty() && fleet.loads.len() < 2 {
             return;
         }
@@ -48,7 +48,7 @@
             return;
         }
         self.record_initial_sizes(fleet);
-        let mut balances = self.balances(now_ms, fleet);
+        let mut balances = self.balances(now_ms, fleet, index);
         let mut switched_off = self.standby_machines(now_ms, fleet);
         balances.sort_by_key(|balance| balance.supply.saturating_sub(balance.required));
         let shortages: Vec<(ServiceName, usize)> = balances
@@ -61,10 +61,10 @@
                 let Some(machine) = switched_off.pop().or_else(|| take_donor(&mut balances)) else {
                     return;
                 };
-                self.reserve(now_ms, &machine, Purpose::Move(pool.clone()), fleet);
+                self.reserve(now_ms, &machine, Purpose::Move(pool.clone()), index);
             }
         }
-        self.switch_off_surplus(now_ms, fleet, balances);
+        self.switch_off_surplus(now_ms, fleet, index, balances);
     }
 
     /// Records how many machines each pool has at first, unless that is known.
@@ -77,7 +77,12 @@
         }
     }
 
-    fn balances(&mut self, now_ms: u64, fleet: &FleetState) -> Vec<PoolBalance> {
+    fn balances(
+        &mut self,
+        now_ms: u64,
+        fleet: &FleetState,
+        index: &FleetIndex<'_>,
+    ) -> Vec<PoolBalance> {
         let mut balances = Vec::new();
         for (pool, load) in &fleet.loads {
             if fleet.standby.contains(pool) {
@@ -88,7 +93,7 @@
             let initial_size = self.initial_sizes.get(pool).copied().unwrap_or(0);
             let reserve_size = (initial_size * RESERVE_PERCENT / 100).max(MIN_POOL_MACHINES);
             let required = required_machines(now_ms, load, forecast).max(reserve_size);
-            balances.push(self.balance(now_ms, pool, required, load, fleet));
+            balances.push(self.balance(now_ms, pool, required, fleet, index));
         }
         balances
     }
@@ -98,20 +103,12 @@
         now_ms: u64,
         pool: &ServiceName,
         required: usize,
-        load: &PoolLoad,
         fleet: &FleetState,
+        index: &FleetIndex<'_>,
     ) -> PoolBalance {
-        let tasks: BTreeMap<_, _> = load
-            .workers
-            .iter()
-            .map(|worker| (&worker.worker, (worker.long_running_tasks, worker.tasks)))
-            .collect();
         let tasks_of = |machine: &MachineStatus| {
-            machine
-                .worker
-                .as_ref()
-                .and_then(|worker| tasks.get(worker))
-                .copied()
+            let counts = index.task_counts(pool, machine.worker.as_ref())?;
+            Some((counts.long_running_tasks, counts.tasks))
         };
         let mut supply = 0;
         let mut donors = Vec::new();
@@ -134,7 +131,7 @@
             .filter(|reservation| reservation.purpose == Purpose::Move(pool.clone()))
             .count();
         // Donors are taken from the end, where the machine with the fewest tasks is.
-        donors.sort_by_key(|machine| std::cmp::Reverse(tasks_of(machine)));
+        donors.sort_by_cached_key(|machine| std::cmp::Reverse(tasks_of(machine)));
         PoolBalance {
             pool: pool.clone(),
             supply,
@@ -165,7 +162,13 @@
     }
 
     /// Moves machines to the standby pool from pools that have had too many for some time.
-    fn switch_off_surplus(&mut self, now_ms: u64, fleet: &FleetState, balances: Vec<PoolBalance>) {
+    fn switch_off_surplus(
+        &mut self,
+        now_ms: u64,
+        fleet: &FleetState,
+        index: &FleetIndex<'_>,
+        balances: Vec<PoolBalance>,
+    ) {
         let Some(standby) = fleet.standby.first().cloned() else {
             return;
         };
@@ -186,7 +189,7 @@
                 let Some(machine) = balance.donors.pop() else {
                     break;
                 };
-                self.reserve(now_ms, &machine, Purpose::Move(standby.clone()), fleet);
+                self.reserve(now_ms, &machine, Purpose::Move(standby.clone()), index);
             }
         }
     }
--- a/crates/cyclamentrail-jobs/src/fleet/waves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/waves.rs
@@ -1,10 +1,10 @@
 //! Maintenance waves: selects the machines that go next.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use cyclamentrail_core::{InstanceName, ServiceName};
 
-use super::{FleetPlanner, FleetState, MachineStatus, Purpose, Reservation};
+use super::{FleetIndex, FleetPlanner, FleetState, MachineStatus, PoolSizes, Purpose, Reservation};
 
 /// Part of a wave's duration in which all of its machines should have begun, in percent.
 const TARGET_TIME_PERCENT: u64 = 60;
@@ -62,10 +62,10 @@
     }
 
     /// Reserves the machines that are to have their maintenance next, for each wave.
-    pub(super) fn plan_waves(&mut self, now_ms: u64, fleet: &FleetState) {
+    pub(super) fn plan_waves(&mut self, now_ms: u64, fleet: &FleetState, index: &FleetIndex<'_>) {
         for wave in &fleet.waves {
             let first_seen_ms = *self.wave_first_seen_ms.entry(wave.number).or_insert(now_ms);
-            self.plan_wave(now_ms, first_seen_ms, wave, fleet);
+            self.plan_wave(now_ms, first_seen_ms, wave, fleet, index);
         }
     }
 
@@ -75,6 +75,7 @@
         first_seen_ms: u64,
         wave: &MaintenanceWave,
         fleet: &FleetState,
+        index: &FleetIndex<'_>,
     ) {
         let mut remaining = self.remaining_machines(wave, fleet);
         let total = wave.machines.len();
@@ -83,16 +84,17 @@
         let begun = total - remaining.len() + self.reserved_for(wave);
         let is_behind = begun < expected;
         remaining.retain(|machine| self.is_available(now_ms, machine));
-        remaining.sort_by_key(|machine| Self::task_counts(machine, fleet));
-        let mut away = self.count_reserved_away(wave, fleet);
+        remaining.sort_by_cached_key(|machine| task_counts(machine, index));
+        let mut away = self.count_reserved_away(wave, index);
+        let mut pool_sizes = PoolSizes::new(self, fleet);
         for machine in remaining {
-            let (long_running, tasks) = Self::task_counts(&machine, fleet);
+            let (long_running, tasks) = task_counts(&machine, index);
             let divisor = if is_behind {
                 LATE_POOL_DIVISOR
             } else {
                 POOL_DIVISOR
             };
-            let pool_allows = self.may_leave_pool(&machine.pool, divisor, fleet);
+            let pool_allows = pool_sizes.may_leave(&machine.pool, divisor);
             let may_begin = if long_running > 0 {
                 // Long-running tasks move one after the other, which takes long. The machine is
                 // therefore reserved before there is a free place, but only one in each pool at a
@@ -103,7 +105,8 @@
             };
             if may_begin {
                 away += usize::from(long_running == 0);
-                self.reserve(now_ms, &machine, Purpose::Maintain(wave.number), fleet);
+                pool_sizes.record_away(&machine.pool);
+                self.reserve(now_ms, &machine, Purpose::Maintain(wave.number), index);
             }
         }
     }
@@ -120,9 +123,13 @@
     }
 
     /// Returns how many more machines of each wave may be away.
-    pub(super) fn maintenance_slots(&self, fleet: &FleetState) -> MaintenanceSlots {
+    pub(super) fn maintenance_slots(
+        &self,
+        fleet: &FleetState,
+        index: &FleetIndex<'_>,
+    ) -> MaintenanceSlots {
         let free = fleet.waves.iter().map(|wave| {
-            let away = self.count_commanded(wave, fleet);
+            let away = self.count_commanded(wave, index);
             (wave.number, wave.max_away.saturating_sub(away))
         });
         MaintenanceSlots {
@@ -134,10 +141,11 @@
     /// maintenance.
     fn remaining_machines(&self, wave: &MaintenanceWave, fleet: &FleetState) -> Vec<MachineStatus> {
         let done = self.maintained_machines.get(&wave.number);
+        let in_wave: HashSet<&InstanceName> = wave.machines.iter().collect();
         fleet
             .machines
             .iter()
-            .filter(|machine| wave.machines.contains(&machine.name))
+            .filter(|machine| in_wave.contains(&machine.name))
             .filter(|machine| done.is_none_or(|done| !done.contains(&machine.name)))
             .cloned()
             .collect()
@@ -155,15 +163,15 @@
 
     /// Returns the number of machines of a wave that are away or have no tasks left, so that they
     /// leave next.
-    fn count_reserved_away(&self, wave: &MaintenanceWave, fleet: &FleetState) -> usize {
-        self.count_reserved_or_down(wave, fleet, |reservation| {
+    fn count_reserved_away(&self, wave: &MaintenanceWave, index: &FleetIndex<'_>) -> usize {
+        self.count_reserved_or_down(wave, index, |reservation| {
             reservation.was_commanded || reservation.min_tasks == 0
         })
     }
 
     /// Returns the number of machines of a wave that are away or have been sent a command.
-    fn count_commanded(&self, wave: &MaintenanceWave, fleet: &FleetState) -> usize {
-        self.count_reserved_or_down(wave, fleet, |reservation| reservation.was_commanded)
+    fn count_commanded(&self, wave: &MaintenanceWave, index: &FleetIndex<'_>) -> usize {
+        self.count_reserved_or_down(wave, index, |reservation| reservation.was_commanded)
     }
 
     /// Returns the number of machines of a wave that are down or have a reservation that `counts`
@@ -171,55 +179,24 @@
     fn count_reserved_or_down(
         &self,
         wave: &MaintenanceWave,
-        fleet: &FleetState,
+        index: &FleetIndex<'_>,
         counts: impl Fn(&Reservation) -> bool,
     ) -> usize {
-        let is_down = |name: &InstanceName| {
-            fleet
-                .machines
-                .iter()
-                .any(|machine| machine.name == *name && !machine.is_up)
-        };
+        let is_down =
+            |name: &InstanceName| index.machine(name).is_some_and(|machine| !machine.is_up);
         wave.machines
             .iter()
             .filter(|name| self.reservations.get(*name).is_some_and(&counts) || is_down(name))
             .count()
     }
+}
 
-    /// Returns whether one more machine of a pool may be away. At least one machine always stays,
-    /// unless the pool has only one.
-    fn may_leave_pool(&self, pool: &ServiceName, divisor: usize, fleet: &FleetState) -> bool {
-        if fleet.standby.contains(pool) {
-            return true;
-        }
-        let machines = fleet
-            .machines
-            .iter()
-            .filter(|machine| machine.pool == *pool);
-        let (mut total, mut away) = (0, 0);
-        for machine in machines {
-            total += 1;
-            away += usize::from(!machine.is_up || self.reservations.contains_key(&machine.name));
-        }
-        away < (total / divisor).max(1)
-    }
-
-    /// Returns the numbers of long-running tasks and of all tasks on a machine, by which its
-    /// maintenance is commanded.
-    fn task_counts(machine: &MachineStatus, fleet: &FleetState) -> (u32, u32) {
-        let loads: BTreeMap<_, _> = fleet
-            .loads
-            .get(&machine.pool)
-            .into_iter()
-            .flat_map(|load| &load.workers)
-            .map(|load| (&load.worker, load))
-            .collect();
-        machine
-            .worker
-            .as_ref()
-            .and_then(|worker| loads.get(worker))
-            .map_or((0, 0), |load| (load.long_running_tasks, load.tasks))
-    }
+/// Returns the numbers of long-running tasks and of all tasks on a machine, by which its maintenance
+/// is commanded.
+fn task_counts(machine: &MachineStatus, index: &FleetIndex<'_>) -> (u32, u32) {
+    index
+        .task_counts(&machine.pool, machine.worker.as_ref())
+        .map_or((0, 0), |counts| (counts.long_running_tasks, counts.tasks))
 }
 
 /// Returns how many of a wave's machines should have begun their maintenance by now.
--- a/crates/cyclamentrail-jobs/tests/duties.rs
+++ b/crates/cyclamentrail-jobs/tests/duties.rs
@@ -333,3 +333,60 @@
         }
     }
 }
+
+/// A wave over half of a large fleet, each machine with work for a while after its reservation: all
+/// machines begin in time, never more than the cap at once.
+#[test]
+fn large_wave_in_time() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut fleet = fleet(&[("a", 220), ("b", 220), ("c", 220), ("d", 220), ("e", 220)]);
+    let names: Vec<InstanceName> = fleet
+        .machines
+        .iter()
+        .map(|machine| machine.name.clone())
+        .collect();
+    fleet.waves = vec![MaintenanceWave {
+        number: 1,
+        machines: names.iter().step_by(2).cloned().collect(),
+        duration_ms: 26_000,
+        max_away: 216,
+    }];
+    for load in fleet.loads.values_mut() {
+        for worker in &mut load.workers {
+            worker.tasks = 1;
+        }
+    }
+    let mut begun: BTreeMap<InstanceName, u64> = BTreeMap::new();
+    for now_ms in (0..26_000_u64).step_by(200) {
+        for machine in &mut fleet.machines {
+            let since_ms = begun.get(&machine.name).copied();
+            machine.is_up = since_ms.is_none_or(|since_ms| now_ms >= since_ms + 2_000);
+        }
+        planner.plan(now_ms, &fleet);
+        empty_evacuated(&planner, &mut fleet);
+        let commands = planner.take_commands(now_ms, &fleet);
+        let maintained = commands
+            .iter()
+            .filter(|command| command.purpose == Purpose::Maintain(1));
+        begun.extend(maintained.map(|command| (command.machine.clone(), now_ms)));
+        let down = begun
+            .values()
+            .filter(|&&since_ms| now_ms < since_ms + 2_000)
+            .count();
+        assert!(down <= 216, "{down} machines are away at once");
+        report_done(&mut planner, now_ms, &commands);
+    }
+    assert_eq!(begun.len(), fleet.waves[0].machines.len());
+}
+
+/// Ends the tasks of the workers that are to be emptied.
+fn empty_evacuated(planner: &FleetPlanner, fleet: &mut FleetState) {
+    for (pool, load) in &mut fleet.loads {
+        let evacuated = planner.workers_to_evacuate(pool);
+        for worker in &mut load.workers {
+            if evacuated.contains(&worker.worker) {
+                worker.tasks = 0;
+            }
+        }
+    }
+}
