fix(duty): count the pause between two holders from the earlier one's last command

Cause: a new holder of the machine duties waited for the pause that the platform asks for, and 0.5 s, from its own claim on. The earlier one had been cut off from the store for 2.2 s by then and sends commands for 1 s after its last confirmation only. In a queue's turn nobody moved machines for 5.5 to 6 s. Change: a released owner tells the age of its last confirmation, read after it has ended; the pause counts from then plus the time for which it could act. A holder whose round waits for the store ends at once when it is asked to. Without such an answer all stays as it was. Tests: succession::duty_pause_from_last_command; the claim-to-command path in separate processes isn't tested, the stand-ins have no service for machines.

--- a/crates/cyclamentrail-jobs/src/succession.rs
+++ b/crates/cyclamentrail-jobs/src/succession.rs
@@ -107,3 +107,57 @@
         }
     }
 }
+
+/// What a new owner knows of the end of the one before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Predecessor {
+    /// No process has claimed the shard before.
+    Nobody,
+    /// The previous owner may still act, as far as its last confirmation allows.
+    Unknown,
+    /// The previous owner has stopped acting.
+    Released,
+    /// The previous owner has stopped acting, and the store last confirmed it at a known time.
+    ReleasedAfter {
+        /// Time of that confirmation on this process's boot clock, in milliseconds, or later.
+        confirmed_ms: u64,
+    },
+}
+
+impl Predecessor {
+    /// Returns whether the previous owner is known to have stopped acting.
+    #[must_use]
+    pub const fn has_stopped(self) -> bool {
+        matches!(self, Self::Released | Self::ReleasedAfter { .. })
+    }
+
+    /// Returns the time from which a new holder of the duties over machines may send commands,
+    /// `pause_ms` after the previous holder's last one. A holder sends commands for `valid_ms` after
+    /// its last confirmation. All times are in milliseconds on this process's boot clock;
+    /// `claimed_ms` is when the new holder's claim was confirmed.
+    ///
+    /// ```
+    /// use cyclamentrail_jobs::Predecessor;
+    ///
+    /// let cut_off = Predecessor::ReleasedAfter { confirmed_ms: 10_000 };
+    /// assert_eq!(cut_off.first_command_ms(12_500, 1_000, 3_500), 14_500);
+    /// assert_eq!(Predecessor::Unknown.first_command_ms(12_500, 1_000, 3_500), 16_000);
+    /// assert_eq!(Predecessor::Nobody.first_command_ms(12_500, 1_000, 3_500), 12_500);
+    /// ```
+    #[must_use]
+    pub const fn first_command_ms(self, claimed_ms: u64, valid_ms: u64, pause_ms: u64) -> u64 {
+        match self {
+            Self::Nobody => claimed_ms,
+            Self::Unknown | Self::Released => claimed_ms + pause_ms,
+            Self::ReleasedAfter { confirmed_ms } => {
+                let last_command_ms = confirmed_ms + valid_ms;
+                let first_ms = last_command_ms + pause_ms;
+                if first_ms < claimed_ms {
+                    claimed_ms
+                } else {
+                    first_ms
+                }
+            }
+        }
+    }
+}
--- a/crates/cyclamentrail-jobs/tests/succession.rs
+++ b/crates/cyclamentrail-jobs/tests/succession.rs
@@ -1,7 +1,8 @@
 //! Takeover of a shard by the process that it is assigned to.
 
 use cyclamentrail_jobs::{
-    Candidate, Incumbent, MachineLimits, OwnerCapacity, leaves_shards_to_others, should_take_over,
+    Candidate, Incumbent, MachineLimits, OwnerCapacity, Predecessor, leaves_shards_to_others,
+    should_take_over,
 };
 use rstest::rstest;
 
@@ -128,3 +129,15 @@
     assert_eq!(leaves_shards_to_others(SMALL, &others, 6), expected);
     assert!(!leaves_shards_to_others(LARGE, &others, 6));
 }
+
+/// The holder of the machine duties is cut off from the store in a queue's turn. Its successor waited
+/// from its own claim on, although the holder hadn't sent anything for a while.
+#[rstest]
+#[case(Predecessor::Nobody, 12_400)]
+#[case(Predecessor::Unknown, 15_900)]
+#[case(Predecessor::Released, 15_900)]
+#[case(Predecessor::ReleasedAfter { confirmed_ms: 10_000 }, 14_500)]
+#[case(Predecessor::ReleasedAfter { confirmed_ms: 2_000 }, 12_400)]
+fn duty_pause_from_last_command(#[case] predecessor: Predecessor, #[case] first_ms: u64) {
+    assert_eq!(predecessor.first_command_ms(12_400, 1_000, 3_500), first_ms);
+}
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -219,7 +219,7 @@
         | Reply::Shard(_)
         | Reply::Job(_)
         | Reply::Status(_)
-        | Reply::Released
+        | Reply::Released { .. }
         | Reply::NotOwner => unavailable(NO_OWNER_RETRY_MS),
     }
 }
--- a/crates/cyclamentrail/src/edge/internal.rs
+++ b/crates/cyclamentrail/src/edge/internal.rs
@@ -87,11 +87,17 @@
 /// Makes the local owner of a shard give it up, and waits until the owner has ended.
 async fn release_shard(process: &ProcessState, call: &OwnerCall) -> Reply {
     let Some(sender) = process.owner_sender(&call.service) else {
-        return Reply::Released;
+        return Reply::Released {
+            confirmed_age_ms: None,
+        };
     };
+    let confirmation = process.shard_confirmation(call.service.as_str());
     drop(sender.send(OwnerMessage::Stop));
     match tokio::time::timeout(RELEASE_TIMEOUT, sender.closed()).await {
-        Ok(()) => Reply::Released,
+        // Read now that the owner has ended: the confirmation changes no more.
+        Ok(()) => Reply::Released {
+            confirmed_age_ms: confirmation.map(|confirmation| confirmation.age_ms()),
+        },
         Err(_elapsed) => Reply::NotOwner,
     }
 }
--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -86,7 +86,13 @@
             },
             () = tokio::time::sleep_until(next_round) => {
                 next_round = Instant::now() + ROUND_INTERVAL;
-                if !duty.run_round().await {
+                // A round waits for the store while the store doesn't respond; the duties end at once
+                // all the same when they are given up.
+                let holds_duty = tokio::select! {
+                    holds_duty = duty.run_round() => holds_duty,
+                    () = wait_for_stop(&mut receiver) => return,
+                };
+                if !holds_duty {
                     log::info!(token = duty.token; "machine_duty_lost");
                     return;
                 }
@@ -134,13 +140,14 @@
             maintenance_ms: process.settings.bounds.maintenance_ms,
         });
         restore_planner(&mut planner, &takeover.records);
-        let pause_ms = if takeover.is_first {
-            0
-        } else {
-            process.settings.bounds.duty_lease_ms + EXTRA_PAUSE_MS
-        };
+        let valid_ms = u64::try_from(DUTY_VALID.as_millis()).unwrap_or(u64::MAX);
+        let pause_ms = process.settings.bounds.duty_lease_ms + EXTRA_PAUSE_MS;
         Self {
-            first_command_ms: takeover.confirmed_ms + pause_ms,
+            first_command_ms: takeover.predecessor.first_command_ms(
+                takeover.confirmed_ms,
+                valid_ms,
+                pause_ms,
+            ),
             process,
             machine_service,
             token: takeover.token,
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -87,7 +87,11 @@
     #[serde(rename = "Standing")]
     Status(OwnershipStatus),
     /// The process no longer acts as the owner, and won't under its current claim.
-    Released,
+    Released {
+        /// Time since the store last confirmed the ownership, in milliseconds; `None` if the
+        /// ownership had ended before.
+        confirmed_age_ms: Option<u64>,
+    },
     /// The process doesn't own the service, and did nothing.
     NotOwner,
 }
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -194,7 +194,7 @@
         let Some(takeover) = self.takeover.take() else {
             return;
         };
-        let earlier_acts_ms = if takeover.is_released {
+        let earlier_acts_ms = if takeover.predecessor.has_stopped() {
             0
         } else {
             u64::try_from(OWNERSHIP_VALID.as_millis()).unwrap_or(u64::MAX)
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Returns the confirmation of the ownership of a shard; `None` during the takeover.
+    pub(crate) fn shard_confirmation(&self, shard: &str) -> Option<Confirmation> {
+        self.lock_owned_shards().get(shard)?.confirmation.clone()
+    }
+
     /// Returns whether this process owns, or is taking over, any shard.
     pub(crate) fn owns_any(&self) -> bool {
         !self.lock_owned_shards().is_empty()
--- a/crates/cyclamentrail/src/edge/takeover.rs
+++ b/crates/cyclamentrail/src/edge/takeover.rs
@@ -4,7 +4,7 @@
 
 use cyclamentrail_adapter::{Append, StoreError, Writer, keyed_topic};
 use cyclamentrail_core::ServiceName;
-use cyclamentrail_jobs::{KeyedRecord, RELEASE_KEY, ReleaseRecord, decode};
+use cyclamentrail_jobs::{KeyedRecord, Predecessor, RELEASE_KEY, ReleaseRecord, decode};
 
 use super::claims;
 use super::clocks::boot_ms;
@@ -26,10 +26,8 @@
     pub(crate) records: Vec<KeyedRecord>,
     /// Boot time in milliseconds at which the ownership was last confirmed.
     pub(crate) confirmed_ms: u64,
-    /// Whether no earlier claim of the shard is known.
-    pub(crate) is_first: bool,
-    /// Whether the previous owner is known to have stopped acting.
-    pub(crate) is_released: bool,
+    /// What is known of the previous owner's end.
+    pub(crate) predecessor: Predecessor,
 }
 
 /// Takes over a shard; retries until it succeeds or another process has claimed the shard since.
@@ -42,7 +40,6 @@
         pause_before_retry(shard, &error).await;
     }
     let earlier = process.owner(shard);
-    let is_first = earlier.is_none();
     let token = claim_shard(process, shard).await;
     let topic = keyed_topic(&format!("jobs.{shard}"));
     let confirmed_ms = fence(process, &topic, token).await?;
@@ -59,19 +56,21 @@
             value: record.value.to_vec(),
         })
         .collect();
-    let is_released = match &earlier {
-        None => false,
-        Some(earlier) if has_release_record(&records, earlier.token) => true,
+    let predecessor = match &earlier {
+        None => Predecessor::Nobody,
+        Some(earlier) if has_release_record(&records, earlier.token) => Predecessor::Released,
         Some(earlier) => request_release(process, shard, earlier).await,
     };
-    log::info!(shard, token, earlier = earlier.map_or(0, |owner| owner.token), is_released; "shard_claimed");
+    log::info!(
+        shard, token, earlier = earlier.map_or(0, |owner| owner.token), predecessor:? = predecessor;
+        "shard_claimed"
+    );
     Ok(Takeover {
         token,
         topic,
         records,
         confirmed_ms,
-        is_first,
-        is_released,
+        predecessor,
     })
 }
 
@@ -85,11 +84,11 @@
         .any(|release| release.token == earlier_token)
 }
 
-/// Requests the previous owner to stop; returns whether it is known to have stopped acting.
-async fn request_release(process: &ProcessState, shard: &str, earlier: &KnownOwner) -> bool {
+/// Requests the previous owner to stop; returns what is known of its end.
+async fn request_release(process: &ProcessState, shard: &str, earlier: &KnownOwner) -> Predecessor {
     if earlier.claim.address == process.settings.internal_listener {
         // The previous process at this address has exited, or its owner has ended in this process.
-        return true;
+        return Predecessor::Released;
     }
     let call = OwnerCall {
         service: ServiceName::from(shard),
@@ -99,7 +98,18 @@
         .peers
         .call(earlier.claim.address, &call, RELEASE_TIMEOUT)
         .await;
-    matches!(reply, Ok(Reply::Released))
+    match reply {
+        Ok(Reply::Released {
+            confirmed_age_ms: Some(age_ms),
+        }) => Predecessor::ReleasedAfter {
+            // The reply took some time, so that the confirmation is at least that old.
+            confirmed_ms: boot_ms().saturating_sub(age_ms),
+        },
+        Ok(Reply::Released {
+            confirmed_age_ms: None,
+        }) => Predecessor::Released,
+        _ => Predecessor::Unknown,
+    }
 }
 
 /// Sequence number of the first append after the fence.
