fix(fleet): switch a pool's surplus off in parts

Also, a machine that had moved counted as away for as long as maintenance takes, though its new worker was listed. Change: each plan switches off an eighth of the surplus, from 2.5 s of surplus on instead of 4 s, so that machines stay on about as long as before; a machine counts as back with its new worker. Tests: duties::surplus_serves_next_turn (0 machines moved at once before, 14 or more after). duties::surplus_switched_off looked at a single plan; it now adds up the plans and asks for the same eight machines.

--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -422,7 +422,12 @@
                             && (reservation.worker.is_none()
                                 || machine.worker != reservation.worker)
                     });
-                    let is_due = now_ms >= done_ms + maintenance_ms.min(DEPARTED_KEPT_MS);
+                    // The list may be older than the command: unless a new worker shows that the
+                    // machine has moved, it counts as away for as long as this takes.
+                    let has_moved = matches!(reservation.purpose, Purpose::Move(_))
+                        && reservation.worker.is_some();
+                    let is_due =
+                        has_moved || now_ms >= done_ms + maintenance_ms.min(DEPARTED_KEPT_MS);
                     !(is_back && is_due) && now_ms < done_ms + 2 * DEPARTED_KEPT_MS
                 }
                 None if reservation.commanded_ms.is_some() => true,
--- a/crates/cyclamentrail-jobs/src/fleet/moves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/moves.rs
@@ -17,7 +17,11 @@
 const HEADROOM_PERCENT: u64 = 120;
 /// Time for which a pool must have had too many machines before some are switched off, in
 /// milliseconds.
-const SURPLUS_DELAY_MS: u64 = 4_000;
+const SURPLUS_DELAY_MS: u64 = 2_500;
+/// Divisor of a pool's surplus that gives the number of machines that one plan switches off. A machine
+/// that is being switched off serves nobody for a while, and when one queue's turn ends, that of
+/// another often begins.
+const SURPLUS_DIVISOR: usize = 8;
 /// Machines that a pool keeps in any case.
 const MIN_POOL_MACHINES: usize = 2;
 /// Part of its initial size that a pool keeps for a rise in its demand, in percent.
@@ -161,7 +165,8 @@
             .collect()
     }
 
-    /// Moves machines to the standby pool from pools that have had too many for some time.
+    /// Moves machines to the standby pool from pools that have had too many for some time, a part of
+    /// the surplus in each plan.
     fn switch_off_surplus(
         &mut self,
         now_ms: u64,
@@ -185,7 +190,7 @@
             if now_ms < since_ms + SURPLUS_DELAY_MS {
                 continue;
             }
-            for _ in 0..surplus {
+            for _ in 0..surplus.div_ceil(SURPLUS_DIVISOR) {
                 let Some(machine) = balance.donors.pop() else {
                     break;
                 };
--- a/crates/cyclamentrail-jobs/tests/duties.rs
+++ b/crates/cyclamentrail-jobs/tests/duties.rs
@@ -172,12 +172,44 @@
     let mut planner = FleetPlanner::new(TIMING);
     let mut fleet = fleet(&[("a", 10), ("b", 10)]);
     fleet.standby.insert(ServiceName::from("off"));
-    planner.plan(0, &fleet);
-    planner.plan(5_000, &fleet);
-    let commands = planner.take_commands(5_000, &fleet);
     let off = Purpose::Move(ServiceName::from("off"));
-    assert_eq!(commands.len(), 8, "each pool keeps six of ten");
-    assert!(commands.iter().all(|command| command.purpose == off));
+    let mut switched_off = Vec::new();
+    for now_ms in (0..=5_000).step_by(200) {
+        planner.plan(now_ms, &fleet);
+        let commands = planner.take_commands(now_ms, &fleet);
+        assert!(commands.iter().all(|command| command.purpose == off));
+        switched_off.extend(commands);
+    }
+    assert_eq!(switched_off.len(), 8, "each pool keeps six of ten");
+}
+
+/// The turn of one queue ends, and that of another begins while the surplus is being switched off.
+/// When all of the surplus was switched off at once, nothing was left that could be moved at once.
+#[test]
+fn surplus_serves_next_turn() {
+    let mut planner = FleetPlanner::new(TIMING);
+    let mut fleet = fleet(&[("a", 40), ("b", 10)]);
+    fleet.standby.insert(ServiceName::from("off"));
+    planner.restore_initial_sizes([(ServiceName::from("a"), 10), (ServiceName::from("b"), 10)]);
+    let to_b = Purpose::Move(ServiceName::from("b"));
+    let mut first_off_ms = None;
+    let mut moved_to_b = 0;
+    for now_ms in (0..=6_000_u64).step_by(200) {
+        let load = fleet
+            .loads
+            .get_mut(&ServiceName::from("b"))
+            .expect("the pool is part of the view");
+        let has_turn_begun = first_off_ms.is_some_and(|off_ms| now_ms >= off_ms + 600);
+        load.demand_milli = if has_turn_begun { 22_000 } else { 1_000 };
+        planner.plan(now_ms, &fleet);
+        let commands = planner.take_commands(now_ms, &fleet);
+        if !commands.is_empty() {
+            first_off_ms.get_or_insert(now_ms);
+        }
+        let is_to_b = |command: &&MachineCommand| command.purpose == to_b;
+        moved_to_b += commands.iter().filter(is_to_b).count();
+    }
+    assert!(moved_to_b >= 14, "{moved_to_b} machines were moved at once");
 }
 
 #[test]
