--- a/crates/cyclamentrail-jobs/src/shard_spread.rs
+++ b/crates/cyclamentrail-jobs/src/shard_spread.rs
@@ -3,7 +3,8 @@
 //! The platform spreads partitions, of which there are more than shards. Each shard has a first
 //! partition; it goes to the holder of the first partition from there on whose member has fewer shards
 //! than its even share. Without this limit, one member holds several shards by chance while others
-//! hold none. The rule is that of the seed paper (shared supervisors spread over gateway replicas).
+//! hold none. The rule follows OpenShell's pull request 5436, "spread shared supervisors evenly across
+//! gateway replicas".
 //!
 //! ```
 //! use std::collections::{BTreeMap, BTreeSet};
