fix(succession): take over for balance only after the leases that run already

Cause: a new owner waits anew for the whole lease of each worker that it can't reach. Change: a shard is taken over for balance after 10 s, longer than a lease, instead of 4 s. Test: succession::overloaded_owner_relieved asked for a takeover after 5 s; it asks for none then, which failed before, and for one after 12 s.

--- a/crates/cyclamentrail-jobs/src/shard_spread.rs
+++ b/crates/cyclamentrail-jobs/src/shard_spread.rs
@@ -3,7 +3,7 @@
 //! The platform spreads partitions, of which there are more than shards. Each shard has a first
 //! partition; it goes to the holder of the first partition from there on whose member has fewer shards
 //! than its even share. Without this limit, one member holds several shards by chance while others
-//! hold none. The rule follows OpenShell's pull request 5436, "spread shared supervisors evenly across
+//! hold none. The rule follows `OpenShell`'s pull request 5436, "spread shared supervisors evenly across
 //! gateway replicas".
 //!
 //! ```
--- a/crates/cyclamentrail-jobs/src/succession.rs
+++ b/crates/cyclamentrail-jobs/src/succession.rs
@@ -13,8 +13,9 @@
 /// again, too.
 const MIN_CONNECTED_MS: u64 = 1_500;
 /// Time for which a shard must have been assigned to this process before it is taken over for
-/// balance, in milliseconds.
-const MIN_ASSIGNED_MS: u64 = 4_000;
+/// balance, in milliseconds; longer than a lease. A new owner waits anew for the leases of workers
+/// that it can't reach, so a takeover that isn't urgent comes after those that run already.
+const MIN_ASSIGNED_MS: u64 = 10_000;
 /// Time for which a shard must have been assigned to this process before it is taken over from an
 /// owner with clearly less capacity, in milliseconds.
 const MIN_UPGRADE_ASSIGNED_MS: u64 = 1_000;
--- a/crates/cyclamentrail-jobs/tests/succession.rs
+++ b/crates/cyclamentrail-jobs/tests/succession.rs
@@ -55,10 +55,16 @@
 #[test]
 fn overloaded_owner_relieved() {
     let settled = Candidate {
-        assigned_ms: 5_000,
+        assigned_ms: 12_000,
         ..CANDIDATE
     };
     assert!(should_take_over(acting(100, 5), settled));
+    // A new owner would wait anew for the leases of lost workers: the present one's come first.
+    let within_lease = Candidate {
+        assigned_ms: 5_000,
+        ..settled
+    };
+    assert!(!should_take_over(acting(100, 5), within_lease));
     assert!(!should_take_over(acting(100, 5), CANDIDATE));
     assert!(!should_take_over(acting(100, 1), settled));
 }
