test(outage): wait for the balance of shards before the claims are counted

Cause: outage_keeps_owners counted the claims 7 s after the start, and said that this is longer than the time after which shards are balanced. Since that time is 10 s, so a takeover for balance that was due fell into the outage. Change: the test waits 13 s, by a constant that names what it waits for. What it checks is unchanged.

--- a/crates/cyclamentrail/tests/jobs_process.rs
+++ b/crates/cyclamentrail/tests/jobs_process.rs
@@ -6,6 +6,10 @@
 use cyclamentrail_testkit::JobSite;
 use hyper::{Method, StatusCode};
 
+/// Time after which no shard is taken over for balance any more: longer than a shard must have been
+/// assigned to a process for that.
+const SHARDS_BALANCED: Duration = Duration::from_secs(13);
+
 #[tokio::test]
 async fn two_processes_complete_jobs() -> Result<()> {
     let site = JobSite::start(2, 2, 300).await?;
@@ -80,8 +84,7 @@
     let site = JobSite::start(3, 2, 300).await?;
     site.submit(0, "00000000000000d2", 2).await?;
     site.wait_completed(0, "00000000000000d2").await?;
-    // Longer than the time after which shards are balanced between the processes.
-    tokio::time::sleep(Duration::from_secs(7)).await;
+    tokio::time::sleep(SHARDS_BALANCED).await;
     let claims = site.store.count("keyed.owners");
     site.store.set_down(true);
     tokio::time::sleep(Duration::from_secs(2)).await;
