fix(registry): read the registry only while this process owns a shard

All reads share what the store can send. Idle processes join the relays' directory without looking at the registry. Reads of topics are counted by topic. Test: jobs_relayed registry_read_by_owner; it failed with the old follower ('process 1: true').

--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -20,6 +20,7 @@
 use super::relay::SessionEvent;
 use super::start_queues::StartQueues;
 use super::takeover::{Takeover, take_over};
+use super::worker_registry;
 use crate::metrics;
 
 mod activity;
@@ -81,11 +82,13 @@
     if shard == FLEET_SHARD {
         return super::machine_duty::run(process, takeover, receiver).await;
     }
+    worker_registry::wait_read(&process).await;
     let workers = process.workers.subscribe();
     let operators = process.operator_state.subscribe();
     let mut owner = Owner::new(&process, &shard, takeover, sender.clone());
     owner.apply_operator_state(&operators.borrow());
-    owner.apply_registrations(&workers.borrow());
+    let known_workers = workers.borrow().clone();
+    owner.apply_registrations(known_workers);
     owner.restore();
     let owners = process.owners.subscribe();
     owner.serve(&mut receiver, workers, operators, owners).await;
@@ -210,7 +213,7 @@
     async fn serve(
         &mut self,
         receiver: &mut mpsc::UnboundedReceiver<OwnerMessage>,
-        mut workers: watch::Receiver<Arc<RegisteredWorkers>>,
+        mut workers: watch::Receiver<Option<Arc<RegisteredWorkers>>>,
         mut operators: watch::Receiver<OperatorState>,
         mut owners: watch::Receiver<HashMap<String, KnownOwner>>,
     ) {
@@ -236,8 +239,8 @@
                     None => break,
                 },
                 Ok(()) = workers.changed() => {
-                    let workers = Arc::clone(&workers.borrow_and_update());
-                    self.apply_registrations(&workers);
+                    let workers = workers.borrow_and_update().clone();
+                    self.apply_registrations(workers);
                 }
                 Ok(()) = owners.changed() => self.end_if_superseded(&owners.borrow_and_update()),
                 Ok(()) = operators.changed() => self.apply_operator_state(&operators.borrow_and_update()),
@@ -324,8 +327,12 @@
         }
     }
 
-    /// Registers the workers of the service, and unregisters those that are no longer listed.
-    fn apply_registrations(&mut self, workers: &Arc<RegisteredWorkers>) {
+    /// Registers the workers of the service, and unregisters those that are no longer listed; keeps
+    /// the known ones while the registrations aren't known.
+    fn apply_registrations(&mut self, workers: Option<Arc<RegisteredWorkers>>) {
+        let Some(workers) = workers else {
+            return;
+        };
         let now = now();
         for registration in workers.values() {
             if registration.service == self.service {
@@ -341,7 +348,7 @@
                 self.shard.unregister(&known.id);
             }
         }
-        self.known_workers = Arc::clone(workers);
+        self.known_workers = workers;
     }
 }
 
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -9,7 +9,7 @@
 use cyclamentrail_core::{CallerLimits, ServiceName};
 use cyclamentrail_jobs::{OwnerCapacity, Relay, WorkerRegistration};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
 use super::clocks::boot_ms;
@@ -89,12 +89,15 @@
     pub(crate) owners: watch::Sender<HashMap<String, KnownOwner>>,
     /// Processes on larger machines that have made themselves known.
     pub(crate) announcements: Announcements,
-    /// Registered workers of all services.
-    pub(crate) workers: watch::Sender<Arc<RegisteredWorkers>>,
+    /// Registered workers of all services; `None` unless this process owns a shard and has read
+    /// them.
+    pub(crate) workers: watch::Sender<Option<Arc<RegisteredWorkers>>>,
     /// When the registrations were last read. They may be relied on for a start as long as it
     /// arrives within the notice of a worker that gave it right after the read.
     pub(crate) registry_confirmation: Confirmation,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
+    /// Signals that a takeover has begun.
+    takeover_begun: Notify,
     /// Time by which callers get their responses; set once the process is stopping.
     last_response: OnceLock<Instant>,
 }
@@ -116,9 +119,10 @@
             operator_state: watch::Sender::new(OperatorState::default()),
             owners: watch::Sender::new(HashMap::new()),
             announcements: Announcements::default(),
-            workers: watch::Sender::new(Arc::default()),
+            workers: watch::Sender::new(None),
             registry_confirmation: Confirmation::new(0, registry_valid),
             owned_shards: Mutex::new(HashMap::new()),
+            takeover_begun: Notify::new(),
             last_response: OnceLock::new(),
         }
     }
@@ -185,6 +189,13 @@
         !self.lock_owned_shards().is_empty()
     }
 
+    /// Waits until this process owns, or is taking over, any shard. One task may wait at a time.
+    pub(crate) async fn wait_until_owner(&self) {
+        while !self.owns_any() {
+            self.takeover_begun.notified().await;
+        }
+    }
+
     /// Records that this process is taking over a shard.
     pub(crate) fn insert_owned_shard(
         &self,
@@ -197,6 +208,7 @@
             confirmation: None,
         };
         self.lock_owned_shards().insert(shard.to_owned(), owned);
+        self.takeover_begun.notify_one();
     }
 
     /// Records that this process no longer owns a shard, unless a newer owner in this process has
--- a/crates/cyclamentrail/src/edge/relay/directory.rs
+++ b/crates/cyclamentrail/src/edge/relay/directory.rs
@@ -1,13 +1,13 @@
 //! Directory of the processes that relay calls: a consumer group that all processes join while they
 //! own nothing. The store lists its members to any process.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::fmt::{Display, Formatter};
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamentrail_core::{ServiceName, ZoneName};
-use cyclamentrail_jobs::{MIN_RELAYED_WORKERS, Relay};
+use cyclamentrail_core::ZoneName;
+use cyclamentrail_jobs::Relay;
 
 use crate::edge::process_state::ProcessState;
 
@@ -60,7 +60,7 @@
                 is_listed = leave(&process, &name).await;
             }
             read_directory(&process, &name).await;
-        } else if has_relayed_service(&process) {
+        } else {
             is_listed = true;
             generation = join(&process, &name, generation).await;
         }
@@ -70,16 +70,6 @@
     }
 }
 
-/// Returns whether a service has enough workers for its owner to use relays.
-fn has_relayed_service(process: &ProcessState) -> bool {
-    let workers = Arc::clone(&process.workers.borrow());
-    let mut counts: BTreeMap<&ServiceName, usize> = BTreeMap::new();
-    for worker in workers.values() {
-        *counts.entry(&worker.service).or_default() += 1;
-    }
-    counts.values().any(|&count| count >= MIN_RELAYED_WORKERS)
-}
-
 /// Joins the group or stays in it; returns the group's generation.
 async fn join(process: &ProcessState, name: &RelayName, generation: u64) -> u64 {
     let member = name.to_string();
--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -23,6 +23,8 @@
 /// Reader of a topic, with its position.
 #[derive(Debug)]
 pub(crate) struct TopicReader {
+    /// Name of the topic without the store's prefix.
+    topic: &'static str,
     name: String,
     /// Offset of the next record; `None` before a snapshot is read.
     next_offset: Option<u64>,
@@ -32,9 +34,10 @@
 
 impl TopicReader {
     /// Creates a reader at the start of the topic; its first read returns a snapshot.
-    pub(crate) fn new(name: &str) -> Self {
+    pub(crate) fn new(topic: &'static str) -> Self {
         Self {
-            name: keyed_topic(name),
+            topic,
+            name: keyed_topic(topic),
             next_offset: None,
             read_sent_ms: 0,
         }
@@ -47,7 +50,7 @@
         loop {
             let sent_ms = boot_ms();
             let read = self.try_read(store, wait).await;
-            metrics::count_topic_read(read.is_ok());
+            metrics::count_topic_read(self.topic, read.is_ok());
             match read {
                 Ok(read) => {
                     self.read_sent_ms = sent_ms;
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -218,8 +218,8 @@
     Metric {
         name: STORE_CALLS,
         kind: MetricKind::Counter,
-        labels: &["call", "outcome"],
-        help: "Calls to the platform's store, by kind and outcome.",
+        labels: &["call", "topic", "outcome"],
+        help: "Calls to the platform's store, by kind and outcome; reads of topics also by topic.",
     },
     Metric {
         name: STORE_SECONDS,
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -110,9 +110,10 @@
 
 /// Counts a read of a topic of the platform's store. The duration isn't recorded: a read waits for
 /// new records, so the duration says nothing about the store.
-pub(crate) fn count_topic_read(is_answered: bool) {
+pub(crate) fn count_topic_read(topic: &'static str, is_answered: bool) {
     let outcome = if is_answered { "answered" } else { "failed" };
-    metrics::counter!(STORE_CALLS, "call" => "read", "outcome" => outcome).increment(1);
+    metrics::counter!(STORE_CALLS, "call" => "read", "topic" => topic, "outcome" => outcome)
+        .increment(1);
 }
 
 /// Counts a command for a machine: a move or maintenance.
--- a/crates/cyclamentrail/tests/jobs_relayed.rs
+++ b/crates/cyclamentrail/tests/jobs_relayed.rs
@@ -94,6 +94,25 @@
     Ok(())
 }
 
+/// All reads share what the store can send, so that processes that own nothing leave the registry to
+/// the owners.
+#[tokio::test]
+async fn registry_read_by_owner() -> Result<()> {
+    let site = relayed_site(2, 100).await?;
+    let id = "00000000000000f8";
+    site.submit(OWNER, id, 24).await?;
+    site.wait_completed(OWNER, id).await?;
+    let read = "cyclamentrail_store_calls_total{call=\"read\",topic=\"servers\"";
+    for process in 0..site.processes.len() {
+        let has_read = get(&site, process, "/metrics").await?.contains(read);
+        ensure!(
+            has_read == (process == OWNER),
+            "process {process}: {has_read}"
+        );
+    }
+    Ok(())
+}
+
 /// The relays are lost while tasks run and while others wait for their starts.
 #[tokio::test]
 async fn killed_relays_bypassed() -> Result<()> {
