fix(command): usage errors of wave and pool exit with 2

Cause: an unknown action and a missing flag of wave and pool were plain errors, so that these commands ended with 1, refused or failed, as no other command does. Evidence: 'wave dance' and 'pool move --to a' exited with 1. Change: they are usage errors, by one function for required flags.

--- a/crates/cyclamentrail/src/command/pool.rs
+++ b/crates/cyclamentrail/src/command/pool.rs
@@ -1,12 +1,12 @@
 //! `cyclamentrail pool`: shows pools, or moves an instance to another pool.
 
-use anyhow::{Context, Result, bail};
+use anyhow::Result;
 use getopts::{Matches, Options};
 use serde_json::json;
 
-use super::ExitStatus;
 use super::client::OperatorClient;
-use super::wave::{operator_name, print_document, split_action};
+use super::wave::{operator_name, print_document, required_value, split_action};
+use super::{ExitStatus, UsageError};
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -32,7 +32,10 @@
         match action {
             "show" => show(&client, matches),
             "move" => request_move(&client, matches),
-            other => bail!("\"{other}\" is no action; use show or move"),
+            other => {
+                let problem = format!("{other:?} is no action; use show or move");
+                Err(UsageError::new(problem).into())
+            }
         }
     })
 }
@@ -43,10 +46,8 @@
 }
 
 fn request_move(client: &OperatorClient, matches: &Matches) -> Result<()> {
-    let instance = matches
-        .opt_str("instance")
-        .context("--instance is missing")?;
-    let to = matches.opt_str("to").context("--to is missing")?;
+    let instance = required_value(matches, "instance")?;
+    let to = required_value(matches, "to")?;
     let request = json!({"instance": instance, "to": to, "operator": operator_name(matches)});
     client.post("/v1/moves", &request)?;
     print_document(
--- a/crates/cyclamentrail/src/command/wave.rs
+++ b/crates/cyclamentrail/src/command/wave.rs
@@ -1,12 +1,12 @@
 //! `cyclamentrail wave`: creates, shows, pauses, resumes or cancels a maintenance wave.
 
-use anyhow::{Context, Result, bail};
+use anyhow::Result;
 use getopts::{Matches, Options};
 use serde_json::json;
 
-use super::ExitStatus;
 use super::client::OperatorClient;
 use super::indented::format_indented;
+use super::{ExitStatus, UsageError};
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -34,7 +34,11 @@
             "create" => create(&client, matches),
             "show" => show(&client, matches),
             "pause" | "resume" | "cancel" => control_wave(&client, matches, action),
-            other => bail!("\"{other}\" is no action; use create, show, pause, resume or cancel"),
+            other => {
+                let problem =
+                    format!("{other:?} is no action; use create, show, pause, resume or cancel");
+                Err(UsageError::new(problem).into())
+            }
         }
     })
 }
@@ -51,6 +55,12 @@
     }
 }
 
+/// Returns the value of a flag that the action can't do without.
+pub(super) fn required_value(matches: &Matches, name: &str) -> Result<String, UsageError> {
+    let missing = || UsageError::new(format!("--{name} is missing"));
+    matches.opt_str(name).ok_or_else(missing)
+}
+
 /// Returns the operator's name for the change history: `--operator`, else `$USER`, else `operator`.
 pub(super) fn operator_name(matches: &Matches) -> String {
     let default_name = || std::env::var("USER").unwrap_or_else(|_missing| String::from("operator"));
@@ -66,8 +76,8 @@
     }
 }
 
-fn wave_name(matches: &Matches) -> Result<String> {
-    matches.opt_str("wave").context("--wave is missing")
+fn wave_name(matches: &Matches) -> Result<String, UsageError> {
+    required_value(matches, "wave")
 }
 
 fn create(client: &OperatorClient, matches: &Matches) -> Result<()> {
