fix(owner): don't show a state that another owner may have changed

Cause: an owner answered callers for 5 s after its last confirmation by the store, and another process takes over after 2.2 s, or at once if the owner is suspended. When it went on after the pause, it showed jobs as running that the next owner had shown as completed, until it learned of the other claim. Change: with a confirmation older than 2 s an owner shows only final states, which don't change; other callers are sent on, as they were for unknown jobs. Left: a pause shorter than 2 s in which another process took over.

--- a/crates/cyclamentrail-testkit/src/job_site.rs
+++ b/crates/cyclamentrail-testkit/src/job_site.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -85,6 +86,23 @@
         self.start_process(name, "", Process::spawn)
     }
 
+    /// Starts a process that reaches the store at another address, such as that of a
+    /// [`Forwarder`](crate::Forwarder), and writes its output to a file; waits until it serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process doesn't start.
+    pub fn start_logged_process(
+        &self,
+        name: &str,
+        store: SocketAddr,
+        log: &Path,
+    ) -> Result<(Process, SocketAddr)> {
+        self.spawn_process(name, "", store, |binary, arguments, environment| {
+            Process::spawn_logged(binary, arguments, environment, log)
+        })
+    }
+
     /// Starts one more process on a machine with limits, given as lines of the settings file, and
     /// waits until it serves.
     ///
@@ -111,9 +129,21 @@
         limits: &str,
         spawn: impl Fn(&str, &[String], &[(&str, &str)]) -> Result<Process>,
     ) -> Result<()> {
+        let started = self.spawn_process(name, limits, self.store.address(), spawn)?;
+        self.processes.push(started);
+        Ok(())
+    }
+
+    fn spawn_process(
+        &self,
+        name: &str,
+        limits: &str,
+        store: SocketAddr,
+        spawn: impl Fn(&str, &[String], &[(&str, &str)]) -> Result<Process>,
+    ) -> Result<(Process, SocketAddr)> {
         let ports = ProcessPorts::allocate()?;
         let path = self.folder.path().join(name);
-        let text = process_settings(name, ports, self.store.address()) + limits;
+        let text = process_settings(name, ports, store) + limits;
         std::fs::write(&path, text)?;
         let arguments = [
             String::from("edge"),
@@ -121,9 +151,7 @@
             path.display().to_string(),
         ];
         let process = spawn("cyclamentrail", &arguments, &[])?;
-        self.processes
-            .push((process, SocketAddr::from((LOOPBACK, ports.caller))));
-        Ok(())
+        Ok((process, SocketAddr::from((LOOPBACK, ports.caller))))
     }
 
     /// Sends a request about the job `id` to a process and returns status and body.
--- a/crates/cyclamentrail-testkit/src/process.rs
+++ b/crates/cyclamentrail-testkit/src/process.rs
@@ -1,8 +1,9 @@
 //! A child process that a test starts, signals and kills.
 
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 
 use anyhow::{Context, Result, ensure};
@@ -35,6 +36,27 @@
         Ok(process)
     }
 
+    /// Starts a binary of this workspace, waits until it serves and then appends its output to a
+    /// file, on a thread that ends with the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file can't be opened, the binary isn't built, can't be started or
+    /// prints another first line than one that begins with `listening`.
+    pub fn spawn_logged(
+        binary: &str,
+        arguments: &[String],
+        environment: &[(&str, &str)],
+        log: &Path,
+    ) -> Result<Self> {
+        let mut file = File::options().create(true).append(true).open(log)?;
+        let mut process = Self::spawn_with_stalled_output(binary, arguments, environment)?;
+        if let Some(mut output) = process.stalled_output.take() {
+            std::thread::spawn(move || std::io::copy(&mut output, &mut file));
+        }
+        Ok(process)
+    }
+
     /// Starts a binary of this workspace, waits until it serves and then keeps its output open
     /// without reading it; writes of the process block once the pipe holds 4,096 bytes.
     ///
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -15,9 +15,10 @@
 use crate::edge::operator_views::{describe_job, describe_shard};
 use crate::metrics;
 
-/// Largest age of the last confirmation at which the owner replies that a job is unknown, in
-/// milliseconds.
-const MAX_UNKNOWN_AGE_MS: u64 = 2_000;
+/// Largest age of the last confirmation at which the owner replies with what can still change, in
+/// milliseconds. Shorter than the age at which another process takes the shard over: that one may
+/// have accepted the job or shown it as completed.
+const MAX_REPLY_AGE_MS: u64 = 2_000;
 /// Age of a commit at which new jobs are rejected, because the store doesn't respond.
 const STUCK_COMMIT_AGE: Duration = Duration::from_millis(700);
 /// Time for which workers are kept empty after the last request to evacuate them.
@@ -48,11 +49,10 @@
                 };
                 self.shard.submit(now(), submission);
             }
-            // Another process may have taken over and accepted the job since.
-            OwnerRequest::State(id) | OwnerRequest::Cancel(id)
-                if self.shard.job(&id).is_none()
-                    && self.confirmation.age_ms() > MAX_UNKNOWN_AGE_MS =>
-            {
+            OwnerRequest::State(id) if !self.may_show_state(&id) => {
+                drop(reply.send(Reply::NotOwner));
+            }
+            OwnerRequest::Cancel(id) if self.shard.job(&id).is_none() && self.may_be_replaced() => {
                 drop(reply.send(Reply::NotOwner));
             }
             OwnerRequest::State(id) => {
@@ -75,6 +75,17 @@
         self.carry_out_ready();
     }
 
+    /// Returns whether another process may have taken the shard over without this one knowing.
+    fn may_be_replaced(&self) -> bool {
+        self.confirmation.age_ms() > MAX_REPLY_AGE_MS
+    }
+
+    /// Returns whether the state of a job, as far as it is stored, is still the newest one for sure.
+    fn may_show_state(&self, id: &JobId) -> bool {
+        let job = self.shard.job(id);
+        job.is_some_and(|job| job.durable_state.is_final()) || !self.may_be_replaced()
+    }
+
     fn describe(&self) -> Reply {
         let age_ms = self.confirmation.age_ms();
         let relays = self
