fix(owner): notice a claim that came during the takeover

Cause: an owner looks at the claims when they change. A claim that it read while its own takeover was under way was no change any more, so that it went on until its next confirmation was fenced. Change: the claims count as changed when the owner begins. No test of its own: the order of the two takeovers can't be brought about from outside; 48 trials with delays of the store didn't show it.

--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -90,7 +90,9 @@
     let known_workers = workers.borrow().clone();
     owner.apply_registrations(known_workers);
     owner.restore();
-    let owners = process.owners.subscribe();
+    let mut owners = process.owners.subscribe();
+    // Another process may have claimed the shard during the takeover.
+    owners.mark_changed();
     owner.serve(&mut receiver, workers, operators, owners).await;
     process.remove_owned_shard(&shard, &sender);
     owner.finish(&mut receiver).await;
