--- a/crates/cyclamentrail-standin/src/jobs.rs
+++ b/crates/cyclamentrail-standin/src/jobs.rs
@@ -8,7 +8,8 @@
 mod worker;
 
 pub use client::{
-    JOB_SERVICE, JobClient, ProcessPorts, SubmitResult, process_settings, put_configuration,
+    JOB_HOST, JOB_SERVICE, JobClient, ProcessPorts, SubmitResult, process_settings,
+    put_configuration,
 };
 pub use store::JobStore;
 pub use worker::{JobWorker, TaskRun};
--- a/crates/cyclamentrail-standin/src/jobs/client.rs
+++ b/crates/cyclamentrail-standin/src/jobs/client.rs
@@ -1,6 +1,7 @@
 //! A client that submits jobs, and the configuration and settings of a small site.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use anyhow::{Context, Result, ensure};
@@ -14,9 +15,9 @@
 
 use super::JobStore;
 
-/// Host of the site's only route.
-const HOST: &str = "jobs.example";
-/// Name of the service that runs the route's tasks.
+/// Host of the site's only route, unless another one is set.
+pub const JOB_HOST: &str = "jobs.example";
+/// Name of the service that runs the route's tasks, unless another one is set.
 pub const JOB_SERVICE: &str = "svc";
 /// CPU that each task requests, in thousandths of a core.
 const TASK_CPU_MILLI: u64 = 500;
@@ -82,15 +83,15 @@
     u16::try_from(block).unwrap_or(0)
 }
 
-/// Writes the configuration of a site with one route to its store.
-pub fn put_configuration(store: &JobStore) {
+/// Writes the configuration of a site with one route, from `host` to `service`, to its store.
+pub fn put_configuration(store: &JobStore, host: &str, service: &str) {
     let configuration = json!({
         "Version": 3,
         "Routes": [{
-            "Name": "r", "Host": HOST, "PathPrefix": "/q/", "Service": JOB_SERVICE, "Priority": 0,
+            "Name": "r", "Host": host, "PathPrefix": "/q/", "Service": service, "Priority": 0,
             "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3, "Stretch": 2.0,
         }],
-        "Services": [{"Name": JOB_SERVICE, "Standby": false}],
+        "Services": [{"Name": service, "Standby": false}],
     });
     store.put("keyed.op", "config", &configuration);
 }
@@ -125,6 +126,7 @@
 /// A client that submits jobs and queries their state.
 #[derive(Debug, Clone)]
 pub struct JobClient {
+    host: Arc<str>,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -135,14 +137,22 @@
 }
 
 impl JobClient {
-    /// Creates a client.
+    /// Creates a client of a site whose host is [`JOB_HOST`].
     #[must_use]
     pub fn new() -> Self {
         Self {
+            host: Arc::from(JOB_HOST),
             client: Client::builder(TokioExecutor::new()).build_http(),
         }
     }
 
+    /// Sets the host that the requests name.
+    #[must_use]
+    pub fn host(mut self, host: &str) -> Self {
+        self.host = Arc::from(host);
+        self
+    }
+
     /// Sends a request about the job `id` to a process and returns the status and body of the response.
     ///
     /// # Errors
@@ -158,7 +168,7 @@
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}/q/{id}"))
-            .header("host", HOST)
+            .header("host", &*self.host)
             .header("deadline-ms", "3000")
             .body(Full::new(Bytes::from(body)))?;
         let response = self.client.request(request).await?;
--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -43,6 +43,10 @@
     /// Notified after each append to any topic.
     appended: Notify,
     is_down: AtomicBool,
+    /// Delay of each response, in milliseconds.
+    delay_ms: AtomicU64,
+    /// Whether calls are carried out and get no response.
+    loses_responses: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -88,7 +92,7 @@
             .route("/log-owners", get(owners))
             .layer(middleware::from_fn_with_state(
                 Arc::clone(&shared),
-                reject_when_down,
+                misbehave,
             ))
             .with_state(Arc::clone(&shared));
         let served = Served::start(address, router).await?;
@@ -106,6 +110,17 @@
         self.shared.is_down.store(is_down, Ordering::Relaxed);
     }
 
+    /// Delays each response by `delay_ms`.
+    pub fn set_delay_ms(&self, delay_ms: u64) {
+        self.shared.delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+
+    /// Sets whether calls are carried out and get no response.
+    pub fn set_losing_responses(&self, loses_responses: bool) {
+        let lost = &self.shared.loses_responses;
+        lost.store(loses_responses, Ordering::Relaxed);
+    }
+
     /// Sets the number of partitions of each topic that the group assigns.
     pub fn set_partitions(&self, partitions: u32) {
         self.shared.lock().partitions = partitions;
@@ -163,15 +178,20 @@
     }
 }
 
-async fn reject_when_down(
-    State(shared): State<Arc<Shared>>,
-    request: Request,
-    next: Next,
-) -> Response {
+/// Rejects, delays or loses calls as the tests have set.
+async fn misbehave(State(shared): State<Arc<Shared>>, request: Request, next: Next) -> Response {
     if shared.is_down.load(Ordering::Relaxed) {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    next.run(request).await
+    let delay_ms = shared.delay_ms.load(Ordering::Relaxed);
+    if delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    }
+    let response = next.run(request).await;
+    if shared.loses_responses.load(Ordering::Relaxed) {
+        std::future::pending::<()>().await;
+    }
+    response
 }
 
 #[derive(Debug, Deserialize)]
--- a/crates/cyclamentrail-standin/src/jobs/worker.rs
+++ b/crates/cyclamentrail-standin/src/jobs/worker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -36,6 +37,10 @@
     pub run: u64,
     /// Result of the run: `done`, `stopped` or `lapsed` (the lease ran out); empty while running.
     pub result: String,
+    /// When the run began.
+    pub began: Instant,
+    /// When the run ended; `None` while running.
+    pub ended: Option<Instant>,
 }
 
 /// One incarnation of a worker; dropping the value ends the incarnation.
@@ -55,6 +60,8 @@
     started_ms: u64,
     /// Origin of the worker's clock.
     clock_origin: Instant,
+    /// Whether the worker gives notice that it leaves.
+    is_draining: AtomicBool,
     state: Mutex<WorkerState>,
 }
 
@@ -94,6 +101,7 @@
             service: service.to_owned(),
             started_ms: started.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0)),
             clock_origin: Instant::now(),
+            is_draining: AtomicBool::new(false),
             state: Mutex::new(WorkerState {
                 task_ms,
                 ..WorkerState::default()
@@ -123,6 +131,11 @@
         self.shared.lock().runs.clone()
     }
 
+    /// Gives notice: the worker registers as draining from now on, and still runs what is started.
+    pub fn give_notice(&self) {
+        self.shared.is_draining.store(true, Ordering::Relaxed);
+    }
+
     /// Carries out the next start command after `delay_ms` and sends no response to it.
     pub fn delay_next_start(&self, delay_ms: u64) {
         self.shared.lock().start_delay_ms = Some(delay_ms);
@@ -177,9 +190,11 @@
     }
 
     fn register(&self, store: &JobStore, address: SocketAddr) {
+        let is_draining = self.is_draining.load(Ordering::Relaxed);
+        let state = if is_draining { "draining" } else { "ready" };
         let entry = json!({
             "Service": self.service, "Address": address.to_string(), "Zone": "z",
-            "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
+            "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0,
             "Capacity": {"Cpu": 16_000, "MemMb": 65_536, "Gpu": 0}, "Labels": ["a", "r1"],
             "ClockMs": self.clock_ms(), "Seq": 1, "born": self.started_ms,
         });
@@ -196,6 +211,7 @@
         for known in &mut self.runs {
             if known.task == task && known.run == run {
                 result.clone_into(&mut known.result);
+                known.ended = Some(Instant::now());
             }
         }
         let number = self.ended_runs.last().map_or(1, |last| last.0 + 1);
@@ -231,6 +247,8 @@
             task: body.task.clone(),
             run: body.run,
             result: String::new(),
+            began: Instant::now(),
+            ended: None,
         });
         Ok(())
     }
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
 pub use jobs::{
-    JOB_SERVICE, JobClient, JobStore, JobWorker, ProcessPorts, SubmitResult, TaskRun,
+    JOB_HOST, JOB_SERVICE, JobClient, JobStore, JobWorker, ProcessPorts, SubmitResult, TaskRun,
     process_settings, put_configuration,
 };
 pub use list_service::{ListBehaviour, ListService};
--- a/crates/cyclamentrail-testkit/src/job_site.rs
+++ b/crates/cyclamentrail-testkit/src/job_site.rs
@@ -9,7 +9,7 @@
 use anyhow::{Result, ensure};
 use bytes::Bytes;
 use cyclamentrail_standin::{
-    JOB_SERVICE, JobClient, JobStore, JobWorker, ProcessPorts, SubmitResult, TaskRun,
+    JOB_HOST, JOB_SERVICE, JobClient, JobStore, JobWorker, ProcessPorts, SubmitResult, TaskRun,
     process_settings, put_configuration,
 };
 use hyper::{Method, StatusCode};
@@ -48,15 +48,7 @@
     ///
     /// Returns an error when the store, a worker or a process doesn't start.
     pub async fn start(processes: usize, workers: usize, task_ms: u64) -> Result<Self> {
-        let store = Arc::new(JobStore::start(SocketAddr::from((LOOPBACK, 0))).await?);
-        put_configuration(&store);
-        let mut site = Self {
-            store,
-            workers: Vec::new(),
-            processes: Vec::new(),
-            client: JobClient::new(),
-            folder: tempfile::tempdir()?,
-        };
+        let mut site = Self::start_named(JOB_HOST, JOB_SERVICE).await?;
         for index in 0..workers {
             site.add_worker(&format!("i-{index}"), task_ms).await?;
         }
@@ -66,6 +58,25 @@
         Ok(site)
     }
 
+    /// Starts a store with a route from `host` to `service`, without workers and processes. Sites
+    /// that run side by side and end processes need different names: a port may pass from one to
+    /// the other.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store doesn't start.
+    pub async fn start_named(host: &str, service: &str) -> Result<Self> {
+        let store = Arc::new(JobStore::start(SocketAddr::from((LOOPBACK, 0))).await?);
+        put_configuration(&store, host, service);
+        Ok(Self {
+            store,
+            workers: Vec::new(),
+            processes: Vec::new(),
+            client: JobClient::new().host(host),
+            folder: tempfile::tempdir()?,
+        })
+    }
+
     /// Starts one more worker, whose tasks take `task_ms` milliseconds each.
     ///
     /// # Errors
--- a/crates/cyclamentrail-testkit/src/lib.rs
+++ b/crates/cyclamentrail-testkit/src/lib.rs
@@ -21,6 +21,7 @@
 mod load;
 mod process;
 mod site;
+mod soak;
 
 pub use call::Call;
 pub use client::{Client, ClientResponse};
@@ -29,3 +30,7 @@
 pub use load::{Load, LoadResult, count_outcomes};
 pub use process::Process;
 pub use site::{Site, SiteBuilder, TOKEN};
+pub use soak::{
+    Fault, History, JobHistory, RunHistory, ScheduledFault, Soak, SoakReport, Submission,
+    Violation, WorkerHistory, check_history, draw_schedule,
+};
--- /dev/null
+++ b/crates/cyclamentrail-testkit/src/soak.rs
@@ -0,0 +1,164 @@
+//! A soak: a site of real processes under load, with faults drawn from a seed, whose promises are
+//! checked from what clients and workers recorded.
+//!
+//! ```no_run
+//! # async fn example() -> anyhow::Result<()> {
+//! use std::time::Duration;
+//!
+//! use cyclamentrail_testkit::Soak;
+//!
+//! let report = Soak::new(7).duration(Duration::from_secs(20)).run().await?;
+//! assert!(report.violations.is_empty());
+//! # Ok(())
+//! # }
+//! ```
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::Result;
+use serde::Serialize;
+use tokio::time::Instant;
+
+mod check;
+mod faults;
+mod history;
+mod load;
+mod schedule;
+
+pub use check::{Violation, check_history};
+use faults::{FaultySite, SiteNames};
+pub use history::{History, JobHistory, RunHistory, Submission, WorkerHistory};
+use load::Load;
+pub use schedule::{Fault, ScheduledFault, draw_schedule};
+
+/// Time within which jobs have to end once the last fault is over: longer than a takeover, a lease
+/// and a job of two steps together.
+const SETTLE_TIME: Duration = Duration::from_secs(30);
+/// Number of workers of the site.
+const WORKERS: usize = 6;
+/// Time that each task takes, in milliseconds.
+const TASK_MS: u64 = 400;
+
+/// Settings of a soak.
+#[derive(Debug, Clone)]
+pub struct Soak {
+    seed: u64,
+    duration: Duration,
+    processes: usize,
+    logs: Option<PathBuf>,
+}
+
+/// Result of a soak.
+#[derive(Debug, Clone, Serialize)]
+pub struct SoakReport {
+    /// Seed that the faults and the load were drawn from.
+    pub seed: u64,
+    /// Time for which faults and load lasted, in seconds.
+    pub seconds: u64,
+    /// Number of processes.
+    pub processes: usize,
+    /// Faults in the order of their times.
+    pub faults: Vec<ScheduledFault>,
+    /// Number of jobs that clients tried to submit.
+    pub submitted_jobs: usize,
+    /// Number of accepted jobs.
+    pub accepted_jobs: usize,
+    /// Number of runs that workers began.
+    pub runs: usize,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+    /// Folder with the output of the processes.
+    pub logs: PathBuf,
+    /// Command that plays the soak again.
+    pub command: String,
+}
+
+impl Soak {
+    /// Creates a soak of 20 s on four processes.
+    #[must_use]
+    pub const fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            duration: Duration::from_secs(20),
+            processes: 4,
+            logs: None,
+        }
+    }
+
+    /// Sets the time for which faults and load last.
+    #[must_use]
+    pub const fn duration(mut self, duration: Duration) -> Self {
+        self.duration = duration;
+        self
+    }
+
+    /// Sets the number of processes.
+    #[must_use]
+    pub const fn processes(mut self, processes: usize) -> Self {
+        self.processes = processes;
+        self
+    }
+
+    /// Sets the folder for the output of the processes.
+    #[must_use]
+    pub fn logs(mut self, logs: PathBuf) -> Self {
+        self.logs = Some(logs);
+        self
+    }
+
+    /// Plays the soak and checks what clients and workers recorded.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the site can't be started or a fault can't be carried out.
+    pub async fn run(self) -> Result<SoakReport> {
+        let schedule = draw_schedule(self.seed, self.duration, self.processes, WORKERS);
+        let logs = self.logs.clone().unwrap_or_else(|| self.default_logs());
+        std::fs::create_dir_all(&logs)?;
+        let names = SiteNames::new(self.seed);
+        let mut site = FaultySite::start(&names, self.processes, WORKERS, TASK_MS, &logs).await?;
+        let end = Instant::now() + self.duration;
+        let load = Load::start(
+            self.seed,
+            names.host,
+            site.callers(),
+            end,
+            end + SETTLE_TIME,
+        );
+        site.carry_out(&schedule, end).await?;
+        let jobs = load.finish().await;
+        let history = History {
+            jobs,
+            workers: site.finish(),
+        };
+        let violations = check_history(&history);
+        Ok(SoakReport {
+            seed: self.seed,
+            seconds: self.duration.as_secs(),
+            processes: self.processes,
+            faults: schedule,
+            submitted_jobs: history.jobs.len(),
+            accepted_jobs: history.accepted_jobs().count(),
+            runs: history.workers.iter().map(|worker| worker.runs.len()).sum(),
+            violations,
+            logs,
+            command: self.command(),
+        })
+    }
+
+    /// Returns the command that plays the soak again.
+    fn command(&self) -> String {
+        format!(
+            "cargo run -p cyclamentrail-testkit --bin cyclamentrail-soak -- --seed {} --seconds {} --processes {}",
+            self.seed,
+            self.duration.as_secs(),
+            self.processes
+        )
+    }
+
+    fn default_logs(&self) -> PathBuf {
+        let name = format!("cyclamentrail-soak-{}-{}", self.seed, std::process::id());
+        std::env::temp_dir().join(name)
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-testkit/src/soak/faults.rs
@@ -0,0 +1,296 @@
+//! A site of real processes on which the faults of a soak are carried out.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use cyclamentrail_standin::JobWorker;
+use tokio::time::{Instant as TokioInstant, sleep, sleep_until};
+
+use super::history::{RunHistory, WorkerHistory};
+use super::load::Callers;
+use super::schedule::{Fault, ScheduledFault};
+use crate::{Forwarder, JobSite, Process};
+
+/// Time by which a worker carries out a start late, in milliseconds.
+const START_DELAY_MS: u64 = 2_000;
+/// Longest time for which a process that is stopped in order is waited for.
+const STOP_TIME: Duration = Duration::from_secs(20);
+/// Time between two looks at a process that is stopping.
+const STOP_POLL: Duration = Duration::from_millis(50);
+/// Topic of the workers' registrations.
+const REGISTRATION_TOPIC: &str = "keyed.servers";
+
+/// Running process with its own way to the store.
+struct SoakProcess {
+    process: Process,
+    store_link: Forwarder,
+}
+
+impl SoakProcess {
+    /// Sends a signal unless an overlapping fault has ended the process, whose id may belong to
+    /// another one by now.
+    fn signal(&mut self, send: impl Fn(&Process) -> Result<()>) -> Result<()> {
+        if self.process.try_wait()?.is_none() {
+            send(&self.process)?;
+        }
+        Ok(())
+    }
+}
+
+/// Running worker.
+struct SoakWorker {
+    id: String,
+    worker: JobWorker,
+    gave_notice: Option<Instant>,
+}
+
+/// End of a fault that lasts.
+struct Recovery {
+    at_ms: u64,
+    fault: Fault,
+}
+
+/// Names that no other soak uses, since a port may pass to one that runs beside.
+pub(super) struct SiteNames {
+    /// Host of the callers' requests.
+    pub(super) host: Arc<str>,
+    /// Service that runs the tasks.
+    pub(super) service: String,
+}
+
+impl SiteNames {
+    /// Creates the names of the soak that this process plays with a seed.
+    pub(super) fn new(seed: u64) -> Self {
+        let unique = format!("{seed}-{}", std::process::id());
+        Self {
+            host: Arc::from(format!("soak-{unique}.example")),
+            service: format!("svc-{unique}"),
+        }
+    }
+}
+
+/// Site on which faults are carried out.
+pub(super) struct FaultySite {
+    site: JobSite,
+    service: String,
+    processes: Vec<SoakProcess>,
+    callers: Callers,
+    workers: Vec<SoakWorker>,
+    /// Incarnations of workers that have ended.
+    ended_workers: Vec<WorkerHistory>,
+    task_ms: u64,
+    logs: PathBuf,
+}
+
+impl FaultySite {
+    /// Starts the store, the workers and the processes.
+    pub(super) async fn start(
+        names: &SiteNames,
+        processes: usize,
+        workers: usize,
+        task_ms: u64,
+        logs: &Path,
+    ) -> Result<Self> {
+        let mut faulty = Self {
+            site: JobSite::start_named(&names.host, &names.service).await?,
+            service: names.service.clone(),
+            processes: Vec::new(),
+            callers: Callers::default(),
+            workers: Vec::new(),
+            ended_workers: Vec::new(),
+            task_ms,
+            logs: logs.to_owned(),
+        };
+        for number in 0..workers {
+            let worker = faulty.start_worker(format!("i-{number}")).await?;
+            faulty.workers.push(worker);
+        }
+        for number in 0..processes {
+            let store_link = Forwarder::start(faulty.site.store.address()).await?;
+            let (process, caller) = faulty.start_process(number, &store_link)?;
+            faulty.processes.push(SoakProcess {
+                process,
+                store_link,
+            });
+            faulty.lock_callers().push(caller);
+        }
+        Ok(faulty)
+    }
+
+    /// Returns the addresses for callers, which change with each start of a process.
+    pub(super) fn callers(&self) -> Callers {
+        Arc::clone(&self.callers)
+    }
+
+    /// Carries out the faults, and ends all of them at `end`.
+    pub(super) async fn carry_out(
+        &mut self,
+        schedule: &[ScheduledFault],
+        end: TokioInstant,
+    ) -> Result<()> {
+        let begin = TokioInstant::now();
+        let at = |at_ms| begin + Duration::from_millis(at_ms);
+        let mut recoveries: Vec<Recovery> = Vec::new();
+        for scheduled in schedule {
+            while let Some(recovery) = take_due(&mut recoveries, scheduled.at_ms) {
+                sleep_until(at(recovery.at_ms)).await;
+                self.recover(recovery.fault).await?;
+            }
+            sleep_until(at(scheduled.at_ms)).await;
+            self.inject(scheduled.fault)?;
+            recoveries.push(Recovery {
+                at_ms: scheduled.at_ms + scheduled.duration_ms,
+                fault: scheduled.fault,
+            });
+        }
+        while let Some(recovery) = take_due(&mut recoveries, u64::MAX) {
+            sleep_until(at(recovery.at_ms)).await;
+            self.recover(recovery.fault).await?;
+        }
+        sleep_until(end).await;
+        Ok(())
+    }
+
+    /// Ends the workers and returns what they recorded.
+    pub(super) fn finish(mut self) -> Vec<WorkerHistory> {
+        let mut ended = std::mem::take(&mut self.ended_workers);
+        ended.extend(self.workers.drain(..).map(end_worker));
+        ended
+    }
+
+    fn inject(&mut self, fault: Fault) -> Result<()> {
+        match fault {
+            Fault::Kill { first, count } => {
+                for hit in &mut self.processes[first..first + count] {
+                    hit.process.kill()?;
+                }
+            }
+            Fault::Stop { process } => self.processes[process].signal(Process::terminate)?,
+            Fault::Pause { first, count } => {
+                for hit in &mut self.processes[first..first + count] {
+                    hit.signal(Process::pause)?;
+                }
+            }
+            Fault::HangUp { process } => self.processes[process].signal(Process::send_sighup)?,
+            Fault::CutFromStore { process } => self.processes[process].store_link.set_cut(true),
+            Fault::StoreDown => self.site.store.set_down(true),
+            Fault::StoreSlow { delay_ms } => self.site.store.set_delay_ms(delay_ms),
+            Fault::StoreSilent => self.site.store.set_losing_responses(true),
+            Fault::RegistryUnreadable => self.site.store.set_unreadable(REGISTRATION_TOPIC, true),
+            Fault::DelayStart { worker } => {
+                self.workers[worker].worker.delay_next_start(START_DELAY_MS);
+            }
+            Fault::RestartWorker { .. } => {}
+            Fault::GiveNotice { worker } => {
+                let leaving = &mut self.workers[worker];
+                leaving.worker.give_notice();
+                leaving.gave_notice.get_or_insert_with(Instant::now);
+            }
+        }
+        Ok(())
+    }
+
+    async fn recover(&mut self, fault: Fault) -> Result<()> {
+        match fault {
+            Fault::Kill { first, count } => {
+                for number in first..first + count {
+                    self.restart_process(number)?;
+                }
+            }
+            Fault::Stop { process } => {
+                let stop_end = Instant::now() + STOP_TIME;
+                let stopping = &mut self.processes[process];
+                // A process that is suspended by another fault can't stop.
+                stopping.signal(Process::resume)?;
+                while stopping.process.try_wait()?.is_none() && Instant::now() < stop_end {
+                    sleep(STOP_POLL).await;
+                }
+                self.restart_process(process)?;
+            }
+            Fault::Pause { first, count } => {
+                for hit in &mut self.processes[first..first + count] {
+                    hit.signal(Process::resume)?;
+                }
+            }
+            Fault::CutFromStore { process } => self.processes[process].store_link.set_cut(false),
+            Fault::StoreDown => self.site.store.set_down(false),
+            Fault::StoreSlow { .. } => self.site.store.set_delay_ms(0),
+            Fault::StoreSilent => self.site.store.set_losing_responses(false),
+            Fault::RegistryUnreadable => self.site.store.set_unreadable(REGISTRATION_TOPIC, false),
+            Fault::RestartWorker { worker } | Fault::GiveNotice { worker } => {
+                self.restart_worker(worker).await?;
+            }
+            Fault::HangUp { .. } | Fault::DelayStart { .. } => {}
+        }
+        Ok(())
+    }
+
+    /// Starts a process again; it is killed first if it still runs.
+    fn restart_process(&mut self, number: usize) -> Result<()> {
+        self.processes[number].process.kill()?;
+        let (process, caller) = self.start_process(number, &self.processes[number].store_link)?;
+        self.processes[number].process = process;
+        self.lock_callers()[number] = caller;
+        Ok(())
+    }
+
+    fn start_process(
+        &self,
+        number: usize,
+        store_link: &Forwarder,
+    ) -> Result<(Process, SocketAddr)> {
+        let name = format!("n{number}");
+        let log = self.logs.join(format!("{name}.log"));
+        self.site
+            .start_logged_process(&name, store_link.address(), &log)
+    }
+
+    async fn restart_worker(&mut self, number: usize) -> Result<()> {
+        let id = self.workers[number].id.clone();
+        let leaving = self.workers.remove(number);
+        self.ended_workers.push(end_worker(leaving));
+        let worker = self.start_worker(id).await?;
+        self.workers.insert(number, worker);
+        Ok(())
+    }
+
+    async fn start_worker(&self, id: String) -> Result<SoakWorker> {
+        let worker = JobWorker::start(&self.site.store, &id, &self.service, self.task_ms).await?;
+        Ok(SoakWorker {
+            id,
+            worker,
+            gave_notice: None,
+        })
+    }
+
+    fn lock_callers(&self) -> std::sync::MutexGuard<'_, Vec<SocketAddr>> {
+        let callers: &Mutex<Vec<SocketAddr>> = &self.callers;
+        callers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Removes and returns the first recovery that is due by `until_ms`.
+fn take_due(recoveries: &mut Vec<Recovery>, until_ms: u64) -> Option<Recovery> {
+    let first = (0..recoveries.len()).min_by_key(|&index| recoveries[index].at_ms)?;
+    (recoveries[first].at_ms <= until_ms).then(|| recoveries.remove(first))
+}
+
+/// Ends a worker and returns what it recorded; runs that haven't ended end with it.
+fn end_worker(leaving: SoakWorker) -> WorkerHistory {
+    let ended = Instant::now();
+    let runs = leaving.worker.runs().into_iter().map(|run| RunHistory {
+        task: run.task,
+        began: run.began,
+        ended: run.ended.unwrap_or(ended),
+        is_done: run.result == "done",
+    });
+    WorkerHistory {
+        id: leaving.id,
+        runs: runs.collect(),
+        gave_notice: leaving.gave_notice,
+        ended,
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-testkit/src/soak/history.rs
@@ -0,0 +1,97 @@
+//! What clients and workers recorded during a soak.
+
+use std::time::Instant;
+
+/// Response to the only attempt to submit a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Submission {
+    /// The job was accepted.
+    Accepted,
+    /// The job was rejected and must never run.
+    Rejected,
+    /// There was no response, or one that leaves open whether the job runs.
+    Unknown,
+}
+
+/// One job as its client saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobHistory {
+    /// Id of the job.
+    pub id: String,
+    /// Number of tasks of each step; a step begins after the one before it.
+    pub step_tasks: Vec<u32>,
+    /// Response to the submission.
+    pub submission: Submission,
+    /// When a cancel was confirmed.
+    pub cancelled: Option<Instant>,
+    /// States in the order in which they were first seen; the status code of a response without a
+    /// state.
+    pub states: Vec<String>,
+}
+
+impl JobHistory {
+    /// Returns whether the last state is final.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        let last = self.states.last().map(String::as_str);
+        matches!(last, Some("completed" | "failed" | "cancelled"))
+    }
+}
+
+/// One run of a task on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunHistory {
+    /// Name of the task: job, occurrence, step and index, separated by dots.
+    pub task: String,
+    /// When the run began.
+    pub began: Instant,
+    /// When the run ended; the end of the worker at the latest.
+    pub ended: Instant,
+    /// Whether the run completed the task.
+    pub is_done: bool,
+}
+
+impl RunHistory {
+    /// Returns the id of the job.
+    #[must_use]
+    pub fn job(&self) -> &str {
+        self.task.split('.').next().unwrap_or_default()
+    }
+
+    /// Returns the number of the step.
+    #[must_use]
+    pub fn step(&self) -> usize {
+        let step = self.task.split('.').nth(2);
+        step.and_then(|step| step.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// One incarnation of a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerHistory {
+    /// Id of the worker.
+    pub id: String,
+    /// Runs in the order of their beginnings.
+    pub runs: Vec<RunHistory>,
+    /// When the worker gave notice.
+    pub gave_notice: Option<Instant>,
+    /// When the incarnation ended.
+    pub ended: Instant,
+}
+
+/// Everything that was recorded.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    /// Jobs in the order of their submission.
+    pub jobs: Vec<JobHistory>,
+    /// Incarnations of the workers.
+    pub workers: Vec<WorkerHistory>,
+}
+
+impl History {
+    /// Returns the accepted jobs.
+    pub fn accepted_jobs(&self) -> impl Iterator<Item = &JobHistory> {
+        let is_accepted = |job: &&JobHistory| job.submission == Submission::Accepted;
+        self.jobs.iter().filter(is_accepted)
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-testkit/src/soak/load.rs
@@ -0,0 +1,199 @@
+//! Clients that submit, watch and cancel jobs during a soak.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::Result;
+use cyclamentrail_standin::JobClient;
+use hyper::{Method, StatusCode};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout};
+
+use super::history::{JobHistory, Submission};
+
+/// Largest pause between two submissions.
+const MAX_PAUSE_MS: u64 = 160;
+/// Time between two looks at a job.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Time limit of a call; longer than the deadline that callers state.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Part of the jobs that are cancelled.
+const CANCELLED_SHARE: f64 = 0.1;
+/// Longest time after its submission at which a job is cancelled.
+const MAX_CANCEL_MS: u64 = 900;
+/// Largest number of tasks of a step.
+const MAX_STEP_TASKS: u32 = 6;
+/// Time that clients allow for each task, in milliseconds.
+const ESTIMATE_MS: u64 = 500;
+/// Difference between the seeds of the load and of the faults.
+const LOAD_STREAM: u64 = 1;
+
+/// Addresses at which the processes accept requests now.
+pub(super) type Callers = Arc<Mutex<Vec<SocketAddr>>>;
+
+/// Running clients.
+pub(super) struct Load {
+    submitter: JoinHandle<Vec<JobHistory>>,
+}
+
+/// Plan of one job.
+struct JobPlan {
+    host: Arc<str>,
+    id: String,
+    step_tasks: Vec<u32>,
+    cancel_after: Option<Duration>,
+    random: ChaCha8Rng,
+}
+
+impl Load {
+    /// Submits jobs until `end`, and watches them until they have ended or `settled` is reached.
+    pub(super) fn start(
+        seed: u64,
+        host: Arc<str>,
+        callers: Callers,
+        end: Instant,
+        settled: Instant,
+    ) -> Self {
+        let submitter = tokio::spawn(submit_jobs(seed, host, callers, end, settled));
+        Self { submitter }
+    }
+
+    /// Waits until all jobs have ended or are given up.
+    pub(super) async fn finish(self) -> Vec<JobHistory> {
+        self.submitter.await.unwrap_or_default()
+    }
+}
+
+async fn submit_jobs(
+    seed: u64,
+    host: Arc<str>,
+    callers: Callers,
+    end: Instant,
+    settled: Instant,
+) -> Vec<JobHistory> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(LOAD_STREAM);
+    let mut clients = Vec::new();
+    while Instant::now() < end {
+        let plan = draw_job(seed, &host, clients.len(), &mut random);
+        clients.push(tokio::spawn(follow_job(
+            plan,
+            Arc::clone(&callers),
+            settled,
+        )));
+        let pause = Duration::from_millis(random.random_range(0..MAX_PAUSE_MS));
+        tokio::time::sleep(pause).await;
+    }
+    let mut jobs = Vec::new();
+    for client in clients {
+        jobs.extend(client.await);
+    }
+    jobs
+}
+
+fn draw_job(seed: u64, host: &Arc<str>, number: usize, random: &mut ChaCha8Rng) -> JobPlan {
+    let steps = random.random_range(1..=2);
+    let step_tasks = (0..steps).map(|_| random.random_range(1..=MAX_STEP_TASKS));
+    let step_tasks: Vec<u32> = step_tasks.collect();
+    let cancel_ms = random.random_range(0..MAX_CANCEL_MS);
+    let is_cancelled = random.random_bool(CANCELLED_SHARE);
+    let short_seed = seed & u64::from(u32::MAX);
+    JobPlan {
+        host: Arc::clone(host),
+        id: format!("{short_seed:08x}{number:08x}"),
+        step_tasks,
+        cancel_after: is_cancelled.then(|| Duration::from_millis(cancel_ms)),
+        random: ChaCha8Rng::seed_from_u64(random.random()),
+    }
+}
+
+/// Submits a job once; then cancels it if planned, and watches it until it has ended.
+async fn follow_job(mut plan: JobPlan, callers: Callers, settled: Instant) -> JobHistory {
+    let client = JobClient::new().host(&plan.host);
+    let mut job = JobHistory {
+        id: plan.id.clone(),
+        step_tasks: plan.step_tasks.clone(),
+        submission: Submission::Unknown,
+        cancelled: None,
+        states: Vec::new(),
+    };
+    let submitted = Instant::now();
+    let body = job_body(&plan.step_tasks);
+    let response = call(&client, &mut plan, &callers, Method::POST, body).await;
+    job.submission = match response {
+        Ok((StatusCode::OK, _)) => Submission::Accepted,
+        Ok((StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, _)) => {
+            Submission::Rejected
+        }
+        _ => Submission::Unknown,
+    };
+    if job.submission != Submission::Accepted {
+        return job;
+    }
+    while Instant::now() < settled && !job.has_ended() {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+        let is_cancel_due = plan
+            .cancel_after
+            .is_some_and(|after| job.cancelled.is_none() && submitted.elapsed() >= after);
+        if is_cancel_due {
+            let response = call(&client, &mut plan, &callers, Method::DELETE, String::new()).await;
+            if matches!(response, Ok((StatusCode::OK, _))) {
+                job.cancelled = Some(std::time::Instant::now());
+            }
+        }
+        let response = call(&client, &mut plan, &callers, Method::GET, String::new()).await;
+        record_state(&mut job, response);
+    }
+    // A final state must stay.
+    let response = call(&client, &mut plan, &callers, Method::GET, String::new()).await;
+    record_state(&mut job, response);
+    job
+}
+
+/// Records a state, or that the job isn't known; other responses tell nothing about the job.
+fn record_state(job: &mut JobHistory, response: Result<(StatusCode, Vec<u8>)>) {
+    let state = match response {
+        Ok((StatusCode::OK, body)) => {
+            let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+            body["State"].as_str().unwrap_or("no state").to_owned()
+        }
+        Ok((status @ StatusCode::GONE, _)) => status.as_str().to_owned(),
+        _ => return,
+    };
+    if job.states.last() != Some(&state) {
+        job.states.push(state);
+    }
+}
+
+/// Calls a process that is drawn for each call.
+async fn call(
+    client: &JobClient,
+    plan: &mut JobPlan,
+    callers: &Callers,
+    method: Method,
+    body: String,
+) -> Result<(StatusCode, Vec<u8>)> {
+    let address = {
+        let callers = callers.lock().unwrap_or_else(PoisonError::into_inner);
+        callers[plan.random.random_range(0..callers.len())]
+    };
+    let (status, body) =
+        timeout(CALL_TIMEOUT, client.call(address, method, &plan.id, body)).await??;
+    Ok((status, body.to_vec()))
+}
+
+fn job_body(step_tasks: &[u32]) -> String {
+    let step = |(number, count): (usize, &u32)| {
+        let predecessors: Vec<usize> = number.checked_sub(1).into_iter().collect();
+        json!({
+            "Count": count, "Cpu": 500, "MemMb": 100, "EstimateMs": ESTIMATE_MS,
+            "After": predecessors,
+        })
+    };
+    let steps: Vec<Value> = step_tasks.iter().enumerate().map(step).collect();
+    json!({"Spec": "work", "Steps": steps}).to_string()
+}
--- /dev/null
+++ b/crates/cyclamentrail-testkit/src/soak/schedule.rs
@@ -0,0 +1,145 @@
+//! The faults of a soak, drawn from its seed.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+/// Mean time between two faults.
+const MEAN_PAUSE_MS: u64 = 900;
+/// Time from the start in which the site takes up its work without faults.
+const FIRST_FAULT_MS: u64 = 2_000;
+/// Longest time that a fault lasts.
+const MAX_FAULT_MS: u64 = 4_000;
+/// Shortest time that a fault lasts.
+const MIN_FAULT_MS: u64 = 300;
+/// Largest delay of a response by a slow store.
+const MAX_STORE_DELAY_MS: u64 = 400;
+/// Largest number of consecutive processes that one fault hits.
+const MAX_PROCESSES_HIT: usize = 3;
+
+/// Fault that is injected from outside the processes. Numbers of processes and workers count from
+/// zero.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Fault {
+    /// Processes are killed and started again after the fault's time.
+    Kill {
+        /// Number of the first process.
+        first: usize,
+        /// Number of processes.
+        count: usize,
+    },
+    /// A process is stopped in order and started again once it has exited.
+    Stop {
+        /// Number of the process.
+        process: usize,
+    },
+    /// Processes are suspended.
+    Pause {
+        /// Number of the first process.
+        first: usize,
+        /// Number of processes.
+        count: usize,
+    },
+    /// A process gets SIGHUP.
+    HangUp {
+        /// Number of the process.
+        process: usize,
+    },
+    /// A process is cut off from the store.
+    CutFromStore {
+        /// Number of the process.
+        process: usize,
+    },
+    /// The store rejects all calls.
+    StoreDown,
+    /// The store responds late.
+    StoreSlow {
+        /// Delay of each response in milliseconds.
+        delay_ms: u64,
+    },
+    /// The store carries out calls and doesn't respond.
+    StoreSilent,
+    /// The store doesn't serve reads of the workers' registrations.
+    RegistryUnreadable,
+    /// A worker carries out the next start late, and doesn't respond to it.
+    DelayStart {
+        /// Number of the worker.
+        worker: usize,
+    },
+    /// A worker is restarted and loses its runs.
+    RestartWorker {
+        /// Number of the worker.
+        worker: usize,
+    },
+    /// A worker gives notice, and is restarted after the fault's time.
+    GiveNotice {
+        /// Number of the worker.
+        worker: usize,
+    },
+}
+
+/// Fault with its time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct ScheduledFault {
+    /// Time of the fault since the start, in milliseconds.
+    pub at_ms: u64,
+    /// Time after which the fault is over, in milliseconds.
+    pub duration_ms: u64,
+    /// What happens.
+    pub fault: Fault,
+}
+
+/// Draws the faults of a soak. They may overlap; all of them are over by the end of `duration`.
+#[must_use]
+pub fn draw_schedule(
+    seed: u64,
+    duration: Duration,
+    processes: usize,
+    workers: usize,
+) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let end_ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+    let mut schedule = Vec::new();
+    let mut at_ms = FIRST_FAULT_MS;
+    while at_ms + MIN_FAULT_MS < end_ms {
+        let longest_ms = MAX_FAULT_MS.min(end_ms - at_ms);
+        schedule.push(ScheduledFault {
+            at_ms,
+            duration_ms: random.random_range(MIN_FAULT_MS..=longest_ms),
+            fault: draw_fault(&mut random, processes, workers),
+        });
+        at_ms += random.random_range(0..=2 * MEAN_PAUSE_MS);
+    }
+    schedule
+}
+
+fn draw_fault(random: &mut ChaCha8Rng, processes: usize, workers: usize) -> Fault {
+    let process = random.random_range(0..processes);
+    let worker = random.random_range(0..workers);
+    let most = MAX_PROCESSES_HIT.min(processes - process);
+    let count = random.random_range(1..=most);
+    match random.random_range(0..13) {
+        0 | 1 => Fault::Kill {
+            first: process,
+            count,
+        },
+        2 => Fault::Stop { process },
+        3 | 4 => Fault::Pause {
+            first: process,
+            count,
+        },
+        5 => Fault::HangUp { process },
+        6 => Fault::CutFromStore { process },
+        7 => Fault::StoreDown,
+        8 => Fault::StoreSlow {
+            delay_ms: random.random_range(20..=MAX_STORE_DELAY_MS),
+        },
+        9 => Fault::StoreSilent,
+        10 => Fault::RegistryUnreadable,
+        11 if random.random_bool(0.5) => Fault::DelayStart { worker },
+        11 => Fault::RestartWorker { worker },
+        _ => Fault::GiveNotice { worker },
+    }
+}
--- a/crates/cyclamentrail/src/local/jobs.rs
+++ b/crates/cyclamentrail/src/local/jobs.rs
@@ -13,8 +13,8 @@
 use anyhow::{Result, ensure};
 use cyclamentrail_adapter::ProcessSettings;
 use cyclamentrail_standin::{
-    JOB_SERVICE, JobClient, JobStore, JobWorker, ProcessPorts, SubmitResult, process_settings,
-    put_configuration,
+    JOB_HOST, JOB_SERVICE, JobClient, JobStore, JobWorker, ProcessPorts, SubmitResult,
+    process_settings, put_configuration,
 };
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -78,7 +78,7 @@
 /// accept jobs within [`WAIT_TIMEOUT`], or when a process panics.
 pub(crate) async fn run(seconds: u64) -> Result<JobsReport> {
     let store = Arc::new(JobStore::start(loopback(0)).await?);
-    put_configuration(&store);
+    put_configuration(&store, JOB_HOST, JOB_SERVICE);
     let mut workers = Vec::new();
     for index in 0..WORKERS {
         let id = format!("i-{index}");
--- /dev/null
+++ b/crates/cyclamentrail/tests/soak_seeded.rs
@@ -0,0 +1,25 @@
+//! Soaks of separate processes with fixed seeds; CONTRIBUTING.md tells how more seeds are played.
+//!
+//! Seeds that once failed stay: in 13, 17, 30 and 40 an owner that went on after a pause showed a job
+//! as running that the next owner had shown as completed; in 30 the pause was shorter than 2 s.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use cyclamentrail_testkit::Soak;
+use rstest::rstest;
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_kept(#[values(13, 17, 30, 40)] seed: u64) -> Result<()> {
+    let soak = Soak::new(seed).duration(Duration::from_secs(20));
+    let report = soak.run().await?;
+    assert!(
+        report.violations.is_empty(),
+        "{:#?}\nlogs: {}",
+        report.violations,
+        report.logs.display()
+    );
+    assert!(report.accepted_jobs > 0, "no job was accepted");
+    Ok(())
+}
