fix(soak): start a process on other ports if one was taken meanwhile

Cause: a port is looked at before the process binds it; a soak that runs beside may take it in between. Change: five attempts.

--- a/crates/cyclamentrail-testkit/src/soak/faults.rs
+++ b/crates/cyclamentrail-testkit/src/soak/faults.rs
@@ -20,6 +20,9 @@
 const STOP_TIME: Duration = Duration::from_secs(20);
 /// Time between two looks at a process that is stopping.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Number of times that the start of a process is tried: a site that runs beside may take a port
+/// between the look whether it is free and the process's own use.
+const START_ATTEMPTS: u32 = 5;
 /// Topic of the workers' registrations.
 const REGISTRATION_TOPIC: &str = "keyed.servers";
 
@@ -244,8 +247,18 @@
     ) -> Result<(Process, SocketAddr)> {
         let name = format!("n{number}");
         let log = self.logs.join(format!("{name}.log"));
-        self.site
-            .start_logged_process(&name, store_link.address(), &log)
+        let start = || {
+            self.site
+                .start_logged_process(&name, store_link.address(), &log)
+        };
+        let mut started = start();
+        for _ in 1..START_ATTEMPTS {
+            if started.is_ok() {
+                break;
+            }
+            started = start();
+        }
+        started
     }
 
     async fn restart_worker(&mut self, number: usize) -> Result<()> {
