feat(duties): a new holder moves machines at once that its predecessor left alone

Cause: a new holder of the machine duties sent no command for duty_lease_ms and 0.5 s after the previous one's last. The platform's holders and tokens apply to each machine separately, so the pause is needed for machines with commands of both holders only. Change: the holder stores for which machines it sends commands, in the append that confirms the duties before them. Its successor holds back commands for these machines and all maintenance, which counts against the caps of waves, and moves others at once. Without such a record it waits with everything. Test: duties new_holder_moves_others, unknown_commands_wait.

--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -8,12 +8,14 @@
 
 use cyclamentrail_core::{InstanceName, ServiceName, WorkerId};
 
+mod command_hold;
 mod forecast;
 mod index;
 mod moves;
 mod pool_sizes;
 mod waves;
 
+pub use command_hold::CommandHold;
 pub use forecast::Forecast;
 use index::FleetIndex;
 use pool_sizes::PoolSizes;
@@ -199,6 +201,8 @@
     /// Number of machines that the operators gave to each pool: its size when the duties were
     /// first taken on.
     initial_sizes: BTreeMap<ServiceName, usize>,
+    /// Commands that wait because the previous holder may still send some.
+    hold: CommandHold,
     /// Time of the first plan on this process's boot clock, in milliseconds.
     first_plan_ms: Option<u64>,
 }
@@ -217,10 +221,18 @@
             surplus_since_ms: BTreeMap::new(),
             forecasts: BTreeMap::new(),
             initial_sizes: BTreeMap::new(),
+            hold: CommandHold::none(),
             first_plan_ms: None,
         }
     }
 
+    /// Sets which commands have to wait; machines are reserved and their workers evacuated meanwhile.
+    #[must_use]
+    pub fn hold(mut self, hold: CommandHold) -> Self {
+        self.hold = hold;
+        self
+    }
+
     /// Restores the progress of a wave from the previous holder of the duties: the machines that
     /// have had their maintenance, and the time at which the wave was first seen, on this
     /// process's boot clock in milliseconds.
@@ -303,7 +315,11 @@
             reservation.observe(now_ms, task_count);
             // A worker without a reported load may still run tasks, so it doesn't count as empty.
             let is_empty = reservation.worker.is_none() || task_count == Some(0);
-            if reservation.commanded_ms.is_some() || !is_empty || !slots.acquire(reservation) {
+            let may_command = self.hold.allows(now_ms, machine, &reservation.purpose);
+            if reservation.commanded_ms.is_some() || !is_empty || !may_command {
+                continue;
+            }
+            if !slots.acquire(reservation) {
                 continue;
             }
             reservation.commanded_ms = Some(now_ms);
--- a/crates/cyclamentrail-jobs/tests/duties.rs
+++ b/crates/cyclamentrail-jobs/tests/duties.rs
@@ -1,11 +1,11 @@
 //! The planner of maintenance waves and of machine moves between pools.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cyclamentrail_core::{InstanceName, ServiceName, WorkerId};
 use cyclamentrail_jobs::{
-    FleetPlanner, FleetState, FleetTiming, Forecast, MachineCommand, MachineOutcome, MachineStatus,
-    MaintenanceWave, PoolLoad, Purpose, WorkerTaskCounts,
+    CommandHold, FleetPlanner, FleetState, FleetTiming, Forecast, MachineCommand, MachineOutcome,
+    MachineStatus, MaintenanceWave, PoolLoad, Purpose, WorkerTaskCounts,
 };
 
 const TIMING: FleetTiming = FleetTiming {
@@ -418,3 +418,50 @@
     let late = fleet.waves[0].machines.len() - begun.len();
     assert_eq!(late, 0, "machines that haven't begun");
 }
+
+/// A new holder of the duties in a queue's turn: the pool gets machines at once, but none that the
+/// previous holder may just have sent a command for, and no maintenance begins.
+#[test]
+fn new_holder_moves_others() {
+    let held: BTreeSet<InstanceName> = (0..4)
+        .map(|index| InstanceName::from(format!("b{index}").as_str()))
+        .collect();
+    let mut planner =
+        FleetPlanner::new(TIMING).hold(CommandHold::listed_until(3_500, held.clone()));
+    let mut fleet = fleet(&[("a", 9), ("b", 9)]);
+    planner.restore_initial_sizes([(ServiceName::from("a"), 9), (ServiceName::from("b"), 9)]);
+    fleet.waves = vec![wave(&["a0"], 1)];
+    let load = fleet.loads.get_mut(&ServiceName::from("a"));
+    load.expect("pool a is part of the view").demand_milli = 12_000;
+    let mut moved = 0;
+    let mut first_maintenance_ms = None;
+    for now_ms in (0..=4_000_u64).step_by(200) {
+        planner.plan(now_ms, &fleet);
+        for command in planner.take_commands(now_ms, &fleet) {
+            if command.purpose == Purpose::Maintain(1) {
+                first_maintenance_ms.get_or_insert(now_ms);
+            } else if now_ms < 3_500 {
+                assert!(!held.contains(&command.machine), "{}", command.machine);
+                moved += 1;
+            }
+            planner.record_outcome(now_ms, &command, MachineOutcome::Done);
+        }
+    }
+    assert!(moved > 0, "pool a gets no machines");
+    assert!(first_maintenance_ms.is_some_and(|first_ms| first_ms >= 3_500));
+}
+
+/// A new holder that doesn't know which commands the previous one sent waits with all of its own.
+#[test]
+fn unknown_commands_wait() {
+    let mut planner = FleetPlanner::new(TIMING).hold(CommandHold::all_until(3_500));
+    let mut fleet = fleet(&[("a", 9), ("b", 9)]);
+    let load = fleet.loads.get_mut(&ServiceName::from("a"));
+    load.expect("pool a is part of the view").demand_milli = 12_000;
+    for now_ms in (0..3_500_u64).step_by(200) {
+        planner.plan(now_ms, &fleet);
+        assert_eq!(planner.take_commands(now_ms, &fleet), []);
+    }
+    planner.plan(3_600, &fleet);
+    assert_ne!(planner.take_commands(3_600, &fleet), []);
+}
--- /dev/null
+++ b/crates/cyclamentrail/src/edge/commanded_machines.rs
@@ -0,0 +1,96 @@
+//! Machines that the holder of the machine duties sends commands for, as its successor has to know
+//! them.
+//!
+//! The holder stores them before it sends the commands. The successor sends none for these machines
+//! until the previous holder's can't be carried out any more.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cyclamentrail_core::InstanceName;
+use cyclamentrail_jobs::{KeyedRecord, decode, encode};
+use serde::{Deserialize, Serialize};
+
+/// Key of the record.
+const KEY: &str = "commanded";
+
+/// Stored machines.
+#[derive(Debug, Serialize, Deserialize)]
+struct CommandedRecord {
+    machines: BTreeSet<InstanceName>,
+}
+
+/// Machines with recent commands, of this holder and the ones before it.
+#[derive(Debug, Default)]
+pub(super) struct CommandedMachines {
+    /// Time of the last command of each machine on the boot-time clock, in milliseconds.
+    commanded_ms: BTreeMap<InstanceName, u64>,
+    /// Time for which a machine is kept after its last command, in milliseconds.
+    kept_ms: u64,
+    /// Whether this holder has stored its machines, be it none.
+    is_stored: bool,
+}
+
+impl CommandedMachines {
+    /// Reads the machines that the previous holder stored; `None` if it stored none, as earlier
+    /// versions of the program did.
+    pub(super) fn read(records: &[KeyedRecord]) -> Option<Self> {
+        let record = records.iter().find(|record| record.key == KEY)?;
+        match decode::<CommandedRecord>(&record.value) {
+            Ok(stored) => Some(Self {
+                commanded_ms: stored.machines.into_iter().map(|name| (name, 0)).collect(),
+                ..Self::default()
+            }),
+            Err(error) => {
+                log::warn!(key = KEY, error:% = error; "record_unreadable");
+                None
+            }
+        }
+    }
+
+    /// Sets the time for which machines are kept. Those that are known already count as commanded
+    /// at `now_ms`.
+    pub(super) fn keep_for(mut self, kept_ms: u64, now_ms: u64) -> Self {
+        self.kept_ms = kept_ms;
+        for commanded_ms in self.commanded_ms.values_mut() {
+            *commanded_ms = now_ms;
+        }
+        self
+    }
+
+    /// Returns the machines.
+    pub(super) fn machines(&self) -> BTreeSet<InstanceName> {
+        self.commanded_ms.keys().cloned().collect()
+    }
+
+    /// Records that commands are about to be sent, and drops machines whose last command is long
+    /// ago; returns whether the machines have to be stored.
+    pub(super) fn record<'a>(
+        &mut self,
+        now_ms: u64,
+        machines: impl Iterator<Item = &'a InstanceName>,
+    ) -> bool {
+        let kept_ms = self.kept_ms;
+        let mut has_new = false;
+        for machine in machines {
+            has_new = true;
+            self.commanded_ms.insert(machine.clone(), now_ms);
+        }
+        let is_due = has_new || !self.is_stored;
+        if is_due {
+            self.is_stored = true;
+            self.commanded_ms
+                .retain(|_, commanded_ms| now_ms < *commanded_ms + kept_ms);
+        }
+        is_due
+    }
+
+    /// Returns the record to store.
+    pub(super) fn to_record(&self) -> KeyedRecord {
+        KeyedRecord {
+            key: KEY.to_owned(),
+            value: encode(&CommandedRecord {
+                machines: self.machines(),
+            }),
+        }
+    }
+}
--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -11,14 +11,15 @@
 };
 use cyclamentrail_core::{InstanceName, ServiceName};
 use cyclamentrail_jobs::{
-    FleetPlanner, FleetState, FleetTiming, KeyedRecord, MachineCommand, MachineOutcome,
-    MachineStatus, MaintenanceWave, PoolLoad, Purpose, decode, encode,
+    CommandHold, FleetPlanner, FleetState, FleetTiming, KeyedRecord, MachineCommand,
+    MachineOutcome, MachineStatus, MaintenanceWave, PoolLoad, Predecessor, Purpose, decode, encode,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::clocks::{boot_ms, unix_ms};
+use super::commanded_machines::CommandedMachines;
 use super::commit_log::CommitLog;
 use super::confirmation::Confirmation;
 use super::internal::call_owner;
@@ -119,8 +120,7 @@
     commit_log: Option<CommitLog>,
     confirmation: Confirmation,
     planner: FleetPlanner,
-    /// Boot time in milliseconds from which commands may be sent.
-    first_command_ms: u64,
+    commanded: CommandedMachines,
     /// Whether the first sizes of the pools are stored.
     has_stored_sizes: bool,
     /// Waves whose state was written for operators, and whether they were complete.
@@ -136,18 +136,30 @@
         let confirmation = Confirmation::new(takeover.confirmed_ms, DUTY_VALID);
         process.set_confirmation(FLEET_SHARD, confirmation.clone());
         let commit_log = CommitLog::new(&process, takeover, confirmation.clone());
+        let valid_ms = u64::try_from(DUTY_VALID.as_millis()).unwrap_or(u64::MAX);
+        let pause_ms = process.settings.bounds.duty_lease_ms + EXTRA_PAUSE_MS;
+        let earlier = CommandedMachines::read(&takeover.records);
+        let hold = if takeover.predecessor == Predecessor::Nobody {
+            CommandHold::none()
+        } else {
+            let until_ms =
+                takeover
+                    .predecessor
+                    .first_command_ms(takeover.confirmed_ms, valid_ms, pause_ms);
+            earlier.as_ref().map_or_else(
+                || CommandHold::all_until(until_ms),
+                |earlier| CommandHold::listed_until(until_ms, earlier.machines()),
+            )
+        };
         let mut planner = FleetPlanner::new(FleetTiming {
             maintenance_ms: process.settings.bounds.maintenance_ms,
-        });
+        })
+        .hold(hold);
         restore_planner(&mut planner, &takeover.records);
-        let valid_ms = u64::try_from(DUTY_VALID.as_millis()).unwrap_or(u64::MAX);
-        let pause_ms = process.settings.bounds.duty_lease_ms + EXTRA_PAUSE_MS;
         Self {
-            first_command_ms: takeover.predecessor.first_command_ms(
-                takeover.confirmed_ms,
-                valid_ms,
-                pause_ms,
-            ),
+            commanded: earlier
+                .unwrap_or_default()
+                .keep_for(valid_ms + pause_ms, boot_ms()),
             process,
             machine_service,
             token: takeover.token,
@@ -172,9 +184,6 @@
         if self.confirmation.age_ms() > CONFIRM_AGE_MS && !self.confirm_duty(&[]).await {
             return false;
         }
-        if boot_ms() < self.first_command_ms {
-            return true;
-        }
         let Some(machines) = self.machine_service.list_machines().await else {
             return true;
         };
@@ -301,8 +310,8 @@
         }
     }
 
-    /// Confirms the duties, and stores which machines had their maintenance in the waves of these
-    /// commands.
+    /// Confirms the duties, and stores for which machines commands are sent, and which ones had their
+    /// maintenance in the waves of these commands.
     async fn confirm_duty(&mut self, commands: &[MachineCommand]) -> bool {
         let Some(commit_log) = self.commit_log.take() else {
             return false;
@@ -328,6 +337,12 @@
                 }),
             })
             .collect();
+        let has_changed = self
+            .commanded
+            .record(boot_ms(), commands.iter().map(|command| &command.machine));
+        if has_changed {
+            records.push(self.commanded.to_record());
+        }
         if !self.has_stored_sizes && !self.planner.initial_sizes().is_empty() {
             self.has_stored_sizes = true;
             records.push(KeyedRecord {
