--- a/crates/cyclamentrail-testkit/src/soak/load.rs
+++ b/crates/cyclamentrail-testkit/src/soak/load.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
+use bytes::Bytes;
 use cyclamentrail_standin::JobClient;
 use hyper::{Method, StatusCode};
 use rand::{Rng, SeedableRng};
@@ -112,78 +113,100 @@
 }
 
 /// Submits a job once; then cancels it if planned, and watches it until it has ended.
-async fn follow_job(mut plan: JobPlan, callers: Callers, settled: Instant) -> JobHistory {
-    let client = JobClient::new().host(&plan.host);
+async fn follow_job(plan: JobPlan, callers: Callers, settled: Instant) -> JobHistory {
+    let mut caller = JobCaller::new(plan, callers);
     let mut job = JobHistory {
-        id: plan.id.clone(),
-        step_tasks: plan.step_tasks.clone(),
-        submission: Submission::Unknown,
+        id: caller.plan.id.clone(),
+        step_tasks: caller.plan.step_tasks.clone(),
+        submission: caller.submit().await,
         cancelled: None,
         states: Vec::new(),
     };
-    let submitted = Instant::now();
-    let body = job_body(&plan.step_tasks);
-    let response = call(&client, &mut plan, &callers, Method::POST, body).await;
-    job.submission = match response {
-        Ok((StatusCode::OK, _)) => Submission::Accepted,
-        Ok((StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, _)) => {
-            Submission::Rejected
-        }
-        _ => Submission::Unknown,
-    };
     if job.submission != Submission::Accepted {
         return job;
     }
     while Instant::now() < settled && !job.has_ended() {
         tokio::time::sleep(WATCH_INTERVAL).await;
-        let is_cancel_due = plan
-            .cancel_after
-            .is_some_and(|after| job.cancelled.is_none() && submitted.elapsed() >= after);
-        if is_cancel_due {
-            let response = call(&client, &mut plan, &callers, Method::DELETE, String::new()).await;
-            if matches!(response, Ok((StatusCode::OK, _))) {
-                job.cancelled = Some(std::time::Instant::now());
-            }
+        if job.cancelled.is_none() && caller.is_cancel_due() {
+            job.cancelled = caller.cancel().await;
         }
-        let response = call(&client, &mut plan, &callers, Method::GET, String::new()).await;
-        record_state(&mut job, response);
+        record_state(&mut job, caller.state().await);
     }
     // A final state must stay.
-    let response = call(&client, &mut plan, &callers, Method::GET, String::new()).await;
-    record_state(&mut job, response);
+    record_state(&mut job, caller.state().await);
     job
 }
 
-/// Records a state, or that the job isn't known; other responses tell nothing about the job.
-fn record_state(job: &mut JobHistory, response: Result<(StatusCode, Vec<u8>)>) {
-    let state = match response {
-        Ok((StatusCode::OK, body)) => {
-            let body: Value = serde_json::from_slice(&body).unwrap_or_default();
-            body["State"].as_str().unwrap_or("no state").to_owned()
-        }
-        Ok((status @ StatusCode::GONE, _)) => status.as_str().to_owned(),
-        _ => return,
-    };
-    if job.states.last() != Some(&state) {
+/// Records a state; a missing one tells nothing about the job.
+fn record_state(job: &mut JobHistory, state: Option<String>) {
+    if let Some(state) = state
+        && job.states.last() != Some(&state)
+    {
         job.states.push(state);
     }
 }
 
-/// Calls a process that is drawn for each call.
-async fn call(
-    client: &JobClient,
-    plan: &mut JobPlan,
-    callers: &Callers,
-    method: Method,
-    body: String,
-) -> Result<(StatusCode, Vec<u8>)> {
-    let address = {
-        let callers = callers.lock().unwrap_or_else(PoisonError::into_inner);
-        callers[plan.random.random_range(0..callers.len())]
-    };
-    let (status, body) =
-        timeout(CALL_TIMEOUT, client.call(address, method, &plan.id, body)).await??;
-    Ok((status, body.to_vec()))
+/// Client of one job; each of its calls goes to a process that is drawn anew.
+struct JobCaller {
+    client: JobClient,
+    plan: JobPlan,
+    callers: Callers,
+    submitted: Instant,
+}
+
+impl JobCaller {
+    fn new(plan: JobPlan, callers: Callers) -> Self {
+        Self {
+            client: JobClient::new().host(&plan.host),
+            plan,
+            callers,
+            submitted: Instant::now(),
+        }
+    }
+
+    async fn submit(&mut self) -> Submission {
+        let body = job_body(&self.plan.step_tasks);
+        match self.call(Method::POST, body).await {
+            Ok((StatusCode::OK, _)) => Submission::Accepted,
+            Ok((StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, _)) => {
+                Submission::Rejected
+            }
+            _ => Submission::Unknown,
+        }
+    }
+
+    fn is_cancel_due(&self) -> bool {
+        let cancel_after = self.plan.cancel_after;
+        cancel_after.is_some_and(|after| self.submitted.elapsed() >= after)
+    }
+
+    /// Cancels the job; returns when that was confirmed.
+    async fn cancel(&mut self) -> Option<std::time::Instant> {
+        let response = self.call(Method::DELETE, String::new()).await;
+        matches!(response, Ok((StatusCode::OK, _))).then(std::time::Instant::now)
+    }
+
+    /// Returns the state of the job, or the status of a response that says that it isn't known;
+    /// `None` without such a response.
+    async fn state(&mut self) -> Option<String> {
+        match self.call(Method::GET, String::new()).await {
+            Ok((StatusCode::OK, body)) => {
+                let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+                Some(body["State"].as_str().unwrap_or("no state").to_owned())
+            }
+            Ok((status @ StatusCode::GONE, _)) => Some(status.as_str().to_owned()),
+            _ => None,
+        }
+    }
+
+    async fn call(&mut self, method: Method, body: String) -> Result<(StatusCode, Bytes)> {
+        let address = {
+            let callers = self.callers.lock().unwrap_or_else(PoisonError::into_inner);
+            callers[self.plan.random.random_range(0..callers.len())]
+        };
+        let call = self.client.call(address, method, &self.plan.id, body);
+        timeout(CALL_TIMEOUT, call).await?
+    }
 }
 
 fn job_body(step_tasks: &[u32]) -> String {
