--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -9,6 +9,7 @@
 use cyclamentrail_core::{InstanceName, ServiceName, WorkerId};
 
 mod command_hold;
+mod commanded_machines;
 mod forecast;
 mod index;
 mod moves;
@@ -16,6 +17,7 @@
 mod waves;
 
 pub use command_hold::CommandHold;
+pub use commanded_machines::CommandedMachines;
 pub use forecast::Forecast;
 use index::FleetIndex;
 use pool_sizes::PoolSizes;
--- a/crates/cyclamentrail/src/edge/commanded_machines.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/commanded_machines.rs
@@ -7,9 +7,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cyclamentrail_core::InstanceName;
-use cyclamentrail_jobs::{KeyedRecord, decode, encode};
 use serde::{Deserialize, Serialize};
 
+use crate::record::{KeyedRecord, RecordError, decode, encode};
+
 /// Key of the record.
 const KEY: &str = "commanded";
 
@@ -21,7 +22,7 @@
 
 /// Machines with recent commands, of this holder and the ones before it.
 #[derive(Debug, Default)]
-pub(super) struct CommandedMachines {
+pub struct CommandedMachines {
     /// Time of the last command of each machine on the boot-time clock, in milliseconds.
     commanded_ms: BTreeMap<InstanceName, u64>,
     /// Time for which a machine is kept after its last command, in milliseconds.
@@ -31,25 +32,27 @@
 }
 
 impl CommandedMachines {
-    /// Reads the machines that the previous holder stored; `None` if it stored none, as earlier
-    /// versions of the program did.
-    pub(super) fn read(records: &[KeyedRecord]) -> Option<Self> {
-        let record = records.iter().find(|record| record.key == KEY)?;
-        match decode::<CommandedRecord>(&record.value) {
-            Ok(stored) => Some(Self {
-                commanded_ms: stored.machines.into_iter().map(|name| (name, 0)).collect(),
-                ..Self::default()
-            }),
-            Err(error) => {
-                log::warn!(key = KEY, error:% = error; "record_unreadable");
-                None
-            }
-        }
+    /// Reads the machines that the previous holder stored; `None` if it stored no such record, as
+    /// earlier versions of the program did.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record can't be decoded; nothing is known of the commands then.
+    pub fn read(records: &[KeyedRecord]) -> Result<Option<Self>, RecordError> {
+        let Some(record) = records.iter().find(|record| record.key == KEY) else {
+            return Ok(None);
+        };
+        let stored: CommandedRecord = decode(&record.value)?;
+        Ok(Some(Self {
+            commanded_ms: stored.machines.into_iter().map(|name| (name, 0)).collect(),
+            ..Self::default()
+        }))
     }
 
     /// Sets the time for which machines are kept. Those that are known already count as commanded
     /// at `now_ms`.
-    pub(super) fn keep_for(mut self, kept_ms: u64, now_ms: u64) -> Self {
+    #[must_use]
+    pub fn keep_for(mut self, kept_ms: u64, now_ms: u64) -> Self {
         self.kept_ms = kept_ms;
         for commanded_ms in self.commanded_ms.values_mut() {
             *commanded_ms = now_ms;
@@ -58,13 +61,14 @@
     }
 
     /// Returns the machines.
-    pub(super) fn machines(&self) -> BTreeSet<InstanceName> {
+    #[must_use]
+    pub fn machines(&self) -> BTreeSet<InstanceName> {
         self.commanded_ms.keys().cloned().collect()
     }
 
     /// Records that commands are about to be sent, and drops machines whose last command is long
     /// ago; returns whether the machines have to be stored.
-    pub(super) fn record<'a>(
+    pub fn record<'a>(
         &mut self,
         now_ms: u64,
         machines: impl Iterator<Item = &'a InstanceName>,
@@ -85,7 +89,8 @@
     }
 
     /// Returns the record to store.
-    pub(super) fn to_record(&self) -> KeyedRecord {
+    #[must_use]
+    pub fn to_record(&self) -> KeyedRecord {
         KeyedRecord {
             key: KEY.to_owned(),
             value: encode(&CommandedRecord {
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -49,8 +49,9 @@
 };
 pub use estimate::DurationEstimate;
 pub use fleet::{
-    CommandHold, FleetPlanner, FleetState, FleetTiming, Forecast, MachineCommand, MachineOutcome,
-    MachineStatus, MaintenanceWave, PoolLoad, Purpose, WorkerTaskCounts,
+    CommandHold, CommandedMachines, FleetPlanner, FleetState, FleetTiming, Forecast,
+    MachineCommand, MachineOutcome, MachineStatus, MaintenanceWave, PoolLoad, Purpose,
+    WorkerTaskCounts,
 };
 pub use grants::{Grant, Grants, MAX_WORKERS_PER_QUERY, StepKey};
 pub use job::{
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -22,7 +22,6 @@
 
 mod claims;
 mod clocks;
-mod commanded_machines;
 mod commit_log;
 mod confirmation;
 mod decision_log;
--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -11,15 +11,15 @@
 };
 use cyclamentrail_core::{InstanceName, ServiceName};
 use cyclamentrail_jobs::{
-    CommandHold, FleetPlanner, FleetState, FleetTiming, KeyedRecord, MachineCommand,
-    MachineOutcome, MachineStatus, MaintenanceWave, PoolLoad, Predecessor, Purpose, decode, encode,
+    CommandHold, CommandedMachines, FleetPlanner, FleetState, FleetTiming, KeyedRecord,
+    MachineCommand, MachineOutcome, MachineStatus, MaintenanceWave, PoolLoad, Predecessor, Purpose,
+    decode, encode,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::clocks::{boot_ms, unix_ms};
-use super::commanded_machines::CommandedMachines;
 use super::commit_log::CommitLog;
 use super::confirmation::Confirmation;
 use super::internal::call_owner;
@@ -138,7 +138,10 @@
         let commit_log = CommitLog::new(&process, takeover, confirmation.clone());
         let valid_ms = u64::try_from(DUTY_VALID.as_millis()).unwrap_or(u64::MAX);
         let pause_ms = process.settings.bounds.duty_lease_ms + EXTRA_PAUSE_MS;
-        let earlier = CommandedMachines::read(&takeover.records);
+        let earlier = CommandedMachines::read(&takeover.records).unwrap_or_else(|error| {
+            log::warn!(error:% = error; "commanded_machines_unreadable");
+            None
+        });
         let hold = if takeover.predecessor == Predecessor::Nobody {
             CommandHold::none()
         } else {
