feat(edge): run_gone names the run and whether it had begun

Hypotheses 1 and 3 of the incident (docs/incidents/deadly-tasks.md) couldn't be told apart: no line said which run was lost, nor whether its worker had confirmed that it began. No decision reads the new field.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -247,6 +247,10 @@
         job: JobId,
         /// Task that the decision concerns.
         task: TaskKey,
+        /// Number of the run.
+        run: u32,
+        /// Whether the worker had confirmed that the run began.
+        has_begun: bool,
         /// Id of the worker.
         worker: WorkerId,
         /// Evidence that the run isn't executing any more.
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -91,6 +91,8 @@
     pub run: u32,
     /// Phase of the run.
     pub phase: RunPhase,
+    /// Whether the worker has confirmed to this owner that the run began.
+    pub has_begun: bool,
     /// Whether a start command got no response, so that the worker may still carry it out later.
     pub may_start_late: bool,
     /// Processor share in percent that was last sent to the worker for this run; `None` if it
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -373,6 +373,8 @@
             self.gated_effects.push(Effect::Log(Decision::RunGone {
                 job: id,
                 task: key,
+                run: placement.run,
+                has_begun: placement.has_begun,
                 worker: worker.registration.id.clone(),
                 proof,
             }));
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -191,6 +191,7 @@
             && matches!(placement.phase, RunPhase::Sent)
         {
             placement.phase = running;
+            placement.has_begun = true;
             placement.progress_changed_ms = now.boot_ms;
         }
         self.mark_started(key);
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -306,6 +306,7 @@
             worker: worker_key,
             run: task.last_run,
             phase: RunPhase::Placed,
+            has_begun: false,
             may_start_late: false,
             sent_share_percent: Some(FULL_SHARE_PERCENT),
             progress_percent: 0,
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -137,6 +137,7 @@
                 worker: worker_key,
                 run: record.run,
                 phase,
+                has_begun: false,
                 may_start_late: true,
                 sent_share_percent: None,
                 progress_percent: 0,
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -106,6 +106,7 @@
         else {
             return;
         };
+        placement.has_begun = true;
         if placement.phase == RunPhase::Sent {
             placement.phase = RunPhase::Running {
                 since_ms: now.boot_ms,
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -89,11 +89,15 @@
             Decision::RunGone {
                 job,
                 task,
+                run,
+                has_begun,
                 worker,
                 proof,
             } => Self::new("run_gone")
                 .with("job", job)
                 .with_task(task)
+                .with("run", run)
+                .with("begun", has_begun)
                 .with("proof", proof.as_str())
                 .with("worker", worker),
             Decision::JobFinal {
