--- a/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
@@ -65,6 +65,8 @@
     pub stalls_runs: bool,
     /// Time in milliseconds that each best-effort task at its full share adds to the tail latency.
     pub interference_ms: u64,
+    /// Virtual time in milliseconds at which the worker crashes, if a task makes it.
+    pub crash_ms: Option<u64>,
 }
 
 impl FakeWorker {
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -16,6 +16,10 @@
 
 #[path = "world/calls.rs"]
 mod calls;
+#[path = "world/crashes.rs"]
+mod crashes;
+
+pub use crashes::DeadlyTasks;
 
 use crate::policy::Policy;
 pub use crate::specs::{ROUTE, job, route_config, step};
@@ -56,6 +60,8 @@
     QueryPolicy(AdviceQuery),
     /// The store has appended the pending commit.
     AppendDone(u64),
+    /// A crashed worker starts again under its id.
+    Restart(WorkerId),
 }
 
 /// An owner's shard with simulated workers, store and callers.
@@ -97,6 +103,8 @@
     specs: HashMap<JobId, Arc<JobSpec>>,
     /// Jobs all of whose runs fail.
     failing_jobs: BTreeSet<JobId>,
+    /// Tasks that crash each worker that starts them, with the workers that crashed.
+    pub deadly_tasks: DeadlyTasks,
 }
 
 impl Simulation {
@@ -122,6 +130,7 @@
             next_caller: 0,
             specs: HashMap::new(),
             failing_jobs: BTreeSet::new(),
+            deadly_tasks: DeadlyTasks::default(),
         };
         sim.shard.set_routes([route_config()]);
         for index in 0..count {
@@ -176,6 +185,7 @@
             fails_all_runs: false,
             stalls_runs: false,
             interference_ms: 0,
+            crash_ms: None,
         };
         self.workers.insert(registration.id.clone(), worker);
         self.shard.register(self.now(), registration);
@@ -363,6 +373,7 @@
     fn handle_event(&mut self, event: Event) {
         match event {
             Event::AppendDone(token) => self.finish_append(token),
+            Event::Restart(id) => self.restart_worker(&id),
             Event::Start(start, token, can_delay) => self.deliver_start(start, token, can_delay),
             Event::Stop(command, token) => self.deliver_stop(&command, token),
             Event::Poll(poll, token) => self.deliver_poll(&poll, token),
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
@@ -131,6 +131,7 @@
             command.target.id
         );
         self.assert_start_allowed(&task, &step);
+        self.record_deadly_start(&command.target.id, &task);
         *self.starts.entry(command.job.clone()).or_default() += 1;
         CommandOutcome::Done(Some(now_ms))
     }
@@ -239,6 +240,7 @@
 
     /// Ends the runs that are finished, stopped, or whose lease has expired.
     pub(super) fn end_runs(&mut self) {
+        self.crash_due_workers();
         let now_ms = self.now_ms;
         for worker in self.workers.values_mut().filter(|worker| worker.is_alive) {
             let has_expired = worker.lease_end_ms < now_ms;
--- /dev/null
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
@@ -0,0 +1,121 @@
+//! Tasks that crash the workers that start them, and the workers' restarts under their ids.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cyclamentrail_core::{JobId, WorkerId};
+
+use super::{Event, Simulation};
+
+/// Time from the start of a deadly task to its worker's crash, in milliseconds.
+const CRASH_AFTER_MS: u64 = 10;
+/// Number of crashes under a task after which it may be started only twice more.
+const MAX_CRASHES: usize = 3;
+
+/// Job, occurrence, step and index of a task.
+type TaskName = (JobId, u32, u32, u32);
+
+/// Tasks that crash each worker that starts them, and what came of them.
+#[derive(Debug)]
+pub struct DeadlyTasks {
+    /// Job, step and index of each such task.
+    pub tasks: BTreeSet<(JobId, u32, u32)>,
+    /// Time from a crash to the worker's restart under its id, in milliseconds.
+    pub restart_after_ms: u64,
+    /// Number of crashes under each such task.
+    pub crashes: BTreeMap<TaskName, usize>,
+    /// Starts of each such task after [`MAX_CRASHES`].
+    late_starts: BTreeMap<TaskName, usize>,
+}
+
+impl Default for DeadlyTasks {
+    fn default() -> Self {
+        Self {
+            tasks: BTreeSet::new(),
+            restart_after_ms: 3_200,
+            crashes: BTreeMap::new(),
+            late_starts: BTreeMap::new(),
+        }
+    }
+}
+
+impl DeadlyTasks {
+    /// Makes a task of a job's first step deadly.
+    pub fn insert(&mut self, job: &str, index: u32) {
+        self.tasks.insert((JobId::from(job), 0, index));
+    }
+
+    /// Returns the number of crashes of workers under deadly tasks.
+    pub fn crash_count(&self) -> usize {
+        self.crashes.values().sum()
+    }
+
+    fn contains(&self, task: &TaskName) -> bool {
+        self.tasks.contains(&(task.0.clone(), task.2, task.3))
+    }
+}
+
+impl Simulation {
+    /// Crashes a worker, with all that it knows; it starts again under its id after a while.
+    pub fn crash_worker(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.is_alive = false;
+        worker.is_reachable = false;
+        worker.crash_ms = None;
+        let running = std::mem::take(&mut worker.running);
+        for ended_run in std::mem::take(&mut worker.ended) {
+            let lost = ended_run.id;
+            self.must_not_rerun
+                .remove(&(lost.job, lost.occurrence, lost.step, lost.index));
+        }
+        for run in running {
+            let task = (run.id.job, run.id.occurrence, run.id.step, run.id.index);
+            if self.deadly_tasks.contains(&task) {
+                *self.deadly_tasks.crashes.entry(task).or_default() += 1;
+            }
+        }
+        let restart_after_ms = self.deadly_tasks.restart_after_ms;
+        self.schedule(restart_after_ms, Event::Restart(id.clone()));
+    }
+
+    /// Starts a crashed worker again under its id.
+    pub(super) fn restart_worker(&mut self, id: &WorkerId) {
+        let registration = &self.workers[id].registration;
+        let (capacity, rack) = (registration.capacity, registration.labels[1].to_string());
+        self.add_worker(id.as_str(), capacity, &rack);
+    }
+
+    /// Lets a worker crash soon after it started a deadly task, and checks that the task wasn't
+    /// started too often.
+    pub(super) fn record_deadly_start(&mut self, worker: &WorkerId, task: &TaskName) {
+        if !self.deadly_tasks.contains(task) {
+            return;
+        }
+        let crashes = self.deadly_tasks.crashes.get(task);
+        if crashes.is_some_and(|&crashes| crashes >= MAX_CRASHES) {
+            let late_starts = self.deadly_tasks.late_starts.entry(task.clone());
+            let late_starts = late_starts.or_default();
+            *late_starts += 1;
+            assert!(*late_starts < 3, "{task:?} goes on crashing workers");
+        }
+        let crash_ms = self.now_ms + CRASH_AFTER_MS;
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.crash_ms = Some(crash_ms);
+        }
+    }
+
+    /// Crashes the workers whose time has come.
+    pub(super) fn crash_due_workers(&mut self) {
+        let is_due = |crash_ms: Option<u64>| crash_ms.is_some_and(|due_ms| due_ms <= self.now_ms);
+        let due: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| is_due(worker.crash_ms))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.crash_worker(&id);
+        }
+    }
+}
