fix(jobs): give up tasks that crash their workers, and run suspects apart

Cause: a run that ends with its worker counted as nothing. Only an end that a worker lists as failed counted against max_attempts.

Several owners and resent starts were ruled out.

Change: a crash is proved by a newer incarnation of the worker, or by another worker at its address; it is counted and stored with each task that may have been running. Suspects run apart from other jobs' tasks; a job whose worker crashes once more then is failed. A silent worker whose address another one registers has ended.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -305,6 +305,15 @@
         /// of the task's target.
         worst_percent: u64,
     },
+    /// A job is given up, because workers crashed under one of its tasks.
+    JobGivenUp {
+        /// Id of the job.
+        job: JobId,
+        /// Task that the decision concerns.
+        task: TaskKey,
+        /// Number of workers that crashed under the task.
+        crashes: u32,
+    },
     /// A run makes no progress and is stopped.
     RunStalled {
         /// Id of the job.
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -104,6 +104,17 @@
     pub progress_changed_ms: u64,
 }
 
+/// Run whose worker crashed under it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// Number of the run.
+    pub run: u32,
+    /// Whether the worker had confirmed that the run began.
+    pub has_begun: bool,
+    /// Whether the run had begun shortly before, and the crash had no cause outside of the worker.
+    pub is_new: bool,
+}
+
 /// Progress of one task over all of its runs.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Task {
@@ -114,6 +125,8 @@
     /// Numbers of the failed runs. A failure is counted by its run number because a worker may
     /// report the same ended run to two owners, before and after a takeover.
     pub failed_runs: Vec<u32>,
+    /// Runs whose worker crashed under them.
+    pub crashed_runs: Vec<CrashedRun>,
     /// Checkpoint from which the next run resumes; empty for a run from the beginning.
     pub checkpoint: Arc<str>,
     /// Assignment of the current run, if there is one.
@@ -128,6 +141,17 @@
         }
     }
 
+    /// Records that a worker crashed under a run; a repeated record of the same run has no effect.
+    pub fn record_crash(&mut self, crashed: CrashedRun) {
+        if self
+            .crashed_runs
+            .iter()
+            .all(|known| known.run != crashed.run)
+        {
+            self.crashed_runs.push(crashed);
+        }
+    }
+
     /// Returns the number of failed runs.
     #[must_use]
     pub fn failure_count(&self) -> u32 {
@@ -321,6 +345,25 @@
             .find(|occurrence| occurrence.number == number)
     }
 
+    /// Returns all tasks of the job, which has the key `job`, with the key of each.
+    pub fn tasks(&self, job: JobKey) -> impl Iterator<Item = (TaskKey, &Task)> {
+        self.occurrences.iter().flat_map(move |occurrence| {
+            (0_u32..)
+                .zip(&occurrence.steps)
+                .flat_map(move |(step, progress)| {
+                    (0_u32..).zip(&progress.tasks).map(move |(index, task)| {
+                        let key = TaskKey {
+                            job,
+                            occurrence: occurrence.number,
+                            step,
+                            index,
+                        };
+                        (key, task)
+                    })
+                })
+        })
+    }
+
     /// Returns a task by its key, if its occurrence is still kept.
     #[must_use]
     pub fn task(&self, key: TaskKey) -> Option<&Task> {
--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 use crate::JobSpec;
+use crate::job::CrashedRun;
 
 /// Suffix that turns a job's id into the key of its progress record.
 pub const PROGRESS_SUFFIX: &str = "/p";
@@ -73,6 +74,9 @@
     pub checkpoint: Arc<str>,
     /// Assignment of the current run, if there is one.
     pub placement: Option<PlacementRecord>,
+    /// Runs whose worker crashed under them.
+    #[serde(default)]
+    pub crashed_runs: Vec<CrashedRun>,
 }
 
 /// Key of the record by which an owner gives up its shard.
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -17,7 +17,9 @@
 mod best_effort;
 mod cancel;
 mod commands;
+mod crashes;
 mod evacuation;
+mod isolation;
 mod long_waits;
 mod placement;
 mod progress;
@@ -131,6 +133,7 @@
     waits_checked_ms: u64,
     estimates: HashMap<RouteName, DurationEstimate>,
     arrivals: evacuation::Arrivals,
+    crashes: crashes::Crashes,
     grants: Grants,
     /// Number of queries to queue policies that have no result yet.
     open_queries: usize,
@@ -226,6 +229,7 @@
         self.resend_due(now);
         self.stop_stalled_runs(now);
         self.evacuate_tasks(now);
+        self.prune_crashes(now);
         self.place_tasks(now);
         self.prefetch_advice(now);
         self.report_long_wait(now);
@@ -428,22 +432,10 @@
         let Some(job) = self.jobs.get(key) else {
             return Vec::new();
         };
-        let mut placed = Vec::new();
-        for occurrence in &job.occurrences {
-            for (step, progress) in (0_u32..).zip(&occurrence.steps) {
-                for (index, task) in (0_u32..).zip(&progress.tasks) {
-                    if task.placement.is_some() {
-                        placed.push(TaskKey {
-                            job: key,
-                            occurrence: occurrence.number,
-                            step,
-                            index,
-                        });
-                    }
-                }
-            }
-        }
-        placed
+        job.tasks(key)
+            .filter(|(_, task)| task.placement.is_some())
+            .map(|(task_key, _)| task_key)
+            .collect()
     }
 
     /// Sends the start and stop commands again that are due.
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -44,7 +44,9 @@
                 self.avoid(now, placement.worker, UNWELL_AVOID_MS);
                 self.handle_rejected_start(now, key, placement);
             }
-            CommandOutcome::OtherIncarnation => self.handle_other_incarnation(placement.worker),
+            CommandOutcome::OtherIncarnation => {
+                self.handle_other_incarnation(now, placement.worker);
+            }
             CommandOutcome::NotSent if !placement.may_start_late => {
                 self.mark_unreachable(now, placement.worker);
                 self.release(key, Some(EndProof::NeverSent));
@@ -84,7 +86,9 @@
                 };
                 self.set_phase(key, confirmed);
             }
-            CommandOutcome::OtherIncarnation => self.handle_other_incarnation(placement.worker),
+            CommandOutcome::OtherIncarnation => {
+                self.handle_other_incarnation(now, placement.worker);
+            }
             CommandOutcome::Unhealthy
             | CommandOutcome::NoResponse
             | CommandOutcome::NotSent
@@ -168,17 +172,19 @@
 
     /// Frees the runs of unreachable workers whose leases have ended for certain.
     pub(super) fn release_expired(&mut self, now: Now) {
-        let expired: Vec<TaskKey> = self
+        let expired: Vec<WorkerKey> = self
             .workers
-            .values()
-            .filter(|worker| {
+            .iter()
+            .filter(|(_, worker)| {
                 worker.reachability != Reachability::Reachable
                     && worker.lease.is_expired(now.boot_ms)
+                    && !worker.tasks.is_empty()
             })
-            .flat_map(|worker| worker.tasks.iter().copied())
+            .map(|(key, _)| key)
             .collect();
         for key in expired {
-            self.release(key, Some(EndProof::LeaseExpired));
+            self.remember_lost(now, key);
+            self.release_worker_runs(key, EndProof::LeaseExpired);
         }
     }
 
@@ -266,6 +272,7 @@
             _ => return,
         };
         if let (Some(worker), Some(clock_ms)) = (self.workers.get_mut(key), clock_ms) {
+            worker.heard_ms = now.boot_ms;
             worker.lease.record_clock(clock_ms, now.boot_ms);
         }
     }
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -0,0 +1,395 @@
+//! Tasks that crash the workers that run them.
+//!
+//! A worker that gave no notice has crashed when a newer incarnation of it runs, or another worker at
+//! its address. Each run that had begun there counts against its task, because nobody saw which of them caused the crash. A suspect task runs apart from the
+//! tasks of other jobs (see [`super::isolation`]), so that its next crash tells who did it and takes
+//! nobody else's work with it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cyclamentrail_core::WorkerId;
+
+use super::{Now, Shard};
+use crate::JobSpec;
+use crate::effect::{Decision, Effect};
+use crate::job::{CrashedRun, JobKey, Placement, RunPhase, Task, TaskKey};
+use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
+
+/// Time from the begin of a run in milliseconds within which a crash makes its task suspect: most
+/// such tasks fail as they begin. Others are suspect from [`SUSPECT_CRASHES`] on.
+const SUSPECT_RUN_MS: u64 = 300;
+/// Number of crashes from which a task is suspect however long its runs had lasted.
+const SUSPECT_CRASHES: usize = 2;
+/// Time within which several workers are lost by a common cause, such as their rack's power, in
+/// milliseconds.
+const COMMON_CAUSE_MS: u64 = 150;
+/// Duration of a long-running task's run in milliseconds that clears the task: it doesn't crash each
+/// worker that starts it, and lives through many crashes with other causes.
+const CLEARING_RUN_MS: u64 = 10_000;
+/// Time for which a suspect run keeps its worker for itself, in milliseconds.
+const PROBATION_MS: u64 = 3_000;
+/// Time for which a lost run waits for the proof that its worker crashed, in milliseconds.
+const PROOF_WAIT_MS: u64 = 60_000;
+/// Number of descriptions of given-up jobs that are remembered.
+const MAX_GIVEN_UP: usize = 64;
+
+/// What a shard knows of workers' crashes and of the tasks that may have caused them.
+#[derive(Debug, Default)]
+pub(super) struct Crashes {
+    /// Tasks that may crash their workers.
+    pub(super) suspects: BTreeMap<TaskKey, Suspicion>,
+    /// Runs that ended with their workers' leases, until it is known whether these workers crashed.
+    unexplained: Vec<LostWorker>,
+    /// Workers that crashed lately.
+    recent: VecDeque<CrashedWorker>,
+    /// Descriptions of the jobs that were given up last.
+    given_up: VecDeque<Arc<JobSpec>>,
+}
+
+/// How likely a task is to crash its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Suspicion {
+    /// One worker crashed under the task, and under others at the same time.
+    Possible,
+    /// Several workers crashed under the task, or it is the same as one that was given up.
+    Likely,
+}
+
+/// A worker that was lost with the runs on it.
+#[derive(Debug, Clone)]
+struct LostWorker {
+    id: WorkerId,
+    address: SocketAddr,
+    /// Start time of the incarnation, as Unix time in milliseconds.
+    started_ms: u64,
+    /// Time of the first call without a response, on the owner's boot clock in milliseconds.
+    lost_ms: u64,
+    /// Time of the last response on the same clock: the worker crashed between the two.
+    heard_ms: u64,
+    runs: Vec<LostRun>,
+}
+
+/// A worker that crashed, and the jobs that had tasks there.
+#[derive(Debug, Clone)]
+struct CrashedWorker {
+    lost_ms: u64,
+    jobs: BTreeSet<JobKey>,
+    /// Whether the worker ran suspect tasks only.
+    was_apart: bool,
+}
+
+/// A run that was lost with its worker.
+#[derive(Debug, Clone, Copy)]
+struct LostRun {
+    task: TaskKey,
+    run: u32,
+    /// Whether the worker had confirmed that the run began.
+    has_begun: bool,
+    /// Time since which the run was known to execute, on the owner's boot clock in milliseconds.
+    since_ms: Option<u64>,
+}
+
+/// Number of crashes under one task.
+#[derive(Debug, Clone, Copy)]
+struct CrashCounts {
+    /// All crashes, also under runs of which nobody knows whether they had begun.
+    all: usize,
+    /// Crashes under runs that had begun for certain.
+    begun: usize,
+    /// Crashes shortly after the begin of a run.
+    new: usize,
+}
+
+impl CrashCounts {
+    fn of(task: &Task) -> Self {
+        let count = |counts: fn(&CrashedRun) -> bool| {
+            task.crashed_runs.iter().filter(|run| counts(run)).count()
+        };
+        Self {
+            all: task.crashed_runs.len(),
+            begun: count(|run| run.has_begun),
+            new: count(|run| run.is_new),
+        }
+    }
+
+    /// Returns what the crashes make suspect of the task.
+    const fn suspicion(self) -> Option<Suspicion> {
+        if self.new >= SUSPECT_CRASHES || self.all > SUSPECT_CRASHES {
+            Some(Suspicion::Likely)
+        } else if self.new > 0 || self.all >= SUSPECT_CRASHES {
+            Some(Suspicion::Possible)
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether the task's job is given up. `is_proof` tells whether the job ran apart from
+    /// all others at the last crash.
+    const fn convict(self, is_proof: bool) -> bool {
+        let is_proven = is_proof && (self.begun >= 2 || self.all >= 3);
+        is_proven || self.begun >= 4 || self.all >= 5
+    }
+}
+
+impl LostRun {
+    /// Returns whether the run may have begun shortly before its worker, which last responded at
+    /// `heard_ms`, crashed.
+    fn is_new(&self, heard_ms: u64) -> bool {
+        let is_new = |since_ms| heard_ms <= since_ms + SUSPECT_RUN_MS;
+        self.since_ms.is_none_or(is_new)
+    }
+}
+
+impl LostWorker {
+    fn jobs(&self) -> BTreeSet<JobKey> {
+        self.runs.iter().map(|run| run.task.job).collect()
+    }
+}
+
+impl Shard {
+    /// Counts the crash of a worker against the tasks whose runs had begun there; returns the tasks
+    /// whose jobs have to be given up. The runs are released by the caller.
+    pub(super) fn record_crash(&mut self, now: Now, key: WorkerKey) -> Vec<TaskKey> {
+        let Some(lost) = self.lost_worker(now, key) else {
+            return Vec::new();
+        };
+        self.blame(&lost)
+    }
+
+    /// Remembers the runs of a worker whose lease has expired, until the worker turns out to have
+    /// crashed or to have been unreachable only.
+    pub(super) fn remember_lost(&mut self, now: Now, key: WorkerKey) {
+        let Some(lost) = self.lost_worker(now, key) else {
+            return;
+        };
+        self.crashes.unexplained.push(lost);
+    }
+
+    /// Handles the proof that an incarnation of a worker runs. An earlier one that was lost with its
+    /// runs has crashed, also if a worker with another id runs at its address now; the same one was
+    /// unreachable only.
+    pub(super) fn explain_lost(&mut self, running: &WorkerRegistration) {
+        let (explained, open) = std::mem::take(&mut self.crashes.unexplained)
+            .into_iter()
+            .partition(|lost| lost.id == running.id || lost.address == running.address);
+        self.crashes.unexplained = open;
+        let explained: Vec<LostWorker> = explained;
+        for lost in explained {
+            if lost.id != running.id || lost.started_ms < running.started_ms {
+                let given_up = self.blame(&lost);
+                self.give_up(given_up);
+            }
+        }
+    }
+
+    /// Forgets what was lost with a worker that responds again: it was unreachable only.
+    pub(super) fn forget_lost(&mut self, key: WorkerKey) {
+        let id = &self.workers[key].registration.id;
+        self.crashes.unexplained.retain(|lost| lost.id != *id);
+    }
+
+    /// Fails the jobs of tasks that crashed too many workers.
+    pub(super) fn give_up(&mut self, tasks: Vec<TaskKey>) {
+        for task in tasks {
+            let Some(job) = self.jobs.get(task.job).filter(|job| !job.is_aborted()) else {
+                continue;
+            };
+            let crashes = job.task(task).map_or(0, |task| task.crashed_runs.len());
+            let decision = Decision::JobGivenUp {
+                job: job.id.clone(),
+                task,
+                crashes: u32::try_from(crashes).unwrap_or(u32::MAX),
+            };
+            self.crashes.remember_given_up(&job.spec);
+            self.gated_effects.push(Effect::Log(decision));
+            self.fail_job(task);
+        }
+    }
+
+    /// Marks the tasks of a restored or new job that crashed workers before, or whose description is
+    /// that of a job that was given up.
+    pub(super) fn mark_known_suspects(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let is_known = self.crashes.given_up.contains(&job.spec);
+        let suspects: Vec<(TaskKey, Suspicion)> = job
+            .tasks(key)
+            .filter(|(_, task)| !task.is_done)
+            .filter_map(|(task_key, task)| {
+                let by_crashes = CrashCounts::of(task).suspicion();
+                let suspicion = by_crashes.or(is_known.then_some(Suspicion::Likely))?;
+                Some((task_key, suspicion))
+            })
+            .collect();
+        self.crashes.suspects.extend(suspects);
+    }
+
+    /// Ends the suspicion of a task whose run its worker survived.
+    pub(super) fn clear_suspect(&mut self, key: TaskKey) {
+        self.crashes.suspects.remove(&key);
+    }
+
+    /// Ends the suspicion of a run that has executed for long enough.
+    pub(super) fn clear_proven(&mut self, now: Now, key: TaskKey, placement: Placement) {
+        if let RunPhase::Running { since_ms } = placement.phase
+            && now.boot_ms >= since_ms + PROBATION_MS
+        {
+            self.clear_suspect(key);
+        }
+    }
+
+    /// Drops suspects whose jobs are over, and lost runs and crashes that are too old to matter.
+    pub(super) fn prune_crashes(&mut self, now: Now) {
+        let jobs = &self.jobs;
+        let is_open = |key: &TaskKey| {
+            jobs.get(key.job)
+                .filter(|job| !job.is_aborted())
+                .and_then(|job| job.task(*key))
+                .is_some_and(|task| !task.is_done)
+        };
+        self.crashes.suspects.retain(|key, _| is_open(key));
+        self.crashes
+            .unexplained
+            .retain(|lost| now.boot_ms < lost.lost_ms + PROOF_WAIT_MS);
+        self.crashes
+            .recent
+            .retain(|crashed| now.boot_ms < crashed.lost_ms + PROOF_WAIT_MS);
+    }
+
+    /// Returns the runs that may have begun on a worker that is gone; `None` if the worker was about to
+    /// leave, or nothing ran there.
+    fn lost_worker(&self, now: Now, key: WorkerKey) -> Option<LostWorker> {
+        let worker = self.workers.get(key)?;
+        if worker.registration.is_draining || worker.evacuating_since_ms.is_some() {
+            return None;
+        }
+        let runs: Vec<LostRun> = worker
+            .tasks
+            .iter()
+            .filter_map(|&task| self.lost_run(task))
+            .collect();
+        (!runs.is_empty()).then(|| LostWorker {
+            id: worker.registration.id.clone(),
+            address: worker.registration.address,
+            started_ms: worker.registration.started_ms,
+            lost_ms: lost_ms(worker).unwrap_or(now.boot_ms),
+            heard_ms: worker.heard_ms,
+            runs,
+        })
+    }
+
+    fn lost_run(&self, task: TaskKey) -> Option<LostRun> {
+        let placement = self.jobs.get(task.job)?.task(task)?.placement?;
+        (placement.phase != RunPhase::Placed).then_some(LostRun {
+            task,
+            run: placement.run,
+            has_begun: placement.has_begun,
+            since_ms: match placement.phase {
+                RunPhase::Running { since_ms } => Some(since_ms),
+                _ => None,
+            },
+        })
+    }
+
+    /// Counts a crash against the tasks that ran on the worker; returns those whose jobs have to be
+    /// given up.
+    fn blame(&mut self, lost: &LostWorker) -> Vec<TaskKey> {
+        let jobs = lost.jobs();
+        let others = self.lost_at_once(lost);
+        let was_apart = lost
+            .runs
+            .iter()
+            .all(|run| self.crashes.suspects.contains_key(&run.task));
+        let is_proof = jobs.len() == 1 && was_apart;
+        let mut given_up = Vec::new();
+        for run in &lost.runs {
+            let is_on_all = others.iter().all(|other| other.contains(&run.task.job));
+            let is_new = is_on_all && run.is_new(lost.heard_ms);
+            let Some(crashes) = self.count_crash(run, is_new, lost.lost_ms) else {
+                continue;
+            };
+            if crashes.convict(is_proof) {
+                given_up.push(run.task);
+            } else if let Some(suspicion) = crashes.suspicion() {
+                self.crashes.suspects.insert(run.task, suspicion);
+            }
+        }
+        self.crashes.recent.push_back(CrashedWorker {
+            lost_ms: lost.lost_ms,
+            jobs,
+            was_apart,
+        });
+        given_up
+    }
+
+    /// Counts a crash against a task; returns all that count, or `None` if this one doesn't.
+    fn count_crash(&mut self, run: &LostRun, is_new: bool, lost_ms: u64) -> Option<CrashCounts> {
+        let is_long_running = self.step_of(run.task)?.long_running;
+        let task = self.jobs.get_mut(run.task.job)?.task_mut(run.task)?;
+        let has_run_long = is_long_running
+            && run
+                .since_ms
+                .is_some_and(|since_ms| lost_ms >= since_ms + CLEARING_RUN_MS);
+        if task.is_done || has_run_long {
+            task.crashed_runs.clear();
+            return None;
+        }
+        task.record_crash(CrashedRun {
+            run: run.run,
+            has_begun: run.has_begun,
+            is_new,
+        });
+        let counts = CrashCounts::of(task);
+        self.dirty.insert(run.task.job);
+        Some(counts)
+    }
+
+    /// Returns whether a worker runs suspect tasks only, or nothing; then its loss tells nothing about
+    /// a common cause.
+    fn runs_suspects_only(&self, worker: &Worker) -> bool {
+        let is_suspect = |task: &TaskKey| self.crashes.suspects.contains_key(task);
+        worker.tasks.iter().all(is_suspect)
+    }
+
+    /// Returns the jobs on each other worker that was lost at the same time by what looks like a
+    /// common cause.
+    fn lost_at_once(&self, lost: &LostWorker) -> Vec<BTreeSet<JobKey>> {
+        let is_same_time = |other_ms: u64| other_ms.abs_diff(lost.lost_ms) <= COMMON_CAUSE_MS;
+        let own_tasks: BTreeSet<TaskKey> = lost.runs.iter().map(|run| run.task).collect();
+        let silent = self
+            .workers
+            .values()
+            .filter(|worker| lost_ms(worker).is_some_and(is_same_time))
+            .filter(|worker| worker.tasks.is_disjoint(&own_tasks))
+            .filter(|worker| !self.runs_suspects_only(worker))
+            .map(|worker| worker.tasks.iter().map(|task| task.job).collect());
+        let crashed = self
+            .crashes
+            .recent
+            .iter()
+            .filter(|crashed| is_same_time(crashed.lost_ms) && !crashed.was_apart)
+            .map(|crashed| crashed.jobs.clone());
+        silent.chain(crashed).collect()
+    }
+}
+
+impl Crashes {
+    fn remember_given_up(&mut self, spec: &Arc<JobSpec>) {
+        if self.given_up.contains(spec) {
+            return;
+        }
+        if self.given_up.len() == MAX_GIVEN_UP {
+            self.given_up.pop_front();
+        }
+        self.given_up.push_back(Arc::clone(spec));
+    }
+}
+
+/// Returns since when a worker hasn't responded, on the owner's boot clock in milliseconds.
+const fn lost_ms(worker: &Worker) -> Option<u64> {
+    match worker.reachability {
+        Reachability::Reachable => None,
+        Reachability::Unreachable { since_ms } => Some(since_ms),
+    }
+}
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/shard/isolation.rs
@@ -0,0 +1,133 @@
+//! Placement of suspect tasks apart from all others.
+//!
+//! A suspect task gets a worker on which only its own job runs, so that a crash there shows that the
+//! job caused it. Few workers are used so at once, because a crash takes away part of the pool:
+//! beyond these, tasks that are suspect for the first time share workers. While no worker is empty,
+//! the one with the fewest tasks gets no others.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::crashes::Suspicion;
+use super::{Now, Shard};
+use crate::StepSpec;
+use crate::job::{JobKey, TaskKey};
+use crate::selection::PlacementRequest;
+use crate::worker::{Worker, WorkerKey};
+
+/// Part of the pool's workers that are emptied for suspect tasks at once, as a divisor.
+const EMPTIED_DIVISOR: usize = 4;
+/// Part of the pool's workers that may run suspect tasks at once, as a divisor; those beyond
+/// [`EMPTIED_DIVISOR`] are empty anyway.
+const TRIAL_DIVISOR: usize = 2;
+
+/// Workers that are kept apart during a placement pass.
+#[derive(Debug, Default)]
+pub(super) struct Isolation {
+    /// Workers with suspect tasks.
+    trials: BTreeMap<WorkerKey, Trial>,
+    /// Worker that is being emptied for the next suspect task.
+    reserved: Option<WorkerKey>,
+    /// Number of workers that may run suspect tasks at once; 0 if none can be kept apart.
+    max_workers: usize,
+}
+
+/// Suspect tasks on one worker.
+#[derive(Debug, Default)]
+struct Trial {
+    jobs: BTreeSet<JobKey>,
+    has_likely: bool,
+}
+
+impl Isolation {
+    /// Returns whether tasks that aren't suspect may be placed on a worker.
+    pub(super) fn is_open(&self, key: WorkerKey) -> bool {
+        self.reserved != Some(key) && !self.trials.contains_key(&key)
+    }
+
+    /// Returns whether suspect tasks can be kept apart at all.
+    pub(super) const fn is_possible(&self) -> bool {
+        self.max_workers > 0
+    }
+
+    /// Returns whether a suspect task of a job may be placed on a worker.
+    pub(super) fn admits(
+        &self,
+        job: JobKey,
+        suspicion: Suspicion,
+        key: WorkerKey,
+        worker: &Worker,
+    ) -> bool {
+        let is_at_limit = self.trials.len() >= self.max_workers;
+        match self.trials.get(&key) {
+            Some(trial) if trial.jobs.len() == 1 && trial.jobs.contains(&job) => {
+                worker.tasks.iter().all(|task| task.job == job)
+            }
+            Some(trial) => is_at_limit && suspicion == Suspicion::Possible && !trial.has_likely,
+            None => worker.tasks.is_empty() && !is_at_limit,
+        }
+    }
+}
+
+impl Shard {
+    /// Returns the workers that are kept apart for suspect tasks.
+    pub(super) fn isolation(&self, now: Now) -> Isolation {
+        let mut isolation = Isolation::default();
+        if self.crashes.suspects.is_empty() {
+            return isolation;
+        }
+        for (&task, &suspicion) in &self.crashes.suspects {
+            if let Some(worker) = self.worker_of(task) {
+                let trial = isolation.trials.entry(worker).or_default();
+                trial.jobs.insert(task.job);
+                trial.has_likely |= suspicion == Suspicion::Likely;
+            }
+        }
+        let pinned = self.workers_with_long_running();
+        let usable = |(key, worker): &(WorkerKey, &Worker)| {
+            worker.accepts_tasks(now.boot_ms) && !pinned.contains(key)
+        };
+        let usable: Vec<(WorkerKey, &Worker)> = self.workers.iter().filter(usable).collect();
+        if usable.is_empty() && isolation.trials.is_empty() {
+            return isolation;
+        }
+        let listed = self.workers.values().filter(|worker| worker.is_registered);
+        let listed = listed.count();
+        isolation.max_workers = (listed / TRIAL_DIVISOR).max(1);
+        if isolation.trials.len() < (listed / EMPTIED_DIVISOR).max(1) {
+            isolation.reserved = self.worker_to_empty(&isolation, &usable);
+        }
+        isolation
+    }
+
+    /// Returns what is suspected of a task, if anything is.
+    pub(super) fn suspicion(&self, key: TaskKey) -> Option<Suspicion> {
+        self.crashes.suspects.get(&key).copied()
+    }
+
+    /// Returns whether a step of a gang has a suspect task.
+    pub(super) fn is_suspect_gang(&self, first: TaskKey, spec: &StepSpec) -> bool {
+        (0..spec.count).any(|index| self.suspicion(TaskKey { index, ..first }).is_some())
+    }
+
+    /// Returns the worker with the fewest tasks that could run the first suspect task that waits,
+    /// once it is empty.
+    fn worker_to_empty(
+        &self,
+        isolation: &Isolation,
+        usable: &[(WorkerKey, &Worker)],
+    ) -> Option<WorkerKey> {
+        let waiting = self
+            .crashes
+            .suspects
+            .keys()
+            .find(|key| self.is_waiting(**key))?;
+        let request = PlacementRequest::from(self.step_of(*waiting)?);
+        usable
+            .iter()
+            .filter(|(key, worker)| {
+                request.is_suitable(worker) && !isolation.trials.contains_key(key)
+            })
+            .min_by_key(|(_, worker)| worker.tasks.len())
+            .map(|(key, _)| *key)
+    }
+}
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -4,6 +4,7 @@
 
 use cyclamentrail_core::RackName;
 
+use super::isolation::Isolation;
 use super::{Now, Shard};
 use crate::best_effort_share::FULL_SHARE_PERCENT;
 use crate::effect::Effect;
@@ -37,6 +38,8 @@
     restricted_failures: u32,
     /// Workers with long-running tasks.
     pinned: BTreeSet<WorkerKey>,
+    /// Workers that are kept apart for suspect tasks.
+    isolation: Isolation,
 }
 
 impl PlacementPass {
@@ -80,6 +83,7 @@
         waiting.sort_unstable();
         let mut pass = PlacementPass {
             pinned: self.workers_with_long_running(),
+            isolation: self.isolation(now),
             ..PlacementPass::default()
         };
         for (_, key) in waiting {
@@ -167,7 +171,7 @@
         let spec = spec.clone();
         let granted = self.granted_workers(now, ready_step.task(0).into());
         if spec.gang {
-            if !self.place_gang(now, ready_step, &spec, granted.as_ref()) {
+            if !self.place_gang(now, ready_step, &spec, granted.as_ref(), &pass.isolation) {
                 pass.record_failure(is_restricted, spec.reserved_resources());
                 if granted.is_some() {
                     self.query_policy(now, ready_step.task(0).into());
@@ -190,8 +194,25 @@
             request.pinned_workers = Some(&pass.pinned);
             request.same_step_counts = Some(&per_worker);
             request.granted_workers = granted.as_ref();
+            let suspicion = self.suspicion(key).filter(|_| pass.isolation.is_possible());
             let open = self.open_workers(now, &spec, &per_worker);
-            let Some(worker) = select_worker(&request, open) else {
+            let isolation = &pass.isolation;
+            let selected = match suspicion {
+                Some(suspicion) => select_worker(
+                    &request,
+                    open.filter(|(worker_key, worker)| {
+                        isolation.admits(key.job, suspicion, *worker_key, worker)
+                    }),
+                ),
+                None => select_worker(
+                    &request,
+                    open.filter(|(worker_key, _)| isolation.is_open(*worker_key)),
+                ),
+            };
+            let Some(worker) = selected else {
+                if suspicion.is_some() {
+                    continue;
+                }
                 pass.record_failure(is_restricted, spec.reserved_resources());
                 if granted.is_some() {
                     self.query_policy(now, key.into());
@@ -200,6 +221,9 @@
             };
             *per_worker.entry(worker).or_default() += 1;
             self.place(now, key, worker, None);
+            if suspicion.is_some() {
+                pass.isolation = self.isolation(now);
+            }
         }
     }
 
@@ -210,6 +234,7 @@
         ready_step: ReadyStep,
         spec: &StepSpec,
         granted: Option<&BTreeSet<WorkerKey>>,
+        isolation: &Isolation,
     ) -> bool {
         let keys: Vec<TaskKey> = (0..spec.count)
             .map(|index| ready_step.task(index))
@@ -225,10 +250,20 @@
             vec![spec.preferred_rack.clone()]
         };
         let needs_rack = |rack: &Option<RackName>| spec.prefers_one_rack && rack.is_some();
-        let plan = rack_options
-            .iter()
-            .find_map(|rack| self.plan_gang(now, spec, rack.as_ref(), needs_rack(rack), granted));
-        let Some(plan) = plan else {
+        let open = |key: WorkerKey, _: &Worker| isolation.is_open(key);
+        let apart =
+            |key: WorkerKey, worker: &Worker| isolation.is_open(key) && worker.tasks.is_empty();
+        let plan = |allows: &dyn Fn(WorkerKey, &Worker) -> bool| {
+            rack_options.iter().find_map(|rack| {
+                self.plan_gang(now, spec, rack.as_ref(), needs_rack(rack), granted, allows)
+            })
+        };
+        let plan_apart = if self.is_suspect_gang(ready_step.task(0), spec) {
+            plan(&apart)
+        } else {
+            None
+        };
+        let Some(plan) = plan_apart.or_else(|| plan(&open)) else {
             return false;
         };
         let run = keys
@@ -251,6 +286,7 @@
         rack: Option<&RackName>,
         needs_rack: bool,
         granted: Option<&BTreeSet<WorkerKey>>,
+        allows: &dyn Fn(WorkerKey, &Worker) -> bool,
     ) -> Option<Vec<WorkerKey>> {
         let demand = spec.reserved_resources();
         let mut request = PlacementRequest::from(spec);
@@ -260,6 +296,7 @@
             .workers
             .iter()
             .filter(|(_, worker)| worker.accepts_tasks(now.boot_ms))
+            .filter(|(key, worker)| allows(*key, worker))
             .filter(|(_, worker)| !needs_rack || rack.is_none_or(|rack| worker.is_on_rack(rack)))
             .map(|(key, worker)| (key, worker.clone()))
             .collect();
@@ -283,7 +320,7 @@
     }
 
     /// Returns whether a task isn't done and isn't placed.
-    fn is_waiting(&self, key: TaskKey) -> bool {
+    pub(super) fn is_waiting(&self, key: TaskKey) -> bool {
         self.jobs
             .get(key.job)
             .and_then(|job| job.task(key))
--- a/crates/cyclamentrail-jobs/src/shard/progress.rs
+++ b/crates/cyclamentrail-jobs/src/shard/progress.rs
@@ -50,6 +50,7 @@
             placement: task
                 .placement
                 .and_then(|placement| self.placement_record(placement)),
+            crashed_runs: task.crashed_runs.clone(),
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -98,6 +98,7 @@
         for RecordedRun { task, record } in recorded_runs {
             self.restore_placement(now, task, &record);
         }
+        self.mark_known_suspects(key);
         let job = &mut self.jobs[key];
         job.durable_state = job.state();
         if job.durable_state.is_final() && !job.has_placements() {
@@ -238,6 +239,7 @@
         is_done: record.is_done,
         last_run: record.run,
         failed_runs: record.failed_runs,
+        crashed_runs: record.crashed_runs,
         checkpoint: record.checkpoint,
         placement: None,
     }
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -5,7 +5,7 @@
 use super::{Now, Shard};
 use crate::effect::{Decision, Effect, EndProof};
 use crate::job::TaskKey;
-use crate::worker::{Worker, WorkerKey, WorkerRegistration};
+use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
 
 impl Shard {
     /// Adds or updates a worker as the registry lists it; a new start time replaces the
@@ -17,6 +17,8 @@
         }
         let Some(&key) = self.worker_keys.get(&registration.id) else {
             let id = registration.id.clone();
+            self.end_replaced(now, &registration);
+            self.explain_lost(&registration);
             let key = self.workers.insert(Worker::new(registration, now.boot_ms));
             self.worker_keys.insert(id, key);
             return;
@@ -34,6 +36,19 @@
         known.is_registered = true;
     }
 
+    /// Ends the silent worker whose address another one has now: no two processes listen there.
+    fn end_replaced(&mut self, now: Now, successor: &WorkerRegistration) {
+        let is_replaced = |worker: &Worker| {
+            worker.reachability != Reachability::Reachable
+                && worker.registration.address == successor.address
+                && worker.registration.started_ms < successor.started_ms
+        };
+        let replaced = self.workers.iter().find(|(_, worker)| is_replaced(worker));
+        if let Some(key) = replaced.map(|(key, _)| key) {
+            self.handle_other_incarnation(now, key);
+        }
+    }
+
     /// Marks a worker as unlisted, and forgets the worker once it has no runs.
     pub fn unregister(&mut self, id: &WorkerId) {
         self.ended_incarnations.remove(id);
@@ -59,8 +74,11 @@
         key: WorkerKey,
         registration: WorkerRegistration,
     ) {
+        let given_up = self.record_crash(now, key);
         self.release_worker_runs(key, EndProof::WorkerRestarted);
+        self.give_up(given_up);
         let id = registration.id.clone();
+        self.explain_lost(&registration);
         self.ready_effects
             .push(Effect::Log(Decision::WorkerRestarted {
                 worker: id.clone(),
@@ -74,7 +92,8 @@
 
     /// Handles a response of another incarnation at a worker's address: the known one has ended,
     /// and its runs with it.
-    pub(super) fn handle_other_incarnation(&mut self, key: WorkerKey) {
+    pub(super) fn handle_other_incarnation(&mut self, now: Now, key: WorkerKey) {
+        let given_up = self.record_crash(now, key);
         if let Some(worker) = self.workers.get_mut(key) {
             worker.is_registered = false;
             let registration = &worker.registration;
@@ -83,6 +102,7 @@
         }
         self.release_worker_runs(key, EndProof::WorkerRestarted);
         self.remove_if_unused(key);
+        self.give_up(given_up);
     }
 
     /// Removes a worker that is unlisted and has no runs.
@@ -97,7 +117,7 @@
     }
 
     /// Frees all runs of a worker.
-    fn release_worker_runs(&mut self, key: WorkerKey, proof: EndProof) {
+    pub(super) fn release_worker_runs(&mut self, key: WorkerKey, proof: EndProof) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -33,7 +33,7 @@
         match outcome {
             PollOutcome::Report(report) => self.handle_report(now, key, durable_sequence, report),
             PollOutcome::StaleToken => return true,
-            PollOutcome::OtherIncarnation => self.handle_other_incarnation(key),
+            PollOutcome::OtherIncarnation => self.handle_other_incarnation(now, key),
             PollOutcome::NoResponse => self.record_failed_poll(now, key),
             PollOutcome::NotSent => {
                 worker.next_poll_ms = now.boot_ms + self.timing.poll_interval_ms;
@@ -55,12 +55,13 @@
             .started_ms
             .is_some_and(|started_ms| started_ms > own_started_ms)
         {
-            self.handle_other_incarnation(key);
+            self.handle_other_incarnation(now, key);
             return;
         }
         worker.next_poll_ms = now.boot_ms + self.timing.poll_interval_ms;
         worker.acknowledged_sequence = worker.acknowledged_sequence.max(durable_sequence);
         worker.lease.record_clock(report.clock_ms, now.boot_ms);
+        worker.heard_ms = now.boot_ms;
         worker.knows_token = true;
         worker.lease.drop_inherited();
         if worker.reachability != Reachability::Reachable {
@@ -71,6 +72,7 @@
                     is_responding: true,
                 }));
         }
+        self.forget_lost(key);
         self.update_share(now, key, &report);
         let mut reported = BTreeSet::new();
         for ended_run in report.ended {
@@ -116,9 +118,11 @@
             placement.progress_percent = active_run.progress_percent;
             placement.progress_changed_ms = now.boot_ms;
         }
+        let placement = *placement;
         if keeps_checkpoints && !active_run.checkpoint.is_empty() {
             task.checkpoint = active_run.checkpoint;
         }
+        self.clear_proven(now, key, placement);
     }
 
     /// Records the end of a run, unless an earlier report listed it already.
@@ -145,6 +149,7 @@
             end: ended_run.end,
             worker: worker_id,
         }));
+        self.clear_suspect(key);
         self.update_failure_score(now, worker_key, key, ended_run.end);
         self.record_duration(now, key, ended_run);
         let is_current_run = self
@@ -227,7 +232,8 @@
             .map_or(0, |step| step.tasks.iter().map(Task::failure_count).sum())
     }
 
-    fn fail_job(&mut self, key: TaskKey) {
+    /// Fails the job of a task, and stops its runs.
+    pub(super) fn fail_job(&mut self, key: TaskKey) {
         if let Some(job) = self.jobs.get_mut(key.job) {
             job.is_failed = true;
         }
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -125,6 +125,7 @@
 
     /// Begins occurrences that are due, and drops finished ones.
     pub(super) fn begin_occurrences(&mut self, now: Now) {
+        let mut begun = Vec::new();
         for &key in &self.active {
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
@@ -134,6 +135,7 @@
                 job.occurrences.push(occurrence);
                 job.next_occurrence += 1;
                 self.dirty.insert(key);
+                begun.push(key);
             }
             let count_before = job.occurrences.len();
             if count_before > 1 {
@@ -144,6 +146,9 @@
                 }
             }
         }
+        for key in begun {
+            self.mark_known_suspects(key);
+        }
     }
 
     /// Returns the expected wait of a job in milliseconds if the job can be accepted.
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -77,6 +77,8 @@
     pub is_polling: bool,
     /// Time from which the next poll is due, on the owner's boot clock in milliseconds.
     pub next_poll_ms: u64,
+    /// Time of the last response on the owner's boot clock, in milliseconds.
+    pub heard_ms: u64,
     /// Whether the worker responds to calls.
     pub reachability: Reachability,
     /// Processor share of the worker's best-effort tasks.
@@ -111,6 +113,7 @@
             poll_sent_ms: 0,
             is_polling: false,
             next_poll_ms: 0,
+            heard_ms: 0,
             reachability: Reachability::Reachable,
             best_effort_share: BestEffortShare::new(),
             avoid_until_ms: 0,
--- a/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
@@ -67,6 +67,8 @@
     pub interference_ms: u64,
     /// Virtual time in milliseconds at which the worker crashes, if a task makes it.
     pub crash_ms: Option<u64>,
+    /// Whether another worker has the address of this one, which has ended.
+    pub is_replaced: bool,
 }
 
 impl FakeWorker {
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -60,8 +60,10 @@
     QueryPolicy(AdviceQuery),
     /// The store has appended the pending commit.
     AppendDone(u64),
-    /// A crashed worker starts again under its id.
+    /// A crashed worker starts again under its id, or as another one at its address.
     Restart(WorkerId),
+    /// The registry drops a crashed worker.
+    Unlist(WorkerId),
 }
 
 /// An owner's shard with simulated workers, store and callers.
@@ -160,7 +162,7 @@
         let registration = WorkerRegistration {
             id: WorkerId::from(id),
             started_ms: START_UNIX_MS + self.now_ms,
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            address: address_of(id),
             zone: ZoneName::from("z"),
             service: ServiceName::from("service"),
             capacity,
@@ -186,6 +188,7 @@
             stalls_runs: false,
             interference_ms: 0,
             crash_ms: None,
+            is_replaced: false,
         };
         self.workers.insert(registration.id.clone(), worker);
         self.shard.register(self.now(), registration);
@@ -374,6 +377,7 @@
         match event {
             Event::AppendDone(token) => self.finish_append(token),
             Event::Restart(id) => self.restart_worker(&id),
+            Event::Unlist(id) => self.shard.unregister(&id),
             Event::Start(start, token, can_delay) => self.deliver_start(start, token, can_delay),
             Event::Stop(command, token) => self.deliver_stop(&command, token),
             Event::Poll(poll, token) => self.deliver_poll(&poll, token),
@@ -445,6 +449,12 @@
     }
 }
 
+/// Returns the address of a worker, which depends on the number in its id.
+fn address_of(id: &str) -> SocketAddr {
+    let number: String = id.chars().filter(char::is_ascii_digit).collect();
+    SocketAddr::from((Ipv4Addr::LOCALHOST, number.parse().unwrap_or(0)))
+}
+
 /// Returns whether a run belongs to a task.
 fn same_task(id: &TaskRunId, task: &(JobId, u32, u32, u32)) -> bool {
     (&id.job, id.occurrence, id.step, id.index) == (&task.0, task.1, task.2, task.3)
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
@@ -27,6 +27,14 @@
             );
             return;
         }
+        if worker.is_replaced {
+            let outcome = CommandOutcome::OtherIncarnation;
+            self.schedule(
+                CALL_MS,
+                Event::StartResult(key.0, key.1, key.2, outcome, token),
+            );
+            return;
+        }
         if !worker.is_reachable || !worker.is_alive {
             self.schedule(
                 500,
@@ -167,7 +175,9 @@
         let Some(worker) = self.workers.get_mut(&command.target.id) else {
             return;
         };
-        let outcome = if !worker.is_reachable || !worker.is_alive || !worker.responds {
+        let outcome = if worker.is_replaced {
+            CommandOutcome::OtherIncarnation
+        } else if !worker.is_reachable || !worker.is_alive || !worker.responds {
             CommandOutcome::NoResponse
         } else if worker.registration.started_ms != command.target.started_ms {
             CommandOutcome::OtherIncarnation
@@ -202,7 +212,9 @@
         let Some(worker) = self.workers.get_mut(&poll.target.id) else {
             return;
         };
-        let outcome = if !worker.is_reachable || !worker.is_alive || !worker.responds {
+        let outcome = if worker.is_replaced {
+            PollOutcome::OtherIncarnation
+        } else if !worker.is_reachable || !worker.is_alive || !worker.responds {
             PollOutcome::NoResponse
         } else if worker.registration.started_ms != poll.target.started_ms {
             PollOutcome::OtherIncarnation
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
@@ -8,6 +8,8 @@
 
 /// Time from the start of a deadly task to its worker's crash, in milliseconds.
 const CRASH_AFTER_MS: u64 = 10;
+/// Time after which the registry drops a worker that has crashed, in milliseconds.
+const UNLISTED_AFTER_MS: u64 = 4_500;
 /// Number of crashes under a task after which it may be started only twice more.
 const MAX_CRASHES: usize = 3;
 
@@ -21,6 +23,8 @@
     pub tasks: BTreeSet<(JobId, u32, u32)>,
     /// Time from a crash to the worker's restart under its id, in milliseconds.
     pub restart_after_ms: u64,
+    /// Whether the worker is back under another id, at the same address.
+    pub restarts_as_other: bool,
     /// Number of crashes under each such task.
     pub crashes: BTreeMap<TaskName, usize>,
     /// Starts of each such task after [`MAX_CRASHES`].
@@ -32,6 +36,7 @@
         Self {
             tasks: BTreeSet::new(),
             restart_after_ms: 3_200,
+            restarts_as_other: false,
             crashes: BTreeMap::new(),
             late_starts: BTreeMap::new(),
         }
@@ -57,9 +62,7 @@
 impl Simulation {
     /// Crashes a worker, with all that it knows; it starts again under its id after a while.
     pub fn crash_worker(&mut self, id: &WorkerId) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
+        let worker = self.worker(id.as_str());
         worker.is_alive = false;
         worker.is_reachable = false;
         worker.crash_ms = None;
@@ -77,13 +80,21 @@
         }
         let restart_after_ms = self.deadly_tasks.restart_after_ms;
         self.schedule(restart_after_ms, Event::Restart(id.clone()));
+        if self.deadly_tasks.restarts_as_other {
+            self.schedule(UNLISTED_AFTER_MS, Event::Unlist(id.clone()));
+        }
     }
 
-    /// Starts a crashed worker again under its id.
+    /// Starts a crashed worker again, under its id or as another one at its address.
     pub(super) fn restart_worker(&mut self, id: &WorkerId) {
         let registration = &self.workers[id].registration;
         let (capacity, rack) = (registration.capacity, registration.labels[1].to_string());
-        self.add_worker(id.as_str(), capacity, &rack);
+        if self.deadly_tasks.restarts_as_other {
+            self.worker(id.as_str()).is_replaced = true;
+            self.add_worker(&format!("{id}x"), capacity, &rack);
+        } else {
+            self.add_worker(id.as_str(), capacity, &rack);
+        }
     }
 
     /// Lets a worker crash soon after it started a deadly task, and checks that the task wasn't
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -138,6 +138,10 @@
                 .with("worker", worker)
                 .with("percent", percent)
                 .with("worst_percent", worst_percent),
+            Decision::JobGivenUp { job, task, crashes } => Self::new("job_given_up")
+                .with("job", job)
+                .with_task(task)
+                .with("crashes", crashes),
             Decision::RunStalled { job, worker } => Self::new("run_stalled")
                 .with("job", job)
                 .with("worker", worker),
@@ -154,6 +158,7 @@
         | Decision::RunGone { job, .. }
         | Decision::JobFinal { job, .. }
         | Decision::TaskWaiting { job, .. }
+        | Decision::JobGivenUp { job, .. }
         | Decision::RunStalled { job, .. } => Some(job),
         Decision::ContactChanged { .. }
         | Decision::WorkerRestarted { .. }
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -30,6 +30,8 @@
 pub(crate) const TASK_WAITS: &str = "cyclamentrail_task_waits_total";
 /// Times that a worker was avoided: no task was placed on it for some time.
 pub(crate) const WORKERS_AVOIDED: &str = "cyclamentrail_workers_avoided_total";
+/// Jobs that were given up because workers crashed under one of their tasks.
+pub(crate) const JOBS_GIVEN_UP: &str = "cyclamentrail_jobs_given_up_total";
 /// Work that was submitted recently, accepted or not, in whole workers.
 pub(crate) const POOL_DEMAND: &str = "cyclamentrail_pool_demand_workers";
 /// Accepted work that hasn't started, in seconds of a whole worker.
@@ -179,6 +181,12 @@
         labels: &["service"],
         help: "Times that a worker was avoided: no task was placed on it for some time.",
     },
+    Metric {
+        name: JOBS_GIVEN_UP,
+        kind: MetricKind::Counter,
+        labels: &["service"],
+        help: "Jobs that were given up because workers crashed under one of their tasks.",
+    },
     Metric {
         name: POOL_DEMAND,
         kind: MetricKind::Gauge,
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -5,9 +5,9 @@
 use cyclamentrail_jobs::{CommandOutcome, Decision, PoolLoad};
 
 use super::catalog::{
-    JOB_SECONDS, JOBS, LINES_DROPPED, LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND, POOL_WAITING,
-    REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS, STORE_CALLS, STORE_SECONDS,
-    TASK_WAITS, WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
+    JOB_SECONDS, JOBS, JOBS_GIVEN_UP, LINES_DROPPED, LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND,
+    POOL_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS, STORE_CALLS,
+    STORE_SECONDS, TASK_WAITS, WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
 };
 
 /// Number of thousandths in one unit, such as milliseconds in a second.
@@ -46,6 +46,9 @@
             let reason = reason.as_str();
             metrics::counter!(TASK_WAITS, "service" => service, "reason" => reason).increment(1);
         }
+        Decision::JobGivenUp { .. } => {
+            metrics::counter!(JOBS_GIVEN_UP, "service" => service).increment(1);
+        }
         Decision::ContactChanged { .. }
         | Decision::WorkerRestarted { .. }
         | Decision::ShareChanged { .. } => {}
