--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -1,5 +1,7 @@
 //! Tests of the scheduler with simulated workers, store and callers in virtual time.
 
+#[path = "scheduler/capacity.rs"]
+mod capacity;
 #[path = "scheduler/crashes.rs"]
 mod crashes;
 #[path = "scheduler/jobs.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
@@ -67,6 +67,9 @@
     pub interference_ms: u64,
     /// Virtual time in milliseconds at which the worker crashes, if a task makes it.
     pub crash_ms: Option<u64>,
+    /// Capacity before the last change, and the virtual time in milliseconds until which starts may
+    /// still count on it.
+    pub earlier_capacity: Option<(Resources, u64)>,
     /// Whether another worker has the address of this one, which has ended.
     pub is_replaced: bool,
 }
@@ -78,6 +81,13 @@
         20 + best_effort.map(|run| run.share_percent).sum::<u64>() * self.interference_ms / 100
     }
 
+    /// Returns whether a start may bring the worker to a load.
+    pub fn may_hold(&self, used: &Resources, now_ms: u64) -> bool {
+        let counts =
+            |(capacity, until_ms): &(Resources, u64)| now_ms < *until_ms && capacity.contains(used);
+        self.registration.capacity.contains(used) || self.earlier_capacity.iter().any(counts)
+    }
+
     /// Returns the highest share of a best-effort task in percent, or 0 without one.
     pub fn best_effort_percent(&self) -> u64 {
         let best_effort = self.running.iter().filter(|run| run.is_best_effort);
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -35,6 +35,8 @@
 const TICK_MS: u64 = 20;
 /// Unix time at which virtual time is 0, in milliseconds.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
+/// Time for which starts may count on a capacity that has shrunk, in milliseconds.
+const CAPACITY_GRACE_MS: u64 = 4_500;
 /// Longest lease that a worker accepts, in milliseconds.
 const MAX_LEASE_MS: u64 = 6_000;
 
@@ -188,6 +190,7 @@
             stalls_runs: false,
             interference_ms: 0,
             crash_ms: None,
+            earlier_capacity: None,
             is_replaced: false,
         };
         self.workers.insert(registration.id.clone(), worker);
@@ -305,6 +308,20 @@
         self.shard.register(now, registration);
     }
 
+    /// Changes a worker's capacity while it runs. Starts may count on the earlier one for a while.
+    pub fn resize_worker(&mut self, id: &str, capacity: Resources) {
+        let now = self.now();
+        let worker = self.worker(id);
+        worker.earlier_capacity = Some((
+            worker.registration.capacity,
+            now.boot_ms + CAPACITY_GRACE_MS,
+        ));
+        worker.registration.capacity = capacity;
+        let mut registration = worker.registration.clone();
+        registration.clock_ms = now.boot_ms;
+        self.shard.register(now, registration);
+    }
+
     /// Ends a worker's process and removes its registration.
     pub fn remove_worker(&mut self, id: &str) {
         let worker = self.worker(id);
