fix(jobs): decide on a worker's present capacity when a start is sent

Cause: room was counted when a task was placed.

Change: `start_command` withdraws a start whose worker is over its capacity in something that the task takes; a command that may have arrived is stopped instead of sent again. Work that runs goes on, and room that grows back is used.

--- a/crates/cyclamentrail-jobs/src/shard/starts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/starts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::{Now, Shard};
+use crate::StepSpec;
 use crate::effect::{EndProof, StartCommand};
 use crate::job::{Placement, RunPhase, TaskKey};
 
@@ -16,7 +17,7 @@
         if !matches!(placement.phase, RunPhase::Placed | RunPhase::Sent) {
             return None;
         }
-        if self.must_withdraw(placement) {
+        if self.must_withdraw(key, placement) {
             self.withdraw(key);
             return None;
         }
@@ -58,13 +59,16 @@
         })
     }
 
-    /// Returns whether a run may not be started on its worker any more, because the worker leaves.
-    /// A command that was sent before is only given up on a worker that gave notice itself.
-    fn must_withdraw(&self, placement: Placement) -> bool {
+    /// Returns whether a run may not be started on its worker any more, because the worker leaves or
+    /// its capacity has shrunk. A command that was sent before is only given up on a worker that gave
+    /// notice itself, or that has shrunk.
+    fn must_withdraw(&self, key: TaskKey, placement: Placement) -> bool {
         let Some(worker) = self.workers.get(placement.worker) else {
             return false;
         };
+        let demand = self.step_of(key).map(StepSpec::reserved_resources);
         worker.registration.is_draining
+            || demand.is_some_and(|demand| worker.is_overloaded_by(&demand))
             || (placement.phase == RunPhase::Placed
                 && (!worker.is_registered || worker.evacuating_since_ms.is_some()))
     }
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -141,6 +141,16 @@
             .saturating_sub(&self.used_capacity)
     }
 
+    /// Returns whether the load, of which `demand` is a part, exceeds the present capacity in something
+    /// that `demand` takes. The capacity may have shrunk since the load was placed.
+    #[must_use]
+    pub const fn is_overloaded_by(&self, demand: &Resources) -> bool {
+        let (used, capacity) = (&self.used_capacity, &self.registration.capacity);
+        (demand.cpu_milli > 0 && used.cpu_milli > capacity.cpu_milli)
+            || (demand.memory_mib > 0 && used.memory_mib > capacity.memory_mib)
+            || (demand.gpus > 0 && used.gpus > capacity.gpus)
+    }
+
     /// Returns whether the worker has a label.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
--- a/crates/cyclamentrail-jobs/tests/scheduler/promises.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/promises.rs
@@ -7,6 +7,8 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 const WORKER: Resources = Resources::new(8_000, 32_768, 0);
+/// Capacity of a worker that has shrunk; it still holds the largest task.
+const SMALL_WORKER: Resources = Resources::new(3_000, 32_768, 0);
 /// Number of random cases per property.
 const CASES: u32 = 150;
 /// Time without faults at the end of a case, in milliseconds.
@@ -24,6 +26,13 @@
     },
     /// Submits a job whose runs all fail.
     SubmitFailing,
+    /// Submits a job with a task that crashes its workers.
+    SubmitDeadly,
+    /// Shrinks a worker, or lets it grow to its size again.
+    Resize {
+        worker: usize,
+        is_small: bool,
+    },
     Cancel(usize),
     /// Replaces the owner; a released shard was given up by its owner, any other one may still be
     /// acted on.
@@ -55,6 +64,9 @@
             }
         ),
         1 => Just(Action::SubmitFailing),
+        1 => Just(Action::SubmitDeadly),
+        1 => (0..3_usize, any::<bool>())
+            .prop_map(|(worker, is_small)| Action::Resize { worker, is_small }),
         1 => (0..20_usize).prop_map(Action::Cancel),
         2 => any::<bool>().prop_map(|is_released| Action::TakeOver { is_released }),
         1 => (0..3_usize).prop_map(Action::Disconnect),
@@ -92,6 +104,16 @@
             let caller = sim.submit_failing(&name, job(2, 1_000, 300));
             jobs.push((name, caller));
         }
+        Action::SubmitDeadly => {
+            let name = format!("j{}", jobs.len());
+            sim.deadly_tasks.insert(&name, 0);
+            let caller = sim.submit(&name, job(2, 1_000, 300));
+            jobs.push((name, caller));
+        }
+        Action::Resize { worker, is_small } => {
+            let capacity = if is_small { SMALL_WORKER } else { WORKER };
+            sim.resize_worker(&id(worker), capacity);
+        }
         Action::Cancel(index) => {
             if let Some((name, _)) = jobs.get(index) {
                 sim.cancel(name);
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
@@ -87,6 +87,9 @@
 
     /// Starts a crashed worker again, under its id or as another one at its address.
     pub(super) fn restart_worker(&mut self, id: &WorkerId) {
+        if self.workers[id].is_alive {
+            return;
+        }
         let registration = &self.workers[id].registration;
         let (capacity, rack) = (registration.capacity, registration.labels[1].to_string());
         if self.deadly_tasks.restarts_as_other {
