feat(edge): tell which incarnation confirmed a run, and both start times of a restart

`run_gone` has `listed`, `worker_restarted` both start times and the number of runs. No decision reads the new fields.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -251,6 +251,8 @@
         run: u32,
         /// Whether the worker had confirmed that the run began.
         has_begun: bool,
+        /// Whether the incarnation of the worker that the run was assigned to had listed it.
+        is_listed: bool,
         /// Id of the worker.
         worker: WorkerId,
         /// Evidence that the run isn't executing any more.
@@ -276,6 +278,12 @@
     WorkerRestarted {
         /// Id of the worker.
         worker: WorkerId,
+        /// Start time of the earlier incarnation, as Unix time in milliseconds.
+        earlier_started_ms: u64,
+        /// Start time of the new incarnation, as Unix time in milliseconds.
+        started_ms: u64,
+        /// Number of runs that were assigned to the earlier incarnation.
+        runs: usize,
     },
     /// No task is placed on a worker for some time, because it failed or rejected tasks.
     WorkerAvoided {
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -93,6 +93,9 @@
     pub phase: RunPhase,
     /// Whether the worker has confirmed to this owner that the run began.
     pub has_begun: bool,
+    /// Whether the incarnation that the run is assigned to has listed it in a report. The response to a
+    /// start command doesn't tell which incarnation began the run.
+    pub is_listed: bool,
     /// Whether a start command got no response, so that the worker may still carry it out later.
     pub may_start_late: bool,
     /// Processor share in percent that was last sent to the worker for this run; `None` if it
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -379,6 +379,7 @@
                 task: key,
                 run: placement.run,
                 has_begun: placement.has_begun,
+                is_listed: placement.is_listed,
                 worker: worker.registration.id.clone(),
                 proof,
             }));
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -344,6 +344,7 @@
             run: task.last_run,
             phase: RunPhase::Placed,
             has_begun: false,
+            is_listed: false,
             may_start_late: false,
             sent_share_percent: Some(FULL_SHARE_PERCENT),
             progress_percent: 0,
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -139,6 +139,7 @@
                 run: record.run,
                 phase,
                 has_begun: false,
+                is_listed: false,
                 may_start_late: true,
                 sent_share_percent: None,
                 progress_percent: 0,
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -74,6 +74,9 @@
         key: WorkerKey,
         registration: WorkerRegistration,
     ) {
+        let worker = &self.workers[key];
+        let earlier_started_ms = worker.registration.started_ms;
+        let runs = worker.tasks.len();
         let given_up = self.record_crash(now, key);
         self.release_worker_runs(key, EndProof::WorkerRestarted);
         self.give_up(given_up);
@@ -82,6 +85,9 @@
         self.ready_effects
             .push(Effect::Log(Decision::WorkerRestarted {
                 worker: id.clone(),
+                earlier_started_ms,
+                started_ms: registration.started_ms,
+                runs,
             }));
         // A new key keeps late results of the earlier incarnation's calls from being taken for the
         // new one's.
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -51,6 +51,7 @@
     ) {
         let worker = &mut self.workers[key];
         let own_started_ms = worker.registration.started_ms;
+        let is_own_report = report.started_ms == Some(own_started_ms);
         if report
             .started_ms
             .is_some_and(|started_ms| started_ms > own_started_ms)
@@ -84,7 +85,7 @@
         for active_run in report.running {
             if let Some(task) = self.find_task(&active_run.id) {
                 reported.insert((task, active_run.id.run));
-                self.record_running(now, task, active_run);
+                self.record_running(now, task, active_run, is_own_report);
                 self.mark_started(task);
             }
         }
@@ -92,8 +93,15 @@
         self.remove_if_unused(key);
     }
 
-    /// Records the progress and checkpoint of a run.
-    fn record_running(&mut self, now: Now, key: TaskKey, active_run: ActiveRun) {
+    /// Records the progress and checkpoint of a run; `is_own_report` tells whether the incarnation that
+    /// the run is assigned to has listed it.
+    fn record_running(
+        &mut self,
+        now: Now,
+        key: TaskKey,
+        active_run: ActiveRun,
+        is_own_report: bool,
+    ) {
         let keeps_checkpoints = self.step_of(key).is_some_and(|step| step.checkpoints);
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
@@ -109,6 +117,7 @@
             return;
         };
         placement.has_begun = true;
+        placement.is_listed |= is_own_report;
         if placement.phase == RunPhase::Sent {
             placement.phase = RunPhase::Running {
                 since_ms: now.boot_ms,
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -91,6 +91,7 @@
                 task,
                 run,
                 has_begun,
+                is_listed,
                 worker,
                 proof,
             } => Self::new("run_gone")
@@ -98,6 +99,7 @@
                 .with_task(task)
                 .with("run", run)
                 .with("begun", has_begun)
+                .with("listed", is_listed)
                 .with("proof", proof.as_str())
                 .with("worker", worker),
             Decision::JobFinal {
@@ -114,9 +116,16 @@
             } => Self::new("worker_contact")
                 .with("worker", worker)
                 .with("answers", is_responding),
-            Decision::WorkerRestarted { worker } => {
-                Self::new("worker_restarted").with("worker", worker)
-            }
+            Decision::WorkerRestarted {
+                worker,
+                earlier_started_ms,
+                started_ms,
+                runs,
+            } => Self::new("worker_restarted")
+                .with("worker", worker)
+                .with("earlier_started_ms", earlier_started_ms)
+                .with("started_ms", started_ms)
+                .with("runs", runs),
             Decision::WorkerAvoided { worker, for_ms } => Self::new("worker_avoided")
                 .with("worker", worker)
                 .with("for_ms", for_ms),
