--- a/crates/cyclamentrail-standin/src/jobs/worker.rs
+++ b/crates/cyclamentrail-standin/src/jobs/worker.rs
@@ -23,6 +23,8 @@
 const MAX_LEASE_MS: u64 = 6_000;
 /// Interval between two checks of a worker's runs.
 const ROUND: Duration = Duration::from_millis(10);
+/// Number of further attempts to bind an address.
+const BIND_ATTEMPTS: u32 = 100;
 /// Interval between two registrations of a worker, in rounds.
 const ROUNDS_PER_REGISTRATION: u64 = 40;
 /// Topic of the workers' registrations.
@@ -62,6 +64,8 @@
     clock_origin: Instant,
     /// Whether the worker gives notice that it leaves.
     is_draining: AtomicBool,
+    /// Whether the worker writes registrations.
+    is_registering: AtomicBool,
     state: Mutex<WorkerState>,
 }
 
@@ -71,6 +75,8 @@
     runs: Vec<TaskRun>,
     /// Running tasks by name and run number, with the times on the worker's clock at which they end.
     end_times_ms: HashMap<(String, u64), u64>,
+    /// Highest run of each task that was stopped; it and earlier ones aren't started any more.
+    stopped_runs: HashMap<String, u64>,
     /// Ended runs: sequence number of the end, task, run number and result.
     ended_runs: Vec<(u64, String, u64, String)>,
     /// Highest fencing token of any command or poll.
@@ -94,6 +100,38 @@
         id: &str,
         service: &str,
         task_ms: u64,
+    ) -> std::io::Result<Self> {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let worker = Self::start_at(store, id, service, task_ms, address).await?;
+        worker.register();
+        Ok(worker)
+    }
+
+    /// Ends the worker and starts it again under its id and at its address. The new incarnation knows
+    /// nothing of the earlier one, and isn't registered until [`Self::register`] is called.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the worker's address.
+    pub async fn restart(self, store: &Arc<JobStore>) -> std::io::Result<Self> {
+        let address = self.address();
+        let (id, service) = (self.shared.id.clone(), self.shared.service.clone());
+        let task_ms = self.shared.lock().task_ms;
+        drop(self);
+        Self::start_at(store, &id, &service, task_ms, address).await
+    }
+
+    /// Writes registrations from now on.
+    pub fn register(&self) {
+        self.shared.is_registering.store(true, Ordering::Relaxed);
+    }
+
+    async fn start_at(
+        store: &Arc<JobStore>,
+        id: &str,
+        service: &str,
+        task_ms: u64,
+        address: SocketAddr,
     ) -> std::io::Result<Self> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH);
         let shared = Arc::new(Shared {
@@ -102,6 +140,7 @@
             started_ms: started.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0)),
             clock_origin: Instant::now(),
             is_draining: AtomicBool::new(false),
+            is_registering: AtomicBool::new(false),
             state: Mutex::new(WorkerState {
                 task_ms,
                 ..WorkerState::default()
@@ -112,7 +151,7 @@
             .route("/run-stop", post(stop_run))
             .route("/hold", post(poll_worker))
             .with_state(Arc::clone(&shared));
-        let served = Served::start(SocketAddr::from(([127, 0, 0, 1], 0)), router).await?;
+        let served = bind(address, router).await?;
         let round_task = tokio::spawn(run_rounds(
             Arc::clone(&shared),
             Arc::clone(store),
@@ -148,6 +187,19 @@
     }
 }
 
+/// Starts a server at an address, which the connections of an earlier one may hold for a moment.
+async fn bind(address: SocketAddr, router: Router) -> std::io::Result<Served> {
+    let mut served = Served::start(address, router.clone()).await;
+    for _ in 0..BIND_ATTEMPTS {
+        if served.is_ok() {
+            break;
+        }
+        tokio::time::sleep(ROUND).await;
+        served = Served::start(address, router.clone()).await;
+    }
+    served
+}
+
 impl Drop for JobWorker {
     fn drop(&mut self) {
         self.round_task.abort();
@@ -236,7 +288,8 @@
             return Err("late");
         }
         let is_superseded = |known: &TaskRun| known.task == body.task && known.run >= body.run;
-        if self.runs.iter().any(is_superseded) {
+        let stopped = self.stopped_runs.get(&body.task).copied();
+        if self.runs.iter().any(is_superseded) || stopped.is_some_and(|run| run >= body.run) {
             return Err("old");
         }
         self.lease_until_ms = self
@@ -256,13 +309,14 @@
 
 /// Ends the runs that are due and registers the worker, until the task is aborted.
 async fn run_rounds(shared: Arc<Shared>, store: Arc<JobStore>, address: SocketAddr) {
-    let mut round = 0_u64;
+    let mut until_registration = 0_u64;
     loop {
-        if round.is_multiple_of(ROUNDS_PER_REGISTRATION) {
+        if until_registration == 0 && shared.is_registering.load(Ordering::Relaxed) {
             shared.register(&store, address);
+            until_registration = ROUNDS_PER_REGISTRATION;
         }
         shared.end_due_runs();
-        round += 1;
+        until_registration = until_registration.saturating_sub(1);
         tokio::time::sleep(ROUND).await;
     }
 }
@@ -317,7 +371,14 @@
     }
 }
 
-async fn stop_run(State(shared): State<Arc<Shared>>, Json(body): Json<CommandBody>) -> Response {
+async fn stop_run(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    Json(body): Json<CommandBody>,
+) -> Response {
+    if !shared.is_addressee(&headers) {
+        return StatusCode::MISDIRECTED_REQUEST.into_response();
+    }
     let now_ms = shared.clock_ms();
     let mut state = shared.lock();
     if body.fencing_token < state.highest_token {
@@ -325,6 +386,8 @@
     }
     state.highest_token = body.fencing_token;
     state.end_run(&body.task, body.run, "stopped");
+    let stopped = state.stopped_runs.entry(body.task).or_default();
+    *stopped = (*stopped).max(body.run);
     command_response(Ok(()), now_ms)
 }
 
--- a/crates/cyclamentrail-testkit/src/job_site.rs
+++ b/crates/cyclamentrail-testkit/src/job_site.rs
@@ -88,6 +88,18 @@
         Ok(())
     }
 
+    /// Restarts a worker under its id and at its address; the new incarnation isn't registered until
+    /// [`JobWorker::register`] is called.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the worker doesn't start.
+    pub async fn restart_worker(&mut self, index: usize) -> Result<()> {
+        let worker = self.workers.remove(index).restart(&self.store).await?;
+        self.workers.insert(index, worker);
+        Ok(())
+    }
+
     /// Starts one more process and waits until it serves.
     ///
     /// # Errors
--- a/crates/cyclamentrail-testkit/src/soak/faults.rs
+++ b/crates/cyclamentrail-testkit/src/soak/faults.rs
@@ -160,7 +160,7 @@
     /// Ends the workers and returns what they recorded.
     pub(super) fn finish(mut self) -> Vec<WorkerHistory> {
         let mut ended = std::mem::take(&mut self.ended_workers);
-        ended.extend(self.workers.drain(..).map(end_worker));
+        ended.extend(self.workers.drain(..).map(|worker| end_worker(&worker)));
         ended
     }
 
@@ -261,12 +261,19 @@
         started
     }
 
+    /// Restarts a worker under its id and at its address.
     async fn restart_worker(&mut self, number: usize) -> Result<()> {
-        let id = self.workers[number].id.clone();
         let leaving = self.workers.remove(number);
-        self.ended_workers.push(end_worker(leaving));
-        let worker = self.start_worker(id).await?;
-        self.workers.insert(number, worker);
+        let (id, ended_worker) = (leaving.id.clone(), end_worker(&leaving));
+        self.ended_workers.push(ended_worker);
+        let worker = leaving.worker.restart(&self.site.store).await?;
+        worker.register();
+        let restarted = SoakWorker {
+            id,
+            worker,
+            gave_notice: None,
+        };
+        self.workers.insert(number, restarted);
         Ok(())
     }
 
@@ -292,7 +299,7 @@
 }
 
 /// Ends a worker and returns what it recorded; runs that haven't ended end with it.
-fn end_worker(leaving: SoakWorker) -> WorkerHistory {
+fn end_worker(leaving: &SoakWorker) -> WorkerHistory {
     let ended = Instant::now();
     let runs = leaving.worker.runs().into_iter().map(|run| RunHistory {
         task: run.task,
@@ -301,7 +308,7 @@
         is_done: run.result == "done",
     });
     WorkerHistory {
-        id: leaving.id,
+        id: leaving.id.clone(),
         runs: runs.collect(),
         gave_notice: leaving.gave_notice,
         ended,
--- a/crates/cyclamentrail/tests/jobs_process.rs
+++ b/crates/cyclamentrail/tests/jobs_process.rs
@@ -125,3 +125,20 @@
     site.wait_completed(0, "00000000000000f1").await?;
     site.check_done_once("00000000000000f1", 2)
 }
+
+/// A worker that ran nothing restarts under its id, and gets a start before its new incarnation is
+/// registered: the registration must not be taken for the end of that run.
+#[tokio::test]
+async fn restart_under_id_runs_once() -> Result<()> {
+    let mut site = JobSite::start(1, 1, 900).await?;
+    site.submit(0, "00000000000000f2", 2).await?;
+    site.wait_completed(0, "00000000000000f2").await?;
+    site.restart_worker(0).await?;
+    site.submit(0, "00000000000000f3", 3).await?;
+    site.wait_started("00000000000000f3").await?;
+    site.workers[0].register();
+    site.wait_completed(0, "00000000000000f3").await?;
+    let runs = site.runs("00000000000000f3");
+    ensure!(runs.len() == 3, "a task ran twice: {runs:?}");
+    site.check_done_once("00000000000000f3", 3)
+}
