fix(jobs): don't take the restart of a worker for the end of runs that it has begun

Cause: a call names its worker by the id, which a new incarnation shares. Starts that were meant for the ended incarnation were carried out by the new one; then its registration was taken for the proof that all runs of the worker had ended, and they were placed again.

Late orders, lost ends and two owners are ruled out.

Change: only a run that the earlier incarnation had listed, and whose start can't be carried out again, has ended with it. Every other one is assigned to the new incarnation until that one's report settles it. The same at a takeover. Results of commands count for the incarnation that they were sent to; ends are acknowledged only to a worker that has just responded; a restarted worker's lease may last as long as the platform allows, because calls under way carry times of the earlier clock.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -284,6 +284,8 @@
         started_ms: u64,
         /// Number of runs that were assigned to the earlier incarnation.
         runs: usize,
+        /// Number of those that may be on the new incarnation.
+        runs_in_doubt: usize,
     },
     /// No task is placed on a worker for some time, because it failed or rejected tasks.
     WorkerAvoided {
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -82,6 +82,17 @@
     },
 }
 
+/// Why it isn't known whether a run is on the incarnation of a worker that it is assigned to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RestartDoubt {
+    /// A start command of this owner, meant for an earlier incarnation, may have reached this one or
+    /// may still do so.
+    OwnCommand,
+    /// An earlier owner's start command may have reached this incarnation; it can't any more once the
+    /// worker knows this owner's fencing token.
+    EarlierOwner,
+}
+
 /// Assignment of a run to a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Placement {
@@ -96,6 +107,8 @@
     /// Whether the incarnation that the run is assigned to has listed it in a report. The response to a
     /// start command doesn't tell which incarnation began the run.
     pub is_listed: bool,
+    /// Why it isn't known whether the run is on the worker, if the worker has restarted.
+    pub doubt: Option<RestartDoubt>,
     /// Whether a start command got no response, so that the worker may still carry it out later.
     pub may_start_late: bool,
     /// Processor share in percent that was last sent to the worker for this run; `None` if it
--- a/crates/cyclamentrail-jobs/src/lease.rs
+++ b/crates/cyclamentrail-jobs/src/lease.rs
@@ -38,6 +38,9 @@
     /// Latest time on the owner's boot clock at which a lease of an earlier owner ends; 0 if there
     /// is none.
     inherited_expiry_ms: u64,
+    /// Latest time on the owner's boot clock at which a lease ends that calls to an earlier
+    /// incarnation of the worker granted this one; 0 if there is none.
+    crossed_expiry_ms: u64,
 }
 
 impl Lease {
@@ -49,6 +52,7 @@
             worker_until_ms: 0,
             own_expiry_ms: 0,
             inherited_expiry_ms: 0,
+            crossed_expiry_ms: 0,
         }
     }
 
@@ -83,6 +87,12 @@
         Some(until_ms)
     }
 
+    /// Records that the lease may last until `expiry_ms` on the owner's boot clock, whatever is granted
+    /// from now on: the worker has restarted, and may have got calls with times on an earlier clock.
+    pub fn outlast(&mut self, expiry_ms: u64) {
+        self.crossed_expiry_ms = self.crossed_expiry_ms.max(expiry_ms);
+    }
+
     /// Records that an earlier owner may have granted a lease that ends at `expiry_ms` on this
     /// owner's boot clock at the latest.
     pub fn inherit(&mut self, expiry_ms: u64) {
@@ -105,7 +115,9 @@
     /// milliseconds.
     #[must_use]
     pub fn expiry_ms(&self) -> u64 {
-        self.own_expiry_ms.max(self.inherited_expiry_ms)
+        self.own_expiry_ms
+            .max(self.inherited_expiry_ms)
+            .max(self.crossed_expiry_ms)
     }
 }
 
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -55,7 +55,8 @@
 };
 pub use grants::{Grant, Grants, MAX_WORKERS_PER_QUERY, StepKey};
 pub use job::{
-    CrashedRun, Job, JobKey, JobState, Occurrence, Placement, RunPhase, StepProgress, Task, TaskKey,
+    CrashedRun, Job, JobKey, JobState, Occurrence, Placement, RestartDoubt, RunPhase, StepProgress,
+    Task, TaskKey,
 };
 pub use lease::{ClockSample, Lease};
 pub use owner_capacity::{MachineLimits, OwnerCapacity, leaves_shards_to_others};
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -26,6 +26,7 @@
 mod recovery;
 mod registry;
 mod reports;
+mod restarts;
 mod stalls;
 mod starts;
 mod submit;
@@ -38,6 +39,10 @@
 /// Time between two stop commands for the same run, in milliseconds.
 const STOP_RETRY_MS: u64 = 400;
 
+/// Part of a lease by which it can last longer on a worker's slow clock, as a divisor: 40 stands
+/// for 2.5%.
+const SLOW_CLOCK_DIVISOR: u64 = 40;
+
 /// The present time on the two clocks that decisions use.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Now {
@@ -52,6 +57,8 @@
 pub struct ShardTiming {
     /// Length of a worker's lease in milliseconds.
     pub lease_ms: u64,
+    /// Longest lease that a worker accepts, in milliseconds.
+    pub max_lease_ms: u64,
     /// Longest time for which a worker may hold a poll until a run ends, in milliseconds.
     pub poll_wait_ms: u64,
     /// Like `look_wait_ms`, for a worker on which best-effort tasks run beside latency-sensitive
@@ -69,6 +76,7 @@
     fn default() -> Self {
         Self {
             lease_ms: 4_500,
+            max_lease_ms: 6_000,
             poll_wait_ms: 1_200,
             shared_poll_wait_ms: 400,
             poll_interval_ms: 60,
@@ -78,6 +86,24 @@
     }
 }
 
+impl ShardTiming {
+    /// Returns the longest time in milliseconds that a granted lease lasts on the slowest clock; every
+    /// owner grants leases of the same length.
+    const fn longest_lease_ms(&self) -> u64 {
+        on_slowest_clock(self.lease_ms)
+    }
+
+    /// Returns the longest time in milliseconds that any lease lasts on the slowest clock.
+    const fn longest_possible_lease_ms(&self) -> u64 {
+        on_slowest_clock(self.max_lease_ms)
+    }
+}
+
+/// Returns how long a time on a worker's clock lasts at most, in milliseconds.
+const fn on_slowest_clock(worker_ms: u64) -> u64 {
+    worker_ms + worker_ms / SLOW_CLOCK_DIVISOR + 1
+}
+
 /// Records to be stored, and the effects that may happen once the records are durable.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Commit {
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -14,16 +14,23 @@
 const LOST_POLL_INTERVAL_MS: u64 = 300;
 
 impl Shard {
-    /// Handles the result of a start command; returns whether the worker has seen a higher fencing
-    /// token.
+    /// Handles the result of a start command that was sent to `worker`; returns whether the worker has
+    /// seen a higher fencing token.
     pub fn handle_start_result(
         &mut self,
         now: Now,
+        worker: WorkerKey,
         key: TaskKey,
         run: u32,
         outcome: &CommandOutcome,
     ) -> bool {
-        let Some(placement) = self.placement(key, run) else {
+        if matches!(
+            outcome,
+            CommandOutcome::Rejected(CommandRejection::StaleToken, _)
+        ) {
+            return true;
+        }
+        let Some(placement) = self.placement_on(worker, key, run) else {
             return false;
         };
         self.record_response(now, placement.worker, outcome);
@@ -31,7 +38,6 @@
             CommandOutcome::Done(_) | CommandOutcome::Rejected(CommandRejection::StaleRun, _) => {
                 self.confirm_start(now, key);
             }
-            CommandOutcome::Rejected(CommandRejection::StaleToken, _) => return true,
             CommandOutcome::Rejected(CommandRejection::LeaseExpired, _) => {
                 self.schedule_resend(now.boot_ms, key, run);
             }
@@ -65,21 +71,27 @@
         false
     }
 
-    /// Handles the result of a stop command; returns whether the worker has seen a higher fencing
-    /// token.
+    /// Handles the result of a stop command that was sent to `worker`; returns whether the worker has
+    /// seen a higher fencing token.
     pub fn handle_stop_result(
         &mut self,
         now: Now,
+        worker: WorkerKey,
         key: TaskKey,
         run: u32,
         outcome: &CommandOutcome,
     ) -> bool {
-        let Some(placement) = self.placement(key, run) else {
+        if matches!(
+            outcome,
+            CommandOutcome::Rejected(CommandRejection::StaleToken, _)
+        ) {
+            return true;
+        }
+        let Some(placement) = self.placement_on(worker, key, run) else {
             return false;
         };
         self.record_response(now, placement.worker, outcome);
         match outcome {
-            CommandOutcome::Rejected(CommandRejection::StaleToken, _) => return true,
             CommandOutcome::Done(_) | CommandOutcome::Rejected(..) => {
                 let confirmed = RunPhase::Stopping {
                     confirmed_ms: Some(now.boot_ms),
@@ -138,7 +150,7 @@
             self.ready_effects.push(Effect::Poll(WorkerPoll {
                 target,
                 lease_end_ms,
-                durable_sequence: worker.durable_sequence,
+                durable_sequence: worker.sequence_to_acknowledge(now.boot_ms),
                 wait_ms: if may_wait { wait_ms } else { 0 },
             }));
         }
@@ -252,13 +264,14 @@
         task.placement.as_mut()
     }
 
-    /// Returns the placement of a run, if that run is the present one of its task.
-    fn placement(&self, key: TaskKey, run: u32) -> Option<Placement> {
+    /// Returns the placement of a run, if that run is the present one of its task and is assigned to
+    /// the incarnation of a worker that a command was sent to.
+    fn placement_on(&self, worker: WorkerKey, key: TaskKey, run: u32) -> Option<Placement> {
         self.jobs
             .get(key.job)?
             .task(key)?
             .placement
-            .filter(|placement| placement.run == run)
+            .filter(|placement| placement.run == run && placement.worker == worker)
     }
 
     /// Records a worker's clock from a response, or that the worker failed to respond.
--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -42,6 +42,8 @@
     pub(super) suspects: BTreeMap<TaskKey, Suspicion>,
     /// Runs that ended with their workers' leases, until it is known whether these workers crashed.
     unexplained: Vec<LostWorker>,
+    /// Runs of restarted workers that may be on the new incarnation, whose key is given.
+    unsettled: Vec<(WorkerKey, LostWorker)>,
     /// Workers that crashed lately.
     recent: VecDeque<CrashedWorker>,
     /// Descriptions of the jobs that were given up last.
@@ -59,7 +61,7 @@
 
 /// A worker that was lost with the runs on it.
 #[derive(Debug, Clone)]
-struct LostWorker {
+pub(super) struct LostWorker {
     id: WorkerId,
     address: SocketAddr,
     /// Start time of the incarnation, as Unix time in milliseconds.
@@ -68,12 +70,18 @@
     lost_ms: u64,
     /// Time of the last response on the same clock: the worker crashed between the two.
     heard_ms: u64,
+    /// Jobs that had runs on the worker.
+    jobs: BTreeSet<JobKey>,
+    /// Whether the worker ran suspect tasks only.
+    was_apart: bool,
     runs: Vec<LostRun>,
 }
 
 /// A worker that crashed, and the jobs that had tasks there.
 #[derive(Debug, Clone)]
 struct CrashedWorker {
+    id: WorkerId,
+    started_ms: u64,
     lost_ms: u64,
     jobs: BTreeSet<JobKey>,
     /// Whether the worker ran suspect tasks only.
@@ -143,8 +151,8 @@
 }
 
 impl LostWorker {
-    fn jobs(&self) -> BTreeSet<JobKey> {
-        self.runs.iter().map(|run| run.task.job).collect()
+    fn is_same(&self, crashed: &CrashedWorker) -> bool {
+        (&self.id, self.started_ms) == (&crashed.id, crashed.started_ms)
     }
 }
 
@@ -158,6 +166,51 @@
         self.blame(&lost)
     }
 
+    /// Counts the crash of a worker that has restarted, as far as its runs have surely ended; returns
+    /// the tasks whose jobs have to be given up, and the worker with the runs in doubt.
+    pub(super) fn record_restart(
+        &mut self,
+        now: Now,
+        key: WorkerKey,
+        doubtful: &[TaskKey],
+    ) -> (Vec<TaskKey>, Option<LostWorker>) {
+        let Some(mut lost) = self.lost_worker(now, key) else {
+            return (Vec::new(), None);
+        };
+        let (in_doubt, ended) = std::mem::take(&mut lost.runs)
+            .into_iter()
+            .partition(|run: &LostRun| doubtful.contains(&run.task));
+        let given_up = self.blame(&LostWorker {
+            runs: ended,
+            ..lost.clone()
+        });
+        lost.runs = in_doubt;
+        (given_up, Some(lost))
+    }
+
+    /// Keeps the runs in doubt of a restarted worker until the new incarnation reports.
+    pub(super) fn keep_unsettled(&mut self, key: WorkerKey, lost: Option<LostWorker>) {
+        let unsettled = lost.filter(|lost| !lost.runs.is_empty());
+        self.crashes
+            .unsettled
+            .extend(unsettled.map(|lost| (key, lost)));
+    }
+
+    /// Counts the crash of a restarted worker against the runs in doubt that its new incarnation
+    /// doesn't report: they were lost with the earlier one.
+    pub(super) fn blame_unsettled(&mut self, key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
+        let (settled, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.crashes.unsettled)
+            .into_iter()
+            .partition(|(worker, _)| *worker == key);
+        self.crashes.unsettled = open;
+        for (_, mut lost) in settled {
+            lost.runs
+                .retain(|run| !reported.contains(&(run.task, run.run)));
+            let given_up = self.blame(&lost);
+            self.give_up(given_up);
+        }
+    }
+
     /// Remembers the runs of a worker whose lease has expired, until the worker turns out to have
     /// crashed or to have been unreachable only.
     pub(super) fn remember_lost(&mut self, now: Now, key: WorkerKey) {
@@ -252,6 +305,10 @@
         self.crashes
             .unexplained
             .retain(|lost| now.boot_ms < lost.lost_ms + PROOF_WAIT_MS);
+        let workers = &self.workers;
+        self.crashes
+            .unsettled
+            .retain(|(key, _)| workers.contains_key(*key));
         self.crashes
             .recent
             .retain(|crashed| now.boot_ms < crashed.lost_ms + PROOF_WAIT_MS);
@@ -269,12 +326,15 @@
             .iter()
             .filter_map(|&task| self.lost_run(task))
             .collect();
+        let is_suspect = |run: &LostRun| self.crashes.suspects.contains_key(&run.task);
         (!runs.is_empty()).then(|| LostWorker {
             id: worker.registration.id.clone(),
             address: worker.registration.address,
             started_ms: worker.registration.started_ms,
             lost_ms: lost_ms(worker).unwrap_or(now.boot_ms),
             heard_ms: worker.heard_ms,
+            jobs: runs.iter().map(|run| run.task.job).collect(),
+            was_apart: runs.iter().all(is_suspect),
             runs,
         })
     }
@@ -295,13 +355,11 @@
     /// Counts a crash against the tasks that ran on the worker; returns those whose jobs have to be
     /// given up.
     fn blame(&mut self, lost: &LostWorker) -> Vec<TaskKey> {
-        let jobs = lost.jobs();
+        if lost.runs.is_empty() {
+            return Vec::new();
+        }
         let others = self.lost_at_once(lost);
-        let was_apart = lost
-            .runs
-            .iter()
-            .all(|run| self.crashes.suspects.contains_key(&run.task));
-        let is_proof = jobs.len() == 1 && was_apart;
+        let is_proof = lost.jobs.len() == 1 && lost.was_apart;
         let mut given_up = Vec::new();
         for run in &lost.runs {
             let is_on_all = others.iter().all(|other| other.contains(&run.task.job));
@@ -315,11 +373,15 @@
                 self.crashes.suspects.insert(run.task, suspicion);
             }
         }
-        self.crashes.recent.push_back(CrashedWorker {
-            lost_ms: lost.lost_ms,
-            jobs,
-            was_apart,
-        });
+        if !self.crashes.recent.iter().any(|known| lost.is_same(known)) {
+            self.crashes.recent.push_back(CrashedWorker {
+                id: lost.id.clone(),
+                started_ms: lost.started_ms,
+                lost_ms: lost.lost_ms,
+                jobs: lost.jobs.clone(),
+                was_apart: lost.was_apart,
+            });
+        }
         given_up
     }
 
@@ -369,6 +431,7 @@
             .recent
             .iter()
             .filter(|crashed| is_same_time(crashed.lost_ms) && !crashed.was_apart)
+            .filter(|crashed| !lost.is_same(crashed))
             .map(|crashed| crashed.jobs.clone());
         silent.chain(crashed).collect()
     }
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -345,6 +345,7 @@
             phase: RunPhase::Placed,
             has_begun: false,
             is_listed: false,
+            doubt: None,
             may_start_late: false,
             sent_share_percent: Some(FULL_SHARE_PERCENT),
             progress_percent: 0,
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -11,7 +11,9 @@
 use cyclamentrail_core::{JobId, ServiceName, WorkerId, ZoneName};
 
 use super::{Now, Shard};
-use crate::job::{Job, JobKey, Occurrence, Placement, RunPhase, StepProgress, Task, TaskKey};
+use crate::job::{
+    Job, JobKey, Occurrence, Placement, RestartDoubt, RunPhase, StepProgress, Task, TaskKey,
+};
 use crate::record::{
     AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
     ProgressRecord, RELEASE_KEY, RecordError, TaskRecord, decode,
@@ -19,10 +21,6 @@
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
 use crate::{Resources, StepSpec};
 
-/// Part of a lease by which it can last longer on a worker's slow clock, as a divisor: 40 stands
-/// for 2.5%.
-const SLOW_CLOCK_DIVISOR: u64 = 40;
-
 /// A run that a record names and that has to be restored on its worker.
 struct RecordedRun {
     task: TaskKey,
@@ -58,19 +56,13 @@
             let progress_record = progress.remove(&id).unwrap_or_default();
             self.restore_job(now, JobId::from(id), accept, progress_record);
         }
-        let lease_end_ms = now.boot_ms + predecessor_active_ms + self.longest_lease_ms();
+        let lease_end_ms = now.boot_ms + predecessor_active_ms + self.timing.longest_lease_ms();
         for worker in self.workers.values_mut() {
             worker.lease.inherit(lease_end_ms);
         }
         unreadable
     }
 
-    /// Returns the longest time in milliseconds that a lease lasts on the slowest clock; every
-    /// owner grants leases of the same length.
-    const fn longest_lease_ms(&self) -> u64 {
-        self.timing.lease_ms + self.timing.lease_ms / SLOW_CLOCK_DIVISOR + 1
-    }
-
     /// Restores a job and its runs; a malformed job is skipped.
     fn restore_job(
         &mut self,
@@ -112,22 +104,17 @@
     /// Restores a run on its worker.
     fn restore_placement(&mut self, now: Now, task: TaskKey, record: &PlacementRecord) {
         let worker_key = match self.worker_keys.get(&record.worker) {
-            Some(&key) => {
-                let listed_started_ms = self.workers[key].registration.started_ms;
-                if listed_started_ms > record.started_ms {
-                    // The incarnation that had the run has ended, and the run with it.
-                    self.dirty.insert(task.job);
-                    return;
-                }
-                key
-            }
+            Some(&key) => key,
             None => self.insert_unlisted(now, &record.worker, record.started_ms),
         };
+        let has_restarted = self.workers[worker_key].registration.started_ms > record.started_ms;
         let Some(demand) = self.step_of(task).map(StepSpec::reserved_resources) else {
             return;
         };
         let phase = if record.is_stopping {
             RunPhase::Stopping { confirmed_ms: None }
+        } else if has_restarted {
+            RunPhase::Sent
         } else {
             RunPhase::Running {
                 since_ms: now.boot_ms,
@@ -140,6 +127,7 @@
                 phase,
                 has_begun: false,
                 is_listed: false,
+                doubt: has_restarted.then_some(RestartDoubt::EarlierOwner),
                 may_start_late: true,
                 sent_share_percent: None,
                 progress_percent: 0,
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -3,7 +3,7 @@
 use cyclamentrail_core::WorkerId;
 
 use super::{Now, Shard};
-use crate::effect::{Decision, Effect, EndProof};
+use crate::effect::EndProof;
 use crate::job::TaskKey;
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
 
@@ -15,11 +15,17 @@
         if ended_started_ms.is_some_and(|&started_ms| registration.started_ms <= started_ms) {
             return;
         }
+        let has_restarted = ended_started_ms.is_some();
         let Some(&key) = self.worker_keys.get(&registration.id) else {
             let id = registration.id.clone();
             self.end_replaced(now, &registration);
             self.explain_lost(&registration);
-            let key = self.workers.insert(Worker::new(registration, now.boot_ms));
+            let worker = if has_restarted {
+                self.restarted_worker(now, registration)
+            } else {
+                Worker::new(registration, now.boot_ms)
+            };
+            let key = self.workers.insert(worker);
             self.worker_keys.insert(id, key);
             return;
         };
@@ -67,35 +73,6 @@
         }
     }
 
-    /// Replaces the incarnation of a worker; the runs of the earlier one have ended.
-    pub(super) fn replace_incarnation(
-        &mut self,
-        now: Now,
-        key: WorkerKey,
-        registration: WorkerRegistration,
-    ) {
-        let worker = &self.workers[key];
-        let earlier_started_ms = worker.registration.started_ms;
-        let runs = worker.tasks.len();
-        let given_up = self.record_crash(now, key);
-        self.release_worker_runs(key, EndProof::WorkerRestarted);
-        self.give_up(given_up);
-        let id = registration.id.clone();
-        self.explain_lost(&registration);
-        self.ready_effects
-            .push(Effect::Log(Decision::WorkerRestarted {
-                worker: id.clone(),
-                earlier_started_ms,
-                started_ms: registration.started_ms,
-                runs,
-            }));
-        // A new key keeps late results of the earlier incarnation's calls from being taken for the
-        // new one's.
-        self.workers.remove(key);
-        let key = self.workers.insert(Worker::new(registration, now.boot_ms));
-        self.worker_keys.insert(id, key);
-    }
-
     /// Handles a response of another incarnation at a worker's address: the known one has ended,
     /// and its runs with it.
     pub(super) fn handle_other_incarnation(&mut self, now: Now, key: WorkerKey) {
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -42,7 +42,7 @@
         false
     }
 
-    fn handle_report(
+    pub(super) fn handle_report(
         &mut self,
         now: Now,
         key: WorkerKey,
@@ -52,11 +52,10 @@
         let worker = &mut self.workers[key];
         let own_started_ms = worker.registration.started_ms;
         let is_own_report = report.started_ms == Some(own_started_ms);
-        if report
-            .started_ms
-            .is_some_and(|started_ms| started_ms > own_started_ms)
+        if let Some(started_ms) = report.started_ms
+            && started_ms > own_started_ms
         {
-            self.handle_other_incarnation(now, key);
+            self.handle_newer_report(now, key, started_ms, report);
             return;
         }
         worker.next_poll_ms = now.boot_ms + self.timing.poll_interval_ms;
@@ -89,6 +88,7 @@
                 self.mark_started(task);
             }
         }
+        self.settle_doubts(key, &reported);
         self.release_unlisted(key, &reported);
         self.remove_if_unused(key);
     }
--- a/crates/cyclamentrail-jobs/src/shard/starts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/starts.rs
@@ -14,7 +14,8 @@
     pub fn start_command(&mut self, now: Now, key: TaskKey) -> Option<StartCommand> {
         let job = self.jobs.get(key.job)?;
         let placement = job.task(key)?.placement?;
-        if !matches!(placement.phase, RunPhase::Placed | RunPhase::Sent) {
+        let is_open = matches!(placement.phase, RunPhase::Placed | RunPhase::Sent);
+        if !is_open || placement.doubt.is_some() {
             return None;
         }
         if self.must_withdraw(key, placement) {
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -9,6 +9,9 @@
 use crate::job::TaskKey;
 use crate::{BestEffortShare, Lease, Resources};
 
+/// Time in milliseconds in which a worker can't end and start again.
+const RESTART_MS: u64 = 200;
+
 new_key_type! {
     /// Key of a worker in its shard.
     pub struct WorkerKey;
@@ -123,6 +126,20 @@
         }
     }
 
+    /// Returns the sequence number up to which the next poll acknowledges ended runs; 0 for none.
+    ///
+    /// Only a worker that responded a moment ago gets one: a new incarnation counts from 1, and would
+    /// drop ends that nobody saw.
+    #[must_use]
+    pub const fn sequence_to_acknowledge(&self, now_ms: u64) -> u64 {
+        let is_needed = self.durable_sequence > self.acknowledged_sequence;
+        if is_needed && now_ms <= self.heard_ms + RESTART_MS {
+            self.durable_sequence
+        } else {
+            0
+        }
+    }
+
     /// Returns whether new tasks may be placed on the worker.
     #[must_use]
     pub fn accepts_tasks(&self, now_ms: u64) -> bool {
--- a/crates/cyclamentrail-jobs/tests/scheduler/crashes.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crashes.rs
@@ -116,7 +116,7 @@
         for id in busy_workers(&sim) {
             sim.crash_worker(&id);
         }
-        sim.run_for(4_500);
+        sim.run_for(6_500);
     }
     sim.run_for(30_000);
     for round in 0..4 {
--- a/crates/cyclamentrail-jobs/tests/scheduler/promises.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/promises.rs
@@ -47,7 +47,7 @@
     DropResponses(usize),
     /// Makes start commands of a worker take effect late, without a response.
     DelayStarts(usize),
-    /// Replaces a worker by a new incarnation.
+    /// Restarts a worker under its id, unregistered for a moment.
     Restart(usize),
     StoreDown,
     StoreUp,
@@ -132,8 +132,7 @@
         Action::DropResponses(index) => sim.worker(&id(index)).responds = false,
         Action::DelayStarts(index) => sim.worker(&id(index)).start_delay_ms = Some(2_500),
         Action::Restart(index) => {
-            sim.remove_worker(&id(index));
-            sim.add_worker(&id(index), WORKER, "r0");
+            sim.restart_under_id(&id(index), 150);
         }
         Action::StoreDown => sim.store_responds = false,
         Action::StoreUp => sim.store_responds = true,
--- a/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
@@ -47,7 +47,9 @@
     pub highest_token: u64,
     /// Highest run number of each task, by job, occurrence, step and index.
     pub highest_run: HashMap<(JobId, u32, u32, u32), u32>,
-    /// End of the lease in virtual time, in milliseconds.
+    /// Virtual time of the incarnation's start, in milliseconds.
+    pub clock_origin_ms: u64,
+    /// End of the lease on the worker's clock, in milliseconds.
     pub lease_end_ms: u64,
     /// Whether the worker's process is alive.
     pub is_alive: bool,
@@ -75,6 +77,11 @@
 }
 
 impl FakeWorker {
+    /// Returns the worker's clock, which starts anew with each incarnation.
+    pub const fn clock_ms(&self, now_ms: u64) -> u64 {
+        now_ms - self.clock_origin_ms
+    }
+
     /// Returns the tail latency of latency-sensitive tasks in milliseconds.
     pub fn tail_ms(&self) -> u64 {
         let best_effort = self.running.iter().filter(|run| run.is_best_effort);
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -44,8 +44,9 @@
 /// caused the event.
 #[derive(Debug, Clone)]
 enum Event {
-    /// A start command arrives; the flag tells whether its worker may still delay it.
-    Start(StartCommand, u64, bool),
+    /// A start command arrives, or is carried out late by the incarnation, named by its start time,
+    /// that got it.
+    Start(StartCommand, u64, Option<u64>),
     /// A stop command arrives.
     Stop(StopCommand, u64),
     /// A poll arrives.
@@ -53,7 +54,7 @@
     /// The owner gets the result of a start command for a run of a task.
     StartResult(WorkerKey, TaskKey, u32, CommandOutcome, u64),
     /// The owner gets the result of a stop command for a run of a task.
-    StopResult(TaskKey, u32, CommandOutcome, u64),
+    StopResult(WorkerKey, TaskKey, u32, CommandOutcome, u64),
     /// The owner gets the result of a poll that acknowledged ends up to a number.
     PollResult(WorkerKey, u64, PollOutcome, u64),
     /// A command that sets a processor share arrives.
@@ -66,6 +67,8 @@
     Restart(WorkerId),
     /// The registry drops a crashed worker.
     Unlist(WorkerId),
+    /// The owner reads the registration of a worker that has started.
+    Register(WorkerRegistration),
 }
 
 /// An owner's shard with simulated workers, store and callers.
@@ -161,6 +164,17 @@
 
     /// Adds a worker, or restarts one as a new incarnation.
     pub fn add_worker(&mut self, id: &str, capacity: Resources, rack: &str) {
+        let registration = self.start_worker(id, capacity, rack);
+        self.shard.register(self.now(), registration);
+    }
+
+    /// Starts a worker that isn't registered yet; returns its registration.
+    pub fn start_worker(
+        &mut self,
+        id: &str,
+        capacity: Resources,
+        rack: &str,
+    ) -> WorkerRegistration {
         let registration = WorkerRegistration {
             id: WorkerId::from(id),
             started_ms: START_UNIX_MS + self.now_ms,
@@ -171,7 +185,7 @@
             labels: vec![LabelName::from("a"), LabelName::from(rack)],
             is_draining: false,
             warmup_ms: 0,
-            clock_ms: self.now_ms,
+            clock_ms: 0,
         };
         let worker = FakeWorker {
             registration: registration.clone(),
@@ -180,6 +194,7 @@
             next_end: 1,
             highest_token: 0,
             highest_run: HashMap::new(),
+            clock_origin_ms: self.now_ms,
             lease_end_ms: 0,
             is_alive: true,
             is_reachable: true,
@@ -194,7 +209,7 @@
             is_replaced: false,
         };
         self.workers.insert(registration.id.clone(), worker);
-        self.shard.register(self.now(), registration);
+        registration
     }
 
     /// Returns a worker by id; panics on an unknown one.
@@ -284,7 +299,7 @@
         let now = self.now();
         for worker in self.workers.values().filter(|worker| worker.is_alive) {
             let mut registration = worker.registration.clone();
-            registration.clock_ms = self.now_ms;
+            registration.clock_ms = worker.clock_ms(self.now_ms);
             self.shard.register(now, registration);
         }
         let records: Vec<KeyedRecord> = self
@@ -301,10 +316,10 @@
     /// Makes a worker give notice that it leaves; it goes on running what it has.
     pub fn announce_leaving(&mut self, id: &str) {
         let now = self.now();
-        let registration = &mut self.worker(id).registration;
-        registration.is_draining = true;
-        let mut registration = registration.clone();
-        registration.clock_ms = now.boot_ms;
+        let worker = self.worker(id);
+        worker.registration.is_draining = true;
+        let mut registration = worker.registration.clone();
+        registration.clock_ms = worker.clock_ms(now.boot_ms);
         self.shard.register(now, registration);
     }
 
@@ -318,25 +333,25 @@
         ));
         worker.registration.capacity = capacity;
         let mut registration = worker.registration.clone();
-        registration.clock_ms = now.boot_ms;
+        registration.clock_ms = worker.clock_ms(now.boot_ms);
         self.shard.register(now, registration);
     }
 
     /// Ends a worker's process and removes its registration.
     pub fn remove_worker(&mut self, id: &str) {
-        let worker = self.worker(id);
-        worker.is_alive = false;
-        worker.is_reachable = false;
-        worker.running.clear();
-        // Ends that no owner has recorded are lost with the worker: these tasks have to run again.
-        let unrecorded = std::mem::take(&mut worker.ended);
-        for id in unrecorded.into_iter().map(|ended_run| ended_run.id) {
-            self.must_not_rerun
-                .remove(&(id.job, id.occurrence, id.step, id.index));
-        }
+        self.end_incarnation(&WorkerId::from(id));
         self.shard.unregister(&WorkerId::from(id));
     }
 
+    /// Restarts a worker under its id; the owner reads the new registration after `registered_ms`.
+    pub fn restart_under_id(&mut self, id: &str, registered_ms: u64) {
+        self.end_incarnation(&WorkerId::from(id));
+        let registration = &self.workers[&WorkerId::from(id)].registration;
+        let (capacity, rack) = (registration.capacity, registration.labels[1].to_string());
+        let registration = self.start_worker(id, capacity, &rack);
+        self.schedule(registered_ms, Event::Register(registration));
+    }
+
     /// Returns a new caller number.
     fn new_caller(&mut self) -> u64 {
         self.next_caller += 1;
@@ -378,7 +393,7 @@
                 Effect::Start(task) => {
                     let now = self.now();
                     if let Some(command) = self.shard.start_command(now, task) {
-                        self.schedule(CALL_MS, Event::Start(command, self.token, true));
+                        self.schedule(CALL_MS, Event::Start(command, self.token, None));
                     }
                 }
                 Effect::Stop(command) => self.schedule(CALL_MS, Event::Stop(command, self.token)),
@@ -395,19 +410,25 @@
             Event::AppendDone(token) => self.finish_append(token),
             Event::Restart(id) => self.restart_worker(&id),
             Event::Unlist(id) => self.shard.unregister(&id),
-            Event::Start(start, token, can_delay) => self.deliver_start(start, token, can_delay),
+            Event::Register(registration) => self.shard.register(self.now(), registration),
+            Event::Start(start, token, got_by) => self.deliver_start(start, token, got_by),
             Event::Stop(command, token) => self.deliver_stop(&command, token),
             Event::Poll(poll, token) => self.deliver_poll(&poll, token),
             Event::SetCpuShare(command) => self.deliver_cpu_share(&command),
             Event::QueryPolicy(query) => self.deliver_query(&query),
             Event::StartResult(worker, task, run, outcome, token) if token == self.token => {
                 let now = self.now();
-                let _ = worker;
-                assert!(!self.shard.handle_start_result(now, task, run, &outcome));
+                let is_fenced = self
+                    .shard
+                    .handle_start_result(now, worker, task, run, &outcome);
+                assert!(!is_fenced);
             }
-            Event::StopResult(task, run, outcome, token) if token == self.token => {
+            Event::StopResult(worker, task, run, outcome, token) if token == self.token => {
                 let now = self.now();
-                assert!(!self.shard.handle_stop_result(now, task, run, &outcome));
+                let is_fenced = self
+                    .shard
+                    .handle_stop_result(now, worker, task, run, &outcome);
+                assert!(!is_fenced);
             }
             Event::PollResult(worker, durable_sequence, outcome, token) if token == self.token => {
                 let now = self.now();
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
@@ -12,13 +12,18 @@
 use crate::worker::Run;
 
 impl Simulation {
-    /// Delivers a start command to its worker, with the worker's faults.
-    pub(super) fn deliver_start(&mut self, command: StartCommand, token: u64, can_delay: bool) {
+    /// Delivers a start command to its worker, with the worker's faults. An incarnation that got the
+    /// command before, `got_by`, carries it out late, unless it has ended.
+    pub(super) fn deliver_start(&mut self, command: StartCommand, token: u64, got_by: Option<u64>) {
         let now_ms = self.now_ms;
         let key = (command.target.key, command.task, command.run);
         let Some(worker) = self.workers.get_mut(&command.target.id) else {
             return;
         };
+        let started_ms = worker.registration.started_ms;
+        if got_by.is_some_and(|got_by_ms| got_by_ms != started_ms) {
+            return;
+        }
         if worker.refuses_connections {
             let outcome = CommandOutcome::NotSent;
             self.schedule(
@@ -42,20 +47,19 @@
             );
             return;
         }
-        if let (Some(start_delay_ms), true) = (worker.start_delay_ms, can_delay) {
-            self.schedule(start_delay_ms, Event::Start(command, token, false));
+        if let (Some(start_delay_ms), None) = (worker.start_delay_ms, got_by) {
+            let late = Event::Start(command, token, Some(started_ms));
+            self.schedule(start_delay_ms, late);
             self.schedule(
                 500,
                 Event::StartResult(key.0, key.1, key.2, CommandOutcome::NoResponse, token),
             );
             return;
         }
-        let responds = worker.responds && can_delay;
-        let is_same_incarnation = worker.registration.started_ms == command.target.started_ms;
-        let outcome = if !is_same_incarnation {
-            CommandOutcome::OtherIncarnation
-        } else if token < worker.highest_token {
-            CommandOutcome::Rejected(CommandRejection::StaleToken, Some(now_ms))
+        let responds = worker.responds && got_by.is_none();
+        let clock_ms = worker.clock_ms(now_ms);
+        let outcome = if token < worker.highest_token {
+            CommandOutcome::Rejected(CommandRejection::StaleToken, Some(clock_ms))
         } else {
             self.begin_run(&command, token)
         };
@@ -91,23 +95,24 @@
             .workers
             .get_mut(&command.target.id)
             .expect("the worker was looked up");
+        let clock_ms = worker.clock_ms(now_ms);
         worker.highest_token = worker.highest_token.max(token);
         if let Some(current) = worker.running.iter().find(|run| same_task(&run.id, &task))
             && current.id.run == command.run
         {
-            return CommandOutcome::Done(Some(now_ms));
+            return CommandOutcome::Done(Some(clock_ms));
         }
-        if command.lease_end_ms <= now_ms {
-            return CommandOutcome::Rejected(CommandRejection::LeaseExpired, Some(now_ms));
+        if command.lease_end_ms <= clock_ms {
+            return CommandOutcome::Rejected(CommandRejection::LeaseExpired, Some(clock_ms));
         }
         let highest = worker.highest_run.entry(task.clone()).or_default();
         if command.run <= *highest {
-            return CommandOutcome::Rejected(CommandRejection::StaleRun, Some(now_ms));
+            return CommandOutcome::Rejected(CommandRejection::StaleRun, Some(clock_ms));
         }
         *highest = command.run;
         worker.lease_end_ms = worker
             .lease_end_ms
-            .max(command.lease_end_ms.min(now_ms + MAX_LEASE_MS));
+            .max(command.lease_end_ms.min(clock_ms + MAX_LEASE_MS));
         let fails = worker.fails_all_runs || self.failing_jobs.contains(&command.job);
         let is_endless = step.long_running || worker.stalls_runs;
         let run = Run {
@@ -141,7 +146,7 @@
         self.assert_start_allowed(&task, &step);
         self.record_deadly_start(&command.target.id, &task);
         *self.starts.entry(command.job.clone()).or_default() += 1;
-        CommandOutcome::Done(Some(now_ms))
+        CommandOutcome::Done(Some(clock_ms))
     }
 
     /// Checks that a task runs once only, and after its preceding steps.
@@ -175,14 +180,13 @@
         let Some(worker) = self.workers.get_mut(&command.target.id) else {
             return;
         };
+        let clock_ms = worker.clock_ms(now_ms);
         let outcome = if worker.is_replaced {
             CommandOutcome::OtherIncarnation
         } else if !worker.is_reachable || !worker.is_alive || !worker.responds {
             CommandOutcome::NoResponse
-        } else if worker.registration.started_ms != command.target.started_ms {
-            CommandOutcome::OtherIncarnation
         } else if token < worker.highest_token {
-            CommandOutcome::Rejected(CommandRejection::StaleToken, Some(now_ms))
+            CommandOutcome::Rejected(CommandRejection::StaleToken, Some(clock_ms))
         } else {
             worker.highest_token = token;
             let task = (
@@ -198,11 +202,17 @@
                     run.stop_ms = Some(now_ms + STOP_MS);
                 }
             }
-            CommandOutcome::Done(Some(now_ms))
+            CommandOutcome::Done(Some(clock_ms))
         };
         self.schedule(
             CALL_MS,
-            Event::StopResult(command.task, command.run, outcome, token),
+            Event::StopResult(
+                command.target.key,
+                command.task,
+                command.run,
+                outcome,
+                token,
+            ),
         );
     }
 
@@ -212,12 +222,11 @@
         let Some(worker) = self.workers.get_mut(&poll.target.id) else {
             return;
         };
+        let clock_ms = worker.clock_ms(now_ms);
         let outcome = if worker.is_replaced {
             PollOutcome::OtherIncarnation
         } else if !worker.is_reachable || !worker.is_alive || !worker.responds {
             PollOutcome::NoResponse
-        } else if worker.registration.started_ms != poll.target.started_ms {
-            PollOutcome::OtherIncarnation
         } else if token < worker.highest_token {
             PollOutcome::StaleToken
         } else {
@@ -228,11 +237,11 @@
             if let Some(lease_end_ms) = poll.lease_end_ms {
                 worker.lease_end_ms = worker
                     .lease_end_ms
-                    .max(lease_end_ms.min(now_ms + MAX_LEASE_MS));
+                    .max(lease_end_ms.min(clock_ms + MAX_LEASE_MS));
             }
             PollOutcome::Report(WorkerReport {
                 started_ms: Some(worker.registration.started_ms),
-                clock_ms: now_ms,
+                clock_ms,
                 running: worker
                     .running
                     .iter()
@@ -255,7 +264,7 @@
         self.crash_due_workers();
         let now_ms = self.now_ms;
         for worker in self.workers.values_mut().filter(|worker| worker.is_alive) {
-            let has_expired = worker.lease_end_ms < now_ms;
+            let has_expired = worker.lease_end_ms < worker.clock_ms(now_ms);
             if has_expired {
                 // Ends that no owner recorded before the lease expired are void: these tasks have to
                 // run again.
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
@@ -5,9 +5,12 @@
 use cyclamentrail_core::{JobId, WorkerId};
 
 use super::{Event, Simulation};
+use crate::worker::Run;
 
 /// Time from the start of a deadly task to its worker's crash, in milliseconds.
 const CRASH_AFTER_MS: u64 = 10;
+/// Time after a worker's start at which the owner reads its registration, in milliseconds.
+const REGISTERED_AFTER_MS: u64 = 100;
 /// Time after which the registry drops a worker that has crashed, in milliseconds.
 const UNLISTED_AFTER_MS: u64 = 4_500;
 /// Number of crashes under a task after which it may be started only twice more.
@@ -60,8 +63,9 @@
 }
 
 impl Simulation {
-    /// Crashes a worker, with all that it knows; it starts again under its id after a while.
-    pub fn crash_worker(&mut self, id: &WorkerId) {
+    /// Ends a worker's process, with all that it knows; returns what was running. Ends that no owner
+    /// has recorded are lost with it: these tasks have to run again.
+    pub(super) fn end_incarnation(&mut self, id: &WorkerId) -> Vec<Run> {
         let worker = self.worker(id.as_str());
         worker.is_alive = false;
         worker.is_reachable = false;
@@ -72,7 +76,12 @@
             self.must_not_rerun
                 .remove(&(lost.job, lost.occurrence, lost.step, lost.index));
         }
-        for run in running {
+        running
+    }
+
+    /// Crashes a worker; it starts again after a while.
+    pub fn crash_worker(&mut self, id: &WorkerId) {
+        for run in self.end_incarnation(id) {
             let task = (run.id.job, run.id.occurrence, run.id.step, run.id.index);
             if self.deadly_tasks.contains(&task) {
                 *self.deadly_tasks.crashes.entry(task).or_default() += 1;
@@ -92,12 +101,13 @@
         }
         let registration = &self.workers[id].registration;
         let (capacity, rack) = (registration.capacity, registration.labels[1].to_string());
-        if self.deadly_tasks.restarts_as_other {
+        let registration = if self.deadly_tasks.restarts_as_other {
             self.worker(id.as_str()).is_replaced = true;
-            self.add_worker(&format!("{id}x"), capacity, &rack);
+            self.start_worker(&format!("{id}x"), capacity, &rack)
         } else {
-            self.add_worker(id.as_str(), capacity, &rack);
-        }
+            self.start_worker(id.as_str(), capacity, &rack)
+        };
+        self.schedule(REGISTERED_AFTER_MS, Event::Register(registration));
     }
 
     /// Lets a worker crash soon after it started a deadly task, and checks that the task wasn't
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -121,11 +121,13 @@
                 earlier_started_ms,
                 started_ms,
                 runs,
+                runs_in_doubt,
             } => Self::new("worker_restarted")
                 .with("worker", worker)
                 .with("earlier_started_ms", earlier_started_ms)
                 .with("started_ms", started_ms)
-                .with("runs", runs),
+                .with("runs", runs)
+                .with("in_doubt", runs_in_doubt),
             Decision::WorkerAvoided { worker, for_ms } => Self::new("worker_avoided")
                 .with("worker", worker)
                 .with("for_ms", for_ms),
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -151,6 +151,7 @@
         let lease_ms = bounds.max_lease_ms * LEASE_PERCENT / 100;
         let timing = ShardTiming {
             lease_ms,
+            max_lease_ms: bounds.max_lease_ms,
             poll_wait_ms: lease_ms / POLL_WAIT_DIVISOR,
             keep_ms: bounds.job_state_retention_ms + EXTRA_KEEP_MS,
             ..ShardTiming::default()
--- a/crates/cyclamentrail/src/edge/owner/effects.rs
+++ b/crates/cyclamentrail/src/edge/owner/effects.rs
@@ -125,13 +125,16 @@
                 metrics::count_worker_command("start", &outcome);
                 metrics::record_worker_call("start", duration);
                 self.activity.record_start_result(&outcome, duration);
-                let is_fenced = self.shard.handle_start_result(now(), task, run, &outcome);
+                let is_fenced = self
+                    .shard
+                    .handle_start_result(now(), worker, task, run, &outcome);
                 self.send_starts(worker);
                 is_fenced
             }
-            (CallPurpose::Stop { task, run }, CallOutcome::Command(outcome)) => {
+            (CallPurpose::Stop { worker, task, run }, CallOutcome::Command(outcome)) => {
                 metrics::count_worker_command("stop", &outcome);
-                self.shard.handle_stop_result(now(), task, run, &outcome)
+                self.shard
+                    .handle_stop_result(now(), worker, task, run, &outcome)
             }
             (CallPurpose::SetCpuShare { task, run }, CallOutcome::CpuShare(is_done)) => {
                 self.shard.handle_cpu_share_result(task, run, is_done);
--- a/crates/cyclamentrail/src/edge/owner/worker_calls.rs
+++ b/crates/cyclamentrail/src/edge/owner/worker_calls.rs
@@ -31,7 +31,11 @@
         run: u32,
     },
     /// Stop of a run.
-    Stop { task: TaskKey, run: u32 },
+    Stop {
+        worker: WorkerKey,
+        task: TaskKey,
+        run: u32,
+    },
     /// Change of a run's processor share.
     SetCpuShare { task: TaskKey, run: u32 },
     /// Poll that acknowledges ended runs.
@@ -53,6 +57,7 @@
                 run: command.run,
             },
             WorkerCall::Stop(command) => Self::Stop {
+                worker: command.target.key,
                 task: command.task,
                 run: command.run,
             },
