fix(jobs): poll idle workers that don't respond

Cause: a worker that refused a connection once, or didn't answer a start that was withdrawn, counted as unreachable; only workers with tasks, with ends to acknowledge or without this owner's token were polled, so that an idle one was never used again until it restarted.

--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -150,6 +150,12 @@
             && self.avoid_until_ms <= now_ms
     }
 
+    /// Returns whether the worker has reported to this owner and responds.
+    #[must_use]
+    pub fn is_in_contact(&self) -> bool {
+        self.knows_token && self.reachability == Reachability::Reachable
+    }
+
     /// Returns the unused capacity.
     #[must_use]
     pub const fn free_capacity(&self) -> Resources {
--- a/crates/cyclamentrail-jobs/tests/scheduler/silence.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/silence.rs
@@ -185,3 +185,16 @@
     sim.run_for(4_000);
     assert_eq!(sim.state("a"), Some(JobState::Completed));
 }
+
+/// Guards against never using an idle worker again that refused a connection once.
+#[test]
+fn refusing_worker_used_again() {
+    let mut sim = Simulation::new(1, WORKER);
+    sim.run_for(200);
+    sim.worker("w0").refuses_connections = true;
+    sim.submit("a", job(2, 1_000, 300));
+    sim.run_for(300);
+    sim.worker("w0").refuses_connections = false;
+    sim.run_for(2_000);
+    assert_eq!(sim.state("a"), Some(JobState::Completed));
+}
