fix(jobs): don't free a stopped run while its start command is under way; model of restarts

Change: a run that its worker never confirmed is freed only by a poll that was sent when no start command for it was under way any more.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -109,6 +109,9 @@
     pub is_listed: bool,
     /// Why it isn't known whether the run is on the worker, if the worker has restarted.
     pub doubt: Option<RestartDoubt>,
+    /// Time until which a start command of this owner may be under way, on its boot clock in
+    /// milliseconds; 0 if none was sent.
+    pub start_under_way_until_ms: u64,
     /// Whether a start command got no response, so that the worker may still carry it out later.
     pub may_start_late: bool,
     /// Processor share in percent that was last sent to the worker for this run; `None` if it
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -346,6 +346,7 @@
             has_begun: false,
             is_listed: false,
             doubt: None,
+            start_under_way_until_ms: 0,
             may_start_late: false,
             sent_share_percent: Some(FULL_SHARE_PERCENT),
             progress_percent: 0,
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -128,6 +128,7 @@
                 has_begun: false,
                 is_listed: false,
                 doubt: has_restarted.then_some(RestartDoubt::EarlierOwner),
+                start_under_way_until_ms: 0,
                 may_start_late: true,
                 sent_share_percent: None,
                 progress_percent: 0,
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -314,6 +314,9 @@
 
     /// Frees runs that the worker had confirmed before the poll was sent and that its report
     /// doesn't list.
+    ///
+    /// A stopped run that the worker never listed waits for a poll that was sent when no start command
+    /// for it was under way any more: a further incarnation could get that one.
     fn release_unlisted(&mut self, worker_key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
         let Some(worker) = self.workers.get(worker_key) else {
             return;
@@ -330,7 +333,12 @@
             };
             let was_confirmed = match placement.phase {
                 RunPhase::Running { since_ms } => since_ms < sent_ms,
-                RunPhase::Stopping { confirmed_ms } => confirmed_ms.is_some_and(|ms| ms < sent_ms),
+                RunPhase::Stopping { confirmed_ms } => {
+                    let may_begin = !placement.is_listed
+                        && !placement.has_begun
+                        && sent_ms < placement.start_under_way_until_ms;
+                    !may_begin && confirmed_ms.is_some_and(|ms| ms < sent_ms)
+                }
                 RunPhase::Placed | RunPhase::Sent => false,
             };
             was_confirmed && !reported.contains(&(*key, placement.run))
--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -13,8 +13,8 @@
 use crate::job::{Placement, RestartDoubt, RunPhase, TaskKey};
 use crate::worker::{Worker, WorkerKey, WorkerRegistration};
 
-/// Time in milliseconds for which calls to the earlier incarnation may still be under way.
-const CALLS_UNDER_WAY_MS: u64 = 1_000;
+/// Time in milliseconds for which a call may be under way, longer than its time limit.
+pub(super) const CALLS_UNDER_WAY_MS: u64 = 1_000;
 
 impl Shard {
     /// Replaces the incarnation of a worker; returns the key of the new one.
--- a/crates/cyclamentrail-jobs/src/shard/starts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/starts.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::restarts::CALLS_UNDER_WAY_MS;
 use super::{Now, Shard};
 use crate::StepSpec;
 use crate::effect::{EndProof, StartCommand};
@@ -47,6 +48,7 @@
         let checkpoint = Arc::clone(&task.checkpoint);
         if let Some(placement) = &mut task.placement {
             placement.phase = RunPhase::Sent;
+            placement.start_under_way_until_ms = now.boot_ms + CALLS_UNDER_WAY_MS;
         }
         Some(StartCommand {
             target,
--- a/crates/cyclamentrail-spec/src/lib.rs
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -26,6 +26,7 @@
 mod jobs;
 mod membership;
 mod record;
+mod restart;
 mod site;
 
 pub use barrier::{BarrierAction, BarrierModel, BarrierState};
@@ -38,3 +39,6 @@
 pub use jobs::{JobsAction, JobsFault, JobsModel, JobsState, StartCommand};
 pub use membership::{MembershipAction, MembershipModel, MembershipState};
 pub use record::{ModelBody, ModelRecord, Pool};
+pub use restart::{
+    PollReport, RestartAction, RestartFault, RestartModel, RestartState, RunCommand,
+};
