--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -22,6 +22,7 @@
 mod isolation;
 mod long_waits;
 mod placement;
+mod placements;
 mod progress;
 mod recovery;
 mod registry;
@@ -30,19 +31,17 @@
 mod stalls;
 mod starts;
 mod submit;
+mod timing;
 mod unsent_jobs;
 
 pub use submit::{Submission, retry_seed};
+pub use timing::ShardTiming;
 
 /// Time after which a start command without a response is sent again, in milliseconds.
 const START_RETRY_MS: u64 = 150;
 /// Time between two stop commands for the same run, in milliseconds.
 const STOP_RETRY_MS: u64 = 400;
 
-/// Part of a lease by which it can last longer on a worker's slow clock, as a divisor: 40 stands
-/// for 2.5%.
-const SLOW_CLOCK_DIVISOR: u64 = 40;
-
 /// The present time on the two clocks that decisions use.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Now {
@@ -52,58 +51,6 @@
     pub unix_ms: u64,
 }
 
-/// Times and limits of a shard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ShardTiming {
-    /// Length of a worker's lease in milliseconds.
-    pub lease_ms: u64,
-    /// Longest lease that a worker accepts, in milliseconds.
-    pub max_lease_ms: u64,
-    /// Longest time for which a worker may hold a poll until a run ends, in milliseconds.
-    pub poll_wait_ms: u64,
-    /// Like `look_wait_ms`, for a worker on which best-effort tasks run beside latency-sensitive
-    /// ones.
-    pub shared_poll_wait_ms: u64,
-    /// Time from a poll's result to the next poll of a busy worker, in milliseconds.
-    pub poll_interval_ms: u64,
-    /// Time for which a final job is kept, in milliseconds.
-    pub keep_ms: u64,
-    /// Number of jobs from which new ones are rejected; final jobs count until they are dropped.
-    pub max_jobs: usize,
-}
-
-impl Default for ShardTiming {
-    fn default() -> Self {
-        Self {
-            lease_ms: 4_500,
-            max_lease_ms: 6_000,
-            poll_wait_ms: 1_200,
-            shared_poll_wait_ms: 400,
-            poll_interval_ms: 60,
-            keep_ms: 125_000,
-            max_jobs: 20_000,
-        }
-    }
-}
-
-impl ShardTiming {
-    /// Returns the longest time in milliseconds that a granted lease lasts on the slowest clock; every
-    /// owner grants leases of the same length.
-    const fn longest_lease_ms(&self) -> u64 {
-        on_slowest_clock(self.lease_ms)
-    }
-
-    /// Returns the longest time in milliseconds that any lease lasts on the slowest clock.
-    const fn longest_possible_lease_ms(&self) -> u64 {
-        on_slowest_clock(self.max_lease_ms)
-    }
-}
-
-/// Returns how long a time on a worker's clock lasts at most, in milliseconds.
-const fn on_slowest_clock(worker_ms: u64) -> u64 {
-    worker_ms + worker_ms / SLOW_CLOCK_DIVISOR + 1
-}
-
 /// Records to be stored, and the effects that may happen once the records are durable.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Commit {
@@ -219,13 +166,6 @@
         self.workers.values()
     }
 
-    /// Returns the worker that a task is placed on.
-    #[must_use]
-    pub fn worker_of(&self, task: TaskKey) -> Option<WorkerKey> {
-        let placement = self.jobs.get(task.job)?.task(task)?.placement?;
-        Some(placement.worker)
-    }
-
     /// Returns whether a job isn't final or a run hasn't ended.
     #[must_use]
     pub fn is_busy(&self) -> bool {
@@ -455,16 +395,6 @@
         }
     }
 
-    fn placed_tasks(&self, key: JobKey) -> Vec<TaskKey> {
-        let Some(job) = self.jobs.get(key) else {
-            return Vec::new();
-        };
-        job.tasks(key)
-            .filter(|(_, task)| task.placement.is_some())
-            .map(|(task_key, _)| task_key)
-            .collect()
-    }
-
     /// Sends the start and stop commands again that are due.
     fn resend_due(&mut self, now: Now) {
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.resends)
@@ -473,10 +403,7 @@
         self.resends = later;
         for resend in due {
             let placement = self
-                .jobs
-                .get(resend.task.job)
-                .and_then(|job| job.task(resend.task))
-                .and_then(|task| task.placement)
+                .placement_of(resend.task)
                 .filter(|placement| placement.run == resend.run);
             let is_reachable = placement.is_some_and(|placement| {
                 self.workers
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -205,7 +205,7 @@
         let running = RunPhase::Running {
             since_ms: now.boot_ms,
         };
-        if let Some(placement) = self.placement_mut(key)
+        if let Some(placement) = self.placement_of_mut(key)
             && matches!(placement.phase, RunPhase::Sent)
         {
             placement.phase = running;
@@ -248,29 +248,21 @@
 
     /// Records that a start command without a response may still take effect.
     fn mark_may_start_late(&mut self, key: TaskKey) {
-        if let Some(placement) = self.placement_mut(key) {
+        if let Some(placement) = self.placement_of_mut(key) {
             placement.may_start_late = true;
         }
     }
 
     fn set_phase(&mut self, key: TaskKey, phase: RunPhase) {
-        if let Some(placement) = self.placement_mut(key) {
+        if let Some(placement) = self.placement_of_mut(key) {
             placement.phase = phase;
         }
     }
 
-    fn placement_mut(&mut self, key: TaskKey) -> Option<&mut Placement> {
-        let task = self.jobs.get_mut(key.job)?.task_mut(key)?;
-        task.placement.as_mut()
-    }
-
     /// Returns the placement of a run, if that run is the present one of its task and is assigned to
     /// the incarnation of a worker that a command was sent to.
     fn placement_on(&self, worker: WorkerKey, key: TaskKey, run: u32) -> Option<Placement> {
-        self.jobs
-            .get(key.job)?
-            .task(key)?
-            .placement
+        self.placement_of(key)
             .filter(|placement| placement.run == run && placement.worker == worker)
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -1,27 +1,28 @@
 //! Tasks that crash the workers that run them.
 //!
 //! A worker that gave no notice has crashed when a newer incarnation of it runs, or another worker at
-//! its address. Each run that had begun there counts against its task, because nobody saw which of them caused the crash. A suspect task runs apart from the
-//! tasks of other jobs (see [`super::isolation`]), so that its next crash tells who did it and takes
-//! nobody else's work with it.
+//! its address. Each run that may have begun there counts against its task, because nobody saw which
+//! of them caused the crash. A suspect task runs apart from the tasks of other jobs (see
+//! [`super::isolation`]), so that its next crash tells who did it and takes nobody else's work with
+//! it.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cyclamentrail_core::WorkerId;
-
 use super::{Now, Shard};
 use crate::JobSpec;
 use crate::effect::{Decision, Effect};
-use crate::job::{CrashedRun, JobKey, Placement, RunPhase, Task, TaskKey};
+use crate::job::{CrashedRun, JobKey, Placement, RunPhase, TaskKey};
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
 
-/// Time from the begin of a run in milliseconds within which a crash makes its task suspect: most
-/// such tasks fail as they begin. Others are suspect from [`SUSPECT_CRASHES`] on.
-const SUSPECT_RUN_MS: u64 = 300;
-/// Number of crashes from which a task is suspect however long its runs had lasted.
-const SUSPECT_CRASHES: usize = 2;
+mod counts;
+mod lost_worker;
+
+use counts::CrashCounts;
+pub(super) use counts::Suspicion;
+pub(super) use lost_worker::LostWorker;
+use lost_worker::{CrashedWorker, LostRun};
+
 /// Time within which several workers are lost by a common cause, such as their rack's power, in
 /// milliseconds.
 const COMMON_CAUSE_MS: u64 = 150;
@@ -50,112 +51,6 @@
     given_up: VecDeque<Arc<JobSpec>>,
 }
 
-/// How likely a task is to crash its worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Suspicion {
-    /// One worker crashed under the task, and under others at the same time.
-    Possible,
-    /// Several workers crashed under the task, or it is the same as one that was given up.
-    Likely,
-}
-
-/// A worker that was lost with the runs on it.
-#[derive(Debug, Clone)]
-pub(super) struct LostWorker {
-    id: WorkerId,
-    address: SocketAddr,
-    /// Start time of the incarnation, as Unix time in milliseconds.
-    started_ms: u64,
-    /// Time of the first call without a response, on the owner's boot clock in milliseconds.
-    lost_ms: u64,
-    /// Time of the last response on the same clock: the worker crashed between the two.
-    heard_ms: u64,
-    /// Jobs that had runs on the worker.
-    jobs: BTreeSet<JobKey>,
-    /// Whether the worker ran suspect tasks only.
-    was_apart: bool,
-    runs: Vec<LostRun>,
-}
-
-/// A worker that crashed, and the jobs that had tasks there.
-#[derive(Debug, Clone)]
-struct CrashedWorker {
-    id: WorkerId,
-    started_ms: u64,
-    lost_ms: u64,
-    jobs: BTreeSet<JobKey>,
-    /// Whether the worker ran suspect tasks only.
-    was_apart: bool,
-}
-
-/// A run that was lost with its worker.
-#[derive(Debug, Clone, Copy)]
-struct LostRun {
-    task: TaskKey,
-    run: u32,
-    /// Whether the worker had confirmed that the run began.
-    has_begun: bool,
-    /// Time since which the run was known to execute, on the owner's boot clock in milliseconds.
-    since_ms: Option<u64>,
-}
-
-/// Number of crashes under one task.
-#[derive(Debug, Clone, Copy)]
-struct CrashCounts {
-    /// All crashes, also under runs of which nobody knows whether they had begun.
-    all: usize,
-    /// Crashes under runs that had begun for certain.
-    begun: usize,
-    /// Crashes shortly after the begin of a run.
-    new: usize,
-}
-
-impl CrashCounts {
-    fn of(task: &Task) -> Self {
-        let count = |counts: fn(&CrashedRun) -> bool| {
-            task.crashed_runs.iter().filter(|run| counts(run)).count()
-        };
-        Self {
-            all: task.crashed_runs.len(),
-            begun: count(|run| run.has_begun),
-            new: count(|run| run.is_new),
-        }
-    }
-
-    /// Returns what the crashes make suspect of the task.
-    const fn suspicion(self) -> Option<Suspicion> {
-        if self.new >= SUSPECT_CRASHES || self.all > SUSPECT_CRASHES {
-            Some(Suspicion::Likely)
-        } else if self.new > 0 || self.all >= SUSPECT_CRASHES {
-            Some(Suspicion::Possible)
-        } else {
-            None
-        }
-    }
-
-    /// Returns whether the task's job is given up. `is_proof` tells whether the job ran apart from
-    /// all others at the last crash.
-    const fn convict(self, is_proof: bool) -> bool {
-        let is_proven = is_proof && (self.begun >= 2 || self.all >= 3);
-        is_proven || self.begun >= 4 || self.all >= 5
-    }
-}
-
-impl LostRun {
-    /// Returns whether the run may have begun shortly before its worker, which last responded at
-    /// `heard_ms`, crashed.
-    fn is_new(&self, heard_ms: u64) -> bool {
-        let is_new = |since_ms| heard_ms <= since_ms + SUSPECT_RUN_MS;
-        self.since_ms.is_none_or(is_new)
-    }
-}
-
-impl LostWorker {
-    fn is_same(&self, crashed: &CrashedWorker) -> bool {
-        (&self.id, self.started_ms) == (&crashed.id, crashed.started_ms)
-    }
-}
-
 impl Shard {
     /// Counts the crash of a worker against the tasks whose runs had begun there; returns the tasks
     /// whose jobs have to be given up. The runs are released by the caller.
@@ -163,7 +58,7 @@
         let Some(lost) = self.lost_worker(now, key) else {
             return Vec::new();
         };
-        self.blame(&lost)
+        self.count_crashes(&lost)
     }
 
     /// Counts the crash of a worker that has restarted, as far as its runs have surely ended; returns
@@ -180,7 +75,7 @@
         let (in_doubt, ended) = std::mem::take(&mut lost.runs)
             .into_iter()
             .partition(|run: &LostRun| doubtful.contains(&run.task));
-        let given_up = self.blame(&LostWorker {
+        let given_up = self.count_crashes(&LostWorker {
             runs: ended,
             ..lost.clone()
         });
@@ -198,7 +93,7 @@
 
     /// Counts the crash of a restarted worker against the runs in doubt that its new incarnation
     /// doesn't report: they were lost with the earlier one.
-    pub(super) fn blame_unsettled(&mut self, key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
+    pub(super) fn count_unsettled(&mut self, key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
         let (settled, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.crashes.unsettled)
             .into_iter()
             .partition(|(worker, _)| *worker == key);
@@ -206,7 +101,7 @@
         for (_, mut lost) in settled {
             lost.runs
                 .retain(|run| !reported.contains(&(run.task, run.run)));
-            let given_up = self.blame(&lost);
+            let given_up = self.count_crashes(&lost);
             self.give_up(given_up);
         }
     }
@@ -231,7 +126,7 @@
         let explained: Vec<LostWorker> = explained;
         for lost in explained {
             if lost.id != running.id || lost.started_ms < running.started_ms {
-                let given_up = self.blame(&lost);
+                let given_up = self.count_crashes(&lost);
                 self.give_up(given_up);
             }
         }
@@ -340,7 +235,7 @@
     }
 
     fn lost_run(&self, task: TaskKey) -> Option<LostRun> {
-        let placement = self.jobs.get(task.job)?.task(task)?.placement?;
+        let placement = self.placement_of(task)?;
         (placement.phase != RunPhase::Placed).then_some(LostRun {
             task,
             run: placement.run,
@@ -354,7 +249,7 @@
 
     /// Counts a crash against the tasks that ran on the worker; returns those whose jobs have to be
     /// given up.
-    fn blame(&mut self, lost: &LostWorker) -> Vec<TaskKey> {
+    fn count_crashes(&mut self, lost: &LostWorker) -> Vec<TaskKey> {
         if lost.runs.is_empty() {
             return Vec::new();
         }
@@ -367,7 +262,7 @@
             let Some(crashes) = self.count_crash(run, is_new, lost.lost_ms) else {
                 continue;
             };
-            if crashes.convict(is_proof) {
+            if crashes.means_giving_up(is_proof) {
                 given_up.push(run.task);
             } else if let Some(suspicion) = crashes.suspicion() {
                 self.crashes.suspects.insert(run.task, suspicion);
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/shard/crashes/counts.rs
@@ -0,0 +1,66 @@
+//! Counts of the crashes under a task, and what follows from them.
+
+use crate::job::{CrashedRun, Task};
+
+/// Number of crashes from which a task is suspect however long its runs had lasted.
+const SUSPECT_CRASHES: usize = 2;
+/// Number of crashes under runs that had begun at which a job is given up if it ran apart at the last.
+const PROVEN_BEGUN: usize = 2;
+/// The same for all crashes, where it isn't known of some runs whether they had begun.
+const PROVEN_ALL: usize = 3;
+/// Number of crashes under runs that had begun at which a job is given up in any case.
+const MAX_BEGUN: usize = 4;
+/// The same for all crashes.
+const MAX_ALL: usize = 5;
+
+/// How likely a task is to crash its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::shard) enum Suspicion {
+    /// One worker crashed under the task, and under others at the same time.
+    Possible,
+    /// Several workers crashed under the task, or it is the same as one that was given up.
+    Likely,
+}
+
+/// Number of crashes under one task.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CrashCounts {
+    /// All crashes, also under runs of which nobody knows whether they had begun.
+    all: usize,
+    /// Crashes under runs that had begun for certain.
+    begun: usize,
+    /// Crashes shortly after the begin of a run.
+    new: usize,
+}
+
+impl CrashCounts {
+    /// Counts the crashes under a task.
+    pub(super) fn of(task: &Task) -> Self {
+        let count = |counts: fn(&CrashedRun) -> bool| {
+            task.crashed_runs.iter().filter(|run| counts(run)).count()
+        };
+        Self {
+            all: task.crashed_runs.len(),
+            begun: count(|run| run.has_begun),
+            new: count(|run| run.is_new),
+        }
+    }
+
+    /// Returns what the crashes make suspect of the task.
+    pub(super) const fn suspicion(self) -> Option<Suspicion> {
+        if self.new >= SUSPECT_CRASHES || self.all > SUSPECT_CRASHES {
+            Some(Suspicion::Likely)
+        } else if self.new > 0 || self.all >= SUSPECT_CRASHES {
+            Some(Suspicion::Possible)
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether the task's job is given up. `is_proof` tells whether the job ran apart from
+    /// all others at the last crash.
+    pub(super) const fn means_giving_up(self, is_proof: bool) -> bool {
+        let is_proven = self.begun >= PROVEN_BEGUN || self.all >= PROVEN_ALL;
+        (is_proof && is_proven) || self.begun >= MAX_BEGUN || self.all >= MAX_ALL
+    }
+}
--- a/crates/cyclamentrail-jobs/src/shard/evacuation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/evacuation.rs
@@ -128,10 +128,7 @@
     }
 
     fn is_running(&self, key: TaskKey) -> bool {
-        self.jobs
-            .get(key.job)
-            .and_then(|job| job.task(key))
-            .and_then(|task| task.placement)
+        self.placement_of(key)
             .is_some_and(|placement| matches!(placement.phase, RunPhase::Running { .. }))
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/isolation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/isolation.rs
@@ -18,13 +18,13 @@
 const EMPTIED_DIVISOR: usize = 4;
 /// Part of the pool's workers that may run suspect tasks at once, as a divisor; those beyond
 /// [`EMPTIED_DIVISOR`] are empty anyway.
-const TRIAL_DIVISOR: usize = 2;
+const APART_DIVISOR: usize = 2;
 
 /// Workers that are kept apart during a placement pass.
 #[derive(Debug, Default)]
 pub(super) struct Isolation {
     /// Workers with suspect tasks.
-    trials: BTreeMap<WorkerKey, Trial>,
+    suspect_workers: BTreeMap<WorkerKey, SuspectWorker>,
     /// Worker that is being emptied for the next suspect task.
     reserved: Option<WorkerKey>,
     /// Number of workers that may run suspect tasks at once; 0 if none can be kept apart.
@@ -33,7 +33,7 @@
 
 /// Suspect tasks on one worker.
 #[derive(Debug, Default)]
-struct Trial {
+struct SuspectWorker {
     jobs: BTreeSet<JobKey>,
     has_likely: bool,
 }
@@ -41,7 +41,7 @@
 impl Isolation {
     /// Returns whether tasks that aren't suspect may be placed on a worker.
     pub(super) fn is_open(&self, key: WorkerKey) -> bool {
-        self.reserved != Some(key) && !self.trials.contains_key(&key)
+        self.reserved != Some(key) && !self.suspect_workers.contains_key(&key)
     }
 
     /// Returns whether suspect tasks can be kept apart at all.
@@ -49,20 +49,32 @@
         self.max_workers > 0
     }
 
-    /// Returns whether a suspect task of a job may be placed on a worker.
-    pub(super) fn admits(
+    /// Returns whether a task of a job may be placed on a worker.
+    pub(super) fn allows(
         &self,
         job: JobKey,
-        suspicion: Suspicion,
+        suspicion: Option<Suspicion>,
         key: WorkerKey,
         worker: &Worker,
     ) -> bool {
-        let is_at_limit = self.trials.len() >= self.max_workers;
-        match self.trials.get(&key) {
-            Some(trial) if trial.jobs.len() == 1 && trial.jobs.contains(&job) => {
+        match suspicion {
+            Some(suspicion) => self.admits(job, suspicion, key, worker),
+            None => self.is_open(key),
+        }
+    }
+
+    /// Returns whether a suspect task of a job may be placed on a worker.
+    fn admits(&self, job: JobKey, suspicion: Suspicion, key: WorkerKey, worker: &Worker) -> bool {
+        let is_at_limit = self.suspect_workers.len() >= self.max_workers;
+        match self.suspect_workers.get(&key) {
+            Some(suspect_worker)
+                if suspect_worker.jobs.len() == 1 && suspect_worker.jobs.contains(&job) =>
+            {
                 worker.tasks.iter().all(|task| task.job == job)
             }
-            Some(trial) => is_at_limit && suspicion == Suspicion::Possible && !trial.has_likely,
+            Some(suspect_worker) => {
+                is_at_limit && suspicion == Suspicion::Possible && !suspect_worker.has_likely
+            }
             None => worker.tasks.is_empty() && !is_at_limit,
         }
     }
@@ -77,9 +89,9 @@
         }
         for (&task, &suspicion) in &self.crashes.suspects {
             if let Some(worker) = self.worker_of(task) {
-                let trial = isolation.trials.entry(worker).or_default();
-                trial.jobs.insert(task.job);
-                trial.has_likely |= suspicion == Suspicion::Likely;
+                let suspect_worker = isolation.suspect_workers.entry(worker).or_default();
+                suspect_worker.jobs.insert(task.job);
+                suspect_worker.has_likely |= suspicion == Suspicion::Likely;
             }
         }
         let pinned = self.workers_with_long_running();
@@ -87,13 +99,13 @@
             worker.accepts_tasks(now.boot_ms) && !pinned.contains(key)
         };
         let usable: Vec<(WorkerKey, &Worker)> = self.workers.iter().filter(usable).collect();
-        if usable.is_empty() && isolation.trials.is_empty() {
+        if usable.is_empty() && isolation.suspect_workers.is_empty() {
             return isolation;
         }
         let listed = self.workers.values().filter(|worker| worker.is_registered);
         let listed = listed.count();
-        isolation.max_workers = (listed / TRIAL_DIVISOR).max(1);
-        if isolation.trials.len() < (listed / EMPTIED_DIVISOR).max(1) {
+        isolation.max_workers = (listed / APART_DIVISOR).max(1);
+        if isolation.suspect_workers.len() < (listed / EMPTIED_DIVISOR).max(1) {
             isolation.reserved = self.worker_to_empty(&isolation, &usable);
         }
         isolation
@@ -125,7 +137,7 @@
         usable
             .iter()
             .filter(|(key, worker)| {
-                request.is_suitable(worker) && !isolation.trials.contains_key(key)
+                request.is_suitable(worker) && !isolation.suspect_workers.contains_key(key)
             })
             .min_by_key(|(_, worker)| worker.tasks.len())
             .map(|(key, _)| *key)
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -197,19 +197,10 @@
             let suspicion = self.suspicion(key).filter(|_| pass.isolation.is_possible());
             let open = self.open_workers(now, &spec, &per_worker);
             let isolation = &pass.isolation;
-            let selected = match suspicion {
-                Some(suspicion) => select_worker(
-                    &request,
-                    open.filter(|(worker_key, worker)| {
-                        isolation.admits(key.job, suspicion, *worker_key, worker)
-                    }),
-                ),
-                None => select_worker(
-                    &request,
-                    open.filter(|(worker_key, _)| isolation.is_open(*worker_key)),
-                ),
-            };
-            let Some(worker) = selected else {
+            let allowed = open.filter(|(worker_key, worker)| {
+                isolation.allows(key.job, suspicion, *worker_key, worker)
+            });
+            let Some(worker) = select_worker(&request, allowed) else {
                 if suspicion.is_some() {
                     continue;
                 }
@@ -319,14 +310,6 @@
         Some(plan)
     }
 
-    /// Returns whether a task isn't done and isn't placed.
-    pub(super) fn is_waiting(&self, key: TaskKey) -> bool {
-        self.jobs
-            .get(key.job)
-            .and_then(|job| job.task(key))
-            .is_some_and(|task| !task.is_done && task.placement.is_none())
-    }
-
     /// Places a task on a worker; its start command is sent once the placement is durable.
     fn place(&mut self, now: Now, key: TaskKey, worker_key: WorkerKey, run: Option<u32>) {
         let Some(demand) = self.step_of(key).map(StepSpec::reserved_resources) else {
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -161,14 +161,9 @@
         self.clear_suspect(key);
         self.update_failure_score(now, worker_key, key, ended_run.end);
         self.record_duration(now, key, ended_run);
-        let is_current_run = self
-            .jobs
-            .get(key.job)
-            .and_then(|job| job.task(key))
-            .and_then(|task| task.placement)
-            .is_some_and(|placement| {
-                placement.run == ended_run.id.run && placement.worker == worker_key
-            });
+        let is_current_run = self.placement_of(key).is_some_and(|placement| {
+            placement.run == ended_run.id.run && placement.worker == worker_key
+        });
         if is_current_run {
             self.release(key, None);
         }
@@ -297,11 +292,8 @@
         let Some(job) = self.jobs.get(key.job) else {
             return;
         };
-        let Some(RunPhase::Running { since_ms }) = job
-            .task(key)
-            .and_then(|task| task.placement)
-            .map(|placement| placement.phase)
-        else {
+        let phase = self.placement_of(key).map(|placement| placement.phase);
+        let Some(RunPhase::Running { since_ms }) = phase else {
             return;
         };
         let estimate_ms = job.spec.steps[key.step as usize].estimate_ms;
@@ -323,12 +315,7 @@
         };
         let sent_ms = worker.poll_sent_ms;
         let has_ended = |key: &TaskKey| {
-            let Some(placement) = self
-                .jobs
-                .get(key.job)
-                .and_then(|job| job.task(*key))
-                .and_then(|task| task.placement)
-            else {
+            let Some(placement) = self.placement_of(*key) else {
                 return false;
             };
             let was_confirmed = match placement.phase {
--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -10,7 +10,7 @@
 
 use super::{Now, Shard};
 use crate::effect::{Decision, Effect, EndProof, WorkerReport};
-use crate::job::{Placement, RestartDoubt, RunPhase, TaskKey};
+use crate::job::{RestartDoubt, RunPhase, TaskKey};
 use crate::worker::{Worker, WorkerKey, WorkerRegistration};
 
 /// Time in milliseconds for which a call may be under way, longer than its time limit.
@@ -171,7 +171,7 @@
             }
         }
         if has_been_polled {
-            self.blame_unsettled(key, reported);
+            self.count_unsettled(key, reported);
         }
     }
 
@@ -182,13 +182,4 @@
             placement.phase != RunPhase::Placed && !has_surely_ended
         })
     }
-
-    fn placement_of(&self, task: TaskKey) -> Option<Placement> {
-        self.jobs.get(task.job)?.task(task)?.placement
-    }
-
-    fn placement_of_mut(&mut self, task: TaskKey) -> Option<&mut Placement> {
-        let task = self.jobs.get_mut(task.job)?.task_mut(task)?;
-        task.placement.as_mut()
-    }
 }
