fix(jobs): suspects for the first time don't wait behind workers that have crashed

Cause: the places for suspect tasks were counted by the workers that hold them, also while these had crashed and their restart wasn't known, 3.4 s each.

Change: all suspects together take half of the workers that respond; likely ones take at most half of the listed ones, crashed ones included. A suspect run keeps its worker for 0.6 s instead of 3, four jobs at most share one, and a suspicion isn't lowered by a further crash. same_job_again_apart failed while it was, and bounds what is taken.

--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -29,8 +29,9 @@
 /// Duration of a long-running task's run in milliseconds that clears the task: it doesn't crash each
 /// worker that starts it, and lives through many crashes with other causes.
 const CLEARING_RUN_MS: u64 = 10_000;
-/// Time for which a suspect run keeps its worker for itself, in milliseconds.
-const PROBATION_MS: u64 = 3_000;
+/// Time for which a suspect run keeps its worker for itself, in milliseconds: most such tasks crash
+/// their workers as they begin.
+const PROBATION_MS: u64 = 600;
 /// Time for which a lost run waits for the proof that its worker crashed, in milliseconds.
 const PROOF_WAIT_MS: u64 = 60_000;
 /// Number of descriptions of given-up jobs that are remembered.
@@ -265,7 +266,8 @@
             if crashes.means_giving_up(is_proof) {
                 given_up.push(run.task);
             } else if let Some(suspicion) = crashes.suspicion() {
-                self.crashes.suspects.insert(run.task, suspicion);
+                let known = self.crashes.suspects.entry(run.task).or_insert(suspicion);
+                *known = suspicion.max(*known);
             }
         }
         if !self.crashes.recent.iter().any(|known| lost.is_same(known)) {
--- a/crates/cyclamentrail-jobs/src/shard/crashes/counts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes/counts.rs
@@ -14,7 +14,7 @@
 const MAX_ALL: usize = 5;
 
 /// How likely a task is to crash its worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(in crate::shard) enum Suspicion {
     /// One worker crashed under the task, and under others at the same time.
     Possible,
--- a/crates/cyclamentrail-jobs/src/shard/isolation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/isolation.rs
@@ -12,13 +12,15 @@
 use crate::StepSpec;
 use crate::job::{JobKey, TaskKey};
 use crate::selection::PlacementRequest;
-use crate::worker::{Worker, WorkerKey};
+use crate::worker::{Reachability, Worker, WorkerKey};
 
-/// Part of the pool's workers that are emptied for suspect tasks at once, as a divisor.
+/// Part of the workers that respond that are emptied for suspect tasks at once, as a divisor.
 const EMPTIED_DIVISOR: usize = 4;
-/// Part of the pool's workers that may run suspect tasks at once, as a divisor; those beyond
+/// Part of the workers that may run suspect tasks at once, as a divisor; those beyond
 /// [`EMPTIED_DIVISOR`] are empty anyway.
 const APART_DIVISOR: usize = 2;
+/// Number of jobs whose suspect tasks may share a worker.
+const MAX_SHARED_JOBS: usize = 4;
 
 /// Workers that are kept apart during a placement pass.
 #[derive(Debug, Default)]
@@ -27,8 +29,13 @@
     suspect_workers: BTreeMap<WorkerKey, SuspectWorker>,
     /// Worker that is being emptied for the next suspect task.
     reserved: Option<WorkerKey>,
-    /// Number of workers that may run suspect tasks at once; 0 if none can be kept apart.
+    /// Number of `suspect_workers` that respond; the others have probably crashed.
+    responding: usize,
+    /// Number of workers that may run likely suspects at once, or have crashed under them; 0 if none
+    /// can be kept apart.
     max_workers: usize,
+    /// Number of workers that respond and may run suspect tasks at once.
+    max_responding: usize,
 }
 
 /// Suspect tasks on one worker.
@@ -65,7 +72,8 @@
 
     /// Returns whether a suspect task of a job may be placed on a worker.
     fn admits(&self, job: JobKey, suspicion: Suspicion, key: WorkerKey, worker: &Worker) -> bool {
-        let is_at_limit = self.suspect_workers.len() >= self.max_workers;
+        let is_at_limit = self.responding >= self.max_responding
+            || (suspicion == Suspicion::Likely && self.suspect_workers.len() >= self.max_workers);
         match self.suspect_workers.get(&key) {
             Some(suspect_worker)
                 if suspect_worker.jobs.len() == 1 && suspect_worker.jobs.contains(&job) =>
@@ -73,7 +81,10 @@
                 worker.tasks.iter().all(|task| task.job == job)
             }
             Some(suspect_worker) => {
-                is_at_limit && suspicion == Suspicion::Possible && !suspect_worker.has_likely
+                is_at_limit
+                    && suspicion == Suspicion::Possible
+                    && !suspect_worker.has_likely
+                    && suspect_worker.jobs.len() < MAX_SHARED_JOBS
             }
             None => worker.tasks.is_empty() && !is_at_limit,
         }
@@ -103,9 +114,16 @@
             return isolation;
         }
         let listed = self.workers.values().filter(|worker| worker.is_registered);
-        let listed = listed.count();
-        isolation.max_workers = (listed / APART_DIVISOR).max(1);
-        if isolation.suspect_workers.len() < (listed / EMPTIED_DIVISOR).max(1) {
+        isolation.max_workers = (listed.count() / APART_DIVISOR).max(1);
+        let responds = |worker: &Worker| worker.reachability == Reachability::Reachable;
+        let suspect_workers = isolation.suspect_workers.keys();
+        isolation.responding = suspect_workers
+            .filter(|key| responds(&self.workers[**key]))
+            .count();
+        let responding = self.workers.values().filter(|worker| responds(worker));
+        let responding = responding.count();
+        isolation.max_responding = (responding / APART_DIVISOR).max(1);
+        if isolation.responding < (responding / EMPTIED_DIVISOR).max(1) {
             isolation.reserved = self.worker_to_empty(&isolation, &usable);
         }
         isolation
