test(soak): tasks that crash their workers, which are back under their ids

The stand-in's workers crash 10 ms after the start of a task whose name they are told, and stay silent until they are restarted. The soak has such a task (job 42 of a play), restarts crashed workers after 0.9 s, also while the clients settle, and checks that it isn't run more than five times. The process test crashing_task_given_up plays the same with one process: two or three crashes, and another job completes.

--- a/crates/cyclamentrail-standin/src/jobs/worker.rs
+++ b/crates/cyclamentrail-standin/src/jobs/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use axum::Json;
@@ -23,6 +23,8 @@
 const MAX_LEASE_MS: u64 = 6_000;
 /// Interval between two checks of a worker's runs.
 const ROUND: Duration = Duration::from_millis(10);
+/// Time from the start of a deadly task to its worker's crash.
+const CRASH_AFTER: Duration = Duration::from_millis(10);
 /// Number of further attempts to bind an address.
 const BIND_ATTEMPTS: u32 = 100;
 /// Interval between two registrations of a worker, in rounds.
@@ -66,6 +68,8 @@
     is_draining: AtomicBool,
     /// Whether the worker writes registrations.
     is_registering: AtomicBool,
+    /// When a task crashed the worker, which doesn't respond any more.
+    crashed: OnceLock<Instant>,
     state: Mutex<WorkerState>,
 }
 
@@ -83,6 +87,9 @@
     highest_token: u64,
     /// End of the lease on the worker's clock.
     lease_until_ms: u64,
+    /// End of the names of tasks that crash the worker, such as the last digit of their jobs' ids with
+    /// step and index; `None` for no task.
+    deadly_suffix: Option<String>,
     /// Duration of each task.
     task_ms: u64,
     /// Delay of the next start command, which gets no response.
@@ -116,9 +123,25 @@
     pub async fn restart(self, store: &Arc<JobStore>) -> std::io::Result<Self> {
         let address = self.address();
         let (id, service) = (self.shared.id.clone(), self.shared.service.clone());
-        let task_ms = self.shared.lock().task_ms;
+        let (task_ms, deadly_suffix) = {
+            let state = self.shared.lock();
+            (state.task_ms, state.deadly_suffix.clone())
+        };
         drop(self);
-        Self::start_at(store, &id, &service, task_ms, address).await
+        let restarted = Self::start_at(store, &id, &service, task_ms, address).await?;
+        restarted.shared.lock().deadly_suffix = deadly_suffix;
+        Ok(restarted)
+    }
+
+    /// Lets the worker crash soon after the start of each task whose name ends like this.
+    pub fn crash_on(&self, suffix: &str) {
+        self.shared.lock().deadly_suffix = Some(suffix.to_owned());
+    }
+
+    /// Returns when a task crashed the worker; it stays silent until it is restarted.
+    #[must_use]
+    pub fn crashed(&self) -> Option<Instant> {
+        self.shared.crashed.get().copied()
     }
 
     /// Writes registrations from now on.
@@ -141,6 +164,7 @@
             clock_origin: Instant::now(),
             is_draining: AtomicBool::new(false),
             is_registering: AtomicBool::new(false),
+            crashed: OnceLock::new(),
             state: Mutex::new(WorkerState {
                 task_ms,
                 ..WorkerState::default()
@@ -222,6 +246,26 @@
         expected.is_none_or(|id| id.as_bytes() == self.id.as_bytes())
     }
 
+    /// Waits for ever if a task has crashed the worker.
+    async fn fail_if_crashed(&self) {
+        if self.crashed.get().is_some() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Crashes the worker after a moment if a task that has started is deadly.
+    fn crash_by(self: &Arc<Self>, task: &str) {
+        let is_deadly = |suffix: &String| task.ends_with(suffix.as_str());
+        if !self.lock().deadly_suffix.as_ref().is_some_and(is_deadly) {
+            return;
+        }
+        let shared = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(CRASH_AFTER).await;
+            shared.crashed.get_or_init(Instant::now);
+        });
+    }
+
     /// Ends all runs if the lease has run out, otherwise those whose time is over.
     fn end_due_runs(&self) {
         let now_ms = self.clock_ms();
@@ -310,7 +354,7 @@
 /// Ends the runs that are due and registers the worker, until the task is aborted.
 async fn run_rounds(shared: Arc<Shared>, store: Arc<JobStore>, address: SocketAddr) {
     let mut until_registration = 0_u64;
-    loop {
+    while shared.crashed.get().is_none() {
         if until_registration == 0 && shared.is_registering.load(Ordering::Relaxed) {
             shared.register(&store, address);
             until_registration = ROUNDS_PER_REGISTRATION;
@@ -339,6 +383,7 @@
     headers: HeaderMap,
     Json(body): Json<CommandBody>,
 ) -> Response {
+    shared.fail_if_crashed().await;
     if !shared.is_addressee(&headers) {
         return StatusCode::MISDIRECTED_REQUEST.into_response();
     }
@@ -357,6 +402,9 @@
     }
     let now_ms = shared.clock_ms();
     let result = shared.lock().begin_run(&body, now_ms);
+    if result.is_ok() {
+        shared.crash_by(&body.task);
+    }
     command_response(result, now_ms)
 }
 
@@ -376,6 +424,7 @@
     headers: HeaderMap,
     Json(body): Json<CommandBody>,
 ) -> Response {
+    shared.fail_if_crashed().await;
     if !shared.is_addressee(&headers) {
         return StatusCode::MISDIRECTED_REQUEST.into_response();
     }
@@ -413,11 +462,13 @@
     headers: HeaderMap,
     Json(body): Json<PollBody>,
 ) -> Response {
+    shared.fail_if_crashed().await;
     if !shared.is_addressee(&headers) {
         return StatusCode::MISDIRECTED_REQUEST.into_response();
     }
     let deadline = Instant::now() + Duration::from_millis(body.wait_ms);
     loop {
+        shared.fail_if_crashed().await;
         if let Some(response) = poll_response(&shared, &body, Instant::now() >= deadline) {
             return response;
         }
--- a/crates/cyclamentrail-testkit/src/soak.rs
+++ b/crates/cyclamentrail-testkit/src/soak.rs
@@ -128,7 +128,7 @@
             end + SETTLE_TIME,
         );
         site.carry_out(&schedule, end).await?;
-        let jobs = load.finish().await?;
+        let jobs = site.restart_crashed_during(load.finish()).await?;
         let history = History {
             jobs,
             workers: site.finish(),
--- a/crates/cyclamentrail-testkit/src/soak/check.rs
+++ b/crates/cyclamentrail-testkit/src/soak/check.rs
@@ -12,6 +12,10 @@
 /// Longest time after a worker's notice in which tasks may still start: the notice, and the delay
 /// of a start that a worker carries out late.
 const NOTICE_SLACK: Duration = Duration::from_secs(4);
+/// End of the names of tasks that crash their workers: the first task of each 256th job.
+pub(super) const DEADLY_SUFFIX: &str = "2a.0.0.0";
+/// Largest number of runs of such a task: three crashes, and two further starts.
+const MAX_DEADLY_RUNS: usize = 5;
 /// Number of tasks that fit on a worker.
 const WORKER_TASKS: usize = 32;
 
@@ -66,6 +70,13 @@
         /// Name of the task.
         task: String,
     },
+    /// A task that crashes its workers was started too often.
+    GoesOnCrashing {
+        /// Name of the task.
+        task: String,
+        /// Number of runs.
+        runs: usize,
+    },
     /// A worker ran more tasks at once than fit.
     WorkerOverfull {
         /// Id of the worker.
@@ -204,6 +215,12 @@
 }
 
 fn check_task(task: &str, runs: &[Run<'_>], violations: &mut Vec<Violation>) {
+    if task.ends_with(DEADLY_SUFFIX) && runs.len() > MAX_DEADLY_RUNS {
+        violations.push(Violation::GoesOnCrashing {
+            task: task.to_owned(),
+            runs: runs.len(),
+        });
+    }
     for (index, earlier) in runs.iter().enumerate() {
         for later in &runs[index + 1..] {
             if later.run.began < earlier.run.ended {
--- a/crates/cyclamentrail-testkit/src/soak/faults.rs
+++ b/crates/cyclamentrail-testkit/src/soak/faults.rs
@@ -9,6 +9,7 @@
 use cyclamentrail_standin::JobWorker;
 use tokio::time::{Instant as TokioInstant, sleep, sleep_until};
 
+use super::check::DEADLY_SUFFIX;
 use super::history::{RunHistory, WorkerHistory};
 use super::load::Callers;
 use super::schedule::{Fault, ScheduledFault};
@@ -75,6 +76,11 @@
     }
 }
 
+/// Time from a worker's crash to its restart.
+const CRASH_TIME: Duration = Duration::from_millis(900);
+/// Time between two looks for crashed workers.
+const CRASH_POLL: Duration = Duration::from_millis(100);
+
 /// Site on which faults are carried out.
 pub(super) struct FaultySite {
     site: JobSite,
@@ -139,10 +145,10 @@
         let mut recoveries: Vec<Recovery> = Vec::new();
         for scheduled in schedule {
             while let Some(recovery) = take_due(&mut recoveries, scheduled.at_ms) {
-                sleep_until(at(recovery.at_ms)).await;
+                self.wait_until(at(recovery.at_ms)).await?;
                 self.recover(recovery.fault).await?;
             }
-            sleep_until(at(scheduled.at_ms)).await;
+            self.wait_until(at(scheduled.at_ms)).await?;
             self.inject(scheduled.fault)?;
             recoveries.push(Recovery {
                 at_ms: scheduled.at_ms + scheduled.duration_ms,
@@ -150,10 +156,38 @@
             });
         }
         while let Some(recovery) = take_due(&mut recoveries, u64::MAX) {
-            sleep_until(at(recovery.at_ms)).await;
+            self.wait_until(at(recovery.at_ms)).await?;
             self.recover(recovery.fault).await?;
         }
-        sleep_until(end).await;
+        self.wait_until(end).await
+    }
+
+    /// Waits for a result, and restarts the workers that tasks crash meanwhile.
+    pub(super) async fn restart_crashed_during<T>(
+        &mut self,
+        work: impl Future<Output = Result<T>>,
+    ) -> Result<T> {
+        tokio::pin!(work);
+        loop {
+            let next_look = TokioInstant::now() + CRASH_POLL;
+            tokio::select! {
+                result = &mut work => return result,
+                looked = self.wait_until(next_look) => looked?,
+            }
+        }
+    }
+
+    /// Waits until a time, and restarts the workers that tasks have crashed meanwhile.
+    async fn wait_until(&mut self, until: TokioInstant) -> Result<()> {
+        while TokioInstant::now() < until {
+            for number in 0..self.workers.len() {
+                let crashed = self.workers[number].worker.crashed();
+                if crashed.is_some_and(|crashed| crashed.elapsed() >= CRASH_TIME) {
+                    self.restart_worker(number).await?;
+                }
+            }
+            sleep_until(until.min(TokioInstant::now() + CRASH_POLL)).await;
+        }
         Ok(())
     }
 
@@ -279,6 +313,7 @@
 
     async fn start_worker(&self, id: String) -> Result<SoakWorker> {
         let worker = JobWorker::start(&self.site.store, &id, &self.service, self.task_ms).await?;
+        worker.crash_on(DEADLY_SUFFIX);
         Ok(SoakWorker {
             id,
             worker,
@@ -300,7 +335,7 @@
 
 /// Ends a worker and returns what it recorded; runs that haven't ended end with it.
 fn end_worker(leaving: &SoakWorker) -> WorkerHistory {
-    let ended = Instant::now();
+    let ended = leaving.worker.crashed().unwrap_or_else(Instant::now);
     let runs = leaving.worker.runs().into_iter().map(|run| RunHistory {
         task: run.task,
         began: run.began,
--- a/crates/cyclamentrail/tests/jobs_process.rs
+++ b/crates/cyclamentrail/tests/jobs_process.rs
@@ -142,3 +142,30 @@
     ensure!(runs.len() == 3, "a task ran twice: {runs:?}");
     site.check_done_once("00000000000000f3", 3)
 }
+
+/// A task crashes each worker that starts it, and the workers are back under their ids: its job is
+/// given up after at most three crashes, and another job completes.
+#[tokio::test]
+async fn crashing_task_given_up() -> Result<()> {
+    let mut site = JobSite::start(1, 3, 300).await?;
+    for worker in &site.workers {
+        worker.crash_on("f6.0.0.0");
+    }
+    site.submit(0, "00000000000000f5", 3).await?;
+    site.submit(0, "00000000000000f6", 3).await?;
+    let mut crashes = 0;
+    while site.state(0, "00000000000000f6").await? != "failed" {
+        for index in 0..site.workers.len() {
+            if site.workers[index].crashed().is_some() {
+                crashes += 1;
+                ensure!(crashes <= 3, "the task goes on crashing workers");
+                tokio::time::sleep(Duration::from_millis(500)).await;
+                site.restart_worker(index).await?;
+                site.workers[index].register();
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    ensure!(crashes >= 2, "given up after {crashes} crashes");
+    site.wait_completed(0, "00000000000000f5").await
+}
