--- a/crates/cyclamentrail-testkit/tests/soak_checker.rs
+++ b/crates/cyclamentrail-testkit/tests/soak_checker.rs
@@ -109,6 +109,14 @@
     history.workers[0].runs[1] = clock.run("0.1.0", 4_200, 4_300, true);
 }
 
+fn goes_on_crashing(clock: Clock, history: &mut History) {
+    let deadly = (0..6).map(|number| RunHistory {
+        task: String::from("000000010000002a.0.0.0"),
+        ..clock.run("", 1_000 * number, 1_000 * number + 10, false)
+    });
+    history.workers[1].runs.extend(deadly);
+}
+
 #[rstest]
 #[case::never_ended(never_ended, "JobNotEnded")]
 #[case::state_changed(state_changed, "StateAfterEnd")]
@@ -120,6 +128,7 @@
 #[case::ran_too_early(ran_too_early, "RanBeforeStep")]
 #[case::overfull(overfull, "WorkerOverfull")]
 #[case::ran_after_notice(ran_after_notice, "RanAfterNotice")]
+#[case::goes_on_crashing(goes_on_crashing, "GoesOnCrashing")]
 fn violation_found(#[case] break_promise: Break, #[case] kind: &str) {
     let clock = Clock(Instant::now());
     let mut history = kept_promises(clock);
