--- a/crates/cyclamentrail/tests/soak_seeded.rs
+++ b/crates/cyclamentrail/tests/soak_seeded.rs
@@ -1,7 +1,8 @@
 //! Soaks of separate processes with fixed seeds; CONTRIBUTING.md tells how more seeds are played.
 //!
 //! Seeds that once failed stay: in 13, 17, 30 and 40 an owner that went on after a pause showed a job
-//! as running that the next owner had shown as completed; in 30 the pause was shorter than 2 s.
+//! as running that the next owner had shown as completed; in 30 the pause was shorter than 2 s. In
+//! 204 and 215 the soak didn't restart crashed workers at the end, and a task went on crashing others.
 
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn promises_kept(#[values(13, 17, 30, 40)] seed: u64) -> Result<()> {
+async fn promises_kept(#[values(13, 17, 30, 40, 204, 215)] seed: u64) -> Result<()> {
     let soak = Soak::new(seed).duration(Duration::from_secs(20));
     let report = soak.run().await?;
     assert!(
