feat(teams): carry a job's team from the submission to its record, and decode teams

Cause: the configuration's decoder skipped teams, keys, caps and public routes, so that no process knew who a caller is. Change: the adapter decodes them, a submission and the accepted job name their team, and a shard is given the configuration of the teams. Nothing decides by them yet. Records of jobs without a team are encoded as before.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cyclamentrail_core::{JobId, RouteName};
+use cyclamentrail_core::{JobId, RouteName, TeamName};
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
@@ -258,6 +258,8 @@
     pub id: JobId,
     /// Route by which the job was submitted.
     pub route: RouteName,
+    /// Team of the caller; `None` for a job of a public route.
+    pub team: Option<TeamName>,
     /// The job as its caller submitted it.
     pub spec: Arc<JobSpec>,
     /// Unix time of the acceptance, in milliseconds.
@@ -285,6 +287,7 @@
         Self {
             id,
             route,
+            team: None,
             spec,
             accepted_ms,
             is_cancelled: false,
@@ -297,6 +300,13 @@
         }
     }
 
+    /// Sets the team of the caller.
+    #[must_use]
+    pub fn team(mut self, team: Option<TeamName>) -> Self {
+        self.team = team;
+        self
+    }
+
     /// Returns the number of occurrences, at least 1.
     #[must_use]
     pub fn occurrence_count(&self) -> u32 {
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -37,6 +37,7 @@
 mod shard_spread;
 mod spec;
 mod succession;
+mod team;
 mod worker;
 
 pub use admission::{Admission, AdmissionRequest, Backlog, admit, retry_after_outage_ms};
@@ -73,4 +74,5 @@
 pub use shard_spread::{shards_of_member, shards_of_partitions};
 pub use spec::{JobSpec, MAX_TASKS, Schedule, StepSpec};
 pub use succession::{Candidate, Incumbent, Predecessor, should_take_over};
+pub use team::TeamConfig;
 pub use worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use cyclamentrail_core::{RouteName, WorkerId};
+use cyclamentrail_core::{RouteName, TeamName, WorkerId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -33,6 +33,10 @@
     pub spec: Arc<JobSpec>,
     /// Unix time of the acceptance, in milliseconds.
     pub accepted_ms: u64,
+    /// Team of the caller; left out for a job without one, so that the record stays readable for
+    /// processes that know no teams.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<TeamName>,
 }
 
 /// Progress of a job.
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use cyclamentrail_core::{JobId, RouteName, WorkerId};
+use cyclamentrail_core::{JobId, RouteName, TeamName, WorkerId};
 use slotmap::SlotMap;
 
 use crate::effect::{CallerId, Decision, Effect, EndProof, StopCommand, WorkerTarget};
@@ -11,7 +11,7 @@
 use crate::job::{Job, JobKey, JobState, RunPhase, TaskKey};
 use crate::record::{AcceptedJobRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
 use crate::worker::{Reachability, Worker, WorkerKey};
-use crate::{DurationEstimate, RouteConfig, StepSpec};
+use crate::{DurationEstimate, RouteConfig, StepSpec, TeamConfig};
 
 mod advice;
 mod best_effort;
@@ -73,6 +73,7 @@
 pub struct Shard {
     timing: ShardTiming,
     routes: HashMap<RouteName, Arc<RouteConfig>>,
+    teams: HashMap<TeamName, TeamConfig>,
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
     workers: SlotMap<WorkerKey, Worker>,
@@ -138,6 +139,14 @@
             .collect();
     }
 
+    /// Replaces the configuration of all teams.
+    pub fn set_teams(&mut self, teams: impl IntoIterator<Item = TeamConfig>) {
+        self.teams = teams
+            .into_iter()
+            .map(|team| (team.name.clone(), team))
+            .collect();
+    }
+
     /// Returns the job with an id.
     #[must_use]
     pub fn job(&self, id: &JobId) -> Option<&Job> {
@@ -277,6 +286,7 @@
                 route: job.route.clone(),
                 spec: Arc::clone(&job.spec),
                 accepted_ms: job.accepted_ms,
+                team: job.team.clone(),
             };
             commit.records.push(KeyedRecord {
                 key: job.id.to_string(),
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -74,7 +74,8 @@
         if !accept.spec.is_well_formed() {
             return;
         }
-        let mut job = Job::new(id.clone(), accept.route, accept.spec, accept.accepted_ms);
+        let mut job =
+            Job::new(id.clone(), accept.route, accept.spec, accept.accepted_ms).team(accept.team);
         job.is_cancelled = progress_record.is_cancelled;
         job.is_failed = progress_record.is_failed;
         job.has_started = progress_record.has_started;
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -3,7 +3,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
-use cyclamentrail_core::{JobId, RouteName};
+use cyclamentrail_core::{JobId, RouteName, TeamName};
 
 use super::{Now, Shard};
 use crate::admission::{Admission, AdmissionRequest, Backlog, admit};
@@ -30,6 +30,8 @@
     pub id: JobId,
     /// Route that the job belongs to.
     pub route: RouteName,
+    /// Team of the caller; `None` where the route is public or no teams are configured.
+    pub team: Option<TeamName>,
     /// Steps and schedule of the job.
     pub spec: Arc<JobSpec>,
 }
@@ -79,9 +81,10 @@
             caller,
             id,
             route,
+            team,
             spec,
         } = submission;
-        let job = Job::new(id.clone(), route, spec, now.unix_ms);
+        let job = Job::new(id.clone(), route, spec, now.unix_ms).team(team);
         let key = self.jobs.insert(job);
         self.job_keys.insert(id.clone(), key);
         self.active.insert(key);
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use cyclamentrail_core::{JobId, LabelName, RouteName, ServiceName, WorkerId, ZoneName};
+use cyclamentrail_core::{JobId, LabelName, RouteName, ServiceName, TeamName, WorkerId, ZoneName};
 use cyclamentrail_jobs::{
     AdviceQuery, CallerId, CallerReply, CommandOutcome, Commit, CpuShareCommand, Decision, Effect,
     JobSpec, JobState, KeyedRecord, Now, PollOutcome, Resources, Shard, ShardTiming, StartCommand,
@@ -219,8 +219,13 @@
             .expect("the worker is part of the test")
     }
 
-    /// Submits a job; returns the caller's number.
+    /// Submits a job of a caller without a team; returns the caller's number.
     pub fn submit(&mut self, id: &str, spec: JobSpec) -> u64 {
+        self.submit_for(None, id, spec)
+    }
+
+    /// Submits a job of a team; returns the caller's number.
+    pub fn submit_for(&mut self, team: Option<&str>, id: &str, spec: JobSpec) -> u64 {
         let spec = Arc::new(spec);
         let id = JobId::from(id);
         self.specs.insert(id.clone(), Arc::clone(&spec));
@@ -229,6 +234,7 @@
             caller: CallerId(caller),
             id,
             route: RouteName::from(ROUTE),
+            team: team.map(TeamName::from),
             spec,
         };
         self.shard.submit(self.now(), submission);
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -126,6 +126,7 @@
                 id,
                 route: route.config.name.clone(),
                 spec: Arc::new(spec),
+                team: None,
             })
         }
         _ => Err(StatusCode::METHOD_NOT_ALLOWED),
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cyclamentrail_core::{JobId, RouteName, ServiceName, WorkerId};
+use cyclamentrail_core::{JobId, RouteName, ServiceName, TeamName, WorkerId};
 use cyclamentrail_jobs::{
     CallerReply, JobSpec, JobState, PoolLoad, RejectReason, WorkerTaskCounts,
 };
@@ -34,6 +34,9 @@
         route: RouteName,
         /// Steps and schedule of the job.
         spec: Arc<JobSpec>,
+        /// Team of the caller; `None` for a public route.
+        #[serde(default)]
+        team: Option<TeamName>,
     },
     /// Returns the state of a job.
     State(JobId),
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -325,6 +325,8 @@
                 .filter(|route| route.config.service == self.service)
                 .map(|route| route.config.clone());
             self.shard.set_routes(routes);
+            let teams = configuration.teams.iter().map(|team| team.config.clone());
+            self.shard.set_teams(teams);
         }
     }
 
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -35,7 +35,12 @@
         let caller = CallerId(self.next_caller);
         self.next_caller += 1;
         match request {
-            OwnerRequest::Submit { id, route, spec } => {
+            OwnerRequest::Submit {
+                id,
+                route,
+                spec,
+                team,
+            } => {
                 if self.is_commit_stuck() && self.shard.job(&id).is_none() {
                     self.reject_in_outage(id, reply);
                     return;
@@ -45,6 +50,7 @@
                     caller,
                     id,
                     route,
+                    team,
                     spec,
                 };
                 self.shard.submit(now(), submission);
