fix(edge): a late response of the store breaks the contact with it

The store is silent for some seconds and fails no call, as it responds within the time limit. A process that isn't the owner counted as in contact with the store all the while, found the owner's last confirmation 2.5 s old and claimed the shard 14 ms after the outage, before the owner could confirm it. The store then refused the claimant, and the queue whose demand was at its peak had no owner for 3.2 s more. Ruled out: the owner lost nothing and reached the store at the same moment. Test: silent_store_breaks_contact replays it against the pure decision.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -73,6 +73,6 @@
 pub use shard::{Commit, Now, Shard, ShardTiming, Submission, retry_seed};
 pub use shard_spread::{shards_of_member, shards_of_partitions};
 pub use spec::{JobSpec, MAX_TASKS, Schedule, StepSpec};
-pub use succession::{Candidate, Incumbent, Predecessor, should_take_over};
+pub use succession::{Candidate, Incumbent, Predecessor, StoreContact, should_take_over};
 pub use team::TeamConfig;
 pub use worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
--- a/crates/cyclamentrail-jobs/src/succession.rs
+++ b/crates/cyclamentrail-jobs/src/succession.rs
@@ -5,6 +5,8 @@
 //! active and confirmed by the store therefore keeps its shard, even when the group assigns it to
 //! another process.
 
+use crate::OwnerCapacity;
+
 /// Age of the store's last confirmation from which an owner counts as cut off from the store, in
 /// milliseconds; longer than the interval at which an idle owner requests one.
 const MAX_CONFIRMED_AGE_MS: u64 = 2_200;
@@ -23,7 +25,57 @@
 /// balance.
 const MIN_IMBALANCE: u64 = 2;
 
-use crate::OwnerCapacity;
+/// Duration of a call from which the store counts as not having responded meanwhile, in milliseconds;
+/// longer than the calls to a slow store take.
+const MAX_RESPONSE_MS: u64 = 700;
+
+/// Since when the store has responded to a process without a break.
+///
+/// A store that falls silent fails no call as long as it responds before the time limit, so that a
+/// late response counts as a break too: otherwise a process would take shards over at the end of an
+/// outage, from owners that it kept from confirming their ownership as well.
+///
+/// ```
+/// use cyclamentrail_jobs::StoreContact;
+///
+/// let mut contact = StoreContact::new();
+/// contact.record_response(1_000, 1_004);
+/// assert_eq!(contact.since_ms(), Some(1_004));
+/// contact.record_response(2_000, 4_400);
+/// assert_eq!(contact.since_ms(), Some(4_400));
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreContact {
+    since_ms: Option<u64>,
+}
+
+impl StoreContact {
+    /// Creates the contact of a process that has sent no call yet.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self { since_ms: None }
+    }
+
+    /// Records a response; both times are in milliseconds on the process's boot clock.
+    pub const fn record_response(&mut self, sent_ms: u64, received_ms: u64) {
+        let is_late = received_ms > sent_ms + MAX_RESPONSE_MS;
+        if is_late || self.since_ms.is_none() {
+            self.since_ms = Some(received_ms);
+        }
+    }
+
+    /// Records a call that failed.
+    pub const fn record_failure(&mut self) {
+        self.since_ms = None;
+    }
+
+    /// Returns the time since which the store has responded, in milliseconds on the process's boot
+    /// clock; `None` if the last call failed or none was sent.
+    #[must_use]
+    pub const fn since_ms(self) -> Option<u64> {
+        self.since_ms
+    }
+}
 
 /// State of the process that last claimed a shard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/cyclamentrail-jobs/tests/succession.rs
+++ b/crates/cyclamentrail-jobs/tests/succession.rs
@@ -1,8 +1,8 @@
 //! Takeover of a shard by the process that it is assigned to.
 
 use cyclamentrail_jobs::{
-    Candidate, Incumbent, MachineLimits, OwnerCapacity, Predecessor, leaves_shards_to_others,
-    should_take_over,
+    Candidate, Incumbent, MachineLimits, OwnerCapacity, Predecessor, StoreContact,
+    leaves_shards_to_others, should_take_over,
 };
 use rstest::rstest;
 
@@ -46,6 +46,26 @@
     assert!(!should_take_over(acting(100, 1), CANDIDATE));
 }
 
+/// A silent store answered a call after 2.4 s without failing it; the process took that for an unbroken
+/// contact and claimed a shard whose owner was about to reach the store again.
+#[test]
+fn silent_store_breaks_contact() {
+    let mut contact = StoreContact::new();
+    for sent_ms in [0, 400, 800] {
+        contact.record_response(sent_ms, sent_ms + 5);
+    }
+    assert_eq!(contact.since_ms(), Some(5));
+    contact.record_response(1_200, 3_600);
+    assert_eq!(contact.since_ms(), Some(3_600));
+    let reconnected = Candidate {
+        connected_ms: 3_610 - 3_600,
+        ..CANDIDATE
+    };
+    assert!(!should_take_over(acting(2_490, 1), reconnected));
+    contact.record_failure();
+    assert_eq!(contact.since_ms(), None);
+}
+
 #[test]
 fn cut_off_owner_replaced() {
     assert!(should_take_over(acting(2_500, 1), CANDIDATE));
--- a/crates/cyclamentrail/src/edge/membership/group.rs
+++ b/crates/cyclamentrail/src/edge/membership/group.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use cyclamentrail_jobs::{
-    OwnerCapacity, leaves_shards_to_others, shards_of_member, shards_of_partitions,
+    OwnerCapacity, StoreContact, leaves_shards_to_others, shards_of_member, shards_of_partitions,
 };
 use tokio::time::Instant;
 
@@ -65,8 +65,8 @@
     partitions: BTreeSet<u32>,
     /// Member that holds each partition, as it was last read.
     holders: BTreeMap<u32, String>,
-    /// Boot time in milliseconds since which the store has responded without a failure.
-    connected_ms: Option<u64>,
+    /// Since when the store has responded without a break.
+    contact: StoreContact,
     /// Whether this process takes part in the group.
     role: Role,
     /// Boot time in milliseconds at which the group last changed.
@@ -86,7 +86,7 @@
             generation: 0,
             partitions: BTreeSet::new(),
             holders: BTreeMap::new(),
-            connected_ms: None,
+            contact: StoreContact::new(),
             role: Role::Member,
             changed_ms: 0,
             announced_ms: 0,
@@ -114,10 +114,10 @@
         shards_of_partitions(shards, &self.partitions, all_partitions)
     }
 
-    /// Returns the boot time in milliseconds since which the store has responded without a failure;
+    /// Returns the boot time in milliseconds since which the store has responded without a break;
     /// `None` if the last call failed.
     pub(super) const fn connected_ms(&self) -> Option<u64> {
-        self.connected_ms
+        self.contact.since_ms()
     }
 
     /// Confirms the membership, or looks whether this process is to join again; returns the pause
@@ -247,7 +247,7 @@
     /// Returns the capacities of the processes that the group lists or that have announced
     /// themselves; `None` if the store doesn't tell.
     async fn read_capacities(&mut self, process: &ProcessState) -> Option<Vec<OwnerCapacity>> {
-        let sent = Instant::now();
+        let (sent, sent_ms) = (Instant::now(), boot_ms());
         let holders = process
             .store
             .partition_holders(OWNER_GROUP, PARTITION_TOPIC)
@@ -257,11 +257,11 @@
             Ok(holders) => self.holders = holders,
             Err(error) => {
                 log::debug!(error:% = error; "members_not_read");
-                self.connected_ms = None;
+                self.contact.record_failure();
                 return None;
             }
         }
-        self.connected_ms.get_or_insert_with(boot_ms);
+        self.contact.record_response(sent_ms, boot_ms());
         let listed = self.holders.values();
         let listed = listed.filter_map(|name| MemberName::parse(name));
         let by_machine: BTreeMap<String, OwnerCapacity> = listed
@@ -274,7 +274,7 @@
     /// Confirms the membership; returns whether the group has rebalanced its partitions.
     async fn join(&mut self, process: &ProcessState) -> bool {
         let ttl_ms = process.settings.min_member_ttl_ms * TTL_PERCENT / 100;
-        let sent = Instant::now();
+        let (sent, sent_ms) = (Instant::now(), boot_ms());
         let joined = process
             .store
             .join(
@@ -297,12 +297,12 @@
                         "partitions_assigned"
                     );
                 }
-                self.connected_ms.get_or_insert_with(boot_ms);
+                self.contact.record_response(sent_ms, boot_ms());
                 is_rebalanced
             }
             Err(error) => {
                 log::debug!(error:% = error; "membership_not_confirmed");
-                self.connected_ms = None;
+                self.contact.record_failure();
                 false
             }
         }
