fix(edge): don't hand requests to an owner that is taking over

Change: a request waits up to 100 ms for the takeover, and is then told that this process isn't the owner; the caller gets 503 with a time to return. The stand-in's store refuses the newest records of a topic, too.

--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -335,11 +335,11 @@
 }
 
 /// Returns a page with the newest record of each key after `after`, without deleted keys.
-async fn newest(
-    State(shared): State<Arc<Shared>>,
-    Query(query): Query<NewestQuery>,
-) -> Json<Value> {
+async fn newest(State(shared): State<Arc<Shared>>, Query(query): Query<NewestQuery>) -> Response {
     let state = shared.lock();
+    if state.unreadable.contains(&query.topic) {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     let records = state
         .topics
         .get(&query.topic)
@@ -355,7 +355,7 @@
         .collect();
     let more = items.len() > PAGE_ITEMS;
     let items: Vec<Value> = items.into_iter().take(PAGE_ITEMS).collect();
-    Json(json!({"items": items, "More": more, "End": records.len()}))
+    Json(json!({"items": items, "More": more, "End": records.len()})).into_response()
 }
 
 /// Encodes bytes in base64 with padding.
--- a/crates/cyclamentrail/src/edge/internal.rs
+++ b/crates/cyclamentrail/src/edge/internal.rs
@@ -18,6 +18,9 @@
 use super::relay::{RELAY_PATH, accept_session};
 use crate::metrics;
 
+/// Longest time that a request waits for a takeover by this process; short, because its sender takes a
+/// request without a reply for one that may have been carried out.
+const TAKEOVER_WAIT: Duration = Duration::from_millis(100);
 /// Longest time to wait for the local owner of a shard to end.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -36,13 +39,20 @@
         .with_state(process)
 }
 
-/// Sends a request to an owner in this process; `None` if this process doesn't own the shard, or
-/// loses it before the reply.
+/// Sends a request to an owner in this process; `None` if the owner ends before it replies.
+///
+/// A request that comes during a takeover isn't handed over before the takeover is done. The store may
+/// keep the takeover waiting for longer than the caller does, and the outcome of a request that the
+/// owner may still carry out would be unknown.
 pub(crate) async fn call_local_owner(process: &ProcessState, call: OwnerCall) -> Option<Reply> {
-    let sender = process.owner_sender(&call.service)?;
+    let Some(sender) = process.acting_owner(&call.service, TAKEOVER_WAIT).await else {
+        return Some(Reply::NotOwner);
+    };
     let (reply, reply_receiver) = oneshot::channel();
     let request: OwnerRequest = call.request;
-    sender.send(OwnerMessage::Request(request, reply)).ok()?;
+    if sender.send(OwnerMessage::Request(request, reply)).is_err() {
+        return Some(Reply::NotOwner);
+    }
     reply_receiver.await.ok()
 }
 
@@ -76,11 +86,9 @@
         }
         _ => {}
     }
-    let is_owner = process.owner_sender(&call.service).is_some();
     match call_local_owner(&process, call).await {
         Some(reply) => encode_reply(&reply),
-        None if is_owner => StatusCode::GATEWAY_TIMEOUT.into_response(),
-        None => encode_reply(&Reply::NotOwner),
+        None => StatusCode::GATEWAY_TIMEOUT.into_response(),
     }
 }
 
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -70,6 +70,8 @@
     takeover_began_ms: u64,
     /// Last confirmation by the store; `None` during the takeover.
     confirmation: Option<Confirmation>,
+    /// Signals that the takeover is done, or has failed.
+    takeover_ended: Arc<Notify>,
 }
 
 /// State of an edge process: its clients, what it has read from the store, and the shards that it
@@ -147,6 +149,27 @@
             .map(|owned| owned.sender.clone())
     }
 
+    /// Waits until the takeover of a shard by this process has ended, at most for `limit`; returns
+    /// the channel to the owner if the shard was taken over.
+    pub(crate) async fn acting_owner(
+        &self,
+        shard: &ServiceName,
+        limit: Duration,
+    ) -> Option<mpsc::UnboundedSender<OwnerMessage>> {
+        let takeover_ended = {
+            let owned_shards = self.lock_owned_shards();
+            let owned = owned_shards.get(shard.as_str())?;
+            if owned.confirmation.is_some() {
+                return Some(owned.sender.clone());
+            }
+            Arc::clone(&owned.takeover_ended).notified_owned()
+        };
+        drop(tokio::time::timeout(limit, takeover_ended).await);
+        let owned_shards = self.lock_owned_shards();
+        let owned = owned_shards.get(shard.as_str())?;
+        owned.confirmation.as_ref().map(|_| owned.sender.clone())
+    }
+
     /// Returns the status of this process's ownership of a shard; `None` if it doesn't own the
     /// shard or is stopping. During a takeover, the confirmation counts as made when the takeover
     /// began.
@@ -176,6 +199,7 @@
     pub(crate) fn set_confirmation(&self, shard: &str, confirmation: Confirmation) {
         if let Some(owned) = self.lock_owned_shards().get_mut(shard) {
             owned.confirmation = Some(confirmation);
+            owned.takeover_ended.notify_waiters();
         }
     }
 
@@ -206,6 +230,7 @@
             sender,
             takeover_began_ms: boot_ms(),
             confirmation: None,
+            takeover_ended: Arc::default(),
         };
         self.lock_owned_shards().insert(shard.to_owned(), owned);
         self.takeover_begun.notify_one();
@@ -223,7 +248,10 @@
             .get(shard)
             .is_some_and(|kept| kept.sender.same_channel(sender))
         {
-            owned_shards.remove(shard);
+            let owned = owned_shards.remove(shard);
+            if let Some(owned) = owned {
+                owned.takeover_ended.notify_waiters();
+            }
         }
     }
 
--- a/crates/cyclamentrail/tests/jobs_process.rs
+++ b/crates/cyclamentrail/tests/jobs_process.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use anyhow::{Result, ensure};
+use cyclamentrail_standin::{JOB_HOST, JOB_SERVICE, JobClient, SubmitResult};
 use cyclamentrail_testkit::JobSite;
 use hyper::{Method, StatusCode};
 
@@ -99,6 +100,35 @@
     Ok(())
 }
 
+/// The store keeps a takeover waiting. A submission waited in the new owner's queue until its deadline
+/// had passed, and its outcome was unknown although nothing had been done for it.
+#[tokio::test]
+async fn stuck_takeover_rejects() -> Result<()> {
+    let mut site = JobSite::start_named(JOB_HOST, JOB_SERVICE).await?;
+    site.add_worker("i-0", 200).await?;
+    let records = format!("keyed.jobs.{JOB_SERVICE}");
+    site.store.set_unreadable(&records, true);
+    site.add_process("n0")?;
+    while site.store.newest("keyed.owners", JOB_SERVICE).is_none() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let result = JobClient::new()
+        .submit(site.processes[0].1, "00000000000000d6", 1)
+        .await;
+    ensure!(
+        result == SubmitResult::Rejected,
+        "the outcome is {result:?}"
+    );
+    site.store.set_unreadable(&records, false);
+    site.submit(0, "00000000000000d7", 1).await?;
+    site.wait_completed(0, "00000000000000d7").await?;
+    ensure!(
+        site.runs("00000000000000d6").is_empty(),
+        "the rejected job ran"
+    );
+    Ok(())
+}
+
 /// A worker carries out a start command late and doesn't respond to it, so that the owner may have
 /// started the task again: each task is done exactly once.
 #[tokio::test]
