feat(auth): ask callers for team keys, and stop accepting them unconfirmed

Cause: a caller named no key, and a process cut off from the store could not tell that a key had been revoked. Change: on routes that are not public, a configuration with teams asks for Api-Key. A call at a process whose configuration was not confirmed within Bounds.RevokeMs, less a margin for slow clocks, gets 503 where Bounds.RevokeStrict is set; then an unknown key gets 401, and a job of another team 403. Faults of teams are typed, logged once a version, and cost only their own entry. The configuration is read over connections of its own, each read limited so that two attempts fit into the bound. Messages between processes are encoded as before for calls without a team.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cyclamentrail_core::{JobId, WorkerId};
+use cyclamentrail_core::{JobId, TeamName, WorkerId};
 use serde::{Deserialize, Serialize};
 
 use crate::grants::StepKey;
@@ -39,6 +39,8 @@
     State(JobState),
     /// The shard has no job with the requested id.
     UnknownJob,
+    /// The job belongs to another team.
+    OtherTeam,
     /// The job is cancelled.
     Cancelled,
     /// Number of a route's jobs of which no task has started.
@@ -228,6 +230,13 @@
         /// [`RejectReason::NotReady`], the duration of the store's outage or 0.
         wait_ms: u64,
     },
+    /// A caller's request was refused, because the job belongs to another team.
+    AccessDenied {
+        /// Id of the job.
+        job: JobId,
+        /// Team of the caller; `None` on a public route.
+        team: Option<TeamName>,
+    },
     /// A worker reported that a run has ended.
     RunEnded {
         /// Id of the job.
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -18,6 +18,7 @@
 //! assert!(shard.take_commit(now).is_none());
 //! ```
 
+mod access;
 mod admission;
 mod best_effort_share;
 mod effect;
@@ -40,6 +41,9 @@
 mod team;
 mod worker;
 
+pub use access::{
+    CallRefusal, PresentedKey, ReadTimes, authenticate, max_confirmation_age_ms, may_access_job,
+};
 pub use admission::{Admission, AdmissionRequest, Backlog, admit, retry_after_outage_ms};
 pub use best_effort_share::BestEffortShare;
 pub use effect::{
--- a/crates/cyclamentrail-jobs/src/shard/cancel.rs
+++ b/crates/cyclamentrail-jobs/src/shard/cancel.rs
@@ -1,18 +1,21 @@
 //! Cancellation of jobs.
 
-use cyclamentrail_core::JobId;
+use cyclamentrail_core::{JobId, TeamName};
 
 use super::Shard;
 use crate::effect::{CallerId, CallerReply, Effect};
 
 impl Shard {
-    /// Cancels a job and stops its runs; a final job keeps its state.
-    pub fn cancel(&mut self, caller: CallerId, id: &JobId) {
+    /// Cancels a job for a caller of `team` and stops its runs; a final job keeps its state.
+    pub fn cancel(&mut self, caller: CallerId, id: &JobId, team: Option<&TeamName>) {
         let Some(&key) = self.job_keys.get(id) else {
             self.ready_effects
                 .push(Effect::Reply(caller, CallerReply::UnknownJob));
             return;
         };
+        if self.denies_access(caller, key, team) {
+            return;
+        }
         let reply = Effect::Reply(caller, CallerReply::Cancelled);
         let job = &mut self.jobs[key];
         if job.state().is_final() {
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -6,9 +6,10 @@
 use cyclamentrail_core::{JobId, RouteName, TeamName};
 
 use super::{Now, Shard};
+use crate::access::may_access_job;
 use crate::admission::{Admission, AdmissionRequest, Backlog, admit};
 use crate::effect::{CallerId, CallerReply, Decision, Effect, RejectReason};
-use crate::job::{Job, JobState, Occurrence};
+use crate::job::{Job, JobKey, JobState, Occurrence};
 use crate::selection::PlacementRequest;
 use crate::worker::Worker;
 use crate::{DurationEstimate, JobSpec, Resources, StepSpec};
@@ -38,10 +39,13 @@
 
 impl Shard {
     /// Accepts or rejects a job; a repeated submission of an accepted id is accepted without a new
-    /// job.
+    /// job. A repeated submission of an id that another team's job has is refused.
     pub fn submit(&mut self, now: Now, submission: Submission) {
         let caller = submission.caller;
         if let Some(&key) = self.job_keys.get(&submission.id) {
+            if self.denies_access(caller, key, submission.team.as_ref()) {
+                return;
+            }
             let reply = Effect::Reply(caller, CallerReply::Accepted);
             if let Some(callers) = self.unstored.get_mut(&key) {
                 callers.push(caller);
@@ -96,10 +100,34 @@
             .push(Effect::Reply(caller, CallerReply::Accepted));
     }
 
-    /// Replies with the state of a job once the job is durable.
-    pub fn reply_state(&mut self, caller: CallerId, id: &JobId) {
+    /// Refuses the request of a caller of `team` if the job belongs to another team; returns whether
+    /// it did.
+    pub(super) fn denies_access(
+        &mut self,
+        caller: CallerId,
+        key: JobKey,
+        team: Option<&TeamName>,
+    ) -> bool {
+        let job = &self.jobs[key];
+        if may_access_job(!self.teams.is_empty(), job.team.as_ref(), team) {
+            return false;
+        }
+        self.ready_effects.push(Effect::Log(Decision::AccessDenied {
+            job: job.id.clone(),
+            team: team.cloned(),
+        }));
+        self.ready_effects
+            .push(Effect::Reply(caller, CallerReply::OtherTeam));
+        true
+    }
+
+    /// Replies to a caller of `team` with the state of a job once the job is durable.
+    pub fn reply_state(&mut self, caller: CallerId, id: &JobId, team: Option<&TeamName>) {
         let reply = match self.job_keys.get(id) {
             Some(&key) => {
+                if self.denies_access(caller, key, team) {
+                    return;
+                }
                 let job = &self.jobs[key];
                 if let Some(callers) = self.unstored.get_mut(&key) {
                     callers.push(caller);
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -1,5 +1,7 @@
 //! Tests of the scheduler with simulated workers, store and callers in virtual time.
 
+#[path = "scheduler/access.rs"]
+mod access;
 #[path = "scheduler/capacity.rs"]
 mod capacity;
 #[path = "scheduler/crashes.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -249,8 +249,24 @@
 
     /// Cancels a job; returns the caller's number.
     pub fn cancel(&mut self, id: &str) -> u64 {
+        self.cancel_for(None, id)
+    }
+
+    /// Cancels a job for a team; returns the caller's number.
+    pub fn cancel_for(&mut self, team: Option<&str>, id: &str) -> u64 {
+        let caller = self.new_caller();
+        let team = team.map(TeamName::from);
+        self.shard
+            .cancel(CallerId(caller), &JobId::from(id), team.as_ref());
+        caller
+    }
+
+    /// Asks for the state of a job for a team; returns the caller's number.
+    pub fn ask_state_for(&mut self, team: Option<&str>, id: &str) -> u64 {
         let caller = self.new_caller();
-        self.shard.cancel(CallerId(caller), &JobId::from(id));
+        let team = team.map(TeamName::from);
+        self.shard
+            .reply_state(CallerId(caller), &JobId::from(id), team.as_ref());
         caller
     }
 
--- a/crates/cyclamentrail-standin/src/jobs/client.rs
+++ b/crates/cyclamentrail-standin/src/jobs/client.rs
@@ -96,6 +96,29 @@
     store.put("keyed.op", "config", &configuration);
 }
 
+/// Writes the configuration of a site with teams to its store: a route under `/q/` whose callers need
+/// a key, and a public one under `/open/`. Each team is given with its keys.
+pub fn put_team_configuration(store: &JobStore, version: u64, teams: &[(&str, &[&str])]) {
+    let route = |name: &str, prefix: &str, is_public: bool| {
+        json!({
+            "Name": name, "Host": JOB_HOST, "PathPrefix": prefix, "Service": JOB_SERVICE,
+            "Priority": 0, "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3,
+            "Stretch": 2.0, "Public": is_public,
+        })
+    };
+    let teams: Vec<Value> = teams
+        .iter()
+        .map(|(name, keys)| json!({"Name": name, "ApiKeys": keys, "Weight": 10}))
+        .collect();
+    let configuration = json!({
+        "Version": version,
+        "Routes": [route("r", "/q/", false), route("open", "/open/", true)],
+        "Services": [{"Name": JOB_SERVICE, "Standby": false}],
+        "Tenants": teams,
+    });
+    store.put("keyed.op", "config", &configuration);
+}
+
 /// Returns the text of a settings file for a process on the loopback address.
 #[must_use]
 pub fn process_settings(name: &str, ports: ProcessPorts, store: SocketAddr) -> String {
@@ -127,6 +150,10 @@
 #[derive(Debug, Clone)]
 pub struct JobClient {
     host: Arc<str>,
+    /// Key that the requests carry, if any.
+    api_key: Option<Arc<str>>,
+    /// Prefix of the paths of the requests.
+    path_prefix: &'static str,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -142,6 +169,8 @@
     pub fn new() -> Self {
         Self {
             host: Arc::from(JOB_HOST),
+            api_key: None,
+            path_prefix: "/q/",
             client: Client::builder(TokioExecutor::new()).build_http(),
         }
     }
@@ -153,6 +182,20 @@
         self
     }
 
+    /// Sets the key that the requests carry.
+    #[must_use]
+    pub fn api_key(mut self, key: &str) -> Self {
+        self.api_key = Some(Arc::from(key));
+        self
+    }
+
+    /// Sets the prefix of the paths of the requests, which is that of a route.
+    #[must_use]
+    pub const fn path_prefix(mut self, path_prefix: &'static str) -> Self {
+        self.path_prefix = path_prefix;
+        self
+    }
+
     /// Sends a request about the job `id` to a process and returns the status and body of the response.
     ///
     /// # Errors
@@ -165,12 +208,15 @@
         id: &str,
         body: String,
     ) -> Result<(StatusCode, Bytes)> {
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
-            .uri(format!("http://{address}/q/{id}"))
+            .uri(format!("http://{address}{}{id}", self.path_prefix))
             .header("host", &*self.host)
-            .header("deadline-ms", "3000")
-            .body(Full::new(Bytes::from(body)))?;
+            .header("deadline-ms", "3000");
+        if let Some(key) = &self.api_key {
+            request = request.header("api-key", &**key);
+        }
+        let request = request.body(Full::new(Bytes::from(body)))?;
         let response = self.client.request(request).await?;
         let status = response.status();
         Ok((status, response.into_body().collect().await?.to_bytes()))
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -36,6 +36,7 @@
 mod peers;
 mod process_state;
 mod relay;
+mod revocation;
 mod start_queues;
 mod takeover;
 mod topic_reader;
@@ -158,6 +159,7 @@
             ));
         }
         tokio::spawn(operator_topic::follow(Arc::clone(&process)));
+        tokio::spawn(revocation::watch(Arc::clone(&process)));
         tokio::spawn(claims::follow(Arc::clone(&process)));
         tokio::spawn(worker_registry::follow(Arc::clone(&process)));
         let relay_task = tokio::spawn(relay::maintain(Arc::clone(&process)));
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{Display, Formatter, Result};
 
-use cyclamentrail_core::JobId;
+use cyclamentrail_core::{JobId, TeamName};
 use cyclamentrail_jobs::{Decision, TaskKey};
 use log::{Level, Record};
 
@@ -74,6 +74,9 @@
                 .with("job", job)
                 .with("reason", reason.as_str())
                 .with("wait_ms", wait_ms),
+            Decision::AccessDenied { job, team } => Self::new("access_denied")
+                .with("job", job)
+                .with("team", team.as_ref().map_or("", TeamName::as_str)),
             Decision::RunEnded {
                 job,
                 task,
@@ -165,6 +168,7 @@
     match decision {
         Decision::JobAccepted { job, .. }
         | Decision::JobRejected { job, .. }
+        | Decision::AccessDenied { job, .. }
         | Decision::RunEnded { job, .. }
         | Decision::RunGone { job, .. }
         | Decision::JobFinal { job, .. }
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -12,15 +12,18 @@
 use cyclamentrail_adapter::{
     Configuration, DEADLINE_HEADER, Route, decode_job, job_state_body, pending_body,
 };
-use cyclamentrail_core::JobId;
+use cyclamentrail_core::{JobId, TeamName};
+use cyclamentrail_jobs::{CallRefusal, authenticate};
 use http_body_util::{BodyExt, Limited};
 use tokio::time::Instant;
 
 use super::internal::call_local_owner;
-use super::messages::{OwnerCall, OwnerRequest, Reply};
+use super::messages::{JobRequest, OwnerCall, OwnerRequest, Reply};
 use super::peers::PeerError;
 use super::process_state::ProcessState;
 
+mod access;
+
 /// Deadline of a request without a deadline header, and the longest deadline that a header can set.
 const MAX_DEADLINE: Duration = Duration::from_secs(3);
 /// Part of a request's deadline within which the response is sent, in percent.
@@ -57,22 +60,39 @@
 }
 
 async fn handle_request(State(process): State<Arc<ProcessState>>, request: Request) -> Response {
-    let Some(configuration) = process.configuration() else {
-        return unavailable(NO_OWNER_RETRY_MS);
+    let (configuration, api_keys) = {
+        let operator_state = process.operator_state.borrow();
+        let Some(configuration) = &operator_state.configuration else {
+            return unavailable(NO_OWNER_RETRY_MS);
+        };
+        let api_keys = Arc::clone(&operator_state.api_keys);
+        (Arc::clone(configuration), api_keys)
     };
+    let is_confirmed = process.revocation.accepts_keys_of(&configuration);
     let deadline = process.response_deadline(Instant::now() + deadline_of(request.headers()));
     let (parts, body) = request.into_parts();
     let host = host_of(&parts.headers);
     let path = parts.uri.path();
     let Some(route) = configuration.find_route(&host, path) else {
-        return StatusCode::NOT_FOUND.into_response();
+        // A newer configuration may have the route.
+        return if is_confirmed {
+            StatusCode::NOT_FOUND.into_response()
+        } else {
+            access::refuse(CallRefusal::Unconfirmed, &parts.headers)
+        };
+    };
+    let needs_key = configuration.needs_keys && !route.is_public;
+    let key = || access::presented_key(&parts.headers, &api_keys);
+    let team = match authenticate(needs_key, is_confirmed, key) {
+        Ok(team) => team,
+        Err(refusal) => return access::refuse(refusal, &parts.headers),
     };
     let path_suffix = path[route.path_prefix.len()..].to_owned();
     let body = match read_body(&configuration, body).await {
         Ok(body) => body,
         Err(status) => return status.into_response(),
     };
-    match parse_owner_request(&parts.method, &path_suffix, route, &body) {
+    match parse_owner_request(&parts.method, &path_suffix, route, team, &body) {
         Ok(request) => {
             let call = OwnerCall {
                 service: route.config.service.clone(),
@@ -103,6 +123,7 @@
     method: &Method,
     path_suffix: &str,
     route: &Route,
+    team: Option<TeamName>,
     body: &[u8],
 ) -> Result<OwnerRequest, StatusCode> {
     if path_suffix.is_empty() {
@@ -118,15 +139,15 @@
     }
     let id = JobId::from(path_suffix);
     match *method {
-        Method::GET => Ok(OwnerRequest::State(id)),
-        Method::DELETE => Ok(OwnerRequest::Cancel(id)),
+        Method::GET => Ok(OwnerRequest::State(JobRequest { id, team })),
+        Method::DELETE => Ok(OwnerRequest::Cancel(JobRequest { id, team })),
         Method::POST => {
             let spec = decode_job(body).ok_or(StatusCode::BAD_REQUEST)?;
             Ok(OwnerRequest::Submit {
                 id,
                 route: route.config.name.clone(),
                 spec: Arc::new(spec),
-                team: None,
+                team,
             })
         }
         _ => Err(StatusCode::METHOD_NOT_ALLOWED),
@@ -215,6 +236,7 @@
         Reply::Malformed => StatusCode::BAD_REQUEST.into_response(),
         Reply::State(state) => json(StatusCode::OK, job_state_body(state.into())),
         Reply::Unknown => StatusCode::GONE.into_response(),
+        Reply::OtherTeam => access::refuse_other_team(),
         Reply::Pending(count) => json(StatusCode::OK, pending_body(count)),
         Reply::Load(_)
         | Reply::Shard(_)
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -34,14 +34,15 @@
         route: RouteName,
         /// Steps and schedule of the job.
         spec: Arc<JobSpec>,
-        /// Team of the caller; `None` for a public route.
-        #[serde(default)]
+        /// Team of the caller; `None` for a public route. Left out then, because processes of
+        /// earlier versions don't know the field.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         team: Option<TeamName>,
     },
     /// Returns the state of a job.
-    State(JobId),
+    State(JobRequest),
     /// Cancels a job.
-    Cancel(JobId),
+    Cancel(JobRequest),
     /// Returns the number of jobs of a route that haven't begun.
     Pending(RouteName),
     /// Returns whether, and how well confirmed, the process acts as the owner.
@@ -58,6 +59,45 @@
     Evacuate(Vec<WorkerId>),
 }
 
+/// Job that a caller names, with the caller's team. Without a team it is sent as the id alone, as
+/// earlier versions do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "JobRequestMessage", into = "JobRequestMessage")]
+pub(crate) struct JobRequest {
+    /// Id of the job.
+    pub(crate) id: JobId,
+    /// Team of the caller; `None` for a public route.
+    pub(crate) team: Option<TeamName>,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum JobRequestMessage {
+    Id(JobId),
+    OfTeam(JobId, TeamName),
+}
+
+impl From<JobRequestMessage> for JobRequest {
+    fn from(message: JobRequestMessage) -> Self {
+        match message {
+            JobRequestMessage::Id(id) => Self { id, team: None },
+            JobRequestMessage::OfTeam(id, team) => Self {
+                id,
+                team: Some(team),
+            },
+        }
+    }
+}
+
+impl From<JobRequest> for JobRequestMessage {
+    fn from(request: JobRequest) -> Self {
+        match request.team {
+            Some(team) => Self::OfTeam(request.id, team),
+            None => Self::Id(request.id),
+        }
+    }
+}
+
 /// Reply of the owner of a service.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Reply {
@@ -76,6 +116,8 @@
     State(JobStateMessage),
     /// The owner doesn't know the job, or no longer keeps it.
     Unknown,
+    /// The job belongs to another team.
+    OtherTeam,
     /// The job is cancelled.
     Cancelled,
     /// Number of the route's jobs that haven't begun.
@@ -208,6 +250,7 @@
             CallerReply::Malformed => Self::Malformed,
             CallerReply::State(state) => Self::State(state.into()),
             CallerReply::UnknownJob => Self::Unknown,
+            CallerReply::OtherTeam => Self::OtherTeam,
             CallerReply::Cancelled => Self::Cancelled,
             CallerReply::PendingJobs(count) => Self::Pending(count),
         }
--- a/crates/cyclamentrail/src/edge/operator_topic.rs
+++ b/crates/cyclamentrail/src/edge/operator_topic.rs
@@ -1,26 +1,33 @@
 //! Follows the topic that operators write: the configuration and the waves.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use cyclamentrail_adapter::{
-    CONFIGURATION_KEY, StoredRecord, WAVE_PREFIX, decode_configuration, decode_wave,
+    ApiKeys, CONFIGURATION_KEY, HttpClient, Store, StoredRecord, TeamFault, WAVE_PREFIX,
+    decode_configuration, decode_wave,
 };
 
 use super::process_state::{OperatorState, ProcessState};
 use super::topic_reader::{TopicRead, TopicReader};
+use super::{CONNECT_TIMEOUT, STORE_TIMEOUT};
 
 /// Topic of the operators.
 const TOPIC: &str = "op";
-/// Time that one read waits for new records; short, so that a connection that went silent doesn't
-/// delay an operator's change.
-const READ_WAIT: Duration = Duration::from_secs(1);
+/// Most lines about faults of teams for one version of the configuration.
+const MAX_FAULT_LINES: usize = 50;
 
 /// Reads the operators' topic until the process exits.
 pub(crate) async fn follow(process: Arc<ProcessState>) {
+    // Connections of its own: a read that was given up closes its connection, and the next one
+    // can't be given another connection that went silent at the same time.
+    let http_client = HttpClient::new(CONNECT_TIMEOUT);
+    let store = Store::new(http_client, process.settings.store, STORE_TIMEOUT);
     let mut topic = TopicReader::new(TOPIC);
     loop {
-        match topic.read(&process.store, READ_WAIT).await {
+        let read = topic
+            .read_within(&store, process.revocation.max_age_ms())
+            .await;
+        match read {
             TopicRead::Snapshot(records) => {
                 process
                     .operator_state
@@ -29,6 +36,10 @@
             }
             TopicRead::Update(records) => apply_records(&process, records),
         }
+        // Only now: the records of the read are in force.
+        if topic.is_at_end() {
+            process.revocation.confirm(topic.read_sent_ms());
+        }
     }
 }
 
@@ -44,7 +55,7 @@
 
 /// Replaces the configuration if the record holds a newer version.
 fn apply_configuration(process: &ProcessState, record: &StoredRecord) {
-    let Some(configuration) = decode_configuration(&record.value) else {
+    let Some(mut configuration) = decode_configuration(&record.value) else {
         log::warn!(offset = record.offset; "configuration_unreadable");
         return;
     };
@@ -55,13 +66,31 @@
     log::info!(
         version = configuration.version,
         before = known_version,
-        routes = configuration.routes.len();
+        routes = configuration.routes.len(),
+        teams = configuration.teams.len(),
+        team_faults = configuration.team_faults.len();
         "configuration_in_force"
     );
+    report_faults(&configuration.team_faults);
+    let api_keys = Arc::new(ApiKeys::new(&configuration.teams));
+    for team in &mut configuration.teams {
+        team.keys = Vec::new();
+    }
     let configuration = Arc::new(configuration);
-    process
-        .operator_state
-        .send_modify(|operator_state| operator_state.configuration = Some(configuration));
+    process.operator_state.send_modify(|operator_state| {
+        operator_state.configuration = Some(configuration);
+        operator_state.api_keys = api_keys;
+    });
+}
+
+/// Logs the faults of a configuration's teams, up to [`MAX_FAULT_LINES`].
+fn report_faults(faults: &[TeamFault]) {
+    for fault in faults.iter().take(MAX_FAULT_LINES) {
+        log::warn!(fault:% = fault; "team_fault");
+    }
+    if faults.len() > MAX_FAULT_LINES {
+        log::warn!(faults = faults.len() - MAX_FAULT_LINES; "team_faults_left_out");
+    }
 }
 
 /// Inserts or replaces a wave, or removes it if its record is empty or unreadable.
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -11,7 +11,7 @@
 
 use super::{Owner, relayed_workers};
 use crate::edge::clocks::{now, whole_ms};
-use crate::edge::messages::{OwnerRequest, Reply};
+use crate::edge::messages::{JobRequest, OwnerRequest, Reply};
 use crate::edge::operator_views::{describe_job, describe_shard};
 use crate::metrics;
 
@@ -55,19 +55,21 @@
                 };
                 self.shard.submit(now(), submission);
             }
-            OwnerRequest::State(id) if !self.may_show_state(&id) => {
+            OwnerRequest::State(request) if !self.may_show_state(&request.id) => {
                 drop(reply.send(Reply::NotOwner));
             }
-            OwnerRequest::Cancel(id) if self.shard.job(&id).is_none() && self.may_be_replaced() => {
+            OwnerRequest::Cancel(request)
+                if self.shard.job(&request.id).is_none() && self.may_be_replaced() =>
+            {
                 drop(reply.send(Reply::NotOwner));
             }
-            OwnerRequest::State(id) => {
+            OwnerRequest::State(JobRequest { id, team }) => {
                 self.waiting_callers.insert(caller, reply);
-                self.shard.reply_state(caller, &id);
+                self.shard.reply_state(caller, &id, team.as_ref());
             }
-            OwnerRequest::Cancel(id) => {
+            OwnerRequest::Cancel(JobRequest { id, team }) => {
                 self.waiting_callers.insert(caller, reply);
-                self.shard.cancel(caller, &id);
+                self.shard.cancel(caller, &id, team.as_ref());
             }
             OwnerRequest::Pending(route) => {
                 self.waiting_callers.insert(caller, reply);
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use cyclamentrail_adapter::{Configuration, HttpClient, ProcessSettings, Store, StoreError, Wave};
+use cyclamentrail_adapter::{
+    ApiKeys, Configuration, HttpClient, ProcessSettings, Store, StoreError, Wave,
+};
 use cyclamentrail_core::{CallerLimits, ServiceName};
 use cyclamentrail_jobs::{OwnerCapacity, Relay, WorkerRegistration};
 use serde::{Deserialize, Serialize};
@@ -19,6 +21,7 @@
 use super::owner::{OwnerMessage, WORKER_TIMEOUT};
 use super::peers::PeerClient;
 use super::relay::{RelayClient, relay_client};
+use super::revocation::RevocationCheck;
 
 /// Largest number of requests that a listener serves at once.
 const MAX_REQUESTS: u32 = 2_000;
@@ -53,8 +56,10 @@
 /// Newest state that the operators have written.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct OperatorState {
-    /// Newest configuration; `None` until one was read.
+    /// Newest configuration, without the keys of its teams; `None` until one was read.
     pub(crate) configuration: Option<Arc<Configuration>>,
+    /// Keys of the teams of that configuration.
+    pub(crate) api_keys: Arc<ApiKeys>,
     /// Waves by the keys of their records.
     pub(crate) waves: HashMap<String, Wave>,
 }
@@ -95,6 +100,8 @@
     /// When the registrations were last read. They may be relied on for a start as long as it
     /// arrives within the notice of a worker that gave it right after the read.
     pub(crate) registry_confirmation: Confirmation,
+    /// Whether the configuration is new enough to accept keys by it.
+    pub(crate) revocation: RevocationCheck,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
     /// Signals that a takeover has begun.
     takeover_begun: Notify,
@@ -109,6 +116,7 @@
         let registry_valid = drain_notice
             .saturating_sub(WORKER_TIMEOUT)
             .max(MIN_REGISTRY_VALID);
+        let revocation = RevocationCheck::new(&settings.bounds);
         Self {
             settings,
             http_client,
@@ -121,6 +129,7 @@
             announcements: Announcements::default(),
             workers: watch::Sender::new(None),
             registry_confirmation: Confirmation::new(0, registry_valid),
+            revocation,
             owned_shards: Mutex::new(HashMap::new()),
             takeover_begun: Notify::new(),
             last_response: OnceLock::new(),
@@ -248,7 +257,10 @@
 
     /// Returns whether the platform may send callers to this process.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.configuration().is_some()
+        !self.is_stopping()
+            && self
+                .configuration()
+                .is_some_and(|configuration| self.revocation.accepts_keys_of(&configuration))
     }
 
     /// Makes all owners in this process give up their shards, and leaves the consumer group so that
--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cyclamentrail_adapter::{Store, StoreError, StoredRecord, keyed_topic};
+use cyclamentrail_jobs::ReadTimes;
 
 use super::clocks::boot_ms;
 use crate::metrics;
@@ -30,6 +31,10 @@
     next_offset: Option<u64>,
     /// Boot time in milliseconds at which the last successful read was sent; 0 before the first.
     read_sent_ms: u64,
+    /// Whether the last successful read returned all records that the topic had.
+    is_at_end: bool,
+    /// Whether the last read failed or was slow.
+    is_slow: bool,
 }
 
 impl TopicReader {
@@ -40,6 +45,8 @@
             name: keyed_topic(topic),
             next_offset: None,
             read_sent_ms: 0,
+            is_at_end: false,
+            is_slow: false,
         }
     }
 
@@ -65,6 +72,51 @@
         }
     }
 
+    /// Reads the next records as [`TopicReader::read`] does, but gives up a read in time for another
+    /// one, if what was read may be relied on for `max_age_ms` milliseconds.
+    pub(crate) async fn read_within(&mut self, store: &Store, max_age_ms: u64) -> TopicRead {
+        loop {
+            let times = ReadTimes::new(max_age_ms, self.is_slow);
+            let sent_ms = boot_ms();
+            let read = self.try_read_within(store, times).await;
+            metrics::count_topic_read(self.topic, read.is_ok());
+            self.is_slow = read.is_err() || times.is_slow(max_age_ms, boot_ms() - sent_ms);
+            match read {
+                Ok(read) => {
+                    self.read_sent_ms = sent_ms;
+                    return read;
+                }
+                Err(StoreError::RecordsDeleted { .. }) => self.next_offset = None,
+                Err(error) => {
+                    log::debug!(topic = self.name.as_str(), error:% = error; "topic_not_read");
+                    // A store that refuses does so at once; one that is silent has taken its time.
+                    if !matches!(error, StoreError::NoResponse(_)) {
+                        tokio::time::sleep(RETRY_INTERVAL).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn try_read_within(
+        &mut self,
+        store: &Store,
+        times: ReadTimes,
+    ) -> Result<TopicRead, StoreError> {
+        let read = self.try_read(store, Duration::from_millis(times.wait_ms));
+        tokio::time::timeout(Duration::from_millis(times.limit_ms), read)
+            .await
+            .unwrap_or_else(|_elapsed| {
+                let limit_ms = times.limit_ms;
+                Err(StoreError::NoResponse(format!("none within {limit_ms} ms")))
+            })
+    }
+
+    /// Returns whether the last successful read returned all records that the topic had.
+    pub(crate) const fn is_at_end(&self) -> bool {
+        self.is_at_end
+    }
+
     /// Returns the boot time in milliseconds at which the last successful read was sent; 0 before
     /// the first.
     pub(crate) const fn read_sent_ms(&self) -> u64 {
@@ -75,10 +127,12 @@
         if let Some(from) = self.next_offset {
             let page = store.read(&self.name, from, wait).await?;
             self.next_offset = Some(page.next_offset);
+            self.is_at_end = !page.has_more;
             return Ok(TopicRead::Update(page.records));
         }
         let page = store.read_newest(&self.name).await?;
         self.next_offset = Some(page.end_offset);
+        self.is_at_end = true;
         Ok(TopicRead::Snapshot(page.records))
     }
 }
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -59,6 +59,9 @@
 /// Log lines that were omitted because the budget of their shard was used up.
 pub(crate) const LINES_OMITTED: &str = "cyclamentrail_log_lines_left_out_total";
 
+/// Calls that weren't served because of their key or their team, by reason.
+pub(crate) const CALLERS_REFUSED: &str = "cyclamentrail_callers_refused_total";
+
 /// Kind of a metric.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MetricKind {
@@ -265,6 +268,12 @@
         labels: &[],
         help: "Log lines that were omitted because the budget of their shard was used up.",
     },
+    Metric {
+        name: CALLERS_REFUSED,
+        kind: MetricKind::Counter,
+        labels: &["reason"],
+        help: "Calls that weren't served because of their key or their team, by reason.",
+    },
 ];
 
 impl Metric {
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -5,9 +5,10 @@
 use cyclamentrail_jobs::{CommandOutcome, Decision, PoolLoad};
 
 use super::catalog::{
-    JOB_SECONDS, JOBS, JOBS_GIVEN_UP, LINES_DROPPED, LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND,
-    POOL_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS, STORE_CALLS,
-    STORE_SECONDS, TASK_WAITS, WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
+    CALLERS_REFUSED, JOB_SECONDS, JOBS, JOBS_GIVEN_UP, LINES_DROPPED, LINES_OMITTED,
+    MACHINE_COMMANDS, POOL_DEMAND, POOL_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED,
+    SHARD_TAKEOVERS, STARTS, STORE_CALLS, STORE_SECONDS, TASK_WAITS, WORKER_COMMANDS,
+    WORKER_SECONDS, WORKERS_AVOIDED,
 };
 
 /// Number of thousandths in one unit, such as milliseconds in a second.
@@ -49,7 +50,8 @@
         Decision::JobGivenUp { .. } => {
             metrics::counter!(JOBS_GIVEN_UP, "service" => service).increment(1);
         }
-        Decision::ContactChanged { .. }
+        Decision::AccessDenied { .. }
+        | Decision::ContactChanged { .. }
         | Decision::WorkerRestarted { .. }
         | Decision::ShareChanged { .. } => {}
     }
@@ -59,6 +61,11 @@
     metrics::counter!(RUNS_ENDED, "service" => service, "how" => end_label).increment(1);
 }
 
+/// Counts a call that isn't served because of its key.
+pub(crate) fn count_caller_refusal(reason: &'static str) {
+    metrics::counter!(CALLERS_REFUSED, "reason" => reason).increment(1);
+}
+
 /// Counts log lines that were omitted because the budget of their shard was used up.
 pub(crate) fn count_omitted_lines(lines: u64) {
     metrics::counter!(LINES_OMITTED).increment(lines);
