feat(auth): log refused calls within a budget, and give slow reads of the configuration more time

Cause: a read limit that never grows would make a store that takes seconds unreadable, and refused calls left no line. Change: each read that was given up adds to the limit of the next one, up to 5 s; reads after a slow one do not wait for records.

--- a/crates/cyclamentrail-jobs/src/access.rs
+++ b/crates/cyclamentrail-jobs/src/access.rs
@@ -7,6 +7,14 @@
 
 /// Longest time that a read of the configuration waits for a new record, in milliseconds.
 const MAX_READ_WAIT_MS: u64 = 1_000;
+/// Longest time that a read of the configuration takes, in milliseconds.
+pub const MAX_READ_LIMIT_MS: u64 = 5_000;
+/// Smallest age of a confirmation for which the reads of the configuration are timed, in
+/// milliseconds; shorter bounds would read without a pause.
+const MIN_READ_AGE_MS: u64 = 1_000;
+/// Largest age of a confirmation for which the reads of the configuration are timed, in
+/// milliseconds; longer bounds would delay a new configuration behind a silent connection.
+const MAX_READ_AGE_MS: u64 = 4_750;
 /// Part of the revocation bound that is kept back for clocks that run slow: one in this many.
 const CLOCK_MARGIN_DIVISOR: u64 = 20;
 /// Smallest part of the revocation bound that is kept back, in milliseconds.
@@ -85,14 +93,8 @@
 /// Returns the age in milliseconds that the confirmation of the configuration may reach before keys
 /// count as possibly revoked. Less than the bound by a margin for clocks that run slow.
 #[must_use]
-pub const fn max_confirmation_age_ms(revoke_ms: u64) -> u64 {
-    let part_ms = revoke_ms / CLOCK_MARGIN_DIVISOR;
-    let margin_ms = if part_ms > MIN_CLOCK_MARGIN_MS {
-        part_ms
-    } else {
-        MIN_CLOCK_MARGIN_MS
-    };
-    revoke_ms.saturating_sub(margin_ms)
+pub fn max_confirmation_age_ms(revoke_ms: u64) -> u64 {
+    revoke_ms.saturating_sub((revoke_ms / CLOCK_MARGIN_DIVISOR).max(MIN_CLOCK_MARGIN_MS))
 }
 
 /// Times of one read of the configuration, in milliseconds.
@@ -102,44 +104,48 @@
     pub wait_ms: u64,
     /// Time after which the read is given up.
     pub limit_ms: u64,
+    /// Longest duration of the read if the store isn't slow.
+    quick_ms: u64,
+    /// Time that each failure before the read adds to its limit.
+    step_ms: u64,
 }
 
 impl ReadTimes {
-    /// Returns the times of the next read, if the configuration counts as confirmed for `max_age_ms`.
-    /// After a read that failed or was slow, the next one doesn't wait for a record.
+    /// Returns the times of the next read after `failures` reads in a row that failed or were slow,
+    /// if a confirmation counts for `max_age_ms` milliseconds.
     ///
-    /// A read that waited, one that was given up, and one more together take less than `max_age_ms`,
-    /// so that one silent connection doesn't end the confirmation.
+    /// A read that waited in vain, one that was given up, and one more take less than `max_age_ms`,
+    /// so that one silent connection doesn't end the confirmation. After a failure, reads don't wait
+    /// for a record, and get more and more time, so that a slow store is read in the end.
     #[must_use]
-    pub const fn new(max_age_ms: u64, is_retry: bool) -> Self {
-        if is_retry {
+    pub fn new(max_age_ms: u64, failures: u32) -> Self {
+        let age_ms = max_age_ms.clamp(MIN_READ_AGE_MS, MAX_READ_AGE_MS);
+        let slow_ms = age_ms / 8;
+        let step_ms = age_ms / 3;
+        if failures == 0 {
+            let wait_ms = MAX_READ_WAIT_MS.min(age_ms / 4);
             return Self {
-                wait_ms: 0,
-                limit_ms: max_age_ms / 3,
+                wait_ms,
+                limit_ms: wait_ms + slow_ms,
+                quick_ms: wait_ms + slow_ms,
+                step_ms,
             };
         }
-        let part_ms = max_age_ms / 4;
-        let wait_ms = if part_ms < MAX_READ_WAIT_MS {
-            part_ms
-        } else {
-            MAX_READ_WAIT_MS
-        };
         Self {
-            wait_ms,
-            limit_ms: wait_ms + slow_read_ms(max_age_ms),
+            wait_ms: 0,
+            limit_ms: (step_ms * u64::from(failures)).min(MAX_READ_LIMIT_MS),
+            quick_ms: slow_ms,
+            step_ms,
         }
     }
 
-    /// Returns whether the read after one that took `took_ms` does without the wait, because the
-    /// store is slow.
+    /// Returns the number of failures that the next read counts after one that succeeded in
+    /// `took_ms`: none after a quick one, otherwise as many as give the next one as much time.
     #[must_use]
-    pub const fn is_slow(self, max_age_ms: u64, took_ms: u64) -> bool {
-        took_ms > self.wait_ms + slow_read_ms(max_age_ms)
+    pub fn failures_after(self, took_ms: u64) -> u32 {
+        if took_ms <= self.quick_ms {
+            return 0;
+        }
+        u32::try_from(took_ms / self.step_ms + 1).unwrap_or(u32::MAX)
     }
 }
-
-/// Returns the time without the wait that a read takes at most if the store isn't slow, in
-/// milliseconds.
-const fn slow_read_ms(max_age_ms: u64) -> u64 {
-    max_age_ms / 8
-}
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -27,6 +27,7 @@
 mod decision_log;
 mod front;
 mod internal;
+mod line_budget;
 mod machine_duty;
 mod membership;
 mod messages;
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -78,14 +78,17 @@
         return if is_confirmed {
             StatusCode::NOT_FOUND.into_response()
         } else {
-            access::refuse(CallRefusal::Unconfirmed, &parts.headers)
+            access::refuse(&process, CallRefusal::Unconfirmed, "", &parts.headers)
         };
     };
     let needs_key = configuration.needs_keys && !route.is_public;
     let key = || access::presented_key(&parts.headers, &api_keys);
     let team = match authenticate(needs_key, is_confirmed, key) {
         Ok(team) => team,
-        Err(refusal) => return access::refuse(refusal, &parts.headers),
+        Err(refusal) => {
+            let name = route.config.name.as_str();
+            return access::refuse(&process, refusal, name, &parts.headers);
+        }
     };
     let path_suffix = path[route.path_prefix.len()..].to_owned();
     let body = match read_body(&configuration, body).await {
--- a/crates/cyclamentrail/src/edge/front/access.rs
+++ b/crates/cyclamentrail/src/edge/front/access.rs
@@ -6,6 +6,7 @@
 use cyclamentrail_jobs::{CallRefusal, PresentedKey};
 
 use super::unavailable;
+use crate::edge::process_state::ProcessState;
 use crate::metrics;
 
 /// Time after which a caller may retry at a process whose configuration isn't confirmed, in
@@ -28,14 +29,23 @@
         })
 }
 
-/// Counts and logs a call that isn't served, and returns the response.
-pub(super) fn refuse(refusal: CallRefusal, headers: &HeaderMap) -> Response {
+/// Counts a call that isn't served, logs it within the budget of lines, and returns the response.
+/// A call at a process whose configuration isn't confirmed has no line: that state is logged once.
+pub(super) fn refuse(
+    process: &ProcessState,
+    refusal: CallRefusal,
+    route: &str,
+    headers: &HeaderMap,
+) -> Response {
     metrics::count_caller_refusal(refusal.as_str());
     match refusal {
         CallRefusal::Unconfirmed => unavailable(UNCONFIRMED_RETRY_MS),
         CallRefusal::NoKey | CallRefusal::UnknownKey => {
-            let key = key_digest(headers).map_or_else(String::new, |digest| digest.to_string());
-            log::debug!(reason = refusal.as_str(), key = key.as_str(); "call_refused");
+            if process.refusal_lines.take_line() {
+                let key = key_digest(headers).map_or_else(String::new, |digest| digest.to_string());
+                let reason = refusal.as_str();
+                log::info!(reason = reason, route = route, key = key.as_str(); "call_refused");
+            }
             (
                 StatusCode::UNAUTHORIZED,
                 [(header::WWW_AUTHENTICATE, KEY_SCHEME)],
--- a/crates/cyclamentrail/src/edge/operator_topic.rs
+++ b/crates/cyclamentrail/src/edge/operator_topic.rs
@@ -1,15 +1,17 @@
 //! Follows the topic that operators write: the configuration and the waves.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamentrail_adapter::{
     ApiKeys, CONFIGURATION_KEY, HttpClient, Store, StoredRecord, TeamFault, WAVE_PREFIX,
     decode_configuration, decode_wave,
 };
+use cyclamentrail_jobs::MAX_READ_LIMIT_MS;
 
+use super::CONNECT_TIMEOUT;
 use super::process_state::{OperatorState, ProcessState};
 use super::topic_reader::{TopicRead, TopicReader};
-use super::{CONNECT_TIMEOUT, STORE_TIMEOUT};
 
 /// Topic of the operators.
 const TOPIC: &str = "op";
@@ -21,7 +23,8 @@
     // Connections of its own: a read that was given up closes its connection, and the next one
     // can't be given another connection that went silent at the same time.
     let http_client = HttpClient::new(CONNECT_TIMEOUT);
-    let store = Store::new(http_client, process.settings.store, STORE_TIMEOUT);
+    let timeout = Duration::from_millis(MAX_READ_LIMIT_MS);
+    let store = Store::new(http_client, process.settings.store, timeout);
     let mut topic = TopicReader::new(TOPIC);
     loop {
         let read = topic
@@ -71,7 +74,7 @@
         team_faults = configuration.team_faults.len();
         "configuration_in_force"
     );
-    report_faults(&configuration.team_faults);
+    report_faults(&std::mem::take(&mut configuration.team_faults));
     let api_keys = Arc::new(ApiKeys::new(&configuration.teams));
     for team in &mut configuration.teams {
         team.keys = Vec::new();
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -16,6 +16,7 @@
 
 use super::clocks::boot_ms;
 use super::confirmation::Confirmation;
+use super::line_budget::LineBudget;
 use super::membership::{Announcements, MemberName, OWNER_GROUP};
 use super::messages::OwnershipStatus;
 use super::owner::{OwnerMessage, WORKER_TIMEOUT};
@@ -102,6 +103,8 @@
     pub(crate) registry_confirmation: Confirmation,
     /// Whether the configuration is new enough to accept keys by it.
     pub(crate) revocation: RevocationCheck,
+    /// Log lines about calls that weren't served because of their key.
+    pub(crate) refusal_lines: LineBudget,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
     /// Signals that a takeover has begun.
     takeover_begun: Notify,
@@ -130,6 +133,7 @@
             workers: watch::Sender::new(None),
             registry_confirmation: Confirmation::new(0, registry_valid),
             revocation,
+            refusal_lines: LineBudget::default(),
             owned_shards: Mutex::new(HashMap::new()),
             takeover_begun: Notify::new(),
             last_response: OnceLock::new(),
--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -33,8 +33,8 @@
     read_sent_ms: u64,
     /// Whether the last successful read returned all records that the topic had.
     is_at_end: bool,
-    /// Whether the last read failed or was slow.
-    is_slow: bool,
+    /// Reads in a row that failed or were slow.
+    failures: u32,
 }
 
 impl TopicReader {
@@ -46,7 +46,7 @@
             next_offset: None,
             read_sent_ms: 0,
             is_at_end: false,
-            is_slow: false,
+            failures: 0,
         }
     }
 
@@ -76,21 +76,25 @@
     /// one, if what was read may be relied on for `max_age_ms` milliseconds.
     pub(crate) async fn read_within(&mut self, store: &Store, max_age_ms: u64) -> TopicRead {
         loop {
-            let times = ReadTimes::new(max_age_ms, self.is_slow);
+            let times = ReadTimes::new(max_age_ms, self.failures);
             let sent_ms = boot_ms();
             let read = self.try_read_within(store, times).await;
             metrics::count_topic_read(self.topic, read.is_ok());
-            self.is_slow = read.is_err() || times.is_slow(max_age_ms, boot_ms() - sent_ms);
             match read {
                 Ok(read) => {
                     self.read_sent_ms = sent_ms;
+                    let took_ms = boot_ms().saturating_sub(sent_ms);
+                    self.failures = times.failures_after(took_ms);
                     return read;
                 }
                 Err(StoreError::RecordsDeleted { .. }) => self.next_offset = None,
                 Err(error) => {
                     log::debug!(topic = self.name.as_str(), error:% = error; "topic_not_read");
-                    // A store that refuses does so at once; one that is silent has taken its time.
-                    if !matches!(error, StoreError::NoResponse(_)) {
+                    if matches!(error, StoreError::NoResponse(_)) {
+                        self.failures += 1;
+                    } else {
+                        // The store refused at once, so that the next read needs no more time.
+                        self.failures = self.failures.max(1);
                         tokio::time::sleep(RETRY_INTERVAL).await;
                     }
                 }
