--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -92,6 +92,9 @@
                     log::debug!(topic = self.name.as_str(), error:% = error; "topic_not_read");
                     if matches!(error, StoreError::NoResponse(_)) {
                         self.failures += 1;
+                        // A connection that is reset fails at once, a silent one has taken its time.
+                        let took = Duration::from_millis(boot_ms().saturating_sub(sent_ms));
+                        tokio::time::sleep(RETRY_INTERVAL.saturating_sub(took)).await;
                     } else {
                         // The store refused at once, so that the next read needs no more time.
                         self.failures = self.failures.max(1);
