--- a/crates/cyclamentrail-testkit/src/forwarder.rs
+++ b/crates/cyclamentrail-testkit/src/forwarder.rs
@@ -21,6 +21,8 @@
 pub struct Forwarder {
     address: SocketAddr,
     cut: watch::Sender<bool>,
+    /// Incremented to silence the connections that are open.
+    silencings: watch::Sender<u32>,
     forwarded_bytes: Arc<AtomicU64>,
     accept_task: JoinHandle<()>,
 }
@@ -35,16 +37,19 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let (cut, is_cut) = watch::channel(false);
+        let (silencings, silenced) = watch::channel(0);
         let forwarded_bytes = Arc::new(AtomicU64::new(0));
         let accept_task = tokio::spawn(accept_connections(
             listener,
             target,
             is_cut,
+            silenced,
             Arc::clone(&forwarded_bytes),
         ));
         Ok(Self {
             address,
             cut,
+            silencings,
             forwarded_bytes,
             accept_task,
         })
@@ -62,6 +67,12 @@
         self.cut.send_replace(cut);
     }
 
+    /// Forwards nothing more over the connections that are open, and leaves them open; new ones are
+    /// forwarded.
+    pub fn silence_open(&self) {
+        self.silencings.send_modify(|silencings| *silencings += 1);
+    }
+
     /// Returns the number of bytes forwarded in both directions since the start.
     #[must_use]
     pub fn forwarded_bytes(&self) -> u64 {
@@ -79,6 +90,7 @@
     listener: TcpListener,
     target: SocketAddr,
     is_cut: watch::Receiver<bool>,
+    silenced: watch::Receiver<u32>,
     forwarded_bytes: Arc<AtomicU64>,
 ) {
     while let Ok((stream, _)) = listener.accept().await {
@@ -89,6 +101,7 @@
             stream,
             target,
             is_cut.clone(),
+            silenced.clone(),
             Arc::clone(&forwarded_bytes),
         ));
     }
@@ -98,21 +111,26 @@
     client_stream: TcpStream,
     target: SocketAddr,
     mut is_cut: watch::Receiver<bool>,
+    mut silenced: watch::Receiver<u32>,
     forwarded_bytes: Arc<AtomicU64>,
 ) {
+    silenced.mark_unchanged();
     let Ok(target_stream) = TcpStream::connect(target).await else {
         return;
     };
-    let (client_read, client_write) = client_stream.into_split();
-    let (target_read, target_write) = target_stream.into_split();
+    let (mut client_read, mut client_write) = client_stream.into_split();
+    let (mut target_read, mut target_write) = target_stream.into_split();
     tokio::select! {
-        () = copy(client_read, target_write, &forwarded_bytes) => {}
-        () = copy(target_read, client_write, &forwarded_bytes) => {}
-        _ = is_cut.wait_for(|cut| *cut) => {}
+        () = copy(&mut client_read, &mut target_write, &forwarded_bytes) => return,
+        () = copy(&mut target_read, &mut client_write, &forwarded_bytes) => return,
+        _ = is_cut.wait_for(|cut| *cut) => return,
+        Ok(()) = silenced.changed() => {}
     }
+    // Both connections stay open until the forwarder is cut or dropped.
+    drop(is_cut.wait_for(|cut| *cut).await);
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, forwarded_bytes: &AtomicU64) {
+async fn copy(from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf, forwarded_bytes: &AtomicU64) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
         if to.write_all(&buffer[..length]).await.is_err() {
--- a/crates/cyclamentrail-testkit/src/job_site.rs
+++ b/crates/cyclamentrail-testkit/src/job_site.rs
@@ -35,6 +35,8 @@
     /// Processes with the address at which each accepts requests about jobs.
     pub processes: Vec<(Process, SocketAddr)>,
     client: JobClient,
+    /// Lines of the settings files of processes that are started from now on.
+    settings: String,
     /// Folder of the settings files; removed when the site is dropped.
     folder: tempfile::TempDir,
 }
@@ -73,10 +75,18 @@
             workers: Vec::new(),
             processes: Vec::new(),
             client: JobClient::new().host(host),
+            settings: String::new(),
             folder: tempfile::tempdir()?,
         })
     }
 
+    /// Sets additional lines of the settings files of all processes that are started later.
+    #[must_use]
+    pub fn settings(mut self, lines: &str) -> Self {
+        lines.clone_into(&mut self.settings);
+        self
+    }
+
     /// Starts one more worker, whose tasks take `task_ms` milliseconds each.
     ///
     /// # Errors
@@ -166,7 +176,7 @@
     ) -> Result<(Process, SocketAddr)> {
         let ports = ProcessPorts::allocate()?;
         let path = self.folder.path().join(name);
-        let text = process_settings(name, ports, store) + limits;
+        let text = process_settings(name, ports, store) + &self.settings + limits;
         std::fs::write(&path, text)?;
         let arguments = [
             String::from("edge"),
--- a/crates/cyclamentrail/tests/jobs_keys.rs
+++ b/crates/cyclamentrail/tests/jobs_keys.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use anyhow::{Result, ensure};
-use cyclamentrail_standin::{JobClient, put_team_configuration};
-use cyclamentrail_testkit::JobSite;
+use cyclamentrail_standin::{JOB_HOST, JOB_SERVICE, JobClient, JobStore, put_team_configuration};
+use cyclamentrail_testkit::{Forwarder, JobSite};
 use hyper::{Method, StatusCode};
+use rstest::rstest;
+use serde_json::{Value, json};
 use tokio::time::Instant;
 
 /// Settings of a deployment whose revocations hold everywhere.
@@ -19,14 +21,14 @@
 
 /// Starts a site with the teams `red` (keys `red-1` and `red-2`) and `blue` (key `blue-1`).
 async fn team_site(processes: usize) -> Result<JobSite> {
-    let mut site = JobSite::start(0, 2, 200).await?;
+    let mut site = JobSite::start(0, 2, 200).await?.settings(STRICT);
     put_team_configuration(
         &site.store,
         4,
         &[("red", &["red-1", "red-2"]), ("blue", &["blue-1"])],
     );
     for index in 0..processes {
-        site.add_limited_process(&format!("n{index}"), STRICT)?;
+        site.add_process(&format!("n{index}"))?;
     }
     let client = client("red-1");
     for index in 0..processes {
@@ -127,8 +129,8 @@
 /// Where no teams are configured, nothing is asked, also if the store is out of reach.
 #[tokio::test]
 async fn no_teams_no_key() -> Result<()> {
-    let mut site = JobSite::start(0, 1, 200).await?;
-    site.add_limited_process("n0", STRICT)?;
+    let mut site = JobSite::start(0, 1, 200).await?.settings(STRICT);
+    site.add_process("n0")?;
     site.submit(0, "00000000000000c1", 1).await?;
     site.wait_completed(0, "00000000000000c1").await?;
     site.store.set_unreadable("keyed.op", true);
@@ -175,3 +177,163 @@
     ensure!(list(&client("red-1"), address).await? == StatusCode::UNAUTHORIZED);
     Ok(())
 }
+
+/// Returns the status of a call to the listener for readiness checks, whose port follows that of the
+/// listener for callers.
+async fn readiness(address: SocketAddr) -> Result<StatusCode> {
+    let ready = SocketAddr::new(address.ip(), address.port() + 1);
+    let call = JobClient::new().path_prefix("/readyz");
+    let body = String::new();
+    Ok(call.call(ready, Method::GET, "", body).await?.0)
+}
+
+/// The store goes down, or goes silent, while all keys of a team go: within the bound each process
+/// stops accepting keys and isn't ready; it goes on where it was once the store is back.
+#[rstest]
+#[case::down(JobStore::set_down)]
+#[case::silent(JobStore::set_losing_responses)]
+#[tokio::test]
+async fn outage_ends_acceptance(#[case] set_outage: fn(&JobStore, bool)) -> Result<()> {
+    let site = team_site(2).await?;
+    set_outage(&site.store, true);
+    put_team_configuration(&site.store, 5, &[("blue", &["blue-1"])]);
+    tokio::time::sleep(REVOKE_TIME).await;
+    for (_, address) in &site.processes {
+        for key in ["red-1", "blue-1", "never"] {
+            let status = list(&client(key), *address).await?;
+            ensure!(status == StatusCode::SERVICE_UNAVAILABLE, "{key}: {status}");
+        }
+        ensure!(readiness(*address).await? == StatusCode::SERVICE_UNAVAILABLE);
+    }
+    set_outage(&site.store, false);
+    for (_, address) in &site.processes {
+        wait_for(&client("blue-1"), *address, StatusCode::OK).await?;
+        ensure!(list(&client("red-1"), *address).await? == StatusCode::UNAUTHORIZED);
+        ensure!(readiness(*address).await? == StatusCode::OK);
+    }
+    Ok(())
+}
+
+/// A process is suspended for longer than the bound while a key goes. Calls that reach it during the
+/// suspension are answered after it, when the process hasn't read anything yet.
+#[tokio::test]
+async fn suspension_counts() -> Result<()> {
+    let site = team_site(1).await?;
+    let (process, address) = &site.processes[0];
+    let address = *address;
+    let red = client("red-1");
+    ensure!(list(&red, address).await? == StatusCode::OK);
+    process.pause()?;
+    put_team_configuration(&site.store, 5, &[("blue", &["blue-1"])]);
+    tokio::time::sleep(REVOKE_TIME + Duration::from_millis(100)).await;
+    let waiting: Vec<_> = (0..20)
+        .map(|_| {
+            let red = red.clone();
+            tokio::spawn(async move { list(&red, address).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    process.resume()?;
+    for call in waiting {
+        let status = call.await??;
+        ensure!(!status.is_success(), "a revoked key was accepted: {status}");
+    }
+    wait_for(&client("blue-1"), address, StatusCode::OK).await
+}
+
+/// A connection that goes silent must not keep a revocation, or a new key, from a process that the
+/// store would answer on another connection; valid keys are accepted all the time.
+#[tokio::test]
+async fn silent_connection_replaced() -> Result<()> {
+    let mut site = JobSite::start(0, 1, 200).await?.settings(STRICT);
+    put_team_configuration(
+        &site.store,
+        4,
+        &[("red", &["red-1"]), ("blue", &["blue-1"])],
+    );
+    let link = Forwarder::start(site.store.address()).await?;
+    let folder = tempfile::tempdir()?;
+    let log = folder.path().join("n0.log");
+    let started = site.start_logged_process("n0", link.address(), &log)?;
+    let address = started.1;
+    site.processes.push(started);
+    wait_for(&client("blue-1"), address, StatusCode::OK).await?;
+    for version in 5..8 {
+        link.silence_open();
+        let red = format!("red-{version}");
+        let teams: [(&str, &[&str]); 2] = [("red", &[&red]), ("blue", &["blue-1"])];
+        put_team_configuration(&site.store, version, &teams);
+        let applied = Instant::now() + APPLY_TIME;
+        while Instant::now() < applied {
+            let status = list(&client("blue-1"), address).await?;
+            ensure!(status == StatusCode::OK, "a valid key got {status}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        ensure!(list(&client(&red), address).await? == StatusCode::OK);
+        ensure!(list(&client("red-1"), address).await? == StatusCode::UNAUTHORIZED);
+    }
+    Ok(())
+}
+
+/// A process that starts during an outage has no configuration: it serves nobody, and is not ready,
+/// until the store is back; then its configuration is in force in time.
+#[tokio::test]
+async fn start_during_outage() -> Result<()> {
+    let mut site = team_site(1).await?;
+    site.store.set_down(true);
+    site.add_process("n1")?;
+    let address = site.processes[1].1;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for client in [client("red-1"), JobClient::new().path_prefix("/open/")] {
+        ensure!(list(&client, address).await? == StatusCode::SERVICE_UNAVAILABLE);
+    }
+    ensure!(readiness(address).await? == StatusCode::SERVICE_UNAVAILABLE);
+    put_team_configuration(&site.store, 5, &[("red", &["red-2"])]);
+    site.store.set_down(false);
+    tokio::time::sleep(APPLY_TIME).await;
+    ensure!(list(&client("red-2"), address).await? == StatusCode::OK);
+    ensure!(list(&client("red-1"), address).await? == StatusCode::UNAUTHORIZED);
+    Ok(())
+}
+
+/// A configuration of the design size is in force in time at a process that runs and at one that
+/// starts.
+#[tokio::test]
+async fn large_configuration_applied() -> Result<()> {
+    let mut site = team_site(1).await?;
+    put_large_configuration(&site.store, 5);
+    tokio::time::sleep(APPLY_TIME).await;
+    let large = client("key-569-3");
+    ensure!(list(&large, site.processes[0].1).await? == StatusCode::OK);
+    site.add_process("n1")?;
+    tokio::time::sleep(APPLY_TIME).await;
+    ensure!(list(&large, site.processes[1].1).await? == StatusCode::OK);
+    ensure!(list(&client("red-1"), site.processes[1].1).await? == StatusCode::UNAUTHORIZED);
+    Ok(())
+}
+
+/// Writes a configuration of 1,400 routes to one service, and 570 teams of four keys each.
+fn put_large_configuration(store: &JobStore, version: u64) {
+    let route = |number: u32| {
+        json!({
+            "Name": format!("route-{number}"), "Host": JOB_HOST, "Service": JOB_SERVICE,
+            "PathPrefix": if number == 0 { String::from("/q/") } else { format!("/q{number}/") },
+            "Priority": 0, "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3,
+            "Stretch": 2.0, "Public": false,
+        })
+    };
+    let team = |number: u32| {
+        let keys: Vec<String> = (0..4).map(|key| format!("key-{number}-{key}")).collect();
+        json!({
+            "Name": format!("team-{number}"), "ApiKeys": keys, "Weight": 3,
+            "Cap": {"Cpu": 64_000, "MemMb": 131_072, "Gpu": 0},
+        })
+    };
+    let configuration = json!({
+        "Version": version,
+        "Routes": (0..1_400).map(route).collect::<Vec<Value>>(),
+        "Services": [{"Name": JOB_SERVICE, "Standby": false}],
+        "Tenants": (0..570).map(team).collect::<Vec<Value>>(),
+    });
+    store.put("keyed.op", "config", &configuration);
+}
