feat(quota): decide how much of a team's cap each shard may use

Cause: shards are owned by different processes, so that no owner knows what a team has running elsewhere. Change: pure decisions for allowances, reports and the ledger that lends the part of a cap that isn't a base.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -27,6 +27,7 @@
 mod job;
 mod lease;
 mod owner_capacity;
+mod quota;
 mod ranking;
 mod record;
 mod relays;
@@ -61,6 +62,10 @@
 };
 pub use lease::{ClockSample, Lease};
 pub use owner_capacity::{MachineLimits, OwnerCapacity, leaves_shards_to_others};
+pub use quota::{
+    AllowanceChange, Allowances, Grantee, Ledger, MAX_CHANGED_TEAMS, QuotaReply, QuotaReport,
+    TeamReport, WHOLE_CAP, base_share, cap_share, is_limited, largest_allowance, may_start,
+};
 pub use ranking::{JobRank, WaitingJob};
 pub use record::{
     AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
