feat(quota): keep teams within their caps over all owners

Cause: an owner places tasks without knowing what their team uses, here or in other shards. Change: a shard counts what each team has placed, skips steps whose team's allowance doesn't suffice, and reports what it could use. The holder of _fleet keeps the ledger and serves reports also during a round of the machine duties and without a service for machines. Owners and the ledger read the claims after their own before they trust each other.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -8,6 +8,7 @@
 
 use crate::grants::StepKey;
 use crate::job::{JobState, TaskKey};
+use crate::quota::AllowanceChange;
 use crate::worker::WorkerKey;
 
 mod outcome;
@@ -324,6 +325,13 @@
         /// Number of workers that crashed under the task.
         crashes: u32,
     },
+    /// The allowance of a team in this shard was changed.
+    AllowanceChanged {
+        /// The team with both allowances, in millionths of its cap.
+        change: AllowanceChange,
+        /// Share of the cap that the team's placed tasks take, in millionths.
+        usage: u64,
+    },
     /// A run makes no progress and is stopped.
     RunStalled {
         /// Id of the job.
@@ -338,6 +346,8 @@
 pub enum WaitReason {
     /// A worker with enough free capacity.
     NoCapacity,
+    /// A larger allowance of its team.
+    Quota,
     /// The start command, which hasn't been sent yet.
     StartUnsent,
     /// The worker's response to the start command.
@@ -352,6 +362,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoCapacity => "room",
+            Self::Quota => "quota",
             Self::StartUnsent => "sending",
             Self::StartUnconfirmed => "answer",
             Self::PreviousRunStopping => "stop",
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -75,7 +75,7 @@
 pub use resources::Resources;
 pub use route::{AdviceConfig, RouteConfig};
 pub use selection::{PlacementRequest, select_worker};
-pub use shard::{Commit, Now, Shard, ShardTiming, Submission, retry_seed};
+pub use shard::{Commit, Now, Shard, ShardTiming, Submission, TeamQuota, retry_seed};
 pub use shard_spread::{shards_of_member, shards_of_partitions};
 pub use spec::{JobSpec, MAX_TASKS, Schedule, StepSpec};
 pub use succession::{Candidate, Incumbent, Predecessor, should_take_over};
--- a/crates/cyclamentrail-jobs/src/quota.rs
+++ b/crates/cyclamentrail-jobs/src/quota.rs
@@ -70,19 +70,16 @@
     WHOLE_CAP - base_share(services) * (whole_count(services) - 1)
 }
 
-/// Returns whether a shard may start a task, or a gang as a whole.
+/// Returns whether a shard may start a task, or a gang as a whole, that takes its usage from `usage`
+/// to `after`.
 ///
 /// A request that doesn't fit even with every loan starts only in a shard that uses nothing of the
 /// team and holds every loan. At most one shard does, so that the cap is exceeded by one task at
 /// most: a gang may exceed it by one of its tasks, `member` being the share of one.
 #[must_use]
-pub fn may_start(usage: u64, request: u64, member: u64, allowance: u64, services: usize) -> bool {
+pub fn may_start(usage: u64, after: u64, member: u64, allowance: u64, services: usize) -> bool {
     let largest = largest_allowance(services);
-    if request <= largest {
-        usage + request <= allowance
-    } else {
-        usage == 0 && allowance >= largest && request <= largest + member
-    }
+    after <= allowance || (usage == 0 && allowance >= largest && after <= largest + member)
 }
 
 fn whole_count(services: usize) -> u64 {
--- a/crates/cyclamentrail-jobs/src/quota/allowance.rs
+++ b/crates/cyclamentrail-jobs/src/quota/allowance.rs
@@ -105,6 +105,18 @@
         self.granted.retain(|team, _| is_capped(team));
     }
 
+    /// Returns whether a report waits for its reply.
+    #[must_use]
+    pub const fn is_report_open(&self) -> bool {
+        self.open.is_some()
+    }
+
+    /// Returns whether a ledger may still know a team above its base.
+    #[must_use]
+    pub fn has_reported_teams(&self) -> bool {
+        !self.known.is_empty()
+    }
+
     /// Returns whether there is anything to report to the ledger with this token, where `has_teams`
     /// tells whether a team isn't at its base. A loan that was returned has to be reported once more.
     #[must_use]
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -24,6 +24,7 @@
 mod placement;
 mod placements;
 mod progress;
+mod quota;
 mod recovery;
 mod registry;
 mod reports;
@@ -34,6 +35,7 @@
 mod timing;
 mod unsent_jobs;
 
+pub use quota::TeamQuota;
 pub use submit::{Submission, retry_seed};
 pub use timing::ShardTiming;
 
@@ -109,6 +111,7 @@
     arrivals: evacuation::Arrivals,
     crashes: crashes::Crashes,
     grants: Grants,
+    quota: quota::Quota,
     /// Number of queries to queue policies that have no result yet.
     open_queries: usize,
 }
@@ -145,6 +148,7 @@
             .into_iter()
             .map(|team| (team.name.clone(), team))
             .collect();
+        self.drop_loans_without_cap();
     }
 
     /// Returns the job with an id.
@@ -333,9 +337,10 @@
 
     /// Frees the capacity of a run that has ended for certain; a `proof` is reported as a decision.
     fn release(&mut self, key: TaskKey, proof: Option<EndProof>) {
-        let Some(demand) = self.step_of(key).map(StepSpec::reserved_resources) else {
+        let Some(spec) = self.step_of(key) else {
             return;
         };
+        let (demand, full_demand) = (spec.reserved_resources(), spec.demand);
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
@@ -343,6 +348,7 @@
         let Some(placement) = job.task_mut(key).and_then(|task| task.placement.take()) else {
             return;
         };
+        self.quota.subtract(job.team.as_ref(), &full_demand);
         self.dirty.insert(key.job);
         let Some(worker) = self.workers.get_mut(placement.worker) else {
             return;
--- a/crates/cyclamentrail-jobs/src/shard/long_waits.rs
+++ b/crates/cyclamentrail-jobs/src/shard/long_waits.rs
@@ -26,6 +26,10 @@
         let Some((job, (task, reason))) = oldest else {
             return;
         };
+        let reason = match reason {
+            WaitReason::NoCapacity if self.waits_for_quota(task) => WaitReason::Quota,
+            reason => reason,
+        };
         let decision = Decision::TaskWaiting {
             job: job.id.clone(),
             task,
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -75,6 +75,7 @@
 impl Shard {
     /// Places waiting tasks in the order of their jobs' ranks.
     pub(super) fn place_tasks(&mut self, now: Now) {
+        self.quota.begin_pass();
         let mut waiting = self.waiting_jobs(now);
         let accepts_tasks = |worker: &Worker| worker.accepts_tasks(now.boot_ms);
         if waiting.is_empty() || !self.workers.values().any(accepts_tasks) {
@@ -168,6 +169,11 @@
         if pass.is_hopeless(is_restricted, &spec.reserved_resources()) {
             return;
         }
+        let limit = self.step_limit(ready_step.job, spec);
+        if let Some(limit) = limit.as_ref().filter(|limit| !self.quota.allows(limit)) {
+            self.record_skipped(ready_step.task(0), limit);
+            return;
+        }
         let spec = spec.clone();
         let granted = self.granted_workers(now, ready_step.task(0).into());
         if spec.gang {
@@ -186,6 +192,10 @@
             if !self.is_waiting(key) {
                 continue;
             }
+            if let Some(limit) = limit.as_ref().filter(|limit| !self.quota.allows(limit)) {
+                self.record_skipped(key, limit);
+                return;
+            }
             let mut request = PlacementRequest::from(&spec);
             request.preferred_rack = rack.as_ref();
             if spec.long_running {
@@ -312,12 +322,14 @@
 
     /// Places a task on a worker; its start command is sent once the placement is durable.
     fn place(&mut self, now: Now, key: TaskKey, worker_key: WorkerKey, run: Option<u32>) {
-        let Some(demand) = self.step_of(key).map(StepSpec::reserved_resources) else {
+        let Some(spec) = self.step_of(key) else {
             return;
         };
+        let (demand, full_demand) = (spec.reserved_resources(), spec.demand);
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
+        let team = job.team.clone();
         let Some(task) = job.task_mut(key) else {
             return;
         };
@@ -335,6 +347,7 @@
             progress_percent: 0,
             progress_changed_ms: now.boot_ms,
         });
+        self.quota.add(team.as_ref(), &full_demand);
         let worker = &mut self.workers[worker_key];
         worker.used_capacity = worker.used_capacity.saturating_add(&demand);
         worker.tasks.insert(key);
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -11,6 +11,7 @@
 use cyclamentrail_core::{JobId, ServiceName, WorkerId, ZoneName};
 
 use super::{Now, Shard};
+use crate::Resources;
 use crate::job::{
     Job, JobKey, Occurrence, Placement, RestartDoubt, RunPhase, StepProgress, Task, TaskKey,
 };
@@ -19,7 +20,6 @@
     ProgressRecord, RELEASE_KEY, RecordError, TaskRecord, decode,
 };
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
-use crate::{Resources, StepSpec};
 
 /// A run that a record names and that has to be restored on its worker.
 struct RecordedRun {
@@ -109,9 +109,10 @@
             None => self.insert_unlisted(now, &record.worker, record.started_ms),
         };
         let has_restarted = self.workers[worker_key].registration.started_ms > record.started_ms;
-        let Some(demand) = self.step_of(task).map(StepSpec::reserved_resources) else {
+        let Some(spec) = self.step_of(task) else {
             return;
         };
+        let (demand, full_demand) = (spec.reserved_resources(), spec.demand);
         let phase = if record.is_stopping {
             RunPhase::Stopping { confirmed_ms: None }
         } else if has_restarted {
@@ -135,6 +136,8 @@
                 progress_percent: 0,
                 progress_changed_ms: now.boot_ms,
             });
+            self.quota
+                .add(self.jobs[task.job].team.as_ref(), &full_demand);
         }
         let worker = &mut self.workers[worker_key];
         worker.used_capacity = worker.used_capacity.saturating_add(&demand);
--- a/crates/cyclamentrail-jobs/tests/quota_ledger.rs
+++ b/crates/cyclamentrail-jobs/tests/quota_ledger.rs
@@ -140,7 +140,7 @@
 fn oversized_starts_alone() {
     let largest = largest_allowance(4);
     assert!(may_start(0, 1_500_000, 1_500_000, largest, 4));
-    assert!(!may_start(1, 1_500_000, 1_500_000, largest, 4));
+    assert!(!may_start(1, 1_500_001, 1_500_000, largest, 4));
     assert!(!may_start(0, 1_500_000, 1_500_000, largest - 1, 4));
     assert!(
         may_start(0, 900_000, 300_000, largest, 4),
--- a/crates/cyclamentrail-jobs/tests/quota_ledger/faults.rs
+++ b/crates/cyclamentrail-jobs/tests/quota_ledger/faults.rs
@@ -299,7 +299,13 @@
         holder.needed = 0;
         for _ in 0..wish {
             holder.usage = self.running[index].iter().sum();
-            if may_start(holder.usage, size, size, holder.allowance(), SERVICES.len()) {
+            if may_start(
+                holder.usage,
+                holder.usage + size,
+                size,
+                holder.allowance(),
+                SERVICES.len(),
+            ) {
                 self.running[index].push(size);
             } else if holder.needed == 0 {
                 holder.needed = holder.usage + size;
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -16,6 +16,8 @@
 mod policy;
 #[path = "scheduler/promises.rs"]
 mod promises;
+#[path = "scheduler/quota.rs"]
+mod quota;
 #[path = "scheduler/restarts.rs"]
 mod restarts;
 #[path = "scheduler/sharing.rs"]
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -35,6 +35,7 @@
 mod owner;
 mod peers;
 mod process_state;
+mod quota_ledger;
 mod relay;
 mod start_queues;
 mod takeover;
--- a/crates/cyclamentrail/src/edge/decision_log.rs
+++ b/crates/cyclamentrail/src/edge/decision_log.rs
@@ -114,6 +114,9 @@
 const fn is_failure(decision: &Decision) -> bool {
     !matches!(
         decision,
-        Decision::JobAccepted { .. } | Decision::RunEnded { .. } | Decision::JobFinal { .. }
+        Decision::JobAccepted { .. }
+            | Decision::RunEnded { .. }
+            | Decision::JobFinal { .. }
+            | Decision::AllowanceChanged { .. }
     )
 }
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -153,6 +153,11 @@
                 .with("job", job)
                 .with_task(task)
                 .with("crashes", crashes),
+            Decision::AllowanceChanged { change, usage } => Self::new("allowance_changed")
+                .with("team", &change.team)
+                .with("allowance_ppm", change.allowance)
+                .with("earlier_ppm", change.earlier)
+                .with("usage_ppm", usage),
             Decision::RunStalled { job, worker } => Self::new("run_stalled")
                 .with("job", job)
                 .with("worker", worker),
@@ -174,6 +179,7 @@
         Decision::ContactChanged { .. }
         | Decision::WorkerRestarted { .. }
         | Decision::WorkerAvoided { .. }
+        | Decision::AllowanceChanged { .. }
         | Decision::ShareChanged { .. } => None,
     }
 }
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -221,6 +221,7 @@
         | Reply::Job(_)
         | Reply::Status(_)
         | Reply::Released { .. }
+        | Reply::Quota(_)
         | Reply::NotOwner => unavailable(NO_OWNER_RETRY_MS),
     }
 }
--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -26,6 +26,7 @@
 use super::messages::{FLEET_SHARD, OwnerCall, OwnerRequest, Reply};
 use super::owner::{EVACUATION_LEASE, OwnerMessage};
 use super::process_state::ProcessState;
+use super::quota_ledger::QuotaLedger;
 use super::takeover::Takeover;
 use crate::metrics;
 
@@ -69,8 +70,9 @@
     takeover: Takeover,
     mut receiver: mpsc::UnboundedReceiver<OwnerMessage>,
 ) {
+    let mut quota_ledger = QuotaLedger::new(Arc::clone(&process), takeover.token);
     let Some(address) = process.settings.machine_service else {
-        return wait_for_stop(&mut receiver).await;
+        return quota_ledger.serve_until_stop(&mut receiver).await;
     };
     let machine_service = MachineService::new(
         process.http_client.clone(),
@@ -83,15 +85,15 @@
         tokio::select! {
             message = receiver.recv() => match message {
                 Some(OwnerMessage::Stop) | None => return,
-                Some(_) => {}
+                Some(message) => quota_ledger.handle(message),
             },
             () = tokio::time::sleep_until(next_round) => {
                 next_round = Instant::now() + ROUND_INTERVAL;
-                // A round waits for the store while the store doesn't respond; the duties end at once
-                // all the same when they are given up.
+                // A round waits for the store while the store doesn't respond; reports to the ledger
+                // are served, and the duties end at once when they are given up, all the same.
                 let holds_duty = tokio::select! {
                     holds_duty = duty.run_round() => holds_duty,
-                    () = wait_for_stop(&mut receiver) => return,
+                    () = quota_ledger.serve_until_stop(&mut receiver) => return,
                 };
                 if !holds_duty {
                     log::info!(token = duty.token; "machine_duty_lost");
@@ -102,15 +104,6 @@
     }
 }
 
-/// Waits until the shard is given up, where the platform has no service for machines.
-async fn wait_for_stop(receiver: &mut mpsc::UnboundedReceiver<OwnerMessage>) {
-    while let Some(message) = receiver.recv().await {
-        if matches!(message, OwnerMessage::Stop) {
-            return;
-        }
-    }
-}
-
 /// State of the holder of the duties.
 struct MachineDuty {
     process: Arc<ProcessState>,
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -4,7 +4,8 @@
 
 use cyclamentrail_core::{JobId, RouteName, ServiceName, TeamName, WorkerId};
 use cyclamentrail_jobs::{
-    CallerReply, JobSpec, JobState, PoolLoad, RejectReason, WorkerTaskCounts,
+    CallerReply, JobSpec, JobState, PoolLoad, QuotaReply, QuotaReport, RejectReason,
+    WorkerTaskCounts,
 };
 use serde::{Deserialize, Serialize};
 
@@ -56,6 +57,9 @@
     /// Keeps exactly these workers empty; workers of an earlier request are used again. Returns the
     /// load of the pool.
     Evacuate(Vec<WorkerId>),
+    /// Reports to the ledger of the teams' quota, which the owner of [`FLEET_SHARD`] keeps. Returns the
+    /// allowances that change.
+    ReportQuota(QuotaReport),
 }
 
 /// Reply of the owner of a service.
@@ -95,6 +99,8 @@
         /// ownership had ended before.
         confirmed_age_ms: Option<u64>,
     },
+    /// Allowances that change.
+    Quota(QuotaReply),
     /// The process doesn't own the service, and did nothing.
     NotOwner,
 }
--- a/crates/cyclamentrail/src/edge/operator_views.rs
+++ b/crates/cyclamentrail/src/edge/operator_views.rs
@@ -35,6 +35,20 @@
     /// Relays of the shard's calls, by the addresses of their internal listeners.
     #[serde(default)]
     pub(crate) relays: BTreeMap<String, RelayLinkView>,
+    /// Quota of the teams that use something, hold a loan or wait.
+    #[serde(default)]
+    pub(crate) teams: BTreeMap<String, TeamView>,
+}
+
+/// Quota of a team in a shard, in millionths of the team's cap.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct TeamView {
+    /// Share that the placed tasks take.
+    pub(crate) usage_ppm: u64,
+    /// Share that they may take.
+    pub(crate) allowance_ppm: u64,
+    /// Whether a task waits for a larger allowance.
+    pub(crate) is_waiting: bool,
 }
 
 /// State of a worker, as its owner knows it.
@@ -148,12 +162,21 @@
         is_leaving: worker.registration.is_draining || worker.evacuating_since_ms.is_some(),
         failure_score: worker.failure_score,
     });
+    let teams = shard.team_quotas().into_iter().map(|quota| {
+        let view = TeamView {
+            usage_ppm: quota.usage,
+            allowance_ppm: quota.allowance,
+            is_waiting: quota.is_waiting,
+        };
+        (quota.team.to_string(), view)
+    });
     ShardView {
         token,
         confirmed_age_ms,
         jobs,
         workers: workers.collect(),
         relays,
+        teams: teams.collect(),
     }
 }
 
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -17,6 +17,7 @@
 use super::decision_log::DecisionLog;
 use super::messages::{FLEET_SHARD, Reply};
 use super::process_state::{KnownOwner, OperatorState, ProcessState, RegisteredWorkers};
+use super::quota_ledger::service_count;
 use super::relay::SessionEvent;
 use super::start_queues::StartQueues;
 use super::takeover::{Takeover, take_over};
@@ -27,6 +28,7 @@
 mod commits;
 mod effects;
 mod message;
+mod quota_reports;
 mod relay_links;
 mod requests;
 mod suspension;
@@ -34,6 +36,7 @@
 
 use activity::Activity;
 pub(crate) use message::OwnerMessage;
+use quota_reports::QuotaReports;
 pub(crate) use relay_links::RelayLinkView;
 use relay_links::RelayLinks;
 pub(crate) use requests::EVACUATION_LEASE;
@@ -123,6 +126,7 @@
     suspension: Suspension,
     activity: Activity,
     decision_log: DecisionLog,
+    quota_reports: QuotaReports,
     token: u64,
     start_queues: StartQueues,
     /// Whether queued starts were held back since they were last sent.
@@ -142,7 +146,7 @@
 
 impl Owner {
     fn new(
-        process: &ProcessState,
+        process: &Arc<ProcessState>,
         shard: &str,
         takeover: Takeover,
         sender: mpsc::UnboundedSender<OwnerMessage>,
@@ -186,6 +190,7 @@
             suspension: Suspension::new(),
             activity: Activity::new(shard),
             decision_log: DecisionLog::new(shard),
+            quota_reports: QuotaReports::new(process),
             start_queues: StartQueues::default(),
             has_held_starts: false,
             waiting_callers: HashMap::new(),
@@ -236,6 +241,7 @@
             self.send_held_starts();
             self.maintain_relays();
             let wait = self.start_due_commit(&mut last_commit);
+            let wait = self.report_quota_if_due().map_or(wait, |due| due.min(wait));
             let wait = self
                 .worker_calls
                 .send_batches()
@@ -289,6 +295,14 @@
                 self.shard.handle_advice_result(now(), &query, outcome);
                 false
             }
+            OwnerMessage::QuotaReply(sequence, reply) => {
+                self.handle_quota_reply(sequence, reply.as_ref());
+                false
+            }
+            OwnerMessage::LedgerRead(is_read) => {
+                self.handle_ledger_read(is_read);
+                false
+            }
             OwnerMessage::CommitResult(commit, result) => {
                 self.handle_commit_result(*commit, result);
                 false
@@ -327,6 +341,7 @@
             self.shard.set_routes(routes);
             let teams = configuration.teams.iter().map(|team| team.config.clone());
             self.shard.set_teams(teams);
+            self.shard.set_service_count(service_count(configuration));
         }
     }
 
--- a/crates/cyclamentrail/src/edge/owner/message.rs
+++ b/crates/cyclamentrail/src/edge/owner/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use cyclamentrail_adapter::StoreError;
-use cyclamentrail_jobs::{AdviceOutcome, AdviceQuery, Commit};
+use cyclamentrail_jobs::{AdviceOutcome, AdviceQuery, Commit, QuotaReply};
 use tokio::sync::oneshot;
 
 use crate::edge::commit_log::CommitLog;
@@ -23,6 +23,10 @@
     AdviceResult(Box<AdviceQuery>, AdviceOutcome),
     /// Result of a commit: the log for the next one, or why the commit will never be durable.
     CommitResult(Box<Commit>, Result<Box<CommitLog>, StoreError>),
+    /// Reply of the ledger to the quota report with a number; `None` if there was none in time.
+    QuotaReply(u64, Option<QuotaReply>),
+    /// The claims have been read, or not, before the first quota report.
+    LedgerRead(bool),
     /// Request to give up the shard.
     Stop,
 }
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -73,7 +73,9 @@
                 self.waiting_callers.insert(caller, reply);
                 self.shard.reply_pending(caller, &route);
             }
-            OwnerRequest::Release | OwnerRequest::Status => drop(reply.send(Reply::NotOwner)),
+            OwnerRequest::Release | OwnerRequest::Status | OwnerRequest::ReportQuota(_) => {
+                drop(reply.send(Reply::NotOwner));
+            }
             OwnerRequest::Describe => drop(reply.send(self.describe())),
             OwnerRequest::Explain(id) => drop(reply.send(self.explain(&id))),
             OwnerRequest::Evacuate(workers) => drop(reply.send(self.evacuate(workers))),
--- a/crates/cyclamentrail/src/metrics.rs
+++ b/crates/cyclamentrail/src/metrics.rs
@@ -22,9 +22,10 @@
 };
 pub use catalog::{METRICS, Metric, MetricKind};
 pub(crate) use jobs::{
-    count_decision, count_machine_command, count_omitted_lines, count_relayed_calls, count_start,
-    count_store_call, count_takeover, count_topic_read, count_worker_command, record_worker_call,
-    set_dropped_lines, set_pool_load,
+    count_decision, count_machine_command, count_omitted_lines, count_quota_report,
+    count_relayed_calls, count_start, count_store_call, count_takeover, count_topic_read,
+    count_worker_command, record_worker_call, set_dropped_lines, set_pool_load, set_quota_lending,
+    set_quota_waiting,
 };
 
 /// Value of the label `service` for requests to a service that isn't in the settings.
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -54,6 +54,14 @@
 pub(crate) const RELAYED_CALLS: &str = "cyclamentrail_relayed_calls_total";
 /// Commands for machines (moves and maintenance), by outcome.
 pub(crate) const MACHINE_COMMANDS: &str = "cyclamentrail_machine_orders_total";
+/// Changes of teams' allowances, by service and direction.
+pub(crate) const ALLOWANCES: &str = "cyclamentrail_quota_allowance_changes_total";
+/// Reports to the quota's ledger, by whether a reply came in time.
+pub(crate) const QUOTA_REPORTS: &str = "cyclamentrail_quota_reports_total";
+/// Teams with tasks that wait for a larger allowance, by service.
+pub(crate) const QUOTA_WAITING: &str = "cyclamentrail_quota_waiting_teams";
+/// Whether the quota's ledger in this process lends.
+pub(crate) const QUOTA_LENDING: &str = "cyclamentrail_quota_ledger_lends";
 /// Log lines that were dropped because their reader stalled.
 pub(crate) const LINES_DROPPED: &str = "cyclamentrail_log_lines_dropped";
 /// Log lines that were omitted because the budget of their shard was used up.
@@ -253,6 +261,30 @@
         labels: &["order", "outcome"],
         help: "Commands for machines (moves and maintenance), by outcome.",
     },
+    Metric {
+        name: ALLOWANCES,
+        kind: MetricKind::Counter,
+        labels: &["service", "change"],
+        help: "Changes of teams' allowances, by service: raised or lowered.",
+    },
+    Metric {
+        name: QUOTA_REPORTS,
+        kind: MetricKind::Counter,
+        labels: &["outcome"],
+        help: "Reports to the ledger of the teams' quota, by whether a reply came in time.",
+    },
+    Metric {
+        name: QUOTA_WAITING,
+        kind: MetricKind::Gauge,
+        labels: &["service"],
+        help: "Teams with tasks that wait for a larger allowance, as of the last report.",
+    },
+    Metric {
+        name: QUOTA_LENDING,
+        kind: MetricKind::Gauge,
+        labels: &[],
+        help: "1 if the ledger of the teams' quota is in this process and every shard has reported to it, else 0.",
+    },
     Metric {
         name: LINES_DROPPED,
         kind: MetricKind::Gauge,
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -5,9 +5,10 @@
 use cyclamentrail_jobs::{CommandOutcome, Decision, PoolLoad};
 
 use super::catalog::{
-    JOB_SECONDS, JOBS, JOBS_GIVEN_UP, LINES_DROPPED, LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND,
-    POOL_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS, STORE_CALLS,
-    STORE_SECONDS, TASK_WAITS, WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
+    ALLOWANCES, JOB_SECONDS, JOBS, JOBS_GIVEN_UP, LINES_DROPPED, LINES_OMITTED, MACHINE_COMMANDS,
+    POOL_DEMAND, POOL_WAITING, QUOTA_LENDING, QUOTA_REPORTS, QUOTA_WAITING, REGISTRY_AGE,
+    RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS, STORE_CALLS, STORE_SECONDS, TASK_WAITS,
+    WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
 };
 
 /// Number of thousandths in one unit, such as milliseconds in a second.
@@ -49,6 +50,14 @@
         Decision::JobGivenUp { .. } => {
             metrics::counter!(JOBS_GIVEN_UP, "service" => service).increment(1);
         }
+        Decision::AllowanceChanged { change, .. } => {
+            let direction = if change.allowance > change.earlier {
+                "raised"
+            } else {
+                "lowered"
+            };
+            metrics::counter!(ALLOWANCES, "service" => service, "change" => direction).increment(1);
+        }
         Decision::ContactChanged { .. }
         | Decision::WorkerRestarted { .. }
         | Decision::ShareChanged { .. } => {}
@@ -125,6 +134,23 @@
     metrics::counter!(MACHINE_COMMANDS, "order" => command, "outcome" => outcome).increment(1);
 }
 
+/// Counts a report to the quota's ledger by whether it got a reply.
+pub(crate) fn count_quota_report(is_answered: bool) {
+    let outcome = if is_answered { "answered" } else { "failed" };
+    metrics::counter!(QUOTA_REPORTS, "outcome" => outcome).increment(1);
+}
+
+/// Sets the number of teams in a service with tasks that wait for a larger allowance.
+pub(crate) fn set_quota_waiting(service: &str, teams: usize) {
+    let teams = u32::try_from(teams).unwrap_or(u32::MAX);
+    metrics::gauge!(QUOTA_WAITING, "service" => service.to_owned()).set(teams);
+}
+
+/// Sets whether the ledger of this process lends.
+pub(crate) fn set_quota_lending(is_lending: bool) {
+    metrics::gauge!(QUOTA_LENDING).set(if is_lending { 1.0 } else { 0.0 });
+}
+
 /// Counts a shard that this process took over.
 pub(crate) fn count_takeover() {
     metrics::counter!(SHARD_TAKEOVERS).increment(1);
