--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -28,6 +28,7 @@
 mod job;
 mod lease;
 mod owner_capacity;
+mod quota;
 mod ranking;
 mod record;
 mod relays;
@@ -66,6 +67,10 @@
 };
 pub use lease::{ClockSample, Lease};
 pub use owner_capacity::{MachineLimits, OwnerCapacity, leaves_shards_to_others};
+pub use quota::{
+    AllowanceChange, Allowances, Grantee, Ledger, MAX_CHANGED_TEAMS, QuotaReply, QuotaReport,
+    TeamReport, WHOLE_CAP, base_share, cap_share, is_limited, largest_allowance, may_start,
+};
 pub use ranking::{JobRank, WaitingJob};
 pub use record::{
     AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
@@ -75,7 +80,7 @@
 pub use resources::Resources;
 pub use route::{AdviceConfig, RouteConfig};
 pub use selection::{PlacementRequest, select_worker};
-pub use shard::{Commit, Now, Shard, ShardTiming, Submission, retry_seed};
+pub use shard::{Commit, Now, Shard, ShardTiming, Submission, TeamQuota, retry_seed};
 pub use shard_spread::{shards_of_member, shards_of_partitions};
 pub use spec::{JobSpec, MAX_TASKS, Schedule, StepSpec};
 pub use succession::{Candidate, Incumbent, Predecessor, StoreContact, should_take_over};
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -36,6 +36,7 @@
 mod owner;
 mod peers;
 mod process_state;
+mod quota_ledger;
 mod relay;
 mod revocation;
 mod start_queues;
