feat(shares): admit and order jobs by the weighted shares of their teams

A hot team's backlog made every other team's jobs wait and be rejected, because admission and order knew only the whole backlog.

A job's expected wait is now the smaller of the whole backlog's and its own team's in the team's weighted part of the pool. Jobs beyond a team's weight a second are accepted only while there is room. Within (late, finite, priority), jobs of teams under their max-min share start before those of teams over it. Without configured teams the decisions are the same as before.

--- a/crates/cyclamentrail-jobs/src/admission.rs
+++ b/crates/cyclamentrail-jobs/src/admission.rs
@@ -98,7 +98,13 @@
         return Admission::Accept;
     }
     let excess_ms = wait_ms.saturating_sub(usable_ms);
-    let retry_after_ms =
-        excess_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS) + job.jitter_seed % RETRY_JITTER_MS;
-    Admission::Reject { retry_after_ms }
+    Admission::Reject {
+        retry_after_ms: retry_after_excess_ms(excess_ms, job.jitter_seed),
+    }
+}
+
+/// Returns the time in milliseconds after which a caller may try again whose job would have to wait
+/// `excess_ms` longer than it may.
+pub(crate) fn retry_after_excess_ms(excess_ms: u64, jitter_seed: u64) -> u64 {
+    excess_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS) + jitter_seed % RETRY_JITTER_MS
 }
--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cyclamentrail_core::{JobId, WorkerId};
+use cyclamentrail_core::{JobId, TeamName, WorkerId};
 use serde::{Deserialize, Serialize};
 
 use crate::grants::StepKey;
@@ -50,6 +50,8 @@
 pub enum RejectReason {
     /// The backlog is so long that the job would end too late.
     Overload,
+    /// The team sends more jobs than its weight a second, and the pool has no room for the excess.
+    OverRate,
     /// No registered worker, even when empty, can run one of the job's tasks: it lacks the
     /// capacity or the required label.
     NoSuitableWorker,
@@ -66,6 +68,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Overload => "overload",
+            Self::OverRate => "over_rate",
             Self::NoSuitableWorker => "no_such_worker",
             Self::TooManyJobs => "too_many_jobs",
             Self::NotReady => "not_ready",
@@ -208,6 +211,19 @@
     Log(Decision),
 }
 
+/// Share of a team in the pool by which one of its jobs was accepted or rejected.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdmissionShare {
+    /// Team of the caller; `None` for a job of a public route.
+    pub team: Option<TeamName>,
+    /// Time that the team's own backlog takes in its weighted part of the pool, in milliseconds.
+    pub own_wait_ms: u64,
+    /// Weighted part of the pool among the teams with work, in thousandths.
+    pub share_milli: u64,
+    /// Whether the team hasn't sent more jobs than its weight a second.
+    pub is_within_rate: bool,
+}
+
 /// Decision or observation of a shard, for the log, the metrics and the explanations.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
@@ -217,6 +233,8 @@
         job: JobId,
         /// Expected time until the job's first task starts, in milliseconds.
         wait_ms: u64,
+        /// Share of the caller's team; `None` where the configuration has no teams.
+        share: Option<AdmissionShare>,
     },
     /// A job was rejected.
     JobRejected {
@@ -227,6 +245,8 @@
         /// Expected time until the job's first task starts, in milliseconds; for
         /// [`RejectReason::NotReady`], the duration of the store's outage or 0.
         wait_ms: u64,
+        /// Share of the caller's team, where the decision is based on it.
+        share: Option<AdmissionShare>,
     },
     /// A worker reported that a run has ended.
     RunEnded {
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -22,6 +22,7 @@
 mod best_effort_share;
 mod effect;
 mod estimate;
+mod fair_share;
 mod fleet;
 mod grants;
 mod job;
@@ -43,12 +44,16 @@
 pub use admission::{Admission, AdmissionRequest, Backlog, admit, retry_after_outage_ms};
 pub use best_effort_share::BestEffortShare;
 pub use effect::{
-    ActiveRun, AdviceOutcome, AdviceQuery, CallerId, CallerReply, CommandOutcome, CommandRejection,
-    CpuShareCommand, Decision, Effect, EndKind, EndProof, EndedRun, PollOutcome, RejectReason,
-    StartCommand, StopCommand, TaskRunId, WaitReason, WorkerPoll, WorkerReport, WorkerTarget,
-    WorkerTicket,
+    ActiveRun, AdmissionShare, AdviceOutcome, AdviceQuery, CallerId, CallerReply, CommandOutcome,
+    CommandRejection, CpuShareCommand, Decision, Effect, EndKind, EndProof, EndedRun, PollOutcome,
+    RejectReason, StartCommand, StopCommand, TaskRunId, WaitReason, WorkerPoll, WorkerReport,
+    WorkerTarget, WorkerTicket,
 };
 pub use estimate::DurationEstimate;
+pub use fair_share::{
+    FairShares, JobRate, TeamAdmission, TeamDemand, TeamLoad, WHOLE_POOL_PPB, admit_for_team,
+    weight_milli,
+};
 pub use fleet::{
     CommandHold, CommandedMachines, FleetPlanner, FleetState, FleetTiming, Forecast,
     MachineCommand, MachineOutcome, MachineStatus, MaintenanceWave, PoolLoad, Purpose,
--- a/crates/cyclamentrail-jobs/src/ranking.rs
+++ b/crates/cyclamentrail-jobs/src/ranking.rs
@@ -1,8 +1,8 @@
 //! Order in which waiting jobs are served.
 //!
 //! Under overload, jobs that can still end on time go before those that can't, and among these the
-//! most urgent and those nearest to their deadline come first. Jobs in a long queue would
-//! otherwise all end late.
+//! most urgent, then those of teams that are under their share of the pool, and then those nearest
+//! to their deadline come first. Jobs in a long queue would otherwise all end late.
 
 use std::cmp::Reverse;
 
@@ -26,6 +26,8 @@
     is_late: bool,
     is_finite: bool,
     priority: u32,
+    /// Whether the job's team has its weighted share of the pool without this job.
+    is_over_share: bool,
     deadline_ms: u64,
     remaining: Reverse<u64>,
 }
@@ -41,8 +43,19 @@
             is_late,
             is_finite: !self.is_long_running,
             priority: self.priority,
+            is_over_share: false,
             deadline_ms: self.deadline_ms,
             remaining: Reverse(self.remaining_ms),
         }
     }
 }
+
+impl JobRank {
+    /// Returns the rank of the same job where its team has its weighted share of the pool without it:
+    /// within a priority, jobs of teams that are under their shares go first.
+    #[must_use]
+    pub const fn over_share(mut self) -> Self {
+        self.is_over_share = true;
+        self
+    }
+}
--- a/crates/cyclamentrail-jobs/src/resources.rs
+++ b/crates/cyclamentrail-jobs/src/resources.rs
@@ -49,6 +49,16 @@
         }
     }
 
+    /// Returns the amount that a number of equal tasks take together.
+    #[must_use]
+    pub const fn times(&self, count: u64) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
+        }
+    }
+
     /// Returns the difference of two amounts, at least zero in every dimension.
     #[must_use]
     pub const fn saturating_sub(&self, other: &Self) -> Self {
@@ -63,13 +73,20 @@
     /// thousandths; a share of a dimension without capacity counts as 1000.
     #[must_use]
     pub fn dominant_share_milli(&self, capacity: &Self) -> u64 {
+        self.dominant_part(capacity, 1_000)
+    }
+
+    /// Returns the largest share that this amount takes of one dimension of a capacity, in parts of
+    /// which `parts` make the whole; a share of a dimension without capacity counts as the whole.
+    #[must_use]
+    pub fn dominant_part(&self, capacity: &Self, parts: u64) -> u64 {
         let share = |part: u64, whole: u64| {
             if part == 0 {
                 0
             } else {
-                part.saturating_mul(1_000)
+                part.saturating_mul(parts)
                     .checked_div(whole)
-                    .unwrap_or(1_000)
+                    .unwrap_or(parts)
             }
         };
         share(self.cpu_milli, capacity.cpu_milli)
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -28,6 +28,7 @@
 mod registry;
 mod reports;
 mod restarts;
+mod shares;
 mod stalls;
 mod starts;
 mod submit;
@@ -74,6 +75,7 @@
     timing: ShardTiming,
     routes: HashMap<RouteName, Arc<RouteConfig>>,
     teams: HashMap<TeamName, TeamConfig>,
+    team_table: shares::TeamTable,
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
     workers: SlotMap<WorkerKey, Worker>,
@@ -145,6 +147,7 @@
             .into_iter()
             .map(|team| (team.name.clone(), team))
             .collect();
+        self.configure_shares();
     }
 
     /// Returns the job with an id.
@@ -343,6 +346,7 @@
         let Some(placement) = job.task_mut(key).and_then(|task| task.placement.take()) else {
             return;
         };
+        self.team_table.count_released(job, &demand);
         self.dirty.insert(key.job);
         let Some(worker) = self.workers.get_mut(placement.worker) else {
             return;
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -80,7 +80,7 @@
         if waiting.is_empty() || !self.workers.values().any(accepts_tasks) {
             return;
         }
-        waiting.sort_unstable();
+        self.order_by_share(&mut waiting);
         let mut pass = PlacementPass {
             pinned: self.workers_with_long_running(),
             isolation: self.isolation(now),
@@ -335,6 +335,7 @@
             progress_percent: 0,
             progress_changed_ms: now.boot_ms,
         });
+        self.team_table.count_placed(job, &demand);
         let worker = &mut self.workers[worker_key];
         worker.used_capacity = worker.used_capacity.saturating_add(&demand);
         worker.tasks.insert(key);
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -81,6 +81,7 @@
         job.has_started = progress_record.has_started;
         job.next_occurrence = progress_record.next_occurrence;
         job.ended_ms = progress_record.ended_ms;
+        self.team_table.insert(job.team.as_ref());
         let key = self.jobs.insert(job);
         let mut recorded_runs = Vec::new();
         for occurrence in progress_record.occurrences {
@@ -135,6 +136,7 @@
                 progress_percent: 0,
                 progress_changed_ms: now.boot_ms,
             });
+            self.team_table.count_placed(&self.jobs[task.job], &demand);
         }
         let worker = &mut self.workers[worker_key];
         worker.used_capacity = worker.used_capacity.saturating_add(&demand);
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/shard/shares.rs
@@ -0,0 +1,286 @@
+//! Shares of teams in the shard's pool: what each team has placed and waiting, and the hooks of
+//! admission and placement. Without configured teams, nothing of this has an effect.
+
+use std::collections::HashMap;
+
+use cyclamentrail_core::TeamName;
+
+use super::{Now, Shard};
+use crate::admission::{AdmissionRequest, Backlog, admit};
+use crate::effect::AdmissionShare;
+use crate::fair_share::{
+    DEFAULT_WEIGHT_MILLI, FairShares, JobRate, TeamAdmission, TeamDemand, TeamLoad, WHOLE_POOL_PPB,
+    admit_for_team, weight_milli,
+};
+use crate::job::{Job, JobKey};
+use crate::ranking::JobRank;
+use crate::{Admission, RejectReason, Resources};
+
+/// Index of the team that jobs without a team form.
+const NO_TEAM: usize = 0;
+
+/// What a shard knows of each team.
+#[derive(Debug)]
+pub(super) struct TeamTable {
+    /// Whether the configuration has teams.
+    is_configured: bool,
+    indices: HashMap<TeamName, usize>,
+    /// Teams by index; the one at [`NO_TEAM`] stands for jobs without a team.
+    teams: Vec<Team>,
+    /// Resources that the tasks of long-running jobs take. They leave the pool to the others for as
+    /// long as they run, and aren't counted against a team's share.
+    long_running: Resources,
+}
+
+/// Share and usage of a team in the shard's pool.
+#[derive(Debug, Clone, Default)]
+struct Team {
+    name: Option<TeamName>,
+    weight_milli: u64,
+    /// Jobs that the team sends; unused for jobs without a team, to which no rate is given.
+    rate: JobRate,
+    /// Resources that the placed tasks of the team's jobs take, except long-running jobs.
+    placed: Resources,
+}
+
+impl Default for TeamTable {
+    fn default() -> Self {
+        Self {
+            is_configured: false,
+            indices: HashMap::new(),
+            teams: vec![Team::new(None, DEFAULT_WEIGHT_MILLI)],
+            long_running: Resources::default(),
+        }
+    }
+}
+
+impl Team {
+    fn new(name: Option<TeamName>, weight_milli: u64) -> Self {
+        Self {
+            name,
+            weight_milli,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the time until the team may send another job within its rate, in milliseconds.
+    fn rate_wait_ms(&self, now: Now) -> u64 {
+        match self.name {
+            Some(_) => self.rate.wait_ms(now.boot_ms, self.weight_milli),
+            None => 0,
+        }
+    }
+}
+
+impl TeamTable {
+    /// Replaces the weights; teams that aren't configured any more keep what they have placed.
+    fn configure(&mut self, weights: &HashMap<TeamName, u64>) {
+        self.is_configured = !weights.is_empty();
+        for team in &mut self.teams {
+            let weight = team.name.as_ref().and_then(|name| weights.get(name));
+            team.weight_milli = weight.copied().unwrap_or(DEFAULT_WEIGHT_MILLI);
+        }
+        for (name, &weight_milli) in weights {
+            let index = self.insert(Some(name));
+            self.teams[index].weight_milli = weight_milli;
+        }
+    }
+
+    /// Returns the index of a team; that of jobs without a team for one that has no jobs here.
+    fn index(&self, team: Option<&TeamName>) -> usize {
+        team.and_then(|name| self.indices.get(name).copied())
+            .unwrap_or(NO_TEAM)
+    }
+
+    /// Returns the index of a team, which is added if it isn't there.
+    pub(super) fn insert(&mut self, team: Option<&TeamName>) -> usize {
+        let Some(name) = team else {
+            return NO_TEAM;
+        };
+        if let Some(&index) = self.indices.get(name) {
+            return index;
+        }
+        let index = self.teams.len();
+        self.teams
+            .push(Team::new(Some(name.clone()), DEFAULT_WEIGHT_MILLI));
+        self.indices.insert(name.clone(), index);
+        index
+    }
+
+    /// Counts the demand of a task that is placed.
+    pub(super) fn count_placed(&mut self, job: &Job, demand: &Resources) {
+        let placed = self.placed_mut(job);
+        *placed = placed.saturating_add(demand);
+    }
+
+    /// Counts the demand of a task whose placement has ended.
+    pub(super) fn count_released(&mut self, job: &Job, demand: &Resources) {
+        let placed = self.placed_mut(job);
+        *placed = placed.saturating_sub(demand);
+    }
+
+    fn placed_mut(&mut self, job: &Job) -> &mut Resources {
+        if job.spec.is_long_running() {
+            return &mut self.long_running;
+        }
+        let index = self.insert(job.team.as_ref());
+        &mut self.teams[index].placed
+    }
+}
+
+impl Shard {
+    /// Passes the weights of the configured teams on.
+    pub(super) fn configure_shares(&mut self) {
+        let weights = self
+            .teams
+            .values()
+            .map(|team| (team.name.clone(), weight_milli(team.weight)))
+            .collect();
+        self.team_table.configure(&weights);
+    }
+
+    /// Decides whether a job is accepted: by the team's share, or, without configured teams, by the
+    /// whole backlog alone.
+    pub(super) fn admit_by_share(
+        &self,
+        now: Now,
+        team: Option<&TeamName>,
+        job: AdmissionRequest,
+    ) -> (TeamAdmission, Option<AdmissionShare>) {
+        let table = &self.team_table;
+        if !table.is_configured {
+            return (admit_by_backlog(self.backlog(|_, _| {}), job), None);
+        }
+        let mut work_ms = vec![0; table.teams.len()];
+        let pool = self.backlog(|job, job_work_ms| {
+            work_ms[table.index(job.team.as_ref())] += job_work_ms;
+        });
+        let own = table.index(team);
+        let total_weight_milli = table
+            .teams
+            .iter()
+            .zip(&work_ms)
+            .enumerate()
+            .filter(|(index, (_, work_ms))| *index == own || **work_ms > 0)
+            .map(|(_, (team, _))| team.weight_milli)
+            .sum();
+        let load = TeamLoad {
+            work_ms: work_ms[own],
+            weight_milli: table.teams[own].weight_milli,
+            total_weight_milli,
+            rate_wait_ms: table.teams[own].rate_wait_ms(now),
+        };
+        let share = AdmissionShare {
+            team: team.cloned(),
+            own_wait_ms: load.wait_ms(pool.workers),
+            share_milli: load.share_milli(),
+            is_within_rate: load.rate_wait_ms == 0,
+        };
+        (admit_for_team(pool, &load, job), Some(share))
+    }
+
+    /// Counts a job to its team's rate when it is accepted.
+    pub(super) fn count_accepted(&mut self, now: Now, team: Option<&TeamName>) {
+        let index = self.team_table.insert(team);
+        let team = &mut self.team_table.teams[index];
+        team.rate.count_job(now.boot_ms, team.weight_milli);
+    }
+
+    /// Sorts waiting jobs: by rank, and within a priority those within their teams' shares before
+    /// those over it.
+    pub(super) fn order_by_share(&self, waiting: &mut Vec<(JobRank, JobKey)>) {
+        waiting.sort_unstable();
+        let table = &self.team_table;
+        if !table.is_configured {
+            return;
+        }
+        let pool = self.shared_capacity();
+        let mut demands: Vec<TeamDemand> = table
+            .teams
+            .iter()
+            .map(|team| TeamDemand {
+                weight_milli: team.weight_milli,
+                placed_ppb: part_ppb(&team.placed, &pool),
+                waiting_ppb: 0,
+            })
+            .collect();
+        let wanted: Vec<Option<(usize, u64)>> = waiting
+            .iter()
+            .map(|&(_, key)| {
+                let job = self
+                    .jobs
+                    .get(key)
+                    .filter(|job| !job.spec.is_long_running())?;
+                let wanted_ppb = part_ppb(&ready_demand(job), &pool);
+                let index = table.index(job.team.as_ref());
+                demands[index].waiting_ppb += wanted_ppb;
+                Some((index, wanted_ppb))
+            })
+            .collect();
+        let mut shares = FairShares::new(&demands);
+        let mut over = Vec::new();
+        let mut wanted = wanted.into_iter();
+        waiting.retain(|&(rank, key)| {
+            let Some(Some((team, wanted_ppb))) = wanted.next() else {
+                return true;
+            };
+            let is_over = shares.is_next_over(team, wanted_ppb);
+            if is_over {
+                over.push((rank.over_share(), key));
+            }
+            !is_over
+        });
+        if !over.is_empty() {
+            // Both parts are in order, so that the stable sort merges them in linear time.
+            waiting.append(&mut over);
+            waiting.sort();
+        }
+    }
+
+    /// Returns the capacity of the registered workers without what long-running jobs take.
+    fn shared_capacity(&self) -> Resources {
+        self.workers
+            .values()
+            .filter(|worker| worker.is_registered && !worker.registration.is_draining)
+            .fold(Resources::default(), |sum, worker| {
+                sum.saturating_add(&worker.registration.capacity)
+            })
+            .saturating_sub(&self.team_table.long_running)
+    }
+}
+
+/// Decides whether a job is accepted from the whole backlog.
+fn admit_by_backlog(backlog: Backlog, job: AdmissionRequest) -> TeamAdmission {
+    let wait_ms = backlog.wait_ms();
+    match admit(backlog, job) {
+        Admission::Accept => TeamAdmission::Accept { wait_ms },
+        Admission::Reject { retry_after_ms } => TeamAdmission::Reject {
+            reason: RejectReason::Overload,
+            wait_ms,
+            retry_after_ms,
+        },
+    }
+}
+
+/// Returns the demand of a job's tasks that wait and whose preceding steps are done.
+fn ready_demand(job: &Job) -> Resources {
+    let mut demand = Resources::default();
+    for occurrence in &job.occurrences {
+        for (progress, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
+            let unplaced = progress
+                .tasks
+                .iter()
+                .filter(|task| !task.is_done && task.placement.is_none())
+                .count();
+            if unplaced > 0 && occurrence.is_step_ready(spec) {
+                demand = demand.saturating_add(&spec.reserved_resources().times(unplaced as u64));
+            }
+        }
+    }
+    demand
+}
+
+/// Returns the largest part that an amount takes of a dimension of a pool, in parts per billion.
+fn part_ppb(amount: &Resources, pool: &Resources) -> u64 {
+    amount.dominant_part(pool, WHOLE_POOL_PPB)
+}
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -6,8 +6,9 @@
 use cyclamentrail_core::{JobId, RouteName, TeamName};
 
 use super::{Now, Shard};
-use crate::admission::{Admission, AdmissionRequest, Backlog, admit};
-use crate::effect::{CallerId, CallerReply, Decision, Effect, RejectReason};
+use crate::admission::{AdmissionRequest, Backlog};
+use crate::effect::{AdmissionShare, CallerId, CallerReply, Decision, Effect, RejectReason};
+use crate::fair_share::TeamAdmission;
 use crate::job::{Job, JobState, Occurrence};
 use crate::selection::PlacementRequest;
 use crate::worker::Worker;
@@ -59,13 +60,14 @@
         let estimate = self.estimate(&submission.route);
         let work_ms = job_work_ms(&submission.spec, &self.largest_capacity(), estimate);
         self.count_arrival(now, &submission.id, &submission.spec, work_ms);
-        match self.check_admission(&submission, work_ms) {
-            Ok(wait_ms) => self.accept(now, submission, wait_ms),
+        match self.check_admission(now, &submission, work_ms) {
+            Ok((wait_ms, share)) => self.accept(now, submission, wait_ms, share),
             Err(rejection) => {
                 self.ready_effects.push(Effect::Log(Decision::JobRejected {
                     job: submission.id,
                     reason: rejection.reason,
                     wait_ms: rejection.wait_ms,
+                    share: rejection.share,
                 }));
                 let reply = CallerReply::Rejected {
                     retry_after_ms: rejection.retry_after_ms,
@@ -76,7 +78,14 @@
         }
     }
 
-    fn accept(&mut self, now: Now, submission: Submission, wait_ms: u64) {
+    fn accept(
+        &mut self,
+        now: Now,
+        submission: Submission,
+        wait_ms: u64,
+        share: Option<AdmissionShare>,
+    ) {
+        self.count_accepted(now, submission.team.as_ref());
         let Submission {
             caller,
             id,
@@ -90,8 +99,11 @@
         self.active.insert(key);
         self.unstored.insert(key, vec![caller]);
         self.dirty.insert(key);
-        self.gated_effects
-            .push(Effect::Log(Decision::JobAccepted { job: id, wait_ms }));
+        self.gated_effects.push(Effect::Log(Decision::JobAccepted {
+            job: id,
+            wait_ms,
+            share,
+        }));
         self.gated_effects
             .push(Effect::Reply(caller, CallerReply::Accepted));
     }
@@ -154,8 +166,14 @@
         }
     }
 
-    /// Returns the expected wait of a job in milliseconds if the job can be accepted.
-    fn check_admission(&self, submission: &Submission, work_ms: u64) -> Result<u64, Rejection> {
+    /// Returns the expected wait of a job in milliseconds if the job can be accepted, and the share of
+    /// its team that decided.
+    fn check_admission(
+        &self,
+        now: Now,
+        submission: &Submission,
+        work_ms: u64,
+    ) -> Result<(u64, Option<AdmissionShare>), Rejection> {
         if self.jobs.len() >= self.timing.max_jobs {
             return Err(Rejection::new(RejectReason::TooManyJobs, FULL_RETRY_MS, 0));
         }
@@ -173,9 +191,8 @@
             return Err(Rejection::new(reason, NO_WORKER_RETRY_MS, 0));
         }
         if spec.is_long_running() || spec.schedule.is_some() {
-            return Ok(0);
+            return Ok((0, None));
         }
-        let backlog = self.backlog();
         let estimate = self.estimate(&route.name);
         let critical_path_ms =
             spec.critical_path_by(|_, step| estimate.predict_ms(step.estimate_ms));
@@ -185,30 +202,37 @@
             objective_ms: route.objective_ms(critical_path_ms),
             jitter_seed: retry_seed(&submission.id),
         };
-        match admit(backlog, admission_request) {
-            Admission::Accept => Ok(backlog.wait_ms()),
-            Admission::Reject { retry_after_ms } => Err(Rejection::new(
-                RejectReason::Overload,
-                retry_after_ms,
-                backlog.wait_ms(),
-            )),
+        let team = submission.team.as_ref();
+        match self.admit_by_share(now, team, admission_request) {
+            (TeamAdmission::Accept { wait_ms }, share) => Ok((wait_ms, share)),
+            (
+                TeamAdmission::Reject {
+                    reason,
+                    wait_ms,
+                    retry_after_ms,
+                },
+                share,
+            ) => Err(Rejection {
+                share,
+                ..Rejection::new(reason, retry_after_ms, wait_ms)
+            }),
         }
     }
 
     /// Returns the remaining work of accepted jobs; of a running task,
-    /// [`RUNNING_REMAINING_PERCENT`] of its work counts.
-    fn backlog(&self) -> Backlog {
-        self.backlog_with(RUNNING_REMAINING_PERCENT)
+    /// [`RUNNING_REMAINING_PERCENT`] of its work counts. `count_job` gets each job with its part.
+    pub(super) fn backlog(&self, count_job: impl FnMut(&Job, u64)) -> Backlog {
+        self.backlog_with(RUNNING_REMAINING_PERCENT, count_job)
     }
 
     /// Returns the work of accepted tasks that aren't placed, in milliseconds of a whole worker.
     pub(super) fn waiting_work_ms(&self) -> u64 {
-        self.backlog_with(0).work_ms
+        self.backlog_with(0, |_, _| {}).work_ms
     }
 
     /// Returns the remaining work of accepted jobs; of a placed task, `running_percent` of its work
-    /// counts.
-    fn backlog_with(&self, running_percent: u64) -> Backlog {
+    /// counts. `count_job` gets each job with its part.
+    fn backlog_with(&self, running_percent: u64, mut count_job: impl FnMut(&Job, u64)) -> Backlog {
         let workers = self
             .workers
             .values()
@@ -221,6 +245,7 @@
                 continue;
             }
             let estimate = self.estimate(&job.route);
+            let before_ms = total_ms;
             for occurrence in &job.occurrences {
                 for (spec, progress) in job.spec.steps.iter().zip(&occurrence.steps) {
                     let task_ms = task_work_ms(spec, &capacity, estimate);
@@ -236,6 +261,7 @@
             if job.next_occurrence == 0 && job.spec.schedule.is_none() {
                 total_ms += job_work_ms(&job.spec, &capacity, estimate);
             }
+            count_job(job, total_ms - before_ms);
         }
         Backlog {
             work_ms: total_ms,
@@ -278,6 +304,7 @@
     reason: RejectReason,
     retry_after_ms: u64,
     wait_ms: u64,
+    share: Option<AdmissionShare>,
 }
 
 impl Rejection {
@@ -286,6 +313,7 @@
             reason,
             retry_after_ms,
             wait_ms,
+            share: None,
         }
     }
 }
--- a/crates/cyclamentrail-jobs/src/shard/unsent_jobs.rs
+++ b/crates/cyclamentrail-jobs/src/shard/unsent_jobs.rs
@@ -49,6 +49,7 @@
             job: job.id,
             reason: RejectReason::NotReady,
             wait_ms: outage_ms,
+            share: None,
         }));
         self.reject_callers(callers, retry_after_ms);
     }
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -18,6 +18,8 @@
 mod promises;
 #[path = "scheduler/restarts.rs"]
 mod restarts;
+#[path = "scheduler/shares.rs"]
+mod shares;
 #[path = "scheduler/sharing.rs"]
 mod sharing;
 #[path = "scheduler/silence.rs"]
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -2,8 +2,8 @@
 
 use std::fmt::{Display, Formatter, Result};
 
-use cyclamentrail_core::JobId;
-use cyclamentrail_jobs::{Decision, TaskKey};
+use cyclamentrail_core::{JobId, TeamName};
+use cyclamentrail_jobs::{AdmissionShare, Decision, TaskKey};
 use log::{Level, Record};
 
 /// Event name, with the inputs and the outcome of the decision as key=value pairs.
@@ -26,6 +26,19 @@
         self
     }
 
+    /// Adds the expected wait of a submitted job and, if the configuration has teams, the numbers of
+    /// its team's share.
+    fn with_wait(self, wait_ms: u64, share: Option<&AdmissionShare>) -> Self {
+        let line = self.with("wait_ms", wait_ms);
+        let Some(share) = share else {
+            return line;
+        };
+        line.with("team", share.team.as_ref().map_or("none", TeamName::as_str))
+            .with("own_wait_ms", share.own_wait_ms)
+            .with("share_milli", share.share_milli)
+            .with("within_rate", share.is_within_rate)
+    }
+
     fn with_task(self, task: &TaskKey) -> Self {
         self.with("occurrence", task.occurrence)
             .with("step", task.step)
@@ -63,17 +76,22 @@
 impl From<&Decision> for LogLine {
     fn from(decision: &Decision) -> Self {
         match decision {
-            Decision::JobAccepted { job, wait_ms } => Self::new("job_accepted")
+            Decision::JobAccepted {
+                job,
+                wait_ms,
+                share,
+            } => Self::new("job_accepted")
                 .with("job", job)
-                .with("wait_ms", wait_ms),
+                .with_wait(*wait_ms, share.as_ref()),
             Decision::JobRejected {
                 job,
                 reason,
                 wait_ms,
+                share,
             } => Self::new("job_rejected")
                 .with("job", job)
                 .with("reason", reason.as_str())
-                .with("wait_ms", wait_ms),
+                .with_wait(*wait_ms, share.as_ref()),
             Decision::RunEnded {
                 job,
                 task,
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -203,7 +203,7 @@
                 reason,
             } => Self::Rejected {
                 retry_after_ms,
-                is_overload: reason == RejectReason::Overload,
+                is_overload: matches!(reason, RejectReason::Overload | RejectReason::OverRate),
             },
             CallerReply::Malformed => Self::Malformed,
             CallerReply::State(state) => Self::State(state.into()),
--- a/crates/cyclamentrail/src/edge/owner/activity.rs
+++ b/crates/cyclamentrail/src/edge/owner/activity.rs
@@ -84,7 +84,9 @@
         match decision {
             Decision::JobAccepted { .. } => self.counts.accepted += 1,
             Decision::JobRejected { reason, .. } => match reason {
-                RejectReason::Overload => self.counts.rejected_overload += 1,
+                RejectReason::Overload | RejectReason::OverRate => {
+                    self.counts.rejected_overload += 1;
+                }
                 _ => self.counts.rejected_other += 1,
             },
             Decision::RunEnded { .. } => self.counts.ended += 1,
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -140,6 +140,7 @@
             job: id,
             reason: RejectReason::NotReady,
             wait_ms: outage_ms,
+            share: None,
         });
         drop(reply.send(Reply::from(rejection)));
     }
