feat(shares): show operators the jobs, share and cap of each team

A team's complaint about rejections could not be traced: metrics and state knew only services.

The owner counts a team's jobs by decision and exports waiting jobs, the part of the pool received and due, and the used part of the cap once a second; at most 50 teams of a service have a label, which they keep.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -39,6 +39,7 @@
 mod spec;
 mod succession;
 mod team;
+mod team_labels;
 mod worker;
 
 pub use admission::{Admission, AdmissionRequest, Backlog, admit, retry_after_outage_ms};
@@ -75,9 +76,10 @@
 pub use resources::Resources;
 pub use route::{AdviceConfig, RouteConfig};
 pub use selection::{PlacementRequest, select_worker};
-pub use shard::{Commit, Now, Shard, ShardTiming, Submission, retry_seed};
+pub use shard::{Commit, Now, Shard, ShardTiming, Submission, TeamStatus, retry_seed};
 pub use shard_spread::{shards_of_member, shards_of_partitions};
 pub use spec::{JobSpec, MAX_TASKS, Schedule, StepSpec};
 pub use succession::{Candidate, Incumbent, Predecessor, should_take_over};
 pub use team::TeamConfig;
+pub use team_labels::{MAX_NAMED_TEAMS, NO_TEAM, OTHER_TEAMS, TeamLabels, largest_teams};
 pub use worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -32,10 +32,12 @@
 mod stalls;
 mod starts;
 mod submit;
+mod team_status;
 mod timing;
 mod unsent_jobs;
 
 pub use submit::{Submission, retry_seed};
+pub use team_status::TeamStatus;
 pub use timing::ShardTiming;
 
 /// Time after which a start command without a response is sent again, in milliseconds.
--- a/crates/cyclamentrail-jobs/src/shard/shares.rs
+++ b/crates/cyclamentrail-jobs/src/shard/shares.rs
@@ -23,24 +23,35 @@
 #[derive(Debug)]
 pub(super) struct TeamTable {
     /// Whether the configuration has teams.
-    is_configured: bool,
+    pub(super) is_configured: bool,
     indices: HashMap<TeamName, usize>,
     /// Teams by index; the one at [`NO_TEAM`] stands for jobs without a team.
-    teams: Vec<Team>,
-    /// Resources that the tasks of long-running jobs take. They leave the pool to the others for as
-    /// long as they run, and aren't counted against a team's share.
-    long_running: Resources,
+    pub(super) teams: Vec<Team>,
 }
 
 /// Share and usage of a team in the shard's pool.
 #[derive(Debug, Clone, Default)]
-struct Team {
-    name: Option<TeamName>,
-    weight_milli: u64,
+pub(super) struct Team {
+    pub(super) name: Option<TeamName>,
+    pub(super) weight_milli: u64,
     /// Jobs that the team sends; unused for jobs without a team, to which no rate is given.
     rate: JobRate,
     /// Resources that the placed tasks of the team's jobs take, except long-running jobs.
-    placed: Resources,
+    pub(super) placed: Resources,
+    /// Resources that the tasks of the team's long-running jobs take. They aren't part of the pool
+    /// that is shared, and aren't counted against the team's share.
+    pub(super) long_running: Resources,
+    /// Submitted jobs by what was decided.
+    pub(super) outcomes: Outcomes,
+}
+
+/// Number of a team's submitted jobs by what was decided.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Outcomes {
+    pub(super) accepted: u64,
+    pub(super) overload: u64,
+    pub(super) over_rate: u64,
+    pub(super) other: u64,
 }
 
 impl Default for TeamTable {
@@ -49,7 +60,6 @@
             is_configured: false,
             indices: HashMap::new(),
             teams: vec![Team::new(None, DEFAULT_WEIGHT_MILLI)],
-            long_running: Resources::default(),
         }
     }
 }
@@ -87,7 +97,7 @@
     }
 
     /// Returns the index of a team; that of jobs without a team for one that has no jobs here.
-    fn index(&self, team: Option<&TeamName>) -> usize {
+    pub(super) fn index(&self, team: Option<&TeamName>) -> usize {
         team.and_then(|name| self.indices.get(name).copied())
             .unwrap_or(NO_TEAM)
     }
@@ -120,11 +130,36 @@
     }
 
     fn placed_mut(&mut self, job: &Job) -> &mut Resources {
+        let index = self.insert(job.team.as_ref());
+        let team = &mut self.teams[index];
         if job.spec.is_long_running() {
-            return &mut self.long_running;
+            &mut team.long_running
+        } else {
+            &mut team.placed
         }
-        let index = self.insert(job.team.as_ref());
-        &mut self.teams[index].placed
+    }
+
+    /// Counts a rejected job of a team.
+    pub(super) fn count_rejected(&mut self, team: Option<&TeamName>, reason: RejectReason) {
+        let index = self.insert(team);
+        let outcomes = &mut self.teams[index].outcomes;
+        match reason {
+            RejectReason::Overload => outcomes.overload += 1,
+            RejectReason::OverRate => outcomes.over_rate += 1,
+            RejectReason::NoSuitableWorker | RejectReason::TooManyJobs | RejectReason::NotReady => {
+                outcomes.other += 1;
+            }
+        }
+    }
+
+    /// Returns what the teams have placed of a pool, without what waits.
+    pub(super) fn placed_demands(&self, pool: &Resources) -> Vec<TeamDemand> {
+        let demand = |team: &Team| TeamDemand {
+            weight_milli: team.weight_milli,
+            placed_ppb: part_ppb(&team.placed, pool),
+            waiting_ppb: 0,
+        };
+        self.teams.iter().map(demand).collect()
     }
 }
 
@@ -184,6 +219,7 @@
         let index = self.team_table.insert(team);
         let team = &mut self.team_table.teams[index];
         team.rate.count_job(now.boot_ms, team.weight_milli);
+        team.outcomes.accepted += 1;
     }
 
     /// Sorts waiting jobs: by rank, and within a priority those within their teams' shares before
@@ -195,15 +231,7 @@
             return;
         }
         let pool = self.shared_capacity();
-        let mut demands: Vec<TeamDemand> = table
-            .teams
-            .iter()
-            .map(|team| TeamDemand {
-                weight_milli: team.weight_milli,
-                placed_ppb: part_ppb(&team.placed, &pool),
-                waiting_ppb: 0,
-            })
-            .collect();
+        let mut demands = table.placed_demands(&pool);
         let wanted: Vec<Option<(usize, u64)>> = waiting
             .iter()
             .map(|&(_, key)| {
@@ -238,14 +266,21 @@
     }
 
     /// Returns the capacity of the registered workers without what long-running jobs take.
-    fn shared_capacity(&self) -> Resources {
+    pub(super) fn shared_capacity(&self) -> Resources {
+        let long_running = self
+            .team_table
+            .teams
+            .iter()
+            .fold(Resources::default(), |sum, team| {
+                sum.saturating_add(&team.long_running)
+            });
         self.workers
             .values()
             .filter(|worker| worker.is_registered && !worker.registration.is_draining)
             .fold(Resources::default(), |sum, worker| {
                 sum.saturating_add(&worker.registration.capacity)
             })
-            .saturating_sub(&self.team_table.long_running)
+            .saturating_sub(&long_running)
     }
 }
 
@@ -263,7 +298,7 @@
 }
 
 /// Returns the demand of a job's tasks that wait and whose preceding steps are done.
-fn ready_demand(job: &Job) -> Resources {
+pub(super) fn ready_demand(job: &Job) -> Resources {
     let mut demand = Resources::default();
     for occurrence in &job.occurrences {
         for (progress, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
@@ -281,6 +316,6 @@
 }
 
 /// Returns the largest part that an amount takes of a dimension of a pool, in parts per billion.
-fn part_ppb(amount: &Resources, pool: &Resources) -> u64 {
+pub(super) fn part_ppb(amount: &Resources, pool: &Resources) -> u64 {
     amount.dominant_part(pool, WHOLE_POOL_PPB)
 }
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -63,6 +63,8 @@
         match self.check_admission(now, &submission, work_ms) {
             Ok((wait_ms, share)) => self.accept(now, submission, wait_ms, share),
             Err(rejection) => {
+                let team = submission.team.as_ref();
+                self.team_table.count_rejected(team, rejection.reason);
                 self.ready_effects.push(Effect::Log(Decision::JobRejected {
                     job: submission.id,
                     reason: rejection.reason,
--- a/crates/cyclamentrail-jobs/src/shard/unsent_jobs.rs
+++ b/crates/cyclamentrail-jobs/src/shard/unsent_jobs.rs
@@ -44,6 +44,8 @@
             Effect::Start(task) => task.job != key,
             _ => true,
         });
+        let team = job.team.as_ref();
+        self.team_table.count_rejected(team, RejectReason::NotReady);
         let retry_after_ms = retry_after_outage_ms(outage_ms, retry_seed(&job.id));
         self.ready_effects.push(Effect::Log(Decision::JobRejected {
             job: job.id,
--- a/crates/cyclamentrail-jobs/tests/scheduler/shares.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/shares.rs
@@ -4,7 +4,10 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use cyclamentrail_core::TeamName;
-use cyclamentrail_jobs::{CallerReply, Decision, Resources, TeamConfig};
+use cyclamentrail_jobs::{
+    CallerReply, Decision, MAX_NAMED_TEAMS, OTHER_TEAMS, Resources, TeamConfig, TeamLabels,
+    TeamStatus, largest_teams,
+};
 use rstest::rstest;
 
 use crate::world::{Simulation, job};
@@ -327,3 +330,103 @@
     });
     assert!(took.is_some_and(|took_ms| took_ms < 3_000), "{took:?}");
 }
+
+/// Returns the state of a team that is shown to operators.
+fn status(sim: &Simulation, team: &str) -> TeamStatus {
+    let statuses = sim.shard.team_statuses();
+    let is_team = |status: &TeamStatus| {
+        let name = status.team.as_ref();
+        name.is_some_and(|name| name.as_str() == team)
+    };
+    statuses
+        .into_iter()
+        .find(is_team)
+        .expect("the team is configured")
+}
+
+/// What operators are shown adds up: jobs by decision, waiting jobs, the part of the pool and of the cap;
+/// all of it is free again once the jobs are done.
+#[test]
+fn statuses_add_up() {
+    let mut sim = Simulation::new(WORKERS, WORKER);
+    let team = |name: &str, weight: f64, cpu_milli: u64| TeamConfig {
+        name: TeamName::from(name),
+        weight,
+        cap: Resources::new(cpu_milli, 0, 0),
+    };
+    sim.shard
+        .set_teams([team("hot", 1.0, 256_000), team("idle", 3.0, 0)]);
+    for index in 0..60 {
+        let spec = job(TASKS, TASK_CPU_MILLI, TASK_MS);
+        sim.submit_for(Some("hot"), &format!("{index}"), spec);
+    }
+    sim.run_for(200);
+    let hot = status(&sim, "hot");
+    assert_eq!(
+        hot.accepted + hot.rejected_over_rate + hot.rejected_overload,
+        60
+    );
+    assert!(hot.rejected_over_rate > 0, "{hot:?}");
+    // 68 tasks of 1.8 of 128 cores, and of a cap of 256.
+    assert_eq!(hot.received_milli, 956);
+    assert_eq!(hot.cap_used_milli, Some(478));
+    assert_eq!(hot.due_milli, 1_000);
+    assert_eq!(hot.waiting_jobs, hot.accepted - 17);
+    assert_eq!(status(&sim, "idle").due_milli, 0);
+    assert_eq!(status(&sim, "idle").cap_used_milli, None);
+    sim.run_for(20_000);
+    let hot = status(&sim, "hot");
+    assert_eq!(
+        (hot.received_milli, hot.due_milli, hot.waiting_jobs),
+        (0, 0, 0)
+    );
+}
+
+/// Long-running tasks are outside of the shared pool: a team that runs them isn't over its share with
+/// its other jobs.
+#[test]
+fn long_running_apart() {
+    let mut sim = Simulation::new(WORKERS, WORKER);
+    let senders = [sender("serving", 1.0, 1.0), sender("other", 1.0, 1.0)];
+    configure(&mut sim, &senders);
+    let mut serving = job(40, TASK_CPU_MILLI, TASK_MS);
+    serving.steps[0].long_running = true;
+    sim.submit_for(Some("serving"), "serving", serving);
+    sim.run_for(200);
+    sim.submit_for(Some("serving"), "batch", job(14, TASK_CPU_MILLI, TASK_MS));
+    sim.run_for(200);
+    let serving = status(&sim, "serving");
+    assert_eq!(serving.due_milli, serving.received_milli);
+    assert_eq!(serving.received_milli, 450);
+}
+
+/// With more teams than labels, the most active ones get them after a minute and keep them; the sum
+/// under `other` holds the rest.
+#[test]
+fn labels_bounded() {
+    let statuses: Vec<TeamStatus> = (0..570_u64)
+        .map(|index| TeamStatus {
+            team: Some(TeamName::from(format!("t{index}"))),
+            accepted: index,
+            ..TeamStatus::default()
+        })
+        .collect();
+    let mut labels = TeamLabels::default();
+    labels.assign(1_000, &statuses);
+    assert_eq!(labels.sum(&statuses).len(), 1);
+    labels.assign(61_000, &statuses);
+    let sums = labels.sum(&statuses);
+    assert_eq!(sums.len(), MAX_NAMED_TEAMS + 1);
+    assert!(sums.contains_key("t569") && !sums.contains_key("t519"));
+    assert_eq!(sums[OTHER_TEAMS].accepted, (0..520).sum::<u64>());
+    let reversed: Vec<TeamStatus> = statuses
+        .iter()
+        .map(|status| TeamStatus {
+            accepted: 1_000 - status.accepted,
+            ..status.clone()
+        })
+        .collect();
+    labels.assign(122_000, &reversed);
+    assert!(labels.sum(&reversed).keys().eq(sums.keys()));
+    assert_eq!(largest_teams(&statuses).len(), MAX_NAMED_TEAMS + 1);
+}
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -38,6 +38,7 @@
 mod relay;
 mod start_queues;
 mod takeover;
+mod team_views;
 mod topic_reader;
 mod worker_registry;
 
--- a/crates/cyclamentrail/src/edge/operator_views.rs
+++ b/crates/cyclamentrail/src/edge/operator_views.rs
@@ -17,6 +17,7 @@
 use super::messages::{OwnerCall, OwnerRequest, Reply};
 use super::owner::RelayLinkView;
 use super::process_state::ProcessState;
+use super::team_views::{TeamView, describe_teams};
 
 /// Time limit of a request to an owner.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -35,6 +36,10 @@
     /// Relays of the shard's calls, by the addresses of their internal listeners.
     #[serde(default)]
     pub(crate) relays: BTreeMap<String, RelayLinkView>,
+    /// Teams with the most jobs in the shard's pool, and the others together; empty without
+    /// configured teams.
+    #[serde(default)]
+    pub(crate) teams: BTreeMap<String, TeamView>,
 }
 
 /// State of a worker, as its owner knows it.
@@ -154,6 +159,7 @@
         jobs,
         workers: workers.collect(),
         relays,
+        teams: describe_teams(shard),
     }
 }
 
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -20,6 +20,7 @@
 use super::relay::SessionEvent;
 use super::start_queues::StartQueues;
 use super::takeover::{Takeover, take_over};
+use super::team_views::TeamMetrics;
 use super::worker_registry;
 use crate::metrics;
 
@@ -122,6 +123,7 @@
     registry_confirmation: Confirmation,
     suspension: Suspension,
     activity: Activity,
+    team_metrics: TeamMetrics,
     decision_log: DecisionLog,
     token: u64,
     start_queues: StartQueues,
@@ -185,6 +187,7 @@
             registry_confirmation: process.registry_confirmation.clone(),
             suspension: Suspension::new(),
             activity: Activity::new(shard),
+            team_metrics: TeamMetrics::new(shard),
             decision_log: DecisionLog::new(shard),
             start_queues: StartQueues::default(),
             has_held_starts: false,
@@ -229,6 +232,7 @@
             let round_start = Instant::now();
             self.suspension.notice();
             self.activity.write_if_due(self.http_client.body_bytes());
+            self.team_metrics.export_if_due(&self.shard);
             self.end_expired_evacuations();
             self.reject_unsent_in_outage();
             self.shard.advance(now());
--- a/crates/cyclamentrail/src/metrics.rs
+++ b/crates/cyclamentrail/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Records the metrics of the process, which are exported in the Prometheus text format.
 //!
-//! Label values come from closed sets (services, pools, outcomes, reasons), never from requests,
-//! callers or instances, so that the number of time series stays bounded.
+//! Label values come from closed sets (services, pools, outcomes, reasons, and at most 50 configured
+//! teams of a service), never from requests, callers or instances, so that the number of time series
+//! stays bounded.
 
 use std::sync::OnceLock;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 
 mod catalog;
 mod jobs;
+mod teams;
 
 pub(crate) use catalog::{
     APPLIED_OFFSET, CONNECTIONS, INSTANCES, MEMBERS, RECORDS, REFUSED, REQUEST_SECONDS, REQUESTS,
@@ -26,6 +28,7 @@
     count_store_call, count_takeover, count_topic_read, count_worker_command, record_worker_call,
     set_dropped_lines, set_pool_load,
 };
+pub(crate) use teams::{count_team_jobs, set_team_gauges};
 
 /// Value of the label `service` for requests to a service that isn't in the settings.
 const UNKNOWN_SERVICE_LABEL: &str = "none";
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -36,6 +36,14 @@
 pub(crate) const POOL_DEMAND: &str = "cyclamentrail_pool_demand_workers";
 /// Accepted work that hasn't started, in seconds of a whole worker.
 pub(crate) const POOL_WAITING: &str = "cyclamentrail_pool_waiting_worker_seconds";
+/// Jobs that teams submitted to a service, accepted or rejected (by reason).
+pub(crate) const TEAM_JOBS: &str = "cyclamentrail_team_jobs_total";
+/// Jobs of teams with tasks that wait for a worker.
+pub(crate) const TEAM_WAITING: &str = "cyclamentrail_team_waiting_jobs";
+/// Part of a team's cap that its tasks in a service's pool take.
+pub(crate) const TEAM_CAP_USED: &str = "cyclamentrail_team_cap_used_ratio";
+/// Part of a service's pool that a team's tasks take, and that is due to it.
+pub(crate) const TEAM_SHARE: &str = "cyclamentrail_team_share_ratio";
 /// Commands to workers, by kind and outcome.
 pub(crate) const WORKER_COMMANDS: &str = "cyclamentrail_worker_calls_total";
 /// Seconds that calls to workers took, by kind; of a poll, without the time that it may wait.
@@ -199,6 +207,30 @@
         labels: &["service"],
         help: "Accepted work that hasn't started, in seconds of a whole worker.",
     },
+    Metric {
+        name: TEAM_JOBS,
+        kind: MetricKind::Counter,
+        labels: &["service", "team", "outcome"],
+        help: "Jobs that teams submitted to a service, accepted or rejected (by reason). Here and below, the label team names 50 teams of a service at most; other stands for the rest, none for jobs without a team.",
+    },
+    Metric {
+        name: TEAM_WAITING,
+        kind: MetricKind::Gauge,
+        labels: &["service", "team"],
+        help: "Jobs of teams with tasks that wait for a worker.",
+    },
+    Metric {
+        name: TEAM_CAP_USED,
+        kind: MetricKind::Gauge,
+        labels: &["service", "team"],
+        help: "Part of a team's cap that its tasks in a service's pool take, 0 without a cap; of other teams, the largest.",
+    },
+    Metric {
+        name: TEAM_SHARE,
+        kind: MetricKind::Gauge,
+        labels: &["service", "team", "part"],
+        help: "Part of a service's pool that a team's tasks take (received), and that is due to it by the weights and its work (due).",
+    },
     Metric {
         name: WORKER_COMMANDS,
         kind: MetricKind::Counter,
--- a/crates/cyclamentrail/src/pages/metrics.rs
+++ b/crates/cyclamentrail/src/pages/metrics.rs
@@ -10,7 +10,8 @@
 
 Each entry exports its metrics in the Prometheus text format at `GET /metrics` on the listener for
 operators, with the operators' token. Labels take their values from closed sets: services, pools,
-states, outcomes, listeners and reasons; never requests, callers or instances. Entries that share
+states, outcomes, listeners and reasons; never requests, callers or instances. Of
+the configured teams, at most 50 of a service have a label. Entries that share
 one process, as in `cyclamentrail local`, share one set of metrics.
 
 This page is generated from the catalogue in the code.
