--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -23,6 +23,7 @@
 mod best_effort_share;
 mod effect;
 mod estimate;
+mod fair_share;
 mod fleet;
 mod grants;
 mod job;
@@ -40,6 +41,7 @@
 mod spec;
 mod succession;
 mod team;
+mod team_labels;
 mod worker;
 
 pub use access::{
@@ -49,12 +51,16 @@
 pub use admission::{Admission, AdmissionRequest, Backlog, admit, retry_after_outage_ms};
 pub use best_effort_share::BestEffortShare;
 pub use effect::{
-    ActiveRun, AdviceOutcome, AdviceQuery, CallerId, CallerReply, CommandOutcome, CommandRejection,
-    CpuShareCommand, Decision, Effect, EndKind, EndProof, EndedRun, PollOutcome, RejectReason,
-    StartCommand, StopCommand, TaskRunId, WaitReason, WorkerPoll, WorkerReport, WorkerTarget,
-    WorkerTicket,
+    ActiveRun, AdmissionShare, AdviceOutcome, AdviceQuery, CallerId, CallerReply, CommandOutcome,
+    CommandRejection, CpuShareCommand, Decision, Effect, EndKind, EndProof, EndedRun, PollOutcome,
+    RejectReason, StartCommand, StopCommand, TaskRunId, WaitReason, WorkerPoll, WorkerReport,
+    WorkerTarget, WorkerTicket,
 };
 pub use estimate::DurationEstimate;
+pub use fair_share::{
+    FairShares, JobRate, TeamAdmission, TeamDemand, TeamLoad, WHOLE_POOL_PPB, admit_for_team,
+    weight_milli,
+};
 pub use fleet::{
     CommandHold, CommandedMachines, FleetPlanner, FleetState, FleetTiming, Forecast,
     MachineCommand, MachineOutcome, MachineStatus, MaintenanceWave, PoolLoad, Purpose,
@@ -80,9 +86,10 @@
 pub use resources::Resources;
 pub use route::{AdviceConfig, RouteConfig};
 pub use selection::{PlacementRequest, select_worker};
-pub use shard::{Commit, Now, Shard, ShardTiming, Submission, TeamQuota, retry_seed};
+pub use shard::{Commit, Now, Shard, ShardTiming, Submission, TeamQuota, TeamStatus, retry_seed};
 pub use shard_spread::{shards_of_member, shards_of_partitions};
 pub use spec::{JobSpec, MAX_TASKS, Schedule, StepSpec};
 pub use succession::{Candidate, Incumbent, Predecessor, StoreContact, should_take_over};
 pub use team::TeamConfig;
+pub use team_labels::{MAX_NAMED_TEAMS, NO_TEAM, OTHER_TEAMS, TeamLabels, largest_teams};
 pub use worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
--- a/crates/cyclamentrail-jobs/src/ranking.rs
+++ b/crates/cyclamentrail-jobs/src/ranking.rs
@@ -1,11 +1,16 @@
 //! Order in which waiting jobs are served.
 //!
 //! Under overload, jobs that can still end on time go before those that can't, and among these the
-//! most urgent and those nearest to their deadline come first. Jobs in a long queue would
-//! otherwise all end late.
+//! most urgent, then those of teams that are under their share of the pool, and then those nearest
+//! to their deadline come first. Jobs in a long queue would otherwise all end late.
 
 use std::cmp::Reverse;
 
+/// Time past its deadline after which a late job may go before others that aren't late, if its team
+/// has nothing else, in milliseconds. Far later than a job is worth anything to most callers, so that
+/// such jobs seldom take the place of others.
+const OVERDUE_MS: u64 = 10_000;
+
 /// Properties of a waiting job that decide its rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WaitingJob {
@@ -26,6 +31,8 @@
     is_late: bool,
     is_finite: bool,
     priority: u32,
+    /// Whether the job's team has its weighted share of the pool without this job.
+    is_over_share: bool,
     deadline_ms: u64,
     remaining: Reverse<u64>,
 }
@@ -41,8 +48,32 @@
             is_late,
             is_finite: !self.is_long_running,
             priority: self.priority,
+            is_over_share: false,
             deadline_ms: self.deadline_ms,
             remaining: Reverse(self.remaining_ms),
         }
     }
 }
+
+impl JobRank {
+    /// Returns the rank of the same job where its team has its weighted share of the pool without it:
+    /// within a priority, jobs of teams that are under their shares go first.
+    #[must_use]
+    pub const fn over_share(mut self) -> Self {
+        self.is_over_share = true;
+        self
+    }
+
+    /// Returns whether the job is late and its deadline has passed long ago.
+    #[must_use]
+    pub const fn is_overdue(&self, now_ms: u64) -> bool {
+        self.is_late && now_ms > self.deadline_ms + OVERDUE_MS
+    }
+
+    /// Returns the rank that the same job would have if it could still end on time.
+    #[must_use]
+    pub const fn not_late(mut self) -> Self {
+        self.is_late = false;
+        self
+    }
+}
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -29,14 +29,17 @@
 mod registry;
 mod reports;
 mod restarts;
+mod shares;
 mod stalls;
 mod starts;
 mod submit;
+mod team_status;
 mod timing;
 mod unsent_jobs;
 
 pub use quota::TeamQuota;
 pub use submit::{Submission, retry_seed};
+pub use team_status::TeamStatus;
 pub use timing::ShardTiming;
 
 /// Time after which a start command without a response is sent again, in milliseconds.
@@ -76,6 +79,7 @@
     timing: ShardTiming,
     routes: HashMap<RouteName, Arc<RouteConfig>>,
     teams: HashMap<TeamName, TeamConfig>,
+    team_table: shares::TeamTable,
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
     workers: SlotMap<WorkerKey, Worker>,
@@ -149,6 +153,7 @@
             .map(|team| (team.name.clone(), team))
             .collect();
         self.drop_loans_without_cap();
+        self.configure_shares();
     }
 
     /// Returns the job with an id.
@@ -349,6 +354,7 @@
             return;
         };
         self.quota.subtract(job.team.as_ref(), &full_demand);
+        self.team_table.count_released(job, &demand);
         self.dirty.insert(key.job);
         let Some(worker) = self.workers.get_mut(placement.worker) else {
             return;
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -81,6 +81,7 @@
         job.has_started = progress_record.has_started;
         job.next_occurrence = progress_record.next_occurrence;
         job.ended_ms = progress_record.ended_ms;
+        self.team_table.insert(job.team.as_ref());
         let key = self.jobs.insert(job);
         let mut recorded_runs = Vec::new();
         for occurrence in progress_record.occurrences {
@@ -138,6 +139,7 @@
             });
             self.quota
                 .add(self.jobs[task.job].team.as_ref(), &full_demand);
+            self.team_table.count_placed(&self.jobs[task.job], &demand);
         }
         let worker = &mut self.workers[worker_key];
         worker.used_capacity = worker.used_capacity.saturating_add(&demand);
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -22,6 +22,8 @@
 mod quota;
 #[path = "scheduler/restarts.rs"]
 mod restarts;
+#[path = "scheduler/shares.rs"]
+mod shares;
 #[path = "scheduler/sharing.rs"]
 mod sharing;
 #[path = "scheduler/silence.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/quota.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/quota.rs
@@ -190,7 +190,7 @@
     sim.submit_for(Some("a"), "k", job(4, 1_000, 60_000));
     sim.run_for(1_000);
     assert_eq!(sim.running(), 30);
-    sim.cancel("j");
+    sim.cancel_for(Some("a"), "j");
     sim.run_for(2_000);
     assert_eq!(sim.running(), 2, "a quarter of the new cap");
     sim.shard.set_teams([]);
@@ -208,7 +208,7 @@
     for worker in ["w0", "w1"] {
         sim.worker(worker).is_reachable = false;
     }
-    sim.cancel("j");
+    sim.cancel_for(Some("a"), "j");
     sim.add_worker("w9", WORKER, "r9");
     sim.submit_for(Some("a"), "k", job(4, 1_000, 60_000));
     sim.run_for(1_500);
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -41,6 +41,7 @@
 mod revocation;
 mod start_queues;
 mod takeover;
+mod team_views;
 mod topic_reader;
 mod worker_registry;
 
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -3,7 +3,7 @@
 use std::fmt::{Display, Formatter, Result};
 
 use cyclamentrail_core::{JobId, TeamName};
-use cyclamentrail_jobs::{Decision, TaskKey};
+use cyclamentrail_jobs::{AdmissionShare, AllowanceChange, Decision, TaskKey};
 use log::{Level, Record};
 
 /// Event name, with the inputs and the outcome of the decision as key=value pairs.
@@ -26,12 +26,37 @@
         self
     }
 
+    /// Adds the expected wait of a submitted job and, if the configuration has teams, the numbers of
+    /// its team's share.
+    fn with_wait(self, wait_ms: u64, share: Option<&AdmissionShare>) -> Self {
+        let line = self.with("wait_ms", wait_ms);
+        let Some(share) = share else {
+            return line;
+        };
+        line.with("team", share.team.as_ref().map_or("none", TeamName::as_str))
+            .with("own_wait_ms", share.own_wait_ms)
+            .with("share_milli", share.share_milli)
+            .with("within_rate", share.is_within_rate)
+    }
+
     fn with_task(self, task: &TaskKey) -> Self {
         self.with("occurrence", task.occurrence)
             .with("step", task.step)
             .with("index", task.index)
     }
 
+    fn with_run(self, job: &JobId, task: &TaskKey, run: u32) -> Self {
+        self.with("job", job).with_task(task).with("run", run)
+    }
+
+    fn allowance_changed(change: &AllowanceChange, usage: u64) -> Self {
+        Self::new("allowance_changed")
+            .with("team", &change.team)
+            .with("allowance_ppm", change.allowance)
+            .with("earlier_ppm", change.earlier)
+            .with("usage_ppm", usage)
+    }
+
     /// Writes the line to the log, with the shard as its first pair.
     pub(crate) fn write(&self, shard: &str) {
         let shard = [("shard", shard)];
@@ -63,17 +88,22 @@
 impl From<&Decision> for LogLine {
     fn from(decision: &Decision) -> Self {
         match decision {
-            Decision::JobAccepted { job, wait_ms } => Self::new("job_accepted")
+            Decision::JobAccepted {
+                job,
+                wait_ms,
+                share,
+            } => Self::new("job_accepted")
                 .with("job", job)
-                .with("wait_ms", wait_ms),
+                .with_wait(*wait_ms, share.as_ref()),
             Decision::JobRejected {
                 job,
                 reason,
                 wait_ms,
+                share,
             } => Self::new("job_rejected")
                 .with("job", job)
                 .with("reason", reason.as_str())
-                .with("wait_ms", wait_ms),
+                .with_wait(*wait_ms, share.as_ref()),
             Decision::AccessDenied { job, team } => Self::new("access_denied")
                 .with("job", job)
                 .with("team", team.as_ref().map_or("", TeamName::as_str)),
@@ -84,9 +114,7 @@
                 end,
                 worker,
             } => Self::new("run_ended")
-                .with("job", job)
-                .with_task(task)
-                .with("run", run)
+                .with_run(job, task, *run)
                 .with("how", end.as_str())
                 .with("worker", worker),
             Decision::RunGone {
@@ -98,9 +126,7 @@
                 worker,
                 proof,
             } => Self::new("run_gone")
-                .with("job", job)
-                .with_task(task)
-                .with("run", run)
+                .with_run(job, task, *run)
                 .with("begun", has_begun)
                 .with("listed", is_listed)
                 .with("proof", proof.as_str())
@@ -156,11 +182,7 @@
                 .with("job", job)
                 .with_task(task)
                 .with("crashes", crashes),
-            Decision::AllowanceChanged { change, usage } => Self::new("allowance_changed")
-                .with("team", &change.team)
-                .with("allowance_ppm", change.allowance)
-                .with("earlier_ppm", change.earlier)
-                .with("usage_ppm", usage),
+            Decision::AllowanceChanged { change, usage } => Self::allowance_changed(change, *usage),
             Decision::RunStalled { job, worker } => Self::new("run_stalled")
                 .with("job", job)
                 .with("worker", worker),
--- a/crates/cyclamentrail/src/edge/operator_views.rs
+++ b/crates/cyclamentrail/src/edge/operator_views.rs
@@ -17,6 +17,7 @@
 use super::messages::{OwnerCall, OwnerRequest, Reply};
 use super::owner::RelayLinkView;
 use super::process_state::ProcessState;
+use super::team_views::{TeamView, describe_teams};
 
 /// Time limit of a request to an owner.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -37,12 +38,16 @@
     pub(crate) relays: BTreeMap<String, RelayLinkView>,
     /// Quota of the teams that use something, hold a loan or wait.
     #[serde(default)]
+    pub(crate) quotas: BTreeMap<String, QuotaView>,
+    /// Teams with the most jobs in the shard's pool, and the others together; empty without
+    /// configured teams.
+    #[serde(default)]
     pub(crate) teams: BTreeMap<String, TeamView>,
 }
 
 /// Quota of a team in a shard, in millionths of the team's cap.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct TeamView {
+pub(crate) struct QuotaView {
     /// Share that the placed tasks take.
     pub(crate) usage_ppm: u64,
     /// Share that they may take.
@@ -162,8 +167,8 @@
         is_leaving: worker.registration.is_draining || worker.evacuating_since_ms.is_some(),
         failure_score: worker.failure_score,
     });
-    let teams = shard.team_quotas().into_iter().map(|quota| {
-        let view = TeamView {
+    let quotas = shard.team_quotas().into_iter().map(|quota| {
+        let view = QuotaView {
             usage_ppm: quota.usage,
             allowance_ppm: quota.allowance,
             is_waiting: quota.is_waiting,
@@ -176,7 +181,8 @@
         jobs,
         workers: workers.collect(),
         relays,
-        teams: teams.collect(),
+        quotas: quotas.collect(),
+        teams: describe_teams(shard),
     }
 }
 
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -21,6 +21,7 @@
 use super::relay::SessionEvent;
 use super::start_queues::StartQueues;
 use super::takeover::{Takeover, take_over};
+use super::team_views::TeamMetrics;
 use super::worker_registry;
 use crate::metrics;
 
@@ -125,6 +126,7 @@
     registry_confirmation: Confirmation,
     suspension: Suspension,
     activity: Activity,
+    team_metrics: TeamMetrics,
     decision_log: DecisionLog,
     quota_reports: QuotaReports,
     token: u64,
@@ -189,6 +191,7 @@
             registry_confirmation: process.registry_confirmation.clone(),
             suspension: Suspension::new(),
             activity: Activity::new(shard),
+            team_metrics: TeamMetrics::new(shard),
             decision_log: DecisionLog::new(shard),
             quota_reports: QuotaReports::new(process),
             start_queues: StartQueues::default(),
@@ -234,6 +237,7 @@
             let round_start = Instant::now();
             self.suspension.notice();
             self.activity.write_if_due(self.http_client.body_bytes());
+            self.team_metrics.export_if_due(&self.shard);
             self.end_expired_evacuations();
             self.reject_unsent_in_outage();
             self.shard.advance(now());
