fix(edge): don't wait for a silent owner twice when its shard is taken over

Change: an owner that was just found silent isn't requested to release its shard; it counts as one that may still act, as before. Also: a test of the quota cancels a job as the job's team.

--- a/crates/cyclamentrail-jobs/tests/scheduler/quota.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/quota.rs
@@ -259,7 +259,7 @@
     sim.submit_for(Some("a"), "k", job(10, 2_000, 300));
     sim.run_for(100);
     assert!(sim.shard.team_quotas()[0].usage > 0);
-    sim.cancel("k");
+    sim.cancel_for(Some("a"), "k");
     sim.restart_under_id("w0", 300);
     sim.run_for(20_000);
     assert_eq!(sim.state("j"), Some(JobState::Completed));
--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -116,7 +116,7 @@
             };
             if should_take_over(incumbent, candidate) && !process.is_stopping() {
                 log::info!(shard = shard.as_str(), incumbent:? = incumbent; "shard_wanted");
-                self.take_over(process, shard);
+                self.take_over(process, shard, incumbent);
             }
         }
     }
@@ -128,11 +128,12 @@
     }
 
     /// Spawns the task that takes over a shard and owns it.
-    fn take_over(&mut self, process: &Arc<ProcessState>, shard: String) {
+    fn take_over(&mut self, process: &Arc<ProcessState>, shard: String, incumbent: Incumbent) {
         let (sender, receiver) = mpsc::unbounded_channel();
         let task = tokio::spawn(owner::run(
             Arc::clone(process),
             shard.clone(),
+            incumbent,
             sender.clone(),
             receiver,
         ));
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -7,7 +7,7 @@
 
 use cyclamentrail_adapter::{AdviceService, HttpClient, WorkerClient};
 use cyclamentrail_core::{ServiceName, WorkerId};
-use cyclamentrail_jobs::{CallerId, Relay, RelayedWorker, Shard, ShardTiming};
+use cyclamentrail_jobs::{CallerId, Incumbent, Relay, RelayedWorker, Shard, ShardTiming};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -62,15 +62,16 @@
 /// milliseconds.
 const EXTRA_KEEP_MS: u64 = 10_000;
 
-/// Takes over a shard and owns it until the shard is given up or lost.
+/// Takes over a shard from its incumbent and owns it until the shard is given up or lost.
 pub(crate) async fn run(
     process: Arc<ProcessState>,
     shard: String,
+    incumbent: Incumbent,
     sender: mpsc::UnboundedSender<OwnerMessage>,
     mut receiver: mpsc::UnboundedReceiver<OwnerMessage>,
 ) {
     process.insert_owned_shard(&shard, sender.clone());
-    let takeover = match take_over(&process, &shard).await {
+    let takeover = match take_over(&process, &shard, incumbent).await {
         Ok(takeover) => takeover,
         Err(error) => {
             log::info!(shard = shard.as_str(), error:% = error; "takeover_lost");
--- a/crates/cyclamentrail/src/edge/takeover.rs
+++ b/crates/cyclamentrail/src/edge/takeover.rs
@@ -4,7 +4,7 @@
 
 use cyclamentrail_adapter::{Append, StoreError, Writer, keyed_topic};
 use cyclamentrail_core::ServiceName;
-use cyclamentrail_jobs::{KeyedRecord, Predecessor, RELEASE_KEY, ReleaseRecord, decode};
+use cyclamentrail_jobs::{Incumbent, KeyedRecord, Predecessor, RELEASE_KEY, ReleaseRecord, decode};
 
 use super::claims;
 use super::clocks::boot_ms;
@@ -30,12 +30,18 @@
     pub(crate) predecessor: Predecessor,
 }
 
-/// Takes over a shard; retries until it succeeds or another process has claimed the shard since.
+/// Takes over a shard; retries until it succeeds or another process has claimed the shard since. An
+/// `incumbent` that has just been found silent isn't requested to release the shard: callers would wait
+/// for its response once more.
 ///
 /// # Errors
 ///
 /// Returns [`StoreError::Fenced`] if another process has fenced the shard with a newer claim.
-pub(crate) async fn take_over(process: &ProcessState, shard: &str) -> Result<Takeover, StoreError> {
+pub(crate) async fn take_over(
+    process: &ProcessState,
+    shard: &str,
+    incumbent: Incumbent,
+) -> Result<Takeover, StoreError> {
     while let Err(error) = claims::refresh(process).await {
         pause_before_retry(shard, &error).await;
     }
@@ -59,6 +65,7 @@
     let predecessor = match &earlier {
         None => Predecessor::Nobody,
         Some(earlier) if has_release_record(&records, earlier.token) => Predecessor::Released,
+        Some(_) if incumbent == Incumbent::Silent => Predecessor::Unknown,
         Some(earlier) => request_release(process, shard, earlier).await,
     };
     log::info!(
