fix(jobs): count a crash that a takeover coincides with

The new owner found the worker of a recorded run restarted, freed the run and counted nothing against its task. Ruled out: the counts in the records are read (crash_count_outlives_owner). Change: such a run is kept until the new incarnation reports, and counts as a crash of which nobody knows whether the run had begun; long-running tasks don't count. Test: crash_beside_takeover_counted; without the change the task goes on crashing workers.

--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -13,6 +13,7 @@
 use crate::JobSpec;
 use crate::effect::{Decision, Effect};
 use crate::job::{CrashedRun, JobKey, Placement, RunPhase, TaskKey};
+use crate::record::PlacementRecord;
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
 
 mod counts;
@@ -92,6 +93,47 @@
             .extend(unsettled.map(|lost| (key, lost)));
     }
 
+    /// Keeps a run of the records whose worker has restarted until the new incarnation reports. A task
+    /// that crashes its workers while owners change would otherwise never be found. Long-running tasks
+    /// don't count: they live through many restarts, and nobody saw how long this run had lasted.
+    pub(super) fn keep_restored_run(
+        &mut self,
+        now: Now,
+        key: WorkerKey,
+        task: TaskKey,
+        record: &PlacementRecord,
+    ) {
+        if self.step_of(task).is_none_or(|step| step.long_running) {
+            return;
+        }
+        let run = LostRun {
+            task,
+            run: record.run,
+            has_begun: false,
+            since_ms: None,
+        };
+        let is_same = |(worker, lost): &&mut (WorkerKey, LostWorker)| {
+            *worker == key && lost.started_ms == record.started_ms
+        };
+        if let Some((_, lost)) = self.crashes.unsettled.iter_mut().find(is_same) {
+            lost.jobs.insert(task.job);
+            lost.runs.push(run);
+            return;
+        }
+        let registration = &self.workers[key].registration;
+        let lost = LostWorker {
+            id: registration.id.clone(),
+            address: registration.address,
+            started_ms: record.started_ms,
+            lost_ms: now.boot_ms,
+            heard_ms: 0,
+            jobs: BTreeSet::from([task.job]),
+            was_apart: false,
+            runs: vec![run],
+        };
+        self.crashes.unsettled.push((key, lost));
+    }
+
     /// Counts the crash of a restarted worker against the runs in doubt that its new incarnation
     /// doesn't report: they were lost with the earlier one.
     pub(super) fn count_unsettled(&mut self, key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -147,6 +147,9 @@
         if record.is_stopping {
             self.schedule_resend(now.boot_ms, task, record.run);
         }
+        if has_restarted {
+            self.keep_restored_run(now, worker_key, task, record);
+        }
     }
 
     /// Adds a worker that the records name and the registry doesn't list.
--- a/crates/cyclamentrail-jobs/tests/scheduler/crashes.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crashes.rs
@@ -68,6 +68,34 @@
     assert_eq!(sim.state("deadly"), Some(JobState::Failed));
 }
 
+/// Guards against a task that goes on crashing workers where the owner changes with each crash: a new
+/// owner sees the restarted worker only, and counted nothing against the run that its records name.
+#[test]
+fn crash_beside_takeover_counted() {
+    let mut sim = Simulation::new(4, WORKER);
+    sim.deadly_tasks.insert("deadly", 0);
+    sim.deadly_tasks.restart_after_ms = 500;
+    sim.submit("deadly", job(1, 1_100, 640));
+    for _ in 0..12 {
+        let crashes = sim.deadly_tasks.crash_count();
+        for _ in 0..400 {
+            if sim.deadly_tasks.crash_count() > crashes {
+                break;
+            }
+            sim.run_for(10);
+        }
+        sim.is_owner_active = false;
+        sim.run_for(600);
+        sim.take_over(0);
+    }
+    sim.run_for(5_000);
+    assert_eq!(sim.state("deadly"), Some(JobState::Failed));
+    assert!(
+        sim.deadly_tasks.crash_count() <= 5,
+        "the job is given up after five crashes"
+    );
+}
+
 /// Guards against deadly members of a gang and deadly services going on for ever.
 #[rstest]
 #[case::service(service(3))]
