--- a/crates/cyclamentrail/tests/jobs_keys.rs
+++ b/crates/cyclamentrail/tests/jobs_keys.rs
@@ -19,7 +19,7 @@
 const REVOKE_TIME: Duration = Duration::from_secs(5);
 /// Time between two silent connections: one goes silent while a read that replaced the one before
 /// waits for records.
-const SILENCE_INTERVAL: Duration = Duration::from_millis(3_000);
+const SILENCE_INTERVAL: Duration = Duration::from_secs(3);
 const JOB: &str = r#"{"Spec":"work","Steps":[{"Count":1,"Cpu":500,"MemMb":100,"EstimateMs":500}]}"#;
 
 /// Starts a site with the teams `red` (keys `red-1` and `red-2`) and `blue` (key `blue-1`).
