test(soak): callers with keys that are added and revoked during the run

Each team has keys that an operator changes at times drawn from the seed, apart from the other draws; one more fault keeps the configuration from all or one of the processes for longer than the bound. The checker finds calls that were served with an unknown key, or later than 5 s after the revocation, and valid keys that were refused.

--- a/crates/cyclamentrail-standin/src/jobs.rs
+++ b/crates/cyclamentrail-standin/src/jobs.rs
@@ -9,7 +9,7 @@
 
 pub use client::{
     JOB_HOST, JOB_SERVICE, JobClient, ProcessPorts, SubmitResult, process_settings,
-    put_configuration, put_team_configuration,
+    put_configuration, put_team_configuration, put_teams,
 };
 pub use store::JobStore;
 pub use worker::{JobWorker, TaskRun};
--- a/crates/cyclamentrail-standin/src/jobs/client.rs
+++ b/crates/cyclamentrail-standin/src/jobs/client.rs
@@ -99,21 +99,35 @@
 /// Writes the configuration of a site with teams to its store: a route under `/q/` whose callers need
 /// a key, and a public one under `/open/`. Each team is given with its keys.
 pub fn put_team_configuration(store: &JobStore, version: u64, teams: &[(&str, &[&str])]) {
+    let owned = |keys: &[&str]| keys.iter().map(|&key| String::from(key)).collect();
+    let teams = teams
+        .iter()
+        .map(|(name, keys)| (String::from(*name), owned(keys)));
+    put_teams(store, (JOB_HOST, JOB_SERVICE), version, teams.collect());
+}
+
+/// Writes a configuration as [`put_team_configuration`] does, with routes from a host to a service.
+pub fn put_teams(
+    store: &JobStore,
+    (host, service): (&str, &str),
+    version: u64,
+    teams: Vec<(String, Vec<String>)>,
+) {
     let route = |name: &str, prefix: &str, is_public: bool| {
         json!({
-            "Name": name, "Host": JOB_HOST, "PathPrefix": prefix, "Service": JOB_SERVICE,
+            "Name": name, "Host": host, "PathPrefix": prefix, "Service": service,
             "Priority": 0, "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3,
             "Stretch": 2.0, "Public": is_public,
         })
     };
     let teams: Vec<Value> = teams
-        .iter()
+        .into_iter()
         .map(|(name, keys)| json!({"Name": name, "ApiKeys": keys, "Weight": 10}))
         .collect();
     let configuration = json!({
         "Version": version,
         "Routes": [route("r", "/q/", false), route("open", "/open/", true)],
-        "Services": [{"Name": JOB_SERVICE, "Standby": false}],
+        "Services": [{"Name": service, "Standby": false}],
         "Tenants": teams,
     });
     store.put("keyed.op", "config", &configuration);
--- a/crates/cyclamentrail-testkit/src/bin/cyclamentrail-soak.rs
+++ b/crates/cyclamentrail-testkit/src/bin/cyclamentrail-soak.rs
@@ -73,13 +73,16 @@
 
 fn print_verdict(report: &SoakReport) -> ExitCode {
     println!(
-        "seed={} processes={} jobs={} accepted={} runs={} faults={} violations={}",
+        "seed={} processes={} jobs={} accepted={} runs={} faults={} calls={} keys_revoked={} keys_refused={} violations={}",
         report.seed,
         report.processes,
         report.submitted_jobs,
         report.accepted_jobs,
         report.runs,
         report.faults.len(),
+        report.calls,
+        report.revoked_keys,
+        report.refused_keys,
         report.violations.len()
     );
     if report.violations.is_empty() {
--- a/crates/cyclamentrail-testkit/src/lib.rs
+++ b/crates/cyclamentrail-testkit/src/lib.rs
@@ -31,6 +31,6 @@
 pub use process::Process;
 pub use site::{Site, SiteBuilder, TOKEN};
 pub use soak::{
-    Fault, History, JobHistory, RunHistory, ScheduledFault, Soak, SoakReport, Submission,
-    Violation, WorkerHistory, check_history, draw_schedule,
+    Fault, History, JobHistory, KeyCall, KeyHistory, RunHistory, ScheduledFault, Soak, SoakReport,
+    Submission, Violation, WorkerHistory, check_history, draw_schedule,
 };
--- a/crates/cyclamentrail-testkit/src/soak.rs
+++ b/crates/cyclamentrail-testkit/src/soak.rs
@@ -14,6 +14,7 @@
 //! ```
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Result;
@@ -23,12 +24,14 @@
 mod check;
 mod faults;
 mod history;
+mod keys;
 mod load;
 mod schedule;
 
 pub use check::{Violation, check_history};
 use faults::{FaultySite, SiteNames};
 pub use history::{History, JobHistory, RunHistory, Submission, WorkerHistory};
+pub use keys::{KeyCall, KeyHistory};
 use load::Load;
 pub use schedule::{Fault, ScheduledFault, draw_schedule};
 
@@ -66,6 +69,12 @@
     pub accepted_jobs: usize,
     /// Number of runs that workers began.
     pub runs: usize,
+    /// Number of keys that were revoked.
+    pub revoked_keys: usize,
+    /// Number of answered calls.
+    pub calls: usize,
+    /// Number of calls whose key was refused.
+    pub refused_keys: usize,
     /// Broken promises.
     pub violations: Vec<Violation>,
     /// Folder with the output of the processes.
@@ -122,16 +131,24 @@
         let end = Instant::now() + self.duration;
         let load = Load::start(
             self.seed,
-            names.host,
-            site.callers(),
+            Arc::clone(&names.host),
+            (site.callers(), site.keys()),
             end,
             end + SETTLE_TIME,
         );
-        site.carry_out(&schedule, end).await?;
+        let (keys, store) = (site.keys(), site.store());
+        let (carried_out, ()) = tokio::join!(
+            site.carry_out(&schedule, end),
+            keys.keep_changing(&store, &names, self.seed, end),
+        );
+        carried_out?;
         let jobs = site.restart_crashed_during(load.finish()).await?;
+        let (key_histories, calls) = keys.finish();
         let history = History {
             jobs,
             workers: site.finish(),
+            keys: key_histories,
+            calls,
         };
         let violations = check_history(&history);
         Ok(SoakReport {
@@ -142,6 +159,9 @@
             submitted_jobs: history.jobs.len(),
             accepted_jobs: history.accepted_jobs().count(),
             runs: history.workers.iter().map(|worker| worker.runs.len()).sum(),
+            revoked_keys: history.revoked_keys().count(),
+            calls: history.calls.len(),
+            refused_keys: history.calls_with(401).count(),
             violations,
             logs,
             command: self.command(),
--- a/crates/cyclamentrail-testkit/src/soak/check.rs
+++ b/crates/cyclamentrail-testkit/src/soak/check.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::history::{History, JobHistory, RunHistory, Submission, WorkerHistory};
+use super::keys::KeyCall;
 
 /// Longest time after a confirmed cancel in which a start that was on its way may arrive.
 const CANCEL_SLACK: Duration = Duration::from_secs(5);
@@ -16,6 +17,9 @@
 pub(super) const DEADLY_SUFFIX: &str = "2a.0.0.0";
 /// Largest number of runs of such a task: three crashes, and two further starts.
 const MAX_DEADLY_RUNS: usize = 5;
+/// Time within which a revocation holds at every process, and after which every process that accepts
+/// keys knows a new one.
+const REVOKE_TIME: Duration = Duration::from_secs(5);
 /// Number of tasks that fit on a worker.
 const WORKER_TASKS: usize = 32;
 
@@ -84,6 +88,24 @@
         /// Number of tasks at once.
         tasks: usize,
     },
+    /// A call was served with a key that was never in any configuration.
+    UnknownKeyServed,
+    /// A call that was sent too long after the revocation of its key was served.
+    RevokedKeyServed {
+        /// Number of the key.
+        key: usize,
+        /// Time from the revocation to the call, in milliseconds.
+        late_ms: u64,
+    },
+    /// A call with a key in force was refused because of the key or the team.
+    ValidKeyRefused {
+        /// Number of the key.
+        key: usize,
+        /// Status of the response.
+        status: u16,
+        /// Time from the first configuration with the key to the call, in milliseconds.
+        age_ms: u64,
+    },
     /// A task began too long after the worker gave notice.
     RanAfterNotice {
         /// Id of the worker.
@@ -114,6 +136,11 @@
     for worker in &history.workers {
         check_worker(worker, &mut violations);
     }
+    let broken_by_calls = history
+        .calls
+        .iter()
+        .filter_map(|call| check_call(call, history));
+    violations.extend(broken_by_calls);
     violations
 }
 
@@ -237,6 +264,36 @@
     }
 }
 
+/// Checks a call against the history of its key.
+fn check_call(call: &KeyCall, history: &History) -> Option<Violation> {
+    let is_served = (200..300).contains(&call.status);
+    let Some(number) = call.key else {
+        return is_served.then_some(Violation::UnknownKeyServed);
+    };
+    let key = history.keys.get(number)?;
+    let since_ms = |earlier: Instant| {
+        let since = call.sent.saturating_duration_since(earlier);
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    };
+    if is_served {
+        let revoked = key
+            .revoked
+            .filter(|revoked| call.sent > *revoked + REVOKE_TIME)?;
+        return Some(Violation::RevokedKeyServed {
+            key: number,
+            late_ms: since_ms(revoked),
+        });
+    }
+    let is_in_force = call.sent > key.added + REVOKE_TIME
+        && key.revoked.is_none_or(|revoked| call.answered < revoked);
+    let is_refused = matches!(call.status, 401 | 403);
+    (is_in_force && is_refused).then(|| Violation::ValidKeyRefused {
+        key: number,
+        status: call.status,
+        age_ms: since_ms(key.added),
+    })
+}
+
 fn check_worker(worker: &WorkerHistory, violations: &mut Vec<Violation>) {
     let at_once = |run: &RunHistory| {
         let has_begun = |other: &&RunHistory| other.began <= run.began && run.began < other.ended;
--- a/crates/cyclamentrail-testkit/src/soak/faults.rs
+++ b/crates/cyclamentrail-testkit/src/soak/faults.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use cyclamentrail_standin::JobWorker;
+use cyclamentrail_standin::{JobStore, JobWorker};
 use tokio::time::{Instant as TokioInstant, sleep, sleep_until};
 
 use super::check::DEADLY_SUFFIX;
 use super::history::{RunHistory, WorkerHistory};
+use super::keys::KeyRing;
 use super::load::Callers;
 use super::schedule::{Fault, ScheduledFault};
 use crate::{Forwarder, JobSite, Process};
@@ -24,6 +25,10 @@
 /// Number of times that the start of a process is tried: a site that runs beside may take a port
 /// between the look whether it is free and the process's own use.
 const START_ATTEMPTS: u32 = 5;
+/// Settings of all processes: revocations hold everywhere.
+const SETTINGS: &str = "Bounds.RevokeStrict=true\nBounds.RevokeMs=5000\n";
+/// Topic of the configuration.
+const CONFIGURATION_TOPIC: &str = "keyed.op";
 /// Topic of the workers' registrations.
 const REGISTRATION_TOPIC: &str = "keyed.servers";
 
@@ -87,6 +92,7 @@
     service: String,
     processes: Vec<SoakProcess>,
     callers: Callers,
+    keys: KeyRing,
     workers: Vec<SoakWorker>,
     /// Incarnations of workers that have ended.
     ended_workers: Vec<WorkerHistory>,
@@ -103,8 +109,10 @@
         task_ms: u64,
         logs: &Path,
     ) -> Result<Self> {
+        let site = JobSite::start_named(&names.host, &names.service).await?;
         let mut faulty = Self {
-            site: JobSite::start_named(&names.host, &names.service).await?,
+            keys: KeyRing::start(&site.store, names),
+            site: site.settings(SETTINGS),
             service: names.service.clone(),
             processes: Vec::new(),
             callers: Callers::default(),
@@ -134,6 +142,16 @@
         Arc::clone(&self.callers)
     }
 
+    /// Returns the keys of the teams.
+    pub(super) fn keys(&self) -> KeyRing {
+        self.keys.clone()
+    }
+
+    /// Returns the store, to which operators write.
+    pub(super) fn store(&self) -> Arc<JobStore> {
+        Arc::clone(&self.site.store)
+    }
+
     /// Carries out the faults, and ends all of them at `end`.
     pub(super) async fn carry_out(
         &mut self,
@@ -217,6 +235,9 @@
             Fault::StoreSlow { delay_ms } => self.site.store.set_delay_ms(delay_ms),
             Fault::StoreSilent => self.site.store.set_losing_responses(true),
             Fault::RegistryUnreadable => self.site.store.set_unreadable(REGISTRATION_TOPIC, true),
+            Fault::ConfigurationUnreadable => {
+                self.site.store.set_unreadable(CONFIGURATION_TOPIC, true);
+            }
             Fault::DelayStart { worker } => {
                 self.workers[worker].worker.delay_next_start(START_DELAY_MS);
             }
@@ -257,6 +278,9 @@
             Fault::StoreSlow { .. } => self.site.store.set_delay_ms(0),
             Fault::StoreSilent => self.site.store.set_losing_responses(false),
             Fault::RegistryUnreadable => self.site.store.set_unreadable(REGISTRATION_TOPIC, false),
+            Fault::ConfigurationUnreadable => {
+                self.site.store.set_unreadable(CONFIGURATION_TOPIC, false);
+            }
             Fault::RestartWorker { worker } | Fault::GiveNotice { worker } => {
                 self.restart_worker(worker).await?;
             }
--- a/crates/cyclamentrail-testkit/src/soak/history.rs
+++ b/crates/cyclamentrail-testkit/src/soak/history.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use super::keys::{KeyCall, KeyHistory};
+
 /// Response to the only attempt to submit a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Submission {
@@ -86,9 +88,23 @@
     pub jobs: Vec<JobHistory>,
     /// Incarnations of the workers.
     pub workers: Vec<WorkerHistory>,
+    /// Keys in the order in which they were added.
+    pub keys: Vec<KeyHistory>,
+    /// Answered calls of clients.
+    pub calls: Vec<KeyCall>,
 }
 
 impl History {
+    /// Returns the keys that were revoked.
+    pub fn revoked_keys(&self) -> impl Iterator<Item = &KeyHistory> {
+        self.keys.iter().filter(|key| key.revoked.is_some())
+    }
+
+    /// Returns the calls whose response had a status.
+    pub fn calls_with(&self, status: u16) -> impl Iterator<Item = &KeyCall> {
+        self.calls.iter().filter(move |call| call.status == status)
+    }
+
     /// Returns the accepted jobs.
     pub fn accepted_jobs(&self) -> impl Iterator<Item = &JobHistory> {
         let is_accepted = |job: &&JobHistory| job.submission == Submission::Accepted;
--- a/crates/cyclamentrail-testkit/src/soak/load.rs
+++ b/crates/cyclamentrail-testkit/src/soak/load.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::history::{JobHistory, Submission};
+use super::keys::{KeyCall, KeyRing, team_of_job};
 
 /// Largest pause between two submissions.
 const MAX_PAUSE_MS: u64 = 160;
@@ -32,6 +33,8 @@
 const ESTIMATE_MS: u64 = 500;
 /// Difference between the seeds of the load and of the faults.
 const LOAD_STREAM: u64 = 1;
+/// Difference between the seeds of a job's calls and of the keys that they carry.
+const KEY_STREAM: u64 = 1;
 
 /// Addresses at which the processes accept requests now.
 pub(super) type Callers = Arc<Mutex<Vec<SocketAddr>>>;
@@ -48,6 +51,9 @@
     step_tasks: Vec<u32>,
     cancel_after: Option<Duration>,
     random: ChaCha8Rng,
+    team: usize,
+    /// Draws the keys, apart from the other draws, so that a seed's load doesn't depend on keys.
+    key_random: ChaCha8Rng,
 }
 
 impl Load {
@@ -55,11 +61,11 @@
     pub(super) fn start(
         seed: u64,
         host: Arc<str>,
-        callers: Callers,
+        site: (Callers, KeyRing),
         end: Instant,
         settled: Instant,
     ) -> Self {
-        let submitter = tokio::spawn(submit_jobs(seed, host, callers, end, settled));
+        let submitter = tokio::spawn(submit_jobs(seed, host, site, end, settled));
         Self { submitter }
     }
 
@@ -76,7 +82,7 @@
 async fn submit_jobs(
     seed: u64,
     host: Arc<str>,
-    callers: Callers,
+    (callers, keys): (Callers, KeyRing),
     end: Instant,
     settled: Instant,
 ) -> Result<Vec<JobHistory>> {
@@ -87,7 +93,7 @@
         let plan = draw_job(seed, &host, clients.len(), &mut random);
         clients.push(tokio::spawn(follow_job(
             plan,
-            Arc::clone(&callers),
+            (Arc::clone(&callers), keys.clone()),
             settled,
         )));
         let pause = Duration::from_millis(random.random_range(0..MAX_PAUSE_MS));
@@ -107,18 +113,23 @@
     let cancel_ms = random.random_range(0..MAX_CANCEL_MS);
     let is_cancelled = random.random_bool(CANCELLED_SHARE);
     let short_seed = seed & u64::from(u32::MAX);
+    let call_seed = random.random();
+    let mut key_random = ChaCha8Rng::seed_from_u64(call_seed);
+    key_random.set_stream(KEY_STREAM);
     JobPlan {
         host: Arc::clone(host),
         id: format!("{short_seed:08x}{number:08x}"),
         step_tasks,
         cancel_after: is_cancelled.then(|| Duration::from_millis(cancel_ms)),
-        random: ChaCha8Rng::seed_from_u64(random.random()),
+        random: ChaCha8Rng::seed_from_u64(call_seed),
+        team: team_of_job(number),
+        key_random,
     }
 }
 
 /// Submits a job once; then cancels it if planned, and watches it until it has ended.
-async fn follow_job(plan: JobPlan, callers: Callers, settled: Instant) -> JobHistory {
-    let mut caller = JobCaller::new(plan, callers);
+async fn follow_job(plan: JobPlan, site: (Callers, KeyRing), settled: Instant) -> JobHistory {
+    let mut caller = JobCaller::new(plan, site);
     let mut job = JobHistory {
         id: caller.plan.id.clone(),
         step_tasks: caller.plan.step_tasks.clone(),
@@ -155,15 +166,17 @@
     client: JobClient,
     plan: JobPlan,
     callers: Callers,
+    keys: KeyRing,
     submitted: Instant,
 }
 
 impl JobCaller {
-    fn new(plan: JobPlan, callers: Callers) -> Self {
+    fn new(plan: JobPlan, (callers, keys): (Callers, KeyRing)) -> Self {
         Self {
             client: JobClient::new().host(&plan.host),
             plan,
             callers,
+            keys,
             submitted: Instant::now(),
         }
     }
@@ -172,9 +185,13 @@
         let body = job_body(&self.plan.step_tasks);
         match self.call(Method::POST, body).await {
             Ok((StatusCode::OK, _)) => Submission::Accepted,
-            Ok((StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, _)) => {
-                Submission::Rejected
-            }
+            Ok((
+                StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::UNAUTHORIZED
+                | StatusCode::FORBIDDEN,
+                _,
+            )) => Submission::Rejected,
             _ => Submission::Unknown,
         }
     }
@@ -208,8 +225,18 @@
             let callers = self.callers.lock().unwrap_or_else(PoisonError::into_inner);
             callers[self.plan.random.random_range(0..callers.len())]
         };
-        let call = self.client.call(address, method, &self.plan.id, body);
-        timeout(CALL_TIMEOUT, call).await?
+        let (key, text) = self.keys.draw(self.plan.team, &mut self.plan.key_random);
+        let client = self.client.clone().api_key(&text);
+        let sent = std::time::Instant::now();
+        let call = client.call(address, method, &self.plan.id, body);
+        let response = timeout(CALL_TIMEOUT, call).await??;
+        self.keys.record(KeyCall {
+            key,
+            sent,
+            answered: std::time::Instant::now(),
+            status: response.0.as_u16(),
+        });
+        Ok(response)
     }
 }
 
--- a/crates/cyclamentrail-testkit/src/soak/schedule.rs
+++ b/crates/cyclamentrail-testkit/src/soak/schedule.rs
@@ -19,6 +19,12 @@
 /// Largest number of consecutive processes that one fault hits.
 const MAX_PROCESSES_HIT: usize = 3;
 
+/// Difference between the seeds of the other faults and of the one that lasts longer than the bound
+/// for revocations.
+const REVOCATION_STREAM: u64 = 3;
+/// Shortest and longest time of that fault; the bound is 5 s.
+const REVOCATION_FAULT_MS: std::ops::RangeInclusive<u64> = 7_000..=9_000;
+
 /// Fault that is injected from outside the processes. Numbers of processes and workers count from
 /// zero.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -63,6 +69,8 @@
     StoreSilent,
     /// The store doesn't serve reads of the workers' registrations.
     RegistryUnreadable,
+    /// The store doesn't serve reads of the configuration.
+    ConfigurationUnreadable,
     /// A worker carries out the next start late, and doesn't respond to it.
     DelayStart {
         /// Number of the worker.
@@ -112,9 +120,36 @@
         });
         at_ms += random.random_range(0..=2 * MEAN_PAUSE_MS);
     }
+    schedule.extend(draw_revocation_fault(seed, end_ms, processes));
+    schedule.sort_by_key(|scheduled| scheduled.at_ms);
     schedule
 }
 
+/// Draws a fault that keeps some processes from learning of revoked keys for longer than the bound;
+/// none if the soak is too short. Drawn apart, so that a seed's other faults don't depend on it.
+fn draw_revocation_fault(seed: u64, end_ms: u64, processes: usize) -> Option<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(REVOCATION_STREAM);
+    let duration_ms = random.random_range(REVOCATION_FAULT_MS);
+    let last_ms = end_ms.checked_sub(duration_ms)?;
+    if last_ms < FIRST_FAULT_MS {
+        return None;
+    }
+    let at_ms = random.random_range(FIRST_FAULT_MS..=last_ms);
+    let fault = if random.random_bool(0.5) {
+        Fault::ConfigurationUnreadable
+    } else {
+        Fault::CutFromStore {
+            process: random.random_range(0..processes),
+        }
+    };
+    Some(ScheduledFault {
+        at_ms,
+        duration_ms,
+        fault,
+    })
+}
+
 fn draw_fault(random: &mut ChaCha8Rng, processes: usize, workers: usize) -> Fault {
     let process = random.random_range(0..processes);
     let worker = random.random_range(0..workers);
--- a/crates/cyclamentrail-testkit/tests/soak_checker.rs
+++ b/crates/cyclamentrail-testkit/tests/soak_checker.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use cyclamentrail_testkit::{
-    History, JobHistory, RunHistory, Submission, Violation, WorkerHistory, check_history,
-    draw_schedule,
+    History, JobHistory, KeyCall, KeyHistory, RunHistory, Submission, Violation, WorkerHistory,
+    check_history, draw_schedule,
 };
 use rstest::rstest;
 
@@ -29,6 +29,17 @@
     }
 }
 
+impl Clock {
+    fn call(self, key: Option<usize>, sent_ms: u64, status: u16) -> KeyCall {
+        KeyCall {
+            key,
+            sent: self.at(sent_ms),
+            answered: self.at(sent_ms + 10),
+            status,
+        }
+    }
+}
+
 /// Returns a history without a broken promise: a job with a step of two tasks and a step of one.
 fn kept_promises(clock: Clock) -> History {
     let job = JobHistory {
@@ -56,6 +67,27 @@
     History {
         jobs: vec![job],
         workers: vec![first, second],
+        keys: vec![
+            KeyHistory {
+                team: 0,
+                added: clock.at(0),
+                revoked: Some(clock.at(10_000)),
+            },
+            KeyHistory {
+                team: 0,
+                added: clock.at(9_000),
+                revoked: None,
+            },
+        ],
+        calls: vec![
+            // Within the bound after the revocation, and after it.
+            clock.call(Some(0), 14_900, 200),
+            clock.call(Some(0), 15_100, 401),
+            // Before every process knows the key, and afterwards at one that can't tell.
+            clock.call(Some(1), 13_900, 401),
+            clock.call(Some(1), 14_100, 503),
+            clock.call(None, 100, 401),
+        ],
     }
 }
 
@@ -117,6 +149,22 @@
     history.workers[1].runs.extend(deadly);
 }
 
+fn unknown_key(clock: Clock, history: &mut History) {
+    history.calls.push(clock.call(None, 100, 200));
+}
+
+fn revoked_key(clock: Clock, history: &mut History) {
+    history.calls.push(clock.call(Some(0), 15_001, 200));
+}
+
+fn valid_key_unknown(clock: Clock, history: &mut History) {
+    history.calls.push(clock.call(Some(1), 14_001, 401));
+}
+
+fn valid_key_denied(clock: Clock, history: &mut History) {
+    history.calls.push(clock.call(Some(0), 9_000, 403));
+}
+
 #[rstest]
 #[case::never_ended(never_ended, "JobNotEnded")]
 #[case::state_changed(state_changed, "StateAfterEnd")]
@@ -128,6 +176,10 @@
 #[case::ran_too_early(ran_too_early, "RanBeforeStep")]
 #[case::overfull(overfull, "WorkerOverfull")]
 #[case::ran_after_notice(ran_after_notice, "RanAfterNotice")]
+#[case::unknown_key(unknown_key, "UnknownKeyServed")]
+#[case::revoked_key(revoked_key, "RevokedKeyServed")]
+#[case::valid_key_unknown(valid_key_unknown, "ValidKeyRefused")]
+#[case::valid_key_denied(valid_key_denied, "ValidKeyRefused")]
 #[case::goes_on_crashing(goes_on_crashing, "GoesOnCrashing")]
 fn violation_found(#[case] break_promise: Break, #[case] kind: &str) {
     let clock = Clock(Instant::now());
