--- a/crates/cyclamentrail/src/edge/operator_views.rs
+++ b/crates/cyclamentrail/src/edge/operator_views.rs
@@ -108,6 +108,8 @@
     zone: String,
     is_ready: bool,
     configuration_version: Option<u64>,
+    /// Time since the store last confirmed that no newer configuration exists, in milliseconds.
+    configuration_confirmed_age_ms: u64,
     owners: BTreeMap<String, OwnerView>,
     shards: BTreeMap<String, ShardView>,
 }
@@ -250,6 +252,7 @@
         configuration_version: process
             .configuration()
             .map(|configuration| configuration.version),
+        configuration_confirmed_age_ms: process.revocation.age_ms(),
         owners: owners.collect(),
         shards,
     })
--- a/crates/cyclamentrail/src/edge/revocation.rs
+++ b/crates/cyclamentrail/src/edge/revocation.rs
@@ -43,6 +43,11 @@
         self.max_age_ms
     }
 
+    /// Returns the time since the last confirmation in milliseconds.
+    pub(crate) fn age_ms(&self) -> u64 {
+        self.confirmation.age_ms()
+    }
+
     /// Confirms the configuration: `sent_ms` is when the read that found no newer one was sent, on
     /// the boot-time clock.
     pub(crate) fn confirm(&self, sent_ms: u64) {
--- a/crates/cyclamentrail/tests/jobs_keys.rs
+++ b/crates/cyclamentrail/tests/jobs_keys.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::{Result, ensure};
+use cyclamentrail_adapter::KeyDigest;
 use cyclamentrail_standin::{JOB_HOST, JOB_SERVICE, JobClient, JobStore, put_team_configuration};
 use cyclamentrail_testkit::{Forwarder, JobSite};
 use hyper::{Method, StatusCode};
@@ -350,3 +351,69 @@
     });
     store.put("keyed.op", "config", &configuration);
 }
+
+/// Keys must not show in the log, the metrics or the state; a refused key shows as its fingerprint,
+/// faults and the loss of the confirmation as one line each.
+#[tokio::test]
+async fn keys_not_shown() -> Result<()> {
+    let mut site = JobSite::start(0, 1, 200).await?.settings(STRICT);
+    let shared: &[&str] = &["secret-shared"];
+    let teams = [
+        ("red", shared),
+        ("blue", shared),
+        ("green", &["secret-green"]),
+    ];
+    put_team_configuration(&site.store, 4, &teams);
+    let folder = tempfile::tempdir()?;
+    let log = folder.path().join("n0.log");
+    let started = site.start_logged_process("n0", site.store.address(), &log)?;
+    let address = started.1;
+    site.processes.push(started);
+    wait_for(&client("secret-green"), address, StatusCode::OK).await?;
+    for key in ["secret-shared", "secret-other"] {
+        ensure!(list(&client(key), address).await? == StatusCode::UNAUTHORIZED);
+    }
+    submit(&client("secret-green"), address, "00000000000000d1").await?;
+    site.store.set_unreadable("keyed.op", true);
+    wait_for(
+        &client("secret-green"),
+        address,
+        StatusCode::SERVICE_UNAVAILABLE,
+    )
+    .await?;
+    site.store.set_unreadable("keyed.op", false);
+    wait_for(&client("secret-green"), address, StatusCode::OK).await?;
+    let operators = SocketAddr::new(address.ip(), address.port() + 3);
+    let mut shown = String::new();
+    for path in ["/metrics", "/state"] {
+        let page = JobClient::new().path_prefix(path);
+        let (_, body) = page.call(operators, Method::GET, "", String::new()).await?;
+        shown.push_str(&String::from_utf8(body.to_vec())?);
+    }
+    // Lines are written by a thread of their own.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let lines = std::fs::read_to_string(&log)?;
+    let count = |text: &str| lines.matches(text).count();
+    for (event, expected) in [
+        ("event=team_fault ", 3),
+        ("event=call_refused ", 2),
+        ("event=configuration_unconfirmed ", 1),
+        ("event=configuration_confirmed_again ", 1),
+    ] {
+        ensure!(
+            count(event) == expected,
+            "{event}: {} lines\n{lines}",
+            count(event)
+        );
+    }
+    let fingerprint = KeyDigest::of(b"secret-other").to_string();
+    ensure!(count(&fingerprint) == 1, "{lines}");
+    shown.push_str(&lines);
+    ensure!(!shown.contains("secret-"), "{shown}");
+    for reason in ["unknown_key", "unconfirmed"] {
+        let label = format!("cyclamentrail_callers_refused_total{{reason=\"{reason}\"}}");
+        ensure!(shown.contains(&label), "{shown}");
+    }
+    ensure!(shown.contains("configuration_confirmed_age_ms"), "{shown}");
+    Ok(())
+}
