--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -169,6 +169,9 @@
         if pass.is_hopeless(is_restricted, &spec.reserved_resources()) {
             return;
         }
+        if self.is_surely_skipped(ready_step.job, spec) {
+            return;
+        }
         let limit = self.step_limit(ready_step.job, spec);
         if let Some(limit) = limit.as_ref().filter(|limit| !self.quota.allows(limit)) {
             self.record_skipped(ready_step.task(0), limit);
--- a/crates/cyclamentrail-jobs/src/shard/quota.rs
+++ b/crates/cyclamentrail-jobs/src/shard/quota.rs
@@ -27,6 +27,8 @@
 struct Skipped {
     /// Resources of these tasks, counted up to the whole cap.
     demand: Resources,
+    /// Whether these tasks would take the whole cap, so that no more are counted.
+    is_whole_cap: bool,
     /// Resources of the task, or of the gang as a whole, that takes the smallest share of the cap.
     smallest: Resources,
     /// What this task, or one of this gang, takes of its worker.
@@ -125,6 +127,20 @@
         self.quota.allowances.retain(is_capped);
     }
 
+    /// Returns whether the present placement pass has skipped a step of the same team that needs no
+    /// more than this one, and has counted as much as the team could use. Saves the look at the cap
+    /// for each job of a team that has many waiting.
+    pub(super) fn is_surely_skipped(&self, job: JobKey, spec: &StepSpec) -> bool {
+        if self.quota.skipped.is_empty() {
+            return false;
+        }
+        let team = self.jobs.get(job).and_then(|job| job.team.as_ref());
+        let skipped = team.and_then(|team| self.quota.skipped.get(team));
+        skipped.is_some_and(|skipped| {
+            skipped.is_whole_cap && request_of(spec).contains(&skipped.smallest)
+        })
+    }
+
     /// Returns the limit for a step, or `None` if its job's team has no cap.
     pub(super) fn step_limit(&self, job: JobKey, spec: &StepSpec) -> Option<StepLimit> {
         let team = self.jobs.get(job)?.team.as_ref()?;
@@ -133,11 +149,7 @@
             return None;
         }
         let member = cap_share(&spec.demand, &cap);
-        let request = if spec.gang {
-            times(&spec.demand, u64::from(spec.count))
-        } else {
-            spec.demand
-        };
+        let request = request_of(spec);
         Some(StepLimit {
             team: team.clone(),
             cap,
@@ -165,8 +177,8 @@
         }
         let earlier = self.quota.skipped.get(&limit.team);
         let counted = earlier.map_or(Resources::default(), |skipped| skipped.demand);
-        let is_known_full = share(&counted) >= WHOLE_CAP;
-        let waiting = if is_known_full {
+        let is_whole_cap = earlier.is_some_and(|skipped| skipped.is_whole_cap);
+        let waiting = if is_whole_cap {
             0
         } else if spec.gang {
             u64::from(spec.count)
@@ -174,14 +186,17 @@
             let enough = WHOLE_CAP / limit.member.max(1) + 1;
             self.waiting_count(task, enough)
         };
+        let demand = counted.saturating_add(&times(&spec.demand, waiting));
         let skipped = Skipped {
-            demand: counted.saturating_add(&times(&spec.demand, waiting)),
+            demand,
+            is_whole_cap: is_whole_cap || share(&demand) >= WHOLE_CAP,
             smallest: limit.request,
             smallest_demand: spec.reserved_resources(),
         };
         let skipped = match earlier {
             Some(earlier) if share(&earlier.smallest) <= share(&skipped.smallest) => Skipped {
                 demand: skipped.demand,
+                is_whole_cap: skipped.is_whole_cap,
                 ..*earlier
             },
             _ => skipped,
@@ -355,6 +370,15 @@
     }
 }
 
+/// Returns the resources that a step needs to start: those of one task, or of a gang as a whole.
+const fn request_of(spec: &StepSpec) -> Resources {
+    if spec.gang {
+        times(&spec.demand, spec.count as u64)
+    } else {
+        spec.demand
+    }
+}
+
 const fn times(amount: &Resources, count: u64) -> Resources {
     Resources::new(
         amount.cpu_milli.saturating_mul(count),
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -18,6 +18,8 @@
 mod promises;
 #[path = "scheduler/quota.rs"]
 mod quota;
+#[path = "scheduler/quota_shards.rs"]
+mod quota_shards;
 #[path = "scheduler/restarts.rs"]
 mod restarts;
 #[path = "scheduler/sharing.rs"]
