test(quota): late replies reach the shard while a newer report is open

Cause: with the check of the report's number taken out, no test failed: the tests dropped such replies themselves. Change: the direct test and the seeded sites hand every reply to the shard. Run: quota_ledger 30 pass; without the check, 9 fail.

--- a/crates/cyclamentrail-jobs/tests/quota_ledger/faults.rs
+++ b/crates/cyclamentrail-jobs/tests/quota_ledger/faults.rs
@@ -27,12 +27,14 @@
     holders[1].wanted = WHOLE_CAP;
     holders[1].report(&mut ledger);
     assert_eq!(holders[1].allowance(), base_share(4), "all is reserved");
+    let next = holders[0].begin(1).expect("the ledger has to be told");
     holders[0].finish(&report, Some(&reply));
     assert_eq!(
         holders[0].allowance(),
         base_share(4),
         "a late reply is dropped"
     );
+    holders[0].finish(&next, None);
     holders[0].wanted = 0;
     report_all(&mut holders, &mut ledger, 3);
     assert!(holders[1].allowance() > 800_000);
@@ -177,7 +179,8 @@
 /// Message under way between a shard and a ledger.
 enum Message {
     Report(QuotaReport),
-    Reply(usize, u64, QuotaReply),
+    /// Reply to a report of a shard's owner with a number.
+    Reply(usize, u64, u64, QuotaReply),
 }
 
 /// Several shards with tasks that come and go, over a network that loses, delays and repeats
@@ -273,17 +276,22 @@
                         .iter()
                         .position(|name| *name == report.service.as_str());
                     if let (Some(reply), Some(index)) = (reply, index) {
-                        let send = || Message::Reply(index, report.sequence, reply.clone());
+                        let send =
+                            || Message::Reply(index, report.owner, report.sequence, reply.clone());
                         self.send(send, is_faulty);
                     }
                 }
-                Message::Reply(index, sequence, reply) => {
+                Message::Reply(index, owner, sequence, reply) => {
+                    // The connection of an owner that was replaced is closed.
+                    if self.holders[index].owner != owner {
+                        continue;
+                    }
                     if self.open[index].is_some_and(|(open, _)| open == sequence) {
-                        self.holders[index]
-                            .allowances
-                            .finish_report(sequence, Some(&reply));
                         self.open[index] = None;
                     }
+                    self.holders[index]
+                        .allowances
+                        .finish_report(sequence, Some(&reply));
                 }
             }
         }
