feat(quota): an idle owner reports to a new ledger at once

Cause: an owner without work woke for its next confirmation only, up to 1.5 s later, and the ledger lends nothing before every shard has reported. Change: an owner that hasn't reported to the newest ledger wakes for it.

--- a/crates/cyclamentrail/src/edge/owner/quota_reports.rs
+++ b/crates/cyclamentrail/src/edge/owner/quota_reports.rs
@@ -30,6 +30,8 @@
     process: Arc<ProcessState>,
     /// Whether the ledger that was the newest at this owner's claim is known.
     knows_ledger: bool,
+    /// Fencing token of the ledger that the last report was for.
+    reported_ledger: u64,
     /// Whether a call is under way.
     is_calling: bool,
     next_look: Instant,
@@ -42,6 +44,7 @@
         Self {
             process: Arc::clone(process),
             knows_ledger: false,
+            reported_ledger: 0,
             is_calling: false,
             next_look: Instant::now(),
             is_active: false,
@@ -69,11 +72,21 @@
                 self.quota_reports.next_look = now + REPORT_INTERVAL;
             }
         }
-        let may_have_more = self.quota_reports.is_active || self.shard.is_limited_by_quota();
+        let may_have_more = self.quota_reports.is_active
+            || self.shard.is_limited_by_quota()
+            || self.has_new_ledger();
         (may_have_more && !self.quota_reports.is_calling)
             .then(|| self.quota_reports.next_look.saturating_duration_since(now))
     }
 
+    /// Returns whether there is a ledger that this owner hasn't reported to. An idle owner has to wake
+    /// for it, because the ledger lends nothing to others until then.
+    fn has_new_ledger(&self) -> bool {
+        let newest = self.quota_reports.newest_ledger();
+        newest.is_some_and(|ledger| ledger > self.quota_reports.reported_ledger)
+            && self.shard.has_quota()
+    }
+
     /// Begins a report, if there is anything to report; returns whether there was.
     fn report_quota(&mut self) -> bool {
         let Some(ledger) = self.quota_reports.newest_ledger() else {
@@ -95,6 +108,7 @@
         let Some(report) = report else {
             return false;
         };
+        self.quota_reports.reported_ledger = ledger;
         metrics::set_quota_waiting(self.service.as_str(), self.shard.waiting_team_count());
         self.quota_reports.is_calling = true;
         tokio::spawn(send_report(process, report, sender));
--- a/crates/cyclamentrail/tests/jobs_quota.rs
+++ b/crates/cyclamentrail/tests/jobs_quota.rs
@@ -83,6 +83,19 @@
     site.wait_completed(0, "00000000000000a1").await
 }
 
+/// Reports are served while a round of the machine duties waits for a service that doesn't respond.
+#[tokio::test]
+async fn reports_served_during_rounds() -> Result<()> {
+    let silent = std::net::TcpListener::bind("127.0.0.1:0")?;
+    let mut site = JobSite::start(0, 2, 200).await?;
+    let line = format!("Cloud.Address={}\n", silent.local_addr()?);
+    for name in ["n0", "n1"] {
+        site.add_limited_process(name, &line)?;
+    }
+    put_team(&site, 4, 8_000);
+    wait_lending(&site).await
+}
+
 /// Nothing is sent where no team has a cap.
 #[tokio::test]
 async fn no_caps_no_calls() -> Result<()> {
