feat(spec): model of a team's quota over owners and ledgers

Two shards and their replaced owners, a ledger and its successor, a team with a small cap. The search covers every grant that the ledger's rule allows, delayed reports, lost and late replies, takeovers, late starts, tasks larger than the cap and a lowered cap.

Two rules are needed that the requirements don't name: a new ledger takes no report of an owner that was replaced before the ledger began, and a new owner takes no reply of a ledger that was replaced before the owner began. An owner that keeps its allowance when the cap is lowered starts tasks above the lowered cap; the model holds if it waits for a reply under the lowered cap.

--- a/crates/cyclamentrail-spec/src/lib.rs
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -25,6 +25,7 @@
 mod fold_cache;
 mod jobs;
 mod membership;
+mod quota;
 mod record;
 mod restart;
 mod site;
@@ -38,6 +39,7 @@
 pub use fault::Fault;
 pub use jobs::{JobsAction, JobsFault, JobsModel, JobsState, StartCommand};
 pub use membership::{MembershipAction, MembershipModel, MembershipState};
+pub use quota::{QuotaAction, QuotaFault, QuotaModel, QuotaState};
 pub use record::{ModelBody, ModelRecord, Pool};
 pub use restart::{
     PollReport, RestartAction, RestartFault, RestartModel, RestartState, RunCommand,
