--- a/crates/cyclamentrail-spec/src/lib.rs
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -28,6 +28,7 @@
 mod quota;
 mod record;
 mod restart;
+mod revocation;
 mod site;
 
 pub use barrier::{BarrierAction, BarrierModel, BarrierState};
@@ -44,3 +45,4 @@
 pub use restart::{
     PollReport, RestartAction, RestartFault, RestartModel, RestartState, RunCommand,
 };
+pub use revocation::{Read, RevocationAction, RevocationFault, RevocationModel, RevocationState};
