--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -260,6 +260,9 @@
     pub route: RouteName,
     /// Team of the caller; `None` for a job of a public route.
     pub team: Option<TeamName>,
+    /// Index of the team in the shard's table of teams; spares a look-up by name for each job of a
+    /// pass.
+    pub(crate) team_index: usize,
     /// The job as its caller submitted it.
     pub spec: Arc<JobSpec>,
     /// Unix time of the acceptance, in milliseconds.
@@ -288,6 +291,7 @@
             id,
             route,
             team: None,
+            team_index: 0,
             spec,
             accepted_ms,
             is_cancelled: false,
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -81,7 +81,7 @@
         job.has_started = progress_record.has_started;
         job.next_occurrence = progress_record.next_occurrence;
         job.ended_ms = progress_record.ended_ms;
-        self.team_table.insert(job.team.as_ref());
+        job.team_index = self.team_table.insert(job.team.as_ref());
         let key = self.jobs.insert(job);
         let mut recorded_runs = Vec::new();
         for occurrence in progress_record.occurrences {
--- a/crates/cyclamentrail-jobs/src/shard/shares.rs
+++ b/crates/cyclamentrail-jobs/src/shard/shares.rs
@@ -97,7 +97,7 @@
     }
 
     /// Returns the index of a team; that of jobs without a team for one that has no jobs here.
-    pub(super) fn index(&self, team: Option<&TeamName>) -> usize {
+    fn index(&self, team: Option<&TeamName>) -> usize {
         team.and_then(|name| self.indices.get(name).copied())
             .unwrap_or(NO_TEAM)
     }
@@ -130,8 +130,7 @@
     }
 
     fn placed_mut(&mut self, job: &Job) -> &mut Resources {
-        let index = self.insert(job.team.as_ref());
-        let team = &mut self.teams[index];
+        let team = &mut self.teams[job.team_index];
         if job.spec.is_long_running() {
             &mut team.long_running
         } else {
@@ -188,7 +187,7 @@
         }
         let mut work_ms = vec![0; table.teams.len()];
         let pool = self.backlog(|job, job_work_ms| {
-            work_ms[table.index(job.team.as_ref())] += job_work_ms;
+            work_ms[job.team_index] += job_work_ms;
         });
         let own = table.index(team);
         let total_weight_milli = table
@@ -214,12 +213,13 @@
         (admit_for_team(pool, &load, job), Some(share))
     }
 
-    /// Counts a job to its team's rate when it is accepted.
-    pub(super) fn count_accepted(&mut self, now: Now, team: Option<&TeamName>) {
+    /// Counts an accepted job to its team's rate; returns the index of the team.
+    pub(super) fn count_accepted(&mut self, now: Now, team: Option<&TeamName>) -> usize {
         let index = self.team_table.insert(team);
         let team = &mut self.team_table.teams[index];
         team.rate.count_job(now.boot_ms, team.weight_milli);
         team.outcomes.accepted += 1;
+        index
     }
 
     /// Sorts waiting jobs: by rank, and within a priority those within their teams' shares before
@@ -240,9 +240,8 @@
                     .get(key)
                     .filter(|job| !job.spec.is_long_running())?;
                 let wanted_ppb = part_ppb(&ready_demand(job), &pool);
-                let index = table.index(job.team.as_ref());
-                demands[index].waiting_ppb += wanted_ppb;
-                Some((index, wanted_ppb))
+                demands[job.team_index].waiting_ppb += wanted_ppb;
+                Some((job.team_index, wanted_ppb))
             })
             .collect();
         let mut shares = FairShares::new(&demands);
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -87,7 +87,7 @@
         wait_ms: u64,
         share: Option<AdmissionShare>,
     ) {
-        self.count_accepted(now, submission.team.as_ref());
+        let team_index = self.count_accepted(now, submission.team.as_ref());
         let Submission {
             caller,
             id,
@@ -95,7 +95,8 @@
             team,
             spec,
         } = submission;
-        let job = Job::new(id.clone(), route, spec, now.unix_ms).team(team);
+        let mut job = Job::new(id.clone(), route, spec, now.unix_ms).team(team);
+        job.team_index = team_index;
         let key = self.jobs.insert(job);
         self.job_keys.insert(id.clone(), key);
         self.active.insert(key);
--- a/crates/cyclamentrail-jobs/src/shard/team_status.rs
+++ b/crates/cyclamentrail-jobs/src/shard/team_status.rs
@@ -73,9 +73,8 @@
             if job.is_aborted() || job.spec.is_long_running() || wanted == Resources::default() {
                 continue;
             }
-            let index = table.index(job.team.as_ref());
-            waiting_jobs[index] += 1;
-            demands[index].waiting_ppb += part_ppb(&wanted, &pool);
+            waiting_jobs[job.team_index] += 1;
+            demands[job.team_index].waiting_ppb += part_ppb(&wanted, &pool);
         }
         let shares = FairShares::new(&demands);
         let status = |(index, team): (usize, &Team)| TeamStatus {
