--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -70,6 +70,10 @@
     takeover: Takeover,
     mut receiver: mpsc::UnboundedReceiver<OwnerMessage>,
 ) {
+    // Requests are handed over from now on: the ledger serves reports also where the platform has no
+    // service for machines.
+    let confirmation = Confirmation::new(takeover.confirmed_ms, DUTY_VALID);
+    process.set_confirmation(FLEET_SHARD, confirmation.clone());
     let mut quota_ledger = QuotaLedger::new(Arc::clone(&process), takeover.token);
     let Some(address) = process.settings.machine_service else {
         return quota_ledger.serve_until_stop(&mut receiver).await;
@@ -79,7 +83,7 @@
         address,
         MACHINE_SERVICE_TIMEOUT,
     );
-    let mut duty = MachineDuty::new(process, machine_service, &takeover);
+    let mut duty = MachineDuty::new(process, machine_service, &takeover, confirmation);
     let mut next_round = Instant::now();
     loop {
         tokio::select! {
@@ -125,9 +129,8 @@
         process: Arc<ProcessState>,
         machine_service: MachineService,
         takeover: &Takeover,
+        confirmation: Confirmation,
     ) -> Self {
-        let confirmation = Confirmation::new(takeover.confirmed_ms, DUTY_VALID);
-        process.set_confirmation(FLEET_SHARD, confirmation.clone());
         let commit_log = CommitLog::new(&process, takeover, confirmation.clone());
         let valid_ms = whole_ms(DUTY_VALID);
         let pause_ms = process.settings.bounds.duty_lease_ms + EXTRA_PAUSE_MS;
