perf(quota): look at free workers only where a team waits

Cause: each look at whether to report listed the free capacity of all workers. Change: it is listed only where tasks wait for the quota, and looks are 100 ms apart.

--- a/crates/cyclamentrail-jobs/src/shard/quota.rs
+++ b/crates/cyclamentrail-jobs/src/shard/quota.rs
@@ -308,9 +308,11 @@
     /// Returns the reports of all teams that aren't at their base.
     fn team_reports(&self, now: Now) -> Vec<TeamReport> {
         let base = self.quota.allowances.base();
+        let has_waiting = !self.quota.skipped.is_empty();
         let free: Vec<Resources> = self
             .workers
             .values()
+            .filter(|_| has_waiting)
             .filter(|worker| worker.accepts_tasks(now.boot_ms))
             .map(crate::Worker::free_capacity)
             .collect();
--- a/crates/cyclamentrail/src/edge/owner/quota_reports.rs
+++ b/crates/cyclamentrail/src/edge/owner/quota_reports.rs
@@ -23,7 +23,7 @@
 /// Time limit of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Shortest time between two looks at whether there is anything to report.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What an owner knows of the ledger, and when it reports next.
 pub(super) struct QuotaReports {
