feat(run-times): distributions of durations learned from finished runs

One mean per route says nothing of tails, of how long a running task still takes, or of the probability to end on time. RunTimes keeps two decayed histograms per route (durations, ratios to the declared ones), counts interrupted runs as lower bounds, and gives little weight to what it knew when most of the newest runs lie beyond the same quartile. Nothing uses it yet.

--- a/crates/cyclamentrail-jobs/src/estimate.rs
+++ b/crates/cyclamentrail-jobs/src/estimate.rs
@@ -4,6 +4,8 @@
 //! times the learnt ratio of actual to declared durations, and the mean actual duration. The one
 //! with the smaller mean error predicts the next task.
 
+use serde::{Deserialize, Serialize};
+
 /// Divisor of the moving averages: a new observation has a weight of one part in this many,
 /// and the first ones are averaged equally.
 const WEIGHT_DIVISOR: f64 = 24.0;
@@ -21,7 +23,7 @@
 /// }
 /// assert!(estimate.predict_ms(5_000) < 2_000);
 /// ```
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct DurationEstimate {
     observations: u32,
     /// Moving average of the declared durations.
@@ -79,13 +81,37 @@
         if self.observations < MIN_OBSERVATIONS {
             return declared_ms;
         }
-        if self.mean_error_ms < self.ratio_error_ms {
-            self.mean_actual_ms as u64
-        } else {
+        if self.prefers_ratio() {
             (declared_ms as f64 * self.ratio()) as u64
+        } else {
+            self.mean_actual_ms as u64
         }
     }
 
+    /// Returns the number of observations.
+    #[must_use]
+    pub const fn observations(&self) -> u32 {
+        self.observations
+    }
+
+    /// Returns whether the declared duration times the learnt ratio has predicted at least as well
+    /// as the mean actual duration.
+    pub(crate) const fn prefers_ratio(&self) -> bool {
+        self.mean_error_ms >= self.ratio_error_ms
+    }
+
+    /// Returns whether all averages can have been learnt.
+    pub(crate) fn is_finite(&self) -> bool {
+        [
+            self.mean_declared_ms,
+            self.mean_actual_ms,
+            self.ratio_error_ms,
+            self.mean_error_ms,
+        ]
+        .iter()
+        .all(|average| average.is_finite() && *average >= 0.0)
+    }
+
     /// Returns the learnt ratio of actual to declared durations.
     fn ratio(&self) -> f64 {
         if self.mean_declared_ms > 0.0 {
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -32,6 +32,7 @@
 mod relays;
 mod resources;
 mod route;
+mod run_times;
 mod selection;
 mod shard;
 mod shard_spread;
@@ -69,6 +70,9 @@
 pub use relays::{MIN_RELAYED_WORKERS, Relay, RelaySpread, RelayedWorker, spread_workers};
 pub use resources::Resources;
 pub use route::{AdviceConfig, RouteConfig};
+pub use run_times::{
+    Distribution, Pace, RUN_TIMES_PREFIX, RunTimeUses, RunTimeUsesError, RunTimes, RunTimesError,
+};
 pub use selection::{PlacementRequest, select_worker};
 pub use shard::{Commit, Now, Shard, ShardTiming, Submission, retry_seed};
 pub use shard_spread::{shards_of_member, shards_of_partitions};
