feat(run-times): learn from a shard's runs and keep it over takeovers

A takeover forgot all durations, so that each new owner began with the declared ones. A shard whose timing names a use now learns from ended and interrupted runs and stores a record per route (at most one in 30 s and at a planned release, with a commit that is made anyway). Unreadable records and those of another version are skipped and counted. Ids of jobs that are keys of the shard's own records are rejected: such a job would be lost at a takeover.

--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::JobSpec;
 use crate::job::CrashedRun;
+use crate::{JobSpec, RUN_TIMES_PREFIX};
 
 /// Suffix that turns a job's id into the key of its progress record.
 pub const PROGRESS_SUFFIX: &str = "/p";
@@ -86,6 +86,12 @@
 /// Key of the record by which an owner gives up its shard.
 pub const RELEASE_KEY: &str = "~release";
 
+/// Returns whether a key belongs to a record of the shard itself, so that no job may have it as its
+/// id.
+pub(crate) fn is_reserved_key(key: &str) -> bool {
+    key == RELEASE_KEY || key.starts_with(RUN_TIMES_PREFIX)
+}
+
 /// Statement of an owner that it has given up its shard and makes no further decisions for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleaseRecord {
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -28,6 +28,7 @@
 mod registry;
 mod reports;
 mod restarts;
+mod run_times;
 mod stalls;
 mod starts;
 mod submit;
@@ -106,6 +107,7 @@
     /// Time of the last check for tasks that wait long, as in [`Now::boot_ms`].
     waits_checked_ms: u64,
     estimates: HashMap<RouteName, DurationEstimate>,
+    learned: run_times::LearnedTimes,
     arrivals: evacuation::Arrivals,
     crashes: crashes::Crashes,
     grants: Grants,
@@ -137,6 +139,8 @@
             .into_iter()
             .map(|route| (route.name.clone(), Arc::new(route)))
             .collect();
+        self.learned
+            .keep_routes(|route| self.routes.contains_key(route));
     }
 
     /// Replaces the configuration of all teams.
@@ -235,6 +239,7 @@
                 value: Vec::new(),
             });
         }
+        self.learned.store_due(now, &mut commit);
         for (key, worker) in &self.workers {
             if worker.handled_sequence > worker.durable_sequence {
                 commit.ended_sequences.push((key, worker.handled_sequence));
@@ -333,6 +338,10 @@
 
     /// Frees the capacity of a run that has ended for certain; a `proof` is reported as a decision.
     fn release(&mut self, key: TaskKey, proof: Option<EndProof>) {
+        if proof.is_some() {
+            self.learn_interrupted(key);
+        }
+        self.forget_share(key);
         let Some(demand) = self.step_of(key).map(StepSpec::reserved_resources) else {
             return;
         };
@@ -365,6 +374,7 @@
 
     /// Stops a run, or frees its capacity if its start command was never sent.
     fn stop(&mut self, key: TaskKey) {
+        self.learn_interrupted(key);
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
--- a/crates/cyclamentrail-jobs/src/shard/best_effort.rs
+++ b/crates/cyclamentrail-jobs/src/shard/best_effort.rs
@@ -102,6 +102,7 @@
         }
         placement.sent_share_percent = Some(percent);
         let (run, worker) = (placement.run, placement.worker);
+        self.learn_share(task, percent);
         self.ready_effects
             .push(Effect::SetCpuShare(CpuShareCommand {
                 target: self.target(worker),
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -19,7 +19,7 @@
     ProgressRecord, RELEASE_KEY, RecordError, TaskRecord, decode,
 };
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
-use crate::{Resources, StepSpec};
+use crate::{RUN_TIMES_PREFIX, Resources, StepSpec};
 
 /// A run that a record names and that has to be restored on its worker.
 struct RecordedRun {
@@ -46,6 +46,10 @@
             .into_iter()
             .filter(|record| record.key != RELEASE_KEY)
         {
+            if let Some(route) = record.key.strip_prefix(RUN_TIMES_PREFIX) {
+                unreadable += usize::from(!self.restore_run_times(now, route, &record.value));
+                continue;
+            }
             let result = match record.key.strip_suffix(PROGRESS_SUFFIX) {
                 Some(id) => read_record(&mut progress, id, &record.value),
                 None => read_record(&mut accepted, &record.key, &record.value),
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -160,6 +160,7 @@
         }));
         self.clear_suspect(key);
         self.update_failure_score(now, worker_key, key, ended_run.end);
+        self.learn_end(now, key, ended_run);
         self.record_duration(now, key, ended_run);
         let is_current_run = self.placement_of(key).is_some_and(|placement| {
             placement.run == ended_run.id.run && placement.worker == worker_key
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -9,6 +9,7 @@
 use crate::admission::{Admission, AdmissionRequest, Backlog, admit};
 use crate::effect::{CallerId, CallerReply, Decision, Effect, RejectReason};
 use crate::job::{Job, JobState, Occurrence};
+use crate::record::is_reserved_key;
 use crate::selection::PlacementRequest;
 use crate::worker::Worker;
 use crate::{DurationEstimate, JobSpec, Resources, StepSpec};
@@ -51,7 +52,7 @@
             }
             return;
         }
-        if !submission.spec.is_well_formed() {
+        if !submission.spec.is_well_formed() || is_reserved_key(submission.id.as_str()) {
             self.ready_effects
                 .push(Effect::Reply(caller, CallerReply::Malformed));
             return;
--- a/crates/cyclamentrail-jobs/src/shard/timing.rs
+++ b/crates/cyclamentrail-jobs/src/shard/timing.rs
@@ -1,5 +1,7 @@
 //! Times and limits of a shard, and how long leases last on slow clocks.
 
+use crate::RunTimeUses;
+
 /// Part of a lease by which it can last longer on a worker's slow clock, as a divisor: 40 stands
 /// for 2.5%.
 const SLOW_CLOCK_DIVISOR: u64 = 40;
@@ -22,6 +24,8 @@
     pub keep_ms: u64,
     /// Number of jobs from which new ones are rejected; final jobs count until they are dropped.
     pub max_jobs: usize,
+    /// Decisions that use the learned run times.
+    pub run_time_uses: RunTimeUses,
 }
 
 impl Default for ShardTiming {
@@ -34,6 +38,7 @@
             poll_interval_ms: 60,
             keep_ms: 125_000,
             max_jobs: 20_000,
+            run_time_uses: RunTimeUses::NONE,
         }
     }
 }
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -18,6 +18,8 @@
 mod promises;
 #[path = "scheduler/restarts.rs"]
 mod restarts;
+#[path = "scheduler/run_times.rs"]
+mod run_times;
 #[path = "scheduler/sharing.rs"]
 mod sharing;
 #[path = "scheduler/silence.rs"]
--- /dev/null
+++ b/crates/cyclamentrail-jobs/tests/scheduler/run_times.rs
@@ -0,0 +1,182 @@
+//! Tests of run times that a shard learns from its runs.
+
+use crate::world::{ROUTE, Simulation, job};
+use cyclamentrail_core::{JobId, RouteName};
+use cyclamentrail_jobs::{
+    CallerReply, JobState, KeyedRecord, RUN_TIMES_PREFIX, Resources, RunTimeUses, Shard,
+    ShardTiming,
+};
+
+const WORKER: Resources = Resources::new(32_000, 131_072, 0);
+
+fn key() -> String {
+    format!("{RUN_TIMES_PREFIX}{ROUTE}")
+}
+
+/// Runs `count` jobs one after another that are declared to take `declared_ms`.
+fn run_jobs(sim: &mut Simulation, name: &str, count: u32, declared_ms: u64, actual_ms: u64) {
+    for index in 0..count {
+        let id = format!("{name}{index}");
+        sim.durations.insert(JobId::from(id.as_str()), actual_ms);
+        sim.submit(&id, job(2, 1_000, declared_ms));
+        sim.run_for(actual_ms + 100);
+    }
+}
+
+fn expected_ms(sim: &Simulation) -> u64 {
+    let times = sim.shard.run_times(&RouteName::from(ROUTE));
+    times.map_or(0, |times| times.expected_ms(100))
+}
+
+/// What was learned must outlast the owner, or each takeover begins with the declared durations.
+#[test]
+fn takeover_keeps_run_times() {
+    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    run_jobs(&mut sim, "a", 60, 100, 700);
+    let before = expected_ms(&sim);
+    assert!(before.abs_diff(700) < 100, "{before}");
+    sim.take_over(0);
+    let after = expected_ms(&sim);
+    assert!(after.abs_diff(before) < 70, "{before} {after}");
+    run_jobs(&mut sim, "b", 2, 100, 700);
+    assert_eq!(sim.state("b1"), Some(JobState::Completed));
+}
+
+/// The records must stay rare: an owner writes few bytes a second.
+#[test]
+fn records_are_rare() {
+    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    let mut earlier = Vec::new();
+    let (mut writes, mut bytes) = (0, 0);
+    for round in 0..120 {
+        run_jobs(&mut sim, &format!("{round}-"), 1, 100, 700 + round);
+        let value = sim.records.get(&key()).cloned().unwrap_or_default();
+        if value != earlier {
+            writes += 1;
+            bytes += value.len();
+            earlier = value;
+        }
+    }
+    println!("{writes} records of {bytes} bytes in 100 s");
+    assert!((1..=4).contains(&writes), "{writes}");
+    assert!(bytes < 3_000, "{bytes}");
+}
+
+/// An owner that gives up its shard stores what it has learned since the last record.
+#[test]
+fn release_stores_run_times() {
+    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    run_jobs(&mut sim, "a", 2, 100, 700);
+    assert!(!sim.records.contains_key(&key()));
+    let now = sim.now();
+    let records = sim.shard.run_times_records(now);
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0].key, key());
+    assert!(sim.shard.run_times_records(now).is_empty());
+}
+
+/// Damaged run times and those of a later version must not be taken for jobs, nor stop a takeover.
+#[test]
+fn unreadable_records_counted() {
+    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    run_jobs(&mut sim, "a", 60, 100, 700);
+    let stored = sim.records[&key()].clone();
+    let mut newer = stored.clone();
+    newer[0] = 9;
+    let mut records: Vec<KeyedRecord> = sim
+        .records
+        .iter()
+        .map(|(key, value)| KeyedRecord {
+            key: key.clone(),
+            value: value.clone(),
+        })
+        .collect();
+    let jobs = sim.shard.jobs().count();
+    for (route, value) in [
+        ("newer", newer),
+        ("damaged", stored[..40].to_vec()),
+        ("x/p", vec![1]),
+        ("deleted", Vec::new()),
+    ] {
+        records.push(KeyedRecord {
+            key: format!("{RUN_TIMES_PREFIX}{route}"),
+            value,
+        });
+    }
+    let mut shard = Shard::new(sim.timing);
+    assert_eq!(shard.restore(sim.now(), records, 0), 3);
+    assert_eq!(shard.jobs().count(), jobs);
+    assert!(shard.run_times(&RouteName::from(ROUTE)).is_some());
+    assert!(shard.run_times(&RouteName::from("newer")).is_none());
+}
+
+/// A job whose id is the key of another record would be lost at the next takeover.
+#[test]
+fn reserved_id_rejected() {
+    let mut sim = Simulation::new(1, WORKER);
+    for id in ["~release", "~run-times/route"] {
+        let caller = sim.submit(id, job(1, 1_000, 100));
+        sim.run_for(20);
+        assert_eq!(sim.replies[&caller], CallerReply::Malformed);
+    }
+}
+
+/// Where nothing uses run times, nothing is learned or written.
+#[test]
+fn unused_learns_nothing() {
+    let mut sim = Simulation::new(2, WORKER);
+    run_jobs(&mut sim, "a", 60, 100, 700);
+    assert_eq!(ShardTiming::default().run_time_uses, RunTimeUses::NONE);
+    assert!(sim.shard.run_times(&RouteName::from(ROUTE)).is_none());
+    assert!(!sim.records.contains_key(&key()));
+}
+
+/// Routes that are no longer configured take no memory, and their records are deleted.
+#[test]
+fn removed_route_dropped() {
+    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    run_jobs(&mut sim, "a", 60, 100, 700);
+    sim.submit("last", job(1, 1_000, 100));
+    sim.run_for(60);
+    sim.shard.set_routes([]);
+    assert!(sim.shard.run_times(&RouteName::from(ROUTE)).is_none());
+    sim.cancel("last");
+    sim.run_for(500);
+    assert_eq!(sim.records.get(&key()), None);
+}
+
+/// Runs that are cancelled half-way say that the task takes at least so long.
+#[test]
+fn cancelled_run_is_censored() {
+    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    run_jobs(&mut sim, "a", 20, 100, 700);
+    sim.durations.insert(JobId::from("long"), 60_000);
+    sim.submit("long", job(1, 1_000, 100));
+    sim.run_for(3_000);
+    sim.cancel("long");
+    sim.run_for(1_000);
+    let times = sim
+        .shard
+        .run_times(&RouteName::from(ROUTE))
+        .expect("runs have ended");
+    assert_eq!(times.censored(), 1);
+    assert_eq!(times.observations(), 40);
+    assert!(times.quantile_ms(100, 1.0) > 2_000);
+}
+
+/// A run that goes on over a takeover lasted longer than its new owner saw.
+#[test]
+fn restored_run_is_censored() {
+    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    sim.durations.insert(JobId::from("a"), 2_000);
+    sim.submit("a", job(1, 1_000, 100));
+    sim.run_for(1_500);
+    sim.take_over(0);
+    sim.run_for(2_000);
+    assert_eq!(sim.state("a"), Some(JobState::Completed));
+    let times = sim
+        .shard
+        .run_times(&RouteName::from(ROUTE))
+        .expect("the run has ended");
+    assert_eq!((times.observations(), times.censored()), (0, 1));
+}
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -10,8 +10,8 @@
 use cyclamentrail_core::{JobId, LabelName, RouteName, ServiceName, TeamName, WorkerId, ZoneName};
 use cyclamentrail_jobs::{
     AdviceQuery, CallerId, CallerReply, CommandOutcome, Commit, CpuShareCommand, Decision, Effect,
-    JobSpec, JobState, KeyedRecord, Now, PollOutcome, Resources, Shard, ShardTiming, StartCommand,
-    StopCommand, TaskKey, TaskRunId, WorkerKey, WorkerPoll, WorkerRegistration,
+    JobSpec, JobState, KeyedRecord, Now, PollOutcome, Resources, RunTimeUses, Shard, ShardTiming,
+    StartCommand, StopCommand, TaskKey, TaskRunId, WorkerKey, WorkerPoll, WorkerRegistration,
 };
 
 #[path = "world/calls.rs"]
@@ -100,7 +100,7 @@
     /// Commit that the store is appending.
     pending_commit: Option<Commit>,
     /// Stored records by key.
-    records: BTreeMap<String, Vec<u8>>,
+    pub records: BTreeMap<String, Vec<u8>>,
     /// Tasks that are done and must not run again, by job, occurrence, step and index.
     must_not_rerun: BTreeSet<(JobId, u32, u32, u32)>,
     /// Tasks of which a run has ended well, even if no owner has recorded it.
@@ -110,6 +110,10 @@
     specs: HashMap<JobId, Arc<JobSpec>>,
     /// Jobs all of whose runs fail.
     failing_jobs: BTreeSet<JobId>,
+    /// Times and limits of the owners' shards.
+    pub timing: ShardTiming,
+    /// Duration in milliseconds of the runs of jobs that take another time than declared.
+    pub durations: HashMap<JobId, u64>,
     /// Tasks that crash each worker that starts them, with the workers that crashed.
     pub deadly_tasks: DeadlyTasks,
 }
@@ -137,6 +141,8 @@
             next_caller: 0,
             specs: HashMap::new(),
             failing_jobs: BTreeSet::new(),
+            timing: ShardTiming::default(),
+            durations: HashMap::new(),
             deadly_tasks: DeadlyTasks::default(),
         };
         sim.shard.set_routes([route_config()]);
@@ -146,6 +152,14 @@
         sim
     }
 
+    /// Creates a simulation whose decisions use the learned run times.
+    pub fn with_run_times(count: u64, capacity: Resources, uses: RunTimeUses) -> Self {
+        let mut sim = Self::new(count, capacity);
+        sim.timing.run_time_uses = uses;
+        sim.take_over(0);
+        sim
+    }
+
     /// Queries how many jobs haven't started; returns the caller's number.
     pub fn query_pending(&mut self) -> u64 {
         let caller = self.new_caller();
@@ -300,7 +314,7 @@
         self.token += 1;
         self.pending_commit = None;
         self.is_owner_active = true;
-        self.shard = Shard::new(ShardTiming::default());
+        self.shard = Shard::new(self.timing);
         self.shard.set_routes([route_config()]);
         let now = self.now();
         for worker in self.workers.values().filter(|worker| worker.is_alive) {
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
@@ -115,6 +115,11 @@
             .max(command.lease_end_ms.min(clock_ms + MAX_LEASE_MS));
         let fails = worker.fails_all_runs || self.failing_jobs.contains(&command.job);
         let is_endless = step.long_running || worker.stalls_runs;
+        let duration_ms = self
+            .durations
+            .get(&command.job)
+            .copied()
+            .unwrap_or(step.estimate_ms);
         let run = Run {
             id: TaskRunId {
                 job: command.job.clone(),
@@ -124,7 +129,7 @@
                 run: command.run,
             },
             demand: step.reserved_resources(),
-            end_ms: (!is_endless).then_some(now_ms + step.estimate_ms),
+            end_ms: (!is_endless).then_some(now_ms + duration_ms),
             stop_ms: None,
             fails,
             is_best_effort: step.is_best_effort,
--- a/crates/cyclamentrail/src/edge/owner/commits.rs
+++ b/crates/cyclamentrail/src/edge/owner/commits.rs
@@ -36,6 +36,7 @@
                 }
                 has_sent_last_commit = true;
                 let mut commit = self.shard.take_commit(now()).unwrap_or_default();
+                commit.records.extend(self.shard.run_times_records(now()));
                 commit.records.push(KeyedRecord {
                     key: RELEASE_KEY.to_owned(),
                     value: encode(&ReleaseRecord { token: self.token }),
