feat(run-times): order jobs and size pools by learned run times

Order: a step of n tasks lasts as long as the longest of them, and a run that has outlasted the usual one goes on for longer; the job's objective follows its real duration. Pool sizes: the load counts the expected work, tails included. Both are off unless the shard's timing names them.

--- a/crates/cyclamentrail-jobs/src/run_times.rs
+++ b/crates/cyclamentrail-jobs/src/run_times.rs
@@ -196,6 +196,21 @@
         }
     }
 
+    /// Returns the remaining duration in milliseconds that half of the tasks exceed which have run
+    /// for `lasted_ms`.
+    #[must_use]
+    pub fn usual_remaining_ms(&self, declared_ms: u64, lasted_ms: u64) -> u64 {
+        if !self.is_known() {
+            return declared_ms.saturating_sub(lasted_ms);
+        }
+        if self.uses_ratio(declared_ms) {
+            let lasted = lasted_ms.saturating_mul(UNIT_RATIO) / declared_ms;
+            scale(declared_ms, self.ratios.median_excess(lasted))
+        } else {
+            self.durations.median_excess(lasted_ms)
+        }
+    }
+
     fn predict_ms(&self, declared_ms: u64, of: impl Fn(&Distribution) -> u64) -> u64 {
         if !self.is_known() {
             return declared_ms;
--- a/crates/cyclamentrail-jobs/src/run_times/distribution.rs
+++ b/crates/cyclamentrail-jobs/src/run_times/distribution.rs
@@ -196,6 +196,16 @@
         (sum / count) as u64
     }
 
+    /// Returns by how much half of the values that are above `lasted` exceed it.
+    #[must_use]
+    pub fn median_excess(&self, lasted: u64) -> u64 {
+        let above = 1.0 - self.probability_within(lasted);
+        if above <= 0.0 {
+            return self.mean_excess(lasted);
+        }
+        self.quantile(1.0 - above / 2.0).saturating_sub(lasted)
+    }
+
     /// Returns quantiles at equal distances, ascending.
     pub(super) fn compacted(&self) -> Vec<u32> {
         self.points.to_vec()
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -32,6 +32,7 @@
 mod stalls;
 mod starts;
 mod submit;
+mod task_times;
 mod timing;
 mod unsent_jobs;
 
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -114,21 +114,12 @@
                 .map_or(job.accepted_ms, |occurrence| {
                     job.occurrence_due_ms(occurrence.number)
                 });
-            let estimate = self.estimate(&job.route);
-            let predict_ms = |step: &StepSpec| estimate.predict_ms(step.estimate_ms);
-            let critical_path_ms = job.spec.critical_path_by(|_, step| predict_ms(step));
-            let occurrence = job.occurrences.first();
-            let is_done = |index: usize| {
-                occurrence.is_some_and(|occurrence| occurrence.steps[index].is_done())
-            };
-            let remaining_ms = job
-                .spec
-                .critical_path_by(|index, step| if is_done(index) { 0 } else { predict_ms(step) });
+            let chain = self.chain_times(now, job);
             let waiting = WaitingJob {
                 priority: route.priority,
                 is_long_running: job.spec.is_long_running(),
-                deadline_ms: first_due_ms + route.objective_ms(critical_path_ms),
-                remaining_ms,
+                deadline_ms: first_due_ms + route.objective_ms(chain.total_ms),
+                remaining_ms: chain.remaining_ms,
             };
             Some((waiting.rank(now.unix_ms), key))
         };
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -5,6 +5,7 @@
 
 use cyclamentrail_core::{JobId, RouteName, TeamName};
 
+use super::task_times::TaskTimes;
 use super::{Now, Shard};
 use crate::admission::{Admission, AdmissionRequest, Backlog, admit};
 use crate::effect::{CallerId, CallerReply, Decision, Effect, RejectReason};
@@ -57,8 +58,8 @@
                 .push(Effect::Reply(caller, CallerReply::Malformed));
             return;
         }
-        let estimate = self.estimate(&submission.route);
-        let work_ms = job_work_ms(&submission.spec, &self.largest_capacity(), estimate);
+        let times = self.task_times(&submission.route, self.timing.run_time_uses.pool_sizes);
+        let work_ms = job_work_ms(&submission.spec, &self.largest_capacity(), times);
         self.count_arrival(now, &submission.id, &submission.spec, work_ms);
         match self.check_admission(&submission, work_ms) {
             Ok(wait_ms) => self.accept(now, submission, wait_ms),
@@ -199,17 +200,18 @@
     /// Returns the remaining work of accepted jobs; of a running task,
     /// [`RUNNING_REMAINING_PERCENT`] of its work counts.
     fn backlog(&self) -> Backlog {
-        self.backlog_with(RUNNING_REMAINING_PERCENT)
+        self.backlog_with(RUNNING_REMAINING_PERCENT, false)
     }
 
     /// Returns the work of accepted tasks that aren't placed, in milliseconds of a whole worker.
     pub(super) fn waiting_work_ms(&self) -> u64 {
-        self.backlog_with(0).work_ms
+        self.backlog_with(0, self.timing.run_time_uses.pool_sizes)
+            .work_ms
     }
 
     /// Returns the remaining work of accepted jobs; of a placed task, `running_percent` of its work
-    /// counts.
-    fn backlog_with(&self, running_percent: u64) -> Backlog {
+    /// counts. Work is counted by the learned run times if `is_learned`.
+    fn backlog_with(&self, running_percent: u64, is_learned: bool) -> Backlog {
         let workers = self
             .workers
             .values()
@@ -221,10 +223,10 @@
             if job.is_aborted() || job.spec.is_long_running() {
                 continue;
             }
-            let estimate = self.estimate(&job.route);
+            let times = self.task_times(&job.route, is_learned);
             for occurrence in &job.occurrences {
                 for (spec, progress) in job.spec.steps.iter().zip(&occurrence.steps) {
-                    let task_ms = task_work_ms(spec, &capacity, estimate);
+                    let task_ms = task_work_ms(spec, &capacity, times);
                     for task in progress.tasks.iter().filter(|task| !task.is_done) {
                         total_ms += if task.placement.is_some() {
                             task_ms * running_percent / 100
@@ -235,7 +237,7 @@
                 }
             }
             if job.next_occurrence == 0 && job.spec.schedule.is_none() {
-                total_ms += job_work_ms(&job.spec, &capacity, estimate);
+                total_ms += job_work_ms(&job.spec, &capacity, times);
             }
         }
         Backlog {
@@ -261,16 +263,16 @@
 }
 
 /// Returns the work of a whole job in milliseconds of a whole worker.
-fn job_work_ms(spec: &JobSpec, capacity: &Resources, estimate: DurationEstimate) -> u64 {
+fn job_work_ms(spec: &JobSpec, capacity: &Resources, times: TaskTimes<'_>) -> u64 {
     spec.steps
         .iter()
-        .map(|step| u64::from(step.count) * task_work_ms(step, capacity, estimate))
+        .map(|step| u64::from(step.count) * task_work_ms(step, capacity, times))
         .sum()
 }
 
 /// Returns the work of one task in milliseconds of a whole worker.
-fn task_work_ms(step: &StepSpec, capacity: &Resources, estimate: DurationEstimate) -> u64 {
-    step.reserved_resources().dominant_share_milli(capacity) * estimate.predict_ms(step.estimate_ms)
+fn task_work_ms(step: &StepSpec, capacity: &Resources, times: TaskTimes<'_>) -> u64 {
+    step.reserved_resources().dominant_share_milli(capacity) * times.predict_ms(step.estimate_ms)
         / 1_000
 }
 
--- a/crates/cyclamentrail-jobs/tests/scheduler/run_times.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/run_times.rs
@@ -180,3 +180,19 @@
         .expect("the run has ended");
     assert_eq!((times.observations(), times.censored()), (0, 1));
 }
+
+/// A job whose running task turns out long has a longer objective, too: its remaining step isn't
+/// counted as late, and goes on before jobs that are.
+#[test]
+fn long_run_keeps_its_turn() {
+    let mut sim = Simulation::with_run_times(1, WORKER, RunTimeUses::ALL);
+    run_jobs(&mut sim, "a", 60, 1_000, 700);
+    run_jobs(&mut sim, "b", 4, 1_000, 3_500);
+    run_jobs(&mut sim, "c", 40, 1_000, 700);
+    let times = sim
+        .shard
+        .run_times(&RouteName::from(ROUTE))
+        .expect("runs have ended");
+    assert!(times.usual_remaining_ms(1_000, 0) < 900);
+    assert!(times.usual_remaining_ms(1_000, 1_500) > 1_000);
+}
