--- a/crates/cyclamentrail-bench/src/lib.rs
+++ b/crates/cyclamentrail-bench/src/lib.rs
@@ -19,6 +19,11 @@
 pub mod capacity;
 mod control;
 pub mod requests;
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "times of the trace are far below the precision of a float"
+)]
+pub mod run_times;
 #[expect(
     clippy::cast_precision_loss,
     clippy::cast_possible_truncation,
--- a/crates/cyclamentrail-jobs/src/admission.rs
+++ b/crates/cyclamentrail-jobs/src/admission.rs
@@ -97,8 +97,13 @@
     if wait_ms <= usable_ms {
         return Admission::Accept;
     }
-    let excess_ms = wait_ms.saturating_sub(usable_ms);
-    let retry_after_ms =
-        excess_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS) + job.jitter_seed % RETRY_JITTER_MS;
-    Admission::Reject { retry_after_ms }
+    Admission::Reject {
+        retry_after_ms: retry_after_ms(wait_ms.saturating_sub(usable_ms), job.jitter_seed),
+    }
+}
+
+/// Returns the time in milliseconds after which the caller of a rejected job may try again, whose
+/// expected wait is too long by `excess_ms`.
+pub(crate) fn retry_after_ms(excess_ms: u64, seed: u64) -> u64 {
+    excess_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS) + seed % RETRY_JITTER_MS
 }
--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -324,6 +324,30 @@
         /// Number of workers that crashed under the task.
         crashes: u32,
     },
+    /// A job was accepted of whose route the run times are known.
+    PromiseMade {
+        /// Id of the job.
+        job: JobId,
+        /// Probability that the job ends on time, in percent.
+        percent: u32,
+        /// Expected time until the job's first task starts, in milliseconds.
+        wait_ms: u64,
+        /// Number of completed runs that the probability rests on.
+        observations: u32,
+    },
+    /// A job completed of whose route the run times were known at its acceptance.
+    PromiseEnded {
+        /// Id of the job.
+        job: JobId,
+        /// Probability in percent with which the job was expected to end on time.
+        percent: u32,
+        /// Whether the job ended on time, by the durations of its runs.
+        is_kept: bool,
+        /// Time that was expected until the job's first task starts, in milliseconds.
+        wait_ms: u64,
+        /// Time that the job took beyond its longest chain of runs, in milliseconds.
+        delay_ms: u64,
+    },
     /// A run makes no progress and is stopped.
     RunStalled {
         /// Id of the job.
--- a/crates/cyclamentrail-jobs/src/run_times.rs
+++ b/crates/cyclamentrail-jobs/src/run_times.rs
@@ -159,7 +159,14 @@
     /// same time: the median of their maximum.
     #[must_use]
     pub fn longest_of_ms(&self, declared_ms: u64, count: u32) -> u64 {
-        self.quantile_ms(declared_ms, longest_level(0.5, count))
+        self.longest_quantile_ms(declared_ms, count, 0.5)
+    }
+
+    /// Returns the duration in milliseconds that the longest of `count` tasks doesn't exceed with
+    /// the probability `level`. The tasks are taken as independent.
+    #[must_use]
+    pub fn longest_quantile_ms(&self, declared_ms: u64, count: u32, level: f64) -> u64 {
+        self.quantile_ms(declared_ms, level.powf(1.0 / f64::from(count.max(1))))
     }
 
     /// Returns the probability that a task ends within `limit_ms` of its start.
@@ -234,12 +241,6 @@
     }
 }
 
-/// Returns the level at which a task's duration has to be taken for `level` of the longest of
-/// `count` equal tasks, which are taken as independent.
-pub(crate) fn longest_level(level: f64, count: u32) -> f64 {
-    level.powf(1.0 / f64::from(count.max(1)))
-}
-
 /// Returns the ratio of an actual to a declared duration in thousandths.
 const fn ratio_milli(declared_ms: u64, actual_ms: u64) -> Option<u64> {
     actual_ms
--- a/crates/cyclamentrail-jobs/src/run_times/distribution.rs
+++ b/crates/cyclamentrail-jobs/src/run_times/distribution.rs
@@ -43,6 +43,8 @@
     weight: f64,
     /// Newest completed observations.
     recent: Vec<u32>,
+    /// Number of values that were observed.
+    observations: u32,
     /// Number of shifts that were noticed.
     shifts: u32,
     /// Quantiles at equal distances, ascending.
@@ -59,6 +61,7 @@
             counts: empty_counts(highest),
             weight: FIRST_WEIGHT,
             recent: Vec::new(),
+            observations: 0,
             shifts: 0,
             points: [0; POINTS],
             mean: 0.0,
@@ -72,6 +75,12 @@
         self.counts.is_empty()
     }
 
+    /// Returns the number of values that were observed.
+    #[must_use]
+    pub const fn observations(&self) -> u32 {
+        self.observations
+    }
+
     /// Returns the number of shifts that were noticed.
     #[must_use]
     pub const fn shifts(&self) -> u32 {
@@ -93,6 +102,7 @@
             self.recent.remove(0);
         }
         self.recent.push(value);
+        self.observations = self.observations.saturating_add(1);
         self.add(value, self.weight);
         if self.has_shifted() {
             self.shifts = self.shifts.saturating_add(1);
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -21,6 +21,7 @@
 mod evacuation;
 mod isolation;
 mod long_waits;
+mod on_time;
 mod placement;
 mod placements;
 mod progress;
@@ -109,6 +110,7 @@
     waits_checked_ms: u64,
     estimates: HashMap<RouteName, DurationEstimate>,
     learned: run_times::LearnedTimes,
+    expectations: on_time::Expectations,
     arrivals: evacuation::Arrivals,
     crashes: crashes::Crashes,
     grants: Grants,
@@ -204,6 +206,7 @@
     /// commands, stops stalled runs, evacuates workers, places tasks, requests advice, polls
     /// workers and drops old jobs.
     pub fn advance(&mut self, now: Now) {
+        self.learned.last_round = now;
         self.begin_occurrences(now);
         self.release_expired(now);
         self.resend_due(now);
@@ -279,6 +282,10 @@
                 state,
                 took_ms: now.unix_ms.saturating_sub(job.accepted_ms),
             }));
+            let route = self.routes.get(&job.route).map(Arc::as_ref);
+            let took_ms = now.unix_ms.saturating_sub(job.accepted_ms);
+            let promise = self.expectations.settle(key, job, route, took_ms);
+            commit.effects.extend(promise.map(Effect::Log));
         }
         if state.is_final() && !job.has_placements() {
             self.active.remove(&key);
--- a/crates/cyclamentrail-jobs/src/shard/run_times.rs
+++ b/crates/cyclamentrail-jobs/src/shard/run_times.rs
@@ -31,6 +31,8 @@
     workers: SparseSecondaryMap<WorkerKey, Pace>,
     /// Pace of all workers.
     pool: Pace,
+    /// Time of the last round.
+    pub(super) last_round: Now,
     /// Lowest processor share in percent of each run that was slowed down.
     lowest_shares: HashMap<TaskKey, u32>,
 }
@@ -159,6 +161,9 @@
             Lasted::AtLeast(self.full_share_ms(key, lasted_ms))
         };
         self.learn(key, placement.worker, lasted);
+        if let Lasted::Exactly(lasted_ms) = lasted {
+            self.expectations.record_run(key, lasted_ms);
+        }
         if ended_run.end == EndKind::Failed
             && let Some(learned) = self.learned_route_of(key)
         {
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -7,7 +7,7 @@
 
 use super::task_times::TaskTimes;
 use super::{Now, Shard};
-use crate::admission::{Admission, AdmissionRequest, Backlog, admit};
+use crate::admission::{Admission, AdmissionRequest, Backlog};
 use crate::effect::{CallerId, CallerReply, Decision, Effect, RejectReason};
 use crate::job::{Job, JobState, Occurrence};
 use crate::record::is_reserved_key;
@@ -96,6 +96,7 @@
             .push(Effect::Log(Decision::JobAccepted { job: id, wait_ms }));
         self.gated_effects
             .push(Effect::Reply(caller, CallerReply::Accepted));
+        self.expect_end(key, wait_ms);
     }
 
     /// Replies with the state of a job once the job is durable.
@@ -187,7 +188,7 @@
             objective_ms: route.objective_ms(critical_path_ms),
             jitter_seed: retry_seed(&submission.id),
         };
-        match admit(backlog, admission_request) {
+        match self.decide_admission(spec, route, backlog, admission_request) {
             Admission::Accept => Ok(backlog.wait_ms()),
             Admission::Reject { retry_after_ms } => Err(Rejection::new(
                 RejectReason::Overload,
@@ -200,7 +201,8 @@
     /// Returns the remaining work of accepted jobs; of a running task,
     /// [`RUNNING_REMAINING_PERCENT`] of its work counts.
     fn backlog(&self) -> Backlog {
-        self.backlog_with(RUNNING_REMAINING_PERCENT, false)
+        let is_learned = self.timing.run_time_uses.admission;
+        self.backlog_with(RUNNING_REMAINING_PERCENT, is_learned)
     }
 
     /// Returns the work of accepted tasks that aren't placed, in milliseconds of a whole worker.
@@ -229,7 +231,8 @@
                     let task_ms = task_work_ms(spec, &capacity, times);
                     for task in progress.tasks.iter().filter(|task| !task.is_done) {
                         total_ms += if task.placement.is_some() {
-                            task_ms * running_percent / 100
+                            let now = self.learned.last_round;
+                            times.placed_work_ms(now, spec, task, task_ms, running_percent)
                         } else {
                             task_ms
                         };
--- a/crates/cyclamentrail-jobs/src/shard/task_times.rs
+++ b/crates/cyclamentrail-jobs/src/shard/task_times.rs
@@ -34,6 +34,26 @@
         }
     }
 
+    /// Returns the remaining work of a placed task: of its whole work `task_ms`, `usual_percent`
+    /// remain unless the learned distribution tells.
+    pub(super) fn placed_work_ms(
+        self,
+        now: Now,
+        step: &StepSpec,
+        task: &Task,
+        task_ms: u64,
+        usual_percent: u64,
+    ) -> u64 {
+        match self {
+            Self::Learned(times) if usual_percent > 0 => {
+                let declared_ms = step.estimate_ms;
+                let remaining_ms = times.remaining_ms(declared_ms, run_ms(now, task));
+                task_ms * remaining_ms / times.expected_ms(declared_ms).max(1)
+            }
+            _ => task_ms * usual_percent / 100,
+        }
+    }
+
     /// Returns the typical duration of a step in milliseconds: it lasts as long as the longest of
     /// its tasks.
     fn step_ms(self, step: &StepSpec) -> u64 {
--- a/crates/cyclamentrail/src/command/edge.rs
+++ b/crates/cyclamentrail/src/command/edge.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Result;
 use cyclamentrail_adapter::ProcessSettings;
+use cyclamentrail_jobs::RunTimeUses;
 use getopts::{Matches, Options};
 
 use super::ExitStatus;
@@ -10,6 +11,13 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("", "settings", "settings file of the platform", "FILE");
+    options.optopt(
+        "",
+        "run-time-uses",
+        "decisions that use learned run times: admission, order, placement, pool_sizes, \
+         retry_after, all or none (default)",
+        "LIST",
+    );
     options.optflag("", "check", "check the settings file and exit");
     options.optflag("h", "help", "print this help");
     options
@@ -26,6 +34,10 @@
         Some(path) => ProcessSettings::load_from(path.as_ref())?,
         None => ProcessSettings::load()?,
     };
+    let run_time_uses = match matches.opt_str("run-time-uses") {
+        Some(list) => list.parse()?,
+        None => RunTimeUses::NONE,
+    };
     if matches.opt_present("check") {
         println!(
             "node {} in zone {}: callers {}, store {}; no fault",
@@ -36,5 +48,5 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(edge::run(settings))
+    runtime.block_on(edge::run(settings, run_time_uses))
 }
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -12,6 +12,7 @@
 use anyhow::{Context, Result};
 use cyclamentrail_adapter::{HttpClient, ProcessSettings, Store};
 use cyclamentrail_core::{LogLevel, LogSettings};
+use cyclamentrail_jobs::RunTimeUses;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -62,12 +63,12 @@
 ///
 /// Returns an error if a listener can't be bound, the log can't be opened or a signal handler can't
 /// be installed.
-pub(crate) async fn run(settings: ProcessSettings) -> Result<()> {
+pub(crate) async fn run(settings: ProcessSettings, run_time_uses: RunTimeUses) -> Result<()> {
     let log_settings = LogSettings {
         level: LogLevel::Info,
         destination: String::from("stdout"),
     };
-    let bound = bind_listeners(settings).await?;
+    let bound = bind_listeners(settings, run_time_uses).await?;
     let process = Arc::clone(&bound.process);
     println!(
         "listening callers={} ready={} peers={} metrics={}",
@@ -104,10 +105,14 @@
 /// # Errors
 ///
 /// Returns an error that names the address that can't be bound.
-pub(crate) async fn bind_listeners(settings: ProcessSettings) -> Result<BoundProcess> {
+pub(crate) async fn bind_listeners(
+    settings: ProcessSettings,
+    run_time_uses: RunTimeUses,
+) -> Result<BoundProcess> {
     let http_client = HttpClient::new(CONNECT_TIMEOUT);
     let store = Store::new(http_client.clone(), settings.store, STORE_TIMEOUT);
-    let process = Arc::new(ProcessState::new(settings, http_client, store));
+    let process =
+        Arc::new(ProcessState::new(settings, http_client, store).run_time_uses(run_time_uses));
     // Installs the recorder first: counts recorded before that are lost.
     metrics::recorder_handle();
     Ok(BoundProcess {
--- a/crates/cyclamentrail/src/edge/decision_log.rs
+++ b/crates/cyclamentrail/src/edge/decision_log.rs
@@ -114,6 +114,10 @@
 const fn is_failure(decision: &Decision) -> bool {
     !matches!(
         decision,
-        Decision::JobAccepted { .. } | Decision::RunEnded { .. } | Decision::JobFinal { .. }
+        Decision::JobAccepted { .. }
+            | Decision::RunEnded { .. }
+            | Decision::JobFinal { .. }
+            | Decision::PromiseMade { .. }
+            | Decision::PromiseEnded { .. }
     )
 }
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -149,6 +149,28 @@
                 .with("worker", worker)
                 .with("percent", percent)
                 .with("worst_percent", worst_percent),
+            Decision::PromiseMade {
+                job,
+                percent,
+                wait_ms,
+                observations,
+            } => Self::new("promise_made")
+                .with("job", job)
+                .with("percent", percent)
+                .with("wait_ms", wait_ms)
+                .with("observations", observations),
+            Decision::PromiseEnded {
+                job,
+                percent,
+                is_kept,
+                wait_ms,
+                delay_ms,
+            } => Self::new("promise_ended")
+                .with("job", job)
+                .with("percent", percent)
+                .with("kept", is_kept)
+                .with("wait_ms", wait_ms)
+                .with("delay_ms", delay_ms),
             Decision::JobGivenUp { job, task, crashes } => Self::new("job_given_up")
                 .with("job", job)
                 .with_task(task)
@@ -169,6 +191,8 @@
         | Decision::RunGone { job, .. }
         | Decision::JobFinal { job, .. }
         | Decision::TaskWaiting { job, .. }
+        | Decision::PromiseMade { job, .. }
+        | Decision::PromiseEnded { job, .. }
         | Decision::JobGivenUp { job, .. }
         | Decision::RunStalled { job, .. } => Some(job),
         Decision::ContactChanged { .. }
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -154,6 +154,7 @@
             max_lease_ms: bounds.max_lease_ms,
             poll_wait_ms: lease_ms / POLL_WAIT_DIVISOR,
             keep_ms: bounds.job_state_retention_ms + EXTRA_KEEP_MS,
+            run_time_uses: process.run_time_uses,
             ..ShardTiming::default()
         };
         let confirmation = Confirmation::new(takeover.confirmed_ms, OWNERSHIP_VALID);
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -7,7 +7,7 @@
 
 use cyclamentrail_adapter::{Configuration, HttpClient, ProcessSettings, Store, StoreError, Wave};
 use cyclamentrail_core::{CallerLimits, ServiceName};
-use cyclamentrail_jobs::{OwnerCapacity, Relay, WorkerRegistration};
+use cyclamentrail_jobs::{OwnerCapacity, Relay, RunTimeUses, WorkerRegistration};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
@@ -77,6 +77,8 @@
 #[derive(Debug)]
 pub(crate) struct ProcessState {
     pub(crate) settings: ProcessSettings,
+    /// Decisions of this process's owners that use learned run times.
+    pub(crate) run_time_uses: RunTimeUses,
     pub(crate) http_client: HttpClient,
     pub(crate) store: Store,
     pub(crate) peers: PeerClient,
@@ -111,6 +113,7 @@
             .max(MIN_REGISTRY_VALID);
         Self {
             settings,
+            run_time_uses: RunTimeUses::NONE,
             http_client,
             store,
             peers: PeerClient::new(),
@@ -127,6 +130,13 @@
         }
     }
 
+    /// Sets the decisions of this process's owners that use learned run times.
+    #[must_use]
+    pub(crate) const fn run_time_uses(mut self, uses: RunTimeUses) -> Self {
+        self.run_time_uses = uses;
+        self
+    }
+
     /// Returns the newest configuration, if one was read.
     pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
         self.operator_state.borrow().configuration.clone()
--- a/crates/cyclamentrail/src/local/jobs.rs
+++ b/crates/cyclamentrail/src/local/jobs.rs
@@ -12,6 +12,7 @@
 
 use anyhow::{Result, ensure};
 use cyclamentrail_adapter::ProcessSettings;
+use cyclamentrail_jobs::RunTimeUses;
 use cyclamentrail_standin::{
     JOB_HOST, JOB_SERVICE, JobClient, JobStore, JobWorker, ProcessPorts, SubmitResult,
     process_settings, put_configuration,
@@ -90,7 +91,9 @@
     for index in 0..PROCESSES {
         let ports = ProcessPorts::allocate()?;
         let settings_text = process_settings(&format!("node-{index}"), ports, store.address());
-        let bound = edge::bind_listeners(ProcessSettings::parse(&settings_text)?).await?;
+        let bound =
+            edge::bind_listeners(ProcessSettings::parse(&settings_text)?, RunTimeUses::NONE)
+                .await?;
         caller_addresses.push(loopback(ports.caller));
         processes.push(tokio::spawn(
             bound.serve_until(wait_for_stop(stopped.clone())),
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -32,6 +32,8 @@
 pub(crate) const WORKERS_AVOIDED: &str = "cyclamentrail_workers_avoided_total";
 /// Jobs that were given up because workers crashed under one of their tasks.
 pub(crate) const JOBS_GIVEN_UP: &str = "cyclamentrail_jobs_given_up_total";
+/// Completed jobs, by the probability with which they were expected to end on time.
+pub(crate) const PROMISES: &str = "cyclamentrail_promises_total";
 /// Work that was submitted recently, accepted or not, in whole workers.
 pub(crate) const POOL_DEMAND: &str = "cyclamentrail_pool_demand_workers";
 /// Accepted work that hasn't started, in seconds of a whole worker.
@@ -187,6 +189,12 @@
         labels: &["service"],
         help: "Jobs that were given up because workers crashed under one of their tasks.",
     },
+    Metric {
+        name: PROMISES,
+        kind: MetricKind::Counter,
+        labels: &["service", "promised", "outcome"],
+        help: "Completed jobs with learned run times, by the least percentage with which they were expected to end on time.",
+    },
     Metric {
         name: POOL_DEMAND,
         kind: MetricKind::Gauge,
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -6,8 +6,8 @@
 
 use super::catalog::{
     JOB_SECONDS, JOBS, JOBS_GIVEN_UP, LINES_DROPPED, LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND,
-    POOL_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS, STORE_CALLS,
-    STORE_SECONDS, TASK_WAITS, WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
+    POOL_WAITING, PROMISES, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS,
+    STORE_CALLS, STORE_SECONDS, TASK_WAITS, WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
 };
 
 /// Number of thousandths in one unit, such as milliseconds in a second.
@@ -49,12 +49,32 @@
         Decision::JobGivenUp { .. } => {
             metrics::counter!(JOBS_GIVEN_UP, "service" => service).increment(1);
         }
-        Decision::ContactChanged { .. }
+        Decision::PromiseEnded {
+            percent, is_kept, ..
+        } => {
+            let promised = promised_label(*percent);
+            let outcome = if *is_kept { "kept" } else { "late" };
+            metrics::counter!(
+                PROMISES, "service" => service, "promised" => promised, "outcome" => outcome
+            )
+            .increment(1);
+        }
+        Decision::PromiseMade { .. }
+        | Decision::ContactChanged { .. }
         | Decision::WorkerRestarted { .. }
         | Decision::ShareChanged { .. } => {}
     }
 }
 
+/// Returns the label for the probability with which a job was expected to end on time.
+const fn promised_label(percent: u32) -> &'static str {
+    match percent {
+        90.. => "90",
+        50.. => "50",
+        _ => "0",
+    }
+}
+
 fn count_run_end(service: String, end_label: &'static str) {
     metrics::counter!(RUNS_ENDED, "service" => service, "how" => end_label).increment(1);
 }
