--- a/crates/cyclamentrail-bench/src/run_times/simulation.rs
+++ b/crates/cyclamentrail-bench/src/run_times/simulation.rs
@@ -276,6 +276,12 @@
         let task = command.task;
         let job = &self.trace.jobs[index_of(&command.job)];
         let duration_ms = job.durations_ms[task.step as usize][task.index as usize];
+        let is_slow = self.trace.has_slow_worker && command.target.address.port() == 0;
+        let duration_ms = if is_slow {
+            2 * duration_ms
+        } else {
+            duration_ms
+        };
         if let Some(worker) = self.workers.get_mut(&command.target.id) {
             let id = TaskRunId {
                 job: command.job.clone(),
--- a/crates/cyclamentrail-jobs/src/selection.rs
+++ b/crates/cyclamentrail-jobs/src/selection.rs
@@ -52,6 +52,9 @@
     /// Workers that the queue's policy permits to run the task, or `None` if the queue has no
     /// policy.
     pub granted_workers: Option<&'a BTreeSet<WorkerKey>>,
+    /// Additional costs of workers by the learned run times, in thousandths of a whole worker;
+    /// `None` if these aren't used.
+    pub run_time_costs: Option<&'a BTreeMap<WorkerKey, u64>>,
 }
 
 impl<'a> From<&'a StepSpec> for PlacementRequest<'a> {
@@ -65,6 +68,7 @@
             pinned_workers: None,
             same_step_counts: None,
             granted_workers: None,
+            run_time_costs: None,
         }
     }
 }
@@ -109,7 +113,9 @@
         let is_limited =
             self.is_best_effort && worker.best_effort_share.percent() < FULL_SHARE_PERCENT;
         let limited = if is_limited { LIMITED_PENALTY } else { 0 };
+        let run_times = self.run_time_costs.and_then(|costs| costs.get(&key));
         unused
+            + run_times.copied().unwrap_or(0)
             + other_rack
             + pinning
             + same_step
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -29,6 +29,7 @@
 mod registry;
 mod reports;
 mod restarts;
+mod run_time_costs;
 mod run_times;
 mod stalls;
 mod starts;
--- a/crates/cyclamentrail-jobs/src/shard/evacuation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/evacuation.rs
@@ -17,7 +17,7 @@
 const REPEATED_ARRIVAL_MS: u64 = 15_000;
 /// Time from the start of an evacuation after which tasks that end by themselves are stopped, in
 /// milliseconds.
-const EVACUATION_GRACE_MS: u64 = 4_000;
+pub(super) const EVACUATION_GRACE_MS: u64 = 4_000;
 /// Progress from which a long-running task counts as working, in percent.
 const WORKING_PERCENT: u32 = 100;
 
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -172,6 +172,7 @@
         }
         let rack = self.rack_of(ready_step, &spec);
         let mut per_worker = self.tasks_per_worker(ready_step.task(0));
+        let run_time_costs = self.run_time_costs(now, ready_step.job, &spec);
         for index in 0..spec.count {
             let key = ready_step.task(index);
             if !self.is_waiting(key) {
@@ -185,6 +186,7 @@
             request.pinned_workers = Some(&pass.pinned);
             request.same_step_counts = Some(&per_worker);
             request.granted_workers = granted.as_ref();
+            request.run_time_costs = run_time_costs.as_ref();
             let suspicion = self.suspicion(key).filter(|_| pass.isolation.is_possible());
             let open = self.open_workers(now, &spec, &per_worker);
             let isolation = &pass.isolation;
--- a/crates/cyclamentrail-jobs/src/shard/run_times.rs
+++ b/crates/cyclamentrail-jobs/src/shard/run_times.rs
@@ -87,6 +87,15 @@
     }
 }
 
+impl LearnedTimes {
+    /// Returns by which factor runs take longer on a worker than on the others.
+    pub(super) fn worker_factor(&self, worker: WorkerKey) -> f64 {
+        self.workers
+            .get(worker)
+            .map_or(1.0, |pace| pace.factor_within(&self.pool))
+    }
+}
+
 impl LearnedRoute {
     fn record(&mut self, now: Now, route: &RouteName) -> KeyedRecord {
         self.stored_ms = now.boot_ms;
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -149,28 +149,7 @@
                 .with("worker", worker)
                 .with("percent", percent)
                 .with("worst_percent", worst_percent),
-            Decision::PromiseMade {
-                job,
-                percent,
-                wait_ms,
-                observations,
-            } => Self::new("promise_made")
-                .with("job", job)
-                .with("percent", percent)
-                .with("wait_ms", wait_ms)
-                .with("observations", observations),
-            Decision::PromiseEnded {
-                job,
-                percent,
-                is_kept,
-                wait_ms,
-                delay_ms,
-            } => Self::new("promise_ended")
-                .with("job", job)
-                .with("percent", percent)
-                .with("kept", is_kept)
-                .with("wait_ms", wait_ms)
-                .with("delay_ms", delay_ms),
+            Decision::PromiseMade { .. } | Decision::PromiseEnded { .. } => promise_line(decision),
             Decision::JobGivenUp { job, task, crashes } => Self::new("job_given_up")
                 .with("job", job)
                 .with_task(task)
@@ -182,6 +161,35 @@
     }
 }
 
+/// Returns the line of a promise to end on time, or of its end.
+fn promise_line(decision: &Decision) -> LogLine {
+    match decision {
+        Decision::PromiseEnded {
+            job,
+            percent,
+            is_kept,
+            wait_ms,
+            delay_ms,
+        } => LogLine::new("promise_ended")
+            .with("job", job)
+            .with("percent", percent)
+            .with("kept", is_kept)
+            .with("wait_ms", wait_ms)
+            .with("delay_ms", delay_ms),
+        Decision::PromiseMade {
+            job,
+            percent,
+            wait_ms,
+            observations,
+        } => LogLine::new("promise_made")
+            .with("job", job)
+            .with("percent", percent)
+            .with("wait_ms", wait_ms)
+            .with("observations", observations),
+        _ => LogLine::new("no_promise"),
+    }
+}
+
 /// Returns the job that a decision is about.
 pub(super) const fn job_of(decision: &Decision) -> Option<&JobId> {
     match decision {
