--- a/crates/cyclamentrail-jobs/src/run_times/pace.rs
+++ b/crates/cyclamentrail-jobs/src/run_times/pace.rs
@@ -45,11 +45,11 @@
         self.shrunk_log().exp()
     }
 
-    /// Returns the factor in relation to the pace of the whole pool, so that a change of all
-    /// durations makes no worker a slow one.
+    /// Returns the factor in relation to the usual pace, so that a change of all durations makes no
+    /// worker a slow one.
     #[must_use]
-    pub fn factor_within(&self, pool: &Self) -> f64 {
-        (self.shrunk_log() - pool.shrunk_log()).exp()
+    pub fn factor_within(&self, usual: &Self) -> f64 {
+        (self.shrunk_log() - usual.shrunk_log()).exp()
     }
 
     fn shrunk_log(&self) -> f64 {
--- a/crates/cyclamentrail-jobs/src/shard/run_time_costs.rs
+++ b/crates/cyclamentrail-jobs/src/shard/run_time_costs.rs
@@ -33,13 +33,14 @@
             return None;
         }
         let is_long = self.is_long(job, step);
+        let usual_pace = self.learned.usual_pace();
         let divisor = if self.has_slack(now, job) {
             SLACK_DIVISOR
         } else {
             1
         };
         let costs = self.workers.iter().filter_map(|(key, worker)| {
-            let slow = slow_cost(self.learned.worker_factor(key)) / divisor;
+            let slow = slow_cost(self.learned.worker_factor(key, &usual_pace)) / divisor;
             let is_long_task = |task: &&TaskKey| {
                 self.step_of(**task)
                     .is_some_and(|step| self.is_long(task.job, step))
--- a/crates/cyclamentrail-jobs/src/shard/run_times.rs
+++ b/crates/cyclamentrail-jobs/src/shard/run_times.rs
@@ -29,8 +29,6 @@
     removed: BTreeSet<RouteName>,
     /// Paces of the workers, in relation to what was expected of their tasks.
     workers: SparseSecondaryMap<WorkerKey, Pace>,
-    /// Pace of all workers.
-    pool: Pace,
     /// Time of the last round.
     pub(super) last_round: Now,
     /// Lowest processor share in percent of each run that was slowed down.
@@ -88,11 +86,19 @@
 }
 
 impl LearnedTimes {
-    /// Returns by which factor runs take longer on a worker than on the others.
-    pub(super) fn worker_factor(&self, worker: WorkerKey) -> f64 {
-        self.workers
-            .get(worker)
-            .map_or(1.0, |pace| pace.factor_within(&self.pool))
+    /// Returns the pace of the usual worker: the median over the workers, not over the runs, of
+    /// which a slow worker may have most.
+    pub(super) fn usual_pace(&self) -> Pace {
+        let mut paces: Vec<Pace> = self.workers.values().copied().collect();
+        paces.sort_by(|left, right| left.factor().total_cmp(&right.factor()));
+        let middle = paces.len().saturating_sub(1) / 2;
+        paces.get(middle).copied().unwrap_or_default()
+    }
+
+    /// Returns by which factor runs take longer on a worker than on the usual one.
+    pub(super) fn worker_factor(&self, worker: WorkerKey, usual: &Pace) -> f64 {
+        let pace = self.workers.get(worker);
+        pace.map_or(1.0, |pace| pace.factor_within(usual))
     }
 }
 
@@ -226,7 +232,6 @@
         let is_known = learned.times.is_known();
         learned.observe(declared_ms, lasted);
         if let (true, Lasted::Exactly(actual_ms)) = (is_known, lasted) {
-            self.learned.pool.observe(actual_ms, usual_ms);
             if let Some(entry) = self.learned.workers.entry(worker) {
                 entry.or_default().observe(actual_ms, usual_ms);
             }
--- a/crates/cyclamentrail-jobs/tests/scheduler/run_times.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/run_times.rs
@@ -1,7 +1,7 @@
 //! Tests of run times that a shard learns from its runs.
 
 use crate::world::{ROUTE, Simulation, job};
-use cyclamentrail_core::{JobId, RouteName};
+use cyclamentrail_core::{JobId, RouteName, WorkerId};
 use cyclamentrail_jobs::{
     CallerReply, Decision, JobState, KeyedRecord, RUN_TIMES_PREFIX, Resources, RunTimeUses, Shard,
     ShardTiming,
@@ -252,3 +252,75 @@
 fn unused_promises_nothing() {
     assert_eq!(count_promises(RunTimeUses::NONE, 1), (0, 0));
 }
+
+/// Returns how many of 60 runs a slow worker got after it was known as slow.
+fn runs_on_slow_worker(uses: RunTimeUses) -> usize {
+    let mut sim = Simulation::with_run_times(2, WORKER, uses);
+    sim.slow_worker = Some(WorkerId::from("w0"));
+    for index in 0..60 {
+        sim.submit(&format!("a{index}"), job(20, 2_000, 500));
+        sim.run_for(2_000);
+    }
+    let mut runs = 0;
+    for index in 0..60 {
+        sim.submit(&format!("b{index}"), job(1, 2_000, 500));
+        sim.run_for(100);
+        runs += usize::from(sim.running_on("w0") > 0);
+        sim.run_for(2_000);
+    }
+    runs
+}
+
+/// Tasks must avoid a worker on which runs take three times as long, while another one has room.
+#[test]
+fn slow_worker_avoided() {
+    let placement = RunTimeUses {
+        placement: true,
+        ..RunTimeUses::NONE
+    };
+    let usual = runs_on_slow_worker(RunTimeUses::NONE);
+    let learned = runs_on_slow_worker(placement);
+    println!("{usual} runs by one mean, {learned} by learned run times");
+    assert_eq!(learned, 0);
+    assert!(usual > 0);
+}
+
+/// The pool's load must count what tasks are expected to take, and not what callers declare.
+#[test]
+fn load_counts_expected_work() {
+    let uses = RunTimeUses {
+        pool_sizes: true,
+        ..RunTimeUses::NONE
+    };
+    let mut sim = Simulation::with_run_times(1, WORKER, uses);
+    run_jobs(&mut sim, "a", 40, 100, 1_000);
+    sim.is_owner_active = false;
+    sim.submit("b", job(4, 16_000, 100));
+    let now = sim.now();
+    let waiting_ms = sim.shard.load(now).waiting_work_ms;
+    assert!((1_800..2_300).contains(&waiting_ms), "{waiting_ms}");
+}
+
+/// A rejected caller is told a time within the limits that other rejections have.
+#[test]
+fn retry_within_limits() {
+    let uses = RunTimeUses {
+        retry_after: true,
+        ..RunTimeUses::NONE
+    };
+    let mut sim = Simulation::with_run_times(1, WORKER, uses);
+    run_jobs(&mut sim, "a", 40, 1_000, 1_000);
+    let mut delays = Vec::new();
+    for index in 0..40 {
+        let caller = sim.submit(&format!("b{index}"), job(32, 1_000, 1_000));
+        sim.run_for(20);
+        if let Some(CallerReply::Rejected { retry_after_ms, .. }) = sim.replies.get(&caller) {
+            delays.push(*retry_after_ms);
+        }
+    }
+    assert!(delays.len() > 20, "{delays:?}");
+    assert!(
+        delays.iter().all(|delay| (1_000..=11_500).contains(delay)),
+        "{delays:?}"
+    );
+}
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -114,6 +114,8 @@
     pub timing: ShardTiming,
     /// Duration in milliseconds of the runs of jobs that take another time than declared.
     pub durations: HashMap<JobId, u64>,
+    /// Worker on which runs take three times as long.
+    pub slow_worker: Option<WorkerId>,
     /// Tasks that crash each worker that starts them, with the workers that crashed.
     pub deadly_tasks: DeadlyTasks,
 }
@@ -143,6 +145,7 @@
             failing_jobs: BTreeSet::new(),
             timing: ShardTiming::default(),
             durations: HashMap::new(),
+            slow_worker: None,
             deadly_tasks: DeadlyTasks::default(),
         };
         sim.shard.set_routes([route_config()]);
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
@@ -120,6 +120,12 @@
             .get(&command.job)
             .copied()
             .unwrap_or(step.estimate_ms);
+        let is_slow = self.slow_worker.as_ref() == Some(&command.target.id);
+        let duration_ms = if is_slow {
+            3 * duration_ms
+        } else {
+            duration_ms
+        };
         let run = Run {
             id: TaskRunId {
                 job: command.job.clone(),
