--- a/crates/cyclamentrail-jobs/src/shard/run_times.rs
+++ b/crates/cyclamentrail-jobs/src/shard/run_times.rs
@@ -231,10 +231,10 @@
         let usual_ms = learned.times.longest_of_ms(declared_ms, 1);
         let is_known = learned.times.is_known();
         learned.observe(declared_ms, lasted);
-        if let (true, Lasted::Exactly(actual_ms)) = (is_known, lasted) {
-            if let Some(entry) = self.learned.workers.entry(worker) {
-                entry.or_default().observe(actual_ms, usual_ms);
-            }
+        if let (true, Lasted::Exactly(actual_ms)) = (is_known, lasted)
+            && let Some(entry) = self.learned.workers.entry(worker)
+        {
+            entry.or_default().observe(actual_ms, usual_ms);
         }
     }
 
