--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -21,6 +21,7 @@
 mod evacuation;
 mod isolation;
 mod long_waits;
+mod on_time;
 mod placement;
 mod placements;
 mod progress;
@@ -29,10 +30,13 @@
 mod registry;
 mod reports;
 mod restarts;
+mod run_time_costs;
+mod run_times;
 mod shares;
 mod stalls;
 mod starts;
 mod submit;
+mod task_times;
 mod team_status;
 mod timing;
 mod unsent_jobs;
@@ -112,6 +116,8 @@
     /// Time of the last check for tasks that wait long, as in [`Now::boot_ms`].
     waits_checked_ms: u64,
     estimates: HashMap<RouteName, DurationEstimate>,
+    learned: run_times::LearnedTimes,
+    expectations: on_time::Expectations,
     arrivals: evacuation::Arrivals,
     crashes: crashes::Crashes,
     grants: Grants,
@@ -144,6 +150,8 @@
             .into_iter()
             .map(|route| (route.name.clone(), Arc::new(route)))
             .collect();
+        self.learned
+            .keep_routes(|route| self.routes.contains_key(route));
     }
 
     /// Replaces the configuration of all teams.
@@ -208,6 +216,7 @@
     /// commands, stops stalled runs, evacuates workers, places tasks, requests advice, polls
     /// workers and drops old jobs.
     pub fn advance(&mut self, now: Now) {
+        self.learned.last_round = now;
         self.begin_occurrences(now);
         self.release_expired(now);
         self.resend_due(now);
@@ -244,6 +253,7 @@
                 value: Vec::new(),
             });
         }
+        self.learned.store_due(now, &mut commit);
         for (key, worker) in &self.workers {
             if worker.handled_sequence > worker.durable_sequence {
                 commit.ended_sequences.push((key, worker.handled_sequence));
@@ -282,6 +292,10 @@
                 state,
                 took_ms: now.unix_ms.saturating_sub(job.accepted_ms),
             }));
+            let route = self.routes.get(&job.route).map(Arc::as_ref);
+            let took_ms = now.unix_ms.saturating_sub(job.accepted_ms);
+            let promise = self.expectations.settle(key, job, route, took_ms);
+            commit.effects.extend(promise.map(Effect::Log));
         }
         if state.is_final() && !job.has_placements() {
             self.active.remove(&key);
@@ -342,6 +356,10 @@
 
     /// Frees the capacity of a run that has ended for certain; a `proof` is reported as a decision.
     fn release(&mut self, key: TaskKey, proof: Option<EndProof>) {
+        if proof.is_some() {
+            self.learn_interrupted(key);
+        }
+        self.forget_share(key);
         let Some(spec) = self.step_of(key) else {
             return;
         };
@@ -377,6 +395,7 @@
 
     /// Stops a run, or frees its capacity if its start command was never sent.
     fn stop(&mut self, key: TaskKey) {
+        self.learn_interrupted(key);
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -115,21 +115,12 @@
                 .map_or(job.accepted_ms, |occurrence| {
                     job.occurrence_due_ms(occurrence.number)
                 });
-            let estimate = self.estimate(&job.route);
-            let predict_ms = |step: &StepSpec| estimate.predict_ms(step.estimate_ms);
-            let critical_path_ms = job.spec.critical_path_by(|_, step| predict_ms(step));
-            let occurrence = job.occurrences.first();
-            let is_done = |index: usize| {
-                occurrence.is_some_and(|occurrence| occurrence.steps[index].is_done())
-            };
-            let remaining_ms = job
-                .spec
-                .critical_path_by(|index, step| if is_done(index) { 0 } else { predict_ms(step) });
+            let chain = self.chain_times(now, job);
             let waiting = WaitingJob {
                 priority: route.priority,
                 is_long_running: job.spec.is_long_running(),
-                deadline_ms: first_due_ms + route.objective_ms(critical_path_ms),
-                remaining_ms,
+                deadline_ms: first_due_ms + route.objective_ms(chain.total_ms),
+                remaining_ms: chain.remaining_ms,
             };
             Some((waiting.rank(now.unix_ms), key))
         };
@@ -190,6 +181,7 @@
         }
         let rack = self.rack_of(ready_step, &spec);
         let mut per_worker = self.tasks_per_worker(ready_step.task(0));
+        let run_time_costs = self.run_time_costs(now, ready_step.job, &spec);
         for index in 0..spec.count {
             let key = ready_step.task(index);
             if !self.is_waiting(key) {
@@ -207,6 +199,7 @@
             request.pinned_workers = Some(&pass.pinned);
             request.same_step_counts = Some(&per_worker);
             request.granted_workers = granted.as_ref();
+            request.run_time_costs = run_time_costs.as_ref();
             let suspicion = self.suspicion(key).filter(|_| pass.isolation.is_possible());
             let open = self.open_workers(now, &spec, &per_worker);
             let isolation = &pass.isolation;
--- a/crates/cyclamentrail-jobs/src/shard/shares.rs
+++ b/crates/cyclamentrail-jobs/src/shard/shares.rs
@@ -6,7 +6,7 @@
 use cyclamentrail_core::TeamName;
 
 use super::{Now, Shard};
-use crate::admission::{AdmissionRequest, Backlog, admit};
+use crate::admission::AdmissionRequest;
 use crate::effect::AdmissionShare;
 use crate::fair_share::{
     DEFAULT_WEIGHT_MILLI, FairShares, JobRate, TeamAdmission, TeamDemand, TeamLoad, WHOLE_POOL_PPB,
@@ -14,7 +14,7 @@
 };
 use crate::job::{Job, JobKey};
 use crate::ranking::JobRank;
-use crate::{Admission, RejectReason, Resources};
+use crate::{Admission, JobSpec, RejectReason, Resources, RouteConfig};
 
 /// Index of the team that jobs without a team form.
 const NO_TEAM: usize = 0;
@@ -179,11 +179,15 @@
         &self,
         now: Now,
         team: Option<&TeamName>,
+        spec: &JobSpec,
+        route: &RouteConfig,
         job: AdmissionRequest,
     ) -> (TeamAdmission, Option<AdmissionShare>) {
         let table = &self.team_table;
         if !table.is_configured {
-            return (admit_by_backlog(self.backlog(|_, _| {}), job), None);
+            let backlog = self.backlog(|_, _| {});
+            let decision = self.decide_admission(spec, route, backlog, job);
+            return (by_backlog(decision, backlog.wait_ms()), None);
         }
         let mut work_ms = vec![0; table.teams.len()];
         let pool = self.backlog(|job, job_work_ms| {
@@ -286,10 +290,9 @@
     }
 }
 
-/// Decides whether a job is accepted from the whole backlog.
-fn admit_by_backlog(backlog: Backlog, job: AdmissionRequest) -> TeamAdmission {
-    let wait_ms = backlog.wait_ms();
-    match admit(backlog, job) {
+/// Returns a decision that was made from the whole backlog, which a job waits for.
+const fn by_backlog(decision: Admission, wait_ms: u64) -> TeamAdmission {
+    match decision {
         Admission::Accept => TeamAdmission::Accept { wait_ms },
         Admission::Reject { retry_after_ms } => TeamAdmission::Reject {
             reason: RejectReason::Overload,
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -5,12 +5,14 @@
 
 use cyclamentrail_core::{JobId, RouteName, TeamName};
 
+use super::task_times::TaskTimes;
 use super::{Now, Shard};
 use crate::access::may_access_job;
 use crate::admission::{AdmissionRequest, Backlog};
 use crate::effect::{AdmissionShare, CallerId, CallerReply, Decision, Effect, RejectReason};
 use crate::fair_share::TeamAdmission;
 use crate::job::{Job, JobKey, JobState, Occurrence};
+use crate::record::is_reserved_key;
 use crate::selection::PlacementRequest;
 use crate::worker::Worker;
 use crate::{DurationEstimate, JobSpec, Resources, StepSpec};
@@ -56,13 +58,13 @@
             }
             return;
         }
-        if !submission.spec.is_well_formed() {
+        if !submission.spec.is_well_formed() || is_reserved_key(submission.id.as_str()) {
             self.ready_effects
                 .push(Effect::Reply(caller, CallerReply::Malformed));
             return;
         }
-        let estimate = self.estimate(&submission.route);
-        let work_ms = job_work_ms(&submission.spec, &self.largest_capacity(), estimate);
+        let times = self.task_times(&submission.route, self.timing.run_time_uses.pool_sizes);
+        let work_ms = job_work_ms(&submission.spec, &self.largest_capacity(), times);
         self.count_arrival(now, &submission.id, &submission.spec, work_ms);
         match self.check_admission(now, &submission, work_ms) {
             Ok((wait_ms, share)) => self.accept(now, submission, wait_ms, share),
@@ -113,6 +115,7 @@
         }));
         self.gated_effects
             .push(Effect::Reply(caller, CallerReply::Accepted));
+        self.expect_end(key, wait_ms);
     }
 
     /// Refuses the request of a caller of `team` if the job belongs to another team; returns whether
@@ -234,7 +237,7 @@
             jitter_seed: retry_seed(&submission.id),
         };
         let team = submission.team.as_ref();
-        match self.admit_by_share(now, team, admission_request) {
+        match self.admit_by_share(now, team, spec, route, admission_request) {
             (TeamAdmission::Accept { wait_ms }, share) => Ok((wait_ms, share)),
             (
                 TeamAdmission::Reject {
@@ -253,17 +256,25 @@
     /// Returns the remaining work of accepted jobs; of a running task,
     /// [`RUNNING_REMAINING_PERCENT`] of its work counts. `count_job` gets each job with its part.
     pub(super) fn backlog(&self, count_job: impl FnMut(&Job, u64)) -> Backlog {
-        self.backlog_with(RUNNING_REMAINING_PERCENT, count_job)
+        let is_learned = self.timing.run_time_uses.admission;
+        self.backlog_with(RUNNING_REMAINING_PERCENT, is_learned, count_job)
     }
 
     /// Returns the work of accepted tasks that aren't placed, in milliseconds of a whole worker.
     pub(super) fn waiting_work_ms(&self) -> u64 {
-        self.backlog_with(0, |_, _| {}).work_ms
+        let is_learned = self.timing.run_time_uses.pool_sizes;
+        self.backlog_with(0, is_learned, |_, _| {}).work_ms
     }
 
     /// Returns the remaining work of accepted jobs; of a placed task, `running_percent` of its work
-    /// counts. `count_job` gets each job with its part.
-    fn backlog_with(&self, running_percent: u64, mut count_job: impl FnMut(&Job, u64)) -> Backlog {
+    /// counts. Work is counted by the learned run times if `is_learned`. `count_job` gets each job with
+    /// its part.
+    fn backlog_with(
+        &self,
+        running_percent: u64,
+        is_learned: bool,
+        mut count_job: impl FnMut(&Job, u64),
+    ) -> Backlog {
         let workers = self
             .workers
             .values()
@@ -275,14 +286,15 @@
             if job.is_aborted() || job.spec.is_long_running() {
                 continue;
             }
-            let estimate = self.estimate(&job.route);
+            let times = self.task_times(&job.route, is_learned);
             let before_ms = total_ms;
             for occurrence in &job.occurrences {
                 for (spec, progress) in job.spec.steps.iter().zip(&occurrence.steps) {
-                    let task_ms = task_work_ms(spec, &capacity, estimate);
+                    let task_ms = task_work_ms(spec, &capacity, times);
                     for task in progress.tasks.iter().filter(|task| !task.is_done) {
                         total_ms += if task.placement.is_some() {
-                            task_ms * running_percent / 100
+                            let now = self.learned.last_round;
+                            times.placed_work_ms(now, spec, task, task_ms, running_percent)
                         } else {
                             task_ms
                         };
@@ -290,7 +302,7 @@
                 }
             }
             if job.next_occurrence == 0 && job.spec.schedule.is_none() {
-                total_ms += job_work_ms(&job.spec, &capacity, estimate);
+                total_ms += job_work_ms(&job.spec, &capacity, times);
             }
             count_job(job, total_ms - before_ms);
         }
@@ -317,16 +329,16 @@
 }
 
 /// Returns the work of a whole job in milliseconds of a whole worker.
-fn job_work_ms(spec: &JobSpec, capacity: &Resources, estimate: DurationEstimate) -> u64 {
+fn job_work_ms(spec: &JobSpec, capacity: &Resources, times: TaskTimes<'_>) -> u64 {
     spec.steps
         .iter()
-        .map(|step| u64::from(step.count) * task_work_ms(step, capacity, estimate))
+        .map(|step| u64::from(step.count) * task_work_ms(step, capacity, times))
         .sum()
 }
 
 /// Returns the work of one task in milliseconds of a whole worker.
-fn task_work_ms(step: &StepSpec, capacity: &Resources, estimate: DurationEstimate) -> u64 {
-    step.reserved_resources().dominant_share_milli(capacity) * estimate.predict_ms(step.estimate_ms)
+fn task_work_ms(step: &StepSpec, capacity: &Resources, times: TaskTimes<'_>) -> u64 {
+    step.reserved_resources().dominant_share_milli(capacity) * times.predict_ms(step.estimate_ms)
         / 1_000
 }
 
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -24,6 +24,8 @@
 mod quota_shards;
 #[path = "scheduler/restarts.rs"]
 mod restarts;
+#[path = "scheduler/run_times.rs"]
+mod run_times;
 #[path = "scheduler/shares.rs"]
 mod shares;
 #[path = "scheduler/sharing.rs"]
--- a/crates/cyclamentrail/src/edge/decision_log.rs
+++ b/crates/cyclamentrail/src/edge/decision_log.rs
@@ -118,5 +118,7 @@
             | Decision::RunEnded { .. }
             | Decision::JobFinal { .. }
             | Decision::AllowanceChanged { .. }
+            | Decision::PromiseMade { .. }
+            | Decision::PromiseEnded { .. }
     )
 }
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -39,14 +39,15 @@
             .with("within_rate", share.is_within_rate)
     }
 
-    fn with_task(self, task: &TaskKey) -> Self {
-        self.with("occurrence", task.occurrence)
+    fn with_task_of(self, job: &JobId, task: &TaskKey) -> Self {
+        self.with("job", job)
+            .with("occurrence", task.occurrence)
             .with("step", task.step)
             .with("index", task.index)
     }
 
     fn with_run(self, job: &JobId, task: &TaskKey, run: u32) -> Self {
-        self.with("job", job).with_task(task).with("run", run)
+        self.with_task_of(job, task).with("run", run)
     }
 
     fn allowance_changed(change: &AllowanceChange, usage: u64) -> Self {
@@ -166,8 +167,7 @@
                 age_ms,
                 reason,
             } => Self::new("task_waits")
-                .with("job", job)
-                .with_task(task)
+                .with_task_of(job, task)
                 .with("age_ms", age_ms)
                 .with("reason", reason.as_str()),
             Decision::ShareChanged {
@@ -178,9 +178,9 @@
                 .with("worker", worker)
                 .with("percent", percent)
                 .with("worst_percent", worst_percent),
+            Decision::PromiseMade { .. } | Decision::PromiseEnded { .. } => promise_line(decision),
             Decision::JobGivenUp { job, task, crashes } => Self::new("job_given_up")
-                .with("job", job)
-                .with_task(task)
+                .with_task_of(job, task)
                 .with("crashes", crashes),
             Decision::AllowanceChanged { change, usage } => Self::allowance_changed(change, *usage),
             Decision::RunStalled { job, worker } => Self::new("run_stalled")
@@ -190,6 +190,35 @@
     }
 }
 
+/// Returns the line of a promise to end on time, or of its end.
+fn promise_line(decision: &Decision) -> LogLine {
+    match decision {
+        Decision::PromiseEnded {
+            job,
+            percent,
+            is_kept,
+            wait_ms,
+            delay_ms,
+        } => LogLine::new("promise_ended")
+            .with("job", job)
+            .with("percent", percent)
+            .with("kept", is_kept)
+            .with("wait_ms", wait_ms)
+            .with("delay_ms", delay_ms),
+        Decision::PromiseMade {
+            job,
+            percent,
+            wait_ms,
+            observations,
+        } => LogLine::new("promise_made")
+            .with("job", job)
+            .with("percent", percent)
+            .with("wait_ms", wait_ms)
+            .with("observations", observations),
+        _ => LogLine::new("no_promise"),
+    }
+}
+
 /// Returns the job that a decision is about.
 pub(super) const fn job_of(decision: &Decision) -> Option<&JobId> {
     match decision {
@@ -200,6 +229,8 @@
         | Decision::RunGone { job, .. }
         | Decision::JobFinal { job, .. }
         | Decision::TaskWaiting { job, .. }
+        | Decision::PromiseMade { job, .. }
+        | Decision::PromiseEnded { job, .. }
         | Decision::JobGivenUp { job, .. }
         | Decision::RunStalled { job, .. } => Some(job),
         Decision::ContactChanged { .. }
