--- a/crates/cyclamentrail-jobs/tests/scheduler/run_times.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/run_times.rs
@@ -16,6 +16,14 @@
     format!("{RUN_TIMES_PREFIX}{ROUTE}")
 }
 
+/// Returns a simulation with `count` workers, whose decisions use the learned run times.
+fn simulation(count: u64, uses: RunTimeUses) -> Simulation {
+    let mut sim = Simulation::new(count, WORKER);
+    sim.timing.run_time_uses = uses;
+    sim.take_over(0);
+    sim
+}
+
 /// Runs `count` jobs one after another that are declared to take `declared_ms`.
 fn run_jobs(sim: &mut Simulation, name: &str, count: u32, declared_ms: u64, actual_ms: u64) {
     for index in 0..count {
@@ -34,7 +42,7 @@
 /// What was learned must outlast the owner, or each takeover begins with the declared durations.
 #[test]
 fn takeover_keeps_run_times() {
-    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    let mut sim = simulation(2, RunTimeUses::ALL);
     run_jobs(&mut sim, "a", 60, 100, 700);
     let before = expected_ms(&sim);
     assert!(before.abs_diff(700) < 100, "{before}");
@@ -48,7 +56,7 @@
 /// The records must stay rare: an owner writes few bytes a second.
 #[test]
 fn records_are_rare() {
-    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    let mut sim = simulation(2, RunTimeUses::ALL);
     let mut earlier = Vec::new();
     let (mut writes, mut bytes) = (0, 0);
     for round in 0..120 {
@@ -68,7 +76,7 @@
 /// An owner that gives up its shard stores what it has learned since the last record.
 #[test]
 fn release_stores_run_times() {
-    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    let mut sim = simulation(2, RunTimeUses::ALL);
     run_jobs(&mut sim, "a", 2, 100, 700);
     assert!(!sim.records.contains_key(&key()));
     let now = sim.now();
@@ -81,7 +89,7 @@
 /// Damaged run times and those of a later version must not be taken for jobs, nor stop a takeover.
 #[test]
 fn unreadable_records_counted() {
-    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    let mut sim = simulation(2, RunTimeUses::ALL);
     run_jobs(&mut sim, "a", 60, 100, 700);
     let stored = sim.records[&key()].clone();
     let mut newer = stored.clone();
@@ -137,7 +145,7 @@
 /// Routes that are no longer configured take no memory, and their records are deleted.
 #[test]
 fn removed_route_dropped() {
-    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    let mut sim = simulation(2, RunTimeUses::ALL);
     run_jobs(&mut sim, "a", 60, 100, 700);
     sim.submit("last", job(1, 1_000, 100));
     sim.run_for(60);
@@ -151,7 +159,7 @@
 /// Runs that are cancelled half-way say that the task takes at least so long.
 #[test]
 fn cancelled_run_is_censored() {
-    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    let mut sim = simulation(2, RunTimeUses::ALL);
     run_jobs(&mut sim, "a", 20, 100, 700);
     sim.durations.insert(JobId::from("long"), 60_000);
     sim.submit("long", job(1, 1_000, 100));
@@ -170,7 +178,7 @@
 /// A run that goes on over a takeover lasted longer than its new owner saw.
 #[test]
 fn restored_run_is_censored() {
-    let mut sim = Simulation::with_run_times(2, WORKER, RunTimeUses::ALL);
+    let mut sim = simulation(2, RunTimeUses::ALL);
     sim.durations.insert(JobId::from("a"), 2_000);
     sim.submit("a", job(1, 1_000, 100));
     sim.run_for(1_500);
@@ -188,7 +196,7 @@
 /// counted as late, and goes on before jobs that are.
 #[test]
 fn long_run_keeps_its_turn() {
-    let mut sim = Simulation::with_run_times(1, WORKER, RunTimeUses::ALL);
+    let mut sim = simulation(1, RunTimeUses::ALL);
     run_jobs(&mut sim, "a", 60, 1_000, 700);
     run_jobs(&mut sim, "b", 4, 1_000, 3_500);
     run_jobs(&mut sim, "c", 40, 1_000, 700);
@@ -205,7 +213,7 @@
 /// were on time.
 fn count_promises(uses: RunTimeUses, seed: u64) -> (u32, u32) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut sim = Simulation::with_run_times(4, WORKER, uses);
+    let mut sim = simulation(4, uses);
     for index in 0..600_u64 {
         let in_burst = index % 100 < 50;
         let mut actual_ms = rng.random_range(600..1_000);
@@ -255,7 +263,7 @@
 
 /// Returns how many of 60 runs a slow worker got after it was known as slow.
 fn runs_on_slow_worker(uses: RunTimeUses) -> usize {
-    let mut sim = Simulation::with_run_times(2, WORKER, uses);
+    let mut sim = simulation(2, uses);
     sim.slow_worker = Some(WorkerId::from("w0"));
     for index in 0..60 {
         sim.submit(&format!("a{index}"), job(20, 2_000, 500));
@@ -292,7 +300,7 @@
         pool_sizes: true,
         ..RunTimeUses::NONE
     };
-    let mut sim = Simulation::with_run_times(1, WORKER, uses);
+    let mut sim = simulation(1, uses);
     run_jobs(&mut sim, "a", 40, 100, 1_000);
     sim.is_owner_active = false;
     sim.submit("b", job(4, 16_000, 100));
@@ -308,7 +316,7 @@
         retry_after: true,
         ..RunTimeUses::NONE
     };
-    let mut sim = Simulation::with_run_times(1, WORKER, uses);
+    let mut sim = simulation(1, uses);
     run_jobs(&mut sim, "a", 40, 1_000, 1_000);
     let mut delays = Vec::new();
     for index in 0..40 {
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -10,8 +10,8 @@
 use cyclamentrail_core::{JobId, LabelName, RouteName, ServiceName, TeamName, WorkerId, ZoneName};
 use cyclamentrail_jobs::{
     AdviceQuery, CallerId, CallerReply, CommandOutcome, Commit, CpuShareCommand, Decision, Effect,
-    JobSpec, JobState, KeyedRecord, Now, PollOutcome, Resources, RunTimeUses, Shard, ShardTiming,
-    StartCommand, StopCommand, TaskKey, TaskRunId, WorkerKey, WorkerPoll, WorkerRegistration,
+    JobSpec, JobState, KeyedRecord, Now, PollOutcome, Resources, Shard, ShardTiming, StartCommand,
+    StopCommand, TaskKey, TaskRunId, WorkerKey, WorkerPoll, WorkerRegistration,
 };
 
 #[path = "world/calls.rs"]
@@ -155,14 +155,6 @@
         sim
     }
 
-    /// Creates a simulation whose decisions use the learned run times.
-    pub fn with_run_times(count: u64, capacity: Resources, uses: RunTimeUses) -> Self {
-        let mut sim = Self::new(count, capacity);
-        sim.timing.run_time_uses = uses;
-        sim.take_over(0);
-        sim
-    }
-
     /// Queries how many jobs haven't started; returns the caller's number.
     pub fn query_pending(&mut self) -> u64 {
         let caller = self.new_caller();
