fix(quota): report the usage of teams back at their base

A team whose loan was returned was reported with no usage, though tasks within the base may still run. The shard now reports such a team as it is until the ledger knows it at its base.

returned_loan_reports_usage before the change: left: [0], right: [50000]; after it passes, with all quota tests of scheduler and quota_ledger.

--- a/crates/cyclamentrail-jobs/src/quota/allowance.rs
+++ b/crates/cyclamentrail-jobs/src/quota/allowance.rs
@@ -117,6 +117,12 @@
         !self.known.is_empty()
     }
 
+    /// Returns whether the ledger may know a team as one that isn't at its base.
+    #[must_use]
+    pub fn is_reported(&self, team: &TeamName) -> bool {
+        self.known.contains_key(team)
+    }
+
     /// Returns whether there is anything to report to the ledger with this token, where `has_teams`
     /// tells whether a team isn't at its base. A loan that was returned has to be reported once more.
     #[must_use]
@@ -128,7 +134,7 @@
     }
 
     /// Begins a report to the ledger with this token, where `teams` are all teams that aren't at
-    /// their base. Returns `None` while a report is open, and for a ledger that is older than one that
+    /// their base and those that were reported as such. A team that is missing uses nothing. Returns `None` while a report is open, and for a ledger that is older than one that
     /// was reported to.
     pub fn begin_report(
         &mut self,
--- a/crates/cyclamentrail-jobs/src/shard/quota.rs
+++ b/crates/cyclamentrail-jobs/src/shard/quota.rs
@@ -305,7 +305,7 @@
         self.teams.values().any(|team| is_limited(&team.cap))
     }
 
-    /// Returns the reports of all teams that aren't at their base.
+    /// Returns the reports of all teams that aren't at their base, or that the ledger knows as such.
     fn team_reports(&self, now: Now) -> Vec<TeamReport> {
         let base = self.quota.allowances.base();
         let free: Vec<Resources> = self
@@ -321,7 +321,10 @@
             .values()
             .filter(|team| is_limited(&team.cap))
             .map(|team| self.team_report(&team.name, &team.cap, &all_free, &free))
-            .filter(|report| report.allowance.max(report.usage).max(report.wanted) > base)
+            .filter(|report| {
+                report.allowance.max(report.usage).max(report.wanted) > base
+                    || self.quota.allowances.is_reported(&report.team)
+            })
             .collect()
     }
 
--- a/crates/cyclamentrail-jobs/tests/scheduler/quota.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/quota.rs
@@ -2,7 +2,7 @@
 
 use cyclamentrail_core::{ServiceName, TeamName};
 use cyclamentrail_jobs::{
-    Decision, JobSpec, JobState, Ledger, Resources, TeamConfig, WaitReason, base_share,
+    Decision, JobSpec, JobState, Ledger, Resources, TeamConfig, TeamReport, WaitReason, base_share,
 };
 use rstest::rstest;
 
@@ -107,6 +107,33 @@
     assert_eq!(ledger.reserved(&TeamName::from("a")), 250_000);
 }
 
+/// Guards against a report that names no usage for a team whose loan was returned while tasks run
+/// within its base.
+#[test]
+fn returned_loan_reports_usage() {
+    let teams = [team("a", 40_000)];
+    let mut sim = world(&teams, 4);
+    let mut ledger = lending_ledger(2, &teams, 4);
+    sim.submit_for(Some("a"), "long", job(2, 1_000, 60_000));
+    sim.submit_for(Some("a"), "short", job(20, 1_000, 2_000));
+    run_with(&mut sim, &mut ledger, 1_000);
+    let mut usages = Vec::new();
+    for _ in 0..20 {
+        let service = ServiceName::from(SERVICE);
+        let now = sim.now();
+        let report = sim.shard.begin_quota_report(now, &service, OWNER, 2);
+        if let Some(report) = report {
+            let at_base = |team: &&TeamReport| team.allowance == base_share(4);
+            usages.extend(report.teams.iter().filter(at_base).map(|team| team.usage));
+            let reply = ledger.handle_report(&report);
+            sim.shard
+                .finish_quota_report(report.sequence, reply.as_ref());
+        }
+        sim.run_for(250);
+    }
+    assert_eq!(usages, [50_000], "two of forty cores");
+}
+
 /// A job of a team under half of its cap starts within 3 s where there is room for it.
 #[rstest]
 #[case::larger_than_base(10_000)]
