fix(quota): ignore replies to reports from before a cap change

A reply that arrived after its team had lost the cap put the loan back in force. When the cap returned, the shard used what the ledger had lent again. The allowances now know the caps: a reply to a report that was sent before a cap changed counts as lost, and teams without a cap hold no loan.

reply_after_removal before the change, both cases: allowance 812500, at most 62500 is allowed.

--- a/crates/cyclamentrail-jobs/src/quota.rs
+++ b/crates/cyclamentrail-jobs/src/quota.rs
@@ -17,7 +17,11 @@
 pub use ledger::Ledger;
 pub use report::{Grantee, QuotaReply, QuotaReport, TeamReport};
 
-use crate::Resources;
+use std::collections::BTreeMap;
+
+use cyclamentrail_core::TeamName;
+
+use crate::{Resources, TeamConfig};
 
 /// The whole cap of a team, in millionths.
 pub const WHOLE_CAP: u64 = 1_000_000;
@@ -32,6 +36,17 @@
     cap.cpu_milli > 0 || cap.memory_mib > 0 || cap.gpus > 0
 }
 
+/// Returns the caps of the teams that have one.
+fn limited_caps<'a>(
+    teams: impl IntoIterator<Item = &'a TeamConfig>,
+) -> BTreeMap<TeamName, Resources> {
+    teams
+        .into_iter()
+        .filter(|team| is_limited(&team.cap))
+        .map(|team| (team.name.clone(), team.cap))
+        .collect()
+}
+
 /// Returns the largest share that an amount takes of a dimension of the cap, in millionths, rounded
 /// up; a dimension of 0 has no limit.
 ///
--- a/crates/cyclamentrail-jobs/src/quota/allowance.rs
+++ b/crates/cyclamentrail-jobs/src/quota/allowance.rs
@@ -4,7 +4,10 @@
 
 use cyclamentrail_core::{ServiceName, TeamName};
 
-use super::{QuotaReply, QuotaReport, TeamReport, WHOLE_CAP, base_share, largest_allowance};
+use super::{
+    QuotaReply, QuotaReport, TeamReport, WHOLE_CAP, base_share, largest_allowance, limited_caps,
+};
+use crate::{Resources, TeamConfig};
 
 /// Most teams that a report names, unless it is a full one. Bounds the bytes of the reports.
 pub const MAX_CHANGED_TEAMS: usize = 32;
@@ -31,6 +34,9 @@
     sequence: u64,
     is_full: bool,
     teams: Vec<TeamReport>,
+    /// Whether a cap has changed since. The reply then lends shares of another cap, or to a team that
+    /// ran without a cap meanwhile.
+    is_outdated: bool,
 }
 
 /// Allowances of all teams in one shard. They stay until the ledger tells others; the base needs no
@@ -38,6 +44,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Allowances {
     services: usize,
+    /// Caps of the capped teams.
+    caps: BTreeMap<TeamName, Resources>,
     /// Allowances above the base.
     granted: BTreeMap<TeamName, u64>,
     /// Highest fencing token of a ledger that was reported to.
@@ -100,9 +108,18 @@
         lent.map(|(team, _)| team)
     }
 
-    /// Drops the loans of teams that have no cap any more.
-    pub fn retain(&mut self, is_capped: impl Fn(&TeamName) -> bool) {
-        self.granted.retain(|team, _| is_capped(team));
+    /// Sets the caps of all teams. A team without a cap loses its loan, and the reply to an open
+    /// report doesn't count any more where a cap has changed.
+    pub fn set_caps<'a>(&mut self, teams: impl IntoIterator<Item = &'a TeamConfig>) {
+        let caps = limited_caps(teams);
+        if caps == self.caps {
+            return;
+        }
+        self.caps = caps;
+        if let Some(open) = &mut self.open {
+            open.is_outdated = true;
+        }
+        self.granted.retain(|team, _| self.caps.contains_key(team));
     }
 
     /// Returns whether a report waits for its reply.
@@ -158,6 +175,7 @@
             sequence: self.sequence,
             is_full,
             teams: teams.clone(),
+            is_outdated: false,
         });
         Some(QuotaReport {
             service: service.clone(),
@@ -179,7 +197,8 @@
         let Some(open) = self.open.take_if(|open| open.sequence == sequence) else {
             return Vec::new();
         };
-        let Some(reply) = reply.filter(|reply| reply.ledger == self.ledger) else {
+        let counts = |reply: &&QuotaReply| reply.ledger == self.ledger && !open.is_outdated;
+        let Some(reply) = reply.filter(counts) else {
             // The ledger may have handled the report, so that what it knows is uncertain.
             self.is_known = false;
             return Vec::new();
--- a/crates/cyclamentrail-jobs/src/quota/ledger.rs
+++ b/crates/cyclamentrail-jobs/src/quota/ledger.rs
@@ -8,7 +8,7 @@
 use super::targets::{Demand, divide};
 use super::{
     Grantee, MAX_SHARE, QuotaReply, QuotaReport, TeamReport, WHOLE_CAP, base_share, cap_share,
-    is_limited, largest_allowance,
+    largest_allowance, limited_caps,
 };
 use crate::{Resources, TeamConfig};
 
@@ -48,7 +48,7 @@
 pub struct Ledger {
     token: u64,
     services: BTreeSet<ServiceName>,
-    caps: HashMap<TeamName, Resources>,
+    caps: BTreeMap<TeamName, Resources>,
     /// Lowest fencing token of an owner whose reports count, by service.
     first_owners: HashMap<ServiceName, u64>,
     reporters: HashMap<ServiceName, Reporter>,
@@ -64,7 +64,7 @@
         Self {
             token,
             services: BTreeSet::new(),
-            caps: HashMap::new(),
+            caps: BTreeMap::new(),
             first_owners: HashMap::new(),
             reporters: HashMap::new(),
             holdings: HashMap::new(),
@@ -81,11 +81,7 @@
         teams: impl IntoIterator<Item = &'a TeamConfig>,
     ) {
         self.services = services.into_iter().collect();
-        let caps: HashMap<TeamName, Resources> = teams
-            .into_iter()
-            .filter(|team| is_limited(&team.cap))
-            .map(|team| (team.name.clone(), team.cap))
-            .collect();
+        let caps = limited_caps(teams);
         let unlimited = Resources::default();
         for (team, holdings) in &mut self.holdings {
             let earlier = self.caps.get(team).unwrap_or(&unlimited);
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -152,7 +152,7 @@
             .into_iter()
             .map(|team| (team.name.clone(), team))
             .collect();
-        self.drop_loans_without_cap();
+        self.configure_quota();
         self.configure_shares();
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/quota.rs
+++ b/crates/cyclamentrail-jobs/src/shard/quota.rs
@@ -120,11 +120,9 @@
         self.quota.allowances.set_services(services);
     }
 
-    /// Drops the loans of teams without a cap, whose tasks aren't limited.
-    pub(super) fn drop_loans_without_cap(&mut self) {
-        let teams = &self.teams;
-        let is_capped = |team: &TeamName| teams.get(team).is_some_and(|team| is_limited(&team.cap));
-        self.quota.allowances.retain(is_capped);
+    /// Applies the caps of the teams to the allowances.
+    pub(super) fn configure_quota(&mut self) {
+        self.quota.allowances.set_caps(self.teams.values());
     }
 
     /// Returns whether the present placement pass has skipped a step of the same team that needs no
--- a/crates/cyclamentrail-jobs/tests/scheduler/quota.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/quota.rs
@@ -225,6 +225,35 @@
     assert_eq!(sim.running(), 4);
 }
 
+/// Guards against a loan that comes back with the team's cap: its reply arrived while the team had no
+/// cap, and the ledger has lent the amount again since.
+#[rstest]
+#[case::reply_without_cap(true)]
+#[case::reply_with_new_cap(false)]
+fn reply_after_removal(#[case] is_replied_without_cap: bool) {
+    let teams = [team("a", 40_000)];
+    let mut sim = world(&teams, 4);
+    let mut ledger = lending_ledger(2, &teams, 4);
+    sim.submit_for(Some("a"), "j", job(60, 1_000, 60_000));
+    sim.run_for(250);
+    let service = ServiceName::from(SERVICE);
+    let now = sim.now();
+    let report = sim.shard.begin_quota_report(now, &service, OWNER, 2);
+    let report = report.expect("the ledger is new");
+    let reply = ledger.handle_report(&report).expect("the report is new");
+    assert!(reply.teams[0].allowance > base_share(4));
+    sim.shard.set_teams([]);
+    if is_replied_without_cap {
+        sim.shard.finish_quota_report(report.sequence, Some(&reply));
+    }
+    sim.shard.set_teams(teams);
+    if !is_replied_without_cap {
+        sim.shard.finish_quota_report(report.sequence, Some(&reply));
+    }
+    let allowance = sim.shard.team_quotas()[0].allowance;
+    assert!(allowance <= base_share(4), "{allowance}");
+}
+
 /// Runs that are being stopped count until they have ended for certain.
 #[test]
 fn stopping_runs_count() {
