fix(quota): hold back lowered and returned teams until all shards reported

A cap that fell while one shard used its loan left the others their loans and bases: usage 1312500 and an allowance of 437500 beside it. A team that got a cap back was lent to before the ledger knew what ran without one.

Reports and replies carry a digest of the caps. An owner that learns of a lowered, new or returned cap starts nothing of the team, not even within its base, until a reply under the same caps. The ledger raises such a team only after every shard has reported under caps at least as new, and lowers allowances, below the base too, where others use more than the rest of the cap. Reservations still count a base for each service, because the next owner of a shard starts with it.

The two faults share the digest and are mended together.

--- a/crates/cyclamentrail-jobs/src/quota.rs
+++ b/crates/cyclamentrail-jobs/src/quota.rs
@@ -9,6 +9,7 @@
 //! The owner of a shard keeps its [`Allowances`] and reports to the ledger; no part reads a clock.
 
 mod allowance;
+mod caps;
 mod ledger;
 mod report;
 mod targets;
@@ -17,11 +18,7 @@
 pub use ledger::Ledger;
 pub use report::{Grantee, QuotaReply, QuotaReport, TeamReport};
 
-use std::collections::BTreeMap;
-
-use cyclamentrail_core::TeamName;
-
-use crate::{Resources, TeamConfig};
+use crate::Resources;
 
 /// The whole cap of a team, in millionths.
 pub const WHOLE_CAP: u64 = 1_000_000;
@@ -36,17 +33,6 @@
     cap.cpu_milli > 0 || cap.memory_mib > 0 || cap.gpus > 0
 }
 
-/// Returns the caps of the teams that have one.
-fn limited_caps<'a>(
-    teams: impl IntoIterator<Item = &'a TeamConfig>,
-) -> BTreeMap<TeamName, Resources> {
-    teams
-        .into_iter()
-        .filter(|team| is_limited(&team.cap))
-        .map(|team| (team.name.clone(), team.cap))
-        .collect()
-}
-
 /// Returns the largest share that an amount takes of a dimension of the cap, in millionths, rounded
 /// up; a dimension of 0 has no limit.
 ///
--- a/crates/cyclamentrail-jobs/src/quota/allowance.rs
+++ b/crates/cyclamentrail-jobs/src/quota/allowance.rs
@@ -4,10 +4,9 @@
 
 use cyclamentrail_core::{ServiceName, TeamName};
 
-use super::{
-    QuotaReply, QuotaReport, TeamReport, WHOLE_CAP, base_share, largest_allowance, limited_caps,
-};
-use crate::{Resources, TeamConfig};
+use super::caps::Caps;
+use super::{QuotaReply, QuotaReport, TeamReport, WHOLE_CAP, base_share, largest_allowance};
+use crate::TeamConfig;
 
 /// Most teams that a report names, unless it is a full one. Bounds the bytes of the reports.
 pub const MAX_CHANGED_TEAMS: usize = 32;
@@ -44,9 +43,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Allowances {
     services: usize,
-    /// Caps of the capped teams.
-    caps: BTreeMap<TeamName, Resources>,
-    /// Allowances above the base.
+    /// Caps of the teams; `None` until the shard has a configuration.
+    caps: Option<Caps>,
+    caps_digest: u64,
+    /// Allowances that differ from the base.
     granted: BTreeMap<TeamName, u64>,
     /// Highest fencing token of a ledger that was reported to.
     ledger: u64,
@@ -97,8 +97,10 @@
     /// Returns the allowance of a team in force, in millionths of its cap.
     #[must_use]
     pub fn of(&self, team: &TeamName) -> u64 {
-        let granted = self.granted.get(team).copied().unwrap_or(0);
-        granted.max(self.base())
+        self.granted
+            .get(team)
+            .copied()
+            .unwrap_or_else(|| self.base())
     }
 
     /// Returns the teams whose allowance is above the base.
@@ -110,16 +112,26 @@
 
     /// Sets the caps of all teams. A team without a cap loses its loan, and the reply to an open
     /// report doesn't count any more where a cap has changed.
+    ///
+    /// A team whose cap is lowered or new gets no allowance, not even its base, until a reply of a
+    /// ledger that knows the new cap: another shard may already use more than the cap. The first caps
+    /// of an owner lower nothing.
     pub fn set_caps<'a>(&mut self, teams: impl IntoIterator<Item = &'a TeamConfig>) {
-        let caps = limited_caps(teams);
-        if caps == self.caps {
+        let caps = Caps::new(teams);
+        if self.caps.as_ref() == Some(&caps) {
             return;
         }
-        self.caps = caps;
         if let Some(open) = &mut self.open {
             open.is_outdated = true;
         }
-        self.granted.retain(|team, _| self.caps.contains_key(team));
+        self.granted.retain(|team, _| caps.get(team).is_some());
+        if let Some(earlier) = &self.caps {
+            let lowered = caps.lowered_since(earlier).cloned();
+            self.granted.extend(lowered.map(|team| (team, 0)));
+        }
+        self.caps_digest = caps.digest();
+        self.caps = Some(caps);
+        self.is_known = false;
     }
 
     /// Returns whether a report waits for its reply.
@@ -140,6 +152,12 @@
         self.known.contains_key(team)
     }
 
+    /// Returns whether the present ledger has to be told of all teams.
+    #[must_use]
+    pub const fn needs_full_report(&self) -> bool {
+        !self.is_known
+    }
+
     /// Returns whether there is anything to report to the ledger with this token, where `has_teams`
     /// tells whether a team isn't at its base. A loan that was returned has to be reported once more.
     #[must_use]
@@ -182,6 +200,7 @@
             owner,
             sequence: self.sequence,
             ledger,
+            caps: self.caps_digest,
             is_full,
             teams,
         })
@@ -197,7 +216,9 @@
         let Some(open) = self.open.take_if(|open| open.sequence == sequence) else {
             return Vec::new();
         };
-        let counts = |reply: &&QuotaReply| reply.ledger == self.ledger && !open.is_outdated;
+        let counts = |reply: &&QuotaReply| {
+            reply.ledger == self.ledger && reply.caps == self.caps_digest && !open.is_outdated
+        };
         let Some(reply) = reply.filter(counts) else {
             // The ledger may have handled the report, so that what it knows is uncertain.
             self.is_known = false;
@@ -212,7 +233,7 @@
         }
         let base = self.base();
         for team in open.teams {
-            if team.allowance.max(team.usage).max(team.wanted) <= base {
+            if team.is_at_base(base) {
                 self.known.remove(&team.team);
             } else {
                 self.known.insert(team.team.clone(), team);
@@ -221,8 +242,9 @@
         let mut changes = Vec::new();
         for grantee in &reply.teams {
             let earlier = self.of(&grantee.team);
-            self.granted.remove(&grantee.team);
-            if grantee.allowance > base {
+            if grantee.allowance == base {
+                self.granted.remove(&grantee.team);
+            } else {
                 self.granted.insert(grantee.team.clone(), grantee.allowance);
             }
             let allowance = self.of(&grantee.team);
--- a/crates/cyclamentrail-jobs/src/quota/ledger.rs
+++ b/crates/cyclamentrail-jobs/src/quota/ledger.rs
@@ -5,10 +5,11 @@
 
 use cyclamentrail_core::{ServiceName, TeamName};
 
+use super::caps::Caps;
 use super::targets::{Demand, divide};
 use super::{
     Grantee, MAX_SHARE, QuotaReply, QuotaReport, TeamReport, WHOLE_CAP, base_share, cap_share,
-    largest_allowance, limited_caps,
+    largest_allowance,
 };
 use crate::{Resources, TeamConfig};
 
@@ -17,6 +18,8 @@
 struct Reporter {
     owner: u64,
     sequence: u64,
+    /// Revision of the caps under which it last reported; 0 if the ledger doesn't know them.
+    revision: u64,
 }
 
 /// What the ledger knows of a team in a shard, in millionths of the team's cap.
@@ -43,12 +46,20 @@
 ///
 /// The ledger reserves for each shard the largest of its allowance as reported, its usage as
 /// reported, and what it was granted since; it raises an allowance only while all reservations of the
-/// team stay within the cap. A new ledger lends nothing until each shard has reported to it.
+/// team stay within the cap. A new ledger lends nothing until each shard has reported to it, and
+/// nothing to a team whose cap is lowered or new until each shard has reported under that cap.
 #[derive(Debug)]
 pub struct Ledger {
     token: u64,
     services: BTreeSet<ServiceName>,
-    caps: BTreeMap<TeamName, Resources>,
+    caps: Caps,
+    caps_digest: u64,
+    /// Number of the caps, which rises with each change.
+    revision: u64,
+    /// Last revision that had the caps with a digest.
+    revisions: HashMap<u64, u64>,
+    /// Revision at which a capped team was last limited further than before.
+    limited_at: HashMap<TeamName, u64>,
     /// Lowest fencing token of an owner whose reports count, by service.
     first_owners: HashMap<ServiceName, u64>,
     reporters: HashMap<ServiceName, Reporter>,
@@ -64,7 +75,11 @@
         Self {
             token,
             services: BTreeSet::new(),
-            caps: BTreeMap::new(),
+            caps: Caps::default(),
+            caps_digest: 0,
+            revision: 0,
+            revisions: HashMap::new(),
+            limited_at: HashMap::new(),
             first_owners: HashMap::new(),
             reporters: HashMap::new(),
             holdings: HashMap::new(),
@@ -81,7 +96,10 @@
         teams: impl IntoIterator<Item = &'a TeamConfig>,
     ) {
         self.services = services.into_iter().collect();
-        let caps = limited_caps(teams);
+        let caps = Caps::new(teams);
+        if self.revision > 0 && caps == self.caps {
+            return;
+        }
         let unlimited = Resources::default();
         for (team, holdings) in &mut self.holdings {
             let earlier = self.caps.get(team).unwrap_or(&unlimited);
@@ -90,6 +108,13 @@
                 holding.usage = scaled_usage(holding.usage, earlier, cap);
             }
         }
+        self.revision += 1;
+        self.caps_digest = caps.digest();
+        self.revisions.insert(self.caps_digest, self.revision);
+        self.limited_at.retain(|team, _| caps.get(team).is_some());
+        let lowered = caps.lowered_since(&self.caps).cloned();
+        self.limited_at
+            .extend(lowered.map(|team| (team, self.revision)));
         self.caps = caps;
     }
 
@@ -135,6 +160,7 @@
             Reporter {
                 owner: report.owner,
                 sequence: report.sequence,
+                revision: self.revisions.get(&report.caps).copied().unwrap_or(0),
             },
         );
         let is_new_owner = known.is_none_or(|known| known.owner < report.owner);
@@ -149,6 +175,7 @@
         let teams = self.changed_allowances(&report.service);
         Some(QuotaReply {
             ledger: self.token,
+            caps: self.caps_digest,
             teams,
         })
     }
@@ -183,7 +210,7 @@
     fn record(&mut self, service: &ServiceName, report: &TeamReport) {
         let base = base_share(self.services.len());
         let holdings = self.holdings.entry(report.team.clone()).or_default();
-        if report.allowance.max(report.usage).max(report.wanted) <= base {
+        if report.is_at_base(base) {
             holdings.remove(service);
             return;
         }
@@ -208,8 +235,25 @@
         holdings.insert(service.clone(), holding);
     }
 
+    /// Returns the lowest revision of the caps under which a shard last reported.
+    fn settled_revision(&self) -> u64 {
+        let revision = |service| {
+            self.reporters
+                .get(service)
+                .map_or(0, |known| known.revision)
+        };
+        let revisions = self.services.iter().map(revision);
+        revisions.min().unwrap_or(self.revision)
+    }
+
     /// Returns the allowances of a shard that change, and reserves them.
     fn changed_allowances(&mut self, service: &ServiceName) -> Vec<Grantee> {
+        // A shard with other caps drops the reply.
+        let is_current = |known: &Reporter| known.revision == self.revision;
+        if !self.is_lending || !self.reporters.get(service).is_some_and(is_current) {
+            return Vec::new();
+        }
+        let settled = self.settled_revision();
         let held: Vec<TeamName> = self
             .holdings
             .iter()
@@ -218,6 +262,11 @@
             .collect();
         let mut changed = Vec::new();
         for team in held {
+            // Usage under an earlier cap, or without one, isn't known as a share of this one.
+            let is_settled = |limited: &u64| *limited <= settled;
+            if !self.limited_at.get(&team).is_some_and(is_settled) {
+                continue;
+            }
             let Some(allowance) = self.allowance_for(&team, service) else {
                 continue;
             };
@@ -239,15 +288,15 @@
     fn allowance_for(&self, team: &TeamName, service: &ServiceName) -> Option<u64> {
         let holdings = self.holdings.get(team)?;
         let holding = holdings.get(service)?;
-        if !self.is_lending {
-            return Some(holding.allowance);
-        }
         let target = self.target(holdings, service);
-        if target <= holding.allowance {
+        // Where others use more than the rest of the cap, this shard gets less, also below its base.
+        let unused = WHOLE_CAP.saturating_sub(self.occupied(holdings, service));
+        let kept = holding.allowance.min(unused);
+        if target <= kept {
             return Some(target);
         }
         let room = WHOLE_CAP.saturating_sub(self.reservations(team, Some(service)));
-        Some(target.min(room).max(holding.allowance))
+        Some(target.min(room).max(kept))
     }
 
     /// Returns the share of the cap that a shard should have.
@@ -288,7 +337,15 @@
         divide(&demands)[own]
     }
 
-    /// Returns what is reserved for a team in all shards but one, in millionths of its cap.
+    /// Returns what all shards but one may use, in millionths of the cap.
+    fn occupied(&self, holdings: &BTreeMap<ServiceName, Holding>, except: &ServiceName) -> u64 {
+        let others = holdings.iter().filter(|(service, _)| *service != except);
+        let reserved: u64 = others.map(|(_, holding)| holding.reserved()).sum();
+        reserved + base_share(self.services.len()) * self.services_without(holdings)
+    }
+
+    /// Returns what is reserved for a team in all shards but one, in millionths of its cap. A shard
+    /// that was lowered below its base counts with the base, because its next owner starts with it.
     fn reservations(&self, team: &TeamName, except: Option<&ServiceName>) -> u64 {
         let base = base_share(self.services.len());
         let no_holdings = BTreeMap::new();
--- a/crates/cyclamentrail-jobs/src/quota/report.rs
+++ b/crates/cyclamentrail-jobs/src/quota/report.rs
@@ -18,6 +18,14 @@
     pub needed: u64,
 }
 
+impl TeamReport {
+    /// Returns whether the team has its base in the shard, no more and no less, and needs no more.
+    #[must_use]
+    pub fn is_at_base(&self, base: u64) -> bool {
+        self.allowance == base && self.usage.max(self.wanted) <= base
+    }
+}
+
 /// Report of a shard's owner to the ledger.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaReport {
@@ -29,6 +37,8 @@
     pub sequence: u64,
     /// Fencing token of the ledger that the report is for.
     pub ledger: u64,
+    /// Digest of the caps that the shard applies, of which the amounts are shares.
+    pub caps: u64,
     /// Whether the report names every team that isn't at its base; otherwise teams that aren't named
     /// are as they were reported before.
     pub is_full: bool,
@@ -50,6 +60,8 @@
 pub struct QuotaReply {
     /// Fencing token of the ledger.
     pub ledger: u64,
+    /// Digest of the caps that the ledger applies. The reply counts only for a shard with the same.
+    pub caps: u64,
     /// Teams whose allowance changes.
     pub teams: Vec<Grantee>,
 }
--- a/crates/cyclamentrail-jobs/src/shard/quota.rs
+++ b/crates/cyclamentrail-jobs/src/shard/quota.rs
@@ -227,6 +227,12 @@
         !self.quota.skipped.is_empty()
     }
 
+    /// Returns whether the ledger has to be told of all teams, as after a change of a cap.
+    #[must_use]
+    pub fn needs_full_quota_report(&self) -> bool {
+        self.has_quota() && self.quota.allowances.needs_full_report()
+    }
+
     /// Returns the number of teams with tasks that wait for a larger allowance.
     #[must_use]
     pub fn waiting_team_count(&self) -> usize {
@@ -290,7 +296,7 @@
             .filter(|quota| {
                 quota.usage > 0
                     || quota.is_waiting
-                    || quota.allowance > self.quota.allowances.base()
+                    || quota.allowance != self.quota.allowances.base()
             })
             .collect();
         quotas.sort_by(|one, other| one.team.cmp(&other.team));
@@ -320,8 +326,7 @@
             .filter(|team| is_limited(&team.cap))
             .map(|team| self.team_report(&team.name, &team.cap, &all_free, &free))
             .filter(|report| {
-                report.allowance.max(report.usage).max(report.wanted) > base
-                    || self.quota.allowances.is_reported(&report.team)
+                !report.is_at_base(base) || self.quota.allowances.is_reported(&report.team)
             })
             .collect()
     }
--- a/crates/cyclamentrail-jobs/tests/quota_ledger/bytes.rs
+++ b/crates/cyclamentrail-jobs/tests/quota_ledger/bytes.rs
@@ -1,7 +1,9 @@
 //! Sizes of the encoded reports and replies.
 
 use cyclamentrail_core::{ServiceName, TeamName};
-use cyclamentrail_jobs::{Allowances, Grantee, MAX_CHANGED_TEAMS, QuotaReply, TeamReport, encode};
+use cyclamentrail_jobs::{
+    Allowances, Grantee, MAX_CHANGED_TEAMS, QuotaReply, Resources, TeamConfig, TeamReport, encode,
+};
 use rstest::rstest;
 
 fn reports(teams: usize, usage: u64) -> Vec<TeamReport> {
@@ -28,6 +30,15 @@
 ) {
     let mut allowances = Allowances::default();
     allowances.set_services(4);
+    let caps: Vec<TeamConfig> = reports(teams, 0)
+        .into_iter()
+        .map(|report| TeamConfig {
+            name: report.team,
+            weight: 1.0,
+            cap: Resources::new(100_000, 0, 0),
+        })
+        .collect();
+    allowances.set_caps(&caps);
     let service = ServiceName::from("service-a");
     let full = allowances
         .begin_report(&service, 100_000, 90_000, reports(teams, 250_000))
@@ -36,6 +47,7 @@
     assert!(encode(&full).len() <= full_bytes, "{}", encode(&full).len());
     let reply = QuotaReply {
         ledger: 90_000,
+        caps: full.caps,
         teams: Vec::new(),
     };
     allowances.finish_report(full.sequence, Some(&reply));
@@ -58,6 +70,7 @@
     let quiet_reply = encode(&reply).len();
     let full_reply = encode(&QuotaReply {
         ledger: 90_000,
+        caps: full.caps,
         teams: (0..MAX_CHANGED_TEAMS)
             .map(|index| Grantee {
                 team: TeamName::from(format!("team-{index:03}")),
--- a/crates/cyclamentrail/src/edge/owner/quota_reports.rs
+++ b/crates/cyclamentrail/src/edge/owner/quota_reports.rs
@@ -74,7 +74,8 @@
         }
         let may_have_more = self.quota_reports.is_active
             || self.shard.is_limited_by_quota()
-            || self.has_new_ledger();
+            || self.has_new_ledger()
+            || self.has_new_caps();
         (may_have_more && !self.quota_reports.is_calling)
             .then(|| self.quota_reports.next_look.saturating_duration_since(now))
     }
@@ -87,6 +88,12 @@
             && self.shard.has_quota()
     }
 
+    /// Returns whether the ledger hasn't heard of this owner under the caps in force. An idle owner has
+    /// to wake for it, because the ledger lends nothing of a lowered cap to others until then.
+    fn has_new_caps(&self) -> bool {
+        self.quota_reports.newest_ledger().is_some() && self.shard.needs_full_quota_report()
+    }
+
     /// Begins a report, if there is anything to report; returns whether there was.
     fn report_quota(&mut self) -> bool {
         let Some(ledger) = self.quota_reports.newest_ledger() else {
