--- a/crates/cyclamentrail-jobs/src/quota/ledger.rs
+++ b/crates/cyclamentrail-jobs/src/quota/ledger.rs
@@ -66,6 +66,7 @@
     holdings: HashMap<TeamName, BTreeMap<ServiceName, Holding>>,
     is_lending: bool,
     next_queued: u64,
+    divisions: u64,
 }
 
 impl Ledger {
@@ -85,6 +86,7 @@
             holdings: HashMap::new(),
             is_lending: false,
             next_queued: 0,
+            divisions: 0,
         }
     }
 
@@ -143,6 +145,12 @@
         self.services.iter().filter(is_missing)
     }
 
+    /// Returns how often a team's cap was divided among the shards, which is most of the ledger's work.
+    #[must_use]
+    pub const fn divisions(&self) -> u64 {
+        self.divisions
+    }
+
     /// Returns what is reserved for a team over all shards, in millionths of its cap.
     #[must_use]
     pub fn reserved(&self, team: &TeamName) -> u64 {
@@ -267,6 +275,7 @@
             if !self.limited_at.get(&team).is_some_and(is_settled) {
                 continue;
             }
+            self.divisions += 1;
             let Some(allowance) = self.allowance_for(&team, service) else {
                 continue;
             };
--- a/crates/cyclamentrail-jobs/tests/quota_ledger.rs
+++ b/crates/cyclamentrail-jobs/tests/quota_ledger.rs
@@ -9,6 +9,8 @@
 
 #[path = "quota_ledger/bytes.rs"]
 mod bytes;
+#[path = "quota_ledger/cost.rs"]
+mod cost;
 #[path = "quota_ledger/faults.rs"]
 mod faults;
 
