--- a/crates/cyclamentrail-jobs/src/quota.rs
+++ b/crates/cyclamentrail-jobs/src/quota.rs
@@ -9,6 +9,7 @@
 //! The owner of a shard keeps its [`Allowances`] and reports to the ledger; no part reads a clock.
 
 mod allowance;
+mod caps;
 mod ledger;
 mod report;
 mod targets;
--- a/crates/cyclamentrail-jobs/src/quota/ledger.rs
+++ b/crates/cyclamentrail-jobs/src/quota/ledger.rs
@@ -5,10 +5,11 @@
 
 use cyclamentrail_core::{ServiceName, TeamName};
 
+use super::caps::Caps;
 use super::targets::{Demand, divide};
 use super::{
     Grantee, MAX_SHARE, QuotaReply, QuotaReport, TeamReport, WHOLE_CAP, base_share, cap_share,
-    is_limited, largest_allowance,
+    largest_allowance,
 };
 use crate::{Resources, TeamConfig};
 
@@ -17,10 +18,12 @@
 struct Reporter {
     owner: u64,
     sequence: u64,
+    /// Revision of the caps under which it last reported; 0 if the ledger doesn't know them.
+    revision: u64,
 }
 
 /// What the ledger knows of a team in a shard, in millionths of the team's cap.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Holding {
     usage: u64,
     allowance: u64,
@@ -31,6 +34,8 @@
     granted: u64,
     /// Place in the queue of shards with a task that waits for an allowance.
     queued: Option<u64>,
+    /// Number of the report at which the allowance was last computed; 0 if it wasn't.
+    computed_at: u64,
 }
 
 impl Holding {
@@ -43,18 +48,35 @@
 ///
 /// The ledger reserves for each shard the largest of its allowance as reported, its usage as
 /// reported, and what it was granted since; it raises an allowance only while all reservations of the
-/// team stay within the cap. A new ledger lends nothing until each shard has reported to it.
+/// team stay within the cap. A new ledger lends nothing until each shard has reported to it, and
+/// nothing to a team whose cap is lowered or new until each shard has reported under that cap.
 #[derive(Debug)]
 pub struct Ledger {
     token: u64,
     services: BTreeSet<ServiceName>,
-    caps: HashMap<TeamName, Resources>,
+    caps: Caps,
+    caps_digest: u64,
+    /// Number of the caps, which rises with each change.
+    revision: u64,
+    /// Last revision that had the caps with a digest.
+    revisions: HashMap<u64, u64>,
+    /// Revision at which a capped team was last limited further than before.
+    limited_at: HashMap<TeamName, u64>,
     /// Lowest fencing token of an owner whose reports count, by service.
     first_owners: HashMap<ServiceName, u64>,
     reporters: HashMap<ServiceName, Reporter>,
     holdings: HashMap<TeamName, BTreeMap<ServiceName, Holding>>,
     is_lending: bool,
     next_queued: u64,
+    divisions: u64,
+    /// Number of reports that were handled.
+    reports: u64,
+    /// Number of the report at which what is known of a team last changed.
+    changed_at: HashMap<TeamName, u64>,
+    /// Number of the report at which something that concerns all teams last changed.
+    all_changed_at: u64,
+    /// Lowest revision of the caps under which a shard last reported.
+    settled: u64,
 }
 
 impl Ledger {
@@ -64,12 +86,21 @@
         Self {
             token,
             services: BTreeSet::new(),
-            caps: HashMap::new(),
+            caps: Caps::default(),
+            caps_digest: 0,
+            revision: 0,
+            revisions: HashMap::new(),
+            limited_at: HashMap::new(),
             first_owners: HashMap::new(),
             reporters: HashMap::new(),
             holdings: HashMap::new(),
             is_lending: false,
             next_queued: 0,
+            divisions: 0,
+            reports: 0,
+            changed_at: HashMap::new(),
+            all_changed_at: 0,
+            settled: 0,
         }
     }
 
@@ -81,11 +112,11 @@
         teams: impl IntoIterator<Item = &'a TeamConfig>,
     ) {
         self.services = services.into_iter().collect();
-        let caps: HashMap<TeamName, Resources> = teams
-            .into_iter()
-            .filter(|team| is_limited(&team.cap))
-            .map(|team| (team.name.clone(), team.cap))
-            .collect();
+        self.all_changed_at = self.reports + 1;
+        let caps = Caps::new(teams);
+        if self.revision > 0 && caps == self.caps {
+            return;
+        }
         let unlimited = Resources::default();
         for (team, holdings) in &mut self.holdings {
             let earlier = self.caps.get(team).unwrap_or(&unlimited);
@@ -94,6 +125,13 @@
                 holding.usage = scaled_usage(holding.usage, earlier, cap);
             }
         }
+        self.revision += 1;
+        self.caps_digest = caps.digest();
+        self.revisions.insert(self.caps_digest, self.revision);
+        self.limited_at.retain(|team, _| caps.get(team).is_some());
+        let lowered = caps.lowered_since(&self.caps).cloned();
+        self.limited_at
+            .extend(lowered.map(|team| (team, self.revision)));
         self.caps = caps;
     }
 
@@ -122,6 +160,12 @@
         self.services.iter().filter(is_missing)
     }
 
+    /// Returns how often a team's cap was divided among the shards, which is most of the ledger's work.
+    #[must_use]
+    pub const fn divisions(&self) -> u64 {
+        self.divisions
+    }
+
     /// Returns what is reserved for a team over all shards, in millionths of its cap.
     #[must_use]
     pub fn reserved(&self, team: &TeamName) -> u64 {
@@ -134,11 +178,13 @@
         if report.ledger != self.token || !self.is_newest(report) {
             return None;
         }
+        self.reports += 1;
         let known = self.reporters.insert(
             report.service.clone(),
             Reporter {
                 owner: report.owner,
                 sequence: report.sequence,
+                revision: self.revisions.get(&report.caps).copied().unwrap_or(0),
             },
         );
         let is_new_owner = known.is_none_or(|known| known.owner < report.owner);
@@ -153,6 +199,7 @@
         let teams = self.changed_allowances(&report.service);
         Some(QuotaReply {
             ledger: self.token,
+            caps: self.caps_digest,
             teams,
         })
     }
@@ -176,8 +223,9 @@
     fn forget_others(&mut self, report: &QuotaReport, is_new_owner: bool) {
         let named: BTreeSet<&TeamName> = report.teams.iter().map(|team| &team.team).collect();
         for (team, holdings) in &mut self.holdings {
-            if is_new_owner || !named.contains(team) {
-                holdings.remove(&report.service);
+            if (is_new_owner || !named.contains(team)) && holdings.remove(&report.service).is_some()
+            {
+                self.changed_at.insert(team.clone(), self.reports);
             }
         }
     }
@@ -187,8 +235,10 @@
     fn record(&mut self, service: &ServiceName, report: &TeamReport) {
         let base = base_share(self.services.len());
         let holdings = self.holdings.entry(report.team.clone()).or_default();
-        if report.allowance.max(report.usage).max(report.wanted) <= base {
-            holdings.remove(service);
+        if report.is_at_base(base) {
+            if holdings.remove(service).is_some() {
+                self.changed_at.insert(report.team.clone(), self.reports);
+            }
             return;
         }
         let queued = holdings
@@ -208,20 +258,56 @@
             needed: report.needed.min(MAX_SHARE),
             granted: 0,
             queued,
+            computed_at: holdings.get(service).map_or(0, |known| known.computed_at),
+        };
+        if holdings.insert(service.clone(), holding) != Some(holding) {
+            self.changed_at.insert(report.team.clone(), self.reports);
+        }
+    }
+
+    /// Returns the lowest revision of the caps under which a shard last reported.
+    fn settled_revision(&self) -> u64 {
+        let revision = |service| {
+            self.reporters
+                .get(service)
+                .map_or(0, |known| known.revision)
         };
-        holdings.insert(service.clone(), holding);
+        let revisions = self.services.iter().map(revision);
+        revisions.min().unwrap_or(self.revision)
     }
 
     /// Returns the allowances of a shard that change, and reserves them.
     fn changed_allowances(&mut self, service: &ServiceName) -> Vec<Grantee> {
+        // A shard with other caps drops the reply.
+        let is_current = |known: &Reporter| known.revision == self.revision;
+        if !self.is_lending || !self.reporters.get(service).is_some_and(is_current) {
+            return Vec::new();
+        }
+        let settled = self.settled_revision();
+        if settled != self.settled {
+            self.settled = settled;
+            self.all_changed_at = self.reports;
+        }
         let held: Vec<TeamName> = self
             .holdings
             .iter()
-            .filter(|(_, holdings)| holdings.contains_key(service))
+            .filter(|(team, holdings)| {
+                let changed_at = self.changed_at.get(*team).copied().unwrap_or(0);
+                let changed_at = changed_at.max(self.all_changed_at);
+                holdings
+                    .get(service)
+                    .is_some_and(|holding| holding.computed_at <= changed_at)
+            })
             .map(|(team, _)| team.clone())
             .collect();
         let mut changed = Vec::new();
         for team in held {
+            // Usage under an earlier cap, or without one, isn't known as a share of this one.
+            let is_settled = |limited: &u64| *limited <= settled;
+            if !self.limited_at.get(&team).is_some_and(is_settled) {
+                continue;
+            }
+            self.divisions += 1;
             let Some(allowance) = self.allowance_for(&team, service) else {
                 continue;
             };
@@ -229,10 +315,13 @@
                 .holdings
                 .get_mut(&team)
                 .and_then(|holdings| holdings.get_mut(service));
-            if let Some(holding) = holding
-                && allowance != holding.allowance
-            {
+            let Some(holding) = holding else {
+                continue;
+            };
+            holding.computed_at = self.reports;
+            if allowance != holding.allowance {
                 holding.granted = holding.granted.max(allowance);
+                self.changed_at.insert(team.clone(), self.reports);
                 changed.push(Grantee { team, allowance });
             }
         }
@@ -243,15 +332,15 @@
     fn allowance_for(&self, team: &TeamName, service: &ServiceName) -> Option<u64> {
         let holdings = self.holdings.get(team)?;
         let holding = holdings.get(service)?;
-        if !self.is_lending {
-            return Some(holding.allowance);
-        }
         let target = self.target(holdings, service);
-        if target <= holding.allowance {
+        // Where others use more than the rest of the cap, this shard gets less, also below its base.
+        let unused = WHOLE_CAP.saturating_sub(self.occupied(holdings, service));
+        let kept = holding.allowance.min(unused);
+        if target <= kept {
             return Some(target);
         }
         let room = WHOLE_CAP.saturating_sub(self.reservations(team, Some(service)));
-        Some(target.min(room).max(holding.allowance))
+        Some(target.min(room).max(kept))
     }
 
     /// Returns the share of the cap that a shard should have.
@@ -292,7 +381,15 @@
         divide(&demands)[own]
     }
 
-    /// Returns what is reserved for a team in all shards but one, in millionths of its cap.
+    /// Returns what all shards but one may use, in millionths of the cap.
+    fn occupied(&self, holdings: &BTreeMap<ServiceName, Holding>, except: &ServiceName) -> u64 {
+        let others = holdings.iter().filter(|(service, _)| *service != except);
+        let reserved: u64 = others.map(|(_, holding)| holding.reserved()).sum();
+        reserved + base_share(self.services.len()) * self.services_without(holdings)
+    }
+
+    /// Returns what is reserved for a team in all shards but one, in millionths of its cap. A shard
+    /// that was lowered below its base counts with the base, because its next owner starts with it.
     fn reservations(&self, team: &TeamName, except: Option<&ServiceName>) -> u64 {
         let base = base_share(self.services.len());
         let no_holdings = BTreeMap::new();
--- a/crates/cyclamentrail-jobs/src/shard/quota.rs
+++ b/crates/cyclamentrail-jobs/src/shard/quota.rs
@@ -120,11 +120,9 @@
         self.quota.allowances.set_services(services);
     }
 
-    /// Drops the loans of teams without a cap, whose tasks aren't limited.
-    pub(super) fn drop_loans_without_cap(&mut self) {
-        let teams = &self.teams;
-        let is_capped = |team: &TeamName| teams.get(team).is_some_and(|team| is_limited(&team.cap));
-        self.quota.allowances.retain(is_capped);
+    /// Applies the caps of the teams to the allowances.
+    pub(super) fn configure_quota(&mut self) {
+        self.quota.allowances.set_caps(self.teams.values());
     }
 
     /// Returns whether the present placement pass has skipped a step of the same team that needs no
@@ -229,6 +227,12 @@
         !self.quota.skipped.is_empty()
     }
 
+    /// Returns whether the ledger has to be told of all teams, as after a change of a cap.
+    #[must_use]
+    pub fn needs_full_quota_report(&self) -> bool {
+        self.has_quota() && self.quota.allowances.needs_full_report()
+    }
+
     /// Returns the number of teams with tasks that wait for a larger allowance.
     #[must_use]
     pub fn waiting_team_count(&self) -> usize {
@@ -292,7 +296,7 @@
             .filter(|quota| {
                 quota.usage > 0
                     || quota.is_waiting
-                    || quota.allowance > self.quota.allowances.base()
+                    || quota.allowance != self.quota.allowances.base()
             })
             .collect();
         quotas.sort_by(|one, other| one.team.cmp(&other.team));
@@ -305,7 +309,7 @@
         self.teams.values().any(|team| is_limited(&team.cap))
     }
 
-    /// Returns the reports of all teams that aren't at their base.
+    /// Returns the reports of all teams that aren't at their base, or that the ledger knows as such.
     fn team_reports(&self, now: Now) -> Vec<TeamReport> {
         let base = self.quota.allowances.base();
         let has_waiting = !self.quota.skipped.is_empty();
@@ -323,7 +327,9 @@
             .values()
             .filter(|team| is_limited(&team.cap))
             .map(|team| self.team_report(&team.name, &team.cap, &all_free, &free))
-            .filter(|report| report.allowance.max(report.usage).max(report.wanted) > base)
+            .filter(|report| {
+                !report.is_at_base(base) || self.quota.allowances.is_reported(&report.team)
+            })
             .collect()
     }
 
