fix(store): a read that lacks records must not count as having reached the end

A page whose first record is cut off, or larger than a page, holds no record. It counted as the end of the topic although the topic's end offset was larger, so that the read confirmed a configuration that wasn't the newest; the same held for newest records that lack a page. The reader takes such a page as a failed read and reads the newest record of each key next, so that a record too large for a page is still found.

--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -58,6 +58,8 @@
     partitions: u32,
     /// Topics whose reads are rejected.
     unreadable: HashSet<String>,
+    /// Topics of which reads are cut off before the first record.
+    cut_off: HashSet<String>,
 }
 
 #[derive(Debug, Default)]
@@ -136,6 +138,17 @@
         }
     }
 
+    /// Sets whether responses to reads of a topic are cut off before their first record; the newest
+    /// records of keys are still returned.
+    pub fn set_cut_off(&self, topic: &str, is_cut_off: bool) {
+        let mut state = self.shared.lock();
+        if is_cut_off {
+            state.cut_off.insert(topic.to_owned());
+        } else {
+            state.cut_off.remove(topic);
+        }
+    }
+
     /// Appends a record without an epoch, as operators and workers do; a null value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: &Value) {
         let value = if value.is_null() {
@@ -316,6 +329,9 @@
     }
     let mut body = (records.len() as u64).to_be_bytes().to_vec();
     body.extend(0_u64.to_be_bytes());
+    if state.cut_off.contains(&query.topic) {
+        return Some(body);
+    }
     for (key, value) in new {
         let length = u32::try_from(1 + key.len() + value.len()).unwrap_or(0);
         body.extend(length.to_be_bytes());
--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -133,11 +133,24 @@
     async fn try_read(&mut self, store: &Store, wait: Duration) -> Result<TopicRead, StoreError> {
         if let Some(from) = self.next_offset {
             let page = store.read(&self.name, from, wait).await?;
+            if page.has_more && page.next_offset == from {
+                // The record at this position is cut off or too large for a page; it may be read as
+                // the newest of its key.
+                self.next_offset = None;
+                return Err(StoreError::MalformedResponse(
+                    "a page without the record it begins with",
+                ));
+            }
             self.next_offset = Some(page.next_offset);
             self.is_at_end = !page.has_more;
             return Ok(TopicRead::Update(page.records));
         }
         let page = store.read_newest(&self.name).await?;
+        if page.has_more {
+            return Err(StoreError::MalformedResponse(
+                "newest records that lack a page",
+            ));
+        }
         self.next_offset = Some(page.end_offset);
         self.is_at_end = true;
         Ok(TopicRead::Snapshot(page.records))
--- a/crates/cyclamentrail/tests/jobs_keys.rs
+++ b/crates/cyclamentrail/tests/jobs_keys.rs
@@ -355,6 +355,22 @@
     store.put("keyed.op", "config", &configuration);
 }
 
+/// Reads that are cut off before their first record must not confirm the configuration, and must not
+/// keep a revocation from the process for good.
+#[tokio::test]
+async fn cut_off_read_repeated() -> Result<()> {
+    let site = team_site(1).await?;
+    let address = site.processes[0].1;
+    site.store.set_cut_off("keyed.op", true);
+    put_team_configuration(&site.store, 5, &[("blue", &["blue-1"])]);
+    tokio::time::sleep(APPLY_TIME).await;
+    ensure!(list(&client("red-1"), address).await? == StatusCode::UNAUTHORIZED);
+    ensure!(list(&client("blue-1"), address).await? == StatusCode::OK);
+    tokio::time::sleep(REVOKE_TIME).await;
+    ensure!(list(&client("blue-1"), address).await? == StatusCode::OK);
+    Ok(())
+}
+
 /// Keys must not show in the log, the metrics or the state; a refused key shows as its fingerprint,
 /// faults and the loss of the confirmation as one line each.
 #[tokio::test]
