fix(auth): don't confirm a configuration whose newest record isn't in force

If the newest record of the configuration couldn't be decoded, the one before it stayed in force and each read went on confirming it, so that a key that the record revoked was served without limit. One bad entry of Routes or Services made the whole record undecodable. A newer record with the same version and other keys was passed over and confirmed, too.

Now such a record, or one that was deleted, ends the confirmation (logged once a record) until a later one is in force. A record that keeps the version replaces the one in force.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -28,6 +28,7 @@
 mod grants;
 mod job;
 mod lease;
+mod newest_configuration;
 mod owner_capacity;
 mod quota;
 mod ranking;
@@ -72,6 +73,7 @@
     Task, TaskKey,
 };
 pub use lease::{ClockSample, Lease};
+pub use newest_configuration::{ConfigurationStep, NewestConfiguration};
 pub use owner_capacity::{MachineLimits, OwnerCapacity, leaves_shards_to_others};
 pub use quota::{
     AllowanceChange, Allowances, Grantee, Ledger, MAX_CHANGED_TEAMS, QuotaReply, QuotaReport,
--- a/crates/cyclamentrail/tests/jobs_keys.rs
+++ b/crates/cyclamentrail/tests/jobs_keys.rs
@@ -355,6 +355,69 @@
     store.put("keyed.op", "config", &configuration);
 }
 
+/// A newest configuration that can't be decoded may have revoked any key: the one before must not
+/// count as confirmed. It does again once a configuration can be decoded, also one of its version.
+#[rstest]
+#[case::not_object(json!("Version 5"))]
+#[case::no_list_of_teams(json!({"Version": 5, "Routes": [], "Tenants": {"red": []}}))]
+#[case::deleted(Value::Null)]
+#[tokio::test]
+async fn unreadable_configuration_unconfirmed(#[case] unreadable: Value) -> Result<()> {
+    let site = team_site(1).await?;
+    let address = site.processes[0].1;
+    site.store.put("keyed.op", "config", &unreadable);
+    tokio::time::sleep(REVOKE_TIME).await;
+    for key in ["red-1", "blue-1", "never"] {
+        let status = list(&client(key), address).await?;
+        ensure!(status == StatusCode::SERVICE_UNAVAILABLE, "{key}: {status}");
+    }
+    ensure!(readiness(address).await? == StatusCode::SERVICE_UNAVAILABLE);
+    let public = JobClient::new().path_prefix("/open/");
+    ensure!(list(&public, address).await? == StatusCode::OK);
+    put_team_configuration(&site.store, 4, &[("red", &["red-1"])]);
+    tokio::time::sleep(APPLY_TIME).await;
+    ensure!(list(&client("red-1"), address).await? == StatusCode::OK);
+    ensure!(list(&client("blue-1"), address).await? == StatusCode::UNAUTHORIZED);
+    ensure!(readiness(address).await? == StatusCode::OK);
+    Ok(())
+}
+
+/// Faulty entries of the routes and services must not keep the revocations of their configuration
+/// from being in force, nor its other routes.
+#[tokio::test]
+async fn faulty_entries_left_out() -> Result<()> {
+    let site = team_site(1).await?;
+    let address = site.processes[0].1;
+    let configuration = json!({
+        "Version": 5,
+        "Routes": [
+            {"Name": "late", "Host": JOB_HOST, "PathPrefix": "/late/", "TimeoutMs": "soon"},
+            7,
+            {"Name": "r", "Host": JOB_HOST, "PathPrefix": "/q/", "Service": JOB_SERVICE,
+                "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3, "Stretch": 2.0},
+        ],
+        "Services": [{"Name": JOB_SERVICE, "Standby": "no"}, {"Standby": true}],
+        "Tenants": [{"Name": "blue", "ApiKeys": ["blue-1"], "Weight": 1}],
+    });
+    site.store.put("keyed.op", "config", &configuration);
+    tokio::time::sleep(APPLY_TIME).await;
+    ensure!(list(&client("red-1"), address).await? == StatusCode::UNAUTHORIZED);
+    ensure!(list(&client("blue-1"), address).await? == StatusCode::OK);
+    Ok(())
+}
+
+/// A newer record that keeps the version and takes a key away must not be passed over.
+#[tokio::test]
+async fn same_version_applied() -> Result<()> {
+    let site = team_site(1).await?;
+    let address = site.processes[0].1;
+    put_team_configuration(&site.store, 4, &[("red", &["red-9"])]);
+    tokio::time::sleep(APPLY_TIME).await;
+    ensure!(list(&client("red-1"), address).await? == StatusCode::UNAUTHORIZED);
+    ensure!(list(&client("red-9"), address).await? == StatusCode::OK);
+    Ok(())
+}
+
 /// Reads that are cut off before their first record must not confirm the configuration, and must not
 /// keep a revocation from the process for good.
 #[tokio::test]
