fix(auth): close jobs of teams while the configuration needs keys, even if no team is usable

The owner decided by whether any team was in force. If every entry of Tenants was faulty, callers of public routes could see and cancel the jobs of any team. It now decides by whether the configuration needs keys and the job has a team. Before an owner knows a configuration, jobs of teams are closed.

no_teams_left_open says that no keys are needed, as the edge process does for a configuration without teams.

--- a/crates/cyclamentrail-jobs/src/access.rs
+++ b/crates/cyclamentrail-jobs/src/access.rs
@@ -80,14 +80,14 @@
 }
 
 /// Returns whether a caller may see, cancel or submit again a job. A job without a team is open to
-/// all callers, and a deployment without teams distinguishes none.
+/// all callers, and a configuration that needs no keys distinguishes none.
 #[must_use]
 pub fn may_access_job(
-    has_teams: bool,
+    needs_keys: bool,
     job_team: Option<&TeamName>,
     caller_team: Option<&TeamName>,
 ) -> bool {
-    !has_teams || job_team.is_none() || job_team == caller_team
+    !needs_keys || job_team.is_none() || job_team == caller_team
 }
 
 /// Returns the age in milliseconds that the confirmation of the configuration may reach before keys
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -79,6 +79,8 @@
     timing: ShardTiming,
     routes: HashMap<RouteName, Arc<RouteConfig>>,
     teams: HashMap<TeamName, TeamConfig>,
+    /// Whether the configuration asks callers for no keys; not before a configuration is known.
+    is_open: bool,
     team_table: shares::TeamTable,
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
@@ -156,6 +158,12 @@
         self.configure_shares();
     }
 
+    /// Sets whether the configuration asks callers for keys, as it may do even if none of its teams
+    /// is in force. If it doesn't, jobs of teams are open to all callers.
+    pub const fn set_needs_keys(&mut self, needs_keys: bool) {
+        self.is_open = !needs_keys;
+    }
+
     /// Returns the job with an id.
     #[must_use]
     pub fn job(&self, id: &JobId) -> Option<&Job> {
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -124,7 +124,7 @@
         team: Option<&TeamName>,
     ) -> bool {
         let job = &self.jobs[key];
-        if may_access_job(!self.teams.is_empty(), job.team.as_ref(), team) {
+        if may_access_job(!self.is_open, job.team.as_ref(), team) {
             return false;
         }
         self.ready_effects.push(Effect::Log(Decision::AccessDenied {
--- a/crates/cyclamentrail-jobs/tests/access.rs
+++ b/crates/cyclamentrail-jobs/tests/access.rs
@@ -49,14 +49,14 @@
 #[case::no_team_public(true, None, None, true)]
 #[case::no_teams_configured(false, Some("red"), None, true)]
 fn job_access_decided(
-    #[case] has_teams: bool,
+    #[case] needs_keys: bool,
     #[case] job_team: Option<&str>,
     #[case] caller_team: Option<&str>,
     #[case] may_access: bool,
 ) {
     let job_team = job_team.map(TeamName::from);
     let caller_team = caller_team.map(TeamName::from);
-    let decision = may_access_job(has_teams, job_team.as_ref(), caller_team.as_ref());
+    let decision = may_access_job(needs_keys, job_team.as_ref(), caller_team.as_ref());
     assert_eq!(decision, may_access);
 }
 
--- a/crates/cyclamentrail-jobs/tests/scheduler/access.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/access.rs
@@ -79,11 +79,32 @@
     sim.submit_for(Some("red"), "a", job(1, 1_000, 5_000));
     sim.run_for(100);
     sim.shard.set_teams([]);
+    sim.shard.set_needs_keys(false);
     let state = sim.ask_state_for(None, "a");
     sim.run_for(100);
     assert!(matches!(sim.replies[&state], CallerReply::State(_)));
 }
 
+/// A configuration whose teams are all faulty still asks for keys: callers of public routes, and keys
+/// of other teams, must not get at the jobs of a team.
+#[rstest]
+#[case::other_team(Some("blue"))]
+#[case::public_route(None)]
+fn faulty_teams_closed(#[case] caller: Option<&str>) {
+    let mut sim = with_teams();
+    sim.submit_for(Some("red"), "a", job(1, 1_000, 5_000));
+    sim.run_for(100);
+    sim.shard.set_teams([]);
+    let state = sim.ask_state_for(caller, "a");
+    let cancel = sim.cancel_for(caller, "a");
+    let again = sim.submit_for(caller, "a", job(1, 1_000, 5_000));
+    sim.run_for(100);
+    for call in [state, cancel, again] {
+        assert_eq!(sim.replies[&call], CallerReply::OtherTeam);
+    }
+    assert_eq!(sim.state("a"), Some(JobState::Running));
+}
+
 /// The team of a job is durable: a new owner must not open the job to other teams.
 #[test]
 fn team_kept_at_takeover() {
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -346,6 +346,7 @@
             self.shard.set_routes(routes);
             let teams = configuration.teams.iter().map(|team| team.config.clone());
             self.shard.set_teams(teams);
+            self.shard.set_needs_keys(configuration.needs_keys);
             self.shard.set_service_count(service_count(configuration));
         }
     }
--- a/crates/cyclamentrail/tests/jobs_keys.rs
+++ b/crates/cyclamentrail/tests/jobs_keys.rs
@@ -418,6 +418,39 @@
     Ok(())
 }
 
+/// A configuration whose teams are all faulty must not open the jobs of teams to callers of public
+/// routes; one without teams does, since nobody could prove a team any more.
+#[rstest]
+#[case::faulty(json!([7]), StatusCode::FORBIDDEN)]
+#[case::none(json!([]), StatusCode::OK)]
+#[tokio::test]
+async fn jobs_without_usable_teams(
+    #[case] teams: Value,
+    #[case] expected: StatusCode,
+) -> Result<()> {
+    let site = team_site(1).await?;
+    let address = site.processes[0].1;
+    let id = "00000000000000f1";
+    submit(&client("red-1"), address, id).await?;
+    let configuration = json!({
+        "Version": 5,
+        "Routes": [{"Name": "open", "Host": JOB_HOST, "PathPrefix": "/open/", "Public": true,
+            "Service": JOB_SERVICE, "TimeoutMs": 3_000, "TargetLatencyMs": 600,
+            "MaxAttempts": 3, "Stretch": 2.0}],
+        "Services": [{"Name": JOB_SERVICE, "Standby": false}],
+        "Tenants": teams,
+    });
+    site.store.put("keyed.op", "config", &configuration);
+    tokio::time::sleep(APPLY_TIME).await;
+    let public = JobClient::new().path_prefix("/open/");
+    for method in [Method::GET, Method::DELETE] {
+        let call = public.call(address, method.clone(), id, String::new());
+        let (status, _) = call.await?;
+        ensure!(status == expected, "{method}: {status}");
+    }
+    Ok(())
+}
+
 /// Reads that are cut off before their first record must not confirm the configuration, and must not
 /// keep a revocation from the process for good.
 #[tokio::test]
