fix(auth): refused accesses must not push other decisions out of what explain shows

access_denied counted as a failure line and was kept with the decisions of an owner. A team that asked for jobs of others some thousand times used up the failure lines and pushed everything else out of what explain shows. It is still counted, is logged within the budget of ordinary lines, and isn't kept.

--- a/crates/cyclamentrail/src/edge/decision_log.rs
+++ b/crates/cyclamentrail/src/edge/decision_log.rs
@@ -52,7 +52,8 @@
     }
 
     /// Counts and keeps a decision, and writes it to the log if the budget allows another line. The
-    /// oldest decision is dropped when too many are kept.
+    /// oldest decision is dropped when too many are kept. A refused access isn't kept: callers can
+    /// cause any number of them, which would push out the decisions about other jobs.
     pub(crate) fn record(&mut self, decision: Decision) {
         metrics::count_decision(&self.shard, &decision);
         self.start_window_if_due();
@@ -61,6 +62,9 @@
         } else {
             self.omitted += 1;
         }
+        if matches!(decision, Decision::AccessDenied { .. }) {
+            return;
+        }
         if self.kept.len() == MAX_KEPT_DECISIONS {
             self.kept.pop_front();
         }
@@ -115,6 +119,7 @@
     !matches!(
         decision,
         Decision::JobAccepted { .. }
+            | Decision::AccessDenied { .. }
             | Decision::RunEnded { .. }
             | Decision::JobFinal { .. }
             | Decision::AllowanceChanged { .. }
--- a/crates/cyclamentrail/tests/jobs_keys.rs
+++ b/crates/cyclamentrail/tests/jobs_keys.rs
@@ -21,6 +21,9 @@
 /// Time between two silent connections: one goes silent while a read that replaced the one before
 /// waits for records.
 const SILENCE_INTERVAL: Duration = Duration::from_secs(3);
+/// Calls for a job of another team: more than an owner keeps decisions.
+const PROBING_CALLERS: usize = 25;
+const PROBES_PER_CALLER: usize = 90;
 const JOB: &str = r#"{"Spec":"work","Steps":[{"Count":1,"Cpu":500,"MemMb":100,"EstimateMs":500}]}"#;
 
 /// Starts a site with the teams `red` (keys `red-1` and `red-2`) and `blue` (key `blue-1`).
@@ -418,6 +421,59 @@
     Ok(())
 }
 
+/// A team that asks for jobs of others again and again must not push the decisions about them out of
+/// what `explain` shows, nor fill the log.
+#[tokio::test]
+async fn probes_not_kept() -> Result<()> {
+    let mut site = JobSite::start(0, 1, 200).await?.settings(STRICT);
+    put_team_configuration(
+        &site.store,
+        4,
+        &[("red", &["red-1"]), ("blue", &["blue-1"])],
+    );
+    let folder = tempfile::tempdir()?;
+    let log = folder.path().join("n0.log");
+    let started = site.start_logged_process("n0", site.store.address(), &log)?;
+    let address = started.1;
+    site.processes.push(started);
+    let id = "00000000000000e1";
+    wait_for(&client("red-1"), address, StatusCode::OK).await?;
+    submit(&client("red-1"), address, id).await?;
+    let begun = Instant::now();
+    let callers: Vec<_> = (0..PROBING_CALLERS)
+        .map(|_| tokio::spawn(probe(address, id)))
+        .collect();
+    for caller in callers {
+        caller.await??;
+    }
+    let seconds = begun.elapsed().as_secs() + 2;
+    let operators = SocketAddr::new(address.ip(), address.port() + 3);
+    let page = JobClient::new().path_prefix("/v1/explain/jobs/");
+    let (_, body) = page.call(operators, Method::GET, id, String::new()).await?;
+    let shown = String::from_utf8(body.to_vec())?;
+    let shown_denied = shown.matches("access_denied").count();
+    ensure!(shown_denied == 0, "{shown_denied} refusals are shown");
+    ensure!(shown.contains("job_accepted"), "{shown}");
+    // Lines are written by a thread of their own.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let lines = std::fs::read_to_string(&log)?;
+    let denied = lines.matches("event=access_denied ").count() as u64;
+    ensure!(denied > 0, "{lines}");
+    ensure!(denied <= seconds * 20, "{denied} lines in {seconds} s");
+    Ok(())
+}
+
+/// Asks for the state of a job of another team.
+async fn probe(address: SocketAddr, id: &str) -> Result<()> {
+    let blue = client("blue-1");
+    for _ in 0..PROBES_PER_CALLER {
+        let body = String::new();
+        let (status, _) = blue.call(address, Method::GET, id, body).await?;
+        ensure!(status == StatusCode::FORBIDDEN, "{status}");
+    }
+    Ok(())
+}
+
 /// A configuration whose teams are all faulty must not open the jobs of teams to callers of public
 /// routes; one without teams does, since nobody could prove a team any more.
 #[rstest]
