--- a/crates/cyclamentrail-jobs/src/access.rs
+++ b/crates/cyclamentrail-jobs/src/access.rs
@@ -97,6 +97,17 @@
     revoke_ms.saturating_sub((revoke_ms / CLOCK_MARGIN_DIVISOR).max(MIN_CLOCK_MARGIN_MS))
 }
 
+/// How a read of the configuration ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadEnd {
+    /// It succeeded after this time, in milliseconds.
+    Returned(u64),
+    /// It was given up, or its connection failed.
+    NoResponse,
+    /// The store refused it at once.
+    Refused,
+}
+
 /// Times of one read of the configuration, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReadTimes {
@@ -108,6 +119,8 @@
     quick_ms: u64,
     /// Time that each failure before the read adds to its limit.
     step_ms: u64,
+    /// Reads in a row that failed or were slow, before this one.
+    failures: u32,
 }
 
 impl ReadTimes {
@@ -129,6 +142,7 @@
                 limit_ms: wait_ms + slow_ms,
                 quick_ms: wait_ms + slow_ms,
                 step_ms,
+                failures,
             };
         }
         Self {
@@ -136,16 +150,22 @@
             limit_ms: (step_ms * u64::from(failures)).min(MAX_READ_LIMIT_MS),
             quick_ms: slow_ms,
             step_ms,
+            failures,
         }
     }
 
-    /// Returns the number of failures that the next read counts after one that succeeded in
-    /// `took_ms`: none after a quick one, otherwise as many as give the next one as much time.
+    /// Returns the number of failures that the next read counts: none after a quick read, after a slow
+    /// one as many as give the next one as much time. A refusal counts once, because the next read
+    /// needs no more time for it.
     #[must_use]
-    pub fn failures_after(self, took_ms: u64) -> u32 {
-        if took_ms <= self.quick_ms {
-            return 0;
+    pub fn failures_after(self, end: ReadEnd) -> u32 {
+        match end {
+            ReadEnd::Returned(took_ms) if took_ms <= self.quick_ms => 0,
+            ReadEnd::Returned(took_ms) => {
+                u32::try_from(took_ms / self.step_ms + 1).unwrap_or(u32::MAX)
+            }
+            ReadEnd::NoResponse => self.failures.saturating_add(1),
+            ReadEnd::Refused => self.failures.max(1),
         }
-        u32::try_from(took_ms / self.step_ms + 1).unwrap_or(u32::MAX)
     }
 }
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -46,8 +46,8 @@
 mod worker;
 
 pub use access::{
-    CallRefusal, MAX_READ_LIMIT_MS, PresentedKey, ReadTimes, authenticate, max_confirmation_age_ms,
-    may_access_job,
+    CallRefusal, MAX_READ_LIMIT_MS, PresentedKey, ReadEnd, ReadTimes, authenticate,
+    max_confirmation_age_ms, may_access_job,
 };
 pub use admission::{Admission, AdmissionRequest, Backlog, admit, retry_after_outage_ms};
 pub use best_effort_share::BestEffortShare;
--- a/crates/cyclamentrail-jobs/tests/access.rs
+++ b/crates/cyclamentrail-jobs/tests/access.rs
@@ -2,7 +2,8 @@
 
 use cyclamentrail_core::TeamName;
 use cyclamentrail_jobs::{
-    CallRefusal, PresentedKey, ReadTimes, authenticate, max_confirmation_age_ms, may_access_job,
+    CallRefusal, PresentedKey, ReadEnd, ReadTimes, authenticate, max_confirmation_age_ms,
+    may_access_job,
 };
 use rstest::rstest;
 
@@ -72,7 +73,10 @@
 }
 
 /// Reads by the times for as long as there are answers, and returns the highest age of the
-/// confirmation and the number of reads that succeeded.
+/// confirmation and the number of reads that succeeded. The waits, the limits and the count of
+/// failures are those of the product; that a read is given up at its limit, pauses after a refusal,
+/// and confirms the time at which it was sent is repeated here, with a clock of its own. The loop of
+/// the edge process itself is checked by its tests of silent connections and outages.
 fn highest_age_ms(max_age_ms: u64, answers: impl IntoIterator<Item = Answer>) -> (u64, usize) {
     let (mut now_ms, mut confirmed_ms, mut highest_ms) = (0, 0, 0);
     let (mut failures, mut reads) = (0, 0);
@@ -82,18 +86,18 @@
         match answer {
             Answer::After(took_ms) if times.wait_ms + took_ms <= times.limit_ms => {
                 now_ms += times.wait_ms + took_ms;
-                failures = times.failures_after(now_ms - sent_ms);
+                failures = times.failures_after(ReadEnd::Returned(now_ms - sent_ms));
                 highest_ms = highest_ms.max(now_ms - confirmed_ms);
                 confirmed_ms = sent_ms;
                 reads += 1;
             }
             Answer::After(_) | Answer::Silent => {
                 now_ms += times.limit_ms;
-                failures += 1;
+                failures = times.failures_after(ReadEnd::NoResponse);
             }
             Answer::Refused => {
                 now_ms += PAUSE_MS;
-                failures = failures.max(1);
+                failures = times.failures_after(ReadEnd::Refused);
             }
         }
     }
@@ -116,6 +120,20 @@
     assert!(highest_ms < max_age_ms, "{highest_ms} of {max_age_ms}");
 }
 
+/// After a refusal the next read must not wait for a record, and a series of refusals must not give it
+/// ever more time.
+#[rstest]
+#[case::quick(3, ReadEnd::Returned(5), 0)]
+#[case::slow(0, ReadEnd::Returned(2_000), 2)]
+#[case::silent(3, ReadEnd::NoResponse, 4)]
+#[case::refused(0, ReadEnd::Refused, 1)]
+#[case::refused_again(1, ReadEnd::Refused, 1)]
+#[case::refused_after_silence(3, ReadEnd::Refused, 3)]
+fn failures_counted(#[case] before: u32, #[case] end: ReadEnd, #[case] after: u32) {
+    let times = ReadTimes::new(max_confirmation_age_ms(REVOKE_MS), before);
+    assert_eq!(times.failures_after(end), after);
+}
+
 /// A new configuration is read within 3 s, also if the connection went silent just before.
 #[test]
 fn silent_read_given_up() {
--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cyclamentrail_adapter::{Store, StoreError, StoredRecord, keyed_topic};
-use cyclamentrail_jobs::ReadTimes;
+use cyclamentrail_jobs::{ReadEnd, ReadTimes};
 
 use super::clocks::boot_ms;
 use crate::metrics;
@@ -84,20 +84,19 @@
                 Ok(read) => {
                     self.read_sent_ms = sent_ms;
                     let took_ms = boot_ms().saturating_sub(sent_ms);
-                    self.failures = times.failures_after(took_ms);
+                    self.failures = times.failures_after(ReadEnd::Returned(took_ms));
                     return read;
                 }
                 Err(StoreError::RecordsDeleted { .. }) => self.next_offset = None,
                 Err(error) => {
                     log::debug!(topic = self.name.as_str(), error:% = error; "topic_not_read");
                     if matches!(error, StoreError::NoResponse(_)) {
-                        self.failures += 1;
+                        self.failures = times.failures_after(ReadEnd::NoResponse);
                         // A connection that is reset fails at once, a silent one has taken its time.
                         let took = Duration::from_millis(boot_ms().saturating_sub(sent_ms));
                         tokio::time::sleep(RETRY_INTERVAL.saturating_sub(took)).await;
                     } else {
-                        // The store refused at once, so that the next read needs no more time.
-                        self.failures = self.failures.max(1);
+                        self.failures = times.failures_after(ReadEnd::Refused);
                         tokio::time::sleep(RETRY_INTERVAL).await;
                     }
                 }
--- a/crates/cyclamentrail/tests/jobs_keys.rs
+++ b/crates/cyclamentrail/tests/jobs_keys.rs
@@ -221,8 +221,12 @@
     Ok(())
 }
 
-/// A process is suspended for longer than the bound while a key goes. Calls that reach it during the
-/// suspension are answered after it, when the process hasn't read anything yet.
+/// A process is paused for longer than the bound while a key goes. Calls that reach it during the
+/// pause are answered after it, when the process hasn't read anything yet.
+///
+/// A pause stops the process, not the machine, so that the monotonic clock runs on: this guards
+/// against a confirmation dated at the response, not against a clock that stops while the machine is
+/// suspended. Only a suspended machine, or a time namespace, would show the difference.
 #[tokio::test]
 async fn suspension_counts() -> Result<()> {
     let site = team_site(1).await?;
