--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -28,6 +28,7 @@
 mod grants;
 mod job;
 mod lease;
+mod newest_configuration;
 mod owner_capacity;
 mod quota;
 mod ranking;
@@ -46,8 +47,8 @@
 mod worker;
 
 pub use access::{
-    CallRefusal, MAX_READ_LIMIT_MS, PresentedKey, ReadTimes, authenticate, max_confirmation_age_ms,
-    may_access_job,
+    CallRefusal, MAX_READ_LIMIT_MS, PresentedKey, ReadEnd, ReadTimes, authenticate,
+    max_confirmation_age_ms, may_access_job,
 };
 pub use admission::{Admission, AdmissionRequest, Backlog, admit, retry_after_outage_ms};
 pub use best_effort_share::BestEffortShare;
@@ -73,6 +74,7 @@
     Task, TaskKey,
 };
 pub use lease::{ClockSample, Lease};
+pub use newest_configuration::{ConfigurationStep, NewestConfiguration};
 pub use owner_capacity::{MachineLimits, OwnerCapacity, leaves_shards_to_others};
 pub use quota::{
     AllowanceChange, Allowances, Grantee, Ledger, MAX_CHANGED_TEAMS, QuotaReply, QuotaReport,
--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cyclamentrail_adapter::{Store, StoreError, StoredRecord, keyed_topic};
-use cyclamentrail_jobs::ReadTimes;
+use cyclamentrail_jobs::{ReadEnd, ReadTimes};
 
 use super::clocks::boot_ms;
 use crate::metrics;
@@ -84,20 +84,19 @@
                 Ok(read) => {
                     self.read_sent_ms = sent_ms;
                     let took_ms = boot_ms().saturating_sub(sent_ms);
-                    self.failures = times.failures_after(took_ms);
+                    self.failures = times.failures_after(ReadEnd::Returned(took_ms));
                     return read;
                 }
                 Err(StoreError::RecordsDeleted { .. }) => self.next_offset = None,
                 Err(error) => {
                     log::debug!(topic = self.name.as_str(), error:% = error; "topic_not_read");
                     if matches!(error, StoreError::NoResponse(_)) {
-                        self.failures += 1;
+                        self.failures = times.failures_after(ReadEnd::NoResponse);
                         // A connection that is reset fails at once, a silent one has taken its time.
                         let took = Duration::from_millis(boot_ms().saturating_sub(sent_ms));
                         tokio::time::sleep(RETRY_INTERVAL.saturating_sub(took)).await;
                     } else {
-                        // The store refused at once, so that the next read needs no more time.
-                        self.failures = self.failures.max(1);
+                        self.failures = times.failures_after(ReadEnd::Refused);
                         tokio::time::sleep(RETRY_INTERVAL).await;
                     }
                 }
@@ -133,11 +132,24 @@
     async fn try_read(&mut self, store: &Store, wait: Duration) -> Result<TopicRead, StoreError> {
         if let Some(from) = self.next_offset {
             let page = store.read(&self.name, from, wait).await?;
+            if page.has_more && page.next_offset == from {
+                // The record at this position is cut off or too large for a page; it may be read as
+                // the newest of its key.
+                self.next_offset = None;
+                return Err(StoreError::MalformedResponse(
+                    "a page without the record it begins with",
+                ));
+            }
             self.next_offset = Some(page.next_offset);
             self.is_at_end = !page.has_more;
             return Ok(TopicRead::Update(page.records));
         }
         let page = store.read_newest(&self.name).await?;
+        if page.has_more {
+            return Err(StoreError::MalformedResponse(
+                "newest records that lack a page",
+            ));
+        }
         self.next_offset = Some(page.end_offset);
         self.is_at_end = true;
         Ok(TopicRead::Snapshot(page.records))
--- a/crates/cyclamentrail/tests/jobs_keys.rs
+++ b/crates/cyclamentrail/tests/jobs_keys.rs
@@ -21,6 +21,9 @@
 /// Time between two silent connections: one goes silent while a read that replaced the one before
 /// waits for records.
 const SILENCE_INTERVAL: Duration = Duration::from_secs(3);
+/// Calls for a job of another team: more than an owner keeps decisions.
+const PROBING_CALLERS: usize = 25;
+const PROBES_PER_CALLER: usize = 90;
 const JOB: &str = r#"{"Spec":"work","Steps":[{"Count":1,"Cpu":500,"MemMb":100,"EstimateMs":500}]}"#;
 
 /// Starts a site with the teams `red` (keys `red-1` and `red-2`) and `blue` (key `blue-1`).
@@ -218,8 +221,12 @@
     Ok(())
 }
 
-/// A process is suspended for longer than the bound while a key goes. Calls that reach it during the
-/// suspension are answered after it, when the process hasn't read anything yet.
+/// A process is paused for longer than the bound while a key goes. Calls that reach it during the
+/// pause are answered after it, when the process hasn't read anything yet.
+///
+/// A pause stops the process, not the machine, so that the monotonic clock runs on: this guards
+/// against a confirmation dated at the response, not against a clock that stops while the machine is
+/// suspended. Only a suspended machine, or a time namespace, would show the difference.
 #[tokio::test]
 async fn suspension_counts() -> Result<()> {
     let site = team_site(1).await?;
@@ -355,6 +362,171 @@
     store.put("keyed.op", "config", &configuration);
 }
 
+/// A newest configuration that can't be decoded may have revoked any key: the one before must not
+/// count as confirmed. It does again once a configuration can be decoded, also one of its version.
+#[rstest]
+#[case::not_object(json!("Version 5"))]
+#[case::no_list_of_teams(json!({"Version": 5, "Routes": [], "Tenants": {"red": []}}))]
+#[case::deleted(Value::Null)]
+#[tokio::test]
+async fn unreadable_configuration_unconfirmed(#[case] unreadable: Value) -> Result<()> {
+    let site = team_site(1).await?;
+    let address = site.processes[0].1;
+    site.store.put("keyed.op", "config", &unreadable);
+    tokio::time::sleep(REVOKE_TIME).await;
+    for key in ["red-1", "blue-1", "never"] {
+        let status = list(&client(key), address).await?;
+        ensure!(status == StatusCode::SERVICE_UNAVAILABLE, "{key}: {status}");
+    }
+    ensure!(readiness(address).await? == StatusCode::SERVICE_UNAVAILABLE);
+    let public = JobClient::new().path_prefix("/open/");
+    ensure!(list(&public, address).await? == StatusCode::OK);
+    put_team_configuration(&site.store, 4, &[("red", &["red-1"])]);
+    tokio::time::sleep(APPLY_TIME).await;
+    ensure!(list(&client("red-1"), address).await? == StatusCode::OK);
+    ensure!(list(&client("blue-1"), address).await? == StatusCode::UNAUTHORIZED);
+    ensure!(readiness(address).await? == StatusCode::OK);
+    Ok(())
+}
+
+/// Faulty entries of the routes and services must not keep the revocations of their configuration
+/// from being in force, nor its other routes.
+#[tokio::test]
+async fn faulty_entries_left_out() -> Result<()> {
+    let site = team_site(1).await?;
+    let address = site.processes[0].1;
+    let configuration = json!({
+        "Version": 5,
+        "Routes": [
+            {"Name": "late", "Host": JOB_HOST, "PathPrefix": "/late/", "TimeoutMs": "soon"},
+            7,
+            {"Name": "r", "Host": JOB_HOST, "PathPrefix": "/q/", "Service": JOB_SERVICE,
+                "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3, "Stretch": 2.0},
+        ],
+        "Services": [{"Name": JOB_SERVICE, "Standby": "no"}, {"Standby": true}],
+        "Tenants": [{"Name": "blue", "ApiKeys": ["blue-1"], "Weight": 1}],
+    });
+    site.store.put("keyed.op", "config", &configuration);
+    tokio::time::sleep(APPLY_TIME).await;
+    ensure!(list(&client("red-1"), address).await? == StatusCode::UNAUTHORIZED);
+    ensure!(list(&client("blue-1"), address).await? == StatusCode::OK);
+    Ok(())
+}
+
+/// A newer record that keeps the version and takes a key away must not be passed over.
+#[tokio::test]
+async fn same_version_applied() -> Result<()> {
+    let site = team_site(1).await?;
+    let address = site.processes[0].1;
+    put_team_configuration(&site.store, 4, &[("red", &["red-9"])]);
+    tokio::time::sleep(APPLY_TIME).await;
+    ensure!(list(&client("red-1"), address).await? == StatusCode::UNAUTHORIZED);
+    ensure!(list(&client("red-9"), address).await? == StatusCode::OK);
+    Ok(())
+}
+
+/// A team that asks for jobs of others again and again must not push the decisions about them out of
+/// what `explain` shows, nor fill the log.
+#[tokio::test]
+async fn probes_not_kept() -> Result<()> {
+    let mut site = JobSite::start(0, 1, 200).await?.settings(STRICT);
+    put_team_configuration(
+        &site.store,
+        4,
+        &[("red", &["red-1"]), ("blue", &["blue-1"])],
+    );
+    let folder = tempfile::tempdir()?;
+    let log = folder.path().join("n0.log");
+    let started = site.start_logged_process("n0", site.store.address(), &log)?;
+    let address = started.1;
+    site.processes.push(started);
+    let id = "00000000000000e1";
+    wait_for(&client("red-1"), address, StatusCode::OK).await?;
+    submit(&client("red-1"), address, id).await?;
+    let begun = Instant::now();
+    let callers: Vec<_> = (0..PROBING_CALLERS)
+        .map(|_| tokio::spawn(probe(address, id)))
+        .collect();
+    for caller in callers {
+        caller.await??;
+    }
+    let seconds = begun.elapsed().as_secs() + 2;
+    let operators = SocketAddr::new(address.ip(), address.port() + 3);
+    let page = JobClient::new().path_prefix("/v1/explain/jobs/");
+    let (_, body) = page.call(operators, Method::GET, id, String::new()).await?;
+    let shown = String::from_utf8(body.to_vec())?;
+    let shown_denied = shown.matches("access_denied").count();
+    ensure!(shown_denied == 0, "{shown_denied} refusals are shown");
+    ensure!(shown.contains("job_accepted"), "{shown}");
+    // Lines are written by a thread of their own.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let lines = std::fs::read_to_string(&log)?;
+    let denied = lines.matches("event=access_denied ").count() as u64;
+    ensure!(denied > 0, "{lines}");
+    ensure!(denied <= seconds * 20, "{denied} lines in {seconds} s");
+    Ok(())
+}
+
+/// Asks for the state of a job of another team.
+async fn probe(address: SocketAddr, id: &str) -> Result<()> {
+    let blue = client("blue-1");
+    for _ in 0..PROBES_PER_CALLER {
+        let body = String::new();
+        let (status, _) = blue.call(address, Method::GET, id, body).await?;
+        ensure!(status == StatusCode::FORBIDDEN, "{status}");
+    }
+    Ok(())
+}
+
+/// A configuration whose teams are all faulty must not open the jobs of teams to callers of public
+/// routes; one without teams does, since nobody could prove a team any more.
+#[rstest]
+#[case::faulty(json!([7]), StatusCode::FORBIDDEN)]
+#[case::none(json!([]), StatusCode::OK)]
+#[tokio::test]
+async fn jobs_without_usable_teams(
+    #[case] teams: Value,
+    #[case] expected: StatusCode,
+) -> Result<()> {
+    let site = team_site(1).await?;
+    let address = site.processes[0].1;
+    let id = "00000000000000f1";
+    submit(&client("red-1"), address, id).await?;
+    let configuration = json!({
+        "Version": 5,
+        "Routes": [{"Name": "open", "Host": JOB_HOST, "PathPrefix": "/open/", "Public": true,
+            "Service": JOB_SERVICE, "TimeoutMs": 3_000, "TargetLatencyMs": 600,
+            "MaxAttempts": 3, "Stretch": 2.0}],
+        "Services": [{"Name": JOB_SERVICE, "Standby": false}],
+        "Tenants": teams,
+    });
+    site.store.put("keyed.op", "config", &configuration);
+    tokio::time::sleep(APPLY_TIME).await;
+    let public = JobClient::new().path_prefix("/open/");
+    for method in [Method::GET, Method::DELETE] {
+        let call = public.call(address, method.clone(), id, String::new());
+        let (status, _) = call.await?;
+        ensure!(status == expected, "{method}: {status}");
+    }
+    Ok(())
+}
+
+/// Reads that are cut off before their first record must not confirm the configuration, and must not
+/// keep a revocation from the process for good.
+#[tokio::test]
+async fn cut_off_read_repeated() -> Result<()> {
+    let site = team_site(1).await?;
+    let address = site.processes[0].1;
+    site.store.set_cut_off("keyed.op", true);
+    put_team_configuration(&site.store, 5, &[("blue", &["blue-1"])]);
+    tokio::time::sleep(APPLY_TIME).await;
+    ensure!(list(&client("red-1"), address).await? == StatusCode::UNAUTHORIZED);
+    ensure!(list(&client("blue-1"), address).await? == StatusCode::OK);
+    tokio::time::sleep(REVOKE_TIME).await;
+    ensure!(list(&client("blue-1"), address).await? == StatusCode::OK);
+    Ok(())
+}
+
 /// Keys must not show in the log, the metrics or the state; a refused key shows as its fingerprint,
 /// faults and the loss of the confirmation as one line each.
 #[tokio::test]
