--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -7,13 +7,15 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use cyclamentrail_core::{JobId, LabelName, RouteName, ServiceName, TeamName, WorkerId, ZoneName};
+use cyclamentrail_core::{JobId, LabelName, RouteName, ServiceName, WorkerId, ZoneName};
 use cyclamentrail_jobs::{
     AdviceQuery, CallerId, CallerReply, CommandOutcome, Commit, CpuShareCommand, Decision, Effect,
     JobSpec, JobState, KeyedRecord, Now, PollOutcome, Resources, Shard, ShardTiming, StartCommand,
     StopCommand, TaskKey, TaskRunId, WorkerKey, WorkerPoll, WorkerRegistration,
 };
 
+#[path = "world/callers.rs"]
+mod callers;
 #[path = "world/calls.rs"]
 mod calls;
 #[path = "world/crashes.rs"]
@@ -228,57 +230,6 @@
             .expect("the worker is part of the test")
     }
 
-    /// Submits a job of a caller without a team; returns the caller's number.
-    pub fn submit(&mut self, id: &str, spec: JobSpec) -> u64 {
-        self.submit_for(None, id, spec)
-    }
-
-    /// Submits a job of a team; returns the caller's number.
-    pub fn submit_for(&mut self, team: Option<&str>, id: &str, spec: JobSpec) -> u64 {
-        let spec = Arc::new(spec);
-        let id = JobId::from(id);
-        self.specs.insert(id.clone(), Arc::clone(&spec));
-        let caller = self.new_caller();
-        let submission = cyclamentrail_jobs::Submission {
-            caller: CallerId(caller),
-            id,
-            route: RouteName::from(ROUTE),
-            team: team.map(TeamName::from),
-            spec,
-        };
-        self.shard.submit(self.now(), submission);
-        caller
-    }
-
-    /// Submits a job all of whose runs fail; returns the caller's number.
-    pub fn submit_failing(&mut self, id: &str, spec: JobSpec) -> u64 {
-        self.failing_jobs.insert(JobId::from(id));
-        self.submit(id, spec)
-    }
-
-    /// Cancels a job; returns the caller's number.
-    pub fn cancel(&mut self, id: &str) -> u64 {
-        self.cancel_for(None, id)
-    }
-
-    /// Cancels a job for a team; returns the caller's number.
-    pub fn cancel_for(&mut self, team: Option<&str>, id: &str) -> u64 {
-        let caller = self.new_caller();
-        let team = team.map(TeamName::from);
-        self.shard
-            .cancel(CallerId(caller), &JobId::from(id), team.as_ref());
-        caller
-    }
-
-    /// Asks for the state of a job for a team; returns the caller's number.
-    pub fn ask_state_for(&mut self, team: Option<&str>, id: &str) -> u64 {
-        let caller = self.new_caller();
-        let team = team.map(TeamName::from);
-        self.shard
-            .reply_state(CallerId(caller), &JobId::from(id), team.as_ref());
-        caller
-    }
-
     /// Returns the state of a job that callers see.
     pub fn state(&self, id: &str) -> Option<JobState> {
         self.shard
