--- a/crates/cyclamentrail-jobs/tests/scheduler/shares.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/shares.rs
@@ -341,7 +341,7 @@
 }
 
 /// A team's second job is over the team's small share, and late soon, while another team sends a
-/// steady stream that fills the pool by itself: it used to wait for the end of the stream.
+/// steady stream that fills the pool by itself: it mustn't wait for the end of the stream.
 #[test]
 fn over_share_not_starved() {
     let mut senders = [sender("stream", 50.0, 20.0), sender("once", 1.0, 1.0)];
