refactor(edge): one product of resources and one full share; plainer names and comments

The quota had a product of resources of its own beside that of Resources, and the run times a full processor share beside the one of best-effort tasks.

--- a/crates/cyclamentrail-jobs/src/quota.rs
+++ b/crates/cyclamentrail-jobs/src/quota.rs
@@ -24,7 +24,7 @@
 pub const WHOLE_CAP: u64 = 1_000_000;
 /// Part of the cap that the bases of all shards share, in millionths.
 const ALL_BASES: u64 = WHOLE_CAP / 4;
-/// Largest share that is told apart; larger ones count as this one, so that sums don't overflow.
+/// Largest share that is represented; larger ones count as this one, so that sums don't overflow.
 const MAX_SHARE: u64 = 1_000 * WHOLE_CAP;
 
 /// Returns whether a cap limits any dimension.
--- a/crates/cyclamentrail-jobs/src/quota/allowance.rs
+++ b/crates/cyclamentrail-jobs/src/quota/allowance.rs
@@ -21,9 +21,9 @@
 pub struct AllowanceChange {
     /// Name of the team.
     pub team: TeamName,
-    /// Allowance until now.
+    /// Allowance before the change.
     pub earlier: u64,
-    /// Allowance from now on.
+    /// Allowance after the change.
     pub allowance: u64,
 }
 
@@ -38,8 +38,8 @@
     is_outdated: bool,
 }
 
-/// Allowances of all teams in one shard. They stay until the ledger tells others; the base needs no
-/// ledger.
+/// Allowances of all teams in one shard. They stay until the ledger replies with others; the base
+/// needs no ledger.
 #[derive(Debug, Clone, Default)]
 pub struct Allowances {
     services: usize,
@@ -55,7 +55,7 @@
     /// Teams as the ledger knows them for sure.
     known: BTreeMap<TeamName, TeamReport>,
     /// Whether the present ledger has replied to a full report.
-    is_known: bool,
+    is_synchronized: bool,
     reports_since_full: u32,
 }
 
@@ -66,7 +66,7 @@
     pub fn ignore_earlier_ledgers(&mut self, ledger: u64) {
         if ledger > self.ledger {
             self.ledger = ledger;
-            self.is_known = false;
+            self.is_synchronized = false;
             self.known.clear();
         }
     }
@@ -131,7 +131,7 @@
         }
         self.caps_digest = caps.digest();
         self.caps = Some(caps);
-        self.is_known = false;
+        self.is_synchronized = false;
     }
 
     /// Returns whether a report waits for its reply.
@@ -152,25 +152,25 @@
         self.known.contains_key(team)
     }
 
-    /// Returns whether the present ledger has to be told of all teams.
+    /// Returns whether the next report has to name all teams.
     #[must_use]
     pub const fn needs_full_report(&self) -> bool {
-        !self.is_known
+        !self.is_synchronized
     }
 
     /// Returns whether there is anything to report to the ledger with this token, where `has_teams`
     /// tells whether a team isn't at its base. A loan that was returned has to be reported once more.
     #[must_use]
     pub fn needs_report(&self, ledger: u64, has_teams: bool) -> bool {
-        let is_unknown = ledger > self.ledger || !self.is_known;
+        let is_unknown = ledger > self.ledger || !self.is_synchronized;
         self.open.is_none()
             && ledger >= self.ledger
             && (has_teams || is_unknown || !self.known.is_empty())
     }
 
     /// Begins a report to the ledger with this token, where `teams` are all teams that aren't at
-    /// their base and those that were reported as such. A team that is missing uses nothing. Returns `None` while a report is open, and for a ledger that is older than one that
-    /// was reported to.
+    /// their base and those that were reported as such. A team that is missing uses nothing. Returns
+    /// `None` while a report is open, and for a ledger that is older than one that was reported to.
     pub fn begin_report(
         &mut self,
         service: &ServiceName,
@@ -182,7 +182,7 @@
             return None;
         }
         self.ignore_earlier_ledgers(ledger);
-        let is_full = !self.is_known || self.reports_since_full >= REPORTS_PER_FULL;
+        let is_full = !self.is_synchronized || self.reports_since_full >= REPORTS_PER_FULL;
         let teams = if is_full {
             teams
         } else {
@@ -221,11 +221,11 @@
         };
         let Some(reply) = reply.filter(counts) else {
             // The ledger may have handled the report, so that what it knows is uncertain.
-            self.is_known = false;
+            self.is_synchronized = false;
             return Vec::new();
         };
         if open.is_full {
-            self.is_known = true;
+            self.is_synchronized = true;
             self.known.clear();
             self.reports_since_full = 0;
         } else {
@@ -259,7 +259,7 @@
         changes
     }
 
-    /// Returns the teams that the ledger has to hear of: first those whose allowance has changed,
+    /// Returns the teams that have to be reported to the ledger: first those whose allowance has changed,
     /// because a loan that was returned is free only then, and those that wait for more.
     fn changed_teams(&self, teams: Vec<TeamReport>) -> Vec<TeamReport> {
         let present: BTreeSet<TeamName> = teams.iter().map(|team| team.team.clone()).collect();
@@ -280,7 +280,7 @@
         changed.into_iter().map(|(_, team)| team).collect()
     }
 
-    /// Returns how soon the ledger has to hear of a team, the lowest first; `None` if it knows it as
+    /// Returns how soon a team has to be reported, the lowest first; `None` if the ledger knows it as
     /// it is.
     fn urgency(&self, team: &TeamReport) -> Option<u8> {
         let Some(known) = self.known.get(&team.team) else {
--- a/crates/cyclamentrail-jobs/src/quota/ledger.rs
+++ b/crates/cyclamentrail-jobs/src/quota/ledger.rs
@@ -1,5 +1,4 @@
-//! Ledger of the loans of all teams, which the owner of the shard of the machine duties keeps in
-//! memory.
+//! Ledger of the loans of all teams, which the holder of the machine duties keeps in memory.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
--- a/crates/cyclamentrail-jobs/src/run_times.rs
+++ b/crates/cyclamentrail-jobs/src/run_times.rs
@@ -20,12 +20,12 @@
 
 /// Number of completed runs from which the learned values are used.
 const MIN_OBSERVATIONS: u32 = 8;
-/// Longest duration that is told apart from longer ones, in milliseconds.
+/// Longest duration that is represented, in milliseconds; longer ones count as this one.
 const MAX_DURATION_MS: u64 = 3_600_000;
 /// Ratio of an actual to a declared duration that counts as 1.
 const UNIT_RATIO: u64 = 1_000;
-/// Largest ratio of an actual to a declared duration that is told apart from larger ones, in
-/// thousandths.
+/// Largest ratio of an actual to a declared duration that is represented, in thousandths; larger
+/// ones count as this one.
 const MAX_RATIO: u64 = 1_000_000;
 /// Part of the route's runs whose durations are a lower bound for predictions from declared ones.
 /// A caller that declares next to nothing is served like the callers of the shortest tasks.
--- a/crates/cyclamentrail-jobs/src/run_times/distribution.rs
+++ b/crates/cyclamentrail-jobs/src/run_times/distribution.rs
@@ -16,9 +16,9 @@
 const POINTS: usize = 64;
 /// [`POINTS`] as a float.
 const POINTS_F: f64 = 64.0;
-/// Weight of what is longer than anything seen, in points.
+/// Weight of values above the largest observed one, in points.
 const UNSEEN_POINTS: f64 = 0.5;
-/// How long that takes, as a multiple of the longest seen or lasted.
+/// Size of these values, as a multiple of the largest observed value or of the lower bound.
 const UNSEEN_FACTOR: f64 = 1.5;
 /// Number of newest observations that are compared with the distribution.
 const RECENT: usize = 16;
--- a/crates/cyclamentrail-jobs/src/shard/on_time.rs
+++ b/crates/cyclamentrail-jobs/src/shard/on_time.rs
@@ -1,9 +1,9 @@
-//! Probability that a submitted job ends on time, and whether what was promised held.
+//! Probability that a submitted job ends on time, and whether it did.
 //!
 //! A job is late when it spends more time on waiting than its slack. The wait that is expected at its
-//! acceptance tells little by itself: tasks don't fill workers completely, later jobs with earlier
+//! acceptance predicts little by itself: tasks don't fill workers completely, later jobs with earlier
 //! deadlines overtake, and pools grow meanwhile. So the part of the slack that the expected wait
-//! uses up is compared with what came of earlier jobs.
+//! uses up is compared with the outcomes of earlier jobs.
 
 use slotmap::SparseSecondaryMap;
 
@@ -28,7 +28,7 @@
 /// Largest part of the slack that a wait counts as, so that a few overdue jobs don't decide.
 const MAX_USED_SLACK: f64 = 4.0;
 
-/// What was expected of accepted jobs, and what came of it.
+/// Expected ends of accepted jobs, and the model that learns from the actual ones.
 #[derive(Debug, Default)]
 pub(super) struct Expectations {
     jobs: SparseSecondaryMap<JobKey, Expectation>,
@@ -57,13 +57,13 @@
         1.0 / (1.0 + (self.slope * used_slack - self.intercept).exp())
     }
 
-    /// Returns the part of the slack that the wait of a job may use up which is accepted.
+    /// Returns the part of the slack that the wait of an accepted job may use up.
     fn usable_slack(&self) -> f64 {
         let least_odds = MIN_PROBABILITY / (1.0 - MIN_PROBABILITY);
         (self.intercept - least_odds.ln()) / self.slope
     }
 
-    /// Moves the model towards what came of a job, along the gradient of the logarithmic loss.
+    /// Moves the model towards the outcome of a job, along the gradient of the logarithmic loss.
     fn learn(&mut self, used_slack: f64, is_on_time: bool) {
         let outcome = if is_on_time { 1.0 } else { 0.0 };
         let error = outcome - self.probability(used_slack);
--- a/crates/cyclamentrail-jobs/src/shard/quota.rs
+++ b/crates/cyclamentrail-jobs/src/shard/quota.rs
@@ -15,7 +15,7 @@
 
 /// Resources that a team's placed tasks take.
 #[derive(Debug, Clone, Copy, Default)]
-struct Use {
+struct Usage {
     now: Resources,
     /// Largest amount in each dimension since the last report. A loan isn't returned between two
     /// short tasks.
@@ -39,7 +39,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Quota {
     allowances: Allowances,
-    used: HashMap<TeamName, Use>,
+    used: HashMap<TeamName, Usage>,
     skipped: HashMap<TeamName, Skipped>,
 }
 
@@ -184,7 +184,7 @@
             let enough = WHOLE_CAP / limit.member.max(1) + 1;
             self.waiting_count(task, enough)
         };
-        let demand = counted.saturating_add(&times(&spec.demand, waiting));
+        let demand = counted.saturating_add(&spec.demand.times(waiting));
         let skipped = Skipped {
             demand,
             is_whole_cap: is_whole_cap || share(&demand) >= WHOLE_CAP,
@@ -227,7 +227,7 @@
         !self.quota.skipped.is_empty()
     }
 
-    /// Returns whether the ledger has to be told of all teams, as after a change of a cap.
+    /// Returns whether the next report has to name all teams, as after a change of a cap.
     #[must_use]
     pub fn needs_full_quota_report(&self) -> bool {
         self.has_quota() && self.quota.allowances.needs_full_report()
@@ -381,20 +381,12 @@
 /// Returns the resources that a step needs to start: those of one task, or of a gang as a whole.
 const fn request_of(spec: &StepSpec) -> Resources {
     if spec.gang {
-        times(&spec.demand, spec.count as u64)
+        spec.demand.times(spec.count as u64)
     } else {
         spec.demand
     }
 }
 
-const fn times(amount: &Resources, count: u64) -> Resources {
-    Resources::new(
-        amount.cpu_milli.saturating_mul(count),
-        amount.memory_mib.saturating_mul(count),
-        amount.gpus.saturating_mul(count),
-    )
-}
-
 fn largest(one: &Resources, other: &Resources) -> Resources {
     Resources::new(
         one.cpu_milli.max(other.cpu_milli),
--- a/crates/cyclamentrail-jobs/src/shard/run_times.rs
+++ b/crates/cyclamentrail-jobs/src/shard/run_times.rs
@@ -1,5 +1,5 @@
-//! Learned run times of the shard's routes and workers: what finished and interrupted runs tell, and
-//! the records of it.
+//! Learned run times of the shard's routes and workers: observations of finished and
+//! interrupted runs, and the records of them.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -7,6 +7,7 @@
 use slotmap::SparseSecondaryMap;
 
 use super::{Commit, Now, Shard};
+use crate::best_effort_share::FULL_SHARE_PERCENT;
 use crate::effect::{EndKind, EndedRun};
 use crate::job::{Placement, RunPhase, TaskKey};
 use crate::record::KeyedRecord;
@@ -18,8 +19,8 @@
 /// Number of new observations from which a route's record is written again. What fewer tell is
 /// learned again after a takeover.
 const MIN_UNSTORED: u32 = 8;
-/// Full processor share, in percent.
-const FULL_PERCENT: u64 = 100;
+/// [`FULL_SHARE_PERCENT`] as a factor of durations.
+const FULL_PERCENT: u64 = FULL_SHARE_PERCENT as u64;
 
 /// Learned run times of all routes and workers of a shard.
 #[derive(Debug, Default)]
@@ -45,7 +46,7 @@
     unstored: u32,
 }
 
-/// How long a run lasted and what that tells.
+/// Duration of a task as a run shows it, exactly or as a lower bound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Lasted {
     /// The task takes this time, in milliseconds.
@@ -83,9 +84,7 @@
             });
         }
     }
-}
 
-impl LearnedTimes {
     /// Returns the pace of the usual worker: the median over the workers, not over the runs, of
     /// which a slow worker may have most.
     pub(super) fn usual_pace(&self) -> Pace {
--- a/crates/cyclamentrail-jobs/src/shard/team_status.rs
+++ b/crates/cyclamentrail-jobs/src/shard/team_status.rs
@@ -1,4 +1,4 @@
-//! What operators are shown of the teams in a shard's pool.
+//! State of the teams in a shard's pool, for operators.
 
 use cyclamentrail_core::TeamName;
 
--- a/crates/cyclamentrail-spec/src/quota.rs
+++ b/crates/cyclamentrail-spec/src/quota.rs
@@ -1,5 +1,5 @@
 //! Model of a team's quota over the owners of two shards: bases, loans of a ledger, takeovers, late
-//! starts and a lowered cap (docs/design/teams-and-run-times.md, part B).
+//! starts and a lowered cap (docs/design/quota.md).
 //!
 //! Amounts are shares of the team's cap. The ledger grants any amount that its rule allows, so that
 //! every distribution by demand is covered. A start command that was sent may be carried out at any
--- a/crates/cyclamentrail-spec/src/revocation.rs
+++ b/crates/cyclamentrail-spec/src/revocation.rs
@@ -1,5 +1,5 @@
 //! Model of the revocation of an API key: a process that can't confirm that its configuration is the
-//! newest serves no call that needs a key (docs/design/teams-and-run-times.md, part A).
+//! newest serves no call that needs a key (docs/design/authentication.md).
 //!
 //! The store is one register of the configuration, with and without the key. Processes read it with
 //! calls that the store may answer at any later time; an answer may be lost, late or overtaken by a
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -190,7 +190,8 @@
     }
 }
 
-/// Returns the line of a promise to end on time, or of its end.
+/// Returns the line of a promise to end on time, or of its end; other decisions have lines of their
+/// own.
 fn promise_line(decision: &Decision) -> LogLine {
     match decision {
         Decision::PromiseEnded {
--- a/crates/cyclamentrail/src/edge/owner/quota_reports.rs
+++ b/crates/cyclamentrail/src/edge/owner/quota_reports.rs
@@ -22,8 +22,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(700);
 /// Time limit of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Shortest time between two looks at whether there is anything to report.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two checks whether there is anything to report.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What an owner knows of the ledger, and when it reports next.
 pub(super) struct QuotaReports {
@@ -34,8 +34,8 @@
     reported_ledger: u64,
     /// Whether a call is under way.
     is_calling: bool,
-    next_look: Instant,
-    /// Whether the last look found something to report.
+    next_check: Instant,
+    /// Whether the last check found something to report.
     is_active: bool,
 }
 
@@ -46,7 +46,7 @@
             knows_ledger: false,
             reported_ledger: 0,
             is_calling: false,
-            next_look: Instant::now(),
+            next_check: Instant::now(),
             is_active: false,
         }
     }
@@ -65,11 +65,11 @@
             return None;
         }
         let now = Instant::now();
-        if now >= self.quota_reports.next_look {
-            self.quota_reports.next_look = now + LOOK_INTERVAL;
+        if now >= self.quota_reports.next_check {
+            self.quota_reports.next_check = now + CHECK_INTERVAL;
             self.quota_reports.is_active = self.report_quota();
             if self.quota_reports.is_active {
-                self.quota_reports.next_look = now + REPORT_INTERVAL;
+                self.quota_reports.next_check = now + REPORT_INTERVAL;
             }
         }
         let may_have_more = self.quota_reports.is_active
@@ -77,7 +77,7 @@
             || self.has_new_ledger()
             || self.has_new_caps();
         (may_have_more && !self.quota_reports.is_calling)
-            .then(|| self.quota_reports.next_look.saturating_duration_since(now))
+            .then(|| self.quota_reports.next_check.saturating_duration_since(now))
     }
 
     /// Returns whether there is a ledger that this owner hasn't reported to. An idle owner has to wake
@@ -88,7 +88,7 @@
             && self.shard.has_quota()
     }
 
-    /// Returns whether the ledger hasn't heard of this owner under the caps in force. An idle owner has
+    /// Returns whether this owner hasn't reported to the ledger under the caps in force. An idle owner has
     /// to wake for it, because the ledger lends nothing of a lowered cap to others until then.
     fn has_new_caps(&self) -> bool {
         self.quota_reports.newest_ledger().is_some() && self.shard.needs_full_quota_report()
@@ -127,7 +127,7 @@
         self.quota_reports.is_calling = false;
         metrics::count_quota_report(reply.is_some());
         if reply.is_none() {
-            self.quota_reports.next_look = Instant::now() + RETRY_INTERVAL;
+            self.quota_reports.next_check = Instant::now() + RETRY_INTERVAL;
         }
         self.shard.finish_quota_report(sequence, reply);
     }
@@ -136,11 +136,11 @@
     pub(super) fn handle_ledger_read(&mut self, is_read: bool) {
         self.quota_reports.is_calling = false;
         if !is_read {
-            self.quota_reports.next_look = Instant::now() + RETRY_INTERVAL;
+            self.quota_reports.next_check = Instant::now() + RETRY_INTERVAL;
             return;
         }
         self.quota_reports.knows_ledger = true;
-        self.quota_reports.next_look = Instant::now();
+        self.quota_reports.next_check = Instant::now();
         if let Some(ledger) = self.quota_reports.newest_ledger() {
             self.shard.ignore_earlier_ledgers(ledger);
         }
--- a/crates/cyclamentrail/src/edge/quota_ledger.rs
+++ b/crates/cyclamentrail/src/edge/quota_ledger.rs
@@ -1,4 +1,4 @@
-//! The ledger of the teams' quota, in the process that holds the shard of the duties over machines.
+//! The ledger of the teams' quota, in the process that holds the machine duties.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -32,7 +32,7 @@
 pub(super) struct QuotaLedger {
     process: Arc<ProcessState>,
     ledger: Ledger,
-    /// Whether the owners of the time of this ledger's claim are known.
+    /// Whether the owners at the time of this ledger's claim are known.
     knows_owners: bool,
     /// Signals that the claims have been read after this ledger's own claim.
     claims_read: Option<oneshot::Receiver<()>>,
--- a/crates/cyclamentrail/src/edge/revocation.rs
+++ b/crates/cyclamentrail/src/edge/revocation.rs
@@ -1,7 +1,7 @@
 //! Whether the configuration is new enough to accept keys by it.
 //!
 //! A process that doesn't reach the store can't learn that a key was revoked. It accepts keys only
-//! as long as it was told within the bound that its configuration is the newest.
+//! as long as the store has confirmed within the bound that its configuration is the newest.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/cyclamentrail/src/edge/team_views.rs
+++ b/crates/cyclamentrail/src/edge/team_views.rs
@@ -1,4 +1,4 @@
-//! What operators are shown of a shard's teams: the most active ones, and the sum of the others.
+//! Views of a shard's teams for operators: the most active ones, and the sum of the others.
 
 use std::collections::BTreeMap;
 
