refactor(jobs): one time for the end of a job; learned, not learnt, throughout

The line of a job's end and the comparison with its promise computed the same time twice. A test of the ledger is named for the reports that it checks.

--- a/crates/cyclamentrail-bench/src/bin/run_times_report.rs
+++ b/crates/cyclamentrail-bench/src/bin/run_times_report.rs
@@ -1,4 +1,4 @@
-//! Prints what becomes of jobs with declared, mean, learned and true durations.
+//! Prints the outcomes of jobs with declared, mean, learned and true durations.
 
 use cyclamentrail_bench::run_times::{Durations, RunTimesReport, TaskTrace, run_trace};
 use cyclamentrail_jobs::RunTimeUses;
--- a/crates/cyclamentrail-jobs/src/estimate.rs
+++ b/crates/cyclamentrail-jobs/src/estimate.rs
@@ -1,7 +1,7 @@
 //! Estimates how long the tasks of a route take, from those that have ended.
 //!
 //! Declared durations can be far off. Two predictors compete for each route: the declared duration
-//! times the learnt ratio of actual to declared durations, and the mean actual duration. The one
+//! times the learned ratio of actual to declared durations, and the mean actual duration. The one
 //! with the smaller mean error predicts the next task.
 
 use serde::{Deserialize, Serialize};
@@ -9,7 +9,7 @@
 /// Divisor of the moving averages: a new observation has a weight of one part in this many,
 /// and the first ones are averaged equally.
 const WEIGHT_DIVISOR: f64 = 24.0;
-/// Number of observations from which the learnt values are used.
+/// Number of observations from which the learned values are used.
 const MIN_OBSERVATIONS: u32 = 8;
 
 /// Learnt durations of one route's tasks.
@@ -94,13 +94,13 @@
         self.observations
     }
 
-    /// Returns whether the declared duration times the learnt ratio has predicted at least as well
+    /// Returns whether the declared duration times the learned ratio has predicted at least as well
     /// as the mean actual duration.
     pub(crate) const fn prefers_ratio(&self) -> bool {
         self.mean_error_ms >= self.ratio_error_ms
     }
 
-    /// Returns whether all averages can have been learnt.
+    /// Returns whether all averages can have been learned.
     pub(crate) fn is_finite(&self) -> bool {
         [
             self.mean_declared_ms,
@@ -112,7 +112,7 @@
         .all(|average| average.is_finite() && *average >= 0.0)
     }
 
-    /// Returns the learnt ratio of actual to declared durations.
+    /// Returns the learned ratio of actual to declared durations.
     fn ratio(&self) -> f64 {
         if self.mean_declared_ms > 0.0 {
             self.mean_actual_ms / self.mean_declared_ms
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -295,13 +295,13 @@
         let state = job.state();
         if state.is_final() && job.ended_ms.is_none() {
             job.ended_ms = Some(now.unix_ms);
+            let took_ms = now.unix_ms.saturating_sub(job.accepted_ms);
             commit.effects.push(Effect::Log(Decision::JobFinal {
                 job: job.id.clone(),
                 state,
-                took_ms: now.unix_ms.saturating_sub(job.accepted_ms),
+                took_ms,
             }));
             let route = self.routes.get(&job.route).map(Arc::as_ref);
-            let took_ms = now.unix_ms.saturating_sub(job.accepted_ms);
             let promise = self.expectations.settle(key, job, route, took_ms);
             commit.effects.extend(promise.map(Effect::Log));
         }
--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -95,7 +95,7 @@
 
     /// Keeps a run of the records whose worker has restarted until the new incarnation reports. A task
     /// that crashes its workers while owners change would otherwise never be found. Long-running tasks
-    /// don't count: they live through many restarts, and nobody saw how long this run had lasted.
+    /// don't count: they outlast many restarts, and it isn't known how long this run had lasted.
     pub(super) fn keep_restored_run(
         &mut self,
         now: Now,
--- a/crates/cyclamentrail/tests/jobs_quota.rs
+++ b/crates/cyclamentrail/tests/jobs_quota.rs
@@ -61,9 +61,9 @@
 }
 
 /// Each owner reports once to a ledger, which then lends, and stays quiet while its teams are at
-/// their base. When its process ends, the next holder's ledger hears of all shards.
+/// their base. When its process ends, the next holder's ledger gets the reports of all shards.
 #[tokio::test]
-async fn ledger_hears_of_all_shards() -> Result<()> {
+async fn ledger_gets_all_reports() -> Result<()> {
     let mut site = JobSite::start(2, 2, 200).await?;
     put_team(&site, 4, 8_000);
     wait_lending(&site).await?;
