fix(jobs): one crash beside a takeover doesn't make a task suspect

What kept the tasks waiting isn't shown. Suspected, not shown: runs restored on restarted workers made their tasks suspect at the first crash, and suspects wait for a worker of their own. Change: such a crash counts, but not as one shortly after the begin of a run, so that the second one makes a task suspect. crash_beside_takeover_counted still holds.

--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -110,7 +110,8 @@
             task,
             run: record.run,
             has_begun: false,
-            since_ms: None,
+            // It began under an earlier owner: one such crash alone doesn't make the task suspect.
+            since_ms: Some(0),
         };
         let is_same = |(worker, lost): &&mut (WorkerKey, LostWorker)| {
             *worker == key && lost.started_ms == record.started_ms
@@ -126,7 +127,7 @@
             address: registration.address,
             started_ms: record.started_ms,
             lost_ms: now.boot_ms,
-            heard_ms: 0,
+            heard_ms: now.boot_ms,
             jobs: BTreeSet::from([task.job]),
             was_apart: false,
             runs: vec![run],
