--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -6,6 +6,8 @@
 mod capacity;
 #[path = "scheduler/crashes.rs"]
 mod crashes;
+#[path = "scheduler/evacuation.rs"]
+mod evacuation;
 #[path = "scheduler/jobs.rs"]
 mod jobs;
 #[path = "scheduler/leaving.rs"]
