fix(jobs): a long-running task is stopped for an evacuation only once that is durable

The stop was sent at once, and an owner that the store didn't serve any more could send one that no record told its successor of. The successor saw the run in the worker's report, which lists it until it has stopped, and stopped a second task of the step. Ruled out: a wait after each takeover until all stops of the predecessor are over (it would delay evacuations by StopMs and the predecessor's lease), and a longer confirmation (the predecessor may act for as long as it is confirmed). Change: the command is an effect of the commit that records the stop; stops of runs stand in a module of their own.

--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -6,7 +6,7 @@
 use cyclamentrail_core::{JobId, RouteName, TeamName, WorkerId};
 use slotmap::SlotMap;
 
-use crate::effect::{CallerId, Decision, Effect, EndProof, StopCommand, WorkerTarget};
+use crate::effect::{CallerId, Decision, Effect, EndProof, WorkerTarget};
 use crate::grants::Grants;
 use crate::job::{Job, JobKey, JobState, RunPhase, TaskKey};
 use crate::record::{AcceptedJobRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
@@ -35,6 +35,7 @@
 mod shares;
 mod stalls;
 mod starts;
+mod stops;
 mod submit;
 mod task_times;
 mod team_status;
@@ -401,49 +402,6 @@
         self.remove_if_unused(placement.worker);
     }
 
-    /// Stops a run, or frees its capacity if its start command was never sent.
-    fn stop(&mut self, key: TaskKey) {
-        self.learn_interrupted(key);
-        let Some(job) = self.jobs.get_mut(key.job) else {
-            return;
-        };
-        let Some(placement) = job.task_mut(key).and_then(|task| task.placement.as_mut()) else {
-            return;
-        };
-        match placement.phase {
-            RunPhase::Placed => self.release(key, Some(EndProof::NeverSent)),
-            RunPhase::Stopping { .. } => {}
-            RunPhase::Sent | RunPhase::Running { .. } => {
-                placement.phase = RunPhase::Stopping { confirmed_ms: None };
-                self.dirty.insert(key.job);
-                self.send_stop(key);
-            }
-        }
-    }
-
-    fn send_stop(&mut self, key: TaskKey) {
-        let Some(job) = self.jobs.get(key.job) else {
-            return;
-        };
-        let Some(placement) = job.task(key).and_then(|task| task.placement) else {
-            return;
-        };
-        let command = StopCommand {
-            target: self.target(placement.worker),
-            task: key,
-            job: job.id.clone(),
-            run: placement.run,
-        };
-        self.ready_effects.push(Effect::Stop(command));
-    }
-
-    /// Stops all runs of a job.
-    fn stop_job_runs(&mut self, key: JobKey) {
-        for task in self.placed_tasks(key) {
-            self.stop(task);
-        }
-    }
-
     /// Sends the start and stop commands again that are due.
     fn resend_due(&mut self, now: Now) {
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.resends)
--- a/crates/cyclamentrail-jobs/src/shard/evacuation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/evacuation.rs
@@ -116,12 +116,14 @@
             let Some(step) = self.step_of(key).cloned() else {
                 continue;
             };
-            let may_stop = if step.long_running {
-                self.may_interrupt(key, &step) && self.has_room_elsewhere(now, key, &step)
-            } else {
-                is_overdue && !step.gang
-            };
-            if may_stop && self.is_running(key) {
+            if !self.is_running(key) {
+                continue;
+            }
+            if step.long_running {
+                if self.may_interrupt(key, &step) && self.has_room_elsewhere(now, key, &step) {
+                    self.stop_once_durable(key);
+                }
+            } else if is_overdue && !step.gang {
                 self.stop(key);
             }
         }
