feat(jobs): count completed jobs by their objective, and rejections while the pool has room

Cause: the logs named the expected wait of a rejected job, but neither whether workers were idle then nor why a completed job was late, and lines about single jobs are cut by their budget under load. A table of losses can't be made from them. Change: the owner tells for each completed job whether it kept its objective, and if not, whether it waited for its first start, had a run repeated, or lost the time between steps; for each rejected one, the free part of the pool. The owner's line of each second has the sums, which no budget cuts; a counter has them by service. No decision changes.

--- a/crates/cyclamentrail-bench/src/run_times/simulation.rs
+++ b/crates/cyclamentrail-bench/src/run_times/simulation.rs
@@ -248,6 +248,7 @@
                 job,
                 state: JobState::Completed,
                 took_ms,
+                ..
             } => {
                 self.accepted.insert(job.clone(), true);
                 let chain_ms = self.trace.jobs[index_of(job)].chain_ms();
--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -15,7 +15,7 @@
 
 pub use outcome::{
     ActiveRun, CommandOutcome, CommandRejection, EndKind, EndedRun, PollOutcome, TaskRunId,
-    WorkerReport,
+    Timeliness, WorkerReport,
 };
 
 /// Identifies a caller that waits for a reply.
@@ -248,6 +248,8 @@
         /// Expected time until the job's first task starts, in milliseconds; for
         /// [`RejectReason::NotReady`], the duration of the store's outage or 0.
         wait_ms: u64,
+        /// Part of the capacity of the pool's workers that no task takes, in percent.
+        free_percent: u64,
         /// Share of the caller's team, where the decision is based on it.
         share: Option<AdmissionShare>,
     },
@@ -296,6 +298,9 @@
         state: JobState,
         /// Time from the job's acceptance to its final state, in milliseconds.
         took_ms: u64,
+        /// Whether the job kept its objective; `None` for one that didn't complete, is long-running
+        /// or has a schedule.
+        timeliness: Option<Timeliness>,
     },
     /// A worker stopped responding, or responds again.
     ContactChanged {
--- a/crates/cyclamentrail-jobs/src/effect/outcome.rs
+++ b/crates/cyclamentrail-jobs/src/effect/outcome.rs
@@ -37,6 +37,33 @@
     }
 }
 
+/// Whether a completed job kept its objective, and what made it late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timeliness {
+    /// The job completed within its objective.
+    OnTime,
+    /// The job waited longer for its first start than its slack.
+    LateByWaiting,
+    /// The job's first task started in time, but a run was repeated: it failed, was stopped or was
+    /// lost with its worker.
+    LateByRepetition,
+    /// Tasks of the job waited between its steps, or took longer than expected.
+    LateByRunning,
+}
+
+impl Timeliness {
+    /// Returns the value as it is written in logs and metric labels.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OnTime => "on_time",
+            Self::LateByWaiting => "late_waiting",
+            Self::LateByRepetition => "late_repeated",
+            Self::LateByRunning => "late_running",
+        }
+    }
+}
+
 /// Identifies a run in a worker's report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRunId {
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -273,6 +273,8 @@
     pub is_failed: bool,
     /// Whether any task has ever started.
     pub has_started: bool,
+    /// Unix time at which this owner first placed a task of the job, in milliseconds.
+    pub first_placed_ms: Option<u64>,
     /// Occurrences that are due, and aren't done or still have runs that haven't ended.
     pub occurrences: Vec<Occurrence>,
     /// Number of the next occurrence that will become due.
@@ -297,6 +299,7 @@
             is_cancelled: false,
             is_failed: false,
             has_started: false,
+            first_placed_ms: None,
             occurrences: Vec::new(),
             next_occurrence: 0,
             durable_state: JobState::Queued,
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -55,8 +55,8 @@
 pub use effect::{
     ActiveRun, AdmissionShare, AdviceOutcome, AdviceQuery, CallerId, CallerReply, CommandOutcome,
     CommandRejection, CpuShareCommand, Decision, Effect, EndKind, EndProof, EndedRun, PollOutcome,
-    RejectReason, StartCommand, StopCommand, TaskRunId, WaitReason, WorkerPoll, WorkerReport,
-    WorkerTarget, WorkerTicket,
+    RejectReason, StartCommand, StopCommand, TaskRunId, Timeliness, WaitReason, WorkerPoll,
+    WorkerReport, WorkerTarget, WorkerTicket,
 };
 pub use estimate::DurationEstimate;
 pub use fair_share::{
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -39,6 +39,7 @@
 mod submit;
 mod task_times;
 mod team_status;
+mod timeliness;
 mod timing;
 mod unsent_jobs;
 
@@ -290,6 +291,7 @@
 
     /// Adds the records of a changed job to a commit and finishes the job if it is final.
     fn record_job(&mut self, now: Now, key: JobKey, commit: &mut Commit) {
+        let timeliness = self.timeliness(now, key);
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
@@ -301,6 +303,7 @@
                 job: job.id.clone(),
                 state,
                 took_ms,
+                timeliness,
             }));
             let route = self.routes.get(&job.route).map(Arc::as_ref);
             let promise = self.expectations.settle(key, job, route, took_ms);
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -325,6 +325,7 @@
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
+        job.first_placed_ms.get_or_insert(now.unix_ms);
         let team = job.team.clone();
         let Some(task) = job.task_mut(key) else {
             return;
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -75,6 +75,7 @@
                     job: submission.id,
                     reason: rejection.reason,
                     wait_ms: rejection.wait_ms,
+                    free_percent: self.free_percent(),
                     share: rejection.share,
                 }));
                 let reply = CallerReply::Rejected {
--- a/crates/cyclamentrail-jobs/src/shard/unsent_jobs.rs
+++ b/crates/cyclamentrail-jobs/src/shard/unsent_jobs.rs
@@ -51,6 +51,7 @@
             job: job.id,
             reason: RejectReason::NotReady,
             wait_ms: outage_ms,
+            free_percent: self.free_percent(),
             share: None,
         }));
         self.reject_callers(callers, retry_after_ms);
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -3,7 +3,7 @@
 use std::fmt::{Display, Formatter, Result};
 
 use cyclamentrail_core::{JobId, TeamName};
-use cyclamentrail_jobs::{AdmissionShare, AllowanceChange, Decision, TaskKey};
+use cyclamentrail_jobs::{AdmissionShare, AllowanceChange, Decision, TaskKey, Timeliness};
 use log::{Level, Record};
 
 /// Event name, with the inputs and the outcome of the decision as key=value pairs.
@@ -100,10 +100,12 @@
                 job,
                 reason,
                 wait_ms,
+                free_percent,
                 share,
             } => Self::new("job_rejected")
                 .with("job", job)
                 .with("reason", reason.as_str())
+                .with("free_percent", free_percent)
                 .with_wait(*wait_ms, share.as_ref()),
             Decision::AccessDenied { job, team } => Self::new("access_denied")
                 .with("job", job)
@@ -136,10 +138,12 @@
                 job,
                 state,
                 took_ms,
+                timeliness,
             } => Self::new("job_final")
                 .with("job", job)
                 .with("state", state.as_str())
-                .with("took_ms", took_ms),
+                .with("took_ms", took_ms)
+                .with("objective", timeliness.map_or("none", Timeliness::as_str)),
             Decision::ContactChanged {
                 worker,
                 is_responding,
--- a/crates/cyclamentrail/src/edge/owner/activity.rs
+++ b/crates/cyclamentrail/src/edge/owner/activity.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 
 use cyclamentrail_adapter::BodyBytes;
-use cyclamentrail_jobs::{CommandOutcome, Decision, PollOutcome, RejectReason};
+use cyclamentrail_jobs::{CommandOutcome, Decision, PollOutcome, RejectReason, Timeliness};
 
 use crate::edge::clocks::{boot_ms, whole_ms};
 
 /// Length of the window that one line covers, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
+/// Free part of a pool from which a job that is rejected for the backlog counts as rejected with room,
+/// in percent; tasks don't fill workers exactly.
+const ROOM_PERCENT: u64 = 10;
 
 /// Counts of one window.
 #[derive(Debug, Default)]
@@ -26,6 +29,12 @@
     accepted: u32,
     rejected_overload: u32,
     rejected_other: u32,
+    /// Those of `rejected_overload` that were rejected while the pool had room.
+    rejected_with_room: u32,
+    on_time: u32,
+    late_waiting: u32,
+    late_repeated: u32,
+    late_running: u32,
     starts: u32,
     /// Starts sent to workers that are known to leave.
     starts_to_leaving: u32,
@@ -83,12 +92,23 @@
     pub(super) const fn record_decision(&mut self, decision: &Decision) {
         match decision {
             Decision::JobAccepted { .. } => self.counts.accepted += 1,
-            Decision::JobRejected { reason, .. } => match reason {
+            Decision::JobRejected {
+                reason,
+                free_percent,
+                ..
+            } => match reason {
                 RejectReason::Overload | RejectReason::OverRate => {
                     self.counts.rejected_overload += 1;
+                    if *free_percent >= ROOM_PERCENT {
+                        self.counts.rejected_with_room += 1;
+                    }
                 }
                 _ => self.counts.rejected_other += 1,
             },
+            Decision::JobFinal {
+                timeliness: Some(timeliness),
+                ..
+            } => self.counts.record_timeliness(*timeliness),
             Decision::RunEnded { .. } => self.counts.ended += 1,
             _ => {}
         }
@@ -147,6 +167,11 @@
             accepted = counts.accepted,
             rejected_overload = counts.rejected_overload,
             rejected_other = counts.rejected_other,
+            rejected_with_room = counts.rejected_with_room,
+            on_time = counts.on_time,
+            late_waiting = counts.late_waiting,
+            late_repeated = counts.late_repeated,
+            late_running = counts.late_running,
             ended = counts.ended,
             starts = counts.starts,
             starts_to_leaving = counts.starts_to_leaving,
@@ -164,6 +189,16 @@
 }
 
 impl Counts {
+    const fn record_timeliness(&mut self, timeliness: Timeliness) {
+        let count = match timeliness {
+            Timeliness::OnTime => &mut self.on_time,
+            Timeliness::LateByWaiting => &mut self.late_waiting,
+            Timeliness::LateByRepetition => &mut self.late_repeated,
+            Timeliness::LateByRunning => &mut self.late_running,
+        };
+        *count += 1;
+    }
+
     const fn has_any(&self) -> bool {
         self.accepted > 0
             || self.rejected_overload > 0
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -144,6 +144,7 @@
             job: id,
             reason: RejectReason::NotReady,
             wait_ms: outage_ms,
+            free_percent: self.shard.free_percent(),
             share: None,
         });
         drop(reply.send(Reply::from(rejection)));
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -24,6 +24,8 @@
 pub(crate) const JOBS: &str = "cyclamentrail_jobs_total";
 /// Seconds from a job's acceptance until it became final.
 pub(crate) const JOB_SECONDS: &str = "cyclamentrail_job_seconds";
+/// Completed jobs by whether they kept their objective, and what made them late.
+pub(crate) const JOBS_COMPLETED: &str = "cyclamentrail_jobs_completed_total";
 /// Runs of tasks by the reported end, by the proof that the run has ended, or as stalled.
 pub(crate) const RUNS_ENDED: &str = "cyclamentrail_runs_ended_total";
 /// Times that a task was found waiting long after its job was accepted, by what it waits for.
@@ -184,6 +186,12 @@
         labels: &["service", "outcome"],
         help: "Seconds from a job's acceptance until it became final.",
     },
+    Metric {
+        name: JOBS_COMPLETED,
+        kind: MetricKind::Counter,
+        labels: &["service", "objective"],
+        help: "Completed jobs by whether they kept their objective, and what made them late.",
+    },
     Metric {
         name: RUNS_ENDED,
         kind: MetricKind::Counter,
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -5,10 +5,10 @@
 use cyclamentrail_jobs::{CommandOutcome, Decision, PoolLoad};
 
 use super::catalog::{
-    ALLOWANCES, CALLERS_REFUSED, JOB_SECONDS, JOBS, JOBS_GIVEN_UP, LINES_DROPPED, LINES_OMITTED,
-    MACHINE_COMMANDS, POOL_DEMAND, POOL_WAITING, PROMISES, QUOTA_LENDING, QUOTA_REPORTS,
-    QUOTA_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS, STORE_CALLS,
-    STORE_SECONDS, TASK_WAITS, WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
+    ALLOWANCES, CALLERS_REFUSED, JOB_SECONDS, JOBS, JOBS_COMPLETED, JOBS_GIVEN_UP, LINES_DROPPED,
+    LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND, POOL_WAITING, PROMISES, QUOTA_LENDING,
+    QUOTA_REPORTS, QUOTA_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS,
+    STORE_CALLS, STORE_SECONDS, TASK_WAITS, WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
 };
 
 /// Number of thousandths in one unit, such as milliseconds in a second.
@@ -30,7 +30,17 @@
             let outcome = reason.as_str();
             metrics::counter!(JOBS, "service" => service, "outcome" => outcome).increment(1);
         }
-        Decision::JobFinal { state, took_ms, .. } => {
+        Decision::JobFinal {
+            state,
+            took_ms,
+            timeliness,
+            ..
+        } => {
+            if let Some(timeliness) = timeliness {
+                let objective = timeliness.as_str();
+                metrics::counter!(JOBS_COMPLETED, "service" => service.clone(), "objective" => objective)
+                    .increment(1);
+            }
             let outcome = state.as_str();
             metrics::counter!(JOBS, "service" => service.clone(), "outcome" => outcome)
                 .increment(1);
