--- a/crates/cyclamentrail-bench/src/lib.rs
+++ b/crates/cyclamentrail-bench/src/lib.rs
@@ -18,6 +18,7 @@
 )]
 pub mod capacity;
 mod control;
+pub mod losses;
 pub mod requests;
 #[expect(
     clippy::cast_precision_loss,
