feat(jobs): jobs that have begun go before others that can still end on time

Hypothesis: in a turn, deadline order starts jobs that are about to be late, and their later steps then are; what has begun should be finished first, and late jobs should go on by deadline, so that none starves.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -153,6 +153,12 @@
 }
 
 impl Task {
+    /// Returns whether the task isn't done and isn't placed on a worker.
+    #[must_use]
+    pub const fn is_waiting(&self) -> bool {
+        !self.is_done && self.placement.is_none()
+    }
+
     /// Records the failure of a run; a repeated report of the same run has no effect.
     pub fn record_failure(&mut self, run: u32) {
         if !self.failed_runs.contains(&run) {
@@ -203,8 +209,14 @@
     /// Returns whether a task isn't done and isn't placed on a worker.
     #[must_use]
     pub fn has_unplaced(&self) -> bool {
-        let is_unplaced = |task: &Task| !task.is_done && task.placement.is_none();
-        self.tasks.iter().any(is_unplaced)
+        self.tasks.iter().any(Task::is_waiting)
+    }
+
+    /// Returns the number of tasks that aren't done and aren't placed on a worker.
+    #[must_use]
+    pub fn waiting_tasks(&self) -> u64 {
+        let waiting = self.tasks.iter().filter(|task| task.is_waiting());
+        waiting.count() as u64
     }
 }
 
--- a/crates/cyclamentrail-jobs/src/ranking.rs
+++ b/crates/cyclamentrail-jobs/src/ranking.rs
@@ -1,8 +1,12 @@
 //! Order in which waiting jobs are served.
 //!
-//! Under overload, jobs that can still end on time go before those that can't, and among these the
-//! most urgent, then those of teams that are under their share of the pool, and then those nearest
-//! to their deadline come first. Jobs in a long queue would otherwise all end late.
+//! The load that it answers: for some seconds, more work arrives than the pool holds, and not all jobs
+//! can end on time. Jobs that can still end on time go before those that can't, and among these the
+//! most urgent, then those of teams that are under their share of the pool.
+//!
+//! Among equals, jobs that have begun go first: the work that is done for a job is of use only if the
+//! rest of it ends on time, too. Then the jobs nearest to their deadline come first. Late jobs are
+//! served by deadline alone, so that none of them waits for ever.
 
 use std::cmp::Reverse;
 
@@ -22,6 +26,8 @@
     pub deadline_ms: u64,
     /// Duration of the longest chain of steps that aren't done, in milliseconds.
     pub remaining_ms: u64,
+    /// Whether a task of the job has started.
+    pub has_begun: bool,
 }
 
 /// Position of a job in the order; lower ranks are served first.
@@ -33,22 +39,27 @@
     priority: u32,
     /// Whether the job's team has its weighted share of the pool without this job.
     is_over_share: bool,
+    /// Whether nothing of the job has started; `false` for a job that is late or long-running.
+    is_unbegun: bool,
     deadline_ms: u64,
     remaining: Reverse<u64>,
 }
 
 impl WaitingJob {
     /// Returns the job's rank at a moment of Unix time in milliseconds. Long-running jobs are
-    /// never late and go before the others that aren't late; then follow priority, deadline and,
-    /// at the same deadline, the longer remaining chain.
+    /// never late and go before the others that aren't late; then follow priority, for jobs that aren't
+    /// late whether they have begun, the deadline and, at the same deadline, the longer remaining
+    /// chain.
     #[must_use]
     pub const fn rank(&self, now_ms: u64) -> JobRank {
         let is_late = !self.is_long_running && now_ms + self.remaining_ms > self.deadline_ms;
+        let may_be_on_time = !self.is_long_running && !is_late;
         JobRank {
             is_late,
             is_finite: !self.is_long_running,
             priority: self.priority,
             is_over_share: false,
+            is_unbegun: may_be_on_time && !self.has_begun,
             deadline_ms: self.deadline_ms,
             remaining: Reverse(self.remaining_ms),
         }
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -121,6 +121,7 @@
                 is_long_running: job.spec.is_long_running(),
                 deadline_ms: first_due_ms + route.objective_ms(chain.total_ms),
                 remaining_ms: chain.remaining_ms,
+                has_begun: job.has_started,
             };
             Some((waiting.rank(now.unix_ms), key))
         };
--- a/crates/cyclamentrail-jobs/src/shard/shares.rs
+++ b/crates/cyclamentrail-jobs/src/shard/shares.rs
@@ -307,13 +307,9 @@
     let mut demand = Resources::default();
     for occurrence in &job.occurrences {
         for (progress, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
-            let unplaced = progress
-                .tasks
-                .iter()
-                .filter(|task| !task.is_done && task.placement.is_none())
-                .count();
-            if unplaced > 0 && occurrence.is_step_ready(spec) {
-                demand = demand.saturating_add(&spec.reserved_resources().times(unplaced as u64));
+            let waiting = progress.waiting_tasks();
+            if waiting > 0 && occurrence.is_step_ready(spec) {
+                demand = demand.saturating_add(&spec.reserved_resources().times(waiting));
             }
         }
     }
