feat(jobs): reject only jobs that surely end too late to be of use

Change: a job is accepted if its expected wait and longest chain fit into five times its objective, before: if the wait fits into twice its slack.

--- a/crates/cyclamentrail-jobs/src/admission.rs
+++ b/crates/cyclamentrail-jobs/src/admission.rs
@@ -1,12 +1,17 @@
 //! Decides whether a job is accepted, from the backlog before it.
 //!
-//! Bursts bring several times the work that the workers can hold, for some seconds. A job that
-//! would end too late is rejected at once, so that the accepted ones end on time, and its caller
-//! gets a time after which it may try again.
+//! Bursts bring several times the work that the workers can hold, for some seconds. A job that surely
+//! ends too late to be of use is rejected at once, and its caller gets a time after which it may try
+//! again.
+//!
+//! Any other job is accepted, also one that is expected to be late. A late job takes no room from
+//! those that can be on time ([`WaitingJob`](crate::WaitingJob)), while a caller that is sent away
+//! loses the time until it returns, and with it mostly the chance to be served on time.
 
-/// Percentage of a job's slack that the expected wait may use up. It is above 100, because a pool
-/// with a growing backlog is given further workers meanwhile.
-const USABLE_SLACK_PERCENT: u64 = 200;
+/// Multiple of a job's objective within which it has to be expected to end. Callers have use of a late
+/// job for a shorter time, but jobs seldom wait for the whole backlog: late ones yield to newer ones,
+/// and a pool with a growing backlog is given further workers meanwhile.
+const LATEST_END_OBJECTIVES: u64 = 5;
 /// Shortest delay after which a rejected caller may try again, in milliseconds, without the random
 /// part.
 const MIN_RETRY_MS: u64 = 1_000;
@@ -79,25 +84,25 @@
     outage_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS) + seed % RETRY_JITTER_MS
 }
 
-/// Decides whether a job is accepted: its expected wait has to fit into twice its slack, which is
-/// the part of its objective that its longest chain of steps doesn't need.
+/// Decides whether a job is accepted: after its expected wait, its longest chain of steps has to end
+/// within a multiple of its objective.
 ///
 /// ```
 /// use cyclamentrail_jobs::{Admission, AdmissionRequest, Backlog, admit};
 ///
 /// let job = AdmissionRequest { work_ms: 500, critical_path_ms: 1_000, objective_ms: 2_200, jitter_seed: 0 };
 /// assert_eq!(admit(Backlog { work_ms: 4_000, workers: 9 }, job), Admission::Accept);
-/// assert_ne!(admit(Backlog { work_ms: 40_000, workers: 9 }, job), Admission::Accept);
+/// assert_ne!(admit(Backlog { work_ms: 100_000, workers: 9 }, job), Admission::Accept);
 /// ```
 #[must_use]
 pub fn admit(backlog: Backlog, job: AdmissionRequest) -> Admission {
-    let slack_ms = job.objective_ms.saturating_sub(job.critical_path_ms);
-    let usable_ms = slack_ms * USABLE_SLACK_PERCENT / 100;
+    let latest_end_ms = job.objective_ms * LATEST_END_OBJECTIVES;
+    let longest_wait_ms = latest_end_ms.saturating_sub(job.critical_path_ms);
     let wait_ms = backlog.wait_ms();
-    if wait_ms <= usable_ms {
+    if wait_ms <= longest_wait_ms {
         return Admission::Accept;
     }
-    let excess_ms = wait_ms.saturating_sub(usable_ms);
+    let excess_ms = wait_ms - longest_wait_ms;
     Admission::Reject {
         retry_after_ms: retry_after_excess_ms(excess_ms, job.jitter_seed),
     }
