--- a/crates/cyclamentrail-jobs/src/ranking.rs
+++ b/crates/cyclamentrail-jobs/src/ranking.rs
@@ -39,12 +39,20 @@
     priority: u32,
     /// Whether the job's team has its weighted share of the pool without this job.
     is_over_share: bool,
-    /// Whether nothing of the job has started; `false` for a job that is late or long-running.
-    is_unbegun: bool,
+    progress: Progress,
     deadline_ms: u64,
     remaining: Reverse<u64>,
 }
 
+/// How far a job has come, as far as it decides the order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Progress {
+    /// A task of the job has started, or the job is late or long-running.
+    Begun,
+    /// Nothing of the job has started, and it can still end on time.
+    Unbegun,
+}
+
 impl WaitingJob {
     /// Returns the job's rank at a moment of Unix time in milliseconds. Long-running jobs are
     /// never late and go before the others that aren't late; then follow priority, for jobs that aren't
@@ -59,7 +67,11 @@
             is_finite: !self.is_long_running,
             priority: self.priority,
             is_over_share: false,
-            is_unbegun: may_be_on_time && !self.has_begun,
+            progress: if may_be_on_time && !self.has_begun {
+                Progress::Unbegun
+            } else {
+                Progress::Begun
+            },
             deadline_ms: self.deadline_ms,
             remaining: Reverse(self.remaining_ms),
         }
--- a/crates/cyclamentrail-jobs/src/shard/timeliness.rs
+++ b/crates/cyclamentrail-jobs/src/shard/timeliness.rs
@@ -9,7 +9,7 @@
     /// without workers.
     #[must_use]
     pub fn free_percent(&self) -> u64 {
-        let mut capacity_milli = 0;
+        let mut capacity_milli: u64 = 0;
         let mut used_milli = 0;
         let listed = self
             .workers
@@ -19,7 +19,7 @@
             capacity_milli += worker.registration.capacity.cpu_milli;
             used_milli += worker.used_capacity.cpu_milli;
         }
-        let free_milli: u64 = capacity_milli.saturating_sub(used_milli);
+        let free_milli = capacity_milli.saturating_sub(used_milli);
         (free_milli * 100).checked_div(capacity_milli).unwrap_or(0)
     }
 
--- a/crates/cyclamentrail-jobs/tests/ranking.rs
+++ b/crates/cyclamentrail-jobs/tests/ranking.rs
@@ -109,7 +109,7 @@
 fn serve(order: Order, mut jobs: Vec<Job>) -> Vec<Job> {
     let mut free = CORES;
     let mut running: Vec<(u64, usize)> = Vec::new();
-    for now_ms in (0..END_MS).step_by(STEP_MS as usize) {
+    for now_ms in (0..END_MS / STEP_MS).map(|step| step * STEP_MS) {
         for (_, index) in running.extract_if(.., |(end_ms, _)| *end_ms <= now_ms) {
             let job = &mut jobs[index];
             free += job.steps[job.step].cores;
