feat(bench): laboratory that plays the decisions about jobs and machines in virtual time

Real shards and the real planner decide on a described or drawn site; workers, machines and their moves, store, calls and callers with retries are simulated around them. Beside it play first come first served without admission, moves and faults, and a bound that a clairvoyant scheduler can't exceed (one divisible processor, so a loose one). Wrong descriptions name the key; the program exits with 2.

--- a/crates/cyclamentrail-bench/src/lib.rs
+++ b/crates/cyclamentrail-bench/src/lib.rs
@@ -18,6 +18,13 @@
 )]
 pub mod capacity;
 mod control;
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "times and counts of a day are far below the precision of a float and not negative"
+)]
+pub mod lab;
 pub mod losses;
 pub mod requests;
 #[expect(
--- a/crates/cyclamentrail-bench/src/losses.rs
+++ b/crates/cyclamentrail-bench/src/losses.rs
@@ -156,12 +156,12 @@
     /// Returns the counts of all shards in each span of `span_s` seconds, by its begin.
     #[must_use]
     pub fn by_span(&self, span_s: i64) -> BTreeMap<i64, LossCounts> {
-        let mut spans: BTreeMap<i64, LossCounts> = BTreeMap::new();
+        let mut by_begin: BTreeMap<i64, LossCounts> = BTreeMap::new();
         for ((_, second), counts) in &self.cells {
             let begin_s = second / span_s * span_s;
-            spans.entry(begin_s).or_default().merge(counts);
+            by_begin.entry(begin_s).or_default().merge(counts);
         }
-        spans
+        by_begin
     }
 
     /// Returns the counts of all shards over the whole time.
