--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -120,20 +120,7 @@
                 .with_run(job, task, *run)
                 .with("how", end.as_str())
                 .with("worker", worker),
-            Decision::RunGone {
-                job,
-                task,
-                run,
-                has_begun,
-                is_listed,
-                worker,
-                proof,
-            } => Self::new("run_gone")
-                .with_run(job, task, *run)
-                .with("begun", has_begun)
-                .with("listed", is_listed)
-                .with("proof", proof.as_str())
-                .with("worker", worker),
+            Decision::RunGone { .. } => run_gone_line(decision),
             Decision::JobFinal {
                 job,
                 state,
@@ -194,6 +181,28 @@
     }
 }
 
+/// Returns the line of a run that is gone; other decisions have lines of their own.
+fn run_gone_line(decision: &Decision) -> LogLine {
+    let Decision::RunGone {
+        job,
+        task,
+        run,
+        has_begun,
+        is_listed,
+        worker,
+        proof,
+    } = decision
+    else {
+        return LogLine::new("run_gone");
+    };
+    LogLine::new("run_gone")
+        .with_run(job, task, *run)
+        .with("begun", has_begun)
+        .with("listed", is_listed)
+        .with("proof", proof.as_str())
+        .with("worker", worker)
+}
+
 /// Returns the line of a promise to end on time, or of its end; other decisions have lines of their
 /// own.
 fn promise_line(decision: &Decision) -> LogLine {
