--- a/crates/cyclamentrail-bench/src/lab/site/owner.rs
+++ b/crates/cyclamentrail-bench/src/lab/site/owner.rs
@@ -6,8 +6,8 @@
 use cyclamentrail_core::{JobId, RouteName, WorkerId};
 use cyclamentrail_jobs::{
     CallerId, CallerReply, CommandOutcome, Commit, Decision, Effect, EndKind, JobSpec, PollOutcome,
-    Resources, Shard, ShardTiming, StartCommand, StepSpec, StopCommand, Submission, TaskRunId,
-    WorkerPoll,
+    Resources, Shard, ShardTiming, StartCommand, StepSpec, StopCommand, Submission, TaskKey,
+    TaskRunId, WorkerPoll,
 };
 
 use super::{START_BOOT_MS, clocks};
@@ -253,13 +253,7 @@
     }
 
     fn begin_run(&mut self, now_ms: u64, command: StartCommand) {
-        let id = TaskRunId {
-            job: command.job.clone(),
-            occurrence: command.task.occurrence,
-            step: command.task.step,
-            index: command.task.index,
-            run: command.run,
-        };
+        let id = run_id(&command.job, command.task, command.run);
         let Some(pool_worker) = self.workers.get_mut(&command.target.id) else {
             let response = Response::Started(command, CommandOutcome::NoResponse);
             self.responses.push((now_ms + CALL_TIMEOUT_MS, response));
@@ -281,13 +275,7 @@
     }
 
     fn stop_run(&mut self, now_ms: u64, command: StopCommand) {
-        let id = TaskRunId {
-            job: command.job.clone(),
-            occurrence: command.task.occurrence,
-            step: command.task.step,
-            index: command.task.index,
-            run: command.run,
-        };
+        let id = run_id(&command.job, command.task, command.run);
         let (delay_ms, outcome) = match self.workers.get_mut(&command.target.id) {
             Some(pool_worker) => {
                 pool_worker.worker.stop(now_ms, &id);
@@ -308,3 +296,14 @@
         self.responses.push((now_ms + CALL_TIMEOUT_MS, response));
     }
 }
+
+/// Returns the id of a run as its worker reports it.
+fn run_id(job: &JobId, task: TaskKey, run: u32) -> TaskRunId {
+    TaskRunId {
+        job: job.clone(),
+        occurrence: task.occurrence,
+        step: task.step,
+        index: task.index,
+        run,
+    }
+}
--- a/crates/cyclamentrail-jobs/src/shard/on_time.rs
+++ b/crates/cyclamentrail-jobs/src/shard/on_time.rs
@@ -18,8 +18,7 @@
 const MIN_PROBABILITY: f64 = 0.7;
 /// Intercept of the first model, with which a job without a wait is on time in 19 of 20 cases.
 const FIRST_INTERCEPT: f64 = 2.944;
-/// Slope of the first model. It gives one half where the expected wait is twice the slack, which is
-/// where jobs are rejected without learned run times.
+/// Slope of the first model. It gives one half where the expected wait is twice the slack.
 const FIRST_SLOPE: f64 = 1.472;
 /// Smallest slope: a longer wait never makes a job more likely to be on time.
 const MIN_SLOPE: f64 = 0.25;
