feat(edge): log and measure for how long a topic of the store isn't read

Callers saw a configuration that was seconds old after the store had been silent. Whether a read hung or reads were refused couldn't be told: failed reads were logged at the level debug, without times.

topic_unread is written at the first failed read of a topic, topic_read_again at the next success: how long nothing was read, how many reads got no response or were refused, and how long the longest of them took. cyclamentrail_topic_unread_seconds measures the same at each success.

--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -9,6 +9,10 @@
 use super::clocks::boot_ms;
 use crate::metrics;
 
+mod failed_reads;
+
+use failed_reads::FailedReads;
+
 /// Pause before a failed read is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -35,6 +39,8 @@
     is_at_end: bool,
     /// Reads in a row that failed or were slow.
     failures: u32,
+    /// Reads that failed since the last successful one.
+    failed_reads: FailedReads,
 }
 
 impl TopicReader {
@@ -47,6 +53,7 @@
             read_sent_ms: 0,
             is_at_end: false,
             failures: 0,
+            failed_reads: FailedReads::default(),
         }
     }
 
@@ -60,12 +67,12 @@
             metrics::count_topic_read(self.topic, read.is_ok());
             match read {
                 Ok(read) => {
-                    self.read_sent_ms = sent_ms;
+                    self.record_success(sent_ms);
                     return read;
                 }
                 Err(StoreError::RecordsDeleted { .. }) => self.next_offset = None,
                 Err(error) => {
-                    log::debug!(topic = self.name.as_str(), error:% = error; "topic_not_read");
+                    self.record_failure(sent_ms, &error);
                     tokio::time::sleep(RETRY_INTERVAL).await;
                 }
             }
@@ -82,14 +89,14 @@
             metrics::count_topic_read(self.topic, read.is_ok());
             match read {
                 Ok(read) => {
-                    self.read_sent_ms = sent_ms;
+                    self.record_success(sent_ms);
                     let took_ms = boot_ms().saturating_sub(sent_ms);
                     self.failures = times.failures_after(ReadEnd::Returned(took_ms));
                     return read;
                 }
                 Err(StoreError::RecordsDeleted { .. }) => self.next_offset = None,
                 Err(error) => {
-                    log::debug!(topic = self.name.as_str(), error:% = error; "topic_not_read");
+                    self.record_failure(sent_ms, &error);
                     if matches!(error, StoreError::NoResponse(_)) {
                         self.failures = times.failures_after(ReadEnd::NoResponse);
                         // A connection that is reset fails at once, a silent one has taken its time.
@@ -129,6 +136,34 @@
         self.read_sent_ms
     }
 
+    /// Records a successful read that was sent at `sent_ms`. If reads before it had failed, logs for
+    /// how long nothing was read, and how these reads failed.
+    fn record_success(&mut self, sent_ms: u64) {
+        let unread_ms = match self.read_sent_ms {
+            0 => 0,
+            earlier_ms => boot_ms().saturating_sub(earlier_ms),
+        };
+        self.read_sent_ms = sent_ms;
+        metrics::record_topic_unread(self.topic, Duration::from_millis(unread_ms));
+        let failed = std::mem::take(&mut self.failed_reads);
+        if failed.any() {
+            log::info!(
+                topic = self.topic, unread_ms, unanswered = failed.unanswered, refused = failed.refused,
+                longest_ms = failed.longest_ms;
+                "topic_read_again"
+            );
+        }
+    }
+
+    /// Records a failed read that was sent at `sent_ms`; logs the first one after a successful read.
+    fn record_failure(&mut self, sent_ms: u64, error: &StoreError) {
+        let took_ms = boot_ms().saturating_sub(sent_ms);
+        if !self.failed_reads.any() {
+            log::warn!(topic = self.topic, took_ms, error:% = error; "topic_unread");
+        }
+        self.failed_reads.record(took_ms, error);
+    }
+
     async fn try_read(&mut self, store: &Store, wait: Duration) -> Result<TopicRead, StoreError> {
         if let Some(from) = self.next_offset {
             let page = store.read(&self.name, from, wait).await?;
--- a/crates/cyclamentrail/src/metrics.rs
+++ b/crates/cyclamentrail/src/metrics.rs
@@ -26,8 +26,8 @@
 pub(crate) use jobs::{
     count_caller_refusal, count_decision, count_machine_command, count_omitted_lines,
     count_quota_report, count_relayed_calls, count_start, count_store_call, count_takeover,
-    count_topic_read, count_worker_command, record_worker_call, set_dropped_lines, set_pool_load,
-    set_quota_lending, set_quota_waiting,
+    count_topic_read, count_worker_command, record_topic_unread, record_worker_call,
+    set_dropped_lines, set_pool_load, set_quota_lending, set_quota_waiting,
 };
 pub(crate) use teams::{count_team_jobs, set_team_gauges};
 
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -60,6 +60,8 @@
 pub(crate) const STORE_CALLS: &str = "cyclamentrail_store_calls_total";
 /// Seconds that calls to the platform's store took; reads of topics aren't included.
 pub(crate) const STORE_SECONDS: &str = "cyclamentrail_store_call_seconds";
+/// Seconds from the sending of a successful read of a topic to the end of the next one.
+pub(crate) const TOPIC_UNREAD: &str = "cyclamentrail_topic_unread_seconds";
 /// Shards that this process took over.
 pub(crate) const SHARD_TAKEOVERS: &str = "cyclamentrail_shards_taken_total";
 /// Calls to workers that this process sent for owners in other processes, by outcome.
@@ -294,6 +296,12 @@
         labels: &["call"],
         help: "Seconds that calls to the platform's store took; reads of topics aren't included.",
     },
+    Metric {
+        name: TOPIC_UNREAD,
+        kind: MetricKind::Histogram,
+        labels: &["topic"],
+        help: "Seconds from the sending of a successful read of a topic to the end of the next one.",
+    },
     Metric {
         name: SHARD_TAKEOVERS,
         kind: MetricKind::Counter,
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -8,7 +8,8 @@
     ALLOWANCES, CALLERS_REFUSED, JOB_SECONDS, JOBS, JOBS_COMPLETED, JOBS_GIVEN_UP, LINES_DROPPED,
     LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND, POOL_WAITING, PROMISES, QUOTA_LENDING,
     QUOTA_REPORTS, QUOTA_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS,
-    STORE_CALLS, STORE_SECONDS, TASK_WAITS, WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
+    STORE_CALLS, STORE_SECONDS, TASK_WAITS, TOPIC_UNREAD, WORKER_COMMANDS, WORKER_SECONDS,
+    WORKERS_AVOIDED,
 };
 
 /// Number of thousandths in one unit, such as milliseconds in a second.
@@ -164,6 +165,11 @@
         .increment(1);
 }
 
+/// Records the time from the sending of a successful read of a topic to the end of the next one.
+pub(crate) fn record_topic_unread(topic: &'static str, duration: Duration) {
+    metrics::histogram!(TOPIC_UNREAD, "topic" => topic).record(duration.as_secs_f64());
+}
+
 /// Counts a command for a machine: a move or maintenance.
 pub(crate) fn count_machine_command(command: &'static str, is_done: bool) {
     let outcome = if is_done { "done" } else { "not_done" };
