fix(edge): read a topic on another connection while a read hangs

Cause: one read of the configuration was under way at a time, and each one that got no response gave the next one more time, 1.6 s to 5 s. The store never answers what was sent to it during a silence, so that the last of these reads went on hanging after its return. Ruled out: refused reads (topic_read_again refused=0) and records that weren't put in force (no line says so). The class: a limit that grows with failures, with nothing beside it, turns the length of an outage into the length of the recovery.

ReadPlan sends another read, on another connection, beside one that gets no response: after 1.6 s, then each 1.2 s, three at most under way. The first response counts. The oldest read goes on for up to 5 s, so that a slow store is read in the end, and the patience follows what the last read took, so that a slow store isn't asked twice. The claims and the registry are read by the same plan; a read of them that failed no longer makes the next one wait for a record (3 s for claims).

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -26,6 +26,7 @@
 mod fair_share;
 mod fleet;
 mod grants;
+mod hedged_reads;
 mod job;
 mod lease;
 mod newest_configuration;
@@ -47,8 +48,7 @@
 mod worker;
 
 pub use access::{
-    CallRefusal, MAX_READ_LIMIT_MS, PresentedKey, ReadEnd, ReadTimes, authenticate,
-    max_confirmation_age_ms, may_access_job,
+    CallRefusal, PresentedKey, authenticate, max_confirmation_age_ms, may_access_job,
 };
 pub use admission::{Admission, AdmissionRequest, Backlog, admit, retry_after_outage_ms};
 pub use best_effort_share::BestEffortShare;
@@ -69,6 +69,7 @@
     WorkerTaskCounts,
 };
 pub use grants::{Grant, Grants, MAX_WORKERS_PER_QUERY, StepKey};
+pub use hedged_reads::{MAX_READ_LIMIT_MS, PlannedRead, ReadPlan, ReadTimes, replaced_read};
 pub use job::{
     CrashedRun, Job, JobKey, JobState, Occurrence, Placement, RestartDoubt, RunPhase, StepProgress,
     Task, TaskKey,
--- a/crates/cyclamentrail/src/edge/claims.rs
+++ b/crates/cyclamentrail/src/edge/claims.rs
@@ -3,9 +3,9 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use cyclamentrail_adapter::{Append, StoreError, StoredRecord, keyed_topic};
+use cyclamentrail_jobs::ReadTimes;
 
 use super::membership::MemberName;
 use super::process_state::{Claim, KnownOwner, ProcessState};
@@ -15,14 +15,14 @@
 const TOPIC: &str = "owners";
 /// Prefix of the keys of announcements; no shard has such a name.
 const ANNOUNCEMENT_PREFIX: &str = "~member/";
-/// Time that one read waits for new claims.
-const READ_WAIT: Duration = Duration::from_secs(3);
+/// Time that one read waits for new claims, in milliseconds.
+const READ_WAIT_MS: u64 = 3_000;
 
 /// Reads claims until the process exits.
 pub(crate) async fn follow(process: Arc<ProcessState>) {
-    let mut topic = TopicReader::new(TOPIC);
+    let mut topic = TopicReader::new(TOPIC, ReadTimes::waiting(READ_WAIT_MS));
     loop {
-        match topic.read(&process.store, READ_WAIT).await {
+        match topic.read(&process.store).await {
             TopicRead::Snapshot(records) => apply_claims(&process, records),
             TopicRead::Update(records) => {
                 // The announcements of a snapshot may be old, those of an update are new.
--- a/crates/cyclamentrail/src/edge/operator_topic.rs
+++ b/crates/cyclamentrail/src/edge/operator_topic.rs
@@ -8,7 +8,7 @@
     ApiKeys, CONFIGURATION_KEY, Configuration, HttpClient, Store, StoredRecord, WAVE_PREFIX,
     decode_configuration, decode_wave,
 };
-use cyclamentrail_jobs::{ConfigurationStep, MAX_READ_LIMIT_MS, NewestConfiguration};
+use cyclamentrail_jobs::{ConfigurationStep, MAX_READ_LIMIT_MS, NewestConfiguration, ReadTimes};
 
 use super::CONNECT_TIMEOUT;
 use super::process_state::{OperatorState, ProcessState};
@@ -21,18 +21,16 @@
 
 /// Reads the operators' topic until the process exits.
 pub(crate) async fn follow(process: Arc<ProcessState>) {
-    // Connections of its own: a read that was given up closes its connection, and the next one
-    // can't be given another connection that went silent at the same time.
+    // Connections of its own: reads that are under way beside each other have one each, and one that
+    // is given up closes it.
     let http_client = HttpClient::new(CONNECT_TIMEOUT);
     let timeout = Duration::from_millis(MAX_READ_LIMIT_MS);
     let store = Store::new(http_client, process.settings.store, timeout);
-    let mut topic = TopicReader::new(TOPIC);
+    let times = ReadTimes::confirming(process.revocation.max_age_ms());
+    let mut topic = TopicReader::new(TOPIC, times);
     let mut newest = NewestConfiguration::default();
     loop {
-        let read = topic
-            .read_within(&store, process.revocation.max_age_ms())
-            .await;
-        match read {
+        match topic.read(&store).await {
             TopicRead::Snapshot(records) => {
                 process
                     .operator_state
--- a/crates/cyclamentrail/src/edge/worker_registry.rs
+++ b/crates/cyclamentrail/src/edge/worker_registry.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cyclamentrail_adapter::{RegistryChange, StoredRecord, decode_registration};
+use cyclamentrail_jobs::ReadTimes;
 use tokio::time::timeout;
 
 use super::process_state::{ProcessState, RegisteredWorkers};
@@ -40,9 +41,9 @@
 }
 
 async fn follow_while_owner(process: &ProcessState) {
-    let mut topic = TopicReader::new(TOPIC);
+    let mut topic = TopicReader::new(TOPIC, ReadTimes::waiting(0));
     while process.owns_any() {
-        match topic.read(&process.store, Duration::ZERO).await {
+        match topic.read(&process.store).await {
             TopicRead::Snapshot(records) => {
                 let mut workers = RegisteredWorkers::new();
                 apply_records(&mut workers, &records);
