feat(jobs): count the tasks that admission looks at

Whether an owner's time goes into admission couldn't be told from its logs: handling_ms covers submissions and the reports of workers alike. owner_activity tells counted_tasks, the tasks that were looked at to know the backlog.

The count of the backlog moves from submit.rs to a module of its own and is made before the decision, which gets it as an argument; nothing else changes.

--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -14,6 +14,7 @@
 use crate::{DurationEstimate, RouteConfig, StepSpec, TeamConfig};
 
 mod advice;
+mod backlog;
 mod best_effort;
 mod cancel;
 mod commands;
@@ -128,6 +129,8 @@
     quota: quota::Quota,
     /// Number of queries to queue policies that have no result yet.
     open_queries: usize,
+    /// Number of tasks that were looked at to count the backlog.
+    counted_tasks: u64,
 }
 
 /// A start or stop command that has to be sent again.
--- a/crates/cyclamentrail-jobs/src/shard/shares.rs
+++ b/crates/cyclamentrail-jobs/src/shard/shares.rs
@@ -5,6 +5,7 @@
 
 use cyclamentrail_core::TeamName;
 
+use super::backlog::BacklogCount;
 use super::{Now, Shard};
 use crate::admission::AdmissionRequest;
 use crate::effect::AdmissionShare;
@@ -181,29 +182,25 @@
         team: Option<&TeamName>,
         spec: &JobSpec,
         route: &RouteConfig,
+        backlog: &BacklogCount,
         job: AdmissionRequest,
     ) -> (TeamAdmission, Option<AdmissionShare>) {
         let table = &self.team_table;
         if !table.is_configured {
-            let backlog = self.backlog(|_, _| {});
-            let decision = self.decide_admission(spec, route, backlog, job);
-            return (by_backlog(decision, backlog.wait_ms()), None);
+            let decision = self.decide_admission(spec, route, backlog.total, job);
+            return (by_backlog(decision, backlog.total.wait_ms()), None);
         }
-        let mut work_ms = vec![0; table.teams.len()];
-        let pool = self.backlog(|job, job_work_ms| {
-            work_ms[job.team_index] += job_work_ms;
-        });
+        let pool = backlog.total;
         let own = table.index(team);
         let total_weight_milli = table
             .teams
             .iter()
-            .zip(&work_ms)
             .enumerate()
-            .filter(|(index, (_, work_ms))| *index == own || **work_ms > 0)
-            .map(|(_, (team, _))| team.weight_milli)
+            .filter(|(index, _)| *index == own || backlog.team_work_ms(*index) > 0)
+            .map(|(_, team)| team.weight_milli)
             .sum();
         let load = TeamLoad {
-            work_ms: work_ms[own],
+            work_ms: backlog.team_work_ms(own),
             weight_milli: table.teams[own].weight_milli,
             total_weight_milli,
             rate_wait_ms: table.teams[own].rate_wait_ms(now),
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -5,20 +5,18 @@
 
 use cyclamentrail_core::{JobId, RouteName, TeamName};
 
-use super::task_times::TaskTimes;
+use super::backlog::job_work_ms;
 use super::{Now, Shard};
 use crate::access::may_access_job;
-use crate::admission::{AdmissionRequest, Backlog};
+use crate::admission::AdmissionRequest;
 use crate::effect::{AdmissionShare, CallerId, CallerReply, Decision, Effect, RejectReason};
 use crate::fair_share::TeamAdmission;
 use crate::job::{Job, JobKey, JobState, Occurrence};
 use crate::record::is_reserved_key;
 use crate::selection::PlacementRequest;
 use crate::worker::Worker;
-use crate::{DurationEstimate, JobSpec, Resources, StepSpec};
+use crate::{DurationEstimate, JobSpec, Resources};
 
-/// Part of the work of running tasks that remains on average, in percent.
-const RUNNING_REMAINING_PERCENT: u64 = 50;
 /// Time after which the caller of a job that no worker can hold may retry, in milliseconds.
 const NO_WORKER_RETRY_MS: u64 = 5_000;
 /// Time after which a caller may retry where the shard holds too many jobs or doesn't know the
@@ -204,7 +202,7 @@
     /// Returns the expected wait of a job in milliseconds if the job can be accepted, and the share of
     /// its team that decided.
     fn check_admission(
-        &self,
+        &mut self,
         now: Now,
         submission: &Submission,
         work_ms: u64,
@@ -212,7 +210,7 @@
         if self.jobs.len() >= self.timing.max_jobs {
             return Err(Rejection::new(RejectReason::TooManyJobs, FULL_RETRY_MS, 0));
         }
-        let Some(route) = self.routes.get(&submission.route) else {
+        let Some(route) = self.routes.get(&submission.route).map(Arc::clone) else {
             return Err(Rejection::new(RejectReason::NotReady, FULL_RETRY_MS, 0));
         };
         let listed = || self.workers.values().filter(|worker| worker.is_registered);
@@ -237,8 +235,9 @@
             objective_ms: route.objective_ms(critical_path_ms),
             jitter_seed: retry_seed(&submission.id),
         };
+        let backlog = self.count_backlog();
         let team = submission.team.as_ref();
-        match self.admit_by_share(now, team, spec, route, admission_request) {
+        match self.admit_by_share(now, team, spec, &route, &backlog, admission_request) {
             (TeamAdmission::Accept { wait_ms }, share) => Ok((wait_ms, share)),
             (
                 TeamAdmission::Reject {
@@ -254,65 +253,6 @@
         }
     }
 
-    /// Returns the remaining work of accepted jobs; of a running task,
-    /// [`RUNNING_REMAINING_PERCENT`] of its work counts. `count_job` gets each job with its part.
-    pub(super) fn backlog(&self, count_job: impl FnMut(&Job, u64)) -> Backlog {
-        let is_learned = self.timing.run_time_uses.admission;
-        self.backlog_with(RUNNING_REMAINING_PERCENT, is_learned, count_job)
-    }
-
-    /// Returns the work of accepted tasks that aren't placed, in milliseconds of a whole worker.
-    pub(super) fn waiting_work_ms(&self) -> u64 {
-        let is_learned = self.timing.run_time_uses.pool_sizes;
-        self.backlog_with(0, is_learned, |_, _| {}).work_ms
-    }
-
-    /// Returns the remaining work of accepted jobs; of a placed task, `running_percent` of its work
-    /// counts. Work is counted by the learned run times if `is_learned`. `count_job` gets each job with
-    /// its part.
-    fn backlog_with(
-        &self,
-        running_percent: u64,
-        is_learned: bool,
-        mut count_job: impl FnMut(&Job, u64),
-    ) -> Backlog {
-        let workers = self
-            .workers
-            .values()
-            .filter(|worker| worker.is_registered && !worker.registration.is_draining)
-            .count() as u64;
-        let capacity = self.largest_capacity();
-        let mut total_ms = 0;
-        for job in self.active.iter().filter_map(|&key| self.jobs.get(key)) {
-            if job.is_aborted() || job.spec.is_long_running() {
-                continue;
-            }
-            let times = self.task_times(&job.route, is_learned);
-            let before_ms = total_ms;
-            for occurrence in &job.occurrences {
-                for (spec, progress) in job.spec.steps.iter().zip(&occurrence.steps) {
-                    let task_ms = task_work_ms(spec, &capacity, times);
-                    for task in progress.tasks.iter().filter(|task| !task.is_done) {
-                        total_ms += if task.placement.is_some() {
-                            let now = self.learned.last_round;
-                            times.placed_work_ms(now, spec, task, task_ms, running_percent)
-                        } else {
-                            task_ms
-                        };
-                    }
-                }
-            }
-            if job.next_occurrence == 0 && job.spec.schedule.is_none() {
-                total_ms += job_work_ms(&job.spec, &capacity, times);
-            }
-            count_job(job, total_ms - before_ms);
-        }
-        Backlog {
-            work_ms: total_ms,
-            workers,
-        }
-    }
-
     /// Returns what is known of the running times of a route.
     pub(super) fn estimate(&self, route: &RouteName) -> DurationEstimate {
         self.estimates.get(route).copied().unwrap_or_default()
@@ -329,20 +269,6 @@
     }
 }
 
-/// Returns the work of a whole job in milliseconds of a whole worker.
-fn job_work_ms(spec: &JobSpec, capacity: &Resources, times: TaskTimes<'_>) -> u64 {
-    spec.steps
-        .iter()
-        .map(|step| u64::from(step.count) * task_work_ms(step, capacity, times))
-        .sum()
-}
-
-/// Returns the work of one task in milliseconds of a whole worker.
-fn task_work_ms(step: &StepSpec, capacity: &Resources, times: TaskTimes<'_>) -> u64 {
-    step.reserved_resources().dominant_share_milli(capacity) * times.predict_ms(step.estimate_ms)
-        / 1_000
-}
-
 /// Why a job was rejected, and when its caller may retry.
 struct Rejection {
     reason: RejectReason,
--- a/crates/cyclamentrail-jobs/src/spec.rs
+++ b/crates/cyclamentrail-jobs/src/spec.rs
@@ -128,9 +128,7 @@
     /// predecessors, and an occurrence has at most [`MAX_TASKS`] tasks.
     #[must_use]
     pub fn is_well_formed(&self) -> bool {
-        let mut tasks = 0_usize;
         for (index, step) in self.steps.iter().enumerate() {
-            tasks = tasks.saturating_add(step.count as usize);
             let is_ordered = step
                 .predecessors
                 .iter()
@@ -139,6 +137,12 @@
                 return false;
             }
         }
-        !self.steps.is_empty() && tasks <= MAX_TASKS
+        !self.steps.is_empty() && self.task_count() <= MAX_TASKS as u64
+    }
+
+    /// Returns the number of tasks of one occurrence.
+    #[must_use]
+    pub fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
 }
--- a/crates/cyclamentrail/src/edge/owner/activity.rs
+++ b/crates/cyclamentrail/src/edge/owner/activity.rs
@@ -48,6 +48,8 @@
     longest_commit_ms: u64,
     committed_bytes: usize,
     ended: u32,
+    /// Tasks that admission looked at to know the backlog.
+    counted_tasks: u64,
 }
 
 /// Counts an owner's work and writes one line for each window in which there was any.
@@ -82,6 +84,11 @@
         self.counts.handling += duration;
     }
 
+    /// Counts tasks that admission looked at to know the backlog.
+    pub(super) const fn record_counted_tasks(&mut self, tasks: u64) {
+        self.counts.counted_tasks += tasks;
+    }
+
     /// Counts a call to a worker.
     pub(super) fn record_call(&mut self, is_relayed: bool) {
         self.counts.relayed_calls += u32::from(is_relayed);
@@ -168,6 +175,7 @@
             rejected_overload = counts.rejected_overload,
             rejected_other = counts.rejected_other,
             rejected_with_room = counts.rejected_with_room,
+            counted_tasks = counts.counted_tasks,
             on_time = counts.on_time,
             late_waiting = counts.late_waiting,
             late_repeated = counts.late_repeated,
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -53,7 +53,10 @@
                     team,
                     spec,
                 };
+                let counted_before = self.shard.counted_tasks();
                 self.shard.submit(now(), submission);
+                let counted_tasks = self.shard.counted_tasks() - counted_before;
+                self.activity.record_counted_tasks(counted_tasks);
             }
             OwnerRequest::State(request) if !self.may_show_state(&request.id) => {
                 drop(reply.send(Reply::NotOwner));
