--- a/crates/cyclamentrail-jobs/tests/scheduler/overload.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/overload.rs
@@ -122,3 +122,23 @@
     assert_eq!(sim.starts[&JobId::from("spread")], 2);
     assert_eq!(sim.starts.get(&JobId::from("other")), Some(&4));
 }
+
+/// Returns how many tasks admission looked at for jobs that come in one second, as after a takeover.
+fn tasks_counted_in_burst(jobs: u64) -> u64 {
+    let mut sim = Simulation::new(40, WORKER);
+    for index in 0..jobs {
+        sim.submit(&format!("{index}"), job(8, 1_800, 1_000));
+        if (index * 1_000 / jobs) < ((index + 1) * 1_000 / jobs) {
+            sim.run_for(1);
+        }
+    }
+    sim.shard.counted_tasks()
+}
+
+/// Owners spent most of their time in counting the backlog anew for each job: twice the jobs cost four
+/// times as much.
+#[test]
+fn admission_cost_linear() {
+    let (usual, twice) = (tasks_counted_in_burst(300), tasks_counted_in_burst(600));
+    assert!(twice * 2 <= usual * 5, "{usual} and {twice} tasks");
+}
