fix(jobs): count the backlog once for all jobs of a moment

Cause: each submission counted the remaining work of all accepted jobs.

A count holds for 20 ms; jobs that are accepted meanwhile are added to it, so that a burst is admitted as before. Waits are hundreds of milliseconds and more.

admission_cost_linear failed before (358,800 and 1,437,600 tasks for 300 and 600 jobs in a second) and passes. The test now spreads its jobs over that second, as its comment says; before, 600 jobs took 600 ms.

--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -129,6 +129,8 @@
     quota: quota::Quota,
     /// Number of queries to queue policies that have no result yet.
     open_queries: usize,
+    /// Last count of the backlog, with the jobs that were accepted since.
+    backlog_count: backlog::BacklogCount,
     /// Number of tasks that were looked at to count the backlog.
     counted_tasks: u64,
 }
--- a/crates/cyclamentrail-jobs/src/shard/backlog.rs
+++ b/crates/cyclamentrail-jobs/src/shard/backlog.rs
@@ -1,8 +1,11 @@
 //! Work that a shard has accepted and that isn't done, by which jobs are admitted and machines are
 //! requested.
+//!
+//! Answers bursts, and the return of many callers after a takeover: a count looks at all accepted
+//! tasks, so that one for each job would cost more the further the owner falls behind.
 
-use super::Shard;
 use super::task_times::TaskTimes;
+use super::{Now, Shard};
 use crate::admission::Backlog;
 use crate::job::Job;
 use crate::worker::Worker;
@@ -10,6 +13,8 @@
 
 /// Part of the work of running tasks that remains on average, in percent.
 const RUNNING_REMAINING_PERCENT: u64 = 50;
+/// Time for which jobs are admitted by one count, in milliseconds; short against their waits.
+const COUNT_VALID_MS: u64 = 20;
 
 /// Accepted work that isn't done, in all and by team.
 #[derive(Debug, Clone, Default)]
@@ -18,6 +23,8 @@
     pub(super) total: Backlog,
     /// Work of each team, by its index.
     team_work_ms: Vec<u64>,
+    /// Time of the count, as in [`Now::boot_ms`]; `None` before the first.
+    counted_ms: Option<u64>,
 }
 
 impl BacklogCount {
@@ -25,6 +32,20 @@
     pub(super) fn team_work_ms(&self, team_index: usize) -> u64 {
         self.team_work_ms.get(team_index).copied().unwrap_or(0)
     }
+
+    /// Adds a job that was accepted since the count.
+    pub(super) fn add_job(&mut self, team_index: usize, work_ms: u64) {
+        self.total.work_ms += work_ms;
+        if self.team_work_ms.len() <= team_index {
+            self.team_work_ms.resize(team_index + 1, 0);
+        }
+        self.team_work_ms[team_index] += work_ms;
+    }
+
+    fn is_valid(&self, now: Now) -> bool {
+        self.counted_ms
+            .is_some_and(|counted_ms| now.boot_ms.saturating_sub(counted_ms) < COUNT_VALID_MS)
+    }
 }
 
 impl Shard {
@@ -34,9 +55,12 @@
         self.counted_tasks
     }
 
-    /// Counts the remaining work of accepted jobs for the admission of another one; of a running task,
-    /// [`RUNNING_REMAINING_PERCENT`] of its work counts.
-    pub(super) fn count_backlog(&mut self) -> BacklogCount {
+    /// Counts the remaining work of accepted jobs for the admission of others, unless the last count is
+    /// still valid; of a running task, [`RUNNING_REMAINING_PERCENT`] of its work counts.
+    pub(super) fn count_backlog_if_due(&mut self, now: Now) {
+        if self.backlog_count.is_valid(now) {
+            return;
+        }
         let is_learned = self.timing.run_time_uses.admission;
         let mut team_work_ms = vec![0; self.team_table.teams.len()];
         let mut counted_tasks = 0;
@@ -45,10 +69,11 @@
             counted_tasks += job.spec.task_count();
         });
         self.counted_tasks += counted_tasks;
-        BacklogCount {
+        self.backlog_count = BacklogCount {
             total,
             team_work_ms,
-        }
+            counted_ms: Some(now.boot_ms),
+        };
     }
 
     /// Returns the work of accepted tasks that aren't placed, in milliseconds of a whole worker.
--- a/crates/cyclamentrail-jobs/src/shard/shares.rs
+++ b/crates/cyclamentrail-jobs/src/shard/shares.rs
@@ -5,7 +5,6 @@
 
 use cyclamentrail_core::TeamName;
 
-use super::backlog::BacklogCount;
 use super::{Now, Shard};
 use crate::admission::AdmissionRequest;
 use crate::effect::AdmissionShare;
@@ -182,10 +181,10 @@
         team: Option<&TeamName>,
         spec: &JobSpec,
         route: &RouteConfig,
-        backlog: &BacklogCount,
         job: AdmissionRequest,
     ) -> (TeamAdmission, Option<AdmissionShare>) {
         let table = &self.team_table;
+        let backlog = &self.backlog_count;
         if !table.is_configured {
             let decision = self.decide_admission(spec, route, backlog.total, job);
             return (by_backlog(decision, backlog.total.wait_ms()), None);
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -65,7 +65,10 @@
         let work_ms = job_work_ms(&submission.spec, &self.largest_capacity(), times);
         self.count_arrival(now, &submission.id, &submission.spec, work_ms);
         match self.check_admission(now, &submission, work_ms) {
-            Ok((wait_ms, share)) => self.accept(now, submission, wait_ms, share),
+            Ok((wait_ms, share)) => {
+                let team_index = self.accept(now, submission, wait_ms, share);
+                self.backlog_count.add_job(team_index, work_ms);
+            }
             Err(rejection) => {
                 let team = submission.team.as_ref();
                 self.team_table.count_rejected(team, rejection.reason);
@@ -85,13 +88,14 @@
         }
     }
 
+    /// Accepts a job; returns the index of its team.
     fn accept(
         &mut self,
         now: Now,
         submission: Submission,
         wait_ms: u64,
         share: Option<AdmissionShare>,
-    ) {
+    ) -> usize {
         let team_index = self.count_accepted(now, submission.team.as_ref());
         let Submission {
             caller,
@@ -115,6 +119,7 @@
         self.gated_effects
             .push(Effect::Reply(caller, CallerReply::Accepted));
         self.expect_end(key, wait_ms);
+        team_index
     }
 
     /// Refuses the request of a caller of `team` if the job belongs to another team; returns whether
@@ -235,9 +240,9 @@
             objective_ms: route.objective_ms(critical_path_ms),
             jitter_seed: retry_seed(&submission.id),
         };
-        let backlog = self.count_backlog();
+        self.count_backlog_if_due(now);
         let team = submission.team.as_ref();
-        match self.admit_by_share(now, team, spec, &route, &backlog, admission_request) {
+        match self.admit_by_share(now, team, spec, &route, admission_request) {
             (TeamAdmission::Accept { wait_ms }, share) => Ok((wait_ms, share)),
             (
                 TeamAdmission::Reject {
--- a/crates/cyclamentrail-jobs/tests/scheduler/overload.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/overload.rs
@@ -126,11 +126,12 @@
 /// Returns how many tasks admission looked at for jobs that come in one second, as after a takeover.
 fn tasks_counted_in_burst(jobs: u64) -> u64 {
     let mut sim = Simulation::new(40, WORKER);
+    let mut elapsed_ms = 0;
     for index in 0..jobs {
+        let due_ms = index * 1_000 / jobs;
+        sim.run_for(due_ms - elapsed_ms);
+        elapsed_ms = due_ms;
         sim.submit(&format!("{index}"), job(8, 1_800, 1_000));
-        if (index * 1_000 / jobs) < ((index + 1) * 1_000 / jobs) {
-            sim.run_for(1);
-        }
     }
     sim.shard.counted_tasks()
 }
