perf(jobs): look at all workers once for a step, not for each of its tasks

On a site of 1,100 workers an owner compares some 400 workers for each of 5,500 tasks a second in its queue's turn. The tasks of a step have the same demand and preferences: Candidates keeps the cost of each worker with room, and only the worker that got a task is looked at again.

--- a/crates/cyclamentrail-jobs/src/selection.rs
+++ b/crates/cyclamentrail-jobs/src/selection.rs
@@ -84,6 +84,17 @@
                 .is_none_or(|label| worker.has_label(label.as_str()))
     }
 
+    /// Returns the cost of placing the task on a worker, in thousandths of a whole worker; `None` if the
+    /// worker isn't permitted or has no room for the task now.
+    #[must_use]
+    pub fn cost_with_room(&self, key: WorkerKey, worker: &Worker) -> Option<u64> {
+        let is_permitted = self
+            .granted_workers
+            .is_none_or(|granted| granted.contains(&key));
+        let has_room = worker.free_capacity().contains(&self.demand);
+        (has_room && is_permitted && self.is_suitable(worker)).then(|| self.cost(key, worker))
+    }
+
     /// Returns the cost of placing the task on a worker, in thousandths of a whole worker; the
     /// lowest cost wins.
     #[must_use]
@@ -130,15 +141,47 @@
     request: &PlacementRequest<'_>,
     workers: impl Iterator<Item = (WorkerKey, &'a Worker)>,
 ) -> Option<WorkerKey> {
-    workers
-        .filter(|(key, _)| {
-            request
-                .granted_workers
-                .is_none_or(|granted| granted.contains(key))
-        })
-        .filter(|(_, worker)| {
-            request.is_suitable(worker) && worker.free_capacity().contains(&request.demand)
-        })
-        .min_by_key(|(key, worker)| request.cost(*key, worker))
-        .map(|(key, _)| key)
+    Candidates::new(request, workers).cheapest()
+}
+
+/// Workers that have room for a task of a step, with the cost of each.
+///
+/// Answers turns of large pools: the tasks of a step have the same demands and preferences, so that
+/// all workers are looked at once for a step, and only the chosen one again for each task.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Candidates {
+    /// Workers and their costs; `None` once a worker has no room for another task.
+    costs: Vec<(WorkerKey, Option<u64>)>,
+}
+
+impl Candidates {
+    /// Finds the workers that may get a task.
+    pub(crate) fn new<'a>(
+        request: &PlacementRequest<'_>,
+        workers: impl Iterator<Item = (WorkerKey, &'a Worker)>,
+    ) -> Self {
+        let costs = workers
+            .map(|(key, worker)| (key, request.cost_with_room(key, worker)))
+            .filter(|(_, cost)| cost.is_some());
+        Self {
+            costs: costs.collect(),
+        }
+    }
+
+    /// Returns the worker with the lowest cost.
+    pub(crate) fn cheapest(&self) -> Option<WorkerKey> {
+        let open = self
+            .costs
+            .iter()
+            .filter_map(|&(key, cost)| Some((cost?, key)));
+        open.min_by_key(|&(cost, _)| cost).map(|(_, key)| key)
+    }
+
+    /// Sets the cost of a worker that has got a task; `None` if it may get no other.
+    pub(crate) fn update(&mut self, key: WorkerKey, cost: Option<u64>) {
+        let known = self.costs.iter_mut().find(|(other, _)| *other == key);
+        if let Some((_, known)) = known {
+            *known = cost;
+        }
+    }
 }
--- a/crates/cyclamentrail-jobs/src/shard/isolation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/isolation.rs
@@ -56,22 +56,14 @@
         self.max_workers > 0
     }
 
-    /// Returns whether a task of a job may be placed on a worker.
-    pub(super) fn allows(
+    /// Returns whether a suspect task of a job may be placed on a worker.
+    pub(super) fn admits(
         &self,
         job: JobKey,
-        suspicion: Option<Suspicion>,
+        suspicion: Suspicion,
         key: WorkerKey,
         worker: &Worker,
     ) -> bool {
-        match suspicion {
-            Some(suspicion) => self.admits(job, suspicion, key, worker),
-            None => self.is_open(key),
-        }
-    }
-
-    /// Returns whether a suspect task of a job may be placed on a worker.
-    fn admits(&self, job: JobKey, suspicion: Suspicion, key: WorkerKey, worker: &Worker) -> bool {
         let is_at_limit = self.responding >= self.max_responding
             || (suspicion == Suspicion::Likely && self.suspect_workers.len() >= self.max_workers);
         match self.suspect_workers.get(&key) {
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -4,13 +4,14 @@
 
 use cyclamentrail_core::RackName;
 
+use super::crashes::Suspicion;
 use super::isolation::Isolation;
 use super::{Now, Shard};
 use crate::best_effort_share::FULL_SHARE_PERCENT;
 use crate::effect::Effect;
 use crate::job::{JobKey, Occurrence, Placement, RunPhase, TaskKey};
 use crate::ranking::{JobRank, WaitingJob};
-use crate::selection::{PlacementRequest, select_worker};
+use crate::selection::{Candidates, PlacementRequest, select_worker};
 use crate::worker::{Worker, WorkerKey};
 use crate::{Resources, StepSpec};
 
@@ -61,6 +62,34 @@
     }
 }
 
+/// A step whose tasks are being placed, one after the other.
+#[derive(Debug)]
+struct StepPlacement {
+    spec: StepSpec,
+    /// Rack that its tasks prefer.
+    rack: Option<RackName>,
+    /// Number of its tasks on each worker.
+    per_worker: BTreeMap<WorkerKey, u32>,
+    /// Additional costs of workers by the learned run times.
+    run_time_costs: Option<BTreeMap<WorkerKey, u64>>,
+    /// Workers that the queue's policy permits, if it has one.
+    granted: Option<BTreeSet<WorkerKey>>,
+}
+
+impl StepPlacement {
+    /// Returns the request for the next task.
+    fn request<'a>(&'a self, pass: &'a PlacementPass) -> PlacementRequest<'a> {
+        PlacementRequest {
+            preferred_rack: self.rack.as_ref(),
+            pinned_workers: Some(&pass.pinned),
+            same_step_counts: Some(&self.per_worker),
+            granted_workers: self.granted.as_ref(),
+            run_time_costs: self.run_time_costs.as_ref(),
+            ..PlacementRequest::from(&self.spec)
+        }
+    }
+}
+
 impl ReadyStep {
     const fn task(self, index: u32) -> TaskKey {
         TaskKey {
@@ -180,10 +209,15 @@
             }
             return;
         }
-        let rack = self.rack_of(ready_step, &spec);
-        let mut per_worker = self.tasks_per_worker(ready_step.task(0));
-        let run_time_costs = self.run_time_costs(now, ready_step.job, &spec);
-        for index in 0..spec.count {
+        let mut step = StepPlacement {
+            rack: self.rack_of(ready_step, &spec),
+            per_worker: self.tasks_per_worker(ready_step.task(0)),
+            run_time_costs: self.run_time_costs(now, ready_step.job, &spec),
+            granted,
+            spec,
+        };
+        let mut candidates = self.candidates(now, &step, pass);
+        for index in 0..step.spec.count {
             let key = ready_step.task(index);
             if !self.is_waiting(key) {
                 continue;
@@ -192,39 +226,73 @@
                 self.record_skipped(key, limit);
                 return;
             }
-            let mut request = PlacementRequest::from(&spec);
-            request.preferred_rack = rack.as_ref();
-            if spec.long_running {
-                pass.pinned = self.workers_with_long_running();
-            }
-            request.pinned_workers = Some(&pass.pinned);
-            request.same_step_counts = Some(&per_worker);
-            request.granted_workers = granted.as_ref();
-            request.run_time_costs = run_time_costs.as_ref();
             let suspicion = self.suspicion(key).filter(|_| pass.isolation.is_possible());
-            let open = self.open_workers(now, &spec, &per_worker);
-            let isolation = &pass.isolation;
-            let allowed = open.filter(|(worker_key, worker)| {
-                isolation.allows(key.job, suspicion, *worker_key, worker)
-            });
-            let Some(worker) = select_worker(&request, allowed) else {
+            let chosen = match suspicion {
+                Some(suspicion) => self.select_apart(now, key.job, suspicion, &step, pass),
+                None => candidates.cheapest(),
+            };
+            let Some(worker) = chosen else {
                 if suspicion.is_some() {
                     continue;
                 }
-                pass.record_failure(is_restricted, spec.reserved_resources());
-                if granted.is_some() {
+                pass.record_failure(is_restricted, step.spec.reserved_resources());
+                if step.granted.is_some() {
                     self.query_policy(now, key.into());
                 }
                 return;
             };
-            *per_worker.entry(worker).or_default() += 1;
+            *step.per_worker.entry(worker).or_default() += 1;
             self.place(now, key, worker, None);
+            if step.spec.long_running {
+                pass.pinned.insert(worker);
+            }
             if suspicion.is_some() {
                 pass.isolation = self.isolation(now);
+                candidates = self.candidates(now, &step, pass);
+            } else {
+                candidates.update(worker, self.cost_of_next(now, worker, &step, pass));
             }
         }
     }
 
+    /// Returns the workers that may get a task of a step that isn't suspect.
+    fn candidates(&self, now: Now, step: &StepPlacement, pass: &PlacementPass) -> Candidates {
+        let open = self
+            .open_workers(now, &step.spec, &step.per_worker)
+            .filter(|(key, _)| pass.isolation.is_open(*key));
+        Candidates::new(&step.request(pass), open)
+    }
+
+    /// Returns the cost of another task of a step on a worker; `None` if it may get none.
+    fn cost_of_next(
+        &self,
+        now: Now,
+        key: WorkerKey,
+        step: &StepPlacement,
+        pass: &PlacementPass,
+    ) -> Option<u64> {
+        let worker = self.workers.get(key)?;
+        if !may_get_task(now, key, worker, &step.spec, &step.per_worker) {
+            return None;
+        }
+        step.request(pass).cost_with_room(key, worker)
+    }
+
+    /// Returns the worker for a suspect task of a job.
+    fn select_apart(
+        &self,
+        now: Now,
+        job: JobKey,
+        suspicion: Suspicion,
+        step: &StepPlacement,
+        pass: &PlacementPass,
+    ) -> Option<WorkerKey> {
+        let open = self.open_workers(now, &step.spec, &step.per_worker);
+        let allowed =
+            open.filter(|(key, worker)| pass.isolation.admits(job, suspicion, *key, worker));
+        select_worker(&step.request(pass), allowed)
+    }
+
     /// Places all tasks of a gang, or none; returns `false` if there was no room for all.
     fn place_gang(
         &mut self,
@@ -362,10 +430,9 @@
         spec: &'a StepSpec,
         per_worker: &'a BTreeMap<WorkerKey, u32>,
     ) -> impl Iterator<Item = (WorkerKey, &'a Worker)> {
-        self.workers.iter().filter(move |(key, worker)| {
-            let is_below_limit = |limit| per_worker.get(key).copied().unwrap_or(0) < limit;
-            worker.accepts_tasks(now.boot_ms) && spec.max_per_worker.is_none_or(is_below_limit)
-        })
+        self.workers
+            .iter()
+            .filter(move |(key, worker)| may_get_task(now, *key, worker, spec, per_worker))
     }
 
     /// Returns how many tasks of the step and occurrence of `task` each worker has.
@@ -429,3 +496,16 @@
         .filter(|_| labels.len() > 1)
         .map(|label| RackName::from(label.as_str()))
 }
+
+/// Returns whether a worker may get another task of a step; `per_worker` holds the number of its tasks
+/// on each worker.
+fn may_get_task(
+    now: Now,
+    key: WorkerKey,
+    worker: &Worker,
+    spec: &StepSpec,
+    per_worker: &BTreeMap<WorkerKey, u32>,
+) -> bool {
+    let is_below_limit = |limit| per_worker.get(&key).copied().unwrap_or(0) < limit;
+    worker.accepts_tasks(now.boot_ms) && spec.max_per_worker.is_none_or(is_below_limit)
+}
