--- a/crates/cyclamentrail-jobs/src/lease.rs
+++ b/crates/cyclamentrail-jobs/src/lease.rs
@@ -79,7 +79,7 @@
     pub fn extend(&mut self, now_ms: u64, length_ms: u64) -> Option<u64> {
         let sample = self.sample?;
         let elapsed_ms = now_ms.saturating_sub(sample.local_ms);
-        let until_ms = sample.worker_ms + elapsed_ms + length_ms;
+        let until_ms = sample.worker_ms.saturating_add(elapsed_ms + length_ms);
         if until_ms > self.worker_until_ms {
             self.worker_until_ms = until_ms;
             self.own_expiry_ms = latest_expiry_ms(sample.worker_ms, sample.local_ms, until_ms);
@@ -125,5 +125,6 @@
 /// rate reaches `until_ms`.
 const fn latest_expiry_ms(worker_ms: u64, local_ms: u64, until_ms: u64) -> u64 {
     let remaining_ms = until_ms.saturating_sub(worker_ms);
-    local_ms + remaining_ms * PER_MILLE / SLOWEST_RATE_PER_MILLE + 1
+    let longest_ms = remaining_ms.saturating_mul(PER_MILLE) / SLOWEST_RATE_PER_MILLE;
+    local_ms.saturating_add(longest_ms + 1)
 }
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -12,6 +12,11 @@
 /// Time in milliseconds in which a worker can't end and start again.
 const RESTART_MS: u64 = 200;
 
+/// Longest time by which a worker's clock, or that of its start, may be ahead, in milliseconds.
+const MAX_AHEAD_MS: u64 = 60 * 60 * 1_000;
+/// Largest amount of each resource of a worker.
+const MAX_AMOUNT: u64 = 1_000_000_000_000;
+
 new_key_type! {
     /// Key of a worker in its shard.
     pub struct WorkerKey;
@@ -42,6 +47,25 @@
     pub clock_ms: u64,
 }
 
+impl WorkerRegistration {
+    /// Returns whether the times and amounts can be those of a worker; `unix_ms` is the present Unix
+    /// time in milliseconds. A start time ahead of it would keep out the worker that the id belongs to.
+    #[must_use]
+    pub fn is_plausible(&self, unix_ms: u64) -> bool {
+        let latest_ms = unix_ms.saturating_add(MAX_AHEAD_MS);
+        let times_ms = [self.started_ms, self.clock_ms, self.warmup_ms];
+        let Resources {
+            cpu_milli,
+            memory_mib,
+            gpus,
+        } = self.capacity;
+        times_ms.iter().all(|time_ms| *time_ms <= latest_ms)
+            && [cpu_milli, memory_mib, gpus]
+                .iter()
+                .all(|amount| *amount <= MAX_AMOUNT)
+    }
+}
+
 /// Whether a worker responds to calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reachability {
--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -156,6 +156,11 @@
         } else {
             value.to_string().into_bytes()
         };
+        self.put_bytes(topic, key, value);
+    }
+
+    /// Appends a record as [`JobStore::put`] does, whose value may be anything.
+    pub fn put_bytes(&self, topic: &str, key: &str, value: Vec<u8>) {
         let mut state = self.shared.lock();
         let topic = state.topics.entry(topic.to_owned()).or_default();
         topic.records.push((key.to_owned(), value));
--- a/crates/cyclamentrail/src/edge/worker_registry.rs
+++ b/crates/cyclamentrail/src/edge/worker_registry.rs
@@ -10,6 +10,7 @@
 use cyclamentrail_jobs::ReadTimes;
 use tokio::time::timeout;
 
+use super::clocks::unix_ms;
 use super::process_state::{ProcessState, RegisteredWorkers};
 use super::topic_reader::{TopicRead, TopicReader};
 
@@ -65,6 +66,14 @@
 fn apply_records(workers: &mut RegisteredWorkers, records: &[StoredRecord]) {
     for record in records {
         match decode_registration(record) {
+            RegistryChange::Listed(registration) if !registration.is_plausible(unix_ms()) => {
+                log::warn!(
+                    worker:% = registration.id, offset = record.offset, started_ms = registration.started_ms,
+                    clock_ms = registration.clock_ms, capacity:? = registration.capacity;
+                    "registration_implausible"
+                );
+                workers.remove(&record.key);
+            }
             RegistryChange::Listed(registration) => {
                 workers.insert(record.key.clone(), *registration);
             }
