fix(jobs): a takeover for balance waits for leases by the settings, not by a constant

Ten seconds outlast the wait where leases are 6 s, not where they are 10 s. Ruled out: a stop that never ends (the workers are gone and never answer), and room.

The time follows from the settings now. leases_end_first, case long, fails with the constant of 10 s: an owner whose successor would wait for 12.7 s was relieved after 11.5 s.

--- a/crates/cyclamentrail-jobs/src/shard/timing.rs
+++ b/crates/cyclamentrail-jobs/src/shard/timing.rs
@@ -46,7 +46,8 @@
 impl ShardTiming {
     /// Returns the longest time in milliseconds that a granted lease lasts on the slowest clock; every
     /// owner grants leases of the same length.
-    pub(super) const fn longest_lease_ms(&self) -> u64 {
+    #[must_use]
+    pub const fn longest_lease_ms(&self) -> u64 {
         on_slowest_clock(self.lease_ms)
     }
 
--- a/crates/cyclamentrail-jobs/src/succession.rs
+++ b/crates/cyclamentrail-jobs/src/succession.rs
@@ -14,10 +14,6 @@
 /// confirmation, in milliseconds. After an outage the owner needs a moment to reach the store
 /// again, too.
 const MIN_CONNECTED_MS: u64 = 1_500;
-/// Time for which a shard must have been assigned to this process before it is taken over for
-/// balance, in milliseconds; longer than a lease. A new owner waits anew for the leases of workers
-/// that it can't reach, so a takeover that isn't urgent comes after those that run already.
-const MIN_ASSIGNED_MS: u64 = 10_000;
 /// Time for which a shard must have been assigned to this process before it is taken over from an
 /// owner with clearly less capacity, in milliseconds.
 const MIN_UPGRADE_ASSIGNED_MS: u64 = 1_000;
@@ -107,6 +103,9 @@
     pub connected_ms: u64,
     /// Time for which the shard has been assigned to this process, in milliseconds.
     pub assigned_ms: u64,
+    /// Longest time for which a new owner waits for the leases of workers that it can't reach, in
+    /// milliseconds. It waits anew for leases that its predecessor has waited for.
+    pub lease_wait_ms: u64,
     /// Number of shards that this process owns.
     pub shards: u64,
     /// Capacity of this process for all of its shards.
@@ -115,13 +114,20 @@
 
 /// Returns whether a process should take over a shard that is assigned to it: the shard has no
 /// active owner, its owner is cut off from the store, its owner has too many shards, or its owner
-/// has clearly less capacity for the shard.
+/// has clearly less capacity for the shard. A takeover for balance isn't urgent and comes after the
+/// leases that the present owner may wait for.
 ///
 /// ```
 /// use cyclamentrail_jobs::{Candidate, Incumbent, OwnerCapacity, should_take_over};
 ///
 /// let capacity = OwnerCapacity::new(800);
-/// let candidate = Candidate { connected_ms: 60_000, assigned_ms: 400, shards: 0, capacity };
+/// let candidate = Candidate {
+///     connected_ms: 60_000,
+///     assigned_ms: 400,
+///     lease_wait_ms: 9_600,
+///     shards: 0,
+///     capacity,
+/// };
 /// let acting = Incumbent::Acting { confirmed_age_ms: 300, shards: 1, capacity: Some(capacity) };
 /// assert!(should_take_over(Incumbent::Silent, candidate));
 /// assert!(!should_take_over(acting, candidate));
@@ -146,7 +152,7 @@
             };
             let is_overloaded = shards >= candidate.shards + MIN_IMBALANCE
                 && is_better_off
-                && candidate.assigned_ms >= MIN_ASSIGNED_MS;
+                && candidate.assigned_ms >= candidate.lease_wait_ms;
             let is_clearly_better_off = match capacity {
                 Some(capacity) => {
                     candidate.capacity.is_clearly_above(capacity)
--- a/crates/cyclamentrail-jobs/tests/succession.rs
+++ b/crates/cyclamentrail-jobs/tests/succession.rs
@@ -14,6 +14,7 @@
 const CANDIDATE: Candidate = Candidate {
     connected_ms: 60_000,
     assigned_ms: 400,
+    lease_wait_ms: 9_600,
     shards: 0,
     capacity: LARGE,
 };
@@ -89,6 +90,25 @@
     assert!(!should_take_over(acting(100, 1), settled));
 }
 
+/// Where leases are long, a takeover for balance came before the end of those that the owner waited for:
+/// the next one waited for them anew, and tasks of lost workers stayed away for 20 s.
+#[rstest]
+#[case::short(9_600, 10_000, true)]
+#[case::long(12_700, 11_500, false)]
+#[case::long_ended(12_700, 12_700, true)]
+fn leases_end_first(
+    #[case] lease_wait_ms: u64,
+    #[case] assigned_ms: u64,
+    #[case] is_relieved: bool,
+) {
+    let candidate = Candidate {
+        assigned_ms,
+        lease_wait_ms,
+        ..CANDIDATE
+    };
+    assert_eq!(should_take_over(acting(100, 5), candidate), is_relieved);
+}
+
 /// Owners on small machines held up their whole service at its peak, while larger machines were
 /// idle.
 #[test]
--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -111,6 +111,7 @@
             let candidate = Candidate {
                 connected_ms: now_ms.saturating_sub(connected_ms),
                 assigned_ms: now_ms.saturating_sub(self.assigned_ms[&shard]),
+                lease_wait_ms: owner::longest_lease_wait_ms(process),
                 shards: process.owned_shard_count(),
                 capacity: process.capacity(),
             };
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -106,6 +106,26 @@
     log::info!(shard; "ownership_ended");
 }
 
+/// Returns the longest time for which a new owner waits for the leases of workers that it can't reach,
+/// in milliseconds.
+pub(crate) fn longest_lease_wait_ms(process: &ProcessState) -> u64 {
+    whole_ms(OWNERSHIP_VALID) + shard_timing(process).longest_lease_ms()
+}
+
+/// Returns the times and limits of the shards of a process.
+fn shard_timing(process: &ProcessState) -> ShardTiming {
+    let bounds = process.settings.bounds;
+    let lease_ms = bounds.max_lease_ms * LEASE_PERCENT / 100;
+    ShardTiming {
+        lease_ms,
+        max_lease_ms: bounds.max_lease_ms,
+        poll_wait_ms: lease_ms / POLL_WAIT_DIVISOR,
+        keep_ms: bounds.job_state_retention_ms + EXTRA_KEEP_MS,
+        run_time_uses: process.run_time_uses,
+        ..ShardTiming::default()
+    }
+}
+
 /// State of an owner's task.
 struct Owner {
     service: ServiceName,
@@ -154,16 +174,7 @@
         takeover: Takeover,
         sender: mpsc::UnboundedSender<OwnerMessage>,
     ) -> Self {
-        let bounds = process.settings.bounds;
-        let lease_ms = bounds.max_lease_ms * LEASE_PERCENT / 100;
-        let timing = ShardTiming {
-            lease_ms,
-            max_lease_ms: bounds.max_lease_ms,
-            poll_wait_ms: lease_ms / POLL_WAIT_DIVISOR,
-            keep_ms: bounds.job_state_retention_ms + EXTRA_KEEP_MS,
-            run_time_uses: process.run_time_uses,
-            ..ShardTiming::default()
-        };
+        let timing = shard_timing(process);
         let confirmation = Confirmation::new(takeover.confirmed_ms, OWNERSHIP_VALID);
         process.set_confirmation(shard, confirmation.clone());
         let commit_log = CommitLog::new(process, &takeover, confirmation.clone());
