--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -6,6 +6,7 @@
 
 use super::crashes::Suspicion;
 use super::isolation::Isolation;
+use super::quota::StepLimit;
 use super::{Now, Shard};
 use crate::best_effort_share::FULL_SHARE_PERCENT;
 use crate::effect::Effect;
@@ -72,8 +73,12 @@
     per_worker: BTreeMap<WorkerKey, u32>,
     /// Additional costs of workers by the learned run times.
     run_time_costs: Option<BTreeMap<WorkerKey, u64>>,
+    /// Quota that limits its tasks, if any does.
+    limit: Option<StepLimit>,
     /// Workers that the queue's policy permits, if it has one.
     granted: Option<BTreeSet<WorkerKey>>,
+    /// Whether only some workers may run its tasks.
+    is_restricted: bool,
 }
 
 impl StepPlacement {
@@ -213,29 +218,43 @@
             rack: self.rack_of(ready_step, &spec),
             per_worker: self.tasks_per_worker(ready_step.task(0)),
             run_time_costs: self.run_time_costs(now, ready_step.job, &spec),
+            limit,
             granted,
+            is_restricted,
             spec,
         };
-        let mut candidates = self.candidates(now, &step, pass);
+        self.place_waiting(now, ready_step, &mut step, pass);
+    }
+
+    /// Places the waiting tasks of a step, one after the other, until there is no room.
+    fn place_waiting(
+        &mut self,
+        now: Now,
+        ready_step: ReadyStep,
+        step: &mut StepPlacement,
+        pass: &mut PlacementPass,
+    ) {
+        let mut candidates = self.candidates(now, step, pass);
         for index in 0..step.spec.count {
             let key = ready_step.task(index);
             if !self.is_waiting(key) {
                 continue;
             }
-            if let Some(limit) = limit.as_ref().filter(|limit| !self.quota.allows(limit)) {
+            let limit = step.limit.as_ref();
+            if let Some(limit) = limit.filter(|limit| !self.quota.allows(limit)) {
                 self.record_skipped(key, limit);
                 return;
             }
             let suspicion = self.suspicion(key).filter(|_| pass.isolation.is_possible());
             let chosen = match suspicion {
-                Some(suspicion) => self.select_apart(now, key.job, suspicion, &step, pass),
+                Some(suspicion) => self.select_apart(now, key.job, suspicion, step, pass),
                 None => candidates.cheapest(),
             };
             let Some(worker) = chosen else {
                 if suspicion.is_some() {
                     continue;
                 }
-                pass.record_failure(is_restricted, step.spec.reserved_resources());
+                pass.record_failure(step.is_restricted, step.spec.reserved_resources());
                 if step.granted.is_some() {
                     self.query_policy(now, key.into());
                 }
@@ -248,9 +267,9 @@
             }
             if suspicion.is_some() {
                 pass.isolation = self.isolation(now);
-                candidates = self.candidates(now, &step, pass);
+                candidates = self.candidates(now, step, pass);
             } else {
-                candidates.update(worker, self.cost_of_next(now, worker, &step, pass));
+                candidates.update(worker, self.cost_of_next(now, worker, step, pass));
             }
         }
     }
--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -40,7 +40,7 @@
 
 /// Read that waits for its response.
 struct ReadInFlight<'a> {
-    plan: PlannedRead,
+    planned: PlannedRead,
     /// Boot time in milliseconds at which the read was sent.
     sent_ms: u64,
     response: Pin<Box<dyn Future<Output = Result<Fetched, StoreError>> + Send + 'a>>,
@@ -122,13 +122,13 @@
             if let Some(index) = replaced_read(in_flight.len()) {
                 self.record_unanswered(&in_flight.remove(index));
             }
-            let plan = self.plan.next_read();
+            let planned = self.plan.next_read();
             in_flight.push(ReadInFlight {
-                plan,
+                planned,
                 sent_ms: boot_ms(),
-                response: Box::pin(fetch(store, &name, self.next_offset, plan.wait_ms)),
+                response: Box::pin(fetch(store, &name, self.next_offset, planned.wait_ms)),
             });
-            let until = Instant::now() + Duration::from_millis(plan.hedge_after_ms);
+            let until = Instant::now() + Duration::from_millis(planned.hedge_after_ms);
             while let Some((read, result)) = next_response(&mut in_flight, until).await {
                 match result {
                     Ok(fetched) => {
@@ -160,7 +160,7 @@
         };
         self.read_sent_ms = read.sent_ms;
         self.plan
-            .record_success(read.plan, now_ms.saturating_sub(read.sent_ms));
+            .record_success(read.planned, now_ms.saturating_sub(read.sent_ms));
         metrics::count_topic_read(self.topic, true);
         metrics::record_topic_unread(self.topic, Duration::from_millis(unread_ms));
         let failed = std::mem::take(&mut self.failed_reads);
