fix(edge): an owner that is asked to release its shard doesn't wait for a commit that is fenced

Cause: the reply to a request to release waits for the end of the owner's task, which tries for 0.8 s to store its last records; the reply is given up after 0.4 s. The successor has fenced that owner before it asks, so that these records are never stored. It then takes the earlier owner for one that may act for another 5 s, and lets tasks of workers that it can't reach wait that much longer.

The reply waits until the owner acts on workers no more. cut_off_owner_releases failed before (predecessor=Unknown) and passes. What was ruled out: that the earlier owner can't be reached (it replied to the request for its status just before).

--- a/crates/cyclamentrail/src/edge/internal.rs
+++ b/crates/cyclamentrail/src/edge/internal.rs
@@ -92,7 +92,8 @@
     }
 }
 
-/// Makes the local owner of a shard give it up, and waits until the owner has ended.
+/// Makes the local owner of a shard give it up, and waits until the owner acts no more. Doesn't wait for
+/// its last commit: the store rejects it, because whoever asks has fenced this owner before.
 async fn release_shard(process: &ProcessState, call: &OwnerCall) -> Reply {
     let Some(sender) = process.owner_sender(&call.service) else {
         return Reply::Released {
@@ -101,8 +102,14 @@
     };
     let confirmation = process.shard_confirmation(call.service.as_str());
     drop(sender.send(OwnerMessage::Stop));
-    match tokio::time::timeout(RELEASE_TIMEOUT, sender.closed()).await {
-        // Read now that the owner has ended: the confirmation changes no more.
+    let end = async {
+        tokio::select! {
+            () = sender.closed() => {}
+            () = process.wait_given_up(call.service.as_str()) => {}
+        }
+    };
+    match tokio::time::timeout(RELEASE_TIMEOUT, end).await {
+        // Read now that the owner acts no more: the confirmation changes no more.
         Ok(()) => Reply::Released {
             confirmed_age_ms: confirmation.map(|confirmation| confirmation.age_ms()),
         },
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -78,6 +78,8 @@
     confirmation: Option<Confirmation>,
     /// Signals that the takeover is done, or has failed.
     takeover_ended: Arc<Notify>,
+    /// Closed once this process doesn't own the shard any more; nothing is sent.
+    held: watch::Sender<()>,
 }
 
 /// State of an edge process: its clients, what it has read from the store, and the shards that it
@@ -254,6 +256,7 @@
             takeover_began_ms: boot_ms(),
             confirmation: None,
             takeover_ended: Arc::default(),
+            held: watch::Sender::new(()),
         };
         self.lock_owned_shards().insert(shard.to_owned(), owned);
         self.takeover_begun.notify_one();
@@ -278,6 +281,18 @@
         }
     }
 
+    /// Waits until this process doesn't own a shard any more. Its owner may still try to store its last
+    /// records, and acts on workers no more.
+    pub(crate) async fn wait_given_up(&self, shard: &str) {
+        let held = self
+            .lock_owned_shards()
+            .get(shard)
+            .map(|owned| owned.held.subscribe());
+        if let Some(mut held) = held {
+            drop(held.changed().await);
+        }
+    }
+
     /// Marks the process as stopping: it takes over no more shards and is no longer ready.
     /// Callers get their responses by `last_response`, because the process exits then.
     pub(crate) fn begin_stop(&self, last_response: Instant) {
