fix(jobs): a long-running job that is accepted isn't added to the backlog of the moment

The fault came with the count that holds for 20 ms.

long_running_not_counted failed before (rejected behind 400 long-running tasks) and passes.

--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -66,8 +66,12 @@
         self.count_arrival(now, &submission.id, &submission.spec, work_ms);
         match self.check_admission(now, &submission, work_ms) {
             Ok((wait_ms, share)) => {
+                let spec = &submission.spec;
+                let is_counted = !spec.is_long_running() && spec.schedule.is_none();
                 let team_index = self.accept(now, submission, wait_ms, share);
-                self.backlog_count.add_job(team_index, work_ms);
+                if is_counted {
+                    self.backlog_count.add_job(team_index, work_ms);
+                }
             }
             Err(rejection) => {
                 let team = submission.team.as_ref();
--- a/crates/cyclamentrail-jobs/tests/scheduler/overload.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/overload.rs
@@ -143,3 +143,17 @@
     let (usual, twice) = (tasks_counted_in_burst(300), tasks_counted_in_burst(600));
     assert!(twice * 2 <= usual * 5, "{usual} and {twice} tasks");
 }
+
+/// Long-running tasks aren't part of the backlog that jobs wait for: one that is accepted must not turn
+/// the jobs of the same moment away.
+#[test]
+fn long_running_not_counted() {
+    let mut sim = Simulation::new(4, WORKER);
+    sim.submit("first", job(1, 1_800, 1_000));
+    let mut lasting = job(400, 1_800, 60_000);
+    lasting.steps[0].long_running = true;
+    sim.submit("lasting", lasting);
+    let caller = sim.submit("second", job(1, 1_800, 1_000));
+    sim.run_for(200);
+    assert_eq!(sim.replies[&caller], CallerReply::Accepted);
+}
