test(review): a queue that gets another service loses its jobs

Cause: a call for a job goes to the owner of the service that its queue has now; jobs stay in the shard of the service that accepted them, which places no task of a job without a route.

Change: case 2, a script: one version of the configuration gives a queue another service.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -1,15 +1,18 @@
 //! The cases.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
 use serde_json::json;
 
 use crate::Verdict;
+use crate::machine::Seen;
 use crate::record::Record;
 use crate::site::Site;
 
 mod idle_restart;
+mod queue_moved;
 
 /// How long a crashed worker takes to start again.
 const RESTART: Duration = Duration::from_millis(1_500);
@@ -17,6 +20,7 @@
 pub fn play(case: &str, folder: &Path, record: Record, has_trouble: bool) -> Verdict {
     match case {
         "idle-restart" => idle_restart::play(folder, record, has_trouble),
+        "queue-moved" => queue_moved::play(folder, record, has_trouble),
         _ => Verdict::CouldNotRun(format!("there is no case {case}")),
     }
 }
@@ -62,3 +66,29 @@
     }
     Ok(())
 }
+
+/// Returns two runs of one task that overlapped, or of which one began after the other was done.
+fn run_twice(seen: &[Seen]) -> Vec<String> {
+    let mut by_task: BTreeMap<&str, Vec<&Seen>> = BTreeMap::new();
+    for run in seen {
+        by_task.entry(&run.task).or_default().push(run);
+    }
+    let mut twice = Vec::new();
+    for (task, runs) in by_task {
+        for (index, later) in runs.iter().enumerate() {
+            for earlier in &runs[..index] {
+                let is_running = earlier
+                    .ended_ms
+                    .is_none_or(|ended_ms| ended_ms > later.began_ms);
+                let was_done = earlier.how == "done" && earlier.noted_ms.is_some();
+                if is_running || was_done {
+                    twice.push(format!(
+                        "{task}: run {} on {} ({}) and run {} on {}",
+                        earlier.run, earlier.worker, earlier.how, later.run, later.worker
+                    ));
+                }
+            }
+        }
+    }
+    twice
+}
