test(review): tasks run again when a worker lists 500 ends at once

Cause: a run that a report lists neither as running nor as ended counts as gone (shard/reports.rs release_unlisted), though a worker returns 500 ends at a time.

Change: case 3, a script: the store is down for 3.5 s while 1,400 small tasks of one worker end.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -12,6 +12,7 @@
 use crate::site::Site;
 
 mod idle_restart;
+mod many_ends;
 mod queue_moved;
 
 /// How long a crashed worker takes to start again.
@@ -21,6 +22,7 @@
     match case {
         "idle-restart" => idle_restart::play(folder, record, has_trouble),
         "queue-moved" => queue_moved::play(folder, record, has_trouble),
+        "many-ends" => many_ends::play(folder, record, has_trouble),
         _ => Verdict::CouldNotRun(format!("there is no case {case}")),
     }
 }
