test(review): lasting jobs are given up when workers crash

Cause: crashes of workers count against the tasks on them (shard/crashes.rs, crashes/counts.rs); after two to four the job is failed, and all of its tasks at work are stopped at once.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -11,6 +11,7 @@
 use crate::record::Record;
 use crate::site::Site;
 
+mod crashes;
 mod idle_restart;
 mod many_ends;
 mod queue_moved;
@@ -23,6 +24,7 @@
         "idle-restart" => idle_restart::play(folder, record, has_trouble),
         "queue-moved" => queue_moved::play(folder, record, has_trouble),
         "many-ends" => many_ends::play(folder, record, has_trouble),
+        "crashes" => crashes::play(folder, record, has_trouble),
         _ => Verdict::CouldNotRun(format!("there is no case {case}")),
     }
 }
