test(review): tasks of workers that left wait for the end of restarts in turn

Cause: each takeover lets the leases of workers that don't answer begin anew (shard/recovery.rs restore, Lease::inherit), also after an orderly release.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -15,6 +15,7 @@
 mod idle_restart;
 mod many_ends;
 mod queue_moved;
+mod roll;
 
 /// How long a crashed worker takes to start again.
 const RESTART: Duration = Duration::from_millis(1_500);
@@ -25,6 +26,7 @@
         "queue-moved" => queue_moved::play(folder, record, has_trouble),
         "many-ends" => many_ends::play(folder, record, has_trouble),
         "crashes" => crashes::play(folder, record, has_trouble),
+        "roll" => roll::play(folder, record, has_trouble),
         _ => Verdict::CouldNotRun(format!("there is no case {case}")),
     }
 }
