test(review): end only processes that a script has started

Cause: the clean-up of the scripts took process ids from a file, which could name another process by then, and a script that was ended itself left its folder.

Change: the stand-ins remove the file when they have ended their processes; the script ends only processes whose settings lie in its own folder, and ends the stand-ins when it is told to end.

--- a/review/play.sh
+++ b/review/play.sh
@@ -1,4 +1,14 @@
-# Plays a case of the stand-ins: play CASE FOLDER. Read by the scripts of the cases.
+# Read by the scripts of the cases.
+
+# Ends the processes that the stand-ins started with settings in a folder, should they have been ended themselves.
+end_left() {
+  local pid
+  while read -r pid; do
+    grep -qsF "$1/" "/proc/$pid/environ" && kill -9 "$pid"
+  done < <(cat "$1/pids" 2>/dev/null)
+}
+
+# Plays a case of the stand-ins: play CASE FOLDER.
 play() {
   local case=$1 folder
   folder=$(cd "$2" && pwd)
@@ -10,10 +20,12 @@
   fi
   local work
   work=$(mktemp -d) || exit 2
-  # Ends what the stand-ins left, should they have been ended themselves.
-  trap 'while read -r pid; do kill -9 "$pid" 2>/dev/null; done < <(cat "'"$work"'/pids" 2>/dev/null); rm -rf "'"$work"'"' EXIT
-  timeout -k 1 117 "$program" "$case" "$work" "$folder/record.txt"
-  local code=$?
+  trap "end_left '$work'; rm -rf '$work'" EXIT
+  timeout -k 1 117 "$program" "$case" "$work" "$folder/record.txt" &
+  local played=$! code
+  trap "kill '$played' 2>/dev/null; wait '$played'; exit 2" TERM INT
+  wait "$played"
+  code=$?
   [ "$code" -le 1 ] || code=2
   exit "$code"
 }
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -44,6 +44,7 @@
             let _ = process.child.kill();
             let _ = process.child.wait();
         }
+        let _ = std::fs::remove_file(self.folder.join("pids"));
     }
 }
 
