fix(jobs): starts that no worker carried out don't count as crashes

Callers saw an accepted job as `failed` some 30 ms after its acceptance, while no task of it had begun anywhere and no worker had listed an end.

Cause: idle workers aren't polled, so that those that died and came back under other ids were still chosen. The start was answered with 421; the handler of that answer counted a crash under each run on the worker whose start had been sent, the rejected one included. Three such answers in a row gave the job up. A start without any response at a worker that had been gone for long counted as well.

Ruled out: the choice of the dead workers alone. With them chosen, the rejected starts are placed elsewhere within milliseconds and the job completes.

Change: a start that another incarnation answered frees its run as rejected, uncounted. Runs beside it keep their worker until their own starts have results (shard/ended_workers.rs). A start without a response counts only where the worker responded to any call shortly before it or afterwards; else its task is suspect, and the poll before its next start isn't held by the worker, so that a task that crashes its workers unheard is still counted from its second start on. What was found of one worker in several parts is evidence only if all parts agree.

Evidence: the new tests failed before: crash_counts::rejected_start_uncounted::count_2_4: assertion `left == right` failed, left: Some(Failed), right: Some(Completed) (count_1_1, count_3_40 and start_into_silence_uncounted failed, too; count_3_40 by its crash count: `tasks.all(|task| task.crashed_runs.is_empty())`) unanswered_deadly_given_up passed before and guards the other side.

Conclusion: only runs that may have begun on a live worker count.

--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -19,6 +19,7 @@
 mod cancel;
 mod commands;
 mod crashes;
+mod ended_workers;
 mod evacuation;
 mod isolation;
 mod long_waits;
@@ -96,6 +97,8 @@
     /// Start time (Unix time in milliseconds) of each worker's last incarnation that has ended for
     /// certain, while the registry may still list it.
     ended_incarnations: HashMap<WorkerId, u64>,
+    /// Workers that have ended, with runs whose start commands have no result yet.
+    ended_workers: BTreeSet<WorkerKey>,
     /// Jobs that still have tasks to place or runs on workers.
     active: BTreeSet<JobKey>,
     /// Final jobs by the Unix time in milliseconds at which they are dropped.
@@ -234,6 +237,7 @@
         self.learned.last_round = now;
         self.begin_occurrences(now);
         self.release_expired(now);
+        self.settle_ended_workers(now);
         self.resend_due(now);
         self.stop_stalled_runs(now);
         self.evacuate_tasks(now);
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -51,6 +51,9 @@
                 self.handle_rejected_start(now, key, placement);
             }
             CommandOutcome::OtherIncarnation => {
+                if !placement.may_start_late && !placement.has_begun {
+                    self.release(key, Some(EndProof::Rejected));
+                }
                 self.handle_other_incarnation(now, placement.worker);
             }
             CommandOutcome::NotSent if !placement.may_start_late => {
@@ -134,6 +137,7 @@
             } else {
                 self.timing.poll_wait_ms
             };
+            let has_unproven = self.has_unconfirmed_suspect(key);
             let worker = &mut self.workers[key];
             let has_tasks = !worker.tasks.is_empty();
             let is_reachable = worker.reachability == Reachability::Reachable;
@@ -144,7 +148,7 @@
             } else {
                 None
             };
-            let may_wait = has_tasks && is_reachable && worker.knows_token;
+            let may_wait = has_tasks && is_reachable && worker.knows_token && !has_unproven;
             worker.is_polling = true;
             worker.poll_sent_ms = now.boot_ms;
             self.ready_effects.push(Effect::Poll(WorkerPoll {
--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -1,14 +1,22 @@
 //! Tasks that crash the workers that run them.
 //!
 //! A worker that gave no notice has crashed when a newer incarnation of it runs, or another worker at
-//! its address. Each run that may have begun there counts against its task, because nobody saw which
-//! of them caused the crash. A suspect task runs apart from the tasks of other jobs (see
+//! its address. Each run that had begun there counts against its task, because nobody saw which of
+//! them caused the crash. A suspect task runs apart from the tasks of other jobs (see
 //! [`super::isolation`]), so that its next crash tells who did it and takes nobody else's work with
 //! it.
+//!
+//! A start that the worker rejected, that another incarnation answered or that was never sent counts
+//! for nothing. A start without any response may have crashed its worker before that could respond,
+//! or met one that was gone. It counts, for less than a run that had begun, only where the worker
+//! responded to any call shortly before the start or after it. Else it makes its task suspect: the next
+//! start is then preceded by a poll that the worker answers at once, so that a task that crashes its
+//! workers unheard counts from its second start on, and a task that met silent workers never does.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use super::restarts::CALLS_UNDER_WAY_MS;
 use super::{Now, Shard};
 use crate::JobSpec;
 use crate::effect::{Decision, Effect};
@@ -35,6 +43,9 @@
 const PROBATION_MS: u64 = 600;
 /// Time for which a lost run waits for the proof that its worker crashed, in milliseconds.
 const PROOF_WAIT_MS: u64 = 60_000;
+/// Time before a start within which a response shows that the worker was alive at the start, in
+/// milliseconds; longer than a worker may hold a poll.
+const HEARD_BEFORE_START_MS: u64 = 1_500;
 /// Number of descriptions of given-up jobs that are remembered.
 const MAX_GIVEN_UP: usize = 64;
 
@@ -54,12 +65,19 @@
 }
 
 impl Shard {
-    /// Counts the crash of a worker against the tasks whose runs had begun there; returns the tasks
-    /// whose jobs have to be given up. The runs are released by the caller.
-    pub(super) fn record_crash(&mut self, now: Now, key: WorkerKey) -> Vec<TaskKey> {
-        let Some(lost) = self.lost_worker(now, key) else {
+    /// Counts the crash of a worker against the tasks whose runs may have begun there, except those in
+    /// `open`, whose starts have no result yet; returns the tasks whose jobs have to be given up. The
+    /// runs are released by the caller.
+    pub(super) fn record_crash(
+        &mut self,
+        now: Now,
+        key: WorkerKey,
+        open: &[TaskKey],
+    ) -> Vec<TaskKey> {
+        let Some(mut lost) = self.lost_worker(now, key) else {
             return Vec::new();
         };
+        lost.runs.retain(|run| !open.contains(&run.task));
         self.count_crashes(&lost)
     }
 
@@ -110,6 +128,7 @@
             task,
             run: record.run,
             has_begun: false,
+            may_have_begun: true,
             // It began under an earlier owner: one such crash alone doesn't make the task suspect.
             since_ms: Some(0),
         };
@@ -263,7 +282,7 @@
         let runs: Vec<LostRun> = worker
             .tasks
             .iter()
-            .filter_map(|&task| self.lost_run(task))
+            .filter_map(|&task| self.lost_run(worker, task))
             .collect();
         let is_suspect = |run: &LostRun| self.crashes.suspects.contains_key(&run.task);
         (!runs.is_empty()).then(|| LostWorker {
@@ -278,12 +297,13 @@
         })
     }
 
-    fn lost_run(&self, task: TaskKey) -> Option<LostRun> {
+    fn lost_run(&self, worker: &Worker, task: TaskKey) -> Option<LostRun> {
         let placement = self.placement_of(task)?;
         (placement.phase != RunPhase::Placed).then_some(LostRun {
             task,
             run: placement.run,
             has_begun: placement.has_begun,
+            may_have_begun: placement.has_begun || was_alive_at_start(worker, placement),
             since_ms: match placement.phase {
                 RunPhase::Running { since_ms } => Some(since_ms),
                 _ => None,
@@ -291,6 +311,17 @@
         })
     }
 
+    /// Returns whether a worker has a run of a suspect task that it hasn't confirmed.
+    pub(super) fn has_unconfirmed_suspect(&self, key: WorkerKey) -> bool {
+        let is_unconfirmed = |task: &TaskKey| {
+            let placement = self.placement_of(*task);
+            self.crashes.suspects.contains_key(task)
+                && placement.is_some_and(|placement| !placement.has_begun)
+        };
+        let worker = self.workers.get(key);
+        worker.is_some_and(|worker| worker.tasks.iter().any(is_unconfirmed))
+    }
+
     /// Counts a crash against the tasks that ran on the worker; returns those whose jobs have to be
     /// given up.
     fn count_crashes(&mut self, lost: &LostWorker) -> Vec<TaskKey> {
@@ -298,10 +329,15 @@
             return Vec::new();
         }
         let others = self.lost_at_once(lost);
-        let is_proof = lost.jobs.len() == 1 && lost.was_apart;
+        let known = self.crashes.recent.iter().find(|known| lost.is_same(known));
+        let is_proof = lost.is_proof(known);
         let mut given_up = Vec::new();
         for run in &lost.runs {
             let is_on_all = others.iter().all(|other| other.contains(&run.task.job));
+            if !run.may_have_begun {
+                self.suspect(run.task, Suspicion::Possible);
+                continue;
+            }
             let is_new = is_on_all && run.is_new(lost.heard_ms);
             let Some(crashes) = self.count_crash(run, is_new, lost.lost_ms) else {
                 continue;
@@ -309,22 +345,19 @@
             if crashes.means_giving_up(is_proof) {
                 given_up.push(run.task);
             } else if let Some(suspicion) = crashes.suspicion() {
-                let known = self.crashes.suspects.entry(run.task).or_insert(suspicion);
-                *known = suspicion.max(*known);
+                self.suspect(run.task, suspicion);
             }
         }
-        if !self.crashes.recent.iter().any(|known| lost.is_same(known)) {
-            self.crashes.recent.push_back(CrashedWorker {
-                id: lost.id.clone(),
-                started_ms: lost.started_ms,
-                lost_ms: lost.lost_ms,
-                jobs: lost.jobs.clone(),
-                was_apart: lost.was_apart,
-            });
-        }
+        self.crashes.remember_crashed(lost);
         given_up
     }
 
+    /// Makes a task suspect, at least as much as it is.
+    fn suspect(&mut self, task: TaskKey, suspicion: Suspicion) {
+        let known = self.crashes.suspects.entry(task).or_insert(suspicion);
+        *known = suspicion.max(*known);
+    }
+
     /// Counts a crash against a task; returns all that count, or `None` if this one doesn't.
     fn count_crash(&mut self, run: &LostRun, is_new: bool, lost_ms: u64) -> Option<CrashCounts> {
         let is_long_running = self.step_of(run.task)?.long_running;
@@ -378,6 +411,23 @@
 }
 
 impl Crashes {
+    /// Remembers a crashed worker, with all jobs that may have run there.
+    fn remember_crashed(&mut self, lost: &LostWorker) {
+        let known = self.recent.iter_mut().find(|known| lost.is_same(known));
+        if let Some(known) = known {
+            known.jobs.extend(&lost.jobs);
+            known.was_apart &= lost.was_apart;
+            return;
+        }
+        self.recent.push_back(CrashedWorker {
+            id: lost.id.clone(),
+            started_ms: lost.started_ms,
+            lost_ms: lost.lost_ms,
+            jobs: lost.jobs.clone(),
+            was_apart: lost.was_apart,
+        });
+    }
+
     fn remember_given_up(&mut self, spec: &Arc<JobSpec>) {
         if self.given_up.contains(spec) {
             return;
@@ -396,3 +446,13 @@
         Reachability::Unreachable { since_ms } => Some(since_ms),
     }
 }
+
+/// Returns whether a worker responded to any call shortly before the start of a run, or after it. Of a
+/// start by an earlier owner, nobody knows.
+const fn was_alive_at_start(worker: &Worker, placement: Placement) -> bool {
+    let sent_ms = placement
+        .start_under_way_until_ms
+        .saturating_sub(CALLS_UNDER_WAY_MS);
+    let is_heard = worker.heard_ms > 0 && worker.heard_ms + HEARD_BEFORE_START_MS >= sent_ms;
+    is_heard || placement.start_under_way_until_ms == 0
+}
--- a/crates/cyclamentrail-jobs/src/shard/crashes/lost_worker.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes/lost_worker.rs
@@ -47,6 +47,8 @@
     pub(super) run: u32,
     /// Whether the worker had confirmed that the run began.
     pub(super) has_begun: bool,
+    /// Whether the worker had confirmed it, or responded to anything about the time of the start.
+    pub(super) may_have_begun: bool,
     /// Time since which the run was known to execute, on the owner's boot clock in milliseconds.
     pub(super) since_ms: Option<u64>,
 }
@@ -61,6 +63,13 @@
 }
 
 impl LostWorker {
+    /// Returns whether the worker ran the suspect tasks of one job only; `known` is what was recorded
+    /// of it before.
+    pub(super) fn is_proof(&self, known: Option<&CrashedWorker>) -> bool {
+        let is_alone = self.was_apart && self.jobs.len() == 1;
+        is_alone && known.is_none_or(|known| known.was_apart && known.jobs == self.jobs)
+    }
+
     /// Returns whether a crashed worker is this one.
     pub(super) fn is_same(&self, crashed: &CrashedWorker) -> bool {
         (&self.id, self.started_ms) == (&crashed.id, crashed.started_ms)
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -2,6 +2,7 @@
 
 use cyclamentrail_core::WorkerId;
 
+use super::restarts::CALLS_UNDER_WAY_MS;
 use super::{Now, Shard};
 use crate::effect::EndProof;
 use crate::job::TaskKey;
@@ -76,16 +77,14 @@
     /// Handles a response of another incarnation at a worker's address: the known one has ended,
     /// and its runs with it.
     pub(super) fn handle_other_incarnation(&mut self, now: Now, key: WorkerKey) {
-        let given_up = self.record_crash(now, key);
         if let Some(worker) = self.workers.get_mut(key) {
             worker.is_registered = false;
+            worker.next_poll_ms = now.boot_ms + CALLS_UNDER_WAY_MS;
             let registration = &worker.registration;
             self.ended_incarnations
                 .insert(registration.id.clone(), registration.started_ms);
         }
-        self.release_worker_runs(key, EndProof::WorkerRestarted);
-        self.remove_if_unused(key);
-        self.give_up(given_up);
+        self.settle_ended_worker(now, key);
     }
 
     /// Removes a worker that is unlisted and has no runs.
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -4,6 +4,8 @@
 mod access;
 #[path = "scheduler/capacity.rs"]
 mod capacity;
+#[path = "scheduler/crash_counts.rs"]
+mod crash_counts;
 #[path = "scheduler/crashes.rs"]
 mod crashes;
 #[path = "scheduler/evacuation.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -120,6 +120,8 @@
     pub slow_worker: Option<WorkerId>,
     /// Tasks that crash each worker that starts them, with the workers that crashed.
     pub deadly_tasks: DeadlyTasks,
+    /// Time by which polls arrive later than other calls, in milliseconds.
+    pub poll_delay_ms: u64,
 }
 
 impl Simulation {
@@ -149,6 +151,7 @@
             durations: HashMap::new(),
             slow_worker: None,
             deadly_tasks: DeadlyTasks::default(),
+            poll_delay_ms: 0,
         };
         sim.shard.set_routes([route_config()]);
         for index in 0..count {
@@ -379,7 +382,9 @@
                     }
                 }
                 Effect::Stop(command) => self.schedule(CALL_MS, Event::Stop(command, self.token)),
-                Effect::Poll(poll) => self.schedule(CALL_MS, Event::Poll(poll, self.token)),
+                Effect::Poll(poll) => {
+                    self.schedule(CALL_MS + self.poll_delay_ms, Event::Poll(poll, self.token));
+                }
                 Effect::SetCpuShare(command) => self.schedule(CALL_MS, Event::SetCpuShare(command)),
                 Effect::QueryPolicy(query) => self.schedule(40, Event::QueryPolicy(query)),
                 Effect::Log(decision) => self.decisions.push(decision),
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
@@ -63,6 +63,7 @@
         } else {
             self.begin_run(&command, token)
         };
+        let responds = responds && !self.crash_unanswered(&command);
         let outcome = if responds {
             outcome
         } else {
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cyclamentrail_core::{JobId, WorkerId};
+use cyclamentrail_jobs::StartCommand;
 
 use super::{Event, Simulation};
 use crate::worker::Run;
@@ -28,6 +29,8 @@
     pub restart_after_ms: u64,
     /// Whether the worker is back under another id, at the same address.
     pub restarts_as_other: bool,
+    /// Whether the workers crash before they respond to the start command.
+    pub crashes_unanswered: bool,
     /// Number of crashes under each such task.
     pub crashes: BTreeMap<TaskName, usize>,
     /// Starts of each such task after [`MAX_CRASHES`].
@@ -40,6 +43,7 @@
             tasks: BTreeSet::new(),
             restart_after_ms: 3_200,
             restarts_as_other: false,
+            crashes_unanswered: false,
             crashes: BTreeMap::new(),
             late_starts: BTreeMap::new(),
         }
@@ -129,6 +133,17 @@
         }
     }
 
+    /// Crashes the worker of a deadly task's start command before it responds; returns whether it did.
+    pub(super) fn crash_unanswered(&mut self, command: &StartCommand) -> bool {
+        let task = command.task;
+        let name = (command.job.clone(), task.occurrence, task.step, task.index);
+        let crashes = self.deadly_tasks.crashes_unanswered && self.deadly_tasks.contains(&name);
+        if crashes {
+            self.crash_worker(&command.target.id);
+        }
+        crashes
+    }
+
     /// Crashes the workers whose time has come.
     pub(super) fn crash_due_workers(&mut self) {
         let is_due = |crash_ms: Option<u64>| crash_ms.is_some_and(|due_ms| due_ms <= self.now_ms);
