fix(jobs): long-running tasks are started again however often workers crash

Callers saw a long-running job fail for good after three or four crashes of its workers, without a single end `failed`; all its tasks that were at work on sound workers were stopped at once, where its step allows one or none to be away.

Cause: the count of crashes under a task fails its job and stops its runs, whatever the task. A long-running one was spared only where each run had lasted for 10 s.

Ruled out: a higher limit. Any limit is reached on a pool whose workers crash every few seconds, and a task that crashes each worker isn't told from it by the number.

Change: no long-running task fails its job by crashes. Only crashes soon after its starts make it suspect; it is then placed on a worker of its own, apart from the other tasks of its job, too, and from the second such crash on after a pause of 0.5, 1 and then always 2 s, never later than 5 s after the loss (crashes/ service_restarts.rs). After one such crash it waits for an empty worker for 4 s from the loss at most. Of a task's crashed runs the last eight are kept. `task_kept_apart` in the log names the task, the count and the pause.

Conclusion: crashes fail a job only by its ordinary tasks.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -359,6 +359,18 @@
         /// Number of workers that crashed under the task.
         crashes: u32,
     },
+    /// A long-running task is started again apart from other jobs, because workers crashed soon after
+    /// its starts.
+    TaskKeptApart {
+        /// Id of the job.
+        job: JobId,
+        /// Task that the decision concerns.
+        task: TaskKey,
+        /// Number of workers that crashed soon after a start of the task.
+        crashes: u32,
+        /// Time for which the task waits before its next start, in milliseconds.
+        pause_ms: u64,
+    },
     /// The allowance of a team in this shard was changed.
     AllowanceChanged {
         /// The team with both allowances, in millionths of its cap.
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -9,6 +9,9 @@
 use crate::worker::WorkerKey;
 use crate::{JobSpec, Schedule, StepSpec};
 
+/// Number of a task's last crashed runs that are kept; a long-running task may have any number.
+const MAX_CRASHED_RUNS: usize = 8;
+
 new_key_type! {
     /// Key of a job in its shard.
     pub struct JobKey;
@@ -144,7 +147,7 @@
     /// Numbers of the failed runs. A failure is counted by its run number because a worker may
     /// report the same ended run to two owners, before and after a takeover.
     pub failed_runs: Vec<u32>,
-    /// Runs whose worker crashed under them.
+    /// Last runs whose worker crashed under them.
     pub crashed_runs: Vec<CrashedRun>,
     /// Checkpoint from which the next run resumes; empty for a run from the beginning.
     pub checkpoint: Arc<str>,
@@ -173,6 +176,9 @@
             .iter()
             .all(|known| known.run != crashed.run)
         {
+            if self.crashed_runs.len() == MAX_CRASHED_RUNS {
+                self.crashed_runs.remove(0);
+            }
             self.crashed_runs.push(crashed);
         }
     }
--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -6,6 +6,9 @@
 //! [`super::isolation`]), so that its next crash tells who did it and takes nobody else's work with
 //! it.
 //!
+//! A job fails by crashes under its other tasks only: long-running ones are started again, see
+//! [`service_restarts`].
+//!
 //! A start that the worker rejected, that another incarnation answered or that was never sent counts
 //! for nothing. A start without any response may have crashed its worker before that could respond,
 //! or met one that was gone. It counts, for less than a run that had begun, only where the worker
@@ -26,11 +29,13 @@
 
 mod counts;
 mod lost_worker;
+mod service_restarts;
 
 use counts::CrashCounts;
 pub(super) use counts::Suspicion;
 pub(super) use lost_worker::LostWorker;
 use lost_worker::{CrashedWorker, LostRun};
+use service_restarts::CrashedService;
 
 /// Time within which several workers are lost by a common cause, such as their rack's power, in
 /// milliseconds.
@@ -54,6 +59,8 @@
 pub(super) struct Crashes {
     /// Tasks that may crash their workers.
     pub(super) suspects: BTreeMap<TaskKey, Suspicion>,
+    /// Long-running tasks whose workers crashed under them soon after their starts.
+    services: BTreeMap<TaskKey, CrashedService>,
     /// Runs that ended with their workers' leases, until it is known whether these workers crashed.
     unexplained: Vec<LostWorker>,
     /// Runs of restarted workers that may be on the new incarnation, whose key is given.
@@ -78,7 +85,7 @@
             return Vec::new();
         };
         lost.runs.retain(|run| !open.contains(&run.task));
-        self.count_crashes(&lost)
+        self.count_crashes(now, &lost)
     }
 
     /// Counts the crash of a worker that has restarted, as far as its runs have surely ended; returns
@@ -95,10 +102,13 @@
         let (in_doubt, ended) = std::mem::take(&mut lost.runs)
             .into_iter()
             .partition(|run: &LostRun| doubtful.contains(&run.task));
-        let given_up = self.count_crashes(&LostWorker {
-            runs: ended,
-            ..lost.clone()
-        });
+        let given_up = self.count_crashes(
+            now,
+            &LostWorker {
+                runs: ended,
+                ..lost.clone()
+            },
+        );
         lost.runs = in_doubt;
         (given_up, Some(lost))
     }
@@ -121,7 +131,7 @@
         task: TaskKey,
         record: &PlacementRecord,
     ) {
-        if self.step_of(task).is_none_or(|step| step.long_running) {
+        if self.is_long_running(task) {
             return;
         }
         let run = LostRun {
@@ -156,7 +166,12 @@
 
     /// Counts the crash of a restarted worker against the runs in doubt that its new incarnation
     /// doesn't report: they were lost with the earlier one.
-    pub(super) fn count_unsettled(&mut self, key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
+    pub(super) fn count_unsettled(
+        &mut self,
+        now: Now,
+        key: WorkerKey,
+        reported: &BTreeSet<(TaskKey, u32)>,
+    ) {
         let (settled, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.crashes.unsettled)
             .into_iter()
             .partition(|(worker, _)| *worker == key);
@@ -164,7 +179,7 @@
         for (_, mut lost) in settled {
             lost.runs
                 .retain(|run| !reported.contains(&(run.task, run.run)));
-            let given_up = self.count_crashes(&lost);
+            let given_up = self.count_crashes(now, &lost);
             self.give_up(given_up);
         }
     }
@@ -181,7 +196,7 @@
     /// Handles the proof that an incarnation of a worker runs. An earlier one that was lost with its
     /// runs has crashed, also if a worker with another id runs at its address now; the same one was
     /// unreachable only.
-    pub(super) fn explain_lost(&mut self, running: &WorkerRegistration) {
+    pub(super) fn explain_lost(&mut self, now: Now, running: &WorkerRegistration) {
         let (explained, open) = std::mem::take(&mut self.crashes.unexplained)
             .into_iter()
             .partition(|lost| lost.id == running.id || lost.address == running.address);
@@ -189,7 +204,7 @@
         let explained: Vec<LostWorker> = explained;
         for lost in explained {
             if lost.id != running.id || lost.started_ms < running.started_ms {
-                let given_up = self.count_crashes(&lost);
+                let given_up = self.count_crashes(now, &lost);
                 self.give_up(given_up);
             }
         }
@@ -228,7 +243,12 @@
             .tasks(key)
             .filter(|(_, task)| !task.is_done)
             .filter_map(|(task_key, task)| {
-                let by_crashes = CrashCounts::of(task).suspicion();
+                let counts = CrashCounts::of(task);
+                let by_crashes = if self.is_long_running(task_key) {
+                    counts.suspicion_of_service()
+                } else {
+                    counts.suspicion()
+                };
                 let suspicion = by_crashes.or(is_known.then_some(Suspicion::Likely))?;
                 Some((task_key, suspicion))
             })
@@ -239,6 +259,7 @@
     /// Ends the suspicion of a task whose run its worker survived.
     pub(super) fn clear_suspect(&mut self, key: TaskKey) {
         self.crashes.suspects.remove(&key);
+        self.crashes.services.remove(&key);
     }
 
     /// Ends the suspicion of a run that has executed for long enough.
@@ -260,6 +281,7 @@
                 .is_some_and(|task| !task.is_done)
         };
         self.crashes.suspects.retain(|key, _| is_open(key));
+        self.crashes.services.retain(|key, _| is_open(key));
         self.crashes
             .unexplained
             .retain(|lost| now.boot_ms < lost.lost_ms + PROOF_WAIT_MS);
@@ -324,7 +346,7 @@
 
     /// Counts a crash against the tasks that ran on the worker; returns those whose jobs have to be
     /// given up.
-    fn count_crashes(&mut self, lost: &LostWorker) -> Vec<TaskKey> {
+    fn count_crashes(&mut self, now: Now, lost: &LostWorker) -> Vec<TaskKey> {
         if lost.runs.is_empty() {
             return Vec::new();
         }
@@ -342,7 +364,11 @@
             let Some(crashes) = self.count_crash(run, is_new, lost.lost_ms) else {
                 continue;
             };
-            if crashes.means_giving_up(is_proof) {
+            if self.is_long_running(run.task) {
+                if is_new {
+                    self.delay_restart(now, run.task, crashes, lost);
+                }
+            } else if crashes.means_giving_up(is_proof) {
                 given_up.push(run.task);
             } else if let Some(suspicion) = crashes.suspicion() {
                 self.suspect(run.task, suspicion);
@@ -352,6 +378,10 @@
         given_up
     }
 
+    fn is_long_running(&self, task: TaskKey) -> bool {
+        self.step_of(task).is_some_and(|step| step.long_running)
+    }
+
     /// Makes a task suspect, at least as much as it is.
     fn suspect(&mut self, task: TaskKey, suspicion: Suspicion) {
         let known = self.crashes.suspects.entry(task).or_insert(suspicion);
@@ -360,7 +390,7 @@
 
     /// Counts a crash against a task; returns all that count, or `None` if this one doesn't.
     fn count_crash(&mut self, run: &LostRun, is_new: bool, lost_ms: u64) -> Option<CrashCounts> {
-        let is_long_running = self.step_of(run.task)?.long_running;
+        let is_long_running = self.is_long_running(run.task);
         let task = self.jobs.get_mut(run.task.job)?.task_mut(run.task)?;
         let has_run_long = is_long_running
             && run
--- a/crates/cyclamentrail-jobs/src/shard/crashes/counts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes/counts.rs
@@ -31,6 +31,8 @@
     begun: usize,
     /// Crashes shortly after the begin of a run.
     new: usize,
+    /// Crashes of `new` under runs that had begun for certain.
+    soon: usize,
 }
 
 impl CrashCounts {
@@ -43,6 +45,7 @@
             all: task.crashed_runs.len(),
             begun: count(|run| run.has_begun),
             new: count(|run| run.is_new),
+            soon: count(|run| run.is_new && run.has_begun),
         }
     }
 
@@ -57,6 +60,21 @@
         }
     }
 
+    /// Returns what the crashes make suspect of a long-running task: it outlasts many crashes with other
+    /// causes, so that only those shortly after its starts matter.
+    pub(super) const fn suspicion_of_service(self) -> Option<Suspicion> {
+        match self.new {
+            0 => None,
+            1 => Some(Suspicion::Possible),
+            _ => Some(Suspicion::Likely),
+        }
+    }
+
+    /// Returns the number of crashes shortly after the begin of runs that had begun for certain.
+    pub(super) fn soon(self) -> u32 {
+        u32::try_from(self.soon).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether the task's job is given up. `is_proof` tells whether the job ran apart from
     /// all others at the last crash.
     pub(super) const fn means_giving_up(self, is_proof: bool) -> bool {
--- a/crates/cyclamentrail-jobs/src/shard/isolation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/isolation.rs
@@ -56,11 +56,13 @@
         self.max_workers > 0
     }
 
-    /// Returns whether a suspect task of a job may be placed on a worker.
+    /// Returns whether a suspect task of a job may be placed on a worker. `is_long_running` tells whether
+    /// its crashes go on without end, so that it mustn't take other tasks of its job along.
     pub(super) fn admits(
         &self,
         job: JobKey,
         suspicion: Suspicion,
+        is_long_running: bool,
         key: WorkerKey,
         worker: &Worker,
     ) -> bool {
@@ -68,7 +70,9 @@
             || (suspicion == Suspicion::Likely && self.suspect_workers.len() >= self.max_workers);
         match self.suspect_workers.get(&key) {
             Some(suspect_worker)
-                if suspect_worker.jobs.len() == 1 && suspect_worker.jobs.contains(&job) =>
+                if !is_long_running
+                    && suspect_worker.jobs.len() == 1
+                    && suspect_worker.jobs.contains(&job) =>
             {
                 worker.tasks.iter().all(|task| task.job == job)
             }
@@ -126,6 +130,14 @@
         self.crashes.suspects.get(&key).copied()
     }
 
+    /// Returns what is suspected of a task that has to be placed apart. A long-running one that is only
+    /// possibly to blame doesn't wait for that for long.
+    pub(super) fn suspicion_at(&self, now: Now, key: TaskKey) -> Option<Suspicion> {
+        let suspicion = self.suspicion(key)?;
+        let is_overdue = suspicion == Suspicion::Possible && self.is_overdue_service(now, key);
+        (!is_overdue).then_some(suspicion)
+    }
+
     /// Returns whether a step of a gang has a suspect task.
     pub(super) fn is_suspect_gang(&self, first: TaskKey, spec: &StepSpec) -> bool {
         (0..spec.count).any(|index| self.suspicion(TaskKey { index, ..first }).is_some())
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -237,7 +237,7 @@
         let mut candidates = self.candidates(now, step, pass);
         for index in 0..step.spec.count {
             let key = ready_step.task(index);
-            if !self.is_waiting(key) {
+            if !self.is_waiting(key) || self.is_paused(now, key) {
                 continue;
             }
             let limit = step.limit.as_ref();
@@ -245,7 +245,9 @@
                 self.record_skipped(key, limit);
                 return;
             }
-            let suspicion = self.suspicion(key).filter(|_| pass.isolation.is_possible());
+            let suspicion = self
+                .suspicion_at(now, key)
+                .filter(|_| pass.isolation.is_possible());
             let chosen = match suspicion {
                 Some(suspicion) => self.select_apart(now, key.job, suspicion, step, pass),
                 None => candidates.cheapest(),
@@ -307,8 +309,11 @@
         pass: &PlacementPass,
     ) -> Option<WorkerKey> {
         let open = self.open_workers(now, &step.spec, &step.per_worker);
-        let allowed =
-            open.filter(|(key, worker)| pass.isolation.admits(job, suspicion, *key, worker));
+        let is_long_running = step.spec.long_running;
+        let allowed = open.filter(|(key, worker)| {
+            pass.isolation
+                .admits(job, suspicion, is_long_running, *key, worker)
+        });
         select_worker(&step.request(pass), allowed)
     }
 
@@ -324,7 +329,8 @@
         let keys: Vec<TaskKey> = (0..spec.count)
             .map(|index| ready_step.task(index))
             .collect();
-        if !keys.iter().all(|&key| self.is_waiting(key)) {
+        let is_waiting = keys.iter().all(|&key| self.is_waiting(key));
+        if !is_waiting || self.is_gang_paused(now, ready_step.task(0), spec) {
             return true;
         }
         let racks = self.racks();
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -20,7 +20,7 @@
         let Some(&key) = self.worker_keys.get(&registration.id) else {
             let id = registration.id.clone();
             self.end_replaced(now, &registration);
-            self.explain_lost(&registration);
+            self.explain_lost(now, &registration);
             let worker = if has_restarted {
                 self.restarted_worker(now, registration)
             } else {
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -88,7 +88,7 @@
                 self.mark_started(task);
             }
         }
-        self.settle_doubts(key, &reported);
+        self.settle_doubts(now, key, &reported);
         self.release_unlisted(key, &reported);
         self.remove_if_unused(key);
     }
--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -56,7 +56,7 @@
         self.worker_keys.insert(registration.id.clone(), new_key);
         self.keep_unsettled(new_key, unsettled);
         self.give_up(given_up);
-        self.explain_lost(&registration);
+        self.explain_lost(now, &registration);
         new_key
     }
 
@@ -136,7 +136,12 @@
     /// Settles the runs in doubt on a worker by its report. A run that the response to a poll of this
     /// incarnation doesn't list is stopped, so that a late start command can't begin it any more;
     /// where only an earlier owner's command could, which the worker rejects now, the run is over.
-    pub(super) fn settle_doubts(&mut self, key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
+    pub(super) fn settle_doubts(
+        &mut self,
+        now: Now,
+        key: WorkerKey,
+        reported: &BTreeSet<(TaskKey, u32)>,
+    ) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
@@ -171,7 +176,7 @@
             }
         }
         if has_been_polled {
-            self.count_unsettled(key, reported);
+            self.count_unsettled(now, key, reported);
         }
     }
 
--- a/crates/cyclamentrail-jobs/tests/scheduler/crash_counts.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crash_counts.rs
@@ -1,13 +1,15 @@
 //! Tests of what counts as a crash under a task, and of what doesn't.
 
 use crate::world::{Simulation, job};
-use cyclamentrail_core::WorkerId;
+use cyclamentrail_core::{JobId, WorkerId};
 use cyclamentrail_jobs::{Decision, JobSpec, JobState, Resources};
 use rstest::rstest;
 
 const WORKER: Resources = Resources::new(16_000, 65_536, 0);
 /// Demand of a task that fills its worker, in thousandths of a core.
 const WHOLE_MILLI: u64 = 16_000;
+/// Time in milliseconds by which a task of a service must run again.
+const LOST_AFTER_MS: u64 = 6_000;
 
 fn service(count: u32, cpu_milli: u64) -> JobSpec {
     let mut spec = job(count, cpu_milli, 0);
@@ -38,6 +40,10 @@
     idle.map(|(id, _)| id.clone()).collect()
 }
 
+fn starts_of(sim: &Simulation, id: &str) -> u32 {
+    sim.starts[&JobId::from(id)]
+}
+
 fn given_up(sim: &Simulation) -> usize {
     let is_given_up = |decision: &&Decision| matches!(decision, Decision::JobGivenUp { .. });
     sim.decisions.iter().filter(is_given_up).count()
@@ -95,3 +101,113 @@
         assert_eq!(state, Some(JobState::Completed), "j{round}");
     }
 }
+
+/// Returns the workers that run something, by their ids.
+fn busy_workers(sim: &Simulation) -> Vec<WorkerId> {
+    let busy = sim
+        .workers
+        .iter()
+        .filter(|(_, worker)| !worker.running.is_empty());
+    busy.map(|(id, _)| id.clone()).collect()
+}
+
+/// Returns the pauses of tasks that were kept apart, in milliseconds.
+fn pauses_ms(sim: &Simulation) -> Vec<u64> {
+    let pause_ms = |decision: &Decision| match decision {
+        Decision::TaskKeptApart { pause_ms, .. } => Some(*pause_ms),
+        _ => None,
+    };
+    sim.decisions.iter().filter_map(pause_ms).collect()
+}
+
+/// Runs until as many tasks run; returns the time that it took, in milliseconds.
+fn run_until_running(sim: &mut Simulation, tasks: usize) -> u64 {
+    let begin_ms = sim.now().boot_ms;
+    while sim.running() < tasks && sim.now().boot_ms < begin_ms + LOST_AFTER_MS {
+        sim.run_for(20);
+    }
+    sim.now().boot_ms - begin_ms
+}
+
+/// Guards against giving up a service, and stopping what works of it, for crashes of its workers.
+#[rstest]
+#[case::at_start(40, false)]
+#[case::soon(600, false)]
+#[case::later(2_000, false)]
+#[case::later_other_id(2_000, true)]
+fn service_survives_crashes(#[case] crash_after_ms: u64, #[case] restarts_as_other: bool) {
+    let mut sim = Simulation::new(9, WORKER);
+    sim.deadly_tasks.restarts_as_other = restarts_as_other;
+    sim.deadly_tasks.restart_after_ms = 1_500;
+    sim.submit("a", service(6, 1_100));
+    sim.run_for(1_000);
+    for round in 0..24 {
+        let busy = busy_workers(&sim);
+        let id = &busy[round % busy.len()];
+        let lost = u32::try_from(sim.running_on(id.as_str())).expect("few tasks run");
+        let starts = starts_of(&sim, "a");
+        sim.crash_worker(id);
+        let away_ms = run_until_running(&mut sim, 6);
+        assert!(away_ms < LOST_AFTER_MS, "round {round}: {away_ms} ms");
+        assert_eq!(starts_of(&sim, "a"), starts + lost, "round {round}");
+        sim.run_for(crash_after_ms);
+    }
+    assert_eq!(sim.state("a"), Some(JobState::Running));
+    assert_eq!(given_up(&sim), 0);
+}
+
+/// Guards against a deadly service that takes the pool down, or is failed.
+#[rstest]
+fn deadly_service_kept_apart(#[values(1_000, 3_200)] restart_after_ms: u64) {
+    let mut sim = Simulation::new(9, WORKER);
+    sim.deadly_tasks.restart_after_ms = restart_after_ms;
+    sim.deadly_tasks.insert("deadly", 1);
+    sim.submit("deadly", service(3, 1_100));
+    sim.submit("other", service(2, 1_100));
+    sim.run_for(10_000);
+    let others = starts_of(&sim, "other");
+    for round in 0..100 {
+        sim.submit(&format!("j{round}"), job(6, 1_100, 640));
+        sim.run_for(300);
+        let down = sim.workers.values().filter(|worker| !worker.is_alive);
+        assert!(down.count() <= 1, "one worker is lost at a time");
+    }
+    sim.run_for(3_000);
+    assert_eq!(sim.state("deadly"), Some(JobState::Running));
+    assert_eq!(sim.running(), 4, "all others of both services run");
+    assert_eq!(starts_of(&sim, "other"), others);
+    for round in 0..100 {
+        let starts = starts_of(&sim, &format!("j{round}"));
+        assert_eq!(starts, 6, "no task of j{round} was lost with its worker");
+    }
+    assert_eq!(pauses_ms(&sim)[..4], [500, 1_000, 2_000, 2_000]);
+    let crashes = sim.deadly_tasks.crash_count();
+    assert!(crashes >= 6, "it is started again, {crashes} crashes");
+}
+
+/// Guards against blaming one for the other where workers crash by themselves and under a task.
+#[test]
+fn crashes_beside_deadly() {
+    let mut sim = Simulation::new(12, WORKER);
+    sim.deadly_tasks.insert("deadly", 0);
+    sim.deadly_tasks.restart_after_ms = 1_500;
+    sim.submit("service", service(6, 1_100));
+    sim.run_for(1_000);
+    sim.submit("deadly", job(3, 1_100, 640));
+    for round in 0..20_usize {
+        sim.submit(&format!("j{round}"), job(4, 1_100, 640));
+        sim.run_for(1_200);
+        let busy = busy_workers(&sim);
+        assert!(!busy.is_empty(), "round {round}: nothing runs");
+        sim.crash_worker(&busy[round % busy.len()]);
+    }
+    sim.run_for(15_000);
+    assert_eq!(sim.state("deadly"), Some(JobState::Failed));
+    assert_eq!(sim.state("service"), Some(JobState::Running));
+    assert_eq!(sim.running(), 6);
+    for round in 0..20 {
+        let state = sim.state(&format!("j{round}"));
+        assert_eq!(state, Some(JobState::Completed), "j{round}");
+    }
+    assert_eq!(given_up(&sim), 1);
+}
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -173,6 +173,15 @@
             Decision::JobGivenUp { job, task, crashes } => Self::new("job_given_up")
                 .with_task_of(job, task)
                 .with("crashes", crashes),
+            Decision::TaskKeptApart {
+                job,
+                task,
+                crashes,
+                pause_ms,
+            } => Self::new("task_kept_apart")
+                .with_task_of(job, task)
+                .with("crashes", crashes)
+                .with("pause_ms", pause_ms),
             Decision::AllowanceChanged { change, usage } => Self::allowance_changed(change, *usage),
             Decision::RunStalled { job, worker } => Self::new("run_stalled")
                 .with("job", job)
@@ -246,6 +255,7 @@
         | Decision::PromiseMade { job, .. }
         | Decision::PromiseEnded { job, .. }
         | Decision::JobGivenUp { job, .. }
+        | Decision::TaskKeptApart { job, .. }
         | Decision::RunStalled { job, .. } => Some(job),
         Decision::ContactChanged { .. }
         | Decision::WorkerRestarted { .. }
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -83,6 +83,7 @@
         | Decision::PromiseMade { .. }
         | Decision::ContactChanged { .. }
         | Decision::WorkerRestarted { .. }
+        | Decision::TaskKeptApart { .. }
         | Decision::ShareChanged { .. } => {}
     }
 }
