--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -1,14 +1,25 @@
 //! Tasks that crash the workers that run them.
 //!
 //! A worker that gave no notice has crashed when a newer incarnation of it runs, or another worker at
-//! its address. Each run that may have begun there counts against its task, because nobody saw which
-//! of them caused the crash. A suspect task runs apart from the tasks of other jobs (see
+//! its address. Each run that had begun there counts against its task, because nobody saw which of
+//! them caused the crash. A suspect task runs apart from the tasks of other jobs (see
 //! [`super::isolation`]), so that its next crash tells who did it and takes nobody else's work with
 //! it.
+//!
+//! A job fails by crashes under its other tasks only: long-running ones are started again, see
+//! [`service_restarts`].
+//!
+//! A start that the worker rejected, that another incarnation answered or that was never sent counts
+//! for nothing. A start without any response may have crashed its worker before that could respond,
+//! or met one that was gone. It counts, for less than a run that had begun, only where the worker
+//! responded to any call shortly before the start or after it. Else it makes its task suspect: the next
+//! start is then preceded by a poll that the worker answers at once, so that a task that crashes its
+//! workers unheard counts from its second start on, and a task that met silent workers never does.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use super::restarts::CALLS_UNDER_WAY_MS;
 use super::{Now, Shard};
 use crate::JobSpec;
 use crate::effect::{Decision, Effect};
@@ -18,11 +29,13 @@
 
 mod counts;
 mod lost_worker;
+mod service_restarts;
 
 use counts::CrashCounts;
 pub(super) use counts::Suspicion;
 pub(super) use lost_worker::LostWorker;
 use lost_worker::{CrashedWorker, LostRun};
+use service_restarts::CrashedService;
 
 /// Time within which several workers are lost by a common cause, such as their rack's power, in
 /// milliseconds.
@@ -35,6 +48,9 @@
 const PROBATION_MS: u64 = 600;
 /// Time for which a lost run waits for the proof that its worker crashed, in milliseconds.
 const PROOF_WAIT_MS: u64 = 60_000;
+/// Time before a start within which a response shows that the worker was alive at the start, in
+/// milliseconds; longer than a worker may hold a poll.
+const HEARD_BEFORE_START_MS: u64 = 1_500;
 /// Number of descriptions of given-up jobs that are remembered.
 const MAX_GIVEN_UP: usize = 64;
 
@@ -43,6 +59,8 @@
 pub(super) struct Crashes {
     /// Tasks that may crash their workers.
     pub(super) suspects: BTreeMap<TaskKey, Suspicion>,
+    /// Long-running tasks whose workers crashed under them soon after their starts.
+    services: BTreeMap<TaskKey, CrashedService>,
     /// Runs that ended with their workers' leases, until it is known whether these workers crashed.
     unexplained: Vec<LostWorker>,
     /// Runs of restarted workers that may be on the new incarnation, whose key is given.
@@ -54,13 +72,20 @@
 }
 
 impl Shard {
-    /// Counts the crash of a worker against the tasks whose runs had begun there; returns the tasks
-    /// whose jobs have to be given up. The runs are released by the caller.
-    pub(super) fn record_crash(&mut self, now: Now, key: WorkerKey) -> Vec<TaskKey> {
-        let Some(lost) = self.lost_worker(now, key) else {
+    /// Counts the crash of a worker against the tasks whose runs may have begun there, except those in
+    /// `open`, whose starts have no result yet; returns the tasks whose jobs have to be given up. The
+    /// runs are released by the caller.
+    pub(super) fn record_crash(
+        &mut self,
+        now: Now,
+        key: WorkerKey,
+        open: &[TaskKey],
+    ) -> Vec<TaskKey> {
+        let Some(mut lost) = self.lost_worker(now, key) else {
             return Vec::new();
         };
-        self.count_crashes(&lost)
+        lost.runs.retain(|run| !open.contains(&run.task));
+        self.count_crashes(now, &lost)
     }
 
     /// Counts the crash of a worker that has restarted, as far as its runs have surely ended; returns
@@ -77,10 +102,13 @@
         let (in_doubt, ended) = std::mem::take(&mut lost.runs)
             .into_iter()
             .partition(|run: &LostRun| doubtful.contains(&run.task));
-        let given_up = self.count_crashes(&LostWorker {
-            runs: ended,
-            ..lost.clone()
-        });
+        let given_up = self.count_crashes(
+            now,
+            &LostWorker {
+                runs: ended,
+                ..lost.clone()
+            },
+        );
         lost.runs = in_doubt;
         (given_up, Some(lost))
     }
@@ -103,13 +131,14 @@
         task: TaskKey,
         record: &PlacementRecord,
     ) {
-        if self.step_of(task).is_none_or(|step| step.long_running) {
+        if self.is_long_running(task) {
             return;
         }
         let run = LostRun {
             task,
             run: record.run,
             has_begun: false,
+            may_have_begun: true,
             // It began under an earlier owner: one such crash alone doesn't make the task suspect.
             since_ms: Some(0),
         };
@@ -137,7 +166,12 @@
 
     /// Counts the crash of a restarted worker against the runs in doubt that its new incarnation
     /// doesn't report: they were lost with the earlier one.
-    pub(super) fn count_unsettled(&mut self, key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
+    pub(super) fn count_unsettled(
+        &mut self,
+        now: Now,
+        key: WorkerKey,
+        reported: &BTreeSet<(TaskKey, u32)>,
+    ) {
         let (settled, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.crashes.unsettled)
             .into_iter()
             .partition(|(worker, _)| *worker == key);
@@ -145,7 +179,7 @@
         for (_, mut lost) in settled {
             lost.runs
                 .retain(|run| !reported.contains(&(run.task, run.run)));
-            let given_up = self.count_crashes(&lost);
+            let given_up = self.count_crashes(now, &lost);
             self.give_up(given_up);
         }
     }
@@ -162,7 +196,7 @@
     /// Handles the proof that an incarnation of a worker runs. An earlier one that was lost with its
     /// runs has crashed, also if a worker with another id runs at its address now; the same one was
     /// unreachable only.
-    pub(super) fn explain_lost(&mut self, running: &WorkerRegistration) {
+    pub(super) fn explain_lost(&mut self, now: Now, running: &WorkerRegistration) {
         let (explained, open) = std::mem::take(&mut self.crashes.unexplained)
             .into_iter()
             .partition(|lost| lost.id == running.id || lost.address == running.address);
@@ -170,7 +204,7 @@
         let explained: Vec<LostWorker> = explained;
         for lost in explained {
             if lost.id != running.id || lost.started_ms < running.started_ms {
-                let given_up = self.count_crashes(&lost);
+                let given_up = self.count_crashes(now, &lost);
                 self.give_up(given_up);
             }
         }
@@ -209,7 +243,12 @@
             .tasks(key)
             .filter(|(_, task)| !task.is_done)
             .filter_map(|(task_key, task)| {
-                let by_crashes = CrashCounts::of(task).suspicion();
+                let counts = CrashCounts::of(task);
+                let by_crashes = if self.is_long_running(task_key) {
+                    counts.suspicion_of_service()
+                } else {
+                    counts.suspicion()
+                };
                 let suspicion = by_crashes.or(is_known.then_some(Suspicion::Likely))?;
                 Some((task_key, suspicion))
             })
@@ -220,6 +259,7 @@
     /// Ends the suspicion of a task whose run its worker survived.
     pub(super) fn clear_suspect(&mut self, key: TaskKey) {
         self.crashes.suspects.remove(&key);
+        self.crashes.services.remove(&key);
     }
 
     /// Ends the suspicion of a run that has executed for long enough.
@@ -241,6 +281,7 @@
                 .is_some_and(|task| !task.is_done)
         };
         self.crashes.suspects.retain(|key, _| is_open(key));
+        self.crashes.services.retain(|key, _| is_open(key));
         self.crashes
             .unexplained
             .retain(|lost| now.boot_ms < lost.lost_ms + PROOF_WAIT_MS);
@@ -263,7 +304,7 @@
         let runs: Vec<LostRun> = worker
             .tasks
             .iter()
-            .filter_map(|&task| self.lost_run(task))
+            .filter_map(|&task| self.lost_run(worker, task))
             .collect();
         let is_suspect = |run: &LostRun| self.crashes.suspects.contains_key(&run.task);
         (!runs.is_empty()).then(|| LostWorker {
@@ -278,12 +319,13 @@
         })
     }
 
-    fn lost_run(&self, task: TaskKey) -> Option<LostRun> {
+    fn lost_run(&self, worker: &Worker, task: TaskKey) -> Option<LostRun> {
         let placement = self.placement_of(task)?;
         (placement.phase != RunPhase::Placed).then_some(LostRun {
             task,
             run: placement.run,
             has_begun: placement.has_begun,
+            may_have_begun: placement.has_begun || was_alive_at_start(worker, placement),
             since_ms: match placement.phase {
                 RunPhase::Running { since_ms } => Some(since_ms),
                 _ => None,
@@ -291,43 +333,64 @@
         })
     }
 
+    /// Returns whether a worker has a run of a suspect task that it hasn't confirmed.
+    pub(super) fn has_unconfirmed_suspect(&self, key: WorkerKey) -> bool {
+        let is_unconfirmed = |task: &TaskKey| {
+            let placement = self.placement_of(*task);
+            self.crashes.suspects.contains_key(task)
+                && placement.is_some_and(|placement| !placement.has_begun)
+        };
+        let worker = self.workers.get(key);
+        worker.is_some_and(|worker| worker.tasks.iter().any(is_unconfirmed))
+    }
+
     /// Counts a crash against the tasks that ran on the worker; returns those whose jobs have to be
     /// given up.
-    fn count_crashes(&mut self, lost: &LostWorker) -> Vec<TaskKey> {
+    fn count_crashes(&mut self, now: Now, lost: &LostWorker) -> Vec<TaskKey> {
         if lost.runs.is_empty() {
             return Vec::new();
         }
         let others = self.lost_at_once(lost);
-        let is_proof = lost.jobs.len() == 1 && lost.was_apart;
+        let known = self.crashes.recent.iter().find(|known| lost.is_same(known));
+        let is_proof = lost.is_proof(known);
         let mut given_up = Vec::new();
         for run in &lost.runs {
             let is_on_all = others.iter().all(|other| other.contains(&run.task.job));
+            if !run.may_have_begun {
+                self.suspect(run.task, Suspicion::Possible);
+                continue;
+            }
             let is_new = is_on_all && run.is_new(lost.heard_ms);
             let Some(crashes) = self.count_crash(run, is_new, lost.lost_ms) else {
                 continue;
             };
-            if crashes.means_giving_up(is_proof) {
+            if self.is_long_running(run.task) {
+                if is_new {
+                    self.delay_restart(now, run.task, crashes, lost);
+                }
+            } else if crashes.means_giving_up(is_proof) {
                 given_up.push(run.task);
             } else if let Some(suspicion) = crashes.suspicion() {
-                let known = self.crashes.suspects.entry(run.task).or_insert(suspicion);
-                *known = suspicion.max(*known);
+                self.suspect(run.task, suspicion);
             }
         }
-        if !self.crashes.recent.iter().any(|known| lost.is_same(known)) {
-            self.crashes.recent.push_back(CrashedWorker {
-                id: lost.id.clone(),
-                started_ms: lost.started_ms,
-                lost_ms: lost.lost_ms,
-                jobs: lost.jobs.clone(),
-                was_apart: lost.was_apart,
-            });
-        }
+        self.crashes.remember_crashed(lost);
         given_up
     }
 
+    fn is_long_running(&self, task: TaskKey) -> bool {
+        self.step_of(task).is_some_and(|step| step.long_running)
+    }
+
+    /// Makes a task suspect, at least as much as it is.
+    fn suspect(&mut self, task: TaskKey, suspicion: Suspicion) {
+        let known = self.crashes.suspects.entry(task).or_insert(suspicion);
+        *known = suspicion.max(*known);
+    }
+
     /// Counts a crash against a task; returns all that count, or `None` if this one doesn't.
     fn count_crash(&mut self, run: &LostRun, is_new: bool, lost_ms: u64) -> Option<CrashCounts> {
-        let is_long_running = self.step_of(run.task)?.long_running;
+        let is_long_running = self.is_long_running(run.task);
         let task = self.jobs.get_mut(run.task.job)?.task_mut(run.task)?;
         let has_run_long = is_long_running
             && run
@@ -378,6 +441,23 @@
 }
 
 impl Crashes {
+    /// Remembers a crashed worker, with all jobs that may have run there.
+    fn remember_crashed(&mut self, lost: &LostWorker) {
+        let known = self.recent.iter_mut().find(|known| lost.is_same(known));
+        if let Some(known) = known {
+            known.jobs.extend(&lost.jobs);
+            known.was_apart &= lost.was_apart;
+            return;
+        }
+        self.recent.push_back(CrashedWorker {
+            id: lost.id.clone(),
+            started_ms: lost.started_ms,
+            lost_ms: lost.lost_ms,
+            jobs: lost.jobs.clone(),
+            was_apart: lost.was_apart,
+        });
+    }
+
     fn remember_given_up(&mut self, spec: &Arc<JobSpec>) {
         if self.given_up.contains(spec) {
             return;
@@ -396,3 +476,13 @@
         Reachability::Unreachable { since_ms } => Some(since_ms),
     }
 }
+
+/// Returns whether a worker responded to any call shortly before the start of a run, or after it. Of a
+/// start by an earlier owner, nobody knows.
+const fn was_alive_at_start(worker: &Worker, placement: Placement) -> bool {
+    let sent_ms = placement
+        .start_under_way_until_ms
+        .saturating_sub(CALLS_UNDER_WAY_MS);
+    let is_heard = worker.heard_ms > 0 && worker.heard_ms + HEARD_BEFORE_START_MS >= sent_ms;
+    is_heard || placement.start_under_way_until_ms == 0
+}
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/crashes.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cyclamentrail_core::{JobId, WorkerId};
+use cyclamentrail_jobs::StartCommand;
 
 use super::{Event, Simulation};
 use crate::worker::Run;
@@ -15,6 +16,11 @@
 const UNLISTED_AFTER_MS: u64 = 4_500;
 /// Number of crashes under a task after which it may be started only twice more.
 const MAX_CRASHES: usize = 3;
+/// Shortest pause from the restart of a crashed worker to the next start of a deadly long-running task
+/// after [`MAX_CRASHES`], in milliseconds.
+const SERVICE_PAUSE_MS: u64 = 900;
+/// Time in milliseconds after a crash within which a deadly long-running task has to start again.
+const SERVICE_AWAY_MS: u64 = 6_000;
 
 /// Job, occurrence, step and index of a task.
 type TaskName = (JobId, u32, u32, u32);
@@ -28,10 +34,14 @@
     pub restart_after_ms: u64,
     /// Whether the worker is back under another id, at the same address.
     pub restarts_as_other: bool,
+    /// Whether the workers crash before they respond to the start command.
+    pub crashes_unanswered: bool,
     /// Number of crashes under each such task.
     pub crashes: BTreeMap<TaskName, usize>,
     /// Starts of each such task after [`MAX_CRASHES`].
     late_starts: BTreeMap<TaskName, usize>,
+    /// Virtual time of the last crash under each such task, in milliseconds.
+    last_crashes_ms: BTreeMap<TaskName, u64>,
 }
 
 impl Default for DeadlyTasks {
@@ -40,8 +50,10 @@
             tasks: BTreeSet::new(),
             restart_after_ms: 3_200,
             restarts_as_other: false,
+            crashes_unanswered: false,
             crashes: BTreeMap::new(),
             late_starts: BTreeMap::new(),
+            last_crashes_ms: BTreeMap::new(),
         }
     }
 }
@@ -81,9 +93,13 @@
 
     /// Crashes a worker; it starts again after a while.
     pub fn crash_worker(&mut self, id: &WorkerId) {
+        let now_ms = self.now_ms;
         for run in self.end_incarnation(id) {
             let task = (run.id.job, run.id.occurrence, run.id.step, run.id.index);
             if self.deadly_tasks.contains(&task) {
+                self.deadly_tasks
+                    .last_crashes_ms
+                    .insert(task.clone(), now_ms);
                 *self.deadly_tasks.crashes.entry(task).or_default() += 1;
             }
         }
@@ -111,13 +127,24 @@
     }
 
     /// Lets a worker crash soon after it started a deadly task, and checks that the task wasn't
-    /// started too often.
-    pub(super) fn record_deadly_start(&mut self, worker: &WorkerId, task: &TaskName) {
+    /// started too often, or a long-running one too soon.
+    pub(super) fn record_deadly_start(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskName,
+        is_long_running: bool,
+    ) {
         if !self.deadly_tasks.contains(task) {
             return;
         }
         let crashes = self.deadly_tasks.crashes.get(task);
-        if crashes.is_some_and(|&crashes| crashes >= MAX_CRASHES) {
+        let has_crashed_often = crashes.is_some_and(|&crashes| crashes >= MAX_CRASHES);
+        if has_crashed_often && is_long_running {
+            let away_ms = self.now_ms - self.deadly_tasks.last_crashes_ms[task];
+            let least_ms = self.deadly_tasks.restart_after_ms + SERVICE_PAUSE_MS;
+            let is_in_time = (least_ms..SERVICE_AWAY_MS).contains(&away_ms);
+            assert!(is_in_time, "{task:?} starts after {away_ms} ms");
+        } else if has_crashed_often {
             let late_starts = self.deadly_tasks.late_starts.entry(task.clone());
             let late_starts = late_starts.or_default();
             *late_starts += 1;
@@ -129,6 +156,17 @@
         }
     }
 
+    /// Crashes the worker of a deadly task's start command before it responds; returns whether it did.
+    pub(super) fn crash_unanswered(&mut self, command: &StartCommand) -> bool {
+        let task = command.task;
+        let name = (command.job.clone(), task.occurrence, task.step, task.index);
+        let crashes = self.deadly_tasks.crashes_unanswered && self.deadly_tasks.contains(&name);
+        if crashes {
+            self.crash_worker(&command.target.id);
+        }
+        crashes
+    }
+
     /// Crashes the workers whose time has come.
     pub(super) fn crash_due_workers(&mut self) {
         let is_due = |crash_ms: Option<u64>| crash_ms.is_some_and(|due_ms| due_ms <= self.now_ms);
