fix(jobs): a run that a partial list of ends leaves out isn't gone

What callers saw: a worker runs 1,400 small tasks of a job, and their ends pile up while the store is down.

Cause: a worker lists at most 500 ended runs at a time. `release_unlisted` took a run that a report lists neither as running nor as ended for gone, also where the report was the first part of a longer list. `settle_doubts` and `count_unsettled` read the same list in the same way: a run in doubt was released or stopped, and a run that the new incarnation had ended counted as a crash.

Ruled out: waiting longer, since what is left out depends on the number of ends and not on time.

`ListedRuns::lacks` tells only from a whole list that a run is gone. After a part, the next poll doesn't ask the worker to wait for a further end. Between processes the field is left out where the list is whole, so that processes of earlier versions read such reports; one of an earlier version that is sent a part closes the relay's session.

Conclusion: a report says only what it says.

--- a/crates/cyclamentrail-bench/src/lab/worker.rs
+++ b/crates/cyclamentrail-bench/src/lab/worker.rs
@@ -131,6 +131,7 @@
             clock_ms,
             running: running.collect(),
             ended: self.ended.clone(),
+            may_lack_ends: false,
         }
     }
 }
--- a/crates/cyclamentrail-bench/src/run_times/simulation.rs
+++ b/crates/cyclamentrail-bench/src/run_times/simulation.rs
@@ -383,6 +383,7 @@
             clock_ms,
             running: running.collect(),
             ended: self.ended.clone(),
+            may_lack_ends: false,
         }
     }
 }
--- a/crates/cyclamentrail-jobs/src/effect/outcome.rs
+++ b/crates/cyclamentrail-jobs/src/effect/outcome.rs
@@ -117,8 +117,21 @@
     pub clock_ms: u64,
     /// Runs that are executing.
     pub running: Vec<ActiveRun>,
-    /// Runs that have ended and aren't acknowledged yet.
+    /// Runs that have ended and aren't acknowledged yet; the earliest of them if `may_lack_ends`.
     pub ended: Vec<EndedRun>,
+    /// Whether further runs may have ended, because the worker lists only so many ends at a time. A run
+    /// that isn't listed is then not known to be gone. Left out if the list is whole, as processes of
+    /// earlier versions don't know the field.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub may_lack_ends: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+const fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 /// Outcome of a command to a worker.
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -144,7 +144,7 @@
             } else {
                 None
             };
-            let may_wait = has_tasks && is_reachable && worker.knows_token;
+            let may_wait = has_tasks && is_reachable && worker.knows_token && !worker.has_more_ends;
             worker.is_polling = true;
             worker.poll_sent_ms = now.boot_ms;
             self.ready_effects.push(Effect::Poll(WorkerPoll {
--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use super::reports::ListedRuns;
 use super::{Now, Shard};
 use crate::JobSpec;
 use crate::effect::{Decision, Effect};
@@ -137,14 +138,17 @@
 
     /// Counts the crash of a restarted worker against the runs in doubt that its new incarnation
     /// doesn't report: they were lost with the earlier one.
-    pub(super) fn count_unsettled(&mut self, key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
+    pub(super) fn count_unsettled(&mut self, key: WorkerKey, listed: &ListedRuns) {
         let (settled, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.crashes.unsettled)
             .into_iter()
             .partition(|(worker, _)| *worker == key);
         self.crashes.unsettled = open;
         for (_, mut lost) in settled {
-            lost.runs
-                .retain(|run| !reported.contains(&(run.task, run.run)));
+            lost.runs.retain(|run| !listed.contains(run.task, run.run));
+            if !listed.is_whole {
+                self.crashes.unsettled.push((key, lost));
+                continue;
+            }
             let given_up = self.count_crashes(&lost);
             self.give_up(given_up);
         }
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -16,6 +16,26 @@
 /// Failure score from which no task is placed on a worker for a while.
 const AVOID_FAILURE_SCORE: u32 = 3;
 
+/// Runs that a report of a worker lists.
+#[derive(Debug)]
+pub(super) struct ListedRuns {
+    runs: BTreeSet<(TaskKey, u32)>,
+    /// Whether the worker has no further runs.
+    pub(super) is_whole: bool,
+}
+
+impl ListedRuns {
+    /// Returns whether a run of a task is listed.
+    pub(super) fn contains(&self, task: TaskKey, run: u32) -> bool {
+        self.runs.contains(&(task, run))
+    }
+
+    /// Returns whether a run of a task isn't on the worker.
+    pub(super) fn lacks(&self, task: TaskKey, run: u32) -> bool {
+        self.is_whole && !self.contains(task, run)
+    }
+}
+
 impl Shard {
     /// Handles the result of a worker poll that acknowledged ended runs up to `durable_sequence`;
     /// returns whether the worker has seen a higher fencing token.
@@ -63,6 +83,7 @@
         worker.lease.record_clock(report.clock_ms, now.boot_ms);
         worker.heard_ms = now.boot_ms;
         worker.knows_token = true;
+        worker.has_more_ends = report.may_lack_ends;
         worker.lease.drop_inherited();
         if worker.reachability != Reachability::Reachable {
             worker.reachability = Reachability::Reachable;
@@ -74,22 +95,25 @@
         }
         self.forget_lost(key);
         self.update_share(now, key, &report);
-        let mut reported = BTreeSet::new();
+        let mut listed = ListedRuns {
+            runs: BTreeSet::new(),
+            is_whole: !report.may_lack_ends,
+        };
         for ended_run in report.ended {
             if let Some(task) = self.find_task(&ended_run.id) {
-                reported.insert((task, ended_run.id.run));
+                listed.runs.insert((task, ended_run.id.run));
             }
             self.record_end(now, key, &ended_run);
         }
         for active_run in report.running {
             if let Some(task) = self.find_task(&active_run.id) {
-                reported.insert((task, active_run.id.run));
+                listed.runs.insert((task, active_run.id.run));
                 self.record_running(now, task, active_run, is_own_report);
                 self.mark_started(task);
             }
         }
-        self.settle_doubts(key, &reported);
-        self.release_unlisted(key, &reported);
+        self.settle_doubts(key, &listed);
+        self.release_unlisted(key, &listed);
         self.remove_if_unused(key);
     }
 
@@ -310,7 +334,7 @@
     ///
     /// A stopped run that the worker never listed waits for a poll that was sent when no start command
     /// for it was under way any more: a further incarnation could get that one.
-    fn release_unlisted(&mut self, worker_key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
+    fn release_unlisted(&mut self, worker_key: WorkerKey, listed: &ListedRuns) {
         let Some(worker) = self.workers.get(worker_key) else {
             return;
         };
@@ -329,7 +353,7 @@
                 }
                 RunPhase::Placed | RunPhase::Sent => false,
             };
-            was_confirmed && !reported.contains(&(*key, placement.run))
+            was_confirmed && listed.lacks(*key, placement.run)
         };
         let ended_keys: Vec<TaskKey> = worker.tasks.iter().copied().filter(has_ended).collect();
         for key in ended_keys {
--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -6,8 +6,7 @@
 //! a report, and whose start can't be carried out again, has surely ended with it. Every other run is
 //! assigned to the new incarnation until that one's first report tells whether it is there.
 
-use std::collections::BTreeSet;
-
+use super::reports::ListedRuns;
 use super::{Now, Shard};
 use crate::effect::{Decision, Effect, EndProof, WorkerReport};
 use crate::job::{RestartDoubt, RunPhase, TaskKey};
@@ -136,7 +135,7 @@
     /// Settles the runs in doubt on a worker by its report. A run that the response to a poll of this
     /// incarnation doesn't list is stopped, so that a late start command can't begin it any more;
     /// where only an earlier owner's command could, which the worker rejects now, the run is over.
-    pub(super) fn settle_doubts(&mut self, key: WorkerKey, reported: &BTreeSet<(TaskKey, u32)>) {
+    pub(super) fn settle_doubts(&mut self, key: WorkerKey, listed: &ListedRuns) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
@@ -152,8 +151,9 @@
             let Some(placement) = self.placement_of_mut(task) else {
                 continue;
             };
-            let is_there = reported.contains(&(task, placement.run));
-            if !is_there && !has_been_polled {
+            let is_there = listed.contains(task, placement.run);
+            let is_gone = has_been_polled && listed.lacks(task, placement.run);
+            if !is_there && !is_gone {
                 continue;
             }
             placement.doubt = None;
@@ -171,7 +171,7 @@
             }
         }
         if has_been_polled {
-            self.count_unsettled(key, reported);
+            self.count_unsettled(key, listed);
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -80,6 +80,10 @@
 
 /// A worker with the tasks that are placed on it.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is an observation of its own"
+)]
 pub struct Worker {
     /// Newest registration of the worker.
     pub registration: WorkerRegistration,
@@ -120,6 +124,8 @@
     pub evacuating_since_ms: Option<u64>,
     /// Whether the worker has responded to a call with this owner's fencing token.
     pub knows_token: bool,
+    /// Whether the worker may have more ended runs than its last report listed.
+    pub has_more_ends: bool,
 }
 
 impl Worker {
@@ -147,6 +153,7 @@
             failure_score: 0,
             evacuating_since_ms: None,
             knows_token: false,
+            has_more_ends: false,
         }
     }
 
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -16,6 +16,8 @@
 mod outage;
 #[path = "scheduler/overload.rs"]
 mod overload;
+#[path = "scheduler/partial_reports.rs"]
+mod partial_reports;
 #[path = "scheduler/policy.rs"]
 mod policy;
 #[path = "scheduler/promises.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
@@ -11,6 +11,9 @@
 use super::{CALL_MS, Event, MAX_LEASE_MS, STOP_MS, Simulation, same_task};
 use crate::worker::Run;
 
+/// Number of ended runs that a worker lists at a time.
+const ENDS_PER_REPORT: usize = 500;
+
 impl Simulation {
     /// Delivers a start command to its worker, with the worker's faults. An incarnation that got the
     /// command before, `got_by`, carries it out late, unless it has ended.
@@ -250,6 +253,7 @@
                     .lease_end_ms
                     .max(lease_end_ms.min(clock_ms + MAX_LEASE_MS));
             }
+            let listed = worker.ended.len().min(ENDS_PER_REPORT);
             PollOutcome::Report(WorkerReport {
                 started_ms: Some(worker.registration.started_ms),
                 clock_ms,
@@ -258,7 +262,8 @@
                     .iter()
                     .map(|run| worker.report_run(run))
                     .collect(),
-                ended: worker.ended.clone(),
+                ended: worker.ended[..listed].to_vec(),
+                may_lack_ends: listed == ENDS_PER_REPORT,
             })
         };
         let delay_ms = if matches!(outcome, PollOutcome::NoResponse) {
--- a/crates/cyclamentrail/tests/messages_earlier.rs
+++ b/crates/cyclamentrail/tests/messages_earlier.rs
@@ -6,7 +6,7 @@
 
 use anyhow::{Result, ensure};
 use bytes::Bytes;
-use cyclamentrail_jobs::JobSpec;
+use cyclamentrail_jobs::{JobSpec, WorkerReport};
 use cyclamentrail_standin::JOB_SERVICE;
 use cyclamentrail_testkit::JobSite;
 use http_body_util::{BodyExt, Full};
@@ -50,3 +50,17 @@
     ensure!(rmp_serde::from_slice::<String>(&reply)? == "Cancelled");
     Ok(())
 }
+
+/// A relay of an earlier version sends reports without the mark of a partial list, and a whole list is
+/// sent in the form that it reads.
+#[test]
+fn earlier_reports_readable() -> Result<()> {
+    let earlier = rmp_serde::to_vec(&(Some(3_u64), 5_u64, [(); 0], [(); 0]))?;
+    let mut report: WorkerReport = rmp_serde::from_slice(&earlier)?;
+    ensure!(!report.may_lack_ends);
+    ensure!(rmp_serde::to_vec(&report)? == earlier);
+    report.may_lack_ends = true;
+    let sent = rmp_serde::to_vec(&report)?;
+    ensure!(rmp_serde::from_slice::<WorkerReport>(&sent)? == report);
+    Ok(())
+}
