--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -148,7 +148,11 @@
             } else {
                 None
             };
-            let may_wait = has_tasks && is_reachable && worker.knows_token && !has_unproven;
+            let may_wait = has_tasks
+                && is_reachable
+                && worker.knows_token
+                && !has_unproven
+                && !worker.has_more_ends;
             worker.is_polling = true;
             worker.poll_sent_ms = now.boot_ms;
             self.ready_effects.push(Effect::Poll(WorkerPoll {
