fix(jobs): later steps of accepted jobs start after their route left

What callers saw: when a version of the configuration gave a queue another service or name, or dropped it, the jobs that its service had accepted stayed `running` for good: no task whose turn came later was started, and after it failed runs weren't counted against a limit.

Cause: `set_routes` replaced all routes of the shard, and placement passes over jobs whose route isn't configured.

Ruled out: moving the jobs to the new service. Runs go on at the earlier one, a move would need a record in two topics at once, and its workers may lack what the job asks for. Also ruled out: a copy of the configuration in each job's record, which costs bytes with each job.

Change: the shard keeps the last configuration of a route that it no longer has, as long as a job uses it. Placement, attempts and order go on by it; new jobs are refused as before. It stands in the shard's topic under `~route/<name>`, written with the first job that is accepted under it, in the same append, so that there is no time at which a job is stored and its route isn't. An owner that finds no such record (written by an earlier version) places the job by defaults: priority 0, three attempts. The record is deleted when no job uses the route. Learned run times are dropped with the configured route, as before.

Evidence: before, 9 of the 11 new tests failed (scheduler former_routes), for example former_routes::unstored_route_has_default: assertion `left == right` failed left: Some(Running) right: Some(Completed) `former_route_accepts_nothing` and `returned_route_accepts` held. Now all of them hold, with `reserved_id_rejected`; the 199 tests of `scheduler` pass.

Conclusion: within a shard, a job no longer depends on today's routes. Callers still ask the wrong shard; that is a fault of its own.

--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -86,10 +86,13 @@
 /// Key of the record by which an owner gives up its shard.
 pub const RELEASE_KEY: &str = "~release";
 
+/// Prefix that turns the name of a route into the key of its configuration.
+pub(crate) const ROUTE_PREFIX: &str = "~route/";
+
 /// Returns whether a key belongs to a record of the shard itself, so that no job may have it as its
 /// id.
 pub(crate) fn is_reserved_key(key: &str) -> bool {
-    key == RELEASE_KEY || key.starts_with(RUN_TIMES_PREFIX)
+    key == RELEASE_KEY || key.starts_with(RUN_TIMES_PREFIX) || key.starts_with(ROUTE_PREFIX)
 }
 
 /// Statement of an owner that it has given up its shard and makes no further decisions for it.
--- a/crates/cyclamentrail-jobs/src/route.rs
+++ b/crates/cyclamentrail-jobs/src/route.rs
@@ -1,9 +1,10 @@
 //! Properties of routes that the configuration defines.
 
 use cyclamentrail_core::{RouteName, ServiceName};
+use serde::{Deserialize, Serialize};
 
 /// Configuration of a route, by which its jobs are served.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RouteConfig {
     /// Name of the route.
     pub name: RouteName,
@@ -24,7 +25,7 @@
 }
 
 /// Timing of the policy service that permits workers to run a step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviceConfig {
     /// Fixed duration of a query, in milliseconds.
     pub fixed_ms: u64,
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -11,7 +11,7 @@
 use crate::job::{Job, JobKey, JobState, RunPhase, TaskKey};
 use crate::record::{AcceptedJobRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
 use crate::worker::{Reachability, Worker, WorkerKey};
-use crate::{DurationEstimate, RouteConfig, StepSpec, TeamConfig};
+use crate::{DurationEstimate, StepSpec, TeamConfig};
 
 mod advice;
 mod backlog;
@@ -31,6 +31,7 @@
 mod registry;
 mod reports;
 mod restarts;
+mod routes;
 mod run_time_costs;
 mod run_times;
 mod shares;
@@ -84,7 +85,7 @@
 #[derive(Debug, Default)]
 pub struct Shard {
     timing: ShardTiming,
-    routes: HashMap<RouteName, Arc<RouteConfig>>,
+    routes: routes::Routes,
     teams: HashMap<TeamName, TeamConfig>,
     /// Whether the configuration asks callers for no keys; not before a configuration is known.
     is_open: bool,
@@ -153,16 +154,6 @@
         }
     }
 
-    /// Replaces the configuration of all routes.
-    pub fn set_routes(&mut self, routes: impl IntoIterator<Item = RouteConfig>) {
-        self.routes = routes
-            .into_iter()
-            .map(|route| (route.name.clone(), Arc::new(route)))
-            .collect();
-        self.learned
-            .keep_routes(|route| self.routes.contains_key(route));
-    }
-
     /// Replaces the configuration of all teams.
     pub fn set_teams(&mut self, teams: impl IntoIterator<Item = TeamConfig>) {
         self.teams = teams
@@ -220,6 +211,7 @@
             || !self.expired_ids.is_empty()
             || !self.gated_effects.is_empty()
             || self.has_unmatched_ends
+            || self.routes.needs_commit()
     }
 
     /// Takes the effects that may happen at once, without a commit.
@@ -243,6 +235,7 @@
         self.report_long_wait(now);
         self.poll_workers(now);
         self.drop_expired(now);
+        self.drop_unused_routes(now);
     }
 
     /// Takes the records that have to be stored next, with the effects that wait for them.
@@ -252,6 +245,7 @@
         }
         self.has_unmatched_ends = false;
         let mut commit = Commit {
+            records: self.routes.take_records(),
             effects: std::mem::take(&mut self.gated_effects),
             ..Commit::default()
         };
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -16,7 +16,7 @@
 };
 use crate::record::{
     AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
-    ProgressRecord, RELEASE_KEY, RecordError, TaskRecord, decode,
+    ProgressRecord, RELEASE_KEY, ROUTE_PREFIX, RecordError, TaskRecord, decode,
 };
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
 use crate::{RUN_TIMES_PREFIX, Resources};
@@ -50,6 +50,10 @@
                 unreadable += usize::from(!self.restore_run_times(now, route, &record.value));
                 continue;
             }
+            if let Some(route) = record.key.strip_prefix(ROUTE_PREFIX) {
+                unreadable += usize::from(self.restore_route(route, &record.value).is_err());
+                continue;
+            }
             let result = match record.key.strip_suffix(PROGRESS_SUFFIX) {
                 Some(id) => read_record(&mut progress, id, &record.value),
                 None => read_record(&mut accepted, &record.key, &record.value),
@@ -60,6 +64,7 @@
             let progress_record = progress.remove(&id).unwrap_or_default();
             self.restore_job(now, JobId::from(id), accept, progress_record);
         }
+        self.finish_routes();
         let lease_end_ms = now.boot_ms + predecessor_active_ms + self.timing.longest_lease_ms();
         for worker in self.workers.values_mut() {
             worker.lease.inherit(lease_end_ms);
--- a/crates/cyclamentrail-jobs/src/shard/run_times.rs
+++ b/crates/cyclamentrail-jobs/src/shard/run_times.rs
@@ -243,9 +243,7 @@
             return None;
         }
         let route = &self.jobs.get(key.job)?.route;
-        if !self.routes.contains_key(route) {
-            return None;
-        }
+        self.routes.configured(route)?;
         Some(self.learned.routes.entry(route.clone()).or_default())
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -108,6 +108,7 @@
             team,
             spec,
         } = submission;
+        self.routes.store_accepting(&route);
         let mut job = Job::new(id.clone(), route, spec, now.unix_ms).team(team);
         job.team_index = team_index;
         let key = self.jobs.insert(job);
@@ -219,7 +220,7 @@
         if self.jobs.len() >= self.timing.max_jobs {
             return Err(Rejection::new(RejectReason::TooManyJobs, FULL_RETRY_MS, 0));
         }
-        let Some(route) = self.routes.get(&submission.route).map(Arc::clone) else {
+        let Some(route) = self.routes.configured(&submission.route).map(Arc::clone) else {
             return Err(Rejection::new(RejectReason::NotReady, FULL_RETRY_MS, 0));
         };
         let listed = || self.workers.values().filter(|worker| worker.is_registered);
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -8,6 +8,8 @@
 mod crashes;
 #[path = "scheduler/evacuation.rs"]
 mod evacuation;
+#[path = "scheduler/former_routes.rs"]
+mod former_routes;
 #[path = "scheduler/jobs.rs"]
 mod jobs;
 #[path = "scheduler/leaving.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -10,8 +10,8 @@
 use cyclamentrail_core::{JobId, LabelName, RouteName, ServiceName, WorkerId, ZoneName};
 use cyclamentrail_jobs::{
     AdviceQuery, CallerId, CallerReply, CommandOutcome, Commit, CpuShareCommand, Decision, Effect,
-    JobSpec, JobState, KeyedRecord, Now, PollOutcome, Resources, Shard, ShardTiming, StartCommand,
-    StopCommand, TaskKey, TaskRunId, WorkerKey, WorkerPoll, WorkerRegistration,
+    JobSpec, JobState, KeyedRecord, Now, PollOutcome, Resources, RouteConfig, Shard, ShardTiming,
+    StartCommand, StopCommand, TaskKey, TaskRunId, WorkerKey, WorkerPoll, WorkerRegistration,
 };
 
 #[path = "world/callers.rs"]
@@ -120,6 +120,8 @@
     pub slow_worker: Option<WorkerId>,
     /// Tasks that crash each worker that starts them, with the workers that crashed.
     pub deadly_tasks: DeadlyTasks,
+    /// Routes that the next owners know.
+    pub routes: Vec<RouteConfig>,
 }
 
 impl Simulation {
@@ -149,14 +151,21 @@
             durations: HashMap::new(),
             slow_worker: None,
             deadly_tasks: DeadlyTasks::default(),
+            routes: vec![route_config()],
         };
-        sim.shard.set_routes([route_config()]);
+        sim.shard.set_routes(sim.routes.clone());
         for index in 0..count {
             sim.add_worker(&format!("w{index}"), capacity, &format!("r{}", index / 4));
         }
         sim
     }
 
+    /// Changes the routes of the present owner and of the next ones.
+    pub fn set_routes(&mut self, routes: Vec<RouteConfig>) {
+        self.shard.set_routes(routes.clone());
+        self.routes = routes;
+    }
+
     /// Queries how many jobs haven't started; returns the caller's number.
     pub fn query_pending(&mut self) -> u64 {
         let caller = self.new_caller();
@@ -277,7 +286,7 @@
         self.pending_commit = None;
         self.is_owner_active = true;
         self.shard = Shard::new(self.timing);
-        self.shard.set_routes([route_config()]);
+        self.shard.set_routes(self.routes.clone());
         let now = self.now();
         for worker in self.workers.values().filter(|worker| worker.is_alive) {
             let mut registration = worker.registration.clone();
