--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -11,7 +11,7 @@
 use crate::job::{Job, JobKey, JobState, RunPhase, TaskKey};
 use crate::record::{AcceptedJobRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
 use crate::worker::{Reachability, Worker, WorkerKey};
-use crate::{DurationEstimate, RouteConfig, StepSpec, TeamConfig};
+use crate::{DurationEstimate, StepSpec, TeamConfig};
 
 mod advice;
 mod backlog;
@@ -32,6 +32,7 @@
 mod registry;
 mod reports;
 mod restarts;
+mod routes;
 mod run_time_costs;
 mod run_times;
 mod shares;
@@ -85,7 +86,7 @@
 #[derive(Debug, Default)]
 pub struct Shard {
     timing: ShardTiming,
-    routes: HashMap<RouteName, Arc<RouteConfig>>,
+    routes: routes::Routes,
     teams: HashMap<TeamName, TeamConfig>,
     /// Whether the configuration asks callers for no keys; not before a configuration is known.
     is_open: bool,
@@ -156,16 +157,6 @@
         }
     }
 
-    /// Replaces the configuration of all routes.
-    pub fn set_routes(&mut self, routes: impl IntoIterator<Item = RouteConfig>) {
-        self.routes = routes
-            .into_iter()
-            .map(|route| (route.name.clone(), Arc::new(route)))
-            .collect();
-        self.learned
-            .keep_routes(|route| self.routes.contains_key(route));
-    }
-
     /// Replaces the configuration of all teams.
     pub fn set_teams(&mut self, teams: impl IntoIterator<Item = TeamConfig>) {
         self.teams = teams
@@ -223,6 +214,7 @@
             || !self.expired_ids.is_empty()
             || !self.gated_effects.is_empty()
             || self.has_unmatched_ends
+            || self.routes.needs_commit()
     }
 
     /// Takes the effects that may happen at once, without a commit.
@@ -247,6 +239,7 @@
         self.report_long_wait(now);
         self.poll_workers(now);
         self.drop_expired(now);
+        self.drop_unused_routes(now);
     }
 
     /// Takes the records that have to be stored next, with the effects that wait for them.
@@ -256,6 +249,7 @@
         }
         self.has_unmatched_ends = false;
         let mut commit = Commit {
+            records: self.routes.take_records(),
             effects: std::mem::take(&mut self.gated_effects),
             ..Commit::default()
         };
