feat(edge): a process that exits tells how many requests it cuts

After a stop nothing told whether a process had exited with requests of callers open, so that the logs couldn't tell the first hypothesis about requests lost while stopping (docs/incidents/lost-while-stopping.md) from the others.

The line `stopped` has `requests_cut`, the number of the callers' requests without a response at the exit. No metric: nobody could scrape it after the exit.

--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -32,6 +32,7 @@
 mod machine_duty;
 mod membership;
 mod messages;
+mod open_requests;
 mod operator_topic;
 mod operator_views;
 mod owner;
@@ -89,9 +90,10 @@
     log::info!(zone:% = process.settings.zone, store:% = process.settings.store; "started");
     let mut signals = Signals::new()?;
     bound
-        .serve_until(async move { signals.wait_for_terminate(&process).await })
+        .serve_until(signals.wait_for_terminate(&process))
         .await;
-    log::info!("stopped");
+    let requests_cut = process.open_requests.count();
+    log::info!(requests_cut = requests_cut; "stopped");
     Ok(())
 }
 
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -60,6 +60,7 @@
 }
 
 async fn handle_request(State(process): State<Arc<ProcessState>>, request: Request) -> Response {
+    let _open_request = process.open_requests.begin();
     let (configuration, api_keys) = {
         let operator_state = process.operator_state.borrow();
         let Some(configuration) = &operator_state.configuration else {
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -19,6 +19,7 @@
 use super::line_budget::LineBudget;
 use super::membership::{Announcements, MemberName, OWNER_GROUP};
 use super::messages::OwnershipStatus;
+use super::open_requests::OpenRequests;
 use super::owner::{OwnerMessage, WORKER_TIMEOUT};
 use super::peers::PeerClient;
 use super::relay::{RelayClient, relay_client};
@@ -111,6 +112,8 @@
     pub(crate) revocation: RevocationCheck,
     /// Log lines about calls that weren't served because of their key.
     pub(crate) refusal_lines: LineBudget,
+    /// Requests of callers that have no response yet.
+    pub(crate) open_requests: OpenRequests,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
     /// Signals that a takeover has begun.
     takeover_begun: Notify,
@@ -141,6 +144,7 @@
             registry_confirmation: Confirmation::new(0, registry_valid),
             revocation,
             refusal_lines: LineBudget::default(),
+            open_requests: OpenRequests::default(),
             owned_shards: Mutex::new(HashMap::new()),
             takeover_begun: Notify::new(),
             last_response: OnceLock::new(),
