fix(front): the bound of a response follows the stop whenever it comes

Cause: a time that can change (the exit) was copied into a request's deadline. Now each request waits for its response and for the time of the last response side by side (`ProcessState::wait_last_response`), whatever it is busy with, and `Attempts` tells at that moment whether it may have run: 503 only if no attempt is without a reply, else 504.

Not changed: how long a stopping process holds a request without an owner. Not run: a response to a caller who doesn't read.

--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -23,6 +23,9 @@
 use super::process_state::ProcessState;
 
 mod access;
+mod attempts;
+
+use attempts::Attempts;
 
 /// Deadline of a request without a deadline header, and the longest deadline that a header can set.
 const MAX_DEADLINE: Duration = Duration::from_secs(3);
@@ -61,6 +64,41 @@
 
 async fn handle_request(State(process): State<Arc<ProcessState>>, request: Request) -> Response {
     let _open_request = process.open_requests.begin();
+    let method = request.method().clone();
+    let arrived = Instant::now();
+    let attempts = Attempts::default();
+    tokio::select! {
+        biased;
+        response = serve_request(&process, request, &attempts) => response,
+        () = process.wait_last_response() => {
+            let response = unreplied(&attempts);
+            log_exit_response(&process, &method, response.status(), arrived);
+            response
+        }
+    }
+}
+
+/// Logs a response that was sent because the process exits, within the budget of lines.
+fn log_exit_response(
+    process: &ProcessState,
+    method: &Method,
+    status: StatusCode,
+    arrived: Instant,
+) {
+    if process.exit_lines.take_line() {
+        let waited_ms = u64::try_from(arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+        log::info!(
+            method:% = method, status = status.as_u16(), waited_ms = waited_ms;
+            "answered_at_exit"
+        );
+    }
+}
+
+async fn serve_request(
+    process: &Arc<ProcessState>,
+    request: Request,
+    attempts: &Attempts,
+) -> Response {
     let (configuration, api_keys) = {
         let operator_state = process.operator_state.borrow();
         let Some(configuration) = &operator_state.configuration else {
@@ -70,7 +108,7 @@
         (Arc::clone(configuration), api_keys)
     };
     let is_confirmed = process.revocation.accepts_keys_of(&configuration);
-    let deadline = process.response_deadline(Instant::now() + deadline_of(request.headers()));
+    let deadline = Instant::now() + deadline_of(request.headers());
     let (parts, body) = request.into_parts();
     let host = host_of(&parts.headers);
     let path = parts.uri.path();
@@ -79,7 +117,7 @@
         return if is_confirmed {
             StatusCode::NOT_FOUND.into_response()
         } else {
-            access::refuse(&process, CallRefusal::Unconfirmed, "", &parts.headers)
+            access::refuse(process, CallRefusal::Unconfirmed, "", &parts.headers)
         };
     };
     let needs_key = configuration.needs_keys && !route.is_public;
@@ -88,7 +126,7 @@
         Ok(team) => team,
         Err(refusal) => {
             let name = route.config.name.as_str();
-            return access::refuse(&process, refusal, name, &parts.headers);
+            return access::refuse(process, refusal, name, &parts.headers);
         }
     };
     let path_suffix = path[route.path_prefix.len()..].to_owned();
@@ -102,7 +140,7 @@
                 service: route.config.service.clone(),
                 request,
             };
-            call_owner_with_retries(&process, call, deadline).await
+            call_owner_with_retries(process, call, deadline, attempts).await
         }
         Err(status) => status.into_response(),
     }
@@ -164,21 +202,23 @@
     process: &ProcessState,
     call: OwnerCall,
     deadline: Instant,
+    attempts: &Attempts,
 ) -> Response {
     let is_submission = matches!(call.request, OwnerRequest::Submit { .. });
     let owner_deadline = deadline.min(Instant::now() + MAX_OWNER_WAIT);
-    let mut may_have_run = false;
     loop {
-        match attempt_owner_call(process, &call, deadline).await {
-            Ok(Reply::NotOwner) | Err(PeerError::NotSent) => {}
-            Err(PeerError::OutcomeUnknown) => may_have_run = true,
-            Ok(Reply::Rejected { .. }) if may_have_run => {
+        attempts.begin();
+        let result = attempt_owner_call(process, &call, deadline).await;
+        attempts.end(matches!(result, Err(PeerError::OutcomeUnknown)));
+        match result {
+            Ok(Reply::NotOwner) | Err(_) => {}
+            Ok(Reply::Rejected { .. }) if attempts.may_have_run() => {
                 // An earlier attempt may still be accepted, so that the outcome is unknown.
                 return StatusCode::GATEWAY_TIMEOUT.into_response();
             }
             Ok(reply) => return to_response(&reply),
         }
-        let end = if is_submission && !may_have_run {
+        let end = if is_submission && !attempts.may_have_run() {
             owner_deadline
         } else {
             deadline
@@ -188,7 +228,12 @@
         }
         tokio::time::sleep(ATTEMPT_INTERVAL).await;
     }
-    if may_have_run {
+    unreplied(attempts)
+}
+
+/// Returns the response to a request that got no reply from an owner in time.
+fn unreplied(attempts: &Attempts) -> Response {
+    if attempts.may_have_run() {
         StatusCode::GATEWAY_TIMEOUT.into_response()
     } else {
         unavailable(NO_OWNER_RETRY_MS)
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use cyclamentrail_adapter::{
@@ -112,13 +112,15 @@
     pub(crate) revocation: RevocationCheck,
     /// Log lines about calls that weren't served because of their key.
     pub(crate) refusal_lines: LineBudget,
+    /// Log lines about requests that got their response because of the exit.
+    pub(crate) exit_lines: LineBudget,
     /// Requests of callers that have no response yet.
     pub(crate) open_requests: OpenRequests,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
     /// Signals that a takeover has begun.
     takeover_begun: Notify,
     /// Time by which callers get their responses; set once the process is stopping.
-    last_response: OnceLock<Instant>,
+    last_response: watch::Sender<Option<Instant>>,
 }
 
 impl ProcessState {
@@ -144,10 +146,11 @@
             registry_confirmation: Confirmation::new(0, registry_valid),
             revocation,
             refusal_lines: LineBudget::default(),
+            exit_lines: LineBudget::default(),
             open_requests: OpenRequests::default(),
             owned_shards: Mutex::new(HashMap::new()),
             takeover_begun: Notify::new(),
-            last_response: OnceLock::new(),
+            last_response: watch::Sender::new(None),
         }
     }
 
@@ -300,20 +303,24 @@
     /// Marks the process as stopping: it takes over no more shards and is no longer ready.
     /// Callers get their responses by `last_response`, because the process exits then.
     pub(crate) fn begin_stop(&self, last_response: Instant) {
-        self.last_response.get_or_init(|| last_response);
+        self.last_response.send_replace(Some(last_response));
     }
 
     /// Returns whether the process is stopping.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.last_response.get().is_some()
+        self.last_response.borrow().is_some()
     }
 
-    /// Returns the time by which a request with a deadline gets its response: the deadline, unless
-    /// the process exits before.
-    pub(crate) fn response_deadline(&self, deadline: Instant) -> Instant {
-        self.last_response
-            .get()
-            .map_or(deadline, |last_response| deadline.min(*last_response))
+    /// Waits until the process is stopping and every request must get its response, because the
+    /// process exits. Waits forever if it doesn't stop.
+    pub(crate) async fn wait_last_response(&self) {
+        let mut last_response = self.last_response.subscribe();
+        let is_stopping = last_response.wait_for(Option::is_some).await;
+        let due = is_stopping.ok().and_then(|due| *due);
+        match due {
+            Some(due) => tokio::time::sleep_until(due).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// Returns whether the platform may send callers to this process.
