fix(jobs): a takeover goes on with its predecessor's wait for a lease

Callers saw: the lasting task of a worker that was lost stays away for as long as owners follow each other, such as while processes are restarted in turn. Each new owner took every worker's lease to last the longest lease from its own takeover on, and forgot that its predecessor had waited.

Cause: `Shard::restore` inherited `longest_lease_ms` for all workers. Until when a silent worker's lease lasts, and that nobody extends it, was known to the owner alone.

Ruled out: a record of each grant (several commits a second and worker, for what matters only when a worker is silent), and absolute times (boot clocks of two machines can't be compared, Unix clocks may jump).

Change: an owner stores for each worker that has runs and doesn't respond that it gets no lease any more, and after how long each lease granted so far has ended (`~lease/WORKER`). It writes the record in the commit after the silence, again each second, in its last commit, and as the successor for what it can't reach either. The last commit has a record also of workers with runs that haven't responded to this owner yet, so that owners that change faster than a poll fails still make progress. A successor starts such a worker as silent with what is left of the wait. While a record may stand, from when it is taken into a commit until its deletion is durable, no poll and no start extends the lease, whichever incarnation has the id. A record of another incarnation than a run's, or one that can't be read, counts for nothing: the successor waits for the longest lease, as before. Workers that respond cost no record.

The lease of an earlier owner now counts until this owner has extended it itself, not only until the worker's first report. Before, the first poll after a takeover extended it already; a worker that starts as silent gets none with that poll.

A job's id can't begin with `~` any more; such keys belong to the shard.

Not clamped: what is left by the record may exceed the bound of the present takeover, when an owner before the last one may act for longer.

The placement of tasks needs no gate: a commit with a placement holds the deletion of the record or follows it, and the start is checked again when it is sent.

Log lines: `lease_closed` and `lease_inherited`, with what the time rests on. The decisions of the last commit are logged, too.

Conclusion: a lost run starts once its worker's lease has ended and an owner is there; an owner that is killed takes at most a second of the wait with it.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -309,6 +309,25 @@
         /// Whether the worker responds.
         is_responding: bool,
     },
+    /// A worker with runs doesn't respond, and it is durable that it gets no lease meanwhile: its runs
+    /// can be placed elsewhere once its lease has ended.
+    LeaseClosed {
+        /// Id of the worker.
+        worker: WorkerId,
+        /// Number of runs on the worker.
+        runs: usize,
+        /// Longest time until the worker's lease ends, in milliseconds.
+        remaining_ms: u64,
+    },
+    /// A new owner counts with a lease of an earlier owner on a worker that doesn't respond.
+    LeaseInherited {
+        /// Id of the worker.
+        worker: WorkerId,
+        /// Longest time until the worker's lease ends, in milliseconds.
+        remaining_ms: u64,
+        /// From what the time is known.
+        source: LeaseSource,
+    },
     /// A worker restarted, so that none of its earlier runs executes any more.
     WorkerRestarted {
         /// Id of the worker.
@@ -428,6 +447,26 @@
     }
 }
 
+/// From what a new owner knows until when a worker's lease may last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseSource {
+    /// A record of an earlier owner, which grants the worker no lease any more.
+    Record,
+    /// The longest lease that an earlier owner may have granted.
+    Bound,
+}
+
+impl LeaseSource {
+    /// Returns the source as it is written in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Record => "record",
+            Self::Bound => "bound",
+        }
+    }
+}
+
 /// Evidence that a run isn't executing on its worker any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndProof {
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -54,9 +54,9 @@
 pub use best_effort_share::BestEffortShare;
 pub use effect::{
     ActiveRun, AdmissionShare, AdviceOutcome, AdviceQuery, CallerId, CallerReply, CommandOutcome,
-    CommandRejection, CpuShareCommand, Decision, Effect, EndKind, EndProof, EndedRun, PollOutcome,
-    RejectReason, StartCommand, StopCommand, TaskRunId, Timeliness, WaitReason, WorkerPoll,
-    WorkerReport, WorkerTarget, WorkerTicket,
+    CommandRejection, CpuShareCommand, Decision, Effect, EndKind, EndProof, EndedRun, LeaseSource,
+    PollOutcome, RejectReason, StartCommand, StopCommand, TaskRunId, Timeliness, WaitReason,
+    WorkerPoll, WorkerReport, WorkerTarget, WorkerTicket,
 };
 pub use estimate::DurationEstimate;
 pub use fair_share::{
@@ -83,8 +83,9 @@
 };
 pub use ranking::{JobRank, WaitingJob};
 pub use record::{
-    AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
-    ProgressRecord, RELEASE_KEY, RecordError, ReleaseRecord, TaskRecord, decode, encode,
+    AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, PROGRESS_SUFFIX,
+    PlacementRecord, ProgressRecord, RELEASE_KEY, RecordError, ReleaseRecord, TaskRecord,
+    WorkerLeaseRecord, decode, encode,
 };
 pub use relays::{MIN_RELAYED_WORKERS, Relay, RelaySpread, RelayedWorker, spread_workers};
 pub use resources::Resources;
--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -1,7 +1,8 @@
 //! Records that a shard keeps in the platform's store, which holds the newest record of each key.
 //!
 //! Each job has two keys: its id, for the job as it was accepted, and its id with
-//! [`PROGRESS_SUFFIX`], for its progress. A reader skips a record that can't be decoded.
+//! [`PROGRESS_SUFFIX`], for its progress. Keys that begin with `~` belong to the shard itself. A
+//! reader skips a record that can't be decoded.
 
 use std::sync::Arc;
 
@@ -9,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::JobSpec;
 use crate::job::CrashedRun;
-use crate::{JobSpec, RUN_TIMES_PREFIX};
 
 /// Suffix that turns a job's id into the key of its progress record.
 pub const PROGRESS_SUFFIX: &str = "/p";
@@ -83,13 +84,19 @@
     pub crashed_runs: Vec<CrashedRun>,
 }
 
+/// Prefix of the keys of all records that belong to the shard itself.
+const RESERVED_PREFIX: &str = "~";
+
 /// Key of the record by which an owner gives up its shard.
 pub const RELEASE_KEY: &str = "~release";
 
+/// Prefix of the keys of [`WorkerLeaseRecord`]s, which the worker's id follows.
+pub const LEASE_PREFIX: &str = "~lease/";
+
 /// Returns whether a key belongs to a record of the shard itself, so that no job may have it as its
 /// id.
 pub(crate) fn is_reserved_key(key: &str) -> bool {
-    key == RELEASE_KEY || key.starts_with(RUN_TIMES_PREFIX)
+    key.starts_with(RESERVED_PREFIX)
 }
 
 /// Statement of an owner that it has given up its shard and makes no further decisions for it.
@@ -99,6 +106,16 @@
     pub token: u64,
 }
 
+/// Statement of an owner that it grants a worker no lease while the record stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerLeaseRecord {
+    /// Start time of the worker's incarnation, as Unix time in milliseconds.
+    pub started_ms: u64,
+    /// Time after the writing of the record by which each lease ever granted to the incarnation
+    /// has ended, in milliseconds.
+    pub remaining_ms: u64,
+}
+
 /// Assignment of a run to a worker.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PlacementRecord {
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -21,6 +21,7 @@
 mod crashes;
 mod evacuation;
 mod isolation;
+mod lease_records;
 mod long_waits;
 mod on_time;
 mod placement;
@@ -44,6 +45,7 @@
 mod timing;
 mod unsent_jobs;
 
+use lease_records::LeaseRecordScope;
 pub use quota::TeamQuota;
 pub use submit::{Submission, retry_seed};
 pub use team_status::TeamStatus;
@@ -74,6 +76,8 @@
     ended_sequences: Vec<(WorkerKey, u64)>,
     /// States that callers may see once the records are durable.
     job_states: Vec<(JobKey, JobState)>,
+    /// Workers whose lease records are deleted.
+    reopened_workers: Vec<WorkerId>,
 }
 
 /// Scheduler of one service: holds its jobs and workers and makes all decisions about both.
@@ -96,6 +100,7 @@
     /// Start time (Unix time in milliseconds) of each worker's last incarnation that has ended for
     /// certain, while the registry may still list it.
     ended_incarnations: HashMap<WorkerId, u64>,
+    lease_records: lease_records::LeaseRecords,
     /// Jobs that still have tasks to place or runs on workers.
     active: BTreeSet<JobKey>,
     /// Final jobs by the Unix time in milliseconds at which they are dropped.
@@ -220,6 +225,7 @@
             || !self.expired_ids.is_empty()
             || !self.gated_effects.is_empty()
             || self.has_unmatched_ends
+            || self.lease_records.are_due()
     }
 
     /// Takes the effects that may happen at once, without a commit.
@@ -243,13 +249,22 @@
         self.report_long_wait(now);
         self.poll_workers(now);
         self.drop_expired(now);
+        self.note_due_lease_records(now);
     }
 
     /// Takes the records that have to be stored next, with the effects that wait for them.
     pub fn take_commit(&mut self, now: Now) -> Option<Commit> {
-        if !self.needs_commit() {
-            return None;
-        }
+        self.needs_commit()
+            .then(|| self.collect_commit(now, LeaseRecordScope::Unreachable))
+    }
+
+    /// Takes the last commit of an owner that gives up the shard. Nothing may be sent to workers from
+    /// then on.
+    pub fn take_last_commit(&mut self, now: Now) -> Commit {
+        self.collect_commit(now, LeaseRecordScope::NotInContact)
+    }
+
+    fn collect_commit(&mut self, now: Now, scope: LeaseRecordScope) -> Commit {
         self.has_unmatched_ends = false;
         let mut commit = Commit {
             effects: std::mem::take(&mut self.gated_effects),
@@ -274,7 +289,8 @@
                 commit.ended_sequences.push((key, worker.handled_sequence));
             }
         }
-        Some(commit)
+        self.record_leases(now, scope, &mut commit);
+        commit
     }
 
     /// Marks a commit as durable and returns the effects that waited for it.
@@ -291,6 +307,9 @@
                 job.durable_state = state;
             }
         }
+        for worker in commit.reopened_workers {
+            self.lease_records.finish_deletion(&worker);
+        }
         commit.effects
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -137,14 +137,15 @@
             let worker = &mut self.workers[key];
             let has_tasks = !worker.tasks.is_empty();
             let is_reachable = worker.reachability == Reachability::Reachable;
+            let may_grant = self.lease_records.may_grant(&worker.registration.id);
             // The lease of a worker that fails to respond isn't extended: its tasks can only be
             // placed elsewhere once the lease has ended.
-            let lease_end_ms = if has_tasks && is_reachable {
-                worker.lease.extend(now.boot_ms, lease_ms)
+            let lease_end_ms = if has_tasks && is_reachable && may_grant {
+                worker.extend_lease(now.boot_ms, lease_ms)
             } else {
                 None
             };
-            let may_wait = has_tasks && is_reachable && worker.knows_token;
+            let may_wait = has_tasks && is_reachable && worker.knows_token && may_grant;
             worker.is_polling = true;
             worker.poll_sent_ms = now.boot_ms;
             self.ready_effects.push(Effect::Poll(WorkerPoll {
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -3,7 +3,9 @@
 //! The previous owner may still believe that it owns the shard. Its appends are fenced before the
 //! records are read, and its commands are rejected by every worker that has seen the new owner's
 //! fencing token. A worker that the new owner can't reach may still run what the previous owner
-//! started until the lease has ended for certain; the worker's tasks wait for that.
+//! started until the lease has ended for certain; the worker's tasks wait for that. How much of the
+//! wait is left is recorded where an earlier owner waited for it already (see
+//! [`super::lease_records`]).
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -15,8 +17,9 @@
     Job, JobKey, Occurrence, Placement, RestartDoubt, RunPhase, StepProgress, Task, TaskKey,
 };
 use crate::record::{
-    AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
-    ProgressRecord, RELEASE_KEY, RecordError, TaskRecord, decode,
+    AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, PROGRESS_SUFFIX,
+    PlacementRecord, ProgressRecord, RecordError, TaskRecord, WorkerLeaseRecord, decode,
+    is_reserved_key,
 };
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
 use crate::{RUN_TIMES_PREFIX, Resources};
@@ -41,15 +44,21 @@
     ) -> usize {
         let mut accepted: HashMap<String, AcceptedJobRecord> = HashMap::new();
         let mut progress: HashMap<String, ProgressRecord> = HashMap::new();
+        let mut leases: HashMap<WorkerId, WorkerLeaseRecord> = HashMap::new();
         let mut unreadable = 0;
-        for record in records
-            .into_iter()
-            .filter(|record| record.key != RELEASE_KEY)
-        {
+        for record in records {
             if let Some(route) = record.key.strip_prefix(RUN_TIMES_PREFIX) {
                 unreadable += usize::from(!self.restore_run_times(now, route, &record.value));
                 continue;
             }
+            if let Some(worker) = record.key.strip_prefix(LEASE_PREFIX) {
+                let is_read = self.read_lease_record(worker, &record.value, &mut leases);
+                unreadable += usize::from(!is_read);
+                continue;
+            }
+            if is_reserved_key(&record.key) {
+                continue;
+            }
             let result = match record.key.strip_suffix(PROGRESS_SUFFIX) {
                 Some(id) => read_record(&mut progress, id, &record.value),
                 None => read_record(&mut accepted, &record.key, &record.value),
@@ -58,15 +67,32 @@
         }
         for (id, accept) in accepted {
             let progress_record = progress.remove(&id).unwrap_or_default();
+            drop_other_incarnations(&mut leases, &progress_record);
             self.restore_job(now, JobId::from(id), accept, progress_record);
         }
         let lease_end_ms = now.boot_ms + predecessor_active_ms + self.timing.longest_lease_ms();
-        for worker in self.workers.values_mut() {
-            worker.lease.inherit(lease_end_ms);
-        }
+        self.restore_leases(now, &leases, lease_end_ms);
         unreadable
     }
 
+    /// Decodes the lease record of a worker; returns whether it is readable.
+    fn read_lease_record(
+        &mut self,
+        worker: &str,
+        value: &[u8],
+        into: &mut HashMap<WorkerId, WorkerLeaseRecord>,
+    ) -> bool {
+        if value.is_empty() {
+            return true;
+        }
+        let worker = WorkerId::from(worker);
+        self.lease_records.insert_found(worker.clone());
+        let record = decode::<WorkerLeaseRecord>(value).ok();
+        let is_read = record.is_some();
+        into.extend(record.map(|record| (worker, record)));
+        is_read
+    }
+
     /// Restores a job and its runs; a malformed job is skipped.
     fn restore_job(
         &mut self,
@@ -193,6 +219,24 @@
     Ok(())
 }
 
+/// Drops the lease records of workers on another incarnation of which the records place a run.
+fn drop_other_incarnations(
+    leases: &mut HashMap<WorkerId, WorkerLeaseRecord>,
+    progress_record: &ProgressRecord,
+) {
+    let placements = progress_record
+        .occurrences
+        .iter()
+        .flat_map(|occurrence| occurrence.steps.iter().flatten())
+        .filter_map(|task| task.placement.as_ref());
+    for placement in placements {
+        let started_ms = leases.get(&placement.worker).map(|lease| lease.started_ms);
+        if started_ms.is_some_and(|started_ms| started_ms != placement.started_ms) {
+            leases.remove(&placement.worker);
+        }
+    }
+}
+
 /// Restores an occurrence and adds its runs to `recorded_runs`.
 fn restore_occurrence(
     key: JobKey,
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -63,7 +63,6 @@
         worker.lease.record_clock(report.clock_ms, now.boot_ms);
         worker.heard_ms = now.boot_ms;
         worker.knows_token = true;
-        worker.lease.drop_inherited();
         if worker.reachability != Reachability::Reachable {
             worker.reachability = Reachability::Reachable;
             self.ready_effects
--- a/crates/cyclamentrail-jobs/src/shard/starts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/starts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::restarts::CALLS_UNDER_WAY_MS;
-use super::{Now, Shard};
+use super::{Now, START_RETRY_MS, Shard};
 use crate::StepSpec;
 use crate::effect::{EndProof, StartCommand};
 use crate::job::{Placement, RunPhase, TaskKey};
@@ -23,6 +23,11 @@
             self.withdraw(key);
             return None;
         }
+        let worker_id = &self.workers.get(placement.worker)?.registration.id;
+        if !self.lease_records.may_grant(worker_id) {
+            self.hold_back(now, key, placement);
+            return None;
+        }
         let is_aborted = job.is_aborted();
         let ticket = self
             .grants
@@ -33,7 +38,7 @@
             ticket.is_none() && placement.phase == RunPhase::Placed && self.is_advised(key.job);
         let lease_ms = self.timing.lease_ms;
         let worker = self.workers.get_mut(placement.worker)?;
-        let lease_end_ms = worker.lease.extend(now.boot_ms, lease_ms);
+        let lease_end_ms = worker.extend_lease(now.boot_ms, lease_ms);
         let (Some(lease_end_ms), false) = (lease_end_ms, is_aborted || lacks_ticket) else {
             if placement.phase == RunPhase::Placed {
                 self.release(key, Some(EndProof::NeverSent));
@@ -76,6 +81,16 @@
                 && (!worker.is_registered || worker.evacuating_since_ms.is_some()))
     }
 
+    /// Sends no start command to a worker that gets no lease: gives up a run that was never sent, and
+    /// sends any other later.
+    fn hold_back(&mut self, now: Now, key: TaskKey, placement: Placement) {
+        if placement.phase == RunPhase::Placed {
+            self.release(key, Some(EndProof::NeverSent));
+        } else {
+            self.schedule_resend(now.boot_ms + START_RETRY_MS, key, placement.run);
+        }
+    }
+
     /// Gives up a run so that its task can be placed again, for a gang with all of its members. An
     /// earlier command may still take effect late, unless a stop reaches the worker first.
     fn withdraw(&mut self, key: TaskKey) {
--- a/crates/cyclamentrail-jobs/src/succession.rs
+++ b/crates/cyclamentrail-jobs/src/succession.rs
@@ -104,7 +104,7 @@
     /// Time for which the shard has been assigned to this process, in milliseconds.
     pub assigned_ms: u64,
     /// Longest time for which a new owner waits for the leases of workers that it can't reach, in
-    /// milliseconds. It waits anew for leases that its predecessor has waited for.
+    /// milliseconds. It waits anew for those of workers that its predecessor hasn't found silent.
     pub lease_wait_ms: u64,
     /// Number of shards that this process owns.
     pub shards: u64,
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -150,6 +150,19 @@
         }
     }
 
+    /// Extends the worker's lease to `length_ms` from now. Returns its end on the worker's clock in
+    /// milliseconds, or `None` while no reading of that clock is known.
+    ///
+    /// A lease of an earlier owner doesn't outlast the extension, once the worker rejects that owner's
+    /// commands.
+    pub fn extend_lease(&mut self, now_ms: u64, length_ms: u64) -> Option<u64> {
+        let until_ms = self.lease.extend(now_ms, length_ms)?;
+        if self.knows_token {
+            self.lease.drop_inherited();
+        }
+        Some(until_ms)
+    }
+
     /// Returns the sequence number up to which the next poll acknowledges ended runs; 0 for none.
     ///
     /// Only a worker that responded a moment ago gets one: a new incarnation counts from 1, and would
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -10,6 +10,8 @@
 mod evacuation;
 #[path = "scheduler/jobs.rs"]
 mod jobs;
+#[path = "scheduler/lease_handover.rs"]
+mod lease_handover;
 #[path = "scheduler/leaving.rs"]
 mod leaving;
 #[path = "scheduler/outage.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/promises.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/promises.rs
@@ -39,6 +39,8 @@
     TakeOver {
         is_released: bool,
     },
+    /// Replaces the owner after it has stored its last commit.
+    HandOver,
     /// Makes a worker unreachable.
     Disconnect(usize),
     /// Ends the faults of a worker.
@@ -69,6 +71,7 @@
             .prop_map(|(worker, is_small)| Action::Resize { worker, is_small }),
         1 => (0..20_usize).prop_map(Action::Cancel),
         2 => any::<bool>().prop_map(|is_released| Action::TakeOver { is_released }),
+        2 => Just(Action::HandOver),
         1 => (0..3_usize).prop_map(Action::Disconnect),
         2 => (0..3_usize).prop_map(Action::Recover),
         1 => (0..3_usize).prop_map(Action::DropResponses),
@@ -122,6 +125,7 @@
         Action::TakeOver { is_released } => {
             sim.take_over(if is_released { 0 } else { 5_000 });
         }
+        Action::HandOver => sim.hand_over(),
         Action::Disconnect(index) => sim.worker(&id(index)).is_reachable = false,
         Action::Recover(index) => {
             let worker = sim.worker(&id(index));
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -10,7 +10,7 @@
 use cyclamentrail_core::{JobId, LabelName, RouteName, ServiceName, WorkerId, ZoneName};
 use cyclamentrail_jobs::{
     AdviceQuery, CallerId, CallerReply, CommandOutcome, Commit, CpuShareCommand, Decision, Effect,
-    JobSpec, JobState, KeyedRecord, Now, PollOutcome, Resources, Shard, ShardTiming, StartCommand,
+    JobSpec, JobState, Now, PollOutcome, Reachability, Resources, Shard, ShardTiming, StartCommand,
     StopCommand, TaskKey, TaskRunId, WorkerKey, WorkerPoll, WorkerRegistration,
 };
 
@@ -20,6 +20,8 @@
 mod calls;
 #[path = "world/crashes.rs"]
 mod crashes;
+#[path = "world/owners.rs"]
+mod owners;
 
 pub use crashes::DeadlyTasks;
 
@@ -86,6 +88,8 @@
     pub decisions: Vec<Decision>,
     /// Number of starts that workers carried out, by job.
     pub starts: HashMap<JobId, u32>,
+    /// Latency of an append to the store in milliseconds.
+    pub append_ms: u64,
     /// Whether the store accepts new appends.
     pub store_responds: bool,
     /// Whether the owner runs scheduling rounds.
@@ -131,6 +135,7 @@
             replies: HashMap::new(),
             decisions: Vec::new(),
             starts: HashMap::new(),
+            append_ms: APPEND_MS,
             store_responds: true,
             is_owner_active: true,
             policy: None,
@@ -237,6 +242,12 @@
             .map(|job| job.durable_state)
     }
 
+    /// Returns whether a worker responds, as the owner knows it.
+    pub fn reachability(&self, id: &str) -> Reachability {
+        let worker = self.shard.worker(&WorkerId::from(id));
+        worker.expect("the worker is listed").reachability
+    }
+
     /// Returns how many runs are on a worker.
     pub fn running_on(&self, id: &str) -> usize {
         self.workers[&WorkerId::from(id)].running.len()
@@ -271,30 +282,6 @@
         }
     }
 
-    /// Replaces the owner by one that knows only the records and the registered workers.
-    pub fn take_over(&mut self, predecessor_active_ms: u64) {
-        self.token += 1;
-        self.pending_commit = None;
-        self.is_owner_active = true;
-        self.shard = Shard::new(self.timing);
-        self.shard.set_routes([route_config()]);
-        let now = self.now();
-        for worker in self.workers.values().filter(|worker| worker.is_alive) {
-            let mut registration = worker.registration.clone();
-            registration.clock_ms = worker.clock_ms(self.now_ms);
-            self.shard.register(now, registration);
-        }
-        let records: Vec<KeyedRecord> = self
-            .records
-            .iter()
-            .map(|(key, value)| KeyedRecord {
-                key: key.clone(),
-                value: value.clone(),
-            })
-            .collect();
-        assert_eq!(self.shard.restore(now, records, predecessor_active_ms), 0);
-    }
-
     /// Makes a worker give notice that it leaves; it goes on running what it has.
     pub fn announce_leaving(&mut self, id: &str) {
         let now = self.now();
@@ -362,7 +349,7 @@
         if let Some(commit) = self.shard.take_commit(now) {
             let token = self.token;
             self.pending_commit = Some(commit);
-            self.schedule(APPEND_MS, Event::AppendDone(token));
+            self.schedule(self.append_ms, Event::AppendDone(token));
         }
     }
 
@@ -447,26 +434,6 @@
             self.shard.handle_advice_result(now, query, outcome);
         }
     }
-
-    /// Stores a commit's records, unless its owner was replaced.
-    fn finish_append(&mut self, token: u64) {
-        if token != self.token {
-            return;
-        }
-        let Some(commit) = self.pending_commit.take() else {
-            return;
-        };
-        for record in &commit.records {
-            if record.value.is_empty() {
-                self.records.remove(&record.key);
-            } else {
-                self.records
-                    .insert(record.key.clone(), record.value.clone());
-            }
-        }
-        let effects = self.shard.finish_commit(commit);
-        self.apply_effects(effects);
-    }
 }
 
 /// Returns the address of a worker, which depends on the number in its id.
--- /dev/null
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/owners.rs
@@ -0,0 +1,75 @@
+//! Changes of owners, and the records that they leave in the store.
+
+use cyclamentrail_jobs::{Commit, KeyedRecord, Shard};
+
+use super::{Simulation, route_config};
+
+impl Simulation {
+    /// Replaces the owner by one that knows only the records and the registered workers.
+    pub fn take_over(&mut self, predecessor_active_ms: u64) {
+        self.token += 1;
+        self.pending_commit = None;
+        self.is_owner_active = true;
+        self.shard = self.new_shard();
+        let records = self.stored_records();
+        let unreadable = self
+            .shard
+            .restore(self.now(), records, predecessor_active_ms);
+        assert_eq!(unreadable, 0);
+    }
+
+    /// Returns the shard of a new owner that has read no records yet.
+    pub fn new_shard(&self) -> Shard {
+        let mut shard = Shard::new(self.timing);
+        shard.set_routes([route_config()]);
+        for worker in self.workers.values().filter(|worker| worker.is_alive) {
+            let mut registration = worker.registration.clone();
+            registration.clock_ms = worker.clock_ms(self.now_ms);
+            shard.register(self.now(), registration);
+        }
+        shard
+    }
+
+    /// Returns the stored records.
+    pub fn stored_records(&self) -> Vec<KeyedRecord> {
+        let stored = self.records.iter().map(|(key, value)| KeyedRecord {
+            key: key.clone(),
+            value: value.clone(),
+        });
+        stored.collect()
+    }
+
+    /// Makes the owner give the shard up in order, which stores its last commit, and replaces it.
+    pub fn hand_over(&mut self) {
+        let unfinished = self.pending_commit.take();
+        let last = self.shard.take_last_commit(self.now());
+        for commit in unfinished.iter().chain([&last]) {
+            self.store_records(commit);
+        }
+        self.take_over(0);
+    }
+
+    /// Stores a commit's records, unless its owner was replaced.
+    pub(super) fn finish_append(&mut self, token: u64) {
+        if token != self.token {
+            return;
+        }
+        let Some(commit) = self.pending_commit.take() else {
+            return;
+        };
+        self.store_records(&commit);
+        let effects = self.shard.finish_commit(commit);
+        self.apply_effects(effects);
+    }
+
+    fn store_records(&mut self, commit: &Commit) {
+        for record in &commit.records {
+            if record.value.is_empty() {
+                self.records.remove(&record.key);
+            } else {
+                self.records
+                    .insert(record.key.clone(), record.value.clone());
+            }
+        }
+    }
+}
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -137,6 +137,7 @@
             } => Self::new("worker_contact")
                 .with("worker", worker)
                 .with("answers", is_responding),
+            Decision::LeaseClosed { .. } | Decision::LeaseInherited { .. } => lease_line(decision),
             Decision::WorkerRestarted {
                 worker,
                 earlier_started_ms,
@@ -203,6 +204,30 @@
         .with("worker", worker)
 }
 
+/// Returns the line of a worker's lease that isn't extended, or that an earlier owner granted; other
+/// decisions have lines of their own.
+fn lease_line(decision: &Decision) -> LogLine {
+    match decision {
+        Decision::LeaseClosed {
+            worker,
+            runs,
+            remaining_ms,
+        } => LogLine::new("lease_closed")
+            .with("worker", worker)
+            .with("runs", runs)
+            .with("remaining_ms", remaining_ms),
+        Decision::LeaseInherited {
+            worker,
+            remaining_ms,
+            source,
+        } => LogLine::new("lease_inherited")
+            .with("worker", worker)
+            .with("remaining_ms", remaining_ms)
+            .with("source", source.as_str()),
+        _ => LogLine::new("no_lease"),
+    }
+}
+
 /// Returns the line of a promise to end on time, or of its end; other decisions have lines of their
 /// own.
 fn promise_line(decision: &Decision) -> LogLine {
@@ -248,6 +273,8 @@
         | Decision::JobGivenUp { job, .. }
         | Decision::RunStalled { job, .. } => Some(job),
         Decision::ContactChanged { .. }
+        | Decision::LeaseClosed { .. }
+        | Decision::LeaseInherited { .. }
         | Decision::WorkerRestarted { .. }
         | Decision::WorkerAvoided { .. }
         | Decision::AllowanceChanged { .. }
--- a/crates/cyclamentrail/src/edge/owner/commits.rs
+++ b/crates/cyclamentrail/src/edge/owner/commits.rs
@@ -35,7 +35,7 @@
                     return;
                 }
                 has_sent_last_commit = true;
-                let mut commit = self.shard.take_commit(now()).unwrap_or_default();
+                let mut commit = self.shard.take_last_commit(now());
                 commit.records.extend(self.shard.run_times_records(now()));
                 commit.records.push(KeyedRecord {
                     key: RELEASE_KEY.to_owned(),
@@ -47,8 +47,10 @@
                 Ok(Some(OwnerMessage::CommitResult(commit, Ok(commit_log)))) => {
                     self.commit_log = Some(commit_log);
                     for effect in self.shard.finish_commit(*commit) {
-                        if let Effect::Reply(caller, reply) = effect {
-                            self.reply_to(caller, reply);
+                        match effect {
+                            Effect::Reply(caller, reply) => self.reply_to(caller, reply),
+                            Effect::Log(decision) => self.record_decision(decision),
+                            _ => {}
                         }
                     }
                 }
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -82,6 +82,8 @@
         Decision::AccessDenied { .. }
         | Decision::PromiseMade { .. }
         | Decision::ContactChanged { .. }
+        | Decision::LeaseClosed { .. }
+        | Decision::LeaseInherited { .. }
         | Decision::WorkerRestarted { .. }
         | Decision::ShareChanged { .. } => {}
     }
