--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -22,6 +22,7 @@
 mod ended_workers;
 mod evacuation;
 mod isolation;
+mod lease_records;
 mod long_waits;
 mod on_time;
 mod placement;
@@ -46,6 +47,7 @@
 mod timing;
 mod unsent_jobs;
 
+use lease_records::LeaseRecordScope;
 pub use quota::TeamQuota;
 pub use submit::{Submission, retry_seed};
 pub use team_status::TeamStatus;
@@ -76,6 +78,8 @@
     ended_sequences: Vec<(WorkerKey, u64)>,
     /// States that callers may see once the records are durable.
     job_states: Vec<(JobKey, JobState)>,
+    /// Workers whose lease records are deleted.
+    reopened_workers: Vec<WorkerId>,
 }
 
 /// Scheduler of one service: holds its jobs and workers and makes all decisions about both.
@@ -100,6 +104,7 @@
     ended_incarnations: HashMap<WorkerId, u64>,
     /// Workers that have ended, with runs whose start commands have no result yet.
     ended_workers: BTreeSet<WorkerKey>,
+    lease_records: lease_records::LeaseRecords,
     /// Jobs that still have tasks to place or runs on workers.
     active: BTreeSet<JobKey>,
     /// Final jobs by the Unix time in milliseconds at which they are dropped.
@@ -215,6 +220,7 @@
             || !self.gated_effects.is_empty()
             || self.has_unmatched_ends
             || self.routes.needs_commit()
+            || self.lease_records.are_due()
     }
 
     /// Takes the effects that may happen at once, without a commit.
@@ -240,13 +246,22 @@
         self.poll_workers(now);
         self.drop_expired(now);
         self.drop_unused_routes(now);
+        self.note_due_lease_records(now);
     }
 
     /// Takes the records that have to be stored next, with the effects that wait for them.
     pub fn take_commit(&mut self, now: Now) -> Option<Commit> {
-        if !self.needs_commit() {
-            return None;
-        }
+        self.needs_commit()
+            .then(|| self.collect_commit(now, LeaseRecordScope::Unreachable))
+    }
+
+    /// Takes the last commit of an owner that gives up the shard. Nothing may be sent to workers from
+    /// then on.
+    pub fn take_last_commit(&mut self, now: Now) -> Commit {
+        self.collect_commit(now, LeaseRecordScope::NotInContact)
+    }
+
+    fn collect_commit(&mut self, now: Now, scope: LeaseRecordScope) -> Commit {
         self.has_unmatched_ends = false;
         let mut commit = Commit {
             records: self.routes.take_records(),
@@ -272,7 +287,8 @@
                 commit.ended_sequences.push((key, worker.handled_sequence));
             }
         }
-        Some(commit)
+        self.record_leases(now, scope, &mut commit);
+        commit
     }
 
     /// Marks a commit as durable and returns the effects that waited for it.
@@ -289,6 +305,9 @@
                 job.durable_state = state;
             }
         }
+        for worker in commit.reopened_workers {
+            self.lease_records.finish_deletion(&worker);
+        }
         commit.effects
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -84,7 +84,6 @@
         worker.heard_ms = now.boot_ms;
         worker.knows_token = true;
         worker.has_more_ends = report.may_lack_ends;
-        worker.lease.drop_inherited();
         if worker.reachability != Reachability::Reachable {
             worker.reachability = Reachability::Reachable;
             self.ready_effects
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -14,6 +14,8 @@
 mod former_routes;
 #[path = "scheduler/jobs.rs"]
 mod jobs;
+#[path = "scheduler/lease_handover.rs"]
+mod lease_handover;
 #[path = "scheduler/leaving.rs"]
 mod leaving;
 #[path = "scheduler/outage.rs"]
