fix(jobs): long-running tasks that fail at once hold up no other job

Callers saw steps of other jobs wait for 3.2 to 3.9 s, with most of the room free, beside two long-running jobs of five tasks each that fail as they begin.

Cause: a failed run counts against its worker unless its task failed before. The failures of a long-running task aren't kept, so that each of its endless failures counted, and all workers of the pool were avoided for up to 8 s, over and over.

Ruled out: keeping the failed runs as for other tasks. Their number has no bound, and the tasks of one step fail on several workers before any of them fails twice.

Change: a shard remembers of each long-running step on which worker runs of it failed (shard/failing_services.rs). Once that are two, further failures count against no worker, until a run has lasted for 10 s. A worker that alone fails the step still collects its failures and is left.

Evidence: all six cases of failing_services_hold_up_nobody failed before: workers_1_3::fails_after_ms_1_5: assertion `left == right` failed: j1 left: Some(Queued), right: Some(Completed) failing_worker_avoided passed before and after. Now: scheduler 206 passed, 0 failed.

Conclusion: such services cost their pool the room that they take, nothing else.

--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -21,6 +21,7 @@
 mod crashes;
 mod ended_workers;
 mod evacuation;
+mod failing_services;
 mod isolation;
 mod long_waits;
 mod on_time;
@@ -128,6 +129,7 @@
     expectations: on_time::Expectations,
     arrivals: evacuation::Arrivals,
     crashes: crashes::Crashes,
+    failing_services: failing_services::FailingServices,
     grants: Grants,
     quota: quota::Quota,
     /// Number of queries to queue policies that have no result yet.
@@ -242,6 +244,7 @@
         self.stop_stalled_runs(now);
         self.evacuate_tasks(now);
         self.prune_crashes(now);
+        self.prune_failing_services();
         self.place_tasks(now);
         self.prefetch_advice(now);
         self.report_long_wait(now);
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -261,21 +261,14 @@
         key: TaskKey,
         end: EndKind,
     ) {
+        let tells_against_worker =
+            end == EndKind::Failed && self.tells_against_worker(now, key, worker_key);
         let Some(worker) = self.workers.get_mut(worker_key) else {
             return;
         };
         match end {
             EndKind::Done => worker.failure_score /= 2,
-            EndKind::Failed => {
-                let had_failed = self
-                    .jobs
-                    .get(key.job)
-                    .and_then(|job| job.task(key))
-                    .is_some_and(|task| !task.failed_runs.is_empty());
-                // A task that failed before tells little about this worker.
-                if had_failed {
-                    return;
-                }
+            EndKind::Failed if tells_against_worker => {
                 worker.failure_score += 1;
                 if worker.failure_score >= AVOID_FAILURE_SCORE {
                     self.avoid(now, worker_key, FAILURE_AVOID_MS);
@@ -285,6 +278,16 @@
         }
     }
 
+    /// Returns whether a failed run tells against its worker rather than its task: one that failed before
+    /// tells little about this worker.
+    fn tells_against_worker(&mut self, now: Now, key: TaskKey, worker: WorkerKey) -> bool {
+        if self.step_of(key).is_some_and(|step| step.long_running) {
+            return self.record_service_failure(now, key, worker);
+        }
+        let task = self.jobs.get(key.job).and_then(|job| job.task(key));
+        task.is_none_or(|task| task.failed_runs.is_empty())
+    }
+
     /// Updates the running-time estimate of a route by a run that is done.
     fn record_duration(&mut self, now: Now, key: TaskKey, ended_run: &EndedRun) {
         if ended_run.end != EndKind::Done {
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -10,6 +10,8 @@
 mod crashes;
 #[path = "scheduler/evacuation.rs"]
 mod evacuation;
+#[path = "scheduler/failing_services.rs"]
+mod failing_services;
 #[path = "scheduler/jobs.rs"]
 mod jobs;
 #[path = "scheduler/leaving.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
@@ -63,6 +63,8 @@
     pub start_delay_ms: Option<u64>,
     /// Whether all runs on the worker fail.
     pub fails_all_runs: bool,
+    /// Whether runs of long-running tasks fail as well where all runs do.
+    pub fails_services: bool,
     /// Whether runs on the worker make no progress.
     pub stalls_runs: bool,
     /// Time in milliseconds that each best-effort task at its full share adds to the tail latency.
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -216,6 +216,7 @@
             responds: true,
             start_delay_ms: None,
             fails_all_runs: false,
+            fails_services: false,
             stalls_runs: false,
             interference_ms: 0,
             crash_ms: None,
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
@@ -115,7 +115,8 @@
             .lease_end_ms
             .max(command.lease_end_ms.min(clock_ms + MAX_LEASE_MS));
         let fails = worker.fails_all_runs || self.failing_jobs.contains(&command.job);
-        let is_endless = step.long_running || worker.stalls_runs;
+        let fails_early = worker.fails_services || self.failing_jobs.contains(&command.job);
+        let is_endless = (step.long_running && !fails_early) || worker.stalls_runs;
         let duration_ms = self
             .durations
             .get(&command.job)
