fix(jobs): idle workers that died together aren't tried one after the other

Callers saw nothing of it but the delay: where four idle workers had died and were back under other ids, a task was sent to each of the four before one that lives.

Cause: idle workers aren't polled, and among workers of equal cost the oldest entry is chosen, also a moment after the worker beside it turned out to be gone.

Change: for 6 s after a loss is noticed, a worker that hasn't been heard since 1.5 s before, and hasn't started in the 4 s before, costs a thousandth of a worker more, so that an equal one without such doubt is preferred (recent_loss.rs).

Conclusion: one such start is enough where others are known to be alive.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -33,6 +33,7 @@
 mod owner_capacity;
 mod quota;
 mod ranking;
+mod recent_loss;
 mod record;
 mod relays;
 mod resources;
@@ -82,6 +83,7 @@
     TeamReport, WHOLE_CAP, base_share, cap_share, is_limited, largest_allowance, may_start,
 };
 pub use ranking::{JobRank, WaitingJob};
+pub use recent_loss::RecentLoss;
 pub use record::{
     AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
     ProgressRecord, RELEASE_KEY, RecordError, ReleaseRecord, TaskRecord, decode, encode,
--- a/crates/cyclamentrail-jobs/src/selection.rs
+++ b/crates/cyclamentrail-jobs/src/selection.rs
@@ -11,7 +11,7 @@
 
 use crate::best_effort_share::FULL_SHARE_PERCENT;
 use crate::worker::{Worker, WorkerKey};
-use crate::{Resources, StepSpec};
+use crate::{RecentLoss, Resources, StepSpec};
 
 /// Cost of a whole unused worker; the costs below are in thousandths of it.
 const WHOLE_WORKER: u64 = 1_000;
@@ -32,6 +32,10 @@
 /// Cost of each recent failure of the worker, in thousandths of a whole worker.
 const FAILURE_PENALTY: u64 = 300;
 
+/// Cost of a worker that may have been lost with another, in thousandths of a whole worker: it decides
+/// between equal workers only.
+const DOUBT_PENALTY: u64 = 1;
+
 /// Requirements and preferences of a task that is to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
@@ -55,6 +59,8 @@
     /// Additional costs of workers by the learned run times, in thousandths of a whole worker;
     /// `None` if these aren't used.
     pub run_time_costs: Option<&'a BTreeMap<WorkerKey, u64>>,
+    /// Last loss of a worker, if it casts doubt on others.
+    pub recent_loss: Option<RecentLoss>,
 }
 
 impl<'a> From<&'a StepSpec> for PlacementRequest<'a> {
@@ -69,6 +75,7 @@
             same_step_counts: None,
             granted_workers: None,
             run_time_costs: None,
+            recent_loss: None,
         }
     }
 }
@@ -124,6 +131,10 @@
         let is_limited =
             self.is_best_effort && worker.best_effort_share.percent() < FULL_SHARE_PERCENT;
         let limited = if is_limited { LIMITED_PENALTY } else { 0 };
+        let is_doubtful = self
+            .recent_loss
+            .is_some_and(|loss| loss.casts_doubt_on(worker));
+        let doubt = if is_doubtful { DOUBT_PENALTY } else { 0 };
         let run_times = self.run_time_costs.and_then(|costs| costs.get(&key));
         unused
             + run_times.copied().unwrap_or(0)
@@ -131,6 +142,7 @@
             + pinning
             + same_step
             + limited
+            + doubt
             + u64::from(worker.failure_score) * FAILURE_PENALTY
     }
 }
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -11,7 +11,7 @@
 use crate::job::{Job, JobKey, JobState, RunPhase, TaskKey};
 use crate::record::{AcceptedJobRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
 use crate::worker::{Reachability, Worker, WorkerKey};
-use crate::{DurationEstimate, RouteConfig, StepSpec, TeamConfig};
+use crate::{DurationEstimate, RecentLoss, RouteConfig, StepSpec, TeamConfig};
 
 mod advice;
 mod backlog;
@@ -98,6 +98,8 @@
     /// Start time (Unix time in milliseconds) of each worker's last incarnation that has ended for
     /// certain, while the registry may still list it.
     ended_incarnations: HashMap<WorkerId, u64>,
+    /// Last loss of a worker, which casts doubt on others.
+    recent_loss: Option<RecentLoss>,
     /// Workers that have ended, with runs whose start commands have no result yet.
     ended_workers: BTreeSet<WorkerKey>,
     /// Jobs that still have tasks to place or runs on workers.
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -1,6 +1,7 @@
 //! Polls sent to workers, and the results of start and stop commands.
 
 use super::{Now, START_RETRY_MS, STOP_RETRY_MS, Shard};
+use crate::RecentLoss;
 use crate::effect::{CommandOutcome, CommandRejection, Decision, Effect, EndProof, WorkerPoll};
 use crate::job::{Placement, RunPhase, TaskKey};
 use crate::worker::{Reachability, WorkerKey};
@@ -292,6 +293,7 @@
             return;
         };
         if worker.reachability == Reachability::Reachable {
+            self.recent_loss = Some(RecentLoss { noticed: now });
             worker.reachability = Reachability::Unreachable {
                 since_ms: now.boot_ms,
             };
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -14,7 +14,7 @@
 use crate::ranking::{JobRank, WaitingJob};
 use crate::selection::{Candidates, PlacementRequest, select_worker};
 use crate::worker::{Worker, WorkerKey};
-use crate::{Resources, StepSpec};
+use crate::{RecentLoss, Resources, StepSpec};
 
 /// Number of distinct demands without room after which a placement pass ends.
 const MAX_UNPLACEABLE: usize = 12;
@@ -42,6 +42,8 @@
     pinned: BTreeSet<WorkerKey>,
     /// Workers that are kept apart for suspect tasks.
     isolation: Isolation,
+    /// Last loss of a worker, if it casts doubt on others.
+    recent_loss: Option<RecentLoss>,
 }
 
 impl PlacementPass {
@@ -90,6 +92,7 @@
             same_step_counts: Some(&self.per_worker),
             granted_workers: self.granted.as_ref(),
             run_time_costs: self.run_time_costs.as_ref(),
+            recent_loss: pass.recent_loss,
             ..PlacementRequest::from(&self.spec)
         }
     }
@@ -119,6 +122,7 @@
         let mut pass = PlacementPass {
             pinned: self.workers_with_long_running(),
             isolation: self.isolation(now),
+            recent_loss: self.recent_loss.filter(|loss| loss.is_recent(now)),
             ..PlacementPass::default()
         };
         for (_, key) in waiting {
@@ -383,6 +387,7 @@
         let mut request = PlacementRequest::from(spec);
         request.preferred_rack = rack;
         request.granted_workers = granted;
+        request.recent_loss = self.recent_loss.filter(|loss| loss.is_recent(now));
         let mut candidates: Vec<(WorkerKey, Worker)> = self
             .workers
             .iter()
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -4,6 +4,7 @@
 
 use super::restarts::CALLS_UNDER_WAY_MS;
 use super::{Now, Shard};
+use crate::RecentLoss;
 use crate::effect::EndProof;
 use crate::job::TaskKey;
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
@@ -77,6 +78,7 @@
     /// Handles a response of another incarnation at a worker's address: the known one has ended,
     /// and its runs with it.
     pub(super) fn handle_other_incarnation(&mut self, now: Now, key: WorkerKey) {
+        self.recent_loss = Some(RecentLoss { noticed: now });
         if let Some(worker) = self.workers.get_mut(key) {
             worker.is_registered = false;
             worker.next_poll_ms = now.boot_ms + CALLS_UNDER_WAY_MS;
--- a/crates/cyclamentrail-jobs/tests/scheduler/crash_counts.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crash_counts.rs
@@ -2,7 +2,7 @@
 
 use crate::world::{Simulation, job};
 use cyclamentrail_core::{JobId, WorkerId};
-use cyclamentrail_jobs::{Decision, JobSpec, JobState, Resources};
+use cyclamentrail_jobs::{Decision, EndProof, JobSpec, JobState, Resources};
 use rstest::rstest;
 
 const WORKER: Resources = Resources::new(16_000, 65_536, 0);
@@ -211,3 +211,17 @@
     }
     assert_eq!(given_up(&sim), 1);
 }
+
+/// Guards against trying one dead idle worker after the other while others are known to be alive.
+#[rstest]
+fn dead_idle_tried_once(#[values(1, 4)] count: u32) {
+    let mut sim = pool_with_dead_idle();
+    sim.submit("a", job(count, 1_100, 600));
+    sim.run_for(1_500);
+    let is_rejected = |decision: &&Decision| {
+        let proof = EndProof::Rejected;
+        matches!(decision, Decision::RunGone { proof: by, .. } if *by == proof)
+    };
+    let rejected = sim.decisions.iter().filter(is_rejected).count();
+    assert!(rejected <= count as usize, "{rejected} rejected starts");
+}
