--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -11,7 +11,7 @@
 use crate::job::{Job, JobKey, JobState, RunPhase, TaskKey};
 use crate::record::{AcceptedJobRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
 use crate::worker::{Reachability, Worker, WorkerKey};
-use crate::{DurationEstimate, StepSpec, TeamConfig};
+use crate::{DurationEstimate, RecentLoss, StepSpec, TeamConfig};
 
 mod advice;
 mod backlog;
@@ -21,6 +21,7 @@
 mod crashes;
 mod ended_workers;
 mod evacuation;
+mod failing_services;
 mod isolation;
 mod lease_records;
 mod long_waits;
@@ -102,6 +103,8 @@
     /// Start time (Unix time in milliseconds) of each worker's last incarnation that has ended for
     /// certain, while the registry may still list it.
     ended_incarnations: HashMap<WorkerId, u64>,
+    /// Last loss of a worker, which casts doubt on others.
+    recent_loss: Option<RecentLoss>,
     /// Workers that have ended, with runs whose start commands have no result yet.
     ended_workers: BTreeSet<WorkerKey>,
     lease_records: lease_records::LeaseRecords,
@@ -134,6 +137,7 @@
     expectations: on_time::Expectations,
     arrivals: evacuation::Arrivals,
     crashes: crashes::Crashes,
+    failing_services: failing_services::FailingServices,
     grants: Grants,
     quota: quota::Quota,
     /// Number of queries to queue policies that have no result yet.
@@ -240,6 +244,7 @@
         self.stop_stalled_runs(now);
         self.evacuate_tasks(now);
         self.prune_crashes(now);
+        self.prune_failing_services();
         self.place_tasks(now);
         self.prefetch_advice(now);
         self.report_long_wait(now);
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -10,6 +10,8 @@
 mod crashes;
 #[path = "scheduler/evacuation.rs"]
 mod evacuation;
+#[path = "scheduler/failing_services.rs"]
+mod failing_services;
 #[path = "scheduler/former_routes.rs"]
 mod former_routes;
 #[path = "scheduler/jobs.rs"]
