fix(jobs): the progress of a large job is stored in parts

Cause: the progress of a job was one record, which grew with its tasks to more than the store accepts (`platform.RecordBytes`). The append that held it was refused and repeated without end.

Ruled out: shorter names of fields (the form has none), compression (a bound that depends on what workers report), one record for each task (a key of 20 to 30 bytes for each).

Change: once a job's progress record would take more than half of the limit, its tasks are stored in parts of a fixed number of tasks, counted through all steps of an occurrence, and only the parts that changed are written again. The progress record keeps the job's own fields, names the occurrences and says how many tasks a part holds. Each part stands for itself, since an owner that is killed amid a commit leaves any of its first records: parts come before the record that names them, deletions after it. Smaller jobs keep the single record, byte for byte. A dropped job's own record is deleted first, and what a killed owner left of its progress is deleted by the next one; before, a kill between the two deletions left an accepted job without progress, which began anew. Deletions precede what a commit writes, so that they can't hit a new job of the same id. A part whose checkpoints would take it over the limit keeps the shorter ones.

Processes of earlier versions can't read the progress record of a job in parts, and would begin such a job anew.

Conclusion: no record of a job's progress grows with the job.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
+use crate::record_parts::StoredParts;
 use crate::worker::WorkerKey;
 use crate::{JobSpec, Schedule, StepSpec};
 
@@ -295,6 +296,8 @@
     pub durable_state: JobState,
     /// Unix time at which the job reached its final state, in milliseconds.
     pub ended_ms: Option<u64>,
+    /// Parts in which the job's progress is stored; `None` while one record holds all of it.
+    pub(crate) parts: Option<StoredParts>,
 }
 
 impl Job {
@@ -316,6 +319,7 @@
             next_occurrence: 0,
             durable_state: JobState::Queued,
             ended_ms: None,
+            parts: None,
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -34,6 +34,7 @@
 mod quota;
 mod ranking;
 mod record;
+mod record_parts;
 mod relays;
 mod resources;
 mod route;
@@ -86,6 +87,7 @@
     AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
     ProgressRecord, RELEASE_KEY, RecordError, ReleaseRecord, TaskRecord, decode, encode,
 };
+pub use record_parts::PartsRecord;
 pub use relays::{MIN_RELAYED_WORKERS, Relay, RelaySpread, RelayedWorker, spread_workers};
 pub use resources::Resources;
 pub use route::{AdviceConfig, RouteConfig};
--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 use crate::job::CrashedRun;
+use crate::record_parts::PartsRecord;
 use crate::{JobSpec, RUN_TIMES_PREFIX};
 
 /// Suffix that turns a job's id into the key of its progress record.
@@ -54,6 +55,10 @@
     pub ended_ms: Option<u64>,
     /// Occurrences that are due, and aren't done or still have runs that haven't ended.
     pub occurrences: Vec<OccurrenceRecord>,
+    /// How the occurrences are stored in parts; `None` if they are part of this record, which processes
+    /// of earlier versions can read then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parts: Option<PartsRecord>,
 }
 
 /// Progress of an occurrence.
@@ -66,7 +71,7 @@
 }
 
 /// Progress of a task.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct TaskRecord {
     /// Whether a run has completed the task.
     pub is_done: bool,
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -10,6 +10,7 @@
 use crate::grants::Grants;
 use crate::job::{Job, JobKey, JobState, RunPhase, TaskKey};
 use crate::record::{AcceptedJobRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
+use crate::record_parts::{StoredParts, deletion};
 use crate::worker::{Reachability, Worker, WorkerKey};
 use crate::{DurationEstimate, RouteConfig, StepSpec, TeamConfig};
 
@@ -106,8 +107,8 @@
     stores_in_flight: BTreeSet<JobKey>,
     /// Jobs that changed since the last commit.
     dirty: BTreeSet<JobKey>,
-    /// Ids of dropped jobs whose records have to be deleted.
-    expired_ids: Vec<JobId>,
+    /// Keys of records that have to be deleted, in this order.
+    obsolete_keys: Vec<String>,
     /// Whether workers reported ends of runs whose jobs are unknown; a commit has to acknowledge
     /// these.
     has_unmatched_ends: bool,
@@ -217,7 +218,7 @@
     #[must_use]
     pub fn needs_commit(&self) -> bool {
         !self.dirty.is_empty()
-            || !self.expired_ids.is_empty()
+            || !self.obsolete_keys.is_empty()
             || !self.gated_effects.is_empty()
             || self.has_unmatched_ends
     }
@@ -255,19 +256,11 @@
             effects: std::mem::take(&mut self.gated_effects),
             ..Commit::default()
         };
+        let obsolete = std::mem::take(&mut self.obsolete_keys);
+        commit.records.extend(obsolete.into_iter().map(deletion));
         for key in std::mem::take(&mut self.dirty) {
             self.record_job(now, key, &mut commit);
         }
-        for id in std::mem::take(&mut self.expired_ids) {
-            commit.records.push(KeyedRecord {
-                key: format!("{id}{PROGRESS_SUFFIX}"),
-                value: Vec::new(),
-            });
-            commit.records.push(KeyedRecord {
-                key: id.to_string(),
-                value: Vec::new(),
-            });
-        }
         self.learned.store_due(now, &mut commit);
         for (key, worker) in &self.workers {
             if worker.handled_sequence > worker.durable_sequence {
@@ -335,10 +328,7 @@
         }
         let job = &self.jobs[key];
         if job.next_occurrence > 0 || job.is_aborted() {
-            commit.records.push(KeyedRecord {
-                key: format!("{}{PROGRESS_SUFFIX}", job.id),
-                value: encode(&self.progress_record(job)),
-            });
+            self.record_progress(key, commit);
         }
         commit.job_states.push((key, state));
     }
@@ -352,11 +342,22 @@
             self.expiring.remove(&(due_ms, key));
             if let Some(job) = self.jobs.remove(key) {
                 self.job_keys.remove(&job.id);
-                self.expired_ids.push(job.id);
+                self.delete_records(&job);
             }
         }
     }
 
+    /// Deletes the records of a dropped job. Without the job's own record, a successor that finds some
+    /// of the others doesn't take the job for a new one.
+    fn delete_records(&mut self, job: &Job) {
+        let id = &job.id;
+        self.obsolete_keys.push(id.to_string());
+        self.obsolete_keys.push(format!("{id}{PROGRESS_SUFFIX}"));
+        let parts = job.parts.iter().flat_map(StoredParts::numbers);
+        self.obsolete_keys
+            .extend(parts.map(|number| number.key(id)));
+    }
+
     fn target(&self, key: WorkerKey) -> WorkerTarget {
         let registration = &self.workers[key].registration;
         WorkerTarget {
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -5,7 +5,7 @@
 //! fencing token. A worker that the new owner can't reach may still run what the previous owner
 //! started until the lease has ended for certain; the worker's tasks wait for that.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 
 use cyclamentrail_core::{JobId, ServiceName, WorkerId, ZoneName};
@@ -18,6 +18,7 @@
     AcceptedJobRecord, KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord,
     ProgressRecord, RELEASE_KEY, RecordError, TaskRecord, decode,
 };
+use crate::record_parts::{PartNumber, ReadParts};
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
 use crate::{RUN_TIMES_PREFIX, Resources};
 
@@ -41,6 +42,8 @@
     ) -> usize {
         let mut accepted: HashMap<String, AcceptedJobRecord> = HashMap::new();
         let mut progress: HashMap<String, ProgressRecord> = HashMap::new();
+        let mut parts: HashMap<String, ReadParts> = HashMap::new();
+        let mut unreadable_jobs = HashSet::new();
         let mut unreadable = 0;
         for record in records
             .into_iter()
@@ -50,16 +53,27 @@
                 unreadable += usize::from(!self.restore_run_times(now, route, &record.value));
                 continue;
             }
-            let result = match record.key.strip_suffix(PROGRESS_SUFFIX) {
-                Some(id) => read_record(&mut progress, id, &record.value),
-                None => read_record(&mut accepted, &record.key, &record.value),
+            let result = if let Some(id) = record.key.strip_suffix(PROGRESS_SUFFIX) {
+                read_record(&mut progress, id, &record.value)
+            } else if let Some((id, number)) = PartNumber::parse(&record.key) {
+                read_part(&mut parts, id, number, &record.value)
+            } else {
+                let result = read_record(&mut accepted, &record.key, &record.value);
+                if result.is_err() {
+                    unreadable_jobs.insert(record.key);
+                }
+                result
             };
             unreadable += usize::from(result.is_err());
         }
         for (id, accept) in accepted {
             let progress_record = progress.remove(&id).unwrap_or_default();
-            self.restore_job(now, JobId::from(id), accept, progress_record);
+            let parts = parts.remove(&id).unwrap_or_default();
+            self.restore_job(now, JobId::from(id), accept, progress_record, parts);
         }
+        progress.retain(|id, _| !unreadable_jobs.contains(id));
+        parts.retain(|id, _| !unreadable_jobs.contains(id));
+        self.delete_leftovers(progress, parts);
         let lease_end_ms = now.boot_ms + predecessor_active_ms + self.timing.longest_lease_ms();
         for worker in self.workers.values_mut() {
             worker.lease.inherit(lease_end_ms);
@@ -73,7 +87,8 @@
         now: Now,
         id: JobId,
         accept: AcceptedJobRecord,
-        progress_record: ProgressRecord,
+        mut progress_record: ProgressRecord,
+        parts: ReadParts,
     ) {
         if !accept.spec.is_well_formed() {
             return;
@@ -86,6 +101,7 @@
         job.next_occurrence = progress_record.next_occurrence;
         job.ended_ms = progress_record.ended_ms;
         job.team_index = self.team_table.insert(job.team.as_ref());
+        self.restore_parts(&mut job, &mut progress_record, parts);
         let key = self.jobs.insert(job);
         let mut recorded_runs = Vec::new();
         for occurrence in progress_record.occurrences {
@@ -107,6 +123,41 @@
         }
     }
 
+    /// Completes a progress record by the job's parts, and deletes the parts that it doesn't name.
+    fn restore_parts(&mut self, job: &mut Job, progress: &mut ProgressRecord, parts: ReadParts) {
+        let Some(record) = &progress.parts else {
+            let keys = parts.numbers().map(|number| number.key(&job.id));
+            self.obsolete_keys.extend(keys);
+            return;
+        };
+        let open = record.occurrences.iter();
+        progress.occurrences = open
+            .map(|&number| parts.occurrence(number, record, &job.spec))
+            .collect();
+        let mut stored = parts.into_stored(record);
+        let ended = stored.remove_others(&record.occurrences);
+        let keys = ended.into_iter().map(|number| number.key(&job.id));
+        self.obsolete_keys.extend(keys);
+        job.parts = Some(stored);
+    }
+
+    /// Deletes the progress of jobs whose own record is deleted: the deletion was cut short.
+    fn delete_leftovers(
+        &mut self,
+        progress: HashMap<String, ProgressRecord>,
+        parts: HashMap<String, ReadParts>,
+    ) {
+        let progress_keys = progress
+            .into_keys()
+            .map(|id| format!("{id}{PROGRESS_SUFFIX}"));
+        self.obsolete_keys.extend(progress_keys);
+        for (id, parts) in parts {
+            let id = JobId::from(id);
+            let keys = parts.numbers().map(|number| number.key(&id));
+            self.obsolete_keys.extend(keys);
+        }
+    }
+
     /// Restores a run on its worker.
     fn restore_placement(&mut self, now: Now, task: TaskKey, record: &PlacementRecord) {
         let worker_key = match self.worker_keys.get(&record.worker) {
@@ -193,6 +244,21 @@
     Ok(())
 }
 
+/// Decodes a part of a job's progress; a part without a value is a deleted one and is skipped.
+fn read_part(
+    into: &mut HashMap<String, ReadParts>,
+    id: &str,
+    number: PartNumber,
+    value: &[u8],
+) -> Result<(), RecordError> {
+    if !value.is_empty() {
+        let tasks = decode(value)?;
+        let parts = into.entry(id.to_owned()).or_default();
+        parts.insert(number, value.to_vec(), tasks);
+    }
+    Ok(())
+}
+
 /// Restores an occurrence and adds its runs to `recorded_runs`.
 fn restore_occurrence(
     key: JobKey,
--- a/crates/cyclamentrail-jobs/src/shard/timing.rs
+++ b/crates/cyclamentrail-jobs/src/shard/timing.rs
@@ -24,6 +24,8 @@
     pub keep_ms: u64,
     /// Number of jobs from which new ones are rejected; final jobs count until they are dropped.
     pub max_jobs: usize,
+    /// Longest record that the store accepts, with its key, in bytes.
+    pub max_record_bytes: usize,
     /// Decisions that use the learned run times.
     pub run_time_uses: RunTimeUses,
 }
@@ -38,6 +40,7 @@
             poll_interval_ms: 60,
             keep_ms: 125_000,
             max_jobs: 20_000,
+            max_record_bytes: 262_144,
             run_time_uses: RunTimeUses::NONE,
         }
     }
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -10,6 +10,8 @@
 mod evacuation;
 #[path = "scheduler/jobs.rs"]
 mod jobs;
+#[path = "scheduler/large_jobs.rs"]
+mod large_jobs;
 #[path = "scheduler/leaving.rs"]
 mod leaving;
 #[path = "scheduler/outage.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
@@ -72,6 +72,8 @@
     /// Capacity before the last change, and the virtual time in milliseconds until which starts may
     /// still count on it.
     pub earlier_capacity: Option<(Resources, u64)>,
+    /// Checkpoint of all runs on the worker.
+    pub checkpoint: Arc<str>,
     /// Whether another worker has the address of this one, which has ended.
     pub is_replaced: bool,
 }
@@ -105,7 +107,7 @@
     pub fn report_run(&self, run: &Run) -> ActiveRun {
         ActiveRun {
             id: run.id.clone(),
-            checkpoint: Arc::from(""),
+            checkpoint: Arc::clone(&self.checkpoint),
             progress_percent: if self.stalls_runs { 0 } else { 100 },
             load: if run.is_latency_sensitive {
                 self.tail_ms()
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -103,6 +103,10 @@
     pending_commit: Option<Commit>,
     /// Stored records by key.
     pub records: BTreeMap<String, Vec<u8>>,
+    /// Length of the longest record that was stored, with its key, in bytes.
+    pub longest_record_bytes: usize,
+    /// Sum of the lengths of all records that were stored, with their keys, in bytes.
+    pub stored_bytes: usize,
     /// Tasks that are done and must not run again, by job, occurrence, step and index.
     must_not_rerun: BTreeSet<(JobId, u32, u32, u32)>,
     /// Tasks of which a run has ended well, even if no owner has recorded it.
@@ -140,6 +144,8 @@
             sequence: 0,
             pending_commit: None,
             records: BTreeMap::new(),
+            longest_record_bytes: 0,
+            stored_bytes: 0,
             must_not_rerun: BTreeSet::new(),
             completed: BTreeSet::new(),
             next_caller: 0,
@@ -217,6 +223,7 @@
             interference_ms: 0,
             crash_ms: None,
             earlier_capacity: None,
+            checkpoint: Arc::from(""),
             is_replaced: false,
         };
         self.workers.insert(registration.id.clone(), worker);
@@ -295,6 +302,19 @@
         assert_eq!(self.shard.restore(now, records, predecessor_active_ms), 0);
     }
 
+    /// Replaces the owner while it stores a commit, of which only the first `count` records are stored;
+    /// returns whether it was storing one.
+    pub fn kill_amid_commit(&mut self, count: usize) -> bool {
+        let Some(commit) = self.pending_commit.take() else {
+            return false;
+        };
+        for record in commit.records.iter().take(count) {
+            self.store_record(record);
+        }
+        self.take_over(0);
+        true
+    }
+
     /// Makes a worker give notice that it leaves; it goes on running what it has.
     pub fn announce_leaving(&mut self, id: &str) {
         let now = self.now();
@@ -457,16 +477,24 @@
             return;
         };
         for record in &commit.records {
-            if record.value.is_empty() {
-                self.records.remove(&record.key);
-            } else {
-                self.records
-                    .insert(record.key.clone(), record.value.clone());
-            }
+            self.store_record(record);
         }
         let effects = self.shard.finish_commit(commit);
         self.apply_effects(effects);
     }
+
+    /// Stores one record.
+    fn store_record(&mut self, record: &KeyedRecord) {
+        let bytes = record.key.len() + record.value.len();
+        self.longest_record_bytes = self.longest_record_bytes.max(bytes);
+        self.stored_bytes += bytes;
+        if record.value.is_empty() {
+            self.records.remove(&record.key);
+        } else {
+            self.records
+                .insert(record.key.clone(), record.value.clone());
+        }
+    }
 }
 
 /// Returns the address of a worker, which depends on the number in its id.
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/calls.rs
@@ -318,7 +318,7 @@
                     sequence: worker.next_end,
                     id: run.id,
                     end,
-                    checkpoint: Arc::from(""),
+                    checkpoint: Arc::clone(&worker.checkpoint),
                 });
                 worker.next_end += 1;
             }
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -121,6 +121,7 @@
         max_lease_ms: bounds.max_lease_ms,
         poll_wait_ms: lease_ms / POLL_WAIT_DIVISOR,
         keep_ms: bounds.job_state_retention_ms + EXTRA_KEEP_MS,
+        max_record_bytes: process.settings.max_record_bytes,
         run_time_uses: process.run_time_uses,
         ..ShardTiming::default()
     }
