fix(jobs): all members of a gang start from one checkpoint

What callers saw: nothing yet, since no site has gangs (found by reading in the review). The members of a gang that starts again were each sent the checkpoint that they had reported themselves, while all must carry the same value.

Cause: `start_command` took the checkpoint of the task.

Ruled out: copying a reported value to all members at once, since a start that is sent again would then carry another value than the first members got.

Change: when a gang is placed, one value is chosen for it and kept with the step: one that a member has reported since the last start, if there is one, so that a member that lags behind doesn't hold the gang at its earlier start. All start commands of the run carry it, also those that are sent again. A successor sends no start for runs that it takes over, and chooses anew at the next placement.

Evidence, before the change: members_start_from_one, successor_starts_from_one: left "c7", right "c6" repeated_start_keeps_value: ["c7", "c6"] newer_value_chosen: left ["c7", "c9"], right ["c9", "c9"] and after it they pass.

Conclusion: a gang resumes as one.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -190,6 +190,9 @@
 pub struct StepProgress {
     /// Tasks of the step, by index.
     pub tasks: Vec<Task>,
+    /// Checkpoint from which all members of a gang start in their present runs; empty for a start from
+    /// the beginning, and where an earlier owner started them.
+    pub gang_checkpoint: Arc<str>,
 }
 
 impl StepProgress {
@@ -198,6 +201,20 @@
     pub fn new(spec: &StepSpec) -> Self {
         Self {
             tasks: vec![Task::default(); spec.count as usize],
+            gang_checkpoint: Arc::from(""),
+        }
+    }
+
+    /// Chooses the checkpoint from which all members of a gang start next: one that a member has
+    /// reported since they started last, if there is one.
+    pub(crate) fn choose_gang_checkpoint(&mut self) {
+        let saved = || {
+            let checkpoints = self.tasks.iter().map(|task| &task.checkpoint);
+            checkpoints.filter(|checkpoint| !checkpoint.is_empty())
+        };
+        let newer = saved().find(|checkpoint| **checkpoint != self.gang_checkpoint);
+        if let Some(chosen) = newer.or_else(|| saved().next()) {
+            self.gang_checkpoint = Arc::clone(chosen);
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -357,6 +357,9 @@
             .max()
             .unwrap_or(0)
             + 1;
+        if let Some(progress) = self.step_progress_mut(ready_step.task(0)) {
+            progress.choose_gang_checkpoint();
+        }
         for (key, worker) in keys.into_iter().zip(plan) {
             self.place(now, key, worker, Some(run));
         }
--- a/crates/cyclamentrail-jobs/src/shard/placements.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placements.rs
@@ -1,7 +1,7 @@
 //! Looks at the assignments of tasks' runs to workers.
 
 use super::Shard;
-use crate::job::{JobKey, Placement, TaskKey};
+use crate::job::{JobKey, Placement, StepProgress, TaskKey};
 use crate::worker::WorkerKey;
 
 impl Shard {
@@ -11,6 +11,14 @@
         self.placement_of(task).map(|placement| placement.worker)
     }
 
+    /// Returns the progress of a task's step for changes, if its occurrence is still kept.
+    pub(super) fn step_progress_mut(&mut self, task: TaskKey) -> Option<&mut StepProgress> {
+        let job = self.jobs.get_mut(task.job)?;
+        let mut occurrences = job.occurrences.iter_mut();
+        let occurrence = occurrences.find(|open| open.number == task.occurrence)?;
+        occurrence.steps.get_mut(task.step as usize)
+    }
+
     /// Returns whether a task isn't done and isn't placed.
     pub(super) fn is_waiting(&self, key: TaskKey) -> bool {
         self.jobs
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 
 use cyclamentrail_core::{JobId, ServiceName, WorkerId, ZoneName};
 
@@ -283,6 +284,7 @@
             });
             StepProgress {
                 tasks: restored.collect(),
+                gang_checkpoint: Arc::from(""),
             }
         })
         .collect();
--- a/crates/cyclamentrail-jobs/src/shard/starts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/starts.rs
@@ -41,11 +41,12 @@
             return None;
         };
         let target = self.target(placement.worker);
+        let gang_checkpoint = self.gang_checkpoint(key);
         let job = self.jobs.get_mut(key.job)?;
         let job_id = job.id.clone();
         let text = Arc::clone(&job.spec.text);
         let task = job.task_mut(key)?;
-        let checkpoint = Arc::clone(&task.checkpoint);
+        let checkpoint = gang_checkpoint.unwrap_or_else(|| Arc::clone(&task.checkpoint));
         if let Some(placement) = &mut task.placement {
             placement.phase = RunPhase::Sent;
             placement.start_under_way_until_ms = now.boot_ms + CALLS_UNDER_WAY_MS;
@@ -62,6 +63,13 @@
         })
     }
 
+    /// Returns the checkpoint from which all members of a task's gang start; `None` for a task of its own.
+    fn gang_checkpoint(&mut self, key: TaskKey) -> Option<Arc<str>> {
+        let is_gang = self.step_of(key)?.gang;
+        let progress = self.step_progress_mut(key).filter(|_| is_gang)?;
+        Some(Arc::clone(&progress.gang_checkpoint))
+    }
+
     /// Returns whether a run may not be started on its worker any more, because the worker leaves or
     /// its capacity has shrunk. A command that was sent before is only given up on a worker that gave
     /// notice itself, or that has shrunk.
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -8,6 +8,8 @@
 mod crashes;
 #[path = "scheduler/evacuation.rs"]
 mod evacuation;
+#[path = "scheduler/gang_checkpoint.rs"]
+mod gang_checkpoint;
 #[path = "scheduler/jobs.rs"]
 mod jobs;
 #[path = "scheduler/large_jobs.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -84,6 +84,8 @@
     pub replies: HashMap<u64, CallerReply>,
     /// Decisions that the shard reported, in order.
     pub decisions: Vec<Decision>,
+    /// Run and checkpoint of each start command that was sent.
+    pub sent_checkpoints: Vec<(TaskKey, u32, Arc<str>)>,
     /// Number of starts that workers carried out, by job.
     pub starts: HashMap<JobId, u32>,
     /// Whether the store accepts new appends.
@@ -134,6 +136,7 @@
             workers: BTreeMap::new(),
             replies: HashMap::new(),
             decisions: Vec::new(),
+            sent_checkpoints: Vec::new(),
             starts: HashMap::new(),
             store_responds: true,
             is_owner_active: true,
@@ -395,6 +398,8 @@
                 Effect::Start(task) => {
                     let now = self.now();
                     if let Some(command) = self.shard.start_command(now, task) {
+                        let checkpoint = Arc::clone(&command.checkpoint);
+                        self.sent_checkpoints.push((task, command.run, checkpoint));
                         self.schedule(CALL_MS, Event::Start(command, self.token, None));
                     }
                 }
