fix(jobs): a job that is too long for the store is refused

What callers saw: nothing yet (found by reading). A submission with so many steps, or so long a text, that its accept record exceeds the store's limit was taken, and the append of its record repeated without end: no further job of the queue was answered.

Cause: only the number of tasks was bounded.

Ruled out: parts for the accept record, since the protocol's jobs (a text of up to 4,000 bytes) are far below the limit.

Change: a submission whose record the store wouldn't accept is answered as malformed, and nothing is kept of it.

Evidence, before the change: too_long_job_refused: left Accepted, right Malformed and after it it passes.

Conclusion: what is accepted can be stored.

--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -12,7 +12,7 @@
 use crate::effect::{AdmissionShare, CallerId, CallerReply, Decision, Effect, RejectReason};
 use crate::fair_share::TeamAdmission;
 use crate::job::{Job, JobKey, JobState, Occurrence};
-use crate::record::is_reserved_key;
+use crate::record::{AcceptedJobRecord, encode, is_reserved_key};
 use crate::selection::PlacementRequest;
 use crate::worker::Worker;
 use crate::{DurationEstimate, JobSpec, Resources};
@@ -56,7 +56,9 @@
             }
             return;
         }
-        if !submission.spec.is_well_formed() || is_reserved_key(submission.id.as_str()) {
+        let is_malformed =
+            !submission.spec.is_well_formed() || is_reserved_key(submission.id.as_str());
+        if is_malformed || self.is_too_long(now, &submission) {
             self.ready_effects
                 .push(Effect::Reply(caller, CallerReply::Malformed));
             return;
@@ -92,6 +94,18 @@
         }
     }
 
+    /// Returns whether the store wouldn't accept the record of a job.
+    fn is_too_long(&self, now: Now, submission: &Submission) -> bool {
+        let record = AcceptedJobRecord {
+            route: submission.route.clone(),
+            spec: Arc::clone(&submission.spec),
+            accepted_ms: now.unix_ms,
+            team: submission.team.clone(),
+        };
+        let key_bytes = submission.id.as_str().len() + 1;
+        encode(&record).len() + key_bytes > self.timing.max_record_bytes
+    }
+
     /// Accepts a job; returns the index of its team.
     fn accept(
         &mut self,
--- a/crates/cyclamentrail-jobs/tests/scheduler/large_jobs.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/large_jobs.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cyclamentrail_core::JobId;
-use cyclamentrail_jobs::{JobSpec, JobState, PROGRESS_SUFFIX, Resources, Schedule};
+use cyclamentrail_jobs::{CallerReply, JobSpec, JobState, PROGRESS_SUFFIX, Resources, Schedule};
 use rstest::rstest;
 
 use crate::world::{Simulation, job, step};
@@ -177,3 +177,17 @@
     assert_eq!(sim.state("a"), Some(JobState::Completed));
     assert!(sim.longest_record_bytes <= SMALL_LIMIT_BYTES);
 }
+
+/// A job that is itself too long for the store used to stop the queue; it is refused.
+#[test]
+fn too_long_job_refused() {
+    let mut sim = simulation();
+    let mut spec = job(1, 500, 300);
+    spec.text = Arc::from("t".repeat(SMALL_LIMIT_BYTES));
+    let caller = sim.submit("a", spec);
+    sim.submit("b", job(1, 500, 300));
+    sim.run_for(1_000);
+    assert_eq!(sim.replies[&caller], CallerReply::Malformed);
+    assert_eq!(sim.state("a"), None);
+    assert_eq!(sim.state("b"), Some(JobState::Completed));
+}
