fix(edge): no takeover is decided from records that lack a page

What callers saw: nothing yet (found by reading). Where the store names a further page of newest records but gives no record to read it after, a takeover went on with what it had: accepted jobs of the missing part would have been lost, or have begun anew without their progress.

Cause: `Store::read_newest` reports that in `has_more`, which the takeover and the reading of claims passed over. Only the readers of topics looked at it.

Change: `Store::read_all_newest` makes it an error; the three callers use it.

No process was run with such a page, so the change at the takeover rests on reading.

Conclusion: nobody concludes from a part of the newest records.

--- a/crates/cyclamentrail/src/edge/claims.rs
+++ b/crates/cyclamentrail/src/edge/claims.rs
@@ -92,7 +92,7 @@
 ///
 /// Returns the store's error if the claims weren't read.
 pub(crate) async fn refresh(process: &ProcessState) -> Result<(), StoreError> {
-    let page = process.store.read_newest(&keyed_topic(TOPIC)).await?;
+    let page = process.store.read_all_newest(&keyed_topic(TOPIC)).await?;
     apply_claims(process, page.records);
     Ok(())
 }
--- a/crates/cyclamentrail/src/edge/takeover.rs
+++ b/crates/cyclamentrail/src/edge/takeover.rs
@@ -50,7 +50,7 @@
     let topic = keyed_topic(&format!("jobs.{shard}"));
     let confirmed_ms = fence(process, &topic, token).await?;
     let records = loop {
-        match process.store.read_newest(&topic).await {
+        match process.store.read_all_newest(&topic).await {
             Ok(page) => break page.records,
             Err(error) => pause_before_retry(shard, &error).await,
         }
--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -227,12 +227,7 @@
 }
 
 async fn fetch_newest(store: &Store, topic: &str) -> Result<Fetched, StoreError> {
-    let page = store.read_newest(topic).await?;
-    if page.has_more {
-        return Err(StoreError::MalformedResponse(
-            "newest records that lack a page",
-        ));
-    }
+    let page = store.read_all_newest(topic).await?;
     Ok(Fetched {
         read: TopicRead::Snapshot(page.records),
         next_offset: page.end_offset,
