fix(edge): a record that the store refuses stops only its own job

Cause: `append_batch` took each refusal for one that passes, and repeated the append without end.

Ruled out: checking lengths only before the append, since the store alone knows what it refuses; giving up the shard, since the successor meets the same record.

The batch is halved, in order, until the refused record is alone; after three refusals it is left out and logged (`record_refused`). The shard then takes its job out of the commit: a submission whose own record is refused is answered with 503 and never runs; an accepted job whose progress is refused starts nothing, is shown as failed once that is stored, and only its own fields are stored from then on; where not even these are, it is shown as it is stored. Machine commands whose record is refused aren't sent.

Conclusion: a record that can't be stored costs its own job, and nobody is told otherwise.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -283,6 +283,10 @@
 
 /// An accepted job and its progress.
 #[derive(Debug, Clone, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is a fact of its own that others may join"
+)]
 pub struct Job {
     /// Id of the job.
     pub id: JobId,
@@ -315,6 +319,8 @@
     pub ended_ms: Option<u64>,
     /// Parts in which the job's progress is stored; `None` while one record holds all of it.
     pub(crate) parts: Option<StoredParts>,
+    /// Whether the store refuses the records of the tasks.
+    pub(crate) is_unstorable: bool,
 }
 
 impl Job {
@@ -337,6 +343,7 @@
             durable_state: JobState::Queued,
             ended_ms: None,
             parts: None,
+            is_unstorable: false,
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -29,6 +29,7 @@
 mod progress;
 mod quota;
 mod recovery;
+mod refused_records;
 mod registry;
 mod reports;
 mod restarts;
--- a/crates/cyclamentrail-jobs/src/shard/progress.rs
+++ b/crates/cyclamentrail-jobs/src/shard/progress.rs
@@ -16,6 +16,11 @@
     pub(super) fn record_progress(&mut self, key: JobKey, commit: &mut Commit) {
         let job = &self.jobs[key];
         let max_bytes = self.timing.max_record_bytes;
+        if job.is_unstorable {
+            let record = progress_record_of(job, Vec::new());
+            commit.records.push(progress(job, encode(&record)));
+            return;
+        }
         if job.parts.is_none() {
             let record = progress_record_of(job, self.occurrence_records(job));
             let value = encode(&record);
--- /dev/null
+++ b/crates/cyclamentrail-jobs/src/shard/refused_records.rs
@@ -0,0 +1,59 @@
+//! Records that the store refuses for their content, and will refuse again.
+//!
+//! A job whose own record is refused isn't stored, and its callers are rejected. An accepted job whose
+//! progress can't be stored can't go on: what it starts might be started again by a successor. It is
+//! shown as failed, and from then on only its own fields are stored.
+
+use std::collections::BTreeSet;
+
+use super::{Commit, Shard};
+use crate::job::JobKey;
+use crate::record::PROGRESS_SUFFIX;
+use crate::record_parts::PartNumber;
+
+impl Shard {
+    /// Takes the jobs whose records were refused out of a commit, whose other records are stored.
+    pub fn refuse_records(&mut self, commit: &mut Commit, refused_keys: &[String]) {
+        let jobs: BTreeSet<JobKey> = refused_keys
+            .iter()
+            .filter_map(|key| self.job_of_record(key))
+            .collect();
+        for key in jobs {
+            commit.job_states.retain(|(job, _)| *job != key);
+            let id = &self.jobs[key].id;
+            let is_unstored = refused_keys.iter().any(|refused| refused == id.as_str());
+            if is_unstored && self.unstored.contains_key(&key) {
+                let removed = self.remove_unstored(key, 0, &mut commit.effects);
+                if let Some(job) = removed {
+                    self.delete_records(&job);
+                }
+            } else {
+                self.fail_unstorable(key);
+            }
+        }
+    }
+
+    /// Returns the job that a record's key belongs to.
+    fn job_of_record(&self, key: &str) -> Option<JobKey> {
+        let part = || PartNumber::parse(key).map(|(id, _)| id);
+        let id = key.strip_suffix(PROGRESS_SUFFIX).or_else(part);
+        self.job_keys.get(id.unwrap_or(key)).copied()
+    }
+
+    /// Fails an accepted job whose progress can't be stored.
+    fn fail_unstorable(&mut self, key: JobKey) {
+        self.unstored.remove(&key);
+        self.stores_in_flight.remove(&key);
+        let job = &mut self.jobs[key];
+        if job.is_unstorable {
+            // Not even its own fields can be stored; callers are shown what is.
+            return;
+        }
+        job.is_unstorable = true;
+        if !job.state().is_final() {
+            job.is_failed = true;
+        }
+        self.stop_job_runs(key);
+        self.dirty.insert(key);
+    }
+}
--- a/crates/cyclamentrail-jobs/src/shard/unsent_jobs.rs
+++ b/crates/cyclamentrail-jobs/src/shard/unsent_jobs.rs
@@ -6,7 +6,7 @@
 use super::Shard;
 use crate::admission::retry_after_outage_ms;
 use crate::effect::{CallerId, CallerReply, Decision, Effect, RejectReason};
-use crate::job::JobKey;
+use crate::job::{Job, JobKey};
 use crate::shard::submit::retry_seed;
 
 impl Shard {
@@ -20,12 +20,18 @@
             .copied()
             .collect();
         for key in unsent {
-            self.remove_unsent(key, outage_ms);
+            self.remove_unstored(key, outage_ms, &mut Vec::new());
         }
     }
 
-    /// Removes a job and rejects its callers.
-    fn remove_unsent(&mut self, key: JobKey, outage_ms: u64) {
+    /// Removes a job that isn't stored, with its effects in a commit that was taken, and rejects its
+    /// callers; returns the job.
+    pub(super) fn remove_unstored(
+        &mut self,
+        key: JobKey,
+        outage_ms: u64,
+        in_commit: &mut Vec<Effect>,
+    ) -> Option<Job> {
         // None of the job's start commands was sent: they wait for its record.
         for task in self.placed_tasks(key) {
             self.release(task, None);
@@ -33,28 +39,30 @@
         let callers = self.unstored.remove(&key).unwrap_or_default();
         self.active.remove(&key);
         self.dirty.remove(&key);
+        self.stores_in_flight.remove(&key);
         self.grants.drop_job(key);
-        let Some(job) = self.jobs.remove(key) else {
-            return;
-        };
+        let job = self.jobs.remove(key)?;
         self.job_keys.remove(&job.id);
-        self.gated_effects.retain(|effect| match effect {
+        let is_kept = |effect: &Effect| match effect {
             Effect::Reply(caller, _) => !callers.contains(caller),
             Effect::Log(Decision::JobAccepted { job: id, .. }) => *id != job.id,
             Effect::Start(task) => task.job != key,
             _ => true,
-        });
+        };
+        self.gated_effects.retain(is_kept);
+        in_commit.retain(is_kept);
         let team = job.team.as_ref();
         self.team_table.count_rejected(team, RejectReason::NotReady);
         let retry_after_ms = retry_after_outage_ms(outage_ms, retry_seed(&job.id));
         self.ready_effects.push(Effect::Log(Decision::JobRejected {
-            job: job.id,
+            job: job.id.clone(),
             reason: RejectReason::NotReady,
             wait_ms: outage_ms,
             free_percent: self.free_percent(),
             share: None,
         }));
         self.reject_callers(callers, retry_after_ms);
+        Some(job)
     }
 
     /// Replies to callers that their job is rejected.
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -30,6 +30,8 @@
 mod quota;
 #[path = "scheduler/quota_shards.rs"]
 mod quota_shards;
+#[path = "scheduler/refused_records.rs"]
+mod refused_records;
 #[path = "scheduler/restarts.rs"]
 mod restarts;
 #[path = "scheduler/run_times.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -105,6 +105,8 @@
     pending_commit: Option<Commit>,
     /// Stored records by key.
     pub records: BTreeMap<String, Vec<u8>>,
+    /// Keys whose records the store refuses for their content.
+    pub refused_keys: BTreeSet<String>,
     /// Length of the longest record that was stored, with its key, in bytes.
     pub longest_record_bytes: usize,
     /// Sum of the lengths of all records that were stored, with their keys, in bytes.
@@ -147,6 +149,7 @@
             sequence: 0,
             pending_commit: None,
             records: BTreeMap::new(),
+            refused_keys: BTreeSet::new(),
             longest_record_bytes: 0,
             stored_bytes: 0,
             must_not_rerun: BTreeSet::new(),
@@ -478,12 +481,18 @@
         if token != self.token {
             return;
         }
-        let Some(commit) = self.pending_commit.take() else {
+        let Some(mut commit) = self.pending_commit.take() else {
             return;
         };
+        let mut refused = Vec::new();
         for record in &commit.records {
-            self.store_record(record);
+            if self.refused_keys.contains(&record.key) {
+                refused.push(record.key.clone());
+            } else {
+                self.store_record(record);
+            }
         }
+        self.shard.refuse_records(&mut commit, &refused);
         let effects = self.shard.finish_commit(commit);
         self.apply_effects(effects);
     }
--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -60,6 +60,8 @@
     unreadable: HashSet<String>,
     /// Topics of which reads are cut off before the first record.
     cut_off: HashSet<String>,
+    /// Longest value in bytes that the store accepts under a key.
+    longest_values: HashMap<String, usize>,
 }
 
 #[derive(Debug, Default)]
@@ -149,6 +151,12 @@
         }
     }
 
+    /// Makes the store refuse each append with a value of more than `max_bytes` under a key.
+    pub fn limit_value(&self, key: &str, max_bytes: usize) {
+        let mut state = self.shared.lock();
+        state.longest_values.insert(key.to_owned(), max_bytes);
+    }
+
     /// Appends a record without an epoch, as operators and workers do; a null value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: &Value) {
         let value = if value.is_null() {
@@ -231,6 +239,13 @@
 ) -> Response {
     let records = decode_records(&body);
     let mut state = shared.lock();
+    let is_refused = |(key, value): &(String, Vec<u8>)| {
+        let longest = state.longest_values.get(key);
+        longest.is_some_and(|max_bytes| value.len() > *max_bytes)
+    };
+    if records.iter().any(is_refused) {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    }
     let topic = state.topics.entry(query.topic).or_default();
     if let Some(epoch) = query.epoch {
         if epoch < topic.epoch {
--- a/crates/cyclamentrail/src/edge/commit_log.rs
+++ b/crates/cyclamentrail/src/edge/commit_log.rs
@@ -1,5 +1,6 @@
 //! Makes an owner's records durable in the store, one append at a time.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,13 @@
 /// Most attempts of one append that wait for a response at the same time.
 const MAX_ATTEMPTS_IN_FLIGHT: usize = 5;
 
+/// Number of refusals of a single record's content after which the record is left out: a store that is
+/// at fault for a moment mustn't cost a job.
+const MAX_CONTENT_REFUSALS: u32 = 3;
+
+/// Record with its key.
+type Record = (String, Vec<u8>);
+
 /// Appends an owner's records to the topic of its shard, in order and each batch once.
 #[derive(Debug, Clone)]
 pub(crate) struct CommitLog {
@@ -33,6 +41,8 @@
     sequence: u64,
     max_bytes: usize,
     confirmation: Confirmation,
+    /// Keys of records that the store refused for their content.
+    refused_keys: Vec<String>,
 }
 
 impl CommitLog {
@@ -49,21 +59,57 @@
             sequence: FIRST_SEQUENCE,
             max_bytes: process.settings.max_append_bytes,
             confirmation,
+            refused_keys: Vec::new(),
         }
     }
 
-    /// Appends records and returns the log for the next append; retries until the outcome is known.
+    /// Returns the keys of records that the store refused for their content since the last call.
+    pub(crate) fn take_refused_keys(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.refused_keys)
+    }
+
+    /// Appends records and returns the log for the next append; retries until the outcome is known. A
+    /// record that the store refuses for its content is left out; see
+    /// [`CommitLog::take_refused_keys`].
     ///
     /// # Errors
     ///
     /// Returns the store's error if this process no longer owns the shard.
     pub(crate) async fn append(mut self, records: &[KeyedRecord]) -> Result<Self, StoreError> {
-        for batch in split_records(records, self.max_bytes) {
-            self.append_batch(&batch).await?;
+        let mut waiting = VecDeque::from(split_records(records, self.max_bytes));
+        while let Some(batch) = waiting.pop_front() {
+            match self.append_batch(&batch).await {
+                Ok(()) => {}
+                Err(error) if error.refuses_content() => {
+                    self.split_or_leave_out(batch, &error, &mut waiting);
+                }
+                Err(error) => return Err(error),
+            }
         }
         Ok(self)
     }
 
+    /// Splits a batch that the store refuses for its content, so that the refused record is found, or
+    /// leaves out a single record. The order of the records stays.
+    fn split_or_leave_out(
+        &mut self,
+        mut batch: Vec<Record>,
+        error: &StoreError,
+        waiting: &mut VecDeque<Vec<Record>>,
+    ) {
+        if batch.len() > 1 {
+            let second = batch.split_off(batch.len() / 2);
+            waiting.push_front(second);
+            waiting.push_front(batch);
+            return;
+        }
+        for (key, value) in batch {
+            let bytes = key.len() + value.len();
+            log::error!(topic:% = self.topic, key, bytes, error:% = error; "record_refused");
+            self.refused_keys.push(key);
+        }
+    }
+
     /// Confirms the ownership with an append without records, and returns the log for the next
     /// append.
     ///
@@ -89,6 +135,7 @@
     async fn append_batch(&mut self, records: &[(String, Vec<u8>)]) -> Result<(), StoreError> {
         let mut pause = MIN_RETRY_PAUSE;
         let mut may_have_taken_effect = false;
+        let mut content_refusals = 0;
         loop {
             let outcome = self.append_with_resends(records).await;
             match outcome.result {
@@ -107,6 +154,13 @@
                 Err(error @ (StoreError::Fenced | StoreError::OutOfSequence { .. })) => {
                     return Err(error);
                 }
+                Err(error) if error.refuses_content() => {
+                    content_refusals += 1;
+                    if records.len() > 1 || content_refusals >= MAX_CONTENT_REFUSALS {
+                        return Err(error);
+                    }
+                    tokio::time::sleep(pause).await;
+                }
                 Err(error) => {
                     may_have_taken_effect |=
                         outcome.attempts > 1 || matches!(error, StoreError::NoResponse(_));
--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -351,9 +351,11 @@
             commit_log.append(&records).await
         };
         match result {
-            Ok(commit_log) => {
+            Ok(mut commit_log) => {
+                // No command is sent whose record isn't stored.
+                let is_stored = commit_log.take_refused_keys().is_empty();
                 self.commit_log = Some(commit_log);
-                true
+                is_stored
             }
             Err(error) => {
                 log::info!(error:% = error, token = self.token; "machine_duty_not_confirmed");
--- a/crates/cyclamentrail/src/edge/owner/commits.rs
+++ b/crates/cyclamentrail/src/edge/owner/commits.rs
@@ -44,8 +44,8 @@
                 self.spawn_commit(Some(commit));
             }
             match tokio::time::timeout_at(end, receiver.recv()).await {
-                Ok(Some(OwnerMessage::CommitResult(commit, Ok(commit_log)))) => {
-                    self.commit_log = Some(commit_log);
+                Ok(Some(OwnerMessage::CommitResult(mut commit, Ok(commit_log)))) => {
+                    self.keep_commit_log(commit_log, &mut commit);
                     for effect in self.shard.finish_commit(*commit) {
                         if let Effect::Reply(caller, reply) = effect {
                             self.reply_to(caller, reply);
@@ -111,10 +111,17 @@
         });
     }
 
+    /// Keeps the log for the next commit, and takes what the store refused out of the last one.
+    fn keep_commit_log(&mut self, mut commit_log: Box<CommitLog>, commit: &mut Commit) {
+        let refused_keys = commit_log.take_refused_keys();
+        self.commit_log = Some(commit_log);
+        self.shard.refuse_records(commit, &refused_keys);
+    }
+
     /// Carries out what waited for a commit; ends the ownership if the commit will never be durable.
     pub(super) fn handle_commit_result(
         &mut self,
-        commit: Commit,
+        mut commit: Commit,
         result: Result<Box<CommitLog>, StoreError>,
     ) {
         let bytes = commit.records.iter().map(|record| record.value.len()).sum();
@@ -122,7 +129,7 @@
             .record_commit(bytes, self.committing_since.elapsed());
         match result {
             Ok(commit_log) => {
-                self.commit_log = Some(commit_log);
+                self.keep_commit_log(commit_log, &mut commit);
                 let effects = self.shard.finish_commit(commit);
                 self.carry_out(effects);
             }
