--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
+use crate::record_parts::StoredParts;
 use crate::worker::WorkerKey;
 use crate::{JobSpec, Schedule, StepSpec};
 
@@ -195,6 +196,9 @@
 pub struct StepProgress {
     /// Tasks of the step, by index.
     pub tasks: Vec<Task>,
+    /// Checkpoint from which all members of a gang start in their present runs; empty for a start from
+    /// the beginning, and where an earlier owner started them.
+    pub gang_checkpoint: Arc<str>,
 }
 
 impl StepProgress {
@@ -203,6 +207,20 @@
     pub fn new(spec: &StepSpec) -> Self {
         Self {
             tasks: vec![Task::default(); spec.count as usize],
+            gang_checkpoint: Arc::from(""),
+        }
+    }
+
+    /// Chooses the checkpoint from which all members of a gang start next: one that a member has
+    /// reported since they started last, if there is one.
+    pub(crate) fn choose_gang_checkpoint(&mut self) {
+        let saved = || {
+            let checkpoints = self.tasks.iter().map(|task| &task.checkpoint);
+            checkpoints.filter(|checkpoint| !checkpoint.is_empty())
+        };
+        let newer = saved().find(|checkpoint| **checkpoint != self.gang_checkpoint);
+        if let Some(chosen) = newer.or_else(|| saved().next()) {
+            self.gang_checkpoint = Arc::clone(chosen);
         }
     }
 
@@ -271,6 +289,10 @@
 
 /// An accepted job and its progress.
 #[derive(Debug, Clone, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is a fact of its own that others may join"
+)]
 pub struct Job {
     /// Id of the job.
     pub id: JobId,
@@ -301,6 +323,10 @@
     pub durable_state: JobState,
     /// Unix time at which the job reached its final state, in milliseconds.
     pub ended_ms: Option<u64>,
+    /// Parts in which the job's progress is stored; `None` while one record holds all of it.
+    pub(crate) parts: Option<StoredParts>,
+    /// Whether the store refuses the records of the tasks.
+    pub(crate) is_unstorable: bool,
 }
 
 impl Job {
@@ -322,6 +348,8 @@
             next_occurrence: 0,
             durable_state: JobState::Queued,
             ended_ms: None,
+            parts: None,
+            is_unstorable: false,
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -35,6 +35,7 @@
 mod ranking;
 mod recent_loss;
 mod record;
+mod record_parts;
 mod relays;
 mod resources;
 mod route;
@@ -89,6 +90,7 @@
     PlacementRecord, ProgressRecord, RELEASE_KEY, RecordError, ReleaseRecord, TaskRecord,
     WorkerLeaseRecord, decode, encode,
 };
+pub use record_parts::PartsRecord;
 pub use relays::{MIN_RELAYED_WORKERS, Relay, RelaySpread, RelayedWorker, spread_workers};
 pub use resources::Resources;
 pub use route::{AdviceConfig, RouteConfig};
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -7,8 +7,9 @@
 //! wait is left is recorded where an earlier owner waited for it already (see
 //! [`super::lease_records`]).
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 
 use cyclamentrail_core::{JobId, ServiceName, WorkerId, ZoneName};
 
@@ -21,6 +22,7 @@
     PlacementRecord, ProgressRecord, ROUTE_PREFIX, RecordError, TaskRecord, WorkerLeaseRecord,
     decode, is_reserved_key,
 };
+use crate::record_parts::{PartNumber, ReadParts};
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
 use crate::{RUN_TIMES_PREFIX, Resources};
 
@@ -30,6 +32,13 @@
     record: PlacementRecord,
 }
 
+/// Records of one job.
+struct JobRecords {
+    accept: AcceptedJobRecord,
+    progress: ProgressRecord,
+    parts: ReadParts,
+}
+
 impl Shard {
     /// Restores jobs from their records; returns how many records were unreadable.
     ///
@@ -45,6 +54,8 @@
         let mut accepted: HashMap<String, AcceptedJobRecord> = HashMap::new();
         let mut progress: HashMap<String, ProgressRecord> = HashMap::new();
         let mut leases: HashMap<WorkerId, WorkerLeaseRecord> = HashMap::new();
+        let mut parts: HashMap<String, ReadParts> = HashMap::new();
+        let mut unreadable_jobs = HashSet::new();
         let mut unreadable = 0;
         for record in records {
             if let Some(route) = record.key.strip_prefix(RUN_TIMES_PREFIX) {
@@ -63,18 +74,32 @@
             if is_reserved_key(&record.key) {
                 continue;
             }
-            let result = match record.key.strip_suffix(PROGRESS_SUFFIX) {
-                Some(id) => read_record(&mut progress, id, &record.value),
-                None => read_record(&mut accepted, &record.key, &record.value),
+            let result = if let Some(id) = record.key.strip_suffix(PROGRESS_SUFFIX) {
+                read_record(&mut progress, id, &record.value)
+            } else if let Some((id, number)) = PartNumber::parse(&record.key) {
+                read_part(&mut parts, id, number, &record.value)
+            } else {
+                let result = read_record(&mut accepted, &record.key, &record.value);
+                if result.is_err() {
+                    unreadable_jobs.insert(record.key);
+                }
+                result
             };
             unreadable += usize::from(result.is_err());
         }
         for (id, accept) in accepted {
             let progress_record = progress.remove(&id).unwrap_or_default();
-            drop_other_incarnations(&mut leases, &progress_record);
-            self.restore_job(now, JobId::from(id), accept, progress_record);
+            let records = JobRecords {
+                accept,
+                progress: progress_record,
+                parts: parts.remove(&id).unwrap_or_default(),
+            };
+            self.restore_job(now, JobId::from(id), records, &mut leases);
         }
         self.finish_routes();
+        progress.retain(|id, _| !unreadable_jobs.contains(id));
+        parts.retain(|id, _| !unreadable_jobs.contains(id));
+        self.delete_leftovers(progress, parts);
         let lease_end_ms = now.boot_ms + predecessor_active_ms + self.timing.longest_lease_ms();
         self.restore_leases(now, &leases, lease_end_ms);
         unreadable
@@ -103,9 +128,14 @@
         &mut self,
         now: Now,
         id: JobId,
-        accept: AcceptedJobRecord,
-        progress_record: ProgressRecord,
+        records: JobRecords,
+        leases: &mut HashMap<WorkerId, WorkerLeaseRecord>,
     ) {
+        let JobRecords {
+            accept,
+            progress: mut progress_record,
+            parts,
+        } = records;
         if !accept.spec.is_well_formed() {
             return;
         }
@@ -117,6 +147,7 @@
         job.next_occurrence = progress_record.next_occurrence;
         job.ended_ms = progress_record.ended_ms;
         job.team_index = self.team_table.insert(job.team.as_ref());
+        self.restore_parts(&mut job, &mut progress_record, parts);
         let key = self.jobs.insert(job);
         let mut recorded_runs = Vec::new();
         for occurrence in progress_record.occurrences {
@@ -124,6 +155,7 @@
             self.jobs[key].occurrences.push(restored);
         }
         self.job_keys.insert(id, key);
+        drop_other_incarnations(leases, &recorded_runs);
         for RecordedRun { task, record } in recorded_runs {
             self.restore_placement(now, task, &record);
         }
@@ -138,6 +170,41 @@
         }
     }
 
+    /// Completes a progress record by the job's parts, and deletes the parts that it doesn't name.
+    fn restore_parts(&mut self, job: &mut Job, progress: &mut ProgressRecord, parts: ReadParts) {
+        let Some(record) = &progress.parts else {
+            let keys = parts.numbers().map(|number| number.key(&job.id));
+            self.obsolete_keys.extend(keys);
+            return;
+        };
+        let open = record.occurrences.iter();
+        progress.occurrences = open
+            .map(|&number| parts.occurrence(number, record, &job.spec))
+            .collect();
+        let mut stored = parts.into_stored(record);
+        let ended = stored.remove_others(&record.occurrences);
+        let keys = ended.into_iter().map(|number| number.key(&job.id));
+        self.obsolete_keys.extend(keys);
+        job.parts = Some(stored);
+    }
+
+    /// Deletes the progress of jobs whose own record is deleted: the deletion was cut short.
+    fn delete_leftovers(
+        &mut self,
+        progress: HashMap<String, ProgressRecord>,
+        parts: HashMap<String, ReadParts>,
+    ) {
+        let progress_keys = progress
+            .into_keys()
+            .map(|id| format!("{id}{PROGRESS_SUFFIX}"));
+        self.obsolete_keys.extend(progress_keys);
+        for (id, parts) in parts {
+            let id = JobId::from(id);
+            let keys = parts.numbers().map(|number| number.key(&id));
+            self.obsolete_keys.extend(keys);
+        }
+    }
+
     /// Restores a run on its worker.
     fn restore_placement(&mut self, now: Now, task: TaskKey, record: &PlacementRecord) {
         let worker_key = match self.worker_keys.get(&record.worker) {
@@ -227,21 +294,31 @@
 /// Drops the lease records of workers on another incarnation of which the records place a run.
 fn drop_other_incarnations(
     leases: &mut HashMap<WorkerId, WorkerLeaseRecord>,
-    progress_record: &ProgressRecord,
+    recorded_runs: &[RecordedRun],
 ) {
-    let placements = progress_record
-        .occurrences
-        .iter()
-        .flat_map(|occurrence| occurrence.steps.iter().flatten())
-        .filter_map(|task| task.placement.as_ref());
-    for placement in placements {
-        let started_ms = leases.get(&placement.worker).map(|lease| lease.started_ms);
-        if started_ms.is_some_and(|started_ms| started_ms != placement.started_ms) {
-            leases.remove(&placement.worker);
+    for RecordedRun { record, .. } in recorded_runs {
+        let started_ms = leases.get(&record.worker).map(|lease| lease.started_ms);
+        if started_ms.is_some_and(|started_ms| started_ms != record.started_ms) {
+            leases.remove(&record.worker);
         }
     }
 }
 
+/// Decodes a part of a job's progress; a part without a value is a deleted one and is skipped.
+fn read_part(
+    into: &mut HashMap<String, ReadParts>,
+    id: &str,
+    number: PartNumber,
+    value: &[u8],
+) -> Result<(), RecordError> {
+    if !value.is_empty() {
+        let tasks = decode(value)?;
+        let parts = into.entry(id.to_owned()).or_default();
+        parts.insert(number, value.to_vec(), tasks);
+    }
+    Ok(())
+}
+
 /// Restores an occurrence and adds its runs to `recorded_runs`.
 fn restore_occurrence(
     key: JobKey,
@@ -266,6 +343,7 @@
             });
             StepProgress {
                 tasks: restored.collect(),
+                gang_checkpoint: Arc::from(""),
             }
         })
         .collect();
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -14,8 +14,12 @@
 mod failing_services;
 #[path = "scheduler/former_routes.rs"]
 mod former_routes;
+#[path = "scheduler/gang_checkpoint.rs"]
+mod gang_checkpoint;
 #[path = "scheduler/jobs.rs"]
 mod jobs;
+#[path = "scheduler/large_jobs.rs"]
+mod large_jobs;
 #[path = "scheduler/lease_handover.rs"]
 mod lease_handover;
 #[path = "scheduler/leaving.rs"]
@@ -34,6 +38,8 @@
 mod quota;
 #[path = "scheduler/quota_shards.rs"]
 mod quota_shards;
+#[path = "scheduler/refused_records.rs"]
+mod refused_records;
 #[path = "scheduler/restarts.rs"]
 mod restarts;
 #[path = "scheduler/run_times.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -86,6 +86,8 @@
     pub replies: HashMap<u64, CallerReply>,
     /// Decisions that the shard reported, in order.
     pub decisions: Vec<Decision>,
+    /// Run and checkpoint of each start command that was sent.
+    pub sent_checkpoints: Vec<(TaskKey, u32, Arc<str>)>,
     /// Number of starts that workers carried out, by job.
     pub starts: HashMap<JobId, u32>,
     /// Latency of an append to the store in milliseconds.
@@ -110,6 +112,12 @@
     /// Number of lease records that were stored, deletions among them, and the bytes of their keys and
     /// values.
     pub lease_records: (u32, usize),
+    /// Keys whose records the store refuses for their content.
+    pub refused_keys: BTreeSet<String>,
+    /// Length of the longest record that was stored, with its key, in bytes.
+    pub longest_record_bytes: usize,
+    /// Sum of the lengths of all records that were stored, with their keys, in bytes.
+    pub stored_bytes: usize,
     /// Tasks that are done and must not run again, by job, occurrence, step and index.
     must_not_rerun: BTreeSet<(JobId, u32, u32, u32)>,
     /// Tasks of which a run has ended well, even if no owner has recorded it.
@@ -141,6 +149,7 @@
             workers: BTreeMap::new(),
             replies: HashMap::new(),
             decisions: Vec::new(),
+            sent_checkpoints: Vec::new(),
             starts: HashMap::new(),
             append_ms: APPEND_MS,
             store_responds: true,
@@ -153,6 +162,9 @@
             pending_commit: None,
             records: BTreeMap::new(),
             lease_records: (0, 0),
+            refused_keys: BTreeSet::new(),
+            longest_record_bytes: 0,
+            stored_bytes: 0,
             must_not_rerun: BTreeSet::new(),
             completed: BTreeSet::new(),
             next_caller: 0,
@@ -239,6 +251,7 @@
             interference_ms: 0,
             crash_ms: None,
             earlier_capacity: None,
+            checkpoint: Arc::from(""),
             is_replaced: false,
         };
         self.workers.insert(registration.id.clone(), worker);
@@ -379,6 +392,8 @@
                 Effect::Start(task) => {
                     let now = self.now();
                     if let Some(command) = self.shard.start_command(now, task) {
+                        let checkpoint = Arc::clone(&command.checkpoint);
+                        self.sent_checkpoints.push((task, command.run, checkpoint));
                         self.schedule(CALL_MS, Event::Start(command, self.token, None));
                     }
                 }
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/owners.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/owners.rs
@@ -49,31 +49,59 @@
         self.take_over(0);
     }
 
+    /// Replaces the owner while it stores a commit, of which only the first `count` records are stored;
+    /// returns whether it was storing one.
+    pub fn kill_amid_commit(&mut self, count: usize) -> bool {
+        let Some(commit) = self.pending_commit.take() else {
+            return false;
+        };
+        for record in commit.records.iter().take(count) {
+            self.store_record(record);
+        }
+        self.take_over(0);
+        true
+    }
+
     /// Stores a commit's records, unless its owner was replaced.
     pub(super) fn finish_append(&mut self, token: u64) {
         if token != self.token {
             return;
         }
-        let Some(commit) = self.pending_commit.take() else {
+        let Some(mut commit) = self.pending_commit.take() else {
             return;
         };
-        self.store_records(&commit);
+        let mut refused = Vec::new();
+        for record in &commit.records {
+            if self.refused_keys.contains(&record.key) {
+                refused.push(record.key.clone());
+            } else {
+                self.store_record(record);
+            }
+        }
+        self.shard.refuse_records(&mut commit, &refused);
         let effects = self.shard.finish_commit(commit);
         self.apply_effects(effects);
     }
 
     fn store_records(&mut self, commit: &Commit) {
         for record in &commit.records {
-            if record.key.starts_with(LEASE_PREFIX) {
-                self.lease_records.0 += 1;
-                self.lease_records.1 += record.key.len() + record.value.len();
-            }
-            if record.value.is_empty() {
-                self.records.remove(&record.key);
-            } else {
-                self.records
-                    .insert(record.key.clone(), record.value.clone());
-            }
+            self.store_record(record);
+        }
+    }
+
+    fn store_record(&mut self, record: &KeyedRecord) {
+        let bytes = record.key.len() + record.value.len();
+        self.longest_record_bytes = self.longest_record_bytes.max(bytes);
+        self.stored_bytes += bytes;
+        if record.key.starts_with(LEASE_PREFIX) {
+            self.lease_records.0 += 1;
+            self.lease_records.1 += bytes;
+        }
+        if record.value.is_empty() {
+            self.records.remove(&record.key);
+        } else {
+            self.records
+                .insert(record.key.clone(), record.value.clone());
         }
     }
 }
