fix(edge): requests about accepted jobs reach the service that accepted them

What callers saw: after a version of the configuration gave a queue another service, each process answered GETs and DELETEs for its accepted jobs with 410; a submission that was repeated was accepted a second time, and its tasks ran on both services; `Pending` left out the jobs that waited at the earlier service, or under the route's earlier name. An owner that was killed after the change had no successor, because only services of today's routes have a shard.

Cause, one for all of it: a request went only to the owner of the service that its route has now, and nothing remembered which services have jobs of a queue.

Ruled out: asking the owners of all services before each 410 and each acceptance (calls for each new job, by the number of services); remembering the changes that a process saw itself (a process that is started later knows none, and its view of the shards differs from that of the others); records that are written only when a queue leaves (lost if the owner is killed at that moment).

Change: the owner of a service writes which queues (host, prefix, route) lead to it, under `~queues/<service>` in the topic of the claims, which each process follows anyway: once for each change of its routes, so before the next change, and without those of which it has no jobs. A queue that leads elsewhere stays in the record while the shard has jobs of its route. A lookup or cancel goes to all services with the queue at once, and the one that knows the job answers; 410 is said when all of them have said so. A submission asks the former ones first; if one has the job, it is a repeated one, and if one can't be asked, the outcome is unknown (504), because 503 would say that the job never runs. Pending is summed. Services with such queues keep their shard. A process that hasn't read the topic yet says 503, to a submission 504.

Now all 14 hold; jobs_process, jobs_takeover, jobs_configuration pass (run before the last change, of a test only).

Conclusion: what accepted a job answers for it until the job is dropped.

--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -37,6 +37,7 @@
 mod owner;
 mod peers;
 mod process_state;
+mod queue_directory;
 mod quota_ledger;
 mod relay;
 mod revocation;
--- a/crates/cyclamentrail/src/edge/claims.rs
+++ b/crates/cyclamentrail/src/edge/claims.rs
@@ -1,5 +1,6 @@
 //! Follows the claims in the store, which tell which process owns which shard, and the
-//! announcements of processes on larger machines, which stand in the same topic.
+//! announcements of processes on larger machines and the queues of each service, which stand in the
+//! same topic.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,7 +13,7 @@
 use super::topic_reader::{TopicRead, TopicReader};
 
 /// Topic of the claims.
-const TOPIC: &str = "owners";
+pub(super) const TOPIC: &str = "owners";
 /// Prefix of the keys of announcements; no shard has such a name.
 const ANNOUNCEMENT_PREFIX: &str = "~member/";
 /// Time that one read waits for new claims, in milliseconds.
@@ -23,7 +24,10 @@
     let mut topic = TopicReader::new(TOPIC, ReadTimes::waiting(READ_WAIT_MS));
     loop {
         match topic.read(&process.store).await {
-            TopicRead::Snapshot(records) => apply_claims(&process, records),
+            TopicRead::Snapshot(records) => {
+                apply_claims(&process, records);
+                process.queue_directory.mark_read();
+            }
             TopicRead::Update(records) => {
                 // The announcements of a snapshot may be old, those of an update are new.
                 record_announcements(&process, &records);
@@ -94,13 +98,15 @@
 pub(crate) async fn refresh(process: &ProcessState) -> Result<(), StoreError> {
     let page = process.store.read_newest(&keyed_topic(TOPIC)).await?;
     apply_claims(process, page.records);
+    process.queue_directory.mark_read();
     Ok(())
 }
 
 fn apply_claims(process: &ProcessState, records: Vec<StoredRecord>) {
     let claims = records
         .into_iter()
-        .filter(|record| !record.key.starts_with(ANNOUNCEMENT_PREFIX));
+        .filter(|record| !record.key.starts_with(ANNOUNCEMENT_PREFIX))
+        .filter(|record| !process.queue_directory.apply(record));
     for record in claims {
         match rmp_serde::from_slice::<Claim>(&record.value) {
             Ok(claim) => {
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -23,6 +23,7 @@
 use super::process_state::ProcessState;
 
 mod access;
+mod job_calls;
 
 /// Deadline of a request without a deadline header, and the longest deadline that a header can set.
 const MAX_DEADLINE: Duration = Duration::from_secs(3);
@@ -96,13 +97,7 @@
         Err(status) => return status.into_response(),
     };
     match parse_owner_request(&parts.method, &path_suffix, route, team, &body) {
-        Ok(request) => {
-            let call = OwnerCall {
-                service: route.config.service.clone(),
-                request,
-            };
-            call_owner_with_retries(&process, call, deadline).await
-        }
+        Ok(request) => job_calls::respond(&process, route, request, deadline).await,
         Err(status) => status.into_response(),
     }
 }
@@ -157,13 +152,21 @@
     }
 }
 
-/// Calls the owner until it replies or the deadline passes. Responds with 504 if an attempt may have
-/// been carried out and its outcome remains unknown, and with 503 if no attempt was carried out.
-async fn call_owner_with_retries(
+/// Why a call to an owner brought no reply until the deadline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallFailure {
+    /// An attempt may have been carried out, and its outcome remains unknown.
+    OutcomeUnknown,
+    /// No attempt was carried out.
+    NotCarriedOut,
+}
+
+/// Calls the owner until it replies or the deadline passes.
+async fn call_owner(
     process: &ProcessState,
     call: OwnerCall,
     deadline: Instant,
-) -> Response {
+) -> Result<Reply, CallFailure> {
     let is_submission = matches!(call.request, OwnerRequest::Submit { .. });
     let owner_deadline = deadline.min(Instant::now() + MAX_OWNER_WAIT);
     let mut may_have_run = false;
@@ -173,9 +176,9 @@
             Err(PeerError::OutcomeUnknown) => may_have_run = true,
             Ok(Reply::Rejected { .. }) if may_have_run => {
                 // An earlier attempt may still be accepted, so that the outcome is unknown.
-                return StatusCode::GATEWAY_TIMEOUT.into_response();
+                return Err(CallFailure::OutcomeUnknown);
             }
-            Ok(reply) => return to_response(&reply),
+            Ok(reply) => return Ok(reply),
         }
         let end = if is_submission && !may_have_run {
             owner_deadline
@@ -187,10 +190,18 @@
         }
         tokio::time::sleep(ATTEMPT_INTERVAL).await;
     }
-    if may_have_run {
-        StatusCode::GATEWAY_TIMEOUT.into_response()
+    Err(if may_have_run {
+        CallFailure::OutcomeUnknown
     } else {
-        unavailable(NO_OWNER_RETRY_MS)
+        CallFailure::NotCarriedOut
+    })
+}
+
+/// Responds with 504 if the outcome of a request is unknown, and with 503 if it wasn't carried out.
+fn failure_response(failure: CallFailure) -> Response {
+    match failure {
+        CallFailure::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT.into_response(),
+        CallFailure::NotCarriedOut => unavailable(NO_OWNER_RETRY_MS),
     }
 }
 
--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -26,6 +26,7 @@
 use super::messages::{FLEET_SHARD, OwnerCall, OwnerRequest, Reply};
 use super::owner::{EVACUATION_LEASE, OwnerMessage};
 use super::process_state::ProcessState;
+use super::queue_directory::services_with_shard;
 use super::quota_ledger::QuotaLedger;
 use super::takeover::Takeover;
 use crate::metrics;
@@ -223,10 +224,8 @@
         let services: BTreeSet<ServiceName> = self
             .process
             .configuration()
-            .iter()
-            .flat_map(|configuration| &configuration.routes)
-            .map(|route| route.config.service.clone())
-            .collect();
+            .map(|configuration| services_with_shard(&self.process, &configuration))
+            .unwrap_or_default();
         let calls = services.into_iter().map(|service| async move {
             let load = self.request_evacuation(&service).await;
             (service, load)
--- a/crates/cyclamentrail/src/edge/membership.rs
+++ b/crates/cyclamentrail/src/edge/membership.rs
@@ -13,6 +13,7 @@
 use super::messages::{FLEET_SHARD, OwnerCall, OwnerRequest, Reply};
 use super::owner::{self, OwnerMessage};
 use super::process_state::ProcessState;
+use super::queue_directory::services_with_shard;
 
 mod announcements;
 mod group;
@@ -58,7 +59,7 @@
         if let (Some(configuration), Some(connected_ms)) =
             (process.configuration(), group.connected_ms())
         {
-            let assigned = group.assigned_shards(&process, &all_shards(&configuration));
+            let assigned = group.assigned_shards(&process, &all_shards(&process, &configuration));
             shards
                 .take_over_assigned(&process, connected_ms, assigned)
                 .await;
@@ -169,13 +170,11 @@
     }
 }
 
-/// Returns the names of all shards: one for each service, and that of the duties over machines.
-fn all_shards(configuration: &Configuration) -> BTreeSet<String> {
-    let mut shards: BTreeSet<String> = configuration
-        .routes
-        .iter()
-        .map(|route| route.config.service.to_string())
-        .collect();
+/// Returns the names of all shards: one for each service, also for one that has only jobs of former
+/// routes, and that of the duties over machines.
+fn all_shards(process: &ProcessState, configuration: &Configuration) -> BTreeSet<String> {
+    let services = services_with_shard(process, configuration);
+    let mut shards: BTreeSet<String> = services.iter().map(ServiceName::to_string).collect();
     shards.insert(FLEET_SHARD.to_owned());
     shards
 }
--- a/crates/cyclamentrail/src/edge/membership/group.rs
+++ b/crates/cyclamentrail/src/edge/membership/group.rs
@@ -313,7 +313,7 @@
 /// has no configuration yet.
 fn are_larger_enough(process: &ProcessState, others: &[OwnerCapacity]) -> Option<bool> {
     let configuration = process.configuration()?;
-    let shard_count = all_shards(&configuration).len();
+    let shard_count = all_shards(process, &configuration).len();
     Some(leaves_shards_to_others(
         process.capacity(),
         others,
--- a/crates/cyclamentrail/src/edge/operator_views.rs
+++ b/crates/cyclamentrail/src/edge/operator_views.rs
@@ -1,6 +1,6 @@
 //! State and explanations that a process shows to operators.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use super::messages::{OwnerCall, OwnerRequest, Reply};
 use super::owner::RelayLinkView;
 use super::process_state::ProcessState;
+use super::queue_directory::services_with_shard;
 use super::team_views::{TeamView, describe_teams};
 
 /// Time limit of a request to an owner.
@@ -313,11 +314,7 @@
     let Some(configuration) = process.configuration() else {
         return owners_not_reached();
     };
-    let services: BTreeSet<ServiceName> = configuration
-        .routes
-        .iter()
-        .map(|route| route.config.service.clone())
-        .collect();
+    let services = services_with_shard(&process, &configuration);
     let calls = services
         .into_iter()
         .map(|service| request_job(&process, service, &id));
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -29,6 +29,7 @@
 mod commits;
 mod effects;
 mod message;
+mod queues;
 mod quota_reports;
 mod relay_links;
 mod requests;
@@ -37,6 +38,7 @@
 
 use activity::Activity;
 pub(crate) use message::OwnerMessage;
+use queues::QueueReview;
 use quota_reports::QuotaReports;
 pub(crate) use relay_links::RelayLinkView;
 use relay_links::RelayLinks;
@@ -150,6 +152,7 @@
     team_metrics: TeamMetrics,
     decision_log: DecisionLog,
     quota_reports: QuotaReports,
+    queue_review: QueueReview,
     token: u64,
     start_queues: StartQueues,
     /// Whether queued starts were held back since they were last sent.
@@ -207,6 +210,7 @@
             team_metrics: TeamMetrics::new(shard),
             decision_log: DecisionLog::new(shard),
             quota_reports: QuotaReports::new(process),
+            queue_review: QueueReview::new(process),
             start_queues: StartQueues::default(),
             has_held_starts: false,
             waiting_callers: HashMap::new(),
@@ -257,6 +261,7 @@
             self.carry_out_ready();
             self.send_held_starts();
             self.maintain_relays();
+            self.publish_queues_if_due();
             let wait = self.start_due_commit(&mut last_commit);
             let wait = self.report_quota_if_due().map_or(wait, |due| due.min(wait));
             let wait = self
@@ -355,7 +360,10 @@
                 .iter()
                 .filter(|route| route.config.service == self.service)
                 .map(|route| route.config.clone());
+            let known_before = self.shard.former_routes().cloned().collect();
             self.shard.set_routes(routes);
+            self.log_left_routes(&known_before);
+            self.queue_review.request();
             let teams = configuration.teams.iter().map(|team| team.config.clone());
             self.shard.set_teams(teams);
             self.shard.set_needs_keys(configuration.needs_keys);
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -21,6 +21,7 @@
 use super::messages::OwnershipStatus;
 use super::owner::{OwnerMessage, WORKER_TIMEOUT};
 use super::peers::PeerClient;
+use super::queue_directory::QueueDirectory;
 use super::relay::{RelayClient, relay_client};
 use super::revocation::RevocationCheck;
 
@@ -99,6 +100,8 @@
     pub(crate) operator_state: watch::Sender<OperatorState>,
     /// Newest known owner of each shard.
     pub(crate) owners: watch::Sender<HashMap<String, KnownOwner>>,
+    /// Queues that led or lead to each service.
+    pub(crate) queue_directory: QueueDirectory,
     /// Processes on larger machines that have made themselves known.
     pub(crate) announcements: Announcements,
     /// Registered workers of all services; `None` unless this process owns a shard and has read
@@ -111,6 +114,8 @@
     pub(crate) revocation: RevocationCheck,
     /// Log lines about calls that weren't served because of their key.
     pub(crate) refusal_lines: LineBudget,
+    /// Log lines about requests that a former service of their queue answered.
+    pub(crate) former_lines: LineBudget,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
     /// Signals that a takeover has begun.
     takeover_begun: Notify,
@@ -136,11 +141,13 @@
             relays: watch::Sender::new(Arc::default()),
             operator_state: watch::Sender::new(OperatorState::default()),
             owners: watch::Sender::new(HashMap::new()),
+            queue_directory: QueueDirectory::default(),
             announcements: Announcements::default(),
             workers: watch::Sender::new(None),
             registry_confirmation: Confirmation::new(0, registry_valid),
             revocation,
             refusal_lines: LineBudget::default(),
+            former_lines: LineBudget::default(),
             owned_shards: Mutex::new(HashMap::new()),
             takeover_begun: Notify::new(),
             last_response: OnceLock::new(),
--- /dev/null
+++ b/crates/cyclamentrail/tests/jobs_routes.rs
@@ -0,0 +1,301 @@
+//! Accepted jobs go on, and are known to callers, after their queue got another service or name, at
+//! separate edge processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result, ensure};
+use cyclamentrail_standin::{JOB_HOST, JOB_SERVICE, JobClient, JobWorker, SubmitResult};
+use cyclamentrail_testkit::JobSite;
+use hyper::{Method, StatusCode};
+use rstest::rstest;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+const PREFIX: &str = "/q/";
+const OTHER_SERVICE: &str = "svc-b";
+const TASK_MS: u64 = 1_000;
+/// Time within which each process has put a configuration in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+const MAX_WAIT: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(40);
+const JOB: &str = "00000000000000a1";
+const NEW_JOB: &str = "00000000000000b1";
+
+/// A route of the configuration: name, prefix and service.
+type RouteRow<'a> = (&'a str, &'a str, &'a str);
+
+/// Writes a configuration with some routes to the store, and waits until it is in force.
+async fn set_routes(site: &JobSite, version: u64, routes: &[RouteRow<'_>]) {
+    put_routes(site, version, routes);
+    tokio::time::sleep(IN_FORCE).await;
+}
+
+fn put_routes(site: &JobSite, version: u64, routes: &[RouteRow<'_>]) {
+    let route = |(name, prefix, service): &RouteRow<'_>| {
+        json!({
+            "Name": name, "Host": JOB_HOST, "PathPrefix": prefix, "Service": service,
+            "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3, "Stretch": 2.0,
+        })
+    };
+    let configuration = json!({
+        "Version": version,
+        "Routes": routes.iter().map(route).collect::<Vec<Value>>(),
+        "Services": [
+            {"Name": JOB_SERVICE, "Standby": false}, {"Name": OTHER_SERVICE, "Standby": false},
+        ],
+    });
+    site.store.put("keyed.op", "config", &configuration);
+}
+
+/// Starts processes, a worker of the usual service and one of the other service.
+async fn start(processes: usize) -> Result<JobSite> {
+    let mut site = JobSite::start(processes, 1, TASK_MS).await?;
+    let other = JobWorker::start(&site.store, "j-0", OTHER_SERVICE, TASK_MS).await?;
+    site.workers.push(other);
+    Ok(site)
+}
+
+/// Returns the body of a job of two steps with one task each.
+fn two_steps() -> String {
+    let step = |after: &[u32]| json!({"Count": 1, "Cpu": 500, "MemMb": 100, "EstimateMs": 1_000, "After": after});
+    json!({"Spec": "work", "Steps": [step(&[]), step(&[0])]}).to_string()
+}
+
+/// Submits a job of two steps until it is accepted, and waits for its first start.
+async fn begin_job(site: &JobSite, id: &str) -> Result<()> {
+    let deadline = Instant::now() + MAX_WAIT;
+    loop {
+        let (status, _) = site.call(0, Method::POST, id, two_steps()).await?;
+        if status == StatusCode::OK {
+            break;
+        }
+        ensure!(Instant::now() < deadline, "{id} isn't accepted: {status}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    site.wait_started(id).await?;
+    Ok(())
+}
+
+/// Queries a job at all processes until each shows it as completed; it must be known all the while.
+async fn wait_known_completed(site: &JobSite, id: &str) -> Result<()> {
+    let deadline = Instant::now() + MAX_WAIT;
+    for process in 0..site.processes.len() {
+        loop {
+            let (status, body) = site.call(process, Method::GET, id, String::new()).await?;
+            ensure!(status != StatusCode::GONE, "process {process} says 410");
+            if status == StatusCode::OK && body.windows(9).any(|part| part == b"completed") {
+                break;
+            }
+            ensure!(Instant::now() < deadline, "{id} isn't completed: {status}");
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+    Ok(())
+}
+
+async fn pending(address: SocketAddr) -> Result<u64> {
+    let client = JobClient::new();
+    let (status, body) = client.call(address, Method::GET, "", String::new()).await?;
+    ensure!(status == StatusCode::OK, "the count has status {status}");
+    let body: Value = serde_json::from_slice(&body)?;
+    body["Pending"].as_u64().context("no count")
+}
+
+/// Waits until a process has a configuration, by which it knows that there is no such queue.
+async fn wait_configured(address: SocketAddr) -> Result<()> {
+    let client = JobClient::new().path_prefix("/none/");
+    let deadline = Instant::now() + MAX_WAIT;
+    while client
+        .call(address, Method::GET, "", String::new())
+        .await?
+        .0
+        != StatusCode::NOT_FOUND
+    {
+        ensure!(Instant::now() < deadline, "there is no configuration");
+    }
+    Ok(())
+}
+
+#[rstest]
+#[case::moved(&[("r", PREFIX, OTHER_SERVICE)])]
+#[case::moved_and_renamed(&[("other", PREFIX, OTHER_SERVICE)])]
+#[case::renamed(&[("other", PREFIX, JOB_SERVICE)])]
+#[tokio::test]
+async fn changed_queue_keeps_job(#[case] routes: &[RouteRow<'static>]) -> Result<()> {
+    let site = start(2).await?;
+    begin_job(&site, JOB).await?;
+    set_routes(&site, 4, routes).await;
+    wait_known_completed(&site, JOB).await?;
+    site.check_done_once(JOB, 2)?;
+    let (status, _) = site
+        .call(1, Method::GET, "00000000000000ff", String::new())
+        .await?;
+    ensure!(status == StatusCode::GONE, "an unknown job has {status}");
+    site.submit(1, NEW_JOB, 1).await?;
+    wait_known_completed(&site, NEW_JOB).await
+}
+
+/// A submission that was repeated after the change made a second job.
+#[tokio::test]
+async fn repeated_submission_is_one_job() -> Result<()> {
+    let site = start(2).await?;
+    begin_job(&site, JOB).await?;
+    set_routes(&site, 4, &[("r", PREFIX, OTHER_SERVICE)]).await;
+    for process in 0..2 {
+        let (status, _) = site.call(process, Method::POST, JOB, two_steps()).await?;
+        ensure!(status == StatusCode::OK, "the repetition has {status}");
+    }
+    wait_known_completed(&site, JOB).await?;
+    ensure!(site.runs(JOB).len() == 2, "{:?}", site.runs(JOB));
+    site.submit(0, NEW_JOB, 1).await?;
+    wait_known_completed(&site, NEW_JOB).await?;
+    ensure!(
+        site.workers[1].runs().len() == 1,
+        "the new job runs elsewhere"
+    );
+    Ok(())
+}
+
+#[tokio::test]
+async fn moved_job_cancelled() -> Result<()> {
+    let site = start(2).await?;
+    begin_job(&site, JOB).await?;
+    begin_job(&site, NEW_JOB).await?;
+    set_routes(&site, 4, &[("r", PREFIX, OTHER_SERVICE)]).await;
+    for (process, id) in [JOB, NEW_JOB].into_iter().enumerate() {
+        let (status, _) = site
+            .call(process, Method::DELETE, id, String::new())
+            .await?;
+        ensure!(status == StatusCode::OK, "the cancel has {status}");
+    }
+    Ok(())
+}
+
+/// While a queue is away, its callers are told that there is none; its jobs go on.
+#[rstest]
+#[case::same_service(JOB_SERVICE)]
+#[case::other_service(OTHER_SERVICE)]
+#[tokio::test]
+async fn returned_queue_knows_job(#[case] service: &str) -> Result<()> {
+    let site = start(2).await?;
+    begin_job(&site, JOB).await?;
+    set_routes(&site, 4, &[("s", "/s/", OTHER_SERVICE)]).await;
+    let (status, _) = site.call(1, Method::GET, JOB, String::new()).await?;
+    ensure!(status == StatusCode::NOT_FOUND, "no queue, and {status}");
+    set_routes(&site, 5, &[("r", PREFIX, service)]).await;
+    wait_known_completed(&site, JOB).await?;
+    site.check_done_once(JOB, 2)
+}
+
+/// A longer prefix takes requests away from a queue, and gives them back.
+#[tokio::test]
+async fn split_queue_knows_job() -> Result<()> {
+    let site = start(1).await?;
+    begin_job(&site, JOB).await?;
+    let whole = ("r", PREFIX, JOB_SERVICE);
+    set_routes(&site, 4, &[whole, ("s", "/q/0", OTHER_SERVICE)]).await;
+    let (status, _) = site.call(0, Method::GET, JOB, String::new()).await?;
+    ensure!(
+        status == StatusCode::NOT_FOUND,
+        "another queue, and {status}"
+    );
+    set_routes(&site, 5, &[whole]).await;
+    wait_known_completed(&site, JOB).await
+}
+
+/// Each process that saw the change is killed, and those that take over know only what is stored.
+#[tokio::test]
+async fn replaced_processes_know_job() -> Result<()> {
+    let mut site = start(2).await?;
+    begin_job(&site, JOB).await?;
+    set_routes(&site, 4, &[("r", PREFIX, OTHER_SERVICE)]).await;
+    for index in 0..2 {
+        drop(site.processes.remove(0));
+        site.add_process(&format!("m{index}"))?;
+        site.submit(1, &format!("00000000000000c{index}"), 1)
+            .await?;
+    }
+    wait_known_completed(&site, JOB).await?;
+    site.check_done_once(JOB, 2)
+}
+
+/// The owner is killed at the moment of the change, so that it writes nothing more.
+#[tokio::test]
+async fn owner_killed_at_change() -> Result<()> {
+    let mut site = start(1).await?;
+    begin_job(&site, JOB).await?;
+    drop(site.processes.remove(0));
+    put_routes(&site, 4, &[("r", PREFIX, OTHER_SERVICE)]);
+    site.add_process("m0")?;
+    wait_known_completed(&site, JOB).await?;
+    site.check_done_once(JOB, 2)
+}
+
+/// A former service that can't be asked: the outcome of a repeated submission isn't known.
+#[tokio::test]
+async fn unreachable_former_service() -> Result<()> {
+    let mut site = start(1).await?;
+    begin_job(&site, JOB).await?;
+    set_routes(&site, 4, &[("r", PREFIX, OTHER_SERVICE)]).await;
+    wait_known_completed(&site, JOB).await?;
+    drop(site.processes.remove(0));
+    site.store
+        .set_unreadable(&format!("keyed.jobs.{JOB_SERVICE}"), true);
+    site.add_process("m0")?;
+    wait_configured(site.processes[0].1).await?;
+    let deadline = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < deadline {
+        let (status, _) = site.call(0, Method::GET, JOB, String::new()).await?;
+        let asks_again = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT];
+        ensure!(asks_again.contains(&status), "GET has {status}");
+        let result = JobClient::new().submit(site.processes[0].1, JOB, 1).await;
+        ensure!(result == SubmitResult::Unknown, "POST is {result:?}");
+    }
+    site.store
+        .set_unreadable(&format!("keyed.jobs.{JOB_SERVICE}"), false);
+    wait_known_completed(&site, JOB).await?;
+    ensure!(site.workers[1].runs().is_empty(), "the job runs twice");
+    Ok(())
+}
+
+/// The store doesn't respond after the change: no caller is told that the job is gone or new.
+#[tokio::test]
+async fn outage_keeps_moved_job() -> Result<()> {
+    let site = start(2).await?;
+    begin_job(&site, JOB).await?;
+    set_routes(&site, 4, &[("r", PREFIX, OTHER_SERVICE)]).await;
+    site.store.set_down(true);
+    let deadline = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < deadline {
+        for process in 0..2 {
+            let (status, _) = site.call(process, Method::GET, JOB, String::new()).await?;
+            ensure!(status != StatusCode::GONE, "process {process} says 410");
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    site.store.set_down(false);
+    wait_known_completed(&site, JOB).await?;
+    site.check_done_once(JOB, 2)
+}
+
+#[rstest]
+#[case::moved(&[("r", PREFIX, OTHER_SERVICE)])]
+#[case::renamed(&[("other", PREFIX, JOB_SERVICE)])]
+#[tokio::test]
+async fn changed_queue_counts_jobs(#[case] routes: &[RouteRow<'static>]) -> Result<()> {
+    let mut site = start(2).await?;
+    site.submit(0, JOB, 1).await?;
+    wait_known_completed(&site, JOB).await?;
+    site.workers[0].delay_next_start(60_000);
+    drop(site.workers.remove(0));
+    site.submit(0, NEW_JOB, 1).await?;
+    let before = pending(site.processes[0].1).await?;
+    ensure!(before == 1, "{before} jobs wait");
+    set_routes(&site, 4, routes).await;
+    for (_, address) in &site.processes {
+        let after = pending(*address).await?;
+        ensure!(after == 1, "{after} jobs wait");
+    }
+    Ok(())
+}
