--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -24,6 +24,7 @@
 
 mod access;
 mod attempts;
+mod job_calls;
 
 use attempts::Attempts;
 
@@ -71,7 +72,7 @@
         biased;
         response = serve_request(&process, request, &attempts) => response,
         () = process.wait_last_response() => {
-            let response = unreplied(&attempts);
+            let response = failure_response(attempts.failure());
             log_exit_response(&process, &method, response.status(), arrived);
             response
         }
@@ -135,13 +136,7 @@
         Err(status) => return status.into_response(),
     };
     match parse_owner_request(&parts.method, &path_suffix, route, team, &body) {
-        Ok(request) => {
-            let call = OwnerCall {
-                service: route.config.service.clone(),
-                request,
-            };
-            call_owner_with_retries(process, call, deadline, attempts).await
-        }
+        Ok(request) => job_calls::respond(process, route, request, deadline, attempts).await,
         Err(status) => status.into_response(),
     }
 }
@@ -196,29 +191,40 @@
     }
 }
 
-/// Calls the owner until it replies or the deadline passes. Responds with 504 if an attempt may have
-/// been carried out and its outcome remains unknown, and with 503 if no attempt was carried out.
-async fn call_owner_with_retries(
+/// Why a call to an owner brought no reply until the deadline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallFailure {
+    /// An attempt may have been carried out, and its outcome remains unknown.
+    OutcomeUnknown,
+    /// No attempt was carried out.
+    NotCarriedOut,
+}
+
+/// Calls the owner until it replies or the deadline passes.
+async fn call_owner(
     process: &ProcessState,
     call: OwnerCall,
     deadline: Instant,
     attempts: &Attempts,
-) -> Response {
+) -> Result<Reply, CallFailure> {
     let is_submission = matches!(call.request, OwnerRequest::Submit { .. });
     let owner_deadline = deadline.min(Instant::now() + MAX_OWNER_WAIT);
+    let mut may_have_run = false;
     loop {
         attempts.begin();
         let result = attempt_owner_call(process, &call, deadline).await;
-        attempts.end(matches!(result, Err(PeerError::OutcomeUnknown)));
+        let is_unknown = matches!(result, Err(PeerError::OutcomeUnknown));
+        attempts.end(is_unknown);
+        may_have_run |= is_unknown;
         match result {
             Ok(Reply::NotOwner) | Err(_) => {}
-            Ok(Reply::Rejected { .. }) if attempts.may_have_run() => {
+            Ok(Reply::Rejected { .. }) if may_have_run => {
                 // An earlier attempt may still be accepted, so that the outcome is unknown.
-                return StatusCode::GATEWAY_TIMEOUT.into_response();
+                return Err(CallFailure::OutcomeUnknown);
             }
-            Ok(reply) => return to_response(&reply),
+            Ok(reply) => return Ok(reply),
         }
-        let end = if is_submission && !attempts.may_have_run() {
+        let end = if is_submission && !may_have_run {
             owner_deadline
         } else {
             deadline
@@ -228,15 +234,18 @@
         }
         tokio::time::sleep(ATTEMPT_INTERVAL).await;
     }
-    unreplied(attempts)
+    Err(if may_have_run {
+        CallFailure::OutcomeUnknown
+    } else {
+        CallFailure::NotCarriedOut
+    })
 }
 
-/// Returns the response to a request that got no reply from an owner in time.
-fn unreplied(attempts: &Attempts) -> Response {
-    if attempts.may_have_run() {
-        StatusCode::GATEWAY_TIMEOUT.into_response()
-    } else {
-        unavailable(NO_OWNER_RETRY_MS)
+/// Responds with 504 if the outcome of a request is unknown, and with 503 if it wasn't carried out.
+fn failure_response(failure: CallFailure) -> Response {
+    match failure {
+        CallFailure::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT.into_response(),
+        CallFailure::NotCarriedOut => unavailable(NO_OWNER_RETRY_MS),
     }
 }
 
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -22,6 +22,7 @@
 use super::open_requests::OpenRequests;
 use super::owner::{OwnerMessage, WORKER_TIMEOUT};
 use super::peers::PeerClient;
+use super::queue_directory::QueueDirectory;
 use super::relay::{RelayClient, relay_client};
 use super::revocation::RevocationCheck;
 
@@ -100,6 +101,8 @@
     pub(crate) operator_state: watch::Sender<OperatorState>,
     /// Newest known owner of each shard.
     pub(crate) owners: watch::Sender<HashMap<String, KnownOwner>>,
+    /// Queues that led or lead to each service.
+    pub(crate) queue_directory: QueueDirectory,
     /// Processes on larger machines that have made themselves known.
     pub(crate) announcements: Announcements,
     /// Registered workers of all services; `None` unless this process owns a shard and has read
@@ -116,6 +119,8 @@
     pub(crate) exit_lines: LineBudget,
     /// Requests of callers that have no response yet.
     pub(crate) open_requests: OpenRequests,
+    /// Log lines about requests that a former service of their queue answered.
+    pub(crate) former_lines: LineBudget,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
     /// Signals that a takeover has begun.
     takeover_begun: Notify,
@@ -141,6 +146,7 @@
             relays: watch::Sender::new(Arc::default()),
             operator_state: watch::Sender::new(OperatorState::default()),
             owners: watch::Sender::new(HashMap::new()),
+            queue_directory: QueueDirectory::default(),
             announcements: Announcements::default(),
             workers: watch::Sender::new(None),
             registry_confirmation: Confirmation::new(0, registry_valid),
@@ -148,6 +154,7 @@
             refusal_lines: LineBudget::default(),
             exit_lines: LineBudget::default(),
             open_requests: OpenRequests::default(),
+            former_lines: LineBudget::default(),
             owned_shards: Mutex::new(HashMap::new()),
             takeover_begun: Notify::new(),
             last_response: watch::Sender::new(None),
