fix(edge): the times of a stop hold on any grace period

On a short grace period a stopping process exited later than the period allows, when the store didn't respond: it waited up to 1.5 s for its leave of the consumer group before it stopped the listener for callers, and so was killed with requests open. The margin before the exit was 250 ms on each period, so that on one below 0.84 s the last response came before the listener's stop.

The times of a stop stand in one place now (`StopTimes`): listener, last response and exit are parts of the period, the margin is a tenth of it at most, and the leave runs beside them. On 6 s nothing changes: 3 s, 4.55 s, 4.8 s.

Open: ownerless_request_refused got 504 instead of 503 in one of the three plays of the whole file.

--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -42,12 +42,14 @@
 mod relay;
 mod revocation;
 mod start_queues;
+mod stop_times;
 mod takeover;
 mod team_views;
 mod topic_reader;
 mod worker_registry;
 
 use process_state::ProcessState;
+use stop_times::StopTimes;
 
 /// Time limit for connecting to the store, a worker or another service of the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -55,12 +57,6 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time between two runs of the metrics upkeep, which aggregates recorded durations.
 const METRICS_INTERVAL: Duration = Duration::from_secs(5);
-/// Divisor of the grace period: the listener for callers stops after this part of the period.
-const FRONT_STOP_DIVISOR: u32 = 2;
-/// Time before its exit by which a process has sent its last response to a caller.
-const LAST_RESPONSE_MARGIN: Duration = Duration::from_millis(250);
-/// Part of the grace period, in percent, within which the process exits.
-const STOP_END_PERCENT: u64 = 80;
 
 /// Runs the process until SIGTERM.
 ///
@@ -177,17 +173,17 @@
 
         stop.await;
         log::info!("stopping");
-        let grace_ms = process.settings.bounds.shutdown_grace_ms;
-        let now = tokio::time::Instant::now();
-        let end = now + Duration::from_millis(grace_ms * STOP_END_PERCENT / 100);
-        process.begin_stop(end - LAST_RESPONSE_MARGIN);
-        process.give_up_shards().await;
-        tokio::time::sleep_until(now + Duration::from_millis(grace_ms) / FRONT_STOP_DIVISOR).await;
+        let grace = Duration::from_millis(process.settings.bounds.shutdown_grace_ms);
+        let times = StopTimes::new(tokio::time::Instant::now(), grace);
+        process.begin_stop(times.last_response);
+        let shards_task = tokio::spawn(async move { process.give_up_shards().await });
+        tokio::time::sleep_until(times.front_stop).await;
         front_stop.send_replace(true);
-        drop(tokio::time::timeout_at(end, front).await);
+        drop(tokio::time::timeout_at(times.exit, front).await);
         all_stop.send_replace(true);
-        drop(tokio::time::timeout_at(end, membership_task).await);
-        drop(tokio::time::timeout_at(end, relay_task).await);
+        for task in [shards_task, membership_task, relay_task] {
+            drop(tokio::time::timeout_at(times.exit, task).await);
+        }
     }
 }
 
--- a/crates/cyclamentrail/tests/stop_answers.rs
+++ b/crates/cyclamentrail/tests/stop_answers.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result, ensure};
 use cyclamentrail_standin::JOB_HOST;
-use cyclamentrail_testkit::{JobSite, Process};
+use cyclamentrail_testkit::{Forwarder, JobSite, Process};
 use hyper::{Method, StatusCode};
 use rstest::rstest;
 use tempfile::TempDir;
@@ -165,6 +165,43 @@
     Ok(())
 }
 
+/// The final responses keep to grace periods of any length.
+#[rstest]
+#[case::tiny("Bounds.GraceS=0.3\n", 300)]
+#[case::second("Bounds.GraceS=1\n", 1_000)]
+#[case::long("Bounds.GraceS=9\n", 9_000)]
+#[tokio::test]
+async fn grace_period_kept(#[case] settings: &str, #[case] grace_ms: u64) -> Result<()> {
+    let mut logged = LoggedSite::start(1, settings).await?;
+    let call = OpenCall::send(&logged, 0, &request(&Method::POST, 100)).await?;
+    sleep(SIGNAL_TIME).await;
+    logged.process(0).terminate()?;
+    let signal_at = Instant::now();
+    let status = call.status().await?;
+    logged.stopped_line(0).await?;
+    assert!(signal_at.elapsed() < Duration::from_millis(grace_ms));
+    assert!(status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE);
+    Ok(())
+}
+
+/// A store that doesn't respond held a stop up for longer than a short grace period.
+#[tokio::test]
+async fn silent_store_bounded() -> Result<()> {
+    let mut logged = LoggedSite::start(0, "Bounds.GraceS=1\n").await?;
+    let link = Forwarder::start(logged.site.store.address()).await?;
+    let log = logged.folder.path().join("n0");
+    let site = &mut logged.site;
+    let started = site.start_logged_process("n0", link.address(), &log)?;
+    site.processes.push(started);
+    site.submit(0, ID, 1).await?;
+    link.silence_open();
+    logged.process(0).terminate()?;
+    let signal_at = Instant::now();
+    logged.stopped_line(0).await?;
+    assert!(signal_at.elapsed() < Duration::from_secs(1));
+    Ok(())
+}
+
 /// Requests that come one after the other on kept connections while the listener closes.
 #[tokio::test]
 async fn closing_listener_answers() -> Result<()> {
