fix(front): no attempt begins that the last response would cut

A request without an owner on a stopping process got 504 (it may have run) instead of 503 in three of nineteen plays of stop_answers: the last response came in the moment in which an attempt to reach the owner was under way. 504 is no lie, but the caller then has to take the request for one that may have run.

A request makes an attempt each 60 ms, and each counts as under way until it has failed. That an attempt was under way at the last response wasn't seen in a trace; it follows from the result of this change.

Within 120 ms of the last response a request begins no attempt, and waits for it.

--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -226,6 +226,10 @@
         if Instant::now() + ATTEMPT_INTERVAL >= end {
             break;
         }
+        if process.is_last_response_within(2 * ATTEMPT_INTERVAL) {
+            // Another attempt would make the outcome unknown: its reply may come too late.
+            std::future::pending::<()>().await;
+        }
         tokio::time::sleep(ATTEMPT_INTERVAL).await;
     }
     unreplied(attempts)
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -311,6 +311,14 @@
         self.last_response.borrow().is_some()
     }
 
+    /// Returns whether every request must get its response within `duration`, because the process
+    /// exits.
+    pub(crate) fn is_last_response_within(&self, duration: Duration) -> bool {
+        self.last_response
+            .borrow()
+            .is_some_and(|due| Instant::now() + duration >= due)
+    }
+
     /// Waits until the process is stopping and every request must get its response, because the
     /// process exits. Waits forever if it doesn't stop.
     pub(crate) async fn wait_last_response(&self) {
