feat(spec): model of what owners hand on about a silent worker's lease

Each takeover waits for the longest lease of every worker anew, so that restarts in turn keep the tasks of a lost worker away. The model checks the record that is to end this: an owner grants a worker that doesn't respond no lease any more and records the remaining time, which its successor counts from its own read.

Three owners in a row, each killed or released at any time, an earlier one that goes on until it is fenced or too old; a worker with a slow clock that falls silent, comes back or restarts; late hold commands. Safety: a run isn't started elsewhere while it may run under a lease. Progress: a takeover adds at most a tick to the wait for a recorded worker, and so does each tick without a rewritten record.

Doubled records are dropped by their sequence numbers in the model; LateCopy shows what happens otherwise. That the code follows the model isn't shown.

--- a/crates/cyclamentrail-spec/src/lib.rs
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -24,6 +24,7 @@
 mod fault;
 mod fold_cache;
 mod jobs;
+mod lease_handover;
 mod membership;
 mod quota;
 mod record;
@@ -39,6 +40,9 @@
 pub use explore::{Model, Report, Trace, Violation, explore};
 pub use fault::Fault;
 pub use jobs::{JobsAction, JobsFault, JobsModel, JobsState, StartCommand};
+pub use lease_handover::{
+    HandoverAction, HandoverFault, HandoverModel, HandoverState, HoldCommand,
+};
 pub use membership::{MembershipAction, MembershipModel, MembershipState};
 pub use quota::{QuotaAction, QuotaFault, QuotaModel, QuotaState};
 pub use record::{ModelBody, ModelRecord, Pool};
