--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -232,6 +232,10 @@
         if Instant::now() + ATTEMPT_INTERVAL >= end {
             break;
         }
+        if process.is_last_response_within(2 * ATTEMPT_INTERVAL) {
+            // Another attempt would make the outcome unknown: its reply may come too late.
+            std::future::pending::<()>().await;
+        }
         tokio::time::sleep(ATTEMPT_INTERVAL).await;
     }
     Err(if may_have_run {
