fix(jobs): only the previous owner's lease records count

During a roll-out, an owner of an earlier version may stand between two that write lease records. It grants leases beside records that it doesn't know and doesn't delete; the owner after it would start a task of a silent worker while its run may still go on (a task that runs twice).

The record has the token of its writer, and counts only if that is the token of the previous owner.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -86,7 +86,7 @@
 pub use ranking::{JobRank, WaitingJob};
 pub use recent_loss::RecentLoss;
 pub use record::{
-    AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, PROGRESS_SUFFIX,
+    AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, OwnerTokens, PROGRESS_SUFFIX,
     PlacementRecord, ProgressRecord, RELEASE_KEY, RecordError, ReleaseRecord, TaskRecord,
     WorkerLeaseRecord, decode, encode,
 };
--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -116,6 +116,8 @@
 /// Statement of an owner that it grants a worker no lease while the record stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerLeaseRecord {
+    /// Fencing token of the owner that wrote the record.
+    pub token: u64,
     /// Start time of the worker's incarnation, as Unix time in milliseconds.
     pub started_ms: u64,
     /// Time after the writing of the record by which each lease ever granted to the incarnation
@@ -123,6 +125,15 @@
     pub remaining_ms: u64,
 }
 
+/// Fencing tokens of an owner of a shard and of the one before it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OwnerTokens {
+    /// Token of the owner.
+    pub own: u64,
+    /// Token of the previous owner; `None` if there was none.
+    pub previous: Option<u64>,
+}
+
 /// Assignment of a run to a worker.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PlacementRecord {
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -9,7 +9,7 @@
 use crate::effect::{CallerId, Decision, Effect, EndProof, WorkerTarget};
 use crate::grants::Grants;
 use crate::job::{Job, JobKey, JobState, RunPhase, TaskKey};
-use crate::record::{AcceptedJobRecord, KeyedRecord, PROGRESS_SUFFIX, encode};
+use crate::record::{AcceptedJobRecord, KeyedRecord, OwnerTokens, PROGRESS_SUFFIX, encode};
 use crate::record_parts::{StoredParts, deletion};
 use crate::worker::{Reachability, Worker, WorkerKey};
 use crate::{DurationEstimate, RecentLoss, StepSpec, TeamConfig};
@@ -93,6 +93,7 @@
 #[derive(Debug, Default)]
 pub struct Shard {
     timing: ShardTiming,
+    tokens: OwnerTokens,
     routes: routes::Routes,
     teams: HashMap<TeamName, TeamConfig>,
     /// Whether the configuration asks callers for no keys; not before a configuration is known.
@@ -168,6 +169,13 @@
         }
     }
 
+    /// Sets the fencing tokens of the owner and of the one before it.
+    #[must_use]
+    pub const fn tokens(mut self, tokens: OwnerTokens) -> Self {
+        self.tokens = tokens;
+        self
+    }
+
     /// Replaces the configuration of all teams.
     pub fn set_teams(&mut self, teams: impl IntoIterator<Item = TeamConfig>) {
         self.teams = teams
--- a/crates/cyclamentrail-jobs/src/shard/lease_records.rs
+++ b/crates/cyclamentrail-jobs/src/shard/lease_records.rs
@@ -4,7 +4,8 @@
 //! A record tells the next owner how much of that wait is left. It holds only as long as nobody grants
 //! the worker another lease, so that no lease is granted from when the record is taken into a commit
 //! until its deletion is durable. An earlier owner that still acts can't delete it: its appends are
-//! fenced.
+//! fenced. Only a record of the previous owner counts: one of an owner before it stands beside grants if
+//! the previous owner is of a version that knows no such records.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -132,6 +133,7 @@
         let id = worker.registration.id.clone();
         let remaining_ms = worker.lease.expiry_ms().saturating_sub(now.boot_ms);
         let record = WorkerLeaseRecord {
+            token: self.tokens.own,
             started_ms: worker.registration.started_ms,
             remaining_ms,
         };
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -119,6 +119,8 @@
         self.lease_records.insert_found(worker.clone());
         let record = decode::<WorkerLeaseRecord>(value).ok();
         let is_read = record.is_some();
+        let previous = self.tokens.previous;
+        let record = record.filter(|record| previous == Some(record.token));
         into.extend(record.map(|record| (worker, record)));
         is_read
     }
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -7,7 +7,9 @@
 
 use cyclamentrail_adapter::{AdviceService, HttpClient, WorkerClient};
 use cyclamentrail_core::{ServiceName, WorkerId};
-use cyclamentrail_jobs::{CallerId, Incumbent, Relay, RelayedWorker, Shard, ShardTiming};
+use cyclamentrail_jobs::{
+    CallerId, Incumbent, OwnerTokens, Relay, RelayedWorker, Shard, ShardTiming,
+};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -183,6 +185,10 @@
         process.set_confirmation(shard, confirmation.clone());
         let commit_log = CommitLog::new(process, &takeover, confirmation.clone());
         let token = takeover.token;
+        let tokens = OwnerTokens {
+            own: token,
+            previous: takeover.previous_token,
+        };
         let worker_calls = WorkerCalls::new(
             WorkerClient::new(process.http_client.clone(), token, WORKER_TIMEOUT),
             WORKER_TIMEOUT,
@@ -199,7 +205,7 @@
                 AdviceService::new(process.http_client.clone(), address, ADVICE_TIMEOUT)
             }),
             service: ServiceName::from(shard),
-            shard: Shard::new(timing),
+            shard: Shard::new(timing).tokens(tokens),
             token,
             takeover: Some(takeover),
             commit_log: Some(Box::new(commit_log)),
--- a/crates/cyclamentrail/src/edge/takeover.rs
+++ b/crates/cyclamentrail/src/edge/takeover.rs
@@ -20,6 +20,8 @@
 pub(crate) struct Takeover {
     /// Fencing token for workers, and epoch of the records.
     pub(crate) token: u64,
+    /// Fencing token of the previous owner; `None` if there was none.
+    pub(crate) previous_token: Option<u64>,
     /// Topic of the shard's records.
     pub(crate) topic: String,
     /// Newest record of each key of the topic.
@@ -68,12 +70,14 @@
         Some(_) if incumbent == Incumbent::Silent => Predecessor::Unknown,
         Some(earlier) => request_release(process, shard, earlier).await,
     };
+    let previous_token = earlier.map(|owner| owner.token);
     log::info!(
-        shard, token, earlier = earlier.map_or(0, |owner| owner.token), predecessor:? = predecessor;
+        shard, token, earlier = previous_token.unwrap_or(0), predecessor:? = predecessor;
         "shard_claimed"
     );
     Ok(Takeover {
         token,
+        previous_token,
         topic,
         records,
         confirmed_ms,
