fix(jobs): a new owner waits for leases that calls to an earlier incarnation granted

A call that was meant for an earlier incarnation of a worker names a time on that one's clock, so that the new incarnation may have got the longest lease that the platform allows (6 s of 4.5 s granted). The owner that saw the restart counts that; its successor waited for the longest granted lease only, and the lease records handed the shorter wait on: a run could start elsewhere while it still ran.

A restore now counts it for restarted workers with runs in doubt.

Test: lease_handover::crossed_lease_waits; before: assertion failed: lease.expiry_ms() > boot_ms + 6000.

--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -13,6 +13,7 @@
 
 use cyclamentrail_core::{JobId, ServiceName, WorkerId, ZoneName};
 
+use super::restarts::CALLS_UNDER_WAY_MS;
 use super::{Now, Shard};
 use crate::job::{
     Job, JobKey, Occurrence, Placement, RestartDoubt, RunPhase, StepProgress, Task, TaskKey,
@@ -102,6 +103,7 @@
         self.delete_leftovers(progress, parts);
         let lease_end_ms = now.boot_ms + predecessor_active_ms + self.timing.longest_lease_ms();
         self.restore_leases(now, &leases, lease_end_ms);
+        self.outlast_crossed_calls(now.boot_ms + predecessor_active_ms);
         unreadable
     }
 
@@ -207,6 +209,27 @@
         }
     }
 
+    /// Extends what is known of the leases of restarted workers with runs in doubt: a call of the previous
+    /// owner, sent until `last_call_ms` on this owner's boot clock, may have granted the new incarnation
+    /// the longest lease of all, by a time on the earlier one's clock.
+    fn outlast_crossed_calls(&mut self, last_call_ms: u64) {
+        let expiry_ms = last_call_ms + CALLS_UNDER_WAY_MS + self.timing.longest_possible_lease_ms();
+        let restarted: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.tasks.iter().any(|&task| self.is_in_doubt(task)))
+            .map(|(key, _)| key)
+            .collect();
+        for key in restarted {
+            self.workers[key].lease.outlast(expiry_ms);
+        }
+    }
+
+    fn is_in_doubt(&self, task: TaskKey) -> bool {
+        self.placement_of(task)
+            .is_some_and(|placement| placement.doubt.is_some())
+    }
+
     /// Restores a run on its worker.
     fn restore_placement(&mut self, now: Now, task: TaskKey, record: &PlacementRecord) {
         let worker_key = match self.worker_keys.get(&record.worker) {
--- a/crates/cyclamentrail-jobs/tests/scheduler/lease_handover.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/lease_handover.rs
@@ -2,7 +2,7 @@
 
 use crate::world::{Simulation, job};
 use cyclamentrail_jobs::{
-    Decision, JobSpec, LEASE_PREFIX, LeaseSource, Resources, WorkerLeaseRecord,
+    Decision, JobSpec, LEASE_PREFIX, LeaseSource, Resources, ShardTiming, WorkerLeaseRecord,
 };
 use cyclamentrail_jobs::{Reachability, decode, encode};
 use rstest::rstest;
@@ -271,6 +271,19 @@
     assert!(lease.expiry_ms() > sim.now().boot_ms + 4_600);
 }
 
+/// A call to the earlier incarnation may have given the new one the longest lease of all.
+#[test]
+fn crossed_lease_waits() {
+    let mut sim = running();
+    sim.is_owner_active = false;
+    sim.restart_under_id("w0", 150);
+    let mut shard = sim.new_shard();
+    assert_eq!(shard.restore(sim.now(), sim.stored_records(), 0), 0);
+    let lease = shard.worker(&"w0".into()).expect("w0 is listed").lease;
+    let longest_ms = ShardTiming::default().max_lease_ms;
+    assert!(lease.expiry_ms() > sim.now().boot_ms + longest_ms);
+}
+
 #[test]
 fn unreadable_record_waits() {
     let mut sim = running();
