fix(jobs): a refused deletion of a lease record grants no lease

When the store refused records of a commit for their content, the rest of the commit counted as durable, with the refused deletion of a lease record (leases were granted beside the record, so that a successor would wait too short) and the acknowledgement of ends that a refused record told.

Lease records whose deletion is refused stand; ends are acknowledged with a later commit.

Test: refused_records::refused_reopening_grants_nothing; before: the lease end rose to 7918. The acknowledgement has no test of its own.

--- a/crates/cyclamentrail-jobs/src/shard/refused_records.rs
+++ b/crates/cyclamentrail-jobs/src/shard/refused_records.rs
@@ -6,14 +6,25 @@
 
 use std::collections::BTreeSet;
 
+use cyclamentrail_core::WorkerId;
+
 use super::{Commit, Shard};
 use crate::job::JobKey;
-use crate::record::PROGRESS_SUFFIX;
+use crate::record::{LEASE_PREFIX, PROGRESS_SUFFIX};
 use crate::record_parts::PartNumber;
 
 impl Shard {
     /// Takes the jobs whose records were refused out of a commit, whose other records are stored.
+    ///
+    /// Ends of runs are acknowledged with a later commit only, because a refused record may have told
+    /// them. A worker whose lease record isn't deleted gets no lease.
     pub fn refuse_records(&mut self, commit: &mut Commit, refused_keys: &[String]) {
+        if refused_keys.is_empty() {
+            return;
+        }
+        commit.ended_sequences.clear();
+        self.has_unmatched_ends = true;
+        self.keep_refused_lease_records(commit, refused_keys);
         let jobs: BTreeSet<JobKey> = refused_keys
             .iter()
             .filter_map(|key| self.job_of_record(key))
@@ -33,6 +44,17 @@
         }
     }
 
+    /// Keeps the lease records whose deletion was refused.
+    fn keep_refused_lease_records(&mut self, commit: &mut Commit, refused_keys: &[String]) {
+        for key in refused_keys {
+            if let Some(id) = key.strip_prefix(LEASE_PREFIX) {
+                let worker = WorkerId::from(id);
+                commit.reopened_workers.retain(|known| *known != worker);
+                self.lease_records.insert_found(worker);
+            }
+        }
+    }
+
     /// Returns the job that a record's key belongs to.
     fn job_of_record(&self, key: &str) -> Option<JobKey> {
         let part = || PartNumber::parse(key).map(|(id, _)| id);
--- a/crates/cyclamentrail-jobs/tests/scheduler/refused_records.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/refused_records.rs
@@ -1,7 +1,7 @@
 //! Tests with records that the store refuses for their content.
 
 use cyclamentrail_core::JobId;
-use cyclamentrail_jobs::{CallerReply, JobState, Resources};
+use cyclamentrail_jobs::{CallerReply, JobState, LEASE_PREFIX, Resources};
 use rstest::rstest;
 
 use crate::world::{Simulation, job};
@@ -73,3 +73,23 @@
     assert!(!sim.shard.needs_commit());
     assert_eq!(sim.starts.get(&JobId::from("a")), None);
 }
+
+/// While the deletion of a lease record is refused, the worker gets no lease: a successor would start its
+/// runs elsewhere too early.
+#[test]
+fn refused_reopening_grants_nothing() {
+    let mut sim = Simulation::new(2, WORKER);
+    sim.submit("a", job(2, 1_000, 20_000));
+    sim.run_for(500);
+    let busy = ["w0", "w1"]
+        .into_iter()
+        .find(|id| sim.running_on(id) > 0)
+        .expect("a worker runs something");
+    sim.worker(busy).is_reachable = false;
+    sim.run_for(1_500);
+    sim.refused_keys.insert(format!("{LEASE_PREFIX}{busy}"));
+    let granted_ms = sim.worker(busy).lease_end_ms;
+    sim.worker(busy).is_reachable = true;
+    sim.run_for(1_500);
+    assert_eq!(sim.worker(busy).lease_end_ms, granted_ms);
+}
