fix(edge): an owner remembers the queues of its jobs

What callers saw: after a queue had moved to another service, GET for its accepted jobs was answered 410 by all processes, for good, although the jobs went on. It took (a) a record of the queues that wasn't written before the queue moved, or (b) an older record that the store appended after the move.

Cause: the owner took the former queues only from what was published. A queue that was never published, or whose record was overwritten, was not among them, so the owner published a set without it.

Ruled out: a killed owner or a process without the configuration; in both tests all processes live, and the store answers all other calls.

Change: the owner keeps each queue that was configured for the service or published during its ownership. It adds the configured ones where it gives the shard its routes, so that none is missed while a write is under way. Former queues are those of this set that aren't configured and that the shard has jobs of. Any difference to the published record makes it write its own set again, as before.

Conclusion: the answers are right again once the owner has written its set.

--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -370,7 +370,7 @@
             let known_before = self.shard.former_routes().cloned().collect();
             self.shard.set_routes(routes);
             self.log_left_routes(&known_before);
-            self.queue_review.request();
+            self.remember_queues(configuration);
             let teams = configuration.teams.iter().map(|team| team.config.clone());
             self.shard.set_teams(teams);
             self.shard.set_needs_keys(configuration.needs_keys);
--- a/crates/cyclamentrail/src/edge/owner/queues.rs
+++ b/crates/cyclamentrail/src/edge/owner/queues.rs
@@ -20,6 +20,8 @@
 pub(super) struct QueueReview {
     process: Arc<ProcessState>,
     next_check: Instant,
+    /// Each queue that was configured for the service, or published, during this ownership.
+    known: BTreeSet<Queue>,
     /// Whether a write is under way.
     is_writing: Arc<AtomicBool>,
 }
@@ -29,19 +31,24 @@
         Self {
             process: Arc::clone(process),
             next_check: Instant::now(),
+            known: BTreeSet::new(),
             is_writing: Arc::default(),
         }
     }
-
-    /// Makes the next round compare the queues.
-    pub(super) fn request(&mut self) {
-        self.next_check = Instant::now();
-    }
 }
 
 impl Owner {
-    /// Writes the queues of the shard if they differ from the published ones. A queue that leads to
-    /// the service no longer stays as long as the shard has jobs of its route.
+    /// Remembers the queues by which the shard accepts jobs from now on, and makes the next round
+    /// compare them.
+    pub(super) fn remember_queues(&mut self, configuration: &Configuration) {
+        let configured = self.configured_queues(configuration);
+        self.queue_review.known.extend(configured);
+        self.queue_review.next_check = Instant::now();
+    }
+
+    /// Writes the queues of the shard if the published ones differ. A queue that leads to the service
+    /// no longer stays as long as the shard has jobs of its route, even if it was never published, or
+    /// an older record has replaced it.
     pub(super) fn publish_queues_if_due(&mut self) {
         let is_writing = self.queue_review.is_writing.load(Ordering::Relaxed);
         if is_writing || Instant::now() < self.queue_review.next_check {
@@ -53,8 +60,11 @@
             return;
         };
         let published = process.queue_directory.queues(&self.service);
+        self.queue_review.known.extend(published.iter().cloned());
         let mut queues = self.configured_queues(&configuration);
-        let former: Vec<Queue> = published
+        let former: Vec<Queue> = self
+            .queue_review
+            .known
             .difference(&queues)
             .filter(|queue| self.shard.has_jobs_of(&queue.route))
             .cloned()
--- a/crates/cyclamentrail/tests/jobs_routes.rs
+++ b/crates/cyclamentrail/tests/jobs_routes.rs
@@ -21,6 +21,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 const JOB: &str = "00000000000000a1";
 const NEW_JOB: &str = "00000000000000b1";
+/// Topic and key of the queues of the usual service.
+const OWNERS_TOPIC: &str = "keyed.owners";
+const QUEUES_KEY: &str = "~queues/svc";
 
 /// A route of the configuration: name, prefix and service.
 type RouteRow<'a> = (&'a str, &'a str, &'a str);
@@ -299,3 +302,53 @@
     }
     Ok(())
 }
+
+/// Waits until the queues of the usual service are stored, in a record other than `previous`.
+async fn wait_queues(site: &JobSite, previous: Option<&Vec<u8>>) -> Result<Vec<u8>> {
+    let deadline = Instant::now() + MAX_WAIT;
+    loop {
+        let newest = site.store.newest(OWNERS_TOPIC, QUEUES_KEY);
+        if let Some(newest) = newest.filter(|newest| Some(newest) != previous) {
+            return Ok(newest);
+        }
+        ensure!(Instant::now() < deadline, "the queues aren't written");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// A queue whose record wasn't written before it moved was forgotten by its owner.
+#[tokio::test]
+async fn unwritten_queue_knows_job() -> Result<()> {
+    let mut site = start(0).await?;
+    site.store.limit_value(QUEUES_KEY, 0);
+    for name in ["n0", "n1"] {
+        site.add_process(name)?;
+    }
+    begin_job(&site, JOB).await?;
+    set_routes(&site, 4, &[("r", PREFIX, OTHER_SERVICE)]).await;
+    ensure!(site.store.newest(OWNERS_TOPIC, QUEUES_KEY).is_none());
+    site.store.limit_value(QUEUES_KEY, usize::MAX);
+    tokio::time::sleep(IN_FORCE).await;
+    wait_known_completed(&site, JOB).await?;
+    site.check_done_once(JOB, 2)
+}
+
+/// A record that the store appended late replaced that of a queue which had moved.
+#[tokio::test]
+async fn overwritten_queue_knows_job() -> Result<()> {
+    let mut site = start(0).await?;
+    let kept = ("s", "/s/", JOB_SERVICE);
+    put_routes(&site, 4, &[kept]);
+    for name in ["n0", "n1"] {
+        site.add_process(name)?;
+    }
+    let late = wait_queues(&site, None).await?;
+    set_routes(&site, 5, &[kept, ("r", PREFIX, JOB_SERVICE)]).await;
+    begin_job(&site, JOB).await?;
+    set_routes(&site, 6, &[kept, ("r", PREFIX, OTHER_SERVICE)]).await;
+    site.store.put_bytes(OWNERS_TOPIC, QUEUES_KEY, late.clone());
+    tokio::time::sleep(IN_FORCE).await;
+    wait_known_completed(&site, JOB).await?;
+    wait_queues(&site, Some(&late)).await?;
+    site.check_done_once(JOB, 2)
+}
