fix(jobs): a suspect long-running task waits for its own worker for a limited time

Suspect tasks get a worker of their own. The limit of 4 s on the wait for one held only for tasks that were possibly to blame and whose crash the present owner had counted. Tasks that a new owner restored as suspects, tasks whose start met a silent worker and tasks that are likely to blame had none. The pause between starts isn't the cause: it ends 5 s after the loss at the latest.

An owner now notes since when each suspect long-running task waits. 4 s after that, or after the loss of its worker if that was earlier, the task goes to the worker with the fewest tasks that has room, if none can be kept apart; workers without suspects come first. This holds for likely suspects too: they may then crash a worker that runs other tasks. It is 4 s rather than 5 s, because the loss precedes a new owner's first sight of it. Suspect tasks that aren't long-running wait as before.

Test: crash_counts::suspect_service_starts_anyway, with a change of owner and without. Before, both cases failed, with a change of owner by: away for 7120 ms (the test stops looking there). Now both pass. Whole scheduler binary: 303 passed, 1 failed: large_jobs::ended_parts_deleted, with ["~route/route"] left, which fails in the same way without this change.

--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -62,6 +62,8 @@
     pub(super) suspects: BTreeMap<TaskKey, Suspicion>,
     /// Long-running tasks whose workers crashed under them soon after their starts.
     services: BTreeMap<TaskKey, CrashedService>,
+    /// Times since which suspect long-running tasks wait, on the owner's boot clock in milliseconds.
+    waits_since_ms: BTreeMap<TaskKey, u64>,
     /// Runs that ended with their workers' leases, until it is known whether these workers crashed.
     unexplained: Vec<LostWorker>,
     /// Runs of restarted workers that may be on the new incarnation, whose key is given.
--- a/crates/cyclamentrail-jobs/src/shard/isolation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/isolation.rs
@@ -3,7 +3,8 @@
 //! A suspect task gets a worker on which only its own job runs, so that a crash there shows that the
 //! job caused it. Few workers are used so at once, because a crash takes away part of the pool:
 //! beyond these, tasks that are suspect for the first time share workers. While no worker is empty,
-//! the one with the fewest tasks gets no others.
+//! the one with the fewest tasks gets no others. A long-running task waits for such a worker for a
+//! limited time only.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -51,6 +52,11 @@
         self.reserved != Some(key) && !self.suspect_workers.contains_key(&key)
     }
 
+    /// Returns whether a worker has suspect tasks.
+    pub(super) fn has_suspects(&self, key: WorkerKey) -> bool {
+        self.suspect_workers.contains_key(&key)
+    }
+
     /// Returns whether suspect tasks can be kept apart at all.
     pub(super) const fn is_possible(&self) -> bool {
         self.max_workers > 0
@@ -130,14 +136,6 @@
         self.crashes.suspects.get(&key).copied()
     }
 
-    /// Returns what is suspected of a task that has to be placed apart. A long-running one that is only
-    /// possibly to blame doesn't wait for that for long.
-    pub(super) fn suspicion_at(&self, now: Now, key: TaskKey) -> Option<Suspicion> {
-        let suspicion = self.suspicion(key)?;
-        let is_overdue = suspicion == Suspicion::Possible && self.is_overdue_service(now, key);
-        (!is_overdue).then_some(suspicion)
-    }
-
     /// Returns whether a step of a gang has a suspect task.
     pub(super) fn is_suspect_gang(&self, first: TaskKey, spec: &StepSpec) -> bool {
         (0..spec.count).any(|index| self.suspicion(TaskKey { index, ..first }).is_some())
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -249,15 +249,13 @@
                 self.record_skipped(key, limit);
                 return;
             }
-            let suspicion = self
-                .suspicion_at(now, key)
-                .filter(|_| pass.isolation.is_possible());
+            let suspicion = self.suspicion(key).filter(|_| pass.isolation.is_possible());
             let chosen = match suspicion {
-                Some(suspicion) => self.select_apart(now, key.job, suspicion, step, pass),
+                Some(suspicion) => self.select_for_suspect(now, key, suspicion, step, pass),
                 None => candidates.cheapest(),
             };
             let Some(worker) = chosen else {
-                if suspicion.is_some() {
+                if suspicion.is_some() && !self.is_overdue_service(now, key) {
                     continue;
                 }
                 pass.record_failure(step.is_restricted, step.spec.reserved_resources());
@@ -303,7 +301,38 @@
         step.request(pass).cost_with_room(key, worker)
     }
 
-    /// Returns the worker for a suspect task of a job.
+    /// Returns the worker for a suspect task. A long-running one that has waited for long enough gets
+    /// any with room where none can be kept apart.
+    fn select_for_suspect(
+        &self,
+        now: Now,
+        key: TaskKey,
+        suspicion: Suspicion,
+        step: &StepPlacement,
+        pass: &PlacementPass,
+    ) -> Option<WorkerKey> {
+        let apart = self.select_apart(now, key.job, suspicion, step, pass);
+        if apart.is_none() && self.is_overdue_service(now, key) {
+            return self.select_least_busy(now, step, pass);
+        }
+        apart
+    }
+
+    /// Returns the worker with the fewest tasks that has room, if possible one without suspect tasks.
+    fn select_least_busy(
+        &self,
+        now: Now,
+        step: &StepPlacement,
+        pass: &PlacementPass,
+    ) -> Option<WorkerKey> {
+        let request = step.request(pass);
+        self.open_workers(now, &step.spec, &step.per_worker)
+            .filter(|(key, worker)| request.cost_with_room(*key, worker).is_some())
+            .min_by_key(|(key, worker)| (pass.isolation.has_suspects(*key), worker.tasks.len()))
+            .map(|(key, _)| key)
+    }
+
+    /// Returns a worker for a suspect task of a job on which no other job is endangered.
     fn select_apart(
         &self,
         now: Now,
--- a/crates/cyclamentrail-jobs/tests/scheduler/crash_counts.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crash_counts.rs
@@ -10,6 +10,8 @@
 const WHOLE_MILLI: u64 = 16_000;
 /// Time in milliseconds by which a task of a service must run again.
 const LOST_AFTER_MS: u64 = 6_000;
+/// Time in milliseconds from a crash until the owner has placed tasks on the restarted worker.
+const BACK_AFTER_MS: u64 = 1_120;
 
 fn service(count: u32, cpu_milli: u64) -> JobSpec {
     let mut spec = job(count, cpu_milli, 0);
@@ -225,3 +227,37 @@
     let rejected = sim.decisions.iter().filter(is_rejected).count();
     assert!(rejected <= count as usize, "{rejected} rejected starts");
 }
+
+/// Returns a pool without an empty worker, in which two workers just crashed under a service soon after
+/// its starts.
+fn pool_without_empty() -> Simulation {
+    let mut sim = Simulation::new(1, WORKER);
+    sim.deadly_tasks.restart_after_ms = 1_000;
+    sim.submit("service", service(1, 1_100));
+    sim.run_for(100);
+    for index in 1..4 {
+        sim.add_worker(&format!("w{index}"), WORKER, "r1");
+    }
+    sim.submit("ordinary", job(3, 14_500, 60_000));
+    sim.run_for(100);
+    for wait_ms in [1_300, BACK_AFTER_MS] {
+        assert_eq!(sim.running_on("w0"), 1);
+        sim.crash_worker(&WorkerId::from("w0"));
+        sim.run_for(wait_ms);
+    }
+    sim.announce_leaving("w0");
+    sim
+}
+
+/// Guards against a suspect service that waits without limit while no worker is empty.
+#[rstest]
+fn suspect_service_starts_anyway(#[values(false, true)] changes_owner: bool) {
+    let mut sim = pool_without_empty();
+    assert_eq!(sim.running(), 3, "it waits");
+    if changes_owner {
+        sim.take_over(0);
+    }
+    let away_ms = BACK_AFTER_MS + run_until_running(&mut sim, 4);
+    assert!(away_ms < LOST_AFTER_MS, "away for {away_ms} ms");
+    assert_eq!(sim.starts[&JobId::from("ordinary")], 3);
+}
