fix(jobs): a restored long-running run doesn't count as a new one

A long-running task that had run for minutes counted a crash soon after its start when the owner changed while its worker was silent and the worker came back restarted. After that it was suspect and had to run apart.

A new owner takes a run of the records for one that began at the change of owner. Where the worker never responded to that owner, the time of the last response is 0, so that any crash seemed to be soon after the start. Runs whose worker had restarted before the change were exempt already; those whose restart the new owner saw itself, or whose lease ended before, weren't.

A lost run now tells whether it was restored and not confirmed to this owner; crashes under such runs of long-running tasks count for nothing. The run stays among those of the lost worker, so that a suspect task of another job there isn't taken to have run alone. Tasks that aren't long-running count as before.

Test: crash_counts::restored_service_uncounted, with the restart before the end of the lease and after it.

--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -142,6 +142,7 @@
             run: record.run,
             has_begun: false,
             may_have_begun: true,
+            is_restored: true,
             // It began under an earlier owner: one such crash alone doesn't make the task suspect.
             since_ms: Some(0),
         };
@@ -327,6 +328,7 @@
             run: placement.run,
             has_begun: placement.has_begun,
             may_have_begun: placement.has_begun || was_alive_at_start(worker, placement),
+            is_restored: !placement.has_begun && placement.start_under_way_until_ms == 0,
             since_ms: match placement.phase {
                 RunPhase::Running { since_ms } => Some(since_ms),
                 _ => None,
@@ -356,6 +358,10 @@
         let is_proof = lost.is_proof(known);
         let mut given_up = Vec::new();
         for run in &lost.runs {
+            // A restored one may have lasted for long, and outlasted many restarts.
+            if run.is_restored && self.is_long_running(run.task) {
+                continue;
+            }
             let is_on_all = others.iter().all(|other| other.contains(&run.task.job));
             if !run.may_have_begun {
                 self.suspect(run.task, Suspicion::Possible);
--- a/crates/cyclamentrail-jobs/src/shard/crashes/lost_worker.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes/lost_worker.rs
@@ -49,6 +49,8 @@
     pub(super) has_begun: bool,
     /// Whether the worker had confirmed it, or responded to anything about the time of the start.
     pub(super) may_have_begun: bool,
+    /// Whether an earlier owner started the run, and the worker hasn't confirmed it to this one.
+    pub(super) is_restored: bool,
     /// Time since which the run was known to execute, on the owner's boot clock in milliseconds.
     pub(super) since_ms: Option<u64>,
 }
--- a/crates/cyclamentrail-jobs/tests/scheduler/crash_counts.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crash_counts.rs
@@ -51,6 +51,14 @@
     sim.decisions.iter().filter(is_given_up).count()
 }
 
+/// Returns how many runs of a job's tasks count as crashed.
+fn crashed_runs(sim: &Simulation, id: &str) -> usize {
+    let job = sim.shard.job(&id.into()).expect("the job is kept");
+    let steps = job.occurrences.iter().flat_map(|due| &due.steps);
+    let tasks = steps.flat_map(|step| &step.tasks);
+    tasks.map(|task| task.crashed_runs.len()).sum()
+}
+
 /// Guards against counting starts that workers answered with another incarnation's rejection.
 #[rstest]
 fn rejected_start_uncounted(#[values(1, 4, 40)] count: u32) {
@@ -58,10 +66,7 @@
     sim.submit("a", job(count, 1_100, 600));
     sim.run_for(1_500);
     assert_eq!(sim.state("a"), Some(JobState::Completed));
-    let job = sim.shard.job(&"a".into()).expect("the job is kept");
-    let tasks = job.occurrences.iter().flat_map(|due| &due.steps);
-    let mut tasks = tasks.flat_map(|step| &step.tasks);
-    assert!(tasks.all(|task| task.crashed_runs.is_empty()));
+    assert_eq!(crashed_runs(&sim, "a"), 0);
 }
 
 /// Guards against giving up a job whose starts went to workers that had crashed before.
@@ -261,3 +266,25 @@
     assert!(away_ms < LOST_AFTER_MS, "away for {away_ms} ms");
     assert_eq!(sim.starts[&JobId::from("ordinary")], 3);
 }
+
+/// Guards against taking a service's restored run, of which its worker says nothing any more, for a new one.
+#[rstest]
+#[case::before_lease_end(1_000)]
+#[case::after_lease_end(5_500)]
+fn restored_service_uncounted(#[case] restart_after_ms: u64) {
+    let mut sim = Simulation::new(1, WORKER);
+    sim.deadly_tasks.restart_after_ms = restart_after_ms;
+    sim.submit("service", service(1, 1_100));
+    for _ in 0..2 {
+        sim.run_for(120_000);
+        assert_eq!(sim.running(), 1);
+        sim.worker("w0").is_reachable = false;
+        sim.take_over(0);
+        sim.run_for(200);
+        sim.crash_worker(&WorkerId::from("w0"));
+        let away_ms = run_until_running(&mut sim, 1);
+        assert!(away_ms <= restart_after_ms + 300, "away for {away_ms} ms");
+        assert_eq!(crashed_runs(&sim, "service"), 0);
+    }
+    assert!(pauses_ms(&sim).is_empty());
+}
