perf(jobs): no look at placements while no task is suspect

Each poll looked up the placement of every task on its worker to learn whether one is a suspect that hasn't begun. While there are no suspects, the answer is known without any.

--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -338,10 +338,13 @@
 
     /// Returns whether a worker has a run of a suspect task that it hasn't confirmed.
     pub(super) fn has_unconfirmed_suspect(&self, key: WorkerKey) -> bool {
+        if self.crashes.suspects.is_empty() {
+            return false;
+        }
         let is_unconfirmed = |task: &TaskKey| {
-            let placement = self.placement_of(*task);
+            let has_begun = |placement: Placement| placement.has_begun;
             self.crashes.suspects.contains_key(task)
-                && placement.is_some_and(|placement| !placement.has_begun)
+                && !self.placement_of(*task).is_none_or(has_begun)
         };
         let worker = self.workers.get(key);
         worker.is_some_and(|worker| worker.tasks.iter().any(is_unconfirmed))
