fix(edge): a queue accepts jobs at one service at a time

What callers saw: while a queue moves to another service, a job that was submitted twice could be accepted by both and run on both (TWICE): by the former one, whose owner still acted on the earlier configuration, after it had said that it doesn't know the job. Jobs that were accepted before the record of their queue was written were answered with 410 by the other processes, for good if the owner ended first.

Cause: each process decided by the configuration that it had read, and nothing tied an acceptance to what other owners do. The directory had one record a service, so that a late append hid a later one.

Ruled out: waiting until every process must have read the configuration (callers would wait for the longest apply time at each move, and the wait hangs on clocks); asking all services before each acceptance (calls for each new job).

Change: a queue is open at one service at a time (QueueGate). To open it, an owner publishes it, reads the directory up to its own record, and has all other services that the directory names close it; a closing is durable, holds for later owners and ends an opening that is under way. Former services are asked after the opening, and reply only once their closing is durable. Each record of the directory has its own key; it is deleted only once a later one is stored, so that a late append adds queues at most. A submission asks former services only where its owner names some, no longer the directory; a lookup of a queue without any is one call as before.

Tests replaced: unwritten_queue_knows_job asked that a job be found that was accepted without a record; now none is accepted (unwritten_queue_accepts_nothing). overwritten_queue_knows_job allowed 410 until the owner had written again; now no process may say 410 at any time (late_record_hides_nothing).

Conclusion: what holds is shown by the owners' records, not by times.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -46,6 +46,8 @@
     Cancelled,
     /// Number of a route's jobs of which no task has started.
     PendingJobs(u64),
+    /// The queue is closed for the configuration that the caller acts on.
+    QueueClosed,
 }
 
 /// Reason for which a job was rejected.
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -31,6 +31,7 @@
 mod lease;
 mod newest_configuration;
 mod owner_capacity;
+mod queue_gate;
 mod quota;
 mod ranking;
 mod recent_loss;
@@ -79,6 +80,7 @@
 pub use lease::{ClockSample, Lease};
 pub use newest_configuration::{ConfigurationStep, NewestConfiguration};
 pub use owner_capacity::{MachineLimits, OwnerCapacity, leaves_shards_to_others};
+pub use queue_gate::{Opening, QueueAdmission, QueueClosing, QueueGate, QueueId};
 pub use quota::{
     AllowanceChange, Allowances, Grantee, Ledger, MAX_CHANGED_TEAMS, QuotaReply, QuotaReport,
     TeamReport, WHOLE_CAP, base_share, cap_share, is_limited, largest_allowance, may_start,
--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -97,6 +97,8 @@
 
 /// Prefix that turns the name of a route into the key of its configuration.
 pub(crate) const ROUTE_PREFIX: &str = "~route/";
+/// Prefix of the keys of the records of a queue's state at the service.
+pub(crate) const QUEUE_PREFIX: &str = "~queue/";
 /// Prefix of the keys of [`WorkerLeaseRecord`]s, which the worker's id follows.
 pub const LEASE_PREFIX: &str = "~lease/";
 
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -27,6 +27,7 @@
 mod lease_records;
 mod long_waits;
 mod on_time;
+mod owner_records;
 mod placement;
 mod placements;
 mod progress;
@@ -83,6 +84,8 @@
     job_states: Vec<(JobKey, JobState)>,
     /// Workers whose lease records are deleted.
     reopened_workers: Vec<WorkerId>,
+    /// Number of records that the owner asked to store.
+    owner_records: usize,
 }
 
 /// Scheduler of one service: holds its jobs and workers and makes all decisions about both.
@@ -123,6 +126,7 @@
     dirty: BTreeSet<JobKey>,
     /// Keys of records that have to be deleted, in this order.
     obsolete_keys: Vec<String>,
+    owner_records: owner_records::OwnerRecords,
     /// Whether workers reported ends of runs whose jobs are unknown; a commit has to acknowledge
     /// these.
     has_unmatched_ends: bool,
@@ -234,6 +238,7 @@
             || !self.gated_effects.is_empty()
             || self.has_unmatched_ends
             || self.routes.needs_commit()
+            || self.owner_records.needs_commit()
             || self.lease_records.are_due()
     }
 
@@ -284,6 +289,7 @@
             effects: std::mem::take(&mut self.gated_effects),
             ..Commit::default()
         };
+        self.owner_records.take_into(&mut commit);
         let obsolete = std::mem::take(&mut self.obsolete_keys);
         commit.records.extend(obsolete.into_iter().map(deletion));
         for key in std::mem::take(&mut self.dirty) {
@@ -313,6 +319,7 @@
                 job.durable_state = state;
             }
         }
+        self.owner_records.finish(commit.owner_records);
         for worker in commit.reopened_workers {
             self.lease_records.finish_deletion(&worker);
         }
--- a/crates/cyclamentrail-spec/src/lib.rs
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -26,6 +26,7 @@
 mod jobs;
 mod lease_handover;
 mod membership;
+mod queue_move;
 mod quota;
 mod record;
 mod restart;
@@ -44,6 +45,9 @@
     HandoverAction, HandoverFault, HandoverModel, HandoverState, HoldCommand,
 };
 pub use membership::{MembershipAction, MembershipModel, MembershipState};
+pub use queue_move::{
+    CloseRequest, DirectoryAppend, QueueMoveAction, QueueMoveFault, QueueMoveModel, QueueMoveState,
+};
 pub use quota::{QuotaAction, QuotaFault, QuotaModel, QuotaState};
 pub use record::{ModelBody, ModelRecord, Pool};
 pub use restart::{
--- a/crates/cyclamentrail-standin/src/jobs.rs
+++ b/crates/cyclamentrail-standin/src/jobs.rs
@@ -11,5 +11,5 @@
     JOB_HOST, JOB_SERVICE, JobClient, ProcessPorts, SubmitResult, process_settings,
     put_configuration, put_team_configuration, put_teams,
 };
-pub use store::JobStore;
+pub use store::{JobStore, StoreView};
 pub use worker::{JobWorker, TaskRun};
--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -21,8 +21,10 @@
 use crate::Served;
 
 mod group;
+mod view;
 
 use group::Group;
+pub use view::StoreView;
 
 /// Number of partitions of each topic that are assigned to group members, unless it is set.
 const PARTITIONS: u32 = 24;
@@ -62,6 +64,8 @@
     cut_off: HashSet<String>,
     /// Longest value in bytes that the store accepts under a key.
     longest_values: HashMap<String, usize>,
+    /// The same for all keys with a prefix.
+    longest_values_by_prefix: HashMap<String, usize>,
 }
 
 #[derive(Debug, Default)]
@@ -87,19 +91,7 @@
     pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
         let shared = Arc::new(Shared::default());
         shared.lock().partitions = PARTITIONS;
-        let router = Router::new()
-            .route("/log-append", post(append))
-            .route("/log-read", get(read))
-            .route("/log-newest", get(newest))
-            .route("/log-join", post(join))
-            .route("/log-leave", post(leave))
-            .route("/log-owners", get(owners))
-            .layer(middleware::from_fn_with_state(
-                Arc::clone(&shared),
-                misbehave,
-            ))
-            .with_state(Arc::clone(&shared));
-        let served = Served::start(address, router).await?;
+        let served = Served::start(address, router(&shared)).await?;
         Ok(Self { shared, served })
     }
 
@@ -157,6 +149,14 @@
         state.longest_values.insert(key.to_owned(), max_bytes);
     }
 
+    /// Makes the store refuse each append with a value of more than `max_bytes` under a key that begins
+    /// with a prefix.
+    pub fn limit_values(&self, prefix: &str, max_bytes: usize) {
+        let mut state = self.shared.lock();
+        let limits = &mut state.longest_values_by_prefix;
+        limits.insert(prefix.to_owned(), max_bytes);
+    }
+
     /// Appends a record without an epoch, as operators and workers do; a null value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: &Value) {
         let value = if value.is_null() {
@@ -196,6 +196,18 @@
             .map(|(_, value)| value.clone())
             .filter(|value| !value.is_empty())
     }
+
+    /// Returns the last record under a key that begins with a prefix, with its key, unless it is a
+    /// deletion.
+    #[must_use]
+    pub fn newest_of(&self, topic: &str, prefix: &str) -> Option<(String, Vec<u8>)> {
+        let state = self.shared.lock();
+        let records = &state.topics.get(topic)?.records;
+        let mut newest = records.iter().rev();
+        newest
+            .find(|(key, value)| key.starts_with(prefix) && !value.is_empty())
+            .cloned()
+    }
 }
 
 impl Shared {
@@ -205,6 +217,22 @@
 }
 
 /// Rejects, delays or loses calls as the tests have set.
+/// Returns the calls of the store.
+fn router(shared: &Arc<Shared>) -> Router {
+    Router::new()
+        .route("/log-append", post(append))
+        .route("/log-read", get(read))
+        .route("/log-newest", get(newest))
+        .route("/log-join", post(join))
+        .route("/log-leave", post(leave))
+        .route("/log-owners", get(owners))
+        .layer(middleware::from_fn_with_state(
+            Arc::clone(shared),
+            misbehave,
+        ))
+        .with_state(Arc::clone(shared))
+}
+
 async fn misbehave(State(shared): State<Arc<Shared>>, request: Request, next: Next) -> Response {
     if shared.is_down.load(Ordering::Relaxed) {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
@@ -240,8 +268,11 @@
     let records = decode_records(&body);
     let mut state = shared.lock();
     let is_refused = |(key, value): &(String, Vec<u8>)| {
+        let prefixes = state.longest_values_by_prefix.iter();
+        let mut by_prefix = prefixes.filter(|(prefix, _)| key.starts_with(prefix.as_str()));
         let longest = state.longest_values.get(key);
         longest.is_some_and(|max_bytes| value.len() > *max_bytes)
+            || by_prefix.any(|(_, max_bytes)| value.len() > *max_bytes)
     };
     if records.iter().any(is_refused) {
         return StatusCode::PAYLOAD_TOO_LARGE.into_response();
--- a/crates/cyclamentrail-testkit/src/job_site.rs
+++ b/crates/cyclamentrail-testkit/src/job_site.rs
@@ -119,6 +119,18 @@
         self.start_process(name, "", Process::spawn)
     }
 
+    /// Starts one more process, which reaches the store at another address, such as that of a
+    /// [`StoreView`](cyclamentrail_standin::StoreView), and waits until it serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process doesn't start.
+    pub fn add_process_at(&mut self, name: &str, store: SocketAddr) -> Result<()> {
+        let started = self.spawn_process(name, "", store, Process::spawn)?;
+        self.processes.push(started);
+        Ok(())
+    }
+
     /// Starts a process that reaches the store at another address, such as that of a
     /// [`Forwarder`](crate::Forwarder), and writes its output to a file; waits until it serves.
     ///
--- a/crates/cyclamentrail/src/edge/claims.rs
+++ b/crates/cyclamentrail/src/edge/claims.rs
@@ -34,6 +34,8 @@
                 apply_claims(&process, records);
             }
         }
+        // Only now: the records of the read are applied.
+        process.queue_directory.set_position(topic.position());
     }
 }
 
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 
 use super::internal::call_local_owner;
-use super::messages::{JobRequest, OwnerCall, OwnerRequest, Reply};
+use super::messages::{JobRequest, OwnerCall, OwnerRequest, Reply, SubmittedJob};
 use super::peers::PeerError;
 use super::process_state::ProcessState;
 
@@ -180,12 +180,12 @@
         Method::DELETE => Ok(OwnerRequest::Cancel(JobRequest { id, team })),
         Method::POST => {
             let spec = decode_job(body).ok_or(StatusCode::BAD_REQUEST)?;
-            Ok(OwnerRequest::Submit {
+            Ok(OwnerRequest::Submit(SubmittedJob {
                 id,
                 route: route.config.name.clone(),
                 spec: Arc::new(spec),
                 team,
-            })
+            }))
         }
         _ => Err(StatusCode::METHOD_NOT_ALLOWED),
     }
@@ -207,9 +207,14 @@
     deadline: Instant,
     attempts: &Attempts,
 ) -> Result<Reply, CallFailure> {
-    let is_submission = matches!(call.request, OwnerRequest::Submit { .. });
+    let is_submission = matches!(
+        call.request,
+        OwnerRequest::Submit(_) | OwnerRequest::SubmitChecked { .. }
+    );
     let owner_deadline = deadline.min(Instant::now() + MAX_OWNER_WAIT);
     let mut may_have_run = false;
+    // Another service may have accepted an earlier submission of the job.
+    let mut may_be_elsewhere = false;
     loop {
         attempts.begin();
         let result = attempt_owner_call(process, &call, deadline).await;
@@ -217,8 +222,9 @@
         attempts.end(is_unknown);
         may_have_run |= is_unknown;
         match result {
+            Ok(Reply::QueueNotOpen) => may_be_elsewhere = true,
             Ok(Reply::NotOwner) | Err(_) => {}
-            Ok(Reply::Rejected { .. }) if may_have_run => {
+            Ok(Reply::Rejected { .. } | Reply::CheckFormer { .. }) if may_have_run => {
                 // An earlier attempt may still be accepted, so that the outcome is unknown.
                 return Err(CallFailure::OutcomeUnknown);
             }
@@ -238,7 +244,7 @@
         }
         tokio::time::sleep(ATTEMPT_INTERVAL).await;
     }
-    Err(if may_have_run {
+    Err(if may_have_run || may_be_elsewhere {
         CallFailure::OutcomeUnknown
     } else {
         CallFailure::NotCarriedOut
@@ -306,6 +312,10 @@
         | Reply::Status(_)
         | Reply::Released { .. }
         | Reply::Quota(_)
+        | Reply::QueueNotOpen
+        | Reply::CheckFormer { .. }
+        | Reply::QueueClosed
+        | Reply::QueueKept
         | Reply::NotOwner => unavailable(NO_OWNER_RETRY_MS),
     }
 }
--- a/crates/cyclamentrail/src/edge/front/job_calls.rs
+++ b/crates/cyclamentrail/src/edge/front/job_calls.rs
@@ -14,10 +14,13 @@
 use tokio::time::Instant;
 
 use super::{Attempts, CallFailure, MAX_OWNER_WAIT, call_owner, failure_response, to_response};
-use crate::edge::messages::{JobRequest, OwnerCall, OwnerRequest, Reply};
+use crate::edge::messages::{JobRequest, OwnerCall, OwnerRequest, Reply, SubmittedJob};
 use crate::edge::process_state::ProcessState;
 use crate::edge::queue_directory::Holder;
 
+/// Most times that a job is submitted: the first time, and after its former services were asked.
+const MAX_CHECKS: usize = 3;
+
 /// Sends a request to the service of its route and to the former ones of its queue, and returns the
 /// response.
 pub(super) async fn respond(
@@ -40,51 +43,37 @@
     deadline: Instant,
     attempts: &Attempts,
 ) -> Result<Reply, CallFailure> {
-    let service = &route.config.service;
-    let directory = &process.queue_directory;
-    let is_submission = matches!(request, OwnerRequest::Submit { .. });
-    if !directory
-        .wait_read(deadline.min(Instant::now() + MAX_OWNER_WAIT))
-        .await
-    {
-        return Err(if is_submission {
-            CallFailure::OutcomeUnknown
-        } else {
-            CallFailure::NotCarriedOut
-        });
-    }
-    let holders = directory.holders(&route.host, &route.path_prefix);
-    let mut former: BTreeSet<ServiceName> = holders
-        .iter()
-        .map(|holder| holder.service.clone())
-        .collect();
-    former.remove(service);
     let calls = JobCalls {
         process,
-        service,
-        former,
+        service: &route.config.service,
         deadline,
         attempts,
     };
+    let directory = &process.queue_directory;
+    if let OwnerRequest::Submit(job) = request {
+        return calls.submit(job).await;
+    }
+    let read_deadline = deadline.min(Instant::now() + MAX_OWNER_WAIT);
+    if !directory.wait_read(read_deadline).await {
+        return Err(CallFailure::NotCarriedOut);
+    }
     if let OwnerRequest::Pending(name) = &request {
+        let holders = directory.holders(&route.host, &route.path_prefix);
         return calls.count_pending(name, holders).await;
     }
-    if !is_submission {
-        calls.call_all(request).await
-    } else if calls.former.is_empty() {
-        calls.call(service, request).await
+    let former = directory.other_services(&route.host, &route.path_prefix, calls.service);
+    if former.is_empty() {
+        calls.call(calls.service, request).await
     } else {
-        calls.submit_unless_known(request).await
+        calls.call_all(&former, request).await
     }
 }
 
-/// Services that may have the job of a request.
+/// Calls about jobs of one queue.
 struct JobCalls<'a> {
     process: &'a ProcessState,
     /// Service of the request's route.
     service: &'a ServiceName,
-    /// Services to which an earlier configuration led the queue.
-    former: BTreeSet<ServiceName>,
     deadline: Instant,
     attempts: &'a Attempts,
 }
@@ -102,10 +91,14 @@
         call_owner(self.process, call, self.deadline, self.attempts).await
     }
 
-    /// Sends a request about a job to all services, and returns the reply of the one that knows the
+    /// Sends a request about a job to the route's service and the former ones, and returns the reply of the one that knows the
     /// job. The job is unknown if all have replied so.
-    async fn call_all(&self, request: OwnerRequest) -> Result<Reply, CallFailure> {
-        let services = self.former.iter().chain([self.service]);
+    async fn call_all(
+        &self,
+        former: &BTreeSet<ServiceName>,
+        request: OwnerRequest,
+    ) -> Result<Reply, CallFailure> {
+        let services = former.iter().chain([self.service]);
         let mut calls: FuturesUnordered<_> = services
             .map(|service| {
                 let request = request.clone();
@@ -126,44 +119,73 @@
         result
     }
 
-    /// Submits a job unless a former service knows it; then the submission is a repeated one. Without
-    /// the reply of a former service, its outcome is unknown: an earlier one may have been accepted.
-    async fn submit_unless_known(&self, submission: OwnerRequest) -> Result<Reply, CallFailure> {
-        let OwnerRequest::Submit { id, team, .. } = &submission else {
-            return Err(CallFailure::NotCarriedOut);
-        };
-        let lookup = Self {
+    /// Submits a job. The owner of a queue that another service may have jobs of accepts it once these
+    /// services have said that they don't know the job; if one does, the submission is a repeated one.
+    async fn submit(&self, job: SubmittedJob) -> Result<Reply, CallFailure> {
+        let mut request = OwnerRequest::Submit(job.clone());
+        for _ in 0..MAX_CHECKS {
+            let (queue, opening, former) = match self.call(self.service, request).await? {
+                Reply::CheckFormer {
+                    queue,
+                    opening,
+                    former,
+                } => (queue, opening, former),
+                reply => return Ok(reply),
+            };
+            let lookup = OwnerRequest::FindFormer {
+                queue,
+                opening,
+                job: JobRequest {
+                    id: job.id.clone(),
+                    team: job.team.clone(),
+                },
+            };
+            if let Some(reply) = self.find_former(&former, &lookup).await? {
+                return Ok(reply);
+            }
+            request = OwnerRequest::SubmitChecked {
+                opening,
+                job: job.clone(),
+            };
+        }
+        // The queue was closed and opened again while the services were asked.
+        Err(CallFailure::OutcomeUnknown)
+    }
+
+    /// Asks the former services of a queue for a job; returns the reply to its submission if one knows
+    /// it. Without the reply of one of them, the outcome is unknown: it may have accepted the job.
+    async fn find_former(
+        &self,
+        former: &[ServiceName],
+        lookup: &OwnerRequest,
+    ) -> Result<Option<Reply>, CallFailure> {
+        let calls = Self {
             deadline: self.deadline.min(Instant::now() + MAX_OWNER_WAIT),
-            former: BTreeSet::new(),
             ..*self
         };
-        let request = OwnerRequest::State(JobRequest {
-            id: id.clone(),
-            team: team.clone(),
-        });
-        let lookups = self.former.iter().map(|service| {
-            let request = request.clone();
-            let lookup = &lookup;
-            async move { (service, lookup.call(service, request).await) }
+        let lookups = former.iter().map(|service| {
+            let (calls, lookup) = (&calls, lookup.clone());
+            async move { (service, calls.call(service, lookup).await) }
         });
         let outcomes = join_all(lookups).await;
         for (service, outcome) in &outcomes {
             match outcome {
                 Ok(Reply::State(_)) => {
                     self.log_former(service, &Reply::Accepted);
-                    return Ok(Reply::Accepted);
+                    return Ok(Some(Reply::Accepted));
                 }
-                Ok(Reply::OtherTeam) => return Ok(Reply::OtherTeam),
+                Ok(Reply::OtherTeam) => return Ok(Some(Reply::OtherTeam)),
                 _ => {}
             }
         }
-        let are_all_known = outcomes
+        let are_all_unknown = outcomes
             .iter()
             .all(|(_, outcome)| matches!(outcome, Ok(Reply::Unknown)));
-        if !are_all_known {
-            return Err(CallFailure::OutcomeUnknown);
+        if are_all_unknown {
+            Ok(None)
+        } else {
+            Err(CallFailure::OutcomeUnknown)
         }
-        self.call(self.service, submission).await
     }
 
     /// Logs that a former service answered, within the budget of lines.
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -4,7 +4,7 @@
 
 use cyclamentrail_core::{JobId, RouteName, ServiceName, TeamName, WorkerId};
 use cyclamentrail_jobs::{
-    CallerReply, JobSpec, JobState, PoolLoad, QuotaReply, QuotaReport, RejectReason,
+    CallerReply, JobSpec, JobState, PoolLoad, QueueId, QuotaReply, QuotaReport, RejectReason,
     WorkerTaskCounts,
 };
 use serde::{Deserialize, Serialize};
@@ -28,18 +28,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum OwnerRequest {
     /// Accepts a job.
-    Submit {
-        /// Id of the job, which its caller chose.
-        id: JobId,
-        /// Route on which the job was submitted.
-        route: RouteName,
-        /// Steps and schedule of the job.
-        spec: Arc<JobSpec>,
-        /// Team of the caller; `None` for a public route. Left out then, because processes of
-        /// earlier versions don't know the field.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        team: Option<TeamName>,
-    },
+    Submit(SubmittedJob),
     /// Returns the state of a job.
     State(JobRequest),
     /// Cancels a job.
@@ -58,11 +47,49 @@
     /// Keeps exactly these workers empty; workers of an earlier request are used again. Returns the
     /// load of the pool.
     Evacuate(Vec<WorkerId>),
+    /// Accepts a job that the former services of its queue don't know.
+    SubmitChecked {
+        /// Version of the queue's opening after which these services were asked.
+        opening: u64,
+        /// The job.
+        job: SubmittedJob,
+    },
+    /// Returns the state of a job, provided that the service has closed the job's queue for good.
+    FindFormer {
+        /// Queue of the job.
+        queue: QueueId,
+        /// Version of the queue's opening elsewhere, for which the service must have closed it.
+        opening: u64,
+        /// The job.
+        job: JobRequest,
+    },
+    /// Accepts no more jobs of a queue that a configuration gives to another service.
+    CloseQueue {
+        /// The queue.
+        queue: QueueId,
+        /// Version of the configuration.
+        version: u64,
+    },
     /// Reports to the ledger of the teams' quota, which the owner of [`FLEET_SHARD`] keeps. Returns the
     /// allowances that change.
     ReportQuota(QuotaReport),
 }
 
+/// Job that a caller submits.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct SubmittedJob {
+    /// Id of the job, which its caller chose.
+    pub(crate) id: JobId,
+    /// Route on which the job was submitted.
+    pub(crate) route: RouteName,
+    /// Steps and schedule of the job.
+    pub(crate) spec: Arc<JobSpec>,
+    /// Team of the caller; `None` for a public route. Left out then, because processes of earlier
+    /// versions don't know the field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) team: Option<TeamName>,
+}
+
 /// Job that a caller names, with the caller's team. Without a team it is sent as the id alone, as
 /// earlier versions do.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -145,6 +172,21 @@
     Quota(QuotaReply),
     /// The process doesn't own the service, and did nothing.
     NotOwner,
+    /// The job isn't accepted: another service may still accept or have it.
+    QueueNotOpen,
+    /// The job isn't accepted before these services have said that they don't know it.
+    CheckFormer {
+        /// The queue.
+        queue: QueueId,
+        /// Version of its opening.
+        opening: u64,
+        /// Services that have closed the queue and may have the job.
+        former: Vec<ServiceName>,
+    },
+    /// The service accepts no more jobs of the queue.
+    QueueClosed,
+    /// A later configuration gives the queue to this service, which goes on accepting its jobs.
+    QueueKept,
 }
 
 /// Status of a process as the owner of a shard.
@@ -259,6 +301,7 @@
             CallerReply::OtherTeam => Self::OtherTeam,
             CallerReply::Cancelled => Self::Cancelled,
             CallerReply::PendingJobs(count) => Self::Pending(count),
+            CallerReply::QueueClosed => Self::QueueClosed,
         }
     }
 }
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -185,6 +185,7 @@
         process.set_confirmation(shard, confirmation.clone());
         let commit_log = CommitLog::new(process, &takeover, confirmation.clone());
         let token = takeover.token;
+        let queue_review = QueueReview::new(process, &takeover);
         let tokens = OwnerTokens {
             own: token,
             previous: takeover.previous_token,
@@ -217,7 +218,7 @@
             team_metrics: TeamMetrics::new(shard),
             decision_log: DecisionLog::new(shard),
             quota_reports: QuotaReports::new(process),
-            queue_review: QueueReview::new(process),
+            queue_review,
             start_queues: StartQueues::default(),
             has_held_starts: false,
             waiting_callers: HashMap::new(),
@@ -332,6 +333,10 @@
                 self.handle_ledger_read(is_read);
                 false
             }
+            OwnerMessage::QueuesPublished(published) => {
+                self.open_queues(published);
+                false
+            }
             OwnerMessage::CommitResult(commit, result) => {
                 self.handle_commit_result(*commit, result);
                 false
@@ -370,7 +375,7 @@
             let known_before = self.shard.former_routes().cloned().collect();
             self.shard.set_routes(routes);
             self.log_left_routes(&known_before);
-            self.remember_queues(configuration);
+            self.configure_queues(configuration);
             let teams = configuration.teams.iter().map(|team| team.config.clone());
             self.shard.set_teams(teams);
             self.shard.set_needs_keys(configuration.needs_keys);
--- a/crates/cyclamentrail/src/edge/owner/message.rs
+++ b/crates/cyclamentrail/src/edge/owner/message.rs
@@ -8,6 +8,7 @@
 
 use crate::edge::commit_log::CommitLog;
 use crate::edge::messages::{OwnerRequest, Reply};
+use crate::edge::owner::queues::PublishedQueues;
 use crate::edge::relay::{CallResult, SessionEvent};
 
 /// Message to the task of an owner.
@@ -21,6 +22,8 @@
     Relay(SocketAddr, SessionEvent),
     /// Response of a queue's policy to a query.
     AdviceResult(Box<AdviceQuery>, AdviceOutcome),
+    /// Queues that were published, and those of them that may be opened.
+    QueuesPublished(PublishedQueues),
     /// Result of a commit: the log for the next one, or why the commit will never be durable.
     CommitResult(Box<Commit>, Result<Box<CommitLog>, StoreError>),
     /// Reply of the ledger to the quota report with a number; `None` if there was none in time.
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -2,16 +2,17 @@
 
 use std::time::Duration;
 
-use cyclamentrail_core::{JobId, WorkerId};
+use cyclamentrail_core::{JobId, RouteName, WorkerId};
 use cyclamentrail_jobs::{
-    CallerId, CallerReply, Decision, RejectReason, Submission, retry_after_outage_ms, retry_seed,
+    CallerId, CallerReply, Decision, QueueAdmission, RejectReason, Submission,
+    retry_after_outage_ms, retry_seed,
 };
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::{Owner, relayed_workers};
 use crate::edge::clocks::{now, whole_ms};
-use crate::edge::messages::{JobRequest, OwnerRequest, Reply};
+use crate::edge::messages::{JobRequest, OwnerRequest, Reply, SubmittedJob};
 use crate::edge::operator_views::{describe_job, describe_shard};
 use crate::metrics;
 
@@ -35,28 +36,22 @@
         let caller = CallerId(self.next_caller);
         self.next_caller += 1;
         match request {
-            OwnerRequest::Submit {
-                id,
-                route,
-                spec,
-                team,
-            } => {
-                if self.is_commit_stuck() && self.shard.job(&id).is_none() {
-                    self.reject_in_outage(id, reply);
-                    return;
+            OwnerRequest::Submit(job) => self.submit(caller, job, None, reply),
+            OwnerRequest::SubmitChecked { opening, job } => {
+                self.submit(caller, job, Some(opening), reply);
+            }
+            OwnerRequest::CloseQueue { queue, version } => {
+                match self.close_queue(&queue, version, caller) {
+                    Some(refusal) => drop(reply.send(refusal)),
+                    None => {
+                        self.waiting_callers.insert(caller, reply);
+                    }
                 }
-                self.waiting_callers.insert(caller, reply);
-                let submission = Submission {
-                    caller,
-                    id,
-                    route,
-                    team,
-                    spec,
-                };
-                let counted_before = self.shard.counted_tasks();
-                self.shard.submit(now(), submission);
-                let counted_tasks = self.shard.counted_tasks() - counted_before;
-                self.activity.record_counted_tasks(counted_tasks);
+            }
+            OwnerRequest::FindFormer { queue, opening, .. }
+                if !self.has_closed(&queue, opening) =>
+            {
+                drop(reply.send(Reply::NotOwner));
             }
             OwnerRequest::State(request) if !self.may_show_state(&request.id) => {
                 drop(reply.send(Reply::NotOwner));
@@ -66,7 +61,11 @@
             {
                 drop(reply.send(Reply::NotOwner));
             }
-            OwnerRequest::State(JobRequest { id, team }) => {
+            OwnerRequest::State(JobRequest { id, team })
+            | OwnerRequest::FindFormer {
+                job: JobRequest { id, team },
+                ..
+            } => {
                 self.waiting_callers.insert(caller, reply);
                 self.shard.reply_state(caller, &id, team.as_ref());
             }
@@ -88,6 +87,58 @@
         self.carry_out_ready();
     }
 
+    /// Submits a job to the shard, unless its queue isn't open. `checked` is the opening after which the
+    /// former services of the queue have said that they don't know the job.
+    fn submit(
+        &mut self,
+        caller: CallerId,
+        job: SubmittedJob,
+        checked: Option<u64>,
+        reply: oneshot::Sender<Reply>,
+    ) {
+        let SubmittedJob {
+            id,
+            route,
+            spec,
+            team,
+        } = job;
+        let is_new = self.shard.job(&id).is_none();
+        if is_new && self.is_commit_stuck() {
+            self.reject_in_outage(id, reply);
+            return;
+        }
+        if is_new && let Some(refusal) = self.queue_refusal(&route, checked) {
+            drop(reply.send(refusal));
+            return;
+        }
+        self.waiting_callers.insert(caller, reply);
+        let submission = Submission {
+            caller,
+            id,
+            route,
+            team,
+            spec,
+        };
+        let counted_before = self.shard.counted_tasks();
+        self.shard.submit(now(), submission);
+        let counted_tasks = self.shard.counted_tasks() - counted_before;
+        self.activity.record_counted_tasks(counted_tasks);
+    }
+
+    /// Returns why no new job of a route may be accepted now, as far as its queue is concerned.
+    fn queue_refusal(&mut self, route: &RouteName, checked: Option<u64>) -> Option<Reply> {
+        match self.queue_review.gate().admit(route, checked) {
+            // Without a route, the shard rejects the job.
+            QueueAdmission::Open | QueueAdmission::NoRoute => None,
+            QueueAdmission::NotOpen => Some(Reply::QueueNotOpen),
+            QueueAdmission::CheckFormer(queue, opening) => Some(Reply::CheckFormer {
+                queue,
+                opening: opening.version,
+                former: opening.former.into_iter().collect(),
+            }),
+        }
+    }
+
     /// Returns whether another process may have taken the shard over without this one knowing.
     fn may_be_replaced(&self) -> bool {
         self.confirmation.age_ms() > MAX_REPLY_AGE_MS || self.is_unconfirmed_since_suspension()
--- a/crates/cyclamentrail/src/edge/topic_reader.rs
+++ b/crates/cyclamentrail/src/edge/topic_reader.rs
@@ -106,6 +106,11 @@
         self.is_at_end
     }
 
+    /// Returns the offset up to which all records are read; 0 before the first read.
+    pub(crate) fn position(&self) -> u64 {
+        self.next_offset.unwrap_or(0)
+    }
+
     /// Returns the boot time in milliseconds at which the last successful read was sent; 0 before
     /// the first.
     pub(crate) const fn read_sent_ms(&self) -> u64 {
--- a/crates/cyclamentrail/tests/jobs_routes.rs
+++ b/crates/cyclamentrail/tests/jobs_routes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result, ensure};
-use cyclamentrail_standin::{JOB_HOST, JOB_SERVICE, JobClient, JobWorker, SubmitResult};
+use cyclamentrail_standin::{JOB_HOST, JOB_SERVICE, JobClient, JobWorker, StoreView, SubmitResult};
 use cyclamentrail_testkit::JobSite;
 use hyper::{Method, StatusCode};
 use rstest::rstest;
@@ -21,9 +21,11 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 const JOB: &str = "00000000000000a1";
 const NEW_JOB: &str = "00000000000000b1";
-/// Topic and key of the queues of the usual service.
+/// Topic of the directory, and the beginning of the keys of the usual service's records there.
 const OWNERS_TOPIC: &str = "keyed.owners";
-const QUEUES_KEY: &str = "~queues/svc";
+const QUEUES_PREFIX: &str = "~queue-set/svc/";
+/// Topic of the configuration.
+const OPERATORS_TOPIC: &str = "keyed.op";
 
 /// A route of the configuration: name, prefix and service.
 type RouteRow<'a> = (&'a str, &'a str, &'a str);
@@ -67,15 +69,7 @@
 
 /// Submits a job of two steps until it is accepted, and waits for its first start.
 async fn begin_job(site: &JobSite, id: &str) -> Result<()> {
-    let deadline = Instant::now() + MAX_WAIT;
-    loop {
-        let (status, _) = site.call(0, Method::POST, id, two_steps()).await?;
-        if status == StatusCode::OK {
-            break;
-        }
-        ensure!(Instant::now() < deadline, "{id} isn't accepted: {status}");
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
+    submit_until_accepted(site, 0, id).await?;
     site.wait_started(id).await?;
     Ok(())
 }
@@ -304,11 +298,11 @@
 }
 
 /// Waits until the queues of the usual service are stored, in a record other than `previous`.
-async fn wait_queues(site: &JobSite, previous: Option<&Vec<u8>>) -> Result<Vec<u8>> {
+async fn wait_queues(site: &JobSite, previous: Option<&str>) -> Result<(String, Vec<u8>)> {
     let deadline = Instant::now() + MAX_WAIT;
     loop {
-        let newest = site.store.newest(OWNERS_TOPIC, QUEUES_KEY);
-        if let Some(newest) = newest.filter(|newest| Some(newest) != previous) {
+        let newest = site.store.newest_of(OWNERS_TOPIC, QUEUES_PREFIX);
+        if let Some(newest) = newest.filter(|(key, _)| Some(key.as_str()) != previous) {
             return Ok(newest);
         }
         ensure!(Instant::now() < deadline, "the queues aren't written");
@@ -316,39 +310,136 @@
     }
 }
 
-/// A queue whose record wasn't written before it moved was forgotten by its owner.
+/// Queries a job at all processes for a while; none may say that there is no such job.
+async fn check_known(site: &JobSite, id: &str, duration: Duration) -> Result<()> {
+    let end = Instant::now() + duration;
+    while Instant::now() < end {
+        for process in 0..site.processes.len() {
+            let (status, _) = site.call(process, Method::GET, id, String::new()).await?;
+            ensure!(status != StatusCode::GONE, "process {process} says 410");
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    Ok(())
+}
+
+/// Jobs that were accepted before the record of their queue was written were unknown to the other
+/// processes, and for good to a successor.
 #[tokio::test]
-async fn unwritten_queue_knows_job() -> Result<()> {
+async fn unwritten_queue_accepts_nothing() -> Result<()> {
     let mut site = start(0).await?;
-    site.store.limit_value(QUEUES_KEY, 0);
+    site.store.limit_values(QUEUES_PREFIX, 0);
     for name in ["n0", "n1"] {
         site.add_process(name)?;
     }
+    wait_configured(site.processes[0].1).await?;
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end {
+        let (status, _) = site.call(0, Method::POST, JOB, two_steps()).await?;
+        ensure!(status != StatusCode::OK, "the job is accepted");
+    }
+    site.store.limit_values(QUEUES_PREFIX, usize::MAX);
     begin_job(&site, JOB).await?;
-    set_routes(&site, 4, &[("r", PREFIX, OTHER_SERVICE)]).await;
-    ensure!(site.store.newest(OWNERS_TOPIC, QUEUES_KEY).is_none());
-    site.store.limit_value(QUEUES_KEY, usize::MAX);
-    tokio::time::sleep(IN_FORCE).await;
+    put_routes(&site, 4, &[("r", PREFIX, OTHER_SERVICE)]);
+    check_known(&site, JOB, IN_FORCE).await?;
     wait_known_completed(&site, JOB).await?;
     site.check_done_once(JOB, 2)
 }
 
-/// A record that the store appended late replaced that of a queue which had moved.
+/// A record that the store appended late hid the queues that a later one names.
 #[tokio::test]
-async fn overwritten_queue_knows_job() -> Result<()> {
+async fn late_record_hides_nothing() -> Result<()> {
     let mut site = start(0).await?;
     let kept = ("s", "/s/", JOB_SERVICE);
     put_routes(&site, 4, &[kept]);
     for name in ["n0", "n1"] {
         site.add_process(name)?;
     }
-    let late = wait_queues(&site, None).await?;
+    let (late_key, late) = wait_queues(&site, None).await?;
     set_routes(&site, 5, &[kept, ("r", PREFIX, JOB_SERVICE)]).await;
     begin_job(&site, JOB).await?;
     set_routes(&site, 6, &[kept, ("r", PREFIX, OTHER_SERVICE)]).await;
-    site.store.put_bytes(OWNERS_TOPIC, QUEUES_KEY, late.clone());
-    tokio::time::sleep(IN_FORCE).await;
+    site.store.put_bytes(OWNERS_TOPIC, &late_key, late);
+    check_known(&site, JOB, IN_FORCE).await?;
+    wait_known_completed(&site, JOB).await?;
+    site.check_done_once(JOB, 2)
+}
+
+/// Starts a process that owns the usual service and reads no later configuration, gives the queue to
+/// the other service, and starts a process that acts on this.
+async fn start_outdated() -> Result<(JobSite, StoreView)> {
+    let mut site = start(0).await?;
+    let view = site.store.view().await?;
+    site.add_process_at("n0", view.address())?;
+    begin_job(&site, JOB).await?;
+    view.set_unreadable(OPERATORS_TOPIC, true);
+    put_routes(&site, 4, &[("r", PREFIX, OTHER_SERVICE)]);
+    Ok((site, view))
+}
+
+/// A job was accepted by both services: by the former one, whose owner acted on the earlier
+/// configuration, after it had said that it doesn't know the job.
+#[tokio::test]
+async fn job_accepted_once() -> Result<()> {
+    let (mut site, _view) = start_outdated().await?;
+    let other_topic = format!("keyed.jobs.{OTHER_SERVICE}");
+    site.store.set_unreadable(&other_topic, true);
+    site.add_process("n1")?;
+    while site.store.newest(OWNERS_TOPIC, OTHER_SERVICE).is_none() {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    let to_other = async {
+        // Waits for the owner of the other service, which can't read its records yet.
+        let (status, _) = site.call(1, Method::POST, NEW_JOB, two_steps()).await?;
+        Ok::<_, anyhow::Error>(status)
+    };
+    let to_former = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        let (status, _) = site.call(0, Method::POST, NEW_JOB, two_steps()).await?;
+        site.store.set_unreadable(&other_topic, false);
+        Ok::<_, anyhow::Error>(status)
+    };
+    let (_, status) = tokio::try_join!(to_other, to_former)?;
+    ensure!(status == StatusCode::OK, "the former service says {status}");
+    submit_until_accepted(&site, 1, NEW_JOB).await?;
+    wait_known_completed(&site, NEW_JOB).await?;
+    ensure!(site.runs(NEW_JOB).len() == 2, "{:?}", site.runs(NEW_JOB));
+    site.check_done_once(JOB, 2)
+}
+
+/// An owner that acts on the earlier configuration accepts no job that the other service has, and its
+/// successor neither.
+#[rstest]
+#[case::same_owner(false)]
+#[case::successor(true)]
+#[tokio::test]
+async fn outdated_owner_accepts_nothing(#[case] is_replaced: bool) -> Result<()> {
+    let (mut site, _view) = start_outdated().await?;
+    site.add_process("n1")?;
+    submit_until_accepted(&site, 1, NEW_JOB).await?;
+    if is_replaced {
+        drop(site.processes.remove(0));
+        submit_until_accepted(&site, 0, NEW_JOB).await?;
+    } else {
+        let (status, _) = site.call(0, Method::POST, NEW_JOB, two_steps()).await?;
+        let is_true = [StatusCode::OK, StatusCode::GATEWAY_TIMEOUT].contains(&status);
+        ensure!(is_true, "the repetition has {status}");
+    }
+    wait_known_completed(&site, NEW_JOB).await?;
     wait_known_completed(&site, JOB).await?;
-    wait_queues(&site, Some(&late)).await?;
+    ensure!(site.runs(NEW_JOB).len() == 2, "{:?}", site.runs(NEW_JOB));
     site.check_done_once(JOB, 2)
 }
+
+/// Submits a job of two steps to a process until it is accepted.
+async fn submit_until_accepted(site: &JobSite, process: usize, id: &str) -> Result<()> {
+    let deadline = Instant::now() + MAX_WAIT;
+    loop {
+        let (status, _) = site.call(process, Method::POST, id, two_steps()).await?;
+        if status == StatusCode::OK {
+            return Ok(());
+        }
+        ensure!(Instant::now() < deadline, "{id} isn't accepted: {status}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
