perf(edge): an opening that is repeated writes no further record

While the former service of a queue has no owner, its opening is repeated twice a second, and each try wrote the same record to the directory anew. The record that stands there is used again. jobs_routes, jobs_takeover, jobs_configuration: all passed.

--- a/crates/cyclamentrail/src/edge/owner/queues.rs
+++ b/crates/cyclamentrail/src/edge/owner/queues.rs
@@ -35,8 +35,10 @@
     /// Each queue that was configured for the service, or published, during this ownership.
     known: BTreeSet<Queue>,
     gate: QueueGate,
-    /// Number of the last record that this owner wrote to the directory.
+    /// Number of the last record that this owner began to write to the directory.
     last_number: u64,
+    /// The last record of this owner that the directory has.
+    written: Option<WrittenQueues>,
     /// Whether a publication is under way.
     is_publishing: bool,
 }
@@ -49,6 +51,7 @@
             known: BTreeSet::new(),
             gate: restore_gate(&takeover.records),
             last_number: 0,
+            written: None,
             is_publishing: false,
         }
     }
@@ -63,10 +66,19 @@
     }
 }
 
+/// A record of an owner in the directory.
+#[derive(Debug, Clone)]
+struct WrittenQueues {
+    queues: BTreeSet<Queue>,
+    offset: u64,
+}
+
 /// Queues to be published, and those of them to be opened.
 struct Publication {
     name: RecordName,
     queues: BTreeSet<Queue>,
+    /// The record, if an earlier publication has written it and not all queues could be opened.
+    written: Option<WrittenQueues>,
     due: BTreeSet<QueueId>,
     /// Version of the configuration that gives the due ones to the service.
     version: u64,
@@ -78,6 +90,8 @@
     version: u64,
     /// Queues that may be opened, with the services that have closed them.
     opened: Vec<(QueueId, BTreeSet<ServiceName>)>,
+    /// The record that was written or had been before.
+    written: Option<WrittenQueues>,
     /// Whether all that was due is done.
     is_complete: bool,
 }
@@ -149,6 +163,7 @@
     /// Opens the queues that no other service accepts jobs of any more.
     pub(super) fn open_queues(&mut self, published: PublishedQueues) {
         self.queue_review.is_publishing = false;
+        self.queue_review.written = published.written;
         if published.is_complete {
             self.queue_review.next_check = Instant::now();
         }
@@ -218,17 +233,23 @@
         queues: BTreeSet<Queue>,
         due: BTreeSet<QueueId>,
     ) {
-        self.queue_review.is_publishing = true;
-        self.queue_review.last_number += 1;
+        let review = &mut self.queue_review;
+        review.is_publishing = true;
+        let written = review.written.take();
+        let written = written.filter(|written| written.queues == queues);
+        if written.is_none() {
+            review.last_number += 1;
+        }
         let publication = Publication {
             name: RecordName {
                 service: self.service.clone(),
                 token: self.token,
-                number: self.queue_review.last_number,
+                number: review.last_number,
             },
             queues,
+            written,
             due,
-            version: self.queue_review.gate.version(),
+            version: review.gate.version(),
         };
         let sender = self.sender.clone();
         tokio::spawn(async move {
@@ -246,21 +267,21 @@
         let mut published = PublishedQueues {
             version: self.version,
             opened: Vec::new(),
+            written: self.written.clone(),
             is_complete: false,
         };
         let service = &self.name.service;
-        let directory = &process.queue_directory;
-        let offset = match queue_directory::publish(process, &self.name, self.queues).await {
-            Ok(offset) => offset,
-            Err(error) => {
-                log::warn!(shard:% = service, error:% = error; "queues_unwritten");
-                return published;
-            }
+        if published.written.is_none() {
+            published.written = self.write(process).await;
+        }
+        let Some(written) = &published.written else {
+            return published;
         };
         if !self.due.is_empty() {
             let deadline = Instant::now() + READ_TIMEOUT;
-            if !directory.wait_position(offset, deadline).await {
-                log::warn!(shard:% = service, offset; "queues_unread");
+            let directory = &process.queue_directory;
+            if !directory.wait_position(written.offset, deadline).await {
+                log::warn!(shard:% = service, offset = written.offset; "queues_unread");
                 return published;
             }
         }
@@ -279,6 +300,20 @@
         }
         published
     }
+
+    /// Writes the record; returns it if the directory has it.
+    async fn write(&self, process: &ProcessState) -> Option<WrittenQueues> {
+        match queue_directory::publish(process, &self.name, self.queues.clone()).await {
+            Ok(offset) => Some(WrittenQueues {
+                queues: self.queues.clone(),
+                offset,
+            }),
+            Err(error) => {
+                log::warn!(shard:% = self.name.service, error:% = error; "queues_unwritten");
+                None
+            }
+        }
+    }
 }
 
 /// Asks all other services that the directory names for a queue to close it; returns them, or `None`
