fix(jobs): a job of which a record can't be read is held

What callers would see: after a takeover, tasks whose ends stood in a damaged record of their job's progress are started again (TWICE); where the record of the acceptance is damaged, the job is unknown (410) and its id makes a second job.

Cause: a task without a record was taken for one that hasn't begun, whether its part was never written, missing or undecodable. Parts are stored before the record that names them, so that a missing one is an error, too.

Ruled out: showing such a job as failed (a version that reads the record would take that back); deleting its records.

Change: the job is held by itself. None of its tasks is started, its records stay, requests about it and submissions of its id get 504, job_held names the key and cyclamentrail_jobs_held_total counts it. Progress must have all tasks of the job. What is left of a dropped job is deleted, readable or not.

Conclusion: what can't be read says nothing.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -46,6 +46,8 @@
     Cancelled,
     /// Number of a route's jobs of which no task has started.
     PendingJobs(u64),
+    /// The job is held, because a record of it can't be read; what becomes of it isn't known.
+    Held,
     /// The queue is closed for the configuration that the caller acts on.
     QueueClosed,
 }
@@ -321,6 +323,13 @@
         /// Longest time until the worker's lease ends, in milliseconds.
         remaining_ms: u64,
     },
+    /// A new owner holds a job because it can't read one of its records.
+    JobHeld {
+        /// Id of the job.
+        job: JobId,
+        /// Key of the record.
+        key: String,
+    },
     /// A new owner counts with a lease of an earlier owner on a worker that doesn't respond.
     LeaseInherited {
         /// Id of the worker.
--- a/crates/cyclamentrail-jobs/src/record_parts.rs
+++ b/crates/cyclamentrail-jobs/src/record_parts.rs
@@ -124,13 +124,17 @@
         self.values.keys().copied()
     }
 
-    /// Returns an occurrence; a task without a record hasn't begun.
+    /// Returns an occurrence that a progress record names; its parts were stored before that record.
+    ///
+    /// # Errors
+    ///
+    /// Returns the number of the first part that is missing, or that lacks a task.
     pub(crate) fn occurrence(
         &self,
         number: u32,
         parts: &PartsRecord,
         spec: &JobSpec,
-    ) -> OccurrenceRecord {
+    ) -> Result<OccurrenceRecord, PartNumber> {
         let per_part = parts.tasks_per_part.max(1);
         let mut next_task = 0;
         let mut task = || {
@@ -142,16 +146,14 @@
             next_task += 1;
             let part = self.values.get(&number);
             let record = part.and_then(|part| part.tasks.get(index));
-            record.cloned().unwrap_or_default()
+            record.cloned().ok_or(number)
         };
-        OccurrenceRecord {
+        let steps = spec.steps.iter();
+        let steps = steps.map(|step| (0..step.count).map(|_| task()).collect());
+        Ok(OccurrenceRecord {
             number,
-            steps: spec
-                .steps
-                .iter()
-                .map(|step| (0..step.count).map(|_| task()).collect())
-                .collect(),
-        }
+            steps: steps.collect::<Result<_, PartNumber>>()?,
+        })
     }
 
     /// Returns what is stored of a job whose progress record says `parts`.
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -23,6 +23,7 @@
 mod ended_workers;
 mod evacuation;
 mod failing_services;
+mod held_jobs;
 mod isolation;
 mod lease_records;
 mod long_waits;
@@ -127,6 +128,7 @@
     /// Keys of records that have to be deleted, in this order.
     obsolete_keys: Vec<String>,
     owner_records: owner_records::OwnerRecords,
+    held_jobs: held_jobs::HeldJobs,
     /// Whether workers reported ends of runs whose jobs are unknown; a commit has to acknowledge
     /// these.
     has_unmatched_ends: bool,
--- a/crates/cyclamentrail-jobs/src/shard/cancel.rs
+++ b/crates/cyclamentrail-jobs/src/shard/cancel.rs
@@ -8,6 +8,9 @@
 impl Shard {
     /// Cancels a job for a caller of `team` and stops its runs; a final job keeps its state.
     pub fn cancel(&mut self, caller: CallerId, id: &JobId, team: Option<&TeamName>) {
+        if self.reply_if_held(caller, id) {
+            return;
+        }
         let Some(&key) = self.job_keys.get(id) else {
             self.ready_effects
                 .push(Effect::Reply(caller, CallerReply::UnknownJob));
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -7,7 +7,7 @@
 //! wait is left is recorded where an earlier owner waited for it already (see
 //! [`super::lease_records`]).
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
@@ -33,6 +33,9 @@
     record: PlacementRecord,
 }
 
+/// Jobs with records that can't be read, with the keys of these.
+type UnreadableJobs = HashMap<String, String>;
+
 /// Records of one job.
 struct JobRecords {
     accept: AcceptedJobRecord,
@@ -41,7 +44,8 @@
 }
 
 impl Shard {
-    /// Restores jobs from their records; returns how many records were unreadable.
+    /// Restores jobs from their records; returns how many records were unreadable. A job with such a
+    /// record is held (see [`super::held_jobs`]).
     ///
     /// Registered workers are kept as they are. Workers that only the records name are added as
     /// unlisted until no run can be left on them. `predecessor_active_ms` is how long the previous
@@ -56,7 +60,7 @@
         let mut progress: HashMap<String, ProgressRecord> = HashMap::new();
         let mut leases: HashMap<WorkerId, WorkerLeaseRecord> = HashMap::new();
         let mut parts: HashMap<String, ReadParts> = HashMap::new();
-        let mut unreadable_jobs = HashSet::new();
+        let mut unreadable_jobs = UnreadableJobs::new();
         let mut unreadable = 0;
         for record in records {
             if let Some(route) = record.key.strip_prefix(RUN_TIMES_PREFIX) {
@@ -75,20 +79,29 @@
             if is_reserved_key(&record.key) {
                 continue;
             }
-            let result = if let Some(id) = record.key.strip_suffix(PROGRESS_SUFFIX) {
-                read_record(&mut progress, id, &record.value)
+            let (id, result) = if let Some(id) = record.key.strip_suffix(PROGRESS_SUFFIX) {
+                (id, read_record(&mut progress, id, &record.value))
             } else if let Some((id, number)) = PartNumber::parse(&record.key) {
-                read_part(&mut parts, id, number, &record.value)
+                (id, read_part(&mut parts, id, number, &record.value))
             } else {
                 let result = read_record(&mut accepted, &record.key, &record.value);
-                if result.is_err() {
-                    unreadable_jobs.insert(record.key);
-                }
-                result
+                (record.key.as_str(), result)
             };
-            unreadable += usize::from(result.is_err());
+            if result.is_err() {
+                unreadable += 1;
+                unreadable_jobs.insert(id.to_owned(), record.key.clone());
+            }
         }
+        // Without the record of the acceptance the job was dropped, and its deletion was cut short.
+        let is_accepted = |id: &String, key: &String| id == key || accepted.contains_key(id);
+        let (unreadable_jobs, leftover): (UnreadableJobs, UnreadableJobs) = unreadable_jobs
+            .into_iter()
+            .partition(|(id, key)| is_accepted(id, key));
+        self.obsolete_keys.extend(leftover.into_values());
         for (id, accept) in accepted {
+            if unreadable_jobs.contains_key(&id) {
+                continue;
+            }
             let progress_record = progress.remove(&id).unwrap_or_default();
             let records = JobRecords {
                 accept,
@@ -98,8 +111,11 @@
             self.restore_job(now, JobId::from(id), records, &mut leases);
         }
         self.finish_routes();
-        progress.retain(|id, _| !unreadable_jobs.contains(id));
-        parts.retain(|id, _| !unreadable_jobs.contains(id));
+        progress.retain(|id, _| !unreadable_jobs.contains_key(id));
+        parts.retain(|id, _| !unreadable_jobs.contains_key(id));
+        for (id, key) in unreadable_jobs {
+            self.hold_job(JobId::from(id), key);
+        }
         self.delete_leftovers(progress, parts);
         let lease_end_ms = now.boot_ms + predecessor_active_ms + self.timing.longest_lease_ms();
         self.restore_leases(now, &leases, lease_end_ms);
@@ -127,7 +143,7 @@
         is_read
     }
 
-    /// Restores a job and its runs; a malformed job is skipped.
+    /// Restores a job and its runs; holds a malformed one, or one whose progress lacks tasks.
     fn restore_job(
         &mut self,
         now: Now,
@@ -141,6 +157,7 @@
             parts,
         } = records;
         if !accept.spec.is_well_formed() {
+            self.hold_job(id.clone(), id.to_string());
             return;
         }
         let mut job =
@@ -151,7 +168,10 @@
         job.next_occurrence = progress_record.next_occurrence;
         job.ended_ms = progress_record.ended_ms;
         job.team_index = self.team_table.insert(job.team.as_ref());
-        self.restore_parts(&mut job, &mut progress_record, parts);
+        if let Err(key) = self.restore_parts(&mut job, &mut progress_record, parts) {
+            self.hold_job(id, key);
+            return;
+        }
         let key = self.jobs.insert(job);
         let mut recorded_runs = Vec::new();
         for occurrence in progress_record.occurrences {
@@ -175,21 +195,36 @@
     }
 
     /// Completes a progress record by the job's parts, and deletes the parts that it doesn't name.
-    fn restore_parts(&mut self, job: &mut Job, progress: &mut ProgressRecord, parts: ReadParts) {
+    ///
+    /// # Errors
+    ///
+    /// Returns the key of a record that lacks tasks of the job.
+    fn restore_parts(
+        &mut self,
+        job: &mut Job,
+        progress: &mut ProgressRecord,
+        parts: ReadParts,
+    ) -> Result<(), String> {
         let Some(record) = &progress.parts else {
+            let has_all = |occurrence: &OccurrenceRecord| has_all_tasks(occurrence, job);
+            if !progress.occurrences.iter().all(has_all) {
+                return Err(format!("{}{PROGRESS_SUFFIX}", job.id));
+            }
             let keys = parts.numbers().map(|number| number.key(&job.id));
             self.obsolete_keys.extend(keys);
-            return;
+            return Ok(());
         };
         let open = record.occurrences.iter();
-        progress.occurrences = open
-            .map(|&number| parts.occurrence(number, record, &job.spec))
-            .collect();
+        let occurrences = open.map(|&number| parts.occurrence(number, record, &job.spec));
+        progress.occurrences = occurrences
+            .collect::<Result<_, PartNumber>>()
+            .map_err(|number| number.key(&job.id))?;
         let mut stored = parts.into_stored(record);
         let ended = stored.remove_others(&record.occurrences);
         let keys = ended.into_iter().map(|number| number.key(&job.id));
         self.obsolete_keys.extend(keys);
         job.parts = Some(stored);
+        Ok(())
     }
 
     /// Deletes the progress of jobs whose own record is deleted: the deletion was cut short.
@@ -304,6 +339,12 @@
     }
 }
 
+/// Returns whether the record of an occurrence has all tasks of the job.
+fn has_all_tasks(occurrence: &OccurrenceRecord, job: &Job) -> bool {
+    let steps = job.spec.steps.iter().map(|step| step.count as usize);
+    occurrence.steps.iter().map(Vec::len).eq(steps)
+}
+
 /// Decodes a record into a map; a record without a value is a deleted one and is skipped.
 fn read_record<T: for<'de> serde::Deserialize<'de>>(
     into: &mut HashMap<String, T>,
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -43,6 +43,9 @@
     /// job. A repeated submission of an id that another team's job has is refused.
     pub fn submit(&mut self, now: Now, submission: Submission) {
         let caller = submission.caller;
+        if self.reply_if_held(caller, &submission.id) {
+            return;
+        }
         if let Some(&key) = self.job_keys.get(&submission.id) {
             if self.denies_access(caller, key, submission.team.as_ref()) {
                 return;
@@ -164,6 +167,9 @@
 
     /// Replies to a caller of `team` with the state of a job once the job is durable.
     pub fn reply_state(&mut self, caller: CallerId, id: &JobId, team: Option<&TeamName>) {
+        if self.reply_if_held(caller, id) {
+            return;
+        }
         let reply = match self.job_keys.get(id) {
             Some(&key) => {
                 if self.denies_access(caller, key, team) {
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -54,6 +54,8 @@
 mod specs;
 #[path = "scheduler/takeover.rs"]
 mod takeover;
+#[path = "scheduler/unreadable_records.rs"]
+mod unreadable_records;
 #[path = "scheduler/worker.rs"]
 mod worker;
 #[path = "scheduler/world.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/owners.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/owners.rs
@@ -7,15 +7,19 @@
 impl Simulation {
     /// Replaces the owner by one that knows only the records and the registered workers.
     pub fn take_over(&mut self, predecessor_active_ms: u64) {
+        let unreadable = self.take_over_unreadable(predecessor_active_ms);
+        assert_eq!(unreadable, 0);
+    }
+
+    /// Does the same where records may be unreadable; returns how many are.
+    pub fn take_over_unreadable(&mut self, predecessor_active_ms: u64) -> usize {
         self.shard = self.new_shard();
         self.token += 1;
         self.pending_commit = None;
         self.is_owner_active = true;
         let records = self.stored_records();
-        let unreadable = self
-            .shard
-            .restore(self.now(), records, predecessor_active_ms);
-        assert_eq!(unreadable, 0);
+        self.shard
+            .restore(self.now(), records, predecessor_active_ms)
     }
 
     /// Returns the shard of the next owner, which has read no records yet.
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -138,6 +138,9 @@
                 .with("worker", worker)
                 .with("answers", is_responding),
             Decision::LeaseClosed { .. } | Decision::LeaseInherited { .. } => lease_line(decision),
+            Decision::JobHeld { job, key } => {
+                Self::new("job_held").with("job", job).with("key", key)
+            }
             Decision::WorkerRestarted {
                 worker,
                 earlier_started_ms,
@@ -281,6 +284,7 @@
         | Decision::PromiseEnded { job, .. }
         | Decision::JobGivenUp { job, .. }
         | Decision::TaskKeptApart { job, .. }
+        | Decision::JobHeld { job, .. }
         | Decision::RunStalled { job, .. } => Some(job),
         Decision::ContactChanged { .. }
         | Decision::LeaseClosed { .. }
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -213,7 +213,7 @@
     );
     let owner_deadline = deadline.min(Instant::now() + MAX_OWNER_WAIT);
     let mut may_have_run = false;
-    // Another service may have accepted an earlier submission of the job.
+    // An earlier submission of the job may have been accepted.
     let mut may_be_elsewhere = false;
     loop {
         attempts.begin();
@@ -222,7 +222,9 @@
         attempts.end(is_unknown);
         may_have_run |= is_unknown;
         match result {
-            Ok(Reply::QueueNotOpen) => may_be_elsewhere = true,
+            // A queue that is being opened takes a moment; a job that is held takes longer.
+            Ok(Reply::Undecided) if is_submission => may_be_elsewhere = true,
+            Ok(Reply::Undecided) => return Err(CallFailure::OutcomeUnknown),
             Ok(Reply::NotOwner) | Err(_) => {}
             Ok(Reply::Rejected { .. } | Reply::CheckFormer { .. }) if may_have_run => {
                 // An earlier attempt may still be accepted, so that the outcome is unknown.
@@ -312,7 +314,7 @@
         | Reply::Status(_)
         | Reply::Released { .. }
         | Reply::Quota(_)
-        | Reply::QueueNotOpen
+        | Reply::Undecided
         | Reply::CheckFormer { .. }
         | Reply::QueueClosed
         | Reply::QueueKept
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -172,8 +172,9 @@
     Quota(QuotaReply),
     /// The process doesn't own the service, and did nothing.
     NotOwner,
-    /// The job isn't accepted: another service may still accept or have it.
-    QueueNotOpen,
+    /// The owner can't tell whether the job is accepted, or what became of it: another service may
+    /// have it, or its records can't be read.
+    Undecided,
     /// The job isn't accepted before these services have said that they don't know it.
     CheckFormer {
         /// The queue.
@@ -301,6 +302,7 @@
             CallerReply::OtherTeam => Self::OtherTeam,
             CallerReply::Cancelled => Self::Cancelled,
             CallerReply::PendingJobs(count) => Self::Pending(count),
+            CallerReply::Held => Self::Undecided,
             CallerReply::QueueClosed => Self::QueueClosed,
         }
     }
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -130,7 +130,7 @@
         match self.queue_review.gate().admit(route, checked) {
             // Without a route, the shard rejects the job.
             QueueAdmission::Open | QueueAdmission::NoRoute => None,
-            QueueAdmission::NotOpen => Some(Reply::QueueNotOpen),
+            QueueAdmission::NotOpen => Some(Reply::Undecided),
             QueueAdmission::CheckFormer(queue, opening) => Some(Reply::CheckFormer {
                 queue,
                 opening: opening.version,
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -40,6 +40,8 @@
 pub(crate) const POOL_DEMAND: &str = "cyclamentrail_pool_demand_workers";
 /// Accepted work that hasn't started, in seconds of a whole worker.
 pub(crate) const POOL_WAITING: &str = "cyclamentrail_pool_waiting_worker_seconds";
+/// Jobs that a new owner holds because it can't read one of their records.
+pub(crate) const JOBS_HELD: &str = "cyclamentrail_jobs_held_total";
 /// Jobs that teams submitted to a service, accepted or rejected (by reason).
 pub(crate) const TEAM_JOBS: &str = "cyclamentrail_team_jobs_total";
 /// Jobs of teams with tasks that wait for a worker.
@@ -218,6 +220,12 @@
         labels: &["service"],
         help: "Jobs that were given up because workers crashed under one of their tasks.",
     },
+    Metric {
+        name: JOBS_HELD,
+        kind: MetricKind::Counter,
+        labels: &["service"],
+        help: "Jobs that a new owner holds because it can't read one of their records.",
+    },
     Metric {
         name: PROMISES,
         kind: MetricKind::Counter,
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -5,11 +5,11 @@
 use cyclamentrail_jobs::{CommandOutcome, Decision, PoolLoad};
 
 use super::catalog::{
-    ALLOWANCES, CALLERS_REFUSED, JOB_SECONDS, JOBS, JOBS_COMPLETED, JOBS_GIVEN_UP, LINES_DROPPED,
-    LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND, POOL_WAITING, PROMISES, QUOTA_LENDING,
-    QUOTA_REPORTS, QUOTA_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED, SHARD_TAKEOVERS, STARTS,
-    STORE_CALLS, STORE_SECONDS, TASK_WAITS, TOPIC_UNREAD, WORKER_COMMANDS, WORKER_SECONDS,
-    WORKERS_AVOIDED,
+    ALLOWANCES, CALLERS_REFUSED, JOB_SECONDS, JOBS, JOBS_COMPLETED, JOBS_GIVEN_UP, JOBS_HELD,
+    LINES_DROPPED, LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND, POOL_WAITING, PROMISES,
+    QUOTA_LENDING, QUOTA_REPORTS, QUOTA_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED,
+    SHARD_TAKEOVERS, STARTS, STORE_CALLS, STORE_SECONDS, TASK_WAITS, TOPIC_UNREAD, WORKER_COMMANDS,
+    WORKER_SECONDS, WORKERS_AVOIDED,
 };
 
 /// Number of thousandths in one unit, such as milliseconds in a second.
@@ -61,6 +61,9 @@
         Decision::JobGivenUp { .. } => {
             metrics::counter!(JOBS_GIVEN_UP, "service" => service).increment(1);
         }
+        Decision::JobHeld { .. } => {
+            metrics::counter!(JOBS_HELD, "service" => service).increment(1);
+        }
         Decision::AllowanceChanged { change, .. } => {
             let direction = if change.allowance > change.earlier {
                 "raised"
