fix(edge): a submission that another service may have accepted isn't refused

What callers saw, since a submission goes to the owner of its route first: 503 (never runs) for a job that the former service of a moved queue has, where the owner of the new one acted on an earlier configuration, or couldn't store new jobs in an outage. Found in the reading of the change, before any landing.

Cause: the shard's rejection, which is true only once no other service has the job, came before the question whether one may.

Change: the state of the queue is asked first, and an owner to which no route leads by its own configuration says that it can't tell (504) in place of refusing. A held job isn't refused in an outage either. Readers of the log lines: the line of a worker's restart has a function of its own, for its length.

Conclusion: a refusal is said last.

--- a/crates/cyclamentrail-jobs/src/shard/held_jobs.rs
+++ b/crates/cyclamentrail-jobs/src/shard/held_jobs.rs
@@ -4,24 +4,17 @@
 //! itself, so that none of its tasks is started again, nobody is told that it is unknown, and its id
 //! makes no second job. Its records are left as they are: an owner of another version may read them.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use cyclamentrail_core::JobId;
 
 use super::Shard;
 use crate::effect::{CallerId, CallerReply, Decision, Effect};
 
-/// Ids of the jobs that are held, with the keys of records that can't be read.
+/// Ids of the jobs that are held.
 #[derive(Debug, Default)]
 pub(super) struct HeldJobs {
-    keys: BTreeMap<JobId, String>,
-}
-
-impl HeldJobs {
-    /// Returns whether a job is held.
-    pub(super) fn contains(&self, id: &JobId) -> bool {
-        self.keys.contains_key(id)
-    }
+    ids: BTreeSet<JobId>,
 }
 
 impl Shard {
@@ -29,21 +22,21 @@
     pub(super) fn hold_job(&mut self, id: JobId, key: String) {
         let decision = Decision::JobHeld {
             job: id.clone(),
-            key: key.clone(),
+            key,
         };
         self.ready_effects.push(Effect::Log(decision));
-        self.held_jobs.keys.insert(id, key);
+        self.held_jobs.ids.insert(id);
     }
 
-    /// Returns the jobs that are held, each with the key of a record that can't be read.
-    pub fn held_jobs(&self) -> impl Iterator<Item = (&JobId, &str)> {
-        let held = self.held_jobs.keys.iter();
-        held.map(|(id, key)| (id, key.as_str()))
+    /// Returns whether a job is held.
+    #[must_use]
+    pub fn is_held(&self, id: &JobId) -> bool {
+        self.held_jobs.ids.contains(id)
     }
 
     /// Replies to a request about a held job; returns whether the job is held.
     pub(super) fn reply_if_held(&mut self, caller: CallerId, id: &JobId) -> bool {
-        let is_held = self.held_jobs.contains(id);
+        let is_held = self.is_held(id);
         if is_held {
             let reply = Effect::Reply(caller, CallerReply::Held);
             self.ready_effects.push(reply);
--- a/crates/cyclamentrail-jobs/tests/scheduler/unreadable_records.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/unreadable_records.rs
@@ -167,7 +167,7 @@
         value.extend(tail);
         let shard = restored(&sim, damaged);
         for (id, tasks) in &expected {
-            let is_held = shard.held_jobs().any(|(held, _)| held == id);
+            let is_held = shard.is_held(id);
             let found = shard.job(id).map(progress);
             prop_assert!(is_held || found.as_ref() == Some(tasks), "{id}: {found:?}");
         }
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -141,18 +141,7 @@
             Decision::JobHeld { job, key } => {
                 Self::new("job_held").with("job", job).with("key", key)
             }
-            Decision::WorkerRestarted {
-                worker,
-                earlier_started_ms,
-                started_ms,
-                runs,
-                runs_in_doubt,
-            } => Self::new("worker_restarted")
-                .with("worker", worker)
-                .with("earlier_started_ms", earlier_started_ms)
-                .with("started_ms", started_ms)
-                .with("runs", runs)
-                .with("in_doubt", runs_in_doubt),
+            Decision::WorkerRestarted { .. } => restart_line(decision),
             Decision::WorkerAvoided { worker, for_ms } => Self::new("worker_avoided")
                 .with("worker", worker)
                 .with("for_ms", for_ms),
@@ -240,6 +229,25 @@
     }
 }
 
+/// Returns the line of a worker's restart; other decisions have lines of their own.
+fn restart_line(decision: &Decision) -> LogLine {
+    match decision {
+        Decision::WorkerRestarted {
+            worker,
+            earlier_started_ms,
+            started_ms,
+            runs,
+            runs_in_doubt,
+        } => LogLine::new("worker_restarted")
+            .with("worker", worker)
+            .with("earlier_started_ms", earlier_started_ms)
+            .with("started_ms", started_ms)
+            .with("runs", runs)
+            .with("in_doubt", runs_in_doubt),
+        _ => LogLine::new("no_restart"),
+    }
+}
+
 /// Returns the line of a promise to end on time, or of its end; other decisions have lines of their
 /// own.
 fn promise_line(decision: &Decision) -> LogLine {
--- a/crates/cyclamentrail/src/edge/front/job_calls.rs
+++ b/crates/cyclamentrail/src/edge/front/job_calls.rs
@@ -91,8 +91,8 @@
         call_owner(self.process, call, self.deadline, self.attempts).await
     }
 
-    /// Sends a request about a job to the route's service and the former ones, and returns the reply of the one that knows the
-    /// job. The job is unknown if all have replied so.
+    /// Sends a request about a job to the route's service and the former ones, and returns the reply of
+    /// the one that knows the job. The job is unknown if all have replied so.
     async fn call_all(
         &self,
         former: &BTreeSet<ServiceName>,
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -102,15 +102,16 @@
             spec,
             team,
         } = job;
-        let is_new = self.shard.job(&id).is_none();
-        if is_new && self.is_commit_stuck() {
-            self.reject_in_outage(id, reply);
-            return;
-        }
+        let is_new = self.shard.job(&id).is_none() && !self.shard.is_held(&id);
         if is_new && let Some(refusal) = self.queue_refusal(&route, checked) {
             drop(reply.send(refusal));
             return;
         }
+        // Only now: no other service has the job, so that it never runs.
+        if is_new && self.is_commit_stuck() {
+            self.reject_in_outage(id, reply);
+            return;
+        }
         self.waiting_callers.insert(caller, reply);
         let submission = Submission {
             caller,
@@ -128,9 +129,9 @@
     /// Returns why no new job of a route may be accepted now, as far as its queue is concerned.
     fn queue_refusal(&mut self, route: &RouteName, checked: Option<u64>) -> Option<Reply> {
         match self.queue_review.gate().admit(route, checked) {
-            // Without a route, the shard rejects the job.
-            QueueAdmission::Open | QueueAdmission::NoRoute => None,
-            QueueAdmission::NotOpen => Some(Reply::Undecided),
+            QueueAdmission::Open => None,
+            // The configuration of the caller's process may be newer or older.
+            QueueAdmission::NotOpen | QueueAdmission::NoRoute => Some(Reply::Undecided),
             QueueAdmission::CheckFormer(queue, opening) => Some(Reply::CheckFormer {
                 queue,
                 opening: opening.version,
--- a/crates/cyclamentrail/tests/jobs_routes.rs
+++ b/crates/cyclamentrail/tests/jobs_routes.rs
@@ -443,3 +443,37 @@
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
+
+/// A submission of a job that the former service has was refused as one that never runs: by an owner of
+/// the new service that acted on the earlier configuration, or that couldn't store a new job.
+#[rstest]
+#[case::outdated(false)]
+#[case::outage(true)]
+#[tokio::test]
+async fn known_job_never_refused(#[case] is_outage: bool) -> Result<()> {
+    let mut site = start(0).await?;
+    let view = site.store.view().await?;
+    let both = [("r", PREFIX, JOB_SERVICE), ("s", "/s/", OTHER_SERVICE)];
+    put_routes(&site, 4, &both);
+    site.add_process_at("n0", view.address())?;
+    begin_job(&site, JOB).await?;
+    while site.store.newest(OWNERS_TOPIC, OTHER_SERVICE).is_none() {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    view.set_unreadable(OPERATORS_TOPIC, !is_outage);
+    site.add_process("n1")?;
+    wait_configured(site.processes[1].1).await?;
+    set_routes(&site, 5, &[("r", PREFIX, OTHER_SERVICE)]).await;
+    site.store.set_down(is_outage);
+    let end = Instant::now() + Duration::from_secs(3);
+    while Instant::now() < end {
+        let (status, _) = site.call(1, Method::POST, JOB, two_steps()).await?;
+        let is_true = [StatusCode::OK, StatusCode::GATEWAY_TIMEOUT].contains(&status);
+        ensure!(is_true, "the repetition has {status}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    site.store.set_down(false);
+    view.set_unreadable(OPERATORS_TOPIC, false);
+    wait_known_completed(&site, JOB).await?;
+    site.check_done_once(JOB, 2)
+}
