fix(edge): a queue is opened again by a configuration that keeps its version

What callers saw: after a configuration that lacked a queue was corrected under its version, submissions to the queue got 504 for good. Found in the reading of the change, before any landing.

Cause: openings and closings were ordered by the version alone. A configuration may replace one with the same version, so that the queue stayed closed for that version.

Change: ConfigurationOrder, the version and, within one, the offset of the record in the operators' topic.

Conclusion: what rises with each configuration is its place, not its version.

--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -80,7 +80,9 @@
 pub use lease::{ClockSample, Lease};
 pub use newest_configuration::{ConfigurationStep, NewestConfiguration};
 pub use owner_capacity::{MachineLimits, OwnerCapacity, leaves_shards_to_others};
-pub use queue_gate::{Opening, QueueAdmission, QueueClosing, QueueGate, QueueId};
+pub use queue_gate::{
+    ConfigurationOrder, Opening, QueueAdmission, QueueClosing, QueueGate, QueueId,
+};
 pub use quota::{
     AllowanceChange, Allowances, Grantee, Ledger, MAX_CHANGED_TEAMS, QuotaReply, QuotaReport,
     TeamReport, WHOLE_CAP, base_share, cap_share, is_limited, largest_allowance, may_start,
--- a/crates/cyclamentrail-jobs/src/queue_gate.rs
+++ b/crates/cyclamentrail-jobs/src/queue_gate.rs
@@ -32,12 +32,23 @@
     }
 }
 
+/// Place of a configuration among all that operators wrote: a later one has a higher version, or
+/// replaces one with the same version.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ConfigurationOrder {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Offset of its record in the operators' topic.
+    pub offset: u64,
+}
+
 /// How an owner came to accept the jobs of a queue.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Opening {
-    /// Version of the configuration by which the queue was opened. No later opening at the same service
-    /// has it.
-    pub version: u64,
+    /// Configuration by which the queue was opened. No later opening at the same service has it.
+    pub order: ConfigurationOrder,
     /// Services that have closed the queue and may have jobs of it.
     pub former: BTreeSet<ServiceName>,
 }
@@ -46,17 +57,15 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum QueueState {
     Open(Opening),
-    /// The queue may be opened only by a configuration later than this version.
-    Closed {
-        version: u64,
-    },
+    /// The queue may be opened only by a configuration later than this one.
+    Closed(ConfigurationOrder),
 }
 
 /// Stored form of a queue's state.
 #[derive(Debug, Serialize, Deserialize)]
 struct QueueRecord {
     queue: QueueId,
-    version: u64,
+    order: ConfigurationOrder,
     /// Former services of an open queue; `None` if it is closed.
     former: Option<BTreeSet<ServiceName>>,
 }
@@ -87,8 +96,8 @@
 /// Queues of one service: those that lead to it, and those that it has opened or closed.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct QueueGate {
-    /// Version of the configuration; 0 before one is known.
-    version: u64,
+    /// The configuration in force; `None` before one is known.
+    in_force: Option<ConfigurationOrder>,
     configured: BTreeMap<RouteName, QueueId>,
     states: BTreeMap<QueueId, QueueState>,
 }
@@ -108,12 +117,12 @@
         }
         let QueueRecord {
             queue,
-            version,
+            order,
             former,
         } = decode(&record.value)?;
         let state = match former {
-            Some(former) => QueueState::Open(Opening { version, former }),
-            None => QueueState::Closed { version },
+            Some(former) => QueueState::Open(Opening { order, former }),
+            None => QueueState::Closed(order),
         };
         self.states.insert(queue, state);
         Ok(true)
@@ -124,13 +133,13 @@
     #[must_use]
     pub fn configure(
         &mut self,
-        version: u64,
+        order: ConfigurationOrder,
         routes: impl IntoIterator<Item = (RouteName, QueueId)>,
     ) -> Vec<KeyedRecord> {
-        if version < self.version {
+        if Some(order) < self.in_force {
             return Vec::new();
         }
-        self.version = version;
+        self.in_force = Some(order);
         self.configured = routes.into_iter().collect();
         let left: Vec<QueueId> = self
             .open_queues()
@@ -138,14 +147,14 @@
             .cloned()
             .collect();
         left.into_iter()
-            .map(|queue| self.set(queue, QueueState::Closed { version }))
+            .map(|queue| self.set(queue, QueueState::Closed(order)))
             .collect()
     }
 
-    /// Returns the version of the configuration in force; 0 before one is known.
+    /// Returns the configuration in force; `None` before one is known.
     #[must_use]
-    pub const fn version(&self) -> u64 {
-        self.version
+    pub const fn in_force(&self) -> Option<ConfigurationOrder> {
+        self.in_force
     }
 
     /// Returns the queues that the configuration gives to the service and that it hasn't opened. One that
@@ -155,7 +164,7 @@
         let is_due = |queue: &&QueueId| match self.states.get(*queue) {
             None => true,
             Some(QueueState::Open(_)) => false,
-            Some(QueueState::Closed { version }) => *version < self.version,
+            Some(QueueState::Closed(closed)) => Some(*closed) < self.in_force,
         };
         let configured = self.configured.values();
         configured.filter(is_due).cloned().collect()
@@ -170,51 +179,48 @@
             .map(|(queue, _)| queue)
     }
 
-    /// Opens a queue after all other services in `former` have closed it for the configuration with a
-    /// version. Returns the record that must be durable no later than the first accepted job, or `None`
+    /// Opens a queue after all other services in `former` have closed it for a configuration. Returns the record that must be durable no later than the first accepted job, or `None`
     /// if the queue has been closed since, leads elsewhere by now, or is open already.
     #[must_use]
     pub fn open(
         &mut self,
         queue: &QueueId,
-        version: u64,
+        order: ConfigurationOrder,
         former: BTreeSet<ServiceName>,
     ) -> Option<KeyedRecord> {
         let is_closed_since = match self.states.get(queue) {
             None => false,
             Some(QueueState::Open(_)) => true,
-            Some(QueueState::Closed { version: closed }) => *closed >= version,
+            Some(QueueState::Closed(closed)) => *closed >= order,
         };
         if is_closed_since || !self.leads_here(queue) {
             return None;
         }
-        let opening = Opening { version, former };
+        let opening = Opening { order, former };
         Some(self.set(queue.clone(), QueueState::Open(opening)))
     }
 
-    /// Closes a queue for the owner to which a configuration with a version gives it.
+    /// Closes a queue for the owner to which a configuration gives it.
     #[must_use]
-    pub fn close(&mut self, queue: &QueueId, version: u64) -> QueueClosing {
-        if version <= self.version && self.leads_here(queue) {
+    pub fn close(&mut self, queue: &QueueId, order: ConfigurationOrder) -> QueueClosing {
+        if Some(order) <= self.in_force && self.leads_here(queue) {
             return QueueClosing::Outdated;
         }
         // An opening that is under way was begun by the configuration in force or an earlier one, and may
         // not have met the owner that asks: it has to be begun anew.
-        let closed = version.max(self.version);
-        let closed = match self.states.get(queue) {
-            Some(QueueState::Closed { version }) => closed.max(*version),
-            _ => closed,
-        };
-        let state = QueueState::Closed { version: closed };
-        QueueClosing::Closed(self.set(queue.clone(), state))
+        let mut closed = order.max(self.in_force.unwrap_or_default());
+        if let Some(QueueState::Closed(earlier)) = self.states.get(queue) {
+            closed = closed.max(*earlier);
+        }
+        QueueClosing::Closed(self.set(queue.clone(), QueueState::Closed(closed)))
     }
 
-    /// Returns whether the queue was closed for the opening with a version elsewhere, or a later one: no
-    /// owner of this service accepts another job of it before it is closed there.
+    /// Returns whether the queue was closed for its opening elsewhere by a configuration, or for a later
+    /// one: no owner of this service accepts another job of it before it is closed there.
     #[must_use]
-    pub fn is_closed_for(&self, queue: &QueueId, version: u64) -> bool {
+    pub fn is_closed_for(&self, queue: &QueueId, order: ConfigurationOrder) -> bool {
         let state = self.states.get(queue);
-        matches!(state, Some(QueueState::Closed { version: closed }) if *closed >= version)
+        matches!(state, Some(QueueState::Closed(closed)) if *closed >= order)
     }
 
     /// Keeps only those former services of the open queues that may still have jobs of them.
@@ -227,21 +233,22 @@
     }
 
     /// Returns whether a job that the shard doesn't know may be accepted by a route. `checked` is the
-    /// version of the opening after which the former services were asked for the job, if they were.
+    /// configuration of the opening after which the former services were asked for the job, if they
+    /// were.
     #[must_use]
-    pub fn admit(&self, route: &RouteName, checked: Option<u64>) -> QueueAdmission {
+    pub fn admit(&self, route: &RouteName, checked: Option<ConfigurationOrder>) -> QueueAdmission {
         let Some(queue) = self.configured.get(route) else {
             return QueueAdmission::NoRoute;
         };
         match self.states.get(queue) {
             Some(QueueState::Open(opening)) => {
-                if opening.former.is_empty() || checked == Some(opening.version) {
+                if opening.former.is_empty() || checked == Some(opening.order) {
                     QueueAdmission::Open
                 } else {
                     QueueAdmission::CheckFormer(queue.clone(), opening.clone())
                 }
             }
-            Some(QueueState::Closed { .. }) | None => QueueAdmission::NotOpen,
+            Some(QueueState::Closed(_)) | None => QueueAdmission::NotOpen,
         }
     }
 
@@ -251,13 +258,13 @@
 
     /// Sets the state of a queue; returns its record.
     fn set(&mut self, queue: QueueId, state: QueueState) -> KeyedRecord {
-        let (version, former) = match &state {
-            QueueState::Open(opening) => (opening.version, Some(opening.former.clone())),
-            QueueState::Closed { version } => (*version, None),
+        let (order, former) = match &state {
+            QueueState::Open(opening) => (opening.order, Some(opening.former.clone())),
+            QueueState::Closed(order) => (*order, None),
         };
         let record = QueueRecord {
             queue: queue.clone(),
-            version,
+            order,
             former,
         };
         let record = KeyedRecord {
--- a/crates/cyclamentrail-spec/src/queue_move.rs
+++ b/crates/cyclamentrail-spec/src/queue_move.rs
@@ -8,7 +8,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cyclamentrail_core::{RouteName, ServiceName};
-use cyclamentrail_jobs::{KeyedRecord, QueueAdmission, QueueClosing, QueueGate, QueueId};
+use cyclamentrail_jobs::{
+    ConfigurationOrder, KeyedRecord, QueueAdmission, QueueClosing, QueueGate, QueueId,
+};
 
 use crate::explore::{Model, Violation};
 
@@ -178,7 +180,7 @@
     fn may_withdraw(&self, state: &QueueMoveState, service: usize) -> bool {
         let Service { owner, has_job, .. } = &state.services[service];
         let is_stored = owner.unstored.is_none() || self.has_fault(QueueMoveFault::WithdrawnEarly);
-        let version = owner.gate.version();
+        let version = version_of(&owner.gate);
         owner.stage == Stage::Idle
             && is_stored
             && !has_job
@@ -192,7 +194,7 @@
     fn publish(&self, state: &mut QueueMoveState, service: usize) {
         let has_other = state.is_published(1 - service);
         let owner = &mut state.services[service].owner;
-        let version = owner.gate.version();
+        let version = version_of(&owner.gate);
         owner.stage = if self.has_fault(QueueMoveFault::OpenedUnpublished) {
             Stage::Published { version }
         } else {
@@ -275,7 +277,7 @@
     fn close(&self, state: &mut QueueMoveState, request: CloseRequest) {
         state.close_requests.remove(&request);
         let owner = &mut state.services[1 - request.from].owner;
-        match owner.gate.close(&queue(), request.version) {
+        match owner.gate.close(&queue(), order(request.version)) {
             QueueClosing::Outdated if self.has_fault(QueueMoveFault::LaterVersionIgnored) => {
                 state.finish_closing(request);
             }
@@ -299,7 +301,7 @@
         let former = is_asked.then(|| ServiceName::from(SERVICES[1 - service]));
         let record = owner
             .gate
-            .open(&queue(), version, former.into_iter().collect());
+            .open(&queue(), order(version), former.into_iter().collect());
         if let Some(record) = record {
             owner.unstored = Some(record.value);
         }
@@ -313,12 +315,12 @@
         let is_other_published = state.is_published(1 - service);
         let gate = &mut state.services[service].owner.gate;
         gate.retain_former(|_, _| is_other_published);
-        match gate.admit(&route(), checked) {
+        match gate.admit(&route(), checked.map(order)) {
             QueueAdmission::Open => state.accept(service),
             QueueAdmission::CheckFormer(_, opening) if state.front == Front::Idle => {
                 state.front = Front::Asking {
                     service,
-                    opening: opening.version,
+                    opening: opening.order.version,
                 };
             }
             _ => {}
@@ -339,7 +341,7 @@
             let is_stored = other.owner.unstored.is_none();
             (&other.owner.gate, is_stored, other.has_job)
         };
-        let is_proved = is_stored && gate.is_closed_for(&queue(), opening);
+        let is_proved = is_stored && gate.is_closed_for(&queue(), order(opening));
         (is_proved || self.has_fault(QueueMoveFault::LookupBeforeClosing)).then_some(has_job)
     }
 
@@ -351,7 +353,7 @@
         actions: &mut Vec<QueueMoveAction>,
     ) {
         let owner = &state.services[service].owner;
-        let later = owner.gate.version() + 1..=state.version;
+        let later = version_of(&owner.gate) + 1..=state.version;
         actions.extend(later.map(|version| QueueMoveAction::Learn(service, version)));
         if owner.unstored.is_some() {
             actions.push(QueueMoveAction::Commit(service));
@@ -426,7 +428,9 @@
 
     fn learn(&mut self, service: usize, version: u64) {
         let owner = &mut self.services[service].owner;
-        let left = owner.gate.configure(version, routes(version, service));
+        let left = owner
+            .gate
+            .configure(order(version), routes(version, service));
         if let Some(record) = left.into_iter().next() {
             owner.unstored = Some(record.value);
         }
@@ -476,6 +480,15 @@
     leads_to(version, service).then(|| (route(), queue()))
 }
 
+fn order(version: u64) -> ConfigurationOrder {
+    ConfigurationOrder { version, offset: 0 }
+}
+
+/// Returns the version of an owner's configuration; 0 before it has read one.
+fn version_of(gate: &QueueGate) -> u64 {
+    gate.in_force().map_or(0, |order| order.version)
+}
+
 fn is_open(gate: &QueueGate) -> bool {
     gate.open_queues().next().is_some()
 }
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -4,8 +4,8 @@
 
 use cyclamentrail_core::{JobId, RouteName, ServiceName, TeamName, WorkerId};
 use cyclamentrail_jobs::{
-    CallerReply, JobSpec, JobState, PoolLoad, QueueId, QuotaReply, QuotaReport, RejectReason,
-    WorkerTaskCounts,
+    CallerReply, ConfigurationOrder, JobSpec, JobState, PoolLoad, QueueId, QuotaReply, QuotaReport,
+    RejectReason, WorkerTaskCounts,
 };
 use serde::{Deserialize, Serialize};
 
@@ -49,8 +49,8 @@
     Evacuate(Vec<WorkerId>),
     /// Accepts a job that the former services of its queue don't know.
     SubmitChecked {
-        /// Version of the queue's opening after which these services were asked.
-        opening: u64,
+        /// Configuration of the queue's opening after which these services were asked.
+        opening: ConfigurationOrder,
         /// The job.
         job: SubmittedJob,
     },
@@ -58,8 +58,8 @@
     FindFormer {
         /// Queue of the job.
         queue: QueueId,
-        /// Version of the queue's opening elsewhere, for which the service must have closed it.
-        opening: u64,
+        /// Configuration of its opening elsewhere, for which the service must have closed it.
+        opening: ConfigurationOrder,
         /// The job.
         job: JobRequest,
     },
@@ -67,8 +67,8 @@
     CloseQueue {
         /// The queue.
         queue: QueueId,
-        /// Version of the configuration.
-        version: u64,
+        /// The configuration.
+        order: ConfigurationOrder,
     },
     /// Reports to the ledger of the teams' quota, which the owner of [`FLEET_SHARD`] keeps. Returns the
     /// allowances that change.
@@ -179,8 +179,8 @@
     CheckFormer {
         /// The queue.
         queue: QueueId,
-        /// Version of its opening.
-        opening: u64,
+        /// Configuration of its opening.
+        opening: ConfigurationOrder,
         /// Services that have closed the queue and may have the job.
         former: Vec<ServiceName>,
     },
--- a/crates/cyclamentrail/src/edge/operator_topic.rs
+++ b/crates/cyclamentrail/src/edge/operator_topic.rs
@@ -73,7 +73,8 @@
     let configuration = decode_configuration(&record.value);
     let version = configuration.as_ref().map(|read| read.version);
     match (newest.read(record.offset, version), configuration) {
-        (ConfigurationStep::Apply, Some(configuration)) => {
+        (ConfigurationStep::Apply, Some(mut configuration)) => {
+            configuration.offset = record.offset;
             apply_configuration(process, configuration);
         }
         (ConfigurationStep::KeepNewer, _) => {
--- a/crates/cyclamentrail/src/edge/owner/queues.rs
+++ b/crates/cyclamentrail/src/edge/owner/queues.rs
@@ -10,7 +10,9 @@
 
 use cyclamentrail_adapter::Configuration;
 use cyclamentrail_core::{RouteName, ServiceName};
-use cyclamentrail_jobs::{CallerId, CallerReply, KeyedRecord, QueueClosing, QueueGate, QueueId};
+use cyclamentrail_jobs::{
+    CallerId, CallerReply, ConfigurationOrder, KeyedRecord, QueueClosing, QueueGate, QueueId,
+};
 use futures_util::future::join_all;
 use tokio::time::Instant;
 
@@ -80,14 +82,14 @@
     /// The record, if an earlier publication has written it and not all queues could be opened.
     written: Option<WrittenQueues>,
     due: BTreeSet<QueueId>,
-    /// Version of the configuration that gives the due ones to the service.
-    version: u64,
+    /// The configuration that gives the due ones to the service.
+    order: ConfigurationOrder,
 }
 
 /// Result of a publication.
 #[derive(Debug)]
 pub(crate) struct PublishedQueues {
-    version: u64,
+    order: ConfigurationOrder,
     /// Queues that may be opened, with the services that have closed them.
     opened: Vec<(QueueId, BTreeSet<ServiceName>)>,
     /// The record that was written or had been before.
@@ -104,7 +106,11 @@
             .iter()
             .map(|queue| (queue.route.clone(), queue.id()));
         let gate = &mut self.queue_review.gate;
-        let closed = gate.configure(configuration.version, routes);
+        let order = ConfigurationOrder {
+            version: configuration.version,
+            offset: configuration.offset,
+        };
+        let closed = gate.configure(order, routes);
         if !closed.is_empty() {
             log::info!(
                 shard:% = self.service, version = configuration.version, queues = closed.len();
@@ -170,13 +176,13 @@
         for (queue, former) in published.opened {
             let former_count = former.len();
             let gate = &mut self.queue_review.gate;
-            let Some(record) = gate.open(&queue, published.version, former) else {
+            let Some(record) = gate.open(&queue, published.order, former) else {
                 continue;
             };
             self.shard.store(record);
             log::info!(
                 shard:% = self.service, host = &*queue.host, prefix = &*queue.path_prefix,
-                version = published.version, former = former_count;
+                version = published.order.version, former = former_count;
                 "queue_opened"
             );
         }
@@ -186,14 +192,15 @@
     pub(super) fn close_queue(
         &mut self,
         queue: &QueueId,
-        version: u64,
+        order: ConfigurationOrder,
         caller: CallerId,
     ) -> Option<Reply> {
-        let QueueClosing::Closed(record) = self.queue_review.gate.close(queue, version) else {
+        let QueueClosing::Closed(record) = self.queue_review.gate.close(queue, order) else {
             return Some(Reply::QueueKept);
         };
         log::info!(
-            shard:% = self.service, host = &*queue.host, prefix = &*queue.path_prefix, version = version;
+            shard:% = self.service, host = &*queue.host, prefix = &*queue.path_prefix,
+            version = order.version;
             "queue_closed"
         );
         self.shard
@@ -202,7 +209,7 @@
     }
 
     /// Returns whether the closing of a queue, for its opening elsewhere, is durable.
-    pub(super) fn has_closed(&self, queue: &QueueId, opening: u64) -> bool {
+    pub(super) fn has_closed(&self, queue: &QueueId, opening: ConfigurationOrder) -> bool {
         self.queue_review.gate.is_closed_for(queue, opening) && self.shard.has_stored_all()
     }
 
@@ -249,7 +256,7 @@
             queues,
             written,
             due,
-            version: review.gate.version(),
+            order: review.gate.in_force().unwrap_or_default(),
         };
         let sender = self.sender.clone();
         tokio::spawn(async move {
@@ -265,7 +272,7 @@
     /// that service asks in turn.
     async fn carry_out(self, process: &ProcessState) -> PublishedQueues {
         let mut published = PublishedQueues {
-            version: self.version,
+            order: self.order,
             opened: Vec::new(),
             written: self.written.clone(),
             is_complete: false,
@@ -288,7 +295,7 @@
         let closings = self
             .due
             .iter()
-            .map(|queue| close_elsewhere(process, service, queue, self.version));
+            .map(|queue| close_elsewhere(process, service, queue, self.order));
         let closings = join_all(closings).await;
         published.is_complete = closings.iter().all(Option::is_some);
         let opened = self.due.into_iter().zip(closings);
@@ -322,7 +329,7 @@
     process: &ProcessState,
     service: &ServiceName,
     queue: &QueueId,
-    version: u64,
+    order: ConfigurationOrder,
 ) -> Option<BTreeSet<ServiceName>> {
     let directory = &process.queue_directory;
     let others = directory.other_services(&queue.host, &queue.path_prefix, service);
@@ -331,14 +338,14 @@
             service: other.clone(),
             request: OwnerRequest::CloseQueue {
                 queue: queue.clone(),
-                version,
+                order,
             },
         };
         let reply = call_owner(process, call, CLOSE_TIMEOUT).await;
         let is_closed = matches!(reply, Some(Reply::QueueClosed));
         if !is_closed {
             log::warn!(
-                shard:% = service, other:% = other, prefix = &*queue.path_prefix, version,
+                shard:% = service, other:% = other, prefix = &*queue.path_prefix, version = order.version,
                 is_kept = matches!(reply, Some(Reply::QueueKept));
                 "queue_open_elsewhere"
             );
--- a/crates/cyclamentrail/src/edge/owner/requests.rs
+++ b/crates/cyclamentrail/src/edge/owner/requests.rs
@@ -4,7 +4,7 @@
 
 use cyclamentrail_core::{JobId, RouteName, WorkerId};
 use cyclamentrail_jobs::{
-    CallerId, CallerReply, Decision, QueueAdmission, RejectReason, Submission,
+    CallerId, CallerReply, ConfigurationOrder, Decision, QueueAdmission, RejectReason, Submission,
     retry_after_outage_ms, retry_seed,
 };
 use tokio::sync::oneshot;
@@ -40,8 +40,8 @@
             OwnerRequest::SubmitChecked { opening, job } => {
                 self.submit(caller, job, Some(opening), reply);
             }
-            OwnerRequest::CloseQueue { queue, version } => {
-                match self.close_queue(&queue, version, caller) {
+            OwnerRequest::CloseQueue { queue, order } => {
+                match self.close_queue(&queue, order, caller) {
                     Some(refusal) => drop(reply.send(refusal)),
                     None => {
                         self.waiting_callers.insert(caller, reply);
@@ -93,7 +93,7 @@
         &mut self,
         caller: CallerId,
         job: SubmittedJob,
-        checked: Option<u64>,
+        checked: Option<ConfigurationOrder>,
         reply: oneshot::Sender<Reply>,
     ) {
         let SubmittedJob {
@@ -127,14 +127,18 @@
     }
 
     /// Returns why no new job of a route may be accepted now, as far as its queue is concerned.
-    fn queue_refusal(&mut self, route: &RouteName, checked: Option<u64>) -> Option<Reply> {
+    fn queue_refusal(
+        &mut self,
+        route: &RouteName,
+        checked: Option<ConfigurationOrder>,
+    ) -> Option<Reply> {
         match self.queue_review.gate().admit(route, checked) {
             QueueAdmission::Open => None,
             // The configuration of the caller's process may be newer or older.
             QueueAdmission::NotOpen | QueueAdmission::NoRoute => Some(Reply::Undecided),
             QueueAdmission::CheckFormer(queue, opening) => Some(Reply::CheckFormer {
                 queue,
-                opening: opening.version,
+                opening: opening.order,
                 former: opening.former.into_iter().collect(),
             }),
         }
--- a/crates/cyclamentrail/tests/jobs_routes.rs
+++ b/crates/cyclamentrail/tests/jobs_routes.rs
@@ -477,3 +477,15 @@
     wait_known_completed(&site, JOB).await?;
     site.check_done_once(JOB, 2)
 }
+
+/// A configuration that was corrected under its version must bring the queue back.
+#[tokio::test]
+async fn corrected_configuration_serves() -> Result<()> {
+    let site = start(1).await?;
+    begin_job(&site, JOB).await?;
+    set_routes(&site, 4, &[("s", "/s/", OTHER_SERVICE)]).await;
+    set_routes(&site, 4, &[("r", PREFIX, JOB_SERVICE)]).await;
+    site.submit(0, NEW_JOB, 1).await?;
+    wait_known_completed(&site, NEW_JOB).await?;
+    wait_known_completed(&site, JOB).await
+}
