--- a/crates/cyclamentrail-jobs/src/queue_gate.rs
+++ b/crates/cyclamentrail-jobs/src/queue_gate.rs
@@ -179,8 +179,10 @@
             .map(|(queue, _)| queue)
     }
 
-    /// Opens a queue after all other services in `former` have closed it for a configuration. Returns the record that must be durable no later than the first accepted job, or `None`
-    /// if the queue has been closed since, leads elsewhere by now, or is open already.
+    /// Opens a queue after all other services in `former` have closed it for a configuration.
+    ///
+    /// Returns the record that must be durable no later than the first accepted job, or `None` if the
+    /// queue has been closed since, leads elsewhere by now, or is open already.
     #[must_use]
     pub fn open(
         &mut self,
