test(review): case 7, a worker is sent no start any more

Cause: a start that waits in a worker's queue stays there when its task is placed elsewhere. It is then counted to the old worker and taken off the new one's count; three of these fill the old worker's limit for good.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -7,12 +7,14 @@
 use crate::site::WorkerPlan;
 
 mod given_up;
+mod starts_withheld;
 
 /// Runs a case and exits with its result.
 pub fn run(name: &str, folder: &Path) -> ! {
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     match name {
         "given-up" => given_up::run(folder, has_trouble),
+        "starts-withheld" => starts_withheld::run(folder, has_trouble),
         _ => {
             eprintln!("unknown case {name}");
             exit(2)
