test(review): case 8, jobs wait for one worker after a crash

Cause: tasks that were on a worker when it crashed wait for a worker without other tasks. Tasks that last hold all others for good.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -8,6 +8,7 @@
 
 mod given_up;
 mod starts_withheld;
+mod starved;
 
 /// Runs a case and exits with its result.
 pub fn run(name: &str, folder: &Path) -> ! {
@@ -15,6 +16,7 @@
     match name {
         "given-up" => given_up::run(folder, has_trouble),
         "starts-withheld" => starts_withheld::run(folder, has_trouble),
+        "starved" => starved::run(folder, has_trouble),
         _ => {
             eprintln!("unknown case {name}");
             exit(2)
