test(review): case 10, a job with many times past hangs the processes

Cause: `begin_occurrences` calls `mark_known_suspects` once for each occurrence that it begins, each time over all tasks of the job, on the thread that serves calls.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -7,6 +7,7 @@
 use crate::site::WorkerPlan;
 
 mod given_up;
+mod overdue;
 mod stale_stop;
 mod starts_withheld;
 mod starved;
@@ -16,6 +17,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     match name {
         "given-up" => given_up::run(folder, has_trouble),
+        "overdue" => overdue::run(folder, has_trouble),
         "stale-stop" => stale_stop::run(folder, has_trouble),
         "starts-withheld" => starts_withheld::run(folder, has_trouble),
         "starved" => starved::run(folder, has_trouble),
