test(review): choose ports that no outgoing connection takes

Cause: one of 14 plays with other scripts beside it couldn't start, as a port that had been found free was taken before the stand-in listened on it.

Change: ports come from 10,000 to 29,999, below those that the system gives to outgoing connections, and the search begins elsewhere in each process.

--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -83,21 +83,24 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the listener is bound")
-}
-
-/// Returns the first of two free ports that follow each other.
-fn free_port_pair() -> u16 {
+/// Returns a free port below those that the system gives to outgoing connections. The search begins at
+/// another port in each process.
+fn free_port(count: u16) -> u16 {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let first = std::process::id() as usize * 101;
     loop {
-        let first = free_address().port();
-        if first < u16::MAX && TcpListener::bind(("127.0.0.1", first + 1)).is_ok() {
-            return first;
+        let offset = (first + NEXT.fetch_add(usize::from(count), Ordering::Relaxed)) % 20_000;
+        let port = 10_000 + offset as u16;
+        if (port..port + count).all(|port| TcpListener::bind(("127.0.0.1", port)).is_ok()) {
+            return port;
         }
     }
 }
 
+fn free_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], free_port(1)))
+}
+
 impl Site {
     /// Starts the store, the workers and `edges` of the project's processes, writes a configuration with
     /// one queue, and waits until all processes are ready.
@@ -177,7 +180,7 @@
     fn start_edge(&mut self, index: usize, cloud: SocketAddr) {
         let name = format!("edge-{index}");
         let [front, ready, control] = std::array::from_fn(|_| free_address());
-        let internal = free_port_pair();
+        let internal = free_port(2);
         let path = self.folder.join(format!("{name}.conf"));
         let text = settings(&name, [front, ready, control], internal, self.store, cloud);
         fs::write(&path, text).expect("the settings are written");
