--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -464,8 +464,12 @@
 
     /// Writes the record, ends all processes and exits with what the case showed.
     pub fn finish(&self, is_broken: bool, verdict: &str) -> ! {
-        let result = if is_broken { "broken" } else { "held" };
-        self.note(&format!("LOST {result}: {verdict}"));
+        let result = if is_broken {
+            "the rule is broken"
+        } else {
+            "the rule held"
+        };
+        self.note(&format!("{result}: {verdict}"));
         self.write_record();
         kill_all(&self.children);
         if std::env::var("KEEP_LOGS").is_err() {
