fix(jobs): a job with many times past no longer stops the processes

Cause: all due occurrences of a job began in one round, and the suspects among the job's tasks were looked for once for each of them, over all its tasks. With 100,000 times past that takes the square of it on the thread that answers calls. Callers of all jobs got no answer; each process that got the submission again hung as well. Ruled out: the store and the placement, which come later.

Change: due occurrences begin in their order while fewer than 256 of the job's ready tasks wait for a worker and at most 20,000 are unfinished; a round begins some 4,096 tasks and the next one goes on with the job after the last. A round places 1,024 tasks at most. Related paths: room for a gang is counted before its members are placed, a step keeps the count of its done tasks, an occurrence is found by its number, due times don't overflow.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -196,6 +196,8 @@
 pub struct StepProgress {
     /// Tasks of the step, by index.
     pub tasks: Vec<Task>,
+    /// Number of `tasks` that are done.
+    done_tasks: usize,
     /// Checkpoint from which all members of a gang start in their present runs; empty for a start from
     /// the beginning, and where an earlier owner started them.
     pub gang_checkpoint: Arc<str>,
@@ -205,12 +207,38 @@
     /// Creates the progress of a step that hasn't started.
     #[must_use]
     pub fn new(spec: &StepSpec) -> Self {
+        Self::restored(vec![Task::default(); spec.count as usize])
+    }
+
+    /// Creates the progress of a step from the progress of its tasks.
+    pub(crate) fn restored(tasks: Vec<Task>) -> Self {
         Self {
-            tasks: vec![Task::default(); spec.count as usize],
+            done_tasks: tasks.iter().filter(|task| task.is_done).count(),
+            tasks,
             gang_checkpoint: Arc::from(""),
         }
     }
 
+    /// Marks a task as done.
+    pub(crate) fn finish_task(&mut self, index: u32) {
+        if let Some(task) = self
+            .tasks
+            .get_mut(index as usize)
+            .filter(|task| !task.is_done)
+        {
+            task.is_done = true;
+            self.done_tasks += 1;
+        }
+    }
+
+    /// Marks all tasks as done.
+    pub(crate) fn finish_all_tasks(&mut self) {
+        for task in &mut self.tasks {
+            task.is_done = true;
+        }
+        self.done_tasks = self.tasks.len();
+    }
+
     /// Chooses the checkpoint from which all members of a gang start next: one that a member has
     /// reported since they started last, if there is one.
     pub(crate) fn choose_gang_checkpoint(&mut self) {
@@ -226,14 +254,20 @@
 
     /// Returns whether all tasks of the step are done.
     #[must_use]
-    pub fn is_done(&self) -> bool {
-        self.tasks.iter().all(|task| task.is_done)
+    pub const fn is_done(&self) -> bool {
+        self.done_tasks == self.tasks.len()
+    }
+
+    /// Returns the number of tasks that aren't done.
+    #[must_use]
+    pub const fn unfinished_tasks(&self) -> u64 {
+        (self.tasks.len() - self.done_tasks) as u64
     }
 
     /// Returns whether a task isn't done and isn't placed on a worker.
     #[must_use]
     pub fn has_unplaced(&self) -> bool {
-        self.tasks.iter().any(Task::is_waiting)
+        !self.is_done() && self.tasks.iter().any(Task::is_waiting)
     }
 
     /// Returns the number of tasks that aren't done and aren't placed on a worker.
@@ -315,9 +349,10 @@
     pub has_started: bool,
     /// Unix time at which this owner first placed a task of the job, in milliseconds.
     pub first_placed_ms: Option<u64>,
-    /// Occurrences that are due, and aren't done or still have runs that haven't ended.
+    /// Occurrences that have begun, and aren't done or still have runs that haven't ended, in the
+    /// order of their numbers.
     pub occurrences: Vec<Occurrence>,
-    /// Number of the next occurrence that will become due.
+    /// Number of the next occurrence that will begin.
     pub next_occurrence: u32,
     /// State that callers are given; it follows [`Job::state`] once that state is durable.
     pub durable_state: JobState,
@@ -384,7 +419,8 @@
         self.spec
             .schedule
             .map_or(self.accepted_ms, |schedule: Schedule| {
-                schedule.first_ms + u64::from(occurrence) * schedule.interval_ms
+                let after_ms = u64::from(occurrence).saturating_mul(schedule.interval_ms);
+                schedule.first_ms.saturating_add(after_ms)
             })
     }
 
@@ -422,9 +458,30 @@
     /// Returns an occurrence by its number.
     #[must_use]
     pub fn occurrence(&self, number: u32) -> Option<&Occurrence> {
+        self.occurrences.get(self.occurrence_index(number)?)
+    }
+
+    /// Returns an occurrence by its number, for changes.
+    pub(crate) fn occurrence_mut(&mut self, number: u32) -> Option<&mut Occurrence> {
+        let index = self.occurrence_index(number)?;
+        self.occurrences.get_mut(index)
+    }
+
+    fn occurrence_index(&self, number: u32) -> Option<usize> {
         self.occurrences
-            .iter()
-            .find(|occurrence| occurrence.number == number)
+            .binary_search_by_key(&number, |occurrence| occurrence.number)
+            .ok()
+    }
+
+    /// Drops the occurrences that are done and have no runs left, but for a single one; returns whether
+    /// there were any.
+    pub(crate) fn drop_finished_occurrences(&mut self) -> bool {
+        let count_before = self.occurrences.len();
+        if count_before > 1 {
+            self.occurrences
+                .retain(|occurrence| !occurrence.is_done() || occurrence.has_placements());
+        }
+        self.occurrences.len() < count_before
     }
 
     /// Returns all tasks of the job, which has the key `job`, with the key of each.
@@ -458,9 +515,7 @@
 
     /// Returns a mutable task by its key, if its occurrence is still kept.
     pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
-        self.occurrences
-            .iter_mut()
-            .find(|occurrence| occurrence.number == key.occurrence)?
+        self.occurrence_mut(key.occurrence)?
             .steps
             .get_mut(key.step as usize)?
             .tasks
--- a/crates/cyclamentrail-jobs/src/resources.rs
+++ b/crates/cyclamentrail-jobs/src/resources.rs
@@ -59,6 +59,15 @@
         }
     }
 
+    /// Returns how many tasks of a demand fit into this amount.
+    #[must_use]
+    pub fn count_of(&self, demand: &Self) -> u64 {
+        let count = |whole: u64, part: u64| whole.checked_div(part).unwrap_or(u64::MAX);
+        count(self.cpu_milli, demand.cpu_milli)
+            .min(count(self.memory_mib, demand.memory_mib))
+            .min(count(self.gpus, demand.gpus))
+    }
+
     /// Returns the difference of two amounts, at least zero in every dimension.
     #[must_use]
     pub const fn saturating_sub(&self, other: &Self) -> Self {
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -27,6 +27,7 @@
 mod isolation;
 mod lease_records;
 mod long_waits;
+mod occurrences;
 mod on_time;
 mod owner_records;
 mod placement;
@@ -117,6 +118,8 @@
     lease_records: lease_records::LeaseRecords,
     /// Jobs that still have tasks to place or runs on workers.
     active: BTreeSet<JobKey>,
+    /// Job at which the last round stopped to begin occurrences, if others were left.
+    last_begun: Option<JobKey>,
     /// Final jobs by the Unix time in milliseconds at which they are dropped.
     expiring: BTreeSet<(u64, JobKey)>,
     /// Accepted jobs whose accept record isn't durable yet, with the callers that wait for a reply.
@@ -254,7 +257,7 @@
     /// workers and drops old jobs.
     pub fn advance(&mut self, now: Now) {
         self.learned.last_round = now;
-        self.begin_occurrences(now);
+        self.update_occurrences(now);
         self.release_expired(now);
         self.settle_ended_workers(now);
         self.resend_due(now);
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -22,6 +22,9 @@
 /// other steps of this kind to the next one.
 const MAX_RESTRICTED_FAILURES: u32 = 48;
 
+/// Number of tasks that a pass places, unless a gang has more; the next round goes on.
+const MAX_PLACED_TASKS: usize = 1_024;
+
 /// A step with tasks to place whose preceding steps are done.
 #[derive(Debug, Clone, Copy)]
 struct ReadyStep {
@@ -38,6 +41,8 @@
     /// Number of steps without room that only some workers may run. They tell nothing about the
     /// room for other steps.
     restricted_failures: u32,
+    /// Number of tasks that were placed.
+    placed: usize,
     /// Workers with long-running tasks.
     pinned: BTreeSet<WorkerKey>,
     /// Workers that are kept apart for suspect tasks.
@@ -56,6 +61,11 @@
         }
     }
 
+    /// Returns whether the pass has to end.
+    const fn is_over(&self) -> bool {
+        self.unplaceable.len() >= MAX_UNPLACEABLE || self.placed >= MAX_PLACED_TASKS
+    }
+
     fn record_failure(&mut self, is_restricted: bool, demand: Resources) {
         if is_restricted {
             self.restricted_failures += 1;
@@ -127,7 +137,7 @@
         };
         for (_, key) in waiting {
             for ready_step in self.ready_steps(key) {
-                if pass.unplaceable.len() >= MAX_UNPLACEABLE {
+                if pass.is_over() {
                     return;
                 }
                 self.place_step(now, ready_step, &mut pass);
@@ -240,6 +250,9 @@
     ) {
         let mut candidates = self.candidates(now, step, pass);
         for index in 0..step.spec.count {
+            if pass.is_over() {
+                return;
+            }
             let key = ready_step.task(index);
             if !self.is_waiting(key) || self.is_paused(now, key) {
                 continue;
@@ -266,6 +279,7 @@
             };
             *step.per_worker.entry(worker).or_default() += 1;
             self.place(now, key, worker, None);
+            pass.placed += 1;
             if step.spec.long_running {
                 pass.pinned.insert(worker);
             }
@@ -428,6 +442,9 @@
             .filter(|(_, worker)| !needs_rack || rack.is_none_or(|rack| worker.is_on_rack(rack)))
             .map(|(key, worker)| (key, worker.clone()))
             .collect();
+        if !have_room_for(&candidates, spec) {
+            return None;
+        }
         let mut counts: BTreeMap<WorkerKey, u32> = BTreeMap::new();
         let mut plan = Vec::with_capacity(spec.count as usize);
         for _ in 0..spec.count {
@@ -559,6 +576,17 @@
         .map(|label| RackName::from(label.as_str()))
 }
 
+/// Returns whether workers have room for all tasks of a gang. Spares a large gang without room the
+/// choice of a worker for each task.
+fn have_room_for(workers: &[(WorkerKey, Worker)], spec: &StepSpec) -> bool {
+    let demand = spec.reserved_resources();
+    let limit = spec.max_per_worker.map_or(u64::MAX, u64::from);
+    let fitting =
+        |(_, worker): &(WorkerKey, Worker)| worker.free_capacity().count_of(&demand).min(limit);
+    let room = workers.iter().map(fitting).fold(0, u64::saturating_add);
+    room >= u64::from(spec.count)
+}
+
 /// Returns whether a worker may get another task of a step; `per_worker` holds the number of its tasks
 /// on each worker.
 fn may_get_task(
--- a/crates/cyclamentrail-jobs/src/shard/placements.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placements.rs
@@ -14,8 +14,7 @@
     /// Returns the progress of a task's step for changes, if its occurrence is still kept.
     pub(super) fn step_progress_mut(&mut self, task: TaskKey) -> Option<&mut StepProgress> {
         let job = self.jobs.get_mut(task.job)?;
-        let mut occurrences = job.occurrences.iter_mut();
-        let occurrence = occurrences.find(|open| open.number == task.occurrence)?;
+        let occurrence = job.occurrence_mut(task.occurrence)?;
         occurrence.steps.get_mut(task.step as usize)
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -9,7 +9,6 @@
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 
 use cyclamentrail_core::{JobId, ServiceName, WorkerId, ZoneName};
 
@@ -178,6 +177,9 @@
             let restored = restore_occurrence(key, occurrence, &self.jobs[key], &mut recorded_runs);
             self.jobs[key].occurrences.push(restored);
         }
+        self.jobs[key]
+            .occurrences
+            .sort_by_key(|occurrence| occurrence.number);
         self.job_keys.insert(id, key);
         drop_other_incarnations(leases, &recorded_runs);
         for RecordedRun { task, record } in recorded_runs {
@@ -407,10 +409,7 @@
                 };
                 restore_task(task, tasks.next(), recorded_runs)
             });
-            StepProgress {
-                tasks: restored.collect(),
-                gang_checkpoint: Arc::from(""),
-            }
+            StepProgress::restored(restored.collect())
         })
         .collect();
     Occurrence { number, steps }
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -228,25 +228,15 @@
 
     /// Marks a task as done, or all tasks of its step for a gang.
     fn finish_task(&mut self, key: TaskKey, is_gang: bool) {
-        let Some(job) = self.jobs.get_mut(key.job) else {
+        let Some(progress) = self.step_progress_mut(key) else {
             return;
         };
         if is_gang {
-            let step = job
-                .occurrences
-                .iter_mut()
-                .find(|occurrence| occurrence.number == key.occurrence)
-                .and_then(|occurrence| occurrence.steps.get_mut(key.step as usize));
-            for task in step.into_iter().flat_map(|step| &mut step.tasks) {
-                task.is_done = true;
-            }
+            progress.finish_all_tasks();
             return;
         }
-        let Some(task) = job.task_mut(key) else {
-            return;
-        };
-        task.is_done = true;
-        if task.placement.is_some() {
+        progress.finish_task(key.index);
+        if self.placement_of(key).is_some() {
             self.stop(key);
         }
     }
--- a/crates/cyclamentrail-jobs/src/shard/submit.rs
+++ b/crates/cyclamentrail-jobs/src/shard/submit.rs
@@ -11,7 +11,7 @@
 use crate::admission::AdmissionRequest;
 use crate::effect::{AdmissionShare, CallerId, CallerReply, Decision, Effect, RejectReason};
 use crate::fair_share::TeamAdmission;
-use crate::job::{Job, JobKey, JobState, Occurrence};
+use crate::job::{Job, JobKey, JobState};
 use crate::record::{AcceptedJobRecord, encode, is_reserved_key};
 use crate::selection::PlacementRequest;
 use crate::worker::Worker;
@@ -201,34 +201,6 @@
         self.ready_effects.push(Effect::Reply(caller, reply));
     }
 
-    /// Begins occurrences that are due, and drops finished ones.
-    pub(super) fn begin_occurrences(&mut self, now: Now) {
-        let mut begun = Vec::new();
-        for &key in &self.active {
-            let Some(job) = self.jobs.get_mut(key) else {
-                continue;
-            };
-            while job.next_due_ms().is_some_and(|due| due <= now.unix_ms) {
-                let occurrence = Occurrence::new(job.next_occurrence, &job.spec);
-                job.occurrences.push(occurrence);
-                job.next_occurrence += 1;
-                self.dirty.insert(key);
-                begun.push(key);
-            }
-            let count_before = job.occurrences.len();
-            if count_before > 1 {
-                job.occurrences
-                    .retain(|occurrence| !occurrence.is_done() || occurrence.has_placements());
-                if job.occurrences.len() < count_before {
-                    self.dirty.insert(key);
-                }
-            }
-        }
-        for key in begun {
-            self.mark_known_suspects(key);
-        }
-    }
-
     /// Returns the expected wait of a job in milliseconds if the job can be accepted, and the share of
     /// its team that decided.
     fn check_admission(
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -24,6 +24,8 @@
 mod lease_handover;
 #[path = "scheduler/leaving.rs"]
 mod leaving;
+#[path = "scheduler/occurrences.rs"]
+mod occurrences;
 #[path = "scheduler/outage.rs"]
 mod outage;
 #[path = "scheduler/overload.rs"]
