fix(jobs): a start waits for the commit of its own placement

Cause: an effect to start named the task only. A run that was placed and not yet sent may be released while its commit is under way, when its worker restarts, for example, and the task is placed elsewhere with the next commit. The end of the first commit then started the new run, which no record held yet. An owner that was replaced before the next commit left a run that its successor didn't know, and the successor started the task again. The slower the store, the likelier.

Change: the effect, and an entry of a start queue, name the worker and the number of the run; the start command of a run is given out only while the task is placed so. The property over random faults has a slow store and checks at its end that nothing is counted on any worker.

--- a/crates/cyclamentrail-bench/src/lab/site/owner.rs
+++ b/crates/cyclamentrail-bench/src/lab/site/owner.rs
@@ -238,8 +238,8 @@
     fn carry_out(&mut self, now_ms: u64, effects: Vec<Effect>, decisions: &mut Vec<Decision>) {
         for effect in effects {
             match effect {
-                Effect::Start(task) => {
-                    if let Some(command) = self.shard.start_command(clocks(now_ms), task) {
+                Effect::Start(run) => {
+                    if let Some(command) = self.shard.start_command(clocks(now_ms), run) {
                         self.begin_run(now_ms, command);
                     }
                 }
--- a/crates/cyclamentrail-bench/src/run_times/simulation.rs
+++ b/crates/cyclamentrail-bench/src/run_times/simulation.rs
@@ -220,8 +220,8 @@
     fn carry_out(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Start(task) => {
-                    if let Some(command) = self.shard.start_command(self.now(), task) {
+                Effect::Start(run) => {
+                    if let Some(command) = self.shard.start_command(self.now(), run) {
                         self.begin_run(command);
                     }
                 }
--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::grants::StepKey;
-use crate::job::{JobState, TaskKey};
+use crate::job::{JobState, PlacedRun, TaskKey};
 use crate::quota::AllowanceChange;
 use crate::worker::WorkerKey;
 
@@ -118,6 +118,18 @@
     pub ticket: Option<Arc<str>>,
 }
 
+impl StartCommand {
+    /// Returns the run that the command concerns.
+    #[must_use]
+    pub const fn placed_run(&self) -> PlacedRun {
+        PlacedRun {
+            worker: self.target.key,
+            task: self.task,
+            run: self.run,
+        }
+    }
+}
+
 /// Command to stop a run of a task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StopCommand {
@@ -131,6 +143,18 @@
     pub run: u32,
 }
 
+impl StopCommand {
+    /// Returns the run that the command concerns.
+    #[must_use]
+    pub const fn placed_run(&self) -> PlacedRun {
+        PlacedRun {
+            worker: self.target.key,
+            task: self.task,
+            run: self.run,
+        }
+    }
+}
+
 /// Command that sets the processor share of a best-effort task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CpuShareCommand {
@@ -204,8 +228,8 @@
 pub enum Effect {
     /// Send a reply to a waiting caller.
     Reply(CallerId, CallerReply),
-    /// Request the start command of a task from the shard and send it to the task's worker.
-    Start(TaskKey),
+    /// Request the start command of a run from the shard and send it to the run's worker.
+    Start(PlacedRun),
     /// Send a command to stop a run.
     Stop(StopCommand),
     /// Poll a worker.
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -66,6 +66,17 @@
     pub index: u32,
 }
 
+/// A run of a task, on the worker that it is assigned to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PlacedRun {
+    /// Worker that the run is assigned to.
+    pub worker: WorkerKey,
+    /// Task of the run.
+    pub task: TaskKey,
+    /// Number of the run, from 1.
+    pub run: u32,
+}
+
 /// Phase of a run, from its placement to its stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunPhase {
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -477,7 +477,7 @@
                     let due_ms = now.boot_ms + START_RETRY_MS;
                     self.schedule_resend(due_ms, resend.task, resend.run);
                 }
-                Some(RunPhase::Sent) => self.ready_effects.push(Effect::Start(resend.task)),
+                Some(RunPhase::Sent) => self.send_start(resend.task),
                 Some(RunPhase::Stopping { confirmed_ms: None }) => self.send_stop(resend.task),
                 _ => {}
             }
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -272,7 +272,12 @@
 
     /// Returns the placement of a run, if that run is the present one of its task and is assigned to
     /// the incarnation of a worker that a command was sent to.
-    fn placement_on(&self, worker: WorkerKey, key: TaskKey, run: u32) -> Option<Placement> {
+    pub(super) fn placement_on(
+        &self,
+        worker: WorkerKey,
+        key: TaskKey,
+        run: u32,
+    ) -> Option<Placement> {
         self.placement_of(key)
             .filter(|placement| placement.run == run && placement.worker == worker)
     }
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -10,7 +10,7 @@
 use super::{Now, Shard};
 use crate::best_effort_share::FULL_SHARE_PERCENT;
 use crate::effect::Effect;
-use crate::job::{JobKey, Occurrence, Placement, RunPhase, TaskKey};
+use crate::job::{JobKey, Occurrence, PlacedRun, Placement, RunPhase, TaskKey};
 use crate::ranking::{JobRank, WaitingJob};
 use crate::selection::{Candidates, PlacementRequest, select_worker};
 use crate::worker::{Worker, WorkerKey};
@@ -478,10 +478,11 @@
         let Some(task) = job.task_mut(key) else {
             return;
         };
-        task.last_run = run.unwrap_or(task.last_run + 1);
+        let run = run.unwrap_or(task.last_run + 1);
+        task.last_run = run;
         task.placement = Some(Placement {
             worker: worker_key,
-            run: task.last_run,
+            run,
             phase: RunPhase::Placed,
             has_begun: false,
             is_listed: false,
@@ -498,7 +499,11 @@
         worker.used_capacity = worker.used_capacity.saturating_add(&demand);
         worker.tasks.insert(key);
         self.dirty.insert(key.job);
-        self.gated_effects.push(Effect::Start(key));
+        self.gated_effects.push(Effect::Start(PlacedRun {
+            worker: worker_key,
+            task: key,
+            run,
+        }));
     }
 
     /// Returns the workers that may get another task of a step; `per_worker` holds the number of
--- a/crates/cyclamentrail-jobs/src/shard/starts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/starts.rs
@@ -5,16 +5,18 @@
 use super::restarts::CALLS_UNDER_WAY_MS;
 use super::{Now, START_RETRY_MS, Shard};
 use crate::StepSpec;
-use crate::effect::{EndProof, StartCommand};
-use crate::job::{Placement, RunPhase, TaskKey};
+use crate::effect::{Effect, EndProof, StartCommand};
+use crate::job::{PlacedRun, Placement, RunPhase, TaskKey};
 
 impl Shard {
-    /// Returns the start command of a task, or `None` when the task's run isn't to be started any
-    /// more. Called when the command is about to be sent, because the run may have waited for its
-    /// commit and for other starts since it was placed.
-    pub fn start_command(&mut self, now: Now, key: TaskKey) -> Option<StartCommand> {
+    /// Returns the start command of a run, or `None` when the run isn't to be started any more. Called
+    /// when the command is about to be sent, because the run may have waited for its commit and for
+    /// other starts since it was placed. The task may have been placed again since: that run waits
+    /// for a commit of its own.
+    pub fn start_command(&mut self, now: Now, run: PlacedRun) -> Option<StartCommand> {
+        let key = run.task;
+        let placement = self.placement_on(run.worker, key, run.run)?;
         let job = self.jobs.get(key.job)?;
-        let placement = job.task(key)?.placement?;
         let is_open = matches!(placement.phase, RunPhase::Placed | RunPhase::Sent);
         if !is_open || placement.doubt.is_some() {
             return None;
@@ -68,6 +70,16 @@
         })
     }
 
+    /// Asks for the start command of a task's run, which is durable, to be sent.
+    pub(super) fn send_start(&mut self, key: TaskKey) {
+        let run = self.placement_of(key).map(|placement| PlacedRun {
+            worker: placement.worker,
+            task: key,
+            run: placement.run,
+        });
+        self.ready_effects.extend(run.map(Effect::Start));
+    }
+
     /// Returns the checkpoint from which all members of a task's gang start; `None` for a task of its own.
     fn gang_checkpoint(&mut self, key: TaskKey) -> Option<Arc<str>> {
         let is_gang = self.step_of(key)?.gang;
--- a/crates/cyclamentrail-jobs/src/shard/unsent_jobs.rs
+++ b/crates/cyclamentrail-jobs/src/shard/unsent_jobs.rs
@@ -46,7 +46,7 @@
         let is_kept = |effect: &Effect| match effect {
             Effect::Reply(caller, _) => !callers.contains(caller),
             Effect::Log(Decision::JobAccepted { job: id, .. }) => *id != job.id,
-            Effect::Start(task) => task.job != key,
+            Effect::Start(run) => run.task.job != key,
             _ => true,
         };
         self.gated_effects.retain(is_kept);
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -54,6 +54,8 @@
 mod silence;
 #[path = "scheduler/specs.rs"]
 mod specs;
+#[path = "scheduler/starts.rs"]
+mod starts;
 #[path = "scheduler/takeover.rs"]
 mod takeover;
 #[path = "scheduler/unreadable_records.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/promises.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/promises.rs
@@ -11,6 +11,8 @@
 const SMALL_WORKER: Resources = Resources::new(3_000, 32_768, 0);
 /// Number of random cases per property.
 const CASES: u32 = 150;
+/// Time that an append takes without faults, in milliseconds.
+const APPEND_MS: u64 = 6;
 /// Time without faults at the end of a case, in milliseconds.
 const SETTLE_MS: u64 = 30_000;
 
@@ -53,6 +55,8 @@
     Restart(usize),
     StoreDown,
     StoreUp,
+    /// Makes each append take this time, in milliseconds.
+    SlowStore(u64),
 }
 
 fn any_action() -> impl Strategy<Value = Action> {
@@ -79,6 +83,7 @@
         1 => (0..3_usize).prop_map(Action::Restart),
         1 => Just(Action::StoreDown),
         2 => Just(Action::StoreUp),
+        1 => (6..2_500_u64).prop_map(Action::SlowStore),
     ]
 }
 
@@ -140,6 +145,7 @@
         }
         Action::StoreDown => sim.store_responds = false,
         Action::StoreUp => sim.store_responds = true,
+        Action::SlowStore(append_ms) => sim.append_ms = append_ms,
     }
 }
 
@@ -173,6 +179,7 @@
             apply(&mut sim, Action::Recover(index), &mut jobs);
         }
         sim.store_responds = true;
+        sim.append_ms = APPEND_MS;
         sim.run_for(SETTLE_MS);
         for (name, caller) in jobs {
             if sim.replies.get(&caller) == Some(&CallerReply::Accepted) {
@@ -181,6 +188,10 @@
             }
         }
         prop_assert_eq!(sim.running(), 0);
+        for worker in sim.shard.workers() {
+            prop_assert!(worker.tasks.is_empty(), "{worker:?}");
+            prop_assert_eq!(worker.used_capacity, Resources::default());
+        }
         Ok(())
     });
 }
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -395,11 +395,11 @@
                 Effect::Reply(caller, reply) => {
                     self.replies.insert(caller.0, reply);
                 }
-                Effect::Start(task) => {
+                Effect::Start(run) => {
                     let now = self.now();
-                    if let Some(command) = self.shard.start_command(now, task) {
+                    if let Some(command) = self.shard.start_command(now, run) {
                         let checkpoint = Arc::clone(&command.checkpoint);
-                        self.sent_checkpoints.push((task, command.run, checkpoint));
+                        self.sent_checkpoints.push((run.task, run.run, checkpoint));
                         self.schedule(CALL_MS, Event::Start(command, self.token, None));
                     }
                 }
--- a/crates/cyclamentrail/src/edge/owner/effects.rs
+++ b/crates/cyclamentrail/src/edge/owner/effects.rs
@@ -24,11 +24,9 @@
         for effect in effects {
             match effect {
                 Effect::Reply(caller, reply) => self.reply_to(caller, reply),
-                Effect::Start(task) => {
-                    if let Some(worker) = self.shard.worker_of(task) {
-                        self.start_queues.push(worker, task);
-                        changed_workers.push(worker);
-                    }
+                Effect::Start(run) => {
+                    self.start_queues.push(run);
+                    changed_workers.push(run.worker);
                 }
                 Effect::Stop(command) => self.send_call(WorkerCall::Stop(command)),
                 Effect::Poll(poll) => self.send_call(WorkerCall::Poll(poll)),
@@ -78,8 +76,8 @@
             self.has_held_starts = true;
             return;
         }
-        while let Some(task) = self.start_queues.pop(worker) {
-            let Some(command) = self.shard.start_command(now(), task) else {
+        while let Some(run) = self.start_queues.pop(worker) {
+            let Some(command) = self.shard.start_command(now(), run) else {
                 self.start_queues.finish_start(worker);
                 continue;
             };
--- a/crates/cyclamentrail/src/edge/start_queues.rs
+++ b/crates/cyclamentrail/src/edge/start_queues.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use cyclamentrail_jobs::{TaskKey, WorkerKey};
+use cyclamentrail_jobs::{PlacedRun, WorkerKey};
 
 /// Largest number of start commands in flight to one worker.
 const MAX_STARTS_IN_FLIGHT: usize = 3;
@@ -15,29 +15,29 @@
 
 #[derive(Debug, Default)]
 struct StartQueue {
-    waiting: VecDeque<TaskKey>,
+    waiting: VecDeque<PlacedRun>,
     in_flight: usize,
 }
 
 impl StartQueues {
-    /// Appends a start to the queue of its worker, unless the task is queued already.
-    pub(crate) fn push(&mut self, worker: WorkerKey, task: TaskKey) {
-        let queue = self.queues.entry(worker).or_default();
-        if !queue.waiting.contains(&task) {
-            queue.waiting.push_back(task);
+    /// Appends a start to the queue of its worker, unless the run is queued already.
+    pub(crate) fn push(&mut self, run: PlacedRun) {
+        let queue = self.queues.entry(run.worker).or_default();
+        if !queue.waiting.contains(&run) {
+            queue.waiting.push_back(run);
         }
     }
 
     /// Removes the next start of a worker from its queue and counts it as in flight; `None` if none
     /// waits or too many are in flight.
-    pub(crate) fn pop(&mut self, worker: WorkerKey) -> Option<TaskKey> {
+    pub(crate) fn pop(&mut self, worker: WorkerKey) -> Option<PlacedRun> {
         let queue = self.queues.get_mut(&worker)?;
         if queue.in_flight >= MAX_STARTS_IN_FLIGHT {
             return None;
         }
-        let task = queue.waiting.pop_front()?;
+        let run = queue.waiting.pop_front()?;
         queue.in_flight += 1;
-        Some(task)
+        Some(run)
     }
 
     /// Returns the workers that may be sent another start and for which one waits.
