fix(edge): a count of starts in flight ends with the run that was counted

Cause: a waiting start named its task only. A task that had been placed elsewhere while its start waited was counted as in flight to the old worker, sent to the new one and taken off the new one's count. Three such entries held the old worker for good. Ruled out: reachability and placement, as the task was placed and unsent.

Change: the queues stand among the pure decisions; an entry, and what is counted as in flight, name worker, task and run. An outcome ends exactly that.

On the queue before the fix start_queues::start_elsewhere_frees_worker FAILED (left None, right Some of the next start), it passes now; the crates' tests pass.

--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -42,7 +42,6 @@
 mod quota_ledger;
 mod relay;
 mod revocation;
-mod start_queues;
 mod stop_times;
 mod takeover;
 mod team_views;
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -8,7 +8,7 @@
 use cyclamentrail_adapter::{AdviceService, HttpClient, WorkerClient};
 use cyclamentrail_core::{ServiceName, WorkerId};
 use cyclamentrail_jobs::{
-    CallerId, Incumbent, OwnerTokens, Relay, RelayedWorker, Shard, ShardTiming,
+    CallerId, Incumbent, OwnerTokens, Relay, RelayedWorker, Shard, ShardTiming, StartQueues,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
@@ -21,7 +21,6 @@
 use super::process_state::{KnownOwner, OperatorState, ProcessState, RegisteredWorkers};
 use super::quota_ledger::service_count;
 use super::relay::SessionEvent;
-use super::start_queues::StartQueues;
 use super::takeover::{Takeover, take_over};
 use super::team_views::TeamMetrics;
 use super::worker_registry;
--- a/crates/cyclamentrail/src/edge/owner/effects.rs
+++ b/crates/cyclamentrail/src/edge/owner/effects.rs
@@ -1,7 +1,7 @@
 //! Carries out the effects that a shard decides on, and hands the outcomes back to it.
 
 use cyclamentrail_jobs::{
-    AdviceOutcome, AdviceQuery, CallerId, CallerReply, Decision, Effect, WorkerKey,
+    AdviceOutcome, AdviceQuery, CallerId, CallerReply, Decision, Effect, PlacedRun, WorkerKey,
 };
 
 use super::worker_calls::{CallPurpose, FinishedCall};
@@ -78,7 +78,7 @@
         }
         while let Some(run) = self.start_queues.pop(worker) {
             let Some(command) = self.shard.start_command(now(), run) else {
-                self.start_queues.finish_start(worker);
+                self.start_queues.finish(run);
                 continue;
             };
             self.record_start(worker);
@@ -118,8 +118,9 @@
             duration,
         } = call;
         match (purpose, outcome) {
-            (CallPurpose::Start { worker, task, run }, CallOutcome::Command(outcome)) => {
-                self.start_queues.finish_start(worker);
+            (CallPurpose::Start(placed), CallOutcome::Command(outcome)) => {
+                let PlacedRun { worker, task, run } = placed;
+                self.start_queues.finish(placed);
                 metrics::count_worker_command("start", &outcome);
                 metrics::record_worker_call("start", duration);
                 self.activity.record_start_result(&outcome, duration);
@@ -129,7 +130,8 @@
                 self.send_starts(worker);
                 is_fenced
             }
-            (CallPurpose::Stop { worker, task, run }, CallOutcome::Command(outcome)) => {
+            (CallPurpose::Stop(placed), CallOutcome::Command(outcome)) => {
+                let PlacedRun { worker, task, run } = placed;
                 metrics::count_worker_command("stop", &outcome);
                 self.shard
                     .handle_stop_result(now(), worker, task, run, &outcome)
--- a/crates/cyclamentrail/src/edge/owner/worker_calls.rs
+++ b/crates/cyclamentrail/src/edge/owner/worker_calls.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use cyclamentrail_adapter::WorkerClient;
-use cyclamentrail_jobs::{CommandOutcome, PollOutcome, Relay, RelayedWorker, TaskKey, WorkerKey};
+use cyclamentrail_jobs::{
+    CommandOutcome, PlacedRun, PollOutcome, Relay, RelayedWorker, TaskKey, WorkerKey,
+};
 use slotmap::SlotMap;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -25,17 +27,9 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) enum CallPurpose {
     /// Start of a run.
-    Start {
-        worker: WorkerKey,
-        task: TaskKey,
-        run: u32,
-    },
+    Start(PlacedRun),
     /// Stop of a run.
-    Stop {
-        worker: WorkerKey,
-        task: TaskKey,
-        run: u32,
-    },
+    Stop(PlacedRun),
     /// Change of a run's processor share.
     SetCpuShare { task: TaskKey, run: u32 },
     /// Poll that acknowledges ended runs.
@@ -51,16 +45,8 @@
 impl From<&WorkerCall> for CallPurpose {
     fn from(call: &WorkerCall) -> Self {
         match call {
-            WorkerCall::Start(command) => Self::Start {
-                worker: command.target.key,
-                task: command.task,
-                run: command.run,
-            },
-            WorkerCall::Stop(command) => Self::Stop {
-                worker: command.target.key,
-                task: command.task,
-                run: command.run,
-            },
+            WorkerCall::Start(command) => Self::Start(command.placed_run()),
+            WorkerCall::Stop(command) => Self::Stop(command.placed_run()),
             WorkerCall::SetCpuShare(command) => Self::SetCpuShare {
                 task: command.task,
                 run: command.run,
@@ -78,9 +64,7 @@
     /// Returns the outcome of a call whose relay is lost.
     const fn lost_outcome(&self) -> CallOutcome {
         match self {
-            Self::Start { .. } | Self::Stop { .. } => {
-                CallOutcome::Command(CommandOutcome::RelayLost)
-            }
+            Self::Start(_) | Self::Stop(_) => CallOutcome::Command(CommandOutcome::RelayLost),
             Self::SetCpuShare { .. } => CallOutcome::CpuShare(false),
             // A poll that is carried out late does nothing that the owner doesn't account for.
             Self::Poll { .. } => CallOutcome::Poll(PollOutcome::NotSent),
@@ -90,7 +74,7 @@
     const fn worker_wait(&self) -> Duration {
         match self {
             Self::Poll { wait, .. } => *wait,
-            Self::Start { .. } | Self::Stop { .. } | Self::SetCpuShare { .. } => Duration::ZERO,
+            Self::Start(_) | Self::Stop(_) | Self::SetCpuShare { .. } => Duration::ZERO,
         }
     }
 }
