fix(jobs): a task's wait for a worker of its own has an end

Cause: a task under which a worker crashed ran only where no other job was endangered, without a limit of the wait for one that ends by itself. One of 24 under a crash was as suspect as one alone, and the worker was emptied for the first in the order of the keys. Ruled out: late notice of the crash, as the starts came 1.5 s apart.

The longest waiting comes first. suspect_wait_ended is logged. A placed suspect no longer has all workers looked at.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -425,6 +425,19 @@
         /// Time for which the task waits before its next start, in milliseconds.
         pause_ms: u64,
     },
+    /// A suspect task that waited for long enough for a worker of its own was placed all the same.
+    SuspectWaitEnded {
+        /// Id of the job.
+        job: JobId,
+        /// Task that the decision concerns.
+        task: TaskKey,
+        /// Time for which the task waited, in milliseconds.
+        waited_ms: u64,
+        /// Worker on which the task was placed.
+        worker: WorkerId,
+        /// Whether tasks that aren't suspect are on the worker.
+        is_exposed: bool,
+    },
     /// The allowance of a team in this shard was changed.
     AllowanceChanged {
         /// The team with both allowances, in millionths of its cap.
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -147,6 +147,14 @@
     pub has_begun: bool,
     /// Whether the run had begun shortly before, and the crash had no cause outside of the worker.
     pub is_new: bool,
+    /// Number of jobs with runs on the worker; earlier versions don't record it.
+    #[serde(default = "one_job")]
+    pub jobs: u32,
+}
+
+/// Number of jobs on a crashed worker, where it isn't known: the crash then tells most.
+const fn one_job() -> u32 {
+    1
 }
 
 /// Progress of one task over all of its runs.
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -264,7 +264,7 @@
         self.stop_stalled_runs(now);
         self.evacuate_tasks(now);
         self.prune_crashes(now);
-        self.note_service_waits(now);
+        self.note_suspect_waits(now);
         self.prune_failing_services();
         self.place_tasks(now);
         self.prefetch_advice(now);
--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -31,6 +31,7 @@
 mod counts;
 mod lost_worker;
 mod service_restarts;
+mod waits;
 
 use counts::CrashCounts;
 pub(super) use counts::Suspicion;
@@ -62,7 +63,7 @@
     pub(super) suspects: BTreeMap<TaskKey, Suspicion>,
     /// Long-running tasks whose workers crashed under them soon after their starts.
     services: BTreeMap<TaskKey, CrashedService>,
-    /// Times since which suspect long-running tasks wait, on the owner's boot clock in milliseconds.
+    /// Times since which suspect tasks wait that could run, on the owner's boot clock in milliseconds.
     waits_since_ms: BTreeMap<TaskKey, u64>,
     /// Runs that ended with their workers' leases, until it is known whether these workers crashed.
     unexplained: Vec<LostWorker>,
@@ -251,7 +252,7 @@
                 } else {
                     counts.suspicion()
                 };
-                let suspicion = by_crashes.or(is_known.then_some(Suspicion::Likely))?;
+                let suspicion = by_crashes.max(is_known.then_some(Suspicion::Known))?;
                 Some((task_key, suspicion))
             })
             .collect();
@@ -371,7 +372,7 @@
                 continue;
             }
             let is_new = is_on_all && run.is_new(lost.heard_ms);
-            let Some(crashes) = self.count_crash(run, is_new, lost.lost_ms) else {
+            let Some(crashes) = self.count_crash(run, is_new, lost) else {
                 continue;
             };
             if self.is_long_running(run.task) {
@@ -388,7 +389,7 @@
         given_up
     }
 
-    fn is_long_running(&self, task: TaskKey) -> bool {
+    pub(super) fn is_long_running(&self, task: TaskKey) -> bool {
         self.step_of(task).is_some_and(|step| step.long_running)
     }
 
@@ -399,13 +400,18 @@
     }
 
     /// Counts a crash against a task; returns all that count, or `None` if this one doesn't.
-    fn count_crash(&mut self, run: &LostRun, is_new: bool, lost_ms: u64) -> Option<CrashCounts> {
+    fn count_crash(
+        &mut self,
+        run: &LostRun,
+        is_new: bool,
+        lost: &LostWorker,
+    ) -> Option<CrashCounts> {
         let is_long_running = self.is_long_running(run.task);
         let task = self.jobs.get_mut(run.task.job)?.task_mut(run.task)?;
         let has_run_long = is_long_running
             && run
                 .since_ms
-                .is_some_and(|since_ms| lost_ms >= since_ms + CLEARING_RUN_MS);
+                .is_some_and(|since_ms| lost.lost_ms >= since_ms + CLEARING_RUN_MS);
         if task.is_done || has_run_long {
             task.crashed_runs.clear();
             return None;
@@ -414,6 +420,7 @@
             run: run.run,
             has_begun: run.has_begun,
             is_new,
+            jobs: u32::try_from(lost.jobs.len()).unwrap_or(u32::MAX),
         });
         let counts = CrashCounts::of(task);
         self.dirty.insert(run.task.job);
@@ -422,7 +429,7 @@
 
     /// Returns whether a worker runs suspect tasks only, or nothing; then its loss tells nothing about
     /// a common cause.
-    fn runs_suspects_only(&self, worker: &Worker) -> bool {
+    pub(super) fn runs_suspects_only(&self, worker: &Worker) -> bool {
         let is_suspect = |task: &TaskKey| self.crashes.suspects.contains_key(task);
         worker.tasks.iter().all(is_suspect)
     }
--- a/crates/cyclamentrail-jobs/src/shard/crashes/counts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes/counts.rs
@@ -1,6 +1,7 @@
 //! Counts of the crashes under a task, and what follows from them.
 
 use crate::job::{CrashedRun, Task};
+use crate::shard::isolation::MAX_SHARED_JOBS;
 
 /// Number of crashes from which a task is suspect however long its runs had lasted.
 const SUSPECT_CRASHES: usize = 2;
@@ -13,13 +14,25 @@
 /// The same for all crashes.
 const MAX_ALL: usize = 5;
 
+/// Evidence of a crash under a single job.
+const WHOLE_EVIDENCE_MILLI: usize = 1_000;
+/// Evidence of a single crash below which a task is a weak suspect: more jobs shared the crash than may
+/// share a worker that is kept apart.
+const WEAK_EVIDENCE_MILLI: usize = WHOLE_EVIDENCE_MILLI / MAX_SHARED_JOBS;
+/// Evidence of several crashes from which a task is a likely suspect.
+const LIKELY_EVIDENCE_MILLI: usize = 300;
+
 /// How likely a task is to crash its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(in crate::shard) enum Suspicion {
-    /// One worker crashed under the task, and under others at the same time.
+    /// One worker crashed under the task, and under those of many other jobs at the same time.
+    Weak,
+    /// One worker crashed under the task and those of few other jobs, or several under many.
     Possible,
-    /// Several workers crashed under the task, or it is the same as one that was given up.
+    /// Several workers crashed under the task.
     Likely,
+    /// The task's job has the description of one that was given up.
+    Known,
 }
 
 /// Number of crashes under one task.
@@ -33,6 +46,9 @@
     new: usize,
     /// Crashes of `new` under runs that had begun for certain.
     soon: usize,
+    /// Sum over all crashes of what each says against the task, in thousandths of a crash under its
+    /// job alone: the more jobs shared it, the less.
+    evidence_milli: usize,
 }
 
 impl CrashCounts {
@@ -46,17 +62,27 @@
             begun: count(|run| run.has_begun),
             new: count(|run| run.is_new),
             soon: count(|run| run.is_new && run.has_begun),
+            evidence_milli: task
+                .crashed_runs
+                .iter()
+                .map(|run| WHOLE_EVIDENCE_MILLI / (run.jobs as usize).max(1))
+                .sum(),
         }
     }
 
     /// Returns what the crashes make suspect of the task.
     pub(super) const fn suspicion(self) -> Option<Suspicion> {
-        if self.new >= SUSPECT_CRASHES || self.all > SUSPECT_CRASHES {
+        let is_repeated = self.new >= SUSPECT_CRASHES || self.all > SUSPECT_CRASHES;
+        if is_repeated && self.evidence_milli >= LIKELY_EVIDENCE_MILLI {
             Some(Suspicion::Likely)
-        } else if self.new > 0 || self.all >= SUSPECT_CRASHES {
+        } else if self.all >= SUSPECT_CRASHES {
             Some(Suspicion::Possible)
-        } else {
+        } else if self.new == 0 {
             None
+        } else if self.evidence_milli < WEAK_EVIDENCE_MILLI {
+            Some(Suspicion::Weak)
+        } else {
+            Some(Suspicion::Possible)
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/crashes/service_restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes/service_restarts.rs
@@ -17,15 +17,12 @@
 const MAX_PAUSE_MS: u64 = 2_000;
 /// Time from the loss of a worker in milliseconds at which the pause ends in any case.
 const MAX_AWAY_MS: u64 = 5_000;
-/// Time in milliseconds for which a task waits for a worker of its own, from the loss of its worker or
-/// from when this owner first saw it wait.
-const APART_WAIT_MS: u64 = 4_000;
 
 /// A long-running task whose worker crashed under it soon after its start.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct CrashedService {
     /// Time at which the worker was lost, on the owner's boot clock in milliseconds.
-    lost_ms: u64,
+    pub(super) lost_ms: u64,
     /// Time on the same clock from which the task may be started.
     resume_ms: u64,
 }
@@ -79,26 +76,6 @@
     ) -> bool {
         (0..spec.count).any(|index| self.is_paused(now, TaskKey { index, ..first }))
     }
-
-    /// Notes since when each suspect long-running task waits.
-    pub(in crate::shard) fn note_service_waits(&mut self, now: Now) {
-        let suspects = self.crashes.suspects.keys().copied();
-        let waiting: Vec<TaskKey> = suspects
-            .filter(|&task| self.is_waiting(task) && self.is_long_running(task))
-            .collect();
-        let earlier = std::mem::take(&mut self.crashes.waits_since_ms);
-        let since_ms = |task| earlier.get(&task).copied().unwrap_or(now.boot_ms);
-        let waits = waiting.into_iter().map(|task| (task, since_ms(task)));
-        self.crashes.waits_since_ms = waits.collect();
-    }
-
-    /// Returns whether a long-running task has waited for long enough for a worker of its own.
-    pub(in crate::shard) fn is_overdue_service(&self, now: Now, task: TaskKey) -> bool {
-        let lost_ms = self.crashes.services.get(&task).map(|known| known.lost_ms);
-        let waits_since_ms = self.crashes.waits_since_ms.get(&task).copied();
-        let since_ms = lost_ms.into_iter().chain(waits_since_ms).min();
-        since_ms.is_some_and(|since_ms| now.boot_ms >= since_ms + APART_WAIT_MS)
-    }
 }
 
 /// Returns the pause before a start after a number of crashes soon after a start.
--- a/crates/cyclamentrail-jobs/src/shard/isolation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/isolation.rs
@@ -3,8 +3,11 @@
 //! A suspect task gets a worker on which only its own job runs, so that a crash there shows that the
 //! job caused it. Few workers are used so at once, because a crash takes away part of the pool:
 //! beyond these, tasks that are suspect for the first time share workers. While no worker is empty,
-//! the one with the fewest tasks gets no others. A long-running task waits for such a worker for a
-//! limited time only.
+//! the one with the fewest tasks gets no others.
+//!
+//! A task waits for such a worker for a limited time only (see [`super::crashes`]). After that it
+//! shares a worker with other suspects, weak ones any number of them, or runs beside tasks that
+//! aren't suspect, on few workers at once.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,8 +23,12 @@
 /// Part of the workers that may run suspect tasks at once, as a divisor; those beyond
 /// [`EMPTIED_DIVISOR`] are empty anyway.
 const APART_DIVISOR: usize = 2;
+/// Part of the workers that overdue suspect tasks leave alone, as a divisor.
+const OPEN_DIVISOR: usize = 4;
 /// Number of jobs whose suspect tasks may share a worker.
-const MAX_SHARED_JOBS: usize = 4;
+pub(super) const MAX_SHARED_JOBS: usize = 4;
+/// Part of the workers on which suspect tasks may run beside others at once, as a divisor.
+const EXPOSED_DIVISOR: usize = 4;
 
 /// Workers that are kept apart during a placement pass.
 #[derive(Debug, Default)]
@@ -35,8 +42,12 @@
     /// Number of workers that may run likely suspects at once, or have crashed under them; 0 if none
     /// can be kept apart.
     max_workers: usize,
+    /// The same for overdue suspects, as long as they get empty workers.
+    max_workers_overdue: usize,
     /// Number of workers that respond and may run suspect tasks at once.
     max_responding: usize,
+    /// Number of workers that may run suspect tasks beside others at once, or have crashed so.
+    max_exposed: usize,
 }
 
 /// Suspect tasks on one worker.
@@ -44,6 +55,19 @@
 struct SuspectWorker {
     jobs: BTreeSet<JobKey>,
     has_likely: bool,
+    /// Whether tasks that aren't suspect are there as well.
+    is_exposed: bool,
+}
+
+/// A suspect task that is to be placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct SuspectTask {
+    pub(super) job: JobKey,
+    pub(super) suspicion: Suspicion,
+    /// Whether its crashes go on without end, so that it mustn't take other tasks of its job along.
+    pub(super) is_long_running: bool,
+    /// Whether it has waited for long enough for a worker of its own.
+    pub(super) is_overdue: bool,
 }
 
 impl Isolation {
@@ -62,35 +86,72 @@
         self.max_workers > 0
     }
 
-    /// Returns whether a suspect task of a job may be placed on a worker. `is_long_running` tells whether
-    /// its crashes go on without end, so that it mustn't take other tasks of its job along.
-    pub(super) fn admits(
-        &self,
-        job: JobKey,
-        suspicion: Suspicion,
-        is_long_running: bool,
-        key: WorkerKey,
-        worker: &Worker,
-    ) -> bool {
+    /// Returns whether a suspect task may be placed on a worker without danger for tasks that aren't
+    /// suspect.
+    pub(super) fn admits(&self, task: SuspectTask, key: WorkerKey, worker: &Worker) -> bool {
         let is_at_limit = self.responding >= self.max_responding
-            || (suspicion == Suspicion::Likely && self.suspect_workers.len() >= self.max_workers);
+            || (task.suspicion >= Suspicion::Likely
+                && self.suspect_workers.len() >= self.max_workers);
+        let leaves_enough = self.suspect_workers.len() < self.max_workers_overdue;
         match self.suspect_workers.get(&key) {
             Some(suspect_worker)
-                if !is_long_running
+                if !task.is_long_running
                     && suspect_worker.jobs.len() == 1
-                    && suspect_worker.jobs.contains(&job) =>
+                    && suspect_worker.jobs.contains(&task.job) =>
             {
-                worker.tasks.iter().all(|task| task.job == job)
+                worker.tasks.iter().all(|other| other.job == task.job)
             }
             Some(suspect_worker) => {
-                is_at_limit
-                    && suspicion == Suspicion::Possible
-                    && !suspect_worker.has_likely
-                    && suspect_worker.jobs.len() < MAX_SHARED_JOBS
+                let may_share = is_at_limit || task.is_overdue;
+                may_share && suspect_worker.admits(task)
+            }
+            None => {
+                let may_add = !is_at_limit || (task.is_overdue && leaves_enough);
+                worker.tasks.is_empty() && may_add
+            }
+        }
+    }
+
+    /// Returns whether a suspect task that has waited for long enough may be placed on a worker beside
+    /// tasks that aren't suspect.
+    pub(super) fn admits_beside_others(&self, task: SuspectTask, key: WorkerKey) -> bool {
+        let exposed = self.suspect_workers.values();
+        let exposed = exposed.filter(|worker| worker.is_exposed).count();
+        match self.suspect_workers.get(&key) {
+            Some(suspect_worker) => suspect_worker.is_exposed && suspect_worker.admits(task),
+            // A likely suspect probably takes its worker along.
+            None if task.suspicion >= Suspicion::Likely => {
+                exposed == 0 && self.suspect_workers.len() < self.max_workers
             }
-            None => worker.tasks.is_empty() && !is_at_limit,
+            None => exposed < self.max_exposed,
         }
     }
+
+    /// Notes that a suspect task has been placed on a worker.
+    pub(super) fn add(&mut self, task: SuspectTask, key: WorkerKey, is_exposed: bool) {
+        if self.reserved == Some(key) {
+            self.reserved = None;
+        }
+        if !self.suspect_workers.contains_key(&key) {
+            self.responding += 1;
+        }
+        let suspect_worker = self.suspect_workers.entry(key).or_default();
+        suspect_worker.jobs.insert(task.job);
+        suspect_worker.has_likely |= task.suspicion >= Suspicion::Likely;
+        suspect_worker.is_exposed |= is_exposed;
+    }
+}
+
+impl SuspectWorker {
+    /// Returns whether a suspect task may share the worker with those of other jobs.
+    fn admits(&self, task: SuspectTask) -> bool {
+        let has_room = match task.suspicion {
+            Suspicion::Weak if task.is_overdue => true,
+            Suspicion::Weak | Suspicion::Possible => self.jobs.len() < MAX_SHARED_JOBS,
+            Suspicion::Likely | Suspicion::Known => false,
+        };
+        has_room && !self.has_likely
+    }
 }
 
 impl Shard {
@@ -104,9 +165,12 @@
             if let Some(worker) = self.worker_of(task) {
                 let suspect_worker = isolation.suspect_workers.entry(worker).or_default();
                 suspect_worker.jobs.insert(task.job);
-                suspect_worker.has_likely |= suspicion == Suspicion::Likely;
+                suspect_worker.has_likely |= suspicion >= Suspicion::Likely;
             }
         }
+        for (key, suspect_worker) in &mut isolation.suspect_workers {
+            suspect_worker.is_exposed = !self.runs_suspects_only(&self.workers[*key]);
+        }
         let pinned = self.workers_with_long_running();
         let usable = |(key, worker): &(WorkerKey, &Worker)| {
             worker.accepts_tasks(now.boot_ms) && !pinned.contains(key)
@@ -116,7 +180,9 @@
             return isolation;
         }
         let listed = self.workers.values().filter(|worker| worker.is_registered);
-        isolation.max_workers = (listed.count() / APART_DIVISOR).max(1);
+        let listed = listed.count();
+        isolation.max_workers = (listed / APART_DIVISOR).max(1);
+        isolation.max_workers_overdue = listed.saturating_sub((listed / OPEN_DIVISOR).max(1));
         let responds = |worker: &Worker| worker.reachability == Reachability::Reachable;
         let suspect_workers = isolation.suspect_workers.keys();
         isolation.responding = suspect_workers
@@ -125,6 +191,7 @@
         let responding = self.workers.values().filter(|worker| responds(worker));
         let responding = responding.count();
         isolation.max_responding = (responding / APART_DIVISOR).max(1);
+        isolation.max_exposed = (responding / EXPOSED_DIVISOR).max(1);
         if isolation.responding < (responding / EMPTIED_DIVISOR).max(1) {
             isolation.reserved = self.worker_to_empty(&isolation, &usable);
         }
@@ -141,19 +208,15 @@
         (0..spec.count).any(|index| self.suspicion(TaskKey { index, ..first }).is_some())
     }
 
-    /// Returns the worker with the fewest tasks that could run the first suspect task that waits,
-    /// once it is empty.
+    /// Returns the worker with the fewest tasks that could run the suspect task that has waited for the
+    /// longest time, once it is empty.
     fn worker_to_empty(
         &self,
         isolation: &Isolation,
         usable: &[(WorkerKey, &Worker)],
     ) -> Option<WorkerKey> {
-        let waiting = self
-            .crashes
-            .suspects
-            .keys()
-            .find(|key| self.is_waiting(**key))?;
-        let request = PlacementRequest::from(self.step_of(*waiting)?);
+        let waiting = self.longest_waiting_suspect()?;
+        let request = PlacementRequest::from(self.step_of(waiting)?);
         usable
             .iter()
             .filter(|(key, worker)| {
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -4,8 +4,7 @@
 
 use cyclamentrail_core::RackName;
 
-use super::crashes::Suspicion;
-use super::isolation::Isolation;
+use super::isolation::{Isolation, SuspectTask};
 use super::quota::StepLimit;
 use super::{Now, Shard};
 use crate::best_effort_share::FULL_SHARE_PERCENT;
@@ -249,6 +248,8 @@
         pass: &mut PlacementPass,
     ) {
         let mut candidates = self.candidates(now, step, pass);
+        // Suspects of the step for which no worker was found: an equal one finds none, either.
+        let mut failed_suspects = BTreeSet::new();
         for index in 0..step.spec.count {
             if pass.is_over() {
                 return;
@@ -262,13 +263,19 @@
                 self.record_skipped(key, limit);
                 return;
             }
-            let suspicion = self.suspicion(key).filter(|_| pass.isolation.is_possible());
-            let chosen = match suspicion {
-                Some(suspicion) => self.select_for_suspect(now, key, suspicion, step, pass),
+            let suspect = self
+                .suspect_task(now, key)
+                .filter(|_| pass.isolation.is_possible());
+            let chosen = match suspect {
+                Some(suspect) if failed_suspects.contains(&suspect) => None,
+                Some(suspect) => self.select_for_suspect(now, suspect, step, pass),
                 None => candidates.cheapest(),
             };
             let Some(worker) = chosen else {
-                if suspicion.is_some() && !self.is_overdue_service(now, key) {
+                if let Some(suspect) = suspect
+                    && !(suspect.is_long_running && suspect.is_overdue)
+                {
+                    failed_suspects.insert(suspect);
                     continue;
                 }
                 pass.record_failure(step.is_restricted, step.spec.reserved_resources());
@@ -283,9 +290,14 @@
             if step.spec.long_running {
                 pass.pinned.insert(worker);
             }
-            if suspicion.is_some() {
-                pass.isolation = self.isolation(now);
-                candidates = self.candidates(now, step, pass);
+            if let Some(suspect) = suspect {
+                let is_exposed = !self.runs_suspects_only(&self.workers[worker]);
+                pass.isolation.add(suspect, worker, is_exposed);
+                if suspect.is_overdue {
+                    self.log_wait_ended(now, key, worker, is_exposed);
+                }
+                candidates.update(worker, None);
+                failed_suspects.clear();
             } else {
                 candidates.update(worker, self.cost_of_next(now, worker, step, pass));
             }
@@ -315,55 +327,54 @@
         step.request(pass).cost_with_room(key, worker)
     }
 
-    /// Returns the worker for a suspect task. A long-running one that has waited for long enough gets
-    /// any with room where none can be kept apart.
+    /// Returns what is known of a suspect task; `None` if the task isn't suspect.
+    fn suspect_task(&self, now: Now, key: TaskKey) -> Option<SuspectTask> {
+        let suspicion = self.suspicion(key)?;
+        Some(SuspectTask {
+            job: key.job,
+            suspicion,
+            is_long_running: self.is_long_running(key),
+            is_overdue: self.is_overdue(now, key, suspicion),
+        })
+    }
+
+    /// Returns the worker for a suspect task: one that is kept apart, or, for a task that has waited for
+    /// long enough, one with other tasks.
     fn select_for_suspect(
         &self,
         now: Now,
-        key: TaskKey,
-        suspicion: Suspicion,
+        suspect: SuspectTask,
         step: &StepPlacement,
         pass: &PlacementPass,
     ) -> Option<WorkerKey> {
-        let apart = self.select_apart(now, key.job, suspicion, step, pass);
-        if apart.is_none() && self.is_overdue_service(now, key) {
-            return self.select_least_busy(now, step, pass);
+        let open = self.open_workers(now, &step.spec, &step.per_worker);
+        let apart = open.filter(|(key, worker)| pass.isolation.admits(suspect, *key, worker));
+        let apart = select_worker(&step.request(pass), apart);
+        if apart.is_none() && suspect.is_overdue {
+            return self.select_beside_others(now, suspect, step, pass);
         }
         apart
     }
 
-    /// Returns the worker with the fewest tasks that has room, if possible one without suspect tasks.
-    fn select_least_busy(
+    /// Returns the worker with the fewest tasks that has room for an overdue suspect task, if possible one
+    /// without suspect tasks.
+    fn select_beside_others(
         &self,
         now: Now,
+        suspect: SuspectTask,
         step: &StepPlacement,
         pass: &PlacementPass,
     ) -> Option<WorkerKey> {
         let request = step.request(pass);
         self.open_workers(now, &step.spec, &step.per_worker)
             .filter(|(key, worker)| request.cost_with_room(*key, worker).is_some())
+            .filter(|(key, _)| {
+                suspect.is_long_running || pass.isolation.admits_beside_others(suspect, *key)
+            })
             .min_by_key(|(key, worker)| (pass.isolation.has_suspects(*key), worker.tasks.len()))
             .map(|(key, _)| key)
     }
 
-    /// Returns a worker for a suspect task of a job on which no other job is endangered.
-    fn select_apart(
-        &self,
-        now: Now,
-        job: JobKey,
-        suspicion: Suspicion,
-        step: &StepPlacement,
-        pass: &PlacementPass,
-    ) -> Option<WorkerKey> {
-        let open = self.open_workers(now, &step.spec, &step.per_worker);
-        let is_long_running = step.spec.long_running;
-        let allowed = open.filter(|(key, worker)| {
-            pass.isolation
-                .admits(job, suspicion, is_long_running, *key, worker)
-        });
-        select_worker(&step.request(pass), allowed)
-    }
-
     /// Places all tasks of a gang, or none; returns `false` if there was no room for all.
     fn place_gang(
         &mut self,
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -56,6 +56,8 @@
 mod specs;
 #[path = "scheduler/starts.rs"]
 mod starts;
+#[path = "scheduler/suspects.rs"]
+mod suspects;
 #[path = "scheduler/takeover.rs"]
 mod takeover;
 #[path = "scheduler/unreadable_records.rs"]
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -163,18 +163,9 @@
                 .with("percent", percent)
                 .with("worst_percent", worst_percent),
             Decision::PromiseMade { .. } | Decision::PromiseEnded { .. } => promise_line(decision),
-            Decision::JobGivenUp { job, task, crashes } => Self::new("job_given_up")
-                .with_task_of(job, task)
-                .with("crashes", crashes),
-            Decision::TaskKeptApart {
-                job,
-                task,
-                crashes,
-                pause_ms,
-            } => Self::new("task_kept_apart")
-                .with_task_of(job, task)
-                .with("crashes", crashes)
-                .with("pause_ms", pause_ms),
+            Decision::JobGivenUp { .. }
+            | Decision::TaskKeptApart { .. }
+            | Decision::SuspectWaitEnded { .. } => crash_line(decision),
             Decision::AllowanceChanged { change, usage } => Self::allowance_changed(change, *usage),
             Decision::RunStalled { job, worker } => Self::new("run_stalled")
                 .with("job", job)
@@ -248,6 +239,36 @@
     }
 }
 
+/// Returns the line of a decision on a task under which workers crashed.
+fn crash_line(decision: &Decision) -> LogLine {
+    match decision {
+        Decision::JobGivenUp { job, task, crashes } => LogLine::new("job_given_up")
+            .with_task_of(job, task)
+            .with("crashes", crashes),
+        Decision::TaskKeptApart {
+            job,
+            task,
+            crashes,
+            pause_ms,
+        } => LogLine::new("task_kept_apart")
+            .with_task_of(job, task)
+            .with("crashes", crashes)
+            .with("pause_ms", pause_ms),
+        Decision::SuspectWaitEnded {
+            job,
+            task,
+            waited_ms,
+            worker,
+            is_exposed,
+        } => LogLine::new("suspect_wait_ended")
+            .with_task_of(job, task)
+            .with("waited_ms", waited_ms)
+            .with("worker", worker)
+            .with("beside_others", is_exposed),
+        _ => LogLine::new("unknown"),
+    }
+}
+
 /// Returns the line of a promise to end on time, or of its end; other decisions have lines of their
 /// own.
 fn promise_line(decision: &Decision) -> LogLine {
@@ -292,6 +313,7 @@
         | Decision::PromiseEnded { job, .. }
         | Decision::JobGivenUp { job, .. }
         | Decision::TaskKeptApart { job, .. }
+        | Decision::SuspectWaitEnded { job, .. }
         | Decision::JobHeld { job, .. }
         | Decision::RunStalled { job, .. } => Some(job),
         Decision::ContactChanged { .. }
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -89,6 +89,7 @@
         | Decision::LeaseInherited { .. }
         | Decision::WorkerRestarted { .. }
         | Decision::TaskKeptApart { .. }
+        | Decision::SuspectWaitEnded { .. }
         | Decision::ShareChanged { .. } => {}
     }
 }
