fix(jobs): a stop is reviewed when it is sent

Cause: an evacuation's stop waits until it is durable. Whether enough other tasks work was asked at the decision only; the store was away meanwhile, and the other task's worker had crashed before that without anybody knowing yet. A successor carried out a recorded stop at once as well. Ruled out: a silent worker's task taken for one that works, which the check itself excludes.

Change: the decision is pending while its commit is under way and reviewed when that is done; it is withdrawn, durably and with a log line, where too few others work. A successor holds a recorded stop back by the same check, and withdraws it if the run is still at work after 10 s.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -425,6 +425,20 @@
         /// Time for which the task waits before its next start, in milliseconds.
         pause_ms: u64,
     },
+    /// The stop of a long-running task, decided earlier, isn't carried out: too few other tasks of its
+    /// step work now.
+    StopWithdrawn {
+        /// Id of the job.
+        job: JobId,
+        /// Task that the decision concerns.
+        task: TaskKey,
+        /// Number of the run, which goes on.
+        run: u32,
+        /// Worker that the run is on.
+        worker: WorkerId,
+        /// Whether an earlier owner decided on the stop.
+        is_inherited: bool,
+    },
     /// A suspect task that waited for long enough for a worker of its own was placed all the same.
     SuspectWaitEnded {
         /// Id of the job.
--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -108,6 +108,23 @@
     EarlierOwner,
 }
 
+/// What has become of the decision to stop a run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StopOrder {
+    /// The run isn't to be stopped.
+    #[default]
+    None,
+    /// The decision isn't durable yet, and is reviewed once it is; the run goes on.
+    Pending,
+    /// This owner has sent a stop command.
+    Sent,
+    /// An earlier owner recorded the decision; it isn't known whether it sent a command.
+    Inherited {
+        /// Time of the takeover on the owner's boot clock, in milliseconds.
+        since_ms: u64,
+    },
+}
+
 /// Assignment of a run to a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Placement {
@@ -117,6 +134,8 @@
     pub run: u32,
     /// Phase of the run.
     pub phase: RunPhase,
+    /// What has become of the decision to stop the run, if there is one.
+    pub stop_order: StopOrder,
     /// Whether the worker has confirmed to this owner that the run began.
     pub has_begun: bool,
     /// Whether the incarnation that the run is assigned to has listed it in a report. The response to a
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -328,7 +328,14 @@
         for worker in commit.reopened_workers {
             self.lease_records.finish_deletion(&worker);
         }
-        commit.effects
+        commit
+            .effects
+            .into_iter()
+            .filter(|effect| match effect {
+                Effect::Stop(command) => self.confirm_stop(command),
+                _ => true,
+            })
+            .collect()
     }
 
     /// Adds the records of a changed job to a commit and finishes the job if it is final.
@@ -478,7 +485,9 @@
                     self.schedule_resend(due_ms, resend.task, resend.run);
                 }
                 Some(RunPhase::Sent) => self.send_start(resend.task),
-                Some(RunPhase::Stopping { confirmed_ms: None }) => self.send_stop(resend.task),
+                Some(RunPhase::Stopping { confirmed_ms: None }) => {
+                    self.resend_stop(now, resend.task);
+                }
                 _ => {}
             }
         }
--- a/crates/cyclamentrail-jobs/src/shard/evacuation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/evacuation.rs
@@ -6,7 +6,7 @@
 
 use super::{Now, Shard};
 use crate::fleet::{PoolLoad, WorkerTaskCounts};
-use crate::job::{RunPhase, Task, TaskKey};
+use crate::job::{RunPhase, StopOrder, Task, TaskKey};
 use crate::selection::{PlacementRequest, select_worker};
 use crate::worker::{Reachability, WorkerKey};
 use crate::{JobSpec, StepSpec};
@@ -19,7 +19,7 @@
 /// milliseconds.
 pub(super) const EVACUATION_GRACE_MS: u64 = 4_000;
 /// Progress from which a long-running task counts as working, in percent.
-const WORKING_PERCENT: u32 = 100;
+pub(super) const WORKING_PERCENT: u32 = 100;
 
 /// Work that was submitted lately, whether it was accepted or not.
 #[derive(Debug, Default)]
@@ -116,7 +116,7 @@
             let Some(step) = self.step_of(key).cloned() else {
                 continue;
             };
-            if !self.is_running(key) {
+            if !self.may_be_stopped(key) {
                 continue;
             }
             if step.long_running {
@@ -129,14 +129,17 @@
         }
     }
 
-    fn is_running(&self, key: TaskKey) -> bool {
-        self.placement_of(key)
-            .is_some_and(|placement| matches!(placement.phase, RunPhase::Running { .. }))
+    /// Returns whether a task runs and isn't to be stopped already.
+    fn may_be_stopped(&self, key: TaskKey) -> bool {
+        self.placement_of(key).is_some_and(|placement| {
+            matches!(placement.phase, RunPhase::Running { .. })
+                && placement.stop_order == StopOrder::None
+        })
     }
 
     /// Returns whether enough other tasks of a long-running step are working for this one to be
     /// moved.
-    fn may_interrupt(&self, key: TaskKey, step: &StepSpec) -> bool {
+    pub(super) fn may_interrupt(&self, key: TaskKey, step: &StepSpec) -> bool {
         let progress = self
             .jobs
             .get(key.job)
@@ -163,6 +166,7 @@
                 .is_some_and(|worker| worker.reachability == Reachability::Reachable);
             is_reachable
                 && matches!(placement.phase, RunPhase::Running { .. })
+                && placement.stop_order == StopOrder::None
                 && placement.progress_percent >= WORKING_PERCENT
         })
     }
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -9,7 +9,7 @@
 use super::{Now, Shard};
 use crate::best_effort_share::FULL_SHARE_PERCENT;
 use crate::effect::Effect;
-use crate::job::{JobKey, Occurrence, PlacedRun, Placement, RunPhase, TaskKey};
+use crate::job::{JobKey, Occurrence, PlacedRun, Placement, RunPhase, StopOrder, TaskKey};
 use crate::ranking::{JobRank, WaitingJob};
 use crate::selection::{Candidates, PlacementRequest, select_worker};
 use crate::worker::{Worker, WorkerKey};
@@ -495,6 +495,7 @@
             worker: worker_key,
             run,
             phase: RunPhase::Placed,
+            stop_order: StopOrder::None,
             has_begun: false,
             is_listed: false,
             doubt: None,
--- a/crates/cyclamentrail-jobs/src/shard/progress.rs
+++ b/crates/cyclamentrail-jobs/src/shard/progress.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{Commit, Shard};
-use crate::job::{Job, JobKey, Occurrence, Placement, RunPhase, Task};
+use crate::job::{Job, JobKey, Occurrence, Placement, RunPhase, StopOrder, Task};
 use crate::record::{
     KeyedRecord, OccurrenceRecord, PROGRESS_SUFFIX, PlacementRecord, ProgressRecord, TaskRecord,
     encode,
@@ -133,7 +133,8 @@
             worker: worker.registration.id.clone(),
             started_ms: worker.registration.started_ms,
             run: placement.run,
-            is_stopping: matches!(placement.phase, RunPhase::Stopping { .. }),
+            is_stopping: matches!(placement.phase, RunPhase::Stopping { .. })
+                || placement.stop_order == StopOrder::Pending,
         })
     }
 }
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -15,7 +15,8 @@
 use super::restarts::CALLS_UNDER_WAY_MS;
 use super::{Now, Shard};
 use crate::job::{
-    Job, JobKey, Occurrence, Placement, RestartDoubt, RunPhase, StepProgress, Task, TaskKey,
+    Job, JobKey, Occurrence, Placement, RestartDoubt, RunPhase, StepProgress, StopOrder, Task,
+    TaskKey,
 };
 use crate::record::{
     AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, PROGRESS_SUFFIX,
@@ -292,6 +293,13 @@
                 worker: worker_key,
                 run: record.run,
                 phase,
+                stop_order: if record.is_stopping {
+                    StopOrder::Inherited {
+                        since_ms: now.boot_ms,
+                    }
+                } else {
+                    StopOrder::None
+                },
                 has_begun: false,
                 is_listed: false,
                 doubt: has_restarted.then_some(RestartDoubt::EarlierOwner),
--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -9,7 +9,7 @@
 use super::reports::ListedRuns;
 use super::{Now, Shard};
 use crate::effect::{Decision, Effect, EndProof, WorkerReport};
-use crate::job::{RestartDoubt, RunPhase, TaskKey};
+use crate::job::{RestartDoubt, RunPhase, StopOrder, TaskKey};
 use crate::worker::{Worker, WorkerKey, WorkerRegistration};
 
 /// Time in milliseconds for which a call may be under way, longer than its time limit.
@@ -119,6 +119,9 @@
             RunPhase::Stopping { .. } => RunPhase::Stopping { confirmed_ms: None },
             _ => RunPhase::Sent,
         };
+        if placement.stop_order == StopOrder::Pending {
+            placement.stop_order = StopOrder::None;
+        }
         placement.is_listed = false;
         placement.may_start_late = true;
         placement.sent_share_percent = None;
@@ -166,7 +169,9 @@
                     self.dirty.insert(task.job);
                     self.send_stop(task);
                 }
-                _ if matches!(placement.phase, RunPhase::Stopping { .. }) => self.send_stop(task),
+                _ if matches!(placement.phase, RunPhase::Stopping { .. }) => {
+                    self.resend_stop(now, task);
+                }
                 _ => {}
             }
         }
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -163,6 +163,17 @@
                 .with("percent", percent)
                 .with("worst_percent", worst_percent),
             Decision::PromiseMade { .. } | Decision::PromiseEnded { .. } => promise_line(decision),
+            Decision::StopWithdrawn {
+                job,
+                task,
+                run,
+                worker,
+                is_inherited,
+            } => Self::new("stop_withdrawn")
+                .with_task_of(job, task)
+                .with("run", run)
+                .with("worker", worker)
+                .with("inherited", is_inherited),
             Decision::JobGivenUp { .. }
             | Decision::TaskKeptApart { .. }
             | Decision::SuspectWaitEnded { .. } => crash_line(decision),
@@ -314,6 +325,7 @@
         | Decision::JobGivenUp { job, .. }
         | Decision::TaskKeptApart { job, .. }
         | Decision::SuspectWaitEnded { job, .. }
+        | Decision::StopWithdrawn { job, .. }
         | Decision::JobHeld { job, .. }
         | Decision::RunStalled { job, .. } => Some(job),
         Decision::ContactChanged { .. }
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -90,6 +90,7 @@
         | Decision::WorkerRestarted { .. }
         | Decision::TaskKeptApart { .. }
         | Decision::SuspectWaitEnded { .. }
+        | Decision::StopWithdrawn { .. }
         | Decision::ShareChanged { .. } => {}
     }
 }
