--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -66,6 +66,8 @@
     longest_values: HashMap<String, usize>,
     /// The same for all keys with a prefix.
     longest_values_by_prefix: HashMap<String, usize>,
+    /// Time that an append takes to topics whose names begin so, in milliseconds.
+    append_delays_ms: HashMap<String, u64>,
 }
 
 #[derive(Debug, Default)]
@@ -157,6 +159,12 @@
         limits.insert(prefix.to_owned(), max_bytes);
     }
 
+    /// Makes each append to topics whose names begin with `prefix` take `delay_ms`; other calls don't.
+    pub fn delay_appends(&self, prefix: &str, delay_ms: u64) {
+        let mut state = self.shared.lock();
+        state.append_delays_ms.insert(prefix.to_owned(), delay_ms);
+    }
+
     /// Appends a record without an epoch, as operators and workers do; a null value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: &Value) {
         let value = if value.is_null() {
@@ -214,6 +222,14 @@
     fn lock(&self) -> MutexGuard<'_, StoreState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns the time that an append to a topic takes.
+    fn append_delay(&self, topic: &str) -> Duration {
+        let state = self.lock();
+        let mut delays = state.append_delays_ms.iter();
+        let delay_ms = delays.find(|(prefix, _)| topic.starts_with(prefix.as_str()));
+        Duration::from_millis(delay_ms.map_or(0, |(_, &delay_ms)| delay_ms))
+    }
 }
 
 /// Rejects, delays or loses calls as the tests have set.
@@ -265,6 +281,7 @@
     Query(query): Query<AppendQuery>,
     body: Bytes,
 ) -> Response {
+    tokio::time::sleep(shared.append_delay(&query.topic)).await;
     let records = decode_records(&body);
     let mut state = shared.lock();
     let is_refused = |(key, value): &(String, Vec<u8>)| {
--- a/crates/cyclamentrail-testkit/src/forwarder.rs
+++ b/crates/cyclamentrail-testkit/src/forwarder.rs
@@ -23,6 +23,8 @@
     cut: watch::Sender<bool>,
     /// Incremented to silence the connections that are open.
     silencings: watch::Sender<u32>,
+    /// Incremented to close the connections that are open.
+    closings: watch::Sender<u32>,
     forwarded_bytes: Arc<AtomicU64>,
     accept_task: JoinHandle<()>,
 }
@@ -38,18 +40,23 @@
         let address = listener.local_addr()?;
         let (cut, is_cut) = watch::channel(false);
         let (silencings, silenced) = watch::channel(0);
+        let (closings, closed) = watch::channel(0);
         let forwarded_bytes = Arc::new(AtomicU64::new(0));
         let accept_task = tokio::spawn(accept_connections(
             listener,
             target,
-            is_cut,
-            silenced,
+            Controls {
+                is_cut,
+                silenced,
+                closed,
+            },
             Arc::clone(&forwarded_bytes),
         ));
         Ok(Self {
             address,
             cut,
             silencings,
+            closings,
             forwarded_bytes,
             accept_task,
         })
@@ -67,6 +74,11 @@
         self.cut.send_replace(cut);
     }
 
+    /// Closes the connections that are open; new ones are forwarded.
+    pub fn close_open(&self) {
+        self.closings.send_modify(|closings| *closings += 1);
+    }
+
     /// Forwards nothing more over the connections that are open, and leaves them open; new ones are
     /// forwarded.
     pub fn silence_open(&self) {
@@ -86,22 +98,31 @@
     }
 }
 
+/// What a test does to the connections, as each of them sees it.
+#[derive(Debug, Clone)]
+struct Controls {
+    is_cut: watch::Receiver<bool>,
+    silenced: watch::Receiver<u32>,
+    closed: watch::Receiver<u32>,
+}
+
 async fn accept_connections(
     listener: TcpListener,
     target: SocketAddr,
-    is_cut: watch::Receiver<bool>,
-    silenced: watch::Receiver<u32>,
+    controls: Controls,
     forwarded_bytes: Arc<AtomicU64>,
 ) {
     while let Ok((stream, _)) = listener.accept().await {
-        if *is_cut.borrow() {
+        if *controls.is_cut.borrow() {
             continue;
         }
+        let mut controls = controls.clone();
+        controls.silenced.mark_unchanged();
+        controls.closed.mark_unchanged();
         tokio::spawn(forward(
             stream,
             target,
-            is_cut.clone(),
-            silenced.clone(),
+            controls,
             Arc::clone(&forwarded_bytes),
         ));
     }
@@ -110,11 +131,9 @@
 async fn forward(
     client_stream: TcpStream,
     target: SocketAddr,
-    mut is_cut: watch::Receiver<bool>,
-    mut silenced: watch::Receiver<u32>,
+    mut controls: Controls,
     forwarded_bytes: Arc<AtomicU64>,
 ) {
-    silenced.mark_unchanged();
     let Ok(target_stream) = TcpStream::connect(target).await else {
         return;
     };
@@ -123,11 +142,12 @@
     tokio::select! {
         () = copy(&mut client_read, &mut target_write, &forwarded_bytes) => return,
         () = copy(&mut target_read, &mut client_write, &forwarded_bytes) => return,
-        _ = is_cut.wait_for(|cut| *cut) => return,
-        Ok(()) = silenced.changed() => {}
+        _ = controls.is_cut.wait_for(|cut| *cut) => return,
+        Ok(()) = controls.closed.changed() => return,
+        Ok(()) = controls.silenced.changed() => {}
     }
     // Both connections stay open until the forwarder is cut or dropped.
-    drop(is_cut.wait_for(|cut| *cut).await);
+    drop(controls.is_cut.wait_for(|cut| *cut).await);
 }
 
 async fn copy(from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf, forwarded_bytes: &AtomicU64) {
--- a/crates/cyclamentrail-testkit/src/soak/faults.rs
+++ b/crates/cyclamentrail-testkit/src/soak/faults.rs
@@ -232,7 +232,9 @@
             Fault::HangUp { process } => self.processes[process].signal(Process::send_sighup)?,
             Fault::CutFromStore { process } => self.processes[process].store_link.set_cut(true),
             Fault::StoreDown => self.site.store.set_down(true),
-            Fault::StoreSlow { delay_ms } => self.site.store.set_delay_ms(delay_ms),
+            Fault::StoreSlow { delay_ms } | Fault::StoreReset { delay_ms } => {
+                self.site.store.set_delay_ms(delay_ms);
+            }
             Fault::StoreSilent => self.site.store.set_losing_responses(true),
             Fault::RegistryUnreadable => self.site.store.set_unreadable(REGISTRATION_TOPIC, true),
             Fault::ConfigurationUnreadable => {
@@ -276,6 +278,12 @@
             Fault::CutFromStore { process } => self.processes[process].store_link.set_cut(false),
             Fault::StoreDown => self.site.store.set_down(false),
             Fault::StoreSlow { .. } => self.site.store.set_delay_ms(0),
+            Fault::StoreReset { .. } => {
+                for process in &self.processes {
+                    process.store_link.close_open();
+                }
+                self.site.store.set_delay_ms(0);
+            }
             Fault::StoreSilent => self.site.store.set_losing_responses(false),
             Fault::RegistryUnreadable => self.site.store.set_unreadable(REGISTRATION_TOPIC, false),
             Fault::ConfigurationUnreadable => {
--- a/crates/cyclamentrail-testkit/src/soak/schedule.rs
+++ b/crates/cyclamentrail-testkit/src/soak/schedule.rs
@@ -25,6 +25,13 @@
 /// Shortest and longest time of that fault; the bound is 5 s.
 const REVOCATION_FAULT_MS: std::ops::RangeInclusive<u64> = 7_000..=9_000;
 
+/// Difference between the seeds of the other faults and of the resets of the store's connections.
+const RESET_STREAM: u64 = 4;
+/// Mean time between two resets.
+const MEAN_RESET_PAUSE_MS: u64 = 3_000;
+/// Time for which the store responds late before a reset, and by how much.
+const LATE_BEFORE_RESET_MS: std::ops::RangeInclusive<u64> = 300..=2_000;
+
 /// Fault that is injected from outside the processes. Numbers of processes and workers count from
 /// zero.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -67,6 +74,12 @@
     },
     /// The store carries out calls and doesn't respond.
     StoreSilent,
+    /// The store carries out calls late; in the end all connections to it are closed at one moment, with
+    /// calls on their way that are carried out or not.
+    StoreReset {
+        /// Delay of each call in milliseconds.
+        delay_ms: u64,
+    },
     /// The store doesn't serve reads of the workers' registrations.
     RegistryUnreadable,
     /// The store doesn't serve reads of the configuration.
@@ -121,10 +134,33 @@
         at_ms += random.random_range(0..=2 * MEAN_PAUSE_MS);
     }
     schedule.extend(draw_revocation_fault(seed, end_ms, processes));
+    schedule.extend(draw_resets(seed, end_ms));
     schedule.sort_by_key(|scheduled| scheduled.at_ms);
     schedule
 }
 
+/// Draws the resets of the store's connections, which don't change a seed's other faults.
+fn draw_resets(seed: u64, end_ms: u64) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(RESET_STREAM);
+    let mut resets = Vec::new();
+    let mut at_ms = FIRST_FAULT_MS;
+    loop {
+        at_ms += random.random_range(0..=2 * MEAN_RESET_PAUSE_MS);
+        let duration_ms = random.random_range(LATE_BEFORE_RESET_MS);
+        let delay_ms = random.random_range(LATE_BEFORE_RESET_MS);
+        if at_ms + duration_ms >= end_ms {
+            return resets;
+        }
+        resets.push(ScheduledFault {
+            at_ms,
+            duration_ms,
+            fault: Fault::StoreReset { delay_ms },
+        });
+        at_ms += duration_ms;
+    }
+}
+
 /// Draws a fault that keeps some processes from learning of revoked keys for longer than the bound;
 /// none if the soak is too short. Drawn apart, so that a seed's other faults don't depend on it.
 fn draw_revocation_fault(seed: u64, end_ms: u64, processes: usize) -> Option<ScheduledFault> {
