--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -4,17 +4,20 @@
 
 use cyclamentrail_core::RackName;
 
-use super::isolation::{Isolation, SuspectTask};
+use super::isolation::Isolation;
 use super::quota::StepLimit;
 use super::{Now, Shard};
 use crate::best_effort_share::FULL_SHARE_PERCENT;
 use crate::effect::Effect;
 use crate::job::{JobKey, Occurrence, PlacedRun, Placement, RunPhase, StopOrder, TaskKey};
 use crate::ranking::{JobRank, WaitingJob};
-use crate::selection::{Candidates, PlacementRequest, select_worker};
+use crate::selection::{Candidates, PlacementRequest};
 use crate::worker::{Worker, WorkerKey};
 use crate::{RecentLoss, Resources, StepSpec};
 
+mod gang;
+mod suspect;
+
 /// Number of distinct demands without room after which a placement pass ends.
 const MAX_UNPLACEABLE: usize = 12;
 /// Number of steps that only some workers may run, and found no room, after which a pass leaves the
@@ -327,154 +330,6 @@
         step.request(pass).cost_with_room(key, worker)
     }
 
-    /// Returns what is known of a suspect task; `None` if the task isn't suspect.
-    fn suspect_task(&self, now: Now, key: TaskKey) -> Option<SuspectTask> {
-        let suspicion = self.suspicion(key)?;
-        Some(SuspectTask {
-            job: key.job,
-            suspicion,
-            is_long_running: self.is_long_running(key),
-            is_overdue: self.is_overdue(now, key, suspicion),
-        })
-    }
-
-    /// Returns the worker for a suspect task: one that is kept apart, or, for a task that has waited for
-    /// long enough, one with other tasks.
-    fn select_for_suspect(
-        &self,
-        now: Now,
-        suspect: SuspectTask,
-        step: &StepPlacement,
-        pass: &PlacementPass,
-    ) -> Option<WorkerKey> {
-        let open = self.open_workers(now, &step.spec, &step.per_worker);
-        let apart = open.filter(|(key, worker)| pass.isolation.admits(suspect, *key, worker));
-        let apart = select_worker(&step.request(pass), apart);
-        if apart.is_none() && suspect.is_overdue {
-            return self.select_beside_others(now, suspect, step, pass);
-        }
-        apart
-    }
-
-    /// Returns the worker with the fewest tasks that has room for an overdue suspect task, if possible one
-    /// without suspect tasks.
-    fn select_beside_others(
-        &self,
-        now: Now,
-        suspect: SuspectTask,
-        step: &StepPlacement,
-        pass: &PlacementPass,
-    ) -> Option<WorkerKey> {
-        let request = step.request(pass);
-        self.open_workers(now, &step.spec, &step.per_worker)
-            .filter(|(key, worker)| request.cost_with_room(*key, worker).is_some())
-            .filter(|(key, _)| {
-                suspect.is_long_running || pass.isolation.admits_beside_others(suspect, *key)
-            })
-            .min_by_key(|(key, worker)| (pass.isolation.has_suspects(*key), worker.tasks.len()))
-            .map(|(key, _)| key)
-    }
-
-    /// Places all tasks of a gang, or none; returns `false` if there was no room for all.
-    fn place_gang(
-        &mut self,
-        now: Now,
-        ready_step: ReadyStep,
-        spec: &StepSpec,
-        granted: Option<&BTreeSet<WorkerKey>>,
-        isolation: &Isolation,
-    ) -> bool {
-        let keys: Vec<TaskKey> = (0..spec.count)
-            .map(|index| ready_step.task(index))
-            .collect();
-        let is_waiting = keys.iter().all(|&key| self.is_waiting(key));
-        if !is_waiting || self.is_gang_paused(now, ready_step.task(0), spec) {
-            return true;
-        }
-        let racks = self.racks();
-        let named_rack = spec.preferred_rack.iter().cloned();
-        let rack_options: Vec<Option<RackName>> = if spec.prefers_one_rack {
-            named_rack.chain(racks).map(Some).chain([None]).collect()
-        } else {
-            vec![spec.preferred_rack.clone()]
-        };
-        let needs_rack = |rack: &Option<RackName>| spec.prefers_one_rack && rack.is_some();
-        let open = |key: WorkerKey, _: &Worker| isolation.is_open(key);
-        let apart =
-            |key: WorkerKey, worker: &Worker| isolation.is_open(key) && worker.tasks.is_empty();
-        let plan = |allows: &dyn Fn(WorkerKey, &Worker) -> bool| {
-            rack_options.iter().find_map(|rack| {
-                self.plan_gang(now, spec, rack.as_ref(), needs_rack(rack), granted, allows)
-            })
-        };
-        let plan_apart = if self.is_suspect_gang(ready_step.task(0), spec) {
-            plan(&apart)
-        } else {
-            None
-        };
-        let Some(plan) = plan_apart.or_else(|| plan(&open)) else {
-            return false;
-        };
-        let run = keys
-            .iter()
-            .filter_map(|&key| Some(self.jobs.get(key.job)?.task(key)?.last_run))
-            .max()
-            .unwrap_or(0)
-            + 1;
-        if let Some(progress) = self.step_progress_mut(ready_step.task(0)) {
-            progress.choose_gang_checkpoint();
-        }
-        for (key, worker) in keys.into_iter().zip(plan) {
-            self.place(now, key, worker, Some(run));
-        }
-        true
-    }
-
-    /// Returns a worker for each task of a gang, if there is room for all.
-    fn plan_gang(
-        &self,
-        now: Now,
-        spec: &StepSpec,
-        rack: Option<&RackName>,
-        needs_rack: bool,
-        granted: Option<&BTreeSet<WorkerKey>>,
-        allows: &dyn Fn(WorkerKey, &Worker) -> bool,
-    ) -> Option<Vec<WorkerKey>> {
-        let demand = spec.reserved_resources();
-        let mut request = PlacementRequest::from(spec);
-        request.preferred_rack = rack;
-        request.granted_workers = granted;
-        request.recent_loss = self.recent_loss.filter(|loss| loss.is_recent(now));
-        let mut candidates: Vec<(WorkerKey, Worker)> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.accepts_tasks(now.boot_ms))
-            .filter(|(key, worker)| allows(*key, worker))
-            .filter(|(_, worker)| !needs_rack || rack.is_none_or(|rack| worker.is_on_rack(rack)))
-            .map(|(key, worker)| (key, worker.clone()))
-            .collect();
-        if !have_room_for(&candidates, spec) {
-            return None;
-        }
-        let mut counts: BTreeMap<WorkerKey, u32> = BTreeMap::new();
-        let mut plan = Vec::with_capacity(spec.count as usize);
-        for _ in 0..spec.count {
-            let open = candidates
-                .iter()
-                .filter(|(key, _)| {
-                    let count = counts.get(key).copied().unwrap_or(0);
-                    spec.max_per_worker.is_none_or(|limit| count < limit)
-                })
-                .map(|(key, worker)| (*key, worker));
-            let chosen = select_worker(&request, open)?;
-            let (_, worker) = candidates.iter_mut().find(|(key, _)| *key == chosen)?;
-            worker.used_capacity = worker.used_capacity.saturating_add(&demand);
-            *counts.entry(chosen).or_default() += 1;
-            plan.push(chosen);
-        }
-        Some(plan)
-    }
-
     /// Places a task on a worker; its start command is sent once the placement is durable.
     fn place(&mut self, now: Now, key: TaskKey, worker_key: WorkerKey, run: Option<u32>) {
         let Some(spec) = self.step_of(key) else {
@@ -593,17 +448,6 @@
         .map(|label| RackName::from(label.as_str()))
 }
 
-/// Returns whether workers have room for all tasks of a gang. Spares a large gang without room the
-/// choice of a worker for each task.
-fn have_room_for(workers: &[(WorkerKey, Worker)], spec: &StepSpec) -> bool {
-    let demand = spec.reserved_resources();
-    let limit = spec.max_per_worker.map_or(u64::MAX, u64::from);
-    let fitting =
-        |(_, worker): &(WorkerKey, Worker)| worker.free_capacity().count_of(&demand).min(limit);
-    let room = workers.iter().map(fitting).fold(0, u64::saturating_add);
-    room >= u64::from(spec.count)
-}
-
 /// Returns whether a worker may get another task of a step; `per_worker` holds the number of its tasks
 /// on each worker.
 fn may_get_task(
