fix(jobs): a processor share is sent again while it is uncertain

Cause: a share counted as known once a command for it was confirmed. An earlier command without a response may be carried out later, after newer ones, and its share stayed for as long as the run lasted. The feedback by tail latencies corrects only too high ones.

Change: after a command without a response the share is uncertain for 12 s and sent again once a second.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -125,6 +125,20 @@
     },
 }
 
+/// Processor share of a run, as it was last sent to its worker.
+///
+/// A command without a response may be carried out later, after newer ones. Until it can't any more,
+/// the share isn't certain, whatever the worker has confirmed since.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SentShare {
+    /// Share in percent; `None` if it isn't known.
+    pub percent: Option<u32>,
+    /// Time at which it was sent, on the owner's boot clock in milliseconds.
+    pub sent_ms: u64,
+    /// Time until which an earlier command may be carried out late, on the same clock.
+    pub uncertain_until_ms: u64,
+}
+
 /// Assignment of a run to a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Placement {
@@ -148,9 +162,8 @@
     pub start_under_way_until_ms: u64,
     /// Whether a start command got no response, so that the worker may still carry it out later.
     pub may_start_late: bool,
-    /// Processor share in percent that was last sent to the worker for this run; `None` if it
-    /// isn't known.
-    pub sent_share_percent: Option<u32>,
+    /// What is known of the processor share that the worker gives the run.
+    pub cpu_share: SentShare,
     /// Progress that the worker last reported, in percent.
     pub progress_percent: u32,
     /// Time of the last change in progress on the owner's boot clock, in milliseconds.
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -76,7 +76,7 @@
 pub use hedged_reads::{MAX_READ_LIMIT_MS, PlannedRead, ReadPlan, ReadTimes, replaced_read};
 pub use job::{
     CrashedRun, Job, JobKey, JobState, Occurrence, PlacedRun, Placement, RestartDoubt, RunPhase,
-    StepProgress, StopOrder, Task, TaskKey,
+    SentShare, StepProgress, StopOrder, Task, TaskKey,
 };
 pub use lease::{ClockSample, Lease};
 pub use newest_configuration::{ConfigurationStep, NewestConfiguration};
--- a/crates/cyclamentrail-jobs/src/shard/best_effort.rs
+++ b/crates/cyclamentrail-jobs/src/shard/best_effort.rs
@@ -6,6 +6,11 @@
 use crate::job::{RunPhase, TaskKey};
 use crate::worker::WorkerKey;
 
+/// Time in milliseconds within which a worker may carry out a command that it gave no response to.
+const LATE_SHARE_MS: u64 = 12_000;
+/// Time between two commands with an uncertain share, in milliseconds.
+const REPEAT_SHARE_MS: u64 = 1_000;
+
 impl Shard {
     /// Updates the share of a worker's best-effort tasks from the tail latencies that the worker
     /// reports.
@@ -28,13 +33,13 @@
             }));
         }
         for task in best_effort {
-            self.send_share(task, percent);
+            self.send_share(now, task, percent);
         }
     }
 
     /// Handles the result of a command that sets a processor share: the share of a run is unknown
-    /// unless the worker applied it.
-    pub fn handle_cpu_share_result(&mut self, task: TaskKey, run: u32, is_done: bool) {
+    /// unless the worker applied it, and uncertain as long as the worker may still do so.
+    pub fn handle_cpu_share_result(&mut self, now: Now, task: TaskKey, run: u32, is_done: bool) {
         if is_done {
             return;
         }
@@ -45,7 +50,8 @@
             .and_then(|task| task.placement.as_mut())
             .filter(|placement| placement.run == run);
         if let Some(placement) = placement {
-            placement.sent_share_percent = None;
+            placement.cpu_share.percent = None;
+            placement.cpu_share.uncertain_until_ms = now.boot_ms + LATE_SHARE_MS;
         }
     }
 
@@ -87,8 +93,9 @@
             .max()
     }
 
-    /// Sends the command that sets the processor share of a run, unless the share was sent before.
-    fn send_share(&mut self, task: TaskKey, percent: u32) {
+    /// Sends the command that sets the processor share of a run, unless the share was sent before and is
+    /// certain; an uncertain one is sent again from time to time.
+    fn send_share(&mut self, now: Now, task: TaskKey, percent: u32) {
         let Some(job) = self.jobs.get_mut(task.job) else {
             return;
         };
@@ -97,10 +104,15 @@
             return;
         };
         let is_running = matches!(placement.phase, RunPhase::Running { .. });
-        if !is_running || placement.sent_share_percent == Some(percent) {
+        let share = &mut placement.cpu_share;
+        let is_fresh = now.boot_ms < share.sent_ms + REPEAT_SHARE_MS;
+        let is_certain = now.boot_ms >= share.uncertain_until_ms + REPEAT_SHARE_MS;
+        let is_sent = share.percent == Some(percent) && (is_certain || is_fresh);
+        if !is_running || is_sent {
             return;
         }
-        placement.sent_share_percent = Some(percent);
+        share.percent = Some(percent);
+        share.sent_ms = now.boot_ms;
         let (run, worker) = (placement.run, placement.worker);
         self.learn_share(task, percent);
         self.ready_effects
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -9,7 +9,9 @@
 use super::{Now, Shard};
 use crate::best_effort_share::FULL_SHARE_PERCENT;
 use crate::effect::Effect;
-use crate::job::{JobKey, Occurrence, PlacedRun, Placement, RunPhase, StopOrder, TaskKey};
+use crate::job::{
+    JobKey, Occurrence, PlacedRun, Placement, RunPhase, SentShare, StopOrder, TaskKey,
+};
 use crate::ranking::{JobRank, WaitingJob};
 use crate::selection::{Candidates, PlacementRequest};
 use crate::worker::{Worker, WorkerKey};
@@ -356,7 +358,10 @@
             doubt: None,
             start_under_way_until_ms: 0,
             may_start_late: false,
-            sent_share_percent: Some(FULL_SHARE_PERCENT),
+            cpu_share: SentShare {
+                percent: Some(FULL_SHARE_PERCENT),
+                ..SentShare::default()
+            },
             progress_percent: 0,
             progress_changed_ms: now.boot_ms,
         });
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -15,8 +15,8 @@
 use super::restarts::CALLS_UNDER_WAY_MS;
 use super::{Now, Shard};
 use crate::job::{
-    Job, JobKey, Occurrence, Placement, RestartDoubt, RunPhase, StepProgress, StopOrder, Task,
-    TaskKey,
+    Job, JobKey, Occurrence, Placement, RestartDoubt, RunPhase, SentShare, StepProgress, StopOrder,
+    Task, TaskKey,
 };
 use crate::record::{
     AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, PROGRESS_SUFFIX,
@@ -305,7 +305,7 @@
                 doubt: has_restarted.then_some(RestartDoubt::EarlierOwner),
                 start_under_way_until_ms: 0,
                 may_start_late: true,
-                sent_share_percent: None,
+                cpu_share: SentShare::default(),
                 progress_percent: 0,
                 progress_changed_ms: now.boot_ms,
             });
--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -124,7 +124,7 @@
         }
         placement.is_listed = false;
         placement.may_start_late = true;
-        placement.sent_share_percent = None;
+        placement.cpu_share.percent = None;
         placement.doubt = Some(doubt);
         self.dirty.insert(task.job);
         if let Some(earlier) = self.workers.get_mut(earlier) {
--- a/crates/cyclamentrail-jobs/tests/scheduler/sharing.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/sharing.rs
@@ -60,3 +60,30 @@
     sim.run_for(14_000);
     assert_eq!(sim.worker("w0").best_effort_percent(), 100);
 }
+
+/// Guards against a share that a worker sets late, after a newer command, and that stays so for as long as
+/// the tasks run.
+#[test]
+fn late_share_corrected() {
+    let mut sim = Simulation::new(1, WORKER);
+    sim.submit("a", shared_worker_job());
+    sim.run_for(1_000);
+    sim.late_cpu_shares.extend([11_500, 11_500]);
+    sim.worker("w0").interference_ms = 200;
+    while !sim.late_cpu_shares.is_empty() {
+        sim.run_for(20);
+    }
+    sim.worker("w0").interference_ms = 0;
+    sim.run_for(11_000);
+    assert_eq!(
+        sim.worker("w0").best_effort_percent(),
+        100,
+        "it is restored"
+    );
+    sim.run_for(3_000);
+    assert_eq!(
+        sim.worker("w0").best_effort_percent(),
+        100,
+        "a late share stays"
+    );
+}
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -3,7 +3,7 @@
 //! Each start that a worker carries out is checked: no task runs twice at once or after it was
 //! done, no worker exceeds its capacity, and no step starts before its predecessors are done.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
@@ -138,6 +138,9 @@
     pub slow_worker: Option<WorkerId>,
     /// Tasks that crash each worker that starts them, with the workers that crashed.
     pub deadly_tasks: DeadlyTasks,
+    /// Delays in milliseconds with which the next commands that set a processor share are carried out;
+    /// these get no response.
+    pub late_cpu_shares: VecDeque<u64>,
     /// Time by which polls arrive later than other calls, in milliseconds.
     pub poll_delay_ms: u64,
     /// Routes that the next owners know.
@@ -180,6 +183,7 @@
             durations: HashMap::new(),
             slow_worker: None,
             deadly_tasks: DeadlyTasks::default(),
+            late_cpu_shares: VecDeque::new(),
             poll_delay_ms: 0,
             routes: vec![route_config()],
         };
@@ -407,7 +411,7 @@
                 Effect::Poll(poll) => {
                     self.schedule(CALL_MS + self.poll_delay_ms, Event::Poll(poll, self.token));
                 }
-                Effect::SetCpuShare(command) => self.schedule(CALL_MS, Event::SetCpuShare(command)),
+                Effect::SetCpuShare(command) => self.send_cpu_share(command),
                 Effect::QueryPolicy(query) => self.schedule(40, Event::QueryPolicy(query)),
                 Effect::Log(decision) => self.decisions.push(decision),
             }
@@ -451,6 +455,19 @@
         }
     }
 
+    /// Sends a command that sets a processor share, which the worker may carry out late, without a
+    /// response.
+    fn send_cpu_share(&mut self, command: CpuShareCommand) {
+        let Some(delay_ms) = self.late_cpu_shares.pop_front() else {
+            self.schedule(CALL_MS, Event::SetCpuShare(command));
+            return;
+        };
+        let now = self.now();
+        self.shard
+            .handle_cpu_share_result(now, command.task, command.run, false);
+        self.schedule(delay_ms, Event::SetCpuShare(command));
+    }
+
     /// Applies a command that sets a processor share to its run.
     fn deliver_cpu_share(&mut self, command: &CpuShareCommand) {
         let runs = self
--- a/crates/cyclamentrail/src/edge/owner/effects.rs
+++ b/crates/cyclamentrail/src/edge/owner/effects.rs
@@ -137,7 +137,8 @@
                     .handle_stop_result(now(), worker, task, run, &outcome)
             }
             (CallPurpose::SetCpuShare { task, run }, CallOutcome::CpuShare(is_done)) => {
-                self.shard.handle_cpu_share_result(task, run, is_done);
+                self.shard
+                    .handle_cpu_share_result(now(), task, run, is_done);
                 false
             }
             (
