--- a/crates/cyclamentrail-jobs/tests/scheduler/evacuation.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/evacuation.rs
@@ -119,15 +119,7 @@
 #[case::store_responds(true)]
 #[case::store_silent(false)]
 fn successor_knows_stops(#[case] store_responds: bool) {
-    let mut sim = Simulation::new(WORKERS.len() as u64, WORKER);
-    let mut spec = job(TASKS, 1_000, 0);
-    spec.steps[0].long_running = true;
-    spec.steps[0].max_per_worker = Some(1);
-    spec.steps[0].max_unavailable = Some(1);
-    sim.submit("a", spec);
-    sim.run_for(3_000);
-    let busy = working(&mut sim);
-    assert_eq!(busy.len(), TASKS as usize);
+    let (mut sim, busy) = busy_pool();
     sim.store_responds = store_responds;
     evacuate(&mut sim, busy[0]);
     sim.run_for(30);
