--- a/crates/cyclamentrail-jobs/tests/scheduler/crash_counts.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crash_counts.rs
@@ -2,7 +2,9 @@
 
 use crate::world::{Simulation, job};
 use cyclamentrail_core::{JobId, WorkerId};
-use cyclamentrail_jobs::{Decision, EndProof, JobSpec, JobState, Resources};
+use cyclamentrail_jobs::{
+    CrashedRun, Decision, EndProof, JobSpec, JobState, Resources, decode, encode,
+};
 use rstest::rstest;
 
 const WORKER: Resources = Resources::new(16_000, 65_536, 0);
@@ -311,3 +313,23 @@
     }
     assert!(pauses_ms(&sim).is_empty());
 }
+
+/// What an earlier version recorded of a crash is read as evidence of a crash under its job alone.
+#[test]
+fn earlier_crashes_readable() {
+    let earlier = encode(&(3_u32, true, false));
+    let expected = CrashedRun {
+        run: 3,
+        has_begun: true,
+        is_new: false,
+        evidence_milli: 1_000,
+        was_apart: false,
+    };
+    let crashed: CrashedRun = decode(&earlier).expect("it is readable");
+    assert_eq!(crashed, expected);
+    let now = encode(&expected);
+    assert!(
+        decode::<(u32, bool, bool)>(&now).is_err(),
+        "earlier versions can't read it"
+    );
+}
