feat(jobs): log what the end of a lease follows from, and runs that aren't assigned

`lease_over bound=...` and `run_unassigned`, which is counted in cyclamentrail_unassigned_runs_total, tell both. No decision changes.

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -8,6 +8,7 @@
 
 use crate::grants::StepKey;
 use crate::job::{JobState, PlacedRun, TaskKey};
+use crate::lease::LeaseBound;
 use crate::quota::AllowanceChange;
 use crate::worker::WorkerKey;
 
@@ -347,6 +348,26 @@
         /// Longest time until the worker's lease ends, in milliseconds.
         remaining_ms: u64,
     },
+    /// The lease of a worker that doesn't respond has ended for certain: its runs are gone.
+    LeaseOver {
+        /// Id of the worker.
+        worker: WorkerId,
+        /// Number of runs on the worker.
+        runs: usize,
+        /// What the end of the lease follows from.
+        bound: LeaseBound,
+    },
+    /// A worker lists a run in progress that isn't assigned to it any more.
+    RunUnassigned {
+        /// Id of the job.
+        job: JobId,
+        /// Task of the run.
+        task: TaskKey,
+        /// Number of the run.
+        run: u32,
+        /// Id of the worker.
+        worker: WorkerId,
+    },
     /// A new owner holds a job because it can't read one of its records.
     JobHeld {
         /// Id of the job.
--- a/crates/cyclamentrail-jobs/src/lease.rs
+++ b/crates/cyclamentrail-jobs/src/lease.rs
@@ -15,6 +15,29 @@
     pub local_ms: u64,
 }
 
+/// What the latest possible end of a lease follows from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseBound {
+    /// A grant of this owner.
+    Granted,
+    /// Grants of earlier owners.
+    Inherited,
+    /// Calls to an earlier incarnation of the worker.
+    Crossed,
+}
+
+impl LeaseBound {
+    /// Returns the bound as it is written in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::Inherited => "inherited",
+            Self::Crossed => "crossed",
+        }
+    }
+}
+
 /// Lease under which all tasks of one worker run.
 ///
 /// ```
@@ -119,6 +142,19 @@
             .max(self.inherited_expiry_ms)
             .max(self.crossed_expiry_ms)
     }
+
+    /// Returns what the latest time at which the lease expires follows from.
+    #[must_use]
+    pub fn bound(&self) -> LeaseBound {
+        let expiry_ms = self.expiry_ms();
+        if self.own_expiry_ms == expiry_ms {
+            LeaseBound::Granted
+        } else if self.inherited_expiry_ms == expiry_ms {
+            LeaseBound::Inherited
+        } else {
+            LeaseBound::Crossed
+        }
+    }
 }
 
 /// Returns the time on the owner's boot clock at which a worker's clock at the slowest allowed
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -78,7 +78,7 @@
     CrashedRun, Job, JobKey, JobState, Occurrence, PlacedRun, Placement, RestartDoubt, RunPhase,
     SentShare, StepProgress, StopOrder, Task, TaskKey,
 };
-pub use lease::{ClockSample, Lease};
+pub use lease::{ClockSample, Lease, LeaseBound};
 pub use newest_configuration::{ConfigurationStep, NewestConfiguration};
 pub use owner_capacity::{MachineLimits, OwnerCapacity, leaves_shards_to_others};
 pub use queue_gate::{
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -207,6 +207,12 @@
             .collect();
         for key in expired {
             self.remember_lost(now, key);
+            let worker = &self.workers[key];
+            self.gated_effects.push(Effect::Log(Decision::LeaseOver {
+                worker: worker.registration.id.clone(),
+                runs: worker.tasks.len(),
+                bound: worker.lease.bound(),
+            }));
             self.release_worker_runs(key, EndProof::LeaseExpired);
         }
     }
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -126,6 +126,8 @@
     pub knows_token: bool,
     /// Whether the worker may have more ended runs than its last report listed.
     pub has_more_ends: bool,
+    /// Runs in progress that the last report listed though they aren't assigned to the worker.
+    pub unassigned_runs: BTreeSet<(TaskKey, u32)>,
 }
 
 impl Worker {
@@ -154,6 +156,7 @@
             evacuating_since_ms: None,
             knows_token: false,
             has_more_ends: false,
+            unassigned_runs: BTreeSet::new(),
         }
     }
 
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -120,7 +120,7 @@
                 .with_run(job, task, *run)
                 .with("how", end.as_str())
                 .with("worker", worker),
-            Decision::RunGone { .. } => run_gone_line(decision),
+            Decision::RunGone { .. } | Decision::RunUnassigned { .. } => run_line(decision),
             Decision::JobFinal {
                 job,
                 state,
@@ -137,7 +137,9 @@
             } => Self::new("worker_contact")
                 .with("worker", worker)
                 .with("answers", is_responding),
-            Decision::LeaseClosed { .. } | Decision::LeaseInherited { .. } => lease_line(decision),
+            Decision::LeaseClosed { .. }
+            | Decision::LeaseInherited { .. }
+            | Decision::LeaseOver { .. } => lease_line(decision),
             Decision::JobHeld { job, key } => {
                 Self::new("job_held").with("job", job).with("key", key)
             }
@@ -185,26 +187,34 @@
     }
 }
 
-/// Returns the line of a run that is gone; other decisions have lines of their own.
-fn run_gone_line(decision: &Decision) -> LogLine {
-    let Decision::RunGone {
-        job,
-        task,
-        run,
-        has_begun,
-        is_listed,
-        worker,
-        proof,
-    } = decision
-    else {
-        return LogLine::new("run_gone");
-    };
-    LogLine::new("run_gone")
-        .with_run(job, task, *run)
-        .with("begun", has_begun)
-        .with("listed", is_listed)
-        .with("proof", proof.as_str())
-        .with("worker", worker)
+/// Returns the line of a run that is gone, or that isn't assigned to the worker that lists it; other
+/// decisions have lines of their own.
+fn run_line(decision: &Decision) -> LogLine {
+    match decision {
+        Decision::RunGone {
+            job,
+            task,
+            run,
+            has_begun,
+            is_listed,
+            worker,
+            proof,
+        } => LogLine::new("run_gone")
+            .with_run(job, task, *run)
+            .with("begun", has_begun)
+            .with("listed", is_listed)
+            .with("proof", proof.as_str())
+            .with("worker", worker),
+        Decision::RunUnassigned {
+            job,
+            task,
+            run,
+            worker,
+        } => LogLine::new("run_unassigned")
+            .with_run(job, task, *run)
+            .with("worker", worker),
+        _ => LogLine::new("no_run"),
+    }
 }
 
 /// Returns the line of a worker's lease that isn't extended, or that an earlier owner granted; other
@@ -227,6 +237,14 @@
             .with("worker", worker)
             .with("remaining_ms", remaining_ms)
             .with("source", source.as_str()),
+        Decision::LeaseOver {
+            worker,
+            runs,
+            bound,
+        } => LogLine::new("lease_over")
+            .with("worker", worker)
+            .with("runs", runs)
+            .with("bound", bound.as_str()),
         _ => LogLine::new("no_lease"),
     }
 }
@@ -318,6 +336,7 @@
         | Decision::AccessDenied { job, .. }
         | Decision::RunEnded { job, .. }
         | Decision::RunGone { job, .. }
+        | Decision::RunUnassigned { job, .. }
         | Decision::JobFinal { job, .. }
         | Decision::TaskWaiting { job, .. }
         | Decision::PromiseMade { job, .. }
@@ -331,6 +350,7 @@
         Decision::ContactChanged { .. }
         | Decision::LeaseClosed { .. }
         | Decision::LeaseInherited { .. }
+        | Decision::LeaseOver { .. }
         | Decision::WorkerRestarted { .. }
         | Decision::WorkerAvoided { .. }
         | Decision::AllowanceChanged { .. }
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -8,8 +8,8 @@
     ALLOWANCES, CALLERS_REFUSED, JOB_SECONDS, JOBS, JOBS_COMPLETED, JOBS_GIVEN_UP, JOBS_HELD,
     LINES_DROPPED, LINES_OMITTED, MACHINE_COMMANDS, POOL_DEMAND, POOL_WAITING, PROMISES,
     QUOTA_LENDING, QUOTA_REPORTS, QUOTA_WAITING, REGISTRY_AGE, RELAYED_CALLS, RUNS_ENDED,
-    SHARD_TAKEOVERS, STARTS, STORE_CALLS, STORE_SECONDS, TASK_WAITS, TOPIC_UNREAD, WORKER_COMMANDS,
-    WORKER_SECONDS, WORKERS_AVOIDED,
+    SHARD_TAKEOVERS, STARTS, STORE_CALLS, STORE_SECONDS, TASK_WAITS, TOPIC_UNREAD, UNASSIGNED_RUNS,
+    WORKER_COMMANDS, WORKER_SECONDS, WORKERS_AVOIDED,
 };
 
 /// Number of thousandths in one unit, such as milliseconds in a second.
@@ -51,6 +51,9 @@
         Decision::RunEnded { end, .. } => count_run_end(service, end.as_str()),
         Decision::RunGone { proof, .. } => count_run_end(service, proof.as_str()),
         Decision::RunStalled { .. } => count_run_end(service, "stalled"),
+        Decision::RunUnassigned { .. } => {
+            metrics::counter!(UNASSIGNED_RUNS, "service" => service).increment(1);
+        }
         Decision::WorkerAvoided { .. } => {
             metrics::counter!(WORKERS_AVOIDED, "service" => service).increment(1);
         }
@@ -87,6 +90,7 @@
         | Decision::ContactChanged { .. }
         | Decision::LeaseClosed { .. }
         | Decision::LeaseInherited { .. }
+        | Decision::LeaseOver { .. }
         | Decision::WorkerRestarted { .. }
         | Decision::TaskKeptApart { .. }
         | Decision::SuspectWaitEnded { .. }
