test(jobs): calls that the next incarnation of a worker carries out

Late starts and polls are now carried out by whatever incarnation runs then, and a start of an old run extends the lease, as on the platform.

--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -8,6 +8,8 @@
 mod crash_counts;
 #[path = "scheduler/crashes.rs"]
 mod crashes;
+#[path = "scheduler/crossed_calls.rs"]
+mod crossed_calls;
 #[path = "scheduler/evacuation.rs"]
 mod evacuation;
 #[path = "scheduler/failing_services.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
@@ -4,7 +4,12 @@
 use std::sync::Arc;
 
 use cyclamentrail_core::JobId;
-use cyclamentrail_jobs::{ActiveRun, EndedRun, Resources, TaskRunId, WorkerRegistration};
+use cyclamentrail_jobs::{
+    ActiveRun, EndedRun, Resources, TaskRunId, WorkerPoll, WorkerRegistration,
+};
+
+/// Longest lease that a worker accepts, in milliseconds.
+pub const MAX_LEASE_MS: u64 = 6_000;
 
 /// A run on a simulated worker.
 #[derive(Debug, Clone)]
@@ -61,6 +66,8 @@
     pub responds: bool,
     /// Delay in milliseconds after which start commands take effect; they get no response.
     pub start_delay_ms: Option<u64>,
+    /// Delay in milliseconds after which polls take effect; they get no response.
+    pub late_poll_ms: Option<u64>,
     /// Whether all runs on the worker fail.
     pub fails_all_runs: bool,
     /// Whether runs of long-running tasks fail as well where all runs do.
@@ -86,6 +93,17 @@
         now_ms - self.clock_origin_ms
     }
 
+    /// Takes the lease and the acknowledgement of a poll.
+    pub fn apply_poll(&mut self, poll: &WorkerPoll, token: u64, clock_ms: u64) {
+        self.highest_token = token;
+        self.ended
+            .retain(|ended_run| ended_run.sequence > poll.durable_sequence);
+        if let Some(lease_end_ms) = poll.lease_end_ms {
+            let end_ms = lease_end_ms.min(clock_ms + MAX_LEASE_MS);
+            self.lease_end_ms = self.lease_end_ms.max(end_ms);
+        }
+    }
+
     /// Returns the tail latency of latency-sensitive tasks in milliseconds.
     pub fn tail_ms(&self) -> u64 {
         let best_effort = self.running.iter().filter(|run| run.is_best_effort);
