fix(jobs): a new owner counts the longest lease that a worker may have

What callers saw: TWICE, a task on two workers at once, started by two owners one after the other. Owners grant 4.5 s.

Cause: a start by the clock of the earlier incarnation, carried out by the next one without any delay, names a time far ahead; the worker cuts the lease to 6 s. The owner that saw the restart counted that, but its successor counted 4.6 s from its takeover, or its own first grant. It started the run again up to 1.5 s too early. The class of fault: what one owner knows of a former incarnation is lost at a takeover.

Change: an owner counts the longest lease that workers accept from a worker's first response on. An owner that gives its shard up records the lease of each worker that may last longer than a grant; a successor that finds neither that release nor a lease record counts the longest lease from its takeover.

The tests of lease_handover set a run up for 2.5 s in place of 0.5 s, since a run on a worker that was reached a moment ago now waits for the longest lease; all their bounds stay as they were.

--- a/crates/cyclamentrail-jobs/src/lease.rs
+++ b/crates/cyclamentrail-jobs/src/lease.rs
@@ -62,7 +62,7 @@
     /// is none.
     inherited_expiry_ms: u64,
     /// Latest time on the owner's boot clock at which a lease ends that calls to an earlier
-    /// incarnation of the worker granted this one; 0 if there is none.
+    /// incarnation of the worker granted this one; 0 if none is counted.
     crossed_expiry_ms: u64,
 }
 
@@ -111,7 +111,7 @@
     }
 
     /// Records that the lease may last until `expiry_ms` on the owner's boot clock, whatever is granted
-    /// from now on: the worker has restarted, and may have got calls with times on an earlier clock.
+    /// from now on: the worker may have got calls with times on the clock of an earlier incarnation.
     pub fn outlast(&mut self, expiry_ms: u64) {
         self.crossed_expiry_ms = self.crossed_expiry_ms.max(expiry_ms);
     }
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -284,7 +284,7 @@
     /// Takes the last commit of an owner that gives up the shard. Nothing may be sent to workers from
     /// then on.
     pub fn take_last_commit(&mut self, now: Now) -> Commit {
-        self.collect_commit(now, LeaseRecordScope::NotInContact)
+        self.collect_commit(now, LeaseRecordScope::All)
     }
 
     fn collect_commit(&mut self, now: Now, scope: LeaseRecordScope) -> Commit {
--- a/crates/cyclamentrail-jobs/src/shard/lease_records.rs
+++ b/crates/cyclamentrail-jobs/src/shard/lease_records.rs
@@ -25,8 +25,9 @@
 pub(super) enum LeaseRecordScope {
     /// Workers with runs that don't respond, as far as their records are old.
     Unreachable,
-    /// All workers with runs that don't respond or that haven't responded to this owner yet.
-    NotInContact,
+    /// All workers with runs that don't respond, that haven't responded to this owner yet, or whose
+    /// leases may last longer than a grant.
+    All,
 }
 
 /// State of a record that the store may hold.
@@ -86,8 +87,7 @@
     pub(super) fn note_due_lease_records(&mut self, now: Now) {
         let records = &self.lease_records;
         let needs_write = |worker: &Worker| {
-            is_in_scope(worker, LeaseRecordScope::Unreachable)
-                && records.needs_write(&worker.registration.id, now)
+            needs_record(worker) && records.needs_write(&worker.registration.id, now)
         };
         let needs_deletion = |(id, state): (&WorkerId, &LeaseRecordState)| {
             *state != LeaseRecordState::Deleting && !self.keeps_lease_record(id)
@@ -104,7 +104,7 @@
         let keys: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| is_in_scope(worker, scope))
+            .filter(|(_, worker)| self.is_in_scope(now, worker, scope))
             .map(|(key, _)| key)
             .collect();
         let kept: BTreeSet<WorkerId> = keys
@@ -120,7 +120,7 @@
         }
         for key in keys {
             let id = &self.workers[key].registration.id;
-            let is_last = scope == LeaseRecordScope::NotInContact;
+            let is_last = scope == LeaseRecordScope::All;
             if is_last || self.lease_records.needs_write(id, now) {
                 self.write_lease_record(now, key, commit);
             }
@@ -151,10 +151,22 @@
         }
     }
 
+    /// Returns whether a commit has a record of a worker.
+    fn is_in_scope(&self, now: Now, worker: &Worker, scope: LeaseRecordScope) -> bool {
+        match scope {
+            LeaseRecordScope::Unreachable => needs_record(worker),
+            LeaseRecordScope::All => {
+                let longest_ms = now.boot_ms + self.timing.longest_lease_ms();
+                let may_outlast_grant = worker.lease.expiry_ms() > longest_ms;
+                let is_unknown = !worker.is_in_contact() || may_outlast_grant;
+                is_unknown && !worker.tasks.is_empty()
+            }
+        }
+    }
+
     /// Returns whether the record of a worker still serves a successor.
     fn keeps_lease_record(&self, id: &WorkerId) -> bool {
-        self.worker(id)
-            .is_some_and(|worker| is_in_scope(worker, LeaseRecordScope::Unreachable))
+        self.worker(id).is_some_and(needs_record)
     }
 
     /// Restores the leases that earlier owners may have granted: by the records of their workers, and
@@ -195,13 +207,9 @@
     }
 }
 
-/// Returns whether a commit has a record of a worker.
-fn is_in_scope(worker: &Worker, scope: LeaseRecordScope) -> bool {
-    let is_silent = match scope {
-        LeaseRecordScope::Unreachable => worker.reachability != Reachability::Reachable,
-        LeaseRecordScope::NotInContact => !worker.is_in_contact(),
-    };
-    is_silent && !worker.tasks.is_empty()
+/// Returns whether a worker needs a record while it has an owner: it has runs and doesn't respond.
+fn needs_record(worker: &Worker) -> bool {
+    worker.reachability != Reachability::Reachable && !worker.tasks.is_empty()
 }
 
 /// Returns the lease record of a worker; an empty value deletes it.
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -20,8 +20,8 @@
 };
 use crate::record::{
     AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, PROGRESS_SUFFIX,
-    PlacementRecord, ProgressRecord, ROUTE_PREFIX, RecordError, TaskRecord, WorkerLeaseRecord,
-    decode, is_reserved_key,
+    PlacementRecord, ProgressRecord, RELEASE_KEY, ROUTE_PREFIX, RecordError, ReleaseRecord,
+    TaskRecord, WorkerLeaseRecord, decode, is_reserved_key,
 };
 use crate::record_parts::{PartNumber, ReadParts};
 use crate::worker::{Reachability, Worker, WorkerKey, WorkerRegistration};
@@ -62,6 +62,7 @@
         let mut parts: HashMap<String, ReadParts> = HashMap::new();
         let mut unreadable_jobs = UnreadableJobs::new();
         let mut unreadable = 0;
+        let mut is_released = false;
         for record in records {
             if let Some(route) = record.key.strip_prefix(RUN_TIMES_PREFIX) {
                 unreadable += usize::from(!self.restore_run_times(now, route, &record.value));
@@ -76,6 +77,9 @@
                 unreadable += usize::from(!is_read);
                 continue;
             }
+            if record.key == RELEASE_KEY {
+                is_released |= self.is_previous_release(&record.value);
+            }
             if is_reserved_key(&record.key) {
                 continue;
             }
@@ -117,12 +121,23 @@
             self.hold_job(JobId::from(id), key);
         }
         self.delete_leftovers(progress, parts);
-        let lease_end_ms = now.boot_ms + predecessor_active_ms + self.timing.longest_lease_ms();
-        self.restore_leases(now, &leases, lease_end_ms);
+        let longest_ms = if is_released {
+            self.timing.longest_lease_ms()
+        } else {
+            self.timing.longest_unrecorded_ms(predecessor_active_ms)
+        };
+        self.restore_leases(now, &leases, now.boot_ms + longest_ms);
         self.outlast_crossed_calls(now.boot_ms + predecessor_active_ms);
         unreadable
     }
 
+    /// Returns whether a release record is that of the previous owner, which then has recorded each lease
+    /// that may last longer than a grant.
+    fn is_previous_release(&self, value: &[u8]) -> bool {
+        decode::<ReleaseRecord>(value)
+            .is_ok_and(|release| self.tokens.previous == Some(release.token))
+    }
+
     /// Decodes the lease record of a worker; returns whether it is readable.
     fn read_lease_record(
         &mut self,
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -82,6 +82,11 @@
         worker.acknowledged_sequence = worker.acknowledged_sequence.max(durable_sequence);
         worker.lease.record_clock(report.clock_ms, now.boot_ms);
         worker.heard_ms = now.boot_ms;
+        if !worker.knows_token {
+            // Calls before this one may have named times on the clock of an earlier incarnation.
+            let longest_ms = self.timing.longest_possible_lease_ms();
+            worker.lease.outlast(now.boot_ms + longest_ms);
+        }
         worker.knows_token = true;
         worker.has_more_ends = report.may_lack_ends;
         if worker.reachability != Reachability::Reachable {
--- a/crates/cyclamentrail-jobs/src/shard/timing.rs
+++ b/crates/cyclamentrail-jobs/src/shard/timing.rs
@@ -54,6 +54,15 @@
         on_slowest_clock(self.lease_ms)
     }
 
+    /// Returns the longest time in milliseconds after a takeover until the leases have ended that nobody
+    /// has recorded, where the earlier owner may act for `active_ms` more.
+    ///
+    /// What that owner still grants is as short as any grant. What a worker has by then may last as long
+    /// as workers accept: a call by the clock of an earlier incarnation names a time far ahead.
+    pub(super) fn longest_unrecorded_ms(&self, active_ms: u64) -> u64 {
+        (active_ms + self.longest_lease_ms()).max(self.longest_possible_lease_ms())
+    }
+
     /// Returns the longest time in milliseconds that any lease lasts on the slowest clock.
     pub(super) const fn longest_possible_lease_ms(&self) -> u64 {
         on_slowest_clock(self.max_lease_ms)
--- a/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
@@ -79,3 +79,18 @@
     sim.run_for(12_000);
     assert_eq!(sim.running_on("w9"), 1);
 }
+
+/// Guards against a new owner that counts only its own grants once it has reached the worker.
+#[rstest]
+fn lease_outlasts_grant(#[values(20, 100, 700)] reached_ms: u64) {
+    let mut sim = aged();
+    sim.restart_under_id("w0", UNREGISTERED_MS);
+    sim.run_for(UNREGISTERED_MS - 100);
+    sim.submit("a", lasting());
+    sim.run_for(160);
+    sim.hand_over();
+    sim.run_for(reached_ms);
+    cut_off(&mut sim);
+    sim.run_for(12_000);
+    assert_eq!(sim.running_on("w9"), 1);
+}
--- a/crates/cyclamentrail-jobs/tests/scheduler/lease_handover.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/lease_handover.rs
@@ -12,6 +12,9 @@
 const LONGEST_LEASE_MS: u64 = 4_617;
 /// Time for which a killed owner may still extend leases, in milliseconds.
 const ACTIVE_MS: u64 = 5_000;
+/// Time in milliseconds after the first contact with a worker from which its lease ends no later than
+/// what was granted since.
+const REACHED_MS: u64 = 2_500;
 /// Key of the lease record of the worker that falls silent.
 const RECORD_KEY: &str = "~lease/w0";
 
@@ -25,7 +28,7 @@
 fn running() -> Simulation {
     let mut sim = Simulation::new(1, WORKER);
     sim.submit("a", lasting());
-    sim.run_for(500);
+    sim.run_for(REACHED_MS);
     assert_eq!(sim.running_on("w0"), 1);
     sim.add_worker("w9", WORKER, "r9");
     sim
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/owners.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/owners.rs
@@ -1,6 +1,8 @@
 //! Changes of owners, and the records that they leave in the store.
 
-use cyclamentrail_jobs::{Commit, KeyedRecord, LEASE_PREFIX, OwnerTokens, Shard};
+use cyclamentrail_jobs::{
+    Commit, KeyedRecord, LEASE_PREFIX, OwnerTokens, RELEASE_KEY, ReleaseRecord, Shard, encode,
+};
 
 use super::Simulation;
 
@@ -53,6 +55,10 @@
         for commit in unfinished.iter().chain([&last]) {
             self.store_records(commit);
         }
+        self.store_record(&KeyedRecord {
+            key: RELEASE_KEY.to_owned(),
+            value: encode(&ReleaseRecord { token: self.token }),
+        });
         self.take_over(0);
     }
 
