fix(jobs): a start that an unseen incarnation may have got is waited for longer

What callers could see: TWICE. A worker restarts, nobody has seen it yet, and its owner sends a start by the clock of the earlier incarnation: the new one carries it out at once, under the longest lease (6 s), its response is lost, and the worker is cut off. The owner counted its own grant, 4.6 s, and started the task elsewhere up to 1.5 s too early; so did a successor with its lease record. No late call is needed.

Change: a run that its worker's known incarnation hasn't listed ends, for an owner that can't reach the worker, with the longest lease from the last call that named a lease end, in place of the granted one; where the registry has dropped the worker, with the granted one, as before: an incarnation that runs would be listed. Listed runs end with the granted lease: no other incarnation has them.

Price: a task whose start got no response from a worker that is silent but listed starts elsewhere 7.2 s after it in place of 4.6 s.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -167,6 +167,14 @@
     pub progress_changed_ms: u64,
 }
 
+impl Placement {
+    /// Returns whether this owner sent a start command for the run, which the incarnation that it is
+    /// assigned to hasn't listed.
+    pub(crate) const fn is_sent_unlisted(&self) -> bool {
+        self.start_under_way_until_ms > 0 && !self.is_listed
+    }
+}
+
 /// Run whose worker crashed under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashedRun {
--- a/crates/cyclamentrail-jobs/src/lease.rs
+++ b/crates/cyclamentrail-jobs/src/lease.rs
@@ -58,6 +58,8 @@
     worker_until_ms: u64,
     /// Latest time on the owner's boot clock at which the lease of this owner ends.
     own_expiry_ms: u64,
+    /// Time of the last grant on the owner's boot clock; 0 before the first.
+    last_grant_ms: u64,
     /// Latest time on the owner's boot clock at which a lease of an earlier owner ends; 0 if there
     /// is none.
     inherited_expiry_ms: u64,
@@ -74,6 +76,7 @@
             sample: None,
             worker_until_ms: 0,
             own_expiry_ms: 0,
+            last_grant_ms: 0,
             inherited_expiry_ms: 0,
             crossed_expiry_ms: 0,
         }
@@ -101,6 +104,7 @@
     /// milliseconds, or `None` while no reading of that clock is known.
     pub fn extend(&mut self, now_ms: u64, length_ms: u64) -> Option<u64> {
         let sample = self.sample?;
+        self.last_grant_ms = now_ms;
         let elapsed_ms = now_ms.saturating_sub(sample.local_ms);
         let until_ms = sample.worker_ms.saturating_add(elapsed_ms + length_ms);
         if until_ms > self.worker_until_ms {
@@ -110,6 +114,12 @@
         Some(until_ms)
     }
 
+    /// Returns the time of the last grant on the owner's boot clock in milliseconds; 0 before the first.
+    #[must_use]
+    pub const fn last_grant_ms(&self) -> u64 {
+        self.last_grant_ms
+    }
+
     /// Records that calls with times on the clock of an earlier incarnation may have granted a lease
     /// until `expiry_ms` on the owner's boot clock, and no longer.
     pub const fn count_crossed(&mut self, expiry_ms: u64) {
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -1,10 +1,11 @@
 //! Polls sent to workers, and the results of start and stop commands.
 
+use super::restarts::CALLS_UNDER_WAY_MS;
 use super::{Now, START_RETRY_MS, STOP_RETRY_MS, Shard};
 use crate::RecentLoss;
 use crate::effect::{CommandOutcome, CommandRejection, Decision, Effect, EndProof, WorkerPoll};
 use crate::job::{Placement, RunPhase, TaskKey};
-use crate::worker::{Reachability, WorkerKey};
+use crate::worker::{Reachability, Worker, WorkerKey};
 
 /// Time for which no task is placed on a worker that reported itself unwell, in milliseconds; grows
 /// with each failure.
@@ -198,26 +199,65 @@
 
     /// Frees the runs of unreachable workers whose leases have ended for certain.
     pub(super) fn release_expired(&mut self, now: Now) {
-        let expired: Vec<WorkerKey> = self
+        let is_silent = |worker: &Worker| {
+            worker.reachability != Reachability::Reachable && worker.lease.is_expired(now.boot_ms)
+        };
+        let silent: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| {
-                worker.reachability != Reachability::Reachable
-                    && worker.lease.is_expired(now.boot_ms)
-                    && !worker.tasks.is_empty()
-            })
+            .filter(|(_, worker)| is_silent(worker))
             .map(|(key, _)| key)
             .collect();
-        for key in expired {
-            self.remember_lost(now, key);
-            let worker = &self.workers[key];
-            self.gated_effects.push(Effect::Log(Decision::LeaseOver {
-                worker: worker.registration.id.clone(),
-                runs: worker.tasks.len(),
-                bound: worker.lease.bound(),
-            }));
-            self.release_worker_runs(key, EndProof::LeaseExpired);
+        for key in silent {
+            self.release_expired_runs(now, key);
+        }
+    }
+
+    /// Frees the runs of an unreachable worker whose lease has ended for certain.
+    fn release_expired_runs(&mut self, now: Now, key: WorkerKey) {
+        let worker = &self.workers[key];
+        let has_ended = |task: &TaskKey| now.boot_ms > self.run_expiry_ms(worker, *task);
+        let tasks: Vec<TaskKey> = worker.tasks.iter().copied().filter(has_ended).collect();
+        if tasks.is_empty() {
+            return;
+        }
+        let lease_over = Decision::LeaseOver {
+            worker: worker.registration.id.clone(),
+            runs: tasks.len(),
+            bound: worker.lease.bound(),
+        };
+        self.remember_lost(now, key, &tasks);
+        self.gated_effects.push(Effect::Log(lease_over));
+        for task in tasks {
+            self.release(task, Some(EndProof::LeaseExpired));
+        }
+    }
+
+    /// Returns the latest time on the owner's boot clock, in milliseconds, at which the lease of a run
+    /// on a worker ends.
+    ///
+    /// A start may have been carried out by an incarnation that nobody has seen yet, by whose clock the
+    /// lease is the longest of all. That isn't so where the known incarnation has listed the run, and
+    /// the registry would drop a worker that has ended and lists no other incarnation.
+    fn run_expiry_ms(&self, worker: &Worker, task: TaskKey) -> u64 {
+        let expiry_ms = worker.lease.expiry_ms();
+        let may_be_elsewhere = worker.is_registered
+            && self
+                .placement_of(task)
+                .is_some_and(|placement| placement.is_sent_unlisted());
+        if !may_be_elsewhere {
+            return expiry_ms;
         }
+        let last_arrival_ms = worker.lease.last_grant_ms() + CALLS_UNDER_WAY_MS;
+        expiry_ms.max(last_arrival_ms + self.timing.longest_possible_lease_ms())
+    }
+
+    /// Returns the latest time on the owner's boot clock, in milliseconds, at which the lease of any run
+    /// on a worker ends.
+    pub(super) fn longest_expiry_ms(&self, worker: &Worker) -> u64 {
+        let runs = worker.tasks.iter();
+        let expiries_ms = runs.map(|&task| self.run_expiry_ms(worker, task));
+        expiries_ms.max().unwrap_or(worker.lease.expiry_ms())
     }
 
     /// Records that a worker has a run.
--- a/crates/cyclamentrail-jobs/src/shard/crashes.rs
+++ b/crates/cyclamentrail-jobs/src/shard/crashes.rs
@@ -182,12 +182,13 @@
         }
     }
 
-    /// Remembers the runs of a worker whose lease has expired, until the worker turns out to have
-    /// crashed or to have been unreachable only.
-    pub(super) fn remember_lost(&mut self, now: Now, key: WorkerKey) {
-        let Some(lost) = self.lost_worker(now, key) else {
+    /// Remembers runs of a worker whose lease has expired, until the worker turns out to have crashed or
+    /// to have been unreachable only.
+    pub(super) fn remember_lost(&mut self, now: Now, key: WorkerKey, tasks: &[TaskKey]) {
+        let Some(mut lost) = self.lost_worker(now, key) else {
             return;
         };
+        lost.runs.retain(|run| tasks.contains(&run.task));
         self.crashes.unexplained.push(lost);
     }
 
--- a/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
@@ -212,6 +212,25 @@
     }
 }
 
+/// Guards against a start, sent before anybody saw a restart, whose run outlasts the lease that was granted
+/// to the earlier incarnation.
+#[rstest]
+fn unseen_restart(
+    #[values(0, 40)] answering_ms: u64,
+    #[values(OwnerEnd::None, OwnerEnd::HandOver)] end: OwnerEnd,
+) {
+    let mut sim = aged();
+    sim.restart_under_id("w0", 30_000);
+    sim.submit("a", lasting());
+    sim.run_for(answering_ms);
+    sim.worker("w0").responds = false;
+    sim.run_for(300);
+    cut_off(&mut sim);
+    end_owner(&mut sim, end);
+    sim.run_for(25_000);
+    assert_eq!(sim.running_on("w9"), 1);
+}
+
 /// Guards against a new owner that counts only its own grants once it has reached the worker.
 #[rstest]
 fn lease_outlasts_grant(#[values(20, 100, 700)] reached_ms: u64) {
