test(spec): calls that a later incarnation of a worker carries out

Cause: a call without a response may be carried out at any later time, by whatever incarnation of the worker runs then.

Change: CrossedModel has one worker that restarts up to twice, two owners in a row, calls that arrive after any time, delayed responses, and no bound on ticks. Twelve rules are left out in turn, and the combination that the code has today.

--- a/crates/cyclamentrail-spec/src/lib.rs
+++ b/crates/cyclamentrail-spec/src/lib.rs
@@ -18,6 +18,7 @@
 mod barrier;
 mod change;
 mod claim;
+mod crossed_calls;
 mod duty;
 mod eviction;
 mod explore;
@@ -36,6 +37,9 @@
 pub use barrier::{BarrierAction, BarrierModel, BarrierState};
 pub use change::{ChangeAction, ChangeModel, ChangeState};
 pub use claim::{ClaimAction, ClaimModel, ClaimState};
+pub use crossed_calls::{
+    Call, CrossedAction, CrossedFault, CrossedModel, CrossedState, Reply, Response,
+};
 pub use duty::{DutyAction, DutyModel, DutyState};
 pub use eviction::{EvictionAction, EvictionModel, EvictionState};
 pub use explore::{Model, Report, Trace, Violation, explore};
