fix(jobs): a run in doubt isn't freed while its start may be under way

A start that was sent to an incarnation that nobody had seen yet could arrive at the one after it, while the list of the first, which lacks the run, was on its way to the owner: the run was freed, and its task placed elsewhere. Before incarnations had tokens of their own, the stop of such a run, and the wait after it, kept it from that.

--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -149,16 +149,19 @@
     }
 
     /// Settles the runs in doubt on a worker by its report, if it knows its token. A run that isn't there
-    /// is over: no start command for it can be carried out any more.
+    /// is over: the worker carries out no earlier start command for it any more. One that was under way
+    /// when the worker was polled might reach a further incarnation instead.
     pub(super) fn settle_doubts(&mut self, now: Now, key: WorkerKey, listed: &ListedRuns) {
         let Some(worker) = self.workers.get(key).filter(|worker| worker.knows_token) else {
             return;
         };
+        let polled_ms = worker.poll_sent_ms;
         for task in self.runs_in_doubt(worker) {
             let Some(placement) = self.placement_of_mut(task) else {
                 continue;
             };
-            if listed.lacks(task, placement.run) {
+            let is_under_way = polled_ms < placement.start_under_way_until_ms;
+            if listed.lacks(task, placement.run) && !is_under_way {
                 self.release(task, Some(EndProof::NotListed));
             } else if listed.contains(task, placement.run) {
                 placement.doubt = None;
--- a/crates/cyclamentrail-spec/src/restart.rs
+++ b/crates/cyclamentrail-spec/src/restart.rs
@@ -2,7 +2,8 @@
 //! earlier incarnation reach the new one.
 //!
 //! A start command in flight may be carried out by the incarnation that it was sent to or by the next
-//! one; its response doesn't tell which. Reports and registrations name the incarnation.
+//! one; its response doesn't tell which. Reports and registrations name the incarnation. Calls carry a
+//! fencing token for the incarnation that the owner knew; one that has seen a higher token rejects them.
 
 use std::collections::BTreeSet;
 use std::fmt;
@@ -23,8 +24,8 @@
 pub enum RestartFault {
     /// All runs of a restarted worker count as ended.
     RestartEndsRuns,
-    /// A run in doubt that the new incarnation doesn't list is freed without a stop.
-    UnlistedFreed,
+    /// All calls carry the same token, so that a new incarnation never rejects those to an earlier one.
+    SameToken,
     /// A run that the earlier incarnation listed counts as ended although its start was sent twice.
     LateStartIgnored,
     /// A stopped run is freed although a start command for it is under way, which the next incarnation
@@ -66,6 +67,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 struct Worker {
     incarnation: u8,
+    /// Highest token that this incarnation has seen.
+    highest_token: u8,
     /// Highest run that this incarnation has started or stopped.
     highest_run: u8,
     running: BTreeSet<u8>,
@@ -78,6 +81,8 @@
     run: u8,
     /// Incarnation of the worker at the time of sending.
     sent_to: u8,
+    /// Token of the incarnation that the owner knew at that time.
+    token: u8,
 }
 
 /// Response of a worker to a poll, in flight.
@@ -88,7 +93,8 @@
     known: u8,
     /// The owner's assignment when it sent the poll.
     assignment: Option<Assignment>,
-    /// Whether a start command for the assigned run was under way when the worker responded.
+    /// Whether a start command for the assigned run that was sent to the incarnation which responded was
+    /// under way then. For how long one to an earlier incarnation is, the owner doesn't know.
     is_start_under_way: bool,
     /// Incarnation that responded.
     incarnation: u8,
@@ -169,6 +175,14 @@
         self.fault == Some(fault)
     }
 
+    /// Returns the token of the calls to the incarnation of a worker that the owner knows.
+    fn token(&self, state: &RestartState, worker: u8) -> u8 {
+        if self.has_fault(RestartFault::SameToken) {
+            return 0;
+        }
+        state.known[usize::from(worker)]
+    }
+
     /// Lets the owner learn that a worker has restarted.
     fn learn_restart(&self, state: &mut RestartState, worker: u8, incarnation: u8) {
         state.known[usize::from(worker)] = incarnation;
@@ -208,12 +222,12 @@
             if !answers_own_poll {
                 return;
             }
-            if self.has_fault(RestartFault::UnlistedFreed) {
+            let may_begin =
+                report.is_start_under_way && !self.has_fault(RestartFault::FreedUnderWay);
+            if !may_begin {
                 state.assignment = None;
                 return;
             }
-            assignment.is_in_doubt = false;
-            assignment.phase = Phase::Stopping;
         } else if answers_own_poll && report.assignment == Some(*assignment) {
             let may_begin =
                 report.is_start_under_way && !self.has_fault(RestartFault::FreedUnderWay);
@@ -235,23 +249,37 @@
                 worker: assignment.worker,
                 run: assignment.run,
                 sent_to: state.known[usize::from(assignment.worker)],
+                token: self.token(state, assignment.worker),
             });
         }
     }
 }
 
+impl Worker {
+    /// Takes the token of a call; returns whether the call is carried out.
+    fn accepts(&mut self, token: u8) -> bool {
+        let is_accepted = token >= self.highest_token;
+        self.highest_token = self.highest_token.max(token);
+        is_accepted
+    }
+}
+
 impl RestartState {
-    fn send_start(&mut self, worker: u8, run: u8) {
+    fn send_start(&mut self, worker: u8, run: u8, token: u8) {
         self.starts.insert(RunCommand {
             worker,
             run,
             sent_to: self.workers[usize::from(worker)].incarnation,
+            token,
         });
     }
 
     fn execute_start(&mut self, command: RunCommand) {
         self.starts.remove(&command);
         let worker = &mut self.workers[usize::from(command.worker)];
+        if !worker.accepts(command.token) {
+            return;
+        }
         if command.run > worker.highest_run {
             worker.highest_run = command.run;
             worker.running.insert(command.run);
@@ -263,6 +291,9 @@
         self.stops.remove(&command);
         let known = self.known[usize::from(command.worker)];
         let worker = &mut self.workers[usize::from(command.worker)];
+        if !worker.accepts(command.token) {
+            return;
+        }
         worker.highest_run = worker.highest_run.max(command.run);
         worker.running.remove(&command.run);
         let counts = command.sent_to == known && known == worker.incarnation;
@@ -342,13 +373,15 @@
                     may_start_late: false,
                     is_in_doubt: false,
                 });
-                state.send_start(worker, state.run);
+                let token = self.token(&state, worker);
+                state.send_start(worker, state.run, token);
             }
             RestartAction::RepeatStart => {
                 if let Some(assignment) = &mut state.assignment {
                     assignment.may_start_late = true;
                     let (worker, run) = (assignment.worker, assignment.run);
-                    state.send_start(worker, run);
+                    let token = self.token(&state, worker);
+                    state.send_start(worker, run, token);
                 }
             }
             RestartAction::ExecuteStart(command) => state.execute_start(command),
@@ -359,9 +392,16 @@
                 self.learn_restart(&mut state, worker, incarnation);
             }
             RestartAction::Poll(worker) => {
+                let token = self.token(&state, worker);
+                if !state.workers[usize::from(worker)].accepts(token) {
+                    return state;
+                }
                 let polled = &state.workers[usize::from(worker)];
                 let run = state.assignment.map(|assignment| assignment.run);
-                let is_start_under_way = state.starts.iter().any(|start| Some(start.run) == run);
+                let is_recent = |start: &RunCommand| {
+                    Some(start.run) == run && start.sent_to == polled.incarnation
+                };
+                let is_start_under_way = state.starts.iter().any(is_recent);
                 state.report = Some(PollReport {
                     worker,
                     known: state.known[usize::from(worker)],
