fix(jobs): a late start is counted for a worker that may have restarted behind a cut

A start has no response, the worker is cut off, restarts behind the cut before anybody sees it, and the start begins the run there, 6 to 11 s after it was sent: it has seen no token, and its clock is near 0. The owner had given the run up when the granted lease was over, which proves something for the known incarnation only. And the other way round: a start without a response counted for good, so that a run that was listed for a minute, or any run after a takeover, was in doubt for 18 s when its worker restarted.

Change: a start without a response is expected for 12 s (`LATE_CALL_MS`), for all purposes. A run on a silent worker that isn't surely on the known incarnation waits for that and the longest lease, unless the registry shows that there is nothing to wait for: it has dropped the worker, or the known incarnation has written there after the lease, by its own clock.

The simulated workers now renew their registrations each 1.5 s, as real ones do.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -159,6 +159,9 @@
     pub start_under_way_until_ms: u64,
     /// Whether a start command got no response, so that the worker may still carry it out later.
     pub may_start_late: bool,
+    /// Time until which that is expected, on the owner's boot clock in milliseconds; 0 if all start
+    /// commands got responses.
+    pub late_until_ms: u64,
     /// What is known of the processor share that the worker gives the run.
     pub cpu_share: SentShare,
     /// Progress that the worker last reported, in percent.
@@ -168,10 +171,10 @@
 }
 
 impl Placement {
-    /// Returns whether this owner sent a start command for the run, which the incarnation that it is
-    /// assigned to hasn't listed.
-    pub(crate) const fn is_sent_unlisted(&self) -> bool {
-        self.start_under_way_until_ms > 0 && !self.is_listed
+    /// Returns whether the run is surely on the incarnation that it is assigned to, or was: that one has
+    /// listed it, and no start command for it is expected to be carried out later.
+    pub(crate) const fn is_settled(&self, now_ms: u64) -> bool {
+        self.is_listed && now_ms >= self.late_until_ms
     }
 }
 
--- a/crates/cyclamentrail-jobs/src/lease.rs
+++ b/crates/cyclamentrail-jobs/src/lease.rs
@@ -58,6 +58,8 @@
     worker_until_ms: u64,
     /// Latest time on the owner's boot clock at which the lease of this owner ends.
     own_expiry_ms: u64,
+    /// Newest reading of the worker's clock that the worker itself wrote to the registry.
+    listed_clock_ms: u64,
     /// Time of the last grant on the owner's boot clock; 0 before the first.
     last_grant_ms: u64,
     /// Latest time on the owner's boot clock at which a lease of an earlier owner ends; 0 if there
@@ -76,6 +78,7 @@
             sample: None,
             worker_until_ms: 0,
             own_expiry_ms: 0,
+            listed_clock_ms: 0,
             last_grant_ms: 0,
             inherited_expiry_ms: 0,
             crossed_expiry_ms: 0,
@@ -100,6 +103,18 @@
         }
     }
 
+    /// Records a reading of the worker's clock in the registry.
+    pub fn record_listed_clock(&mut self, worker_ms: u64, local_ms: u64) {
+        self.listed_clock_ms = self.listed_clock_ms.max(worker_ms);
+        self.record_clock(worker_ms, local_ms);
+    }
+
+    /// Returns whether the worker was there, by its own clock, after the last grant had ended.
+    #[must_use]
+    pub const fn is_outlived(&self) -> bool {
+        self.listed_clock_ms > self.worker_until_ms
+    }
+
     /// Extends the lease to `length_ms` from now. Returns its end on the worker's clock in
     /// milliseconds, or `None` while no reading of that clock is known.
     pub fn extend(&mut self, now_ms: u64, length_ms: u64) -> Option<u64> {
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -1,6 +1,6 @@
 //! Polls sent to workers, and the results of start and stop commands.
 
-use super::restarts::CALLS_UNDER_WAY_MS;
+use super::restarts::{CALLS_UNDER_WAY_MS, LATE_CALL_MS};
 use super::{Now, START_RETRY_MS, STOP_RETRY_MS, Shard};
 use crate::RecentLoss;
 use crate::effect::{CommandOutcome, CommandRejection, Decision, Effect, EndProof, WorkerPoll};
@@ -70,7 +70,7 @@
             | CommandOutcome::NotSent
             | CommandOutcome::Expired
             | CommandOutcome::RelayLost => {
-                self.mark_may_start_late(key);
+                self.mark_may_start_late(now, key);
                 self.schedule_resend(now.boot_ms + START_RETRY_MS, key, run);
             }
         }
@@ -216,7 +216,7 @@
     /// Frees the runs of an unreachable worker whose lease has ended for certain.
     fn release_expired_runs(&mut self, now: Now, key: WorkerKey) {
         let worker = &self.workers[key];
-        let has_ended = |task: &TaskKey| now.boot_ms > self.run_expiry_ms(worker, *task);
+        let has_ended = |task: &TaskKey| now.boot_ms > self.run_expiry_ms(now, worker, *task);
         let tasks: Vec<TaskKey> = worker.tasks.iter().copied().filter(has_ended).collect();
         if tasks.is_empty() {
             return;
@@ -236,27 +236,33 @@
     /// Returns the latest time on the owner's boot clock, in milliseconds, at which the lease of a run
     /// on a worker ends.
     ///
-    /// A start may have been carried out by an incarnation that nobody has seen yet, by whose clock the
-    /// lease is the longest of all. That isn't so where the known incarnation has listed the run, and
-    /// the registry would drop a worker that has ended and lists no other incarnation.
-    fn run_expiry_ms(&self, worker: &Worker, task: TaskKey) -> u64 {
+    /// A start may be carried out by an incarnation that nobody has seen yet, by whose clock the lease is
+    /// the longest of all. That isn't so where the known incarnation has listed the run, or has itself
+    /// written to the registry after the lease. One that has ended is dropped there, and another one
+    /// would be listed.
+    fn run_expiry_ms(&self, now: Now, worker: &Worker, task: TaskKey) -> u64 {
         let expiry_ms = worker.lease.expiry_ms();
-        let may_be_elsewhere = worker.is_registered
-            && self
-                .placement_of(task)
-                .is_some_and(|placement| placement.is_sent_unlisted());
+        let Some(placement) = self.placement_of(task) else {
+            return expiry_ms;
+        };
+        let has_sent = placement.start_under_way_until_ms > 0;
+        let may_be_elsewhere = has_sent
+            && !placement.is_settled(now.boot_ms)
+            && worker.is_registered
+            && !worker.lease.is_outlived();
         if !may_be_elsewhere {
             return expiry_ms;
         }
         let last_arrival_ms = worker.lease.last_grant_ms() + CALLS_UNDER_WAY_MS;
+        let last_arrival_ms = last_arrival_ms.max(placement.late_until_ms);
         expiry_ms.max(last_arrival_ms + self.timing.longest_possible_lease_ms())
     }
 
     /// Returns the latest time on the owner's boot clock, in milliseconds, at which the lease of any run
     /// on a worker ends.
-    pub(super) fn longest_expiry_ms(&self, worker: &Worker) -> u64 {
+    pub(super) fn longest_expiry_ms(&self, now: Now, worker: &Worker) -> u64 {
         let runs = worker.tasks.iter();
-        let expiries_ms = runs.map(|&task| self.run_expiry_ms(worker, task));
+        let expiries_ms = runs.map(|&task| self.run_expiry_ms(now, worker, task));
         expiries_ms.max().unwrap_or(worker.lease.expiry_ms())
     }
 
@@ -307,9 +313,10 @@
     }
 
     /// Records that a start command without a response may still take effect.
-    fn mark_may_start_late(&mut self, key: TaskKey) {
+    fn mark_may_start_late(&mut self, now: Now, key: TaskKey) {
         if let Some(placement) = self.placement_of_mut(key) {
             placement.may_start_late = true;
+            placement.late_until_ms = now.boot_ms + LATE_CALL_MS;
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/lease_records.rs
+++ b/crates/cyclamentrail-jobs/src/shard/lease_records.rs
@@ -131,7 +131,9 @@
     fn write_lease_record(&mut self, now: Now, key: WorkerKey, commit: &mut Commit) {
         let worker = &self.workers[key];
         let id = worker.registration.id.clone();
-        let remaining_ms = self.longest_expiry_ms(worker).saturating_sub(now.boot_ms);
+        let remaining_ms = self
+            .longest_expiry_ms(now, worker)
+            .saturating_sub(now.boot_ms);
         let record = WorkerLeaseRecord {
             token: self.tokens.own,
             started_ms: worker.registration.started_ms,
@@ -157,7 +159,7 @@
             LeaseRecordScope::Unreachable => needs_record(worker),
             LeaseRecordScope::All => {
                 let longest_ms = now.boot_ms + self.timing.longest_lease_ms();
-                let may_outlast_grant = self.longest_expiry_ms(worker) > longest_ms;
+                let may_outlast_grant = self.longest_expiry_ms(now, worker) > longest_ms;
                 let is_unknown = !worker.is_in_contact() || may_outlast_grant;
                 is_unknown && !worker.tasks.is_empty()
             }
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -372,6 +372,7 @@
             doubt: None,
             start_under_way_until_ms: 0,
             may_start_late: false,
+            late_until_ms: 0,
             cpu_share: SentShare {
                 percent: Some(FULL_SHARE_PERCENT),
                 ..SentShare::default()
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -12,6 +12,7 @@
 
 use cyclamentrail_core::{JobId, ServiceName, WorkerId, ZoneName};
 
+use super::restarts::LATE_CALL_MS;
 use super::{Now, Shard};
 use crate::job::{
     Job, JobKey, Occurrence, Placement, RestartDoubt, RunPhase, SentShare, StepProgress, StopOrder,
@@ -261,9 +262,19 @@
         }
     }
 
-    /// Counts calls that the previous owner sent to earlier incarnations of workers with runs in doubt,
-    /// until `last_call_ms` on this owner's boot clock.
+    /// Counts calls that the previous owner sent until `last_call_ms` on this owner's boot clock: late
+    /// starts, and those to earlier incarnations of workers with runs in doubt.
     fn count_crossed_calls(&mut self, last_call_ms: u64) {
+        let tasks: Vec<TaskKey> = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.tasks.iter().copied())
+            .collect();
+        for task in tasks {
+            if let Some(placement) = self.placement_of_mut(task) {
+                placement.late_until_ms = last_call_ms + LATE_CALL_MS;
+            }
+        }
         let expiry_ms = self.crossed_expiry_ms(last_call_ms);
         let restarted: Vec<WorkerKey> = self
             .workers
@@ -316,6 +327,7 @@
                 }),
                 start_under_way_until_ms: 0,
                 may_start_late: true,
+                late_until_ms: 0,
                 cpu_share: SentShare::default(),
                 progress_percent: 0,
                 progress_changed_ms: now.boot_ms,
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -33,7 +33,9 @@
             self.replace_incarnation(now, key, registration);
             return;
         }
-        known.lease.record_clock(registration.clock_ms, now.boot_ms);
+        known
+            .lease
+            .record_listed_clock(registration.clock_ms, now.boot_ms);
         known.registration = registration;
         known.is_registered = true;
     }
--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -37,14 +37,14 @@
         let doubtful: Vec<TaskKey> = runs
             .iter()
             .copied()
-            .filter(|&task| self.may_have_moved(task))
+            .filter(|&task| self.may_have_moved(now, task))
             .collect();
         let (given_up, unsettled) = self.record_restart(now, key, &doubtful);
         let new_key = self.insert_worker(now, registration);
         let expiry_ms = self.crossed_expiry_ms(now.boot_ms);
         self.workers[new_key].lease.count_crossed(expiry_ms);
         for &task in &doubtful {
-            self.assign_in_doubt(key, new_key, task);
+            self.assign_in_doubt(now, key, new_key, task);
         }
         self.release_worker_runs(key, EndProof::WorkerRestarted);
         let worker = &self.workers[new_key];
@@ -113,7 +113,13 @@
     }
 
     /// Assigns a run to a new incarnation of its worker, where it may be or not.
-    pub(super) fn assign_in_doubt(&mut self, earlier: WorkerKey, worker: WorkerKey, task: TaskKey) {
+    pub(super) fn assign_in_doubt(
+        &mut self,
+        now: Now,
+        earlier: WorkerKey,
+        worker: WorkerKey,
+        task: TaskKey,
+    ) {
         let earlier_started_ms = self.workers[earlier].registration.started_ms;
         let Some(demand) = self.step_of(task).map(crate::StepSpec::reserved_resources) else {
             return;
@@ -135,6 +141,7 @@
         }
         placement.is_listed = false;
         placement.may_start_late = true;
+        placement.late_until_ms = now.boot_ms + LATE_CALL_MS;
         placement.cpu_share.percent = None;
         placement.doubt.get_or_insert(RestartDoubt {
             placed_started_ms: earlier_started_ms,
@@ -185,10 +192,9 @@
     }
 
     /// Returns whether a run may be on a newer incarnation of its worker.
-    fn may_have_moved(&self, task: TaskKey) -> bool {
+    fn may_have_moved(&self, now: Now, task: TaskKey) -> bool {
         self.placement_of(task).is_some_and(|placement| {
-            let has_surely_ended = placement.is_listed && !placement.may_start_late;
-            placement.phase != RunPhase::Placed && !has_surely_ended
+            placement.phase != RunPhase::Placed && !placement.is_settled(now.boot_ms)
         })
     }
 }
--- a/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
@@ -231,6 +231,50 @@
     assert_eq!(sim.running_on("w9"), 1);
 }
 
+/// Guards against giving up a run whose start is late, and begins on an incarnation that started behind a
+/// cut after the lease of the known one.
+#[rstest]
+fn late_start_behind_cut(#[values(4_000, 6_000, 8_000, 11_000)] late_ms: u64) {
+    for restart_ms in [1_000, 2_000, 3_500] {
+        let mut sim = aged();
+        sim.worker("w0").start_delay_ms = Some(late_ms);
+        sim.submit("a", lasting());
+        sim.run_for(60);
+        cut_off(&mut sim);
+        sim.run_for(restart_ms);
+        sim.restart_under_id("w0", 60_000);
+        sim.worker("w0").is_reachable = false;
+        sim.run_for(25_000);
+        assert_eq!(sim.running_on("w9"), 1, "restarted after {restart_ms} ms");
+    }
+}
+
+/// Guards against waiting for late starts on a worker that is cut off and goes on.
+#[test]
+fn cut_worker_outlived() {
+    let mut sim = aged();
+    sim.worker("w0").start_delay_ms = Some(11_000);
+    sim.submit("a", lasting());
+    sim.run_for(60);
+    cut_off(&mut sim);
+    sim.run_for(7_000);
+    assert_eq!(sim.running_on("w9"), 1);
+}
+
+/// Guards against doubting for good a run of which a start had no response once.
+#[test]
+fn late_start_expires() {
+    let mut sim = aged();
+    sim.submit("a", lasting());
+    sim.run_for(60);
+    sim.hand_over();
+    sim.run_for(20_000);
+    sim.restart_under_id("w0", UNREGISTERED_MS);
+    cut_off(&mut sim);
+    sim.run_for(UNREGISTERED_MS + 1_000);
+    assert_eq!(sim.running_on("w9"), 1);
+}
+
 /// Guards against a new owner that counts only its own grants once it has reached the worker.
 #[rstest]
 fn lease_outlasts_grant(#[values(20, 100, 700)] reached_ms: u64) {
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -40,6 +40,8 @@
 const STOP_MS: u64 = 100;
 /// Time between two scheduling rounds of the owner in milliseconds.
 const TICK_MS: u64 = 20;
+/// Time between two heartbeats of a worker in milliseconds.
+const HEARTBEAT_MS: u64 = 1_500;
 /// Unix time at which virtual time is 0, in milliseconds.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
 /// Time for which starts may count on a capacity that has shrunk, in milliseconds.
@@ -106,6 +108,8 @@
     now_ms: u64,
     /// Fencing token of the present owner.
     token: u64,
+    /// Virtual time of the next heartbeats in milliseconds.
+    next_heartbeat_ms: u64,
     /// Events by time in milliseconds and sequence number.
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
@@ -167,6 +171,7 @@
             policy: None,
             now_ms: 1_000,
             token: FIRST_TOKEN,
+            next_heartbeat_ms: HEARTBEAT_MS,
             events: BTreeMap::new(),
             sequence: 0,
             pending_commit: None,
@@ -319,11 +324,32 @@
                 }
             }
             self.now_ms = next_ms;
+            self.send_heartbeats();
             self.end_runs();
             self.run_owner();
         }
     }
 
+    /// Renews the registrations of the workers that the owner has read once, from time to time.
+    fn send_heartbeats(&mut self) {
+        if self.now_ms < self.next_heartbeat_ms {
+            return;
+        }
+        self.next_heartbeat_ms = self.now_ms + HEARTBEAT_MS;
+        let now = self.now();
+        for worker in self.workers.values().filter(|worker| worker.is_alive) {
+            let mut registration = worker.registration.clone();
+            registration.clock_ms = worker.clock_ms(now.boot_ms);
+            let known = self.shard.worker(&registration.id);
+            let is_known = known.is_some_and(|known| {
+                known.is_registered && known.registration.started_ms == registration.started_ms
+            });
+            if is_known {
+                self.shard.register(now, registration);
+            }
+        }
+    }
+
     /// Makes a worker give notice that it leaves; it goes on running what it has.
     pub fn announce_leaving(&mut self, id: &str) {
         let now = self.now();
