fix(jobs): the wait for an incarnation that nobody reaches is handed over

A run in doubt on an incarnation that nobody reaches waited for 18 s from each takeover: its placement names the former incarnation, the lease record the new one, and a successor dropped the record as one of another incarnation.

A successor keeps the record where the run is in doubt: what it says covers calls to earlier incarnations.

--- a/crates/cyclamentrail-jobs/src/shard/lease_records.rs
+++ b/crates/cyclamentrail-jobs/src/shard/lease_records.rs
@@ -192,6 +192,8 @@
                 inherits = true;
                 source = LeaseSource::Record;
                 expiry_ms = now.boot_ms.saturating_add(record.remaining_ms);
+                // What the record says covers calls to earlier incarnations.
+                worker.lease.count_crossed(0);
                 worker.reachability = Reachability::Unreachable {
                     since_ms: now.boot_ms,
                 };
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -126,8 +126,8 @@
         } else {
             self.timing.longest_unrecorded_ms(predecessor_active_ms)
         };
-        self.restore_leases(now, &leases, now.boot_ms + longest_ms);
         self.count_crossed_calls(now.boot_ms + predecessor_active_ms);
+        self.restore_leases(now, &leases, now.boot_ms + longest_ms);
         unreadable
     }
 
@@ -390,14 +390,19 @@
     Ok(())
 }
 
-/// Drops the lease records of workers on another incarnation of which the records place a run.
+/// Drops the lease records of workers on another incarnation of which the records place a run. A run in
+/// doubt may be on the newer incarnation, which the lease record names.
 fn drop_other_incarnations(
     leases: &mut HashMap<WorkerId, WorkerLeaseRecord>,
     recorded_runs: &[RecordedRun],
 ) {
     for RecordedRun { record, .. } in recorded_runs {
         let started_ms = leases.get(&record.worker).map(|lease| lease.started_ms);
-        if started_ms.is_some_and(|started_ms| started_ms != record.started_ms) {
+        let is_other = |started_ms| match record.is_in_doubt {
+            true => started_ms < record.started_ms,
+            false => started_ms != record.started_ms,
+        };
+        if started_ms.is_some_and(is_other) {
             leases.remove(&record.worker);
         }
     }
--- a/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
@@ -275,6 +275,25 @@
     assert_eq!(sim.running_on("w9"), 1);
 }
 
+/// Guards against a wait for an unreached incarnation that begins anew with each owner.
+#[rstest]
+fn unreached_wait_goes_on(#[values(0, 3, 10)] handovers: u32) {
+    let mut sim = aged();
+    sim.worker("w0").responds = false;
+    sim.submit("a", lasting());
+    sim.run_for(60);
+    sim.restart_under_id("w0", UNREGISTERED_MS);
+    cut_off(&mut sim);
+    sim.run_for(700);
+    for _ in 0..handovers {
+        sim.run_for(1_500);
+        sim.hand_over();
+    }
+    let handed_over_ms = u64::from(handovers) * 1_500;
+    sim.run_for((MAX_LATE_MS + 6_151 + 500).saturating_sub(handed_over_ms));
+    assert_eq!(sim.running_on("w9"), 1);
+}
+
 /// Guards against a new owner that counts only its own grants once it has reached the worker.
 #[rstest]
 fn lease_outlasts_grant(#[values(20, 100, 700)] reached_ms: u64) {
