fix(jobs): a lease record of an incarnation that isn't listed yet counts

TWICE at a handover, without any late call: the earlier owner has learnt of a restart by a report, has recorded the run and the lease of the new incarnation, and gives the shard up; its successor's copy of the registry still lists the former one.

A record of an incarnation that is newer than the listed one counts.

--- a/crates/cyclamentrail-jobs/src/shard/lease_records.rs
+++ b/crates/cyclamentrail-jobs/src/shard/lease_records.rs
@@ -183,7 +183,7 @@
             let id = &worker.registration.id;
             let record = records
                 .get(id)
-                .filter(|record| record.started_ms == worker.registration.started_ms)
+                .filter(|record| record.started_ms >= worker.registration.started_ms)
                 .filter(|_| !worker.tasks.is_empty());
             let mut inherits = worker.reachability != Reachability::Reachable;
             let mut source = LeaseSource::Bound;
--- a/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
@@ -294,6 +294,27 @@
     assert_eq!(sim.running_on("w9"), 1);
 }
 
+/// Guards against a new owner that drops the lease record of an incarnation which its registry doesn't list
+/// yet.
+#[test]
+fn unlisted_record_counts() {
+    let mut sim = aged();
+    let earlier_started_ms = sim.worker("w0").registration.started_ms;
+    sim.poll_delay_ms = 100;
+    sim.restart_under_id("w0", 60_000);
+    sim.run_for(100);
+    sim.submit("a", lasting());
+    sim.run_for(500);
+    assert_eq!(sim.running_on("w0"), 1);
+    cut_off(&mut sim);
+    let started_ms = sim.worker("w0").registration.started_ms;
+    sim.worker("w0").registration.started_ms = earlier_started_ms;
+    sim.hand_over();
+    sim.worker("w0").registration.started_ms = started_ms;
+    sim.run_for(12_000);
+    assert_eq!(sim.running_on("w9"), 1);
+}
+
 /// Guards against a new owner that counts only its own grants once it has reached the worker.
 #[rstest]
 fn lease_outlasts_grant(#[values(20, 100, 700)] reached_ms: u64) {
