fix(jobs): a run that isn't assigned to its worker is stopped

A late start may begin a run of a cancelled job, or of a task that runs elsewhere; the owner saw it on the worker's list and left it alone. Each lease for other runs kept it going (still there after 60 s), and tasks that were placed beside it brought the worker over its capacity.

Such a run is stopped, again each 400 ms while it is listed, unless its task waits for a placement; it takes capacity until its end is listed, and its worker is polled until then.

--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -51,6 +51,7 @@
 mod team_status;
 mod timeliness;
 mod timing;
+mod unassigned_runs;
 mod unsent_jobs;
 
 use lease_records::LeaseRecordScope;
--- a/crates/cyclamentrail-jobs/src/shard/commands.rs
+++ b/crates/cyclamentrail-jobs/src/shard/commands.rs
@@ -119,14 +119,15 @@
         false
     }
 
-    /// Polls the workers that are due: those with tasks, with ends that aren't acknowledged, and
-    /// listed ones that haven't reported to this owner yet or don't respond.
+    /// Polls the workers that are due: those with tasks or unassigned runs, with ends that aren't
+    /// acknowledged, and listed ones that haven't reported to this owner yet or don't respond.
     pub(super) fn poll_workers(&mut self, now: Now) {
         let due: Vec<WorkerKey> = self
             .workers
             .iter()
             .filter(|(_, worker)| {
                 let needs_poll = !worker.tasks.is_empty()
+                    || !worker.unassigned_runs.is_empty()
                     || worker.durable_sequence > worker.acknowledged_sequence
                     || (worker.is_registered && !worker.is_in_contact());
                 needs_poll && !worker.is_polling && worker.next_poll_ms <= now.boot_ms
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -111,7 +111,7 @@
             }
             self.record_end(now, key, &ended_run);
         }
-        self.log_unassigned(key, &report.running);
+        self.handle_unassigned(now, key, &report.running);
         for active_run in report.running {
             if let Some(task) = self.find_task(&active_run.id) {
                 listed.runs.insert((task, active_run.id.run));
@@ -124,38 +124,6 @@
         self.remove_if_unused(key);
     }
 
-    /// Logs each run that a worker lists though it isn't assigned to it, unless the worker's last report
-    /// listed it, too.
-    fn log_unassigned(&mut self, key: WorkerKey, running: &[ActiveRun]) {
-        let is_unassigned = |id: &TaskRunId| {
-            let task = self.find_task(id)?;
-            self.placement_on(key, task, id.run)
-                .is_none()
-                .then_some((task, id.run))
-        };
-        let unassigned: BTreeSet<(TaskKey, u32)> = running
-            .iter()
-            .filter_map(|active_run| is_unassigned(&active_run.id))
-            .collect();
-        // An unlisted worker is removed with the last of its runs.
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        let known = std::mem::replace(&mut worker.unassigned_runs, unassigned);
-        for &(task, run) in worker.unassigned_runs.difference(&known) {
-            let Some(job) = self.jobs.get(task.job) else {
-                continue;
-            };
-            self.ready_effects
-                .push(Effect::Log(Decision::RunUnassigned {
-                    job: job.id.clone(),
-                    task,
-                    run,
-                    worker: worker.registration.id.clone(),
-                }));
-        }
-    }
-
     /// Records the progress and checkpoint of a run; `is_own_report` tells whether the incarnation that
     /// the run is assigned to has listed it.
     fn record_running(
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -1,6 +1,6 @@
 //! Registered workers and the state that the shard's owner keeps of each.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use cyclamentrail_core::{LabelName, RackName, ServiceName, WorkerId, ZoneName};
@@ -134,8 +134,11 @@
     pub knows_token: bool,
     /// Whether the worker may have more ended runs than its last report listed.
     pub has_more_ends: bool,
-    /// Runs in progress that the last report listed though they aren't assigned to the worker.
-    pub unassigned_runs: BTreeSet<(TaskKey, u32)>,
+    /// Runs in progress that the last report listed though they aren't assigned to the worker, with the
+    /// time of the last stop command on the owner's boot clock in milliseconds; 0 if none was sent.
+    pub unassigned_runs: BTreeMap<(TaskKey, u32), u64>,
+    /// Capacity that they take.
+    pub unassigned_demand: Resources,
 }
 
 impl Worker {
@@ -166,7 +169,8 @@
             evacuating_since_ms: None,
             knows_token: false,
             has_more_ends: false,
-            unassigned_runs: BTreeSet::new(),
+            unassigned_runs: BTreeMap::new(),
+            unassigned_demand: Resources::default(),
         }
     }
 
@@ -231,6 +235,7 @@
         self.registration
             .capacity
             .saturating_sub(&self.used_capacity)
+            .saturating_sub(&self.unassigned_demand)
     }
 
     /// Returns whether the load, of which `demand` is a part, exceeds the present capacity in something
--- a/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
@@ -275,6 +275,32 @@
     assert_eq!(sim.running_on("w9"), 1);
 }
 
+/// Guards against a run of a cancelled job that a late start begins, and that goes on beside other runs for
+/// as long as these get leases, or over the capacity.
+#[rstest]
+fn unassigned_run_stopped(#[values(1_000, 10_000)] cpu_milli: u64) {
+    let sized = || {
+        let mut spec = job(1, cpu_milli, 0);
+        spec.steps[0].long_running = true;
+        spec
+    };
+    let mut sim = aged();
+    sim.worker("w0").start_delay_ms = Some(8_000);
+    sim.submit("a", sized());
+    sim.run_for(60);
+    sim.restart_under_id("w0", 7_600);
+    sim.worker("w0").is_reachable = false;
+    // The registry drops the earlier incarnation, so that the run is given up with its lease.
+    sim.shard.unregister(&"w0".into());
+    sim.cancel("a");
+    sim.run_for(8_300);
+    assert_eq!(sim.running_on("w0"), 1, "the start was carried out");
+    sim.worker("w0").is_reachable = true;
+    sim.submit("b", sized());
+    sim.run_for(3_000);
+    assert_eq!(sim.running(), 1);
+}
+
 /// Guards against a wait for an unreached incarnation that begins anew with each owner.
 #[rstest]
 fn unreached_wait_goes_on(#[values(0, 3, 10)] handovers: u32) {
