fix(relay): processes of different versions send their calls directly

Since each call carries the fencing token of its worker's incarnation, a batch has another layout. A relay of the version before would have read the opening frame, failed at the first batch and lost the session, and its calls with it, again after each pause. Sessions have a path of their own now, so that opening one fails before any call is handed over. By reading; no run with two versions.

--- a/crates/cyclamentrail/src/edge/relay/host.rs
+++ b/crates/cyclamentrail/src/edge/relay/host.rs
@@ -18,8 +18,9 @@
 use crate::edge::process_state::ProcessState;
 use crate::metrics;
 
-/// Path of sessions on the internal listener.
-pub(crate) const RELAY_PATH: &str = "/v1/relay";
+/// Path of sessions on the internal listener. Its version rises when the frames change, so that processes
+/// of different versions send their calls directly.
+pub(crate) const RELAY_PATH: &str = "/v2/relay";
 /// Most calls of one session that wait for an outcome; further ones aren't sent.
 const MAX_OPEN_CALLS: usize = 4_096;
 /// Frames of a report's body that may wait for the connection.
