fix(jobs): ends are acknowledged to a worker that has just reported only

The response to a start may come from an incarnation that nobody has seen; it counted as a sign of life, after which a poll carries the highest number of an end on the known incarnation: the new one would drop ends that nobody has seen. Found by the review by reading; a hundred tries didn't bring it about. Only a report, which names its incarnation, allows the acknowledgement now.

--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -82,6 +82,7 @@
         worker.acknowledged_sequence = worker.acknowledged_sequence.max(durable_sequence);
         worker.lease.record_clock(report.clock_ms, now.boot_ms);
         worker.heard_ms = now.boot_ms;
+        worker.reported_ms = now.boot_ms;
         // The report that shows a restart answers a poll to the earlier incarnation.
         let answers_own_poll = worker.first_poll_ms.is_some();
         if answers_own_poll && !worker.knows_token {
--- a/crates/cyclamentrail-jobs/src/worker.rs
+++ b/crates/cyclamentrail-jobs/src/worker.rs
@@ -117,6 +117,8 @@
     pub next_poll_ms: u64,
     /// Time of the last response on the owner's boot clock, in milliseconds.
     pub heard_ms: u64,
+    /// Time of the last report on the owner's boot clock, in milliseconds.
+    pub reported_ms: u64,
     /// Whether the worker responds to calls.
     pub reachability: Reachability,
     /// Processor share of the worker's best-effort tasks.
@@ -162,6 +164,7 @@
             is_polling: false,
             next_poll_ms: 0,
             heard_ms: 0,
+            reported_ms: 0,
             reachability: Reachability::Reachable,
             best_effort_share: BestEffortShare::new(),
             avoid_until_ms: 0,
@@ -189,12 +192,12 @@
 
     /// Returns the sequence number up to which the next poll acknowledges ended runs; 0 for none.
     ///
-    /// Only a worker that responded a moment ago gets one: a new incarnation counts from 1, and would
+    /// Only a worker that reported a moment ago gets one: a new incarnation counts from 1, and would
     /// drop ends that nobody saw.
     #[must_use]
     pub const fn sequence_to_acknowledge(&self, now_ms: u64) -> u64 {
         let is_needed = self.durable_sequence > self.acknowledged_sequence;
-        if is_needed && now_ms <= self.heard_ms + RESTART_MS {
+        if is_needed && now_ms <= self.reported_ms + RESTART_MS {
             self.durable_sequence
         } else {
             0
