--- a/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
@@ -15,6 +15,8 @@
 
 /// Longest time by which a call is carried out late, in milliseconds.
 const MAX_LATE_MS: u64 = 12_000;
+/// Longest time from a restart to the reading of the new registration in a random case, in milliseconds.
+const MAX_UNREGISTERED_MS: u64 = 8_000;
 /// Number of random cases of the property.
 const CASES: u32 = 150;
 /// Number of workers in a random case.
@@ -391,8 +393,8 @@
         3 => (worker(), 0..MAX_LATE_MS).prop_map(|(worker, ms)| Action::DelayStarts(worker, ms)),
         2 => (worker(), 0..MAX_LATE_MS).prop_map(|(worker, ms)| Action::DelayPolls(worker, ms)),
         4 => worker().prop_map(Action::Recover),
-        3 => (worker(), 20..1_500_u64).prop_map(|(worker, ms)| Action::Restart(worker, ms)),
-        1 => (worker(), 20..1_500_u64)
+        3 => (worker(), 20..MAX_UNREGISTERED_MS).prop_map(|(worker, ms)| Action::Restart(worker, ms)),
+        1 => (worker(), 20..MAX_UNREGISTERED_MS)
             .prop_map(|(worker, ms)| Action::RestartBehindCut(worker, ms)),
         2 => worker().prop_map(Action::CutOff),
         2 => worker().prop_map(Action::DropResponses),
