fix(jobs): a release tells for how long an owner before it may still act

An owner that is released has stopped acting. One before it may not know yet that it was replaced, and extends leases until its last confirmation is 5 s old. The successor of the released one didn't count it, unless a lease record covered the worker.

Cause: ReleaseRecord and Reply::Released told nothing of the owners before, and a successor that got either counted 0 ms for them. Two orders of events: - The owner is asked to release before it has found a silent worker silent. Its last commit is fenced by the successor's claim, so that its lease records aren't stored. The lease record names the new incarnation and the placement the earlier one, so that the record doesn't count, and the late calls to the earlier incarnation were counted from the takeover. A process that takes its own shard over again counted 0 ms, too.

Change: the shard keeps until when owners before it may act, from its takeover on. Its release record and its reply tell what is left of that, also once its ownership has ended (EarlierOwners). A successor that isn't told counts 5 s, which covers all: each earlier owner was confirmed before the claim. The same time counts beside a release record for a worker without a lease record.

Versions: a new field comes last and is always written. Left out at 0, it would make an earlier version, which knows nothing, look like an owner that says 0. A process of an earlier version therefore can't read the record or the reply, and takes its predecessor for one that may still act; a newer one counts 5 s after a release of an earlier version. Both wait longer than before during a roll-out (9.6 s instead of 4.6 or 6.15 s for a worker that falls silent without a lease record), never less. The same holds for a process that was started again at the address of the owner.

No test covers the reply between separate processes.

--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -115,6 +115,12 @@
 pub struct ReleaseRecord {
     /// Fencing token of the owner.
     pub token: u64,
+    /// For how long after the writing of the record an owner before this one may still act, in
+    /// milliseconds. It is written even if that is over: without it, the owner is of an earlier version
+    /// and tells nothing. Earlier versions can't read a record with it, and take the owner for one that
+    /// may still act.
+    #[serde(default)]
+    pub earlier_acts_ms: Option<u64>,
 }
 
 /// Statement of an owner that it grants a worker no lease while the record stands.
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -37,6 +37,7 @@
 mod recovery;
 mod refused_records;
 mod registry;
+mod release;
 mod reports;
 mod restarts;
 mod routes;
@@ -99,6 +100,8 @@
 pub struct Shard {
     timing: ShardTiming,
     tokens: OwnerTokens,
+    /// Time until which an owner before this one may act, as in [`Now::boot_ms`].
+    earlier_act_until_ms: u64,
     /// Fencing token of the newest incarnation of any worker.
     newest_token: FencingToken,
     routes: routes::Routes,
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -19,8 +19,8 @@
 };
 use crate::record::{
     AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, PROGRESS_SUFFIX,
-    PlacementRecord, ProgressRecord, RELEASE_KEY, ROUTE_PREFIX, RecordError, ReleaseRecord,
-    TaskRecord, WorkerLeaseRecord, decode, is_reserved_key,
+    PlacementRecord, ProgressRecord, RELEASE_KEY, ROUTE_PREFIX, RecordError, TaskRecord,
+    WorkerLeaseRecord, decode, is_reserved_key,
 };
 use crate::record_parts::{PartNumber, ReadParts};
 use crate::worker::{Reachability, WorkerKey, WorkerRegistration};
@@ -47,13 +47,14 @@
     /// record is held (see [`super::held_jobs`]).
     ///
     /// Registered workers are kept as they are. Workers that only the records name are added as
-    /// unlisted until no run can be left on them. `predecessor_active_ms` is how long the previous
-    /// owner may still extend leases, in milliseconds.
+    /// unlisted until no run can be left on them. `earlier_acts_ms` is how long the previous owner, or
+    /// one before it, may still extend leases, in milliseconds; the release record of the previous
+    /// owner takes its place if it tells that.
     pub fn restore(
         &mut self,
         now: Now,
         records: impl IntoIterator<Item = KeyedRecord>,
-        predecessor_active_ms: u64,
+        earlier_acts_ms: u64,
     ) -> usize {
         let mut accepted: HashMap<String, AcceptedJobRecord> = HashMap::new();
         let mut progress: HashMap<String, ProgressRecord> = HashMap::new();
@@ -61,7 +62,7 @@
         let mut parts: HashMap<String, ReadParts> = HashMap::new();
         let mut unreadable_jobs = UnreadableJobs::new();
         let mut unreadable = 0;
-        let mut is_released = false;
+        let mut release = None;
         for record in records {
             if let Some(route) = record.key.strip_prefix(RUN_TIMES_PREFIX) {
                 unreadable += usize::from(!self.restore_run_times(now, route, &record.value));
@@ -77,7 +78,7 @@
                 continue;
             }
             if record.key == RELEASE_KEY {
-                is_released |= self.is_previous_release(&record.value);
+                release = self.read_release(&record.value);
             }
             if is_reserved_key(&record.key) {
                 continue;
@@ -120,23 +121,19 @@
             self.hold_job(JobId::from(id), key);
         }
         self.delete_leftovers(progress, parts);
-        let longest_ms = if is_released {
-            self.timing.longest_lease_ms()
+        let told_ms = release.and_then(|release| release.earlier_acts_ms);
+        let active_ms = told_ms.unwrap_or(earlier_acts_ms);
+        let longest_ms = if release.is_some() {
+            active_ms + self.timing.longest_lease_ms()
         } else {
-            self.timing.longest_unrecorded_ms(predecessor_active_ms)
+            self.timing.longest_unrecorded_ms(active_ms)
         };
+        self.earlier_act_until_ms = now.boot_ms + active_ms;
         self.restore_leases(now, &leases, now.boot_ms + longest_ms);
-        self.count_crossed_calls(now.boot_ms + predecessor_active_ms);
+        self.count_crossed_calls(self.earlier_act_until_ms);
         unreadable
     }
 
-    /// Returns whether a release record is that of the previous owner, which then has recorded each lease
-    /// that may last longer than a grant.
-    fn is_previous_release(&self, value: &[u8]) -> bool {
-        decode::<ReleaseRecord>(value)
-            .is_ok_and(|release| self.tokens.previous == Some(release.token))
-    }
-
     /// Decodes the lease record of a worker; returns whether it is readable.
     fn read_lease_record(
         &mut self,
@@ -261,7 +258,7 @@
         }
     }
 
-    /// Counts calls that the previous owner sent to earlier incarnations of workers with runs in doubt,
+    /// Counts calls that earlier owners send to earlier incarnations of workers with runs in doubt,
     /// until `last_call_ms` on this owner's boot clock.
     fn count_crossed_calls(&mut self, last_call_ms: u64) {
         let expiry_ms = self.crossed_expiry_ms(last_call_ms);
--- a/crates/cyclamentrail-jobs/src/succession.rs
+++ b/crates/cyclamentrail-jobs/src/succession.rs
@@ -184,10 +184,26 @@
 }
 
 impl Predecessor {
-    /// Returns whether the previous owner is known to have stopped acting.
+    /// Returns for how long the previous owner, or one before it, may still act, in milliseconds.
+    /// `told_ms` is what the previous owner told of those before it, and `valid_ms` for how long an
+    /// owner acts after its last confirmation.
+    ///
+    /// All earlier owners were confirmed before this owner's claim, so that none acts for longer than
+    /// `valid_ms` from then on.
+    ///
+    /// ```
+    /// use cyclamentrail_jobs::Predecessor;
+    ///
+    /// assert_eq!(Predecessor::Released.earlier_acts_ms(Some(0), 5_000), 0);
+    /// assert_eq!(Predecessor::Released.earlier_acts_ms(None, 5_000), 5_000);
+    /// assert_eq!(Predecessor::Unknown.earlier_acts_ms(Some(0), 5_000), 5_000);
+    /// ```
     #[must_use]
-    pub const fn has_stopped(self) -> bool {
-        matches!(self, Self::Released | Self::ReleasedAfter { .. })
+    pub const fn earlier_acts_ms(self, told_ms: Option<u64>, valid_ms: u64) -> u64 {
+        match (self, told_ms) {
+            (Self::Released | Self::ReleasedAfter { .. }, Some(told_ms)) => told_ms,
+            _ => valid_ms,
+        }
     }
 
     /// Returns the time from which a new holder of the duties over machines may send commands,
--- a/crates/cyclamentrail-jobs/tests/scheduler/lease_handover.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/lease_handover.rs
@@ -2,7 +2,8 @@
 
 use crate::world::{Simulation, job};
 use cyclamentrail_jobs::{
-    Decision, JobSpec, LEASE_PREFIX, LeaseSource, Resources, ShardTiming, WorkerLeaseRecord,
+    Decision, JobSpec, LEASE_PREFIX, LeaseSource, RELEASE_KEY, ReleaseRecord, Resources,
+    ShardTiming, WorkerLeaseRecord,
 };
 use cyclamentrail_jobs::{Reachability, decode, encode};
 use rstest::rstest;
@@ -77,6 +78,79 @@
     }
 }
 
+/// The order of events that the model `lease_handover` finds where a release tells nothing: an owner that
+/// doesn't know yet that it was replaced goes on extending the lease, while its successor is asked to
+/// release before it has found the worker silent.
+#[rstest]
+#[case::at_once(0)]
+#[case::polled(100)]
+#[case::almost_silent(400)]
+fn fenced_release_tells_earlier(#[case] owned_ms: u64) {
+    let mut sim = running();
+    sim.worker("w0").is_reachable = false;
+    sim.take_over(ACTIVE_MS);
+    sim.run_for(owned_ms);
+    assert!(!sim.records.contains_key(RECORD_KEY));
+    sim.hand_over_fenced();
+    for _ in (owned_ms..ACTIVE_MS).step_by(100) {
+        sim.extend_as_earlier("w0");
+        sim.run_for(100);
+    }
+    assert_eq!(sim.running_on("w0"), 1);
+    sim.run_for(LONGEST_LEASE_MS + 300);
+    assert_eq!(sim.running_on("w9"), 1);
+}
+
+/// An owner that releases the shard soon after its takeover: its lease record names the incarnation that
+/// the store has no run on, so that its successor counts the calls of the owners before it anew.
+#[rstest]
+#[case::at_once(0)]
+#[case::polled(100)]
+#[case::found_silent(900)]
+fn release_record_tells_earlier(#[case] owned_ms: u64) {
+    let mut sim = running();
+    sim.take_over(ACTIVE_MS);
+    let act_until_ms = sim.now().boot_ms + ACTIVE_MS;
+    sim.restart_under_id("w0", 0);
+    sim.worker("w0").is_reachable = false;
+    sim.run_for(owned_ms);
+    sim.hand_over();
+    let lease = sim.shard.worker(&"w0".into()).expect("w0 is listed").lease;
+    let waited_ms = lease.expiry_ms() - sim.now().boot_ms;
+    assert!(
+        lease.expiry_ms() >= act_until_ms + UNREACHED_MS,
+        "{waited_ms} ms"
+    );
+    assert!(waited_ms <= ACTIVE_MS + UNREACHED_MS, "{waited_ms} ms");
+}
+
+/// The time is handed on by any number of owners, and ends.
+#[test]
+fn earlier_owners_end() {
+    let mut sim = running();
+    sim.take_over(ACTIVE_MS);
+    for _ in 0..6 {
+        sim.run_for(900);
+        sim.hand_over();
+    }
+    assert_eq!(sim.shard.earlier_acts_ms(sim.now()), 0);
+}
+
+/// A release record of an earlier version tells nothing of the owners before; an earlier version reads
+/// none of this one, and takes the owner for one that may still act.
+#[test]
+fn release_of_other_version() {
+    let mut sim = running();
+    let value = sim.shard.release_record(sim.now()).value;
+    assert_eq!(decode::<(u64,)>(&value).ok(), None);
+    let release: ReleaseRecord = decode(&value).expect("the record is readable");
+    assert_eq!(release.earlier_acts_ms, Some(0));
+    sim.records
+        .insert(RELEASE_KEY.to_owned(), encode(&(release.token,)));
+    sim.take_over(ACTIVE_MS);
+    assert_eq!(sim.shard.earlier_acts_ms(sim.now()), ACTIVE_MS);
+}
+
 #[rstest]
 #[case::often(1_300)]
 #[case::in_turn(1_600)]
--- a/crates/cyclamentrail-jobs/tests/scheduler/world/owners.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world/owners.rs
@@ -1,8 +1,6 @@
 //! Changes of owners, and the records that they leave in the store.
 
-use cyclamentrail_jobs::{
-    Commit, KeyedRecord, LEASE_PREFIX, OwnerTokens, RELEASE_KEY, ReleaseRecord, Shard, encode,
-};
+use cyclamentrail_jobs::{Commit, KeyedRecord, LEASE_PREFIX, OwnerTokens, Shard};
 
 use super::Simulation;
 
@@ -24,6 +22,13 @@
             .restore(self.now(), records, predecessor_active_ms)
     }
 
+    /// Extends the lease of a worker as an earlier owner does that still acts, and reaches the worker.
+    pub fn extend_as_earlier(&mut self, id: &str) {
+        let (now_ms, lease_ms) = (self.now_ms, self.timing.lease_ms);
+        let worker = self.worker(id);
+        worker.lease_end_ms = worker.clock_ms(now_ms) + lease_ms;
+    }
+
     /// Returns the shard of the next owner, which has read no records yet.
     pub fn new_shard(&self) -> Shard {
         let mut shard = Shard::new(self.timing).tokens(OwnerTokens {
@@ -55,13 +60,18 @@
         for commit in unfinished.iter().chain([&last]) {
             self.store_records(commit);
         }
-        self.store_record(&KeyedRecord {
-            key: RELEASE_KEY.to_owned(),
-            value: encode(&ReleaseRecord { token: self.token }),
-        });
+        let release = self.shard.release_record(self.now());
+        self.store_record(&release);
         self.take_over(0);
     }
 
+    /// Makes the owner give the shard up on request of its successor, whose fence keeps the last commit
+    /// from being stored, and replaces it.
+    pub fn hand_over_fenced(&mut self) {
+        let earlier_acts_ms = self.shard.earlier_acts_ms(self.now());
+        self.take_over(earlier_acts_ms);
+    }
+
     /// Replaces the owner while it stores a commit, of which only the first `count` records are stored;
     /// returns whether it was storing one.
     pub fn kill_amid_commit(&mut self, count: usize) -> bool {
--- a/crates/cyclamentrail-jobs/tests/succession.rs
+++ b/crates/cyclamentrail-jobs/tests/succession.rs
@@ -176,6 +176,23 @@
     assert!(!leaves_shards_to_others(LARGE, &others, 6));
 }
 
+/// An owner that has stopped may follow one that acts on; it tells for how long, unless it is of an
+/// earlier version.
+#[rstest]
+#[case(Predecessor::Unknown, Some(0), 5_000)]
+#[case(Predecessor::Released, Some(0), 0)]
+#[case(Predecessor::Released, Some(4_200), 4_200)]
+#[case(Predecessor::Released, None, 5_000)]
+#[case(Predecessor::ReleasedAfter { confirmed_ms: 10_000 }, Some(700), 700)]
+#[case(Predecessor::ReleasedAfter { confirmed_ms: 10_000 }, None, 5_000)]
+fn earlier_owners_counted(
+    #[case] predecessor: Predecessor,
+    #[case] told_ms: Option<u64>,
+    #[case] expected_ms: u64,
+) {
+    assert_eq!(predecessor.earlier_acts_ms(told_ms, 5_000), expected_ms);
+}
+
 /// The holder of the machine duties is cut off from the store in a queue's turn. Its successor waited
 /// from its own claim on, although the holder hadn't sent anything for a while.
 #[rstest]
--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -26,6 +26,7 @@
 mod commit_log;
 mod confirmation;
 mod decision_log;
+mod earlier_owners;
 mod front;
 mod internal;
 mod line_budget;
--- a/crates/cyclamentrail/src/edge/internal.rs
+++ b/crates/cyclamentrail/src/edge/internal.rs
@@ -98,6 +98,7 @@
     let Some(sender) = process.owner_sender(&call.service) else {
         return Reply::Released {
             confirmed_age_ms: None,
+            earlier_acts_ms: process.earlier_owners.remaining_ms(call.service.as_str()),
         };
     };
     let confirmation = process.shard_confirmation(call.service.as_str());
@@ -112,6 +113,7 @@
         // Read now that the owner acts no more: the confirmation changes no more.
         Ok(()) => Reply::Released {
             confirmed_age_ms: confirmation.map(|confirmation| confirmation.age_ms()),
+            earlier_acts_ms: process.earlier_owners.remaining_ms(call.service.as_str()),
         },
         Err(_elapsed) => Reply::NotOwner,
     }
--- a/crates/cyclamentrail/src/edge/messages.rs
+++ b/crates/cyclamentrail/src/edge/messages.rs
@@ -167,6 +167,11 @@
         /// Time since the store last confirmed the ownership, in milliseconds; `None` if the
         /// ownership had ended before.
         confirmed_age_ms: Option<u64>,
+        /// For how long an owner before this one may still act, in milliseconds; `None` if that isn't
+        /// known, as with processes of earlier versions. These can't read a reply with it, and take
+        /// the owner for one that may still act.
+        #[serde(default)]
+        earlier_acts_ms: Option<u64>,
     },
     /// Allowances that change.
     Quota(QuotaReply),
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -100,6 +100,8 @@
     let known_workers = workers.borrow().clone();
     owner.apply_registrations(known_workers);
     owner.restore();
+    let earlier_act_until_ms = owner.shard.earlier_act_until_ms();
+    process.earlier_owners.insert(&shard, earlier_act_until_ms);
     let mut owners = process.owners.subscribe();
     // Another process may have claimed the shard during the takeover.
     owners.mark_changed();
@@ -231,16 +233,15 @@
     }
 
     /// Restores the shard from the records of the takeover. Unless the previous owner has released
-    /// the shard, it may still act for as long as its last confirmation is valid.
+    /// the shard and told of those before it, one of them may still act for as long as its last
+    /// confirmation is valid.
     fn restore(&mut self) {
         let Some(takeover) = self.takeover.take() else {
             return;
         };
-        let earlier_acts_ms = if takeover.predecessor.has_stopped() {
-            0
-        } else {
-            whole_ms(OWNERSHIP_VALID)
-        };
+        let earlier_acts_ms = takeover
+            .predecessor
+            .earlier_acts_ms(takeover.earlier_acts_ms, whole_ms(OWNERSHIP_VALID));
         let unreadable = self.shard.restore(now(), takeover.records, earlier_acts_ms);
         if unreadable > 0 {
             log::warn!(shard:% = self.service, records = unreadable; "records_unreadable");
--- a/crates/cyclamentrail/src/edge/owner/commits.rs
+++ b/crates/cyclamentrail/src/edge/owner/commits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cyclamentrail_adapter::StoreError;
-use cyclamentrail_jobs::{Commit, Effect, KeyedRecord, RELEASE_KEY, ReleaseRecord, encode};
+use cyclamentrail_jobs::{Commit, Effect};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -37,10 +37,7 @@
                 has_sent_last_commit = true;
                 let mut commit = self.shard.take_last_commit(now());
                 commit.records.extend(self.shard.run_times_records(now()));
-                commit.records.push(KeyedRecord {
-                    key: RELEASE_KEY.to_owned(),
-                    value: encode(&ReleaseRecord { token: self.token }),
-                });
+                commit.records.push(self.shard.release_record(now()));
                 self.spawn_commit(Some(commit));
             }
             match tokio::time::timeout_at(end, receiver.recv()).await {
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -16,6 +16,7 @@
 
 use super::clocks::boot_ms;
 use super::confirmation::Confirmation;
+use super::earlier_owners::EarlierOwners;
 use super::line_budget::LineBudget;
 use super::membership::{Announcements, MemberName, OWNER_GROUP};
 use super::messages::OwnershipStatus;
@@ -121,6 +122,8 @@
     pub(crate) open_requests: OpenRequests,
     /// Log lines about requests that a former service of their queue answered.
     pub(crate) former_lines: LineBudget,
+    /// Until when owners before those in this process may act.
+    pub(crate) earlier_owners: EarlierOwners,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
     /// Signals that a takeover has begun.
     takeover_begun: Notify,
@@ -155,6 +158,7 @@
             exit_lines: LineBudget::default(),
             open_requests: OpenRequests::default(),
             former_lines: LineBudget::default(),
+            earlier_owners: EarlierOwners::default(),
             owned_shards: Mutex::new(HashMap::new()),
             takeover_begun: Notify::new(),
             last_response: watch::Sender::new(None),
--- a/crates/cyclamentrail/src/edge/takeover.rs
+++ b/crates/cyclamentrail/src/edge/takeover.rs
@@ -30,6 +30,25 @@
     pub(crate) confirmed_ms: u64,
     /// What is known of the previous owner's end.
     pub(crate) predecessor: Predecessor,
+    /// For how long an owner before the previous one may still act, in milliseconds, if the previous
+    /// one has told that in another way than by a release record.
+    pub(crate) earlier_acts_ms: Option<u64>,
+}
+
+/// End of the previous owner, as far as it is known.
+struct Release {
+    predecessor: Predecessor,
+    /// For how long an owner before it may still act, in milliseconds, if it has told that.
+    earlier_acts_ms: Option<u64>,
+}
+
+impl From<Predecessor> for Release {
+    fn from(predecessor: Predecessor) -> Self {
+        Self {
+            predecessor,
+            earlier_acts_ms: None,
+        }
+    }
 }
 
 /// Takes over a shard; retries until it succeeds or another process has claimed the shard since. An
@@ -44,6 +63,8 @@
     shard: &str,
     incumbent: Incumbent,
 ) -> Result<Takeover, StoreError> {
+    // What is known of the owners before an earlier ownership in this process isn't true of this one.
+    let own_earlier_ms = process.earlier_owners.take(shard);
     while let Err(error) = claims::refresh(process).await {
         pause_before_retry(shard, &error).await;
     }
@@ -64,15 +85,27 @@
             value: record.value.to_vec(),
         })
         .collect();
-    let predecessor = match &earlier {
-        None => Predecessor::Nobody,
-        Some(earlier) if has_release_record(&records, earlier.token) => Predecessor::Released,
-        Some(_) if incumbent == Incumbent::Silent => Predecessor::Unknown,
+    let release = match &earlier {
+        None => Predecessor::Nobody.into(),
+        Some(earlier) if has_release_record(&records, earlier.token) => {
+            Predecessor::Released.into()
+        }
+        Some(_) if incumbent == Incumbent::Silent => Predecessor::Unknown.into(),
+        // The previous process at this address has exited, or its owner has ended in this process.
+        Some(earlier) if earlier.claim.address == process.settings.internal_listener => Release {
+            predecessor: Predecessor::Released,
+            earlier_acts_ms: own_earlier_ms,
+        },
         Some(earlier) => request_release(process, shard, earlier).await,
     };
+    let Release {
+        predecessor,
+        earlier_acts_ms,
+    } = release;
     let previous_token = earlier.map(|owner| owner.token);
     log::info!(
-        shard, token, earlier = previous_token.unwrap_or(0), predecessor:? = predecessor;
+        shard, token, earlier = previous_token.unwrap_or(0), predecessor:? = predecessor,
+        earlier_acts_ms:? = earlier_acts_ms;
         "shard_claimed"
     );
     Ok(Takeover {
@@ -82,6 +115,7 @@
         records,
         confirmed_ms,
         predecessor,
+        earlier_acts_ms,
     })
 }
 
@@ -96,11 +130,7 @@
 }
 
 /// Requests the previous owner to stop; returns what is known of its end.
-async fn request_release(process: &ProcessState, shard: &str, earlier: &KnownOwner) -> Predecessor {
-    if earlier.claim.address == process.settings.internal_listener {
-        // The previous process at this address has exited, or its owner has ended in this process.
-        return Predecessor::Released;
-    }
+async fn request_release(process: &ProcessState, shard: &str, earlier: &KnownOwner) -> Release {
     let call = OwnerCall {
         service: ServiceName::from(shard),
         request: OwnerRequest::Release,
@@ -109,17 +139,23 @@
         .peers
         .call(earlier.claim.address, &call, RELEASE_TIMEOUT)
         .await;
-    match reply {
-        Ok(Reply::Released {
-            confirmed_age_ms: Some(age_ms),
-        }) => Predecessor::ReleasedAfter {
+    let Ok(Reply::Released {
+        confirmed_age_ms,
+        earlier_acts_ms,
+    }) = reply
+    else {
+        return Predecessor::Unknown.into();
+    };
+    let predecessor = match confirmed_age_ms {
+        Some(age_ms) => Predecessor::ReleasedAfter {
             // The reply took some time, so that the confirmation is at least that old.
             confirmed_ms: boot_ms().saturating_sub(age_ms),
         },
-        Ok(Reply::Released {
-            confirmed_age_ms: None,
-        }) => Predecessor::Released,
-        _ => Predecessor::Unknown,
+        None => Predecessor::Released,
+    };
+    Release {
+        predecessor,
+        earlier_acts_ms,
     }
 }
 
