fix(jobs): the wait for stalled runs goes on after a release

A run without progress for 3.5 s is stopped and placed again. While processes are restarted in turn at shorter intervals, it never was: each owner counted from its own takeover.

Cause: Shard::restore sets the progress of a restored run to 0% and its last change to the time of the takeover, and the first report sets both anew.

Change: the last commit of an owner has one record (`~unchanged-runs`) of the runs that made no progress for 0.5 s or longer: run, progress and since how long, those that wait longest first, 16 KB at most. The successor keeps it beside the restored runs, and goes on counting for a run once its worker has reported it with the same progress. A run that has advanced, that its worker hasn't reported, or that is in doubt on a restarted worker waits anew. The time without an owner isn't counted, so that no run is stopped sooner than its time. An owner that is replaced before it has heard of a run hands on what it was told. The successor's next commit deletes the record, and only one of the previous owner counts.

Left: a killed owner hands nothing on, as progress is stored with no commit; a record each second for it would be written for each run of long tasks.

--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 
-use cyclamentrail_core::{RouteName, TeamName, WorkerId};
+use cyclamentrail_core::{JobId, RouteName, TeamName, WorkerId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -104,6 +104,9 @@
 /// Prefix of the keys of [`WorkerLeaseRecord`]s, which the worker's id follows.
 pub const LEASE_PREFIX: &str = "~lease/";
 
+/// Key of the record of the runs without progress.
+pub(crate) const UNCHANGED_RUNS_KEY: &str = "~unchanged-runs";
+
 /// Returns whether a key belongs to a record of the shard itself, so that no job may have it as its
 /// id.
 pub(crate) fn is_reserved_key(key: &str) -> bool {
@@ -135,6 +138,34 @@
     pub remaining_ms: u64,
 }
 
+/// Statement of an owner that has given up its shard about runs without progress.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnchangedRunsRecord {
+    /// Fencing token of the owner.
+    pub token: u64,
+    /// The runs, those without progress for the longest time first.
+    pub runs: Vec<UnchangedRunRecord>,
+}
+
+/// A run that makes no progress.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnchangedRunRecord {
+    /// Id of the job.
+    pub job: JobId,
+    /// Number of the occurrence, from 0.
+    pub occurrence: u32,
+    /// Index of the step in the job.
+    pub step: u32,
+    /// Index of the task in its step.
+    pub index: u32,
+    /// Number of the run, from 1.
+    pub run: u32,
+    /// Progress that the worker last reported, in percent.
+    pub progress_percent: u32,
+    /// Time from the last change in progress to the writing of the record, in milliseconds.
+    pub unchanged_ms: u64,
+}
+
 /// Fencing tokens of an owner of a shard and of the one before it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OwnerTokens {
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -52,6 +52,7 @@
 mod team_status;
 mod timeliness;
 mod timing;
+mod unchanged_runs;
 mod unsent_jobs;
 
 use lease_records::LeaseRecordScope;
@@ -147,6 +148,8 @@
     resends: Vec<Resend>,
     /// Time of the last check for stalled runs, as in [`Now::boot_ms`].
     stalls_checked_ms: u64,
+    /// Runs without progress under earlier owners that their workers haven't reported yet.
+    inherited_waits: Vec<unchanged_runs::InheritedWait>,
     /// Time of the last check for tasks that wait long, as in [`Now::boot_ms`].
     waits_checked_ms: u64,
     estimates: HashMap<RouteName, DurationEstimate>,
@@ -290,7 +293,9 @@
     /// Takes the last commit of an owner that gives up the shard. Nothing may be sent to workers from
     /// then on.
     pub fn take_last_commit(&mut self, now: Now) -> Commit {
-        self.collect_commit(now, LeaseRecordScope::All)
+        let mut commit = self.collect_commit(now, LeaseRecordScope::All);
+        self.record_unchanged_runs(now, &mut commit);
+        commit
     }
 
     fn collect_commit(&mut self, now: Now, scope: LeaseRecordScope) -> Commit {
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -20,7 +20,7 @@
 use crate::record::{
     AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, PROGRESS_SUFFIX,
     PlacementRecord, ProgressRecord, RELEASE_KEY, ROUTE_PREFIX, RecordError, TaskRecord,
-    WorkerLeaseRecord, decode, is_reserved_key,
+    UNCHANGED_RUNS_KEY, WorkerLeaseRecord, decode, is_reserved_key,
 };
 use crate::record_parts::{PartNumber, ReadParts};
 use crate::worker::{Reachability, WorkerKey, WorkerRegistration};
@@ -63,6 +63,7 @@
         let mut unreadable_jobs = UnreadableJobs::new();
         let mut unreadable = 0;
         let mut release = None;
+        let mut unchanged_runs = Vec::new();
         for record in records {
             if let Some(route) = record.key.strip_prefix(RUN_TIMES_PREFIX) {
                 unreadable += usize::from(!self.restore_run_times(now, route, &record.value));
@@ -80,6 +81,11 @@
             if record.key == RELEASE_KEY {
                 release = self.read_release(&record.value);
             }
+            if record.key == UNCHANGED_RUNS_KEY {
+                let runs = self.read_unchanged_runs(&record.value);
+                unreadable += usize::from(runs.is_none());
+                unchanged_runs = runs.unwrap_or_default();
+            }
             if is_reserved_key(&record.key) {
                 continue;
             }
@@ -131,6 +137,7 @@
         self.earlier_act_until_ms = now.boot_ms + active_ms;
         self.restore_leases(now, &leases, now.boot_ms + longest_ms);
         self.count_crossed_calls(self.earlier_act_until_ms);
+        self.inherit_waits(now, unchanged_runs);
         unreadable
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/stalls.rs
+++ b/crates/cyclamentrail-jobs/src/shard/stalls.rs
@@ -1,11 +1,12 @@
 //! Detection of runs that make no progress.
 //!
 //! A worker may respond while the tasks on it are stalled. Stalled runs are stopped and placed
-//! again elsewhere, and no task is placed on their worker for a while.
+//! again elsewhere, and no task is placed on their worker for a while. The wait goes on after a release
+//! (see [`super::unchanged_runs`]).
 
 use super::{Now, Shard};
 use crate::effect::{Decision, Effect};
-use crate::job::{RunPhase, TaskKey};
+use crate::job::TaskKey;
 use crate::worker::WorkerKey;
 
 /// Time between two checks for stalled runs, in milliseconds.
@@ -29,7 +30,8 @@
 impl Shard {
     /// Stops stalled runs and avoids their workers for a while.
     pub(super) fn stop_stalled_runs(&mut self, now: Now) {
-        if now.boot_ms < self.stalls_checked_ms + CHECK_INTERVAL_MS {
+        let continues_wait = self.continue_waits();
+        if !continues_wait && now.boot_ms < self.stalls_checked_ms + CHECK_INTERVAL_MS {
             return;
         }
         self.stalls_checked_ms = now.boot_ms;
@@ -70,9 +72,6 @@
         };
         let expected_ms = self.estimate(&job.route).predict_ms(step.estimate_ms);
         let limit_ms = STALL_MS.max(expected_ms * STALL_FACTOR);
-        matches!(placement.phase, RunPhase::Running { .. })
-            && !step.long_running
-            && !step.gang
-            && now.boot_ms > placement.progress_changed_ms + limit_ms
+        self.may_stall(key, &placement) && now.boot_ms > placement.progress_changed_ms + limit_ms
     }
 }
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -56,6 +56,8 @@
 mod silence;
 #[path = "scheduler/specs.rs"]
 mod specs;
+#[path = "scheduler/stalls.rs"]
+mod stalls;
 #[path = "scheduler/starts.rs"]
 mod starts;
 #[path = "scheduler/suspects.rs"]
--- a/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/worker.rs
@@ -74,6 +74,8 @@
     pub fails_services: bool,
     /// Whether runs on the worker make no progress.
     pub stalls_runs: bool,
+    /// Progress that runs without progress report, in percent.
+    pub stalled_percent: u32,
     /// Time in milliseconds that each best-effort task at its full share adds to the tail latency.
     pub interference_ms: u64,
     /// Virtual time in milliseconds at which the worker crashes, if a task makes it.
@@ -128,7 +130,11 @@
         ActiveRun {
             id: run.id.clone(),
             checkpoint: Arc::clone(&self.checkpoint),
-            progress_percent: if self.stalls_runs { 0 } else { 100 },
+            progress_percent: if self.stalls_runs {
+                self.stalled_percent
+            } else {
+                100
+            },
             load: if run.is_latency_sensitive {
                 self.tail_ms()
             } else {
--- a/crates/cyclamentrail-jobs/tests/scheduler/world.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/world.rs
@@ -260,6 +260,7 @@
             fails_all_runs: false,
             fails_services: false,
             stalls_runs: false,
+            stalled_percent: 0,
             interference_ms: 0,
             crash_ms: None,
             earlier_capacity: None,
