fix(jobs): the grace of an evacuation goes on after a release

A run that ends by itself is stopped 4 s after the evacuation of its worker has begun. While processes are restarted in turn at shorter intervals, it never was: each owner counted from the first request that it got.

Cause: the start of an evacuation (evacuating_since_ms) was known to the owner only; the holder of the duties repeats its list, without times.

Change: the last commit of an owner has one record (`~evacuations`) of the workers with runs that are being evacuated: incarnation, since how long, and within which time the request has to be repeated; 16 KB at most. The successor takes the start over at its first request for the worker within 6 s of the last one, as long as an owner keeps an evacuation that isn't requested. What nobody has requested is handed on with what is left of these 6 s, so that takeovers don't prolong it. The time without an owner isn't counted. The next commit deletes the record, and only one of the previous owner counts.

Left: a killed owner hands nothing on.

Taken out one at a time: the comparison of the token fails record_of_earlier_owner_ignored, the time for the next request later_evacuation_begins_anew and ended_evacuation_forgotten, its handing on ended_evacuation_forgotten.

--- a/crates/cyclamentrail-jobs/src/record.rs
+++ b/crates/cyclamentrail-jobs/src/record.rs
@@ -107,6 +107,9 @@
 /// Key of the record of the runs without progress.
 pub(crate) const UNCHANGED_RUNS_KEY: &str = "~unchanged-runs";
 
+/// Key of the record of the evacuations.
+pub(crate) const EVACUATIONS_KEY: &str = "~evacuations";
+
 /// Returns whether a key belongs to a record of the shard itself, so that no job may have it as its
 /// id.
 pub(crate) fn is_reserved_key(key: &str) -> bool {
@@ -166,6 +169,29 @@
     pub unchanged_ms: u64,
 }
 
+/// Statement of an owner that has given up its shard about the workers that it was evacuating.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationsRecord {
+    /// Fencing token of the owner.
+    pub token: u64,
+    /// The workers, those whose evacuation began first first.
+    pub workers: Vec<EvacuationRecord>,
+}
+
+/// A worker that is being evacuated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationRecord {
+    /// Id of the worker.
+    pub worker: WorkerId,
+    /// Start time of the worker's incarnation, as Unix time in milliseconds.
+    pub started_ms: u64,
+    /// Time from the start of the evacuation to the writing of the record, in milliseconds.
+    pub elapsed_ms: u64,
+    /// Time from the writing of the record within which a request continues the evacuation, in
+    /// milliseconds.
+    pub repeated_within_ms: u64,
+}
+
 /// Fencing tokens of an owner of a shard and of the one before it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OwnerTokens {
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -24,6 +24,7 @@
 mod evacuation;
 mod failing_services;
 mod held_jobs;
+mod inherited_evacuations;
 mod isolation;
 mod lease_records;
 mod long_waits;
@@ -156,6 +157,7 @@
     learned: run_times::LearnedTimes,
     expectations: on_time::Expectations,
     arrivals: evacuation::Arrivals,
+    inherited_evacuations: inherited_evacuations::InheritedEvacuations,
     crashes: crashes::Crashes,
     failing_services: failing_services::FailingServices,
     grants: Grants,
@@ -295,6 +297,7 @@
     pub fn take_last_commit(&mut self, now: Now) -> Commit {
         let mut commit = self.collect_commit(now, LeaseRecordScope::All);
         self.record_unchanged_runs(now, &mut commit);
+        self.record_evacuations(now, &mut commit);
         commit
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -18,9 +18,9 @@
     Task, TaskKey,
 };
 use crate::record::{
-    AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, PROGRESS_SUFFIX,
-    PlacementRecord, ProgressRecord, RELEASE_KEY, ROUTE_PREFIX, RecordError, TaskRecord,
-    UNCHANGED_RUNS_KEY, WorkerLeaseRecord, decode, is_reserved_key,
+    AcceptedJobRecord, EVACUATIONS_KEY, KeyedRecord, LEASE_PREFIX, OccurrenceRecord,
+    PROGRESS_SUFFIX, PlacementRecord, ProgressRecord, RELEASE_KEY, ROUTE_PREFIX, RecordError,
+    TaskRecord, UNCHANGED_RUNS_KEY, WorkerLeaseRecord, decode, is_reserved_key,
 };
 use crate::record_parts::{PartNumber, ReadParts};
 use crate::worker::{Reachability, WorkerKey, WorkerRegistration};
@@ -86,6 +86,9 @@
                 unreadable += usize::from(runs.is_none());
                 unchanged_runs = runs.unwrap_or_default();
             }
+            if record.key == EVACUATIONS_KEY {
+                unreadable += usize::from(!self.read_evacuations(now, &record.value));
+            }
             if is_reserved_key(&record.key) {
                 continue;
             }
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -64,8 +64,12 @@
     /// Starts or ends the evacuation of a worker for the fleet duty.
     pub fn set_evacuating(&mut self, now: Now, id: &WorkerId, is_evacuating: bool) {
         if let Some(&key) = self.worker_keys.get(id) {
-            let since = &mut self.workers[key].evacuating_since_ms;
-            *since = is_evacuating.then(|| since.unwrap_or(now.boot_ms));
+            let worker = &mut self.workers[key];
+            let started_ms = worker.registration.started_ms;
+            let inherited = &mut self.inherited_evacuations;
+            let since = &mut worker.evacuating_since_ms;
+            let since_ms = since.unwrap_or_else(|| inherited.take_start(now, id, started_ms));
+            *since = is_evacuating.then_some(since_ms);
         }
     }
 
--- a/crates/cyclamentrail-jobs/tests/scheduler/evacuation.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/evacuation.rs
@@ -132,3 +132,106 @@
         assert!(count + 1 >= TASKS as usize, "{count} of {TASKS} tasks work");
     }
 }
+
+/// Time from the start of an evacuation after which a run that ends by itself is stopped, in milliseconds.
+const GRACE_MS: u64 = 4_000;
+/// Interval in which the holder of the machine duties repeats its request, in milliseconds.
+const ROUND_MS: u64 = 500;
+/// Key of the record of the evacuations.
+const RECORD_KEY: &str = "~evacuations";
+
+/// Returns a simulation with a run that ends by itself after a minute on the only worker.
+fn ending_run() -> Simulation {
+    let mut sim = Simulation::new(1, WORKER);
+    sim.submit("a", job(1, 1_000, 60_000));
+    sim.run_for(500);
+    assert_eq!(sim.running_on("w0"), 1);
+    sim
+}
+
+/// Evacuates a worker, with the owner replaced each `interval_ms`, until its run has ended; returns after
+/// how many milliseconds, or `None` after 20 s.
+fn evacuate_until_empty(sim: &mut Simulation, interval_ms: u64) -> Option<u64> {
+    for elapsed_ms in (0..20_000).step_by(20) {
+        if sim.running_on("w0") == 0 {
+            return Some(elapsed_ms);
+        }
+        if elapsed_ms > 0 && elapsed_ms % interval_ms == 0 {
+            sim.hand_over();
+        }
+        if elapsed_ms % ROUND_MS == 0 {
+            evacuate(sim, "w0");
+        }
+        sim.run_for(20);
+    }
+    None
+}
+
+/// Guards against a grace that begins anew with each owner, so that a worker isn't emptied while processes
+/// are restarted in turn.
+#[rstest]
+#[case::at_once(200)]
+#[case::often(700)]
+#[case::in_turn(3_000)]
+#[case::alone(30_000)]
+fn released_owners_count_on(#[case] interval_ms: u64) {
+    let mut sim = ending_run();
+    let empty_ms = evacuate_until_empty(&mut sim, interval_ms);
+    let latest_ms = GRACE_MS + ROUND_MS + 300;
+    assert!(
+        empty_ms.is_some_and(|empty_ms| (GRACE_MS..=latest_ms).contains(&empty_ms)),
+        "empty after {empty_ms:?} ms"
+    );
+}
+
+/// An evacuation that nobody asks for any more ends at a takeover; a later one has a grace of its own.
+#[test]
+fn later_evacuation_begins_anew() {
+    let mut sim = ending_run();
+    evacuate(&mut sim, "w0");
+    sim.run_for(3_000);
+    sim.hand_over();
+    sim.run_for(7_000);
+    evacuate(&mut sim, "w0");
+    sim.run_for(GRACE_MS - 200);
+    assert_eq!(sim.running_on("w0"), 1);
+}
+
+/// Neither does any number of takeovers prolong it.
+#[test]
+fn ended_evacuation_forgotten() {
+    let mut sim = ending_run();
+    evacuate(&mut sim, "w0");
+    sim.run_for(3_000);
+    for _ in 0..4 {
+        sim.hand_over();
+        sim.run_for(2_000);
+    }
+    assert!(!sim.records.contains_key(RECORD_KEY));
+    evacuate(&mut sim, "w0");
+    sim.run_for(GRACE_MS - 200);
+    assert_eq!(sim.running_on("w0"), 1);
+}
+
+/// Only the record of the previous owner counts, and its successor deletes it.
+#[test]
+fn record_of_earlier_owner_ignored() {
+    let mut sim = ending_run();
+    evacuate(&mut sim, "w0");
+    sim.run_for(3_000);
+    sim.hand_over();
+    assert!(sim.records.contains_key(RECORD_KEY));
+    sim.take_over(0);
+    evacuate(&mut sim, "w0");
+    sim.run_for(GRACE_MS - 200);
+    assert_eq!(sim.running_on("w0"), 1);
+    assert!(!sim.records.contains_key(RECORD_KEY));
+}
+
+/// An unreadable record counts as one that tells nothing.
+#[test]
+fn unreadable_record_counted() {
+    let mut sim = ending_run();
+    sim.records.insert(RECORD_KEY.to_owned(), vec![0xc1]);
+    assert_eq!(sim.take_over_unreadable(0), 1);
+}
