--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -24,6 +24,7 @@
 mod evacuation;
 mod failing_services;
 mod held_jobs;
+mod inherited_evacuations;
 mod isolation;
 mod lease_records;
 mod long_waits;
@@ -37,6 +38,7 @@
 mod recovery;
 mod refused_records;
 mod registry;
+mod release;
 mod reports;
 mod restarts;
 mod routes;
@@ -52,6 +54,7 @@
 mod timeliness;
 mod timing;
 mod unassigned_runs;
+mod unchanged_runs;
 mod unsent_jobs;
 
 use lease_records::LeaseRecordScope;
@@ -100,6 +103,8 @@
 pub struct Shard {
     timing: ShardTiming,
     tokens: OwnerTokens,
+    /// Time until which an owner before this one may act, as in [`Now::boot_ms`].
+    earlier_act_until_ms: u64,
     /// Fencing token of the newest incarnation of any worker.
     newest_token: FencingToken,
     routes: routes::Routes,
@@ -145,12 +150,15 @@
     resends: Vec<Resend>,
     /// Time of the last check for stalled runs, as in [`Now::boot_ms`].
     stalls_checked_ms: u64,
+    /// Runs without progress under earlier owners that their workers haven't reported yet.
+    inherited_waits: Vec<unchanged_runs::InheritedWait>,
     /// Time of the last check for tasks that wait long, as in [`Now::boot_ms`].
     waits_checked_ms: u64,
     estimates: HashMap<RouteName, DurationEstimate>,
     learned: run_times::LearnedTimes,
     expectations: on_time::Expectations,
     arrivals: evacuation::Arrivals,
+    inherited_evacuations: inherited_evacuations::InheritedEvacuations,
     crashes: crashes::Crashes,
     failing_services: failing_services::FailingServices,
     grants: Grants,
@@ -288,7 +296,10 @@
     /// Takes the last commit of an owner that gives up the shard. Nothing may be sent to workers from
     /// then on.
     pub fn take_last_commit(&mut self, now: Now) -> Commit {
-        self.collect_commit(now, LeaseRecordScope::All)
+        let mut commit = self.collect_commit(now, LeaseRecordScope::All);
+        self.record_unchanged_runs(now, &mut commit);
+        self.record_evacuations(now, &mut commit);
+        commit
     }
 
     fn collect_commit(&mut self, now: Now, scope: LeaseRecordScope) -> Commit {
--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -41,7 +41,7 @@
             .collect();
         let (given_up, unsettled) = self.record_restart(now, key, &doubtful);
         let new_key = self.insert_worker(now, registration);
-        let expiry_ms = self.crossed_expiry_ms(now.boot_ms);
+        let expiry_ms = self.crossed_expiry_ms(self.last_call_ms(now));
         self.workers[new_key].lease.count_crossed(expiry_ms);
         for &task in &doubtful {
             self.assign_in_doubt(now, key, new_key, task);
@@ -106,6 +106,12 @@
         self.workers.insert(worker)
     }
 
+    /// Returns the latest time at which a call to an incarnation that was known until now is sent, on the
+    /// owner's boot clock in milliseconds: an owner before this one may not know that it was replaced.
+    fn last_call_ms(&self, now: Now) -> u64 {
+        now.boot_ms.max(self.earlier_act_until_ms)
+    }
+
     /// Returns when the lease of an incarnation that hasn't responded has ended, on the owner's boot
     /// clock in milliseconds, if calls to earlier ones were sent until `last_call_ms`.
     pub(super) const fn crossed_expiry_ms(&self, last_call_ms: u64) -> u64 {
@@ -121,6 +127,7 @@
         task: TaskKey,
     ) {
         let earlier_started_ms = self.workers[earlier].registration.started_ms;
+        let last_call_ms = self.last_call_ms(now);
         let Some(demand) = self.step_of(task).map(crate::StepSpec::reserved_resources) else {
             return;
         };
@@ -141,7 +148,7 @@
         }
         placement.is_listed = false;
         placement.may_start_late = true;
-        placement.late_until_ms = now.boot_ms + LATE_CALL_MS;
+        placement.late_until_ms = last_call_ms + LATE_CALL_MS;
         placement.cpu_share.percent = None;
         placement.doubt.get_or_insert(RestartDoubt {
             placed_started_ms: earlier_started_ms,
