fix(relay): what exceeds a frame is sent in several

Hypothesis: the sender to a relay writes a batch of any length as one frame, the reader ends the session at more than 8 MB, and everything that was under way over this relay counts as lost. Reports of a relay have the same fault in the other direction. Both are confirmed, the first by processes, the second by the frames alone.

Cause: the limit of a frame stood at the reader only. 34 starts with texts near the limit of a record (262,144 bytes) in one interval are enough; a relay of 32 workers may get 96.

Change: the sender halves a batch or a report, in order, until each frame fits. A call that fits into no frame is sent by the owner itself, under the same confirmations (`relayed_call_too_long`); an outcome that fits into none, which only a worker's report can be, is reported as no response (`relayed_outcome_too_long`). Neither ends the session.

Why it works: each part has the times of its batch, or the clock of its report, and calls have no order among each other at the relay, where each is a task of its own. A call that the owner sends itself no longer names the relay, so that a loss of the relay doesn't end it; one whose relay was lost before is dropped, since it counts as unknown already.

Not tested with processes: an outcome that is too long, since the stand-in workers report no checkpoints. Found by reading and left open: an owner doesn't read reports while eight frames wait for the connection (docs/design/relays.md).

--- a/crates/cyclamentrail-standin/src/jobs.rs
+++ b/crates/cyclamentrail-standin/src/jobs.rs
@@ -13,3 +13,6 @@
 };
 pub use store::{JobStore, StoreView};
 pub use worker::{JobWorker, TaskRun};
+
+/// Longest body that the store and workers accept, in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
--- a/crates/cyclamentrail-standin/src/jobs/store.rs
+++ b/crates/cyclamentrail-standin/src/jobs/store.rs
@@ -8,7 +8,7 @@
 
 use axum::Router;
 use axum::body::Bytes;
-use axum::extract::{Query, State};
+use axum::extract::{DefaultBodyLimit, Query, State};
 use axum::http::StatusCode;
 use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
@@ -18,6 +18,7 @@
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
+use super::MAX_BODY_BYTES;
 use crate::Served;
 
 mod group;
@@ -242,6 +243,7 @@
         .route("/log-join", post(join))
         .route("/log-leave", post(leave))
         .route("/log-owners", get(owners))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
         .layer(middleware::from_fn_with_state(
             Arc::clone(shared),
             misbehave,
--- a/crates/cyclamentrail-standin/src/jobs/worker.rs
+++ b/crates/cyclamentrail-standin/src/jobs/worker.rs
@@ -8,7 +8,7 @@
 
 use axum::Json;
 use axum::Router;
-use axum::extract::State;
+use axum::extract::{DefaultBodyLimit, State};
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
-use super::JobStore;
+use super::{JobStore, MAX_BODY_BYTES};
 use crate::Served;
 
 /// Longest lease in milliseconds.
@@ -174,6 +174,7 @@
             .route("/run-start", post(start_run))
             .route("/run-stop", post(stop_run))
             .route("/hold", post(poll_worker))
+            .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
             .with_state(Arc::clone(&shared));
         let served = bind(address, router).await?;
         let round_task = tokio::spawn(run_rounds(
--- a/crates/cyclamentrail/src/edge/owner.rs
+++ b/crates/cyclamentrail/src/edge/owner.rs
@@ -316,6 +316,10 @@
                 let finished = self.worker_calls.finish_reported(relay, report);
                 self.handle_finished_calls(finished)
             }
+            OwnerMessage::Relay(relay, SessionEvent::TooLong(call)) => {
+                self.worker_calls.send_too_long(relay, call);
+                false
+            }
             OwnerMessage::Relay(relay, SessionEvent::Ended) => {
                 let finished = self.worker_calls.finish_lost(relay);
                 self.handle_finished_calls(finished)
--- a/crates/cyclamentrail/src/edge/owner/worker_calls.rs
+++ b/crates/cyclamentrail/src/edge/owner/worker_calls.rs
@@ -156,8 +156,11 @@
     fn send_directly(&self, id: CallId, call: WorkerCall) {
         let (client, owner) = (self.client.clone(), self.owner.clone());
         let confirmation = self.confirmation.clone();
+        let registry = matches!(call, WorkerCall::Start(_));
+        let registry = registry.then(|| self.registry_confirmation.clone());
         tokio::spawn(async move {
-            let outcome = if confirmation.is_valid() {
+            let is_registry_valid = registry.is_none_or(|registry| registry.is_valid());
+            let outcome = if confirmation.is_valid() && is_registry_valid {
                 call.send(&client).await
             } else {
                 call.expired()
@@ -166,6 +169,18 @@
         });
     }
 
+    /// Sends a call directly that is too long for a frame to its relay, unless the relay is lost, so that
+    /// the call counts as unknown already.
+    pub(super) fn send_too_long(&mut self, relay: SocketAddr, call: RelayedCall) {
+        let RelayedCall { id, call } = call;
+        let Some(open) = self.open.get_mut(id) else {
+            return;
+        };
+        open.relay = None;
+        log::warn!(relay:% = relay, worker:% = call.target().id; "relayed_call_too_long");
+        self.send_directly(id, call);
+    }
+
     /// Sends the batches that are due to relays; returns the time until the next one is due.
     pub(super) fn send_batches(&mut self) -> Option<Duration> {
         self.links
--- a/crates/cyclamentrail/src/edge/relay/frames.rs
+++ b/crates/cyclamentrail/src/edge/relay/frames.rs
@@ -10,8 +10,9 @@
 
 /// Length of the prefix that holds a frame's length, in bytes.
 const PREFIX_BYTES: usize = 4;
-/// Largest accepted frame in bytes.
-const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+/// Largest frame that is accepted and sent, in bytes without the prefix. Processes of earlier versions
+/// accept as much.
+pub(super) const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 
 /// Why no further frame can be read from a body.
 #[derive(Debug, Error)]
@@ -30,8 +31,51 @@
     Unwritable(#[from] rmp_serde::encode::Error),
 }
 
+/// Message whose items may be sent in several messages of the same kind, in their order.
+pub(super) trait Halve: Sized {
+    /// Splits off the second half of the items; `None` if there are fewer than two.
+    fn split_off_half(&mut self) -> Option<Self>;
+}
+
+/// Splits off the second half of some items; `None` if there are fewer than two.
+pub(super) fn split_off_half<T>(items: &mut Vec<T>) -> Option<Vec<T>> {
+    (items.len() > 1).then(|| items.split_off(items.len() / 2))
+}
+
+/// Frames of one message.
+#[derive(Debug)]
+pub(super) struct Frames<T> {
+    /// Frames to send, in the order of the items.
+    pub(super) frames: Vec<Bytes>,
+    /// Messages of one item each that are too long for a frame.
+    pub(super) left_out: Vec<T>,
+}
+
+/// Encodes a message as frames of at most `max_bytes`, by halves of its items. An item that is too long
+/// for a frame is left out, so that it costs none of the others.
+pub(super) fn encode_frames<T: Serialize + Halve>(
+    message: T,
+    max_bytes: usize,
+) -> Result<Frames<T>, FrameError> {
+    let mut frames = Vec::new();
+    let mut left_out = Vec::new();
+    let mut waiting = vec![message];
+    while let Some(mut message) = waiting.pop() {
+        let frame = encode_frame(&message)?;
+        if frame.len() - PREFIX_BYTES <= max_bytes {
+            frames.push(frame);
+        } else if let Some(second) = message.split_off_half() {
+            waiting.push(second);
+            waiting.push(message);
+        } else {
+            left_out.push(message);
+        }
+    }
+    Ok(Frames { frames, left_out })
+}
+
 /// Encodes a message as a frame.
-pub(super) fn encode_frame<T: Serialize>(message: &T) -> Result<Bytes, FrameError> {
+fn encode_frame<T: Serialize>(message: &T) -> Result<Bytes, FrameError> {
     let mut frame = BytesMut::zeroed(PREFIX_BYTES).writer();
     rmp_serde::encode::write(&mut frame, message)?;
     let mut frame = frame.into_inner();
--- a/crates/cyclamentrail/src/edge/relay/host.rs
+++ b/crates/cyclamentrail/src/edge/relay/host.rs
@@ -11,7 +11,7 @@
 use http_body_util::channel::{Channel, Sender};
 use tokio::sync::{Semaphore, mpsc};
 
-use super::frames::{FrameReader, encode_frame};
+use super::frames::{FrameError, FrameReader, Frames, MAX_FRAME_BYTES, encode_frames};
 use super::message::{CallResult, OwnerFrame, RelayBatch, RelayReport, RelayedCall};
 use crate::edge::clocks::boot_ms;
 use crate::edge::owner::WORKER_TIMEOUT;
@@ -119,16 +119,18 @@
             is_leaving: process.is_stopping(),
             results: std::mem::take(&mut batch),
         };
-        let frame = match encode_frame(&report) {
-            Ok(frame) => frame,
+        let frames = match encode_report(report) {
+            Ok(frames) => frames,
             Err(error) => {
                 // Ends the session: the owner then takes its calls for unknown.
                 log::warn!(error:% = error; "relay_report_failed");
                 return;
             }
         };
-        if sender.send_data(frame).await.is_err() {
-            return;
+        for frame in frames {
+            if sender.send_data(frame).await.is_err() {
+                return;
+            }
         }
         match tokio::time::timeout(REPORT_INTERVAL, results.recv()).await {
             Ok(Some(result)) => {
@@ -143,3 +145,20 @@
         }
     }
 }
+
+/// Encodes a report as frames. An outcome that is too long for a frame is reported without its content,
+/// so that the owner takes only this worker for silent.
+fn encode_report(report: RelayReport) -> Result<Vec<Bytes>, FrameError> {
+    let Frames {
+        mut frames,
+        left_out,
+    } = encode_frames(report, MAX_FRAME_BYTES)?;
+    for mut report in left_out {
+        log::warn!(outcomes = report.results.len(); "relayed_outcome_too_long");
+        for result in &mut report.results {
+            result.outcome = result.outcome.clone().without_content();
+        }
+        frames.extend(encode_frames(report, MAX_FRAME_BYTES)?.frames);
+    }
+    Ok(frames)
+}
--- a/crates/cyclamentrail/src/edge/relay/message.rs
+++ b/crates/cyclamentrail/src/edge/relay/message.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
+use super::frames::{Halve, split_off_half};
+
 new_key_type! {
     /// Identifies a call to a worker at the owner that decided on it.
     pub(crate) struct CallId;
@@ -70,6 +72,17 @@
     Poll(PollOutcome),
 }
 
+impl CallOutcome {
+    /// Returns the outcome that is reported where this one is too long for any frame. Only the report of
+    /// a worker is of variable length.
+    pub(crate) fn without_content(self) -> Self {
+        match self {
+            Self::Poll(_) => Self::Poll(PollOutcome::NoResponse),
+            Self::Command(_) | Self::CpuShare(_) => self,
+        }
+    }
+}
+
 /// Outcome of the call with an id.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CallResult {
@@ -124,6 +137,28 @@
     KeepAlive,
 }
 
+impl OwnerFrame {
+    /// Returns the calls of a batch.
+    pub(crate) fn into_calls(self) -> Vec<RelayedCall> {
+        match self {
+            Self::Batch(batch) => batch.calls,
+            Self::Open { .. } | Self::KeepAlive => Vec::new(),
+        }
+    }
+}
+
+impl Halve for OwnerFrame {
+    fn split_off_half(&mut self) -> Option<Self> {
+        let Self::Batch(batch) = self else {
+            return None;
+        };
+        Some(Self::Batch(RelayBatch {
+            calls: split_off_half(&mut batch.calls)?,
+            ..*batch
+        }))
+    }
+}
+
 /// Frame from a relay to an owner.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct RelayReport {
@@ -134,3 +169,12 @@
     /// Outcomes since the last report.
     pub(crate) results: Vec<CallResult>,
 }
+
+impl Halve for RelayReport {
+    fn split_off_half(&mut self) -> Option<Self> {
+        Some(Self {
+            results: split_off_half(&mut self.results)?,
+            ..*self
+        })
+    }
+}
--- a/crates/cyclamentrail/src/edge/relay/session.rs
+++ b/crates/cyclamentrail/src/edge/relay/session.rs
@@ -13,9 +13,9 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
-use super::frames::{FrameError, FrameReader, encode_frame};
+use super::frames::{FrameError, FrameReader, MAX_FRAME_BYTES, encode_frames};
 use super::host::RELAY_PATH;
-use super::message::{OwnerFrame, RelayReport};
+use super::message::{OwnerFrame, RelayReport, RelayedCall};
 use crate::edge::owner::OwnerMessage;
 use crate::edge::peers::peer_connector;
 
@@ -39,6 +39,8 @@
 pub(crate) enum SessionEvent {
     /// The relay reported outcomes, or that it is alive.
     Report(RelayReport),
+    /// A call is too long for a frame and wasn't sent.
+    TooLong(RelayedCall),
     /// The session has ended.
     Ended,
 }
@@ -95,7 +97,7 @@
     owner: &mpsc::UnboundedSender<OwnerMessage>,
 ) -> Result<(), FrameError> {
     let (mut sender, body) = Channel::new(WAITING_FRAMES);
-    send_frame(&mut sender, &open).await?;
+    send_frames(&mut sender, open).await?;
     let request = Request::post(format!("http://{address}{RELAY_PATH}"))
         .body(body)
         .map_err(|error| FrameError::Connection(error.to_string()))?;
@@ -111,9 +113,16 @@
         tokio::select! {
             frame = tokio::time::timeout(KEEP_ALIVE_INTERVAL, frames.recv()) => {
                 match frame {
-                    Ok(Some(frame)) => send_frame(&mut sender, &frame).await?,
+                    Ok(Some(frame)) => {
+                        for call in send_frames(&mut sender, frame).await? {
+                            let event = SessionEvent::TooLong(call);
+                            drop(owner.send(OwnerMessage::Relay(address, event)));
+                        }
+                    }
                     Ok(None) => return Ok(()),
-                    Err(_elapsed) => send_frame(&mut sender, &OwnerFrame::KeepAlive).await?,
+                    Err(_elapsed) => {
+                        send_frames(&mut sender, OwnerFrame::KeepAlive).await?;
+                    }
                 }
             }
             report = reports.next::<RelayReport>() => match report? {
@@ -126,8 +135,16 @@
     }
 }
 
-async fn send_frame(sender: &mut Sender<Bytes>, frame: &OwnerFrame) -> Result<(), FrameError> {
-    let frame = encode_frame(frame)?;
-    let sent = sender.send_data(frame).await;
-    sent.map_err(|error| FrameError::Connection(error.to_string()))
+/// Sends a message in as many frames as it needs; returns the calls that are too long for any.
+async fn send_frames(
+    sender: &mut Sender<Bytes>,
+    message: OwnerFrame,
+) -> Result<Vec<RelayedCall>, FrameError> {
+    let encoded = encode_frames(message, MAX_FRAME_BYTES)?;
+    for frame in encoded.frames {
+        let sent = sender.send_data(frame).await;
+        sent.map_err(|error| FrameError::Connection(error.to_string()))?;
+    }
+    let left_out = encoded.left_out.into_iter();
+    Ok(left_out.flat_map(OwnerFrame::into_calls).collect())
 }
--- a/crates/cyclamentrail/tests/jobs_relayed.rs
+++ b/crates/cyclamentrail/tests/jobs_relayed.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result, ensure};
+use cyclamentrail_standin::{JOB_HOST, JOB_SERVICE};
 use cyclamentrail_testkit::JobSite;
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
 use hyper::body::Bytes;
+use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::time::Instant;
 
 /// Number of workers, enough for the owner to use relays.
@@ -22,6 +23,13 @@
 const LARGE: &str = "Limits.CpuShare=0.9\nLimits.LinkMbps=200\n";
 const SMALL: &str = "Limits.CpuShare=0.12\nLimits.LinkMbps=10\n";
 
+/// Length of a job's text in bytes, near the limit of a record.
+const LONG_TEXT_BYTES: usize = 250_000;
+/// Length of a text in bytes that fits into no frame.
+const TOO_LONG_TEXT_BYTES: usize = 8 * 1024 * 1024;
+/// Longest accepted body of a submission in bytes.
+const MAX_BODY_BYTES: usize = 12_000_000;
+
 /// Index of the owner's process; the others are relays.
 const OWNER: usize = 0;
 
@@ -52,10 +60,29 @@
     Ok(usable.filter_map(|relay| relay["workers"].as_u64()).sum())
 }
 
+/// Writes the configuration of the site anew, so that callers may submit texts of any length.
+fn put_long_bodies(site: &JobSite) {
+    let configuration = json!({
+        "Version": 4,
+        "Routes": [{
+            "Name": "r", "Host": JOB_HOST, "PathPrefix": "/q/", "Service": JOB_SERVICE,
+            "Priority": 0, "TimeoutMs": 3_000, "TargetLatencyMs": 600, "MaxAttempts": 3,
+            "Stretch": 2.0,
+        }],
+        "Services": [{"Name": JOB_SERVICE, "Standby": false}],
+        "Limits": {"MaxBodyBytes": MAX_BODY_BYTES},
+    });
+    site.store.put("keyed.op", "config", &configuration);
+}
+
 /// Starts a site with one owner and small processes that relay its calls, and waits until all
 /// workers have a relay.
 async fn relayed_site(relays: usize, task_ms: u64) -> Result<JobSite> {
-    let mut site = JobSite::start(0, WORKERS, task_ms).await?;
+    add_relays(JobSite::start(0, WORKERS, task_ms).await?, relays).await
+}
+
+/// Starts the processes of [`relayed_site`] on a site that has none.
+async fn add_relays(mut site: JobSite, relays: usize) -> Result<JobSite> {
     site.add_limited_process("large", LARGE)?;
     site.submit(OWNER, "00000000000000f0", 1).await?;
     for index in 0..relays {
@@ -187,3 +214,53 @@
     site.wait_completed(OWNER, id).await?;
     site.check_done_once(id, 24)
 }
+
+/// Submits a job with a text of `text_bytes` whose tasks each take half of a worker.
+async fn submit_long(site: &JobSite, id: &str, text_bytes: usize, count: usize) -> Result<()> {
+    let text = "x".repeat(text_bytes);
+    let body = format!(
+        r#"{{"Spec":"{text}","Steps":[{{"Count":{count},"Cpu":8000,"MemMb":64,"EstimateMs":300}}]}}"#
+    );
+    let (status, _) = site.call(OWNER, Method::POST, id, body).await?;
+    ensure!(status == StatusCode::OK, "{status}");
+    Ok(())
+}
+
+/// Waits until a job has completed, each task in its first run, and no relay was lost meanwhile.
+async fn wait_completed_over_relays(site: &JobSite, id: &str, count: usize) -> Result<()> {
+    let end = Instant::now() + MAX_WAIT;
+    while site.state(OWNER, id).await? != "completed" {
+        ensure!(Instant::now() < end, "the job doesn't end");
+        let workers = relayed_workers(site, OWNER).await?;
+        ensure!(workers == WORKERS as u64, "{workers} workers have a relay");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    site.check_done_once(id, count)?;
+    let runs = site.runs(id).len();
+    ensure!(runs == count, "{runs} runs");
+    Ok(())
+}
+
+/// The starts of one interval are longer than a frame may be; the session goes on all the same.
+#[tokio::test]
+async fn long_texts_split() -> Result<()> {
+    let site = relayed_site(1, 300).await?;
+    let id = "00000000000000f9";
+    submit_long(&site, id, LONG_TEXT_BYTES, 60).await?;
+    wait_completed_over_relays(&site, id, 60).await
+}
+
+/// A single start is longer than a frame may be: the owner sends it itself, and the others go over the
+/// relay.
+#[tokio::test]
+async fn long_call_sent_directly() -> Result<()> {
+    let limits = "platform.RecordBytes=12000000\nplatform.CallBytes=12000000\n";
+    let site = JobSite::start(0, WORKERS, 300).await?.settings(limits);
+    put_long_bodies(&site);
+    let site = add_relays(site, 1).await?;
+    let (long, other) = ("00000000000000fa", "00000000000000fb");
+    submit_long(&site, long, TOO_LONG_TEXT_BYTES, 1).await?;
+    submit_long(&site, other, 10, 24).await?;
+    wait_completed_over_relays(&site, long, 1).await?;
+    wait_completed_over_relays(&site, other, 24).await
+}
