fix(jobs): the record of a wave holds machines that there are

Hypothesis: the records of the machine duties grow without a bound. Counted at 1,400 machines and 214 pools with names of 63 bytes, against 262,144 bytes a record: machines with commands 91,004, a complete wave over all machines 91,022, sizes of the pools 14,555. Only the wave exceeds it: 273,022 bytes once its operators have replaced its machines twice.

Cause: the holder of the duties keeps each machine that ever had its maintenance in a wave, also those that are neither in the wave nor listed by the platform any more. The record is refused then, and no command is sent.

Change: a plan forgets such machines. `WaveRecord` moves to the jobs' crate, where it can be counted; its form stays.

Why it works: what a plan asks of the maintained machines concerns machines of the wave. Those that are in the wave or listed stay, so that one which operators take out and put back, or which isn't listed for a while, isn't maintained twice. A list of machines is whole or not used. At most twice the site's machines are left, 182,022 bytes; an unchanged wave has a shorter record than the operators' own. A machine that is gone from both and comes back under its name has its maintenance again.

Roll-out: the form of the record is unchanged.

Not in parts: nothing at the design size needs them. Records of removed waves are still kept; this is open in docs/design/bounded-lists.md.

--- a/crates/cyclamentrail-jobs/src/fleet.rs
+++ b/crates/cyclamentrail-jobs/src/fleet.rs
@@ -14,6 +14,7 @@
 mod index;
 mod moves;
 mod pool_sizes;
+mod wave_record;
 mod waves;
 
 pub use command_hold::CommandHold;
@@ -21,6 +22,7 @@
 pub use forecast::Forecast;
 use index::FleetIndex;
 use pool_sizes::PoolSizes;
+pub use wave_record::WaveRecord;
 pub use waves::MaintenanceWave;
 
 /// Time for which no tasks are placed on the worker of a machine that was sent a command, in
--- a/crates/cyclamentrail-jobs/src/fleet/waves.rs
+++ b/crates/cyclamentrail-jobs/src/fleet/waves.rs
@@ -69,10 +69,21 @@
     pub(super) fn plan_waves(&mut self, now_ms: u64, fleet: &FleetState, index: &FleetIndex<'_>) {
         for wave in &fleet.waves {
             let first_seen_ms = *self.wave_first_seen_ms.entry(wave.number).or_insert(now_ms);
+            self.forget_unknown_machines(wave, index);
             self.plan_wave(now_ms, first_seen_ms, wave, fleet, index);
         }
     }
 
+    /// Forgets the maintenance of machines that are neither in the wave nor listed any more, so that
+    /// the record of the wave doesn't grow beyond the machines that there are.
+    fn forget_unknown_machines(&mut self, wave: &MaintenanceWave, index: &FleetIndex<'_>) {
+        let Some(maintained) = self.maintained_machines.get_mut(&wave.number) else {
+            return;
+        };
+        let in_wave: HashSet<&InstanceName> = wave.machines.iter().collect();
+        maintained.retain(|machine| in_wave.contains(machine) || index.machine(machine).is_some());
+    }
+
     fn plan_wave(
         &mut self,
         now_ms: u64,
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -71,7 +71,7 @@
 pub use fencing_token::FencingToken;
 pub use fleet::{
     CommandHold, CommandedMachines, FleetPlanner, FleetState, FleetTiming, Forecast,
-    MachineCommand, MachineOutcome, MachineStatus, MaintenanceWave, PoolLoad, Purpose,
+    MachineCommand, MachineOutcome, MachineStatus, MaintenanceWave, PoolLoad, Purpose, WaveRecord,
     WorkerTaskCounts,
 };
 pub use grants::{Grant, Grants, MAX_WORKERS_PER_QUERY, StepKey};
--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -9,13 +9,12 @@
     Append, ListedMachine, MachineCommandOutcome, MachineService, MachineState, WAVE_PREFIX,
     keyed_topic, wave_status_body,
 };
-use cyclamentrail_core::{InstanceName, ServiceName};
+use cyclamentrail_core::ServiceName;
 use cyclamentrail_jobs::{
     CommandHold, CommandedMachines, FleetPlanner, FleetState, FleetTiming, KeyedRecord,
-    MachineCommand, MachineOutcome, MachineStatus, MaintenanceWave, PoolLoad, Purpose, decode,
-    encode,
+    MachineCommand, MachineOutcome, MachineStatus, MaintenanceWave, PoolLoad, Purpose, WaveRecord,
+    decode, encode,
 };
-use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -54,17 +53,6 @@
 /// Pause after a failed write of a wave's state.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Stored progress of a wave.
-#[derive(Debug, Serialize, Deserialize)]
-struct WaveRecord {
-    /// Time since the wave was first seen, in milliseconds.
-    age_ms: u64,
-    /// Unix time at which the record was written, in milliseconds.
-    written_ms: u64,
-    /// Machines that had their maintenance in the wave.
-    machines: Vec<InstanceName>,
-}
-
 /// Holds the duties until they are given up or lost.
 pub(crate) async fn run(
     process: Arc<ProcessState>,
