fix(edge): a body takes the memory of its bytes, however small its chunks are

Cause: the frames of a body were collected as they came. A frame is a handle on the read buffer of its connection, so that each kept a buffer of 8 to 16 KB alive as long as the body wasn't complete, besides 40 bytes of its own: a byte that came alone cost a whole buffer.

Ruled out: the decoder of chunks holds nothing back, and the limit on the length counted correctly.

Change: a body is copied into one buffer, which doubles up to the largest length, and each frame is freed at once. The entry role collected bodies in the same way, up to the longest one where a request has an idempotency key, and uses the same function.

--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -14,13 +14,13 @@
 };
 use cyclamentrail_core::{JobId, TeamName};
 use cyclamentrail_jobs::{CallRefusal, authenticate};
-use http_body_util::{BodyExt, Limited};
 use tokio::time::Instant;
 
 use super::internal::call_local_owner;
 use super::messages::{JobRequest, OwnerCall, OwnerRequest, Reply, SubmittedJob};
 use super::peers::PeerError;
 use super::process_state::ProcessState;
+use crate::body::{self, BodyError};
 
 mod access;
 mod attempts;
@@ -146,13 +146,12 @@
     body: axum::body::Body,
 ) -> Result<Bytes, StatusCode> {
     let limit = configuration.max_body_bytes.max(1);
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
-        }
-        Err(_) => Err(StatusCode::BAD_REQUEST),
-    }
+    body::collect(body, limit)
+        .await
+        .map_err(|error| match error {
+            BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::Incomplete => StatusCode::BAD_REQUEST,
+        })
 }
 
 /// Parses a request to an owner from the method, the path after the route's prefix, and the body.
--- a/crates/cyclamentrail/src/lib.rs
+++ b/crates/cyclamentrail/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert_eq!(code, cyclamentrail::ExitStatus::Done);
 //! ```
 
+mod body;
 mod change_history;
 mod clock;
 mod command;
--- a/crates/cyclamentrail/src/traffic/rewrite.rs
+++ b/crates/cyclamentrail/src/traffic/rewrite.rs
@@ -9,10 +9,10 @@
 use axum::http::{HeaderMap, HeaderValue};
 use bytes::Bytes;
 use cyclamentrail_core::{NotRunReason, RequestFailure, ServiceName};
-use http_body_util::{BodyExt, Limited};
 use tokio::time::Instant;
 
 use super::request::BackendRequest;
+use crate::body::{self, BodyError};
 use crate::headers;
 
 /// Largest request body in bytes that is buffered, so that the request can be sent again.
@@ -108,13 +108,11 @@
 }
 
 async fn receive_body(body: Body, limits: BodyLimits) -> Result<Bytes, RequestFailure> {
-    let received = Limited::new(body, limits.max_bytes).collect();
-    match tokio::time::timeout_at(limits.deadline, received).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(NotRunReason::TooLarge.into())
-        }
-        Ok(Err(_)) => Err(NotRunReason::BadRequest.into()),
+    let collected = body::collect(body, limits.max_bytes);
+    match tokio::time::timeout_at(limits.deadline, collected).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(BodyError::TooLong)) => Err(NotRunReason::TooLarge.into()),
+        Ok(Err(BodyError::Incomplete)) => Err(NotRunReason::BadRequest.into()),
         Err(_) => Err(NotRunReason::Deadline.into()),
     }
 }
