fix(edge): bodies under way share a bounded memory

Cause: one body was bounded, all of them together weren't. 2,000 connections may each hold a body of 0.25 MB.

Change: bodies of callers take their memory from one budget, a semaphore with a permit a byte: 12% of the machine's memory unless `Callers.BodyMemoryBytes` sets it, 31 MB on a machine of 260 MB. A request of an ordinary job takes some 500 bytes of it for as long as its body arrives. When the budget is used up, the body that has held the most memory for the longest time (the product) is answered with 503 and `Retry-After`, before anything was submitted: a caller whose body comes quickly gets in beside any number of slow ones. Waiting for memory instead was ruled out: bytes that aren't read count against the machine as well. A refusal is counted (`cyclamentrail_refused_total`, reason `body_memory`) and logged within a budget of lines (`body_turned_away`).

A declared length above the limit is refused before the body is read.

--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -4,14 +4,11 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::Bytes;
 use axum::extract::{Request, State};
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
-use cyclamentrail_adapter::{
-    Configuration, DEADLINE_HEADER, Route, decode_job, job_state_body, pending_body,
-};
+use cyclamentrail_adapter::{DEADLINE_HEADER, Route, decode_job, job_state_body, pending_body};
 use cyclamentrail_core::{JobId, TeamName};
 use cyclamentrail_jobs::{CallRefusal, authenticate};
 use tokio::time::Instant;
@@ -20,7 +17,9 @@
 use super::messages::{JobRequest, OwnerCall, OwnerRequest, Reply, SubmittedJob};
 use super::peers::PeerError;
 use super::process_state::ProcessState;
-use crate::body::{self, BodyError};
+use crate::body::{BodyError, CollectError, ExpectedLength, declared_bytes};
+use crate::metrics::{self, Refusal};
+use crate::serve::Audience;
 
 mod access;
 mod attempts;
@@ -40,6 +39,8 @@
 const MAX_ATTEMPT_TIME: Duration = Duration::from_millis(1_500);
 /// Time after which a caller whose service has no owner may retry, in milliseconds.
 const NO_OWNER_RETRY_MS: u64 = 1_000;
+/// Time after which a caller whose body was turned away may retry, in milliseconds.
+const BODY_RETRY_MS: u64 = 1_000;
 /// Length of a job's id, in hexadecimal digits.
 const JOB_ID_LENGTH: usize = 16;
 
@@ -131,27 +132,40 @@
         }
     };
     let path_suffix = path[route.path_prefix.len()..].to_owned();
-    let body = match read_body(&configuration, body).await {
+    let length = ExpectedLength {
+        declared_bytes: declared_bytes(&parts.headers),
+        max_bytes: configuration.max_body_bytes.max(1),
+    };
+    let body = match process.bodies.collect(body, length).await {
         Ok(body) => body,
-        Err(status) => return status.into_response(),
+        Err(error) => return refuse_body(process, error),
     };
-    match parse_owner_request(&parts.method, &path_suffix, route, team, &body) {
+    match parse_owner_request(&parts.method, &path_suffix, route, team, &body.bytes) {
         Ok(request) => job_calls::respond(process, route, request, deadline, attempts).await,
         Err(status) => status.into_response(),
     }
 }
 
-async fn read_body(
-    configuration: &Configuration,
-    body: axum::body::Body,
-) -> Result<Bytes, StatusCode> {
-    let limit = configuration.max_body_bytes.max(1);
-    body::collect(body, limit)
-        .await
-        .map_err(|error| match error {
-            BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            BodyError::Incomplete => StatusCode::BAD_REQUEST,
-        })
+/// Returns the response to a request whose body wasn't collected; counts a body that was turned away
+/// and logs it within the budget of lines.
+fn refuse_body(process: &ProcessState, error: CollectError) -> Response {
+    match error {
+        CollectError::Body(BodyError::TooLong) => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
+        CollectError::Body(BodyError::Incomplete) => StatusCode::BAD_REQUEST.into_response(),
+        CollectError::TurnedAway {
+            shortage,
+            held_bytes,
+            open_for,
+        } => {
+            metrics::count_refusal(Audience::Callers.as_str(), Refusal::Body(shortage));
+            if process.body_lines.take_line() {
+                let reason = shortage.as_str();
+                let open_ms = u64::try_from(open_for.as_millis()).unwrap_or(u64::MAX);
+                log::info!(reason, held_bytes, open_ms; "body_turned_away");
+            }
+            unavailable(BODY_RETRY_MS)
+        }
+    }
 }
 
 /// Parses a request to an owner from the method, the path after the route's prefix, and the body.
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -25,6 +25,7 @@
 use super::queue_directory::QueueDirectory;
 use super::relay::{RelayClient, relay_client};
 use super::revocation::RevocationCheck;
+use crate::body::BodyBudget;
 
 /// Largest number of requests that a listener serves at once.
 const MAX_REQUESTS: u32 = 2_000;
@@ -119,6 +120,10 @@
     pub(crate) exit_lines: LineBudget,
     /// Requests of callers that have no response yet.
     pub(crate) open_requests: OpenRequests,
+    /// Bodies of callers' requests that are under way.
+    pub(crate) bodies: BodyBudget,
+    /// Log lines about bodies that were turned away.
+    pub(crate) body_lines: LineBudget,
     /// Log lines about requests that a former service of their queue answered.
     pub(crate) former_lines: LineBudget,
     owned_shards: Mutex<HashMap<String, OwnedShard>>,
@@ -136,6 +141,7 @@
             .saturating_sub(WORKER_TIMEOUT)
             .max(MIN_REGISTRY_VALID);
         let revocation = RevocationCheck::new(&settings.bounds);
+        let bodies = BodyBudget::new(settings.caller_bounds.body_memory_bytes);
         Self {
             settings,
             run_time_uses: RunTimeUses::NONE,
@@ -154,6 +160,8 @@
             refusal_lines: LineBudget::default(),
             exit_lines: LineBudget::default(),
             open_requests: OpenRequests::default(),
+            bodies,
+            body_lines: LineBudget::default(),
             former_lines: LineBudget::default(),
             owned_shards: Mutex::new(HashMap::new()),
             takeover_begun: Notify::new(),
--- a/crates/cyclamentrail/src/metrics.rs
+++ b/crates/cyclamentrail/src/metrics.rs
@@ -11,6 +11,7 @@
 use cyclamentrail_core::{Fleet, InstanceState, ServiceName};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
+use crate::body::Shortage;
 use crate::headers;
 use crate::timer::Ticks;
 
@@ -55,6 +56,8 @@
     Malformed,
     /// The token of the request is missing or wrong.
     Token,
+    /// The body of the request was turned away in favour of others.
+    Body(Shortage),
 }
 
 impl Refusal {
@@ -66,6 +69,7 @@
             Self::HeaderTimeout => "header_timeout",
             Self::Malformed => "malformed",
             Self::Token => "token",
+            Self::Body(shortage) => shortage.as_str(),
         }
     }
 }
--- a/crates/cyclamentrail/src/pages/settings.rs
+++ b/crates/cyclamentrail/src/pages/settings.rs
@@ -18,12 +18,26 @@
 
 ";
 
-/// Returns the text of `docs/SETTINGS.md`: one section per object, with a table row per key.
+/// Section about the fields of the platform's settings file that limit the callers of an edge process.
+const CALLERS_SECTION: &str = "\
+## callers of an edge process
+
+An edge process reads these fields from the settings file that the platform writes for it, at its
+start. None of them needs to be there.
+
+| field | default | meaning |
+|---|---|---|
+| `Callers.BodyMemoryBytes` | 12% of `Limits.MemoryMb` (256 where it is missing), 1048576 or more | Memory in bytes that bodies under way may take together; of use from several times `MaxBodyBytes` on. |
+";
+
+/// Returns the text of `docs/SETTINGS.md`: one section per object, with a table row per key, and the
+/// fields for an edge process.
 #[must_use]
 pub fn settings_page() -> String {
     let schema = settings_schema().to_value();
     let mut page = String::from(PAGE_HEAD);
     write_object_section(&mut page, &schema, &schema, "");
+    page.push_str(CALLERS_SECTION);
     page
 }
 
--- a/crates/cyclamentrail/src/traffic/rewrite.rs
+++ b/crates/cyclamentrail/src/traffic/rewrite.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use super::request::BackendRequest;
-use crate::body::{self, BodyError};
+use crate::body::{self, BodyError, ExpectedLength, declared_bytes};
 use crate::headers;
 
 /// Largest request body in bytes that is buffered, so that the request can be sent again.
@@ -84,7 +84,7 @@
     if !is_small && !limits.buffer_all {
         return Ok(BackendRequest::streamed(parts, body, limits.max_bytes));
     }
-    let bytes = receive_body(body, limits).await?;
+    let bytes = receive_body(body, declared_bytes, limits).await?;
     // The length of a chunked body is known once the body is buffered.
     if parts.headers.remove(CONTENT_LENGTH).is_some() || !bytes.is_empty() {
         parts
@@ -94,21 +94,16 @@
     Ok(BackendRequest::buffered(parts, bytes))
 }
 
-/// Returns the body length in bytes that the headers declare; `None` for a chunked body.
-///
-/// The size hint of the body itself is unusable: the listener's timeout layer hides it.
-fn declared_bytes(headers: &HeaderMap) -> Option<u64> {
-    if headers.contains_key(TRANSFER_ENCODING) {
-        return None;
-    }
-    let Some(length) = headers.get(CONTENT_LENGTH) else {
-        return Some(0);
+async fn receive_body(
+    body: Body,
+    declared_bytes: Option<u64>,
+    limits: BodyLimits,
+) -> Result<Bytes, RequestFailure> {
+    let length = ExpectedLength {
+        declared_bytes,
+        max_bytes: limits.max_bytes,
     };
-    length.to_str().ok()?.parse().ok()
-}
-
-async fn receive_body(body: Body, limits: BodyLimits) -> Result<Bytes, RequestFailure> {
-    let collected = body::collect(body, limits.max_bytes);
+    let collected = body::collect(body, length);
     match tokio::time::timeout_at(limits.deadline, collected).await {
         Ok(Ok(bytes)) => Ok(bytes),
         Ok(Err(BodyError::TooLong)) => Err(NotRunReason::TooLarge.into()),
