fix(edge): connections of callers leave descriptors for the process's own calls

What callers saw: on a machine with few descriptors, connections that stay open could take all of them; accepting then fails for everybody, and so do the process's own calls.

Cause: each of the four listeners accepted 2,000 connections, 8,000 together, whatever the machine's limit: 4,100 in the settings, of which 200 are kept for files.

Change: connections of callers are limited to half of the sockets of the machine, 1,950 of 3,900 and 2,000 at most, or to `Callers.MaxConnections`. Readiness checks and operators get 128 connections each instead of 2,000. Connections of the other processes keep their 2,000: these are the system's own.

The test counts a crowd's sockets until their number doesn't grow any more.

--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -134,12 +134,11 @@
         let (front_stop, front_stopped) = watch::channel(false);
         let (all_stop, all_stopped) = watch::channel(false);
         let process = self.process;
-        let limits = process.limits();
         let front = tokio::spawn(serve::serve(
             Audience::Callers,
             self.front,
             front::router(Arc::clone(&process)),
-            limits.clone(),
+            process.limits(Audience::Callers),
             front_stopped,
         ));
         let operators = internal::metrics_router(Arc::clone(&process))
@@ -160,7 +159,7 @@
                 audience,
                 listener,
                 router,
-                limits.clone(),
+                process.limits(audience),
                 stop,
             ));
         }
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -26,11 +26,14 @@
 use super::relay::{RelayClient, relay_client};
 use super::revocation::RevocationCheck;
 use crate::body::BodyBudget;
+use crate::serve::Audience;
 
 /// Largest number of requests that a listener serves at once.
 const MAX_REQUESTS: u32 = 2_000;
-/// Largest number of open connections of a listener, beside the connections of outgoing calls.
-const MAX_CONNECTIONS: u32 = 2_000;
+/// Largest number of open connections of other processes.
+const MAX_PEER_CONNECTIONS: u32 = 2_000;
+/// Largest number of open connections of operators, and of the platform's readiness checks.
+const MAX_OPERATOR_CONNECTIONS: u32 = 128;
 /// Largest header block in bytes.
 const MAX_HEADER_BYTES: u32 = 16_384;
 /// Shortest time for which registrations may be relied on; several times the interval at which
@@ -389,14 +392,15 @@
         self.store.leave(OWNER_GROUP, &member).await
     }
 
-    /// Returns the limits of the listeners.
-    #[expect(
-        clippy::unused_self,
-        reason = "limits come from the settings once the settings define any"
-    )]
-    pub(crate) fn limits(&self) -> CallerLimits {
+    /// Returns the limits of a listener.
+    pub(crate) const fn limits(&self, audience: Audience) -> CallerLimits {
+        let max_connections = match audience {
+            Audience::Callers => self.settings.caller_bounds.max_connections,
+            Audience::Peers => MAX_PEER_CONNECTIONS,
+            Audience::Operators => MAX_OPERATOR_CONNECTIONS,
+        };
         CallerLimits {
-            max_connections: MAX_CONNECTIONS,
+            max_connections,
             max_requests: MAX_REQUESTS,
             max_header_bytes: MAX_HEADER_BYTES,
             header_timeout_ms: READ_TIMEOUT,
--- a/crates/cyclamentrail/src/pages/settings.rs
+++ b/crates/cyclamentrail/src/pages/settings.rs
@@ -27,6 +27,7 @@
 
 | field | default | meaning |
 |---|---|---|
+| `Callers.MaxConnections` | half of `Limits.MaxFds` less 200, 2000 or less | Largest number of open connections of callers. |
 | `Callers.BodyMemoryBytes` | 12% of `Limits.MemoryMb` (256 where it is missing), 1048576 or more | Memory in bytes that bodies under way may take together; of use from several times `MaxBodyBytes` on. |
 ";
 
--- a/crates/cyclamentrail/tests/crowd_bodies.rs
+++ b/crates/cyclamentrail/tests/crowd_bodies.rs
@@ -178,19 +178,20 @@
     clients
 }
 
-/// Waits until the peak memory of a process doesn't grow any more, and returns the largest number of
-/// sockets that it had open.
+/// Waits until neither the peak memory of a process nor its largest number of sockets grows any more,
+/// and returns the latter.
 async fn wait_settled(process: &Process) -> Result<usize> {
     let end = Instant::now() + MAX_READING;
     let (mut peak_kib, mut sockets) = (0, 0);
     let mut grown_at = Instant::now();
     while grown_at.elapsed() < SETTLED_TIME && Instant::now() < end {
-        let kib = process.peak_memory_kib()?;
-        if kib > peak_kib {
-            peak_kib = kib;
+        let now_kib = process.peak_memory_kib()?;
+        let now_sockets = open_sockets(process.id())?;
+        if now_kib > peak_kib || now_sockets > sockets {
             grown_at = Instant::now();
         }
-        sockets = sockets.max(open_sockets(process.id())?);
+        peak_kib = peak_kib.max(now_kib);
+        sockets = sockets.max(now_sockets);
         sleep(POLL_INTERVAL).await;
     }
     Ok(sockets)
