fix(edge): bodies that never end leave connections for other callers

A pause is bounded, so that a byte every two seconds keeps a body open; it costs next to no memory.

Cause: nothing bounds how many connections wait for a body.

An ordinary body is under way for one reading of its connection, so that it is never the oldest beside such a crowd. Idle connections and unfinished headers already end after 3 s.

--- a/crates/cyclamentrail/src/body/budget.rs
+++ b/crates/cyclamentrail/src/body/budget.rs
@@ -22,6 +22,8 @@
 pub(crate) enum Shortage {
     /// The memory for bodies is used up.
     Memory,
+    /// As many bodies are under way as may be at the same time.
+    Places,
 }
 
 impl Shortage {
@@ -29,6 +31,7 @@
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::Memory => "body_memory",
+            Self::Places => "open_bodies",
         }
     }
 }
@@ -51,13 +54,23 @@
     },
 }
 
+/// Limits of a [`BodyBudget`].
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BodyBudgetLimits {
+    /// Memory that bodies may take together, in bytes.
+    pub(crate) memory_bytes: u32,
+    /// Largest number of bodies that are under way.
+    pub(crate) max_open: usize,
+}
+
 /// Bodies that a listener receives, with the memory that they may take together.
 ///
 /// When the memory is used up, the body that has held the most memory for the longest time (the
-/// product counts) is turned away, so that a body which comes quickly is received beside any number
-/// of slow ones.
+/// product counts) is turned away; when too many bodies are under way, the one that has been so for
+/// the longest time. A body that comes quickly is received beside any number of slow ones.
 #[derive(Debug)]
 pub(crate) struct BodyBudget {
+    max_open: usize,
     /// One permit for each byte.
     memory: Arc<Semaphore>,
     open: Mutex<SlotMap<BodyKey, OpenBody>>,
@@ -68,7 +81,7 @@
 struct OpenBody {
     began: Instant,
     held_bytes: usize,
-    turn_away: oneshot::Sender<CollectError>,
+    refusal: oneshot::Sender<CollectError>,
 }
 
 impl OpenBody {
@@ -87,10 +100,11 @@
 }
 
 impl BodyBudget {
-    /// Creates a budget of `memory_bytes`.
-    pub(crate) fn new(memory_bytes: u32) -> Self {
+    /// Creates a budget with all memory free.
+    pub(crate) fn new(limits: BodyBudgetLimits) -> Self {
         Self {
-            memory: Arc::new(Semaphore::new(memory_bytes as usize)),
+            max_open: limits.max_open,
+            memory: Arc::new(Semaphore::new(limits.memory_bytes as usize)),
             open: Mutex::default(),
         }
     }
@@ -115,13 +129,20 @@
     }
 
     fn begin(&self) -> (OpenBodyGuard<'_>, oneshot::Receiver<CollectError>) {
-        let (turn_away, turned_away) = oneshot::channel();
+        let (refusal, turned_away) = oneshot::channel();
         let began = Instant::now();
-        let key = self.lock().insert(OpenBody {
+        let mut open = self.lock();
+        if open.len() >= self.max_open
+            && let Some(oldest) = key_of_oldest(&open)
+        {
+            turn_away(&mut open, oldest, Shortage::Places, began);
+        }
+        let key = open.insert(OpenBody {
             began,
             held_bytes: 0,
-            turn_away,
+            refusal,
         });
+        drop(open);
         let guard = OpenBodyGuard {
             budget: self,
             key,
@@ -147,7 +168,7 @@
                     held_bytes: body.held_bytes,
                     open_for: now.saturating_duration_since(body.began),
                 };
-                if body.turn_away.send(error).is_ok() {
+                if body.refusal.send(error).is_ok() {
                     freed_bytes += body.held_bytes;
                 }
             }
@@ -160,6 +181,30 @@
     }
 }
 
+fn key_of_oldest(open: &SlotMap<BodyKey, OpenBody>) -> Option<BodyKey> {
+    let oldest = open.iter().min_by_key(|(_, body)| body.began);
+    oldest.map(|(key, _)| key)
+}
+
+/// Turns a body away and returns the memory that it gives back.
+fn turn_away(
+    open: &mut SlotMap<BodyKey, OpenBody>,
+    key: BodyKey,
+    shortage: Shortage,
+    now: Instant,
+) -> usize {
+    let Some(body) = open.remove(key) else {
+        return 0;
+    };
+    let error = CollectError::TurnedAway {
+        shortage,
+        held_bytes: body.held_bytes,
+        open_for: now.saturating_duration_since(body.began),
+    };
+    // The receiver is gone if the body has ended.
+    body.refusal.send(error).map_or(0, |()| body.held_bytes)
+}
+
 /// Lists a body as under way until dropped.
 #[derive(Debug)]
 struct OpenBodyGuard<'a> {
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -25,7 +25,7 @@
 use super::queue_directory::QueueDirectory;
 use super::relay::{RelayClient, relay_client};
 use super::revocation::RevocationCheck;
-use crate::body::BodyBudget;
+use crate::body::{BodyBudget, BodyBudgetLimits};
 use crate::serve::Audience;
 
 /// Largest number of requests that a listener serves at once.
@@ -144,7 +144,10 @@
             .saturating_sub(WORKER_TIMEOUT)
             .max(MIN_REGISTRY_VALID);
         let revocation = RevocationCheck::new(&settings.bounds);
-        let bodies = BodyBudget::new(settings.caller_bounds.body_memory_bytes);
+        let bodies = BodyBudget::new(BodyBudgetLimits {
+            memory_bytes: settings.caller_bounds.body_memory_bytes,
+            max_open: settings.caller_bounds.max_open_bodies as usize,
+        });
         Self {
             settings,
             run_time_uses: RunTimeUses::NONE,
--- a/crates/cyclamentrail/tests/crowd_bodies.rs
+++ b/crates/cyclamentrail/tests/crowd_bodies.rs
@@ -29,7 +29,7 @@
 const MAX_BODY_BYTES: usize = 262_144;
 /// Bytes that a body which isn't completed lacks.
 const MISSING_BYTES: usize = 90;
-/// One body of so many is completed.
+/// One body of so many is completed, where a crowd completes any.
 const COMPLETED_EACH: usize = 8;
 /// Bodies whose parts are large.
 const LARGE_PART_BODIES: usize = 260;
@@ -48,6 +48,8 @@
 const SLOW_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which a client sends one more byte of a body that stays open.
 const TRICKLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause of a client that was refused.
+const RETURN_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which the memory of a process doesn't grow once it has read all that was sent.
 const SETTLED_TIME: Duration = Duration::from_secs(4);
 /// Longest time that a process takes to read what a crowd sends.
@@ -107,6 +109,8 @@
     shape: Shape,
     count: usize,
     body_bytes: usize,
+    /// Whether some of the bodies are completed; else a client that was refused comes again.
+    completes_some: bool,
 }
 
 /// Starts a site with one process on a machine with little memory.
@@ -146,7 +150,7 @@
         }
         tokio::task::yield_now().await;
     }
-    if index.is_multiple_of(COMPLETED_EACH) {
+    if crowd.completes_some && index.is_multiple_of(COMPLETED_EACH) {
         let rest = shape.encode(&[b' '; MISSING_BYTES]);
         drop(stream.write_all(&rest).await);
         drop(stream.write_all(shape.end()).await);
@@ -162,6 +166,15 @@
     drop(stream.read_to_end(&mut Vec::new()).await);
 }
 
+/// Sends bodies until the crowd is dropped, a new one whenever the process has closed a connection.
+async fn send_again(address: SocketAddr, crowd: Crowd, index: usize, encoded: Arc<Vec<u8>>) {
+    loop {
+        let (sending, _) = mpsc::channel(1);
+        send_body(address, crowd, index, Arc::clone(&encoded), sending).await;
+        sleep(RETURN_INTERVAL).await;
+    }
+}
+
 /// Opens the connections of a crowd and waits until each has sent its body or was closed; they are
 /// closed when the result is dropped.
 async fn open_crowd(address: SocketAddr, crowd: Crowd) -> JoinSet<()> {
@@ -171,7 +184,11 @@
     let mut clients = JoinSet::new();
     for index in 1..=crowd.count {
         let encoded = Arc::clone(&encoded);
-        clients.spawn(send_body(address, crowd, index, encoded, sending.clone()));
+        if crowd.completes_some {
+            clients.spawn(send_body(address, crowd, index, encoded, sending.clone()));
+        } else {
+            clients.spawn(send_again(address, crowd, index, encoded));
+        }
     }
     drop(sending);
     drop(timeout(MAX_READING, all_sent.recv()).await);
@@ -244,6 +261,7 @@
         shape,
         count,
         body_bytes: MAX_BODY_BYTES,
+        completes_some: true,
     };
     check_crowd(crowd, MAX_DESCRIPTORS).await
 }
@@ -275,6 +293,19 @@
         shape: Shape::Whole,
         count: MANY_CONNECTIONS,
         body_bytes: SHORT_BODY_BYTES,
+        completes_some: true,
+    };
+    check_crowd(crowd, FEW_DESCRIPTORS).await
+}
+
+/// Bodies of which none ever ends leave connections for other callers.
+#[tokio::test]
+async fn endless_bodies_leave_connections() -> Result<()> {
+    let crowd = Crowd {
+        shape: Shape::Chunks(1),
+        count: MANY_CONNECTIONS,
+        body_bytes: MISSING_BYTES + 1,
+        completes_some: false,
     };
     check_crowd(crowd, FEW_DESCRIPTORS).await
 }
