--- a/crates/cyclamentrail/src/body/budget.rs
+++ b/crates/cyclamentrail/src/body/budget.rs
@@ -24,6 +24,8 @@
     Memory,
     /// As many bodies are under way as may be at the same time.
     Places,
+    /// The body didn't arrive within the time limit of a whole body.
+    Time,
 }
 
 impl Shortage {
@@ -32,6 +34,7 @@
         match self {
             Self::Memory => "body_memory",
             Self::Places => "open_bodies",
+            Self::Time => "body_time",
         }
     }
 }
@@ -61,6 +64,8 @@
     pub(crate) memory_bytes: u32,
     /// Largest number of bodies that are under way.
     pub(crate) max_open: usize,
+    /// Time within which a whole body has to arrive.
+    pub(crate) max_time: Duration,
 }
 
 /// Bodies that a listener receives, with the memory that they may take together.
@@ -71,6 +76,7 @@
 #[derive(Debug)]
 pub(crate) struct BodyBudget {
     max_open: usize,
+    max_time: Duration,
     /// One permit for each byte.
     memory: Arc<Semaphore>,
     open: Mutex<SlotMap<BodyKey, OpenBody>>,
@@ -104,6 +110,7 @@
     pub(crate) fn new(limits: BodyBudgetLimits) -> Self {
         Self {
             max_open: limits.max_open,
+            max_time: limits.max_time,
             memory: Arc::new(Semaphore::new(limits.memory_bytes as usize)),
             open: Mutex::default(),
         }
@@ -120,12 +127,19 @@
         length: ExpectedLength,
     ) -> Result<HeldBody, CollectError> {
         let (open, turned_away) = self.begin();
+        let mut memory = None;
+        let gathered = tokio::time::timeout(self.max_time, open.gather(body, length, &mut memory));
         let gathered = tokio::select! {
             biased;
-            Ok(error) = turned_away => Err(error),
-            gathered = open.gather(body, length) => gathered,
+            Ok(error) = turned_away => return Err(error),
+            gathered = gathered => gathered,
         };
-        gathered
+        let bytes = gathered
+            .unwrap_or_else(|_elapsed| Err(open.refused(Shortage::Time, memory.as_ref())))?;
+        Ok(HeldBody {
+            bytes,
+            _memory: memory,
+        })
     }
 
     fn begin(&self) -> (OpenBodyGuard<'_>, oneshot::Receiver<CollectError>) {
@@ -218,20 +232,17 @@
         &self,
         mut body: Body,
         length: ExpectedLength,
-    ) -> Result<HeldBody, CollectError> {
+        memory: &mut Option<OwnedSemaphorePermit>,
+    ) -> Result<Bytes, CollectError> {
         let mut buffer = BodyBuffer::new(length)?;
-        let mut memory = None;
         while let Some(data) = next_data(&mut body).await? {
             let growth = buffer.growth_for(data.len())?;
             if growth > 0 {
-                self.reserve(growth, &mut memory).await?;
+                self.reserve(growth, memory).await?;
             }
             buffer.append(&data, growth);
         }
-        Ok(HeldBody {
-            bytes: buffer.into_bytes(),
-            _memory: memory,
-        })
+        Ok(buffer.into_bytes())
     }
 
     /// Adds `bytes` to the memory that the body holds, for which others may be turned away.
@@ -240,21 +251,16 @@
         bytes: usize,
         memory: &mut Option<OwnedSemaphorePermit>,
     ) -> Result<(), CollectError> {
-        let held_bytes = memory.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
-        let short = || CollectError::TurnedAway {
-            shortage: Shortage::Memory,
-            held_bytes,
-            open_for: self.began.elapsed(),
-        };
-        let permits = u32::try_from(bytes).map_err(|_too_many| short())?;
+        let short = self.refused(Shortage::Memory, memory.as_ref());
+        let permits = u32::try_from(bytes).map_err(|_too_many| short)?;
         let semaphore = Arc::clone(&self.budget.memory);
         let permit = match Arc::clone(&semaphore).try_acquire_many_owned(permits) {
             Ok(permit) => permit,
             Err(_) if self.budget.turn_away_for(bytes) => semaphore
                 .acquire_many_owned(permits)
                 .await
-                .map_err(|_closed| short())?,
-            Err(_) => return Err(short()),
+                .map_err(|_closed| short)?,
+            Err(_) => return Err(short),
         };
         match memory {
             Some(held) => held.merge(permit),
@@ -265,6 +271,15 @@
         }
         Ok(())
     }
+
+    /// Returns the error of this body when it is turned away itself.
+    fn refused(&self, shortage: Shortage, memory: Option<&OwnedSemaphorePermit>) -> CollectError {
+        CollectError::TurnedAway {
+            shortage,
+            held_bytes: memory.map_or(0, OwnedSemaphorePermit::num_permits),
+            open_for: self.began.elapsed(),
+        }
+    }
 }
 
 impl Drop for OpenBodyGuard<'_> {
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -147,6 +147,7 @@
         let bodies = BodyBudget::new(BodyBudgetLimits {
             memory_bytes: settings.caller_bounds.body_memory_bytes,
             max_open: settings.caller_bounds.max_open_bodies as usize,
+            max_time: Duration::from_millis(settings.caller_bounds.max_body_ms),
         });
         Self {
             settings,
--- a/crates/cyclamentrail/tests/crowd_bodies.rs
+++ b/crates/cyclamentrail/tests/crowd_bodies.rs
@@ -10,7 +10,7 @@
 use anyhow::{Context, Result, ensure};
 use cyclamentrail_standin::JOB_HOST;
 use cyclamentrail_testkit::{JobSite, Process};
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{Mutex, mpsc};
@@ -375,6 +375,34 @@
     .await
 }
 
+/// A body that goes on without end gets a final response, and is never submitted.
+#[tokio::test]
+async fn endless_body_refused() -> Result<()> {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let mut site = JobSite::start(0, 1, 200)
+        .await?
+        .settings("Callers.MaxBodyMs=1500\n");
+    site.add_process("n0")?;
+    site.submit(0, "00000000000000a1", 1).await?;
+    let id = "00000000000000b2";
+    let mut stream = TcpStream::connect(site.processes[0].1).await?;
+    let head = Shape::Whole.head(id, MAX_BODY_BYTES);
+    stream.write_all(head.as_bytes()).await?;
+    let mut response = Vec::new();
+    let end = Instant::now() + MAX_WAIT;
+    while response.is_empty() && Instant::now() < end {
+        // The process may have closed the connection after its response.
+        drop(stream.write_all(b" ").await);
+        drop(timeout(SLOW_PAUSE, stream.read_buf(&mut response)).await);
+    }
+    let text = String::from_utf8(response)?;
+    ensure!(text.starts_with("HTTP/1.1 503"), "{text:?}");
+    ensure!(text.contains("retry-after: "), "{text:?}");
+    let (status, _) = site.call(0, Method::GET, id, String::new()).await?;
+    ensure!(status == StatusCode::GONE, "{status}");
+    Ok(())
+}
+
 /// A body that comes slowly, with no other client.
 #[tokio::test]
 async fn lone_slow_body_served() -> Result<()> {
