fix(edge): a request that needs no body is answered without reading one

What callers saw: a GET, a DELETE, a method that isn't allowed or a path without a job's id was answered only once its body had arrived, or after 3 s without a byte; a body could hold memory and a place among the bodies under way for a request that has no use for it.

Cause: the body was read before method and path were looked at. Routes that don't exist and refused keys were answered before it already.

Change: method and path are parsed first, and only a submission reads its body. hyper closes the connection after the response where a body hasn't been read.

--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use axum::Router;
+use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
-use cyclamentrail_adapter::{DEADLINE_HEADER, Route, decode_job, job_state_body, pending_body};
-use cyclamentrail_core::{JobId, TeamName};
-use cyclamentrail_jobs::{CallRefusal, authenticate};
+use cyclamentrail_adapter::{DEADLINE_HEADER, decode_job, job_state_body, pending_body};
+use cyclamentrail_core::JobId;
+use cyclamentrail_jobs::{CallRefusal, JobSpec, authenticate};
 use tokio::time::Instant;
 
 use super::internal::call_local_owner;
@@ -131,19 +132,42 @@
             return access::refuse(process, refusal, name, &parts.headers);
         }
     };
-    let path_suffix = path[route.path_prefix.len()..].to_owned();
-    let length = ExpectedLength {
-        declared_bytes: declared_bytes(&parts.headers),
-        max_bytes: configuration.max_body_bytes.max(1),
+    let call = match JobCall::parse(&parts.method, &path[route.path_prefix.len()..]) {
+        Ok(call) => call,
+        Err(status) => return status.into_response(),
     };
-    let body = match process.bodies.collect(body, length).await {
-        Ok(body) => body,
-        Err(error) => return refuse_body(process, error),
+    let request = match call {
+        JobCall::Pending => OwnerRequest::Pending(route.config.name.clone()),
+        JobCall::State(id) => OwnerRequest::State(JobRequest { id, team }),
+        JobCall::Cancel(id) => OwnerRequest::Cancel(JobRequest { id, team }),
+        JobCall::Submit(id) => {
+            let length = ExpectedLength {
+                declared_bytes: declared_bytes(&parts.headers),
+                max_bytes: configuration.max_body_bytes.max(1),
+            };
+            match receive_job(process, body, length).await {
+                Ok(spec) => OwnerRequest::Submit(SubmittedJob {
+                    id,
+                    route: route.config.name.clone(),
+                    spec: Arc::new(spec),
+                    team,
+                }),
+                Err(response) => return response,
+            }
+        }
     };
-    match parse_owner_request(&parts.method, &path_suffix, route, team, &body.bytes) {
-        Ok(request) => job_calls::respond(process, route, request, deadline, attempts).await,
-        Err(status) => status.into_response(),
-    }
+    job_calls::respond(process, route, request, deadline, attempts).await
+}
+
+/// Receives and decodes the body of a submission.
+async fn receive_job(
+    process: &ProcessState,
+    body: Body,
+    length: ExpectedLength,
+) -> Result<JobSpec, Response> {
+    let collected = process.bodies.collect(body, length).await;
+    let body = collected.map_err(|error| refuse_body(process, error))?;
+    decode_job(&body.bytes).ok_or_else(|| StatusCode::BAD_REQUEST.into_response())
 }
 
 /// Returns the response to a request whose body wasn't collected; counts a body that was turned away
@@ -168,39 +192,40 @@
     }
 }
 
-/// Parses a request to an owner from the method, the path after the route's prefix, and the body.
-fn parse_owner_request(
-    method: &Method,
-    path_suffix: &str,
-    route: &Route,
-    team: Option<TeamName>,
-    body: &[u8],
-) -> Result<OwnerRequest, StatusCode> {
-    if path_suffix.is_empty() {
-        return match *method {
-            Method::GET => Ok(OwnerRequest::Pending(route.config.name.clone())),
+/// What a request about jobs asks for.
+#[derive(Debug)]
+enum JobCall {
+    /// The number of the queue's jobs that haven't started.
+    Pending,
+    /// The state of a job.
+    State(JobId),
+    /// To cancel a job.
+    Cancel(JobId),
+    /// To accept the job in the body.
+    Submit(JobId),
+}
+
+impl JobCall {
+    /// Parses the method and the path after the route's prefix.
+    fn parse(method: &Method, path_suffix: &str) -> Result<Self, StatusCode> {
+        if path_suffix.is_empty() {
+            return match *method {
+                Method::GET => Ok(Self::Pending),
+                _ => Err(StatusCode::METHOD_NOT_ALLOWED),
+            };
+        }
+        if path_suffix.len() != JOB_ID_LENGTH
+            || !path_suffix.bytes().all(|byte| byte.is_ascii_hexdigit())
+        {
+            return Err(StatusCode::NOT_FOUND);
+        }
+        let id = JobId::from(path_suffix);
+        match *method {
+            Method::GET => Ok(Self::State(id)),
+            Method::DELETE => Ok(Self::Cancel(id)),
+            Method::POST => Ok(Self::Submit(id)),
             _ => Err(StatusCode::METHOD_NOT_ALLOWED),
-        };
-    }
-    if path_suffix.len() != JOB_ID_LENGTH
-        || !path_suffix.bytes().all(|byte| byte.is_ascii_hexdigit())
-    {
-        return Err(StatusCode::NOT_FOUND);
-    }
-    let id = JobId::from(path_suffix);
-    match *method {
-        Method::GET => Ok(OwnerRequest::State(JobRequest { id, team })),
-        Method::DELETE => Ok(OwnerRequest::Cancel(JobRequest { id, team })),
-        Method::POST => {
-            let spec = decode_job(body).ok_or(StatusCode::BAD_REQUEST)?;
-            Ok(OwnerRequest::Submit(SubmittedJob {
-                id,
-                route: route.config.name.clone(),
-                spec: Arc::new(spec),
-                team,
-            }))
         }
-        _ => Err(StatusCode::METHOD_NOT_ALLOWED),
     }
 }
 
