fix(edge): jobs of thousands of steps wait within the memory for bodies

What callers saw: nothing yet; found by reading and a run. 60 legal bodies of 240 KB, each a job of 20,000 steps, took 295 MB at a process whose owner didn't reply (debug build).

Cause: a step of 12 bytes takes some 160 bytes decoded, twice that while its list grows, and again as a message to the owner. The memory of a body was given back once it was decoded, while the job waits for its owner for up to 2.5 s; 2,000 requests may do so at a time.

Change: the memory for a job is taken from the budget for bodies before it is decoded, for two copies of as many steps as the body has objects, and kept until the response. Where it is short, bodies under way are turned away for it, or the submission gets 503 before it was sent to anybody.

--- a/crates/cyclamentrail/src/body.rs
+++ b/crates/cyclamentrail/src/body.rs
@@ -9,7 +9,9 @@
 
 mod budget;
 
-pub(crate) use budget::{BodyBudget, BodyBudgetLimits, CollectError, Shortage};
+pub(crate) use budget::{
+    BodyBudget, BodyBudgetLimits, CollectError, HeldBody, HeldMemory, Shortage,
+};
 
 /// First buffer of a body of unknown length, in bytes.
 const FIRST_BUFFER_BYTES: usize = 4_096;
--- a/crates/cyclamentrail/src/body/budget.rs
+++ b/crates/cyclamentrail/src/body/budget.rs
@@ -102,7 +102,24 @@
 #[derive(Debug)]
 pub(crate) struct HeldBody {
     pub(crate) bytes: Bytes,
-    _memory: Option<OwnedSemaphorePermit>,
+    pub(crate) memory: HeldMemory,
+}
+
+/// Memory of a budget, which is given back when this is dropped.
+#[derive(Debug, Default)]
+pub(crate) struct HeldMemory(Option<OwnedSemaphorePermit>);
+
+impl HeldMemory {
+    fn bytes(&self) -> usize {
+        self.0.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
+    }
+
+    fn add(&mut self, permit: OwnedSemaphorePermit) {
+        match &mut self.0 {
+            Some(held) => held.merge(permit),
+            None => self.0 = Some(permit),
+        }
+    }
 }
 
 impl BodyBudget {
@@ -127,19 +144,16 @@
         length: ExpectedLength,
     ) -> Result<HeldBody, CollectError> {
         let (open, turned_away) = self.begin();
-        let mut memory = None;
+        let mut memory = HeldMemory::default();
         let gathered = tokio::time::timeout(self.max_time, open.gather(body, length, &mut memory));
         let gathered = tokio::select! {
             biased;
             Ok(error) = turned_away => return Err(error),
             gathered = gathered => gathered,
         };
-        let bytes = gathered
-            .unwrap_or_else(|_elapsed| Err(open.refused(Shortage::Time, memory.as_ref())))?;
-        Ok(HeldBody {
-            bytes,
-            _memory: memory,
-        })
+        let bytes =
+            gathered.unwrap_or_else(|_elapsed| Err(open.refused(Shortage::Time, &memory)))?;
+        Ok(HeldBody { bytes, memory })
     }
 
     fn begin(&self) -> (OpenBodyGuard<'_>, oneshot::Receiver<CollectError>) {
@@ -165,6 +179,45 @@
         (guard, turned_away)
     }
 
+    /// Adds memory for what was decoded from a body, so that `bytes` are held in all. Memory beyond
+    /// that stays held.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the memory is used up by what can't be turned away.
+    pub(crate) async fn hold(
+        &self,
+        memory: &mut HeldMemory,
+        bytes: usize,
+    ) -> Result<(), CollectError> {
+        let added = bytes.saturating_sub(memory.bytes());
+        if added == 0 {
+            return Ok(());
+        }
+        let began = Instant::now();
+        let permit = self.acquire(added).await;
+        memory.add(permit.ok_or_else(|| CollectError::TurnedAway {
+            shortage: Shortage::Memory,
+            held_bytes: memory.bytes(),
+            open_for: began.elapsed(),
+        })?);
+        Ok(())
+    }
+
+    /// Takes memory from the budget, for which bodies may be turned away; `None` if there is too little
+    /// that they hold.
+    async fn acquire(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let permits = u32::try_from(bytes).ok()?;
+        if let Ok(permit) = Arc::clone(&self.memory).try_acquire_many_owned(permits) {
+            return Some(permit);
+        }
+        if !self.turn_away_for(bytes) {
+            return None;
+        }
+        let memory = Arc::clone(&self.memory);
+        memory.acquire_many_owned(permits).await.ok()
+    }
+
     /// Turns away the costliest bodies until they give back `needed_bytes`; returns whether there were
     /// enough of them.
     fn turn_away_for(&self, needed_bytes: usize) -> bool {
@@ -232,7 +285,7 @@
         &self,
         mut body: Body,
         length: ExpectedLength,
-        memory: &mut Option<OwnedSemaphorePermit>,
+        memory: &mut HeldMemory,
     ) -> Result<Bytes, CollectError> {
         let mut buffer = BodyBuffer::new(length)?;
         while let Some(data) = next_data(&mut body).await? {
@@ -246,26 +299,11 @@
     }
 
     /// Adds `bytes` to the memory that the body holds, for which others may be turned away.
-    async fn reserve(
-        &self,
-        bytes: usize,
-        memory: &mut Option<OwnedSemaphorePermit>,
-    ) -> Result<(), CollectError> {
-        let short = self.refused(Shortage::Memory, memory.as_ref());
-        let permits = u32::try_from(bytes).map_err(|_too_many| short)?;
-        let semaphore = Arc::clone(&self.budget.memory);
-        let permit = match Arc::clone(&semaphore).try_acquire_many_owned(permits) {
-            Ok(permit) => permit,
-            Err(_) if self.budget.turn_away_for(bytes) => semaphore
-                .acquire_many_owned(permits)
-                .await
-                .map_err(|_closed| short)?,
-            Err(_) => return Err(short),
+    async fn reserve(&self, bytes: usize, memory: &mut HeldMemory) -> Result<(), CollectError> {
+        let Some(permit) = self.budget.acquire(bytes).await else {
+            return Err(self.refused(Shortage::Memory, memory));
         };
-        match memory {
-            Some(held) => held.merge(permit),
-            None => *memory = Some(permit),
-        }
+        memory.add(permit);
         if let Some(body) = self.budget.lock().get_mut(self.key) {
             body.held_bytes += bytes;
         }
@@ -273,10 +311,10 @@
     }
 
     /// Returns the error of this body when it is turned away itself.
-    fn refused(&self, shortage: Shortage, memory: Option<&OwnedSemaphorePermit>) -> CollectError {
+    fn refused(&self, shortage: Shortage, memory: &HeldMemory) -> CollectError {
         CollectError::TurnedAway {
             shortage,
-            held_bytes: memory.map_or(0, OwnedSemaphorePermit::num_permits),
+            held_bytes: memory.bytes(),
             open_for: self.began.elapsed(),
         }
     }
--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -11,14 +11,14 @@
 use axum::routing::get;
 use cyclamentrail_adapter::{DEADLINE_HEADER, decode_job, job_state_body, pending_body};
 use cyclamentrail_core::JobId;
-use cyclamentrail_jobs::{CallRefusal, JobSpec, authenticate};
+use cyclamentrail_jobs::{CallRefusal, JobSpec, MAX_TASKS, StepSpec, authenticate};
 use tokio::time::Instant;
 
 use super::internal::call_local_owner;
 use super::messages::{JobRequest, OwnerCall, OwnerRequest, Reply, SubmittedJob};
 use super::peers::PeerError;
 use super::process_state::ProcessState;
-use crate::body::{BodyError, CollectError, ExpectedLength, declared_bytes};
+use crate::body::{BodyError, CollectError, ExpectedLength, HeldBody, HeldMemory, declared_bytes};
 use crate::metrics::{self, Refusal};
 use crate::serve::Audience;
 
@@ -42,6 +42,9 @@
 const NO_OWNER_RETRY_MS: u64 = 1_000;
 /// Time after which a caller whose body was turned away may retry, in milliseconds.
 const BODY_RETRY_MS: u64 = 1_000;
+/// Copies of a step for which a job holds memory: the list grows while it is decoded, and is encoded
+/// for the owner.
+const STEP_COPIES: usize = 2;
 /// Length of a job's id, in hexadecimal digits.
 const JOB_ID_LENGTH: usize = 16;
 
@@ -136,6 +139,7 @@
         Ok(call) => call,
         Err(status) => return status.into_response(),
     };
+    let mut held_memory = HeldMemory::default();
     let request = match call {
         JobCall::Pending => OwnerRequest::Pending(route.config.name.clone()),
         JobCall::State(id) => OwnerRequest::State(JobRequest { id, team }),
@@ -146,28 +150,45 @@
                 max_bytes: configuration.max_body_bytes.max(1),
             };
             match receive_job(process, body, length).await {
-                Ok(spec) => OwnerRequest::Submit(SubmittedJob {
-                    id,
-                    route: route.config.name.clone(),
-                    spec: Arc::new(spec),
-                    team,
-                }),
+                Ok((spec, memory)) => {
+                    held_memory = memory;
+                    OwnerRequest::Submit(SubmittedJob {
+                        id,
+                        route: route.config.name.clone(),
+                        spec: Arc::new(spec),
+                        team,
+                    })
+                }
                 Err(response) => return response,
             }
         }
     };
-    job_calls::respond(process, route, request, deadline, attempts).await
+    let response = job_calls::respond(process, route, request, deadline, attempts).await;
+    drop(held_memory);
+    response
 }
 
-/// Receives and decodes the body of a submission.
+/// Receives and decodes the body of a submission; returns the job with the memory that it takes.
 async fn receive_job(
     process: &ProcessState,
     body: Body,
     length: ExpectedLength,
-) -> Result<JobSpec, Response> {
+) -> Result<(JobSpec, HeldMemory), Response> {
+    let refuse = |error| refuse_body(process, error);
     let collected = process.bodies.collect(body, length).await;
-    let body = collected.map_err(|error| refuse_body(process, error))?;
-    decode_job(&body.bytes).ok_or_else(|| StatusCode::BAD_REQUEST.into_response())
+    let HeldBody { bytes, mut memory } = collected.map_err(refuse)?;
+    let job_bytes = decoded_bytes_bound(&bytes);
+    let held = process.bodies.hold(&mut memory, job_bytes).await;
+    held.map_err(refuse)?;
+    let spec = decode_job(&bytes).ok_or_else(|| StatusCode::BAD_REQUEST.into_response())?;
+    Ok((spec, memory))
+}
+
+/// Returns an upper bound of the memory that a job takes with its body, from the number of objects in
+/// the body, each of which may be a step.
+fn decoded_bytes_bound(body: &[u8]) -> usize {
+    let objects: usize = body.iter().map(|&byte| usize::from(byte == b'{')).sum();
+    body.len() + objects.min(MAX_TASKS) * STEP_COPIES * size_of::<StepSpec>()
 }
 
 /// Returns the response to a request whose body wasn't collected; counts a body that was turned away
--- a/crates/cyclamentrail/src/pages/settings.rs
+++ b/crates/cyclamentrail/src/pages/settings.rs
@@ -29,7 +29,7 @@
 |---|---|---|
 | `Callers.MaxConnections` | half of `Limits.MaxFds` less 200, 2000 or less | Largest number of open connections of callers. |
 | `Callers.MaxOpenBodies` | half of the connections | Largest number of bodies that are under way; beyond it, the one that has been so for the longest time is turned away. |
-| `Callers.BodyMemoryBytes` | 12% of `Limits.MemoryMb` (256 where it is missing), 1048576 or more | Memory in bytes that bodies under way may take together; of use from several times `MaxBodyBytes` on. |
+| `Callers.BodyMemoryBytes` | 12% of `Limits.MemoryMb` (256 where it is missing), 1048576 or more | Memory in bytes that bodies under way, and the jobs decoded from them until they are answered, may take together; of use from several times `MaxBodyBytes` on. |
 | `Callers.MaxBodyMs` | 30000 | Time in milliseconds within which a whole body has to arrive. |
 ";
 
--- a/crates/cyclamentrail/tests/crowd_bodies.rs
+++ b/crates/cyclamentrail/tests/crowd_bodies.rs
@@ -35,6 +35,9 @@
 const LARGE_PART_BODIES: usize = 260;
 /// Bodies in chunks of one byte.
 const SMALL_CHUNK_BODIES: usize = 12;
+/// Jobs that wait for an owner, and their steps.
+const LONG_JOBS: usize = 60;
+const LONG_JOB_STEPS: usize = 20_000;
 /// Connections for which a machine with few descriptors has too few.
 const MANY_CONNECTIONS: usize = 400;
 /// Body of a client that only holds a connection, in bytes.
@@ -310,6 +313,37 @@
     check_crowd(crowd, FEW_DESCRIPTORS).await
 }
 
+/// Jobs of thousands of steps take many times their bodies once they are decoded, and wait at a process
+/// that their owner doesn't reply to.
+#[tokio::test]
+async fn long_jobs_bounded() -> Result<()> {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let mut site = start_on_small_machine(MAX_DESCRIPTORS).await?;
+    site.add_process("n1")?;
+    site.submit(1, "00000000000000a3", 1).await?;
+    site.processes[0].0.pause()?;
+    let steps = vec![r#"{"Count":1}"#; LONG_JOB_STEPS].join(",");
+    let body = format!(r#"{{"Spec":"x","Steps":[{steps}]}}"#);
+    let submissions = (0..LONG_JOBS).map(|index| {
+        let id = format!("{:016x}", index + 0xb000);
+        let (site, body) = (&site, body.clone());
+        async move { site.call(1, Method::POST, &id, body).await }
+    });
+    let responses = futures_util::future::join_all(submissions).await;
+    site.processes[0].0.resume()?;
+    let peak_kib = site.processes[1].0.peak_memory_kib()?;
+    println!("peak memory {peak_kib} KiB, {responses:.60?}");
+    ensure!(
+        site.processes[1].0.try_wait()?.is_none(),
+        "the process has ended"
+    );
+    ensure!(
+        peak_kib <= MEMORY_MIB * 1024,
+        "peak memory of {peak_kib} KiB on a machine of {MEMORY_MIB} MiB"
+    );
+    site.submit(1, "00000000000000a4", 1).await
+}
+
 /// Returns the body of a job of one task, padded to a length.
 fn job_body(length_bytes: usize) -> Vec<u8> {
     let job = r#"{"Spec":"x","Steps":[{"Count":1,"Cpu":100,"MemMb":64,"EstimateMs":200}]}"#;
