fix(edge): a caller that doesn't read its responses loses its connection

What callers saw: nothing yet; found by reading. A client that sends requests and reads no response keeps its connection for good, and so all connections of callers can be taken.

Cause: reading has time limits, writing has none. What such a connection holds is bounded (hyper's buffers and the kernel's), for how long isn't.

Change: connections of callers get `TCP_USER_TIMEOUT` from their listener: the kernel ends one whose sent data stays unacknowledged, or finds no room at the client, for 10 s (`Callers.MaxUnackedMs`); several times the longest deadline of a request. No timer in the process and no call per connection are needed. It is counted (`cyclamentrail_refused_total`, reason `unread`). A system that doesn't have the option is logged and doesn't keep the process from starting.

--- a/crates/cyclamentrail/src/edge.rs
+++ b/crates/cyclamentrail/src/edge.rs
@@ -13,6 +13,7 @@
 use cyclamentrail_adapter::{HttpClient, ProcessSettings, Store};
 use cyclamentrail_core::{LogLevel, LogSettings};
 use cyclamentrail_jobs::RunTimeUses;
+use rustix::net::sockopt;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -134,6 +135,7 @@
         let (front_stop, front_stopped) = watch::channel(false);
         let (all_stop, all_stopped) = watch::channel(false);
         let process = self.process;
+        limit_unacked(&self.front, process.settings.caller_bounds.max_unacked_ms);
         let front = tokio::spawn(serve::serve(
             Audience::Callers,
             self.front,
@@ -186,6 +188,13 @@
     }
 }
 
+/// Bounds the time for which a caller may leave sent data unread; accepted sockets inherit the bound.
+fn limit_unacked(listener: &TcpListener, max_ms: u32) {
+    if let Err(error) = sockopt::set_tcp_user_timeout(listener, max_ms) {
+        log::warn!(error:% = error; "unread_responses_unbounded");
+    }
+}
+
 /// Periodically aggregates recorded durations, so that they don't accumulate between scrapes, and
 /// exports the number of dropped log lines.
 async fn run_metrics_upkeep(logging: Arc<Logging>) {
--- a/crates/cyclamentrail/src/metrics.rs
+++ b/crates/cyclamentrail/src/metrics.rs
@@ -56,6 +56,8 @@
     Malformed,
     /// The token of the request is missing or wrong.
     Token,
+    /// The client didn't read its responses in time.
+    Unread,
     /// The body of the request was turned away in favour of others.
     Body(Shortage),
 }
@@ -69,6 +71,7 @@
             Self::HeaderTimeout => "header_timeout",
             Self::Malformed => "malformed",
             Self::Token => "token",
+            Self::Unread => "unread",
             Self::Body(shortage) => shortage.as_str(),
         }
     }
--- a/crates/cyclamentrail/src/pages/settings.rs
+++ b/crates/cyclamentrail/src/pages/settings.rs
@@ -31,6 +31,7 @@
 | `Callers.MaxOpenBodies` | half of the connections | Largest number of bodies that are under way; beyond it, the one that has been so for the longest time is turned away. |
 | `Callers.BodyMemoryBytes` | 12% of `Limits.MemoryMb` (256 where it is missing), 1048576 or more | Memory in bytes that bodies under way, and the jobs decoded from them until they are answered, may take together; of use from several times `MaxBodyBytes` on. |
 | `Callers.MaxBodyMs` | 30000 | Time in milliseconds within which a whole body has to arrive. |
+| `Callers.MaxUnackedMs` | 10000 | Longest time in milliseconds for which a response may stay unacknowledged, or wait for room at the caller (`TCP_USER_TIMEOUT`); the connection is closed then. |
 ";
 
 /// Returns the text of `docs/SETTINGS.md`: one section per object, with a table row per key, and the
--- a/crates/cyclamentrail/src/serve.rs
+++ b/crates/cyclamentrail/src/serve.rs
@@ -1,6 +1,8 @@
 //! Serves a router on a listener, with limits on connections, requests, headers and bodies, and
 //! with a graceful stop.
 
+use std::error::Error;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -166,7 +168,7 @@
 }
 
 /// Logs why a connection ended, and counts it as refused when its request was malformed, had too
-/// large headers or sent them too slowly.
+/// large headers or sent them too slowly, or when its responses weren't read.
 fn record_connection_error(audience: Audience, error: &hyper::Error) {
     let refusal = if error.is_parse_too_large() {
         Some(Refusal::HeaderSize)
@@ -174,6 +176,8 @@
         Some(Refusal::Malformed)
     } else if error.is_timeout() {
         Some(Refusal::HeaderTimeout)
+    } else if is_unread(error) {
+        Some(Refusal::Unread)
     } else {
         None
     };
@@ -183,6 +187,14 @@
     log::debug!(listener = audience.as_str(), error:% = error; "connection_ended");
 }
 
+/// Returns whether a connection ended because the client didn't take what was sent in time.
+fn is_unread(error: &hyper::Error) -> bool {
+    error
+        .source()
+        .and_then(|source| source.downcast_ref::<io::Error>())
+        .is_some_and(|error| error.kind() == io::ErrorKind::TimedOut)
+}
+
 /// Counts one open connection in the metrics until dropped.
 #[derive(Debug)]
 struct OpenConnection(Audience);
