--- a/crates/cyclamentrail/tests/crowd_bodies.rs
+++ b/crates/cyclamentrail/tests/crowd_bodies.rs
@@ -313,6 +313,35 @@
     check_crowd(crowd, FEW_DESCRIPTORS).await
 }
 
+/// A planned stop ends with a crowd open, and each request on it gets a final response.
+#[tokio::test]
+async fn stop_ends_with_crowd() -> Result<()> {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_on_small_machine(FEW_DESCRIPTORS).await?;
+    let log = tempfile::NamedTempFile::new()?;
+    let (mut process, address) =
+        site.start_logged_process("n1", site.store.address(), log.path())?;
+    let crowd = Crowd {
+        shape: Shape::Whole,
+        count: MANY_CONNECTIONS,
+        body_bytes: SHORT_BODY_BYTES,
+        completes_some: true,
+    };
+    let clients = open_crowd(address, crowd).await;
+    process.terminate()?;
+    let end = Instant::now() + MAX_WAIT;
+    while process.try_wait()?.is_none() {
+        ensure!(Instant::now() < end, "the process doesn't exit");
+        sleep(POLL_INTERVAL).await;
+    }
+    drop(clients);
+    while !std::fs::read_to_string(log.path())?.contains("requests_cut=0") {
+        ensure!(Instant::now() < end, "requests were cut");
+        sleep(POLL_INTERVAL).await;
+    }
+    Ok(())
+}
+
 /// Jobs of thousands of steps take many times their bodies once they are decoded, and wait at a process
 /// that their owner doesn't reply to.
 #[tokio::test]
