--- a/crates/cyclamentrail/src/edge/front.rs
+++ b/crates/cyclamentrail/src/edge/front.rs
@@ -4,23 +4,23 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::Bytes;
+use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
-use cyclamentrail_adapter::{
-    Configuration, DEADLINE_HEADER, Route, decode_job, job_state_body, pending_body,
-};
-use cyclamentrail_core::{JobId, TeamName};
-use cyclamentrail_jobs::{CallRefusal, authenticate};
-use http_body_util::{BodyExt, Limited};
+use cyclamentrail_adapter::{DEADLINE_HEADER, decode_job, job_state_body, pending_body};
+use cyclamentrail_core::JobId;
+use cyclamentrail_jobs::{CallRefusal, JobSpec, MAX_TASKS, StepSpec, authenticate};
 use tokio::time::Instant;
 
 use super::internal::call_local_owner;
 use super::messages::{JobRequest, OwnerCall, OwnerRequest, Reply, SubmittedJob};
 use super::peers::PeerError;
 use super::process_state::ProcessState;
+use crate::body::{BodyError, CollectError, ExpectedLength, HeldBody, HeldMemory, declared_bytes};
+use crate::metrics::{self, Refusal};
+use crate::serve::Audience;
 
 mod access;
 mod attempts;
@@ -40,6 +40,11 @@
 const MAX_ATTEMPT_TIME: Duration = Duration::from_millis(1_500);
 /// Time after which a caller whose service has no owner may retry, in milliseconds.
 const NO_OWNER_RETRY_MS: u64 = 1_000;
+/// Time after which a caller whose body was turned away may retry, in milliseconds.
+const BODY_RETRY_MS: u64 = 1_000;
+/// Copies of a step for which a job holds memory: the list grows while it is decoded, and is encoded
+/// for the owner.
+const STEP_COPIES: usize = 2;
 /// Length of a job's id, in hexadecimal digits.
 const JOB_ID_LENGTH: usize = 16;
 
@@ -130,64 +135,118 @@
             return access::refuse(process, refusal, name, &parts.headers);
         }
     };
-    let path_suffix = path[route.path_prefix.len()..].to_owned();
-    let body = match read_body(&configuration, body).await {
-        Ok(body) => body,
+    let call = match JobCall::parse(&parts.method, &path[route.path_prefix.len()..]) {
+        Ok(call) => call,
         Err(status) => return status.into_response(),
     };
-    match parse_owner_request(&parts.method, &path_suffix, route, team, &body) {
-        Ok(request) => job_calls::respond(process, route, request, deadline, attempts).await,
-        Err(status) => status.into_response(),
-    }
+    let mut held_memory = HeldMemory::default();
+    let request = match call {
+        JobCall::Pending => OwnerRequest::Pending(route.config.name.clone()),
+        JobCall::State(id) => OwnerRequest::State(JobRequest { id, team }),
+        JobCall::Cancel(id) => OwnerRequest::Cancel(JobRequest { id, team }),
+        JobCall::Submit(id) => {
+            let length = ExpectedLength {
+                declared_bytes: declared_bytes(&parts.headers),
+                max_bytes: configuration.max_body_bytes.max(1),
+            };
+            match receive_job(process, body, length).await {
+                Ok((spec, memory)) => {
+                    held_memory = memory;
+                    OwnerRequest::Submit(SubmittedJob {
+                        id,
+                        route: route.config.name.clone(),
+                        spec: Arc::new(spec),
+                        team,
+                    })
+                }
+                Err(response) => return response,
+            }
+        }
+    };
+    let response = job_calls::respond(process, route, request, deadline, attempts).await;
+    drop(held_memory);
+    response
 }
 
-async fn read_body(
-    configuration: &Configuration,
-    body: axum::body::Body,
-) -> Result<Bytes, StatusCode> {
-    let limit = configuration.max_body_bytes.max(1);
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
+/// Receives and decodes the body of a submission; returns the job with the memory that it takes.
+async fn receive_job(
+    process: &ProcessState,
+    body: Body,
+    length: ExpectedLength,
+) -> Result<(JobSpec, HeldMemory), Response> {
+    let refuse = |error| refuse_body(process, error);
+    let collected = process.bodies.collect(body, length).await;
+    let HeldBody { bytes, mut memory } = collected.map_err(refuse)?;
+    let job_bytes = decoded_bytes_bound(&bytes);
+    let held = process.bodies.hold(&mut memory, job_bytes).await;
+    held.map_err(refuse)?;
+    let spec = decode_job(&bytes).ok_or_else(|| StatusCode::BAD_REQUEST.into_response())?;
+    Ok((spec, memory))
+}
+
+/// Returns an upper bound of the memory that a job takes with its body, from the number of objects in
+/// the body, each of which may be a step.
+fn decoded_bytes_bound(body: &[u8]) -> usize {
+    let objects: usize = body.iter().map(|&byte| usize::from(byte == b'{')).sum();
+    body.len() + objects.min(MAX_TASKS) * STEP_COPIES * size_of::<StepSpec>()
+}
+
+/// Returns the response to a request whose body wasn't collected; counts a body that was turned away
+/// and logs it within the budget of lines.
+fn refuse_body(process: &ProcessState, error: CollectError) -> Response {
+    match error {
+        CollectError::Body(BodyError::TooLong) => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
+        CollectError::Body(BodyError::Incomplete) => StatusCode::BAD_REQUEST.into_response(),
+        CollectError::TurnedAway {
+            shortage,
+            held_bytes,
+            open_for,
+        } => {
+            metrics::count_refusal(Audience::Callers.as_str(), Refusal::Body(shortage));
+            if process.body_lines.take_line() {
+                let reason = shortage.as_str();
+                let open_ms = u64::try_from(open_for.as_millis()).unwrap_or(u64::MAX);
+                log::info!(reason, held_bytes, open_ms; "body_turned_away");
+            }
+            unavailable(BODY_RETRY_MS)
         }
-        Err(_) => Err(StatusCode::BAD_REQUEST),
     }
 }
 
-/// Parses a request to an owner from the method, the path after the route's prefix, and the body.
-fn parse_owner_request(
-    method: &Method,
-    path_suffix: &str,
-    route: &Route,
-    team: Option<TeamName>,
-    body: &[u8],
-) -> Result<OwnerRequest, StatusCode> {
-    if path_suffix.is_empty() {
-        return match *method {
-            Method::GET => Ok(OwnerRequest::Pending(route.config.name.clone())),
+/// What a request about jobs asks for.
+#[derive(Debug)]
+enum JobCall {
+    /// The number of the queue's jobs that haven't started.
+    Pending,
+    /// The state of a job.
+    State(JobId),
+    /// To cancel a job.
+    Cancel(JobId),
+    /// To accept the job in the body.
+    Submit(JobId),
+}
+
+impl JobCall {
+    /// Parses the method and the path after the route's prefix.
+    fn parse(method: &Method, path_suffix: &str) -> Result<Self, StatusCode> {
+        if path_suffix.is_empty() {
+            return match *method {
+                Method::GET => Ok(Self::Pending),
+                _ => Err(StatusCode::METHOD_NOT_ALLOWED),
+            };
+        }
+        if path_suffix.len() != JOB_ID_LENGTH
+            || !path_suffix.bytes().all(|byte| byte.is_ascii_hexdigit())
+        {
+            return Err(StatusCode::NOT_FOUND);
+        }
+        let id = JobId::from(path_suffix);
+        match *method {
+            Method::GET => Ok(Self::State(id)),
+            Method::DELETE => Ok(Self::Cancel(id)),
+            Method::POST => Ok(Self::Submit(id)),
             _ => Err(StatusCode::METHOD_NOT_ALLOWED),
-        };
-    }
-    if path_suffix.len() != JOB_ID_LENGTH
-        || !path_suffix.bytes().all(|byte| byte.is_ascii_hexdigit())
-    {
-        return Err(StatusCode::NOT_FOUND);
-    }
-    let id = JobId::from(path_suffix);
-    match *method {
-        Method::GET => Ok(OwnerRequest::State(JobRequest { id, team })),
-        Method::DELETE => Ok(OwnerRequest::Cancel(JobRequest { id, team })),
-        Method::POST => {
-            let spec = decode_job(body).ok_or(StatusCode::BAD_REQUEST)?;
-            Ok(OwnerRequest::Submit(SubmittedJob {
-                id,
-                route: route.config.name.clone(),
-                spec: Arc::new(spec),
-                team,
-            }))
         }
-        _ => Err(StatusCode::METHOD_NOT_ALLOWED),
     }
 }
 
--- a/crates/cyclamentrail/src/edge/process_state.rs
+++ b/crates/cyclamentrail/src/edge/process_state.rs
@@ -26,11 +26,15 @@
 use super::queue_directory::QueueDirectory;
 use super::relay::{RelayClient, relay_client};
 use super::revocation::RevocationCheck;
+use crate::body::{BodyBudget, BodyBudgetLimits};
+use crate::serve::Audience;
 
 /// Largest number of requests that a listener serves at once.
 const MAX_REQUESTS: u32 = 2_000;
-/// Largest number of open connections of a listener, beside the connections of outgoing calls.
-const MAX_CONNECTIONS: u32 = 2_000;
+/// Largest number of open connections of other processes.
+const MAX_PEER_CONNECTIONS: u32 = 2_000;
+/// Largest number of open connections of operators, and of the platform's readiness checks.
+const MAX_OPERATOR_CONNECTIONS: u32 = 128;
 /// Largest header block in bytes.
 const MAX_HEADER_BYTES: u32 = 16_384;
 /// Shortest time for which registrations may be relied on; several times the interval at which
@@ -120,6 +124,10 @@
     pub(crate) exit_lines: LineBudget,
     /// Requests of callers that have no response yet.
     pub(crate) open_requests: OpenRequests,
+    /// Bodies of callers' requests that are under way.
+    pub(crate) bodies: BodyBudget,
+    /// Log lines about bodies that were turned away.
+    pub(crate) body_lines: LineBudget,
     /// Log lines about requests that a former service of their queue answered.
     pub(crate) former_lines: LineBudget,
     /// Until when owners before those in this process may act.
@@ -139,6 +147,11 @@
             .saturating_sub(WORKER_TIMEOUT)
             .max(MIN_REGISTRY_VALID);
         let revocation = RevocationCheck::new(&settings.bounds);
+        let bodies = BodyBudget::new(BodyBudgetLimits {
+            memory_bytes: settings.caller_bounds.body_memory_bytes,
+            max_open: settings.caller_bounds.max_open_bodies as usize,
+            max_time: Duration::from_millis(settings.caller_bounds.max_body_ms),
+        });
         Self {
             settings,
             run_time_uses: RunTimeUses::NONE,
@@ -157,6 +170,8 @@
             refusal_lines: LineBudget::default(),
             exit_lines: LineBudget::default(),
             open_requests: OpenRequests::default(),
+            bodies,
+            body_lines: LineBudget::default(),
             former_lines: LineBudget::default(),
             earlier_owners: EarlierOwners::default(),
             owned_shards: Mutex::new(HashMap::new()),
@@ -385,14 +400,15 @@
         self.store.leave(OWNER_GROUP, &member).await
     }
 
-    /// Returns the limits of the listeners.
-    #[expect(
-        clippy::unused_self,
-        reason = "limits come from the settings once the settings define any"
-    )]
-    pub(crate) fn limits(&self) -> CallerLimits {
+    /// Returns the limits of a listener.
+    pub(crate) const fn limits(&self, audience: Audience) -> CallerLimits {
+        let max_connections = match audience {
+            Audience::Callers => self.settings.caller_bounds.max_connections,
+            Audience::Peers => MAX_PEER_CONNECTIONS,
+            Audience::Operators => MAX_OPERATOR_CONNECTIONS,
+        };
         CallerLimits {
-            max_connections: MAX_CONNECTIONS,
+            max_connections,
             max_requests: MAX_REQUESTS,
             max_header_bytes: MAX_HEADER_BYTES,
             header_timeout_ms: READ_TIMEOUT,
--- a/crates/cyclamentrail/src/metrics.rs
+++ b/crates/cyclamentrail/src/metrics.rs
@@ -11,6 +11,7 @@
 use cyclamentrail_core::{Fleet, InstanceState, ServiceName};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
+use crate::body::Shortage;
 use crate::headers;
 use crate::timer::Ticks;
 
@@ -55,6 +56,10 @@
     Malformed,
     /// The token of the request is missing or wrong.
     Token,
+    /// The client didn't read its responses in time.
+    Unread,
+    /// The body of the request was turned away in favour of others.
+    Body(Shortage),
 }
 
 impl Refusal {
@@ -66,6 +71,8 @@
             Self::HeaderTimeout => "header_timeout",
             Self::Malformed => "malformed",
             Self::Token => "token",
+            Self::Unread => "unread",
+            Self::Body(shortage) => shortage.as_str(),
         }
     }
 }
--- a/crates/cyclamentrail/src/pages/settings.rs
+++ b/crates/cyclamentrail/src/pages/settings.rs
@@ -18,12 +18,30 @@
 
 ";
 
-/// Returns the text of `docs/SETTINGS.md`: one section per object, with a table row per key.
+/// Section about the fields of the platform's settings file that limit the callers of an edge process.
+const CALLERS_SECTION: &str = "\
+## callers of an edge process
+
+An edge process reads these fields from the settings file that the platform writes for it, at its
+start. None of them needs to be there.
+
+| field | default | meaning |
+|---|---|---|
+| `Callers.MaxConnections` | half of `Limits.MaxFds` less 200, 2000 or less | Largest number of open connections of callers. |
+| `Callers.MaxOpenBodies` | half of the connections | Largest number of bodies that are under way; beyond it, the one that has been so for the longest time is turned away. |
+| `Callers.BodyMemoryBytes` | 12% of `Limits.MemoryMb` (256 where it is missing), 1048576 or more | Memory in bytes that bodies under way, and the jobs decoded from them until they are answered, may take together; of use from several times `MaxBodyBytes` on. |
+| `Callers.MaxBodyMs` | 30000 | Time in milliseconds within which a whole body has to arrive. |
+| `Callers.MaxUnackedMs` | 10000 | Longest time in milliseconds for which a response may stay unacknowledged, or wait for room at the caller (`TCP_USER_TIMEOUT`); the connection is closed then. |
+";
+
+/// Returns the text of `docs/SETTINGS.md`: one section per object, with a table row per key, and the
+/// fields for an edge process.
 #[must_use]
 pub fn settings_page() -> String {
     let schema = settings_schema().to_value();
     let mut page = String::from(PAGE_HEAD);
     write_object_section(&mut page, &schema, &schema, "");
+    page.push_str(CALLERS_SECTION);
     page
 }
 
