test(standin): late calls reach the next incarnation of a worker

Cause: a start that the stand-in's worker carried out late died with the incarnation that it was sent to, in a state that nobody read any more. On the platform, a server that is back under its old id takes such calls.

Change: each call (start, stop, share, poll) may be left unanswered and is carried out later by the incarnation that runs then, on its clock, or by none. A worker can be cut off (it goes on and registers) and can crash without a task. A run says when its start arrived and when its end was acknowledged.

--- a/crates/cyclamentrail-standin/src/jobs.rs
+++ b/crates/cyclamentrail-standin/src/jobs.rs
@@ -12,4 +12,4 @@
     put_configuration, put_team_configuration, put_teams,
 };
 pub use store::{JobStore, StoreView};
-pub use worker::{JobWorker, TaskRun};
+pub use worker::{CallKind, JobWorker, LateCall, TaskRun};
--- a/crates/cyclamentrail-standin/src/jobs/worker.rs
+++ b/crates/cyclamentrail-standin/src/jobs/worker.rs
@@ -12,13 +12,20 @@
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
-use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
+use self::calls::{Call, CommandBody, PollBody};
+use self::incarnations::Incarnations;
 use super::JobStore;
 use crate::Served;
 
+mod calls;
+mod incarnations;
+
+pub use self::calls::CallKind;
+pub use self::incarnations::LateCall;
+
 /// Longest lease in milliseconds.
 const MAX_LEASE_MS: u64 = 6_000;
 /// Interval between two checks of a worker's runs.
@@ -41,10 +48,14 @@
     pub run: u64,
     /// Result of the run: `done`, `stopped` or `lapsed` (the lease ran out); empty while running.
     pub result: String,
-    /// When the run began.
+    /// When its start command arrived.
+    pub requested: Instant,
+    /// When the run began; later than `requested` if the command was carried out late.
     pub began: Instant,
     /// When the run ended; `None` while running.
     pub ended: Option<Instant>,
+    /// When an owner acknowledged the end.
+    pub acknowledged: Option<Instant>,
 }
 
 /// One incarnation of a worker; dropping the value ends the incarnation.
@@ -60,6 +71,7 @@
 struct Shared {
     id: String,
     service: String,
+    incarnations: Arc<Incarnations>,
     /// Start time of the incarnation, in milliseconds since the Unix epoch.
     started_ms: u64,
     /// Origin of the worker's clock.
@@ -81,7 +93,9 @@
     end_times_ms: HashMap<(String, u64), u64>,
     /// Highest run of each task that was stopped; it and earlier ones aren't started any more.
     stopped_runs: HashMap<String, u64>,
-    /// Ended runs: sequence number of the end, task, run number and result.
+    /// Sequence number of the last end.
+    last_end: u64,
+    /// Ended runs that no poll has acknowledged: sequence number of the end, task, run number and result.
     ended_runs: Vec<(u64, String, u64, String)>,
     /// Highest fencing token of any command or poll.
     highest_token: u64,
@@ -92,8 +106,8 @@
     deadly_suffix: Option<String>,
     /// Duration of each task.
     task_ms: u64,
-    /// Delay of the next start command, which gets no response.
-    start_delay_ms: Option<u64>,
+    /// Delays of the next call of each kind, which gets no response.
+    delays_ms: HashMap<CallKind, u64>,
 }
 
 impl JobWorker {
@@ -109,13 +123,15 @@
         task_ms: u64,
     ) -> std::io::Result<Self> {
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let worker = Self::start_at(store, id, service, task_ms, address).await?;
+        let incarnations = Arc::default();
+        let worker = Self::start_at(store, (id, service), task_ms, address, incarnations).await?;
         worker.register();
         Ok(worker)
     }
 
     /// Ends the worker and starts it again under its id and at its address. The new incarnation knows
-    /// nothing of the earlier one, and isn't registered until [`Self::register`] is called.
+    /// nothing of the earlier one, and isn't registered until [`Self::register`] is called. Calls to the
+    /// earlier one that are late are carried out by the new one; a cut goes on.
     ///
     /// # Errors
     ///
@@ -127,8 +143,10 @@
             let state = self.shared.lock();
             (state.task_ms, state.deadly_suffix.clone())
         };
+        let incarnations = Arc::clone(&self.shared.incarnations);
         drop(self);
-        let restarted = Self::start_at(store, &id, &service, task_ms, address).await?;
+        let names = (id.as_str(), service.as_str());
+        let restarted = Self::start_at(store, names, task_ms, address, incarnations).await?;
         restarted.shared.lock().deadly_suffix = deadly_suffix;
         Ok(restarted)
     }
@@ -138,7 +156,12 @@
         self.shared.lock().deadly_suffix = Some(suffix.to_owned());
     }
 
-    /// Returns when a task crashed the worker; it stays silent until it is restarted.
+    /// Crashes the worker.
+    pub fn crash(&self) {
+        self.shared.crashed.get_or_init(Instant::now);
+    }
+
+    /// Returns when the worker crashed; it stays silent until it is restarted.
     #[must_use]
     pub fn crashed(&self) -> Option<Instant> {
         self.shared.crashed.get().copied()
@@ -151,15 +174,16 @@
 
     async fn start_at(
         store: &Arc<JobStore>,
-        id: &str,
-        service: &str,
+        (id, service): (&str, &str),
         task_ms: u64,
         address: SocketAddr,
+        incarnations: Arc<Incarnations>,
     ) -> std::io::Result<Self> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH);
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             service: service.to_owned(),
+            incarnations,
             started_ms: started.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0)),
             clock_origin: Instant::now(),
             is_draining: AtomicBool::new(false),
@@ -173,9 +197,11 @@
         let router = Router::new()
             .route("/run-start", post(start_run))
             .route("/run-stop", post(stop_run))
+            .route("/pace", post(set_share))
             .route("/hold", post(poll_worker))
             .with_state(Arc::clone(&shared));
         let served = bind(address, router).await?;
+        shared.incarnations.begin(&shared);
         let round_task = tokio::spawn(run_rounds(
             Arc::clone(&shared),
             Arc::clone(store),
@@ -201,7 +227,36 @@
 
     /// Carries out the next start command after `delay_ms` and sends no response to it.
     pub fn delay_next_start(&self, delay_ms: u64) {
-        self.shared.lock().start_delay_ms = Some(delay_ms);
+        self.delay_next(CallKind::Start, delay_ms);
+    }
+
+    /// Sends no response to the next call of a kind; after `delay_ms` it is carried out by the incarnation
+    /// that runs then.
+    pub fn delay_next(&self, kind: CallKind, delay_ms: u64) {
+        self.shared.lock().delays_ms.insert(kind, delay_ms);
+    }
+
+    /// Returns whether the call that [`Self::delay_next`] is meant for hasn't arrived yet.
+    #[must_use]
+    pub fn is_delay_pending(&self, kind: CallKind) -> bool {
+        self.shared.lock().delays_ms.contains_key(&kind)
+    }
+
+    /// Returns the late calls to any incarnation of the worker that were carried out, in order.
+    #[must_use]
+    pub fn late_calls(&self) -> Vec<LateCall> {
+        self.shared.incarnations.late_calls()
+    }
+
+    /// With `true`, no call reaches the worker or gets a response, while it goes on and registers.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.shared.incarnations.set_cut(is_cut);
+    }
+
+    /// Returns whether nothing runs on the worker.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.shared.lock().end_times_ms.is_empty()
     }
 
     /// Returns the address that the worker listens on.
@@ -227,6 +282,7 @@
 impl Drop for JobWorker {
     fn drop(&mut self) {
         self.round_task.abort();
+        self.shared.incarnations.end();
     }
 }
 
@@ -246,13 +302,30 @@
         expected.is_none_or(|id| id.as_bytes() == self.id.as_bytes())
     }
 
-    /// Waits for ever if a task has crashed the worker.
-    async fn fail_if_crashed(&self) {
-        if self.crashed.get().is_some() {
+    /// Waits for ever if the worker has crashed or is cut off.
+    async fn wait_if_unreachable(&self) {
+        if self.crashed.get().is_some() || self.incarnations.is_cut() {
             std::future::pending::<()>().await;
         }
     }
 
+    /// Receives a call, which waits for ever if it is to be late; returns whether the worker is its
+    /// addressee.
+    async fn receive(&self, headers: &HeaderMap, call: &Call) -> bool {
+        self.wait_if_unreachable().await;
+        if !self.is_addressee(headers) {
+            return false;
+        }
+        let delay_ms = self.lock().delays_ms.remove(&call.kind());
+        if let Some(delay_ms) = delay_ms {
+            let (incarnations, call) = (Arc::clone(&self.incarnations), call.clone());
+            let (sent_to, delay) = (self.started_ms, Duration::from_millis(delay_ms));
+            tokio::spawn(async move { incarnations.carry_out_late(call, sent_to, delay).await });
+            std::future::pending::<()>().await;
+        }
+        true
+    }
+
     /// Crashes the worker after a moment if a task that has started is deadly.
     fn crash_by(self: &Arc<Self>, task: &str) {
         let is_deadly = |suffix: &String| task.ends_with(suffix.as_str());
@@ -310,44 +383,9 @@
                 known.ended = Some(Instant::now());
             }
         }
-        let number = self.ended_runs.last().map_or(1, |last| last.0 + 1);
+        self.last_end += 1;
         self.ended_runs
-            .push((number, task.to_owned(), run, result.to_owned()));
-    }
-
-    /// Begins a run and extends the lease.
-    ///
-    /// Returns the reason of a rejection: `fence` for an outdated fencing token, `late` for a lease
-    /// end in the past, `old` if the task has had this run or a later one.
-    fn begin_run(&mut self, body: &CommandBody, now_ms: u64) -> Result<(), &'static str> {
-        if body.fencing_token < self.highest_token {
-            return Err("fence");
-        }
-        self.highest_token = body.fencing_token;
-        let key = (body.task.clone(), body.run);
-        if self.end_times_ms.contains_key(&key) {
-            return Ok(());
-        }
-        if body.until_ms <= now_ms {
-            return Err("late");
-        }
-        let is_superseded = |known: &TaskRun| known.task == body.task && known.run >= body.run;
-        let stopped = self.stopped_runs.get(&body.task).copied();
-        if self.runs.iter().any(is_superseded) || stopped.is_some_and(|run| run >= body.run) {
-            return Err("old");
-        }
-        self.lease_until_ms = self
-            .lease_until_ms
-            .max(body.until_ms.min(now_ms + MAX_LEASE_MS));
-        self.end_times_ms.insert(key, now_ms + self.task_ms);
-        self.runs.push(TaskRun {
-            task: body.task.clone(),
-            run: body.run,
-            result: String::new(),
-            began: Instant::now(),
-            ended: None,
-        });
-        Ok(())
+            .push((self.last_end, task.to_owned(), run, result.to_owned()));
     }
 }
 
@@ -365,50 +403,46 @@
     }
 }
 
-/// Body of a start or stop command.
-#[derive(Debug, Clone, Deserialize)]
-struct CommandBody {
-    #[serde(rename = "Task")]
-    task: String,
-    #[serde(rename = "Run")]
-    run: u64,
-    #[serde(rename = "UntilMs", default)]
-    until_ms: u64,
-    #[serde(rename = "FencingToken", default)]
-    fencing_token: u64,
+async fn start_run(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    Json(body): Json<CommandBody>,
+) -> Response {
+    let task = body.task.clone();
+    let response = take_command(&shared, &headers, Call::Start(body)).await;
+    if response.status() == StatusCode::OK {
+        shared.crash_by(&task);
+    }
+    response
 }
 
-async fn start_run(
+async fn stop_run(
     State(shared): State<Arc<Shared>>,
     headers: HeaderMap,
     Json(body): Json<CommandBody>,
 ) -> Response {
-    shared.fail_if_crashed().await;
-    if !shared.is_addressee(&headers) {
+    take_command(&shared, &headers, Call::Stop(body)).await
+}
+
+async fn set_share(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    Json(body): Json<CommandBody>,
+) -> Response {
+    take_command(&shared, &headers, Call::Share(body)).await
+}
+
+/// Receives a command and carries it out.
+async fn take_command(shared: &Shared, headers: &HeaderMap, call: Call) -> Response {
+    if !shared.receive(headers, &call).await {
         return StatusCode::MISDIRECTED_REQUEST.into_response();
     }
-    let delay_ms = shared.lock().start_delay_ms.take();
-    if let Some(delay_ms) = delay_ms {
-        // The command is carried out although the caller closed the connection long before.
-        tokio::spawn(async move {
-            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-            let now_ms = shared.clock_ms();
-            if let Err(reason) = shared.lock().begin_run(&body, now_ms) {
-                println!("delayed start of task {} rejected: {reason}", body.task);
-            }
-        });
-        std::future::pending::<()>().await;
-        return StatusCode::GATEWAY_TIMEOUT.into_response();
-    }
     let now_ms = shared.clock_ms();
-    let result = shared.lock().begin_run(&body, now_ms);
-    if result.is_ok() {
-        shared.crash_by(&body.task);
-    }
+    let result = shared.lock().carry_out(&call, now_ms, Instant::now());
     command_response(result, now_ms)
 }
 
-/// Returns the response to a command that was carried out or rejected.
+/// Returns the response to a call that was carried out or rejected.
 fn command_response(result: Result<(), &'static str>, now_ms: u64) -> Response {
     match result {
         Ok(()) => Json(json!({"ClockMs": now_ms})).into_response(),
@@ -419,41 +453,6 @@
     }
 }
 
-async fn stop_run(
-    State(shared): State<Arc<Shared>>,
-    headers: HeaderMap,
-    Json(body): Json<CommandBody>,
-) -> Response {
-    shared.fail_if_crashed().await;
-    if !shared.is_addressee(&headers) {
-        return StatusCode::MISDIRECTED_REQUEST.into_response();
-    }
-    let now_ms = shared.clock_ms();
-    let mut state = shared.lock();
-    if body.fencing_token < state.highest_token {
-        return command_response(Err("fence"), now_ms);
-    }
-    state.highest_token = body.fencing_token;
-    state.end_run(&body.task, body.run, "stopped");
-    let stopped = state.stopped_runs.entry(body.task).or_default();
-    *stopped = (*stopped).max(body.run);
-    command_response(Ok(()), now_ms)
-}
-
-/// Body of a worker poll.
-#[derive(Debug, Deserialize)]
-struct PollBody {
-    #[serde(rename = "UntilMs", default)]
-    until_ms: u64,
-    #[serde(rename = "FencingToken", default)]
-    fencing_token: u64,
-    /// Sequence number of the last ended run that the caller knows.
-    #[serde(rename = "LastSeen", default)]
-    last_seen: u64,
-    #[serde(rename = "WaitMs", default)]
-    wait_ms: u64,
-}
-
 /// Renews the lease and reports running tasks and newly ended runs.
 ///
 /// Waits up to `wait_ms` while no run has ended since the last poll.
@@ -462,14 +461,20 @@
     headers: HeaderMap,
     Json(body): Json<PollBody>,
 ) -> Response {
-    shared.fail_if_crashed().await;
-    if !shared.is_addressee(&headers) {
+    let (token, wait_ms) = (body.fencing_token, body.wait_ms);
+    let call = Call::Poll(body);
+    if !shared.receive(&headers, &call).await {
         return StatusCode::MISDIRECTED_REQUEST.into_response();
     }
-    let deadline = Instant::now() + Duration::from_millis(body.wait_ms);
+    let now_ms = shared.clock_ms();
+    let result = shared.lock().carry_out(&call, now_ms, Instant::now());
+    if result.is_err() {
+        return command_response(result, now_ms);
+    }
+    let deadline = Instant::now() + Duration::from_millis(wait_ms);
     loop {
-        shared.fail_if_crashed().await;
-        if let Some(response) = poll_response(&shared, &body, Instant::now() >= deadline) {
+        shared.wait_if_unreachable().await;
+        if let Some(response) = poll_response(&shared, token, Instant::now() >= deadline) {
             return response;
         }
         tokio::time::sleep(ROUND).await;
@@ -477,31 +482,22 @@
 }
 
 /// Returns the response to a poll, or nothing while no run has ended and the wait isn't over.
-fn poll_response(shared: &Shared, body: &PollBody, is_wait_over: bool) -> Option<Response> {
+fn poll_response(shared: &Shared, token: u64, is_wait_over: bool) -> Option<Response> {
     let now_ms = shared.clock_ms();
-    let mut state = shared.lock();
-    if body.fencing_token < state.highest_token {
+    let state = shared.lock();
+    if token < state.highest_token {
         return Some(command_response(Err("fence"), now_ms));
     }
-    state.highest_token = body.fencing_token;
-    let until_ms = body.until_ms.min(now_ms + MAX_LEASE_MS);
-    state.lease_until_ms = state.lease_until_ms.max(until_ms);
-    let ended: Vec<Value> = state
-        .ended_runs
-        .iter()
-        .filter(|ended| ended.0 > body.last_seen)
-        .map(|(number, task, run, result)| json!([number, task, run, result, ""]))
-        .collect();
-    if ended.is_empty() && !is_wait_over {
+    if state.ended_runs.is_empty() && !is_wait_over {
         return None;
     }
-    let running: Vec<Value> = state
-        .end_times_ms
-        .keys()
-        .map(|(task, run)| json!([task, run, "", 100, 0]))
-        .collect();
+    let ended = state.ended_runs.iter();
+    let ended = ended.map(|(number, task, run, result)| json!([number, task, run, result, ""]));
+    let running = state.end_times_ms.keys();
+    let running = running.map(|(task, run)| json!([task, run, "", 100, 0]));
     let report = json!({
-        "ClockMs": now_ms, "Running": running, "Ended": ended, "born": shared.started_ms,
+        "ClockMs": now_ms, "Running": running.collect::<Vec<Value>>(),
+        "Ended": ended.collect::<Vec<Value>>(), "born": shared.started_ms,
     });
     Some(Json(report).into_response())
 }
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -24,8 +24,9 @@
 
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
 pub use jobs::{
-    JOB_HOST, JOB_SERVICE, JobClient, JobStore, JobWorker, ProcessPorts, StoreView, SubmitResult,
-    TaskRun, process_settings, put_configuration, put_team_configuration, put_teams,
+    CallKind, JOB_HOST, JOB_SERVICE, JobClient, JobStore, JobWorker, LateCall, ProcessPorts,
+    StoreView, SubmitResult, TaskRun, process_settings, put_configuration, put_team_configuration,
+    put_teams,
 };
 pub use list_service::{ListBehaviour, ListService};
 pub use log_service::{LogFault, LogService};
