--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -405,9 +405,9 @@
 ) {
     for RecordedRun { record, .. } in recorded_runs {
         let started_ms = leases.get(&record.worker).map(|lease| lease.started_ms);
-        let is_other = |started_ms| match record.is_in_doubt {
-            true => started_ms < record.started_ms,
-            false => started_ms != record.started_ms,
+        let is_other = |started_ms| {
+            started_ms < record.started_ms
+                || (started_ms > record.started_ms && !record.is_in_doubt)
         };
         if started_ms.is_some_and(is_other) {
             leases.remove(&record.worker);
--- a/crates/cyclamentrail-jobs/src/shard/unassigned_runs.rs
+++ b/crates/cyclamentrail-jobs/src/shard/unassigned_runs.rs
@@ -25,23 +25,23 @@
             return;
         };
         let known = std::mem::take(&mut worker.unassigned_runs);
-        let mut stops_ms = BTreeMap::new();
+        let mut unassigned = BTreeMap::new();
         for run in listed {
             let stop_ms = known.get(&run).copied();
             if stop_ms.is_none() {
                 self.log_unassigned(key, run);
             }
-            stops_ms.insert(
-                run,
-                self.stop_unassigned(now, key, run, stop_ms.unwrap_or(0)),
-            );
+            let stop_ms = self.stop_unassigned(now, key, run, stop_ms.unwrap_or(0));
+            unassigned.insert(run, stop_ms);
         }
-        let demands = stops_ms.keys().filter_map(|&(task, _)| self.step_of(task));
+        let demands = unassigned
+            .keys()
+            .filter_map(|&(task, _)| self.step_of(task));
         let demand = demands.fold(Resources::default(), |sum, step| {
             sum.saturating_add(&step.reserved_resources())
         });
         let worker = &mut self.workers[key];
-        worker.unassigned_runs = stops_ms;
+        worker.unassigned_runs = unassigned;
         worker.unassigned_demand = demand;
     }
 
--- a/crates/cyclamentrail-standin/src/jobs.rs
+++ b/crates/cyclamentrail-standin/src/jobs.rs
@@ -8,11 +8,11 @@
 mod worker;
 
 pub use client::{
-    JOB_HOST, JOB_SERVICE, JobClient, ProcessPorts, SubmitResult, process_settings,
+    JOB_HOST, JOB_SERVICE, JobClient, ProcessPorts, QueueTarget, SubmitResult, process_settings,
     put_configuration, put_team_configuration, put_teams,
 };
 pub use store::{JobStore, StoreView};
-pub use worker::{JobWorker, TaskRun};
+pub use worker::{CallKind, JobWorker, LateCall, TaskRun};
 
 /// Longest body that the store and workers accept, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
