test(soak): compound faults, with late calls that the next incarnation carries out

`--compound` (`Soak::compound_faults`) adds groups of faults: a worker whose calls are all carried out 0 to 12 s late, its restart under its id beside them, and a cut soon after it; the store away while tasks end; a queue that leads to another service for a while; an idle worker that crashes; with each, in half of the cases, the owner is stopped or killed amid it.

Schedules without the option stay as they are. Checks: late starts count from their arrival, so that the slack after a notice is 2 s in place of 4 s; an end may be unknown also where its worker was cut off and no owner had acknowledged it.

Its tasks take 0.4 s, so that none outlasts a lease; the faults of leases are shown by jobs_crossed.

--- a/crates/cyclamentrail-standin/src/jobs.rs
+++ b/crates/cyclamentrail-standin/src/jobs.rs
@@ -8,7 +8,7 @@
 mod worker;
 
 pub use client::{
-    JOB_HOST, JOB_SERVICE, JobClient, ProcessPorts, SubmitResult, process_settings,
+    JOB_HOST, JOB_SERVICE, JobClient, ProcessPorts, QueueTarget, SubmitResult, process_settings,
     put_configuration, put_team_configuration, put_teams,
 };
 pub use store::{JobStore, StoreView};
--- a/crates/cyclamentrail-standin/src/jobs/client.rs
+++ b/crates/cyclamentrail-standin/src/jobs/client.rs
@@ -103,16 +103,37 @@
     let teams = teams
         .iter()
         .map(|(name, keys)| (String::from(*name), owned(keys)));
-    put_teams(store, (JOB_HOST, JOB_SERVICE), version, teams.collect());
+    let target = QueueTarget {
+        host: JOB_HOST,
+        service: JOB_SERVICE,
+        others: &[],
+    };
+    put_teams(store, target, version, teams.collect());
+}
+
+/// Where the routes of a configuration lead.
+#[derive(Debug, Clone, Copy)]
+pub struct QueueTarget<'a> {
+    /// Host of the requests.
+    pub host: &'a str,
+    /// Service that runs the tasks of new jobs.
+    pub service: &'a str,
+    /// Further services of the configuration, to which no route leads.
+    pub others: &'a [&'a str],
 }
 
 /// Writes a configuration as [`put_team_configuration`] does, with routes from a host to a service.
 pub fn put_teams(
     store: &JobStore,
-    (host, service): (&str, &str),
+    target: QueueTarget<'_>,
     version: u64,
     teams: Vec<(String, Vec<String>)>,
 ) {
+    let QueueTarget {
+        host,
+        service,
+        others,
+    } = target;
     let route = |name: &str, prefix: &str, is_public: bool| {
         json!({
             "Name": name, "Host": host, "PathPrefix": prefix, "Service": service,
@@ -124,10 +145,14 @@
         .into_iter()
         .map(|(name, keys)| json!({"Name": name, "ApiKeys": keys, "Weight": 10}))
         .collect();
+    let services = std::iter::once(&service).chain(others);
+    let services: Vec<Value> = services
+        .map(|name| json!({"Name": name, "Standby": false}))
+        .collect();
     let configuration = json!({
         "Version": version,
         "Routes": [route("r", "/q/", false), route("open", "/open/", true)],
-        "Services": [{"Name": service, "Standby": false}],
+        "Services": services,
         "Tenants": teams,
     });
     store.put("keyed.op", "config", &configuration);
--- a/crates/cyclamentrail-standin/src/jobs/worker.rs
+++ b/crates/cyclamentrail-standin/src/jobs/worker.rs
@@ -108,6 +108,8 @@
     task_ms: u64,
     /// Delays of the next call of each kind, which gets no response.
     delays_ms: HashMap<CallKind, u64>,
+    /// Delay of all calls, which get no response.
+    all_delay_ms: Option<u64>,
 }
 
 impl JobWorker {
@@ -236,6 +238,12 @@
         self.shared.lock().delays_ms.insert(kind, delay_ms);
     }
 
+    /// Sends no response to any call from now on; after `delay_ms` each is carried out by the incarnation
+    /// that runs then.
+    pub fn delay_all(&self, delay_ms: u64) {
+        self.shared.lock().all_delay_ms = Some(delay_ms);
+    }
+
     /// Returns whether the call that [`Self::delay_next`] is meant for hasn't arrived yet.
     #[must_use]
     pub fn is_delay_pending(&self, kind: CallKind) -> bool {
@@ -316,7 +324,7 @@
         if !self.is_addressee(headers) {
             return false;
         }
-        let delay_ms = self.lock().delays_ms.remove(&call.kind());
+        let delay_ms = self.lock().take_delay(call.kind());
         if let Some(delay_ms) = delay_ms {
             let (incarnations, call) = (Arc::clone(&self.incarnations), call.clone());
             let (sent_to, delay) = (self.started_ms, Duration::from_millis(delay_ms));
@@ -372,6 +380,11 @@
 }
 
 impl WorkerState {
+    /// Returns the delay of a call that has arrived; `None` if it isn't late.
+    fn take_delay(&mut self, kind: CallKind) -> Option<u64> {
+        self.delays_ms.remove(&kind).or(self.all_delay_ms)
+    }
+
     /// Ends a run with a result; does nothing if the run has ended already.
     fn end_run(&mut self, task: &str, run: u64, result: &str) {
         if self.end_times_ms.remove(&(task.to_owned(), run)).is_none() {
--- a/crates/cyclamentrail-standin/src/lib.rs
+++ b/crates/cyclamentrail-standin/src/lib.rs
@@ -25,8 +25,8 @@
 pub use backend::{Backend, BackendFault, BackendReport, RunReport};
 pub use jobs::{
     CallKind, JOB_HOST, JOB_SERVICE, JobClient, JobStore, JobWorker, LateCall, ProcessPorts,
-    StoreView, SubmitResult, TaskRun, process_settings, put_configuration, put_team_configuration,
-    put_teams,
+    QueueTarget, StoreView, SubmitResult, TaskRun, process_settings, put_configuration,
+    put_team_configuration, put_teams,
 };
 pub use list_service::{ListBehaviour, ListService};
 pub use log_service::{LogFault, LogService};
--- a/crates/cyclamentrail-testkit/src/soak/history.rs
+++ b/crates/cyclamentrail-testkit/src/soak/history.rs
@@ -45,12 +45,16 @@
 pub struct RunHistory {
     /// Name of the task: job, occurrence, step and index, separated by dots.
     pub task: String,
+    /// When its start command arrived at the worker, which may have carried it out late.
+    pub requested: Instant,
     /// When the run began.
     pub began: Instant,
     /// When the run ended; the end of the worker at the latest.
     pub ended: Instant,
     /// Whether the run completed the task.
     pub is_done: bool,
+    /// When an owner acknowledged the end.
+    pub acknowledged: Option<Instant>,
 }
 
 impl RunHistory {
@@ -77,10 +81,20 @@
     pub runs: Vec<RunHistory>,
     /// When the worker gave notice.
     pub gave_notice: Option<Instant>,
+    /// Beginnings and ends of the times in which the incarnation was cut off from all owners.
+    pub cuts: Vec<(Instant, Instant)>,
     /// When the incarnation ended.
     pub ended: Instant,
 }
 
+impl WorkerHistory {
+    /// Returns whether the worker was cut off at some time between two others.
+    #[must_use]
+    pub fn is_cut_between(&self, from: Instant, until: Instant) -> bool {
+        self.cuts.iter().any(|cut| cut.0 <= until && cut.1 >= from)
+    }
+}
+
 /// Everything that was recorded.
 #[derive(Debug, Clone, Default)]
 pub struct History {
--- a/crates/cyclamentrail-testkit/src/soak/keys.rs
+++ b/crates/cyclamentrail-testkit/src/soak/keys.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use cyclamentrail_standin::{JobStore, put_teams};
+use cyclamentrail_standin::{JobStore, QueueTarget, put_teams};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant as TokioInstant;
@@ -59,6 +59,8 @@
 #[derive(Debug, Default)]
 struct Ring {
     version: u64,
+    /// Whether the queue leads to the other service.
+    is_moved: bool,
     keys: Vec<KeyHistory>,
     calls: Vec<KeyCall>,
 }
@@ -107,6 +109,11 @@
         }
     }
 
+    /// Lets the queue lead to the other service, or back.
+    pub(super) fn move_queue(&self, store: &JobStore, names: &SiteNames, is_moved: bool) {
+        self.change(store, names, |ring| ring.is_moved = is_moved);
+    }
+
     /// Changes the keys and writes the configuration that follows. A key counts as added or revoked
     /// from the time at which the store has acknowledged it.
     fn change(&self, store: &JobStore, names: &SiteNames, change: impl FnOnce(&mut Ring)) {
@@ -118,12 +125,14 @@
             let keys = ring.live(team).into_iter().map(key_text);
             (format!("team-{team}"), keys.collect())
         });
-        put_teams(
-            store,
-            (&names.host, &names.service),
-            ring.version,
-            teams.collect(),
-        );
+        let target = queue_target(names, ring.is_moved);
+        let others: Vec<&str> = target.1.into_iter().collect();
+        let target = QueueTarget {
+            host: &names.host,
+            service: target.0,
+            others: &others,
+        };
+        put_teams(store, target, ring.version, teams.collect());
         let acknowledged = Instant::now();
         for (number, key) in ring.keys.iter_mut().enumerate() {
             match before.get(number) {
@@ -199,6 +208,14 @@
     }
 }
 
+/// Returns the service that the queue leads to, and another one if the site has one.
+fn queue_target(names: &SiteNames, is_moved: bool) -> (&str, Option<&str>) {
+    match names.other_service.as_deref() {
+        Some(other) if is_moved => (other, Some(&names.service)),
+        other => (&names.service, other),
+    }
+}
+
 fn key_text(number: usize) -> String {
     format!("key-{number}-of-the-soak")
 }
--- a/crates/cyclamentrail-testkit/src/soak/schedule.rs
+++ b/crates/cyclamentrail-testkit/src/soak/schedule.rs
@@ -99,6 +99,30 @@
         /// Number of the worker.
         worker: usize,
     },
+    /// A worker responds to no call until its restart; the incarnation that runs after the delay carries
+    /// each call out.
+    DelayCalls {
+        /// Number of the worker.
+        worker: usize,
+        /// Delay in milliseconds.
+        delay_ms: u64,
+    },
+    /// A worker is cut off from all owners, and goes on.
+    CutWorker {
+        /// Number of the worker.
+        worker: usize,
+    },
+    /// The first worker without runs crashes, counted from one on; it is restarted after a moment.
+    CrashIdle {
+        /// Number of the worker to count from.
+        first: usize,
+    },
+    /// The queue leads to the other service.
+    MoveQueue,
+    /// The owner of the usual service is stopped in order and started again once it has exited.
+    StopOwner,
+    /// The owner of the usual service is killed and started again after the fault's time.
+    KillOwner,
 }
 
 /// Fault with its time.
@@ -112,7 +136,7 @@
     pub fault: Fault,
 }
 
-/// Draws the faults of a soak. They may overlap; all of them are over by the end of `duration`.
+/// Draws the single faults of a soak. They may overlap; all of them are over by the end of `duration`.
 #[must_use]
 pub fn draw_schedule(
     seed: u64,
--- a/crates/cyclamentrail-testkit/tests/soak_checker.rs
+++ b/crates/cyclamentrail-testkit/tests/soak_checker.rs
@@ -22,9 +22,11 @@
     fn run(self, task: &str, began_ms: u64, ended_ms: u64, is_done: bool) -> RunHistory {
         RunHistory {
             task: format!("{JOB}.{task}"),
+            requested: self.at(began_ms),
             began: self.at(began_ms),
             ended: self.at(ended_ms),
             is_done,
+            acknowledged: None,
         }
     }
 }
@@ -56,12 +58,14 @@
             clock.run("0.1.0", 400, 500, true),
         ],
         gave_notice: None,
+        cuts: Vec::new(),
         ended: clock.at(30_000),
     };
     let second = WorkerHistory {
         id: String::from("i-1"),
         runs: vec![clock.run("0.0.1", 100, 300, true)],
         gave_notice: None,
+        cuts: Vec::new(),
         ended: clock.at(30_000),
     };
     History {
@@ -200,6 +204,38 @@
     assert_eq!(check_history(&history), Vec::<Violation>::new());
 }
 
+/// A worker that is cut off reports no end, so that the task runs again; an end that was acknowledged is known.
+#[rstest]
+#[case::cut((150, 9_000), None, true)]
+#[case::cut_before((10, 150), None, false)]
+#[case::cut_later((10_500, 11_000), None, false)]
+#[case::acknowledged((300, 9_000), Some(250), false)]
+fn unreported_end(
+    #[case] cut: (u64, u64),
+    #[case] acknowledged: Option<u64>,
+    #[case] is_tolerated: bool,
+) {
+    let clock = Clock(Instant::now());
+    let mut history = kept_promises(clock);
+    history.workers[0].cuts = vec![(clock.at(cut.0), clock.at(cut.1))];
+    history.workers[0].runs[0].acknowledged = acknowledged.map(|ms| clock.at(ms));
+    let again = clock.run("0.0.0", 10_000, 10_100, true);
+    history.workers[1].runs.push(again);
+    assert_eq!(check_history(&history).is_empty(), is_tolerated);
+}
+
+/// A start that a worker carries out late counts from its arrival.
+#[rstest]
+#[case::sent_before(1_900, true)]
+#[case::sent_after(2_200, false)]
+fn late_start_after_notice(#[case] requested_ms: u64, #[case] is_tolerated: bool) {
+    let clock = Clock(Instant::now());
+    let mut history = kept_promises(clock);
+    ran_after_notice(clock, &mut history);
+    history.workers[0].runs[1].requested = clock.at(requested_ms);
+    assert_eq!(check_history(&history).is_empty(), is_tolerated);
+}
+
 /// An end that a worker didn't report before its restart is lost, so that the task runs again.
 #[test]
 fn lost_end_tolerated() {
