test(jobs): a late start after a second restart runs a task twice

That the late starts began the runs there follows from their delays and the times of the restarts; the logs don't show it. docs/design/platform.md names this case as open, with a window of some milliseconds; it is that of a takeover or of a cut.

--- a/crates/cyclamentrail/tests/jobs_crossed.rs
+++ b/crates/cyclamentrail/tests/jobs_crossed.rs
@@ -161,3 +161,31 @@
     ensure!(owner(&site)? != first_owner, "the owner didn't change");
     Ok(())
 }
+
+/// Guards against a late start of a run that was given up on the next incarnation, and that a further one
+/// carries out which no owner has reached, because the owner was killed.
+#[tokio::test]
+async fn late_start_after_second_restart() -> Result<()> {
+    let mut site = aged_site(1).await?;
+    site.workers[0].delay_next(CallKind::Start, LATE_MS);
+    site.submit(0, JOB, 1).await?;
+    wait_for(&site, "the late start was sent", |site| {
+        !site.workers[0].is_delay_pending(CallKind::Start)
+    })
+    .await?;
+    site.restart_worker(0).await?;
+    // The next incarnation takes no tasks, so that the task runs elsewhere.
+    site.workers[0].give_notice();
+    site.workers[0].register();
+    site.add_worker("i-1", TASK_MS).await?;
+    wait_for(&site, "the task runs elsewhere", |site| {
+        runs_on(site, 1, JOB)
+    })
+    .await?;
+    site.processes[0].0.kill()?;
+    site.restart_worker(0).await?;
+    wait_for(&site, "the late start was carried out", |site| {
+        !site.workers[0].late_calls().is_empty()
+    })
+    .await
+}
