docs: words for crossed calls, what is proved of them, and what isn't

Names that a reader stumbled over: the scope of the last commit's lease records, and how the bound by crossed calls is set. No change of behaviour.

--- a/crates/cyclamentrail-jobs/src/lease.rs
+++ b/crates/cyclamentrail-jobs/src/lease.rs
@@ -135,9 +135,10 @@
         self.last_grant_ms
     }
 
-    /// Records that calls with times on the clock of an earlier incarnation may have granted a lease
-    /// until `expiry_ms` on the owner's boot clock, and no longer.
-    pub const fn count_crossed(&mut self, expiry_ms: u64) {
+    /// Sets until when crossed calls may have granted a lease, on the owner's boot clock in milliseconds:
+    /// calls to an earlier incarnation, with times on its clock, that this one carries out. What was set
+    /// before doesn't count any more.
+    pub const fn set_crossed_expiry(&mut self, expiry_ms: u64) {
         self.crossed_expiry_ms = expiry_ms;
     }
 
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -296,7 +296,7 @@
     /// Takes the last commit of an owner that gives up the shard. Nothing may be sent to workers from
     /// then on.
     pub fn take_last_commit(&mut self, now: Now) -> Commit {
-        let mut commit = self.collect_commit(now, LeaseRecordScope::All);
+        let mut commit = self.collect_commit(now, LeaseRecordScope::LastCommit);
         self.record_unchanged_runs(now, &mut commit);
         self.record_evacuations(now, &mut commit);
         commit
--- a/crates/cyclamentrail-jobs/src/shard/lease_records.rs
+++ b/crates/cyclamentrail-jobs/src/shard/lease_records.rs
@@ -25,9 +25,9 @@
 pub(super) enum LeaseRecordScope {
     /// Workers with runs that don't respond, as far as their records are old.
     Unreachable,
-    /// All workers with runs that don't respond, that haven't responded to this owner yet, or whose
-    /// leases may last longer than a grant.
-    All,
+    /// Workers with runs that don't respond, that haven't responded to this owner yet, or whose leases may
+    /// last longer than a grant: what the owner that follows has to know.
+    LastCommit,
 }
 
 /// State of a record that the store may hold.
@@ -120,7 +120,7 @@
         }
         for key in keys {
             let id = &self.workers[key].registration.id;
-            let is_last = scope == LeaseRecordScope::All;
+            let is_last = scope == LeaseRecordScope::LastCommit;
             if is_last || self.lease_records.needs_write(id, now) {
                 self.write_lease_record(now, key, commit);
             }
@@ -157,7 +157,7 @@
     fn is_in_scope(&self, now: Now, worker: &Worker, scope: LeaseRecordScope) -> bool {
         match scope {
             LeaseRecordScope::Unreachable => needs_record(worker),
-            LeaseRecordScope::All => {
+            LeaseRecordScope::LastCommit => {
                 let longest_ms = now.boot_ms + self.timing.longest_lease_ms();
                 let may_outlast_grant = self.longest_expiry_ms(now, worker) > longest_ms;
                 let is_unknown = !worker.is_in_contact() || may_outlast_grant;
@@ -193,7 +193,7 @@
                 source = LeaseSource::Record;
                 expiry_ms = now.boot_ms.saturating_add(record.remaining_ms);
                 // What the record says covers calls to earlier incarnations.
-                worker.lease.count_crossed(0);
+                worker.lease.set_crossed_expiry(0);
                 worker.reachability = Reachability::Unreachable {
                     since_ms: now.boot_ms,
                 };
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -290,7 +290,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in restarted {
-            self.workers[key].lease.count_crossed(expiry_ms);
+            self.workers[key].lease.set_crossed_expiry(expiry_ms);
         }
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -89,7 +89,7 @@
             worker.knows_token = true;
             // Calls before the poll may have named times on the clock of an earlier incarnation.
             let longest_ms = self.timing.longest_possible_lease_ms();
-            worker.lease.count_crossed(now.boot_ms + longest_ms);
+            worker.lease.set_crossed_expiry(now.boot_ms + longest_ms);
         }
         worker.has_more_ends = report.may_lack_ends;
         if worker.reachability != Reachability::Reachable {
--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -19,8 +19,8 @@
 /// Time in milliseconds within which a call has a result, longer than its time limit.
 pub(super) const CALLS_UNDER_WAY_MS: u64 = 1_000;
 
-/// Time in milliseconds for which a worker that nobody reaches is expected to carry out calls that had
-/// no response. One that responds rejects them.
+/// Time in milliseconds after a call without a response within which it is expected to be carried out.
+/// Calls to an earlier incarnation are rejected sooner, once the present one knows its token.
 pub(super) const LATE_CALL_MS: u64 = 12_000;
 
 impl Shard {
@@ -42,7 +42,7 @@
         let (given_up, unsettled) = self.record_restart(now, key, &doubtful);
         let new_key = self.insert_worker(now, registration);
         let expiry_ms = self.crossed_expiry_ms(self.last_call_ms(now));
-        self.workers[new_key].lease.count_crossed(expiry_ms);
+        self.workers[new_key].lease.set_crossed_expiry(expiry_ms);
         for &task in &doubtful {
             self.assign_in_doubt(now, key, new_key, task);
         }
--- a/crates/cyclamentrail/src/metrics/catalog.rs
+++ b/crates/cyclamentrail/src/metrics/catalog.rs
@@ -32,7 +32,7 @@
 pub(crate) const TASK_WAITS: &str = "cyclamentrail_task_waits_total";
 /// Times that a worker was avoided: no task was placed on it for some time.
 pub(crate) const WORKERS_AVOIDED: &str = "cyclamentrail_workers_avoided_total";
-/// Runs in progress that workers list though they aren't assigned to them.
+/// Runs in progress that a worker listed though they weren't assigned to it.
 pub(crate) const UNASSIGNED_RUNS: &str = "cyclamentrail_unassigned_runs_total";
 /// Jobs that were given up because workers crashed under one of their tasks.
 pub(crate) const JOBS_GIVEN_UP: &str = "cyclamentrail_jobs_given_up_total";
@@ -220,7 +220,7 @@
         name: UNASSIGNED_RUNS,
         kind: MetricKind::Counter,
         labels: &["service"],
-        help: "Runs in progress that workers list though they aren't assigned to them.",
+        help: "Runs in progress that a worker listed though they weren't assigned to it.",
     },
     Metric {
         name: JOBS_GIVEN_UP,
