--- a/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/crossed_calls.rs
@@ -54,6 +54,15 @@
     sim
 }
 
+/// Returns the same with a run whose start is carried out late.
+fn with_late_start(late_ms: u64) -> Simulation {
+    let mut sim = aged();
+    sim.worker("w0").start_delay_ms = Some(late_ms);
+    sim.submit("a", lasting());
+    sim.run_for(60);
+    sim
+}
+
 /// Cuts the only worker off, beside another one; its run has to be there in the end.
 fn cut_off(sim: &mut Simulation) {
     sim.worker("w0").is_reachable = false;
@@ -63,12 +72,9 @@
 /// Guards against a lease that a late start to an earlier incarnation extends beyond what its owner counts.
 #[rstest]
 fn late_start_extends_lease(#[values(1_500, 3_000, 6_000, 9_000)] late_ms: u64) {
-    let mut sim = aged();
-    sim.worker("w0").start_delay_ms = Some(late_ms);
-    sim.submit("late", lasting());
-    sim.run_for(60);
+    let mut sim = with_late_start(late_ms);
     sim.restart_under_id("w0", UNREGISTERED_MS);
-    sim.submit("a", lasting());
+    sim.submit("b", lasting());
     sim.run_for(1_000);
     cut_off(&mut sim);
     sim.run_for(20_000);
@@ -81,10 +87,7 @@
     #[values(6_500, 8_000, 11_900)] late_ms: u64,
     #[values(OwnerEnd::None, OwnerEnd::HandOver, OwnerEnd::Kill(5_000))] end: OwnerEnd,
 ) {
-    let mut sim = aged();
-    sim.worker("w0").start_delay_ms = Some(late_ms);
-    sim.submit("a", lasting());
-    sim.run_for(60);
+    let mut sim = with_late_start(late_ms);
     sim.restart_under_id("w0", UNREGISTERED_MS);
     cut_off(&mut sim);
     sim.run_for(UNREGISTERED_MS + 500);
@@ -117,10 +120,7 @@
     #[values(6_500, 11_900)] late_ms: u64,
     #[values(OwnerEnd::HandOver, OwnerEnd::Kill(5_000))] end: OwnerEnd,
 ) {
-    let mut sim = aged();
-    sim.worker("w0").start_delay_ms = Some(late_ms);
-    sim.submit("a", lasting());
-    sim.run_for(60);
+    let mut sim = with_late_start(late_ms);
     sim.restart_under_id("w0", UNREGISTERED_MS);
     cut_off(&mut sim);
     sim.run_for(UNREGISTERED_MS + 500);
@@ -162,10 +162,7 @@
 fn start_outlives_listing() {
     let mut listed_runs = 0;
     for restart_ms in (440..740).step_by(4) {
-        let mut sim = aged();
-        sim.worker("w0").start_delay_ms = Some(9_000);
-        sim.submit("a", lasting());
-        sim.run_for(60);
+        let mut sim = with_late_start(9_000);
         sim.worker("w0").start_delay_ms = None;
         sim.run_for(restart_ms);
         sim.restart_under_id("w0", 1_000);
@@ -238,10 +235,7 @@
 #[rstest]
 fn late_start_behind_cut(#[values(4_000, 6_000, 8_000, 11_000)] late_ms: u64) {
     for restart_ms in [1_000, 2_000, 3_500] {
-        let mut sim = aged();
-        sim.worker("w0").start_delay_ms = Some(late_ms);
-        sim.submit("a", lasting());
-        sim.run_for(60);
+        let mut sim = with_late_start(late_ms);
         cut_off(&mut sim);
         sim.run_for(restart_ms);
         sim.restart_under_id("w0", 60_000);
@@ -254,10 +248,7 @@
 /// Guards against waiting for late starts on a worker that is cut off and goes on.
 #[test]
 fn cut_worker_outlived() {
-    let mut sim = aged();
-    sim.worker("w0").start_delay_ms = Some(11_000);
-    sim.submit("a", lasting());
-    sim.run_for(60);
+    let mut sim = with_late_start(11_000);
     cut_off(&mut sim);
     sim.run_for(7_000);
     assert_eq!(sim.running_on("w9"), 1);
--- a/crates/cyclamentrail/src/body/budget.rs
+++ b/crates/cyclamentrail/src/body/budget.rs
@@ -229,16 +229,7 @@
             let Some((key, _)) = holders.max_by_key(|(_, body)| body.cost(now)) else {
                 return false;
             };
-            if let Some(body) = open.remove(key) {
-                let error = CollectError::TurnedAway {
-                    shortage: Shortage::Memory,
-                    held_bytes: body.held_bytes,
-                    open_for: now.saturating_duration_since(body.began),
-                };
-                if body.refusal.send(error).is_ok() {
-                    freed_bytes += body.held_bytes;
-                }
-            }
+            freed_bytes += turn_away(&mut open, key, Shortage::Memory, now);
         }
         true
     }
