test(review): a stale order arrives after a cut

Cause: an order for a machine that gets no response in time is given up by closing its connection in order, so that bytes that a cut holds up arrive when it ends, long after the next holder's pause. The stand-ins get links that can be cut and a service for machines.

--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -15,6 +15,7 @@
 mod gang;
 mod hopeless;
 mod lost_worker;
+mod stale_order;
 
 /// Time after the end of the traffic at which jobs are asked for, `finish_s`.
 const FINISH: Duration = Duration::from_secs(14);
@@ -33,6 +34,7 @@
         "crashes" => crashes::run(folder, record, has_trouble).await,
         "gang" => gang::run(folder, record, has_trouble).await,
         "lost-worker" => lost_worker::run(folder, record, has_trouble).await,
+        "stale-order" => stale_order::run(folder, record, has_trouble).await,
         _ => Err(format!("no case {case}").into()),
     }
 }
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -2,6 +2,8 @@
 //! 2 if the case couldn't run. With `TROUBLE=0` there is no disruption.
 
 mod cases;
+mod machines;
+mod proxy;
 mod record;
 mod site;
 mod worker;
--- a/review/standin-3/src/site.rs
+++ b/review/standin-3/src/site.rs
@@ -8,13 +8,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use axum::routing::get;
-use axum::{Json, Router};
 use cyclamentrail_standin::{JobStore, ProcessPorts, Served};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::machines::{Machines, Order};
+use crate::proxy::{self, Cut, Watch};
 use crate::record::Record;
 use crate::worker::{Kind, Workers};
 
@@ -55,8 +55,10 @@
     processes: Vec<Process>,
     next_process: AtomicU64,
     folder: PathBuf,
-    _machines: Served,
-    _store: Arc<JobStore>,
+    machines: Arc<Machines>,
+    served_machines: Served,
+    store: Arc<JobStore>,
+    cuts: Vec<Arc<Cut>>,
 }
 
 impl Drop for Site {
@@ -90,18 +92,34 @@
         processes: usize,
         kinds: Vec<Kind>,
         queues: &[Queue],
+    ) -> Result<Self, Error> {
+        Self::start_with(record, processes, kinds, queues, None).await
+    }
+
+    /// Does the same, with links to the platform that can be cut; `watch` sees what is sent to the service
+    /// for machines.
+    pub async fn start_cuttable(
+        record: &Arc<Record>,
+        processes: usize,
+        kinds: Vec<Kind>,
+        queues: &[Queue],
+        watch: Watch,
+    ) -> Result<Self, Error> {
+        Self::start_with(record, processes, kinds, queues, Some(watch)).await
+    }
+
+    async fn start_with(
+        record: &Arc<Record>,
+        processes: usize,
+        kinds: Vec<Kind>,
+        queues: &[Queue],
+        watch: Option<Watch>,
     ) -> Result<Self, Error> {
         let store = Arc::new(JobStore::start(SocketAddr::from(([127, 0, 0, 1], 0))).await?);
         store.put("keyed.op", "config", &configuration(queues));
         let workers = Workers::start(kinds, &store, record).await?;
         workers.register_all();
-        let listed = Arc::clone(&workers);
-        let list = move || {
-            let listed = Arc::clone(&listed);
-            async move { Json(json!({"Machines": listed.machines(), "NextToken": null})) }
-        };
-        let router = Router::new().route("/machines", get(list));
-        let machines = Served::start(SocketAddr::from(([127, 0, 0, 1], 0)), router).await?;
+        let (machines, served_machines) = Machines::start(&workers, record).await?;
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let mut site = Self {
@@ -110,11 +128,21 @@
             processes: Vec::new(),
             next_process: AtomicU64::new(0),
             folder,
-            _machines: machines,
-            _store: store,
+            machines,
+            served_machines,
+            store,
+            cuts: Vec::new(),
         };
         for index in 0..processes {
-            let process = site.start_process(index)?;
+            let mut store = site.store.address();
+            let mut cloud = site.served_machines.address();
+            if let Some(watch) = &watch {
+                let cut = Cut::new(format!("edge-zone-a-{index}"), record);
+                store = proxy::start(store, Arc::clone(&cut), None).await?;
+                cloud = proxy::start(cloud, Arc::clone(&cut), Some(Arc::clone(watch))).await?;
+                site.cuts.push(cut);
+            }
+            let process = site.start_process(index, store, cloud)?;
             site.processes.push(process);
         }
         site.wait_ready().await?;
@@ -122,10 +150,9 @@
     }
 
     /// Starts a process with the command of the deploy file and settings as DEPLOY.md shows them.
-    fn start_process(&self, index: usize) -> Result<Process, Error> {
+    fn start_process(&self, index: usize, store: SocketAddr, cloud: SocketAddr) -> Result<Process, Error> {
         let ports = ProcessPorts::allocate()?;
         let path = self.folder.join(format!("edge-{index}.conf"));
-        let store = self._store.address();
         let text = format!(
             "NodeName=edge-zone-a-{index}\nRole=edge\nMachineClass=edge\nServes=edge\nIp=127.0.0.1\n\
              Zone=zone-a\nRegion=region-a\nZones.zone-a=region-a\nListen.Front=127.0.0.1:{front}\n\
@@ -151,7 +178,6 @@
             ready = ports.ready,
             first = ports.internal,
             last = ports.internal + 1,
-            cloud = self._machines.address(),
         );
         std::fs::write(&path, text)?;
         let log = std::fs::File::create(self.folder.join(format!("edge-{index}.log")))?;
@@ -186,6 +212,30 @@
         Ok(())
     }
 
+    /// Ends the cut of a process.
+    pub fn end_cut(&self, name: &str) {
+        for cut in self.cuts.iter().filter(|cut| cut.name == name) {
+            cut.set(false);
+        }
+    }
+
+    /// Asks for a wave of upkeep.
+    pub fn ask_wave(&self, number: u64, machines: &[String], duration_s: u64, cap: u64) {
+        let wave = json!({"Wave": number, "Machines": machines, "DurationS": duration_s, "Cap": cap});
+        self.record.line(&format!("op/wave/{number} {wave}"));
+        self.store.put("keyed.op", &format!("wave/{number}"), &wave);
+    }
+
+    /// Returns the orders that the service for machines got.
+    pub fn orders(&self) -> Vec<Order> {
+        self.machines.orders()
+    }
+
+    /// Returns the number of machines that have begun their upkeep.
+    pub fn kept(&self) -> usize {
+        self.machines.kept()
+    }
+
     /// Copies the logs of the processes beside the record, where the variable KEEP_LOGS asks for it.
     pub fn keep_logs(&self, folder: &Path) {
         if std::env::var("KEEP_LOGS").is_ok() {
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -248,6 +248,19 @@
         Ok(())
     }
 
+    /// Starts a new worker on the machine of one that has ended, under another id.
+    pub async fn renew(self: &Arc<Self>, index: usize) -> std::io::Result<()> {
+        let earlier = {
+            let mut workers = lock(&self.workers);
+            let id = &mut workers[index].kind.id;
+            let earlier = id.clone();
+            id.push('n');
+            earlier
+        };
+        self.store.put("keyed.servers", &earlier, &Value::Null);
+        self.restart(index).await
+    }
+
     /// Sets whether every run that begins on a worker fails.
     pub fn set_failing(&self, index: usize, fails_all: bool) {
         let mut workers = lock(&self.workers);
