--- a/review/standin-3/src/cases/gang.rs
+++ b/review/standin-3/src/cases/gang.rs
@@ -4,9 +4,9 @@
 
 const SERVICE: &str = "svc-cruce";
 const WORKERS: usize = 12;
-const TRAFFIC: u64 = 200;
-const GAP: Duration = Duration::from_millis(100);
-const MEMBERS: u64 = 4;
+const TRAFFIC: u64 = 120;
+const GAP: Duration = Duration::from_millis(150);
+const MEMBERS: u64 = 8;
 const WORK_MS: u64 = 1_300;
 /// Queue's `MaxAttempts`.
 const MAX_ATTEMPTS: usize = 4;
--- a/review/standin-3/src/cases/stale_order.rs
+++ b/review/standin-3/src/cases/stale_order.rs
@@ -9,7 +9,7 @@
 const WORKERS: usize = 8;
 /// One machine of six is cut off.
 const PROCESSES: usize = 6;
-const CUT: Duration = Duration::from_millis(5_500);
+const CUT: Duration = Duration::from_millis(8_000);
 /// Time of the wave, `DurationS`, and the machines that may be away at once, `Cap`.
 const WAVE_S: u64 = 26;
 const CAP: u64 = 2;
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -27,7 +27,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Time that a stop takes; at most `StopMs`, which is 900.
 const STOP: Duration = Duration::from_millis(100);
-/// Time after which a worker that fails all that it starts ends a run.
+/// Time for which a run works on a worker that fails all that it starts.
 const FAIL_AFTER: Duration = Duration::from_millis(40);
 /// Time from the start of a task that lasts until it is at work.
 const STARTUP: Duration = Duration::from_millis(300);
@@ -339,7 +339,9 @@
                 let how = match (run.stopping, run.behaviour) {
                     _ if has_lapsed => Some("lapsed"),
                     (Some(since), _) => (now >= since + STOP).then_some("stopped"),
-                    _ if run.fails && now >= run.began + FAIL_AFTER => Some("failed"),
+                    _ if run.fails && run.works_since.is_some_and(|since| now >= since + FAIL_AFTER) => {
+                        Some("failed")
+                    }
                     (None, Behaviour::Work(ms) | Behaviour::Gang { work_ms: ms, .. }) => run
                         .works_since
                         .is_some_and(|since| now >= since + Duration::from_millis(ms))
