test(review): a late start begins on the third life of its worker

Cause: a start without an outcome is taken for over once the next incarnation of its worker knows its fencing token; the one after that has seen none and carries the start out (KNOWN-RED.txt, entry 6).

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 standin=target/review-3/release/standin-3
 [ -x "$standin" ] && [ -x target/release/cyclamentrail ] || { echo "build first"; exit 2; }
-exec "$standin" crashes review/13
+exec "$standin" late-start review/13
