--- a/review/standin-3/src/cases/gang.rs
+++ b/review/standin-3/src/cases/gang.rs
@@ -45,14 +45,21 @@
     let mut failed = Vec::new();
     for (id, _) in states.iter().filter(|(_, state)| state == "failed") {
         let ends = site.workers.ends_of(id);
-        let mut runs: Vec<u64> = ends.iter().filter(|end| end.how == "failed").map(|end| end.run).collect();
+        let mut runs: Vec<u64> = ends
+            .iter()
+            .filter(|end| end.how == "failed")
+            .map(|end| end.run)
+            .collect();
         runs.sort_unstable();
         runs.dedup();
         if runs.len() < MAX_ATTEMPTS {
             failed.push((id.clone(), runs.len()));
         }
     }
-    let completed = states.iter().filter(|(_, state)| state == "completed").count();
+    let completed = states
+        .iter()
+        .filter(|(_, state)| state == "completed")
+        .count();
     site.keep_logs(folder);
     Ok(Verdict {
         is_broken: !failed.is_empty(),
--- a/review/standin-3/src/cases/hopeless.rs
+++ b/review/standin-3/src/cases/hopeless.rs
@@ -73,7 +73,10 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let final_states = states(&site, &idle).await;
-    let never = idle.iter().filter(|id| site.workers.starts_of(id) == 0).count();
+    let never = idle
+        .iter()
+        .filter(|id| site.workers.starts_of(id) == 0)
+        .count();
     let capacity = WORKERS as u64 * WORKER_CPU;
     let in_use_percent = most_in_use * 100 / capacity;
     site.keep_logs(folder);
--- a/review/standin-3/src/cases/late_start.rs
+++ b/review/standin-3/src/cases/late_start.rs
@@ -24,7 +24,10 @@
     }
     let id = job_id(1, 0);
     let step = json!({"Count": 1, "Cpu": 3_800, "MemMb": 7_800, "EstimateMs": WORK_MS});
-    if !site.submit("/q/", &id, &job(&format!("work {WORK_MS}"), step)).await {
+    if !site
+        .submit("/q/", &id, &job(&format!("work {WORK_MS}"), step))
+        .await
+    {
         return Err("the job isn't accepted".into());
     }
     let began = Instant::now();
@@ -64,7 +67,9 @@
     let state = site.state("/q/", &id).await;
     site.keep_logs(folder);
     let seen = match &doubled {
-        Some((after_ms, running)) => format!("{after_ms} ms after the acceptance the task runs twice: {running:?}"),
+        Some((after_ms, running)) => {
+            format!("{after_ms} ms after the acceptance the task runs twice: {running:?}")
+        }
         None => String::from("the task never runs twice at a time"),
     };
     Ok(Verdict {
--- a/review/standin-3/src/cases/lost_worker.rs
+++ b/review/standin-3/src/cases/lost_worker.rs
@@ -28,7 +28,11 @@
     let lasting = submit_all(&site, Duration::from_millis(100), lasting).await;
     let all_work = || site.workers.loads().iter().sum::<usize>() == lasting.len() * WORKERS;
     if lasting.len() < LASTING as usize || !wait_until(Duration::from_secs(15), all_work).await {
-        return Err(format!("the jobs that last aren't at work: {:?}", site.workers.loads()).into());
+        return Err(format!(
+            "the jobs that last aren't at work: {:?}",
+            site.workers.loads()
+        )
+        .into());
     }
     record.line("the jobs that last are at work");
     let loss = {
@@ -62,15 +66,23 @@
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_secs(3) {
         idle.retain(|id| !site.workers.runs(id));
-        let lasting_tasks = lasting.iter().map(|id| site.workers.tasks(id)).sum::<usize>() as u64;
+        let lasting_tasks = lasting
+            .iter()
+            .map(|id| site.workers.tasks(id))
+            .sum::<usize>() as u64;
         let all_tasks = site.workers.loads().iter().sum::<usize>() as u64;
         let ordinary_tasks = all_tasks.saturating_sub(lasting_tasks);
         most_in_use = most_in_use.max(lasting_tasks * LASTING_CPU + ordinary_tasks * TASK_CPU);
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     let final_states = states(&site, &idle).await;
-    let never = idle.iter().filter(|id| site.workers.starts_of(id) == 0).count();
-    let up = (0..WORKERS).filter(|index| site.workers.is_up(*index)).count() as u64;
+    let never = idle
+        .iter()
+        .filter(|id| site.workers.starts_of(id) == 0)
+        .count();
+    let up = (0..WORKERS)
+        .filter(|index| site.workers.is_up(*index))
+        .count() as u64;
     let in_use_percent = most_in_use * 100 / (up * WORKER_CPU);
     site.keep_logs(folder);
     let shown: Vec<&(String, String)> = final_states.iter().take(3).collect();
--- a/review/standin-3/src/cases/stale_order.rs
+++ b/review/standin-3/src/cases/stale_order.rs
@@ -23,14 +23,25 @@
         let has_cut = Arc::clone(&has_cut);
         Arc::new(move |cut: &Cut, bytes: &[u8]| {
             let is_order = bytes.starts_with(b"POST /machine-upkeep ");
-            let count = if is_order { seen.fetch_add(1, Ordering::SeqCst) + 1 } else { 0 };
+            let count = if is_order {
+                seen.fetch_add(1, Ordering::SeqCst) + 1
+            } else {
+                0
+            };
             if has_trouble && count == 2 && !has_cut.swap(true, Ordering::SeqCst) {
                 cut.set(true);
                 drop(start_cut.send(cut.name.clone()));
             }
         })
     };
-    let site = Site::start_cuttable(record, PROCESSES, workers(WORKERS, SERVICE), &[queue(SERVICE)], watch).await?;
+    let site = Site::start_cuttable(
+        record,
+        PROCESSES,
+        workers(WORKERS, SERVICE),
+        &[queue(SERVICE)],
+        watch,
+    )
+    .await?;
     let site = Arc::new(site);
     let ending = {
         let site = Arc::clone(&site);
@@ -57,7 +68,9 @@
     let orders = site.orders();
     let mut stale = Vec::new();
     for (number, order) in orders.iter().enumerate() {
-        let earlier = orders[..number].iter().filter(|earlier| earlier.machine == order.machine);
+        let earlier = orders[..number]
+            .iter()
+            .filter(|earlier| earlier.machine == order.machine);
         if let Some(higher) = earlier.clone().find(|earlier| earlier.token > order.token) {
             stale.push(format!(
                 "{}: {} with token {} after {} with {}",
--- a/review/standin-3/src/machines.rs
+++ b/review/standin-3/src/machines.rs
@@ -37,7 +37,10 @@
 }
 
 impl Machines {
-    pub async fn start(workers: &Arc<Workers>, record: &Arc<Record>) -> std::io::Result<(Arc<Self>, Served)> {
+    pub async fn start(
+        workers: &Arc<Workers>,
+        record: &Arc<Record>,
+    ) -> std::io::Result<(Arc<Self>, Served)> {
         let machines = Arc::new(Self {
             workers: Arc::clone(workers),
             record: Arc::clone(record),
@@ -53,11 +56,17 @@
     }
 
     pub fn orders(&self) -> Vec<Order> {
-        self.orders.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.orders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     pub fn kept(&self) -> usize {
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner).len()
+        self.kept
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .len()
     }
 }
 
@@ -70,18 +79,29 @@
     headers: HeaderMap,
     Json(body): Json<Value>,
 ) -> Response {
-    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("");
+    let text = |name: &str| {
+        headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("")
+    };
     let machine = body["Machine"].as_str().unwrap_or("").to_owned();
     let order = Order {
         machine: machine.clone(),
         holder: text("lease-holder").to_owned(),
         token: text("fencing-token").parse().unwrap_or(0),
     };
-    let index: Option<usize> = machine.strip_prefix("m-").and_then(|number| number.parse().ok());
+    let index: Option<usize> = machine
+        .strip_prefix("m-")
+        .and_then(|number| number.parse().ok());
     let Some(index) = index.filter(|index| *index < machines.workers.count()) else {
         return StatusCode::BAD_REQUEST.into_response();
     };
-    let is_new = machines.kept.lock().unwrap_or_else(PoisonError::into_inner).insert(machine);
+    let is_new = machines
+        .kept
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .insert(machine);
     machines.record.line(&format!(
         "the machine service gets: upkeep of {} from {} with fencing token {}{}",
         order.machine,
@@ -89,7 +109,11 @@
         order.token,
         if is_new { "" } else { " (done already)" }
     ));
-    machines.orders.lock().unwrap_or_else(PoisonError::into_inner).push(order);
+    machines
+        .orders
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .push(order);
     if is_new {
         machines.workers.crash(index);
         let workers = Arc::clone(&machines.workers);
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -34,7 +34,11 @@
     let folder = PathBuf::from(folder);
     let has_trouble = std::env::var("TROUBLE").is_ok_and(|value| value == "0");
     let has_trouble = !has_trouble;
-    let runtime = match tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("{error}");
--- a/review/standin-3/src/proxy.rs
+++ b/review/standin-3/src/proxy.rs
@@ -37,7 +37,10 @@
 
     pub fn set(&self, is_cut: bool) {
         let word = if is_cut { "begins" } else { "ends" };
-        self.record.line(&format!("the cut of {} from the platform {word}", self.name));
+        self.record.line(&format!(
+            "the cut of {} from the platform {word}",
+            self.name
+        ));
         self.is_cut.send_replace(is_cut);
     }
 
@@ -55,7 +58,11 @@
 pub type Watch = Arc<dyn Fn(&Cut, &[u8]) + Send + Sync>;
 
 /// Starts a link to an address; returns the address that the process is given instead.
-pub async fn start(target: SocketAddr, cut: Arc<Cut>, watch: Option<Watch>) -> std::io::Result<SocketAddr> {
+pub async fn start(
+    target: SocketAddr,
+    cut: Arc<Cut>,
+    watch: Option<Watch>,
+) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
     let address = listener.local_addr()?;
     tokio::spawn(async move {
@@ -81,7 +88,12 @@
     pass(client_reader, server_writer, cut, watch).await;
 }
 
-async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, cut: Arc<Cut>, watch: Option<Watch>) {
+async fn pass(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    cut: Arc<Cut>,
+    watch: Option<Watch>,
+) {
     let mut buffer = vec![0; 65_536];
     loop {
         let Ok(count) = from.read(&mut buffer).await else {
@@ -101,11 +113,13 @@
                 // The sender has reset the connection.
                 Err(error) => {
                     let lost = held.len();
-                    cut.record.line(&format!("{lost} bytes that were held up are lost: {error}"));
+                    cut.record
+                        .line(&format!("{lost} bytes that were held up are lost: {error}"));
                     return;
                 }
             }
-            cut.record.line(&format!("{} bytes that were held up arrive", held.len()));
+            cut.record
+                .line(&format!("{} bytes that were held up arrive", held.len()));
         }
         if !held.is_empty() && to.write_all(&held).await.is_err() {
             return;
--- a/review/standin-3/src/site.rs
+++ b/review/standin-3/src/site.rs
@@ -150,7 +150,12 @@
     }
 
     /// Starts a process with the command of the deploy file and settings as DEPLOY.md shows them.
-    fn start_process(&self, index: usize, store: SocketAddr, cloud: SocketAddr) -> Result<Process, Error> {
+    fn start_process(
+        &self,
+        index: usize,
+        store: SocketAddr,
+        cloud: SocketAddr,
+    ) -> Result<Process, Error> {
         let ports = ProcessPorts::allocate()?;
         let path = self.folder.join(format!("edge-{index}.conf"));
         let text = format!(
@@ -189,7 +194,10 @@
             .stderr(log)
             .spawn()
             .map_err(|error| format!("target/release/cyclamentrail: {error}; build it first"))?;
-        self.record.line(&format!("process edge-zone-a-{index} starts, pid {}", child.id()));
+        self.record.line(&format!(
+            "process edge-zone-a-{index} starts, pid {}",
+            child.id()
+        ));
         Ok(Process {
             child,
             front: SocketAddr::from(([127, 0, 0, 1], ports.caller)),
@@ -221,7 +229,8 @@
 
     /// Asks for a wave of upkeep.
     pub fn ask_wave(&self, number: u64, machines: &[String], duration_s: u64, cap: u64) {
-        let wave = json!({"Wave": number, "Machines": machines, "DurationS": duration_s, "Cap": cap});
+        let wave =
+            json!({"Wave": number, "Machines": machines, "DurationS": duration_s, "Cap": cap});
         self.record.line(&format!("op/wave/{number} {wave}"));
         self.store.put("keyed.op", &format!("wave/{number}"), &wave);
     }
@@ -252,9 +261,15 @@
         let process = &self.processes[turn % self.processes.len()];
         let answer = call(process.front, method, path, body).await;
         match &answer {
-            Answer::Status(status, Value::Null) => self.record.line(&format!("{method} {path} -> {status}")),
-            Answer::Status(status, body) => self.record.line(&format!("{method} {path} -> {status} {body}")),
-            Answer::None(cause) => self.record.line(&format!("{method} {path} -> no answer ({cause})")),
+            Answer::Status(status, Value::Null) => {
+                self.record.line(&format!("{method} {path} -> {status}"))
+            }
+            Answer::Status(status, body) => self
+                .record
+                .line(&format!("{method} {path} -> {status} {body}")),
+            Answer::None(cause) => self
+                .record
+                .line(&format!("{method} {path} -> no answer ({cause})")),
         }
         answer
     }
@@ -338,7 +353,10 @@
     stream.read_to_end(&mut response).await?;
     let text = String::from_utf8_lossy(&response);
     let (head, body) = text.split_once("\r\n\r\n").ok_or("no whole response")?;
-    let status = head.split_whitespace().nth(1).and_then(|word| word.parse().ok());
+    let status = head
+        .split_whitespace()
+        .nth(1)
+        .and_then(|word| word.parse().ok());
     let value = serde_json::from_str(body).unwrap_or(Value::Null);
     Ok(Answer::Status(status.ok_or("no status")?, value))
 }
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -55,7 +55,12 @@
 impl Behaviour {
     fn parse(text: &str) -> Self {
         let words: Vec<&str> = text.split_whitespace().collect();
-        let number = |index: usize| words.get(index).and_then(|word| word.parse().ok()).unwrap_or(1_000);
+        let number = |index: usize| {
+            words
+                .get(index)
+                .and_then(|word| word.parse().ok())
+                .unwrap_or(1_000)
+        };
         match words.first() {
             Some(&"lasts") => Self::Lasts,
             Some(&"gang") => Self::Gang {
@@ -147,7 +152,9 @@
 }
 
 fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis() as u64)
 }
 
 /// Returns job, occurrence and step of a task.
@@ -176,7 +183,8 @@
             record: Arc::clone(record),
         });
         for (index, kind) in kinds.into_iter().enumerate() {
-            let served = Served::start(SocketAddr::from(([127, 0, 0, 1], 0)), all.router(index)).await?;
+            let served =
+                Served::start(SocketAddr::from(([127, 0, 0, 1], 0)), all.router(index)).await?;
             lock(&all.workers).push(Worker {
                 kind,
                 address: served.address(),
@@ -228,10 +236,16 @@
         let lost = std::mem::take(&mut worker.running);
         let id = worker.kind.id.clone();
         drop(workers);
-        self.record.line(&format!("worker {id} crashes with {} runs", lost.len()));
+        self.record
+            .line(&format!("worker {id} crashes with {} runs", lost.len()));
         for (task, run) in lost.into_keys() {
-            self.record.line(&format!("run {task} #{run} on {id}: lost with its worker"));
-            lock(&self.ends).push(End { task, run, how: "lost" });
+            self.record
+                .line(&format!("run {task} #{run} on {id}: lost with its worker"));
+            lock(&self.ends).push(End {
+                task,
+                run,
+                how: "lost",
+            });
         }
     }
 
@@ -252,7 +266,8 @@
             worker.last_end = 0;
             worker.past_runs.clear();
             worker.down_since = None;
-            self.record.line(&format!("worker {} is up again", worker.kind.id));
+            self.record
+                .line(&format!("worker {} is up again", worker.kind.id));
         }
         self.register(index);
         Ok(())
@@ -277,7 +292,9 @@
         workers[index].fails_all = fails_all;
         let id = workers[index].kind.id.clone();
         drop(workers);
-        self.record.line(&format!("worker {id} fails all that it starts: {fails_all}"));
+        self.record.line(&format!(
+            "worker {id} fails all that it starts: {fails_all}"
+        ));
     }
 
     /// Leaves the next start on any worker unanswered, and carries it out late.
@@ -300,7 +317,11 @@
         workers[index].is_cut = is_cut;
         let id = workers[index].kind.id.clone();
         drop(workers);
-        let word = if is_cut { "is cut off" } else { "is reached again" };
+        let word = if is_cut {
+            "is cut off"
+        } else {
+            "is reached again"
+        };
         self.record.line(&format!("worker {id} {word}"));
     }
 
@@ -315,7 +336,10 @@
         let up = workers.iter().filter(|worker| worker.served.is_some());
         up.flat_map(|worker| {
             let id = worker.kind.id.clone();
-            worker.running.keys().map(move |(task, run)| (id.clone(), task.clone(), *run))
+            worker
+                .running
+                .keys()
+                .map(move |(task, run)| (id.clone(), task.clone(), *run))
         })
         .collect()
     }
@@ -357,7 +381,9 @@
                 }
                 let mut workers = lock(&self.workers);
                 let worker = &mut workers[index];
-                let is_silent = worker.down_since.is_some_and(|since| since.elapsed() > 3 * HEARTBEAT);
+                let is_silent = worker
+                    .down_since
+                    .is_some_and(|since| since.elapsed() > 3 * HEARTBEAT);
                 let is_removed = is_silent && worker.is_listed;
                 worker.is_listed &= !is_removed;
                 let id = worker.kind.id.clone();
@@ -392,7 +418,11 @@
                 let how = match (run.stopping, run.behaviour) {
                     _ if has_lapsed => Some("lapsed"),
                     (Some(since), _) => (now >= since + STOP).then_some("stopped"),
-                    _ if run.fails && run.works_since.is_some_and(|since| now >= since + FAIL_AFTER) => {
+                    _ if run.fails
+                        && run
+                            .works_since
+                            .is_some_and(|since| now >= since + FAIL_AFTER) =>
+                    {
                         Some("failed")
                     }
                     (None, Behaviour::Work(ms) | Behaviour::Gang { work_ms: ms, .. }) => run
@@ -433,11 +463,12 @@
         }
         drop(workers);
         for (task, run, how, _, worker) in &ended {
-            self.record.line(&format!("run {task} #{run} on {worker}: {how}"));
+            self.record
+                .line(&format!("run {task} #{run} on {worker}: {how}"));
             lock(&self.ends).push(End {
                 task: task.clone(),
                 run: *run,
-                how: *how,
+                how,
             });
         }
         ended.len()
@@ -480,7 +511,11 @@
 
     /// Returns the ends of a job's runs.
     pub fn ends_of(&self, job: &str) -> Vec<End> {
-        lock(&self.ends).iter().filter(|end| job_of(&end.task) == job).cloned().collect()
+        lock(&self.ends)
+            .iter()
+            .filter(|end| job_of(&end.task) == job)
+            .cloned()
+            .collect()
     }
 
     /// Waits forever if a worker is cut off.
@@ -492,13 +527,18 @@
 
     /// Returns the number of a job's runs that workers began.
     pub fn starts_of(&self, job: &str) -> usize {
-        lock(&self.starts).iter().filter(|(task, _)| job_of(task) == job).count()
+        lock(&self.starts)
+            .iter()
+            .filter(|(task, _)| job_of(task) == job)
+            .count()
     }
 
     /// Returns whether a worker runs a task of a job.
     pub fn runs(&self, job: &str) -> bool {
         let workers = lock(&self.workers);
-        workers.iter().any(|worker| worker.running.keys().any(|(task, _)| job_of(task) == job))
+        workers
+            .iter()
+            .any(|worker| worker.running.keys().any(|(task, _)| job_of(task) == job))
     }
 
     /// Returns the number of a job's runs that are on workers.
@@ -510,7 +550,10 @@
 
     /// Returns the number of runs on each worker.
     pub fn loads(&self) -> Vec<usize> {
-        lock(&self.workers).iter().map(|worker| worker.running.len()).collect()
+        lock(&self.workers)
+            .iter()
+            .map(|worker| worker.running.len())
+            .collect()
     }
 }
 
@@ -518,7 +561,9 @@
 
 /// Checks what every call carries; returns the response to a call that isn't carried out.
 fn check(worker: &mut Worker, headers: &HeaderMap, body: &Value) -> Option<Response> {
-    let expected = headers.get("expect-instance").and_then(|id| id.to_str().ok());
+    let expected = headers
+        .get("expect-instance")
+        .and_then(|id| id.to_str().ok());
     if expected.is_some_and(|id| id != worker.kind.id) {
         return Some(StatusCode::MISDIRECTED_REQUEST.into_response());
     }
@@ -563,14 +608,18 @@
     };
     let id = lock(&all.workers)[index].kind.id.clone();
     let (task, run) = task_and_run(&body);
-    all.record.line(&format!("the start of run {task} #{run} on {id} gets no answer"));
+    all.record.line(&format!(
+        "the start of run {task} #{run} on {id} gets no answer"
+    ));
     all.delay_no_start();
     *lock(&all.delayed) = Some(index);
     tokio::spawn(async move {
         tokio::time::sleep(delay).await;
         let response = carry_out_start(&all, index, &headers, &body);
         let status = response.status();
-        all.record.line(&format!("the late start of run {task} #{run} on {id} is carried out: {status}"));
+        all.record.line(&format!(
+            "the late start of run {task} #{run} on {id} is carried out: {status}"
+        ));
     });
     std::future::pending().await
 }
@@ -586,7 +635,11 @@
         extend_lease(worker, body);
         return accepted(worker);
     }
-    if worker.past_runs.get(&key.0).is_some_and(|past| *past >= key.1) {
+    if worker
+        .past_runs
+        .get(&key.0)
+        .is_some_and(|past| *past >= key.1)
+    {
         extend_lease(worker, body);
         return conflict(worker, "old");
     }
@@ -608,7 +661,8 @@
     let id = worker.kind.id.clone();
     let response = accepted(worker);
     drop(workers);
-    all.record.line(&format!("run {} #{} begins on {id}", key.0, key.1));
+    all.record
+        .line(&format!("run {} #{} begins on {id}", key.0, key.1));
     lock(&all.starts).push(key);
     response
 }
@@ -684,7 +738,9 @@
         .running
         .iter()
         .map(|((task, number), run)| {
-            let worked = run.works_since.map_or(0, |since| since.elapsed().as_millis() as u64);
+            let worked = run
+                .works_since
+                .map_or(0, |since| since.elapsed().as_millis() as u64);
             let percent = match run.behaviour {
                 Behaviour::Work(ms) | Behaviour::Gang { work_ms: ms, .. } => {
                     (worked * 100 / ms.max(1)).min(99)
