fix(jobs): steps that lack a worker stop no other step

Cause: a placement pass left out all further steps that only some workers may run once 48 of them had found no room, and began anew in the same order each time. Jobs that last stand first; 50 of them lacked the lost worker. Ruled out: avoided or unreachable workers (no such lines; 47 lasting jobs stop nobody, 48 all).

Change: a step without a worker is set aside until a worker has gained room, which each pass sees from the workers. A pass is bounded by its looks at workers: half for the first steps of the ranking, half for those at which the last one stopped.

--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -164,6 +164,11 @@
     failing_services: failing_services::FailingServices,
     grants: Grants,
     open_starts: open_starts::OpenStarts,
+    set_aside: placement::SetAside,
+    /// Index of the waiting step at which the last placement pass stopped, 0 if it reached all.
+    resumed_step: usize,
+    /// Number of times that placement passes looked at a worker.
+    placement_looks: u64,
     quota: quota::Quota,
     /// Number of queries to queue policies that have no result yet.
     open_queries: usize,
@@ -261,6 +266,12 @@
             || self.lease_records.are_due()
     }
 
+    /// Returns how often placement passes have looked at a worker.
+    #[must_use]
+    pub const fn placement_looks(&self) -> u64 {
+        self.placement_looks
+    }
+
     /// Takes the effects that may happen at once, without a commit.
     pub fn take_ready(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.ready_effects)
@@ -468,6 +479,7 @@
         };
         self.quota.subtract(job.team.as_ref(), &full_demand);
         self.team_table.count_released(job, &demand);
+        self.take_back(key);
         self.dirty.insert(key.job);
         let Some(worker) = self.workers.get_mut(placement.worker) else {
             return;
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -19,23 +19,24 @@
 use crate::{RecentLoss, Resources, StepSpec};
 
 mod gang;
+mod set_aside;
 mod suspect;
 
+pub(super) use set_aside::SetAside;
+
 /// Part of the workers, as a divisor, that may be about to respond for the first time while tasks are
 /// placed.
 const AWAITED_DIVISOR: usize = 10;
 /// Number of distinct demands without room after which a placement pass ends.
 const MAX_UNPLACEABLE: usize = 12;
-/// Number of steps that only some workers may run, and found no room, after which a pass leaves the
-/// other steps of this kind to the next one.
-const MAX_RESTRICTED_FAILURES: u32 = 48;
-
+/// Number of times that a pass looks at a worker, as a rule: a step that was begun is finished.
+const MAX_LOOKS: u64 = 16_384;
 /// Number of tasks that a pass places, unless a gang has more; the next round goes on.
 const MAX_PLACED_TASKS: usize = 1_024;
 
 /// A step with tasks to place whose preceding steps are done.
-#[derive(Debug, Clone, Copy)]
-struct ReadyStep {
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct ReadyStep {
     job: JobKey,
     occurrence: u32,
     step: u32,
@@ -46,9 +47,8 @@
 struct PlacementPass {
     /// Demands for which no worker has room.
     unplaceable: Vec<Resources>,
-    /// Number of steps without room that only some workers may run. They tell nothing about the
-    /// room for other steps.
-    restricted_failures: u32,
+    /// Number of times that it looked at a worker.
+    looks: u64,
     /// Number of tasks that were placed.
     placed: usize,
     /// Workers with long-running tasks.
@@ -60,27 +60,10 @@
 }
 
 impl PlacementPass {
-    /// Returns whether there is no need to look for a worker for a step.
-    fn is_hopeless(&self, is_restricted: bool, demand: &Resources) -> bool {
-        if is_restricted {
-            self.restricted_failures >= MAX_RESTRICTED_FAILURES
-        } else {
-            self.unplaceable.contains(demand)
-        }
-    }
-
     /// Returns whether the pass has to end.
     const fn is_over(&self) -> bool {
         self.unplaceable.len() >= MAX_UNPLACEABLE || self.placed >= MAX_PLACED_TASKS
     }
-
-    fn record_failure(&mut self, is_restricted: bool, demand: Resources) {
-        if is_restricted {
-            self.restricted_failures += 1;
-        } else {
-            self.unplaceable.push(demand);
-        }
-    }
 }
 
 /// A step whose tasks are being placed, one after the other.
@@ -151,14 +134,44 @@
             recent_loss: self.recent_loss.filter(|loss| loss.is_recent(now)),
             ..PlacementPass::default()
         };
-        for (_, key) in waiting {
-            for ready_step in self.ready_steps(key) {
-                if pass.is_over() {
-                    return;
-                }
-                self.place_step(now, ready_step, &mut pass);
+        self.begin_set_aside(now, &pass.isolation);
+        let keys = waiting.iter().map(|(_, key)| *key);
+        let steps: Vec<ReadyStep> = keys.flat_map(|key| self.ready_steps(key)).collect();
+        self.place_in_turn(now, &steps, &mut pass);
+        self.placement_looks += pass.looks;
+    }
+
+    /// Places the tasks of steps: of the first ones with half of the looks, and of those at which the last
+    /// pass stopped with the other half, so that each step is reached whatever stands before it.
+    fn place_in_turn(&mut self, now: Now, steps: &[ReadyStep], pass: &mut PlacementPass) {
+        let first = self.place_steps(now, steps, MAX_LOOKS / 2, pass);
+        let resumed = first.max(self.resumed_step);
+        let resumed = if resumed < steps.len() {
+            resumed
+        } else {
+            first
+        };
+        let count = self.place_steps(now, &steps[resumed..], MAX_LOOKS, pass);
+        let is_whole = resumed + count == steps.len();
+        self.resumed_step = if is_whole { 0 } else { resumed + count };
+    }
+
+    /// Places the tasks of steps until the pass has looked at workers `max_looks` times; returns the number
+    /// of steps that were reached.
+    fn place_steps(
+        &mut self,
+        now: Now,
+        steps: &[ReadyStep],
+        max_looks: u64,
+        pass: &mut PlacementPass,
+    ) -> usize {
+        for (index, &step) in steps.iter().enumerate() {
+            if pass.is_over() || pass.looks >= max_looks {
+                return index;
             }
+            self.place_step(now, step, pass);
         }
+        steps.len()
     }
 
     /// Returns whether so many workers are about to respond for the first time that those which have
@@ -230,7 +243,10 @@
             || spec.required_label.is_some()
             || spec.max_per_worker.is_some()
             || self.is_advised(ready_step.job);
-        if pass.is_hopeless(is_restricted, &spec.reserved_resources()) {
+        if !is_restricted && pass.unplaceable.contains(&spec.reserved_resources()) {
+            return;
+        }
+        if is_restricted && self.is_set_aside(ready_step) {
             return;
         }
         if self.is_surely_skipped(ready_step.job, spec) {
@@ -244,8 +260,8 @@
         let spec = spec.clone();
         let granted = self.granted_workers(now, ready_step.task(0).into());
         if spec.gang {
-            if !self.place_gang(now, ready_step, &spec, granted.as_ref(), &pass.isolation) {
-                pass.record_failure(is_restricted, spec.reserved_resources());
+            if !self.place_gang(now, ready_step, &spec, granted.as_ref(), pass) {
+                self.set_aside(ready_step);
                 if granted.is_some() {
                     self.query_policy(now, ready_step.task(0).into());
                 }
@@ -274,6 +290,7 @@
         pass: &mut PlacementPass,
     ) {
         let mut candidates = self.candidates(now, step, pass);
+        pass.looks += self.workers.len() as u64;
         // Suspects of the step for which no worker was found: an equal one finds none, either.
         let mut failed_suspects = BTreeSet::new();
         for index in 0..step.spec.count {
@@ -302,7 +319,10 @@
             };
             let chosen = match suspect {
                 Some(suspect) if failed_suspects.contains(&suspect) => None,
-                Some(suspect) => self.select_for_suspect(now, suspect, step, pass),
+                Some(suspect) => {
+                    pass.looks += self.workers.len() as u64;
+                    self.select_for_suspect(now, suspect, step, pass)
+                }
                 None => match step.only_worker {
                     Some(worker) => self.select_only(now, worker, step, pass),
                     None => candidates.cheapest(),
@@ -320,7 +340,11 @@
                     failed_suspects.insert(suspect);
                     continue;
                 }
-                pass.record_failure(step.is_restricted, step.spec.reserved_resources());
+                if step.is_restricted {
+                    self.set_aside(ready_step);
+                } else {
+                    pass.unplaceable.push(step.spec.reserved_resources());
+                }
                 if step.granted.is_some() {
                     self.query_policy(now, key.into());
                 }
--- a/crates/cyclamentrail-jobs/src/shard/placement/gang.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement/gang.rs
@@ -4,11 +4,10 @@
 
 use cyclamentrail_core::RackName;
 
-use super::{Now, ReadyStep, Shard};
+use super::{Now, PlacementPass, ReadyStep, Shard};
 use crate::StepSpec;
 use crate::job::TaskKey;
 use crate::selection::{PlacementRequest, select_worker};
-use crate::shard::isolation::Isolation;
 use crate::shard::open_starts::StartHold;
 use crate::worker::{Worker, WorkerKey};
 
@@ -20,7 +19,7 @@
         ready_step: ReadyStep,
         spec: &StepSpec,
         granted: Option<&BTreeSet<WorkerKey>>,
-        isolation: &Isolation,
+        pass: &mut PlacementPass,
     ) -> bool {
         let keys: Vec<TaskKey> = (0..spec.count)
             .map(|index| ready_step.task(index))
@@ -36,6 +35,10 @@
         } else {
             vec![spec.preferred_rack.clone()]
         };
+        // Each plan looks at all workers, and the rack options one after the other at those of one rack.
+        let plans = rack_options.len().min(2) as u64;
+        pass.looks += plans * self.workers.len() as u64;
+        let isolation = &pass.isolation;
         let needs_rack = |rack: &Option<RackName>| spec.prefers_one_rack && rack.is_some();
         let open = |key: WorkerKey, _: &Worker| isolation.is_open(key);
         let apart =
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -36,7 +36,12 @@
         known
             .lease
             .record_listed_clock(registration.clock_ms, now.boot_ms);
+        let has_new_labels = known.registration.labels != registration.labels;
         known.registration = registration;
+        if has_new_labels {
+            self.take_all_back();
+        }
+        let known = &mut self.workers[key];
         known.is_registered = true;
     }
 
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -2,6 +2,8 @@
 
 #[path = "scheduler/access.rs"]
 mod access;
+#[path = "scheduler/blocked_steps.rs"]
+mod blocked_steps;
 #[path = "scheduler/capacity.rs"]
 mod capacity;
 #[path = "scheduler/crash_counts.rs"]
