fix(jobs): demands without room stop no other step

Cause: a placement pass ended once twelve distinct demands had found no room, and began anew in the same order each time. Ruled out: work that takes the room (8% of the processors in use; eleven such jobs stop nobody, twelve all).

Change: whether a worker has room is asked of an index of room, so that a step without room costs one look and no count of failures ends a pass. The first step of the ranking that others pass for 3 s gets a worker to itself for up to 4 s (turn_given). task_waits names what no worker has.

With 5,000 steps with distinct demands and 1,100 workers a pass after a worker gained room takes at most two looks a step, and none while nothing changes (many_steps_bounded).

--- a/crates/cyclamentrail-jobs/src/effect.rs
+++ b/crates/cyclamentrail-jobs/src/effect.rs
@@ -420,6 +420,17 @@
         /// What the task waits for.
         reason: WaitReason,
     },
+    /// A worker gets no tasks but those of a step that others have passed, for a while.
+    TurnGiven {
+        /// Id of the job.
+        job: JobId,
+        /// First task of the step.
+        task: TaskKey,
+        /// Time for which the step has got no task, in milliseconds.
+        waited_ms: u64,
+        /// Id of the worker.
+        worker: WorkerId,
+    },
     /// The processor share of a worker's best-effort tasks was changed.
     ShareChanged {
         /// Id of the worker.
@@ -521,8 +532,20 @@
 /// What a task that hasn't started waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WaitReason {
-    /// A worker with enough free capacity.
+    /// A worker with enough free capacity of all kinds at once, or several for a gang.
     NoCapacity,
+    /// A worker that may get tasks.
+    NoWorker,
+    /// A worker with the label that the step requires.
+    Label,
+    /// Processors: no worker has as many unused.
+    Processors,
+    /// Memory: no worker has as much unused.
+    Memory,
+    /// Accelerators: no worker has as many unused.
+    Accelerators,
+    /// A worker with fewer tasks of the step: those with room have as many as the step allows.
+    WorkerLimit,
     /// A larger allowance of its team.
     Quota,
     /// The start command, which hasn't been sent yet.
@@ -541,6 +564,12 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoCapacity => "room",
+            Self::NoWorker => "worker",
+            Self::Label => "label",
+            Self::Processors => "processors",
+            Self::Memory => "memory",
+            Self::Accelerators => "accelerators",
+            Self::WorkerLimit => "worker_limit",
             Self::Quota => "quota",
             Self::StartUnsent => "sending",
             Self::StartUnconfirmed => "answer",
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -40,6 +40,7 @@
 mod record_parts;
 mod relays;
 mod resources;
+mod room_index;
 mod route;
 mod run_times;
 mod selection;
@@ -77,8 +78,8 @@
 pub use grants::{Grant, Grants, MAX_WORKERS_PER_QUERY, StepKey};
 pub use hedged_reads::{MAX_READ_LIMIT_MS, PlannedRead, ReadPlan, ReadTimes, replaced_read};
 pub use job::{
-    CrashedRun, Job, JobKey, JobState, Occurrence, PlacedRun, Placement, RestartDoubt, RunPhase,
-    SentShare, StepProgress, StopOrder, Task, TaskKey,
+    CrashedRun, InFlightStart, Job, JobKey, JobState, Occurrence, OpenStart, PlacedRun, Placement,
+    RestartDoubt, RunPhase, SentShare, StepProgress, StopOrder, Task, TaskKey,
 };
 pub use lease::{ClockSample, Lease, LeaseBound};
 pub use newest_configuration::{ConfigurationStep, NewestConfiguration};
@@ -93,13 +94,14 @@
 pub use ranking::{JobRank, WaitingJob};
 pub use recent_loss::RecentLoss;
 pub use record::{
-    AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, OwnerTokens, PROGRESS_SUFFIX,
-    PlacementRecord, ProgressRecord, RELEASE_KEY, RecordError, ReleaseRecord, TaskRecord,
-    WorkerLeaseRecord, decode, encode,
+    AcceptedJobRecord, KeyedRecord, LEASE_PREFIX, OccurrenceRecord, OpenStartRecord, OwnerTokens,
+    PROGRESS_SUFFIX, PlacementRecord, ProgressRecord, RELEASE_KEY, RecordError, ReleaseRecord,
+    TaskRecord, WorkerLeaseRecord, decode, encode,
 };
 pub use record_parts::PartsRecord;
 pub use relays::{MIN_RELAYED_WORKERS, Relay, RelaySpread, RelayedWorker, spread_workers};
 pub use resources::Resources;
+pub use room_index::RoomIndex;
 pub use route::{AdviceConfig, RouteConfig};
 pub use run_times::{
     Distribution, Pace, RUN_TIMES_PREFIX, RunTimeUses, RunTimeUsesError, RunTimes, RunTimesError,
--- a/crates/cyclamentrail-jobs/src/shard.rs
+++ b/crates/cyclamentrail-jobs/src/shard.rs
@@ -165,6 +165,7 @@
     grants: Grants,
     open_starts: open_starts::OpenStarts,
     set_aside: placement::SetAside,
+    turns: placement::Turns,
     /// Index of the waiting step at which the last placement pass stopped, 0 if it reached all.
     resumed_step: usize,
     /// Number of times that placement passes looked at a worker.
--- a/crates/cyclamentrail-jobs/src/shard/isolation.rs
+++ b/crates/cyclamentrail-jobs/src/shard/isolation.rs
@@ -37,6 +37,8 @@
     suspect_workers: BTreeMap<WorkerKey, SuspectWorker>,
     /// Worker that is being emptied for the next suspect task.
     reserved: Option<WorkerKey>,
+    /// Worker that is kept free for another step than those that are placed.
+    kept_free: Option<WorkerKey>,
     /// Number of `suspect_workers` that respond; the others have probably crashed.
     responding: usize,
     /// Number of workers that may run likely suspects at once, or have crashed under them; 0 if none
@@ -73,7 +75,14 @@
 impl Isolation {
     /// Returns whether tasks that aren't suspect may be placed on a worker.
     pub(super) fn is_open(&self, key: WorkerKey) -> bool {
-        self.reserved != Some(key) && !self.suspect_workers.contains_key(&key)
+        self.reserved != Some(key)
+            && self.kept_free != Some(key)
+            && !self.suspect_workers.contains_key(&key)
+    }
+
+    /// Keeps a worker free from tasks that aren't suspect.
+    pub(super) fn keep_free(&mut self, key: WorkerKey) {
+        self.kept_free = Some(key);
     }
 
     /// Returns whether a worker has suspect tasks.
--- a/crates/cyclamentrail-jobs/src/shard/long_waits.rs
+++ b/crates/cyclamentrail-jobs/src/shard/long_waits.rs
@@ -1,8 +1,10 @@
 //! Reporting of tasks that wait long for their start.
 
 use super::{Now, Shard};
+use crate::Resources;
 use crate::effect::{Decision, Effect, WaitReason};
 use crate::job::{Job, JobKey, RunPhase, Task, TaskKey};
+use crate::worker::{Worker, WorkerKey};
 
 /// Time between two reports of a waiting task, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 2_000;
@@ -28,6 +30,7 @@
         };
         let reason = match reason {
             WaitReason::NoCapacity if self.waits_for_quota(task) => WaitReason::Quota,
+            WaitReason::NoCapacity => self.missing_room(now, task),
             reason => reason,
         };
         let decision = Decision::TaskWaiting {
@@ -40,6 +43,58 @@
     }
 }
 
+impl Shard {
+    /// Returns what no worker has for a task that waits for room.
+    fn missing_room(&self, now: Now, task: TaskKey) -> WaitReason {
+        let Some(spec) = self.step_of(task) else {
+            return WaitReason::NoCapacity;
+        };
+        let per_worker = self.tasks_per_worker(task);
+        let open: Vec<(WorkerKey, &Worker)> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.accepts_tasks(now.boot_ms))
+            .collect();
+        if open.is_empty() {
+            return WaitReason::NoWorker;
+        }
+        let label = spec.required_label.as_ref();
+        let has_label = |(_, worker): &&(WorkerKey, &Worker)| {
+            label.is_none_or(|label| worker.has_label(label.as_str()))
+        };
+        let labelled: Vec<&(WorkerKey, &Worker)> = open.iter().filter(has_label).collect();
+        if labelled.is_empty() {
+            return WaitReason::Label;
+        }
+        let demand = spec.reserved_resources();
+        let lacks = |amount: fn(&Resources) -> u64| {
+            let free = labelled.iter().map(|(_, worker)| worker.free_capacity());
+            free.map(|free| amount(&free)).max() < Some(amount(&demand))
+        };
+        if lacks(|amount| amount.cpu_milli) {
+            return WaitReason::Processors;
+        }
+        if lacks(|amount| amount.memory_mib) {
+            return WaitReason::Memory;
+        }
+        if lacks(|amount| amount.gpus) {
+            return WaitReason::Accelerators;
+        }
+        let mut fitting = labelled
+            .iter()
+            .filter(|(_, worker)| worker.free_capacity().contains(&demand));
+        let is_full = |(key, _): &&(WorkerKey, &Worker)| {
+            let count = per_worker.get(key).copied().unwrap_or(0);
+            spec.max_per_worker.is_some_and(|limit| count >= limit)
+        };
+        let has_fitting = fitting.clone().next().is_some();
+        if has_fitting && fitting.all(is_full) {
+            return WaitReason::WorkerLimit;
+        }
+        WaitReason::NoCapacity
+    }
+}
+
 /// Returns the first task of a job that is ready and doesn't run, with what it waits for.
 fn first_waiting(key: JobKey, job: &Job) -> Option<(TaskKey, WaitReason)> {
     for occurrence in &job.occurrences {
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -16,19 +16,19 @@
 use crate::ranking::{JobRank, WaitingJob};
 use crate::selection::{Candidates, PlacementRequest};
 use crate::worker::{Worker, WorkerKey};
-use crate::{RecentLoss, Resources, StepSpec};
+use crate::{RecentLoss, RoomIndex, StepSpec};
 
 mod gang;
 mod set_aside;
 mod suspect;
+mod turn;
 
 pub(super) use set_aside::SetAside;
+pub(super) use turn::Turns;
 
 /// Part of the workers, as a divisor, that may be about to respond for the first time while tasks are
 /// placed.
 const AWAITED_DIVISOR: usize = 10;
-/// Number of distinct demands without room after which a placement pass ends.
-const MAX_UNPLACEABLE: usize = 12;
 /// Number of times that a pass looks at a worker, as a rule: a step that was begun is finished.
 const MAX_LOOKS: u64 = 16_384;
 /// Number of tasks that a pass places, unless a gang has more; the next round goes on.
@@ -45,8 +45,8 @@
 /// What a placement pass has found out so far.
 #[derive(Debug, Default)]
 struct PlacementPass {
-    /// Demands for which no worker has room.
-    unplaceable: Vec<Resources>,
+    /// Room on the workers that may get tasks that aren't suspect.
+    room: RoomIndex,
     /// Number of times that it looked at a worker.
     looks: u64,
     /// Number of tasks that were placed.
@@ -62,7 +62,7 @@
 impl PlacementPass {
     /// Returns whether the pass has to end.
     const fn is_over(&self) -> bool {
-        self.unplaceable.len() >= MAX_UNPLACEABLE || self.placed >= MAX_PLACED_TASKS
+        self.placed >= MAX_PLACED_TASKS
     }
 }
 
@@ -80,8 +80,6 @@
     limit: Option<StepLimit>,
     /// Workers that the queue's policy permits, if it has one.
     granted: Option<BTreeSet<WorkerKey>>,
-    /// Whether only some workers may run its tasks.
-    is_restricted: bool,
     /// The only worker that may run the task that is being placed, if it isn't free to run on others.
     only_worker: Option<WorkerKey>,
 }
@@ -134,11 +132,16 @@
             recent_loss: self.recent_loss.filter(|loss| loss.is_recent(now)),
             ..PlacementPass::default()
         };
-        self.begin_set_aside(now, &pass.isolation);
         let keys = waiting.iter().map(|(_, key)| *key);
         let steps: Vec<ReadyStep> = keys.flat_map(|key| self.ready_steps(key)).collect();
+        let turn = self.review_turn(now, &steps, &mut pass.isolation);
+        pass.room = self.begin_set_aside(now, &pass.isolation);
+        if let Some(step) = turn {
+            self.place_step(now, step, &mut pass);
+        }
         self.place_in_turn(now, &steps, &mut pass);
         self.placement_looks += pass.looks;
+        self.give_turn(now, &steps);
     }
 
     /// Places the tasks of steps: of the first ones with half of the looks, and of those at which the last
@@ -239,14 +242,7 @@
         let Some(spec) = self.step_of(ready_step.task(0)) else {
             return;
         };
-        let is_restricted = spec.gang
-            || spec.required_label.is_some()
-            || spec.max_per_worker.is_some()
-            || self.is_advised(ready_step.job);
-        if !is_restricted && pass.unplaceable.contains(&spec.reserved_resources()) {
-            return;
-        }
-        if is_restricted && self.is_set_aside(ready_step) {
+        if self.is_set_aside(ready_step) {
             return;
         }
         if self.is_surely_skipped(ready_step.job, spec) {
@@ -258,11 +254,18 @@
             return;
         }
         let spec = spec.clone();
+        if !self.waits_for_more(ready_step)
+            && !self.has_room(ready_step, &spec, &pass.room, &mut pass.looks)
+        {
+            self.set_aside(ready_step);
+            return;
+        }
         let granted = self.granted_workers(now, ready_step.task(0).into());
         if spec.gang {
             if !self.place_gang(now, ready_step, &spec, granted.as_ref(), pass) {
                 self.set_aside(ready_step);
                 if granted.is_some() {
+                    pass.looks += self.workers.len() as u64;
                     self.query_policy(now, ready_step.task(0).into());
                 }
             }
@@ -274,13 +277,57 @@
             run_time_costs: self.run_time_costs(now, ready_step.job, &spec),
             limit,
             granted,
-            is_restricted,
             only_worker: None,
             spec,
         };
         self.place_waiting(now, ready_step, &mut step, pass);
     }
 
+    /// Returns whether a worker has room for a task of a step, and for a gang whether all have for it. Looks
+    /// only at workers that have the processors, and at few of those: a limit leaves out as many as the step
+    /// has tasks there, and a gang without room finds fewer than it has members.
+    fn has_room(
+        &self,
+        ready_step: ReadyStep,
+        spec: &StepSpec,
+        room: &RoomIndex,
+        looks: &mut u64,
+    ) -> bool {
+        let demand = spec.reserved_resources();
+        *looks += 1;
+        if !room.fits(&demand) {
+            return false;
+        }
+        let is_restricted =
+            spec.gang || spec.required_label.is_some() || spec.max_per_worker.is_some();
+        if !is_restricted {
+            return true;
+        }
+        let request = PlacementRequest::from(spec);
+        let per_worker = if spec.max_per_worker.is_some() {
+            self.tasks_per_worker(ready_step.task(0))
+        } else {
+            BTreeMap::new()
+        };
+        let needed = if spec.gang { u64::from(spec.count) } else { 1 };
+        let mut found = 0;
+        for (key, free) in room.nearly_fitting(&demand) {
+            *looks += 1;
+            let has_label = request.is_suitable(&self.workers[key]);
+            let taken = per_worker.get(&key).copied().unwrap_or(0);
+            let limit = spec
+                .max_per_worker
+                .map_or(u32::MAX, |limit| limit.saturating_sub(taken));
+            if has_label {
+                found += free.count_of(&demand).min(u64::from(limit));
+            }
+            if found >= needed {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Places the waiting tasks of a step, one after the other, until there is no room.
     fn place_waiting(
         &mut self,
@@ -340,12 +387,9 @@
                     failed_suspects.insert(suspect);
                     continue;
                 }
-                if step.is_restricted {
-                    self.set_aside(ready_step);
-                } else {
-                    pass.unplaceable.push(step.spec.reserved_resources());
-                }
+                self.set_aside(ready_step);
                 if step.granted.is_some() {
+                    pass.looks += self.workers.len() as u64;
                     self.query_policy(now, key.into());
                 }
                 return;
@@ -353,6 +397,9 @@
             *step.per_worker.entry(worker).or_default() += 1;
             self.place(now, key, worker, None);
             pass.placed += 1;
+            pass.room
+                .update(worker, self.workers[worker].free_capacity());
+            self.turns.note_placed(ready_step);
             if step.spec.long_running {
                 pass.pinned.insert(worker);
             }
--- a/crates/cyclamentrail-jobs/src/shard/placement/gang.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement/gang.rs
@@ -80,7 +80,10 @@
         }
         for (key, worker) in keys.into_iter().zip(plan) {
             self.place(now, key, worker, Some(run));
+            pass.room
+                .update(worker, self.workers[worker].free_capacity());
         }
+        pass.placed += spec.count as usize;
         true
     }
 
--- a/crates/cyclamentrail-jobs/src/shard/placement/set_aside.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement/set_aside.rs
@@ -10,10 +10,10 @@
 use slotmap::SecondaryMap;
 
 use super::{Now, ReadyStep, Shard};
-use crate::Resources;
 use crate::job::TaskKey;
 use crate::shard::isolation::Isolation;
-use crate::worker::WorkerKey;
+use crate::worker::{Worker, WorkerKey};
+use crate::{Resources, RoomIndex};
 
 /// Steps that found no worker.
 #[derive(Debug, Default)]
@@ -40,15 +40,15 @@
 }
 
 impl Shard {
-    /// Begins a placement pass.
-    pub(super) fn begin_set_aside(&mut self, now: Now, isolation: &Isolation) {
-        let open = self
-            .workers
-            .iter()
-            .filter(|(key, worker)| worker.accepts_tasks(now.boot_ms) && isolation.is_open(*key));
-        let room = open.map(|(key, worker)| (key, worker.free_capacity()));
-        let room = room.collect();
-        self.set_aside.begin_pass(room);
+    /// Begins a placement pass; returns the room on the workers that may get tasks that aren't suspect.
+    pub(super) fn begin_set_aside(&mut self, now: Now, isolation: &Isolation) -> RoomIndex {
+        let is_open = |(key, worker): &(WorkerKey, &Worker)| {
+            worker.accepts_tasks(now.boot_ms) && isolation.is_open(*key)
+        };
+        let open = self.workers.iter().filter(is_open);
+        let room = RoomIndex::new(open.map(|(key, worker)| (key, worker.free_capacity())));
+        self.set_aside.begin_pass(room.workers().clone());
+        room
     }
 
     /// Returns whether a step has found no worker since one gained room.
@@ -58,13 +58,17 @@
 
     /// Sets a step aside for which there is no worker.
     pub(super) fn set_aside(&mut self, step: ReadyStep) {
-        let waits_for_more =
-            self.is_advised(step.job) || self.has_suspect(step) || self.has_open_start(step);
-        if !waits_for_more {
+        if !self.waits_for_more(step) {
             self.set_aside.failed.insert(step);
+            self.turns.note_failed();
         }
     }
 
+    /// Returns whether more than the room on open workers decides about a step.
+    pub(super) fn waits_for_more(&self, step: ReadyStep) -> bool {
+        self.is_advised(step.job) || self.has_suspect(step) || self.has_open_start(step)
+    }
+
     /// Takes a step back of which a run has ended.
     pub(in crate::shard) fn take_back(&mut self, task: TaskKey) {
         self.set_aside.failed.remove(&ReadyStep {
--- a/crates/cyclamentrail/src/edge/decision_log/log_line.rs
+++ b/crates/cyclamentrail/src/edge/decision_log/log_line.rs
@@ -147,15 +147,7 @@
             Decision::WorkerAvoided { worker, for_ms } => Self::new("worker_avoided")
                 .with("worker", worker)
                 .with("for_ms", for_ms),
-            Decision::TaskWaiting {
-                job,
-                task,
-                age_ms,
-                reason,
-            } => Self::new("task_waits")
-                .with_task_of(job, task)
-                .with("age_ms", age_ms)
-                .with("reason", reason.as_str()),
+            Decision::TaskWaiting { .. } | Decision::TurnGiven { .. } => wait_line(decision),
             Decision::ShareChanged {
                 worker,
                 percent,
@@ -187,6 +179,31 @@
     }
 }
 
+/// Returns the line of a task that waits for room; other decisions have lines of their own.
+fn wait_line(decision: &Decision) -> LogLine {
+    match decision {
+        Decision::TaskWaiting {
+            job,
+            task,
+            age_ms,
+            reason,
+        } => LogLine::new("task_waits")
+            .with_task_of(job, task)
+            .with("age_ms", age_ms)
+            .with("reason", reason.as_str()),
+        Decision::TurnGiven {
+            job,
+            task,
+            waited_ms,
+            worker,
+        } => LogLine::new("turn_given")
+            .with_task_of(job, task)
+            .with("waited_ms", waited_ms)
+            .with("worker", worker),
+        _ => LogLine::new("unknown"),
+    }
+}
+
 /// Returns the line of a run that is gone, or that isn't assigned to the worker that lists it; other
 /// decisions have lines of their own.
 fn run_line(decision: &Decision) -> LogLine {
@@ -341,6 +358,7 @@
         | Decision::RunUnassigned { job, .. }
         | Decision::JobFinal { job, .. }
         | Decision::TaskWaiting { job, .. }
+        | Decision::TurnGiven { job, .. }
         | Decision::PromiseMade { job, .. }
         | Decision::PromiseEnded { job, .. }
         | Decision::JobGivenUp { job, .. }
--- a/crates/cyclamentrail/src/metrics/jobs.rs
+++ b/crates/cyclamentrail/src/metrics/jobs.rs
@@ -94,6 +94,7 @@
         | Decision::WorkerRestarted { .. }
         | Decision::TaskKeptApart { .. }
         | Decision::SuspectWaitEnded { .. }
+        | Decision::TurnGiven { .. }
         | Decision::StopWithdrawn { .. }
         | Decision::ShareChanged { .. } => {}
     }
