fix(jobs): a failed run of a gang is one attempt

Cause: the failed runs of all members were added up, though the members of a run share its number. Ruled out: repeated runs on the failing worker (each task had one run).

Change: the attempts of a gang are the distinct numbers of runs of which a member failed.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -1,5 +1,6 @@
 //! State of the accepted jobs: occurrences, steps, tasks and their runs.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use cyclamentrail_core::{JobId, RouteName, TeamName, WorkerId};
@@ -341,6 +342,15 @@
         }
     }
 
+    /// Returns the number of failed runs of a gang. Its members share the number of their run, so that a run
+    /// counts once however many of them failed, and however their ends were reported.
+    #[must_use]
+    pub fn gang_failures(&self) -> u32 {
+        let runs = self.tasks.iter().flat_map(|task| &task.failed_runs);
+        let distinct: BTreeSet<u32> = runs.copied().collect();
+        u32::try_from(distinct.len()).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether all tasks of the step are done.
     #[must_use]
     pub const fn is_done(&self) -> bool {
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -7,7 +7,7 @@
 use crate::effect::{
     ActiveRun, Decision, Effect, EndKind, EndProof, EndedRun, PollOutcome, TaskRunId, WorkerReport,
 };
-use crate::job::{RunPhase, Task, TaskKey};
+use crate::job::{RunPhase, StepProgress, TaskKey};
 use crate::worker::{Reachability, WorkerKey};
 
 /// Time for which no task is placed on a worker that keeps failing tasks, in milliseconds; grows
@@ -250,13 +250,13 @@
         }
     }
 
-    /// Returns how many runs of all tasks of a gang failed.
+    /// Returns how many runs of a task's gang failed.
     fn gang_failures(&self, key: TaskKey) -> u32 {
         self.jobs
             .get(key.job)
             .and_then(|job| job.occurrence(key.occurrence))
             .and_then(|occurrence| occurrence.steps.get(key.step as usize))
-            .map_or(0, |step| step.tasks.iter().map(Task::failure_count).sum())
+            .map_or(0, StepProgress::gang_failures)
     }
 
     /// Fails the job of a task, and stops its runs.
--- a/crates/cyclamentrail-jobs/tests/scheduler.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler.rs
@@ -18,6 +18,8 @@
 mod failing_services;
 #[path = "scheduler/former_routes.rs"]
 mod former_routes;
+#[path = "scheduler/gang_attempts.rs"]
+mod gang_attempts;
 #[path = "scheduler/gang_checkpoint.rs"]
 mod gang_checkpoint;
 #[path = "scheduler/jobs.rs"]
