fix(jobs): the wait for an earlier start ends with a worker that is gone

A killed owner had placed a task whose start was never sent; the successor bound it to that worker for the whole wait, its next run failed there, which let it wait for the rest, and the worker was lost then.

Change: a worker that the registry hasn't listed for two heartbeats counts as gone; what is only inferred from the record of an earlier owner binds a task to a worker that responds; a failed run may be repeated there unless one attempt is left.

open_starts::lost_worker_bounds_wait and inferred_start_costs_lease_only fail before it.

--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -190,6 +190,9 @@
     pub late_until_ms: u64,
     /// Last command, if its outcome isn't known yet.
     pub in_flight: Option<InFlightStart>,
+    /// Whether nobody has seen a command without a response: an earlier owner placed the run, and may have
+    /// sent one.
+    pub is_inferred: bool,
 }
 
 /// Start command without an outcome yet.
--- a/crates/cyclamentrail-jobs/src/shard/open_starts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/open_starts.rs
@@ -5,11 +5,12 @@
 //! As long as such a start may be carried out, the next run of its task is therefore placed on that worker
 //! only, once the present incarnation knows its token and doesn't have the earlier run: whatever ends that
 //! incarnation ends the later run, too. If the worker can't take the task, the task waits, until a start
-//! can't be carried out any more and a run that it began has ended with its lease. A call that names a worker
-//! whose address another one has is rejected there.
+//! can't be carried out any more and a run that it began has ended with its lease, or the worker counts as gone
+//! for good: the registry doesn't list it any more, or another one has its address and rejects calls to it.
 //!
-//! The worker is part of the task's record with the time that is left, so that a successor keeps to it. Runs
-//! of speculative steps may overlap and wait for nothing.
+//! The worker is part of the task's record with the time that is left, so that a successor keeps to it. A run
+//! that an earlier owner placed and that the worker doesn't have may have a start under way, too; its task
+//! keeps to the worker as long as that one responds. Runs of speculative steps may overlap and wait for nothing.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -22,6 +23,10 @@
 use crate::record::OpenStartRecord;
 use crate::worker::{Worker, WorkerKey};
 
+/// Time for which the registry doesn't list a worker after which it counts as gone for good, in milliseconds:
+/// two heartbeats. One that was cut off and lives is back by then.
+const GONE_MS: u64 = 3_000;
+
 /// Where a task may run in view of its earlier starts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum StartHold {
@@ -39,6 +44,8 @@
     /// Workers whose addresses others have, with the times at which that was seen, on the owner's boot clock
     /// in milliseconds.
     replaced_ms: HashMap<WorkerId, u64>,
+    /// Workers that the registry doesn't list, with the times since which it doesn't, on the same clock.
+    unlisted_ms: HashMap<WorkerId, u64>,
     /// Workers for which tasks wait.
     watched: BTreeSet<WorkerKey>,
 }
@@ -49,9 +56,22 @@
         self.replaced_ms.insert(worker, now.boot_ms);
     }
 
-    /// Records that a worker has started under its id, wherever it was before.
-    pub(super) fn note_started(&mut self, worker: &WorkerId) {
+    /// Records that the registry doesn't list a worker.
+    pub(super) fn note_unlisted(&mut self, now: Now, worker: WorkerId) {
+        self.unlisted_ms.entry(worker).or_insert(now.boot_ms);
+    }
+
+    /// Records that a worker is there under its id, wherever it was before.
+    pub(super) fn note_listed(&mut self, worker: &WorkerId) {
         self.replaced_ms.remove(worker);
+        self.unlisted_ms.remove(worker);
+    }
+
+    /// Returns whether a worker counts as gone for good.
+    fn is_gone(&self, now: Now, worker: &WorkerId) -> bool {
+        let unlisted_ms = self.unlisted_ms.get(worker);
+        let is_missing = unlisted_ms.is_some_and(|&since_ms| now.boot_ms > since_ms + GONE_MS);
+        is_missing || self.replaced_ms.contains_key(worker)
     }
 
     /// Returns whether a task waits for a worker to report.
@@ -63,8 +83,9 @@
     pub(super) fn begin_pass(&mut self, now: Now, longest_lease_ms: u64) {
         self.watched.clear();
         let longest_ms = CALLS_UNDER_WAY_MS + LATE_CALL_MS + longest_lease_ms;
-        self.replaced_ms
-            .retain(|_, since_ms| now.boot_ms <= *since_ms + longest_ms);
+        let matters = |since_ms: u64| now.boot_ms <= since_ms + longest_ms;
+        self.replaced_ms.retain(|_, since_ms| matters(*since_ms));
+        self.unlisted_ms.retain(|_, since_ms| matters(*since_ms));
     }
 }
 
@@ -84,6 +105,7 @@
             worker: worker.clone(),
             late_until_ms: 0,
             in_flight: None,
+            is_inferred: false,
         });
         // The outcome of one for an earlier run isn't waited for any more.
         let forgotten = open.in_flight.filter(|start| start.run != run);
@@ -124,6 +146,7 @@
         };
         if may_be_late {
             open.late_until_ms = now.boot_ms + LATE_CALL_MS;
+            open.is_inferred = false;
             self.dirty.insert(key.job);
         } else if open.late_until_ms == 0 {
             task.open_start = None;
@@ -147,6 +170,7 @@
                 worker,
                 late_until_ms: placement.late_until_ms,
                 in_flight: None,
+                is_inferred: true,
             });
         }
     }
@@ -157,7 +181,7 @@
         let open = task.open_start.as_ref().filter(|_| !task.is_done)?;
         let end_ms = open.late_until_ms + self.timing.longest_possible_lease_ms();
         let is_over = open.late_until_ms == 0 || end_ms <= now.boot_ms;
-        (!is_over).then(|| OpenStartRecord {
+        (!is_over && !open.is_inferred).then(|| OpenStartRecord {
             worker: open.worker.clone(),
             remaining_ms: end_ms - now.boot_ms,
         })
@@ -169,6 +193,9 @@
         let longest_lease_ms = self.timing.longest_possible_lease_ms();
         for job in self.jobs.values_mut() {
             for open in job.open_starts_mut() {
+                if !self.worker_keys.contains_key(&open.worker) {
+                    self.open_starts.note_unlisted(now, open.worker.clone());
+                }
                 let remaining_ms = open.late_until_ms;
                 open.late_until_ms = if has_released {
                     (now.boot_ms + remaining_ms).saturating_sub(longest_lease_ms)
@@ -196,7 +223,7 @@
         if self.step_of(key).is_some_and(|step| step.speculative) {
             return StartHold::Free;
         }
-        if self.open_starts.replaced_ms.contains_key(&open.worker) {
+        if self.open_starts.is_gone(now, &open.worker) {
             return StartHold::Free;
         }
         let worker_key = self.worker_keys.get(&open.worker).copied();
@@ -212,20 +239,16 @@
         let awaits_outcome = open
             .in_flight
             .is_some_and(|start| now.boot_ms < start.until_ms);
-        // What failed there would probably fail again.
-        let has_failed = task.failed_runs.contains(&task.last_run);
-        match worker {
-            Some((key, worker))
-                if worker.is_in_contact() && !has_run && !awaits_outcome && !has_failed =>
-            {
-                StartHold::Worker(key)
-            }
+        // The last attempt isn't spent where one failed.
+        let may_fail =
+            task.failed_runs.is_empty() || task.failure_count() + 1 < self.max_attempts(key);
+        match worker.filter(|(_, worker)| worker.is_in_contact()) {
+            None if open.is_inferred => StartHold::Free,
+            Some((key, _)) if !has_run && !awaits_outcome && may_fail => StartHold::Worker(key),
             _ => StartHold::Wait,
         }
     }
-}
 
-impl Shard {
     /// Polls the worker for which a task waits, also if it has no other runs.
     pub(super) fn watch_worker(&mut self, key: TaskKey) {
         let task = self.jobs.get(key.job).and_then(|job| job.task(key));
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -486,6 +486,7 @@
             worker: open.worker,
             late_until_ms: open.remaining_ms,
             in_flight: None,
+            is_inferred: false,
         }),
     }
 }
--- a/crates/cyclamentrail-jobs/src/shard/registry.rs
+++ b/crates/cyclamentrail-jobs/src/shard/registry.rs
@@ -37,6 +37,7 @@
             .lease
             .record_listed_clock(registration.clock_ms, now.boot_ms);
         let has_new_labels = known.registration.labels != registration.labels;
+        self.open_starts.note_listed(&registration.id);
         known.registration = registration;
         if has_new_labels {
             self.take_all_back();
@@ -61,6 +62,8 @@
     /// Marks a worker as unlisted, and forgets the worker once it has no runs.
     pub fn unregister(&mut self, id: &WorkerId) {
         self.ended_incarnations.remove(id);
+        self.open_starts
+            .note_unlisted(self.learned.last_round, id.clone());
         let Some(&key) = self.worker_keys.get(id) else {
             return;
         };
--- a/crates/cyclamentrail-jobs/src/shard/reports.rs
+++ b/crates/cyclamentrail-jobs/src/shard/reports.rs
@@ -268,7 +268,7 @@
     }
 
     /// Returns the number of failed runs of a task at which its job fails.
-    fn max_attempts(&self, key: TaskKey) -> u32 {
+    pub(super) fn max_attempts(&self, key: TaskKey) -> u32 {
         self.jobs
             .get(key.job)
             .and_then(|job| self.routes.get(&job.route))
--- a/crates/cyclamentrail-jobs/src/shard/restarts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/restarts.rs
@@ -101,7 +101,7 @@
         now: Now,
         registration: WorkerRegistration,
     ) -> WorkerKey {
-        self.open_starts.note_started(&registration.id);
+        self.open_starts.note_listed(&registration.id);
         self.newest_token = self.newest_token.next();
         let worker = Worker::new(registration, self.newest_token, now.boot_ms);
         self.workers.insert(worker)
--- a/crates/cyclamentrail-jobs/tests/scheduler/open_starts.rs
+++ b/crates/cyclamentrail-jobs/tests/scheduler/open_starts.rs
@@ -16,6 +16,10 @@
 const LONGEST_LEASE_MS: u64 = 6_154;
 /// Time from a restart behind a cut to the reading of the new registration, in milliseconds.
 const CUT_MS: u64 = 9_000;
+/// Longest time in milliseconds that a lease lasts which an owner grants.
+const LEASE_MS: u64 = 4_616;
+/// Time for which the registry doesn't list a worker after which it counts as gone, in milliseconds.
+const GONE_MS: u64 = 3_000;
 /// Time within which a call has an outcome and a round follows, in milliseconds.
 const OUTCOME_MS: u64 = 600;
 
@@ -153,12 +157,12 @@
     assert_eq!(sim.running_on("w9"), 1);
 }
 
-/// Guards against a wait without an end for a worker that is lost for good, and one that ends while a start
+/// Guards against a wait without an end for a worker that is listed and silent, and one that ends while a start
 /// may still begin a run.
 #[test]
-fn lost_worker_bounds_wait() {
+fn silent_worker_bounds_wait() {
     let mut sim = with_late_start(60_000, lasting());
-    sim.remove_worker("w0");
+    sim.worker("w0").is_reachable = false;
     sim.add_worker("w9", WORKER, "r9");
     sim.run_for(MAX_LATE_MS + LONGEST_LEASE_MS - OUTCOME_MS);
     assert_eq!(sim.running_on("w9"), 0);
@@ -166,6 +170,53 @@
     assert_eq!(sim.running_on("w9"), 1);
 }
 
+/// Guards against waiting for as long for a worker that is lost for good.
+#[test]
+fn lost_worker_bounds_wait() {
+    let mut sim = with_late_start(60_000, lasting());
+    sim.remove_worker("w0");
+    sim.add_worker("w9", WORKER, "r9");
+    sim.run_for(LEASE_MS + GONE_MS);
+    assert_eq!(sim.running_on("w9"), 1);
+}
+
+/// Guards against taking a worker for gone whose entry lapsed behind a cut, and which starts again there.
+#[rstest]
+fn unlisted_worker_returns(#[values(5_000, 6_500, 8_000)] late_ms: u64) {
+    let mut sim = with_late_start(late_ms, lasting());
+    sim.add_worker("w9", WORKER, "r9");
+    sim.worker("w0").is_reachable = false;
+    sim.run_for(1_000);
+    sim.restart_under_id("w0", 5_000);
+    sim.worker("w0").is_reachable = false;
+    sim.run_for(3_500);
+    sim.shard.unregister(&"w0".into());
+    sim.run_for(1_400);
+    sim.worker("w0").is_reachable = true;
+    sim.run_for(12_000);
+    assert_eq!(sim.running(), 1);
+}
+
+/// Guards against a task that isn't started for long because an earlier owner, which ended, may have sent its
+/// start, and its worker is silent now.
+#[test]
+fn inferred_start_costs_lease_only() {
+    let mut sim = Simulation::new(1, WORKER);
+    sim.run_for(AGE_MS);
+    sim.submit("a", lasting());
+    while sim.records.is_empty() || sim.running() == 0 {
+        sim.run_for(1);
+        if sim.kill_amid_commit(usize::MAX) {
+            break;
+        }
+    }
+    sim.run_for(OUTCOME_MS);
+    sim.worker("w0").is_reachable = false;
+    sim.add_worker("w9", WORKER, "r9");
+    sim.run_for(9_000);
+    assert_eq!(sim.running_on("w9"), 1);
+}
+
 /// Guards against waiting for a start to a worker whose address another one has, which rejects it.
 #[test]
 fn replaced_worker_waits_for_nothing() {
