fix(platform): an order for a machine that was given up isn't delivered later

Cause: a call over its time limit closed its connection in order, so that a cut held its bytes up and delivered them at its end. Ruled out: an order that was sent after the cut (the former holder sent one).

Change: connections to the machine service are reset when they are closed.

--- a/crates/cyclamentrail/src/edge/machine_duty.rs
+++ b/crates/cyclamentrail/src/edge/machine_duty.rs
@@ -68,7 +68,7 @@
         return quota_ledger.serve_until_stop(&mut receiver).await;
     };
     let machine_service = MachineService::new(
-        process.http_client.clone(),
+        process.http_client.with_resets(),
         address,
         MACHINE_SERVICE_TIMEOUT,
     );
