--- a/crates/cyclamentrail-jobs/src/job.rs
+++ b/crates/cyclamentrail-jobs/src/job.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use cyclamentrail_core::{JobId, RouteName, TeamName, WorkerId};
+use cyclamentrail_core::{JobId, RouteName, TeamName};
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
+use crate::open_start::OpenStart;
 use crate::record_parts::StoredParts;
 use crate::worker::WorkerKey;
 use crate::{JobSpec, Schedule, StepSpec};
@@ -179,31 +180,6 @@
     }
 }
 
-/// Start commands for a task that may still be carried out, by any incarnation of the worker that they were
-/// sent to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct OpenStart {
-    /// Worker that they were sent to.
-    pub worker: WorkerId,
-    /// Time until which those without a response are expected to be carried out, on the owner's boot clock
-    /// in milliseconds; 0 if there are none.
-    pub late_until_ms: u64,
-    /// Last command, if its outcome isn't known yet.
-    pub in_flight: Option<InFlightStart>,
-    /// Whether nobody has seen a command without a response: an earlier owner placed the run, and may have
-    /// sent one.
-    pub is_inferred: bool,
-}
-
-/// Start command without an outcome yet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct InFlightStart {
-    /// Number of the run that it starts.
-    pub run: u32,
-    /// Time by which its outcome is known, on the owner's boot clock in milliseconds.
-    pub until_ms: u64,
-}
-
 /// Run whose worker crashed under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashedRun {
--- a/crates/cyclamentrail-jobs/src/lib.rs
+++ b/crates/cyclamentrail-jobs/src/lib.rs
@@ -31,6 +31,7 @@
 mod job;
 mod lease;
 mod newest_configuration;
+mod open_start;
 mod owner_capacity;
 mod queue_gate;
 mod quota;
@@ -78,11 +79,12 @@
 pub use grants::{Grant, Grants, MAX_WORKERS_PER_QUERY, StepKey};
 pub use hedged_reads::{MAX_READ_LIMIT_MS, PlannedRead, ReadPlan, ReadTimes, replaced_read};
 pub use job::{
-    CrashedRun, InFlightStart, Job, JobKey, JobState, Occurrence, OpenStart, PlacedRun, Placement,
-    RestartDoubt, RunPhase, SentShare, StepProgress, StopOrder, Task, TaskKey,
+    CrashedRun, Job, JobKey, JobState, Occurrence, PlacedRun, Placement, RestartDoubt, RunPhase,
+    SentShare, StepProgress, StopOrder, Task, TaskKey,
 };
 pub use lease::{ClockSample, Lease, LeaseBound};
 pub use newest_configuration::{ConfigurationStep, NewestConfiguration};
+pub use open_start::{InFlightStart, OpenStart};
 pub use owner_capacity::{MachineLimits, OwnerCapacity, leaves_shards_to_others};
 pub use queue_gate::{
     ConfigurationOrder, Opening, QueueAdmission, QueueClosing, QueueGate, QueueId,
--- a/crates/cyclamentrail-jobs/src/shard/open_starts.rs
+++ b/crates/cyclamentrail-jobs/src/shard/open_starts.rs
@@ -19,7 +19,8 @@
 use super::restarts::{CALLS_UNDER_WAY_MS, LATE_CALL_MS};
 use super::{Now, Shard};
 use crate::effect::CommandOutcome;
-use crate::job::{InFlightStart, Job, OpenStart, Placement, Task, TaskKey};
+use crate::job::{Job, Placement, Task, TaskKey};
+use crate::open_start::{InFlightStart, OpenStart};
 use crate::record::OpenStartRecord;
 use crate::worker::{Worker, WorkerKey};
 
--- a/crates/cyclamentrail-jobs/src/shard/placement.rs
+++ b/crates/cyclamentrail-jobs/src/shard/placement.rs
@@ -4,9 +4,7 @@
 
 use cyclamentrail_core::RackName;
 
-use super::isolation::Isolation;
 use super::open_starts::StartHold;
-use super::quota::StepLimit;
 use super::{Now, Shard};
 use crate::best_effort_share::FULL_SHARE_PERCENT;
 use crate::effect::Effect;
@@ -16,13 +14,15 @@
 use crate::ranking::{JobRank, WaitingJob};
 use crate::selection::{Candidates, PlacementRequest};
 use crate::worker::{Worker, WorkerKey};
-use crate::{RecentLoss, RoomIndex, StepSpec};
+use crate::{RoomIndex, StepSpec};
 
 mod gang;
+mod pass;
 mod set_aside;
 mod suspect;
 mod turn;
 
+use pass::{PlacementPass, ReadyStep, StepPlacement};
 pub(super) use set_aside::SetAside;
 pub(super) use turn::Turns;
 
@@ -31,86 +31,6 @@
 const AWAITED_DIVISOR: usize = 10;
 /// Number of times that a pass looks at a worker, as a rule: a step that was begun is finished.
 const MAX_LOOKS: u64 = 16_384;
-/// Number of tasks that a pass places, unless a gang has more; the next round goes on.
-const MAX_PLACED_TASKS: usize = 1_024;
-
-/// A step with tasks to place whose preceding steps are done.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(super) struct ReadyStep {
-    job: JobKey,
-    occurrence: u32,
-    step: u32,
-}
-
-/// What a placement pass has found out so far.
-#[derive(Debug, Default)]
-struct PlacementPass {
-    /// Room on the workers that may get tasks that aren't suspect.
-    room: RoomIndex,
-    /// Number of times that it looked at a worker.
-    looks: u64,
-    /// Number of tasks that were placed.
-    placed: usize,
-    /// Workers with long-running tasks.
-    pinned: BTreeSet<WorkerKey>,
-    /// Workers that are kept apart for suspect tasks.
-    isolation: Isolation,
-    /// Last loss of a worker, if it casts doubt on others.
-    recent_loss: Option<RecentLoss>,
-}
-
-impl PlacementPass {
-    /// Returns whether the pass has to end.
-    const fn is_over(&self) -> bool {
-        self.placed >= MAX_PLACED_TASKS
-    }
-}
-
-/// A step whose tasks are being placed, one after the other.
-#[derive(Debug)]
-struct StepPlacement {
-    spec: StepSpec,
-    /// Rack that its tasks prefer.
-    rack: Option<RackName>,
-    /// Number of its tasks on each worker.
-    per_worker: BTreeMap<WorkerKey, u32>,
-    /// Additional costs of workers by the learned run times.
-    run_time_costs: Option<BTreeMap<WorkerKey, u64>>,
-    /// Quota that limits its tasks, if any does.
-    limit: Option<StepLimit>,
-    /// Workers that the queue's policy permits, if it has one.
-    granted: Option<BTreeSet<WorkerKey>>,
-    /// The only worker that may run the task that is being placed, if it isn't free to run on others.
-    only_worker: Option<WorkerKey>,
-}
-
-impl StepPlacement {
-    /// Returns the request for the next task.
-    fn request<'a>(&'a self, pass: &'a PlacementPass) -> PlacementRequest<'a> {
-        PlacementRequest {
-            preferred_rack: self.rack.as_ref(),
-            pinned_workers: Some(&pass.pinned),
-            same_step_counts: Some(&self.per_worker),
-            granted_workers: self.granted.as_ref(),
-            run_time_costs: self.run_time_costs.as_ref(),
-            recent_loss: pass.recent_loss,
-            only_worker: self.only_worker,
-            ..PlacementRequest::from(&self.spec)
-        }
-    }
-}
-
-impl ReadyStep {
-    const fn task(self, index: u32) -> TaskKey {
-        TaskKey {
-            job: self.job,
-            occurrence: self.occurrence,
-            step: self.step,
-            index,
-        }
-    }
-}
-
 impl Shard {
     /// Places waiting tasks in the order of their jobs' ranks.
     pub(super) fn place_tasks(&mut self, now: Now) {
--- a/crates/cyclamentrail-jobs/src/shard/recovery.rs
+++ b/crates/cyclamentrail-jobs/src/shard/recovery.rs
@@ -15,9 +15,10 @@
 use super::restarts::LATE_CALL_MS;
 use super::{Now, Shard};
 use crate::job::{
-    Job, JobKey, Occurrence, OpenStart, Placement, RestartDoubt, RunPhase, SentShare, StepProgress,
-    StopOrder, Task, TaskKey,
+    Job, JobKey, Occurrence, Placement, RestartDoubt, RunPhase, SentShare, StepProgress, StopOrder,
+    Task, TaskKey,
 };
+use crate::open_start::OpenStart;
 use crate::record::{
     AcceptedJobRecord, EVACUATIONS_KEY, KeyedRecord, LEASE_PREFIX, OccurrenceRecord,
     PROGRESS_SUFFIX, PlacementRecord, ProgressRecord, RELEASE_KEY, ROUTE_PREFIX, RecordError,
