--- a/crates/cyclamentrail-jobs/src/room_index.rs
+++ b/crates/cyclamentrail-jobs/src/room_index.rs
@@ -15,11 +15,14 @@
 ///
 /// ```
 /// use cyclamentrail_jobs::{Resources, RoomIndex, WorkerKey};
+/// use slotmap::SlotMap;
 ///
-/// let mut index = RoomIndex::new([(WorkerKey::default(), Resources::new(2_000, 1_024, 0))]);
+/// let mut workers: SlotMap<WorkerKey, Resources> = SlotMap::with_key();
+/// let worker = workers.insert(Resources::new(2_000, 1_024, 0));
+/// let mut index = RoomIndex::new(workers);
 /// assert!(index.fits(&Resources::new(1_800, 512, 0)));
 /// assert!(!index.fits(&Resources::new(1_800, 2_048, 0)));
-/// index.update(WorkerKey::default(), Resources::new(200, 512, 0));
+/// index.update(worker, Resources::new(200, 512, 0));
 /// assert!(!index.fits(&Resources::new(1_800, 512, 0)));
 /// ```
 #[derive(Debug, Clone, Default)]
